--- /dev/null
+++ b/components/coordination/src/agree/elect.rs
@@ -0,0 +1,182 @@
+//! Elections: pre-vote, vote, and the start of a term.
+
+use super::core::{Core, Progress, Role};
+use super::log::{Hard, Index, Term};
+use super::message::Message;
+use super::ELECTION_MS;
+use crate::prelude::*;
+use state::record::{Disk, Member, Record};
+use state::view::Place;
+
+impl Core {
+    pub(super) fn tick_follower(&mut self, now: Millis) {
+        if now < self.election_at || !self.votes_here() {
+            return;
+        }
+        self.reset_election(now);
+        self.leader = None;
+        self.role = Role::PreCandidate;
+        self.votes.clear();
+        self.votes.insert(self.me.disk);
+        let message = Message::PreVote {
+            term: Term(self.hard.term.0 + 1),
+            last: self.log.last(),
+            last_term: self.log.last_term(),
+        };
+        self.ask_voters(&message);
+        self.stand_if_backed(now);
+    }
+
+    /// Answers whether it would vote.
+    ///
+    /// A voter that has heard from a leader of late says no. Without this, a
+    /// member that comes back from a partition with a higher term would depose
+    /// a leader that works: one would see an election after each rejoin.
+    pub(super) fn on_pre_vote(
+        &mut self,
+        now: Millis,
+        place: &Place,
+        from: Disk,
+        term: Term,
+        last: (Term, Index),
+    ) {
+        let granted = term > self.hard.term && self.votes_here() && self.fresh_enough(now, last);
+        let reply = Message::PreVoteReply {
+            term: if granted { term } else { self.hard.term },
+            granted,
+        };
+        self.send(place, Some(from), reply);
+    }
+
+    pub(super) fn on_pre_vote_reply(&mut self, now: Millis, from: Disk, term: Term, granted: bool) {
+        if !granted && term > self.hard.term {
+            self.become_follower(now, term, None);
+            return;
+        }
+        let asked = Term(self.hard.term.0 + 1);
+        if self.role == Role::PreCandidate && granted && term == asked {
+            self.count_vote(from);
+            self.stand_if_backed(now);
+        }
+    }
+
+    pub(super) fn on_vote(
+        &mut self,
+        now: Millis,
+        place: &Place,
+        from: Disk,
+        term: Term,
+        last: (Term, Index),
+    ) {
+        let open = self.votes_here() && self.fresh_enough(now, last);
+        if term > self.hard.term && open {
+            self.become_follower(now, term, None);
+        }
+        let free = self.hard.vote.is_none() || self.hard.vote == Some(from);
+        let granted = open && term == self.hard.term && free && self.role == Role::Follower;
+        if granted {
+            self.hard.vote = Some(from);
+            self.ready.hard = Some(self.hard);
+            self.reset_election(now);
+        }
+        let term = self.hard.term;
+        self.send(place, Some(from), Message::VoteReply { term, granted });
+    }
+
+    pub(super) fn on_vote_reply(&mut self, now: Millis, from: Disk, term: Term, granted: bool) {
+        if term > self.hard.term {
+            self.become_follower(now, term, None);
+            return;
+        }
+        if self.role == Role::Candidate && granted && term == self.hard.term {
+            self.count_vote(from);
+            self.lead_if_elected(now);
+        }
+    }
+
+    /// Whether another's log has all that this one has, and no leader lives.
+    fn fresh_enough(&self, now: Millis, last: (Term, Index)) -> bool {
+        let quiet = (self.heard_leader).is_none_or(|at| now.since(at) >= ELECTION_MS);
+        let leads = self.role == Role::Leader;
+        quiet && !leads && last >= (self.log.last_term(), self.log.last())
+    }
+
+    fn count_vote(&mut self, from: Disk) {
+        if self.members().votes(from) {
+            self.votes.insert(from);
+        }
+    }
+
+    fn backed(&self) -> bool {
+        self.votes.len() >= self.members().quorum()
+    }
+
+    fn stand_if_backed(&mut self, now: Millis) {
+        if !self.backed() {
+            return;
+        }
+        self.role = Role::Candidate;
+        self.hard = Hard {
+            term: Term(self.hard.term.0 + 1),
+            vote: Some(self.me.disk),
+        };
+        self.ready.hard = Some(self.hard);
+        self.votes.clear();
+        self.votes.insert(self.me.disk);
+        let message = Message::Vote {
+            term: self.hard.term,
+            last: self.log.last(),
+            last_term: self.log.last_term(),
+        };
+        self.ask_voters(&message);
+        self.lead_if_elected(now);
+    }
+
+    fn lead_if_elected(&mut self, now: Millis) {
+        if !self.backed() {
+            return;
+        }
+        self.role = Role::Leader;
+        self.leader = Some(self.me.disk);
+        self.progress.clear();
+        self.beat_at = now;
+        self.follow_members();
+        for progress in self.progress.values_mut() {
+            // A term must get time to gather answers before check-quorum ends
+            // it. This is no lease: `may_serve` waits for the first entry, and
+            // so for real answers of a quorum.
+            progress.heard = now;
+        }
+        let began = self.append(Record::Blank);
+        self.began = Some(began);
+    }
+
+    /// Keeps a record of progress for exactly the members in force.
+    pub(super) fn follow_members(&mut self) {
+        if self.role != Role::Leader {
+            return;
+        }
+        let last = self.log.last();
+        let members = self.members().clone();
+        self.progress
+            .retain(|disk, _| members.all().any(|m| m.disk == *disk));
+        for member in members.all() {
+            self.progress.entry(member.disk).or_insert(Progress {
+                matched: Index(0),
+                next: last.next(),
+                heard: Millis(0),
+                waiting: false,
+                sent: Millis(0),
+                install: None,
+            });
+        }
+    }
+
+    fn ask_voters(&mut self, message: &Message) {
+        let me = self.me.disk;
+        let voters: SmallVec<[Member; 5]> = self.members().voters.clone();
+        for voter in voters.iter().filter(|m| m.disk != me) {
+            self.send(&voter.place, Some(voter.disk), message.clone());
+        }
+    }
+}
--- /dev/null
+++ b/components/coordination/src/agree/join.rs
@@ -0,0 +1,166 @@
+//! How a group begins, and how a member with a new disk is admitted.
+
+use super::core::{Core, Role};
+use super::log::Index;
+use super::message::{Join, Message};
+use super::JOIN_MS;
+use crate::prelude::*;
+use state::record::{Disk, Member, Members, Record};
+use state::view::Place;
+use std::collections::BTreeMap;
+
+/// How long a newcomer's call counts, in milliseconds.
+const CALL_MS: u64 = 2000;
+/// Entries by which a learner may lag when it is admitted to vote.
+const LAG_MAX: u64 = 16;
+
+/// What a newcomer has heard of others like it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Newcomers {
+    /// Latest call of each VM: when, who, and whom it had heard.
+    calls: BTreeMap<Name, (Millis, Member, SmallVec<[Member; 5]>)>,
+    call_at: Millis,
+}
+
+impl Core {
+    pub(super) fn tick_newcomer(&mut self, now: Millis) {
+        if now < self.newcomers.call_at {
+            return;
+        }
+        self.newcomers.call_at = now.after(JOIN_MS);
+        let heard = self.heard(now);
+        for seed in self.seeds.clone() {
+            if seed.vm != self.me.place.vm {
+                self.call(&seed, heard.clone());
+            }
+        }
+        self.begin_if_all_new(now);
+    }
+
+    /// Newcomers heard of late, this one among them, in the order of their VMs.
+    fn heard(&self, now: Millis) -> SmallVec<[Member; 5]> {
+        let mut heard: SmallVec<[Member; 5]> = (self.newcomers.calls.values())
+            .filter(|(at, _, _)| now.since(*at) < CALL_MS)
+            .map(|(_, member, _)| member.clone())
+            .collect();
+        heard.push(self.me.clone());
+        heard.sort_by(|a, b| a.place.vm.cmp(&b.place.vm));
+        heard
+    }
+
+    pub(super) fn on_join(&mut self, now: Millis, place: &Place, join: Join) {
+        let Join { member, heard } = join;
+        let seed = self.seeds.contains(&member.place);
+        if member.place != *place || !seed {
+            return;
+        }
+        match self.role {
+            Role::Newcomer => {
+                let vm = member.place.vm.clone();
+                self.newcomers.calls.insert(vm, (now, member, heard));
+                self.begin_if_all_new(now);
+            }
+            Role::Leader => self.admit(member),
+            _ if self.log.last() == Index(0) => {
+                let began = self.members().voters.clone();
+                self.call(&member.place, began);
+            }
+            _ => {}
+        }
+    }
+
+    /// Begins the group when all its first members are new and all of them have
+    /// heard the same disks.
+    ///
+    /// If a majority were enough, a group that lost one disk and cannot reach
+    /// another member would begin a second history: one would see accepted
+    /// changes vanish. So all must be there, and all must be new.
+    fn begin_if_all_new(&mut self, now: Millis) {
+        let heard = self.heard(now);
+        if heard.len() != self.seeds.len() {
+            return;
+        }
+        let agree = (self.newcomers.calls.values()).all(|(_, _, theirs)| *theirs == heard);
+        if !agree {
+            return;
+        }
+        let mut snapshot = self.log.snapshot().clone();
+        snapshot.index = Index(0);
+        snapshot.members = Members {
+            voters: heard,
+            learners: SmallVec::new(),
+        };
+        self.log.install(snapshot.clone());
+        self.ready.install = Some(snapshot);
+        // The others must hear that this one has heard them all. Should that be
+        // lost, their next call is answered with it.
+        for seed in self.seeds.clone() {
+            if seed.vm != self.me.place.vm {
+                let began = self.members().voters.clone();
+                self.call(&seed, began);
+            }
+        }
+        self.role = Role::Follower;
+        self.reset_election(now);
+    }
+
+    /// Calls another member, with whom this one has heard or began.
+    fn call(&mut self, place: &Place, heard: SmallVec<[Member; 5]>) {
+        let member = self.me.clone();
+        let join = Join { member, heard };
+        self.send(place, None, Message::Join(Box::new(join)));
+    }
+
+    /// Admits a newcomer as a learner.
+    ///
+    /// It must not vote yet: it has forgotten what its old disk promised. If it
+    /// did, it and one other that lacks the latest entries could elect a leader
+    /// without them, and accepted changes would be lost right after a repair.
+    fn admit(&mut self, member: Member) {
+        let members = self.members().clone();
+        let known = members.all().any(|m| m.disk == member.disk);
+        if known || self.members_busy() || self.began.is_none_or(|b| self.commit < b) {
+            return;
+        }
+        let mut members = members;
+        // A learner that lost its disk again is not coming back.
+        members.learners.retain(|m| m.place.vm != member.place.vm);
+        members.learners.push(member);
+        self.append(Record::Members(Box::new(members)));
+    }
+
+    /// Moves members on, one change at a time: a learner that has caught up
+    /// becomes a voter; then the voter whose disk it replaces leaves.
+    pub(super) fn tend_members(&mut self) {
+        if self.members_busy() || self.began.is_none_or(|b| self.commit < b) {
+            return;
+        }
+        let members = self.members().clone();
+        if let Some(replaced) = replaced(&members) {
+            let mut next = members;
+            next.voters.retain(|m| m.disk != replaced);
+            self.append(Record::Members(Box::new(next)));
+            return;
+        }
+        let caught_up = members.learners.iter().position(|m| {
+            let matched = self.progress.get(&m.disk).map_or(0, |p| p.matched.0);
+            matched > 0 && matched + LAG_MAX >= self.log.last().0 && matched >= self.commit.0
+        });
+        if let Some(place) = caught_up {
+            let mut next = members;
+            let learner = next.learners.remove(place);
+            next.voters.push(learner);
+            self.append(Record::Members(Box::new(next)));
+        }
+    }
+}
+
+/// The older of two voters on the same VM.
+fn replaced(members: &Members) -> Option<Disk> {
+    let same = |a: &Place, b: &Place| a.vm == b.vm;
+    members.voters.iter().enumerate().find_map(|(i, old)| {
+        let later = &members.voters[i + 1..];
+        let double = later.iter().any(|new| same(&new.place, &old.place));
+        double.then_some(old.disk)
+    })
+}
--- /dev/null
+++ b/components/coordination/src/agree/mod.rs
@@ -0,0 +1,37 @@
+//! Agreement on one replicated log.
+//!
+//! Method: Raft (Ongaro and Ousterhout, "In Search of an Understandable
+//! Consensus Algorithm", 2014) with pre-vote, check-quorum, leases, learners
+//! and membership changes of one member at a time. A member is a disk, not a
+//! VM: a VM that lost its disk comes back as another member.
+
+mod core;
+mod elect;
+mod join;
+mod log;
+mod message;
+mod replicate;
+
+pub use self::core::{Core, Ready, Refusal, Role};
+pub use self::log::{Entry, Hard, Index, Log, Snapshot, Start, Term};
+pub use self::message::{Envelope, Install, Join, Message};
+
+/// Shortest silence after which a voter stands for election, in milliseconds.
+pub const ELECTION_MS: u64 = 500;
+/// Largest random addition to that silence, in milliseconds.
+pub const ELECTION_JITTER_MS: u64 = 400;
+/// Time between a leader's heartbeats, in milliseconds.
+pub const HEARTBEAT_MS: u64 = 100;
+/// How long a leader may act after a quorum last heard from it, in
+/// milliseconds.
+///
+/// It is shorter than [`ELECTION_MS`], during which no voter that heard from
+/// the leader helps to elect another. It holds while clocks run at rates that
+/// differ by less than a fifth.
+pub const LEASE_MS: u64 = 400;
+/// Time between a newcomer's calls, in milliseconds.
+pub const JOIN_MS: u64 = 200;
+/// Entries that one message carries at most.
+pub const BATCH: usize = 64;
+/// Bytes of a snapshot that one message carries at most.
+pub const PIECE: usize = 32 * 1024;
--- /dev/null
+++ b/components/coordination/src/ask.rs
@@ -0,0 +1,112 @@
+//! What routers and schedulers say to each other.
+//!
+//! A session is one link between a router and a scheduler in one reign. Asks
+//! are numbered within it; a grant, its return and its reports name the ask.
+
+use serde::{Deserialize, Serialize};
+use state::id::{CustomerId, EndpointId, Epoch};
+
+/// Number of an ask within a session.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Seq(pub u64);
+
+/// Requests of one customer that one rule sends, with the limits of that rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Class {
+    /// Customer.
+    pub customer: CustomerId,
+    /// Place of the rule in the list.
+    pub rule: u16,
+}
+
+/// A request that waits on a router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Its number.
+    pub seq: Seq,
+    /// Whose it is, and by which rule.
+    pub class: Class,
+    /// Weight of the customer for it.
+    pub weight: u32,
+    /// Requests a second over the whole fleet, 0 for no limit.
+    pub rate: u32,
+    /// Requests in progress over the whole fleet, 0 for no limit.
+    pub concurrency: u32,
+    /// Expected cost, in units of the service.
+    pub hint: u32,
+    /// Hash of the prompt's prefix, 0 for none.
+    pub prefix: u32,
+    /// Endpoint to avoid since an earlier try on it failed.
+    pub avoid: Option<EndpointId>,
+}
+
+/// A request that a router has sent, as told to a new scheduler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// Its number in the new session.
+    pub seq: Seq,
+    /// Whose it is.
+    pub class: Class,
+    /// Weight of the customer for it.
+    pub weight: u32,
+    /// Where it runs.
+    pub endpoint: EndpointId,
+    /// Cost charged so far, in units of the service.
+    pub cost: u32,
+}
+
+/// How a granted request ended, as far as the endpoint is to blame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// The endpoint answered.
+    Fine,
+    /// The endpoint could not be reached or broke off.
+    Failed,
+    /// The caller went away; nothing is known of the endpoint.
+    Gone,
+}
+
+/// What a router tells a scheduler.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Report {
+    /// Opens a session: what is in progress and the service that each customer
+    /// was last known to have received.
+    Hello {
+        /// Incarnation of the router.
+        incarnation: u64,
+        /// Requests in progress.
+        held: Vec<Held>,
+        /// Virtual service of customers, as the last grants told it.
+        levels: Vec<(CustomerId, u64)>,
+    },
+    /// A request waits.
+    Ask(Ask),
+    /// A waiting request was given up.
+    Withdraw(Seq),
+    /// A grant was not used: no byte was sent.
+    Return(Seq),
+    /// A request has cost this much so far.
+    Progress(Seq, u32),
+    /// A request has ended at this cost.
+    Done(Seq, u32, Verdict),
+}
+
+/// A slot given to a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Reign that gives it.
+    pub epoch: Epoch,
+    /// The ask.
+    pub seq: Seq,
+    /// Where to send the request.
+    pub endpoint: EndpointId,
+    /// Virtual service of the customer, without requests in progress.
+    pub level: u64,
+    /// Routers with a session, for the share to fall back to.
+    pub routers: u32,
+}
--- /dev/null
+++ b/components/coordination/src/desk.rs
@@ -0,0 +1,772 @@
+//! A router's desk: requests that wait here, asks that are out, grants in use.
+//!
+//! Each shard has a session with its scheduler. While there is none, the desk
+//! grants itself a share of the slots.
+
+use crate::ask::Seq;
+use crate::ledger::virtual_cost;
+use crate::prelude::*;
+use crate::scheduler::{Effect as LocalEffect, Scheduler, Session as LocalSession, GATHER_MS};
+use slotmap::SlotMap;
+use state::view::{Seat, Shard};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+slotmap::new_key_type! {
+    /// A request at this desk.
+    pub struct Ticket;
+}
+
+/// Asks of one class that may be out at once; the rest wait for their turn, so
+/// that a flood on one router costs its scheduler no memory.
+pub const WINDOW: u32 = 32;
+/// Time without a scheduler after which the desk grants itself, in milliseconds.
+pub const ALONE_MS: u64 = 300;
+/// Time before a refused hello is sent again, in milliseconds.
+pub const HELLO_AGAIN_MS: u64 = 50;
+/// Largest factor between two reports of one request's growing cost.
+const PROGRESS_FACTOR: u32 = 2;
+
+/// A request that arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// Service that it goes to.
+    pub service: ServiceId,
+    /// Whose it is, and by which rule.
+    pub class: Class,
+    /// Weight of the customer for it.
+    pub weight: u32,
+    /// Requests a second over the whole fleet, 0 for no limit.
+    pub rate: u32,
+    /// Requests in progress over the whole fleet, 0 for no limit.
+    pub concurrency: u32,
+    /// Requests of this class that may wait here.
+    pub queue: u32,
+    /// Expected cost, in units of the service.
+    pub hint: u32,
+    /// Hash of the prompt's prefix, 0 for none.
+    pub prefix: u32,
+    /// Bytes that it keeps in memory while it waits.
+    pub bytes: u64,
+    /// When it is given up.
+    pub deadline: Millis,
+}
+
+/// Why a request cannot wait here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Full {
+    /// Its customer has too many waiting.
+    Customer,
+    /// The router has too many waiting, or too many bytes.
+    Router,
+    /// No endpoint serves it.
+    NoEndpoint,
+}
+
+/// Something that the desk wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Tell a scheduler.
+    Report(Seat, Report),
+    /// Send the request to this endpoint.
+    Dispatch(Ticket, EndpointId),
+    /// Give the request up: its deadline has passed, and it was not sent.
+    Expire(Ticket),
+}
+
+/// Effects of one input.
+pub type Effects = Vec<Effect>;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Waiting,
+    Asked(Seq),
+    Held { seq: Seq, endpoint: EndpointId },
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    arrival: Arrival,
+    shard: Shard,
+    avoid: Option<EndpointId>,
+    stage: Stage,
+    cost: u32,
+    told: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Line {
+    waiting: VecDeque<Ticket>,
+    /// Requests that wait, asked or not.
+    count: u32,
+    asked: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Session {
+    seat: Option<Seat>,
+    up: bool,
+    hello_at: Option<Millis>,
+    down_since: Millis,
+    next: u64,
+    asked: BTreeMap<Seq, Ticket>,
+    levels: BTreeMap<CustomerId, u64>,
+    routers: u32,
+    local: Option<(Scheduler, LocalSession)>,
+}
+
+impl Session {
+    fn new(now: Millis) -> Self {
+        Session {
+            seat: None,
+            up: false,
+            hello_at: None,
+            down_since: now,
+            next: 0,
+            asked: BTreeMap::new(),
+            levels: BTreeMap::new(),
+            routers: 1,
+            local: None,
+        }
+    }
+}
+
+/// Bounds on what one router keeps.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Requests that wait.
+    pub requests: usize,
+    /// Bytes of bodies that wait.
+    pub bytes: u64,
+}
+
+/// The desk of one router.
+pub struct Desk {
+    region: Name,
+    incarnation: u64,
+    bounds: Bounds,
+    requests: SlotMap<Ticket, Request>,
+    lines: BTreeMap<(ServiceId, Class), Line>,
+    sessions: BTreeMap<Shard, Session>,
+    links: BTreeSet<Name>,
+    waiting: usize,
+    bytes: u64,
+}
+
+impl Desk {
+    /// A desk without requests.
+    pub fn new(region: Name, incarnation: u64, bounds: Bounds) -> Self {
+        Desk {
+            region,
+            incarnation,
+            bounds,
+            requests: SlotMap::with_key(),
+            lines: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            links: BTreeSet::new(),
+            waiting: 0,
+            bytes: 0,
+        }
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Requests that were dispatched and have not ended.
+    pub fn held(&self) -> usize {
+        self.requests.len() - self.waiting
+    }
+
+    /// Waiting requests of each customer.
+    pub fn queues(&self) -> BTreeMap<CustomerId, u32> {
+        let mut queues = BTreeMap::new();
+        for ((_, class), line) in &self.lines {
+            if line.count > 0 {
+                *queues.entry(class.customer).or_default() += line.count;
+            }
+        }
+        queues
+    }
+
+    /// Shards with whether this desk has a scheduler for them.
+    pub fn shards(&self) -> impl Iterator<Item = (&Shard, bool)> {
+        self.sessions.iter().map(|(shard, s)| (shard, s.up))
+    }
+
+    /// Takes a request, or says why it cannot wait.
+    ///
+    /// # Errors
+    ///
+    /// [`Full`] when a bound is reached or nothing serves the request.
+    pub fn arrive(
+        &mut self,
+        now: Millis,
+        view: &View,
+        arrival: Arrival,
+    ) -> Result<(Ticket, Effects), Full> {
+        let shard = self.shard(view, arrival.service).ok_or(Full::NoEndpoint)?;
+        let full = self.bytes.saturating_add(arrival.bytes) > self.bounds.bytes;
+        if full || self.waiting >= self.bounds.requests {
+            return Err(Full::Router);
+        }
+        let line = self
+            .lines
+            .entry((arrival.service, arrival.class))
+            .or_default();
+        if line.count >= arrival.queue {
+            return Err(Full::Customer);
+        }
+        let request = Request {
+            arrival,
+            shard: shard.clone(),
+            avoid: None,
+            stage: Stage::Waiting,
+            cost: 0,
+            told: 0,
+        };
+        let ticket = self.requests.insert(request);
+        self.wait(ticket);
+        self.ensure(now, view, &shard);
+        let mut effects = Effects::new();
+        self.announce(now, arrival.service, arrival.class, &mut effects);
+        Ok((ticket, effects))
+    }
+
+    /// Ends a request whose caller went away while it waited.
+    pub fn leave(&mut self, now: Millis, ticket: Ticket) -> Effects {
+        let mut effects = Effects::new();
+        self.drop_waiting(now, ticket, &mut effects);
+        effects
+    }
+
+    /// Queues a dispatched request again, after a failed try.
+    pub fn again(&mut self, now: Millis, ticket: Ticket, verdict: Verdict) -> Effects {
+        let mut effects = Effects::new();
+        let Some(request) = self.requests.get_mut(ticket) else {
+            return effects;
+        };
+        let Stage::Held { seq, endpoint } = request.stage else {
+            return effects;
+        };
+        let shard = request.shard.clone();
+        let (service, class) = (request.arrival.service, request.arrival.class);
+        let cost = request.cost;
+        request.avoid = Some(endpoint);
+        request.stage = Stage::Waiting;
+        request.cost = 0;
+        self.tell(now, &shard, Report::Done(seq, cost, verdict), &mut effects);
+        self.wait(ticket);
+        self.announce(now, service, class, &mut effects);
+        effects
+    }
+
+    /// Raises the cost of a dispatched request.
+    pub fn progress(&mut self, now: Millis, ticket: Ticket, cost: u32) -> Effects {
+        let mut effects = Effects::new();
+        let Some(request) = self.requests.get_mut(ticket) else {
+            return effects;
+        };
+        request.cost = cost;
+        let Stage::Held { seq, .. } = request.stage else {
+            return effects;
+        };
+        if cost >= request.told.max(1).saturating_mul(PROGRESS_FACTOR) {
+            request.told = cost;
+            let shard = request.shard.clone();
+            self.tell(now, &shard, Report::Progress(seq, cost), &mut effects);
+        }
+        effects
+    }
+
+    /// Ends a dispatched request.
+    pub fn done(&mut self, now: Millis, ticket: Ticket, cost: u32, verdict: Verdict) -> Effects {
+        let mut effects = Effects::new();
+        let Some(request) = self.requests.get(ticket) else {
+            return effects;
+        };
+        let Stage::Held { seq, .. } = request.stage else {
+            return self.leave(now, ticket);
+        };
+        let shard = request.shard.clone();
+        let arrival = request.arrival;
+        self.requests.remove(ticket);
+        if let Some(session) = self.sessions.get_mut(&shard) {
+            if !session.up && session.local.is_none() {
+                // Nobody to tell: keep it in what the next scheduler is told.
+                let level = session.levels.entry(arrival.class.customer).or_default();
+                *level += virtual_cost(cost, arrival.weight);
+            }
+        }
+        self.tell(now, &shard, Report::Done(seq, cost, verdict), &mut effects);
+        effects
+    }
+
+    /// Takes a grant.
+    ///
+    /// A grant of an earlier reign is dropped: that scheduler's slots belong to
+    /// its successor. A grant for a request that is gone is given back.
+    pub fn grant(&mut self, now: Millis, grant: Grant) -> Effects {
+        let mut effects = Effects::new();
+        let found = self.sessions.iter_mut().find(|(_, s)| {
+            s.up && s
+                .seat
+                .as_ref()
+                .is_some_and(|seat| seat.epoch == grant.epoch)
+        });
+        let Some((shard, session)) = found else {
+            return effects;
+        };
+        let shard = shard.clone();
+        session.routers = grant.routers.max(1);
+        self.use_grant(now, &shard, grant, &mut effects);
+        effects
+    }
+
+    /// Follows the view: new schedulers, endpoints that come and go.
+    pub fn follow(&mut self, now: Millis, view: &View) -> Effects {
+        let mut effects = Effects::new();
+        let shards: Vec<Shard> = self.sessions.keys().cloned().collect();
+        for shard in shards {
+            let seat = view.seat(&shard).cloned();
+            let Some(session) = self.sessions.get_mut(&shard) else {
+                continue;
+            };
+            if session.seat != seat {
+                session.seat = seat;
+                session.hello_at = Some(now);
+                self.down(now, &shard);
+            }
+            self.arm_local(view, &shard);
+        }
+        self.move_orphans(now, view, &mut effects);
+        effects
+    }
+
+    /// Notes that a link to a VM came up, and opens sessions over it.
+    pub fn link_up(&mut self, now: Millis, vm: &Name) -> Effects {
+        let mut effects = Effects::new();
+        self.links.insert(vm.clone());
+        for shard in self.seated_at(vm) {
+            self.down(now, &shard);
+            self.hello(now, &shard, &mut effects);
+        }
+        effects
+    }
+
+    /// Notes that a link to a VM was lost.
+    pub fn link_down(&mut self, now: Millis, vm: &Name) {
+        self.links.remove(vm);
+        for shard in self.seated_at(vm) {
+            self.down(now, &shard);
+        }
+    }
+
+    /// Notes that a VM does not know yet that it schedules in this reign.
+    pub fn unseated(&mut self, now: Millis, epoch: Epoch) {
+        for session in self.sessions.values_mut() {
+            if session.seat.as_ref().is_some_and(|s| s.epoch == epoch) {
+                session.hello_at = Some(now.after(HELLO_AGAIN_MS));
+            }
+        }
+    }
+
+    /// Lets time pass: gives up what is late, and acts alone where it must.
+    pub fn tick(&mut self, now: Millis, view: &View) -> Effects {
+        let mut effects = Effects::new();
+        let late: Vec<Ticket> = (self.requests.iter())
+            .filter(|(_, r)| !matches!(r.stage, Stage::Held { .. }) && r.arrival.deadline <= now)
+            .map(|(ticket, _)| ticket)
+            .collect();
+        for ticket in late {
+            self.drop_waiting(now, ticket, &mut effects);
+            effects.push(Effect::Expire(ticket));
+        }
+        let shards: Vec<Shard> = self.sessions.keys().cloned().collect();
+        for shard in shards {
+            self.tick_session(now, view, &shard, &mut effects);
+        }
+        self.lines.retain(|_, line| line.count > 0);
+        effects
+    }
+
+    fn seated_at(&self, vm: &Name) -> Vec<Shard> {
+        (self.sessions.iter())
+            .filter(|(_, s)| s.seat.as_ref().is_some_and(|seat| seat.place.vm == *vm))
+            .map(|(shard, _)| shard.clone())
+            .collect()
+    }
+
+    fn tick_session(&mut self, now: Millis, view: &View, shard: &Shard, effects: &mut Effects) {
+        let Some(session) = self.sessions.get_mut(shard) else {
+            return;
+        };
+        if session.hello_at.is_some_and(|at| at <= now) {
+            session.hello_at = None;
+            if (session.seat.as_ref()).is_some_and(|s| self.links.contains(&s.place.vm)) {
+                self.down(now, shard);
+                self.hello(now, shard, effects);
+                return;
+            }
+        }
+        if session.up {
+            return;
+        }
+        if session.local.is_none() && now.since(session.down_since) >= ALONE_MS {
+            self.go_alone(now, view, shard, effects);
+            return;
+        }
+        if let Some((local, _)) = &mut session.local {
+            let granted = local.tick(now);
+            self.use_local(now, shard, granted, effects);
+        }
+    }
+
+    /// The shard that serves a service for this router: in its own region, or
+    /// else the first that has endpoints.
+    fn shard(&self, view: &View, service: ServiceId) -> Option<Shard> {
+        let name = &view.config.services.get(&service)?.name;
+        let open = || {
+            (view.config.endpoints.iter())
+                .filter(|(id, e)| e.service == *name && !view.leaving.contains(id))
+                .map(|(_, e)| &e.region)
+        };
+        let region = open()
+            .find(|r| **r == self.region)
+            .or_else(|| open().min())?;
+        Some(Shard {
+            service,
+            region: region.clone(),
+        })
+    }
+
+    fn ensure(&mut self, now: Millis, view: &View, shard: &Shard) {
+        if self.sessions.contains_key(shard) {
+            return;
+        }
+        let mut session = Session::new(now);
+        session.seat = view.seat(shard).cloned();
+        // Ask at once: the link may be up already.
+        session.hello_at = session.seat.as_ref().map(|_| now);
+        self.sessions.insert(shard.clone(), session);
+    }
+
+    fn wait(&mut self, ticket: Ticket) {
+        let Some(request) = self.requests.get(ticket) else {
+            return;
+        };
+        let key = (request.arrival.service, request.arrival.class);
+        self.waiting += 1;
+        self.bytes += request.arrival.bytes;
+        let line = self.lines.entry(key).or_default();
+        line.waiting.push_back(ticket);
+        line.count += 1;
+    }
+
+    /// Counts a request out of its queue.
+    fn unwait(&mut self, arrival: &Arrival, asked: bool) {
+        self.waiting = self.waiting.saturating_sub(1);
+        self.bytes = self.bytes.saturating_sub(arrival.bytes);
+        if let Some(line) = self.lines.get_mut(&(arrival.service, arrival.class)) {
+            line.count = line.count.saturating_sub(1);
+            if asked {
+                line.asked = line.asked.saturating_sub(1);
+            }
+        }
+    }
+
+    fn drop_waiting(&mut self, now: Millis, ticket: Ticket, effects: &mut Effects) {
+        let Some(request) = self.requests.get(ticket) else {
+            return;
+        };
+        let arrival = request.arrival;
+        let shard = request.shard.clone();
+        match request.stage {
+            Stage::Held { .. } => return,
+            Stage::Waiting => {
+                let key = (arrival.service, arrival.class);
+                if let Some(line) = self.lines.get_mut(&key) {
+                    line.waiting.retain(|t| *t != ticket);
+                }
+                self.unwait(&arrival, false);
+            }
+            Stage::Asked(seq) => {
+                if let Some(session) = self.sessions.get_mut(&shard) {
+                    session.asked.remove(&seq);
+                }
+                self.tell(now, &shard, Report::Withdraw(seq), effects);
+                self.unwait(&arrival, true);
+            }
+        }
+        self.requests.remove(ticket);
+        self.announce(now, arrival.service, arrival.class, effects);
+    }
+
+    /// Sends asks for waiting requests of a class, up to the window.
+    fn announce(&mut self, now: Millis, service: ServiceId, class: Class, effects: &mut Effects) {
+        loop {
+            let Some(line) = self.lines.get_mut(&(service, class)) else {
+                return;
+            };
+            if line.asked >= WINDOW {
+                return;
+            }
+            let Some(ticket) = line.waiting.front().copied() else {
+                return;
+            };
+            let Some(request) = self.requests.get_mut(ticket) else {
+                line.waiting.pop_front();
+                continue;
+            };
+            let Some(session) = self.sessions.get_mut(&request.shard) else {
+                return;
+            };
+            if !session.up && session.local.is_none() {
+                return;
+            }
+            line.waiting.pop_front();
+            line.asked += 1;
+            let seq = Seq(session.next);
+            session.next += 1;
+            session.asked.insert(seq, ticket);
+            request.stage = Stage::Asked(seq);
+            let arrival = request.arrival;
+            let ask = Ask {
+                seq,
+                class,
+                weight: arrival.weight,
+                rate: arrival.rate,
+                concurrency: arrival.concurrency,
+                hint: arrival.hint,
+                prefix: arrival.prefix,
+                avoid: request.avoid,
+            };
+            let shard = request.shard.clone();
+            self.tell(now, &shard, Report::Ask(ask), effects);
+        }
+    }
+
+    fn use_grant(&mut self, now: Millis, shard: &Shard, grant: Grant, effects: &mut Effects) {
+        let Some(session) = self.sessions.get_mut(shard) else {
+            return;
+        };
+        let Some(ticket) = session.asked.remove(&grant.seq) else {
+            self.tell(now, shard, Report::Return(grant.seq), effects);
+            return;
+        };
+        let Some(request) = self.requests.get_mut(ticket) else {
+            return;
+        };
+        let level = session
+            .levels
+            .entry(request.arrival.class.customer)
+            .or_default();
+        *level = (*level).max(grant.level);
+        request.stage = Stage::Held {
+            seq: grant.seq,
+            endpoint: grant.endpoint,
+        };
+        request.told = request.arrival.hint;
+        let arrival = request.arrival;
+        self.unwait(&arrival, true);
+        effects.push(Effect::Dispatch(ticket, grant.endpoint));
+        self.announce(now, arrival.service, arrival.class, effects);
+    }
+
+    fn use_local(
+        &mut self,
+        now: Millis,
+        shard: &Shard,
+        granted: crate::scheduler::Effects,
+        effects: &mut Effects,
+    ) {
+        for effect in granted {
+            if let LocalEffect::Grant(_, grant) = effect {
+                self.use_grant(now, shard, grant, effects);
+            }
+        }
+    }
+
+    /// Tells whoever schedules the shard: its scheduler or this desk itself.
+    fn tell(&mut self, now: Millis, shard: &Shard, report: Report, effects: &mut Effects) {
+        let Some(session) = self.sessions.get_mut(shard) else {
+            return;
+        };
+        if let (true, Some(seat)) = (session.up, &session.seat) {
+            effects.push(Effect::Report(seat.clone(), report));
+            return;
+        }
+        let Some((local, local_session)) = &mut session.local else {
+            return;
+        };
+        let local_session = *local_session;
+        let granted = match report {
+            Report::Ask(ask) => local.ask(now, local_session, ask),
+            Report::Withdraw(seq) => {
+                local.withdraw(local_session, seq);
+                Default::default()
+            }
+            Report::Return(seq) => local.give_back(now, local_session, seq),
+            Report::Progress(seq, cost) => {
+                local.progress(local_session, seq, cost);
+                Default::default()
+            }
+            Report::Done(seq, cost, verdict) => local.done(now, local_session, seq, cost, verdict),
+            Report::Hello { .. } => Default::default(),
+        };
+        self.use_local(now, shard, granted, effects);
+    }
+
+    /// Ends the session of a shard; its asks wait to be asked anew.
+    fn down(&mut self, now: Millis, shard: &Shard) {
+        let Some(session) = self.sessions.get_mut(shard) else {
+            return;
+        };
+        if session.up {
+            session.up = false;
+            session.down_since = now;
+        }
+        if let Some((local, _)) = session.local.take() {
+            for (customer, level) in local.levels() {
+                let known = session.levels.entry(customer).or_default();
+                *known = (*known).max(level);
+            }
+        }
+        let asked = std::mem::take(&mut session.asked);
+        for ticket in asked.into_values().rev() {
+            let Some(request) = self.requests.get_mut(ticket) else {
+                continue;
+            };
+            request.stage = Stage::Waiting;
+            let key = (request.arrival.service, request.arrival.class);
+            let line = self.lines.entry(key).or_default();
+            line.asked = line.asked.saturating_sub(1);
+            line.waiting.push_front(ticket);
+        }
+    }
+
+    /// Numbers what is in progress anew, for a new session.
+    fn renumber(&mut self, shard: &Shard) -> Vec<Held> {
+        let Some(session) = self.sessions.get_mut(shard) else {
+            return Vec::new();
+        };
+        let mut held = Vec::new();
+        for request in self.requests.values_mut().filter(|r| r.shard == *shard) {
+            let Stage::Held { endpoint, .. } = request.stage else {
+                continue;
+            };
+            let seq = Seq(session.next);
+            session.next += 1;
+            request.stage = Stage::Held { seq, endpoint };
+            request.told = request.cost.max(request.arrival.hint);
+            held.push(Held {
+                seq,
+                class: request.arrival.class,
+                weight: request.arrival.weight,
+                endpoint,
+                cost: request.told,
+            });
+        }
+        held
+    }
+
+    fn hello(&mut self, now: Millis, shard: &Shard, effects: &mut Effects) {
+        let held = self.renumber(shard);
+        let Some(session) = self.sessions.get_mut(shard) else {
+            return;
+        };
+        let Some(seat) = session.seat.clone() else {
+            return;
+        };
+        session.up = true;
+        let levels = session.levels.iter().map(|(c, l)| (*c, *l)).collect();
+        let hello = Report::Hello {
+            incarnation: self.incarnation,
+            held,
+            levels,
+        };
+        effects.push(Effect::Report(seat, hello));
+        self.announce_all(now, shard, effects);
+    }
+
+    fn go_alone(&mut self, now: Millis, view: &View, shard: &Shard, effects: &mut Effects) {
+        let held = self.renumber(shard);
+        let Some(session) = self.sessions.get_mut(shard) else {
+            return;
+        };
+        // The reign of no seat: epoch 0. It need not gather, it is alone.
+        let past = Millis(now.0.saturating_sub(GATHER_MS));
+        let mut local = Scheduler::new(Epoch(0), past);
+        let levels: Vec<_> = session.levels.iter().map(|(c, l)| (*c, *l)).collect();
+        let local_session = local.open(now, self.incarnation, &[], &held, &levels);
+        session.local = Some((local, local_session));
+        self.arm_local(view, shard);
+        self.announce_all(now, shard, effects);
+    }
+
+    /// Gives the local scheduler this router's share of each endpoint.
+    fn arm_local(&mut self, view: &View, shard: &Shard) {
+        let Some(session) = self.sessions.get_mut(shard) else {
+            return;
+        };
+        let routers = session.routers;
+        let Some((local, _)) = &mut session.local else {
+            return;
+        };
+        for (id, slots, _, leaving) in endpoints(view, shard) {
+            let share = slots.div_ceil(routers);
+            local.slots().set(id, share, 0, leaving);
+        }
+        let known: Vec<EndpointId> = endpoints(view, shard).map(|e| e.0).collect();
+        local.slots().retain(|id| known.contains(&id));
+    }
+
+    fn announce_all(&mut self, now: Millis, shard: &Shard, effects: &mut Effects) {
+        let lines: Vec<(ServiceId, Class)> = (self.lines.keys())
+            .filter(|(service, _)| *service == shard.service)
+            .copied()
+            .collect();
+        for (service, class) in lines {
+            self.announce(now, service, class, effects);
+        }
+    }
+
+    /// Moves waiting requests from shards whose last endpoint has gone.
+    fn move_orphans(&mut self, now: Millis, view: &View, effects: &mut Effects) {
+        let gone: Vec<Shard> = (self.sessions.keys())
+            .filter(|shard| endpoints(view, shard).all(|(_, _, _, leaving)| leaving))
+            .cloned()
+            .collect();
+        for shard in gone {
+            let Some(other) = self.shard(view, shard.service).filter(|s| *s != shard) else {
+                continue;
+            };
+            let waiting: Vec<Ticket> = (self.requests.iter())
+                .filter(|(_, r)| r.shard == shard && !matches!(r.stage, Stage::Held { .. }))
+                .map(|(ticket, _)| ticket)
+                .collect();
+            if waiting.is_empty() {
+                continue;
+            }
+            self.down(now, &shard);
+            for ticket in waiting {
+                if let Some(request) = self.requests.get_mut(ticket) {
+                    request.shard = other.clone();
+                }
+            }
+            self.ensure(now, view, &other);
+            self.announce_all(now, &other, effects);
+        }
+    }
+}
+
+/// Endpoints of a shard: number, slots, lead, and whether it is leaving.
+pub fn endpoints<'a>(
+    view: &'a View,
+    shard: &'a Shard,
+) -> impl Iterator<Item = (EndpointId, u32, u32, bool)> + 'a {
+    let service = view.config.services.get(&shard.service).map(|s| &s.name);
+    (view.config.endpoints.iter())
+        .filter(move |(_, e)| Some(&e.service) == service && e.region == shard.region)
+        .map(|(id, e)| (*id, e.slots, e.lead, view.leaving.contains(id)))
+}
--- /dev/null
+++ b/components/coordination/src/lib.rs
@@ -0,0 +1,18 @@
+//! Pure decisions: an input and the time go in, effects come out.
+//!
+//! Nothing here opens a socket, starts a thread, reads a clock or draws a
+//! random number, so that every decision can be driven by a test.
+
+pub mod agree;
+pub mod ask;
+pub mod desk;
+pub mod health;
+pub mod ledger;
+pub mod limit;
+pub mod prelude;
+pub mod retry;
+pub mod rule;
+pub mod scheduler;
+pub mod seat;
+pub mod slot;
+pub mod spread;
--- /dev/null
+++ b/components/coordination/src/scheduler.rs
@@ -0,0 +1,414 @@
+//! The scheduler of one shard: whose request gets the next free slot.
+//!
+//! Between two customers that both wait, the one with less virtual service
+//! goes first. Which router a request waits on plays no part.
+
+use crate::ask::Seq;
+use crate::health;
+use crate::ledger::{virtual_cost, Ledger};
+use crate::limit::Bucket;
+use crate::prelude::*;
+use crate::slot::{Choice, Slots, Wish};
+use std::collections::{BTreeMap, VecDeque};
+
+/// How long a new scheduler gathers sessions before its first grant, in
+/// milliseconds.
+///
+/// Without it the first router to arrive would be given slots that requests of
+/// the others still hold: one would see endpoints over their slots right after
+/// each change of scheduler.
+pub const GATHER_MS: u64 = 200;
+/// How long the requests of a lost session still count, in milliseconds.
+pub const ORPHAN_MS: u64 = 2000;
+/// Longest wait before an unused class is forgotten, in milliseconds.
+const CLASS_MS: u64 = 60_000;
+
+/// A session with a router, in an arena of this scheduler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Session(pub u32);
+
+/// Something that a scheduler wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Give this grant to the router of the session.
+    Grant(Session, Grant),
+    /// An endpoint was ejected.
+    Ejected(EndpointId),
+    /// An ejected endpoint is back.
+    Restored(EndpointId),
+}
+
+/// Effects of one input.
+pub type Effects = SmallVec<[Effect; 4]>;
+
+#[derive(Clone, Debug)]
+struct Line {
+    /// Asks in the order of their arrival, of all routers.
+    asks: VecDeque<(Session, Seq)>,
+    running: u32,
+    bucket: Option<Bucket>,
+    used: Millis,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    class: Class,
+    weight: u32,
+    endpoint: EndpointId,
+    charged: u32,
+}
+
+/// The scheduler of one shard in one reign.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    epoch: Epoch,
+    ledger: Ledger,
+    slots: Slots,
+    lines: BTreeMap<Class, Line>,
+    /// Waiting asks of a customer over all its lines.
+    waiting: BTreeMap<CustomerId, u32>,
+    asks: BTreeMap<(Session, Seq), Ask>,
+    running: BTreeMap<(Session, Seq), Running>,
+    sessions: BTreeMap<Session, u64>,
+    orphans: BTreeMap<Session, Millis>,
+    opened: Millis,
+    next: u32,
+}
+
+impl Scheduler {
+    /// A scheduler whose reign begins now.
+    pub fn new(epoch: Epoch, now: Millis) -> Self {
+        Scheduler::with_choice(epoch, now, Choice::Least)
+    }
+
+    /// A scheduler that chooses endpoints by `choice`, for comparison.
+    pub fn with_choice(epoch: Epoch, now: Millis, choice: Choice) -> Self {
+        Scheduler {
+            epoch,
+            ledger: Ledger::default(),
+            slots: Slots::new(choice),
+            lines: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            asks: BTreeMap::new(),
+            running: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            orphans: BTreeMap::new(),
+            opened: now.after(GATHER_MS),
+            next: 0,
+        }
+    }
+
+    /// Its reign.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Its endpoints.
+    pub fn slots(&mut self) -> &mut Slots {
+        &mut self.slots
+    }
+
+    /// Asks that wait.
+    pub fn waiting(&self) -> usize {
+        self.asks.len()
+    }
+
+    /// Requests in progress.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Slots and requests in progress over all endpoints that take work.
+    pub fn totals(&self) -> (u32, u32) {
+        self.slots.totals()
+    }
+
+    /// Virtual service of each customer, settled.
+    pub fn levels(&self) -> Vec<(CustomerId, u64)> {
+        self.ledger.all().collect()
+    }
+
+    /// Opens a session with a router's first report of it.
+    ///
+    /// Sessions of the same router's earlier incarnations end at once: their
+    /// connections died with them. An earlier session of the same incarnation
+    /// gives way to this one, whose `held` says what is still in progress.
+    pub fn open(
+        &mut self,
+        now: Millis,
+        incarnation: u64,
+        older: &[Session],
+        held: &[Held],
+        levels: &[(CustomerId, u64)],
+    ) -> Session {
+        for session in older {
+            self.close(now, *session);
+            self.drop_running(now, *session);
+        }
+        let session = Session(self.next);
+        self.next += 1;
+        self.sessions.insert(session, incarnation);
+        for (customer, level) in levels {
+            self.ledger.remember(*customer, *level);
+        }
+        for held in held {
+            let running = Running {
+                class: held.class,
+                weight: held.weight,
+                endpoint: held.endpoint,
+                charged: held.cost,
+            };
+            self.slots.hold(now, held.endpoint);
+            let amount = virtual_cost(held.cost, held.weight);
+            self.ledger.charge(held.class.customer, amount);
+            self.line(now, held.class).running += 1;
+            self.running.insert((session, held.seq), running);
+        }
+        session
+    }
+
+    /// Ends a session whose link was lost; its requests count for a while more.
+    pub fn close(&mut self, now: Millis, session: Session) {
+        if self.sessions.remove(&session).is_none() {
+            return;
+        }
+        let range = (session, Seq(0))..=(session, Seq(u64::MAX));
+        let lost: Vec<Seq> = self.asks.range(range).map(|((_, seq), _)| *seq).collect();
+        for seq in lost {
+            self.withdraw(session, seq);
+        }
+        self.orphans.insert(session, now.after(ORPHAN_MS));
+    }
+
+    /// Takes an ask.
+    pub fn ask(&mut self, now: Millis, session: Session, ask: Ask) -> Effects {
+        if !self.sessions.contains_key(&session) {
+            return Effects::new();
+        }
+        let line = self.line(now, ask.class);
+        line.asks.push_back((session, ask.seq));
+        match (&mut line.bucket, ask.rate) {
+            (bucket, 0) => *bucket = None,
+            (Some(bucket), rate) => bucket.set_rate(rate, now),
+            (bucket @ None, rate) => *bucket = Some(Bucket::new(rate, now)),
+        }
+        if self.asks.insert((session, ask.seq), ask).is_none() {
+            let customer = ask.class.customer;
+            *self.waiting.entry(customer).or_default() += 1;
+            self.ledger.set_backlogged(customer, true);
+        }
+        self.grant(now)
+    }
+
+    /// Takes back an ask that was given up.
+    pub fn withdraw(&mut self, session: Session, seq: Seq) {
+        self.remove_ask(session, seq);
+    }
+
+    /// Takes back a grant that was not used.
+    pub fn give_back(&mut self, now: Millis, session: Session, seq: Seq) -> Effects {
+        if let Some((running, _)) = self.end(now, session, seq, 0, None) {
+            if let Some(bucket) = self.line(now, running.class).bucket.as_mut() {
+                bucket.give_back();
+            }
+        }
+        self.grant(now)
+    }
+
+    /// Raises the charge of a request in progress.
+    pub fn progress(&mut self, session: Session, seq: Seq, cost: u32) {
+        let Some(running) = self.running.get_mut(&(session, seq)) else {
+            return;
+        };
+        if cost <= running.charged {
+            return;
+        }
+        let old = virtual_cost(running.charged, running.weight);
+        let new = virtual_cost(cost, running.weight);
+        running.charged = cost;
+        self.ledger.recharge(running.class.customer, old, new);
+    }
+
+    /// Ends a request.
+    pub fn done(
+        &mut self,
+        now: Millis,
+        session: Session,
+        seq: Seq,
+        cost: u32,
+        verdict: Verdict,
+    ) -> Effects {
+        let mut effects = Effects::new();
+        let Some((running, change)) = self.end(now, session, seq, cost, Some(verdict)) else {
+            return effects;
+        };
+        match change {
+            health::Change::Ejected => effects.push(Effect::Ejected(running.endpoint)),
+            health::Change::Restored => effects.push(Effect::Restored(running.endpoint)),
+            health::Change::None => {}
+        }
+        effects.extend(self.grant(now));
+        effects
+    }
+
+    /// Lets time pass: ends orphans, opens limits, grants what has become free.
+    pub fn tick(&mut self, now: Millis) -> Effects {
+        let over: SmallVec<[Session; 4]> = (self.orphans.iter())
+            .filter(|(_, until)| **until <= now)
+            .map(|(session, _)| *session)
+            .collect();
+        for session in over {
+            self.orphans.remove(&session);
+            self.drop_running(now, session);
+        }
+        self.lines.retain(|_, line| {
+            line.running > 0 || !line.asks.is_empty() || now.since(line.used) < CLASS_MS
+        });
+        self.grant(now)
+    }
+
+    /// Grants free slots to waiting customers, least served first.
+    pub fn grant(&mut self, now: Millis) -> Effects {
+        let mut effects = Effects::new();
+        if now < self.opened {
+            return effects;
+        }
+        while self.slots.any_free(now) {
+            let Some(key) = self.next_ask(now) else {
+                break;
+            };
+            let Some(ask) = self.asks.get(&key).copied() else {
+                break;
+            };
+            let wish = Wish {
+                prefix: ask.prefix,
+                avoid: ask.avoid,
+            };
+            let Some(endpoint) = self.slots.take(now, wish) else {
+                break;
+            };
+            effects.push(self.start(now, key, ask, endpoint));
+        }
+        effects
+    }
+
+    fn start(
+        &mut self,
+        now: Millis,
+        key: (Session, Seq),
+        ask: Ask,
+        endpoint: EndpointId,
+    ) -> Effect {
+        let customer = ask.class.customer;
+        // The charge comes first, so that a customer leaving the backlog with
+        // this ask still carries it.
+        let amount = virtual_cost(ask.hint, ask.weight);
+        self.ledger.charge(customer, amount);
+        self.remove_ask(key.0, key.1);
+        let line = self.line(now, ask.class);
+        line.running += 1;
+        if let Some(bucket) = &mut line.bucket {
+            bucket.take(now);
+        }
+        let running = Running {
+            class: ask.class,
+            weight: ask.weight,
+            endpoint,
+            charged: ask.hint,
+        };
+        self.running.insert(key, running);
+        let grant = Grant {
+            epoch: self.epoch,
+            seq: key.1,
+            endpoint,
+            level: self.ledger.settled(customer),
+            // CAST: sessions are numbered by `u32`.
+            routers: self.sessions.len() as u32,
+        };
+        Effect::Grant(key.0, grant)
+    }
+
+    /// The ask to serve next: of the least served customer that its limits let
+    /// start, the one that has waited longest.
+    fn next_ask(&mut self, now: Millis) -> Option<(Session, Seq)> {
+        for customer in self.ledger.waiting() {
+            let first = Class { customer, rule: 0 };
+            let last = Class {
+                customer,
+                rule: u16::MAX,
+            };
+            for (_, line) in self.lines.range_mut(first..=last) {
+                let asks = &self.asks;
+                while line.asks.front().is_some_and(|key| !asks.contains_key(key)) {
+                    line.asks.pop_front();
+                }
+                let Some(key) = line.asks.front().copied() else {
+                    continue;
+                };
+                let cap = asks.get(&key).map_or(0, |a| a.concurrency);
+                let slow = cap != 0 && line.running >= cap;
+                let late = line.bucket.as_mut().is_some_and(|b| !b.ready(now));
+                if !slow && !late {
+                    return Some(key);
+                }
+            }
+        }
+        None
+    }
+
+    fn remove_ask(&mut self, session: Session, seq: Seq) {
+        let Some(ask) = self.asks.remove(&(session, seq)) else {
+            return;
+        };
+        let customer = ask.class.customer;
+        let Some(waiting) = self.waiting.get_mut(&customer) else {
+            return;
+        };
+        *waiting -= 1;
+        if *waiting == 0 {
+            self.waiting.remove(&customer);
+            self.ledger.set_backlogged(customer, false);
+        }
+    }
+
+    fn end(
+        &mut self,
+        now: Millis,
+        session: Session,
+        seq: Seq,
+        cost: u32,
+        verdict: Option<Verdict>,
+    ) -> Option<(Running, health::Change)> {
+        let running = self.running.remove(&(session, seq))?;
+        let charged = virtual_cost(running.charged, running.weight);
+        let cost = virtual_cost(cost, running.weight);
+        self.ledger.settle(running.class.customer, charged, cost);
+        let change = self.slots.free(now, running.endpoint, verdict);
+        let line = self.line(now, running.class);
+        line.running = line.running.saturating_sub(1);
+        Some((running, change))
+    }
+
+    fn drop_running(&mut self, now: Millis, session: Session) {
+        self.orphans.remove(&session);
+        let range = (session, Seq(0))..=(session, Seq(u64::MAX));
+        let lost: Vec<(Seq, u32)> = (self.running.range(range))
+            .map(|((_, seq), running)| (*seq, running.charged))
+            .collect();
+        for (seq, charged) in lost {
+            // What was charged so far is what is known to have been received.
+            self.end(now, session, seq, charged, None);
+        }
+    }
+
+    fn line(&mut self, now: Millis, class: Class) -> &mut Line {
+        let line = self.lines.entry(class).or_insert_with(|| Line {
+            asks: VecDeque::new(),
+            running: 0,
+            bucket: None,
+            used: now,
+        });
+        line.used = now;
+        line
+    }
+}
--- /dev/null
+++ b/components/coordination/src/slot.rs
@@ -0,0 +1,227 @@
+//! Slots of a shard's endpoints and the choice among them.
+
+use crate::health::{Change, Health};
+use crate::prelude::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// How far back a load report may lag, in milliseconds.
+pub const REPORT_LAG_MS: u64 = 2000;
+/// Prompt prefixes remembered for each endpoint.
+pub const PREFIXES: usize = 64;
+
+/// What a scheduler knows of one endpoint.
+#[derive(Clone, Debug)]
+struct Slot {
+    slots: u32,
+    lead: u32,
+    leaving: bool,
+    running: u32,
+    /// Recent (time, running), so that a late report is set against what we had
+    /// in progress when it was made.
+    history: VecDeque<(Millis, u32)>,
+    foreign: u32,
+    health: Health,
+    prefixes: VecDeque<u32>,
+}
+
+/// What to look for in an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish {
+    /// Hash of the prompt's prefix, 0 for none.
+    pub prefix: u32,
+    /// Endpoint to avoid, if another is free.
+    pub avoid: Option<EndpointId>,
+}
+
+/// How to choose among free endpoints; all but the first are baselines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Least loaded, then the one that has seen the prefix.
+    Least,
+    /// The next one in turn.
+    RoundRobin,
+    /// Any, by a hash of the count of choices.
+    Random,
+}
+
+/// The endpoints of one shard.
+#[derive(Clone, Debug)]
+pub struct Slots {
+    all: BTreeMap<EndpointId, Slot>,
+    choice: Choice,
+    turn: u64,
+}
+
+impl Default for Slots {
+    fn default() -> Self {
+        Slots::new(Choice::Least)
+    }
+}
+
+impl Slots {
+    /// No endpoints yet, chosen by `choice`.
+    pub fn new(choice: Choice) -> Self {
+        Slots {
+            all: BTreeMap::new(),
+            choice,
+            turn: 0,
+        }
+    }
+
+    /// Adds or changes an endpoint.
+    pub fn set(&mut self, id: EndpointId, slots: u32, lead: u32, leaving: bool) {
+        let slot = self.all.entry(id).or_insert_with(|| Slot {
+            slots,
+            lead,
+            leaving,
+            running: 0,
+            history: VecDeque::new(),
+            foreign: 0,
+            health: Health::default(),
+            prefixes: VecDeque::new(),
+        });
+        slot.slots = slots;
+        slot.lead = lead;
+        slot.leaving = leaving;
+    }
+
+    /// Forgets endpoints that `keep` refuses.
+    pub fn retain<F>(&mut self, keep: F)
+    where
+        F: Fn(EndpointId) -> bool,
+    {
+        self.all.retain(|id, _| keep(*id));
+    }
+
+    /// Takes a slot of the best endpoint that has one free.
+    pub fn take(&mut self, now: Millis, wish: Wish) -> Option<EndpointId> {
+        let id = self
+            .best(now, wish, true)
+            .or_else(|| self.best(now, wish, false))?;
+        self.hold(now, id);
+        let slot = self.all.get_mut(&id)?;
+        if wish.prefix != 0 && !slot.prefixes.contains(&wish.prefix) {
+            slot.prefixes.push_back(wish.prefix);
+            if slot.prefixes.len() > PREFIXES {
+                slot.prefixes.pop_front();
+            }
+        }
+        Some(id)
+    }
+
+    /// Counts a request that is in progress already.
+    pub fn hold(&mut self, now: Millis, id: EndpointId) {
+        if let Some(slot) = self.all.get_mut(&id) {
+            slot.running += 1;
+            slot.note(now);
+        }
+    }
+
+    /// Frees a slot; the verdict counts towards the endpoint's health.
+    pub fn free(&mut self, now: Millis, id: EndpointId, verdict: Option<Verdict>) -> Change {
+        let Some(slot) = self.all.get_mut(&id) else {
+            return Change::None;
+        };
+        slot.running = slot.running.saturating_sub(1);
+        slot.note(now);
+        match verdict {
+            Some(Verdict::Fine) => slot.health.fine(),
+            Some(Verdict::Failed) => slot.health.failed(now),
+            Some(Verdict::Gone) | None => Change::None,
+        }
+    }
+
+    /// Takes an endpoint's own report of how many requests it has.
+    ///
+    /// What it has beyond the most that we had in progress of late is someone
+    /// else's work. A lagging report can thus not free or take a slot of ours.
+    pub fn report(&mut self, now: Millis, id: EndpointId, load: u32) {
+        let Some(slot) = self.all.get_mut(&id) else {
+            return;
+        };
+        slot.note(now);
+        let ours = slot.history.iter().map(|(_, n)| *n).max().unwrap_or(0);
+        slot.foreign = load.saturating_sub(ours);
+    }
+
+    /// Whether any endpoint has a slot free.
+    pub fn any_free(&self, now: Millis) -> bool {
+        self.all.values().any(|s| s.room(now) > 0)
+    }
+
+    /// Requests in progress on an endpoint.
+    pub fn running(&self, id: EndpointId) -> u32 {
+        self.all.get(&id).map_or(0, |s| s.running)
+    }
+
+    /// Slots and requests in progress over all endpoints that take work.
+    pub fn totals(&self) -> (u32, u32) {
+        let open = || self.all.values().filter(|s| !s.leaving);
+        (
+            open().map(|s| s.slots).sum(),
+            open().map(|s| s.running).sum(),
+        )
+    }
+
+    /// When an ejected endpoint may next be probed.
+    pub fn next_probe(&self) -> Option<Millis> {
+        self.all.values().filter_map(|s| s.health.until()).min()
+    }
+
+    fn best(&mut self, now: Millis, wish: Wish, avoiding: bool) -> Option<EndpointId> {
+        let avoid = wish.avoid.filter(|_| avoiding);
+        let free = (self.all.iter())
+            .filter(|(id, s)| s.room(now) > 0 && Some(**id) != avoid)
+            .map(|(id, s)| (*id, s));
+        self.turn += 1;
+        match self.choice {
+            Choice::Least => free
+                .min_by_key(|(id, s)| (s.score(wish.prefix), *id))
+                .map(|(id, _)| id),
+            Choice::RoundRobin => nth(free.map(|(id, _)| id).collect(), self.turn),
+            Choice::Random => {
+                let mixed = self.turn.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 20;
+                nth(free.map(|(id, _)| id).collect(), mixed)
+            }
+        }
+    }
+}
+
+fn nth(free: SmallVec<[EndpointId; 16]>, turn: u64) -> Option<EndpointId> {
+    if free.is_empty() {
+        return None;
+    }
+    // CAST: the remainder is below the length, which is a `usize`.
+    Some(free[(turn % free.len() as u64) as usize])
+}
+
+impl Slot {
+    fn note(&mut self, now: Millis) {
+        self.history.push_back((now, self.running));
+        while let Some((at, _)) = self.history.get(1) {
+            if now.since(*at) <= REPORT_LAG_MS {
+                break;
+            }
+            self.history.pop_front();
+        }
+        // Changes within a millisecond need no more than their largest.
+        if self.history.len() > 256 {
+            self.history.pop_front();
+        }
+    }
+
+    fn room(&self, now: Millis) -> u32 {
+        if self.leaving {
+            return 0;
+        }
+        let capacity = self.health.capacity(now, self.slots + self.lead);
+        capacity.saturating_sub(self.running + self.foreign)
+    }
+
+    /// Load in thousandths of the slots, where an endpoint that has not seen
+    /// the prefix counts as one request fuller.
+    fn score(&self, prefix: u32) -> u64 {
+        let cold = u32::from(prefix != 0 && !self.prefixes.contains(&prefix));
+        u64::from(self.running + self.foreign + cold) * 1000 / u64::from(self.slots.max(1))
+    }
+}
--- /dev/null
+++ b/components/coordination/src/spread.rs
@@ -0,0 +1,132 @@
+//! Spread of the view from the control VMs to all routers, along a tree.
+//!
+//! Each node feeds a bounded number of children and sends later ones on to a
+//! child of its own, so that no node's traffic grows with the fleet.
+
+use crate::prelude::*;
+use serde::{Deserialize, Serialize};
+use state::view::Place;
+use std::collections::BTreeMap;
+
+/// Names of unconfirmed routers that a confirmation carries at most.
+pub const LAGGING_MAX: usize = 8;
+
+/// What a subtree has confirmed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Confirm {
+    /// Smallest version in force in the subtree.
+    pub version: Version,
+    /// Routers in the subtree.
+    pub routers: u32,
+    /// Routers that are at that smallest version, the first few.
+    pub slowest: SmallVec<[Name; 4]>,
+}
+
+/// A child in the tree.
+#[derive(Clone, Debug)]
+struct Child {
+    place: Place,
+    confirm: Confirm,
+}
+
+/// What to tell a node that wants to be fed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Welcome {
+    /// It is a child from now on.
+    Child,
+    /// It should ask this node instead.
+    Elsewhere(Place),
+}
+
+/// One node's place in the tree.
+#[derive(Clone, Debug)]
+pub struct Tree {
+    fanout: usize,
+    children: BTreeMap<Name, Child>,
+    turn: usize,
+}
+
+impl Tree {
+    /// A node that feeds at most `fanout` children.
+    pub fn new(fanout: usize) -> Self {
+        Tree {
+            fanout,
+            children: BTreeMap::new(),
+            turn: 0,
+        }
+    }
+
+    /// Takes a child, or sends it on to a child in turn.
+    pub fn welcome(&mut self, place: Place, version: Version) -> Welcome {
+        let known = self.children.contains_key(&place.vm);
+        if !known && self.children.len() >= self.fanout {
+            self.turn += 1;
+            let next = self.children.values().nth(self.turn % self.children.len());
+            if let Some(child) = next {
+                return Welcome::Elsewhere(child.place.clone());
+            }
+        }
+        let confirm = Confirm {
+            version,
+            routers: 1,
+            slowest: SmallVec::from_iter([place.vm.clone()]),
+        };
+        let vm = place.vm.clone();
+        self.children.insert(vm, Child { place, confirm });
+        Welcome::Child
+    }
+
+    /// Forgets a child.
+    pub fn lost(&mut self, vm: &Name) {
+        self.children.remove(vm);
+    }
+
+    /// Names of the children.
+    pub fn children(&self) -> impl Iterator<Item = &Name> {
+        self.children.keys()
+    }
+
+    /// Takes a child's confirmation for its subtree.
+    pub fn confirm(&mut self, vm: &Name, confirm: Confirm) {
+        if let Some(child) = self.children.get_mut(vm) {
+            child.confirm = confirm;
+        }
+    }
+
+    /// What this node and all below it have confirmed.
+    pub fn total(&self, own: Option<(&Name, Version)>) -> Confirm {
+        let mut total = Confirm {
+            version: Version(u64::MAX),
+            routers: 0,
+            slowest: SmallVec::new(),
+        };
+        if let Some((vm, version)) = own {
+            total.merge(&Confirm {
+                version,
+                routers: 1,
+                slowest: SmallVec::from_iter([vm.clone()]),
+            });
+        }
+        for child in self.children.values() {
+            total.merge(&child.confirm);
+        }
+        total
+    }
+}
+
+impl Confirm {
+    fn merge(&mut self, other: &Confirm) {
+        self.routers += other.routers;
+        if other.version > self.version {
+            return;
+        }
+        if other.version < self.version {
+            self.version = other.version;
+            self.slowest.clear();
+        }
+        let room = LAGGING_MAX.saturating_sub(self.slowest.len());
+        self.slowest
+            .extend(other.slowest.iter().take(room).cloned());
+    }
+}
--- /dev/null
+++ b/components/node/src/batch.rs
@@ -0,0 +1,46 @@
+//! Messages of one round of the reactor, joined by receiver.
+
+use coordination::ask::{Grant, Report};
+use protocol::wire::Message;
+use smallvec::SmallVec;
+use state::id::{Epoch, Name};
+use transport::link::Hub;
+
+/// Messages to be sent at the end of a round.
+#[derive(Debug, Default)]
+pub(crate) struct Batch {
+    reports: Vec<(Name, Epoch, SmallVec<[Report; 2]>)>,
+    grants: Vec<(Name, SmallVec<[Grant; 2]>)>,
+}
+
+impl Batch {
+    /// Adds a report to a scheduler.
+    pub(crate) fn report(&mut self, vm: &Name, epoch: Epoch, report: Report) {
+        let mut all = self.reports.iter_mut();
+        match all.find(|(v, e, _)| v == vm && *e == epoch) {
+            Some((_, _, reports)) => reports.push(report),
+            None => {
+                let reports = SmallVec::from_iter([report]);
+                self.reports.push((vm.clone(), epoch, reports));
+            }
+        }
+    }
+
+    /// Adds a grant to a router.
+    pub(crate) fn grant(&mut self, vm: &Name, grant: Grant) {
+        match self.grants.iter_mut().find(|(v, _)| v == vm) {
+            Some((_, grants)) => grants.push(grant),
+            None => self.grants.push((vm.clone(), SmallVec::from_iter([grant]))),
+        }
+    }
+
+    /// Sends everything. A message without a link is lost with its session.
+    pub(crate) fn send(&mut self, hub: &Hub) {
+        for (vm, epoch, reports) in self.reports.drain(..) {
+            hub.send(&vm, Message::Reports(epoch, reports));
+        }
+        for (vm, grants) in self.grants.drain(..) {
+            hub.send(&vm, Message::Grants(grants));
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/feed.rs
@@ -0,0 +1,339 @@
+//! The feed: how this process learns the view, and whom it feeds in turn.
+
+use coordination::spread::{Confirm, Tree, Welcome};
+use protocol::wire::Message;
+use smallvec::SmallVec;
+use state::clock::Millis;
+use state::id::{Name, Version};
+use state::view::{Place, Step, Taken, View};
+use std::collections::VecDeque;
+use transport::link::Hub;
+
+/// Time between two pulses of a root, in milliseconds.
+const PULSE_MS: u64 = 1000;
+/// Silence after which another parent is sought, in milliseconds.
+const QUIET_MS: u64 = 3000;
+/// Time for a parent to take this process in, in milliseconds.
+const JOIN_MS: u64 = 800;
+/// Steps kept for children that missed some.
+const HISTORY: usize = 256;
+
+/// Where this process stands in the tree.
+#[derive(Clone, Debug)]
+enum Stand {
+    /// It is fed by the control role of this process.
+    Root { fresh: bool, pulse_at: Millis },
+    /// It seeks a parent.
+    Seeking { asked: Option<Place>, since: Millis },
+    /// It has a parent.
+    Child { parent: Place },
+}
+
+/// The feed of one process.
+pub(crate) struct Feed {
+    me: Name,
+    seeds: Vec<Place>,
+    next_seed: usize,
+    stand: Stand,
+    tree: Tree,
+    history: VecDeque<Step>,
+    /// Last sign of life that began at a root.
+    pulse: Option<Millis>,
+    confirmed: Option<Confirm>,
+    version: Version,
+}
+
+impl Feed {
+    /// A feed that has nothing yet. `root` is for control VMs.
+    pub(crate) fn new(
+        me: Name,
+        seeds: Vec<Place>,
+        first: usize,
+        fanout: usize,
+        root: bool,
+    ) -> Self {
+        let stand = if root {
+            Stand::Root {
+                fresh: false,
+                pulse_at: Millis(0),
+            }
+        } else {
+            Stand::Seeking {
+                asked: None,
+                since: Millis(0),
+            }
+        };
+        Feed {
+            me,
+            seeds,
+            next_seed: first,
+            stand,
+            tree: Tree::new(fanout),
+            history: VecDeque::new(),
+            pulse: None,
+            confirmed: None,
+            version: Version(0),
+        }
+    }
+
+    /// Time of the last sign of life from control.
+    pub(crate) fn pulse(&self) -> Option<Millis> {
+        self.pulse
+    }
+
+    /// The node that feeds this one.
+    pub(crate) fn parent(&self) -> Option<&Name> {
+        match &self.stand {
+            Stand::Child { parent } => Some(&parent.vm),
+            _ => None,
+        }
+    }
+
+    /// What this process and all below it have confirmed.
+    pub(crate) fn total(&self, version: Version) -> Confirm {
+        self.tree.total(Some((&self.me, version)))
+    }
+
+    /// Notes whether the control role here follows a living leader. When it
+    /// does not, children are sent away: they would be fed nothing new.
+    pub(crate) fn fresh(&mut self, now: Millis, hub: &Hub, is: bool) {
+        let Stand::Root { fresh, .. } = &mut self.stand else {
+            return;
+        };
+        *fresh = is;
+        if is {
+            self.pulse = Some(now);
+            return;
+        }
+        let children: Vec<Name> = self.tree.children().cloned().collect();
+        for child in children {
+            self.send_away(hub, &child);
+            self.tree.lost(&child);
+        }
+    }
+
+    /// Takes steps; gives the versions that came into force.
+    pub(crate) fn steps(
+        &mut self,
+        view: &mut View,
+        hub: &Hub,
+        from: Option<&Name>,
+        steps: &[Step],
+    ) -> bool {
+        let mut news: SmallVec<[Step; 1]> = SmallVec::new();
+        for step in steps {
+            match view.take(step) {
+                Taken::InForce => news.push(step.clone()),
+                Taken::Old => {}
+                Taken::Gap => {
+                    if let Some(vm) = from {
+                        hub.send(vm, Message::Subscribe(view.version));
+                    }
+                    break;
+                }
+            }
+        }
+        if news.is_empty() {
+            return false;
+        }
+        self.history.extend(news.iter().cloned());
+        while self.history.len() > HISTORY {
+            self.history.pop_front();
+        }
+        for child in self.tree.children() {
+            hub.send(child, Message::Steps(news.clone()));
+        }
+        true
+    }
+
+    /// Takes a whole view; true if it was newer.
+    pub(crate) fn whole(&mut self, view: &mut View, hub: &Hub, whole: View) -> bool {
+        if !view.replace(whole) {
+            return false;
+        }
+        self.history.clear();
+        for child in self.tree.children() {
+            hub.send(child, Message::Whole(Box::new(view.clone())));
+        }
+        true
+    }
+
+    /// Takes a pulse from the parent, and passes it on.
+    pub(crate) fn pulsed(
+        &mut self,
+        now: Millis,
+        hub: &Hub,
+        from: &Name,
+        view: &View,
+        head: Version,
+    ) {
+        let parent = matches!(&self.stand, Stand::Child { parent } if parent.vm == *from);
+        if !parent {
+            return;
+        }
+        if view.version < head {
+            hub.send(from, Message::Subscribe(view.version));
+        }
+        self.pulse = Some(now);
+        for child in self.tree.children() {
+            hub.send(child, Message::Pulse(head));
+        }
+    }
+
+    /// Takes a node that wants to be fed.
+    pub(crate) fn subscribe(&mut self, hub: &Hub, place: Place, view: &View, version: Version) {
+        if matches!(self.stand, Stand::Root { fresh: false, .. }) {
+            self.send_away(hub, &place.vm);
+            return;
+        }
+        let vm = place.vm.clone();
+        if let Welcome::Elsewhere(other) = self.tree.welcome(place, version) {
+            hub.send(&vm, Message::Elsewhere(other));
+            return;
+        }
+        let first = self.history.front().map(|s| s.version.0);
+        let reach = first.is_some_and(|first| first <= version.0 + 1);
+        let message = if version >= view.version {
+            Message::Pulse(view.version)
+        } else if reach {
+            let missed = self.history.iter().filter(|s| s.version > version);
+            Message::Steps(missed.cloned().collect())
+        } else {
+            Message::Whole(Box::new(view.clone()))
+        };
+        hub.send(&vm, message);
+    }
+
+    /// Takes a child's confirmation.
+    pub(crate) fn confirm(&mut self, vm: &Name, confirm: Confirm) {
+        self.tree.confirm(vm, confirm);
+    }
+
+    /// Is told to ask another node.
+    pub(crate) fn elsewhere(&mut self, now: Millis, hub: &Hub, from: &Name, place: Place) {
+        let asked = match &self.stand {
+            Stand::Root { .. } => return,
+            Stand::Seeking { asked, .. } => asked.as_ref(),
+            Stand::Child { parent } => Some(parent),
+        };
+        if asked.is_none_or(|p| p.vm != *from) || place.vm == self.me {
+            return;
+        }
+        hub.undial(from);
+        self.seek(now, hub, place);
+    }
+
+    /// Notes that a link came up.
+    pub(crate) fn link_up(&mut self, hub: &Hub, vm: &Name, version: Version) {
+        let asked = match &self.stand {
+            Stand::Seeking { asked, .. } => asked.as_ref(),
+            Stand::Child { parent } => Some(parent),
+            Stand::Root { .. } => None,
+        };
+        if asked.is_some_and(|p| p.vm == *vm) {
+            hub.send(vm, Message::Subscribe(version));
+        }
+    }
+
+    /// Notes that a link was lost.
+    pub(crate) fn link_down(&mut self, now: Millis, vm: &Name) {
+        self.tree.lost(vm);
+        if matches!(&self.stand, Stand::Child { parent } if parent.vm == *vm) {
+            self.stand = Stand::Seeking {
+                asked: None,
+                since: now,
+            };
+        }
+    }
+
+    /// Notes that a node feeds this one.
+    pub(crate) fn fed(&mut self, now: Millis, from: &Name) {
+        let Stand::Seeking { asked, .. } = &self.stand else {
+            return;
+        };
+        if let Some(place) = asked.clone().filter(|p| p.vm == *from) {
+            self.pulse = self.pulse.or(Some(now));
+            self.stand = Stand::Child { parent: place };
+            self.confirmed = None;
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn tick(&mut self, now: Millis, hub: &Hub, version: Version) {
+        self.version = version;
+        match &mut self.stand {
+            Stand::Root { fresh, pulse_at } => {
+                if *fresh && now >= *pulse_at {
+                    *pulse_at = now.after(PULSE_MS);
+                    for child in self.tree.children() {
+                        hub.send(child, Message::Pulse(version));
+                    }
+                }
+            }
+            Stand::Seeking { asked, since } => {
+                if asked.is_none() || now.since(*since) > JOIN_MS {
+                    self.seek_seed(now, hub);
+                }
+            }
+            Stand::Child { parent } => {
+                // A parent that is cut off with us, or that we are above of in a
+                // ring, passes on no pulse; only a root can begin one.
+                if self.pulse.is_none_or(|at| now.since(at) > QUIET_MS) {
+                    let old = parent.vm.clone();
+                    self.pulse = Some(now);
+                    hub.undial(&old);
+                    self.seek_seed(now, hub);
+                }
+            }
+        }
+        self.tell_parent(hub, version);
+    }
+
+    /// Whether a VM's link is kept for the feed.
+    pub(crate) fn needs(&self, vm: &Name) -> bool {
+        match &self.stand {
+            Stand::Seeking { asked, .. } => asked.as_ref().is_some_and(|p| p.vm == *vm),
+            Stand::Child { parent } => parent.vm == *vm,
+            Stand::Root { .. } => false,
+        }
+    }
+
+    fn tell_parent(&mut self, hub: &Hub, version: Version) {
+        let Stand::Child { parent } = &self.stand else {
+            return;
+        };
+        let total = self.total(version);
+        if self.confirmed.as_ref() != Some(&total) {
+            hub.send(&parent.vm, Message::Confirm(total.clone()));
+            self.confirmed = Some(total);
+        }
+    }
+
+    fn seek_seed(&mut self, now: Millis, hub: &Hub) {
+        let others: Vec<&Place> = self.seeds.iter().filter(|s| s.vm != self.me).collect();
+        if others.is_empty() {
+            return;
+        }
+        let place = others[self.next_seed % others.len()].clone();
+        self.next_seed += 1;
+        self.seek(now, hub, place);
+    }
+
+    fn seek(&mut self, now: Millis, hub: &Hub, place: Place) {
+        hub.dial(&place);
+        if hub.is_up(&place.vm) {
+            hub.send(&place.vm, Message::Subscribe(self.version));
+        }
+        self.stand = Stand::Seeking {
+            asked: Some(place),
+            since: now,
+        };
+    }
+
+    fn send_away(&self, hub: &Hub, vm: &Name) {
+        let other = self.seeds.iter().find(|s| s.vm != self.me && s.vm != *vm);
+        if let Some(other) = other {
+            hub.send(vm, Message::Elsewhere(other.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/front/relay.rs
@@ -0,0 +1,224 @@
+//! Passes an answer's body through to the caller, and counts its cost.
+
+use super::upstream::Connection;
+use crate::input::Input;
+use crate::journal::Journal;
+use bytes::Bytes;
+use coordination::ask::Verdict;
+use coordination::desk::Ticket;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use state::config::Cost;
+use state::event::{Event, Step};
+use state::id::RequestId;
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Instant;
+use tokio::sync::oneshot;
+
+/// Bytes of an answer that are kept for a resend of a claimed request.
+pub(crate) const KEEP_MAX: usize = 16 * 1024;
+
+/// A dispatched request; when dropped, its slot is given back.
+pub(crate) struct Slot {
+    pub(crate) ticket: Ticket,
+    pub(crate) id: RequestId,
+    pub(crate) cost: Meter,
+    pub(crate) verdict: Verdict,
+    pub(crate) armed: bool,
+    pub(crate) reactor: flume::Sender<Input>,
+    pub(crate) journal: Journal,
+}
+
+impl Slot {
+    /// Lets go of the slot without giving it back.
+    pub(crate) fn disarm(mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if !self.armed {
+            return;
+        }
+        let step = match self.verdict {
+            Verdict::Gone => Step::CallerGone,
+            Verdict::Fine | Verdict::Failed => Step::Ended,
+        };
+        self.journal.note(Event::new(step).request(self.id));
+        let done = Input::Done(self.ticket, self.cost.units(), self.verdict);
+        // The reactor ends only together with this process.
+        let _ = self.reactor.send(done);
+    }
+}
+
+/// Counts the cost of one request.
+#[derive(Clone, Debug)]
+pub(crate) struct Meter {
+    cost: Cost,
+    began: Instant,
+    events: u32,
+    line: [u8; 5],
+    filled: usize,
+}
+
+impl Meter {
+    /// Starts counting.
+    pub(crate) fn new(cost: Cost) -> Self {
+        Meter {
+            cost,
+            began: Instant::now(),
+            events: 0,
+            line: [0; 5],
+            filled: 0,
+        }
+    }
+
+    /// Units so far.
+    pub(crate) fn units(&self) -> u32 {
+        match self.cost {
+            Cost::Request => 1,
+            Cost::Event => self.events.max(1),
+            Cost::Time => u32::try_from(self.began.elapsed().as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Counts lines that begin with `data:`, wherever pieces are split.
+    pub(crate) fn take(&mut self, bytes: &[u8]) {
+        if self.cost != Cost::Event {
+            return;
+        }
+        for byte in bytes {
+            if *byte == b'\n' {
+                self.filled = 0;
+            } else if self.filled < self.line.len() {
+                self.line[self.filled] = *byte;
+                self.filled += 1;
+                if self.filled == self.line.len() && self.line == *b"data:" {
+                    self.events += 1;
+                }
+            }
+        }
+    }
+}
+
+/// What is kept of an answer for a resend.
+pub(crate) struct Kept {
+    pub(crate) body: Option<Vec<u8>>,
+    /// Told the body when the answer has ended whole.
+    pub(crate) done: Option<oneshot::Sender<Option<Vec<u8>>>>,
+}
+
+/// The body that a caller reads.
+pub(crate) struct Relay {
+    pub(crate) inner: Incoming,
+    pub(crate) slot: Slot,
+    pub(crate) deadline: Pin<Box<tokio::time::Sleep>>,
+    pub(crate) kept: Option<Kept>,
+    pub(crate) told: u32,
+    pub(crate) _connection: Connection,
+}
+
+/// Why an answer was cut.
+#[derive(Debug)]
+pub(crate) enum Cut {
+    /// The endpoint broke off.
+    Endpoint(hyper::Error),
+    /// The time was up.
+    Deadline,
+}
+
+impl std::fmt::Display for Cut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Cut::Endpoint(error) => write!(f, "the endpoint broke off: {error}"),
+            Cut::Deadline => f.write_str("the time for the answer was up"),
+        }
+    }
+}
+
+impl std::error::Error for Cut {}
+
+impl Relay {
+    fn count(&mut self, bytes: &Bytes) {
+        self.slot.cost.take(bytes);
+        let units = self.slot.cost.units();
+        // The desk reports each doubling; it need not hear of every event.
+        if units >= self.told.saturating_mul(2).max(16) {
+            self.told = units;
+            let progress = Input::Progress(self.slot.ticket, units);
+            let _ = self.slot.reactor.send(progress);
+        }
+        if let Some(kept) = &mut self.kept {
+            let fits = |body: &Vec<u8>| body.len() + bytes.len() <= KEEP_MAX;
+            match &mut kept.body {
+                Some(body) if fits(body) => body.extend_from_slice(bytes),
+                body => *body = None,
+            }
+        }
+    }
+
+    /// Ends at once if there is no body: nobody would poll it.
+    pub(crate) fn end_if_empty(&mut self) {
+        if self.inner.is_end_stream() {
+            self.end();
+        }
+    }
+
+    fn end(&mut self) {
+        self.slot.verdict = Verdict::Fine;
+        if let Some(Kept {
+            body,
+            done: Some(done),
+        }) = self.kept.take()
+        {
+            let _ = done.send(body);
+        }
+    }
+}
+
+impl Body for Relay {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match Pin::new(&mut self.inner).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => {
+                if let Some(bytes) = frame.data_ref() {
+                    let bytes = bytes.clone();
+                    self.count(&bytes);
+                }
+                if self.inner.is_end_stream() {
+                    self.end();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            // The error makes hyper close the connection without the end of the
+            // answer: what was cut must look cut.
+            Poll::Ready(Some(Err(error))) => {
+                self.slot.verdict = Verdict::Failed;
+                Poll::Ready(Some(Err(Cut::Endpoint(error))))
+            }
+            Poll::Ready(None) => {
+                self.end();
+                Poll::Ready(None)
+            }
+            Poll::Pending => match self.deadline.as_mut().poll(context) {
+                Poll::Ready(()) => Poll::Ready(Some(Err(Cut::Deadline))),
+                Poll::Pending => Poll::Pending,
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/components/node/src/input.rs
@@ -0,0 +1,79 @@
+//! What the reactor is told.
+
+use crate::shared::Status;
+use coordination::ask::Verdict;
+use coordination::desk::{Arrival, Full, Ticket};
+use protocol::wire::{Query, Reply};
+use state::id::{EndpointId, Name};
+use state::view::{Step, View};
+use std::net::SocketAddr;
+use tokio::sync::oneshot;
+use transport::link;
+
+/// Where to send a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Dispatch {
+    /// Endpoint.
+    pub(crate) endpoint: EndpointId,
+    /// Its name.
+    pub(crate) name: Name,
+    /// Its address.
+    pub(crate) address: SocketAddr,
+}
+
+/// What becomes of a waiting request.
+#[derive(Clone, Debug)]
+pub(crate) enum Decision {
+    /// Send it.
+    Dispatch(Dispatch),
+    /// Its deadline has passed.
+    Expired,
+}
+
+/// Receiver of a decision.
+pub(crate) type Decided = oneshot::Receiver<Decision>;
+
+/// An endpoint whose load this VM asks for.
+#[derive(Clone, Debug)]
+pub(crate) struct Watched {
+    /// Endpoint.
+    pub(crate) endpoint: EndpointId,
+    /// Its address.
+    pub(crate) address: SocketAddr,
+    /// Path of its load report.
+    pub(crate) path: String,
+}
+
+/// An input of the reactor.
+pub(crate) enum Input {
+    /// Something happened on the links.
+    Link(link::Event),
+    /// A request arrives.
+    Arrive(Arrival, oneshot::Sender<Result<(Ticket, Decided), Full>>),
+    /// A waiting request's caller has gone.
+    Leave(Ticket),
+    /// A request failed and is to be queued again.
+    Again(Ticket, Verdict, oneshot::Sender<Decided>),
+    /// A request has cost this much so far.
+    Progress(Ticket, u32),
+    /// A request has ended.
+    Done(Ticket, u32, Verdict),
+    /// Something for the control VMs.
+    Query(Query, oneshot::Sender<Reply>),
+    /// An endpoint reported its load.
+    Load(EndpointId, u32),
+    /// Steps that the control role of this process saw accepted.
+    Applied(Vec<Step>),
+    /// A view that the control role of this process was given whole.
+    Restored(Box<View>),
+    /// Whether the control role of this process follows a living leader.
+    Fresh(bool),
+    /// Which endpoints are scheduled here, and where do they report their load?
+    Watched(oneshot::Sender<Vec<Watched>>),
+    /// What is the state?
+    Status(oneshot::Sender<Status>),
+    /// Stop taking requests.
+    Stop,
+    /// End.
+    End,
+}
--- /dev/null
+++ b/components/node/src/lib.rs
@@ -0,0 +1,24 @@
+//! The actors of one process: router, scheduler, control, operators' side.
+//!
+//! The reactor owns the router's and the schedulers' decisions and runs as one
+//! task; the control role runs on a thread of its own, because it waits for
+//! the disk. They and the links talk by flume channels.
+
+mod batch;
+mod control;
+mod feed;
+mod front;
+mod input;
+mod journal;
+mod metric;
+mod operators;
+mod poll;
+mod process;
+mod query;
+mod reactor;
+mod reign;
+mod shared;
+
+pub use coordination::rule::shadowed;
+pub use journal::{Journal, Lane};
+pub use process::{Addresses, Process};
--- /dev/null
+++ b/components/node/src/metric.rs
@@ -0,0 +1,150 @@
+//! Counters and gauges that `/metrics` shows.
+
+use errors::{Error, Result};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+/// All metrics of one process.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests by outcome and status.
+    pub(crate) requests: IntCounterVec,
+    /// Seconds from a request's arrival to its dispatch.
+    pub(crate) wait: Histogram,
+    /// Seconds from a request's arrival to the end of its answer.
+    pub(crate) duration: Histogram,
+    /// Tries after the first.
+    pub(crate) retries: IntCounter,
+    /// Requests that wait on this router.
+    pub(crate) waiting: IntGauge,
+    /// Requests in progress on this router.
+    pub(crate) held: IntGauge,
+    /// Callers' connections.
+    pub(crate) connections: IntGauge,
+    /// Version in force.
+    pub(crate) version: IntGauge,
+    /// Whether this process is ready.
+    pub(crate) ready: IntGauge,
+    /// Shards that this router schedules alone.
+    pub(crate) alone: IntGauge,
+    /// Grants given by this VM's schedulers.
+    pub(crate) grants: IntCounter,
+    /// Grants that routers gave back.
+    pub(crate) returns: IntCounter,
+    /// Slots and requests in progress, by shard, where this VM schedules.
+    pub(crate) slots: IntGaugeVec,
+    /// Service received, by customer, where this VM schedules.
+    pub(crate) service: IntGaugeVec,
+    /// Frames and bytes on links.
+    pub(crate) link: IntGaugeVec,
+    /// Control: term, index of the last accepted entry, bytes of the log, syncs.
+    pub(crate) control: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Makes and registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// When two of them have the same name.
+    pub(crate) fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let step = "register metrics";
+        let r = &registry;
+        let counter = |name: &str, help: &str| -> Result<IntCounter> {
+            let c = IntCounter::new(name, help).map_err(Error::key(step))?;
+            r.register(Box::new(c.clone())).map_err(Error::key(step))?;
+            Ok(c)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge> {
+            let g = IntGauge::new(name, help).map_err(Error::key(step))?;
+            r.register(Box::new(g.clone())).map_err(Error::key(step))?;
+            Ok(g)
+        };
+        let gauges = |name: &str, help: &str, labels: &[&str]| -> Result<IntGaugeVec> {
+            let g = IntGaugeVec::new(Opts::new(name, help), labels).map_err(Error::key(step))?;
+            r.register(Box::new(g.clone())).map_err(Error::key(step))?;
+            Ok(g)
+        };
+        let seconds = |name: &str, help: &str| -> Result<Histogram> {
+            let buckets = vec![
+                0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
+            ];
+            let opts = HistogramOpts::new(name, help).buckets(buckets);
+            let h = Histogram::with_opts(opts).map_err(Error::key(step))?;
+            r.register(Box::new(h.clone())).map_err(Error::key(step))?;
+            Ok(h)
+        };
+        let requests = IntCounterVec::new(
+            Opts::new(
+                "cowslipford_requests_total",
+                "Requests by outcome and status.",
+            ),
+            &["outcome", "status"],
+        )
+        .map_err(Error::key(step))?;
+        r.register(Box::new(requests.clone()))
+            .map_err(Error::key(step))?;
+        Ok(Metrics {
+            requests,
+            wait: seconds("cowslipford_wait_seconds", "Time from arrival to dispatch.")?,
+            duration: seconds(
+                "cowslipford_request_seconds",
+                "Time from arrival to the end.",
+            )?,
+            retries: counter("cowslipford_retries_total", "Tries after the first.")?,
+            waiting: gauge("cowslipford_waiting", "Requests that wait on this router.")?,
+            held: gauge(
+                "cowslipford_in_progress",
+                "Requests in progress on this router.",
+            )?,
+            connections: gauge("cowslipford_connections", "Callers' connections.")?,
+            version: gauge("cowslipford_version", "Version in force.")?,
+            ready: gauge("cowslipford_ready", "Whether this process is ready.")?,
+            alone: gauge(
+                "cowslipford_alone_shards",
+                "Shards that this router schedules alone.",
+            )?,
+            grants: counter(
+                "cowslipford_grants_total",
+                "Grants given by schedulers here.",
+            )?,
+            returns: counter(
+                "cowslipford_returns_total",
+                "Grants that routers gave back.",
+            )?,
+            slots: gauges(
+                "cowslipford_shard",
+                "Slots, running and waiting of shards that are scheduled here.",
+                &["service", "region", "what"],
+            )?,
+            service: gauges(
+                "cowslipford_service_received",
+                "Virtual service of customers in shards that are scheduled here.",
+                &["service", "region", "customer"],
+            )?,
+            link: gauges("cowslipford_links", "Traffic on links.", &["what"])?,
+            control: gauges("cowslipford_control", "The replicated log.", &["what"])?,
+            registry,
+        })
+    }
+
+    /// The text that `/metrics` gives.
+    pub(crate) fn text(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default()
+    }
+}
+
+/// A gauge's value from a count.
+pub(crate) fn value<N>(number: N) -> i64
+where
+    N: TryInto<i64>,
+{
+    number.try_into().unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/components/node/src/process.rs
@@ -0,0 +1,349 @@
+//! One process of the fleet, from its settings to its end.
+
+use crate::control::{self, Control};
+use crate::front::{Front, Parts as FrontParts};
+use crate::input::Input;
+use crate::journal::Journal;
+use crate::metric::Metrics;
+use crate::operators::{Operators, Parts as OperatorParts};
+use crate::poll;
+use crate::reactor::{Parts as ReactorParts, Reactor};
+use crate::shared::{raised, Published, Shared, Status};
+use coordination::desk::Bounds;
+use errors::{Error, Result};
+use protocol::wire::Hello;
+use settings::Settings;
+use state::view::Place;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle as Thread;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinHandle;
+use transport::clock::Clock;
+use transport::key::Keys;
+use transport::link::{Hub, Socket, Timing};
+
+/// Time between two looks at whether a stop may go on.
+const DRAIN_STEP: Duration = Duration::from_millis(50);
+/// Longest wait for another VM to take over schedulers.
+const HAND_OVER: Duration = Duration::from_secs(3);
+
+/// Addresses that were bound.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// Links.
+    pub link: SocketAddr,
+    /// Callers, if this is a router.
+    pub callers: Option<SocketAddr>,
+    /// Operators.
+    pub operators: SocketAddr,
+}
+
+/// A running process.
+pub struct Process {
+    addresses: Addresses,
+    hub: Hub,
+    reactor: flume::Sender<Input>,
+    reactor_task: JoinHandle<()>,
+    control: Option<(flume::Sender<control::Input>, Thread<()>)>,
+    operators: Operators,
+    tasks: Vec<JoinHandle<()>>,
+    stop: watch::Sender<bool>,
+    published: watch::Receiver<Published>,
+    failed: watch::Receiver<Option<String>>,
+}
+
+impl Process {
+    /// Starts what the settings ask for.
+    ///
+    /// # Errors
+    ///
+    /// When an address is taken, keys do not fit, or the disk is damaged.
+    pub async fn start(settings: Settings) -> Result<Self> {
+        let keys = Keys::read(
+            &settings.link.authority,
+            &settings.link.certificate,
+            &settings.link.key,
+        )?;
+        let timing = Timing {
+            idle: Duration::from_millis(settings.link.idle_ms),
+            keep_alive: Duration::from_millis(settings.link.keep_alive_ms),
+        };
+        let socket = Socket::bind(settings.link.listen, &keys, timing)?;
+        Starter::new(settings, socket)?.start().await
+    }
+
+    /// Addresses that were bound.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Whether it is ready to serve.
+    pub fn is_ready(&self) -> bool {
+        let published = self.published.borrow();
+        published.ready && !published.stopping
+    }
+
+    /// Waits until it is told over the feed to stop, or cannot go on.
+    ///
+    /// # Errors
+    ///
+    /// When the disk has failed.
+    pub async fn wait(&mut self) -> Result<()> {
+        tokio::select! {
+            // The reactor publishes for as long as this process lives.
+            _ = self.published.wait_for(|p| p.stopping) => Ok(()),
+            failed = self.failed.wait_for(Option::is_some) => {
+                let reason = failed.ok().and_then(|f| f.clone()).unwrap_or_default();
+                Err(Error::Key { step: "keep the durable state", reason })
+            }
+        }
+    }
+
+    /// Stops: takes nothing new, ends what is in progress, joins everything.
+    pub async fn stop(self) {
+        self.drain().await;
+        // Receivers that are gone have stopped already.
+        let _ = self.stop.send(true);
+        for task in self.tasks {
+            let _ = task.await;
+        }
+        let operators = self.operators;
+        let _ = tokio::task::spawn_blocking(move || operators.stop()).await;
+        if let Some((control, thread)) = self.control {
+            let _ = control.send(control::Input::Stop);
+            let _ = tokio::task::spawn_blocking(move || thread.join()).await;
+        }
+        let _ = self.reactor.send(Input::End);
+        let _ = self.reactor_task.await;
+        self.hub.stop().await;
+    }
+
+    /// Waits until nothing is in progress and schedulers are handed over.
+    async fn drain(&self) {
+        if self.reactor.send(Input::Stop).is_err() {
+            return;
+        }
+        let began = std::time::Instant::now();
+        loop {
+            tokio::time::sleep(DRAIN_STEP).await;
+            let Some(status) = self.status().await else {
+                return;
+            };
+            let busy = status.held > 0 || status.waiting.values().any(|n| *n > 0);
+            let seated = !status.reigns.is_empty() && !status.peers.is_empty();
+            let handing_over = seated && began.elapsed() < HAND_OVER;
+            if !(busy || handing_over) {
+                return;
+            }
+        }
+    }
+
+    async fn status(&self) -> Option<Status> {
+        let (sender, receiver) = oneshot::channel();
+        self.reactor.send(Input::Status(sender)).ok()?;
+        receiver.await.ok()
+    }
+}
+
+/// What a process needs while it starts.
+struct Starter {
+    settings: Settings,
+    socket: Socket,
+    place: Place,
+    incarnation: u64,
+    clock: Clock,
+    journal: Journal,
+    metrics: Metrics,
+}
+
+impl Starter {
+    fn new(settings: Settings, socket: Socket) -> Result<Self> {
+        let address = socket.address()?;
+        let clock = Clock::default();
+        Ok(Starter {
+            place: Place {
+                vm: settings.vm.name.clone(),
+                address,
+            },
+            incarnation: rand::random::<u64>() | 1,
+            journal: Journal::new(clock.clone(), settings.log.events),
+            clock,
+            metrics: Metrics::new()?,
+            settings,
+            socket,
+        })
+    }
+
+    /// Control VMs, with this one's own port where the settings left it open.
+    fn seeds(&self) -> Vec<Place> {
+        let mut seeds: Vec<Place> = self.settings.seeds.to_vec();
+        for seed in &mut seeds {
+            if seed.vm == self.place.vm && seed.address.port() == 0 {
+                seed.address = self.place.address;
+            }
+        }
+        seeds
+    }
+
+    async fn start(self) -> Result<Process> {
+        let seeds = self.seeds();
+        let listener = match &self.settings.callers {
+            Some(callers) => {
+                let step = "bind the callers' address";
+                let bound = TcpListener::bind(callers.listen).await;
+                Some(bound.map_err(Error::file(step, callers.listen.to_string()))?)
+            }
+            None => None,
+        };
+        let callers = listener.as_ref().and_then(|l| l.local_addr().ok());
+        let (reactor, inputs) = flume::unbounded();
+        let (publish, published) = watch::channel(Arc::new(Shared::default()));
+        let (stop, stopped) = watch::channel(false);
+        let (fail, failed) = watch::channel(None);
+        let (to_control, control_inputs) = flume::unbounded();
+        let to_control = self.settings.control.as_ref().map(|_| to_control);
+
+        // The hub's greeting carries the operators' address: it is bound first.
+        let step = "bind the operators' address";
+        let listen = self.settings.operators.listen;
+        let operators_socket =
+            std::net::TcpListener::bind(listen).map_err(Error::file(step, listen.to_string()))?;
+        let operators_address = operators_socket
+            .local_addr()
+            .map_err(Error::file(step, listen.to_string()))?;
+        let hello = Hello {
+            place: self.place.clone(),
+            incarnation: self.incarnation,
+            operators: operators_address,
+        };
+        let (hub, events) = self.socket.start(hello, self.clock.clone());
+        let operators = Operators::start(
+            operators_socket,
+            OperatorParts {
+                key: self.settings.operators.key,
+                hub: hub.clone(),
+                journal: self.journal.clone(),
+                metrics: self.metrics.clone(),
+                reactor: reactor.clone(),
+                control: to_control.clone(),
+                published: published.clone(),
+                fault_hook: self.settings.fault.hook,
+                runtime: tokio::runtime::Handle::current(),
+            },
+        )?;
+        let control = match (&self.settings.control, &to_control) {
+            (Some(settings), Some(sender)) => {
+                let control = Control::open(control::Parts {
+                    place: self.place.clone(),
+                    seeds: seeds.clone(),
+                    data: settings.data.clone(),
+                    compact_bytes: settings.compact_bytes,
+                    hub: hub.clone(),
+                    clock: self.clock.clone(),
+                    journal: self.journal.clone(),
+                    metrics: self.metrics.clone(),
+                    reactor: reactor.clone(),
+                })?;
+                let thread = std::thread::Builder::new()
+                    .name("control".to_owned())
+                    .spawn(move || {
+                        if let Err(error) = control.run(&control_inputs) {
+                            tracing::error!(%error, "the durable state cannot be kept");
+                            fail.send_replace(Some(error.to_string()));
+                        }
+                    })
+                    .map_err(Error::file("start a thread", "control"))?;
+                Some((sender.clone(), thread))
+            }
+            _ => None,
+        };
+        let parts = ReactorParts {
+            hub: hub.clone(),
+            clock: self.clock.clone(),
+            journal: self.journal.clone(),
+            metrics: self.metrics.clone(),
+            seeds,
+            region: self.settings.vm.region.clone(),
+            bounds: Bounds {
+                requests: self.settings.router.queue,
+                bytes: self.settings.router.queue_bytes,
+            },
+            fanout: match &self.settings.control {
+                Some(control) => control.fanout,
+                None => self.settings.router.fanout,
+            },
+            control: self.settings.control.is_some(),
+            scheduler: self.settings.scheduler,
+            to_control,
+            publish,
+        };
+        let reactor_task = tokio::spawn(Reactor::new(parts).run(inputs));
+        let mut tasks = vec![tokio::spawn(forward(
+            events,
+            reactor.clone(),
+            stopped.clone(),
+        ))];
+        if self.settings.scheduler {
+            tasks.push(tokio::spawn(poll::run(reactor.clone(), stopped.clone())));
+        }
+        if let (Some(callers), Some(listener)) = (&self.settings.callers, listener) {
+            let front = Front::new(FrontParts {
+                callers: callers.clone(),
+                queue_customer: self.settings.router.queue_customer,
+                stale_ms: self.settings.router.stale_ms,
+                data_centre: self.settings.vm.data_centre.clone(),
+                incarnation: self.incarnation,
+                clock: self.clock.clone(),
+                journal: self.journal.clone(),
+                metrics: self.metrics.clone(),
+                reactor: reactor.clone(),
+                published: published.clone(),
+            });
+            tasks.push(tokio::spawn(front.run(listener, stopped)));
+        }
+        let addresses = Addresses {
+            link: self.place.address,
+            callers,
+            operators: operators_address,
+        };
+        tracing::info!(
+            vm = %self.place.vm,
+            link = %addresses.link,
+            operators = %addresses.operators,
+            callers = ?addresses.callers,
+            "started"
+        );
+        Ok(Process {
+            addresses,
+            hub,
+            reactor,
+            reactor_task,
+            control,
+            operators,
+            tasks,
+            stop,
+            published,
+            failed,
+        })
+    }
+}
+
+/// Passes what the links report to the reactor.
+async fn forward(
+    events: flume::Receiver<transport::link::Event>,
+    reactor: flume::Sender<Input>,
+    mut stop: watch::Receiver<bool>,
+) {
+    loop {
+        tokio::select! {
+            event = events.recv_async() => match event {
+                Ok(event) => if reactor.send(Input::Link(event)).is_err() { return },
+                Err(_) => return,
+            },
+            () = raised(&mut stop) => return,
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/query.rs
@@ -0,0 +1,142 @@
+//! Queries to the control VMs, sent again until one that leads answers.
+
+use protocol::wire::{Message, Query, Reply};
+use state::clock::Millis;
+use state::id::Name;
+use state::view::Place;
+use std::collections::BTreeMap;
+use tokio::sync::oneshot;
+use transport::link::Hub;
+
+/// Time without an answer after which the next control VM is asked, in
+/// milliseconds.
+const AGAIN_MS: u64 = 400;
+/// Time without queries after which links to control VMs are closed, in
+/// milliseconds. A router of a large fleet needs them seldom.
+const KEEP_MS: u64 = 30_000;
+
+struct Open {
+    query: Query,
+    answer: oneshot::Sender<Reply>,
+    sent: Option<Millis>,
+}
+
+/// Queries that wait for an answer.
+pub(crate) struct Queries {
+    seeds: Vec<Place>,
+    open: BTreeMap<u64, Open>,
+    next: u64,
+    target: usize,
+    used: Millis,
+    dialed: bool,
+    /// Whether links to control VMs are always kept.
+    keep: bool,
+}
+
+impl Queries {
+    /// No queries yet.
+    pub(crate) fn new(seeds: Vec<Place>, first: usize, keep: bool) -> Self {
+        let target = first % seeds.len().max(1);
+        Queries {
+            seeds,
+            open: BTreeMap::new(),
+            next: 0,
+            target,
+            used: Millis(0),
+            dialed: false,
+            keep,
+        }
+    }
+
+    /// Sends a query; the answer goes to `answer`, however long it takes. A
+    /// receiver that is dropped ends the query.
+    pub(crate) fn ask(
+        &mut self,
+        now: Millis,
+        hub: &Hub,
+        query: Query,
+        answer: oneshot::Sender<Reply>,
+    ) {
+        let id = self.next;
+        self.next += 1;
+        let open = Open {
+            query,
+            answer,
+            sent: None,
+        };
+        self.open.insert(id, open);
+        self.send(now, hub);
+    }
+
+    /// Takes an answer.
+    pub(crate) fn reply(&mut self, now: Millis, hub: &Hub, id: u64, reply: Reply) {
+        if let Reply::NotLeader(leader) = reply {
+            let known = leader.and_then(|l| self.seeds.iter().position(|s| *s == l));
+            let asked_now = known == Some(self.target);
+            self.target = known.unwrap_or(self.target + 1) % self.seeds.len().max(1);
+            if let Some(open) = self.open.get_mut(&id) {
+                // A VM that names itself or nobody is asked again a little later.
+                let soon = known.is_some() && !asked_now;
+                let pause = if soon { AGAIN_MS } else { AGAIN_MS - 50 };
+                open.sent = Some(Millis(now.0.saturating_sub(pause)));
+            }
+            self.send(now, hub);
+            return;
+        }
+        if let Some(open) = self.open.remove(&id) {
+            // Whoever asked may have gone.
+            let _ = open.answer.send(reply);
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn tick(&mut self, now: Millis, hub: &Hub) {
+        self.open.retain(|_, open| !open.answer.is_closed());
+        let late = |o: &Open| o.sent.is_some_and(|at| now.since(at) >= AGAIN_MS * 2);
+        if self.open.values().any(late) {
+            self.target = (self.target + 1) % self.seeds.len().max(1);
+        }
+        self.send(now, hub);
+        let idle = self.open.is_empty() && now.since(self.used) > KEEP_MS;
+        if idle && self.dialed && !self.keep {
+            self.dialed = false;
+            for seed in &self.seeds {
+                hub.undial(&seed.vm);
+            }
+        }
+    }
+
+    /// Whether a VM's link is kept for queries.
+    pub(crate) fn needs(&self, vm: &Name) -> bool {
+        (self.dialed || self.keep) && self.seeds.iter().any(|s| s.vm == *vm)
+    }
+
+    fn send(&mut self, now: Millis, hub: &Hub) {
+        if self.open.is_empty() {
+            return;
+        }
+        self.used = now;
+        self.dialed = true;
+        for seed in &self.seeds {
+            hub.dial(seed);
+        }
+        // A seed without a link is passed over while another has one.
+        let count = self.seeds.len();
+        let up = (0..count)
+            .map(|i| (self.target + i) % count)
+            .find(|i| hub.is_up(&self.seeds[*i].vm));
+        let Some(up) = up else {
+            return;
+        };
+        self.target = up;
+        let vm = &self.seeds[up].vm;
+        for (id, open) in &mut self.open {
+            if open.sent.is_some_and(|at| now.since(at) < AGAIN_MS) {
+                continue;
+            }
+            if hub.send(vm, Message::Query(*id, open.query.clone())) {
+                open.sent = Some(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/reactor.rs
@@ -0,0 +1,561 @@
+//! The reactor: one task that owns the router's and schedulers' decisions.
+
+use crate::batch::Batch;
+use crate::feed::Feed;
+use crate::input::{Decision, Dispatch, Input, Watched};
+use crate::journal::Journal;
+use crate::metric::{value, Metrics};
+use crate::query::Queries;
+use crate::reign::Reigns;
+use crate::shared::{Published, Shared, Status};
+use coordination::desk::{endpoints, Bounds, Desk, Effect, Effects, Ticket};
+use protocol::wire::{Message, Query, Reply};
+use state::clock::Millis;
+use state::config::Index;
+use state::event::{Event, Step};
+use state::id::{EndpointId, Name, Version};
+use state::view::{Place, Seat, View};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{oneshot, watch};
+use transport::clock::Clock;
+use transport::link::{self, Hub};
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(20);
+/// Inputs taken in one round before messages are sent.
+const ROUND: usize = 256;
+/// Time between two heartbeats of a VM that can schedule, in milliseconds.
+const BEAT_MS: u64 = 300;
+/// Time between two updates of the gauges, in milliseconds.
+const MEASURE_MS: u64 = 1000;
+
+/// What a reactor is given.
+pub(crate) struct Parts {
+    /// Links.
+    pub(crate) hub: Hub,
+    /// Clock.
+    pub(crate) clock: Clock,
+    /// Time line.
+    pub(crate) journal: Journal,
+    /// Metrics.
+    pub(crate) metrics: Metrics,
+    /// Control VMs.
+    pub(crate) seeds: Vec<Place>,
+    /// Region of this VM.
+    pub(crate) region: Name,
+    /// Bounds of the desk.
+    pub(crate) bounds: Bounds,
+    /// Children to feed.
+    pub(crate) fanout: usize,
+    /// Whether this is a control VM.
+    pub(crate) control: bool,
+    /// Whether this VM may schedule.
+    pub(crate) scheduler: bool,
+    /// Where the control role takes its messages, if it is here.
+    pub(crate) to_control: Option<flume::Sender<crate::control::Input>>,
+    /// Where to publish.
+    pub(crate) publish: watch::Sender<Published>,
+}
+
+/// The reactor.
+pub(crate) struct Reactor {
+    parts: Parts,
+    me: Name,
+    view: View,
+    /// The view and its look-ups as published.
+    shown: (Arc<View>, Arc<Index>),
+    desk: Desk,
+    reigns: Reigns,
+    feed: Feed,
+    queries: Queries,
+    batch: Batch,
+    decisions: HashMap<Ticket, oneshot::Sender<Decision>>,
+    head: Option<oneshot::Receiver<Reply>>,
+    needed: Option<Version>,
+    ready: bool,
+    stopping: bool,
+    seats_dialed: BTreeSet<Name>,
+    beat_at: Millis,
+    measure_at: Millis,
+    dirty: bool,
+}
+
+impl Reactor {
+    /// A reactor without a view.
+    pub(crate) fn new(parts: Parts) -> Self {
+        let hello = parts.hub.hello().clone();
+        let me = hello.place.vm.clone();
+        // CAST: any number will do to spread processes over the seeds.
+        let spread = hello.incarnation as usize;
+        let seeds = parts.seeds.clone();
+        let now = parts.clock.now();
+        let mut desk = Desk::new(parts.region.clone(), hello.incarnation, parts.bounds);
+        desk.link_up(now, &me);
+        Reactor {
+            desk,
+            reigns: Reigns::new(me.clone(), parts.journal.clone(), parts.metrics.clone()),
+            feed: Feed::new(
+                me.clone(),
+                seeds.clone(),
+                spread,
+                parts.fanout,
+                parts.control,
+            ),
+            queries: Queries::new(seeds, spread, parts.control || parts.scheduler),
+            view: View::default(),
+            shown: Default::default(),
+            batch: Batch::default(),
+            decisions: HashMap::new(),
+            head: None,
+            needed: None,
+            ready: false,
+            stopping: false,
+            seats_dialed: BTreeSet::new(),
+            beat_at: now,
+            measure_at: now,
+            dirty: true,
+            me,
+            parts,
+        }
+    }
+
+    /// Runs until all senders of inputs are gone.
+    pub(crate) async fn run(mut self, inputs: flume::Receiver<Input>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        if self.parts.control || self.parts.scheduler {
+            for seed in &self.parts.seeds {
+                self.parts.hub.dial(seed);
+            }
+        }
+        loop {
+            tokio::select! {
+                input = inputs.recv_async() => match input {
+                    Ok(Input::End) | Err(_) => return,
+                    Ok(input) => self.input(input),
+                },
+                _ = ticks.tick() => self.tick(),
+            }
+            for input in inputs.try_iter().take(ROUND) {
+                if matches!(input, Input::End) {
+                    return;
+                }
+                self.input(input);
+            }
+            self.batch.send(&self.parts.hub);
+            if std::mem::take(&mut self.dirty) {
+                self.publish();
+            }
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.parts.clock.now()
+    }
+
+    fn input(&mut self, input: Input) {
+        let now = self.now();
+        match input {
+            Input::Link(event) => self.link(now, event),
+            Input::Arrive(arrival, reply) => {
+                let answer = match self.desk.arrive(now, &self.view, arrival) {
+                    Ok((ticket, effects)) => {
+                        let (sender, decided) = oneshot::channel();
+                        self.decisions.insert(ticket, sender);
+                        self.act(now, effects);
+                        Ok((ticket, decided))
+                    }
+                    Err(full) => Err(full),
+                };
+                // A caller that has gone drops the receiver, and its guard the ticket.
+                if let Err(Ok((ticket, _))) = reply.send(answer) {
+                    self.leave(now, ticket);
+                }
+            }
+            Input::Leave(ticket) => self.leave(now, ticket),
+            Input::Again(ticket, verdict, reply) => {
+                self.parts.metrics.retries.inc();
+                let (sender, decided) = oneshot::channel();
+                self.decisions.insert(ticket, sender);
+                let effects = self.desk.again(now, ticket, verdict);
+                self.act(now, effects);
+                if reply.send(decided).is_err() {
+                    self.leave(now, ticket);
+                }
+            }
+            Input::Progress(ticket, cost) => {
+                let effects = self.desk.progress(now, ticket, cost);
+                self.act(now, effects);
+            }
+            Input::Done(ticket, cost, verdict) => {
+                self.decisions.remove(&ticket);
+                let effects = self.desk.done(now, ticket, cost, verdict);
+                self.act(now, effects);
+            }
+            Input::Query(query, answer) => self.queries.ask(now, &self.parts.hub, query, answer),
+            Input::Load(endpoint, load) => self.reigns.load(now, endpoint, load),
+            Input::Applied(steps) => self.steps(now, None, &steps),
+            Input::Restored(view) => self.whole(now, *view),
+            Input::Fresh(fresh) => {
+                self.feed.fresh(now, &self.parts.hub, fresh);
+                self.dirty = true;
+            }
+            // Whoever asked may have gone.
+            Input::Status(reply) => drop(reply.send(self.status())),
+            // Whoever asked may have gone.
+            Input::Watched(reply) => drop(reply.send(self.watched())),
+            Input::Stop => self.stop(),
+            // The loop has ended already.
+            Input::End => {}
+        }
+    }
+
+    fn leave(&mut self, now: Millis, ticket: Ticket) {
+        self.decisions.remove(&ticket);
+        let effects = self.desk.leave(now, ticket);
+        self.act(now, effects);
+    }
+
+    fn link(&mut self, now: Millis, event: link::Event) {
+        match event {
+            link::Event::Up(hello) => {
+                let vm = &hello.place.vm;
+                self.parts.journal.note(Event::new(Step::LinkUp).peer(vm));
+                self.feed.link_up(&self.parts.hub, vm, self.view.version);
+                self.to_control(crate::control::Input::Up(hello.clone()));
+                let effects = self.desk.link_up(now, vm);
+                self.act(now, effects);
+            }
+            link::Event::Down(vm) => {
+                self.parts
+                    .journal
+                    .note(Event::new(Step::LinkDown).peer(&vm));
+                self.feed.link_down(now, &vm);
+                self.reigns.link_down(now, &vm);
+                self.desk.link_down(now, &vm);
+                self.to_control(crate::control::Input::Down(vm));
+            }
+            link::Event::Message(vm, message) => self.message(now, vm, message),
+        }
+    }
+
+    fn message(&mut self, now: Millis, vm: Name, message: Message) {
+        match message {
+            Message::Hello(_) => {}
+            Message::Agree(_) | Message::Beat { .. } | Message::Query(..) => {
+                self.to_control(crate::control::Input::Message(vm, message));
+            }
+            Message::Reply(id, reply) => self.queries.reply(now, &self.parts.hub, id, reply),
+            Message::Subscribe(version) => {
+                let hub = &self.parts.hub;
+                let peer = hub.peers().into_iter().find(|p| p.place.vm == vm);
+                if let Some(peer) = peer {
+                    self.feed.subscribe(hub, peer.place, &self.view, version);
+                }
+            }
+            Message::Elsewhere(place) => {
+                self.feed.elsewhere(now, &self.parts.hub, &vm, place);
+            }
+            Message::Pulse(head) => {
+                self.feed.fed(now, &vm);
+                self.feed
+                    .pulsed(now, &self.parts.hub, &vm, &self.view, head);
+                self.dirty = true;
+            }
+            Message::Steps(steps) => {
+                self.feed.fed(now, &vm);
+                self.steps(now, Some(&vm), &steps);
+            }
+            Message::Whole(view) => {
+                self.feed.fed(now, &vm);
+                self.whole(now, *view);
+            }
+            Message::Confirm(confirm) => self.feed.confirm(&vm, confirm),
+            Message::Reports(epoch, reports) => {
+                let known = self
+                    .reigns
+                    .reports(now, &vm, epoch, reports, &mut self.batch);
+                if !known {
+                    self.parts.hub.send(&vm, Message::Unseated(epoch));
+                }
+            }
+            Message::Grants(grants) => {
+                for grant in grants {
+                    let effects = self.desk.grant(now, grant);
+                    self.act(now, effects);
+                }
+            }
+            Message::Unseated(epoch) => self.desk.unseated(now, epoch),
+        }
+    }
+
+    fn to_control(&self, input: crate::control::Input) {
+        if let Some(sender) = &self.parts.to_control {
+            // The control thread ends only together with this process.
+            let _ = sender.send(input);
+        }
+    }
+
+    fn steps(&mut self, now: Millis, from: Option<&Name>, steps: &[state::view::Step]) {
+        if self
+            .feed
+            .steps(&mut self.view, &self.parts.hub, from, steps)
+        {
+            self.in_force(now);
+        }
+    }
+
+    fn whole(&mut self, now: Millis, view: View) {
+        if self.feed.whole(&mut self.view, &self.parts.hub, view) {
+            self.in_force(now);
+        }
+    }
+
+    /// Brings a new version into force in all parts.
+    fn in_force(&mut self, now: Millis) {
+        let version = self.view.version;
+        let index = Index::from(&self.view.config);
+        self.shown = (Arc::new(self.view.clone()), Arc::new(index));
+        self.parts
+            .journal
+            .note(Event::new(Step::VersionInForce).version(version));
+        self.reigns.follow(now, &self.view, &mut self.batch);
+        let effects = self.desk.follow(now, &self.view);
+        self.act(now, effects);
+        let told = self.view.stopping.get(&self.me);
+        if told == Some(&self.parts.hub.hello().incarnation) {
+            self.stop();
+        }
+        self.dirty = true;
+    }
+
+    fn stop(&mut self) {
+        if !self.stopping {
+            tracing::info!("stopping: no new requests are taken");
+            self.parts.journal.note(Event::new(Step::Stopping));
+            self.stopping = true;
+            self.dirty = true;
+        }
+    }
+
+    fn act(&mut self, now: Millis, effects: Effects) {
+        for effect in effects {
+            match effect {
+                Effect::Report(seat, report) => {
+                    self.reach(&seat);
+                    self.batch.report(&seat.place.vm, seat.epoch, report);
+                }
+                Effect::Dispatch(ticket, endpoint) => self.dispatch(now, ticket, endpoint),
+                Effect::Expire(ticket) => {
+                    if let Some(sender) = self.decisions.remove(&ticket) {
+                        // The caller may have gone at the same moment.
+                        let _ = sender.send(Decision::Expired);
+                    }
+                }
+            }
+        }
+    }
+
+    fn dispatch(&mut self, now: Millis, ticket: Ticket, endpoint: EndpointId) {
+        let found = self.view.config.endpoints.get(&endpoint);
+        let sender = self.decisions.remove(&ticket);
+        let (Some(found), Some(sender)) = (found, sender) else {
+            let gone = coordination::ask::Verdict::Gone;
+            let effects = self.desk.done(now, ticket, 0, gone);
+            self.act(now, effects);
+            return;
+        };
+        let dispatch = Dispatch {
+            endpoint,
+            name: found.name.clone(),
+            address: found.address,
+        };
+        if sender.send(Decision::Dispatch(dispatch)).is_err() {
+            // The caller left while the grant was on its way: no byte was sent.
+            let gone = coordination::ask::Verdict::Gone;
+            let effects = self.desk.done(now, ticket, 0, gone);
+            self.act(now, effects);
+        }
+    }
+
+    fn reach(&mut self, seat: &Seat) {
+        if self.seats_dialed.insert(seat.place.vm.clone()) {
+            self.parts.hub.dial(&seat.place);
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        let effects = self.desk.tick(now, &self.view);
+        self.act(now, effects);
+        self.reigns.tick(now, &mut self.batch);
+        self.queries.tick(now, &self.parts.hub);
+        self.feed.tick(now, &self.parts.hub, self.view.version);
+        self.keep_links();
+        self.beat(now);
+        self.seek_ready(now);
+        if now >= self.measure_at {
+            self.measure_at = now.after(MEASURE_MS);
+            self.measure();
+        }
+    }
+
+    /// Dials schedulers that the desk has sessions with, and no others.
+    fn keep_links(&mut self) {
+        let wanted: BTreeMap<Name, Seat> = (self.desk.shards())
+            .filter_map(|(shard, _)| self.view.seat(shard))
+            .map(|seat| (seat.place.vm.clone(), seat.clone()))
+            .collect();
+        for seat in wanted.values() {
+            self.reach(seat);
+        }
+        let over: Vec<Name> = (self.seats_dialed.iter())
+            .filter(|vm| !wanted.contains_key(vm))
+            .cloned()
+            .collect();
+        for vm in over {
+            self.seats_dialed.remove(&vm);
+            if !self.feed.needs(&vm) && !self.queries.needs(&vm) {
+                self.parts.hub.undial(&vm);
+            }
+        }
+    }
+
+    fn beat(&mut self, now: Millis) {
+        if !self.parts.scheduler || self.stopping || now < self.beat_at {
+            return;
+        }
+        self.beat_at = now.after(BEAT_MS);
+        let beat = Message::Beat {
+            region: self.parts.region.clone(),
+            incarnation: self.parts.hub.hello().incarnation,
+        };
+        for seed in &self.parts.seeds {
+            self.parts.hub.send(&seed.vm, beat.clone());
+        }
+    }
+
+    /// Becomes ready once the view is as new as the version that a quorum had
+    /// in force after this process started.
+    ///
+    /// A process that served what its first peer happened to have could step
+    /// back behind its own earlier life: one would see a removed customer
+    /// served again after a restart.
+    fn seek_ready(&mut self, now: Millis) {
+        if self.ready {
+            return;
+        }
+        if self.needed.is_none() {
+            let head = self.head.get_or_insert_with(|| {
+                let (sender, receiver) = oneshot::channel();
+                self.queries.ask(now, &self.parts.hub, Query::Head, sender);
+                receiver
+            });
+            match head.try_recv() {
+                Ok(Reply::Head(version)) => self.needed = Some(version),
+                Ok(_) | Err(oneshot::error::TryRecvError::Closed) => self.head = None,
+                Err(oneshot::error::TryRecvError::Empty) => {}
+            }
+        }
+        if self
+            .needed
+            .is_some_and(|needed| self.view.version >= needed)
+        {
+            tracing::info!(version = %self.view.version, "ready");
+            self.ready = true;
+            self.dirty = true;
+        }
+    }
+
+    fn publish(&self) {
+        let shared = Shared {
+            view: self.shown.0.clone(),
+            index: self.shown.1.clone(),
+            ready: self.ready,
+            stopping: self.stopping,
+            pulse: self.feed.pulse(),
+        };
+        self.parts.publish.send_replace(Arc::new(shared));
+    }
+
+    fn measure(&self) {
+        let m = &self.parts.metrics;
+        m.waiting.set(value(self.desk.waiting()));
+        m.held.set(value(self.desk.held()));
+        m.version.set(value(self.view.version.0));
+        m.ready.set(i64::from(self.ready && !self.stopping));
+        m.alone
+            .set(value(self.desk.shards().filter(|(_, up)| !up).count()));
+        self.reigns.measure(&self.view);
+        let counts = self.parts.hub.counts();
+        let load = std::sync::atomic::Ordering::Relaxed;
+        let (datagrams, udp) = self.parts.hub.udp();
+        let set = |what, number| m.link.with_label_values(&[what]).set(value(number));
+        set("frames_sent", counts.frames.load(load));
+        set("frame_bytes_sent", counts.bytes.load(load));
+        set("datagrams", datagrams);
+        set("datagram_bytes", udp);
+        set("links", self.parts.hub.peers().len() as u64);
+    }
+
+    fn watched(&self) -> Vec<Watched> {
+        let config = &self.view.config;
+        let mut watched = Vec::new();
+        for shard in self.reigns.shards() {
+            let service = config.services.get(&shard.service);
+            let Some(path) = service.and_then(|s| s.load.clone()) else {
+                continue;
+            };
+            for (endpoint, ..) in endpoints(&self.view, &shard) {
+                let address = config.endpoints.get(&endpoint).map(|e| e.address);
+                watched.extend(address.map(|address| Watched {
+                    endpoint,
+                    address,
+                    path: path.clone(),
+                }));
+            }
+        }
+        watched
+    }
+
+    fn status(&self) -> Status {
+        let customers = &self.view.config.customers;
+        let name = |id| {
+            customers
+                .get(id)
+                .map_or(String::new(), |c| c.name.to_string())
+        };
+        Status {
+            vm: self.me.clone(),
+            incarnation: self.parts.hub.hello().incarnation,
+            version: self.view.version.0,
+            config_version: self.view.config_version.0,
+            ready: self.ready,
+            stopping: self.stopping,
+            parent: self.feed.parent().cloned(),
+            confirmed: self.feed.total(self.view.version),
+            peers: self
+                .parts
+                .hub
+                .peers()
+                .into_iter()
+                .map(|p| p.place.vm)
+                .collect(),
+            waiting: self
+                .desk
+                .queues()
+                .iter()
+                .map(|(id, n)| (name(id), *n))
+                .collect(),
+            held: self.desk.held(),
+            alone: (self.desk.shards())
+                .filter(|(_, up)| !up)
+                .map(|(shard, _)| shard.clone())
+                .collect(),
+            reigns: self.reigns.status(&self.view),
+            control: None,
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/reign.rs
@@ -0,0 +1,238 @@
+//! The schedulers that this VM runs.
+
+use crate::batch::Batch;
+use crate::journal::Journal;
+use crate::metric::{value, Metrics};
+use crate::shared::ShardStatus;
+use coordination::ask::Report;
+use coordination::desk::endpoints;
+use coordination::scheduler::{Effect, Effects, Scheduler, Session};
+use state::clock::Millis;
+use state::event::{Event, Step};
+use state::id::{EndpointId, Epoch, Name};
+use state::view::{Shard, View};
+use std::collections::BTreeMap;
+
+struct Reign {
+    shard: Shard,
+    scheduler: Scheduler,
+    sessions: BTreeMap<Name, Session>,
+}
+
+/// All schedulers of this VM, by reign.
+pub(crate) struct Reigns {
+    me: Name,
+    all: BTreeMap<Epoch, Reign>,
+    journal: Journal,
+    metrics: Metrics,
+}
+
+impl Reigns {
+    /// No schedulers yet.
+    pub(crate) fn new(me: Name, journal: Journal, metrics: Metrics) -> Self {
+        Reigns {
+            me,
+            all: BTreeMap::new(),
+            journal,
+            metrics,
+        }
+    }
+
+    /// Begins and ends reigns as the view says.
+    pub(crate) fn follow(&mut self, now: Millis, view: &View, batch: &mut Batch) {
+        let seats = || view.seats.iter().filter(|s| s.place.vm == self.me);
+        let over: Vec<Epoch> = (self.all.keys())
+            .filter(|epoch| !seats().any(|s| s.epoch == **epoch))
+            .copied()
+            .collect();
+        let begun: Vec<(Epoch, Shard)> = seats()
+            .filter(|s| !self.all.contains_key(&s.epoch))
+            .map(|s| (s.epoch, s.shard.clone()))
+            .collect();
+        for epoch in over {
+            if let Some(reign) = self.all.remove(&epoch) {
+                let event = Event::new(Step::ReignEnded).service(reign.shard.service);
+                self.journal.note(event.epoch(epoch));
+            }
+        }
+        for (epoch, shard) in begun {
+            let event = Event::new(Step::ReignBegan).service(shard.service);
+            self.journal.note(event.epoch(epoch));
+            let reign = Reign {
+                shard,
+                scheduler: Scheduler::new(epoch, now),
+                sessions: BTreeMap::new(),
+            };
+            self.all.insert(epoch, reign);
+        }
+        for reign in self.all.values_mut() {
+            let slots = reign.scheduler.slots();
+            let known: Vec<EndpointId> = endpoints(view, &reign.shard).map(|e| e.0).collect();
+            slots.retain(|id| known.contains(&id));
+            for (id, count, lead, leaving) in endpoints(view, &reign.shard) {
+                slots.set(id, count, lead, leaving);
+            }
+        }
+        self.tick(now, batch);
+    }
+
+    /// Takes a router's reports; false if this VM has no such reign.
+    pub(crate) fn reports<R>(
+        &mut self,
+        now: Millis,
+        vm: &Name,
+        epoch: Epoch,
+        reports: R,
+        batch: &mut Batch,
+    ) -> bool
+    where
+        R: IntoIterator<Item = Report>,
+    {
+        let Some(reign) = self.all.get_mut(&epoch) else {
+            return false;
+        };
+        for report in reports {
+            let effects = reign.report(now, vm, report, &self.metrics);
+            reign.act(effects, batch, &self.journal, &self.metrics);
+        }
+        true
+    }
+
+    /// Ends sessions whose link was lost.
+    pub(crate) fn link_down(&mut self, now: Millis, vm: &Name) {
+        for reign in self.all.values_mut() {
+            if let Some(session) = reign.sessions.remove(vm) {
+                reign.scheduler.close(now, session);
+            }
+        }
+    }
+
+    /// Takes an endpoint's load report.
+    pub(crate) fn load(&mut self, now: Millis, endpoint: EndpointId, load: u32) {
+        for reign in self.all.values_mut() {
+            reign.scheduler.slots().report(now, endpoint, load);
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn tick(&mut self, now: Millis, batch: &mut Batch) {
+        for reign in self.all.values_mut() {
+            let effects = reign.scheduler.tick(now);
+            reign.act(effects, batch, &self.journal, &self.metrics);
+        }
+    }
+
+    /// Shards that are scheduled here.
+    pub(crate) fn shards(&self) -> Vec<Shard> {
+        self.all.values().map(|r| r.shard.clone()).collect()
+    }
+
+    /// State of each shard, for operators.
+    pub(crate) fn status(&self, view: &View) -> Vec<ShardStatus> {
+        let name = |id| {
+            let customer = view.config.customers.get(&id);
+            customer.map_or_else(|| id.to_string(), |c| c.name.to_string())
+        };
+        let all = self.all.iter().map(|(epoch, reign)| ShardStatus {
+            shard: reign.shard.clone(),
+            epoch: epoch.0,
+            slots: reign.scheduler.totals().0,
+            running: reign.scheduler.running(),
+            waiting: reign.scheduler.waiting(),
+            routers: reign.sessions.len(),
+            levels: (reign.scheduler.levels().into_iter())
+                .map(|(id, level)| (name(id), level))
+                .collect(),
+        });
+        all.collect()
+    }
+
+    /// Brings the gauges up to date.
+    pub(crate) fn measure(&self, view: &View) {
+        for status in self.status(view) {
+            let service = view.config.services.get(&status.shard.service);
+            let service = service.map_or("", |s| s.name.as_str());
+            let region = status.shard.region.as_str();
+            let set = |what, number| {
+                let gauge = self
+                    .metrics
+                    .slots
+                    .with_label_values(&[service, region, what]);
+                gauge.set(number);
+            };
+            set("slots", value(status.slots));
+            set("running", value(status.running));
+            set("waiting", value(status.waiting));
+            set("routers", value(status.routers));
+            for (customer, level) in &status.levels {
+                let labels = [service, region, customer.as_str()];
+                self.metrics
+                    .service
+                    .with_label_values(&labels)
+                    .set(value(*level));
+            }
+        }
+    }
+}
+
+impl Reign {
+    fn report(&mut self, now: Millis, vm: &Name, report: Report, metrics: &Metrics) -> Effects {
+        let session = self.sessions.get(vm).copied();
+        let scheduler = &mut self.scheduler;
+        match (report, session) {
+            (
+                Report::Hello {
+                    incarnation,
+                    held,
+                    levels,
+                },
+                old,
+            ) => {
+                let old = old.as_slice();
+                let session = scheduler.open(now, incarnation, old, &held, &levels);
+                self.sessions.insert(vm.clone(), session);
+                Effects::new()
+            }
+            // It belongs to a session that has ended.
+            (_, None) => Effects::new(),
+            (Report::Ask(ask), Some(s)) => scheduler.ask(now, s, ask),
+            (Report::Withdraw(seq), Some(s)) => {
+                scheduler.withdraw(s, seq);
+                Effects::new()
+            }
+            (Report::Return(seq), Some(s)) => {
+                metrics.returns.inc();
+                scheduler.give_back(now, s, seq)
+            }
+            (Report::Progress(seq, cost), Some(s)) => {
+                scheduler.progress(s, seq, cost);
+                Effects::new()
+            }
+            (Report::Done(seq, cost, verdict), Some(s)) => {
+                scheduler.done(now, s, seq, cost, verdict)
+            }
+        }
+    }
+
+    fn act(&self, effects: Effects, batch: &mut Batch, journal: &Journal, metrics: &Metrics) {
+        for effect in effects {
+            match effect {
+                Effect::Grant(session, grant) => {
+                    let vm = self.sessions.iter().find(|(_, s)| **s == session);
+                    if let Some((vm, _)) = vm {
+                        metrics.grants.inc();
+                        batch.grant(vm, grant);
+                    }
+                }
+                Effect::Ejected(endpoint) => {
+                    tracing::warn!(%endpoint, "an endpoint is ejected after failures");
+                    journal.note(Event::new(Step::Ejected).endpoint(endpoint));
+                }
+                Effect::Restored(endpoint) => {
+                    tracing::info!(%endpoint, "an endpoint is back");
+                    journal.note(Event::new(Step::Restored).endpoint(endpoint));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/protocol/src/codec.rs
@@ -0,0 +1,95 @@
+//! Encoding of frames.
+
+use crate::wire::Frame;
+use errors::{Error, Result};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+/// Version of the protocol; another one is refused.
+pub const VERSION: u8 = 1;
+/// Bytes before the body: the version and the length.
+pub const HEAD: usize = 5;
+/// Longest body in bytes. A whole view of the design size is a tenth of it.
+pub const BODY_MAX: usize = 4 * 1024 * 1024;
+
+/// Encodes a frame with its head.
+///
+/// # Errors
+///
+/// When the body is longer than [`BODY_MAX`].
+pub fn encode(frame: &Frame) -> Result<Vec<u8>> {
+    let body =
+        postcard::to_stdvec(frame).map_err(Error::peer("encode a frame", "(this process)"))?;
+    let length = u32::try_from(body.len())
+        .ok()
+        .filter(|_| body.len() <= BODY_MAX)
+        .ok_or_else(|| too_long("(this process)", body.len()))?;
+    let mut bytes = Vec::with_capacity(HEAD + body.len());
+    bytes.push(VERSION);
+    bytes.extend_from_slice(&length.to_be_bytes());
+    bytes.extend_from_slice(&body);
+    Ok(bytes)
+}
+
+/// Length of the body that a head announces.
+///
+/// # Errors
+///
+/// When the version is another or the body too long.
+pub fn body_length(peer: &str, head: [u8; HEAD]) -> Result<usize> {
+    let [version, a, b, c, d] = head;
+    if version != VERSION {
+        return Err(Error::Peer {
+            step: "read a frame",
+            peer: peer.to_owned(),
+            reason: format!("it speaks version {version} of the protocol, we speak {VERSION}"),
+        });
+    }
+    // CAST: `usize` is at least 32 bits on every supported target.
+    let length = u32::from_be_bytes([a, b, c, d]) as usize;
+    if length > BODY_MAX {
+        return Err(too_long(peer, length));
+    }
+    Ok(length)
+}
+
+/// Decodes the body of a frame.
+///
+/// # Errors
+///
+/// When the bytes are no frame.
+pub fn decode(peer: &str, body: &[u8]) -> Result<Frame> {
+    postcard::from_bytes(body).map_err(Error::peer("decode a frame", peer))
+}
+
+/// Encodes a value that is stored.
+///
+/// # Errors
+///
+/// When it cannot be encoded.
+pub fn pack<T>(value: &T) -> Result<Vec<u8>>
+where
+    T: Serialize,
+{
+    postcard::to_stdvec(value).map_err(Error::peer("encode a value", "(this process)"))
+}
+
+/// Decodes a value that was stored.
+///
+/// # Errors
+///
+/// When the bytes are something else.
+pub fn unpack<T>(bytes: &[u8]) -> Result<T>
+where
+    T: DeserializeOwned,
+{
+    postcard::from_bytes(bytes).map_err(Error::peer("decode a value", "(this process)"))
+}
+
+fn too_long(peer: &str, length: usize) -> Error {
+    Error::Peer {
+        step: "check a frame's length",
+        peer: peer.to_owned(),
+        reason: format!("{length} bytes, {BODY_MAX} are allowed"),
+    }
+}
--- /dev/null
+++ b/components/protocol/src/wire.rs
@@ -0,0 +1,139 @@
+//! The messages.
+
+use coordination::agree::Envelope;
+use coordination::ask::{Grant, Report};
+use coordination::spread::Confirm;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use state::clock::Stamp;
+use state::id::{CustomerId, Epoch, Name, RequestId, Version};
+use state::record::{Answer, ChangeId, Known};
+use state::secret::Hash;
+use state::view::{Place, Step, View};
+use std::net::SocketAddr;
+
+/// Who opens a link.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Hello {
+    /// Name and address of its links.
+    pub place: Place,
+    /// Its incarnation: a new number for each start of the process.
+    pub incarnation: u64,
+    /// Where its operators' address listens.
+    pub operators: SocketAddr,
+}
+
+/// What a process asks of the control VMs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Query {
+    /// Which version is in force?
+    Head,
+    /// Claim an idempotency key.
+    Claim {
+        /// Hash of customer and key.
+        key: Hash,
+        /// Customer.
+        customer: CustomerId,
+        /// Hash of method, path and body.
+        fingerprint: Hash,
+        /// Request that claims.
+        request: RequestId,
+    },
+    /// An operator's change: a whole configuration file.
+    Change {
+        /// Identity for resends.
+        id: ChangeId,
+        /// Version that it is based on.
+        base: Version,
+        /// The file.
+        text: String,
+    },
+    /// An operator's planned stop, or its end.
+    Depart(Leaving),
+    /// Report what became of a claimed request.
+    Settle {
+        /// Hash of customer and key.
+        key: Hash,
+        /// Request that claimed.
+        request: RequestId,
+        /// What is known; `None` when it was not run.
+        known: Option<Known>,
+    },
+}
+
+/// Who leaves, by name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Leaving {
+    /// An endpoint gets no new work.
+    Endpoint(Name),
+    /// An endpoint is back.
+    EndpointBack(Name),
+    /// A VM in this incarnation drains and ends.
+    Vm(Name, u64),
+}
+
+/// What the control VMs answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reply {
+    /// The version in force.
+    Head(Version),
+    /// The answer of the state machine.
+    Answer(Answer),
+    /// This VM does not lead; perhaps that one does.
+    NotLeader(Option<Place>),
+    /// The query is wrong; nothing was changed.
+    Invalid(String),
+}
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Message {
+    /// First on each link.
+    Hello(Hello),
+    /// Between control VMs.
+    Agree(Envelope),
+    /// A process that can schedule lives.
+    Beat {
+        /// Its region.
+        region: Name,
+        /// Its incarnation.
+        incarnation: u64,
+    },
+    /// To a control VM.
+    Query(u64, Query),
+    /// From a control VM.
+    Reply(u64, Reply),
+    /// Feed me, I have this version.
+    Subscribe(Version),
+    /// Ask this node instead.
+    Elsewhere(Place),
+    /// The version in force, as a root of the tree has just seen it confirmed.
+    Pulse(Version),
+    /// The next versions.
+    Steps(SmallVec<[Step; 1]>),
+    /// The whole view, for one that missed steps.
+    Whole(Box<View>),
+    /// What a subtree has in force.
+    Confirm(Confirm),
+    /// From a router to a scheduler.
+    Reports(Epoch, SmallVec<[Report; 2]>),
+    /// From a scheduler to a router.
+    Grants(SmallVec<[Grant; 2]>),
+    /// This VM does not schedule in that reign, or not yet.
+    Unseated(Epoch),
+}
+
+/// A message with the sender's hybrid logical time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Frame {
+    /// Sender's time.
+    pub stamp: Stamp,
+    /// The message.
+    pub message: Message,
+}
--- /dev/null
+++ b/components/state/src/lib.rs
@@ -0,0 +1,14 @@
+//! Pure data of the fleet: identifiers, configuration, replicated records,
+//! outcomes and time-line events. Nothing here does input or output.
+
+pub mod clock;
+pub mod config;
+pub mod delta;
+pub mod event;
+pub mod id;
+pub mod outcome;
+pub mod prelude;
+pub mod record;
+pub mod secret;
+pub mod store;
+pub mod view;
--- /dev/null
+++ b/components/state/src/prelude.rs
@@ -0,0 +1,7 @@
+//! The common types, for `use state::prelude::*`.
+
+pub use crate::clock::{Millis, Stamp};
+pub use crate::config::Config;
+pub use crate::id::{CustomerId, EndpointId, Epoch, Name, RequestId, ServiceId, Version};
+pub use crate::outcome::Outcome;
+pub use crate::view::View;
--- /dev/null
+++ b/components/state/src/store.rs
@@ -0,0 +1,165 @@
+//! The state machine that the replicated log drives.
+
+use crate::id::{CustomerId, RequestId, Version};
+use crate::record::{Answer, ChangeId, Known, Record};
+use crate::secret::Hash;
+use crate::view::{Change, Step, View};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Answers to operators' changes kept for resends.
+pub const ANSWERS_MAX: usize = 10_000;
+/// Seconds for which a claimed idempotency key is kept.
+pub const CLAIM_SECONDS: u64 = 24 * 3600;
+
+/// A claimed idempotency key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Claim {
+    /// Customer.
+    pub customer: CustomerId,
+    /// Hash of method, path and body.
+    pub fingerprint: Hash,
+    /// Request that claimed.
+    pub request: RequestId,
+    /// Leader's wall clock in seconds at the claim.
+    pub at: u64,
+    /// What is known of it.
+    pub known: Known,
+}
+
+/// Everything that must survive.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Store {
+    /// What routers see.
+    pub view: View,
+    /// Claimed idempotency keys.
+    pub claims: BTreeMap<Hash, Claim>,
+    /// Claims by age, oldest first.
+    pub claim_ages: VecDeque<(u64, Hash)>,
+    /// First answers to changes.
+    pub answers: BTreeMap<ChangeId, Answer>,
+    /// Changes by age, oldest first.
+    pub answer_ages: VecDeque<ChangeId>,
+}
+
+impl Store {
+    /// Applies a record; gives its answer, and the step if the view changed.
+    pub fn apply(&mut self, record: &Record) -> (Answer, Option<Step>) {
+        match record {
+            Record::Blank | Record::Members(_) => (Answer::Done, None),
+            Record::Change { id, base, delta } => self.change(*id, *base, delta),
+            Record::Seat(seat) => {
+                let old = self.view.seat(&seat.shard);
+                if old.is_some_and(|s| s.epoch >= seat.epoch) {
+                    return (Answer::Done, None);
+                }
+                self.step(Change::Seat(seat.clone()))
+            }
+            Record::Departure(departure) => self.step(Change::Departure(departure.clone())),
+            Record::Claim {
+                key,
+                customer,
+                fingerprint,
+                request,
+                at,
+            } => {
+                let claim = Claim {
+                    customer: *customer,
+                    fingerprint: *fingerprint,
+                    request: *request,
+                    at: *at,
+                    known: Known::Open,
+                };
+                (self.claim(*key, claim), None)
+            }
+            Record::Settle {
+                key,
+                request,
+                known,
+            } => {
+                self.settle(key, *request, known.as_ref());
+                (Answer::Done, None)
+            }
+        }
+    }
+
+    fn step(&mut self, change: Change) -> (Answer, Option<Step>) {
+        let version = Version(self.view.version.0 + 1);
+        let step = Step { version, change };
+        self.view.take(&step);
+        (Answer::Accepted(version), Some(step))
+    }
+
+    fn change(
+        &mut self,
+        id: ChangeId,
+        base: Version,
+        delta: &crate::delta::Delta,
+    ) -> (Answer, Option<Step>) {
+        if let Some(first) = self.answers.get(&id) {
+            return (first.clone(), None);
+        }
+        let current = self.view.config_version;
+        let (answer, step) = if base == current {
+            self.step(Change::Config(delta.clone()))
+        } else {
+            (Answer::Conflict(current), None)
+        };
+        self.remember(id, answer.clone());
+        (answer, step)
+    }
+
+    fn remember(&mut self, id: ChangeId, answer: Answer) {
+        self.answers.insert(id, answer);
+        self.answer_ages.push_back(id);
+        if self.answer_ages.len() > ANSWERS_MAX {
+            if let Some(oldest) = self.answer_ages.pop_front() {
+                self.answers.remove(&oldest);
+            }
+        }
+    }
+
+    fn claim(&mut self, key: Hash, claim: Claim) -> Answer {
+        self.expire(claim.at);
+        if let Some(first) = self.claims.get(&key) {
+            // The same request asks again when it lost the answer.
+            if first.request == claim.request && first.known == Known::Open {
+                return Answer::Fresh;
+            }
+            return Answer::Taken(first.fingerprint, first.known.clone());
+        }
+        self.claim_ages.push_back((claim.at, key));
+        self.claims.insert(key, claim);
+        Answer::Fresh
+    }
+
+    fn settle(&mut self, key: &Hash, request: RequestId, known: Option<&Known>) {
+        let Some(claim) = self.claims.get_mut(key) else {
+            return;
+        };
+        if claim.request != request {
+            return;
+        }
+        match known {
+            Some(known) => claim.known = known.clone(),
+            None => {
+                self.claims.remove(key);
+            }
+        }
+    }
+
+    fn expire(&mut self, now: u64) {
+        while let Some((at, key)) = self.claim_ages.front().copied() {
+            if at + CLAIM_SECONDS > now {
+                return;
+            }
+            self.claim_ages.pop_front();
+            // A freed key may have been claimed anew, later.
+            if self.claims.get(&key).is_some_and(|c| c.at == at) {
+                self.claims.remove(&key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/state/src/view.rs
@@ -0,0 +1,165 @@
+//! What every router knows of the fleet: configuration, schedulers, departures.
+
+use crate::config::Config;
+use crate::delta::Delta;
+use crate::id::{EndpointId, Epoch, Name, ServiceId, Version};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// A VM and the address of its links.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Place {
+    /// Name of the VM.
+    pub vm: Name,
+    /// Where its links listen.
+    pub address: SocketAddr,
+}
+
+/// The endpoints of one service in one region; each has one scheduler.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Shard {
+    /// Service.
+    pub service: ServiceId,
+    /// Region.
+    pub region: Name,
+}
+
+/// Which VM schedules a shard, and in which reign.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Seat {
+    /// What it schedules.
+    pub shard: Shard,
+    /// Scheduler.
+    pub place: Place,
+    /// Reign; grants of an earlier one are refused.
+    pub epoch: Epoch,
+}
+
+/// Someone who leaves, by an announced stop.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Departure {
+    /// An endpoint gets no new work.
+    Endpoint(EndpointId),
+    /// An endpoint is back.
+    EndpointBack(EndpointId),
+    /// A VM drains and ends; the incarnation makes sure that a later life is
+    /// not stopped again.
+    Vm(Name, u64),
+}
+
+/// One change of the view.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Change {
+    /// Operators changed the configuration.
+    Config(Delta),
+    /// A scheduler was seated.
+    Seat(Seat),
+    /// Someone leaves.
+    Departure(Departure),
+}
+
+/// A change with the version that it brings.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Step {
+    /// Version after the change; always one more than before it.
+    pub version: Version,
+    /// The change.
+    pub change: Change,
+}
+
+/// What is in force, at a version that only grows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct View {
+    /// Version.
+    pub version: Version,
+    /// Configuration.
+    pub config: Config,
+    /// Version that last changed the configuration; operators base changes on it.
+    pub config_version: Version,
+    /// Scheduler of each shard, as pairs because a shard is no JSON key.
+    pub seats: Vec<Seat>,
+    /// Endpoints that get no new work.
+    pub leaving: BTreeSet<EndpointId>,
+    /// VMs told to stop, with the incarnation concerned.
+    pub stopping: BTreeMap<Name, u64>,
+}
+
+/// What became of an offered step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It was the next one and is in force.
+    InForce,
+    /// It is older than what is in force, and was dropped.
+    Old,
+    /// Steps are missing before it; ask for the whole view.
+    Gap,
+}
+
+impl View {
+    /// Takes a step if it is the next one.
+    ///
+    /// A late or doubled message must not bring an older version back: one
+    /// would see `version` fall. Only the exact successor is applied.
+    pub fn take(&mut self, step: &Step) -> Taken {
+        let next = Version(self.version.0 + 1);
+        if step.version < next {
+            return Taken::Old;
+        }
+        if step.version > next {
+            return Taken::Gap;
+        }
+        self.apply(&step.change);
+        self.version = next;
+        if matches!(step.change, Change::Config(_)) {
+            self.config_version = next;
+        }
+        Taken::InForce
+    }
+
+    /// Takes a whole view if it is newer than this one.
+    pub fn replace(&mut self, whole: View) -> bool {
+        let newer = whole.version > self.version;
+        if newer {
+            *self = whole;
+        }
+        newer
+    }
+
+    /// The scheduler of a shard.
+    pub fn seat(&self, shard: &Shard) -> Option<&Seat> {
+        self.seats.iter().find(|s| s.shard == *shard)
+    }
+
+    fn apply(&mut self, change: &Change) {
+        match change {
+            Change::Config(delta) => {
+                delta.apply(&mut self.config);
+                let config = &self.config;
+                self.seats
+                    .retain(|s| config.services.contains_key(&s.shard.service));
+                self.leaving.retain(|e| config.endpoints.contains_key(e));
+            }
+            Change::Seat(seat) => {
+                self.seats.retain(|s| s.shard != seat.shard);
+                self.seats.push(seat.clone());
+            }
+            Change::Departure(Departure::Endpoint(id)) => {
+                self.leaving.insert(*id);
+            }
+            Change::Departure(Departure::EndpointBack(id)) => {
+                self.leaving.remove(id);
+            }
+            Change::Departure(Departure::Vm(name, incarnation)) => {
+                self.stopping.insert(name.clone(), *incarnation);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/transport/src/key.rs
@@ -0,0 +1,199 @@
+//! The fleet's certificate authority and the certificates of its VMs.
+
+use errors::{Error, Result};
+use rcgen::{
+    BasicConstraints, CertificateParams, DistinguishedName, DnType, ExtendedKeyUsagePurpose, IsCa,
+    Issuer, KeyPair, KeyUsagePurpose,
+};
+use rustls_pki_types::pem::PemObject;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use state::id::Name;
+use std::path::Path;
+use std::sync::Arc;
+
+/// Application protocol that both sides of a link name.
+const PROTOCOL: &[u8] = b"cowslipford/1";
+
+/// A certificate with its private key, as PEM text.
+#[derive(Clone, Debug)]
+pub struct Pair {
+    /// Certificate.
+    pub certificate: String,
+    /// Private key.
+    pub key: String,
+}
+
+/// Makes a certificate authority.
+///
+/// # Errors
+///
+/// When the key cannot be made.
+pub fn authority() -> Result<Pair> {
+    let step = "make the fleet's authority";
+    let key = KeyPair::generate().map_err(Error::key(step))?;
+    let certificate = authority_params()
+        .self_signed(&key)
+        .map_err(Error::key(step))?;
+    Ok(Pair {
+        certificate: certificate.pem(),
+        key: key.serialize_pem(),
+    })
+}
+
+fn authority_params() -> CertificateParams {
+    let mut params = CertificateParams::default();
+    params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+    params.distinguished_name = DistinguishedName::new();
+    let name = "cowslipford fleet authority";
+    params.distinguished_name.push(DnType::CommonName, name);
+    params
+}
+
+/// Makes a VM's certificate.
+///
+/// # Errors
+///
+/// When the authority's key is wrong.
+pub fn issue(authority: &Pair, vm: &Name) -> Result<Pair> {
+    let step = "issue a certificate";
+    let issuer_key = KeyPair::from_pem(&authority.key).map_err(Error::key(step))?;
+    let issuer_params = authority_params();
+    let issuer = Issuer::from_params(&issuer_params, issuer_key);
+    let mut params = CertificateParams::new(vec![host(vm)]).map_err(Error::key(step))?;
+    params.distinguished_name = DistinguishedName::new();
+    params
+        .distinguished_name
+        .push(DnType::CommonName, vm.as_str());
+    params.extended_key_usages = vec![
+        ExtendedKeyUsagePurpose::ServerAuth,
+        ExtendedKeyUsagePurpose::ClientAuth,
+    ];
+    let key = KeyPair::generate().map_err(Error::key(step))?;
+    let certificate = params.signed_by(&key, &issuer).map_err(Error::key(step))?;
+    Ok(Pair {
+        certificate: certificate.pem(),
+        key: key.serialize_pem(),
+    })
+}
+
+/// Name that a VM's certificate is for.
+pub fn host(vm: &Name) -> String {
+    format!("{vm}.vm.cowslipford.internal")
+}
+
+/// Whether a peer's certificate is the one of `vm`.
+pub fn is_of(certificate: &CertificateDer<'_>, vm: &Name) -> bool {
+    let Ok(name) = ServerName::try_from(host(vm)) else {
+        return false;
+    };
+    webpki::EndEntityCert::try_from(certificate)
+        .is_ok_and(|c| c.verify_is_valid_for_subject_name(&name).is_ok())
+}
+
+/// What a process needs to open and accept links.
+#[derive(Clone, Debug)]
+pub struct Keys {
+    authority: CertificateDer<'static>,
+    certificate: CertificateDer<'static>,
+    key: Arc<PrivateKeyDer<'static>>,
+}
+
+impl Keys {
+    /// Reads the three files that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// When one cannot be read or holds something else.
+    pub fn read(authority: &Path, certificate: &Path, key: &Path) -> Result<Self> {
+        Ok(Keys {
+            authority: pem(authority)?,
+            certificate: pem(certificate)?,
+            key: Arc::new(
+                PrivateKeyDer::from_pem_file(key).map_err(|e| wrong(key, &e.to_string()))?,
+            ),
+        })
+    }
+
+    /// Takes keys from memory.
+    ///
+    /// # Errors
+    ///
+    /// When a text holds something else.
+    pub fn from_pem(authority: &str, pair: &Pair) -> Result<Self> {
+        let step = "read keys";
+        let certificate =
+            |text: &str| CertificateDer::from_pem_slice(text.as_bytes()).map_err(Error::key(step));
+        Ok(Keys {
+            authority: certificate(authority)?,
+            certificate: certificate(&pair.certificate)?,
+            key: Arc::new(
+                PrivateKeyDer::from_pem_slice(pair.key.as_bytes()).map_err(Error::key(step))?,
+            ),
+        })
+    }
+
+    fn roots(&self) -> Result<Arc<rustls::RootCertStore>> {
+        let mut roots = rustls::RootCertStore::empty();
+        roots
+            .add(self.authority.clone())
+            .map_err(Error::key("read the authority's certificate"))?;
+        Ok(Arc::new(roots))
+    }
+
+    /// Settings for accepting links: only peers of this fleet's authority.
+    ///
+    /// # Errors
+    ///
+    /// When the keys do not fit each other.
+    pub fn server(&self) -> Result<rustls::ServerConfig> {
+        let step = "prepare to accept links";
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let verifier = rustls::server::WebPkiClientVerifier::builder_with_provider(
+            self.roots()?,
+            provider.clone(),
+        )
+        .build()
+        .map_err(Error::key(step))?;
+        let mut config = rustls::ServerConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(Error::key(step))?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(vec![self.certificate.clone()], self.key.clone_key())
+            .map_err(Error::key(step))?;
+        config.alpn_protocols = vec![PROTOCOL.to_vec()];
+        Ok(config)
+    }
+
+    /// Settings for opening links.
+    ///
+    /// # Errors
+    ///
+    /// When the keys do not fit each other.
+    pub fn client(&self) -> Result<rustls::ClientConfig> {
+        let step = "prepare to open links";
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let mut config = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(Error::key(step))?
+            .with_root_certificates(self.roots()?)
+            .with_client_auth_cert(vec![self.certificate.clone()], self.key.clone_key())
+            .map_err(Error::key(step))?;
+        config.alpn_protocols = vec![PROTOCOL.to_vec()];
+        Ok(config)
+    }
+}
+
+fn pem(path: &Path) -> Result<CertificateDer<'static>> {
+    CertificateDer::from_pem_file(path).map_err(|e| wrong(path, &e.to_string()))
+}
+
+fn wrong(path: &Path, reason: &str) -> Error {
+    Error::Key {
+        step: "read keys",
+        reason: format!(
+            "{}: {reason}; `cowslipford keys` makes the files that are needed",
+            path.display()
+        ),
+    }
+}
--- /dev/null
+++ b/components/transport/src/lib.rs
@@ -0,0 +1,8 @@
+//! Links between processes, their keys, disks, and the clocks.
+
+pub mod clock;
+pub mod disk;
+pub mod frame;
+pub mod key;
+pub mod link;
+pub mod wal;
--- /dev/null
+++ b/src/cmd/load.rs
@@ -0,0 +1,163 @@
+//! `cowslipford load`: a small load tool for the whole path.
+
+use super::Failure;
+use crate::cli::Load;
+use errors::{Error, Result};
+use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Longest time for one answer.
+const ANSWER: Duration = Duration::from_secs(60);
+
+/// What one caller measured.
+struct Sample {
+    /// Microseconds to the first byte and to the end.
+    first: Histogram<u64>,
+    whole: Histogram<u64>,
+    statuses: BTreeMap<u16, u64>,
+    errors: u64,
+}
+
+/// Sends the load and prints one JSON line.
+pub(crate) fn run(args: &Load) -> Result<(), Failure> {
+    let request = Arc::new(request(args));
+    let next = Arc::new(AtomicUsize::new(0));
+    let began = Instant::now();
+    let mut callers = Vec::new();
+    for _ in 0..args.callers.max(1) {
+        let (request, next) = (request.clone(), next.clone());
+        let (target, count) = (args.target, args.requests);
+        callers.push(std::thread::spawn(move || -> Result<Sample> {
+            let mut sample = Sample::new()?;
+            while next.fetch_add(1, Ordering::Relaxed) < count {
+                sample.take(call(target, &request));
+            }
+            Ok(sample)
+        }));
+    }
+    let mut total = Sample::new()?;
+    for caller in callers {
+        let joined = caller.join().map_err(|_| Error::Key {
+            step: "send load",
+            reason: "a caller's thread has failed".to_owned(),
+        })?;
+        total.add(&joined?)?;
+    }
+    print(args, &total, began.elapsed());
+    Ok(())
+}
+
+impl Sample {
+    fn new() -> Result<Self> {
+        let histogram = || Histogram::new(3).map_err(Error::key("make a histogram"));
+        Ok(Sample {
+            first: histogram()?,
+            whole: histogram()?,
+            statuses: BTreeMap::new(),
+            errors: 0,
+        })
+    }
+
+    fn take(&mut self, called: Result<(u16, Duration, Duration)>) {
+        let Ok((status, first, whole)) = called else {
+            self.errors += 1;
+            return;
+        };
+        let micros = |d: Duration| u64::try_from(d.as_micros()).unwrap_or(u64::MAX);
+        self.first.saturating_record(micros(first));
+        self.whole.saturating_record(micros(whole));
+        *self.statuses.entry(status).or_default() += 1;
+    }
+
+    fn add(&mut self, other: &Sample) -> Result<()> {
+        let step = "join histograms";
+        self.first.add(&other.first).map_err(Error::key(step))?;
+        self.whole.add(&other.whole).map_err(Error::key(step))?;
+        for (status, count) in &other.statuses {
+            *self.statuses.entry(*status).or_default() += count;
+        }
+        self.errors += other.errors;
+        Ok(())
+    }
+}
+
+fn request(args: &Load) -> Vec<u8> {
+    let mut head = format!(
+        "{} {} HTTP/1.1\r\nHost: {}\r\nAuthorization: Bearer {}\r\nConnection: close\r\n\
+         Content-Length: {}\r\n",
+        args.method, args.path, args.target, args.key, args.bytes
+    );
+    if let Some(tokens) = args.tokens {
+        head.push_str(&format!("stand-in-tokens: {tokens}\r\n"));
+    }
+    if let Some(pace) = args.pace {
+        head.push_str(&format!("stand-in-pace: {pace}\r\n"));
+    }
+    head.push_str("\r\n");
+    let mut bytes = head.into_bytes();
+    bytes.resize(bytes.len() + args.bytes, b'x');
+    bytes
+}
+
+/// One call on a connection of its own: status, time to the first byte, and
+/// to the end.
+fn call(target: std::net::SocketAddr, request: &[u8]) -> Result<(u16, Duration, Duration)> {
+    let step = "send a request";
+    let began = Instant::now();
+    let mut stream = TcpStream::connect(target).map_err(Error::peer(step, target))?;
+    stream
+        .set_read_timeout(Some(ANSWER))
+        .map_err(Error::peer(step, target))?;
+    stream
+        .set_nodelay(true)
+        .map_err(Error::peer(step, target))?;
+    stream
+        .write_all(request)
+        .map_err(Error::peer(step, target))?;
+    let mut buffer = [0; 16 * 1024];
+    let count = stream
+        .read(&mut buffer)
+        .map_err(Error::peer(step, target))?;
+    let first = began.elapsed();
+    let line = String::from_utf8_lossy(&buffer[..count]);
+    let status = line.split(' ').nth(1).and_then(|s| s.parse().ok());
+    let status = status.ok_or_else(|| Error::Peer {
+        step,
+        peer: target.to_string(),
+        reason: "the answer is no HTTP".to_owned(),
+    })?;
+    while stream
+        .read(&mut buffer)
+        .map_err(Error::peer(step, target))?
+        > 0
+    {}
+    Ok((status, first, began.elapsed()))
+}
+
+fn print(args: &Load, total: &Sample, time: Duration) {
+    let quantiles = |h: &Histogram<u64>| {
+        serde_json::json!({
+            "p50": h.value_at_quantile(0.5),
+            "p95": h.value_at_quantile(0.95),
+            "p99": h.value_at_quantile(0.99),
+            "max": h.max(),
+        })
+    };
+    let line = serde_json::json!({
+        "target": args.target.to_string(),
+        "callers": args.callers,
+        "requests": total.whole.len(),
+        "errors": total.errors,
+        "seconds": time.as_secs_f64(),
+        "per-second": total.whole.len() as f64 / time.as_secs_f64(),
+        "first-byte-us": quantiles(&total.first),
+        "whole-us": quantiles(&total.whole),
+        "statuses": total.statuses,
+    });
+    println!("{line}");
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,38 @@
+//! The commands, one file each.
+
+mod apply;
+mod check;
+mod client;
+mod dev;
+mod failure;
+mod get;
+mod keys;
+mod load;
+mod log;
+mod page;
+mod run;
+mod stand_in;
+mod status;
+mod stop;
+mod timeline;
+
+pub(crate) use failure::Failure;
+
+use crate::cli::{Command, Cowslipford};
+
+/// Runs a command.
+pub(crate) fn run(line: Cowslipford) -> Result<(), Failure> {
+    match line.command {
+        Command::Run(args) => run::run(&args),
+        Command::Dev(args) => dev::run(&args),
+        Command::StandIn(args) => stand_in::run(&args),
+        Command::Check(args) => check::run(&args),
+        Command::Apply(args) => apply::run(&args),
+        Command::Get(args) => get::run(&args),
+        Command::Stop(args) => stop::run(&args),
+        Command::Status(args) => status::run(&args),
+        Command::Timeline(args) => timeline::run(&args),
+        Command::Keys(args) => keys::run(&args),
+        Command::Load(args) => load::run(&args),
+    }
+}
--- /dev/null
+++ b/src/cmd/page.rs
@@ -0,0 +1,189 @@
+//! The time line as one self-contained page, a lane per process.
+
+use super::timeline::{step, Line};
+use std::collections::BTreeSet;
+use std::fmt::Write;
+
+/// Height of a lane, in pixels.
+const LANE: usize = 46;
+/// Width of the names, in pixels.
+const MARGIN: usize = 110;
+/// Width of the time axis, in pixels.
+const WIDTH: usize = 1500;
+
+const STYLE: &str = "body{font:13px sans-serif;margin:16px;color:#222}\
+svg{border:1px solid #ccc;background:#fff}\
+.lane{stroke:#ddd}.name{font-weight:bold}\
+circle{cursor:pointer}circle.on{stroke:#000;stroke-width:2}\
+.link{stroke:#888;fill:none;stroke-width:1;opacity:.35}.link.on{stroke:#d00;opacity:1;stroke-width:2}\
+table{border-collapse:collapse;margin-top:12px}td,th{padding:2px 8px;border-bottom:1px solid #eee;\
+text-align:left;font-variant-numeric:tabular-nums}tr.on{background:#fff3c4}\
+#legend span{margin-right:14px}#legend i{display:inline-block;width:10px;height:10px;\
+border-radius:5px;margin-right:4px}";
+
+const SCRIPT: &str = "document.querySelectorAll('[data-request]').forEach(function(e){\
+e.addEventListener('click',function(){var r=e.dataset.request;\
+document.querySelectorAll('.on').forEach(function(o){o.classList.remove('on')});\
+if(r)document.querySelectorAll('[data-request=\"'+r+'\"]').forEach(function(o){\
+o.classList.add('on')});});});";
+
+/// Colour of a kind of step.
+fn colour(step: &str) -> (&'static str, &'static str) {
+    match step {
+        "taken" | "queued" | "granted" => ("#4a7fc1", "waiting"),
+        "sent" | "retried" => ("#e08a1e", "sent"),
+        "ended" => ("#3c9a4b", "ended"),
+        "refused" | "caller-gone" | "grant-returned" | "ejected" => ("#c23b3b", "gave up"),
+        "link-up" | "link-down" => ("#999", "links"),
+        _ => ("#7a4fb5", "fleet"),
+    }
+}
+
+/// Draws the page.
+pub(crate) fn render(lines: &[Line]) -> String {
+    let lanes: Vec<&str> = {
+        let names: BTreeSet<&str> = lines.iter().map(|l| l.vm.as_str()).collect();
+        names.into_iter().collect()
+    };
+    let first = lines.first().map_or(0, |l| l.event.stamp.wall);
+    let last = lines.last().map_or(first, |l| l.event.stamp.wall);
+    let span = (last - first).max(1) as f64;
+    let x = |wall: u64| MARGIN as f64 + (wall - first) as f64 / span * WIDTH as f64;
+    let lane = |vm: &str| lanes.iter().position(|l| *l == vm).unwrap_or(0);
+    let y = |vm: &str| lane(vm) * LANE + LANE / 2;
+    let mut out = String::new();
+    let height = lanes.len() * LANE;
+    let width = MARGIN + WIDTH + 20;
+    // Writing to a `String` cannot fail.
+    let _ = write!(
+        out,
+        "<!doctype html><meta charset=utf-8><title>cowslipford time line</title>\
+         <style>{STYLE}</style><h1>Time line</h1>\
+         <p>{} events of {} processes over {:.1} ms. Click an event to follow its request.</p>\
+         <p id=legend>{}</p><svg width={width} height={height}>",
+        lines.len(),
+        lanes.len(),
+        span / 1000.0,
+        legend()
+    );
+    for name in &lanes {
+        let y = y(name);
+        let _ = write!(
+            out,
+            "<line class=lane x1={MARGIN} x2={} y1={y} y2={y} /><text class=name x=6 y={}>{}</text>",
+            MARGIN + WIDTH,
+            y + 4,
+            escape(name)
+        );
+    }
+    draw_requests(&mut out, lines, &x, &y);
+    for line in lines {
+        let step = step(&line.event);
+        let (fill, _) = colour(&step);
+        let request = line
+            .event
+            .request
+            .map(|r| r.to_string())
+            .unwrap_or_default();
+        let _ = write!(
+            out,
+            "<circle cx={:.1} cy={} r=4 fill={fill} data-request=\"{request}\"><title>{}</title></circle>",
+            x(line.event.stamp.wall),
+            y(line.vm.as_str()),
+            escape(&describe(line, first))
+        );
+    }
+    let _ = write!(
+        out,
+        "</svg>{}<script>{SCRIPT}</script>",
+        table(lines, first)
+    );
+    out
+}
+
+/// Joins the events of each request by a line.
+fn draw_requests<X, Y>(out: &mut String, lines: &[Line], x: &X, y: &Y)
+where
+    X: Fn(u64) -> f64,
+    Y: Fn(&str) -> usize,
+{
+    let requests: BTreeSet<_> = lines.iter().filter_map(|l| l.event.request).collect();
+    for request in requests {
+        let of = lines.iter().filter(|l| l.event.request == Some(request));
+        let points: Vec<String> = of
+            .map(|l| format!("{:.1},{}", x(l.event.stamp.wall), y(l.vm.as_str())))
+            .collect();
+        let points = points.join(" ");
+        let _ = write!(
+            out,
+            "<polyline class=link data-request=\"{request}\" points=\"{points}\" />"
+        );
+    }
+}
+
+fn legend() -> String {
+    let kinds = [
+        "taken",
+        "sent",
+        "ended",
+        "refused",
+        "link-up",
+        "reign-began",
+    ];
+    let item = |step: &&str| {
+        let (fill, name) = colour(step);
+        format!("<span><i style=\"background:{fill}\"></i>{name}</span>")
+    };
+    kinds.iter().map(item).collect()
+}
+
+fn table(lines: &[Line], first: u64) -> String {
+    let mut out = String::from("<table><tr><th>ms<th>VM<th>step<th>details</tr>");
+    for line in lines {
+        let request = line
+            .event
+            .request
+            .map(|r| r.to_string())
+            .unwrap_or_default();
+        let ms = (line.event.stamp.wall - first) as f64 / 1000.0;
+        let _ = write!(
+            out,
+            "<tr data-request=\"{request}\"><td>{ms:.3}<td>{}<td>{}<td>{}</tr>",
+            escape(line.vm.as_str()),
+            escape(&step(&line.event)),
+            escape(&details(line))
+        );
+    }
+    out.push_str("</table>");
+    out
+}
+
+fn describe(line: &Line, first: u64) -> String {
+    let ms = (line.event.stamp.wall - first) as f64 / 1000.0;
+    format!(
+        "{ms:.3} ms {} {} {}",
+        line.vm,
+        step(&line.event),
+        details(line)
+    )
+}
+
+fn details(line: &Line) -> String {
+    let event = &line.event;
+    let parts = [
+        event.request.map(|v| format!("request {v}")),
+        event.customer.map(|v| format!("customer {v}")),
+        event.endpoint.map(|v| format!("endpoint {v}")),
+        event.peer.as_ref().map(|v| format!("peer {v}")),
+        event.version.map(|v| format!("version {v}")),
+        event.epoch.map(|v| format!("epoch {v}")),
+    ];
+    let parts: Vec<String> = parts.into_iter().flatten().collect();
+    parts.join(", ")
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,102 @@
+//! `cowslipford status`: the state of all processes.
+
+use super::client::Client;
+use super::Failure;
+use crate::cli::Status;
+use serde_json::Value;
+
+/// Prints the state of each process that can be reached.
+pub(crate) fn run(args: &Status) -> Result<(), Failure> {
+    let client = Client { key: &args.key };
+    let fleet = client.fleet(args.operators)?;
+    let mut newest = 0;
+    let mut pages = Vec::new();
+    for peer in &fleet {
+        match client.json::<Value>(peer.operators, "/status") {
+            Ok(page) => {
+                newest = newest.max(page["version"].as_u64().unwrap_or(0));
+                pages.push(page);
+            }
+            Err(failure) => eprintln!("cowslipford: {} is left out: {failure}", peer.vm),
+        }
+    }
+    for page in &pages {
+        if args.json {
+            println!("{page}");
+        } else {
+            print(page);
+        }
+    }
+    if !args.json {
+        report_lagging(&pages, newest);
+    }
+    Ok(())
+}
+
+fn print(page: &Value) {
+    let text = |v: &Value| v.as_str().unwrap_or("-").to_owned();
+    let state = match (page["stopping"].as_bool(), page["ready"].as_bool()) {
+        (Some(true), _) => "stopping",
+        (_, Some(true)) => "ready",
+        _ => "not ready",
+    };
+    println!(
+        "{:<12} {:<9} version {} in progress {} fed by {}",
+        text(&page["vm"]),
+        state,
+        page["version"],
+        page["held"],
+        text(&page["parent"]),
+    );
+    if let Some(control) = page["control"].as_object() {
+        println!(
+            "  control: {} term {} accepted {} voters {} learners {}",
+            text(&control["role"]),
+            control["term"],
+            control["accepted"],
+            control["voters"],
+            control["learners"],
+        );
+    }
+    for (customer, count) in page["waiting"].as_object().into_iter().flatten() {
+        println!("  waiting: {customer} {count}");
+    }
+    for shard in page["alone"].as_array().into_iter().flatten() {
+        println!("  alone: without a scheduler for {shard}");
+    }
+    for reign in page["reigns"].as_array().into_iter().flatten() {
+        println!(
+            "  schedules {} since epoch {}: running {} of {} slots, waiting {}, routers {}",
+            reign["shard"],
+            reign["epoch"],
+            reign["running"],
+            reign["slots"],
+            reign["waiting"],
+            reign["routers"],
+        );
+        for (customer, level) in reign["levels"].as_object().into_iter().flatten() {
+            println!("    service received: {customer} {level}");
+        }
+    }
+}
+
+/// Names the processes that have not confirmed the newest version.
+fn report_lagging(pages: &[Value], newest: u64) {
+    let behind = |p: &&Value| p["version"].as_u64().is_some_and(|v| v < newest);
+    let lagging: Vec<&str> = pages
+        .iter()
+        .filter(behind)
+        .filter_map(|p| p["vm"].as_str())
+        .collect();
+    if lagging.is_empty() {
+        println!(
+            "version {newest} is in force on all {} processes",
+            pages.len()
+        );
+    } else {
+        println!(
+            "version {newest} is not yet in force on: {}",
+            lagging.join(", ")
+        );
+    }
+}
--- /dev/null
+++ b/src/cmd/timeline.rs
@@ -0,0 +1,168 @@
+//! `cowslipford timeline`: the events of all processes, merged.
+
+use super::client::Client;
+use super::{page, Failure};
+use crate::cli::Timeline;
+use node::Lane;
+use serde::Serialize;
+use state::event::Event;
+use state::id::{CustomerId, EndpointId, Name, RequestId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// An event with the process that it happened on.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct Line {
+    pub(crate) vm: Name,
+    #[serde(flatten)]
+    pub(crate) event: Event,
+}
+
+/// Prints the merged time line.
+pub(crate) fn run(args: &Timeline) -> Result<(), Failure> {
+    let client = Client { key: &args.key };
+    let mut lanes: Vec<Lane> = Vec::new();
+    for peer in client.fleet(args.operators)? {
+        match client.json(peer.operators, "/events") {
+            Ok(lane) => lanes.push(lane),
+            Err(failure) => eprintln!("cowslipford: {} is left out: {failure}", peer.vm),
+        }
+    }
+    let dropped: u64 = lanes.iter().map(|l| l.dropped).sum();
+    let names = Names::read(&client, args)?;
+    let lines = select(merge(lanes), args, &names)?;
+    match args.format.as_str() {
+        "text" => print_text(&lines, &names),
+        "json" => print_json(&lines),
+        "page" => print!("{}", page::render(&lines)),
+        other => return Err(Failure::Input(format!("{other:?}: say text, json or page"))),
+    }
+    if dropped > 0 {
+        eprintln!("cowslipford: {dropped} older events were no longer there");
+    }
+    Ok(())
+}
+
+/// All events in the order of their stamps: cause before effect.
+fn merge(lanes: Vec<Lane>) -> Vec<Line> {
+    let mut lines: Vec<Line> = lanes
+        .into_iter()
+        .flat_map(|lane| {
+            let vm = lane.vm;
+            let line = move |event| Line {
+                vm: vm.clone(),
+                event,
+            };
+            lane.events.into_iter().map(line)
+        })
+        .collect();
+    lines.sort_by(|a, b| (a.event.stamp, &a.vm).cmp(&(b.event.stamp, &b.vm)));
+    lines
+}
+
+/// Names of numbers, as the first process has them.
+struct Names {
+    customers: BTreeMap<Name, CustomerId>,
+    endpoints: BTreeMap<Name, EndpointId>,
+}
+
+impl Names {
+    fn read(client: &Client<'_>, args: &Timeline) -> Result<Self, Failure> {
+        #[derive(serde::Deserialize)]
+        struct Numbers {
+            customers: BTreeMap<Name, CustomerId>,
+            endpoints: BTreeMap<Name, EndpointId>,
+        }
+        let numbers: Numbers = client.json(args.operators, "/names")?;
+        Ok(Names {
+            customers: numbers.customers,
+            endpoints: numbers.endpoints,
+        })
+    }
+
+    fn find<K>(all: &BTreeMap<Name, K>, kind: &str, name: &str) -> Result<K, Failure>
+    where
+        K: Copy,
+    {
+        let found = Name::try_from(name).ok().and_then(|n| all.get(&n).copied());
+        found.ok_or_else(|| Failure::Input(format!("no {kind} {name:?} is in force")))
+    }
+
+    fn customer(&self, id: CustomerId) -> String {
+        let found = self.customers.iter().find(|(_, c)| **c == id);
+        found.map_or_else(|| id.to_string(), |(name, _)| name.to_string())
+    }
+
+    fn endpoint(&self, id: EndpointId) -> String {
+        let found = self.endpoints.iter().find(|(_, e)| **e == id);
+        found.map_or_else(|| id.to_string(), |(name, _)| name.to_string())
+    }
+}
+
+fn select(lines: Vec<Line>, args: &Timeline, names: &Names) -> Result<Vec<Line>, Failure> {
+    let customer = (args.customer.as_deref())
+        .map(|name| Names::find(&names.customers, "customer", name))
+        .transpose()?;
+    let endpoint = (args.endpoint.as_deref())
+        .map(|name| Names::find(&names.endpoints, "endpoint", name))
+        .transpose()?;
+    // A customer's events are those of its requests, wherever they name it.
+    let requests: BTreeSet<RequestId> = (lines.iter())
+        .filter(|l| customer.is_some() && l.event.customer == customer)
+        .filter_map(|l| l.event.request)
+        .collect();
+    let newest = lines.last().map_or(0, |l| l.event.stamp.wall);
+    let since = args
+        .last
+        .map(|ms| newest.saturating_sub(ms.saturating_mul(1000)));
+    let keep = |line: &Line| {
+        let event = &line.event;
+        let of_request = |id: &RequestId| requests.contains(id);
+        let by_request = args
+            .request
+            .as_deref()
+            .is_none_or(|wanted| event.request.is_some_and(|id| id.to_string() == wanted));
+        let by_customer = customer.is_none()
+            || event.customer == customer
+            || event.request.as_ref().is_some_and(of_request);
+        by_request
+            && by_customer
+            && (endpoint.is_none() || event.endpoint == endpoint)
+            && since.is_none_or(|since| event.stamp.wall >= since)
+    };
+    Ok(lines.into_iter().filter(keep).collect())
+}
+
+fn print_text(lines: &[Line], names: &Names) {
+    let first = lines.first().map_or(0, |l| l.event.stamp.wall);
+    for line in lines {
+        let event = &line.event;
+        let ms = (event.stamp.wall - first) as f64 / 1000.0;
+        let step = step(event);
+        let mut text = format!("{ms:>12.3} ms  {:<12} {step:<18}", line.vm);
+        let mut add = |key: &str, value: Option<String>| {
+            if let Some(value) = value {
+                text.push_str(&format!(" {key}={value}"));
+            }
+        };
+        add("request", event.request.map(|v| v.to_string()));
+        add("customer", event.customer.map(|id| names.customer(id)));
+        add("endpoint", event.endpoint.map(|id| names.endpoint(id)));
+        add("peer", event.peer.as_ref().map(Name::to_string));
+        add("version", event.version.map(|v| v.to_string()));
+        add("epoch", event.epoch.map(|v| v.to_string()));
+        println!("{text}");
+    }
+}
+
+fn print_json(lines: &[Line]) {
+    for line in lines {
+        println!("{}", serde_json::to_string(line).unwrap_or_default());
+    }
+}
+
+/// Name of an event's step.
+pub(crate) fn step(event: &Event) -> String {
+    let value = serde_json::to_value(event.step).unwrap_or_default();
+    value.as_str().unwrap_or("").to_owned()
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,17 @@
+//! The `cowslipford` binary.
+
+mod cli;
+mod cmd;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let command: cli::Cowslipford = argh::from_env();
+    match cmd::run(command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("cowslipford: {failure}");
+            ExitCode::from(failure.code())
+        }
+    }
+}
