Prove the path over separate processes

Cause: the path had run only by hand. Found on the way: a non-control process ended at once (its 'disk failed' channel had no sender); a caller that sent too much lost the 413 to a connection reset.

--- a/components/coordination/src/agree/core.rs
+++ b/components/coordination/src/agree/core.rs
@@ -350,7 +350,10 @@
         self.random ^= self.random >> 7;
         self.random ^= self.random << 17;
         let jitter = self.random % ELECTION_JITTER_MS;
-        self.election_at = now.after(ELECTION_MS + jitter);
+        let alone = self.members().voters.len() == 1;
+        // Nobody else can stand, so there is nothing to wait for.
+        let wait = if alone { 0 } else { ELECTION_MS + jitter };
+        self.election_at = now.after(wait);
     }
 
     pub(super) fn become_follower(&mut self, now: Millis, term: Term, leader: Option<Disk>) {
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -15,6 +15,7 @@
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use state::config::{Cost, Then};
 use state::event::{Event, Step};
@@ -32,6 +33,10 @@
 const SERVICE: &str = "cowslipford-service";
 /// Header by which a caller gives the expected cost.
 const SIZE: &str = "cowslipford-size";
+/// Bytes that a refused caller may still send, at least.
+const DISCARD: usize = 4 * 1024 * 1024;
+/// Time for which they are read.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Bytes at the start of a body that stand for its prompt's prefix.
 const PREFIX: usize = 256;
 
@@ -82,14 +87,17 @@
     began: Instant,
 ) -> Result<Reply, Refusal> {
     let published = front.parts.published.borrow().clone();
-    check_ready(front, &published)?;
-    check_framing(&request)?;
-    let customer = authenticate(&published, &request)?;
-    front
-        .parts
-        .journal
-        .note(Event::new(Step::Taken).request(id).customer(customer));
-    let call = read(front, id, request).await?;
+    let (head, body) = request.into_parts();
+    let customer = match admit(front, &published, &head) {
+        Ok(customer) => customer,
+        Err(refusal) => {
+            discard(body, front.parts.callers.body_max).await;
+            return Err(refusal);
+        }
+    };
+    let event = Event::new(Step::Taken).request(id);
+    front.parts.journal.note(event.customer(customer));
+    let call = read(front, id, head, body).await?;
     let plan = plan(front, &published, customer, &call)?;
     let key = call.headers.get("idempotency-key").cloned();
     let mut claimed = None;
@@ -106,6 +114,31 @@
     run(front, call, &plan, claimed, began).await
 }
 
+/// Checks what the head alone tells; gives the customer.
+fn admit(front: &Front, published: &Published, head: &Parts) -> Result<CustomerId, Refusal> {
+    check_ready(front, published)?;
+    check_framing(head)?;
+    authenticate(published, head)
+}
+
+/// Reads what a refused caller still sends, within bounds.
+///
+/// If the connection closed with bytes unread, the system would reset it, and
+/// the caller could lose the answer that tells why.
+async fn discard(mut body: Incoming, most: usize) {
+    let reading = async {
+        let mut left = most.max(DISCARD);
+        while let Some(Ok(frame)) = body.frame().await {
+            left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    // Past the time the answer is given, whatever is still to come.
+    let _ = tokio::time::timeout(DISCARD_TIME, reading).await;
+}
+
 fn check_ready(front: &Front, published: &Published) -> Result<(), Refusal> {
     let refuse = |code, text: &str| {
         Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, code, text).after(1))
@@ -138,8 +171,8 @@
 /// With both lengths, or two of them, this router and a proxy before it could
 /// disagree where the request ends; the rest would be read as a request of its
 /// own, and its answer go to someone else.
-fn check_framing(request: &Request<Incoming>) -> Result<(), Refusal> {
-    let headers = request.headers();
+fn check_framing(head: &Parts) -> Result<(), Refusal> {
+    let headers = &head.headers;
     let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
     let both = lengths > 0 && headers.contains_key(TRANSFER_ENCODING);
     if both || lengths > 1 {
@@ -150,7 +183,7 @@
             text,
         ));
     }
-    if request.method() == Method::CONNECT {
+    if head.method == Method::CONNECT {
         let text = "CONNECT is not served";
         return Err(Refusal::not_run(
             StatusCode::METHOD_NOT_ALLOWED,
@@ -161,9 +194,9 @@
     Ok(())
 }
 
-fn authenticate(published: &Published, request: &Request<Incoming>) -> Result<CustomerId, Refusal> {
-    let header = request
-        .headers()
+fn authenticate(published: &Published, head: &Parts) -> Result<CustomerId, Refusal> {
+    let header = head
+        .headers
         .get(AUTHORIZATION)
         .and_then(|v| v.to_str().ok());
     let key = header.and_then(|v| v.strip_prefix("Bearer "));
@@ -175,15 +208,15 @@
 }
 
 /// Reads the whole body, within bounds of size and time.
-async fn read(front: &Front, id: RequestId, request: Request<Incoming>) -> Result<Call, Refusal> {
+async fn read(front: &Front, id: RequestId, head: Parts, body: Incoming) -> Result<Call, Refusal> {
     let max = front.parts.callers.body_max;
     let too_large = || {
         let text = format!("a body has at most {max} bytes here");
         Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", text)
     };
-    let (head, body) = request.into_parts();
     // CAST: `usize` is at most 64 bits on every supported target.
     if body.size_hint().lower() > max as u64 {
+        discard(body, max).await;
         return Err(too_large());
     }
     let time = Duration::from_millis(front.parts.callers.body_ms);
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -92,13 +92,19 @@
     ///
     /// When the disk has failed.
     pub async fn wait(&mut self) -> Result<()> {
+        let keeps_state = self.control.is_some();
+        let failed = async {
+            match self.failed.wait_for(Option::is_some).await {
+                Ok(reason) => reason.clone().unwrap_or_default(),
+                Err(_) if keeps_state => "the control thread has ended".to_owned(),
+                // Without a control role nobody can report a failure of it.
+                Err(_) => std::future::pending().await,
+            }
+        };
         tokio::select! {
             // The reactor publishes for as long as this process lives.
             _ = self.published.wait_for(|p| p.stopping) => Ok(()),
-            failed = self.failed.wait_for(Option::is_some) => {
-                let reason = failed.ok().and_then(|f| f.clone()).unwrap_or_default();
-                Err(Error::Key { step: "keep the durable state", reason })
-            }
+            reason = failed => Err(Error::Key { step: "keep the durable state", reason }),
         }
     }
 
--- /dev/null
+++ b/tests/harness/mod.rs
@@ -0,0 +1,497 @@
+//! A small fleet of real processes on the loopback.
+//!
+//! Each fleet has loopback addresses of its own, so that fleets of tests that
+//! run at the same time cannot take each other's ports.
+#![allow(dead_code, reason = "each test file uses a part of the harness")]
+#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
+
+pub(crate) mod http;
+
+use http::Answer;
+use state::secret::Hash;
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+pub(crate) const BINARY: &str = env!("CARGO_BIN_EXE_cowslipford");
+pub(crate) const OPERATOR: &str = "operator";
+/// Longest wait for something that must happen. No test asserts a time.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(40);
+
+static FLEETS: AtomicU8 = AtomicU8::new(1);
+
+/// Waits until something holds.
+pub(crate) fn eventually<F>(what: &str, mut holds: F)
+where
+    F: FnMut() -> bool,
+{
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < PATIENCE, "never came true: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// What a fleet consists of.
+pub(crate) struct Plan {
+    pub(crate) control: usize,
+    pub(crate) routers: usize,
+    pub(crate) models: usize,
+    pub(crate) plains: usize,
+    /// Requests that a stand-in works on at once.
+    pub(crate) batch: u32,
+    /// More sections for each VM's settings.
+    pub(crate) settings: String,
+    /// Keys added to `[control]`.
+    pub(crate) control_keys: String,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan {
+            control: 3,
+            routers: 4,
+            models: 2,
+            plains: 1,
+            batch: 4,
+            settings: String::new(),
+            control_keys: String::new(),
+        }
+    }
+}
+
+/// One VM's process.
+pub(crate) struct Vm {
+    pub(crate) name: String,
+    pub(crate) settings: PathBuf,
+    pub(crate) data: PathBuf,
+    pub(crate) link: SocketAddr,
+    pub(crate) callers: Option<SocketAddr>,
+    pub(crate) operators: SocketAddr,
+    child: Option<Child>,
+}
+
+/// One stand-in's process.
+pub(crate) struct StandIn {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    child: Child,
+}
+
+pub(crate) struct Fleet {
+    pub(crate) vms: Vec<Vm>,
+    pub(crate) stand_ins: Vec<StandIn>,
+    pub(crate) folder: TempDir,
+    plan: Plan,
+    number: u8,
+    hosts: u8,
+}
+
+impl Fleet {
+    /// Starts a fleet with a configuration of customers `alpha`, `beta` and `gamma`.
+    pub(crate) fn start(plan: Plan) -> Self {
+        let mut fleet = Fleet::bare(plan);
+        fleet.apply_default();
+        fleet
+    }
+
+    /// Starts a fleet without a configuration.
+    pub(crate) fn bare(plan: Plan) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let mut fleet = Fleet {
+            vms: Vec::new(),
+            stand_ins: Vec::new(),
+            folder,
+            number: FLEETS.fetch_add(1, Ordering::Relaxed),
+            hosts: 0,
+            plan,
+        };
+        let control: Vec<String> = (1..=fleet.plan.control).map(|n| format!("c{n}")).collect();
+        let routers: Vec<String> = (1..=fleet.plan.routers).map(|n| format!("r{n}")).collect();
+        let names: Vec<String> = control.iter().chain(&routers).cloned().collect();
+        let keys = fleet.folder.path().join("keys");
+        let made = run(&["keys", &keys.display().to_string()], &names);
+        assert!(made.0.success(), "{}", made.2);
+        let places: Vec<SocketAddr> = control.iter().map(|_| fleet.fresh_address()).collect();
+        let peers: String = (control.iter().zip(&places))
+            .map(|(name, place)| format!("{name} = {place}\n"))
+            .collect();
+        for (name, place) in control.iter().zip(&places) {
+            let vm = fleet.vm_settings(name, &peers, *place, true);
+            fleet.vms.push(vm);
+        }
+        for name in &routers {
+            let place = fleet.fresh_address();
+            let vm = fleet.vm_settings(name, &peers, place, false);
+            fleet.vms.push(vm);
+        }
+        for n in 1..=fleet.plan.models {
+            fleet.add_stand_in(&format!("assistant-{n}"), false);
+        }
+        for n in 1..=fleet.plan.plains {
+            fleet.add_stand_in(&format!("booking-{n}"), true);
+        }
+        for vm in &mut fleet.vms {
+            vm.start();
+        }
+        fleet.wait_ready();
+        fleet
+    }
+
+    /// An address that no other process of any fleet uses.
+    pub(crate) fn fresh_address(&mut self) -> SocketAddr {
+        self.hosts += 1;
+        let pid = std::process::id();
+        let ip = Ipv4Addr::new(
+            127,
+            1 + u8::try_from(pid / 250 % 250).unwrap(),
+            1 + u8::try_from(pid % 250).unwrap(),
+            // Hosts of the fleets of one test process lie side by side.
+            1 + self.hosts + self.number % 8 * 30,
+        );
+        // The system chooses the port; nobody else binds this address.
+        let probe = TcpListener::bind((IpAddr::V4(ip), 0)).unwrap();
+        probe.local_addr().unwrap()
+    }
+
+    fn vm_settings(&mut self, name: &str, peers: &str, link: SocketAddr, control: bool) -> Vm {
+        let data = self.folder.path().join(format!("data-{name}"));
+        let operators = self.fresh_address();
+        let callers = (!control).then(|| self.fresh_address());
+        let key = Hash::of(&[OPERATOR.as_bytes()]).hex();
+        let mut text = format!(
+            "[vm]\nname = {name}\ndata-centre = dc-{}\n\
+             [link]\nlisten = {link}\nauthority = keys/authority.pem\n\
+             certificate = keys/{name}.pem\nkey = keys/{name}.key\n\
+             [peers]\n{peers}\
+             [operators]\nlisten = {operators}\nkey-sha256 = {key}\n\
+             [fault]\nhook = yes\n{}\n",
+            1 + self.vms.len() % 3,
+            self.plan.settings,
+        );
+        match callers {
+            Some(callers) => {
+                text.push_str(&format!("[callers]\nlisten = {callers}\n[scheduler]\n"));
+            }
+            None => {
+                let keys = &self.plan.control_keys;
+                text.push_str(&format!("[control]\ndata = data-{name}\n{keys}\n"));
+            }
+        }
+        let settings = self.folder.path().join(format!("{name}.ini"));
+        fs::write(&settings, text).unwrap();
+        Vm {
+            name: name.to_owned(),
+            settings,
+            data,
+            link,
+            callers,
+            operators,
+            child: None,
+        }
+    }
+
+    /// Starts one more stand-in.
+    pub(crate) fn add_stand_in(&mut self, name: &str, plain: bool) {
+        let listen = self.fresh_address().to_string();
+        let mut command = Command::new(BINARY);
+        command.args(["stand-in", "--listen", &listen]);
+        command.args(["--batch", &self.plan.batch.to_string()]);
+        if plain {
+            command.arg("--plain");
+        }
+        let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap())
+            .read_line(&mut line)
+            .unwrap();
+        let address = line.trim().rsplit(' ').next().unwrap().parse().unwrap();
+        self.stand_ins.push(StandIn {
+            name: name.to_owned(),
+            address,
+            child,
+        });
+    }
+
+    pub(crate) fn wait_ready(&self) {
+        for vm in &self.vms {
+            eventually("a VM is ready", || vm.is_ready());
+        }
+    }
+
+    /// The configuration for the stand-ins that run.
+    pub(crate) fn configuration(&self) -> String {
+        let mut text = String::new();
+        for name in ["alpha", "beta", "gamma"] {
+            let key = Hash::of(&[name.as_bytes()]).hex();
+            text.push_str(&format!(
+                "[customer {name}]\nkey-sha256 = {key}\nservices = assistant, booking\n"
+            ));
+        }
+        text.push_str(
+            "[service assistant]\ncost = event\nidempotent = yes\nload = /stand-in/load\n\
+             [service booking]\ncost = request\n\
+             [service nobody]\ncost = request\n",
+        );
+        for stand_in in &self.stand_ins {
+            let (service, _) = stand_in.name.split_once('-').unwrap();
+            text.push_str(&format!(
+                "[endpoint {}]\nservice = {service}\naddress = {}\ndata-centre = dc-1\n\
+                 slots = {}\n",
+                stand_in.name, stand_in.address, self.plan.batch
+            ));
+        }
+        text.push_str(
+            "[rule forbidden]\nwhen-path = /forbidden\nthen = refuse\nreason = not today\n\
+             [rule nobody]\nwhen-path = /nobody\nthen = send\nservice = nobody\n\
+             [rule short]\nwhen-path = /short\nthen = send\nservice = assistant\ntimeout = 300ms\n\
+             [rule assistant]\nwhen-path = /assistant\nthen = send\nservice = assistant\n\
+             [rule booking]\nwhen-path = /booking\nthen = send\nservice = booking\n",
+        );
+        text
+    }
+
+    pub(crate) fn apply_default(&mut self) {
+        let text = self.configuration();
+        let applied = self.apply(&text, &[]);
+        assert!(applied.0.success(), "{}", applied.2);
+        self.wait_version(self.version());
+        let callers: Vec<SocketAddr> = self.vms.iter().filter_map(|v| v.callers).collect();
+        for callers in callers {
+            eventually("a router serves", || {
+                http::get(callers, "/assistant/ready", "alpha").status == 200
+            });
+        }
+    }
+
+    /// Sends a configuration with the command line.
+    pub(crate) fn apply(&self, text: &str, more: &[&str]) -> (ExitStatus, String, String) {
+        let file = self
+            .folder
+            .path()
+            .join(format!("fleet-{:x}.ini", rand::random::<u64>()));
+        fs::write(&file, text).unwrap();
+        let mut args = vec!["apply".to_owned(), file.display().to_string()];
+        let operators = self.vms.iter().find(|v| v.is_live()).unwrap().operators;
+        args.extend(["--operators".to_owned(), operators.to_string()]);
+        args.extend(more.iter().map(|m| (*m).to_owned()));
+        run(&[], &args)
+    }
+
+    /// Largest version in force anywhere.
+    pub(crate) fn version(&self) -> u64 {
+        let all = self.vms.iter().filter_map(|v| v.status());
+        all.filter_map(|s| s["version"].as_u64()).max().unwrap_or(0)
+    }
+
+    /// Waits until a version is in force on every live VM.
+    pub(crate) fn wait_version(&self, version: u64) {
+        for vm in self.vms.iter().filter(|v| v.is_live()) {
+            eventually("a version is in force", || {
+                vm.status()
+                    .is_some_and(|s| s["version"].as_u64() >= Some(version))
+            });
+        }
+    }
+
+    pub(crate) fn vm(&self, name: &str) -> &Vm {
+        self.vms.iter().find(|v| v.name == name).unwrap()
+    }
+
+    pub(crate) fn vm_mut(&mut self, name: &str) -> &mut Vm {
+        self.vms.iter_mut().find(|v| v.name == name).unwrap()
+    }
+
+    /// Callers' address of a router.
+    pub(crate) fn callers(&self, name: &str) -> SocketAddr {
+        self.vm(name).callers.unwrap()
+    }
+
+    /// Name of the control VM that leads.
+    pub(crate) fn leader(&self) -> String {
+        let mut found = None;
+        eventually("a control VM leads", || {
+            let leads = |v: &&Vm| {
+                v.status()
+                    .is_some_and(|s| s["control"]["role"].as_str() == Some("leader"))
+            };
+            found = self
+                .vms
+                .iter()
+                .filter(|v| v.is_live())
+                .find(leads)
+                .map(|v| v.name.clone());
+            found.is_some()
+        });
+        found.unwrap()
+    }
+
+    /// Name of the VM that schedules the service with the most endpoints.
+    pub(crate) fn scheduler(&self) -> String {
+        let mut found = None;
+        eventually("a VM schedules", || {
+            let seated = |v: &&Vm| {
+                let status = v.status();
+                status.is_some_and(|s| s["reigns"].as_array().is_some_and(|r| !r.is_empty()))
+            };
+            found = self
+                .vms
+                .iter()
+                .filter(|v| v.is_live())
+                .find(seated)
+                .map(|v| v.name.clone());
+            found.is_some()
+        });
+        found.unwrap()
+    }
+
+    /// Counters of a stand-in.
+    pub(crate) fn counts(&self, name: &str) -> serde_json::Value {
+        let stand_in = self.stand_ins.iter().find(|s| s.name == name).unwrap();
+        let answer = http::get(stand_in.address, "/stand-in/calls", "");
+        serde_json::from_slice(&answer.body).unwrap()
+    }
+
+    /// Calls that bore a label, over all stand-ins.
+    pub(crate) fn labelled(&self, label: &str) -> u64 {
+        let counts = self.stand_ins.iter().map(|s| self.counts(&s.name));
+        counts
+            .map(|c| c["labels"][label].as_u64().unwrap_or(0))
+            .sum()
+    }
+
+    /// Cuts VMs off from each other, or joins them again with no names.
+    pub(crate) fn cut(&self, vm: &str, peers: &[&str], silent: bool) {
+        let path = format!(
+            "/fault/cut?peers={}&silent={}",
+            peers.join(","),
+            if silent { "yes" } else { "no" }
+        );
+        let operators = self.vm(vm).operators;
+        let answer = http::send(operators, "POST", &path, OPERATOR, &[], "");
+        assert_eq!(answer.status, 200);
+    }
+
+    /// Sends a request through a router.
+    pub(crate) fn call(
+        &self,
+        router: &str,
+        customer: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
+        http::send(self.callers(router), "POST", path, customer, headers, body)
+    }
+}
+
+impl Vm {
+    pub(crate) fn start(&mut self) {
+        let log = fs::File::create(self.settings.with_extension("log")).unwrap();
+        let child = Command::new(BINARY)
+            .args(["run", &self.settings.display().to_string()])
+            .stderr(log)
+            .spawn();
+        self.child = Some(child.unwrap());
+    }
+
+    pub(crate) fn is_live(&self) -> bool {
+        self.child.is_some()
+    }
+
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.as_ref().unwrap().id()
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        http::try_get(self.operators, "/ready", "").is_some_and(|a| a.status == 200)
+    }
+
+    pub(crate) fn status(&self) -> Option<serde_json::Value> {
+        self.child.as_ref()?;
+        let answer = http::try_get(self.operators, "/status", OPERATOR)?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+
+    /// Kills it without warning.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Sends it a signal by name.
+    pub(crate) fn signal(&self, signal: &str) {
+        let pid = self.pid().to_string();
+        let sent = Command::new("kill").args([signal, &pid]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    /// Waits for it to end by itself.
+    pub(crate) fn wait(&mut self) -> ExitStatus {
+        let mut child = self.child.take().unwrap();
+        let mut ended = None;
+        eventually("a process ends", || {
+            ended = child.try_wait().unwrap();
+            ended.is_some()
+        });
+        ended.unwrap()
+    }
+
+    /// Removes its durable state.
+    pub(crate) fn wipe(&self) {
+        fs::remove_dir_all(&self.data).unwrap();
+    }
+
+    pub(crate) fn log(&self) -> String {
+        fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for vm in &mut self.vms {
+            if let Some(mut child) = vm.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        for stand_in in &mut self.stand_ins {
+            let _ = stand_in.child.kill();
+            let _ = stand_in.child.wait();
+        }
+        if std::thread::panicking() {
+            for vm in &self.vms {
+                eprintln!("--- log of {}\n{}", vm.name, vm.log());
+            }
+        }
+    }
+}
+
+/// Runs the command line to its end.
+pub(crate) fn run<A>(first: &[&str], args: &[A]) -> (ExitStatus, String, String)
+where
+    A: AsRef<str>,
+{
+    let output = Command::new(BINARY)
+        .args(first)
+        .args(args.iter().map(AsRef::as_ref))
+        .output()
+        .unwrap();
+    (
+        output.status,
+        String::from_utf8_lossy(&output.stdout).into_owned(),
+        String::from_utf8_lossy(&output.stderr).into_owned(),
+    )
+}
+
+/// A path below a folder, as text.
+pub(crate) fn path(folder: &Path, name: &str) -> String {
+    folder.join(name).display().to_string()
+}
