--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -70,6 +70,17 @@
     Gone,
 }
 
+/// What a router knows of a customer's service, for a new scheduler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// Customer.
+    pub customer: CustomerId,
+    /// Virtual service over the whole fleet, as the last grant told it.
+    pub level: u64,
+    /// Virtual service given here that no scheduler has counted.
+    pub spent: u64,
+}
+
 /// What a router tells a scheduler.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -81,8 +92,10 @@
         incarnation: u64,
         /// Requests in progress.
         held: Vec<Held>,
-        /// Virtual service of customers, as the last grants told it.
-        levels: Vec<(CustomerId, u64)>,
+        /// What this router knows of customers' service.
+        known: Vec<Known>,
+        /// Largest floor that a grant has told.
+        floor: u64,
     },
     /// A request waits.
     Ask(Ask),
@@ -107,6 +120,8 @@
     pub endpoint: EndpointId,
     /// Virtual service of the customer, without requests in progress.
     pub level: u64,
+    /// Level below which no customer that waits is.
+    pub floor: u64,
     /// Routers with a session, for the share to fall back to.
     pub routers: u32,
 }
--- a/components/coordination/src/desk.rs
+++ b/components/coordination/src/desk.rs
@@ -23,6 +23,8 @@
 pub const ALONE_MS: u64 = 300;
 /// Time before a refused hello is sent again, in milliseconds.
 pub const HELLO_AGAIN_MS: u64 = 50;
+/// The reign of a desk that schedules alone; seats begin at 1.
+const ALONE: Epoch = Epoch(0);
 /// Largest factor between two reports of one request's growing cost.
 const PROGRESS_FACTOR: u32 = 2;
 
@@ -101,6 +103,15 @@
     asked: u32,
 }
 
+/// What is remembered of a customer's service.
+#[derive(Clone, Copy, Debug, Default)]
+struct Memory {
+    /// Over the whole fleet, as the last grant told it.
+    level: u64,
+    /// Given here since, without a scheduler that counted it.
+    spent: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Session {
     seat: Option<Seat>,
@@ -109,12 +120,36 @@
     down_since: Millis,
     next: u64,
     asked: BTreeMap<Seq, Ticket>,
-    levels: BTreeMap<CustomerId, u64>,
+    known: BTreeMap<CustomerId, Memory>,
+    floor: u64,
+    /// Whether the scheduler has shown, by a grant, that it took the hello.
+    heard: bool,
     routers: u32,
     local: Option<(Scheduler, LocalSession)>,
 }
 
 impl Session {
+    fn known(&self) -> Vec<Known> {
+        let known = self.known.iter().map(|(customer, memory)| Known {
+            customer: *customer,
+            level: memory.level,
+            spent: memory.spent,
+        });
+        known.collect()
+    }
+
+    /// Notes that the scheduler has counted what was spent here.
+    ///
+    /// Told again to the next one, it would be counted twice.
+    fn hear(&mut self) {
+        if std::mem::replace(&mut self.heard, true) {
+            return;
+        }
+        for memory in self.known.values_mut() {
+            memory.level += std::mem::take(&mut memory.spent);
+        }
+    }
+
     fn new(now: Millis) -> Self {
         Session {
             seat: None,
@@ -123,7 +158,9 @@
             down_since: now,
             next: 0,
             asked: BTreeMap::new(),
-            levels: BTreeMap::new(),
+            known: BTreeMap::new(),
+            floor: 0,
+            heard: false,
             routers: 1,
             local: None,
         }
@@ -255,7 +292,9 @@
         request.avoid = Some(endpoint);
         request.stage = Stage::Waiting;
         request.cost = 0;
-        self.tell(now, &shard, Report::Done(seq, cost, verdict), &mut effects);
+        let of = Some((class, request.arrival.weight));
+        let done = Report::Done(seq, cost, verdict);
+        self.tell_of(now, &shard, of, done, &mut effects);
         self.wait(ticket);
         self.announce(now, service, class, &mut effects);
         effects
@@ -291,14 +330,9 @@
         let shard = request.shard.clone();
         let arrival = request.arrival;
         self.requests.remove(ticket);
-        if let Some(session) = self.sessions.get_mut(&shard) {
-            if !session.up && session.local.is_none() {
-                // Nobody to tell: keep it in what the next scheduler is told.
-                let level = session.levels.entry(arrival.class.customer).or_default();
-                *level += virtual_cost(cost, arrival.weight);
-            }
-        }
-        self.tell(now, &shard, Report::Done(seq, cost, verdict), &mut effects);
+        let of = Some((arrival.class, arrival.weight));
+        let done = Report::Done(seq, cost, verdict);
+        self.tell_of(now, &shard, of, done, &mut effects);
         effects
     }
 
@@ -557,11 +591,13 @@
         let Some(request) = self.requests.get_mut(ticket) else {
             return;
         };
-        let level = session
-            .levels
-            .entry(request.arrival.class.customer)
-            .or_default();
-        *level = (*level).max(grant.level);
+        if grant.epoch != ALONE {
+            session.hear();
+            let customer = request.arrival.class.customer;
+            let memory = session.known.entry(customer).or_default();
+            memory.level = memory.level.max(grant.level);
+            session.floor = session.floor.max(grant.floor);
+        }
         request.stage = Stage::Held {
             seq: grant.seq,
             endpoint: grant.endpoint,
@@ -589,6 +625,18 @@
 
     /// Tells whoever schedules the shard: its scheduler or this desk itself.
     fn tell(&mut self, now: Millis, shard: &Shard, report: Report, effects: &mut Effects) {
+        self.tell_of(now, shard, None, report, effects);
+    }
+
+    /// Like [`Desk::tell`], of an end whose class and weight are `of`.
+    fn tell_of(
+        &mut self,
+        now: Millis,
+        shard: &Shard,
+        of: Option<(Class, u32)>,
+        report: Report,
+        effects: &mut Effects,
+    ) {
         let Some(session) = self.sessions.get_mut(shard) else {
             return;
         };
@@ -596,6 +644,11 @@
             effects.push(Effect::Report(seat.clone(), report));
             return;
         }
+        if let (Report::Done(_, cost, _), Some((class, weight))) = (&report, of) {
+            // The next scheduler must hear of it.
+            let memory = session.known.entry(class.customer).or_default();
+            memory.spent += virtual_cost(*cost, weight);
+        }
         let Some((local, local_session)) = &mut session.local else {
             return;
         };
@@ -626,12 +679,7 @@
             session.up = false;
             session.down_since = now;
         }
-        if let Some((local, _)) = session.local.take() {
-            for (customer, level) in local.levels() {
-                let known = session.levels.entry(customer).or_default();
-                *known = (*known).max(level);
-            }
-        }
+        session.local = None;
         let asked = std::mem::take(&mut session.asked);
         for ticket in asked.into_values().rev() {
             let Some(request) = self.requests.get_mut(ticket) else {
@@ -679,12 +727,14 @@
             return;
         };
         session.up = true;
-        let levels = session.levels.iter().map(|(c, l)| (*c, *l)).collect();
         let hello = Report::Hello {
             incarnation: self.incarnation,
             held,
-            levels,
+            known: session.known(),
+            floor: session.floor,
         };
+        session.heard = false;
+        session.hello_at = None;
         effects.push(Effect::Report(seat, hello));
         self.announce_all(now, shard, effects);
     }
@@ -694,11 +744,11 @@
         let Some(session) = self.sessions.get_mut(shard) else {
             return;
         };
-        // The reign of no seat: epoch 0. It need not gather, it is alone.
+        // It need not gather, it is alone.
         let past = Millis(now.0.saturating_sub(GATHER_MS));
-        let mut local = Scheduler::new(Epoch(0), past);
-        let levels: Vec<_> = session.levels.iter().map(|(c, l)| (*c, *l)).collect();
-        let local_session = local.open(now, self.incarnation, &[], &held, &levels);
+        let mut local = Scheduler::new(ALONE, past);
+        let known = session.known();
+        let local_session = local.open(now, self.incarnation, &[], &held, &known, session.floor);
         session.local = Some((local, local_session));
         self.arm_local(view, shard);
         self.announce_all(now, shard, effects);
@@ -713,10 +763,20 @@
         let Some((local, _)) = &mut session.local else {
             return;
         };
+        let mut any = 0;
         for (id, slots, _, leaving) in endpoints(view, shard) {
-            let share = slots.div_ceil(routers);
+            let share = share(slots, routers, self.incarnation, id);
+            any += share;
             local.slots().set(id, share, 0, leaving);
         }
+        if any == 0 {
+            // The smallest share is one slot, or nobody's requests would move.
+            let least = |e: &(EndpointId, u32, u32, bool)| mix(self.incarnation, e.0);
+            let open = endpoints(view, shard).filter(|(_, _, _, leaving)| !leaving);
+            if let Some((id, ..)) = open.min_by_key(least) {
+                local.slots().set(id, 1, 0, false);
+            }
+        }
         let known: Vec<EndpointId> = endpoints(view, shard).map(|e| e.0).collect();
         local.slots().retain(|id| known.contains(&id));
     }
@@ -760,6 +820,21 @@
     }
 }
 
+/// A router's share of an endpoint's slots when it schedules alone.
+///
+/// The part that cannot be divided goes to some of the routers, others at each
+/// endpoint, so that all shares together are about the slots there are.
+fn share(slots: u32, routers: u32, incarnation: u64, endpoint: EndpointId) -> u32 {
+    let lucky = mix(incarnation, endpoint) % u64::from(routers) < u64::from(slots % routers);
+    slots / routers + u32::from(lucky)
+}
+
+/// A number that looks random, the same for the same two.
+fn mix(incarnation: u64, endpoint: EndpointId) -> u64 {
+    let mixed = incarnation ^ u64::from(endpoint.0).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed.wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 32
+}
+
 /// Endpoints of a shard: number, slots, lead, and whether it is leaving.
 pub fn endpoints<'a>(
     view: &'a View,
--- a/components/coordination/src/ledger.rs
+++ b/components/coordination/src/ledger.rs
@@ -34,6 +34,7 @@
     // INVARIANT: holds (level, customer) of exactly the backlogged accounts.
     order: BTreeSet<(u64, CustomerId)>,
     floor: u64,
+    open: bool,
 }
 
 /// Virtual service of `cost` units at `weight`.
@@ -68,7 +69,32 @@
     /// and merging the same memory twice changes nothing.
     pub fn remember(&mut self, customer: CustomerId, settled: u64) {
         self.change(customer, |a| a.settled = a.settled.max(settled));
-        self.floor = self.floor.max(self.lowest().unwrap_or(0));
+    }
+
+    /// The level below which no backlogged customer was.
+    pub fn floor(&self) -> u64 {
+        self.lowest().unwrap_or(self.floor)
+    }
+
+    /// Begins to grant, with the floor that an earlier reign reached.
+    ///
+    /// Until then nobody is lifted: a customer that is behind the others by
+    /// right would be lifted to whoever happened to be told first, and what it
+    /// is owed would be forgotten with each change of scheduler.
+    pub fn open(&mut self, floor: u64) {
+        self.open = true;
+        self.floor = self.floor.max(floor);
+        let waiting: Vec<CustomerId> = self.waiting().collect();
+        for customer in waiting {
+            self.lift(customer, floor);
+        }
+    }
+
+    fn lift(&mut self, customer: CustomerId, floor: u64) {
+        self.change(customer, |a| {
+            let lift = floor.saturating_sub(a.level());
+            a.settled = a.settled.saturating_add(lift);
+        });
     }
 
     /// Marks whether a customer has work waiting.
@@ -81,14 +107,10 @@
         if was == backlogged {
             return;
         }
-        let start = self.lowest().unwrap_or(self.floor);
-        self.change(customer, |a| {
-            if backlogged {
-                let lift = start.saturating_sub(a.level());
-                a.settled = a.settled.saturating_add(lift);
-            }
-            a.backlogged = backlogged;
-        });
+        if backlogged && self.open {
+            self.lift(customer, self.floor());
+        }
+        self.change(customer, |a| a.backlogged = backlogged);
     }
 
     /// Charges the estimate of a granted request.
--- a/components/coordination/src/prelude.rs
+++ b/components/coordination/src/prelude.rs
@@ -1,5 +1,5 @@
 //! The common types, for `use coordination::prelude::*`.
 
-pub use crate::ask::{Ask, Class, Grant, Held, Report, Verdict};
+pub use crate::ask::{Ask, Class, Grant, Held, Known, Report, Verdict};
 pub use smallvec::SmallVec;
 pub use state::prelude::*;
--- a/components/coordination/src/scheduler.rs
+++ b/components/coordination/src/scheduler.rs
@@ -19,7 +19,10 @@
 /// each change of scheduler.
 pub const GATHER_MS: u64 = 200;
 /// How long the requests of a lost session still count, in milliseconds.
-pub const ORPHAN_MS: u64 = 2000;
+///
+/// Its router may only be cut off from here, and its requests still run. Those
+/// of a router that comes back are told by it, or have died with it.
+pub const ORPHAN_MS: u64 = 1000;
 /// Longest wait before an unused class is forgotten, in milliseconds.
 const CLASS_MS: u64 = 60_000;
 
@@ -71,6 +74,13 @@
     running: BTreeMap<(Session, Seq), Running>,
     sessions: BTreeMap<Session, u64>,
     orphans: BTreeMap<Session, Millis>,
+    /// Service that routers gave while there was no scheduler. It is added once
+    /// the largest memory of each customer is known, since memories are not
+    /// added up and this is.
+    spent: BTreeMap<Session, Vec<(CustomerId, u64)>>,
+    /// Largest floor that a router remembers.
+    floor: u64,
+    is_open: bool,
     opened: Millis,
     next: u32,
 }
@@ -93,6 +103,9 @@
             running: BTreeMap::new(),
             sessions: BTreeMap::new(),
             orphans: BTreeMap::new(),
+            spent: BTreeMap::new(),
+            floor: 0,
+            is_open: false,
             opened: now.after(GATHER_MS),
             next: 0,
         }
@@ -118,6 +131,11 @@
         self.running.len()
     }
 
+    /// Routers with a session.
+    pub fn routers(&self) -> usize {
+        self.sessions.len()
+    }
+
     /// Slots and requests in progress over all endpoints that take work.
     pub fn totals(&self) -> (u32, u32) {
         self.slots.totals()
@@ -139,18 +157,25 @@
         incarnation: u64,
         older: &[Session],
         held: &[Held],
-        levels: &[(CustomerId, u64)],
+        known: &[Known],
+        floor: u64,
     ) -> Session {
+        self.floor = self.floor.max(floor);
         for session in older {
+            // A hello that is said again tells the same spending again.
+            self.spent.remove(session);
             self.close(now, *session);
             self.drop_running(now, *session);
         }
         let session = Session(self.next);
         self.next += 1;
         self.sessions.insert(session, incarnation);
-        for (customer, level) in levels {
-            self.ledger.remember(*customer, *level);
+        for known in known {
+            self.ledger.remember(known.customer, known.level);
         }
+        let spent = known.iter().filter(|k| k.spent > 0);
+        let spent = spent.map(|k| (k.customer, k.spent)).collect();
+        self.spent.insert(session, spent);
         for held in held {
             let running = Running {
                 class: held.class,
@@ -273,6 +298,13 @@
         if now < self.opened {
             return effects;
         }
+        let spent = std::mem::take(&mut self.spent);
+        for (customer, spent) in spent.into_values().flatten() {
+            self.ledger.settle(customer, 0, spent);
+        }
+        if !std::mem::replace(&mut self.is_open, true) {
+            self.ledger.open(self.floor);
+        }
         while self.slots.any_free(now) {
             let Some(key) = self.next_ask(now) else {
                 break;
@@ -322,6 +354,7 @@
             seq: key.1,
             endpoint,
             level: self.ledger.settled(customer),
+            floor: self.ledger.floor(),
             // CAST: sessions are numbered by `u32`.
             routers: self.sessions.len() as u32,
         };
@@ -381,8 +414,8 @@
     ) -> Option<(Running, health::Change)> {
         let running = self.running.remove(&(session, seq))?;
         let charged = virtual_cost(running.charged, running.weight);
-        let cost = virtual_cost(cost, running.weight);
-        self.ledger.settle(running.class.customer, charged, cost);
+        let amount = virtual_cost(cost, running.weight);
+        self.ledger.settle(running.class.customer, charged, amount);
         let change = self.slots.free(now, running.endpoint, verdict);
         let line = self.line(now, running.class);
         line.running = line.running.saturating_sub(1);
--- a/components/node/src/reign.rs
+++ b/components/node/src/reign.rs
@@ -101,8 +101,9 @@
     /// Ends sessions whose link was lost.
     pub(crate) fn link_down(&mut self, now: Millis, vm: &Name) {
         for reign in self.all.values_mut() {
-            if let Some(session) = reign.sessions.remove(vm) {
-                reign.scheduler.close(now, session);
+            // It stays known by its router, whose next hello settles its requests.
+            if let Some(session) = reign.sessions.get(vm) {
+                reign.scheduler.close(now, *session);
             }
         }
     }
@@ -139,7 +140,7 @@
             slots: reign.scheduler.totals().0,
             running: reign.scheduler.running(),
             waiting: reign.scheduler.waiting(),
-            routers: reign.sessions.len(),
+            routers: reign.scheduler.routers(),
             levels: (reign.scheduler.levels().into_iter())
                 .map(|(id, level)| (name(id), level))
                 .collect(),
@@ -184,12 +185,13 @@
                 Report::Hello {
                     incarnation,
                     held,
-                    levels,
+                    known,
+                    floor,
                 },
                 old,
             ) => {
                 let old = old.as_slice();
-                let session = scheduler.open(now, incarnation, old, &held, &levels);
+                let session = scheduler.open(now, incarnation, old, &held, &known, floor);
                 self.sessions.insert(vm.clone(), session);
                 Effects::new()
             }
