--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,264 @@
+//! Slopes for docs/CAPACITY.md, from real processes on one machine.
+//!
+//! `cargo bench --bench capacity` prints one JSON line for each point.
+
+#[path = "../tests/harness/mod.rs"]
+mod harness;
+
+use harness::{http, run, Fleet, Plan, Vm, OPERATOR};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Time for which each point is measured.
+const SPAN: Duration = Duration::from_secs(8);
+
+/// What one process has used so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct Usage {
+    cpu_ms: f64,
+    rss_kb: f64,
+    datagrams: f64,
+    bytes: f64,
+}
+
+fn usage(vm: &Vm) -> Usage {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", vm.pid())).unwrap_or_default();
+    let after = stat.rsplit(") ").next().unwrap_or("");
+    let fields: Vec<f64> = after.split(' ').map(|f| f.parse().unwrap_or(0.0)).collect();
+    let ticks = fields.get(11).unwrap_or(&0.0) + fields.get(12).unwrap_or(&0.0);
+    let status = std::fs::read_to_string(format!("/proc/{}/status", vm.pid())).unwrap_or_default();
+    let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let rss = rss.and_then(|l| l.trim().trim_end_matches(" kB").parse().ok());
+    let metrics = http::get(vm.operators, "/metrics", "").text();
+    let metric = |what: &str| {
+        let name = format!("cowslipford_links{{what=\"{what}\"}} ");
+        let line = metrics.lines().find_map(|l| l.strip_prefix(name.as_str()));
+        line.and_then(|l| l.trim().parse().ok()).unwrap_or(0.0)
+    };
+    Usage {
+        cpu_ms: ticks * 10.0,
+        rss_kb: rss.unwrap_or(0.0),
+        datagrams: metric("datagrams"),
+        bytes: metric("datagram_bytes"),
+    }
+}
+
+/// Means over a group of processes during a span.
+fn spent(
+    fleet: &Fleet,
+    group: &str,
+    before: &BTreeMap<String, Usage>,
+    span: f64,
+) -> serde_json::Value {
+    let vms: Vec<&Vm> = fleet
+        .vms
+        .iter()
+        .filter(|v| member(fleet, v, group))
+        .collect();
+    let count = vms.len().max(1) as f64;
+    let mut sum = Usage::default();
+    for vm in vms {
+        let (old, new) = (before.get(&vm.name).copied().unwrap_or_default(), usage(vm));
+        sum.cpu_ms += new.cpu_ms - old.cpu_ms;
+        sum.rss_kb += new.rss_kb;
+        sum.datagrams += new.datagrams - old.datagrams;
+        sum.bytes += new.bytes - old.bytes;
+    }
+    // An IP and a UDP head add 28 bytes to each datagram.
+    let bytes = (sum.bytes + 28.0 * sum.datagrams) / count / span;
+    serde_json::json!({
+        "cpu-percent": round(sum.cpu_ms / count / span / 10.0),
+        "rss-mb": round(sum.rss_kb / count / 1024.0),
+        "bytes-per-second": round(bytes),
+        "datagrams-per-second": round(sum.datagrams / count / span),
+    })
+}
+
+fn round(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
+
+fn member(fleet: &Fleet, vm: &Vm, group: &str) -> bool {
+    match group {
+        "control" => vm.name.starts_with('c'),
+        "scheduler" => vm.name == fleet.scheduler(),
+        _ => vm.name.starts_with('r') && vm.name != fleet.scheduler(),
+    }
+}
+
+fn all(fleet: &Fleet) -> BTreeMap<String, Usage> {
+    fleet
+        .vms
+        .iter()
+        .map(|v| (v.name.clone(), usage(v)))
+        .collect()
+}
+
+fn plan(routers: usize) -> Plan {
+    Plan {
+        routers,
+        models: 4,
+        plains: 0,
+        batch: 16,
+        settings: "[router]\nfanout = 4".to_owned(),
+        control_keys: "fanout = 8".to_owned(),
+        ..Plan::default()
+    }
+}
+
+fn report(point: &str, fleet: &Fleet, before: &BTreeMap<String, Usage>, began: Instant) {
+    let span = began.elapsed().as_secs_f64();
+    for group in ["control", "scheduler", "router"] {
+        println!("{point} {group}: {}", spent(fleet, group, before, span));
+    }
+}
+
+/// Cost of being there, by the number of routers.
+fn idle() {
+    for routers in [4, 12, 24] {
+        let fleet = Fleet::start(plan(routers));
+        std::thread::sleep(Duration::from_secs(3));
+        let (before, began) = (all(&fleet), Instant::now());
+        std::thread::sleep(SPAN);
+        report(&format!("idle routers={routers}"), &fleet, &before, began);
+    }
+}
+
+/// Cost of requests, by their rate.
+fn requests() {
+    let fleet = Fleet::start(plan(8));
+    for rate in [40, 80, 160] {
+        let (before, began) = (all(&fleet), Instant::now());
+        let routers: Vec<&Vm> = fleet.vms.iter().filter(|v| v.callers.is_some()).collect();
+        let each = f64::from(rate) / routers.len() as f64;
+        std::thread::scope(|scope| {
+            for vm in &routers {
+                let target = vm.callers.map(|c| c.to_string()).unwrap_or_default();
+                let count = (each * SPAN.as_secs_f64()).round().to_string();
+                let each = each.to_string();
+                scope.spawn(move || {
+                    let args = [
+                        "load",
+                        "--target",
+                        &target,
+                        "--rate",
+                        &each,
+                        "--requests",
+                        &count,
+                        "--callers",
+                        "16",
+                        "--tokens",
+                        "20",
+                        "--pace",
+                        "5",
+                    ];
+                    run(&args, &[] as &[&str])
+                });
+            }
+        });
+        report(&format!("requests rate={rate}"), &fleet, &before, began);
+    }
+}
+
+/// Time from accepted to in force everywhere, and the cost of changes.
+fn changes() {
+    for routers in [4, 12, 24] {
+        let fleet = Fleet::start(plan(routers));
+        let text = fleet.configuration();
+        let mut version = fleet.version();
+        let mut times = Vec::new();
+        let (before, began) = (all(&fleet), Instant::now());
+        for n in 0..20 {
+            let text = text.replace("not today", &format!("not today {n}"));
+            let path = format!("/config?id=c{n:x}&base={version}");
+            let answer = http::send(fleet.vms[0].operators, "POST", &path, OPERATOR, &[], &text);
+            let accepted = Instant::now();
+            let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+            version = body["version"].as_u64().unwrap_or(version);
+            let in_force = |vm: &Vm| {
+                let config = http::get(vm.operators, "/config", OPERATOR);
+                config.header("cowslipford-version").parse().unwrap_or(0) >= version
+            };
+            while !fleet.vms.iter().all(in_force) {
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            times.push(accepted.elapsed().as_secs_f64() * 1000.0);
+        }
+        times.sort_by(f64::total_cmp);
+        let (middle, most) = (times[times.len() / 2], times[times.len() - 1]);
+        println!(
+            "changes routers={routers} ms to in force, looking at one VM after the other: \
+             median {middle:.1} most {most:.1}"
+        );
+        report(
+            &format!("changes routers={routers}"),
+            &fleet,
+            &before,
+            began,
+        );
+    }
+}
+
+/// Memory, by the size of the configuration.
+fn sizes() {
+    for customers in [16, 90, 270] {
+        let fleet = Fleet::start(plan(3));
+        let mut text = fleet.configuration();
+        for n in 0..customers {
+            let key = state::secret::Hash::of(&[format!("more-{n}").as_bytes()]).hex();
+            text.push_str(&format!(
+                "[customer more-{n}]\nkey-sha256 = {key}\nservices = assistant\n"
+            ));
+        }
+        for n in 0..customers * 4 {
+            text.push_str(&format!(
+                "[endpoint more-{n}]\nservice = nobody\naddress = 127.0.0.1:9\n\
+                 data-centre = dc-9\n"
+            ));
+        }
+        let applied = fleet.apply(&text, &[]);
+        assert!(applied.0.success(), "{}", applied.2);
+        fleet.wait_version(fleet.version());
+        std::thread::sleep(Duration::from_secs(2));
+        let (before, began) = (all(&fleet), Instant::now());
+        std::thread::sleep(Duration::from_secs(3));
+        report(
+            &format!("sizes customers={customers}"),
+            &fleet,
+            &before,
+            began,
+        );
+    }
+}
+
+/// Cost of one event of the time line.
+fn events() {
+    let journal = node::Journal::new(transport::clock::Clock::default(), 4096);
+    let count = 1_000_000;
+    let began = Instant::now();
+    for n in 0..count {
+        let id = state::id::RequestId {
+            router: 1,
+            count: n,
+        };
+        journal.note(state::event::Event::new(state::event::Step::Sent).request(id));
+    }
+    let each = began.elapsed().as_nanos() as f64 / count as f64;
+    println!("events: {each:.0} ns each");
+}
+
+fn main() {
+    let only = std::env::args().find(|a| !a.starts_with('-') && !a.contains('/'));
+    let wants = |name: &str| only.as_deref().is_none_or(|o| o == name);
+    for (name, measure) in [
+        ("events", events as fn()),
+        ("idle", idle),
+        ("requests", requests),
+        ("changes", changes),
+        ("sizes", sizes),
+    ] {
+        if wants(name) {
+            measure();
+        }
+    }
+}
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -1,4 +1,5 @@
 //! The smaller decisions, one by one.
+#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 use coordination::ask::{Ask, Class, Held, Known, Seq, Verdict};
 use coordination::health::{Change, Health, EJECT_MS, FAILURES};
--- a/components/coordination/tests/desk.rs
+++ b/components/coordination/tests/desk.rs
@@ -1,4 +1,5 @@
 //! The router's desk.
+#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 use coordination::ask::{Class, Grant, Report, Verdict};
 use coordination::desk::{Arrival, Bounds, Desk, Effect, Full, Ticket, ALONE_MS, WINDOW};
--- a/components/node/src/query.rs
+++ b/components/node/src/query.rs
@@ -11,6 +11,8 @@
 /// Time without an answer after which the next control VM is asked, in
 /// milliseconds.
 const AGAIN_MS: u64 = 400;
+/// Pause before the next try when nobody is known to lead, in milliseconds.
+const PAUSE_MS: u64 = 50;
 /// Time without queries after which links to control VMs are closed, in
 /// milliseconds. A router of a large fleet needs them seldom.
 const KEEP_MS: u64 = 30_000;
@@ -19,6 +21,8 @@
     query: Query,
     answer: oneshot::Sender<Reply>,
     sent: Option<Millis>,
+    /// When to send it, again or for the first time.
+    due: Millis,
 }
 
 /// Queries that wait for an answer.
@@ -63,6 +67,7 @@
             query,
             answer,
             sent: None,
+            due: now,
         };
         self.open.insert(id, open);
         self.send(now, hub);
@@ -77,8 +82,8 @@
             if let Some(open) = self.open.get_mut(&id) {
                 // A VM that names itself or nobody is asked again a little later.
                 let soon = known.is_some() && !asked_now;
-                let pause = if soon { AGAIN_MS } else { AGAIN_MS - 50 };
-                open.sent = Some(Millis(now.0.saturating_sub(pause)));
+                open.sent = None;
+                open.due = now.after(if soon { 0 } else { PAUSE_MS });
             }
             self.send(now, hub);
             return;
@@ -92,7 +97,7 @@
     /// Lets time pass.
     pub(crate) fn tick(&mut self, now: Millis, hub: &Hub) {
         self.open.retain(|_, open| !open.answer.is_closed());
-        let late = |o: &Open| o.sent.is_some_and(|at| now.since(at) >= AGAIN_MS * 2);
+        let late = |o: &Open| o.sent.is_some() && now >= o.due;
         if self.open.values().any(late) {
             self.target = (self.target + 1) % self.seeds.len().max(1);
         }
@@ -131,11 +136,12 @@
         self.target = up;
         let vm = &self.seeds[up].vm;
         for (id, open) in &mut self.open {
-            if open.sent.is_some_and(|at| now.since(at) < AGAIN_MS) {
+            if now < open.due {
                 continue;
             }
             if hub.send(vm, Message::Query(*id, open.query.clone())) {
                 open.sent = Some(now);
+                open.due = now.after(AGAIN_MS);
             }
         }
     }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -294,6 +294,9 @@
     /// requests in all, 400 by default
     #[argh(option, default = "400")]
     pub(crate) requests: usize,
+    /// requests a second over all callers; as fast as answers come by default
+    #[argh(option)]
+    pub(crate) rate: Option<f64>,
     /// bytes of a body, 64 by default
     #[argh(option, default = "64")]
     pub(crate) bytes: usize,
--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -31,13 +31,17 @@
     let mut callers = Vec::new();
     for _ in 0..args.callers.max(1) {
         let (request, next) = (request.clone(), next.clone());
-        let (target, count) = (args.target, args.requests);
+        let (target, count, rate) = (args.target, args.requests, args.rate);
         callers.push(std::thread::spawn(move || -> Result<Sample> {
             let mut sample = Sample::new()?;
-            while next.fetch_add(1, Ordering::Relaxed) < count {
+            loop {
+                let number = next.fetch_add(1, Ordering::Relaxed);
+                if number >= count {
+                    return Ok(sample);
+                }
+                wait_turn(began, number, rate);
                 sample.take(call(target, &request));
             }
-            Ok(sample)
         }));
     }
     let mut total = Sample::new()?;
@@ -52,6 +56,14 @@
     Ok(())
 }
 
+/// Waits until the time of a request that is sent at a rate.
+fn wait_turn(began: Instant, number: usize, rate: Option<f64>) {
+    if let Some(rate) = rate {
+        let at = Duration::from_secs_f64(number as f64 / rate.max(0.001));
+        std::thread::sleep(at.saturating_sub(began.elapsed()));
+    }
+}
+
 impl Sample {
     fn new() -> Result<Self> {
         let histogram = || Histogram::new(3).map_err(Error::key("make a histogram"));
