Serve one region's queue by another's idle slots; exchange service between regions

Cause: a shard is one region's; its endpoints stood idle while another region's callers waited, and a customer that two regions serve had two counters. Ways weighed: a scheduler that asks another scheduler as a router does (two hops, grants to be kept alive twice); routers that ask both regions at once (slots granted and given back all the time); routers that ask abroad after 250 ms. The last one is built. Change: a guest ask takes only what nobody of the region can start; the first grant counts, the other ask is withdrawn or its grant given back. Schedulers of a service tell each other each second what they have given in their reign; growth is added, the first word of a reign sets its start. Measured: 'can_use_idle_endpoints_of_another_region' passes over processes; without the change no call reaches the other region. Not measured: the gap between regions.

--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -41,6 +41,9 @@
     pub prefix: u32,
     /// Endpoint to avoid since an earlier try on it failed.
     pub avoid: Option<EndpointId>,
+    /// Whether it comes from another region, and takes only what nobody here
+    /// waits for.
+    pub guest: bool,
 }
 
 /// A request that a router has sent, as told to a new scheduler.
--- a/components/coordination/src/desk.rs
+++ b/components/coordination/src/desk.rs
@@ -25,6 +25,12 @@
 pub const HELLO_AGAIN_MS: u64 = 50;
 /// The reign of a desk that schedules alone; seats begin at 1.
 const ALONE: Epoch = Epoch(0);
+/// Wait after which a request is asked for in another region too, in
+/// milliseconds. Asked for at once, slots of another region would be granted
+/// and given back all the time.
+pub const GUEST_MS: u64 = 250;
+/// Requests asked for in other regions at once.
+pub const GUESTS: usize = 64;
 /// Largest factor between two reports of one request's growing cost.
 const PROGRESS_FACTOR: u32 = 2;
 
@@ -91,6 +97,9 @@
     shard: Shard,
     avoid: Option<EndpointId>,
     stage: Stage,
+    since: Millis,
+    /// The ask in another region that runs beside the one in its own.
+    guest: Option<(Shard, Seq)>,
     cost: u32,
     told: u32,
 }
@@ -259,6 +268,8 @@
             shard: shard.clone(),
             avoid: None,
             stage: Stage::Waiting,
+            since: now,
+            guest: None,
             cost: 0,
             told: 0,
         };
@@ -299,6 +310,7 @@
         let cost = request.cost;
         request.avoid = Some(endpoint);
         request.stage = Stage::Waiting;
+        request.since = now;
         request.cost = 0;
         let of = Some((class, request.arrival.weight));
         let done = Report::Done(seq, cost, verdict);
@@ -429,9 +441,95 @@
             self.tick_session(now, view, &shard, &mut effects);
         }
         self.lines.retain(|_, line| line.count > 0);
+        self.ask_abroad(now, view, &mut effects);
         effects
     }
 
+    /// Asks other regions for requests that have waited here for a while.
+    fn ask_abroad(&mut self, now: Millis, view: &View, effects: &mut Effects) {
+        let abroad = self.requests.values().filter(|r| r.guest.is_some()).count();
+        let waits = |r: &Request| {
+            let asked = matches!(r.stage, Stage::Asked(_));
+            asked && r.guest.is_none() && now.since(r.since) >= GUEST_MS
+        };
+        let long: Vec<Ticket> = (self.requests.iter())
+            .filter(|(_, r)| waits(r))
+            .map(|(ticket, _)| ticket)
+            .take(GUESTS.saturating_sub(abroad))
+            .collect();
+        for ticket in long {
+            self.ask_guest(now, view, ticket, effects);
+        }
+    }
+
+    fn ask_guest(&mut self, now: Millis, view: &View, ticket: Ticket, effects: &mut Effects) {
+        let Some(request) = self.requests.get(ticket) else {
+            return;
+        };
+        let (arrival, avoid) = (request.arrival, request.avoid);
+        let home = request.shard.clone();
+        let others: SmallVec<[Shard; 7]> = (view.seats.iter())
+            .map(|seat| &seat.shard)
+            .filter(|s| s.service == home.service && **s != home)
+            .filter(|s| endpoints(view, s).any(|(_, _, _, leaving)| !leaving))
+            .cloned()
+            .collect();
+        if others.is_empty() {
+            return;
+        }
+        // CAST: the remainder is below the length, which is a `usize`.
+        let shard = others[(mix(now.0, EndpointId(0)) % others.len() as u64) as usize].clone();
+        self.ensure(now, view, &shard);
+        let Some(session) = self.sessions.get_mut(&shard).filter(|s| s.up) else {
+            return;
+        };
+        let seq = Seq(session.next);
+        session.next += 1;
+        session.asked.insert(seq, ticket);
+        if let Some(request) = self.requests.get_mut(ticket) {
+            request.guest = Some((shard.clone(), seq));
+        }
+        let ask = Ask {
+            seq,
+            class: arrival.class,
+            weight: arrival.weight,
+            rate: 0,
+            concurrency: 0,
+            hint: arrival.hint,
+            prefix: arrival.prefix,
+            avoid,
+            guest: true,
+        };
+        self.tell(now, &shard, Report::Ask(ask), effects);
+    }
+
+    /// Takes back the ask in another region, if there is one.
+    fn leave_abroad(&mut self, now: Millis, ticket: Ticket, effects: &mut Effects) {
+        let request = self.requests.get_mut(ticket);
+        let Some((shard, seq)) = request.and_then(|r| r.guest.take()) else {
+            return;
+        };
+        if let Some(session) = self.sessions.get_mut(&shard) {
+            session.asked.remove(&seq);
+        }
+        self.tell(now, &shard, Report::Withdraw(seq), effects);
+    }
+
+    /// Makes a region where a guest was granted its own.
+    fn move_abroad(&mut self, now: Millis, ticket: Ticket, shard: &Shard, effects: &mut Effects) {
+        let Some(request) = self.requests.get_mut(ticket) else {
+            return;
+        };
+        request.guest = None;
+        let home = std::mem::replace(&mut request.shard, shard.clone());
+        if let Stage::Asked(seq) = request.stage {
+            if let Some(session) = self.sessions.get_mut(&home) {
+                session.asked.remove(&seq);
+            }
+            self.tell(now, &home, Report::Withdraw(seq), effects);
+        }
+    }
+
     fn seated_at(&self, vm: &Name) -> Vec<Shard> {
         (self.sessions.iter())
             .filter(|(_, s)| s.seat.as_ref().is_some_and(|seat| seat.place.vm == *vm))
@@ -523,7 +621,11 @@
         };
         let arrival = request.arrival;
         let shard = request.shard.clone();
-        match request.stage {
+        let stage = request.stage;
+        if !matches!(stage, Stage::Held { .. }) {
+            self.leave_abroad(now, ticket, effects);
+        }
+        match stage {
             Stage::Held { .. } => return,
             Stage::Waiting => {
                 let key = (arrival.service, arrival.class);
@@ -582,6 +684,7 @@
                 hint: arrival.hint,
                 prefix: arrival.prefix,
                 avoid: request.avoid,
+                guest: false,
             };
             let shard = request.shard.clone();
             self.tell(now, &shard, Report::Ask(ask), effects);
@@ -596,6 +699,15 @@
             self.tell(now, shard, Report::Return(grant.seq), effects);
             return;
         };
+        let abroad = |r: &Request| r.shard != *shard;
+        if self.requests.get(ticket).is_some_and(abroad) {
+            self.move_abroad(now, ticket, shard, effects);
+        } else {
+            self.leave_abroad(now, ticket, effects);
+        }
+        let Some(session) = self.sessions.get_mut(shard) else {
+            return;
+        };
         let Some(request) = self.requests.get_mut(ticket) else {
             return;
         };
@@ -693,6 +805,10 @@
             let Some(request) = self.requests.get_mut(ticket) else {
                 continue;
             };
+            if request.shard != *shard {
+                request.guest = None;
+                continue;
+            }
             request.stage = Stage::Waiting;
             let key = (request.arrival.service, request.arrival.class);
             let line = self.lines.entry(key).or_default();
--- a/components/coordination/src/ledger.rs
+++ b/components/coordination/src/ledger.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Adds service that a customer received in another region.
+    pub fn add(&mut self, customer: CustomerId, amount: u64) {
+        self.change(customer, |a| a.settled = a.settled.saturating_add(amount));
+    }
+
     fn lift(&mut self, customer: CustomerId, floor: u64) {
         self.change(customer, |a| {
             a.settled = a.settled.max(floor);
--- a/components/coordination/src/scheduler.rs
+++ b/components/coordination/src/scheduler.rs
@@ -23,6 +23,8 @@
 /// Its router may only be cut off from here, and its requests still run. Those
 /// of a router that comes back are told by it, or have died with it.
 pub const ORPHAN_MS: u64 = 1000;
+/// Guests among whom the least served is sought.
+const GUESTS: usize = 64;
 /// Longest wait before an unused class is forgotten, in milliseconds.
 const CLASS_MS: u64 = 60_000;
 
@@ -80,6 +82,12 @@
     spent: BTreeMap<Session, Vec<(CustomerId, u64)>>,
     /// Largest floor that a router remembers.
     floor: u64,
+    /// Asks from other regions, in the order of their arrival.
+    guests: VecDeque<(Session, Seq)>,
+    /// Service given here in this reign, for the other regions to count.
+    served: BTreeMap<CustomerId, u64>,
+    /// What other regions' schedulers have told of theirs, by reign.
+    foreign: BTreeMap<(Epoch, CustomerId), u64>,
     is_open: bool,
     opened: Millis,
     next: u32,
@@ -105,6 +113,9 @@
             orphans: BTreeMap::new(),
             spent: BTreeMap::new(),
             floor: 0,
+            guests: VecDeque::new(),
+            served: BTreeMap::new(),
+            foreign: BTreeMap::new(),
             is_open: false,
             opened: now.after(GATHER_MS),
             next: 0,
@@ -210,6 +221,11 @@
         if !self.sessions.contains_key(&session) {
             return Effects::new();
         }
+        if ask.guest {
+            self.guests.push_back((session, ask.seq));
+            self.asks.insert((session, ask.seq), ask);
+            return self.grant(now);
+        }
         let line = self.line(now, ask.class);
         line.asks.push_back((session, ask.seq));
         match (&mut line.bucket, ask.rate) {
@@ -276,6 +292,32 @@
         effects
     }
 
+    /// Service given here in this reign, by customer; it only grows.
+    pub fn served(&self) -> Vec<(CustomerId, u64)> {
+        self.served.iter().map(|(c, n)| (*c, *n)).collect()
+    }
+
+    /// Takes what another region's scheduler gave in its reign.
+    ///
+    /// The first word of a reign only sets where counting begins: what it gave
+    /// before was counted by whoever scheduled here then.
+    pub fn hear_served(&mut self, epoch: Epoch, served: &[(CustomerId, u64)]) {
+        let known = self.foreign.keys().any(|(e, _)| *e == epoch);
+        for (customer, total) in served {
+            let last = self.foreign.insert((epoch, *customer), *total);
+            let from = if known { last.unwrap_or(0) } else { *total };
+            self.ledger.add(*customer, total.saturating_sub(from));
+        }
+    }
+
+    /// Forgets reigns of other regions that `keep` refuses.
+    pub fn retain_foreign<F>(&mut self, keep: F)
+    where
+        F: Fn(Epoch) -> bool,
+    {
+        self.foreign.retain(|(epoch, _), _| keep(*epoch));
+    }
+
     /// Lets time pass: ends orphans, opens limits, grants what has become free.
     pub fn tick(&mut self, now: Millis) -> Effects {
         let over: SmallVec<[Session; 4]> = (self.orphans.iter())
@@ -306,7 +348,7 @@
             self.ledger.open(self.floor);
         }
         while self.slots.any_free(now) {
-            let Some(key) = self.next_ask(now) else {
+            let Some(key) = self.next_ask(now).or_else(|| self.next_guest()) else {
                 break;
             };
             let Some(ask) = self.asks.get(&key).copied() else {
@@ -389,10 +431,26 @@
         None
     }
 
+    /// The guest to serve next, once nobody of this region can start: of the
+    /// first few, the least served one.
+    fn next_guest(&mut self) -> Option<(Session, Seq)> {
+        let asks = &self.asks;
+        self.guests.retain(|key| asks.contains_key(key));
+        let first = self.guests.iter().take(GUESTS);
+        let level = |key: &&(Session, Seq)| {
+            let ask = asks.get(*key);
+            ask.map_or(u64::MAX, |a| self.ledger.level(a.class.customer))
+        };
+        first.min_by_key(level).copied()
+    }
+
     fn remove_ask(&mut self, session: Session, seq: Seq) {
         let Some(ask) = self.asks.remove(&(session, seq)) else {
             return;
         };
+        if ask.guest {
+            return;
+        }
         let customer = ask.class.customer;
         let Some(waiting) = self.waiting.get_mut(&customer) else {
             return;
@@ -416,6 +474,7 @@
         let charged = virtual_cost(running.charged, running.weight);
         let amount = virtual_cost(cost, running.weight);
         self.ledger.settle(running.class.customer, charged, amount);
+        *self.served.entry(running.class.customer).or_default() += amount;
         let change = self.slots.free(now, running.endpoint, verdict);
         let line = self.line(now, running.class);
         line.running = line.running.saturating_sub(1);
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -274,6 +274,7 @@
         hint: 10,
         prefix: 0,
         avoid: None,
+        guest: false,
     }
 }
 
@@ -434,3 +435,39 @@
     let total = tree.total(Some((&own, Version(7))));
     assert_eq!((total.version, total.routers), (Version(7), 6));
 }
+
+#[test]
+fn can_serve_guests_only_from_slots_that_nobody_here_wants() {
+    let (mut scheduler, session) = scheduler(1);
+    let now = Millis(GATHER_MS);
+    let guest = |seq| Ask {
+        guest: true,
+        ..ask(seq, B, 0, 0)
+    };
+    assert_eq!(granted(&scheduler.ask(now, session, ask(1, A, 0, 0))), [1]);
+    assert!(granted(&scheduler.ask(now, session, guest(2))).is_empty());
+    assert!(granted(&scheduler.ask(now, session, ask(3, A, 0, 0))).is_empty());
+    let done = scheduler.done(now, session, Seq(1), 10, Verdict::Fine);
+    assert_eq!(granted(&done), [3]);
+    let done = scheduler.done(now, session, Seq(3), 10, Verdict::Fine);
+    assert_eq!(granted(&done), [2]);
+}
+
+#[test]
+fn can_count_what_another_region_gave_once() {
+    // Symptom: a customer that two regions serve gets twice its share, or is
+    // charged twice after a scheduler was replaced.
+    // Sequence: two schedulers tell each other their totals again and again.
+    // Cause: totals that are added instead of their growth.
+    let (mut scheduler, _) = scheduler(1);
+    let other = Epoch(9);
+    scheduler.hear_served(other, &[(A, 500)]);
+    assert_eq!(scheduler.levels(), [(A, 0)]);
+    scheduler.hear_served(other, &[(A, 700), (B, 50)]);
+    scheduler.hear_served(other, &[(A, 700), (B, 50)]);
+    assert_eq!(scheduler.levels(), [(A, 200), (B, 50)]);
+    // A later reign begins its totals anew.
+    scheduler.hear_served(Epoch(10), &[(A, 30)]);
+    scheduler.hear_served(Epoch(10), &[(A, 40)]);
+    assert_eq!(scheduler.levels(), [(A, 210), (B, 50)]);
+}
--- a/components/coordination/tests/desk.rs
+++ b/components/coordination/tests/desk.rs
@@ -2,7 +2,7 @@
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 use coordination::ask::{Class, Grant, Report, Verdict};
-use coordination::desk::{Arrival, Bounds, Desk, Effect, Full, Ticket, ALONE_MS, WINDOW};
+use coordination::desk::{Arrival, Bounds, Desk, Effect, Full, Ticket, ALONE_MS, GUEST_MS, WINDOW};
 use state::clock::Millis;
 use state::config::{Cost, Endpoint, Service};
 use state::id::{CustomerId, EndpointId, Epoch, Name, ServiceId};
@@ -248,3 +248,75 @@
         .collect();
     assert_eq!(asks, [ENDPOINT]);
 }
+
+/// A view with a second region, whose scheduler is `t`.
+fn two_regions() -> View {
+    let mut view = view(1);
+    let mut endpoint = view.config.endpoints[&ENDPOINT].clone();
+    endpoint.name = name("far");
+    endpoint.region = name("other");
+    view.config.endpoints.insert(EndpointId(3), endpoint);
+    let mut seat = view.seats[0].clone();
+    seat.shard.region = name("other");
+    seat.place.vm = name("t");
+    seat.epoch = Epoch(5);
+    view.seats.push(seat);
+    view
+}
+
+fn asks(effects: &[Effect]) -> Vec<(String, coordination::ask::Ask)> {
+    let each = effects.iter().filter_map(|e| match e {
+        Effect::Report(seat, Report::Ask(ask)) => Some((seat.place.vm.to_string(), *ask)),
+        _ => None,
+    });
+    each.collect()
+}
+
+#[test]
+fn can_ask_another_region_after_a_while_and_use_one_grant_only() {
+    // Symptom: endpoints of one region idle while another's callers wait; or a
+    // request runs in both.
+    // Sequence: a request waits at home, is asked for abroad, and both grant.
+    // Cause: regions that do not know of each other, or asks that do not.
+    let view = two_regions();
+    let mut desk = desk();
+    desk.link_up(Millis(0), &name("t"));
+    let (ticket, sent) = arrive(&mut desk, &view, 1);
+    let home = asked(&sent);
+    assert!(asks(&desk.tick(Millis(GUEST_MS - 1), &view)).is_empty());
+    let mut abroad = asks(&desk.tick(Millis(GUEST_MS), &view));
+    abroad.extend(asks(&desk.tick(Millis(GUEST_MS + 20), &view)));
+    assert_eq!(abroad.len(), 1);
+    let (vm, ask) = &abroad[0];
+    assert_eq!((vm.as_str(), ask.guest), ("t", true));
+    let far = Grant {
+        endpoint: EndpointId(3),
+        ..grant(5, ask.seq)
+    };
+    let effects = desk.grant(Millis(300), far);
+    assert!(effects.contains(&Effect::Dispatch(ticket, EndpointId(3))));
+    assert_eq!(reports(&effects), [Report::Withdraw(home)]);
+    // The grant at home was on its way: it is given back.
+    let late = reports(&desk.grant(Millis(301), grant(1, home)));
+    assert_eq!(late, [Report::Return(home)]);
+    assert_eq!((desk.held(), desk.waiting()), (1, 0));
+    let done = desk.done(Millis(400), ticket, 9, Verdict::Fine);
+    assert!(
+        matches!(&done[..], [Effect::Report(seat, Report::Done(seq, 9, Verdict::Fine))]
+        if seat.place.vm == name("t") && *seq == ask.seq)
+    );
+}
+
+#[test]
+fn can_take_back_the_ask_abroad_when_home_grants() {
+    let view = two_regions();
+    let mut desk = desk();
+    desk.link_up(Millis(0), &name("t"));
+    let (ticket, sent) = arrive(&mut desk, &view, 1);
+    let mut abroad = asks(&desk.tick(Millis(GUEST_MS), &view));
+    abroad.extend(asks(&desk.tick(Millis(GUEST_MS + 20), &view)));
+    let effects = desk.grant(Millis(300), grant(1, asked(&sent)));
+    assert!(effects.contains(&Effect::Dispatch(ticket, ENDPOINT)));
+    assert_eq!(reports(&effects), [Report::Withdraw(abroad[0].1.seq)]);
+    assert_eq!((desk.held(), desk.waiting()), (1, 0));
+}
--- a/components/node/src/reactor.rs
+++ b/components/node/src/reactor.rs
@@ -6,7 +6,7 @@
 use crate::journal::Journal;
 use crate::metric::{value, Metrics};
 use crate::query::Queries;
-use crate::reign::Reigns;
+use crate::reign::{Reigns, Served};
 use crate::shared::{Published, Shared, Status};
 use coordination::desk::{endpoints, Bounds, Desk, Effect, Effects, Ticket};
 use protocol::wire::{Message, Query, Reply};
@@ -77,6 +77,7 @@
     ready: bool,
     stopping: bool,
     seats_dialed: BTreeSet<Name>,
+    regions_dialed: BTreeSet<Name>,
     beat_at: Millis,
     measure_at: Millis,
     dirty: bool,
@@ -113,6 +114,7 @@
             ready: false,
             stopping: false,
             seats_dialed: BTreeSet::new(),
+            regions_dialed: BTreeSet::new(),
             beat_at: now,
             measure_at: now,
             dirty: true,
@@ -287,6 +289,9 @@
                     self.act(now, effects);
                 }
             }
+            Message::Served(epoch, served) => {
+                self.reigns.hear_served(&self.view, epoch, &served);
+            }
             Message::Unseated(epoch) => self.desk.unseated(now, epoch),
         }
     }
@@ -399,6 +404,7 @@
         if now >= self.measure_at {
             self.measure_at = now.after(MEASURE_MS);
             self.measure();
+            self.tell_served();
         }
     }
 
@@ -417,7 +423,8 @@
             .collect();
         for vm in over {
             self.seats_dialed.remove(&vm);
-            if !self.feed.needs(&vm) && !self.queries.needs(&vm) {
+            let other = self.regions_dialed.contains(&vm);
+            if !other && !self.feed.needs(&vm) && !self.queries.needs(&vm) {
                 self.parts.hub.undial(&vm);
             }
         }
@@ -469,6 +476,25 @@
         }
     }
 
+    /// Tells other regions' schedulers what those here have given.
+    fn tell_served(&mut self) {
+        let mut wanted = BTreeSet::new();
+        for Served { to, epoch, served } in self.reigns.served(&self.view) {
+            self.parts.hub.dial(&to.place);
+            self.parts
+                .hub
+                .send(&to.place.vm, Message::Served(epoch, served));
+            wanted.insert(to.place.vm);
+        }
+        let over = std::mem::replace(&mut self.regions_dialed, wanted);
+        for vm in over.difference(&self.regions_dialed) {
+            let other = self.seats_dialed.contains(vm);
+            if !other && !self.feed.needs(vm) && !self.queries.needs(vm) {
+                self.parts.hub.undial(vm);
+            }
+        }
+    }
+
     fn publish(&self) {
         let shared = Shared {
             view: self.shown.0.clone(),
--- a/components/node/src/reign.rs
+++ b/components/node/src/reign.rs
@@ -9,8 +9,8 @@
 use coordination::scheduler::{Effect, Effects, Scheduler, Session};
 use state::clock::Millis;
 use state::event::{Event, Step};
-use state::id::{EndpointId, Epoch, Name};
-use state::view::{Shard, View};
+use state::id::{CustomerId, EndpointId, Epoch, Name};
+use state::view::{Seat, Shard, View};
 use std::collections::BTreeMap;
 
 struct Reign {
@@ -19,6 +19,13 @@
     sessions: BTreeMap<Name, Session>,
 }
 
+/// What one reign has given, for a seat in another region.
+pub(crate) struct Served {
+    pub(crate) to: Seat,
+    pub(crate) epoch: Epoch,
+    pub(crate) served: Vec<(CustomerId, u64)>,
+}
+
 /// All schedulers of this VM, by reign.
 pub(crate) struct Reigns {
     me: Name,
@@ -65,7 +72,9 @@
             };
             self.all.insert(epoch, reign);
         }
+        let seated = |epoch| view.seats.iter().any(|s| s.epoch == epoch);
         for reign in self.all.values_mut() {
+            reign.scheduler.retain_foreign(seated);
             let slots = reign.scheduler.slots();
             let known: Vec<EndpointId> = endpoints(view, &reign.shard).map(|e| e.0).collect();
             slots.retain(|id| known.contains(&id));
@@ -108,6 +117,34 @@
         }
     }
 
+    /// What each reign has given, for the seats of its service in other regions.
+    pub(crate) fn served(&self, view: &View) -> Vec<Served> {
+        let mut all = Vec::new();
+        for (epoch, reign) in &self.all {
+            let other =
+                |s: &&Seat| s.shard.service == reign.shard.service && s.shard != reign.shard;
+            all.extend(view.seats.iter().filter(other).map(|to| Served {
+                to: to.clone(),
+                epoch: *epoch,
+                served: reign.scheduler.served(),
+            }));
+        }
+        all
+    }
+
+    /// Takes what a reign in another region has given.
+    pub(crate) fn hear_served(&mut self, view: &View, epoch: Epoch, served: &[(CustomerId, u64)]) {
+        let Some(seat) = view.seats.iter().find(|s| s.epoch == epoch) else {
+            return;
+        };
+        for reign in self.all.values_mut() {
+            let other = reign.shard.region != seat.shard.region;
+            if other && reign.shard.service == seat.shard.service {
+                reign.scheduler.hear_served(epoch, served);
+            }
+        }
+    }
+
     /// Takes an endpoint's load report.
     pub(crate) fn load(&mut self, now: Millis, endpoint: EndpointId, load: u32) {
         for reign in self.all.values_mut() {
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -124,6 +124,9 @@
     Reports(Epoch, SmallVec<[Report; 2]>),
     /// From a scheduler to a router.
     Grants(SmallVec<[Grant; 2]>),
+    /// From a scheduler to those of the same service in other regions: service
+    /// that it has given in its reign.
+    Served(Epoch, Vec<(CustomerId, u64)>),
     /// This VM does not schedule in that reign, or not yet.
     Unseated(Epoch),
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -371,3 +371,63 @@
         );
     });
 }
+
+#[test]
+fn can_use_idle_endpoints_of_another_region() {
+    // Symptom: endpoints of one region idle while callers of another wait.
+    // Sequence: all callers ask in one region; the other one has an endpoint.
+    // Cause: schedulers that know their own region only.
+    let plan = Plan {
+        control: 1,
+        routers: 2,
+        regions: 2,
+        batch: 1,
+        ..Plan::default()
+    };
+    let fleet = Fleet::start(plan);
+    let far = fleet
+        .stand_ins
+        .iter()
+        .find(|s| s.name == "assistant-2")
+        .unwrap()
+        .address;
+    let text = fleet.configuration().replace(
+        &format!("address = {far}\n"),
+        &format!("address = {far}\nregion = region-1\n"),
+    );
+    let applied = fleet.apply(&text, &[]);
+    assert!(applied.0.success(), "{}", applied.2);
+    eventually("both regions have a scheduler", || {
+        let status = fleet.vm("c1").status().unwrap();
+        let reigns = fleet.vms.iter().filter_map(|v| v.status());
+        let seats: usize = reigns
+            .map(|s| s["reigns"].as_array().map_or(0, Vec::len))
+            .sum();
+        status["version"].as_u64() == Some(fleet.version()) && seats == 3
+    });
+    let before = fleet.counts("assistant-2")["calls"].as_u64().unwrap();
+    let callers = fleet.callers("r1");
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            let slow = [("stand-in-tokens", "40"), ("stand-in-pace", "10")];
+            scope.spawn(move || {
+                let answer = http::send(callers, "POST", "/assistant", "alpha", &slow, "x");
+                assert_eq!(answer.status, 200);
+                assert!(answer.whole);
+            });
+        }
+    });
+    let after = fleet.counts("assistant-2")["calls"].as_u64().unwrap();
+    assert!(after > before, "the other region served nothing");
+    eventually("nothing is left", || {
+        fleet.vms.iter().filter(|v| v.callers.is_some()).all(|v| {
+            v.status().is_some_and(|s| {
+                let running = |r: &serde_json::Value| r["running"] == 0 && r["waiting"] == 0;
+                s["held"] == 0
+                    && s["reigns"]
+                        .as_array()
+                        .is_some_and(|r| r.iter().all(running))
+            })
+        })
+    });
+}
