Close links that nothing needs any more

Cause: each router opened links to all control VMs for its first query, and they stayed for good: 'no longer dialed' did not close them. At 340 routers that is 340 links, 82 KB/s, on each control VM.

--- a/components/node/src/feed.rs
+++ b/components/node/src/feed.rs
@@ -219,7 +219,6 @@
         if asked.is_none_or(|p| p.vm != *from) || place.vm == self.me {
             return;
         }
-        hub.undial(from);
         self.seek(now, hub, place);
     }
 
@@ -275,13 +274,11 @@
                     self.seek_seed(now, hub);
                 }
             }
-            Stand::Child { parent } => {
+            Stand::Child { .. } => {
                 // A parent that is cut off with us, or that we are above of in a
                 // ring, passes on no pulse; only a root can begin one.
                 if self.pulse.is_none_or(|at| now.since(at) > QUIET_MS) {
-                    let old = parent.vm.clone();
                     self.pulse = Some(now);
-                    hub.undial(&old);
                     self.seek_seed(now, hub);
                 }
             }
@@ -289,6 +286,11 @@
         self.tell_parent(hub, version);
     }
 
+    /// Whether this node feeds a VM.
+    pub(crate) fn feeds(&self, vm: &Name) -> bool {
+        self.tree.children().any(|child| child == vm)
+    }
+
     /// Whether a VM's link is kept for the feed.
     pub(crate) fn needs(&self, vm: &Name) -> bool {
         match &self.stand {
--- a/components/node/src/query.rs
+++ b/components/node/src/query.rs
@@ -102,12 +102,8 @@
             self.target = (self.target + 1) % self.seeds.len().max(1);
         }
         self.send(now, hub);
-        let idle = self.open.is_empty() && now.since(self.used) > KEEP_MS;
-        if idle && self.dialed && !self.keep {
+        if self.open.is_empty() && now.since(self.used) > KEEP_MS {
             self.dialed = false;
-            for seed in &self.seeds {
-                hub.undial(&seed.vm);
-            }
         }
     }
 
--- a/components/node/src/reactor.rs
+++ b/components/node/src/reactor.rs
@@ -398,34 +398,51 @@
         self.reigns.tick(now, &mut self.batch);
         self.queries.tick(now, &self.parts.hub);
         self.feed.tick(now, &self.parts.hub, self.view.version);
-        self.keep_links();
+        self.reach_schedulers();
         self.beat(now);
         self.seek_ready(now);
         if now >= self.measure_at {
             self.measure_at = now.after(MEASURE_MS);
             self.measure();
             self.tell_served();
+            self.close_links();
         }
     }
 
-    /// Dials schedulers that the desk has sessions with, and no others.
-    fn keep_links(&mut self) {
+    /// Dials the schedulers that the desk has sessions with.
+    fn reach_schedulers(&mut self) {
         let wanted: BTreeMap<Name, Seat> = (self.desk.shards())
             .filter_map(|(shard, _)| self.view.seat(shard))
             .map(|seat| (seat.place.vm.clone(), seat.clone()))
             .collect();
+        self.seats_dialed.retain(|vm| wanted.contains_key(vm));
         for seat in wanted.values() {
             self.reach(seat);
         }
-        let over: Vec<Name> = (self.seats_dialed.iter())
-            .filter(|vm| !wanted.contains_key(vm))
-            .cloned()
-            .collect();
-        for vm in over {
-            self.seats_dialed.remove(&vm);
-            let other = self.regions_dialed.contains(&vm);
-            if !other && !self.feed.needs(&vm) && !self.queries.needs(&vm) {
-                self.parts.hub.undial(&vm);
+    }
+
+    /// Closes links that nothing here needs any more.
+    ///
+    /// Each costs signs of life on both VMs: links that stay after a query would
+    /// make a control VM's traffic grow with the fleet.
+    fn close_links(&mut self) {
+        let hub = &self.parts.hub;
+        let member = self.parts.control || self.parts.scheduler;
+        for vm in hub.dialed() {
+            let seed = member && self.parts.seeds.iter().any(|s| s.vm == vm);
+            let needed = seed
+                || self.feed.needs(&vm)
+                || self.queries.needs(&vm)
+                || self.seats_dialed.contains(&vm)
+                || self.regions_dialed.contains(&vm);
+            if needed {
+                continue;
+            }
+            // The peer may use the link that we opened.
+            if self.feed.feeds(&vm) || self.reigns.serves(&vm) {
+                hub.undial(&vm);
+            } else {
+                hub.close(&vm);
             }
         }
     }
@@ -486,13 +503,7 @@
                 .send(&to.place.vm, Message::Served(epoch, served));
             wanted.insert(to.place.vm);
         }
-        let over = std::mem::replace(&mut self.regions_dialed, wanted);
-        for vm in over.difference(&self.regions_dialed) {
-            let other = self.seats_dialed.contains(vm);
-            if !other && !self.feed.needs(vm) && !self.queries.needs(vm) {
-                self.parts.hub.undial(vm);
-            }
-        }
+        self.regions_dialed = wanted;
     }
 
     fn publish(&self) {
--- a/components/node/src/reign.rs
+++ b/components/node/src/reign.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Whether a router has a session with a scheduler here.
+    pub(crate) fn serves(&self, vm: &Name) -> bool {
+        self.all.values().any(|r| r.sessions.contains_key(vm))
+    }
+
     /// Takes an endpoint's load report.
     pub(crate) fn load(&mut self, now: Millis, endpoint: EndpointId, load: u32) {
         for reign in self.all.values_mut() {
--- a/components/transport/src/link.rs
+++ b/components/transport/src/link.rs
@@ -25,8 +25,6 @@
 const BACKLOG: usize = 8192;
 /// Time between two tries to open a link.
 const REDIAL: Duration = Duration::from_millis(150);
-/// Longest delay of an acknowledgement.
-const ACK_DELAY: Duration = Duration::from_millis(100);
 /// Longest time to open a link.
 const OPEN: Duration = Duration::from_secs(2);
 
@@ -146,11 +144,6 @@
             // Our messages are small: probes for larger datagrams would cost more
             // than they bring.
             transport.mtu_discovery_config(None);
-            // An acknowledgement that waits a little goes with the next message.
-            let mut acks = quinn::AckFrequencyConfig::default();
-            acks.ack_eliciting_threshold(8_u8.into());
-            acks.max_ack_delay(Some(ACK_DELAY));
-            transport.ack_frequency_config(Some(acks));
             transport.max_concurrent_bidi_streams(0_u8.into());
             transport.max_concurrent_uni_streams(1_u8.into());
             Arc::new(transport)
@@ -274,7 +267,12 @@
         }
     }
 
-    /// Closes the link to a peer, if there is one.
+    /// Peers to which links are kept open.
+    pub fn dialed(&self) -> Vec<Name> {
+        self.inner.table().dials.keys().cloned().collect()
+    }
+
+    /// Closes the link to a peer, and no longer keeps one open.
     pub fn close(&self, vm: &Name) {
         self.undial(vm);
         if let Some(link) = self.inner.table().links.get(vm) {
