Bound what idempotency keys and stored answers take; count service exactly through a cut

Change: 200000 keys and 8 MB of stored bodies at most; the oldest give way. A test over processes that a router's service through a cut and rejoin, twice, is counted exactly once. Measured: the bounds hold with 200010 keys and 2001 answers of 16 KB; the count is exact.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -127,6 +127,7 @@
 
 fn report(point: &str, fleet: &Fleet, before: &BTreeMap<String, Usage>, began: Instant) {
     let span = began.elapsed().as_secs_f64();
+    println!("{point}: {span:.2} seconds");
     for group in ["control", "scheduler", "candidate", "router"] {
         println!("{point} {group}: {}", spent(fleet, group, before, span));
     }
--- a/components/state/src/store.rs
+++ b/components/state/src/store.rs
@@ -11,6 +11,10 @@
 pub const ANSWERS_MAX: usize = 10_000;
 /// Seconds for which a claimed idempotency key is kept.
 pub const CLAIM_SECONDS: u64 = 24 * 3600;
+/// Claimed keys kept at most; the oldest give way. A control VM has 64 MB.
+pub const CLAIMS_MAX: usize = 200_000;
+/// Bytes of stored answers kept at most; the oldest bodies give way.
+pub const STORED_MAX: usize = 8 * 1024 * 1024;
 
 /// A claimed idempotency key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,6 +42,10 @@
     pub claims: BTreeMap<Hash, Claim>,
     /// Claims by age, oldest first.
     pub claim_ages: VecDeque<(u64, Hash)>,
+    /// Keys whose answers are stored, oldest first.
+    pub stored: VecDeque<Hash>,
+    /// Bytes of stored answers.
+    pub stored_bytes: usize,
     /// First answers to changes.
     pub answers: BTreeMap<ChangeId, Answer>,
     /// Changes by age, oldest first.
@@ -132,6 +140,9 @@
         }
         self.claim_ages.push_back((claim.at, key));
         self.claims.insert(key, claim);
+        while self.claims.len() > CLAIMS_MAX {
+            self.drop_oldest();
+        }
         Answer::Fresh
     }
 
@@ -143,23 +154,68 @@
             return;
         }
         match known {
-            Some(known) => claim.known = known.clone(),
-            None => {
-                self.claims.remove(key);
+            Some(known) => {
+                claim.known = known.clone();
+                self.stored.push_back(*key);
+                self.stored_bytes += stored_bytes(known);
+                self.trim_stored();
             }
+            None => self.remove(key),
         }
     }
 
-    fn expire(&mut self, now: u64) {
-        while let Some((at, key)) = self.claim_ages.front().copied() {
-            if at + CLAIM_SECONDS > now {
+    /// Drops the oldest stored bodies beyond the bound; that they were answered
+    /// is still known.
+    fn trim_stored(&mut self) {
+        while self.stored_bytes > STORED_MAX {
+            let Some(oldest) = self.stored.pop_front() else {
                 return;
+            };
+            let Some(claim) = self.claims.get_mut(&oldest) else {
+                continue;
+            };
+            self.stored_bytes -= stored_bytes(&claim.known);
+            if let Known::Answered(stored) = &mut claim.known {
+                stored.body = None;
             }
-            self.claim_ages.pop_front();
-            // A freed key may have been claimed anew, later.
-            if self.claims.get(&key).is_some_and(|c| c.at == at) {
-                self.claims.remove(&key);
-            }
         }
     }
+
+    fn remove(&mut self, key: &Hash) {
+        if let Some(claim) = self.claims.remove(key) {
+            self.stored_bytes -= stored_bytes(&claim.known);
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some((at, key)) = self.claim_ages.pop_front() else {
+            return;
+        };
+        // A freed key may have been claimed anew, later.
+        if self.claims.get(&key).is_some_and(|c| c.at == at) {
+            self.remove(&key);
+        }
+    }
+
+    fn expire(&mut self, now: u64) {
+        let old = |at: u64| at + CLAIM_SECONDS <= now;
+        while self.claim_ages.front().is_some_and(|(at, _)| old(*at)) {
+            self.drop_oldest();
+        }
+        while self
+            .stored
+            .front()
+            .is_some_and(|key| !self.claims.contains_key(key))
+        {
+            self.stored.pop_front();
+        }
+    }
+}
+
+/// Bytes of a body that is kept.
+fn stored_bytes(known: &Known) -> usize {
+    match known {
+        Known::Answered(stored) => stored.body.as_ref().map_or(0, Vec::len),
+        Known::Open | Known::Unknown => 0,
+    }
 }
--- a/components/state/tests/store.rs
+++ b/components/state/tests/store.rs
@@ -7,7 +7,7 @@
 use state::id::{CustomerId, Epoch, Name, RequestId, ServiceId, Version};
 use state::record::{Answer, ChangeId, Known, Record, Stored};
 use state::secret::Hash;
-use state::store::{Store, CLAIM_SECONDS};
+use state::store::{Store, CLAIMS_MAX, CLAIM_SECONDS, STORED_MAX};
 use state::view::{Change, Departure, Place, Seat, Shard, Step, Taken, View};
 
 fn name(text: &str) -> Name {
@@ -187,3 +187,47 @@
     assert!(sent < received && received < replied);
     assert!(ahead.merge(1_000_001, replied) > replied);
 }
+
+#[test]
+fn can_bound_what_keys_and_answers_take() {
+    // Symptom: a control VM grows without end, and dies.
+    // Sequence: a customer sends ever new keys, with large answers.
+    // Cause: what is kept for resends is bounded by time alone.
+    let mut store = Store::default();
+    let key = |n: u64| Hash::of(&[&n.to_be_bytes()]);
+    let body = vec![7; 16 * 1024];
+    let kept = STORED_MAX / body.len();
+    for n in 0..CLAIMS_MAX as u64 + 10 {
+        let request = RequestId {
+            router: 1,
+            count: n,
+        };
+        store.apply(&Record::Claim {
+            key: key(n),
+            customer: CustomerId(1),
+            fingerprint: Hash([9; 32]),
+            request,
+            at: 5,
+        });
+        if n % 100 == 0 {
+            let stored = Stored {
+                status: 200,
+                content_type: String::new(),
+                body: Some(body.clone()),
+            };
+            let known = Some(Known::Answered(stored));
+            store.apply(&Record::Settle {
+                key: key(n),
+                request,
+                known,
+            });
+        }
+    }
+    assert_eq!(store.claims.len(), CLAIMS_MAX);
+    let bodies = store.claims.values().filter(|c| match &c.known {
+        Known::Answered(stored) => stored.body.is_some(),
+        _ => false,
+    });
+    assert_eq!(bodies.count(), kept);
+    assert_eq!(store.stored_bytes, kept * body.len());
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -431,3 +431,60 @@
         })
     });
 }
+
+#[test]
+fn can_count_service_once_through_a_cut_and_rejoin() {
+    // Symptom: after a partition a customer is served as if it had received
+    // nothing meanwhile, or twice as much.
+    // Sequence: a router is cut off from its scheduler, serves by itself, and
+    // joins again, twice.
+    // Cause: service that is not told, or told again with each new session.
+    let fleet = Fleet::start(Plan {
+        control: 1,
+        routers: 2,
+        schedulers: 1,
+        ..Plan::default()
+    });
+    let level = || {
+        let status = fleet.vm("r1").status().unwrap();
+        let levels = status["reigns"].as_array().unwrap().iter();
+        levels
+            .filter_map(|r| r["levels"]["beta"].as_u64())
+            .sum::<u64>()
+    };
+    let call = |router| {
+        assert_eq!(
+            fleet.call(router, "beta", "/assistant", &[], "x").status,
+            200
+        );
+    };
+    // Twenty events a call, at weight 1.
+    let each = 20 * coordination::ledger::SCALE;
+    call("r2");
+    eventually("the first call is settled", || level() > 0);
+    let start = level();
+    let mut calls = 0;
+    for _ in 0..2 {
+        fleet.cut("r2", &["r1"], false);
+        eventually("the router is alone", || {
+            let status = fleet.vm("r2").status().unwrap();
+            status["alone"].as_array().is_some_and(|a| !a.is_empty())
+        });
+        for _ in 0..5 {
+            call("r2");
+            calls += 1;
+        }
+        fleet.cut("r2", &[], false);
+        eventually("it has a scheduler again", || {
+            let status = fleet.vm("r2").status().unwrap();
+            status["alone"].as_array().is_some_and(Vec::is_empty)
+        });
+        for router in ["r1", "r2"] {
+            call(router);
+            calls += 1;
+        }
+        eventually("all calls are counted, each once", || {
+            level() == start + calls * each
+        });
+    }
+}
