--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -186,7 +186,7 @@
     for routers in [4, 12, 24] {
         let fleet = Fleet::start(plan(routers));
         let text = fleet.configuration();
-        let mut version = fleet.version();
+        let mut version = config_version(&fleet.vms[0]);
         let mut times = Vec::new();
         // Links are opened at first; that is no cost of changes.
         std::thread::sleep(Duration::from_secs(3));
@@ -254,6 +254,106 @@
     }
 }
 
+/// Version that changes are based on.
+fn config_version(vm: &Vm) -> u64 {
+    let config = http::get(vm.operators, "/config", OPERATOR);
+    config.header("cowslipford-version").parse().unwrap_or(0)
+}
+
+/// Value of a control VM's metric.
+fn control_metric(fleet: &Fleet, vm: &str, what: &str) -> f64 {
+    let metrics = http::get(fleet.vm(vm).operators, "/metrics", "").text();
+    let name = format!("cowslipford_control{{what=\"{what}\"}} ");
+    let line = metrics.lines().find_map(|l| l.strip_prefix(name.as_str()));
+    line.and_then(|l| l.trim().parse().ok()).unwrap_or(0.0)
+}
+
+/// The replicated log: changes, claims, and time without a leader.
+fn control() {
+    let mut fleet = Fleet::start(Plan {
+        plains: 1,
+        ..plan(4)
+    });
+    let text = fleet.configuration();
+    let leader = fleet.leader();
+    let mut version = config_version(&fleet.vms[0]);
+    let mut change = |fleet: &Fleet, vm: &str, n: u32| {
+        let text = text.replace("not today", &format!("not today {n}"));
+        let path = format!("/config?id={n:x}{version:x}&base={version}");
+        let answer = http::send(fleet.vm(vm).operators, "POST", &path, OPERATOR, &[], &text);
+        let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        version = body["version"].as_u64().unwrap_or(version);
+        answer.status
+    };
+    let read = |fleet: &Fleet| {
+        std::thread::sleep(Duration::from_millis(1200));
+        let metric = |what| control_metric(fleet, &leader, what);
+        (metric("syncs"), metric("log_bytes"), metric("accepted"))
+    };
+    let before = read(&fleet);
+    let began = Instant::now();
+    for n in 1..=200 {
+        assert_eq!(change(&fleet, &leader, n), 200);
+    }
+    let seconds = began.elapsed().as_secs_f64();
+    let after = read(&fleet);
+    println!(
+        "control changes: {:.0} a second one after the other, {:.2} syncs and {:.0} bytes each",
+        200.0 / seconds,
+        (after.0 - before.0) / 200.0,
+        (after.1 - before.1) / 200.0
+    );
+    for callers in ["1", "32"] {
+        let target = fleet.callers("r1").to_string();
+        let before = read(&fleet);
+        let args = [
+            "load",
+            "--target",
+            &target,
+            "--path",
+            "/booking",
+            "--requests",
+            "1000",
+            "--callers",
+            callers,
+            "--pace",
+            "0",
+            "--keys",
+        ];
+        let done = run(&args, &[] as &[&str]);
+        let done: serde_json::Value = serde_json::from_str(&done.1).unwrap_or_default();
+        let after = read(&fleet);
+        println!(
+            "control claims, {callers} callers: {} requests a second, p50 {} us, {:.2} syncs, \
+             {:.0} bytes and {:.2} records each, statuses {}",
+            done["per-second"],
+            done["whole-us"]["p50"],
+            (after.0 - before.0) / 1000.0,
+            (after.1 - before.1) / 1000.0,
+            (after.2 - before.2) / 1000.0,
+            done["statuses"]
+        );
+    }
+    let mut times = Vec::new();
+    for n in 1..=7 {
+        let leader = fleet.leader();
+        let other = fleet
+            .vms
+            .iter()
+            .find(|v| v.name.starts_with('c') && v.name != leader);
+        let other = other.map(|v| v.name.clone()).unwrap_or_default();
+        fleet.vm_mut(&leader).kill();
+        let began = Instant::now();
+        while change(&fleet, &other, 1000 + n) != 200 {}
+        times.push(began.elapsed().as_millis());
+        fleet.vm_mut(&leader).start();
+        fleet.wait_ready();
+        std::thread::sleep(Duration::from_secs(2));
+    }
+    times.sort_unstable();
+    println!("control leader killed: ms to the next accepted change {times:?}");
+}
+
 /// Cost of one event of the time line.
 fn events() {
     let journal = node::Journal::new(transport::clock::Clock::default(), 4096);
@@ -279,6 +379,7 @@
         ("requests", requests),
         ("changes", changes),
         ("sizes", sizes),
+        ("control", control),
     ] {
         if wants(name) {
             measure();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -300,6 +300,9 @@
     /// bytes of a body, 64 by default
     #[argh(option, default = "64")]
     pub(crate) bytes: usize,
+    /// give each request an Idempotency-Key of its own
+    #[argh(switch)]
+    pub(crate) keys: bool,
     /// tokens to ask a stand-in for
     #[argh(option)]
     pub(crate) tokens: Option<u32>,
--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -14,6 +14,9 @@
 /// Longest time for one answer.
 const ANSWER: Duration = Duration::from_secs(60);
 
+/// Longest latency that is told apart, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+
 /// What one caller measured.
 struct Sample {
     /// Microseconds to the first byte and to the end.
@@ -25,12 +28,14 @@
 
 /// Sends the load and prints one JSON line.
 pub(crate) fn run(args: &Load) -> Result<(), Failure> {
-    let request = Arc::new(request(args));
+    let parts = Arc::new(request(args));
+    let run: u64 = rand::random();
+    let keys = args.keys;
     let next = Arc::new(AtomicUsize::new(0));
     let began = Instant::now();
     let mut callers = Vec::new();
     for _ in 0..args.callers.max(1) {
-        let (request, next) = (request.clone(), next.clone());
+        let (parts, next) = (parts.clone(), next.clone());
         let (target, count, rate) = (args.target, args.requests, args.rate);
         callers.push(std::thread::spawn(move || -> Result<Sample> {
             let mut sample = Sample::new()?;
@@ -40,6 +45,9 @@
                     return Ok(sample);
                 }
                 wait_turn(began, number, rate);
+                let key = keys.then(|| format!("Idempotency-Key: {run:x}-{number}\r\n"));
+                let (head, body) = &*parts;
+                let request = [head.as_bytes(), key.unwrap_or_default().as_bytes(), body].concat();
                 sample.take(call(target, &request));
             }
         }));
@@ -66,7 +74,11 @@
 
 impl Sample {
     fn new() -> Result<Self> {
-        let histogram = || Histogram::new(3).map_err(Error::key("make a histogram"));
+        // A histogram without bounds turns what it cannot hold yet into its least.
+        let histogram = || {
+            let made = Histogram::new_with_bounds(1, LONGEST_US, 3);
+            made.map_err(Error::key("make a histogram"))
+        };
         Ok(Sample {
             first: histogram()?,
             whole: histogram()?,
@@ -98,7 +110,8 @@
     }
 }
 
-fn request(args: &Load) -> Vec<u8> {
+/// The head without its end, and what follows it.
+fn request(args: &Load) -> (String, Vec<u8>) {
     let mut head = format!(
         "{} {} HTTP/1.1\r\nHost: {}\r\nAuthorization: Bearer {}\r\nConnection: close\r\n\
          Content-Length: {}\r\n",
@@ -110,10 +123,9 @@
     if let Some(pace) = args.pace {
         head.push_str(&format!("stand-in-pace: {pace}\r\n"));
     }
-    head.push_str("\r\n");
-    let mut bytes = head.into_bytes();
-    bytes.resize(bytes.len() + args.bytes, b'x');
-    bytes
+    let mut body = b"\r\n".to_vec();
+    body.resize(body.len() + args.bytes, b'x');
+    (head, body)
 }
 
 /// One call on a connection of its own: status, time to the first byte, and
--- a/src/cmd/page.rs
+++ b/src/cmd/page.rs
@@ -1,11 +1,11 @@
 //! The time line as one self-contained page, a lane per process.
 
-use super::timeline::{step, Line};
+use super::timeline::{step, Line, Names};
 use std::collections::BTreeSet;
 use std::fmt::Write;
 
 /// Height of a lane, in pixels.
-const LANE: usize = 46;
+const LANE: usize = 84;
 /// Width of the names, in pixels.
 const MARGIN: usize = 110;
 /// Width of the time axis, in pixels.
@@ -27,20 +27,31 @@
 if(r)document.querySelectorAll('[data-request=\"'+r+'\"]').forEach(function(o){\
 o.classList.add('on')});});});";
 
-/// Colour of a kind of step.
-fn colour(step: &str) -> (&'static str, &'static str) {
-    match step {
-        "taken" | "queued" | "granted" => ("#4a7fc1", "waiting"),
-        "sent" | "retried" => ("#e08a1e", "sent"),
-        "ended" => ("#3c9a4b", "ended"),
-        "refused" | "caller-gone" | "grant-returned" | "ejected" => ("#c23b3b", "gave up"),
-        "link-up" | "link-down" => ("#999", "links"),
-        _ => ("#7a4fb5", "fleet"),
-    }
+/// How a kind of step is drawn.
+struct Look {
+    colour: &'static str,
+    name: &'static str,
+    /// Row within the lane, so that kinds do not hide each other.
+    row: usize,
+}
+
+/// Rows of a lane.
+const ROWS: usize = 6;
+
+fn look(step: &str) -> Look {
+    let (colour, name, row) = match step {
+        "taken" | "queued" | "granted" => ("#4a7fc1", "waiting", 0),
+        "sent" | "retried" => ("#e08a1e", "sent", 1),
+        "ended" => ("#3c9a4b", "ended", 2),
+        "refused" | "caller-gone" | "grant-returned" | "ejected" => ("#c23b3b", "gave up", 3),
+        "link-up" | "link-down" => ("#999", "links", 5),
+        _ => ("#7a4fb5", "fleet", 4),
+    };
+    Look { colour, name, row }
 }
 
 /// Draws the page.
-pub(crate) fn render(lines: &[Line]) -> String {
+pub(crate) fn render(lines: &[Line], names: &Names) -> String {
     let lanes: Vec<&str> = {
         let names: BTreeSet<&str> = lines.iter().map(|l| l.vm.as_str()).collect();
         names.into_iter().collect()
@@ -50,7 +61,10 @@
     let span = (last - first).max(1) as f64;
     let x = |wall: u64| MARGIN as f64 + (wall - first) as f64 / span * WIDTH as f64;
     let lane = |vm: &str| lanes.iter().position(|l| *l == vm).unwrap_or(0);
-    let y = |vm: &str| lane(vm) * LANE + LANE / 2;
+    let y = |line: &Line| {
+        let row = look(&step(&line.event)).row;
+        lane(line.vm.as_str()) * LANE + (2 * row + 1) * LANE / (2 * ROWS)
+    };
     let mut out = String::new();
     let height = lanes.len() * LANE;
     let width = MARGIN + WIDTH + 20;
@@ -59,7 +73,7 @@
         out,
         "<!doctype html><meta charset=utf-8><title>cowslipford time line</title>\
          <style>{STYLE}</style><h1>Time line</h1>\
-         <p>{} events of {} processes over {:.1} ms. Click an event to follow its request.</p>\
+         <p>{} events on {} VMs over {:.1} ms. Click an event to follow its request.</p>\
          <p id=legend>{}</p><svg width={width} height={height}>",
         lines.len(),
         lanes.len(),
@@ -67,7 +81,7 @@
         legend()
     );
     for name in &lanes {
-        let y = y(name);
+        let y = lane(name) * LANE + LANE / 2;
         let _ = write!(
             out,
             "<line class=lane x1={MARGIN} x2={} y1={y} y2={y} /><text class=name x=6 y={}>{}</text>",
@@ -78,8 +92,7 @@
     }
     draw_requests(&mut out, lines, &x, &y);
     for line in lines {
-        let step = step(&line.event);
-        let (fill, _) = colour(&step);
+        let fill = look(&step(&line.event)).colour;
         let request = line
             .event
             .request
@@ -89,14 +102,14 @@
             out,
             "<circle cx={:.1} cy={} r=4 fill={fill} data-request=\"{request}\"><title>{}</title></circle>",
             x(line.event.stamp.wall),
-            y(line.vm.as_str()),
-            escape(&describe(line, first))
+            y(line),
+            escape(&describe(line, first, names))
         );
     }
     let _ = write!(
         out,
         "</svg>{}<script>{SCRIPT}</script>",
-        table(lines, first)
+        table(lines, first, names)
     );
     out
 }
@@ -105,13 +118,13 @@
 fn draw_requests<X, Y>(out: &mut String, lines: &[Line], x: &X, y: &Y)
 where
     X: Fn(u64) -> f64,
-    Y: Fn(&str) -> usize,
+    Y: Fn(&Line) -> usize,
 {
     let requests: BTreeSet<_> = lines.iter().filter_map(|l| l.event.request).collect();
     for request in requests {
         let of = lines.iter().filter(|l| l.event.request == Some(request));
         let points: Vec<String> = of
-            .map(|l| format!("{:.1},{}", x(l.event.stamp.wall), y(l.vm.as_str())))
+            .map(|l| format!("{:.1},{}", x(l.event.stamp.wall), y(l)))
             .collect();
         let points = points.join(" ");
         let _ = write!(
@@ -131,13 +144,15 @@
         "reign-began",
     ];
     let item = |step: &&str| {
-        let (fill, name) = colour(step);
+        let Look {
+            colour: fill, name, ..
+        } = look(step);
         format!("<span><i style=\"background:{fill}\"></i>{name}</span>")
     };
     kinds.iter().map(item).collect()
 }
 
-fn table(lines: &[Line], first: u64) -> String {
+fn table(lines: &[Line], first: u64, names: &Names) -> String {
     let mut out = String::from("<table><tr><th>ms<th>VM<th>step<th>details</tr>");
     for line in lines {
         let request = line
@@ -151,29 +166,33 @@
             "<tr data-request=\"{request}\"><td>{ms:.3}<td>{}<td>{}<td>{}</tr>",
             escape(line.vm.as_str()),
             escape(&step(&line.event)),
-            escape(&details(line))
+            escape(&details(line, names))
         );
     }
     out.push_str("</table>");
     out
 }
 
-fn describe(line: &Line, first: u64) -> String {
+fn describe(line: &Line, first: u64, names: &Names) -> String {
     let ms = (line.event.stamp.wall - first) as f64 / 1000.0;
     format!(
         "{ms:.3} ms {} {} {}",
         line.vm,
         step(&line.event),
-        details(line)
+        details(line, names)
     )
 }
 
-fn details(line: &Line) -> String {
+fn details(line: &Line, names: &Names) -> String {
     let event = &line.event;
     let parts = [
         event.request.map(|v| format!("request {v}")),
-        event.customer.map(|v| format!("customer {v}")),
-        event.endpoint.map(|v| format!("endpoint {v}")),
+        event
+            .customer
+            .map(|id| format!("customer {}", names.customer(id))),
+        event
+            .endpoint
+            .map(|id| format!("endpoint {}", names.endpoint(id))),
         event.peer.as_ref().map(|v| format!("peer {v}")),
         event.version.map(|v| format!("version {v}")),
         event.epoch.map(|v| format!("epoch {v}")),
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -34,7 +34,7 @@
     match args.format.as_str() {
         "text" => print_text(&lines, &names),
         "json" => print_json(&lines),
-        "page" => print!("{}", page::render(&lines)),
+        "page" => print!("{}", page::render(&lines, &names)),
         other => return Err(Failure::Input(format!("{other:?}: say text, json or page"))),
     }
     if dropped > 0 {
@@ -61,7 +61,7 @@
 }
 
 /// Names of numbers, as the first process has them.
-struct Names {
+pub(crate) struct Names {
     customers: BTreeMap<Name, CustomerId>,
     endpoints: BTreeMap<Name, EndpointId>,
 }
@@ -88,12 +88,12 @@
         found.ok_or_else(|| Failure::Input(format!("no {kind} {name:?} is in force")))
     }
 
-    fn customer(&self, id: CustomerId) -> String {
+    pub(crate) fn customer(&self, id: CustomerId) -> String {
         let found = self.customers.iter().find(|(_, c)| **c == id);
         found.map_or_else(|| id.to_string(), |(name, _)| name.to_string())
     }
 
-    fn endpoint(&self, id: EndpointId) -> String {
+    pub(crate) fn endpoint(&self, id: EndpointId) -> String {
         let found = self.endpoints.iter().find(|(_, e)| **e == id);
         found.map_or_else(|| id.to_string(), |(name, _)| name.to_string())
     }
