--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -135,13 +135,26 @@
 
 /// Cost of being there, by the number of routers.
 fn idle() {
+    at_rest("idle", "");
+}
+
+/// The same with a sign of life each two seconds.
+fn calm() {
+    at_rest("calm", "idle = 6s");
+}
+
+fn at_rest(name: &str, link_keys: &str) {
     for routers in [4, 12, 24] {
-        let fleet = Fleet::start(plan(routers));
+        let link_keys = link_keys.to_owned();
+        let fleet = Fleet::start(Plan {
+            link_keys,
+            ..plan(routers)
+        });
         // Links for the first queries are closed after half a minute.
         std::thread::sleep(Duration::from_secs(35));
         let (before, began) = (all(&fleet), Instant::now());
         std::thread::sleep(SPAN);
-        report(&format!("idle routers={routers}"), &fleet, &before, began);
+        report(&format!("{name} routers={routers}"), &fleet, &before, began);
     }
 }
 
@@ -376,6 +389,7 @@
     for (name, measure) in [
         ("events", events as fn()),
         ("idle", idle),
+        ("calm", calm),
         ("requests", requests),
         ("changes", changes),
         ("sizes", sizes),
--- a/components/node/src/front/admit.rs
+++ b/components/node/src/front/admit.rs
@@ -1,11 +1,11 @@
 //! What is checked before a request is looked at: readiness, framing, customer, body.
 
-use super::listen::Front;
+use super::listen::{Front, BODY_UNIT};
 use super::refusal::Refusal;
 use super::upstream::Call;
 use crate::shared::Published;
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
@@ -13,6 +13,7 @@
 use state::id::{CustomerId, RequestId};
 use state::secret::Hash;
 use std::time::Duration;
+use tokio::sync::OwnedSemaphorePermit;
 
 /// Bytes that a refused caller may still send, at least.
 const DISCARD: usize = 4 * 1024 * 1024;
@@ -117,39 +118,35 @@
     let _ = tokio::time::timeout(DISCARD_TIME, reading).await;
 }
 
-/// Reads the whole body, within bounds of size and time.
+/// Reads the whole body, within bounds of size, time and memory.
+///
+/// What all bodies together take is bounded while they are read, too: a flood of
+/// connections that each send a large body would else fill the memory before
+/// any queue could refuse them.
 pub(super) async fn read(
     front: &Front,
     id: RequestId,
     head: Parts,
-    body: Incoming,
+    mut body: Incoming,
 ) -> Result<Call, Refusal> {
     let max = front.parts.callers.body_max;
-    let too_large = || {
-        let text = format!("a body has at most {max} bytes here");
-        Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", text)
-    };
     // CAST: `usize` is at most 64 bits on every supported target.
     if body.size_hint().lower() > max as u64 {
         discard(body, max).await;
-        return Err(too_large());
+        return Err(too_large(max));
     }
     let time = Duration::from_millis(front.parts.callers.body_ms);
-    let reading = tokio::time::timeout(time, Limited::new(body, max).collect());
-    let body = match reading.await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(too_large()),
-        Ok(Err(error)) => {
-            let text = format!("the body could not be read: {error}");
-            return Err(Refusal::not_run(StatusCode::BAD_REQUEST, "bad-body", text));
+    let reading = tokio::time::timeout(time, collect(front, &mut body, max)).await;
+    let (body, memory) = match reading {
+        Ok(Ok(collected)) => collected,
+        Ok(Err(refusal)) => {
+            discard(body, max).await;
+            return Err(refusal);
         }
         Err(_) => {
             let text = format!("the body took longer than {} ms", time.as_millis());
-            return Err(Refusal::not_run(
-                StatusCode::REQUEST_TIMEOUT,
-                "slow-body",
-                text,
-            ));
+            let status = StatusCode::REQUEST_TIMEOUT;
+            return Err(Refusal::not_run(status, "slow-body", text));
         }
     };
     Ok(Call {
@@ -158,5 +155,47 @@
         uri: head.uri,
         headers: head.headers,
         body,
+        _memory: memory,
     })
 }
+
+/// Collects a body, with its part of the memory for bodies.
+async fn collect(
+    front: &Front,
+    body: &mut Incoming,
+    max: usize,
+) -> Result<(Bytes, Option<OwnedSemaphorePermit>), Refusal> {
+    let mut bytes = BytesMut::new();
+    let mut memory: Option<OwnedSemaphorePermit> = None;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            let text = format!("the body could not be read: {error}");
+            Refusal::not_run(StatusCode::BAD_REQUEST, "bad-body", text)
+        })?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if bytes.len() + data.len() > max {
+            return Err(too_large(max));
+        }
+        bytes.extend_from_slice(data);
+        let held = memory.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        let wanted = bytes.len().div_ceil(BODY_UNIT).saturating_sub(held);
+        let wanted = u32::try_from(wanted).unwrap_or(u32::MAX);
+        let more = front.bodies.clone().try_acquire_many_owned(wanted);
+        let more = more.map_err(|_| {
+            let text = "the bodies that this router holds take all the memory for them";
+            Refusal::not_run(StatusCode::TOO_MANY_REQUESTS, "bodies-full", text).after(1)
+        })?;
+        match &mut memory {
+            Some(memory) => memory.merge(more),
+            None => memory = Some(more),
+        }
+    }
+    Ok((bytes.freeze(), memory))
+}
+
+fn too_large(max: usize) -> Refusal {
+    let text = format!("a body has at most {max} bytes here");
+    Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", text)
+}
--- a/components/node/src/front/listen.rs
+++ b/components/node/src/front/listen.rs
@@ -17,12 +17,17 @@
 use tokio::task::JoinSet;
 use transport::clock::Clock;
 
+/// Bytes of bodies that one unit of their memory stands for.
+pub(crate) const BODY_UNIT: usize = 1024;
+
 /// What the callers' side is given.
 pub(crate) struct Parts {
     /// Settings.
     pub(crate) callers: Callers,
     /// Requests of one customer that may wait here.
     pub(crate) queue_customer: u32,
+    /// Bytes that all bodies may take.
+    pub(crate) body_bytes: u64,
     /// Silence from control after which requests are refused.
     pub(crate) stale_ms: Option<u64>,
     /// Data centre of this VM.
@@ -46,12 +51,16 @@
     pub(crate) parts: Parts,
     pub(crate) requests: AtomicU64,
     pub(crate) budget: Mutex<coordination::retry::Budget>,
+    /// Memory for bodies, in units of [`BODY_UNIT`].
+    pub(crate) bodies: Arc<Semaphore>,
 }
 
 impl Front {
     /// Makes it.
     pub(crate) fn new(parts: Parts) -> Arc<Self> {
+        let units = usize::try_from(parts.body_bytes).unwrap_or(usize::MAX) / BODY_UNIT;
         Arc::new(Front {
+            bodies: Arc::new(Semaphore::new(units.clamp(1, Semaphore::MAX_PERMITS))),
             parts,
             requests: AtomicU64::new(0),
             budget: Mutex::default(),
--- a/components/node/src/front/upstream.rs
+++ b/components/node/src/front/upstream.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::JoinHandle;
 
 /// Longest time to connect to an endpoint.
@@ -32,13 +33,15 @@
 ];
 
 /// A request as it is sent on, as often as it may be.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Call {
     pub(crate) id: RequestId,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The body's part of the memory for bodies.
+    pub(crate) _memory: Option<OwnedSemaphorePermit>,
 }
 
 /// A failed try.
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -299,6 +299,7 @@
             let front = Front::new(FrontParts {
                 callers: callers.clone(),
                 queue_customer: self.settings.router.queue_customer,
+                body_bytes: self.settings.router.queue_bytes,
                 stale_ms: self.settings.router.stale_ms,
                 data_centre: self.settings.vm.data_centre.clone(),
                 incarnation: self.incarnation,
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -51,6 +51,8 @@
     pub(crate) batch: u32,
     /// More sections for each VM's settings.
     pub(crate) settings: String,
+    /// Keys added to `[link]`.
+    pub(crate) link_keys: String,
     /// Keys added to `[control]`.
     pub(crate) control_keys: String,
 }
@@ -66,6 +68,7 @@
             plains: 1,
             batch: 4,
             settings: String::new(),
+            link_keys: String::new(),
             control_keys: String::new(),
         }
     }
@@ -178,11 +181,12 @@
         let mut text = format!(
             "[vm]\nname = {name}\ndata-centre = dc-{}\nregion = {region}\n\
              [link]\nlisten = {link}\nauthority = keys/authority.pem\n\
-             certificate = keys/{name}.pem\nkey = keys/{name}.key\n\
+             certificate = keys/{name}.pem\nkey = keys/{name}.key\n{}\n\
              [peers]\n{peers}\
              [operators]\nlisten = {operators}\nkey-sha256 = {key}\n\
              [fault]\nhook = yes\n{}\n",
             1 + self.vms.len() % 3,
+            self.plan.link_keys,
             self.plan.settings,
         );
         match callers {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -285,3 +285,45 @@
         "{answer}"
     );
 }
+
+#[test]
+fn can_bound_the_memory_of_bodies_while_they_arrive() {
+    // Symptom: a router dies of a flood of large bodies.
+    // Sequence: many callers send large bodies slowly, at the same time.
+    // Cause: a bound that counts only what has arrived whole.
+    use std::io::Write;
+    let settings = "[router]\nqueue-bytes = 262144".to_owned();
+    let plan = Plan {
+        control: 1,
+        routers: 1,
+        settings,
+        ..Plan::default()
+    };
+    let fleet = Fleet::start(plan);
+    let callers = fleet.callers("r1");
+    let head = "POST /assistant HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer alpha\r\n\
+                Content-Length: 200000\r\n\r\n";
+    let half: Vec<u8> = [head.as_bytes(), &[b'x'; 100_000]].concat();
+    let large = "y".repeat(150_000);
+    let mut slow: Vec<std::net::TcpStream> = Vec::new();
+    eventually("a third one is refused", || {
+        // The third may be faster than the others; then they begin anew.
+        slow.clear();
+        for _ in 0..2 {
+            let mut stream = std::net::TcpStream::connect(callers).unwrap();
+            stream.write_all(&half).unwrap();
+            slow.push(stream);
+        }
+        std::thread::sleep(Duration::from_millis(100));
+        let answer = http::send(callers, "POST", "/assistant", "beta", &[], &large);
+        answer.status == 429 && answer.outcome() == "not-run"
+    });
+    assert_eq!(
+        fleet.call("r1", "beta", "/assistant", &[], "small").status,
+        200
+    );
+    drop(slow);
+    eventually("the memory is free again", || {
+        http::send(callers, "POST", "/assistant", "beta", &[], &large).status == 200
+    });
+}
