--- a/tests/traps.rs
+++ b/tests/traps.rs
@@ -136,3 +136,93 @@
     // The caller sees a whole answer though its source broke off.
     assert!(answer.ends_with("0\r\n\r\n"), "{answer:?}");
 }
+
+/// Sends raw bytes to a tiny_http server and gives the connection.
+fn connect(server: &tiny_http::Server, bytes: &[u8]) -> TcpStream {
+    let mut stream = TcpStream::connect(server.server_addr().to_ip().unwrap()).unwrap();
+    stream.write_all(bytes).unwrap();
+    stream
+}
+
+#[test]
+fn tiny_http_serves_a_request_with_a_length_and_chunks() {
+    let server = tiny_http::Server::http("127.0.0.1:0").unwrap();
+    let head =
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let stream = connect(&server, format!("{head}3\r\nabc\r\n0\r\n\r\n").as_bytes());
+    let request = server.recv_timeout(Duration::from_secs(20)).unwrap();
+    assert!(request.is_some());
+    drop(stream);
+}
+
+#[test]
+fn tiny_http_takes_a_thread_for_each_slow_caller() {
+    let threads = || std::fs::read_dir("/proc/self/task").unwrap().count();
+    let server = tiny_http::Server::http("127.0.0.1:0").unwrap();
+    let before = threads();
+    let slow: Vec<TcpStream> = (0..100)
+        .map(|_| connect(&server, b"GET / HTTP/1.1\r\nHos"))
+        .collect();
+    let began = std::time::Instant::now();
+    // Other tests of this file run beside it; a hundred stands out all the same.
+    while threads() < before + 80 {
+        assert!(
+            began.elapsed() < Duration::from_secs(20),
+            "{} threads",
+            threads()
+        );
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    drop(slow);
+}
+
+#[test]
+fn tiny_http_takes_an_endless_header() {
+    let server = tiny_http::Server::http("127.0.0.1:0").unwrap();
+    let address = server.server_addr().to_ip().unwrap();
+    let caller = std::thread::spawn(move || {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.write_all(b"GET / HTTP/1.1\r\nX-Long: ").unwrap();
+        let mebibyte = vec![b'a'; 1 << 20];
+        let taken = (0..8)
+            .take_while(|_| stream.write_all(&mebibyte).is_ok())
+            .count();
+        stream.write_all(b"\r\n\r\n").unwrap();
+        (taken, stream)
+    });
+    let request = server
+        .recv_timeout(Duration::from_secs(20))
+        .unwrap()
+        .unwrap();
+    let long = request
+        .headers()
+        .iter()
+        .find(|h| h.field.equiv("x-long"))
+        .unwrap();
+    assert_eq!(long.value.as_str().len(), 8 << 20);
+    assert_eq!(caller.join().unwrap().0, 8);
+}
+
+#[test]
+fn tiny_http_leaves_a_cut_raw_answer_open() {
+    let server = tiny_http::Server::http("127.0.0.1:0").unwrap();
+    let mut stream = connect(&server, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    let request = server
+        .recv_timeout(Duration::from_secs(20))
+        .unwrap()
+        .unwrap();
+    let mut writer = request.into_writer();
+    writer
+        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+        .unwrap();
+    writer.flush().unwrap();
+    drop(writer);
+    stream
+        .set_read_timeout(Some(Duration::from_millis(500)))
+        .unwrap();
+    let mut answer = Vec::new();
+    let ended = stream.read_to_end(&mut answer);
+    // The caller waits on: the connection was not closed.
+    assert!(ended.is_err());
+    assert!(answer.ends_with(b"half"));
+}
