Follow the platform's list of live and leaving VMs

Change: a pure comparison of list and view, a task that reads the list, departures that are one however many announce them; flags that end a failed test's threads. Ruled out: taking a list at its word (an empty one would stop the fleet); taking back what operators announced. Not known: the platform's own format.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod health;
 pub mod ledger;
 pub mod limit;
+pub mod platform;
 pub mod prelude;
 pub mod retry;
 pub mod rule;
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -5,6 +5,7 @@
 use coordination::health::{Change, Health, EJECT_MS, FAILURES};
 use coordination::ledger::{virtual_cost, Ledger};
 use coordination::limit::Bucket;
+use coordination::platform::{Line, State, Watch, Word};
 use coordination::retry::{after, Budget, Next, Reach, Try};
 use coordination::rule::{decide, idempotent, shadowed, Request};
 use coordination::scheduler::{Effect, Effects, Scheduler, Session, GATHER_MS, ORPHAN_MS};
@@ -12,9 +13,9 @@
 use coordination::spread::{Confirm, Tree, Welcome};
 use rstest::rstest;
 use state::clock::Millis;
-use state::config::{Cost, Rule, Service, Then, When};
+use state::config::{Cost, Endpoint, Rule, Service, Then, When};
 use state::id::{CustomerId, EndpointId, Epoch, Name, Version};
-use state::view::Place;
+use state::view::{Place, View};
 
 const A: CustomerId = CustomerId(1);
 const B: CustomerId = CustomerId(2);
@@ -471,3 +472,70 @@
     scheduler.hear_served(Epoch(10), &[(A, 40)]);
     assert_eq!(scheduler.levels(), [(A, 210), (B, 50)]);
 }
+
+/// A view with four endpoints, and the lines that call the given ones live.
+fn platform(live: &[u16]) -> (View, Vec<Line>) {
+    let address = |n: u16| std::net::SocketAddr::from(([127, 0, 0, 1], n));
+    let mut view = View::default();
+    for n in 1..=4 {
+        let endpoint = Endpoint {
+            name: name(&format!("e{n}")),
+            service: name("s"),
+            address: address(n),
+            data_centre: name("dc"),
+            region: name("main"),
+            slots: 1,
+            lead: 0,
+        };
+        view.config
+            .endpoints
+            .insert(EndpointId(u32::from(n)), endpoint);
+    }
+    let line = |n: &u16| Line {
+        address: address(*n),
+        state: State::Live,
+    };
+    (view, live.iter().map(line).collect())
+}
+
+#[test]
+fn can_follow_a_list_that_lags() {
+    let (mut view, list) = platform(&[1, 2, 3, 4]);
+    let mut watch = Watch::default();
+    assert!(watch.compare(&view, &list).is_empty());
+    let mut leaving = list.clone();
+    leaving[0].state = State::Leaving;
+    let e1 = EndpointId(1);
+    assert_eq!(watch.compare(&view, &leaving).to_vec(), [Word::Leaves(e1)]);
+    // It says so until it is in force, and once it is, no more.
+    assert_eq!(watch.compare(&view, &leaving).to_vec(), [Word::Leaves(e1)]);
+    view.leaving.insert(e1);
+    assert!(watch.compare(&view, &leaving).is_empty());
+    assert_eq!(watch.compare(&view, &list).to_vec(), [Word::Back(e1)]);
+}
+
+#[test]
+fn can_leave_operators_their_own_stops() {
+    let (mut view, list) = platform(&[1, 2, 3, 4]);
+    view.leaving.insert(EndpointId(2));
+    let mut watch = Watch::default();
+    assert!(watch.compare(&view, &list).is_empty());
+}
+
+#[test]
+fn can_tell_a_missing_endpoint_from_a_broken_list() {
+    // Symptom: the whole fleet gets no new work.
+    // Sequence: the platform restarts and serves an empty list for a while.
+    // Cause: a list that is taken at its word.
+    let mut watch = Watch::default();
+    let (view, list) = platform(&[1, 2, 3, 4]);
+    watch.compare(&view, &list);
+    for _ in 0..5 {
+        assert!(watch.compare(&view, &[]).is_empty());
+        assert!(watch.compare(&view, &list[..1]).is_empty());
+    }
+    watch.compare(&view, &list);
+    assert!(watch.compare(&view, &list[..3]).is_empty());
+    let words = watch.compare(&view, &list[..3]);
+    assert_eq!(words.to_vec(), [Word::Leaves(EndpointId(4))]);
+}
--- /dev/null
+++ b/components/node/src/fetch.rs
@@ -0,0 +1,41 @@
+//! Reads a page from an endpoint or the platform.
+
+use bytes::Bytes;
+use errors::{Error, Result};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+
+/// Reads a page of at most `max` bytes, whole or not at all.
+pub(crate) async fn fetch(peer: SocketAddr, path: &str, max: usize) -> Result<Bytes> {
+    let step = "read a page";
+    let stream = TcpStream::connect(peer)
+        .await
+        .map_err(Error::peer(step, peer))?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(Error::peer(step, peer))?;
+    let request = Request::get(path)
+        .header("host", peer.to_string())
+        .header("connection", "close")
+        .body(Empty::<Bytes>::new())
+        .map_err(Error::peer(step, peer))?;
+    let answer = async {
+        let response = sender
+            .send_request(request)
+            .await
+            .map_err(Error::peer(step, peer))?;
+        let status = response.status();
+        if status != StatusCode::OK {
+            return Err(Error::peer(step, peer)(format!("it answered {status}")));
+        }
+        let body = Limited::new(response.into_body(), max).collect();
+        body.await
+            .map(|b| b.to_bytes())
+            .map_err(Error::peer(step, peer))
+    };
+    let (body, _) = tokio::join!(answer, connection);
+    body
+}
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -7,11 +7,13 @@
 mod batch;
 mod control;
 mod feed;
+mod fetch;
 mod front;
 mod input;
 mod journal;
 mod metric;
 mod operators;
+mod platform;
 mod poll;
 mod process;
 mod query;
--- /dev/null
+++ b/components/node/src/platform.rs
@@ -0,0 +1,81 @@
+//! Follows the platform's list of live and leaving VMs.
+
+use crate::fetch::fetch;
+use crate::input::Input;
+use crate::shared::{raised, Published};
+use coordination::platform::{Line, Watch, Word};
+use errors::{Error, Result};
+use protocol::wire::{Leaving, Query};
+use settings::Platform;
+use state::view::View;
+use std::time::Duration;
+use tokio::sync::{oneshot, watch};
+
+/// Longest time for one list.
+const LONGEST: Duration = Duration::from_secs(5);
+/// Largest list in bytes.
+const LIST_MAX: usize = 1024 * 1024;
+/// Longest time for a departure to be accepted, before the next list says it again.
+const ACCEPTED: Duration = Duration::from_secs(10);
+
+/// Follows the list until told to stop.
+pub(crate) async fn run(
+    platform: Platform,
+    reactor: flume::Sender<Input>,
+    published: watch::Receiver<Published>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let mut period = tokio::time::interval(Duration::from_millis(platform.every_ms));
+    let mut watch = Watch::default();
+    let mut reachable = true;
+    loop {
+        tokio::select! {
+            _ = period.tick() => {}
+            () = raised(&mut stop) => return,
+        }
+        let list = read(&platform).await;
+        if list.is_ok() != reachable {
+            reachable = list.is_ok();
+            match &list {
+                Ok(_) => tracing::info!("the platform's list can be read again"),
+                Err(error) => tracing::warn!(%error, "the platform's list cannot be read"),
+            }
+        }
+        let Ok(list) = list else {
+            continue;
+        };
+        let view = published.borrow().view.clone();
+        for word in watch.compare(&view, &list) {
+            announce(&reactor, &view, word).await;
+        }
+    }
+}
+
+async fn read(platform: &Platform) -> Result<Vec<Line>> {
+    let step = "read the platform's list";
+    let peer = platform.address;
+    let fetched = tokio::time::timeout(LONGEST, fetch(peer, &platform.path, LIST_MAX));
+    let page = fetched.await.map_err(Error::peer(step, peer))??;
+    serde_json::from_slice(&page).map_err(Error::peer(step, peer))
+}
+
+async fn announce(reactor: &flume::Sender<Input>, view: &View, word: Word) {
+    let (id, leaves) = match word {
+        Word::Leaves(id) => (id, true),
+        Word::Back(id) => (id, false),
+    };
+    let Some(endpoint) = view.config.endpoints.get(&id) else {
+        return;
+    };
+    let name = endpoint.name.clone();
+    tracing::info!(endpoint = %name, leaves, "the platform's list has changed");
+    let leaving = if leaves {
+        Leaving::Endpoint(name)
+    } else {
+        Leaving::EndpointBack(name)
+    };
+    let (sender, receiver) = oneshot::channel();
+    let _ = reactor.send(Input::Query(Query::Depart(leaving), sender));
+    // Unanswered, it is said again with the next list that tells it.
+    let _ = tokio::time::timeout(ACCEPTED, receiver).await;
+}
--- a/components/node/src/poll.rs
+++ b/components/node/src/poll.rs
@@ -1,15 +1,11 @@
 //! Asks the endpoints that are scheduled here for their load.
 
+use crate::fetch::fetch;
 use crate::input::{Input, Watched};
 use crate::shared::raised;
-use bytes::Bytes;
 use errors::{Error, Result};
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::Request;
-use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
 
@@ -59,29 +55,6 @@
 }
 
 async fn ask(watched: &Watched) -> Result<Report> {
-    let step = "ask for load";
-    let peer = watched.address;
-    let stream = TcpStream::connect(peer)
-        .await
-        .map_err(Error::peer(step, peer))?;
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(Error::peer(step, peer))?;
-    let request = Request::get(&watched.path)
-        .header("host", peer.to_string())
-        .header("connection", "close")
-        .body(Empty::<Bytes>::new())
-        .map_err(Error::peer(step, peer))?;
-    let answer = async {
-        let response = sender
-            .send_request(request)
-            .await
-            .map_err(Error::peer(step, peer))?;
-        let body = Limited::new(response.into_body(), REPORT_MAX).collect();
-        body.await
-            .map(|b| b.to_bytes())
-            .map_err(Error::peer(step, peer))
-    };
-    let (body, _) = tokio::join!(answer, connection);
-    serde_json::from_slice(&body?).map_err(Error::peer(step, peer))
+    let body = fetch(watched.address, &watched.path, REPORT_MAX).await?;
+    serde_json::from_slice(&body).map_err(Error::peer("ask for load", watched.address))
 }
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -6,9 +6,9 @@
 use crate::journal::Journal;
 use crate::metric::Metrics;
 use crate::operators::{Operators, Parts as OperatorParts};
-use crate::poll;
 use crate::reactor::{Parts as ReactorParts, Reactor};
 use crate::shared::{raised, Published, Shared, Status};
+use crate::{platform, poll};
 use coordination::desk::Bounds;
 use errors::{Error, Result};
 use protocol::wire::Hello;
@@ -295,6 +295,14 @@
         if self.settings.scheduler {
             tasks.push(tokio::spawn(poll::run(reactor.clone(), stopped.clone())));
         }
+        if let Some(platform) = &self.settings.platform {
+            tasks.push(tokio::spawn(platform::run(
+                platform.clone(),
+                reactor.clone(),
+                published.clone(),
+                stopped.clone(),
+            )));
+        }
         if let (Some(callers), Some(listener)) = (&self.settings.callers, listener) {
             let front = Front::new(FrontParts {
                 callers: callers.clone(),
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -90,6 +90,17 @@
     pub fanout: usize,
 }
 
+/// The platform's list of live and leaving VMs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Platform {
+    /// Where it is served.
+    pub address: SocketAddr,
+    /// Path of the list.
+    pub path: String,
+    /// Time between two looks, in milliseconds.
+    pub every_ms: u64,
+}
+
 /// Logs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Log {
@@ -127,6 +138,8 @@
     pub scheduler: bool,
     /// The control role, if this VM has a disk for it.
     pub control: Option<Control>,
+    /// The platform's list, if this VM follows it.
+    pub platform: Option<Platform>,
     /// Logs.
     pub log: Log,
     /// Hooks for tests.
@@ -168,6 +181,11 @@
     compact_bytes,
     fanout
 });
+raw!(RawPlatform {
+    address,
+    path,
+    every
+});
 raw!(RawLog {
     format,
     level,
@@ -176,7 +194,8 @@
 raw!(RawFault { hook });
 
 const ADDRESS: &str = "an IP number with a port, such as 127.0.0.1:7001";
-const KINDS: &str = "vm, link, peers, operators, callers, router, scheduler, control, log, fault";
+const KINDS: &str =
+    "vm, link, peers, operators, callers, router, scheduler, control, platform, log, fault";
 
 impl Settings {
     /// Reads and checks a file.
@@ -234,6 +253,7 @@
                 None => false,
             },
             control,
+            platform: find("platform").map(platform).transpose()?,
             log: log(find("log"))?,
             fault: fault(find("fault"))?,
             vm,
@@ -347,6 +367,19 @@
     })
 }
 
+fn platform(s: &Section) -> Result<Platform> {
+    let raw: RawPlatform = s.raw()?;
+    let path = s.need("path", &raw.path, "the path of the list")?;
+    if !path.starts_with('/') {
+        return Err(s.wrong("path", path, "a path that begins with /"));
+    }
+    Ok(Platform {
+        address: s.parse("address", &raw.address, ADDRESS)?,
+        path: path.to_owned(),
+        every_ms: s.millis("every", &raw.every, 100..=600_000, 1000)?,
+    })
+}
+
 fn log(s: Option<&Section>) -> Result<Log> {
     let empty = Section::empty();
     let s = s.unwrap_or(&empty);
--- a/components/state/src/store.rs
+++ b/components/state/src/store.rs
@@ -65,6 +65,10 @@
                 }
                 self.step(Change::Seat(seat.clone()))
             }
+            Record::Departure(departure) if self.view.knows(departure) => {
+                // Several may announce the same; it is one departure.
+                (Answer::Accepted(self.view.version), None)
+            }
             Record::Departure(departure) => self.step(Change::Departure(departure.clone())),
             Record::Claim {
                 key,
--- a/components/state/src/view.rs
+++ b/components/state/src/view.rs
@@ -138,6 +138,15 @@
         self.seats.iter().find(|s| s.shard == *shard)
     }
 
+    /// Whether a departure is in force already.
+    pub fn knows(&self, departure: &Departure) -> bool {
+        match departure {
+            Departure::Endpoint(id) => self.leaving.contains(id),
+            Departure::EndpointBack(id) => !self.leaving.contains(id),
+            Departure::Vm(name, incarnation) => self.stopping.get(name) == Some(incarnation),
+        }
+    }
+
     fn apply(&mut self, change: &Change) {
         match change {
             Change::Config(delta) => {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use harness::{eventually, http, Fleet, Plan};
+use harness::{eventually, http, Fleet, Plan, Raise};
 use std::time::Duration;
 
 #[test]
@@ -250,6 +250,7 @@
     let relaxed = std::sync::atomic::Ordering::Relaxed;
     let served = std::sync::atomic::AtomicU64::new(0);
     std::thread::scope(|scope| {
+        let _raise = Raise(&stop);
         for callers in &routers {
             let (stop, served) = (&stop, &served);
             scope.spawn(move || {
@@ -278,7 +279,6 @@
         eventually("load runs under the next scheduler", || {
             served.load(relaxed) > at + 50
         });
-        stop.store(true, relaxed);
     });
 }
 
@@ -340,6 +340,7 @@
     let stop = std::sync::atomic::AtomicBool::new(false);
     let relaxed = std::sync::atomic::Ordering::Relaxed;
     std::thread::scope(|scope| {
+        let _raise = Raise(&stop);
         for n in 0..40 {
             let callers = fleet.callers(["r1", "r2", "r3", "r4"][n % 4]);
             let stop = &stop;
@@ -488,3 +489,56 @@
         });
     }
 }
+
+#[test]
+fn can_follow_the_platforms_list() {
+    // Symptom: requests go to endpoints that are being taken away.
+    // Sequence: the platform lists an endpoint as leaving, later as live again.
+    // Cause: departures that only operators announce.
+    let server = tiny_http::Server::http("127.0.0.1:0").unwrap();
+    let list = std::sync::Mutex::new("[]".to_owned());
+    let address = server.server_addr();
+    let settings = format!("[platform]\naddress = {address}\npath = /vms\nevery = 100ms");
+    let done = std::sync::atomic::AtomicBool::new(false);
+    let relaxed = std::sync::atomic::Ordering::Relaxed;
+    std::thread::scope(|scope| {
+        let _raise = Raise(&done);
+        scope.spawn(|| {
+            while !done.load(relaxed) {
+                let Ok(Some(request)) = server.recv_timeout(Duration::from_millis(100)) else {
+                    continue;
+                };
+                let body = list.lock().unwrap().clone();
+                let _ = request.respond(tiny_http::Response::from_string(body));
+            }
+        });
+        let fleet = Fleet::start(Plan {
+            control: 3,
+            routers: 1,
+            settings,
+            ..Plan::default()
+        });
+        let say = |state: &str| {
+            let address = fleet.stand_ins[0].address;
+            *list.lock().unwrap() =
+                format!("[{{\"address\":\"{address}\",\"state\":\"{state}\"}}]");
+        };
+        let name = fleet.stand_ins[0].name.clone();
+        let serves = || {
+            let before = fleet.counts(&name)["calls"].as_u64();
+            for _ in 0..4 {
+                assert_eq!(fleet.call("r1", "beta", "/assistant", &[], "x").status, 200);
+            }
+            fleet.counts(&name)["calls"].as_u64() > before
+        };
+        assert!(serves());
+        say("leaving");
+        eventually("it gets no new work", || !serves());
+        let version = fleet.version();
+        assert!(!serves());
+        // Three VMs follow the list; it is one departure all the same.
+        assert_eq!(fleet.version(), version);
+        say("live");
+        eventually("it gets work again", serves);
+    });
+}
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -37,6 +37,16 @@
     }
 }
 
+/// Raises a flag when dropped, also by a failed assertion: the threads of a
+/// scope that wait for it would else keep a failed test from ending.
+pub(crate) struct Raise<'a>(pub(crate) &'a std::sync::atomic::AtomicBool);
+
+impl Drop for Raise<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// What a fleet consists of.
 pub(crate) struct Plan {
     pub(crate) control: usize,
