--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -102,6 +102,11 @@
     "without-control = 5",
     "[router] without-control = \"5\": a duration such as"
 )]
+#[case(
+    "[log]\n",
+    "[platform]\naddress = 10.0.0.9:80\npath = vms\n[log]\n",
+    "[platform] path = \"vms\": a path that begins with /"
+)]
 #[case(
     "[vm]\n",
     "x = 1\n[vm]\n",
