Tell other regions only what has grown; blame an endpoint that never answers

Change: grown totals, and all of them each eighth time, which alone sets where counting begins; a time-out counts as the endpoint's failure if it had at least half of the time. The time-out's verdict has no test of its own.

--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -112,6 +112,18 @@
     Done(Seq, u32, Verdict),
 }
 
+/// What a scheduler has given in its reign, for those of other regions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Served {
+    /// Its reign.
+    pub epoch: Epoch,
+    /// Whether these are the totals of all customers.
+    pub all: bool,
+    /// Virtual service by customer, since the reign began.
+    pub totals: Vec<(CustomerId, u64)>,
+}
+
 /// A slot given to a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
--- a/components/coordination/src/scheduler.rs
+++ b/components/coordination/src/scheduler.rs
@@ -3,13 +3,13 @@
 //! Between two customers that both wait, the one with less virtual service
 //! goes first. Which router a request waits on plays no part.
 
-use crate::ask::Seq;
+use crate::ask::{Seq, Served};
 use crate::health;
 use crate::ledger::{virtual_cost, Ledger};
 use crate::limit::Bucket;
 use crate::prelude::*;
 use crate::slot::{Choice, Slots, Wish};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// How long a new scheduler gathers sessions before its first grant, in
 /// milliseconds.
@@ -23,6 +23,8 @@
 /// Its router may only be cut off from here, and its requests still run. Those
 /// of a router that comes back are told by it, or have died with it.
 pub const ORPHAN_MS: u64 = 1000;
+/// Tellings of which one tells all totals.
+const TELL_ALL: u32 = 8;
 /// Guests among whom the least served is sought.
 const GUESTS: usize = 64;
 /// Longest wait before an unused class is forgotten, in milliseconds.
@@ -86,8 +88,11 @@
     guests: VecDeque<(Session, Seq)>,
     /// Service given here in this reign, for the other regions to count.
     served: BTreeMap<CustomerId, u64>,
+    /// Customers whose total has grown since it was last told.
+    grown: BTreeSet<CustomerId>,
+    tellings: u32,
     /// What other regions' schedulers have told of theirs, by reign.
-    foreign: BTreeMap<(Epoch, CustomerId), u64>,
+    foreign: BTreeMap<Epoch, BTreeMap<CustomerId, u64>>,
     is_open: bool,
     opened: Millis,
     next: u32,
@@ -115,6 +120,8 @@
             floor: 0,
             guests: VecDeque::new(),
             served: BTreeMap::new(),
+            grown: BTreeSet::new(),
+            tellings: 0,
             foreign: BTreeMap::new(),
             is_open: false,
             opened: now.after(GATHER_MS),
@@ -310,19 +317,33 @@
         effects
     }
 
-    /// Service given here in this reign, by customer; it only grows.
-    pub fn served(&self) -> Vec<(CustomerId, u64)> {
-        self.served.iter().map(|(c, n)| (*c, *n)).collect()
+    /// Service given here in this reign, by customer, to tell other regions:
+    /// totals that have grown since the last telling, and at times all of them,
+    /// in case one was lost.
+    pub fn tell_served(&mut self) -> Served {
+        let grown = std::mem::take(&mut self.grown);
+        let all = self.tellings.is_multiple_of(TELL_ALL);
+        self.tellings = self.tellings.wrapping_add(1);
+        let told = self.served.iter().filter(|(c, _)| all || grown.contains(c));
+        Served {
+            epoch: self.epoch,
+            all,
+            totals: told.map(|(customer, total)| (*customer, *total)).collect(),
+        }
     }
 
     /// Takes what another region's scheduler gave in its reign.
     ///
-    /// The first word of a reign only sets where counting begins: what it gave
-    /// before was counted by whoever scheduled here then.
-    pub fn hear_served(&mut self, epoch: Epoch, served: &[(CustomerId, u64)]) {
-        let known = self.foreign.keys().any(|(e, _)| *e == epoch);
-        for (customer, total) in served {
-            let last = self.foreign.insert((epoch, *customer), *total);
+    /// The first telling of all totals of a reign only sets where counting begins:
+    /// what it gave before was counted by whoever scheduled here then.
+    pub fn hear_served(&mut self, served: &Served) {
+        let known = self.foreign.contains_key(&served.epoch);
+        if !known && !served.all {
+            return;
+        }
+        let totals = self.foreign.entry(served.epoch).or_default();
+        for (customer, total) in &served.totals {
+            let last = totals.insert(*customer, *total);
             let from = if known { last.unwrap_or(0) } else { *total };
             self.ledger.add(*customer, total.saturating_sub(from));
         }
@@ -333,7 +354,7 @@
     where
         F: Fn(Epoch) -> bool,
     {
-        self.foreign.retain(|(epoch, _), _| keep(*epoch));
+        self.foreign.retain(|epoch, _| keep(*epoch));
     }
 
     /// Lets time pass: ends orphans, opens limits, grants what has become free.
@@ -493,6 +514,7 @@
         let amount = virtual_cost(cost, running.weight);
         self.ledger.settle(running.class.customer, charged, amount);
         *self.served.entry(running.class.customer).or_default() += amount;
+        self.grown.insert(running.class.customer);
         let change = self.slots.free(now, running.endpoint, verdict);
         let line = self.line(now, running.class);
         line.running = line.running.saturating_sub(1);
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -154,6 +154,11 @@
             Ok(Ok(answer)) => return Ok(pass(front, answer, slot, claim, left)),
             Ok(Err(failed)) => failed,
             Err(_) => {
+                // After a long wait for its turn the time was short; that is no
+                // fault of the endpoint's.
+                if left >= plan.timeout / 2 {
+                    slot.verdict = Verdict::Failed;
+                }
                 let text = format!("{} did not answer in time", dispatch.name);
                 return Err(
                     Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "timeout", text).after(1),
--- a/components/node/src/reactor.rs
+++ b/components/node/src/reactor.rs
@@ -6,7 +6,7 @@
 use crate::journal::Journal;
 use crate::metric::{value, Metrics};
 use crate::query::Queries;
-use crate::reign::{Reigns, Served};
+use crate::reign::Reigns;
 use crate::shared::{Published, Shared, Status};
 use coordination::desk::{endpoints, Bounds, Desk, Effect, Effects, Ticket};
 use protocol::wire::{Message, Query, Reply};
@@ -289,9 +289,7 @@
                     self.act(now, effects);
                 }
             }
-            Message::Served(epoch, served) => {
-                self.reigns.hear_served(&self.view, epoch, &served);
-            }
+            Message::Served(served) => self.reigns.hear_served(&self.view, &served),
             Message::Unseated(epoch) => self.desk.unseated(now, epoch),
         }
     }
@@ -496,11 +494,9 @@
     /// Tells other regions' schedulers what those here have given.
     fn tell_served(&mut self) {
         let mut wanted = BTreeSet::new();
-        for Served { to, epoch, served } in self.reigns.served(&self.view) {
+        for (to, served) in self.reigns.served(&self.view) {
             self.parts.hub.dial(&to.place);
-            self.parts
-                .hub
-                .send(&to.place.vm, Message::Served(epoch, served));
+            self.parts.hub.send(&to.place.vm, Message::Served(served));
             wanted.insert(to.place.vm);
         }
         self.regions_dialed = wanted;
--- a/components/node/src/reign.rs
+++ b/components/node/src/reign.rs
@@ -4,12 +4,12 @@
 use crate::journal::Journal;
 use crate::metric::{value, Metrics};
 use crate::shared::ShardStatus;
-use coordination::ask::Report;
+use coordination::ask::{Report, Served};
 use coordination::desk::endpoints;
 use coordination::scheduler::{Effect, Effects, Scheduler, Session};
 use state::clock::Millis;
 use state::event::{Event, Step};
-use state::id::{CustomerId, EndpointId, Epoch, Name};
+use state::id::{EndpointId, Epoch, Name};
 use state::view::{Seat, Shard, View};
 use std::collections::BTreeMap;
 
@@ -19,13 +19,6 @@
     sessions: BTreeMap<Name, Session>,
 }
 
-/// What one reign has given, for a seat in another region.
-pub(crate) struct Served {
-    pub(crate) to: Seat,
-    pub(crate) epoch: Epoch,
-    pub(crate) served: Vec<(CustomerId, u64)>,
-}
-
 /// All schedulers of this VM, by reign.
 pub(crate) struct Reigns {
     me: Name,
@@ -118,29 +111,30 @@
     }
 
     /// What each reign has given, for the seats of its service in other regions.
-    pub(crate) fn served(&self, view: &View) -> Vec<Served> {
+    pub(crate) fn served(&mut self, view: &View) -> Vec<(Seat, Served)> {
         let mut all = Vec::new();
-        for (epoch, reign) in &self.all {
+        for reign in self.all.values_mut() {
             let other =
                 |s: &&Seat| s.shard.service == reign.shard.service && s.shard != reign.shard;
-            all.extend(view.seats.iter().filter(other).map(|to| Served {
-                to: to.clone(),
-                epoch: *epoch,
-                served: reign.scheduler.served(),
-            }));
+            let others: Vec<&Seat> = view.seats.iter().filter(other).collect();
+            if others.is_empty() {
+                continue;
+            }
+            let served = reign.scheduler.tell_served();
+            all.extend(others.into_iter().map(|to| (to.clone(), served.clone())));
         }
         all
     }
 
     /// Takes what a reign in another region has given.
-    pub(crate) fn hear_served(&mut self, view: &View, epoch: Epoch, served: &[(CustomerId, u64)]) {
-        let Some(seat) = view.seats.iter().find(|s| s.epoch == epoch) else {
+    pub(crate) fn hear_served(&mut self, view: &View, served: &Served) {
+        let Some(seat) = view.seats.iter().find(|s| s.epoch == served.epoch) else {
             return;
         };
         for reign in self.all.values_mut() {
             let other = reign.shard.region != seat.shard.region;
             if other && reign.shard.service == seat.shard.service {
-                reign.scheduler.hear_served(epoch, served);
+                reign.scheduler.hear_served(served);
             }
         }
     }
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -1,7 +1,7 @@
 //! The messages.
 
 use coordination::agree::Envelope;
-use coordination::ask::{Grant, Report};
+use coordination::ask::{Grant, Report, Served};
 use coordination::spread::Confirm;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -126,7 +126,7 @@
     Grants(SmallVec<[Grant; 2]>),
     /// From a scheduler to those of the same service in other regions: service
     /// that it has given in its reign.
-    Served(Epoch, Vec<(CustomerId, u64)>),
+    Served(Served),
     /// This VM does not schedule in that reign, or not yet.
     Unseated(Epoch),
 }
