--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -542,3 +542,35 @@
         eventually("it gets work again", serves);
     });
 }
+
+#[test]
+fn can_eject_an_endpoint_that_takes_requests_and_answers_none() {
+    // Symptom: a third of all requests time out, again and again.
+    // Sequence: an endpoint accepts connections and never answers.
+    // Cause: a time-out that counts as the caller's leaving.
+    let plan = Plan {
+        control: 1,
+        routers: 1,
+        models: 2,
+        plains: 0,
+        ..Plan::default()
+    };
+    let fleet = Fleet::start(plan);
+    let mute = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let text = fleet.configuration().replace(
+        &fleet.stand_ins[0].address.to_string(),
+        &mute.local_addr().unwrap().to_string(),
+    );
+    let applied = fleet.apply(&text, &[]);
+    assert!(applied.0.success(), "{}", applied.2);
+    let events = || http::get(fleet.vm("r1").operators, "/events", harness::OPERATOR).text();
+    eventually("it is ejected", || {
+        let headers = [("stand-in-tokens", "1"), ("stand-in-pace", "0")];
+        std::thread::scope(|scope| {
+            for _ in 0..4 {
+                scope.spawn(|| fleet.call("r1", "beta", "/short", &headers, "x"));
+            }
+        });
+        events().contains("ejected")
+    });
+}
