Take agreement only from control VMs, and a vote only from where its disk is

Cause, found by reading: the link certifies a VM, but votes were counted by the disk they named; any VM of the fleet could have voted for all. Change: messages of agreement count from VMs in [peers] only, and a known disk's only from its VM. Measured: the new test fails without the check of the disk's place, and passes with it; all others pass.

--- a/components/coordination/src/agree/core.rs
+++ b/components/coordination/src/agree/core.rs
@@ -233,7 +233,7 @@
     pub fn step(&mut self, now: Millis, place: &Place, envelope: Envelope) {
         self.clock(now);
         let Envelope { from, to, message } = envelope;
-        if to.is_some_and(|to| to != self.me.disk) {
+        if to.is_some_and(|to| to != self.me.disk) || !self.is_from(place, from) {
             return;
         }
         match message {
@@ -256,6 +256,14 @@
         }
     }
 
+    /// Whether a message of a disk comes from where that disk is, as far as it is
+    /// known. The link certifies the VM, not the disk: without this, one VM could
+    /// vote for all.
+    fn is_from(&self, place: &Place, from: Disk) -> bool {
+        let member = self.members().all().find(|m| m.disk == from);
+        member.is_none_or(|m| m.place.vm == place.vm)
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: Millis) {
         self.clock(now);
--- a/components/coordination/tests/agree.rs
+++ b/components/coordination/tests/agree.rs
@@ -424,3 +424,28 @@
     assert_eq!(say(1003, matched(2)).2, Index(0));
     assert_eq!(say(1004, matched(3)).2, Index(3));
 }
+
+#[test]
+fn can_ignore_a_vote_of_a_disk_that_is_elsewhere() {
+    // Symptom: a member leads without a quorum.
+    // Sequence: one VM of the fleet answers in the name of another's disk.
+    // Cause: votes that are counted by what they say of themselves.
+    let (all, _, start) = three();
+    let seeds = all.iter().map(|m| m.place.clone()).collect();
+    let mut core = Core::new(all[0].clone(), seeds, start, Millis(0));
+    let mut say = |now, place: &Place, message| {
+        core.tick(Millis(now));
+        let envelope = Envelope {
+            from: Disk(2),
+            to: Some(Disk(1)),
+            message,
+        };
+        core.step(Millis(now), place, envelope);
+        core.ready();
+        core.role()
+    };
+    let (term, granted) = (Term(1), true);
+    let vote = Message::PreVoteReply { term, granted };
+    assert_eq!(say(1000, &all[2].place, vote.clone()), Role::PreCandidate);
+    assert_eq!(say(1001, &all[1].place, vote), Role::Candidate);
+}
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -197,7 +197,9 @@
             return;
         };
         match message {
-            Message::Agree(envelope) => self.core.step(now, &place, envelope),
+            Message::Agree(envelope) if self.parts.seeds.iter().any(|s| s.vm == *vm) => {
+                self.core.step(now, &place, envelope);
+            }
             Message::Beat {
                 region,
                 incarnation,
