Refuse a large head with a reason

Cause: a head over the limit got the library's bare 431, without reason, outcome or identity. Change: heads are measured against head-max (now 32 KiB) in a buffer of twice that.

--- a/components/node/src/front/admit.rs
+++ b/components/node/src/front/admit.rs
@@ -29,6 +29,7 @@
 ) -> Result<CustomerId, Refusal> {
     check_ready(front, published)?;
     check_framing(head)?;
+    check_size(head, front.parts.callers.head_max)?;
     authenticate(published, head)
 }
 
@@ -87,6 +88,22 @@
     Ok(())
 }
 
+/// Refuses a large head with a reason. The library refuses one that is twice as
+/// large by itself, with a bare 431.
+fn check_size(head: &Parts, max: usize) -> Result<(), Refusal> {
+    let fields = head
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4);
+    let target = head.uri.path_and_query().map_or(0, |p| p.as_str().len());
+    if fields.sum::<usize>() + target <= max {
+        return Ok(());
+    }
+    let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    let text = format!("a head has at most {max} bytes here");
+    Err(Refusal::not_run(status, "head-too-large", text))
+}
+
 fn authenticate(published: &Published, head: &Parts) -> Result<CustomerId, Refusal> {
     let header = head
         .headers
--- a/components/node/src/front/listen.rs
+++ b/components/node/src/front/listen.rs
@@ -114,7 +114,7 @@
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(Duration::from_millis(self.parts.callers.head_ms))
-            .max_buf_size(self.parts.callers.head_max)
+            .max_buf_size(2 * self.parts.callers.head_max)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         let ended = tokio::select! {
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -325,7 +325,7 @@
     };
     Ok(Callers {
         listen: s.parse("listen", &raw.listen, ADDRESS)?,
-        head_max: size("head-max", &raw.head_max, 8192, 1 << 20, 64 * 1024)?,
+        head_max: size("head-max", &raw.head_max, 4096, 1 << 20, 32 * 1024)?,
         body_max: size("body-max", &raw.body_max, 0, 1 << 30, 1 << 20)?,
         head_ms: s.millis("head-time", &raw.head_time, 100..=600_000, 10_000)?,
         body_ms: s.millis("body-time", &raw.body_time, 100..=600_000, 30_000)?,
