--- a/components/coordination/src/agree/core.rs
+++ b/components/coordination/src/agree/core.rs
@@ -9,6 +9,21 @@
 use state::view::Place;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Who may become a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// The VMs of the first members alone, with whatever disk they have.
+    Seeds,
+    /// Any VM. A new disk begins a group with the seeds only if `begins` says
+    /// that the fleet starts for the first time.
+    Open {
+        /// Whether a new group may begin.
+        begins: bool,
+        /// Voters that the group is to have.
+        voters: usize,
+    },
+}
+
 /// What a member is at the moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -44,6 +59,8 @@
     pub(super) next: Index,
     /// Leader's time of the latest message that it answered.
     pub(super) heard: Millis,
+    /// When this leader began to follow it.
+    pub(super) since: Millis,
     /// Whether entries are under way that it has not answered.
     pub(super) waiting: bool,
     /// When they were sent, so that a lost one is sent again.
@@ -88,6 +105,7 @@
 pub struct Core {
     pub(super) me: Member,
     pub(super) seeds: Vec<Place>,
+    pub(super) admission: Admission,
     pub(super) hard: Hard,
     pub(super) log: Log,
     pub(super) role: Role,
@@ -118,6 +136,7 @@
         let mut core = Core {
             me,
             seeds,
+            admission: Admission::Seeds,
             hard: start.hard,
             log,
             role: if newcomer {
@@ -144,6 +163,16 @@
         core
     }
 
+    /// Sets who may become a member besides the VMs of the first ones.
+    pub fn admit_by(&mut self, admission: Admission) {
+        self.admission = admission;
+    }
+
+    /// Changes the places where a newcomer calls.
+    pub fn set_seeds(&mut self, seeds: Vec<Place>) {
+        self.seeds = seeds;
+    }
+
     /// What it is.
     pub fn role(&self) -> Role {
         self.role
--- a/components/coordination/src/agree/elect.rs
+++ b/components/coordination/src/agree/elect.rs
@@ -17,6 +17,7 @@
             self.role = Role::Newcomer;
             return;
         }
+        self.ask_if_forgotten(now);
         if now < self.election_at || !self.votes_here() {
             return;
         }
@@ -173,6 +174,7 @@
             return;
         }
         let last = self.log.last();
+        let since = self.now();
         let members = self.members().clone();
         self.progress
             .retain(|disk, _| members.all().any(|m| m.disk == *disk));
@@ -181,6 +183,7 @@
                 matched: Index(0),
                 next: last.next(),
                 heard: Millis(0),
+                since,
                 waiting: false,
                 sent: Millis(0),
                 install: None,
--- a/components/coordination/src/agree/join.rs
+++ b/components/coordination/src/agree/join.rs
@@ -3,7 +3,7 @@
 use super::core::{Core, Role};
 use super::log::Index;
 use super::message::{Join, Message};
-use super::{ELECTION_MS, JOIN_MS};
+use super::{Admission, ELECTION_MS, FORGOTTEN_MS, GONE_MS, JOIN_MS};
 use crate::prelude::*;
 use state::record::{Disk, Member, Members, Record};
 use state::view::Place;
@@ -37,6 +37,30 @@
         self.begin_if_all_new(now);
     }
 
+    /// Calls like a newcomer when no leader has been heard of for long.
+    ///
+    /// A member that the others have taken out while it was away is sent nothing
+    /// any more, and its own log still says that it belongs to them. One would
+    /// see it wait for ever, and the group one voter short. A leader that counts
+    /// it ignores the call, any other admits it.
+    pub(super) fn ask_if_forgotten(&mut self, now: Millis) {
+        let quiet = (self.heard_leader).is_none_or(|at| now.since(at) >= FORGOTTEN_MS);
+        if !quiet || now < self.newcomers.call_at {
+            return;
+        }
+        self.newcomers.call_at = now.after(JOIN_MS);
+        let mut places: SmallVec<[Place; 8]> = self.seeds.iter().cloned().collect();
+        places.extend(self.members().all().map(|m| m.place.clone()));
+        places.sort();
+        places.dedup();
+        let heard: SmallVec<[Member; 5]> = SmallVec::from_iter([self.me.clone()]);
+        for place in places {
+            if place.vm != self.me.place.vm {
+                self.call(&place, heard.clone());
+            }
+        }
+    }
+
     /// Newcomers heard of late, this one among them, in the order of their VMs.
     fn heard(&self, now: Millis) -> SmallVec<[Member; 5]> {
         let mut heard: SmallVec<[Member; 5]> = (self.newcomers.calls.values())
@@ -50,11 +74,17 @@
 
     pub(super) fn on_join(&mut self, now: Millis, place: &Place, join: Join) {
         let Join { member, heard } = join;
-        let seed = self.seeds.contains(&member.place);
-        if member.place != *place || !seed {
+        let allowed = match self.admission {
+            Admission::Seeds => self.seeds.contains(&member.place),
+            Admission::Open { .. } => true,
+        };
+        // A member passes a newcomer's call on; anyone else speaks for itself.
+        let passed_on = self.members().all().any(|m| m.place.vm == place.vm);
+        if !allowed || (member.place != *place && !passed_on) {
             return;
         }
         match self.role {
+            Role::Newcomer if !self.seeds.contains(&member.place) => {}
             Role::Newcomer => {
                 let vm = member.place.vm.clone();
                 self.newcomers.calls.insert(vm, (now, member, heard));
@@ -65,10 +95,19 @@
                 let began = self.members().voters.clone();
                 self.call(&member.place, began);
             }
+            _ if member.place == *place => self.pass_on(Join { member, heard }),
             _ => {}
         }
     }
 
+    /// Passes a call on to the leader: a newcomer knows only some of the members.
+    fn pass_on(&mut self, join: Join) {
+        let leader = self.leader().filter(|l| l.vm != self.me.place.vm);
+        if let Some(leader) = leader {
+            self.send(&leader, None, Message::Join(Box::new(join)));
+        }
+    }
+
     /// Begins the group when all its first members are new and all of them have
     /// heard the same disks.
     ///
@@ -77,7 +116,13 @@
     /// changes vanish. So all must be there, and all must be new.
     fn begin_if_all_new(&mut self, now: Millis) {
         let heard = self.heard(now);
-        let new = self.members().voters.is_empty();
+        let begins = match self.admission {
+            Admission::Seeds => true,
+            // A disk that was lost is new as well; only the settings tell it from
+            // one of a fleet that has never run.
+            Admission::Open { begins, .. } => begins && self.seeds.contains(&self.me.place),
+        };
+        let new = begins && self.members().voters.is_empty();
         if !new || heard.len() != self.seeds.len() {
             return;
         }
@@ -143,6 +188,12 @@
             self.append(Record::Members(Box::new(next)));
             return;
         }
+        if let Some(gone) = self.gone(&members) {
+            let mut next = members;
+            next.voters.retain(|m| m.disk != gone);
+            self.append(Record::Members(Box::new(next)));
+            return;
+        }
         if let Some(ghost) = self.ghost(&members) {
             let mut next = members;
             next.learners.retain(|m| m.disk != ghost);
@@ -163,6 +214,27 @@
 }
 
 impl Core {
+    /// The voter that has been silent for longest, if there are more than wanted.
+    ///
+    /// A VM that is gone for good leaves its place among the voters behind. Once
+    /// its successor votes, four voters need three: the next loss would stop the
+    /// group, which is what the successor was to prevent.
+    fn gone(&self, members: &Members) -> Option<Disk> {
+        let Admission::Open { voters, .. } = self.admission else {
+            return None;
+        };
+        if members.voters.len() <= voters {
+            return None;
+        }
+        let heard = |m: &Member| {
+            let progress = self.progress.get(&m.disk);
+            progress.map_or(self.now(), |p| p.heard.max(p.since))
+        };
+        let others = members.voters.iter().filter(|m| m.disk != self.me.disk);
+        let silent = others.filter(|m| self.now().since(heard(m)) >= GONE_MS);
+        silent.min_by_key(|m| heard(m)).map(|m| m.disk)
+    }
+
     /// A learner whose VM answers with another disk: its call came late, from a
     /// disk that is gone.
     fn ghost(&self, members: &Members) -> Option<Disk> {
--- a/components/coordination/src/agree/mod.rs
+++ b/components/coordination/src/agree/mod.rs
@@ -12,7 +12,7 @@
 mod message;
 mod replicate;
 
-pub use self::core::{Core, Ready, Refusal, Role};
+pub use self::core::{Admission, Core, Ready, Refusal, Role};
 pub use self::log::{Entry, Hard, Index, Log, Snapshot, Start, Term};
 pub use self::message::{Envelope, Install, Join, Message};
 
@@ -31,6 +31,12 @@
 pub const LEASE_MS: u64 = 400;
 /// Time between a newcomer's calls, in milliseconds.
 pub const JOIN_MS: u64 = 200;
+/// Silence of a leader after which a member asks whether it still is one, in
+/// milliseconds; longer than an election takes.
+pub const FORGOTTEN_MS: u64 = 2000;
+/// Silence after which a voter beyond the wanted number is taken for gone, in
+/// milliseconds. One that was only cut off is admitted again when it calls.
+pub const GONE_MS: u64 = 2500;
 /// Entries that one message carries at most.
 pub const BATCH: usize = 64;
 /// Bytes of a snapshot that one message carries at most.
--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -3,6 +3,7 @@
 //! A session is one link between a router and a scheduler in one reign. Asks
 //! are numbered within it; a grant, its return and its reports name the ask.
 
+use crate::prompt::Prompt;
 use serde::{Deserialize, Serialize};
 use state::id::{CustomerId, EndpointId, Epoch};
 
@@ -35,10 +36,12 @@
     pub rate: u32,
     /// Requests in progress over the whole fleet, 0 for no limit.
     pub concurrency: u32,
+    /// Rank, 0 the most urgent.
+    pub priority: u8,
     /// Expected cost, in units of the service.
     pub hint: u32,
-    /// Hash of the prompt's prefix, 0 for none.
-    pub prefix: u32,
+    /// What is known of its prompt.
+    pub prompt: Prompt,
     /// Endpoint to avoid since an earlier try on it failed.
     pub avoid: Option<EndpointId>,
     /// Whether it comes from another region, and takes only what nobody here
@@ -108,6 +111,8 @@
     Withdraw(Seq),
     /// A grant was not used: no byte was sent.
     Return(Seq),
+    /// The first byte of a request's answer has come.
+    Began(Seq),
     /// A request has cost this much so far.
     Progress(Seq, u32),
     /// A request has ended at this cost.
--- a/components/coordination/src/desk/abroad.rs
+++ b/components/coordination/src/desk/abroad.rs
@@ -73,7 +73,8 @@
             rate: 0,
             concurrency: 0,
             hint: arrival.hint,
-            prefix: arrival.prefix,
+            priority: arrival.priority,
+            prompt: arrival.prompt,
             avoid,
             guest: true,
         };
--- a/components/coordination/src/desk/alone.rs
+++ b/components/coordination/src/desk/alone.rs
@@ -1,6 +1,6 @@
 //! How a desk grants itself a share of the slots, while it has no scheduler.
 
-use super::{endpoints, Desk, Effects};
+use super::{endpoints, memory, Desk, Effects};
 use crate::prelude::*;
 use crate::scheduler::{Effect as LocalEffect, Scheduler, GATHER_MS};
 use state::view::Shard;
@@ -55,6 +55,7 @@
         let Some((local, _)) = &mut session.local else {
             return;
         };
+        local.slots().set_memory(memory(view, shard));
         let mut any = 0;
         for (id, slots, _, leaving) in endpoints(view, shard) {
             let share = share(slots, routers, self.incarnation, id);
--- a/components/coordination/src/desk/line.rs
+++ b/components/coordination/src/desk/line.rs
@@ -155,7 +155,8 @@
                 rate: arrival.rate,
                 concurrency: arrival.concurrency,
                 hint: arrival.hint,
-                prefix: arrival.prefix,
+                priority: arrival.priority,
+                prompt: arrival.prompt,
                 avoid: request.avoid,
                 guest: false,
             };
--- a/components/coordination/src/desk/mod.rs
+++ b/components/coordination/src/desk/mod.rs
@@ -37,6 +37,8 @@
     pub class: Class,
     /// Weight of the customer for it.
     pub weight: u32,
+    /// Rank, 0 the most urgent.
+    pub priority: u8,
     /// Requests a second over the whole fleet, 0 for no limit.
     pub rate: u32,
     /// Requests in progress over the whole fleet, 0 for no limit.
@@ -45,8 +47,8 @@
     pub queue: u32,
     /// Expected cost, in units of the service.
     pub hint: u32,
-    /// Hash of the prompt's prefix, 0 for none.
-    pub prefix: u32,
+    /// What is known of its prompt.
+    pub prompt: Prompt,
     /// Bytes that it keeps in memory while it waits.
     pub bytes: u64,
     /// When it is given up.
@@ -142,6 +144,11 @@
         self.sessions.iter().map(|(shard, s)| (shard, s.up))
     }
 
+    /// Routers that share the endpoints, as far as the schedulers tell.
+    pub fn routers(&self) -> u32 {
+        self.sessions.values().map(|s| s.routers).max().unwrap_or(1)
+    }
+
     /// Takes a request, or says why it cannot wait.
     ///
     /// # Errors
@@ -222,6 +229,20 @@
         effects
     }
 
+    /// Notes that the first byte of an answer has come.
+    pub fn began(&mut self, now: Millis, ticket: Ticket) -> Effects {
+        let mut effects = Effects::new();
+        let Some(request) = self.requests.get(ticket) else {
+            return effects;
+        };
+        let Stage::Held { seq, .. } = request.stage else {
+            return effects;
+        };
+        let shard = request.shard.clone();
+        self.tell(now, &shard, Report::Began(seq), &mut effects);
+        effects
+    }
+
     /// Raises the cost of a dispatched request.
     pub fn progress(&mut self, now: Millis, ticket: Ticket, cost: u32) -> Effects {
         let mut effects = Effects::new();
@@ -348,6 +369,12 @@
     }
 }
 
+/// Memory in tokens of a shard's endpoints, if they are engines.
+pub fn memory(view: &View, shard: &Shard) -> Option<u64> {
+    let service = view.config.services.get(&shard.service)?;
+    service.engine.map(|e| e.memory_tokens)
+}
+
 /// Endpoints of a shard: number, slots, lead, and whether it is leaving.
 pub fn endpoints<'a>(
     view: &'a View,
--- /dev/null
+++ b/components/coordination/src/engine.rs
@@ -0,0 +1,218 @@
+//! A picture of one model engine: what it has kept, what it has yet to read.
+//!
+//! Engines admit requests in the order of their arrival and read prompts at a
+//! bounded rate. The time to a request's first token is thus what they have yet
+//! to read, and what of its prompt they have not kept. All of it follows from
+//! the grants and the first tokens that we see; reports lag and are not needed.
+
+use crate::prelude::*;
+use crate::prompt::{mix, Prompt};
+use std::collections::BTreeMap;
+
+/// Prompt tokens that an engine reads in a second, until it was measured.
+///
+/// Between what engines of 70 billion and of 8 billion parameters read; one
+/// that is wrong by a factor of two is corrected within some ten requests.
+const RATE: u64 = 50_000;
+/// Bounds of a measured rate: beyond them a measurement was disturbed.
+const RATE_MIN: u64 = 4_000;
+const RATE_MAX: u64 = 400_000;
+/// Shortest reading that says something about the rate, in tokens: shorter ones
+/// are mostly the time of a step and of the way.
+const SAMPLE_MIN: u64 = 3_000;
+/// Part of the memory that running requests may take, in hundredths.
+///
+/// A request that does not fit preempts the newest one, which is then read again
+/// from its start. Output lengths are estimates, so some room is left for those
+/// that run longer.
+const FULL_PERCENT: u64 = 85;
+/// Reading that an engine is given ahead, in milliseconds of its rate.
+///
+/// Engines know no priorities: what was sent is read in that order. Less ahead
+/// would let an engine stand idle for the way of a grant (about 5 ms); more
+/// would make those wait whose turn comes next.
+const AHEAD_MS: u64 = 120;
+/// What one running request adds to the expected time of the next, in
+/// microseconds: a step takes longer for each request of the batch.
+const BATCH_US: u64 = 400;
+
+/// A part of prompts in an engine's memory.
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    tokens: u32,
+    /// Running requests that use it; it does not yield while there are any.
+    users: u32,
+    used: Millis,
+}
+
+/// What a request takes of an engine from its grant to its end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Reading {
+    prompt: Prompt,
+    /// Tokens that were not kept at the grant.
+    missing: u64,
+    /// Tokens that were to be read before them.
+    ahead: u64,
+    granted: Millis,
+    has_begun: bool,
+}
+
+/// The picture of one engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    memory: u64,
+    kept: BTreeMap<u32, Kept>,
+    kept_tokens: u64,
+    /// Tokens that running requests are expected to generate.
+    output: u64,
+    /// Tokens of prompts that were granted and have not been read.
+    unread: u64,
+    /// Tokens read in a second.
+    rate: u64,
+}
+
+impl Engine {
+    /// An engine of which nothing is known but its memory in tokens.
+    pub fn new(memory: u64) -> Self {
+        Engine {
+            memory,
+            kept: BTreeMap::new(),
+            kept_tokens: 0,
+            output: 0,
+            unread: 0,
+            rate: RATE,
+        }
+    }
+
+    /// Changes the size of its memory.
+    pub fn set_memory(&mut self, memory: u64) {
+        self.memory = memory;
+    }
+
+    /// Tokens of a prompt that it would have to read.
+    pub fn missing(&self, prompt: &Prompt) -> u64 {
+        let kept: u64 = (prompt.parts())
+            .take_while(|p| self.kept.contains_key(&p.key))
+            .map(|p| u64::from(p.tokens))
+            .sum();
+        prompt.tokens() - kept
+    }
+
+    /// Whether it has room for a request, in its memory and in what it is to read.
+    pub fn has_room(&self, prompt: &Prompt) -> bool {
+        if self.unread > self.rate * AHEAD_MS / 1000 {
+            return false;
+        }
+        let used: u64 = (self.kept.values().filter(|k| k.users > 0))
+            .map(|k| u64::from(k.tokens))
+            .sum();
+        let idle = used + self.output == 0;
+        // What it has kept without a user yields; what this one shares with
+        // running requests is counted once.
+        let own: u64 = (prompt.parts())
+            .filter(|p| self.kept.get(&p.key).is_none_or(|k| k.users == 0))
+            .map(|p| u64::from(p.tokens))
+            .sum();
+        let wanted = used + self.output + own + u64::from(prompt.output);
+        idle || wanted <= self.memory * FULL_PERCENT / 100
+    }
+
+    /// Expected time to the first token of a request, in microseconds, with
+    /// `running` others in progress. `id` spreads new parts over engines.
+    pub fn expected_us(&self, id: EndpointId, prompt: &Prompt, running: u32) -> u64 {
+        let missing = self.missing(prompt);
+        // Reading again costs everyone, waiting only this one: a kept part is
+        // worth half its reading more than the time it saves here.
+        let reading = self.unread + missing + missing / 2;
+        let stray = if missing == prompt.tokens() {
+            // Every scheduler, and every router that has lost it, would choose
+            // the same engine for a part that none is known to have.
+            missing * (mix(u64::from(prompt.first()) << 32 | u64::from(id.0)) % 1024) / 4096
+        } else {
+            0
+        };
+        (reading + stray) * 1_000_000 / self.rate + u64::from(running) * BATCH_US
+    }
+
+    /// Takes a request that is sent now.
+    pub fn begin(&mut self, now: Millis, prompt: Prompt) -> Reading {
+        let missing = self.missing(&prompt);
+        let reading = Reading {
+            prompt,
+            missing,
+            ahead: self.unread,
+            granted: now,
+            has_begun: false,
+        };
+        self.unread += missing;
+        self.output += u64::from(prompt.output);
+        for part in prompt.parts() {
+            let kept = self.kept.entry(part.key).or_insert_with(|| {
+                self.kept_tokens += u64::from(part.tokens);
+                Kept {
+                    tokens: part.tokens,
+                    users: 0,
+                    used: now,
+                }
+            });
+            kept.users += 1;
+            kept.used = now;
+        }
+        self.evict();
+        reading
+    }
+
+    /// Notes a request's first token: its prompt has been read.
+    pub fn began(&mut self, now: Millis, reading: &mut Reading) {
+        if std::mem::replace(&mut reading.has_begun, true) {
+            return;
+        }
+        self.unread = self.unread.saturating_sub(reading.missing);
+        let read = reading.ahead + reading.missing;
+        let took = now.since(reading.granted);
+        if reading.missing < SAMPLE_MIN || took == 0 {
+            return;
+        }
+        let sample = (read * 1000 / took).clamp(RATE_MIN, RATE_MAX);
+        self.rate = (self.rate * 7 + sample) / 8;
+    }
+
+    /// Ends a request.
+    ///
+    /// A prompt of which no token came may never have been read: what it was to
+    /// bring is forgotten, or later requests would be sent here for nothing.
+    pub fn end(&mut self, reading: &Reading) {
+        self.output = (self.output).saturating_sub(u64::from(reading.prompt.output));
+        if !reading.has_begun {
+            self.unread = self.unread.saturating_sub(reading.missing);
+        }
+        let kept_before = reading.prompt.tokens() - reading.missing;
+        let mut at = 0;
+        for part in reading.prompt.parts() {
+            let was_missing = at >= kept_before;
+            at += u64::from(part.tokens);
+            let Some(kept) = self.kept.get_mut(&part.key) else {
+                continue;
+            };
+            kept.users = kept.users.saturating_sub(1);
+            if kept.users == 0 && was_missing && !reading.has_begun {
+                self.kept_tokens -= u64::from(kept.tokens);
+                self.kept.remove(&part.key);
+            }
+        }
+        self.evict();
+    }
+
+    /// Forgets the parts used least recently, as the engine does.
+    fn evict(&mut self) {
+        while self.kept_tokens + self.output > self.memory {
+            let idle = self.kept.iter().filter(|(_, k)| k.users == 0);
+            let Some((key, kept)) = idle.min_by_key(|(_, k)| k.used) else {
+                return;
+            };
+            let (key, tokens) = (*key, kept.tokens);
+            self.kept.remove(&key);
+            self.kept_tokens -= u64::from(tokens);
+        }
+    }
+}
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -6,11 +6,14 @@
 pub mod agree;
 pub mod ask;
 pub mod desk;
+pub mod engine;
 pub mod health;
 pub mod ledger;
 pub mod limit;
+pub mod listing;
 pub mod platform;
 pub mod prelude;
+pub mod prompt;
 pub mod retry;
 pub mod rule;
 pub mod scheduler;
--- /dev/null
+++ b/components/coordination/src/listing.rs
@@ -0,0 +1,108 @@
+//! Who reads the platform's list of endpoints, and what its readings mean.
+//!
+//! The list bears few calls for the whole fleet, so that one VM reads it and
+//! tells the others. Nobody appoints that VM: it is the one that has to wait
+//! least since the last news of a reading, and the others follow in turn when
+//! that news stays away, also while there is no leader.
+
+use crate::prelude::*;
+use state::listing::{Listed, Listing};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Readings in a row that an endpoint must be missing from before it is gone.
+///
+/// A page that changes while it is read may lack an endpoint that lives.
+pub const MISSING: u32 = 2;
+/// Endpoints remembered as leaving.
+const LEAVING_MAX: usize = 4096;
+
+/// What one process knows of the list.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    listing: Arc<Listing>,
+    heard: Option<Millis>,
+    /// Endpoints that were once told as leaving. None of them comes back, but a
+    /// reader that has older pages may say so.
+    leaving: BTreeSet<Name>,
+    missing: BTreeMap<Name, u32>,
+}
+
+impl Roster {
+    /// Whether this process is to read the list now. `patience` is the time that
+    /// it waits for someone else's reading, in milliseconds.
+    pub fn is_due(&self, now: Millis, patience: u64) -> bool {
+        now.since(self.heard.unwrap_or(Millis(0))) >= patience
+    }
+
+    /// The newest listing.
+    pub fn listing(&self) -> &Arc<Listing> {
+        &self.listing
+    }
+
+    /// Takes what this process has read; true if anything changed. `draw` is the
+    /// number of the listing if it did.
+    pub fn read(&mut self, now: Millis, mut endpoints: Vec<Listed>, draw: u64) -> bool {
+        self.heard = Some(now);
+        let present: BTreeSet<Name> = (endpoints.iter())
+            .map(|l| l.endpoint.name.clone())
+            .collect();
+        self.missing.retain(|name, _| !present.contains(name));
+        for old in &self.listing.endpoints {
+            let name = &old.endpoint.name;
+            if present.contains(name) || old.leaving {
+                continue;
+            }
+            let missing = self.missing.entry(name.clone()).or_default();
+            *missing += 1;
+            if *missing < MISSING {
+                endpoints.push(old.clone());
+            } else {
+                self.missing.remove(name);
+            }
+        }
+        endpoints.sort_by(|a, b| a.endpoint.name.cmp(&b.endpoint.name));
+        self.mark(&mut endpoints);
+        if endpoints == self.listing.endpoints {
+            return false;
+        }
+        self.listing = Arc::new(Listing {
+            id: draw,
+            endpoints,
+        });
+        true
+    }
+
+    /// Takes what another process has read; true if anything changed.
+    pub fn take(&mut self, now: Millis, mut listing: Listing) -> bool {
+        self.heard = Some(now);
+        self.mark(&mut listing.endpoints);
+        let changed = listing != *self.listing;
+        if changed {
+            self.listing = Arc::new(listing);
+        }
+        changed
+    }
+
+    /// Hears that a listing still holds; false if this process has another one.
+    pub fn confirm(&mut self, now: Millis, id: u64) -> bool {
+        let same = self.listing.id == id;
+        if same {
+            self.heard = Some(now);
+        }
+        same
+    }
+
+    fn mark(&mut self, endpoints: &mut [Listed]) {
+        for listed in endpoints {
+            let name = &listed.endpoint.name;
+            if listed.leaving {
+                self.leaving.insert(name.clone());
+            }
+            listed.leaving = self.leaving.contains(name);
+        }
+        if self.leaving.len() > LEAVING_MAX {
+            self.leaving.pop_first();
+        }
+    }
+}
--- a/components/coordination/src/prelude.rs
+++ b/components/coordination/src/prelude.rs
@@ -1,5 +1,6 @@
 //! The common types, for `use coordination::prelude::*`.
 
 pub use crate::ask::{Ask, Class, Grant, Held, Known, Report, Verdict};
+pub use crate::prompt::Prompt;
 pub use smallvec::SmallVec;
 pub use state::prelude::*;
--- /dev/null
+++ b/components/coordination/src/prompt.rs
@@ -0,0 +1,99 @@
+//! What is known of a request's prompt before it is sent.
+
+use serde::{Deserialize, Serialize};
+
+/// Parts that a prompt tells at most; what follows them counts as one part.
+///
+/// Prompts have two or three shared parts and one of their own. A bound makes
+/// an ask small and of one size.
+pub const PARTS: usize = 4;
+
+/// Key of a part that nobody shares. What is kept of it is never of use.
+pub const ALONE: u32 = u32::MAX;
+
+/// A part of a prompt that endpoints may have kept from an earlier request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Names the part together with all parts before it, 0 for none: an endpoint
+    /// can use a kept part only if it has all of them.
+    pub key: u32,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// A prompt, as parts in order, and what it is expected to bring.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Prompt {
+    parts: [Part; PARTS],
+    /// Tokens that are expected to be generated.
+    pub output: u32,
+}
+
+impl Prompt {
+    /// A prompt from the identities and lengths of its parts.
+    pub fn new<I>(parts: I, output: u32) -> Self
+    where
+        I: IntoIterator<Item = (u64, u32)>,
+    {
+        let mut prompt = Prompt {
+            output,
+            ..Prompt::default()
+        };
+        let mut key = 0;
+        for (n, (id, tokens)) in parts.into_iter().enumerate() {
+            key = chain(key, id);
+            let part = &mut prompt.parts[n.min(PARTS - 1)];
+            part.key = key;
+            part.tokens = part.tokens.saturating_add(tokens);
+        }
+        prompt
+    }
+
+    /// A prompt that shares nothing with others.
+    pub fn alone(tokens: u32, output: u32) -> Self {
+        let mut prompt = Prompt {
+            output,
+            ..Prompt::default()
+        };
+        prompt.parts[0] = Part { key: ALONE, tokens };
+        prompt
+    }
+
+    /// A prompt of which only a hash of its start is known.
+    pub fn of_prefix(key: u32) -> Self {
+        let mut prompt = Prompt::default();
+        prompt.parts[0].key = key;
+        prompt
+    }
+
+    /// Its parts in order.
+    pub fn parts(&self) -> impl Iterator<Item = Part> + '_ {
+        self.parts.iter().copied().take_while(|p| p.key != 0)
+    }
+
+    /// Key of its first part, 0 if nothing is known of it.
+    pub fn first(&self) -> u32 {
+        self.parts[0].key
+    }
+
+    /// Length in tokens.
+    pub fn tokens(&self) -> u64 {
+        self.parts().map(|p| u64::from(p.tokens)).sum()
+    }
+}
+
+/// Key of a part after those that `before` names.
+fn chain(before: u32, id: u64) -> u32 {
+    let mixed = mix(u64::from(before).rotate_left(32) ^ id);
+    // CAST: the upper half of 64 bits fits into 32.
+    ((mixed >> 32) as u32).max(1)
+}
+
+/// A number that looks random, the same for the same input.
+pub(crate) fn mix(input: u64) -> u64 {
+    // The finalizer of splitmix64 (Steele, Lea and Flood, 2014).
+    let mut z = input.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- a/components/coordination/src/retry.rs
+++ b/components/coordination/src/retry.rs
@@ -2,32 +2,73 @@
 
 use state::clock::Millis;
 
-/// Retries that a router may add, as a part of its first tries.
+/// Bounds on the retries that all routers together may add.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Retries for each thousand first tries.
+    pub per_mille: u64,
+    /// Retries beyond that in a window.
+    pub extra: u64,
+    /// The window, in milliseconds.
+    pub window_ms: u64,
+}
+
+/// Retries that one router may add.
 ///
 /// An outage must not feed itself: if each failed request came back, the load
 /// on the endpoints that are left would double just when they are fewest. One
-/// would see tries outrun requests. Ten in a hundred bounds that.
+/// would see tries outrun requests.
+///
+/// No router asks another before it retries. Each earns with its own first tries
+/// and saves up no more than its part of the extra, so that all of them together
+/// stay within the bounds in any window.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
+    bounds: Bounds,
     /// Thousandths of a retry.
     tokens: u64,
+    /// Thousandths of a retry that can be saved up.
+    most: u64,
+    /// When a part of the extra was last given.
+    filled: Millis,
 }
 
-/// Thousandths of a retry that each first try earns.
-const EARN: u64 = 100;
-/// Thousandths of a retry that can be saved up.
-const SAVE: u64 = 10_000;
+/// Part of the bounds that is used, in hundredths: routers that were lost and
+/// added again start with a full part each, and windows slide.
+const USED_PERCENT: u64 = 60;
 
-impl Default for Budget {
-    fn default() -> Self {
-        Budget { tokens: SAVE }
+impl Budget {
+    /// A full budget.
+    pub fn new(bounds: Bounds, now: Millis) -> Self {
+        Budget {
+            bounds,
+            tokens: 0,
+            most: 0,
+            filled: now,
+        }
     }
-}
 
-impl Budget {
-    /// Counts a first try.
-    pub fn earn(&mut self) {
-        self.tokens = (self.tokens + EARN).min(SAVE);
+    /// Counts a first try, on one of `routers` routers.
+    pub fn earn(&mut self, now: Millis, routers: u32) {
+        let part = self.bounds.extra * 1000 * USED_PERCENT / 100 / u64::from(routers.max(1));
+        if self.most == 0 {
+            self.tokens = part / 2;
+        }
+        // Half may be saved up, and half comes back within a window: no window
+        // sees more than the part.
+        self.most = (part / 2).max(1000);
+        let time = now.since(self.filled).min(self.bounds.window_ms);
+        let back = (part / 2) * time / self.bounds.window_ms.max(1);
+        if back > 0 {
+            self.filled = now;
+        }
+        let earned = self.bounds.per_mille * USED_PERCENT / 100;
+        self.tokens = (self.tokens + earned + back).min(self.most);
+    }
+
+    /// Whether there is a retry to take.
+    pub fn has_any(&self) -> bool {
+        self.tokens >= 1000
     }
 
     /// Takes a retry, if there is one.
@@ -78,6 +119,17 @@
     Unknown,
 }
 
+impl Next {
+    /// Its name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Next::Again => "again",
+            Next::NotRun => "not-run",
+            Next::Unknown => "unknown",
+        }
+    }
+}
+
 /// Decides what follows a failed try.
 pub fn after(attempt: Try, now: Millis, budget: &mut Budget) -> Next {
     let safe = match attempt.reach {
--- a/components/coordination/src/rule.rs
+++ b/components/coordination/src/rule.rs
@@ -2,16 +2,19 @@
 
 use crate::prelude::*;
 use state::config::{Rule, Service, When};
+use state::route::Routes;
 
 /// What a rule may ask about a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Request<'a> {
-    /// Customer.
-    pub customer: &'a Name,
+    /// Customer, if its key is known.
+    pub customer: Option<&'a Name>,
     /// Service that the caller named.
     pub service: Option<&'a str>,
     /// Method in upper case.
     pub method: &'a str,
+    /// Host that the caller names, in lower case, without a port.
+    pub host: Option<&'a str>,
     /// Path without its query.
     pub path: &'a str,
     /// Headers, by lower-case name.
@@ -23,21 +26,31 @@
 }
 
 /// The first rule that matches, with its place in the list.
-pub fn decide<'a>(rules: &'a [Rule], request: &Request<'_>) -> Option<(u16, &'a Rule)> {
-    let place = rules.iter().position(|r| matches(&r.when, request))?;
-    Some((u16::try_from(place).ok()?, &rules[place]))
+///
+/// `routes` must have been made from the same rules. A rule whose services can
+/// be reached without a customer's key matches without one, too.
+pub fn decide<'a>(
+    rules: &'a [Rule],
+    routes: &Routes,
+    request: &Request<'_>,
+) -> Option<(u16, &'a Rule)> {
+    let places = routes.candidates(request.host, request.path);
+    let found = |place: &u16| rules.get(usize::from(*place)).map(|rule| (*place, rule));
+    let mut rules = places.iter().filter_map(found);
+    rules.find(|(_, rule)| matches(&rule.when, request))
 }
 
 fn matches(when: &When, request: &Request<'_>) -> bool {
     let any = |empty: bool, found: bool| empty || found;
     any(
         when.customers.is_empty(),
-        when.customers.iter().any(|c| c == request.customer),
+        when.customers.iter().any(|c| Some(c) == request.customer),
     ) && (when.service.as_ref()).is_none_or(|s| request.service == Some(s.as_str()))
         && any(
             when.methods.is_empty(),
             when.methods.iter().any(|m| m == request.method),
         )
+        && (when.host.as_ref()).is_none_or(|h| request.host == Some(h.as_str()))
         && (when.path.as_ref()).is_none_or(|p| request.path.starts_with(p.as_str()))
         && (when.header.as_ref()).is_none_or(|(n, v)| header(request, n, v.as_deref()))
         && (when.data_centre.as_ref()).is_none_or(|d| d == request.data_centre)
@@ -93,6 +106,7 @@
         && list(&wide.methods, &narrow.methods)
         && one(&wide.service, &narrow.service)
         && one(&wide.data_centre, &narrow.data_centre)
+        && one(&wide.host, &narrow.host)
         && path
         && head
         && low
--- a/components/coordination/src/scheduler.rs
+++ b/components/coordination/src/scheduler.rs
@@ -4,11 +4,12 @@
 //! goes first. Which router a request waits on plays no part.
 
 use crate::ask::{Hello, Seq, Served};
+use crate::engine::Reading;
 use crate::health;
 use crate::ledger::{virtual_cost, Ledger};
 use crate::limit::Bucket;
 use crate::prelude::*;
-use crate::slot::{Choice, Slots, Wish};
+use crate::slot::{Choice, Slots, Taken, Wish};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// How long a new scheduler gathers sessions before its first grant, in
@@ -63,6 +64,8 @@
     weight: u32,
     endpoint: EndpointId,
     charged: u32,
+    /// What it takes of a model engine; unknown if another scheduler granted it.
+    reading: Option<Reading>,
 }
 
 /// The scheduler of one shard in one reign.
@@ -191,6 +194,7 @@
                 weight: held.weight,
                 endpoint: held.endpoint,
                 charged: held.cost,
+                reading: None,
             };
             self.slots.hold(now, held.endpoint);
             let amount = virtual_cost(held.cost, held.weight);
@@ -211,6 +215,7 @@
                 Effects::new()
             }
             Report::Return(seq) => self.give_back(now, session, seq),
+            Report::Began(seq) => self.began(now, session, seq),
             Report::Progress(seq, cost) => {
                 self.progress(session, seq, cost);
                 Effects::new()
@@ -272,6 +277,17 @@
         self.grant(now)
     }
 
+    /// Notes the first byte of an answer: an engine has read the prompt, and may
+    /// be given the next one.
+    pub fn began(&mut self, now: Millis, session: Session, seq: Seq) -> Effects {
+        if let Some(running) = self.running.get_mut(&(session, seq)) {
+            if let Some(reading) = &mut running.reading {
+                self.slots.began(now, running.endpoint, reading);
+            }
+        }
+        self.grant(now)
+    }
+
     /// Raises the charge of a request in progress.
     pub fn progress(&mut self, session: Session, seq: Seq, cost: u32) {
         let Some(running) = self.running.get_mut(&(session, seq)) else {
@@ -385,13 +401,13 @@
                 break;
             };
             let wish = Wish {
-                prefix: ask.prefix,
+                prompt: ask.prompt,
                 avoid: ask.avoid,
             };
-            let Some(endpoint) = self.slots.take(now, wish) else {
+            let Some(taken) = self.slots.take(now, wish) else {
                 break;
             };
-            effects.push(self.start(now, key, ask, endpoint));
+            effects.push(self.start(now, key, ask, taken));
         }
         effects
     }
@@ -401,7 +417,7 @@
         now: Millis,
         key: (Session, Seq),
         ask: Ask,
-        endpoint: EndpointId,
+        Taken { endpoint, reading }: Taken,
     ) -> Effect {
         let customer = ask.class.customer;
         // The charge comes first, so that a customer leaving the backlog with
@@ -419,6 +435,7 @@
             weight: ask.weight,
             endpoint,
             charged: ask.hint,
+            reading,
         };
         self.running.insert(key, running);
         let grant = Grant {
@@ -507,6 +524,9 @@
         *self.served.entry(running.class.customer).or_default() += amount;
         self.grown.insert(running.class.customer);
         let change = self.slots.free(now, running.endpoint, verdict);
+        if let Some(reading) = &running.reading {
+            self.slots.end(running.endpoint, reading);
+        }
         let line = self.line(now, running.class);
         line.running = line.running.saturating_sub(1);
         Some((running, change))
--- a/components/coordination/src/seat.rs
+++ b/components/coordination/src/seat.rs
@@ -48,8 +48,9 @@
         self.candidates.remove(vm);
     }
 
-    /// Seats to be filled or changed, given the view.
-    pub fn plan(&self, now: Millis, view: &View) -> SmallVec<[Seat; 4]> {
+    /// Seats to be filled or changed, given the view and the shards that have
+    /// endpoints.
+    pub fn plan(&self, now: Millis, view: &View, shards: &BTreeSet<Shard>) -> SmallVec<[Seat; 4]> {
         let mut plan = SmallVec::new();
         if now < self.from {
             return plan;
@@ -65,8 +66,11 @@
                 *n += 1;
             }
         }
-        for shard in shards(view) {
-            let held = view.seat(&shard);
+        for shard in shards
+            .iter()
+            .filter(|s| view.config.services.contains_key(&s.service))
+        {
+            let held = view.seat(shard);
             if held.is_some_and(|s| live.get(&s.place.vm).is_some_and(|c| c.place == s.place)) {
                 continue;
             }
@@ -79,7 +83,7 @@
                 *n += 1;
             }
             plan.push(Seat {
-                shard,
+                shard: shard.clone(),
                 place: candidate.place.clone(),
                 // The version that the record will bring is not known yet, but
                 // it is above the current one; so is this epoch above all others.
--- a/components/coordination/src/slot.rs
+++ b/components/coordination/src/slot.rs
@@ -1,5 +1,6 @@
 //! Slots of a shard's endpoints and the choice among them.
 
+use crate::engine::{Engine, Reading};
 use crate::health::{Change, Health};
 use crate::prelude::*;
 use std::collections::{BTreeMap, VecDeque};
@@ -22,17 +23,28 @@
     foreign: u32,
     health: Health,
     prefixes: VecDeque<u32>,
+    /// Its picture, if it is a model engine.
+    engine: Option<Engine>,
 }
 
 /// What to look for in an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish {
-    /// Hash of the prompt's prefix, 0 for none.
-    pub prefix: u32,
+    /// What is known of the prompt.
+    pub prompt: Prompt,
     /// Endpoint to avoid, if another is free.
     pub avoid: Option<EndpointId>,
 }
 
+/// A slot that was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Taken {
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// What the request takes of it, if it is a model engine.
+    pub reading: Option<Reading>,
+}
+
 /// How to choose among free endpoints; all but the first are baselines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -48,6 +60,7 @@
 #[derive(Clone, Debug)]
 pub struct Slots {
     all: BTreeMap<EndpointId, Slot>,
+    memory: Option<u64>,
     choice: Choice,
     turn: u64,
 }
@@ -63,11 +76,18 @@
     pub fn new(choice: Choice) -> Self {
         Slots {
             all: BTreeMap::new(),
+            memory: None,
             choice,
             turn: 0,
         }
     }
 
+    /// Sets the memory in tokens of all endpoints that are set from now on;
+    /// `None` if they are no model engines.
+    pub fn set_memory(&mut self, memory: Option<u64>) {
+        self.memory = memory;
+    }
+
     /// Adds or changes an endpoint.
     pub fn set(&mut self, id: EndpointId, slots: u32, lead: u32, leaving: bool) {
         let slot = self.all.entry(id).or_insert_with(|| Slot {
@@ -79,7 +99,13 @@
             foreign: 0,
             health: Health::default(),
             prefixes: VecDeque::new(),
+            engine: None,
         });
+        match (self.memory, &mut slot.engine) {
+            (Some(memory), Some(engine)) => engine.set_memory(memory),
+            (Some(memory), engine @ None) => *engine = Some(Engine::new(memory)),
+            (None, engine) => *engine = None,
+        }
         slot.slots = slots;
         slot.lead = lead;
         slot.leaving = leaving;
@@ -94,19 +120,36 @@
     }
 
     /// Takes a slot of the best endpoint that has one free.
-    pub fn take(&mut self, now: Millis, wish: Wish) -> Option<EndpointId> {
-        let id = self
+    pub fn take(&mut self, now: Millis, wish: Wish) -> Option<Taken> {
+        let endpoint = self
             .best(now, wish, true)
             .or_else(|| self.best(now, wish, false))?;
-        self.hold(now, id);
-        let slot = self.all.get_mut(&id)?;
-        if wish.prefix != 0 && !slot.prefixes.contains(&wish.prefix) {
-            slot.prefixes.push_back(wish.prefix);
-            if slot.prefixes.len() > PREFIXES {
-                slot.prefixes.pop_front();
+        self.hold(now, endpoint);
+        let slot = self.all.get_mut(&endpoint)?;
+        let reading = match &mut slot.engine {
+            Some(engine) => Some(engine.begin(now, wish.prompt)),
+            None => {
+                slot.remember(wish.prompt.first());
+                None
             }
+        };
+        Some(Taken { endpoint, reading })
+    }
+
+    /// Notes the first byte of an answer of an engine.
+    pub fn began(&mut self, now: Millis, id: EndpointId, reading: &mut Reading) {
+        let slot = self.all.get_mut(&id);
+        if let Some(engine) = slot.and_then(|s| s.engine.as_mut()) {
+            engine.began(now, reading);
+        }
+    }
+
+    /// Gives back what a request took of an engine.
+    pub fn end(&mut self, id: EndpointId, reading: &Reading) {
+        let slot = self.all.get_mut(&id);
+        if let Some(engine) = slot.and_then(|s| s.engine.as_mut()) {
+            engine.end(reading);
         }
-        Some(id)
     }
 
     /// Counts a request that is in progress already.
@@ -172,11 +215,12 @@
         let avoid = wish.avoid.filter(|_| avoiding);
         let free = (self.all.iter())
             .filter(|(id, s)| s.room(now) > 0 && Some(**id) != avoid)
+            .filter(|(_, s)| s.engine.as_ref().is_none_or(|e| e.has_room(&wish.prompt)))
             .map(|(id, s)| (*id, s));
         self.turn += 1;
         match self.choice {
             Choice::Least => free
-                .min_by_key(|(id, s)| (s.score(wish.prefix), *id))
+                .min_by_key(|(id, s)| (s.score(*id, &wish.prompt), *id))
                 .map(|(id, _)| id),
             Choice::RoundRobin => nth(free.map(|(id, _)| id).collect(), self.turn),
             Choice::Random => {
@@ -218,9 +262,23 @@
         capacity.saturating_sub(self.running + self.foreign)
     }
 
-    /// Load in thousandths of the slots, where an endpoint that has not seen
-    /// the prefix counts as one request fuller.
-    fn score(&self, prefix: u32) -> u64 {
+    fn remember(&mut self, prefix: u32) {
+        if prefix == 0 || self.prefixes.contains(&prefix) {
+            return;
+        }
+        self.prefixes.push_back(prefix);
+        if self.prefixes.len() > PREFIXES {
+            self.prefixes.pop_front();
+        }
+    }
+
+    /// Expected time of an engine, or the load in thousandths of the slots, where
+    /// an endpoint that has not seen the prefix counts as one request fuller.
+    fn score(&self, id: EndpointId, prompt: &Prompt) -> u64 {
+        if let Some(engine) = &self.engine {
+            return engine.expected_us(id, prompt, self.running + self.foreign);
+        }
+        let prefix = prompt.first();
         let cold = u32::from(prefix != 0 && !self.prefixes.contains(&prefix));
         u64::from(self.running + self.foreign + cold) * 1000 / u64::from(self.slots.max(1))
     }
--- a/components/coordination/tests/agree.rs
+++ b/components/coordination/tests/agree.rs
@@ -192,7 +192,7 @@
     assert_eq!(world.leader(), None);
     world.boot(a);
     let leader = world.run_to_leader(10_000);
-    assert_eq!(world.nodes[leader].store.view.version, Version(1));
+    assert_eq!(world.nodes[leader].store.view.config_version, Version(1));
     // Repaired, the group bears the loss of any other member.
     for _ in 0..20_000 {
         world.step();
@@ -206,7 +206,7 @@
     world.wipe(leader);
     world.run(100);
     let next = world.run_to_leader(5000);
-    assert_eq!(world.nodes[next].store.view.version, Version(1));
+    assert_eq!(world.nodes[next].store.view.config_version, Version(1));
 }
 
 #[test]
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -6,7 +6,8 @@
 use coordination::ledger::{virtual_cost, Ledger};
 use coordination::limit::Bucket;
 use coordination::platform::{Line, State, Watch, Word};
-use coordination::retry::{after, Budget, Next, Reach, Try};
+use coordination::prompt::Prompt;
+use coordination::retry::{after, Bounds, Budget, Next, Reach, Try};
 use coordination::rule::{decide, idempotent, shadowed, Request};
 use coordination::scheduler::{Effect, Effects, Scheduler, Session, GATHER_MS, ORPHAN_MS};
 use coordination::slot::{Slots, Wish};
@@ -15,6 +16,7 @@
 use state::clock::Millis;
 use state::config::{Cost, Endpoint, Rule, Service, Then, When};
 use state::id::{CustomerId, EndpointId, Epoch, Name, Version};
+use state::route::Routes;
 use state::view::{Place, View};
 
 const A: CustomerId = CustomerId(1);
@@ -86,12 +88,62 @@
     assert_eq!(started, 10 + 30);
 }
 
+const BOUNDS: Bounds = Bounds {
+    per_mille: 100,
+    extra: 10,
+    window_ms: 10_000,
+};
+
+fn budget() -> Budget {
+    Budget::new(BOUNDS, Millis(0))
+}
+
+/// A budget from which a retry can be taken.
+fn earned() -> Budget {
+    let mut budget = budget();
+    budget.earn(Millis(0), 1);
+    budget
+}
+
+#[test]
+fn can_keep_the_retries_of_all_routers_within_any_window() {
+    // Symptom: the endpoints of a service get more repeats than the operators
+    // allow, though no router adds more than its share.
+    // Sequence: everything fails at six routers for a minute.
+    // Cause: a budget that each router has whole, or that fills up between two
+    // windows and is spent in both.
+    let routers = 6;
+    let mut budgets: Vec<Budget> = (0..routers).map(|_| budget()).collect();
+    let mut retries: Vec<u64> = Vec::new();
+    let mut requests: Vec<u64> = Vec::new();
+    for ms in (0..60_000).step_by(10) {
+        let budget = &mut budgets[usize::try_from(ms / 10 % routers).unwrap()];
+        budget.earn(Millis(ms), u32::try_from(routers).unwrap());
+        requests.push(ms);
+        while budget.take() {
+            retries.push(ms);
+        }
+    }
+    let within = |all: &[u64], from: u64| {
+        let inside = all
+            .iter()
+            .filter(|at| (from..from + BOUNDS.window_ms).contains(*at));
+        inside.count() as u64
+    };
+    for from in (0..50_000).step_by(100) {
+        let allowed = BOUNDS.extra + within(&requests, from) * BOUNDS.per_mille / 1000;
+        let added = within(&retries, from);
+        assert!(added <= allowed, "{added} of {allowed} from {from} ms on");
+    }
+    assert!(retries.len() > 100, "{}", retries.len());
+}
+
 #[test]
 fn can_keep_an_outage_from_feeding_itself() {
-    let mut budget = Budget::default();
+    let mut budget = budget();
     let mut retries = 0;
     for _ in 0..1000 {
-        budget.earn();
+        budget.earn(Millis(0), 1);
         while budget.take() {
             retries += 1;
         }
@@ -120,7 +172,7 @@
         retries_max: 2,
         deadline: Millis(100),
     };
-    assert_eq!(after(attempt, Millis(0), &mut Budget::default()), next);
+    assert_eq!(after(attempt, Millis(0), &mut earned()), next);
 }
 
 #[test]
@@ -132,10 +184,7 @@
         retries_max: 2,
         deadline: Millis(100),
     };
-    assert_eq!(
-        after(attempt, Millis(100), &mut Budget::default()),
-        Next::NotRun
-    );
+    assert_eq!(after(attempt, Millis(100), &mut earned()), Next::NotRun);
 }
 
 #[test]
@@ -159,7 +208,7 @@
     // Sequence: four requests run and end; a report of a second ago says four.
     // Cause: a late report that is set against what runs now.
     let wish = Wish {
-        prefix: 0,
+        prompt: Prompt::default(),
         avoid: None,
     };
     let id = EndpointId(1);
@@ -181,7 +230,7 @@
 #[test]
 fn can_prefer_an_endpoint_that_has_seen_the_prefix_while_loads_are_near() {
     let wish = |prefix| Wish {
-        prefix,
+        prompt: Prompt::of_prefix(prefix),
         avoid: None,
     };
     let mut slots = Slots::default();
@@ -225,15 +274,16 @@
     let data_centre = name("dc");
     let decided = |path: &str, size| {
         let request = Request {
-            customer: &customer,
+            customer: Some(&customer),
             service: None,
             method: "GET",
+            host: None,
             path,
             headers: &[],
             data_centre: &data_centre,
             size,
         };
-        decide(&rules, &request).map(|(place, _)| place)
+        decide(&rules, &Routes::from(&rules[..]), &request).map(|(place, _)| place)
     };
     assert_eq!(decided("/a/b/c", 0), Some(0));
     assert_eq!(decided("/a/c", 0), Some(1));
@@ -261,6 +311,8 @@
         timeout_ms: 1,
         idempotent: service,
         load: None,
+        connections: None,
+        engine: None,
     };
     assert_eq!(idempotent(rule, &service, method), twice);
 }
@@ -273,7 +325,8 @@
         rate,
         concurrency,
         hint: 10,
-        prefix: 0,
+        priority: 0,
+        prompt: Prompt::default(),
         avoid: None,
         guest: false,
     }
--- a/components/coordination/tests/desk.rs
+++ b/components/coordination/tests/desk.rs
@@ -3,6 +3,7 @@
 
 use coordination::ask::{Class, Grant, Report, Verdict};
 use coordination::desk::{Arrival, Bounds, Desk, Effect, Full, Ticket, ALONE_MS, GUEST_MS, WINDOW};
+use coordination::prompt::Prompt;
 use state::clock::Millis;
 use state::config::{Cost, Endpoint, Service};
 use state::id::{CustomerId, EndpointId, Epoch, Name, ServiceId};
@@ -26,6 +27,8 @@
             timeout_ms: 1000,
             idempotent: true,
             load: None,
+            connections: None,
+            engine: None,
         },
     );
     view.config.endpoints.insert(
@@ -66,7 +69,8 @@
         concurrency: 0,
         queue: 100,
         hint: 10,
-        prefix: 0,
+        priority: 0,
+        prompt: Prompt::default(),
         bytes: 10,
         deadline: Millis(5000),
     }
--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
 
 use coordination::ask::{Class, Grant, Report, Verdict};
 use coordination::desk::{Arrival, Bounds, Desk, Effect, Ticket};
+use coordination::prompt::Prompt;
 use coordination::scheduler::{Effect as Given, Scheduler, Session};
 use coordination::slot::Choice;
 use naive::Naive;
@@ -324,7 +325,8 @@
             concurrency: 0,
             queue: 1000,
             hint: job.hint,
-            prefix: 0,
+            priority: 0,
+            prompt: Prompt::default(),
             bytes: 0,
             deadline: Millis(u64::MAX),
         };
@@ -633,7 +635,7 @@
     match report {
         Report::Hello(hello) => 12 + 12 * hello.held.len() as u64 + 8 * hello.known.len() as u64,
         Report::Ask(_) => 14,
-        Report::Withdraw(_) | Report::Return(_) => 3,
+        Report::Withdraw(_) | Report::Return(_) | Report::Began(_) => 3,
         Report::Progress(..) => 5,
         Report::Done(..) => 6,
     }
@@ -663,6 +665,8 @@
         timeout_ms: 60_000,
         idempotent: true,
         load: None,
+        connections: None,
+        engine: None,
     };
     view.config.services.insert(SERVICE, service);
     for n in 0..setup.endpoints {
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -3,7 +3,7 @@
 use crate::input::Input as ReactorInput;
 use crate::journal::Journal;
 use crate::metric::{value, Metrics};
-use coordination::agree::{Core, Index, Ready, Refusal, Role, Snapshot, Term};
+use coordination::agree::{Admission, Core, Index, Ready, Refusal, Role, Snapshot, Term};
 use coordination::seat::Seats;
 use errors::{Error, Result};
 use protocol::wire::{Hello, Leaving, Message, Query, Reply};
@@ -13,9 +13,9 @@
 use state::event::{Event, Step};
 use state::id::{Name, Version};
 use state::record::{Disk, Member, Record};
-use state::store::Store;
-use state::view::{Departure, Place};
-use std::collections::{BTreeMap, HashMap};
+use state::store::{Document, Store};
+use state::view::{Departure, Place, Shard};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,6 +41,12 @@
     Message(Name, Message),
     /// What is the state?
     Status(oneshot::Sender<Status>),
+    /// Which complete configuration is in force here, and at which version?
+    Document(oneshot::Sender<(Version, Option<Document>)>),
+    /// The shards that have endpoints.
+    Shards(BTreeSet<Shard>),
+    /// The settings name other control VMs.
+    Seeds(Vec<Place>),
     /// End.
     Stop,
 }
@@ -77,6 +83,8 @@
     pub(crate) place: Place,
     /// Control VMs.
     pub(crate) seeds: Vec<Place>,
+    /// Who may become a member.
+    pub(crate) admission: Admission,
     /// Data folder.
     pub(crate) data: PathBuf,
     /// Bytes of log after which a snapshot is taken.
@@ -100,6 +108,9 @@
     folder: Folder,
     store: Store,
     seats: Seats,
+    shards: BTreeSet<Shard>,
+    /// Members as the reactor was last told.
+    members: Vec<Place>,
     /// Places of peers with a link, as they introduced themselves.
     places: HashMap<Name, Place>,
     /// Who waits for the entry of a term at an index to be applied.
@@ -125,12 +136,15 @@
             disk: folder.identity(),
             place: parts.place.clone(),
         };
-        let core = Core::new(me, parts.seeds.clone(), start, parts.clock.now());
+        let mut core = Core::new(me, parts.seeds.clone(), start, parts.clock.now());
+        core.admit_by(parts.admission);
         let control = Control {
             core,
             folder,
             store,
             seats: Seats::default(),
+            shards: BTreeSet::new(),
+            members: Vec::new(),
             places: HashMap::new(),
             waiters: BTreeMap::new(),
             seats_until: Index(0),
@@ -187,6 +201,16 @@
             Input::Message(vm, message) => self.message(now, &vm, message),
             // Whoever asked may have gone.
             Input::Status(reply) => drop(reply.send(self.status())),
+            Input::Document(reply) => {
+                let document = self.store.release.clone();
+                // Whoever asked may have gone.
+                let _ = reply.send((self.store.view.version, document));
+            }
+            Input::Shards(shards) => self.shards = shards,
+            Input::Seeds(seeds) => {
+                self.parts.seeds.clone_from(&seeds);
+                self.core.set_seeds(seeds);
+            }
             Input::Stop => {}
         }
     }
@@ -197,7 +221,7 @@
             return;
         };
         match message {
-            Message::Agree(envelope) if self.parts.seeds.iter().any(|s| s.vm == *vm) => {
+            Message::Agree(envelope) if self.is_control(vm) => {
                 self.core.step(now, &place, envelope);
             }
             Message::Beat {
@@ -209,6 +233,15 @@
         }
     }
 
+    /// Whether a VM may take part in agreement. Where members are not known
+    /// beforehand, one that runs the control role is told by its calls alone.
+    fn is_control(&self, vm: &Name) -> bool {
+        match self.parts.admission {
+            Admission::Seeds => self.parts.seeds.iter().any(|s| s.vm == *vm),
+            Admission::Open { .. } => true,
+        }
+    }
+
     fn query(&mut self, now: Millis, vm: &Name, id: u64, query: Query) {
         if !self.core.may_serve(now) {
             let leader = self.core.leader().filter(|l| l.vm != self.parts.place.vm);
@@ -269,6 +302,7 @@
                 let delta = Box::new(Delta::between(&self.store.view.config, &draft));
                 Ok(Record::Change { id, base, delta })
             }
+            Query::Release(release) => Ok(Record::Release(release)),
             Query::Depart(leaving) => self.departure(leaving).map(Record::Departure),
         }
     }
@@ -290,6 +324,7 @@
         let leads = self.core.role() == Role::Leader;
         if leads != self.was_leader {
             self.was_leader = leads;
+            self.to_reactor(ReactorInput::Leads(leads));
             self.note_role(leads);
             if leads {
                 self.seats.begin(now);
@@ -300,7 +335,7 @@
         if !leads || !self.core.may_serve(now) || self.core.commit() < self.seats_until {
             return;
         }
-        for seat in self.seats.plan(now, &self.store.view) {
+        for seat in self.seats.plan(now, &self.store.view, &self.shards) {
             tracing::info!(vm = %seat.place.vm, epoch = %seat.epoch, "a scheduler is seated");
             if let Ok(index) = self.core.propose(now, Record::Seat(seat)) {
                 self.seats_until = index;
@@ -349,9 +384,26 @@
             self.compact()?;
         }
         self.tell_fresh();
+        self.tell_members();
         Ok(())
     }
 
+    /// Reaches all members, whom the settings need not name.
+    fn tell_members(&mut self) {
+        let members = self.core.members();
+        let same = members.all().map(|m| &m.place).eq(self.members.iter());
+        if same {
+            return;
+        }
+        self.members = members.all().map(|m| m.place.clone()).collect();
+        tracing::info!(
+            event = "members-changed",
+            voters = ?members.voters.iter().map(|m| m.place.vm.as_str()).collect::<Vec<_>>(),
+            learners = ?members.learners.iter().map(|m| m.place.vm.as_str()).collect::<Vec<_>>(),
+        );
+        self.to_reactor(ReactorInput::Members(self.members.clone()));
+    }
+
     fn carry_out(&mut self, ready: Ready) -> Result<()> {
         for (place, envelope) in ready.messages {
             self.parts.hub.send(&place.vm, Message::Agree(envelope));
--- a/components/node/src/feed.rs
+++ b/components/node/src/feed.rs
@@ -15,6 +15,11 @@
 const QUIET_MS: u64 = 3000;
 /// Time for a parent to take this process in, in milliseconds.
 const JOIN_MS: u64 = 800;
+/// Time between two checks of how new the view is, in milliseconds.
+///
+/// A proof is as old as this and the way of the check when it is at its oldest:
+/// well below what routers must refuse at.
+const CHECK_MS: u64 = 500;
 /// Steps kept for children that missed some.
 const HISTORY: usize = 256;
 
@@ -39,6 +44,11 @@
     history: VecDeque<Step>,
     /// Last sign of life that began at a root.
     pulse: Option<Millis>,
+    /// Latest time at which the view was proved to be the newest.
+    proof: Option<Millis>,
+    /// A proof that holds once the view has reached its version.
+    awaited: Option<(Millis, Version)>,
+    check_at: Millis,
     confirmed: Option<Confirm>,
     version: Version,
 }
@@ -71,14 +81,63 @@
             tree: Tree::new(fanout),
             history: VecDeque::new(),
             pulse: None,
+            proof: None,
+            awaited: None,
+            check_at: Millis(0),
             confirmed: None,
             version: Version(0),
         }
     }
 
-    /// Time of the last sign of life from control.
-    pub(crate) fn pulse(&self) -> Option<Millis> {
-        self.pulse
+    /// Latest time at which the view was proved to be the newest.
+    pub(crate) fn proof(&self) -> Option<Millis> {
+        self.proof
+    }
+
+    /// Changes the places where a parent is sought first.
+    pub(crate) fn set_seeds(&mut self, seeds: Vec<Place>) {
+        self.seeds = seeds;
+    }
+
+    /// Whether it is time to ask for a new proof.
+    pub(crate) fn wants_proof(&mut self, now: Millis) -> bool {
+        let due = now >= self.check_at;
+        if due {
+            self.check_at = now.after(CHECK_MS);
+        }
+        due
+    }
+
+    /// Whether this is a root of the tree.
+    pub(crate) fn is_root(&self) -> bool {
+        matches!(self.stand, Stand::Root { .. })
+    }
+
+    /// Takes a proof: `head` was the newest version at some time after `at`.
+    ///
+    /// The time counts from when this process asked, on its own clock. What comes
+    /// by itself proves nothing: a process that was suspended would find old news
+    /// waiting for it, and take them for new.
+    pub(crate) fn prove(&mut self, at: Millis, head: Version, version: Version) {
+        if version >= head {
+            self.proof = self.proof.max(Some(at));
+        } else if self.awaited.is_none_or(|(earlier, _)| earlier <= at) {
+            self.awaited = Some((at, head));
+        }
+    }
+
+    /// Takes the parent's answer to a check.
+    pub(crate) fn checked(&mut self, from: &Name, at: Millis, head: Version, version: Version) {
+        if self.parent() == Some(from) {
+            self.prove(at, head, version);
+        }
+    }
+
+    /// Notes that a version came into force.
+    pub(crate) fn reached(&mut self, version: Version) {
+        if let Some((at, _)) = self.awaited.take_if(|(_, head)| version >= *head) {
+            self.proof = self.proof.max(Some(at));
+        }
     }
 
     /// The node that feeds this one.
@@ -274,7 +333,11 @@
                     self.seek_seed(now, hub);
                 }
             }
-            Stand::Child { .. } => {
+            Stand::Child { parent } => {
+                if now >= self.check_at {
+                    self.check_at = now.after(CHECK_MS);
+                    hub.send(&parent.vm, Message::Check(now.0));
+                }
                 // A parent that is cut off with us, or that we are above of in a
                 // ring, passes on no pulse; only a root can begin one.
                 if self.pulse.is_none_or(|at| now.since(at) > QUIET_MS) {
@@ -286,6 +349,11 @@
         self.tell_parent(hub, version);
     }
 
+    /// Nodes that this one feeds.
+    pub(crate) fn children(&self) -> impl Iterator<Item = &Name> {
+        self.tree.children()
+    }
+
     /// Whether this node feeds a VM.
     pub(crate) fn feeds(&self, vm: &Name) -> bool {
         self.tree.children().any(|child| child == vm)
--- a/components/node/src/front/admit.rs
+++ b/components/node/src/front/admit.rs
@@ -3,15 +3,15 @@
 use super::listen::{Front, BODY_UNIT};
 use super::refusal::Refusal;
 use super::upstream::Call;
+use crate::interface::Asked;
 use crate::shared::Published;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
-use state::id::{CustomerId, RequestId};
-use state::secret::Hash;
+use state::id::RequestId;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 
@@ -21,41 +21,38 @@
 /// Time for which they are read.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
-/// Checks what the head alone tells; gives the customer.
-pub(super) fn admit(
-    front: &Front,
-    published: &Published,
-    head: &Parts,
-) -> Result<CustomerId, Refusal> {
-    check_ready(front, published)?;
+/// Checks what the head alone tells; gives what it asks for.
+pub(super) fn admit(front: &Front, published: &Published, head: &Parts) -> Result<Asked, Refusal> {
+    check_ready(published)?;
     check_framing(head)?;
     check_size(head, front.parts.callers.head_max)?;
-    authenticate(published, head)
+    (front.parts.interface.ask)(head)
+        .map_err(|reason| Refusal::not_run(StatusCode::BAD_REQUEST, "bad-head", reason))
 }
 
-fn check_ready(front: &Front, published: &Published) -> Result<(), Refusal> {
-    let refuse = |code, text: &str| {
-        Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, code, text).after(1))
-    };
-    if published.stopping {
-        return refuse(
-            "stopping",
-            "this router is stopping; another one will take it",
-        );
-    }
-    if !published.ready {
-        return refuse(
-            "not-ready",
-            "this router does not know the configuration yet",
-        );
+fn check_ready(published: &Published) -> Result<(), Refusal> {
+    if published.ready {
+        return Ok(());
     }
+    let text = "this router does not know the configuration yet";
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Err(Refusal::not_run(status, "not-ready", text).after(1))
+}
+
+/// Refuses a customer's request while the newest version is not proved.
+///
+/// A router that is cut off does not hear that a key was taken away. Served on,
+/// its holder would be seen to use it long after the operators were told that
+/// it is gone.
+pub(super) fn check_proof(front: &Front, published: &Published) -> Result<(), Refusal> {
     let now = front.parts.clock.now();
-    let silence = published.pulse.map_or(u64::MAX, |at| now.since(at));
+    let age = published.proof.map_or(u64::MAX, |at| now.since(at));
     match front.parts.stale_ms {
-        Some(bound) if silence > bound => refuse(
-            "stale",
-            "this router is cut off from control for longer than allowed",
-        ),
+        Some(bound) if age > bound => {
+            let text = "this router is cut off from control for longer than allowed";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            Err(Refusal::not_run(status, "stale", text).after(1))
+        }
         _ => Ok(()),
     }
 }
@@ -104,19 +101,6 @@
     Err(Refusal::not_run(status, "head-too-large", text))
 }
 
-fn authenticate(published: &Published, head: &Parts) -> Result<CustomerId, Refusal> {
-    let header = head
-        .headers
-        .get(AUTHORIZATION)
-        .and_then(|v| v.to_str().ok());
-    let key = header.and_then(|v| v.strip_prefix("Bearer "));
-    let customer = key.and_then(|k| published.index.customer(&Hash::of(&[k.trim().as_bytes()])));
-    customer.ok_or_else(|| {
-        let text = "send Authorization: Bearer KEY with a customer's key";
-        Refusal::not_run(StatusCode::UNAUTHORIZED, "unknown-customer", text)
-    })
-}
-
 /// Reads what a refused caller still sends, within bounds.
 ///
 /// If the connection closed with bytes unread, the system would reset it, and
@@ -143,6 +127,7 @@
 pub(super) async fn read(
     front: &Front,
     id: RequestId,
+    identity: Option<HeaderValue>,
     head: Parts,
     mut body: Incoming,
 ) -> Result<Call, Refusal> {
@@ -168,6 +153,8 @@
     };
     Ok(Call {
         id,
+        identity,
+        customer: None,
         method: head.method,
         uri: head.uri,
         headers: head.headers,
--- a/components/node/src/front/claim.rs
+++ b/components/node/src/front/claim.rs
@@ -1,9 +1,10 @@
 //! Idempotency keys: claimed at the control VMs before anything is sent.
 
 use super::listen::Front;
-use super::refusal::{insert, Refusal, IDENTITY, OUTCOME};
+use super::refusal::{insert, Refusal, OUTCOME};
 use super::upstream::Call;
 use crate::input::Input;
+use crate::interface::IDENTITY;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Response, StatusCode};
--- a/components/node/src/front/listen.rs
+++ b/components/node/src/front/listen.rs
@@ -1,16 +1,20 @@
 //! Accepts callers' connections, within bounds.
 
+use super::pool::{Key, Pool};
 use super::serve::serve;
 use crate::input::Input;
+use crate::interface::Interface;
 use crate::journal::Journal;
 use crate::metric::Metrics;
 use crate::shared::{raised, Published};
+use coordination::retry;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use settings::Callers;
-use state::id::Name;
+use state::id::{Name, ServiceId};
+use std::collections::HashMap;
 use std::sync::atomic::AtomicU64;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
@@ -20,6 +24,9 @@
 /// Bytes of bodies that one unit of their memory stands for.
 pub(crate) const BODY_UNIT: usize = 1024;
 
+/// Time between two looks at kept connections.
+const TEND: Duration = Duration::from_secs(1);
+
 /// What the callers' side is given.
 pub(crate) struct Parts {
     /// Settings.
@@ -28,8 +35,13 @@
     pub(crate) queue_customer: u32,
     /// Bytes that all bodies may take.
     pub(crate) body_bytes: u64,
-    /// Silence from control after which requests are refused.
+    /// Age of the last proof of the newest version past which customers are
+    /// refused, in milliseconds.
     pub(crate) stale_ms: Option<u64>,
+    /// How callers and endpoints speak.
+    pub(crate) interface: Interface,
+    /// Bounds on retries.
+    pub(crate) retries: retry::Bounds,
     /// Data centre of this VM.
     pub(crate) data_centre: Name,
     /// Incarnation of this process.
@@ -50,7 +62,10 @@
 pub(crate) struct Front {
     pub(crate) parts: Parts,
     pub(crate) requests: AtomicU64,
-    pub(crate) budget: Mutex<coordination::retry::Budget>,
+    /// Retries that this router may add, by service.
+    budgets: Mutex<HashMap<ServiceId, retry::Budget>>,
+    /// Kept connections to endpoints.
+    pub(crate) pool: Arc<Pool>,
     /// Memory for bodies, in units of [`BODY_UNIT`].
     pub(crate) bodies: Arc<Semaphore>,
 }
@@ -63,10 +78,47 @@
             bodies: Arc::new(Semaphore::new(units.clamp(1, Semaphore::MAX_PERMITS))),
             parts,
             requests: AtomicU64::new(0),
-            budget: Mutex::default(),
+            budgets: Mutex::default(),
+            pool: Arc::default(),
         })
     }
 
+    /// Counts the first try of a request.
+    pub(crate) fn earn_retries(&self, service: ServiceId) {
+        let now = self.parts.clock.now();
+        let routers = self.parts.published.borrow().routers;
+        self.with_budget(service, |budget| budget.earn(now, routers));
+    }
+
+    /// Works with the budget of a service.
+    pub(crate) fn with_budget<F, R>(&self, service: ServiceId, work: F) -> R
+    where
+        F: FnOnce(&mut retry::Budget) -> R,
+    {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = self.parts.clock.now();
+        let bounds = self.parts.retries;
+        work((budgets.entry(service)).or_insert_with(|| retry::Budget::new(bounds, now)))
+    }
+
+    /// Closes kept connections that have grown old, or whose endpoint has gone.
+    async fn tend_pool(self: Arc<Self>, mut stop: watch::Receiver<bool>) {
+        let mut period = tokio::time::interval(TEND);
+        loop {
+            tokio::select! {
+                _ = period.tick() => {}
+                () = raised(&mut stop) => return,
+            }
+            let view = self.parts.published.borrow().view.clone();
+            let lives = |(name, address): &Key| {
+                let endpoints = &view.config.endpoints;
+                let found = view.config.endpoint(name).and_then(|id| endpoints.get(&id));
+                found.is_some_and(|e| e.address == *address)
+            };
+            self.pool.prune(lives);
+        }
+    }
+
     /// Serves until `stop` turns true; then lets connections end what they hold.
     pub(crate) async fn run(
         self: Arc<Self>,
@@ -75,6 +127,7 @@
     ) {
         let places = Arc::new(Semaphore::new(self.parts.callers.connections));
         let mut tasks = JoinSet::new();
+        tasks.spawn(self.clone().tend_pool(stop.clone()));
         loop {
             let stream = tokio::select! {
                 accepted = listener.accept() => match accepted {
@@ -102,7 +155,10 @@
         while tasks.join_next().await.is_some() {}
     }
 
+    /// Serves a connection. Once this process is stopping, the answer under way
+    /// is its last one, and the caller is told so with it.
     async fn connection(self: Arc<Self>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+        let mut published = self.parts.published.clone();
         // Small events must not wait for more of them.
         let _ = stream.set_nodelay(true);
         self.parts.metrics.connections.inc();
@@ -120,6 +176,8 @@
         let ended = tokio::select! {
             ended = connection.as_mut() => Some(ended),
             () = raised(&mut stop) => None,
+            // The reactor ends only together with this process.
+            _ = published.wait_for(|p| p.stopping) => None,
         };
         let ended = match ended {
             Some(ended) => ended,
--- a/components/node/src/front/mod.rs
+++ b/components/node/src/front/mod.rs
@@ -3,7 +3,9 @@
 mod admit;
 mod claim;
 mod listen;
+mod note;
 mod plan;
+mod pool;
 mod refusal;
 mod relay;
 mod serve;
--- /dev/null
+++ b/components/node/src/front/note.rs
@@ -0,0 +1,143 @@
+//! The log line of a request: what decided it, and how it ended.
+
+use super::plan::Plan;
+use super::refusal::Refusal;
+use crate::input::Dispatch;
+use crate::shared::Published;
+use hyper::header::HeaderValue;
+use hyper::StatusCode;
+use state::clock::Millis;
+use state::id::{Name, RequestId};
+use std::time::{Duration, Instant};
+
+/// What is known of a request so far.
+#[derive(Debug)]
+pub(crate) struct Note {
+    id: RequestId,
+    identity: Option<HeaderValue>,
+    began: Instant,
+    /// Version of the view that decided, and the operator's number.
+    version: u64,
+    release: u64,
+    /// Age of the proof that it was the newest, in milliseconds.
+    proof_ms: Option<u64>,
+    rule: Option<Name>,
+    customer: Option<Name>,
+    service: Option<Name>,
+    endpoint: Option<Name>,
+    waited: Option<Duration>,
+    tries: u32,
+}
+
+impl Note {
+    /// A request that has just arrived.
+    pub(crate) fn new(id: RequestId, began: Instant, now: Millis, published: &Published) -> Self {
+        Note {
+            id,
+            identity: None,
+            began,
+            version: published.view.version.0,
+            release: published.view.release,
+            proof_ms: published.proof.map(|at| now.since(at)),
+            rule: None,
+            customer: None,
+            service: None,
+            endpoint: None,
+            waited: None,
+            tries: 0,
+        }
+    }
+
+    /// Its identity.
+    pub(crate) fn id(&self) -> RequestId {
+        self.id
+    }
+
+    /// Its caller's own identity for it.
+    pub(crate) fn identify(&mut self, identity: Option<HeaderValue>) {
+        self.identity = identity;
+    }
+
+    /// A rule has decided.
+    pub(crate) fn plan(&mut self, plan: &Plan, customer: Option<Name>) {
+        self.rule = Some(plan.rule.clone());
+        self.service = Some(plan.service_name.clone());
+        self.customer = customer;
+    }
+
+    /// It is sent to an endpoint.
+    pub(crate) fn dispatch(&mut self, dispatch: &Dispatch) {
+        self.tries += 1;
+        self.waited.get_or_insert_with(|| self.began.elapsed());
+        self.endpoint = Some(dispatch.name.clone());
+    }
+
+    /// A try has failed, and another may follow.
+    pub(crate) fn failed(&self, error: &errors::Error, next: &'static str) {
+        tracing::info!(
+            event = "try-failed",
+            request = %self.id,
+            caller = self.caller(),
+            endpoint = text(self.endpoint.as_ref()),
+            tries = self.tries,
+            next,
+            %error,
+        );
+    }
+
+    /// The router answers in place of an endpoint.
+    pub(crate) fn refused(&self, refusal: &Refusal) {
+        self.line(
+            refusal.status,
+            refusal.outcome.as_str(),
+            refusal.code,
+            refusal.retry_after,
+        );
+    }
+
+    /// An endpoint's answer has ended, or was cut.
+    pub(crate) fn answered(&self, status: StatusCode, how: &'static str) {
+        self.line(status, "answered", how, None);
+    }
+
+    fn line(
+        &self,
+        status: StatusCode,
+        outcome: &'static str,
+        reason: &'static str,
+        retry_after: Option<Duration>,
+    ) {
+        tracing::info!(
+            event = "request-ended",
+            request = %self.id,
+            caller = self.caller(),
+            rule = text(self.rule.as_ref()),
+            customer = text(self.customer.as_ref()),
+            service = text(self.service.as_ref()),
+            endpoint = text(self.endpoint.as_ref()),
+            version = self.version,
+            release = self.release,
+            proof_ms = self.proof_ms,
+            waited_ms = self.waited.map(millis),
+            took_ms = millis(self.began.elapsed()),
+            tries = self.tries,
+            status = status.as_u16(),
+            outcome,
+            reason,
+            retry_after_ms = retry_after.map(millis),
+        );
+    }
+
+    fn caller(&self) -> &str {
+        let identity = self.identity.as_ref();
+        identity.and_then(|i| i.to_str().ok()).unwrap_or("")
+    }
+}
+
+fn text(name: Option<&Name>) -> &str {
+    name.map_or("", Name::as_str)
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/components/node/src/front/refusal.rs
+++ b/components/node/src/front/refusal.rs
@@ -1,16 +1,16 @@
 //! Answers that the router gives itself.
 
+use crate::interface::{Interface, IDENTITY};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
 use hyper::{Response, StatusCode};
 use state::id::RequestId;
 use state::outcome::Outcome;
+use std::time::Duration;
 
 /// Header that says whether the request was run.
 pub(crate) const OUTCOME: &str = "cowslipford-outcome";
-/// Header that carries the request's identity.
-pub(crate) const IDENTITY: &str = "cowslipford-request-id";
 
 /// Why a request is not answered by an endpoint.
 #[derive(Clone, Debug)]
@@ -19,8 +19,8 @@
     pub(crate) code: &'static str,
     pub(crate) message: String,
     pub(crate) outcome: Outcome,
-    /// Seconds after which coming back makes sense.
-    pub(crate) retry_after: Option<u32>,
+    /// Time after which coming back makes sense.
+    pub(crate) retry_after: Option<Duration>,
 }
 
 impl Refusal {
@@ -50,13 +50,18 @@
     }
 
     /// Says when to come back.
-    pub(crate) fn after(mut self, seconds: u32) -> Self {
-        self.retry_after = Some(seconds);
+    pub(crate) fn after(self, seconds: u32) -> Self {
+        self.after_time(Duration::from_secs(u64::from(seconds)))
+    }
+
+    /// Says when to come back.
+    pub(crate) fn after_time(mut self, time: Duration) -> Self {
+        self.retry_after = Some(time);
         self
     }
 
     /// The answer.
-    pub(crate) fn response(&self, id: RequestId) -> Response<Full<Bytes>> {
+    pub(crate) fn response(&self, id: RequestId, interface: &Interface) -> Response<Full<Bytes>> {
         let body = serde_json::json!({
             "error": self.code,
             "message": self.message,
@@ -64,13 +69,18 @@
             "request": id.to_string(),
         });
         let mut response = Response::new(Full::new(Bytes::from(format!("{body}\n"))));
-        *response.status_mut() = self.status;
+        *response.status_mut() = (interface.status)(self.status, self.outcome);
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         headers.insert(OUTCOME, HeaderValue::from_static(self.outcome.as_str()));
         insert(headers, IDENTITY, &id.to_string());
-        if let Some(seconds) = self.retry_after {
-            headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+        if let Some(time) = self.retry_after {
+            // Whole seconds where they are whole: not every caller reads fractions.
+            let text = match time.subsec_millis() {
+                0 => time.as_secs().to_string(),
+                millis => format!("{}.{millis:03}", time.as_secs()),
+            };
+            insert(headers, "retry-after", &text);
         }
         response
     }
@@ -79,6 +89,6 @@
 /// Sets a header whose value this process made.
 pub(crate) fn insert(headers: &mut hyper::HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(name, value);
+        headers.insert(HeaderName::from_static(name), value);
     }
 }
--- a/components/node/src/front/relay.rs
+++ b/components/node/src/front/relay.rs
@@ -1,19 +1,24 @@
 //! Passes an answer's body through to the caller, and counts its cost.
 
-use super::upstream::Connection;
+use super::note::Note;
+use super::plan::token_cost;
+use super::pool::{Connection, Key, Pool};
 use crate::input::Input;
 use crate::journal::Journal;
 use bytes::Bytes;
 use coordination::ask::Verdict;
 use coordination::desk::Ticket;
+use coordination::prompt::Prompt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use state::config::Cost;
+use hyper::StatusCode;
+use state::config::{Cost, Engine};
 use state::event::{Event, Step};
 use state::id::RequestId;
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
 /// Bytes of an answer that are kept for a resend of a claimed request.
@@ -57,6 +62,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Meter {
     cost: Cost,
+    prompt: Prompt,
+    /// Tokens that one event holds.
+    event_tokens: u32,
     began: Instant,
     events: u32,
     line: [u8; 5],
@@ -65,9 +73,11 @@
 
 impl Meter {
     /// Starts counting.
-    pub(crate) fn new(cost: Cost) -> Self {
+    pub(crate) fn new(cost: Cost, prompt: Prompt, engine: Option<Engine>) -> Self {
         Meter {
             cost,
+            prompt,
+            event_tokens: engine.map_or(1, |e| e.event_tokens),
             began: Instant::now(),
             events: 0,
             line: [0; 5],
@@ -80,13 +90,14 @@
         match self.cost {
             Cost::Request => 1,
             Cost::Event => self.events.max(1),
+            Cost::Token => token_cost(&self.prompt, self.events * self.event_tokens),
             Cost::Time => u32::try_from(self.began.elapsed().as_millis()).unwrap_or(u32::MAX),
         }
     }
 
     /// Counts lines that begin with `data:`, wherever pieces are split.
     pub(crate) fn take(&mut self, bytes: &[u8]) {
-        if self.cost != Cost::Event {
+        if !matches!(self.cost, Cost::Event | Cost::Token) {
             return;
         }
         for byte in bytes {
@@ -117,7 +128,29 @@
     pub(crate) deadline: Pin<Box<tokio::time::Sleep>>,
     pub(crate) kept: Option<Kept>,
     pub(crate) told: u32,
-    pub(crate) _connection: Connection,
+    pub(crate) has_begun: bool,
+    /// The request's log line, with the status of the answer.
+    pub(crate) note: Option<(Note, StatusCode)>,
+    /// How the answer ended.
+    pub(crate) ended: &'static str,
+    pub(crate) way: Way,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if let Some((note, status)) = &self.note {
+            note.answered(*status, self.ended);
+        }
+    }
+}
+
+/// The connection that an answer comes over, and where it is kept afterwards.
+pub(crate) struct Way {
+    pub(crate) connection: Option<Connection>,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) endpoint: Key,
+    /// Time for which the endpoint keeps the connection idle.
+    pub(crate) keep: Option<Duration>,
 }
 
 /// Why an answer was cut.
@@ -142,6 +175,10 @@
 
 impl Relay {
     fn count(&mut self, bytes: &Bytes) {
+        if !std::mem::replace(&mut self.has_begun, true) {
+            let began = Input::Began(self.slot.ticket);
+            let _ = self.slot.reactor.send(began);
+        }
         self.slot.cost.take(bytes);
         let units = self.slot.cost.units();
         // The desk reports each doubling; it need not hear of every event.
@@ -168,6 +205,11 @@
 
     fn end(&mut self) {
         self.slot.verdict = Verdict::Fine;
+        self.ended = "whole";
+        if let Some(connection) = self.way.connection.take() {
+            let way = &self.way;
+            way.pool.put(&way.endpoint, connection, way.keep);
+        }
         if let Some(Kept {
             body,
             done: Some(done),
@@ -201,6 +243,7 @@
             // answer: what was cut must look cut.
             Poll::Ready(Some(Err(error))) => {
                 self.slot.verdict = Verdict::Failed;
+                self.ended = "endpoint-broke-off";
                 Poll::Ready(Some(Err(Cut::Endpoint(error))))
             }
             Poll::Ready(None) => {
@@ -208,7 +251,10 @@
                 Poll::Ready(None)
             }
             Poll::Pending => match self.deadline.as_mut().poll(context) {
-                Poll::Ready(()) => Poll::Ready(Some(Err(Cut::Deadline))),
+                Poll::Ready(()) => {
+                    self.ended = "timeout";
+                    Poll::Ready(Some(Err(Cut::Deadline)))
+                }
                 Poll::Pending => Poll::Pending,
             },
         }
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -3,11 +3,14 @@
 use super::admit::{admit, discard, read};
 use super::claim::{claim, Claim, Claimed};
 use super::listen::Front;
+use super::note::Note;
 use super::plan::{no_endpoint, plan, Plan};
-use super::refusal::{insert, Refusal, IDENTITY, OUTCOME};
-use super::relay::{Kept, Meter, Relay, Slot};
+use super::refusal::{insert, Refusal, OUTCOME};
+use super::relay::{Kept, Meter, Relay, Slot, Way};
 use super::upstream::{self, Answer, Call, Failed};
 use crate::input::{Decided, Decision, Dispatch, Input};
+use crate::interface::IDENTITY;
+use crate::shared::Published;
 use bytes::Bytes;
 use coordination::ask::Verdict;
 use coordination::desk::{Full as QueueFull, Ticket};
@@ -20,7 +23,7 @@
 use state::id::RequestId;
 use state::outcome::Outcome;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
@@ -36,15 +39,26 @@
         count: front.requests.fetch_add(1, Ordering::Relaxed),
     };
     let began = Instant::now();
-    let answered = answer(&front, id, request, began).await;
-    let reply = answered.unwrap_or_else(|refusal| {
-        front
-            .parts
-            .journal
-            .note(Event::new(Step::Refused).request(id));
-        count(&front, refusal.outcome, refusal.status);
-        refusal.response(id).map(Either::Left)
-    });
+    let published = front.parts.published.borrow().clone();
+    let mut note = Note::new(id, began, front.parts.clock.now(), &published);
+    let answered = answer(&front, &published, &mut note, request, began).await;
+    let reply = match answered {
+        Ok(Served::Relayed(head, mut relay)) => {
+            relay.note = Some((note, head.status));
+            Response::from_parts(head, Either::Right(*relay))
+        }
+        Ok(Served::Replayed(response)) => {
+            note.answered(response.status(), "replayed");
+            response.map(Either::Left)
+        }
+        Err(refusal) => {
+            let event = Event::new(Step::Refused).request(id);
+            front.parts.journal.note(event);
+            count(&front, refusal.outcome, refusal.status);
+            note.refused(&refusal);
+            (refusal.response(id, &front.parts.interface)).map(Either::Left)
+        }
+    };
     front
         .parts
         .metrics
@@ -53,38 +67,53 @@
     Ok(reply)
 }
 
+/// How a request was served.
+enum Served {
+    /// An endpoint answers.
+    Relayed(hyper::http::response::Parts, Box<Relay>),
+    /// An earlier answer to the same request is given again.
+    Replayed(Box<Response<Full<Bytes>>>),
+}
+
 async fn answer(
     front: &Arc<Front>,
-    id: RequestId,
+    published: &Published,
+    note: &mut Note,
     request: Request<Incoming>,
     began: Instant,
-) -> Result<Reply, Refusal> {
-    let published = front.parts.published.borrow().clone();
+) -> Result<Served, Refusal> {
     let (head, body) = request.into_parts();
-    let customer = match admit(front, &published, &head) {
-        Ok(customer) => customer,
+    let asked = match admit(front, published, &head) {
+        Ok(asked) => asked,
         Err(refusal) => {
             discard(body, front.parts.callers.body_max).await;
             return Err(refusal);
         }
     };
+    note.identify(asked.identity.clone());
+    let id = note.id();
+    front
+        .parts
+        .journal
+        .note(Event::new(Step::Taken).request(id));
+    let mut call = read(front, id, asked.identity.clone(), head, body).await?;
+    let plan = plan(front, published, &asked, &mut call)?;
+    note.plan(&plan, call.customer.clone());
     let event = Event::new(Step::Taken).request(id);
-    front.parts.journal.note(event.customer(customer));
-    let call = read(front, id, head, body).await?;
-    let plan = plan(front, &published, customer, &call)?;
+    front.parts.journal.note(event.customer(plan.customer));
     let key = call.headers.get("idempotency-key").cloned();
     let mut claimed = None;
     if let Some(key) = key.filter(|_| !plan.idempotent) {
         let wait = plan.timeout.min(Duration::from_secs(10));
-        match claim(front, &call, customer, key.as_bytes(), wait).await? {
+        match claim(front, &call, plan.customer, key.as_bytes(), wait).await? {
             Claimed::Ours(claim) => claimed = Some(claim),
             Claimed::Earlier(response) => {
                 count(front, Outcome::Answered, response.status());
-                return Ok(response.map(Either::Left));
+                return Ok(Served::Replayed(response));
             }
         }
     }
-    run(front, call, &plan, claimed, began).await
+    run(front, call, &plan, claimed, note, began).await
 }
 
 /// A queued request; when dropped, it leaves the queue.
@@ -110,9 +139,10 @@
     call: Call,
     plan: &Plan,
     mut claim: Option<Claim>,
+    note: &mut Note,
     began: Instant,
-) -> Result<Reply, Refusal> {
-    lock(&front.budget).earn();
+) -> Result<Served, Refusal> {
+    front.earn_retries(plan.service);
     let (ticket, mut decided) = arrive(front, plan).await?;
     let mut retries = 0;
     loop {
@@ -122,24 +152,12 @@
             front: front.clone(),
         };
         let dispatch = turn(front, &call, waiting, decided, retries, plan.idempotent).await?;
-        if retries == 0 {
-            front
-                .parts
-                .metrics
-                .wait
-                .observe(began.elapsed().as_secs_f64());
-        }
-        let step = if retries == 0 {
-            Step::Sent
-        } else {
-            Step::Retried
-        };
-        let event = Event::new(step).request(call.id).service(plan.service);
-        front.parts.journal.note(event.endpoint(dispatch.endpoint));
+        note.dispatch(&dispatch);
+        note_dispatch(front, &call, plan, &dispatch, retries, began);
         let mut slot = Slot {
             ticket,
             id: call.id,
-            cost: Meter::new(plan.cost),
+            cost: Meter::new(plan.cost, plan.arrival.prompt, plan.engine),
             verdict: Verdict::Gone,
             armed: true,
             reactor: front.parts.reactor.clone(),
@@ -149,9 +167,18 @@
             claim.sending();
         }
         let left = plan.timeout.saturating_sub(began.elapsed());
-        let sent = tokio::time::timeout(left, upstream::send(&call, dispatch.address)).await;
+        let way = upstream::Way {
+            interface: &front.parts.interface,
+            pool: &front.pool,
+            once: !plan.idempotent,
+            left,
+        };
+        let sent = tokio::time::timeout(left, upstream::send(&call, &dispatch, way)).await;
         let failed = match sent {
-            Ok(Ok(answer)) => return Ok(pass(front, answer, slot, claim, left)),
+            Ok(Ok(answer)) => match front.failure(plan, retries, answer) {
+                Ok(answer) => return Ok(pass(front, answer, slot, claim, dispatch, plan, began)),
+                Err(failed) => failed,
+            },
             Ok(Err(failed)) => failed,
             Err(_) => {
                 // After a long wait for its turn the time was short; that is no
@@ -165,7 +192,6 @@
                 );
             }
         };
-        tracing::debug!(endpoint = %dispatch.name, error = %failed.error, "a try failed");
         if let (Some(claim), Reach::Nothing) = (&mut claim, failed.reach) {
             claim.not_sent();
         }
@@ -176,8 +202,15 @@
             retries_max: plan.retries,
             deadline: plan.arrival.deadline,
         };
-        let next = retry::after(attempt, front.parts.clock.now(), &mut lock(&front.budget));
-        slot.verdict = Verdict::Failed;
+        let now = front.parts.clock.now();
+        let next = front.with_budget(plan.service, |budget| retry::after(attempt, now, budget));
+        note.failed(&failed.error, next.as_str());
+        // One that says that it is full is not broken.
+        slot.verdict = if failed.refused {
+            Verdict::Gone
+        } else {
+            Verdict::Failed
+        };
         if next != Next::Again {
             return Err(give_up(next, &dispatch, &failed));
         }
@@ -186,6 +219,48 @@
     }
 }
 
+fn note_dispatch(
+    front: &Front,
+    call: &Call,
+    plan: &Plan,
+    dispatch: &Dispatch,
+    retries: u32,
+    began: Instant,
+) {
+    let step = if retries == 0 {
+        let waited = began.elapsed().as_secs_f64();
+        front.parts.metrics.wait.observe(waited);
+        Step::Sent
+    } else {
+        Step::Retried
+    };
+    let event = Event::new(step).request(call.id).service(plan.service);
+    front.parts.journal.note(event.endpoint(dispatch.endpoint));
+}
+
+impl Front {
+    /// Takes an endpoint's own failure for a failed try, where another endpoint
+    /// may do better; else it is the answer.
+    fn failure(&self, plan: &Plan, retries: u32, answer: Answer) -> Result<Answer, Failed> {
+        let status = answer.response.status();
+        if !(status.is_server_error() && plan.idempotent && retries < plan.retries) {
+            return Ok(answer);
+        }
+        if !self.with_budget(plan.service, |budget| budget.has_any()) {
+            return Ok(answer);
+        }
+        Err(Failed {
+            reach: Reach::Sent,
+            refused: true,
+            error: Box::new(errors::Error::Peer {
+                step: "read an answer",
+                peer: "(endpoint)".to_owned(),
+                reason: format!("it answered {status}"),
+            }),
+        })
+    }
+}
+
 async fn arrive(front: &Front, plan: &Plan) -> Result<(Ticket, Decided), Refusal> {
     let (sender, receiver) = oneshot::channel();
     let arrive = Input::Arrive(plan.arrival, sender);
@@ -263,8 +338,17 @@
 }
 
 /// Passes an endpoint's answer on as it comes.
-fn pass(front: &Front, answer: Answer, slot: Slot, claim: Option<Claim>, left: Duration) -> Reply {
+fn pass(
+    front: &Front,
+    answer: Answer,
+    slot: Slot,
+    claim: Option<Claim>,
+    dispatch: Dispatch,
+    plan: &Plan,
+    began: Instant,
+) -> Served {
     let (mut head, body) = answer.response.into_parts();
+    let keep = upstream::keep_alive(&head.headers);
     upstream::strip(&mut head.headers);
     insert(&mut head.headers, OUTCOME, Outcome::Answered.as_str());
     insert(&mut head.headers, IDENTITY, &slot.id.to_string());
@@ -278,16 +362,25 @@
             done: Some(done),
         }
     });
+    let left = plan.timeout.saturating_sub(began.elapsed());
     let mut relay = Relay {
         inner: body,
         slot,
         deadline: Box::pin(tokio::time::sleep(left)),
         kept,
         told: 0,
-        _connection: answer.connection,
+        has_begun: false,
+        note: None,
+        ended: "caller-gone",
+        way: Way {
+            connection: Some(answer.connection),
+            pool: front.pool.clone(),
+            endpoint: (dispatch.name, dispatch.address),
+            keep,
+        },
     };
     relay.end_if_empty();
-    Response::from_parts(head, Either::Right(relay))
+    Served::Relayed(head, Box::new(relay))
 }
 
 fn count(front: &Front, outcome: Outcome, status: StatusCode) {
@@ -299,7 +392,3 @@
         .with_label_values(&labels)
         .inc();
 }
-
-fn lock<T>(mutex: &std::sync::Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/components/node/src/front/upstream.rs
+++ b/components/node/src/front/upstream.rs
@@ -1,26 +1,25 @@
 //! One try of one request on one endpoint.
 //!
-//! Each try has a connection of its own. An answer can thus belong to no other
-//! request, and a failure to connect proves that no byte was sent.
+//! An answer belongs to a request by the identity that it bears, not by the
+//! connection that it comes over: a kept connection may bring a late second
+//! answer to an earlier request.
 
-use super::refusal::IDENTITY;
+use super::pool::{self, Connection, Pool};
+use super::refusal::insert;
+use crate::input::Dispatch;
+use crate::interface::{Answered, Interface, Onward};
 use bytes::Bytes;
 use coordination::retry::Reach;
 use errors::{Error, Result};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{HeaderName, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::header::{
+    HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING,
+};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
-use hyper_util::rt::TokioIo;
-use state::id::RequestId;
-use std::net::SocketAddr;
+use state::id::{Name, RequestId};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::task::JoinHandle;
-
-/// Longest time to connect to an endpoint.
-const CONNECT: Duration = Duration::from_secs(2);
 
 /// Headers that belong to one connection and are not passed on.
 const HOP: [HeaderName; 6] = [
@@ -36,6 +35,10 @@
 #[derive(Debug)]
 pub(crate) struct Call {
     pub(crate) id: RequestId,
+    /// Identity that its caller gave it.
+    pub(crate) identity: Option<HeaderValue>,
+    /// Customer whose key it bore.
+    pub(crate) customer: Option<Name>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
@@ -48,7 +51,19 @@
 #[derive(Debug)]
 pub(crate) struct Failed {
     pub(crate) reach: Reach,
-    pub(crate) error: Error,
+    /// Whether the endpoint itself said that it did not run the request.
+    pub(crate) refused: bool,
+    pub(crate) error: Box<Error>,
+}
+
+impl Failed {
+    fn new(reach: Reach, error: Error) -> Self {
+        Failed {
+            reach,
+            refused: false,
+            error: Box::new(error),
+        }
+    }
 }
 
 /// The head of an answer, with the connection that its body comes over.
@@ -57,84 +72,124 @@
     pub(crate) connection: Connection,
 }
 
-/// A connection to an endpoint, closed when dropped.
-pub(crate) struct Connection(JoinHandle<()>);
+/// How a call is sent.
+pub(crate) struct Way<'a> {
+    pub(crate) interface: &'a Interface,
+    pub(crate) pool: &'a Pool,
+    /// Whether the request must not run twice.
+    pub(crate) once: bool,
+    /// Time that is left.
+    pub(crate) left: Duration,
+}
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.0.abort();
+/// Sends a call to an endpoint; gives the head of its answer.
+pub(crate) async fn send(call: &Call, to: &Dispatch, way: Way<'_>) -> Result<Answer, Failed> {
+    let nothing = |error| Failed::new(Reach::Nothing, error);
+    let began = std::time::Instant::now();
+    let key = (to.name.clone(), to.address);
+    let mut kept = way.pool.take(&key, way.once);
+    loop {
+        let reused = kept.is_some();
+        let mut connection = match kept.take() {
+            Some(connection) => connection,
+            None => pool::connect(to.address).await.map_err(nothing)?,
+        };
+        let left = way.left.saturating_sub(began.elapsed());
+        let request = call.request(to, way.interface, left).map_err(nothing)?;
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => return check(call, to, way.interface, response, connection),
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                // The endpoint had closed the kept connection: nothing was sent.
+                if unsent && reused {
+                    kept = way.pool.take(&key, way.once);
+                    continue;
+                }
+                let reach = if unsent { Reach::Nothing } else { Reach::Sent };
+                let error = Error::peer("send to an endpoint", to.address)(error.into_error());
+                return Err(Failed::new(reach, error));
+            }
+        }
     }
 }
 
-/// Sends a call to an endpoint; gives the head of its answer.
-pub(crate) async fn send(call: &Call, address: SocketAddr) -> Result<Answer, Failed> {
-    let nothing = |error| Failed {
-        reach: Reach::Nothing,
-        error,
+/// Checks that an answer is one to this call.
+fn check(
+    call: &Call,
+    to: &Dispatch,
+    interface: &Interface,
+    response: Response<Incoming>,
+    connection: Connection,
+) -> Result<Answer, Failed> {
+    let (head, body) = response.into_parts();
+    let Answered {
+        identity,
+        not_run,
+        is_sound,
+    } = (interface.answer)(&head);
+    let wrong = |reason: &str| Error::Peer {
+        step: "read an answer",
+        peer: to.address.to_string(),
+        reason: reason.to_owned(),
     };
-    let sent = |error| Failed {
-        reach: Reach::Sent,
-        error,
-    };
-    let request = call.request(address).map_err(nothing)?;
-    let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address));
-    let stream = connecting
-        .await
-        .map_err(Error::peer("connect to an endpoint", address))
-        .map_err(nothing)?
-        .map_err(Error::peer("connect to an endpoint", address))
-        .map_err(nothing)?;
-    // Small requests must not wait for more.
-    let _ = stream.set_nodelay(true);
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(Error::peer("connect to an endpoint", address))
-        .map_err(nothing)?;
-    let connection = Connection(tokio::spawn(async move {
-        // Its error reaches the request or the body as well.
-        let _ = connection.await;
-    }));
-    let response = sender
-        .send_request(request)
-        .await
-        .map_err(Error::peer("send to an endpoint", address))
-        .map_err(sent)?;
-    let echoed = response.headers().get(IDENTITY);
-    if echoed.is_some_and(|v| v.as_bytes() != call.id.to_string().as_bytes()) {
+    let own = call.id.to_string();
+    let expected = call
+        .identity
+        .as_ref()
+        .map_or(own.as_bytes(), |i| i.as_bytes());
+    if identity.is_some_and(|i| i.as_bytes() != expected) {
         // An endpoint that mixes up its answers would give this caller someone
         // else's; the identity that it returns shows it.
-        return Err(sent(Error::Peer {
-            step: "read an answer",
-            peer: address.to_string(),
-            reason: "it bears the identity of another request".to_owned(),
-        }));
+        let error = wrong("it bears the identity of another request");
+        return Err(Failed::new(Reach::Sent, error));
+    }
+    if not_run {
+        return Err(Failed {
+            reach: Reach::Nothing,
+            refused: true,
+            error: Box::new(wrong("the endpoint did not run the request")),
+        });
+    }
+    if !is_sound {
+        let error = wrong("it is not an endpoint's own answer");
+        return Err(Failed::new(Reach::Sent, error));
     }
     Ok(Answer {
-        response,
+        response: Response::from_parts(head, body),
         connection,
     })
 }
 
 impl Call {
     /// Builds the onward request anew: nothing of the caller's framing is kept.
-    fn request(&self, address: SocketAddr) -> Result<Request<Full<Bytes>>> {
+    fn request(
+        &self,
+        to: &Dispatch,
+        interface: &Interface,
+        left: Duration,
+    ) -> Result<Request<Full<Bytes>>> {
         let path = self.uri.path_and_query().map_or("/", |p| p.as_str());
         let mut request = Request::builder()
             .method(self.method.clone())
             .uri(path)
             .body(Full::new(self.body.clone()))
-            .map_err(Error::peer("build a request", address))?;
+            .map_err(Error::peer("build a request", to.address))?;
         let headers = request.headers_mut();
         for (name, value) in &self.headers {
             headers.append(name.clone(), value.clone());
         }
         strip(headers);
-        headers.remove(hyper::header::AUTHORIZATION);
         headers.remove(CONTENT_LENGTH);
-        headers.remove(hyper::header::EXPECT);
-        super::refusal::insert(headers, IDENTITY, &self.id.to_string());
+        headers.remove(EXPECT);
+        let onward = Onward {
+            identity: &self.id.to_string(),
+            endpoint: &to.name,
+            customer: self.customer.as_ref(),
+            left,
+        };
+        (interface.pass_on)(headers, &onward);
         if !headers.contains_key(HOST) {
-            super::refusal::insert(headers, "host", &address.to_string());
+            insert(headers, "host", &to.address.to_string());
         }
         Ok(request)
     }
@@ -151,3 +206,12 @@
         headers.remove(name);
     }
 }
+
+/// Time for which an endpoint says that it keeps the connection idle.
+pub(crate) fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let told = text
+        .split(',')
+        .find_map(|p| p.trim().strip_prefix("timeout="))?;
+    told.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/components/node/src/http.rs
@@ -0,0 +1,74 @@
+//! Serves small requests on an address of its own.
+
+use crate::shared::raised;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{watch, Semaphore};
+use tokio::task::JoinSet;
+
+/// Connections at once; past them one is closed without an answer.
+const CONNECTIONS: usize = 256;
+/// Time for a head to arrive; an idle connection is closed after it as well.
+const HEAD: Duration = Duration::from_secs(20);
+
+/// Serves `answer` until told to stop; then lets answers end.
+pub(crate) async fn serve<F, A>(listener: TcpListener, answer: F, mut stop: watch::Receiver<bool>)
+where
+    F: Fn(Request<Incoming>) -> A + Send + Sync + 'static,
+    A: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let answer = Arc::new(answer);
+    let places = Arc::new(Semaphore::new(CONNECTIONS));
+    let mut tasks = JoinSet::new();
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    tracing::warn!(%error, "a connection could not be accepted");
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    continue;
+                }
+            },
+            Some(_) = tasks.join_next() => continue,
+            () = raised(&mut stop) => break,
+        };
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            continue;
+        };
+        let (answer, mut stop) = (answer.clone(), stop.clone());
+        tasks.spawn(async move {
+            let _place = place;
+            let service = service_fn(move |request| {
+                let answer = answer(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            let connection = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD)
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::pin!(connection);
+            let ended = tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = raised(&mut stop) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(error) = ended {
+                tracing::debug!(%error, "a connection ended early");
+            }
+        });
+    }
+    drop(listener);
+    while tasks.join_next().await.is_some() {}
+}
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -5,7 +5,8 @@
 use coordination::desk::{Arrival, Full, Ticket};
 use protocol::wire::{Query, Reply};
 use state::id::{EndpointId, Name};
-use state::view::{Step, View};
+use state::listing::Listed;
+use state::view::{Place, Step, View};
 use std::net::SocketAddr;
 use tokio::sync::oneshot;
 use transport::link;
@@ -54,6 +55,8 @@
     Leave(Ticket),
     /// A request failed and is to be queued again.
     Again(Ticket, Verdict, oneshot::Sender<Decided>),
+    /// The first byte of an answer has come.
+    Began(Ticket),
     /// A request has cost this much so far.
     Progress(Ticket, u32),
     /// A request has ended.
@@ -68,6 +71,17 @@
     Restored(Box<View>),
     /// Whether the control role of this process follows a living leader.
     Fresh(bool),
+    /// Whether the control role of this process leads.
+    Leads(bool),
+    /// The control VMs, voting or not, as the control role of this process knows
+    /// them.
+    Members(Vec<Place>),
+    /// The settings name other control VMs.
+    Seeds(Vec<Place>),
+    /// Is this process to read the platform's list of endpoints now?
+    ListingDue(oneshot::Sender<bool>),
+    /// What it has read.
+    ListingRead(Vec<Listed>),
     /// Which endpoints are scheduled here, and where do they report their load?
     Watched(oneshot::Sender<Vec<Watched>>),
     /// What is the state?
--- /dev/null
+++ b/components/node/src/interface.rs
@@ -0,0 +1,205 @@
+//! How callers, endpoints, operators and the platform speak.
+//!
+//! The node decides by what these functions read and give; they decide nothing.
+
+use bytes::Bytes;
+use coordination::prompt::Prompt;
+use hyper::header::{HeaderMap, HeaderValue, AUTHORIZATION};
+use hyper::http::{request, response};
+use hyper::StatusCode;
+use state::id::Name;
+use state::listing::Listed;
+use state::outcome::Outcome;
+use state::record::Release;
+use state::secret::Hash;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Header of the product's own interface that carries a request's identity.
+pub(crate) const IDENTITY: &str = "cowslipford-request-id";
+/// Header by which a caller names a service.
+const SERVICE: &str = "cowslipford-service";
+/// Header by which a caller gives the expected cost.
+const SIZE: &str = "cowslipford-size";
+
+/// What a caller's head says.
+#[derive(Clone, Debug, Default)]
+pub struct Asked {
+    /// Identity that the caller gave the request, if it did.
+    pub identity: Option<HeaderValue>,
+    /// Hash of the customer's key, if one was sent.
+    pub key: Option<Hash>,
+    /// Service that the caller names.
+    pub service: Option<String>,
+    /// Time for which the caller will wait.
+    pub patience: Option<Duration>,
+    /// Expected cost, in units of the service.
+    pub size: Option<u32>,
+    /// What is known of the prompt.
+    pub prompt: Prompt,
+}
+
+/// What an onward request is to say.
+#[derive(Clone, Debug)]
+pub struct Onward<'a> {
+    /// Identity that the router gave the request, in case its caller gave none.
+    pub identity: &'a str,
+    /// Endpoint that it is meant for.
+    pub endpoint: &'a Name,
+    /// Customer whose key it bore.
+    pub customer: Option<&'a Name>,
+    /// Time that is left.
+    pub left: Duration,
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Clone, Debug, Default)]
+pub struct Answered {
+    /// Identity of the request that it answers, if it says one.
+    pub identity: Option<HeaderValue>,
+    /// Whether the endpoint says that it has not run the request.
+    pub not_run: bool,
+    /// Whether it can be an endpoint's own answer.
+    pub is_sound: bool,
+}
+
+/// Region of each data centre.
+pub type Regions = BTreeMap<Name, Name>;
+
+/// One page of the platform's list of endpoints.
+#[derive(Clone, Debug, Default)]
+pub struct Page {
+    /// Endpoints of the page.
+    pub endpoints: Vec<Listed>,
+    /// Path of the next page.
+    pub next: Option<String>,
+}
+
+/// One way of speaking.
+#[derive(Clone, Copy, Debug)]
+pub struct Interface {
+    /// Reads a caller's head; an error says what is wrong with it.
+    pub ask: fn(&request::Parts) -> Result<Asked, String>,
+    /// Makes a caller's headers those of the onward request.
+    pub pass_on: fn(&mut HeaderMap, &Onward<'_>),
+    /// Reads the head of an endpoint's answer.
+    pub answer: fn(&response::Parts) -> Answered,
+    /// Status with which the router says how a request ended that no endpoint
+    /// has answered.
+    pub status: fn(StatusCode, Outcome) -> StatusCode,
+    /// Path of complete configurations.
+    pub releases: &'static str,
+    /// Reads a complete configuration; an error says what is wrong with it.
+    pub release: fn(Bytes) -> Result<Release, String>,
+    /// Path of the first page of the platform's list.
+    pub listing: &'static str,
+    /// Reads a page of the list.
+    pub page: fn(&[u8], &Regions) -> Result<Page, String>,
+}
+
+impl Interface {
+    /// The product's own.
+    pub fn own() -> Self {
+        Interface {
+            ask: own_ask,
+            pass_on: own_pass_on,
+            answer: own_answer,
+            status: |status, _| status,
+            releases: "/release",
+            release: own_release,
+            listing: "/endpoints",
+            page: own_page,
+        }
+    }
+}
+
+fn own_ask(head: &request::Parts) -> Result<Asked, String> {
+    let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
+    let header = head.headers.get(AUTHORIZATION);
+    let header = header.and_then(|v| v.to_str().ok());
+    let key = header.and_then(|v| v.strip_prefix("Bearer "));
+    Ok(Asked {
+        key: key.map(|k| Hash::of(&[k.trim().as_bytes()])),
+        service: text(SERVICE).map(str::to_owned),
+        size: text(SIZE).and_then(|v| v.parse().ok()),
+        ..Asked::default()
+    })
+}
+
+fn own_pass_on(headers: &mut HeaderMap, onward: &Onward<'_>) {
+    headers.remove(AUTHORIZATION);
+    if let Ok(identity) = HeaderValue::from_str(onward.identity) {
+        headers.insert(IDENTITY, identity);
+    }
+}
+
+fn own_answer(head: &response::Parts) -> Answered {
+    Answered {
+        identity: head.headers.get(IDENTITY).cloned(),
+        not_run: false,
+        is_sound: true,
+    }
+}
+
+/// A release of the product's own interface: JSON with `number` and `text`, a
+/// configuration file.
+fn own_release(document: Bytes) -> Result<Release, String> {
+    #[derive(serde::Deserialize)]
+    #[serde(rename_all = "kebab-case", deny_unknown_fields)]
+    struct Document {
+        number: u64,
+        text: String,
+    }
+    let read: Document = serde_json::from_slice(&document).map_err(|e| e.to_string())?;
+    let draft = settings::parse_configuration("(release)", &read.text);
+    Ok(Release {
+        number: read.number,
+        draft: draft.map_err(|e| e.to_string())?,
+        document: document.to_vec(),
+    })
+}
+
+/// A page of the product's own interface: JSON with `endpoints` and `next`.
+fn own_page(page: &[u8], regions: &Regions) -> Result<Page, String> {
+    #[derive(serde::Deserialize)]
+    #[serde(rename_all = "kebab-case")]
+    struct Line {
+        name: Name,
+        service: Name,
+        address: SocketAddr,
+        data_centre: Name,
+        slots: u32,
+        #[serde(default)]
+        leaving: bool,
+    }
+    #[derive(serde::Deserialize)]
+    #[serde(rename_all = "kebab-case")]
+    struct Lines {
+        endpoints: Vec<Line>,
+        next: Option<String>,
+    }
+    let read: Lines = serde_json::from_slice(page).map_err(|e| e.to_string())?;
+    let endpoints = read.endpoints.into_iter().map(|line| Listed {
+        leaving: line.leaving,
+        endpoint: state::config::Endpoint {
+            region: region(regions, &line.data_centre),
+            name: line.name,
+            service: line.service,
+            address: line.address,
+            data_centre: line.data_centre,
+            slots: line.slots,
+            lead: 0,
+        },
+    });
+    Ok(Page {
+        endpoints: endpoints.collect(),
+        next: read.next,
+    })
+}
+
+/// Region of a data centre; one that the settings do not name is a region of
+/// its own.
+pub fn region(regions: &Regions, data_centre: &Name) -> Name {
+    regions.get(data_centre).unwrap_or(data_centre).clone()
+}
--- a/components/node/src/operators.rs
+++ b/components/node/src/operators.rs
@@ -30,7 +30,8 @@
 
 /// What the operators' side is given.
 pub(crate) struct Parts {
-    pub(crate) key: Hash,
+    /// Hash of the operators' key; without one nobody has it.
+    pub(crate) key: Option<Hash>,
     pub(crate) hub: Hub,
     pub(crate) journal: Journal,
     pub(crate) metrics: Metrics,
@@ -160,7 +161,7 @@
         .iter()
         .find(|h| h.field.equiv("authorization"));
     let key = header.and_then(|h| h.value.as_str().strip_prefix("Bearer "));
-    key.is_some_and(|k| Hash::of(&[k.trim().as_bytes()]) == parts.key)
+    key.is_some_and(|k| Some(Hash::of(&[k.trim().as_bytes()])) == parts.key)
 }
 
 fn status(parts: &Parts) -> Page {
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -3,16 +3,19 @@
 use crate::control::{self, Control};
 use crate::front::{Front, Parts as FrontParts};
 use crate::input::Input;
+use crate::interface::Interface;
 use crate::journal::Journal;
 use crate::metric::Metrics;
 use crate::operators::{Operators, Parts as OperatorParts};
 use crate::reactor::{Parts as ReactorParts, Reactor};
 use crate::shared::{raised, Published, Shared, Status};
-use crate::{platform, poll};
+use crate::{http, listing, platform, poll, readiness, releases};
+use coordination::agree::Admission;
 use coordination::desk::Bounds;
+use coordination::retry;
 use errors::{Error, Result};
 use protocol::wire::Hello;
-use settings::Settings;
+use settings::{Peers, Settings};
 use state::view::Place;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,9 +30,20 @@
 
 /// Time between two looks at whether a stop may go on.
 const DRAIN_STEP: Duration = Duration::from_millis(50);
+/// Time for which a router that stops still takes connections.
+///
+/// Whoever sends callers here asks once a second whether it is ready, and takes
+/// two misses: closed before, callers would be refused that could be served.
+const LINGER: Duration = Duration::from_millis(2300);
+/// Part of the grace that is kept for closing what is still open.
+const END: Duration = Duration::from_millis(700);
 /// Longest wait for another VM to take over schedulers.
 const HAND_OVER: Duration = Duration::from_secs(3);
 
+/// Patience for a reading of the platform's list where the settings name none, in
+/// milliseconds.
+const LISTING_MS: u64 = 500;
+
 /// Addresses that were bound.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -44,6 +58,10 @@
 /// A running process.
 pub struct Process {
     addresses: Addresses,
+    /// Longest time for what is in progress to end after a stop.
+    grace: Duration,
+    /// Whether whoever sends callers here asks for readiness.
+    is_asked: bool,
     hub: Hub,
     reactor: flume::Sender<Input>,
     reactor_task: JoinHandle<()>,
@@ -61,18 +79,17 @@
     /// # Errors
     ///
     /// When an address is taken, keys do not fit, or the disk is damaged.
-    pub async fn start(settings: Settings) -> Result<Self> {
-        let keys = Keys::read(
-            &settings.link.authority,
-            &settings.link.certificate,
-            &settings.link.key,
-        )?;
+    pub async fn start(settings: Settings, interface: Interface) -> Result<Self> {
+        let keys = match &settings.link.keys {
+            Some(files) => Keys::read(&files.authority, &files.certificate, &files.key)?,
+            None => Keys::unauthenticated(&settings.vm.name)?,
+        };
         let timing = Timing {
             idle: Duration::from_millis(settings.link.idle_ms),
             keep_alive: Duration::from_millis(settings.link.keep_alive_ms),
         };
         let socket = Socket::bind(settings.link.listen, &keys, timing)?;
-        Starter::new(settings, socket)?.start().await
+        Starter::new(settings, interface, socket)?.start().await
     }
 
     /// Addresses that were bound.
@@ -80,6 +97,13 @@
         self.addresses
     }
 
+    /// Where changed settings are told.
+    pub fn reloads(&self) -> Reloads {
+        Reloads {
+            reactor: self.reactor.clone(),
+        }
+    }
+
     /// Whether it is ready to serve.
     pub fn is_ready(&self) -> bool {
         let published = self.published.borrow();
@@ -133,8 +157,12 @@
             return;
         }
         let began = std::time::Instant::now();
-        loop {
+        let most = self.grace.saturating_sub(END);
+        while began.elapsed() < most {
             tokio::time::sleep(DRAIN_STEP).await;
+            if self.is_asked && began.elapsed() < LINGER.min(most) {
+                continue;
+            }
             let Some(status) = self.status().await else {
                 return;
             };
@@ -145,6 +173,7 @@
                 return;
             }
         }
+        tracing::warn!(event = "drain-incomplete", grace_ms = ?self.grace.as_millis());
     }
 
     async fn status(&self) -> Option<Status> {
@@ -154,9 +183,26 @@
     }
 }
 
+/// Takes changed settings of a running process.
+#[derive(Clone)]
+pub struct Reloads {
+    reactor: flume::Sender<Input>,
+}
+
+impl Reloads {
+    /// Follows what can change while a process runs: where control VMs are found.
+    /// All else takes a restart.
+    pub fn follow(&self, settings: &Settings) {
+        let seeds = settings.peers.places().to_vec();
+        // A process that is ending needs no seeds.
+        let _ = self.reactor.send(Input::Seeds(seeds));
+    }
+}
+
 /// What a process needs while it starts.
 struct Starter {
     settings: Settings,
+    interface: Interface,
     socket: Socket,
     place: Place,
     incarnation: u64,
@@ -166,7 +212,7 @@
 }
 
 impl Starter {
-    fn new(settings: Settings, socket: Socket) -> Result<Self> {
+    fn new(settings: Settings, interface: Interface, socket: Socket) -> Result<Self> {
         let address = socket.address()?;
         let clock = Clock::default();
         Ok(Starter {
@@ -179,13 +225,14 @@
             clock,
             metrics: Metrics::new()?,
             settings,
+            interface,
             socket,
         })
     }
 
     /// Control VMs, with this one's own port where the settings left it open.
     fn seeds(&self) -> Vec<Place> {
-        let mut seeds: Vec<Place> = self.settings.seeds.to_vec();
+        let mut seeds: Vec<Place> = self.settings.peers.places().to_vec();
         for seed in &mut seeds {
             if seed.vm == self.place.vm && seed.address.port() == 0 {
                 seed.address = self.place.address;
@@ -194,14 +241,49 @@
         seeds
     }
 
+    /// Starts what is served on addresses of their own.
+    async fn start_sides(
+        settings: &Settings,
+        interface: Interface,
+        clock: &Clock,
+        reactor: &flume::Sender<Input>,
+        control: Option<&flume::Sender<control::Input>>,
+        published: &watch::Receiver<Published>,
+        stopped: &watch::Receiver<bool>,
+    ) -> Result<Vec<JoinHandle<()>>> {
+        let mut tasks = Vec::new();
+        if let Some(readiness) = &settings.readiness {
+            let listener = bind("bind the address of readiness", readiness.listen).await?;
+            let (published, clock) = (published.clone(), clock.clone());
+            let stale_ms = settings.router.stale_ms;
+            let answer = move |_| {
+                let ready = readiness::is_ready(&published.borrow(), &clock, stale_ms);
+                std::future::ready(readiness::answer(ready))
+            };
+            tasks.push(tokio::spawn(http::serve(listener, answer, stopped.clone())));
+        }
+        if let (Some(releases), Some(control)) = (&settings.releases, control) {
+            let listener = bind("bind the address of releases", releases.listen).await?;
+            let parts = Arc::new(releases::Parts {
+                interface,
+                reactor: reactor.clone(),
+                control: control.clone(),
+            });
+            let answer = move |request| releases::answer(parts.clone(), request);
+            tasks.push(tokio::spawn(http::serve(listener, answer, stopped.clone())));
+        }
+        if let Some(listing) = &settings.listing {
+            let (reactor, stopped) = (reactor.clone(), stopped.clone());
+            let run = listing::run(listing.clone(), interface, reactor, stopped);
+            tasks.push(tokio::spawn(run));
+        }
+        Ok(tasks)
+    }
+
     async fn start(self) -> Result<Process> {
         let seeds = self.seeds();
         let listener = match &self.settings.callers {
-            Some(callers) => {
-                let step = "bind the callers' address";
-                let bound = TcpListener::bind(callers.listen).await;
-                Some(bound.map_err(Error::file(step, callers.listen.to_string()))?)
-            }
+            Some(callers) => Some(bind("bind the callers' address", callers.listen).await?),
             None => None,
         };
         let callers = listener.as_ref().and_then(|l| l.local_addr().ok());
@@ -245,6 +327,7 @@
                 let control = Control::open(control::Parts {
                     place: self.place.clone(),
                     seeds: seeds.clone(),
+                    admission: admission(&self.settings.peers, settings),
                     data: settings.data.clone(),
                     compact_bytes: settings.compact_bytes,
                     hub: hub.clone(),
@@ -272,6 +355,7 @@
             journal: self.journal.clone(),
             metrics: self.metrics.clone(),
             seeds,
+            listing_ms: (self.settings.listing.as_ref()).map_or(LISTING_MS, |l| l.every_ms),
             region: self.settings.vm.region.clone(),
             bounds: Bounds {
                 requests: self.settings.router.queue,
@@ -283,7 +367,7 @@
             },
             control: self.settings.control.is_some(),
             scheduler: self.settings.scheduler,
-            to_control,
+            to_control: to_control.clone(),
             publish,
         };
         let reactor_task = tokio::spawn(Reactor::new(parts).run(inputs));
@@ -292,6 +376,18 @@
             reactor.clone(),
             stopped.clone(),
         ))];
+        tasks.extend(
+            Starter::start_sides(
+                &self.settings,
+                self.interface,
+                &self.clock,
+                &reactor,
+                to_control.as_ref(),
+                &published,
+                &stopped,
+            )
+            .await?,
+        );
         if self.settings.scheduler {
             tasks.push(tokio::spawn(poll::run(reactor.clone(), stopped.clone())));
         }
@@ -309,6 +405,12 @@
                 queue_customer: self.settings.router.queue_customer,
                 body_bytes: self.settings.router.queue_bytes,
                 stale_ms: self.settings.router.stale_ms,
+                interface: self.interface,
+                retries: retry::Bounds {
+                    per_mille: self.settings.router.retries.per_mille,
+                    extra: self.settings.router.retries.extra,
+                    window_ms: self.settings.router.retries.window_ms,
+                },
                 data_centre: self.settings.vm.data_centre.clone(),
                 incarnation: self.incarnation,
                 clock: self.clock.clone(),
@@ -333,6 +435,8 @@
         );
         Ok(Process {
             addresses,
+            grace: Duration::from_millis(self.settings.vm.grace_ms),
+            is_asked: self.settings.readiness.is_some(),
             hub,
             reactor,
             reactor_task,
@@ -346,6 +450,22 @@
     }
 }
 
+/// Who may become a control VM.
+fn admission(peers: &Peers, control: &settings::Control) -> Admission {
+    match peers {
+        Peers::Named(_) => Admission::Seeds,
+        Peers::Seeds(seeds) => Admission::Open {
+            begins: control.begins,
+            voters: seeds.len(),
+        },
+    }
+}
+
+async fn bind(step: &'static str, address: SocketAddr) -> Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(Error::file(step, address.to_string()))
+}
+
 /// Passes what the links report to the reactor.
 async fn forward(
     events: flume::Receiver<transport::link::Event>,
--- a/components/node/src/query.rs
+++ b/components/node/src/query.rs
@@ -52,6 +52,15 @@
         }
     }
 
+    /// Changes the control VMs that are asked.
+    pub(crate) fn set_seeds(&mut self, seeds: Vec<Place>) {
+        let asked = self.seeds.get(self.target).cloned();
+        self.target = asked
+            .and_then(|asked| seeds.iter().position(|s| *s == asked))
+            .unwrap_or(0);
+        self.seeds = seeds;
+    }
+
     /// Sends a query; the answer goes to `answer`, however long it takes. A
     /// receiver that is dropped ends the query.
     pub(crate) fn ask(
--- a/components/node/src/reactor.rs
+++ b/components/node/src/reactor.rs
@@ -9,6 +9,7 @@
 use crate::reign::Reigns;
 use crate::shared::{Published, Shared, Status};
 use coordination::desk::{endpoints, Bounds, Desk, Effect, Effects, Ticket};
+use coordination::listing::Roster;
 use protocol::wire::{Message, Query, Reply};
 use state::clock::Millis;
 use state::config::Index;
@@ -41,8 +42,11 @@
     pub(crate) journal: Journal,
     /// Metrics.
     pub(crate) metrics: Metrics,
-    /// Control VMs.
+    /// Control VMs that the settings name.
     pub(crate) seeds: Vec<Place>,
+    /// Time between two readings of the platform's list of endpoints, in
+    /// milliseconds.
+    pub(crate) listing_ms: u64,
     /// Region of this VM.
     pub(crate) region: Name,
     /// Bounds of the desk.
@@ -63,9 +67,16 @@
 pub(crate) struct Reactor {
     parts: Parts,
     me: Name,
+    /// What the control VMs have put in force.
     view: View,
-    /// The view and its look-ups as published.
-    shown: (Arc<View>, Arc<Index>),
+    /// That and the platform's endpoints, with its look-ups: what decides.
+    live: Arc<View>,
+    index: Arc<Index>,
+    roster: Roster,
+    /// Control VMs as the control role of this process knows them.
+    members: Vec<Place>,
+    leads: bool,
+    proving: Option<(Millis, oneshot::Receiver<Reply>)>,
     desk: Desk,
     reigns: Reigns,
     feed: Feed,
@@ -106,7 +117,12 @@
             ),
             queries: Queries::new(seeds, spread, parts.control || parts.scheduler),
             view: View::default(),
-            shown: Default::default(),
+            live: Arc::default(),
+            index: Arc::default(),
+            roster: Roster::default(),
+            members: Vec::new(),
+            leads: false,
+            proving: None,
             batch: Batch::default(),
             decisions: HashMap::new(),
             head: None,
@@ -128,9 +144,7 @@
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         if self.parts.control || self.parts.scheduler {
-            for seed in &self.parts.seeds {
-                self.parts.hub.dial(seed);
-            }
+            self.dial_control();
         }
         loop {
             tokio::select! {
@@ -162,7 +176,7 @@
         match input {
             Input::Link(event) => self.link(now, event),
             Input::Arrive(arrival, reply) => {
-                let answer = match self.desk.arrive(now, &self.view, arrival) {
+                let answer = match self.desk.arrive(now, &self.live, arrival) {
                     Ok((ticket, effects)) => {
                         let (sender, decided) = oneshot::channel();
                         self.decisions.insert(ticket, sender);
@@ -187,6 +201,10 @@
                     self.leave(now, ticket);
                 }
             }
+            Input::Began(ticket) => {
+                let effects = self.desk.began(now, ticket);
+                self.act(now, effects);
+            }
             Input::Progress(ticket, cost) => {
                 let effects = self.desk.progress(now, ticket, cost);
                 self.act(now, effects);
@@ -204,6 +222,25 @@
                 self.feed.fresh(now, &self.parts.hub, fresh);
                 self.dirty = true;
             }
+            Input::Leads(leads) => self.leads = leads,
+            Input::Members(members) => {
+                self.members = members;
+                self.follow_control();
+            }
+            Input::Seeds(seeds) => {
+                self.parts.seeds.clone_from(&seeds);
+                self.to_control(crate::control::Input::Seeds(seeds));
+                self.follow_control();
+            }
+            Input::ListingDue(reply) => {
+                let due = self.roster.is_due(now, self.listing_patience());
+                // Whoever asked may have gone.
+                let _ = reply.send(due);
+            }
+            Input::ListingRead(endpoints) => {
+                let changed = self.roster.read(now, endpoints, rand::random());
+                self.listed(now, changed, None);
+            }
             // Whoever asked may have gone.
             Input::Status(reply) => drop(reply.send(self.status())),
             // Whoever asked may have gone.
@@ -256,6 +293,7 @@
                 if let Some(peer) = peer {
                     self.feed.subscribe(hub, peer.place, &self.view, version);
                 }
+                self.send_listing(&vm);
             }
             Message::Elsewhere(place) => {
                 self.feed.elsewhere(now, &self.parts.hub, &vm, place);
@@ -289,8 +327,26 @@
                     self.act(now, effects);
                 }
             }
-            Message::Served(served) => self.reigns.hear_served(&self.view, &served),
+            Message::Served(served) => self.reigns.hear_served(&self.live, &served),
             Message::Unseated(epoch) => self.desk.unseated(now, epoch),
+            Message::Listing(listing) => {
+                let changed = self.roster.take(now, *listing);
+                self.listed(now, changed, Some(&vm));
+            }
+            Message::ListingKept(id) => {
+                if self.roster.confirm(now, id) {
+                    self.listed(now, false, Some(&vm));
+                } else {
+                    self.parts.hub.send(&vm, Message::ListingWanted);
+                }
+            }
+            Message::ListingWanted => self.send_listing(&vm),
+            Message::Check(sent) => self.check(now, &vm, sent),
+            Message::Checked { sent, age_ms, head } => {
+                let at = Millis(sent.saturating_sub(age_ms));
+                self.feed.checked(&vm, at, head, self.view.version);
+                self.dirty = true;
+            }
         }
     }
 
@@ -319,18 +375,34 @@
     /// Brings a new version into force in all parts.
     fn in_force(&mut self, now: Millis) {
         let version = self.view.version;
-        let index = Index::from(&self.view.config);
-        self.shown = (Arc::new(self.view.clone()), Arc::new(index));
+        self.index = Arc::new(Index::from(&self.view.config));
         self.parts
             .journal
             .note(Event::new(Step::VersionInForce).version(version));
-        self.reigns.follow(now, &self.view, &mut self.batch);
-        let effects = self.desk.follow(now, &self.view);
-        self.act(now, effects);
+        tracing::info!(
+            event = "version-in-force",
+            version = version.0,
+            release = self.view.release,
+            rules = self.view.config.rules.len(),
+            customers = self.view.config.customers.len(),
+        );
+        self.feed.reached(version);
+        self.follow_live(now);
+        self.follow_control();
         let told = self.view.stopping.get(&self.me);
         if told == Some(&self.parts.hub.hello().incarnation) {
             self.stop();
         }
+    }
+
+    /// Follows a change of the view or of the platform's endpoints.
+    fn follow_live(&mut self, now: Millis) {
+        self.live = Arc::new(self.view.with_listing(self.roster.listing()));
+        self.reigns.follow(now, &self.live, &mut self.batch);
+        let effects = self.desk.follow(now, &self.live);
+        self.act(now, effects);
+        let shards = coordination::seat::shards(&self.live);
+        self.to_control(crate::control::Input::Shards(shards));
         self.dirty = true;
     }
 
@@ -362,7 +434,7 @@
     }
 
     fn dispatch(&mut self, now: Millis, ticket: Ticket, endpoint: EndpointId) {
-        let found = self.view.config.endpoints.get(&endpoint);
+        let found = self.live.config.endpoints.get(&endpoint);
         let sender = self.decisions.remove(&ticket);
         let (Some(found), Some(sender)) = (found, sender) else {
             let gone = coordination::ask::Verdict::Gone;
@@ -391,12 +463,14 @@
 
     fn tick(&mut self) {
         let now = self.now();
-        let effects = self.desk.tick(now, &self.view);
+        let live = self.live.clone();
+        let effects = self.desk.tick(now, &live);
         self.act(now, effects);
         self.reigns.tick(now, &mut self.batch);
         self.queries.tick(now, &self.parts.hub);
         self.feed.tick(now, &self.parts.hub, self.view.version);
         self.reach_schedulers();
+        self.prove(now);
         self.beat(now);
         self.seek_ready(now);
         if now >= self.measure_at {
@@ -410,7 +484,7 @@
     /// Dials the schedulers that the desk has sessions with.
     fn reach_schedulers(&mut self) {
         let wanted: BTreeMap<Name, Seat> = (self.desk.shards())
-            .filter_map(|(shard, _)| self.view.seat(shard))
+            .filter_map(|(shard, _)| self.live.seat(shard))
             .map(|seat| (seat.place.vm.clone(), seat.clone()))
             .collect();
         self.seats_dialed.retain(|vm| wanted.contains_key(vm));
@@ -427,7 +501,7 @@
         let hub = &self.parts.hub;
         let member = self.parts.control || self.parts.scheduler;
         for vm in hub.dialed() {
-            let seed = member && self.parts.seeds.iter().any(|s| s.vm == vm);
+            let seed = member && self.control_places().iter().any(|s| s.vm == vm);
             let needed = seed
                 || self.feed.needs(&vm)
                 || self.queries.needs(&vm)
@@ -454,11 +528,130 @@
             region: self.parts.region.clone(),
             incarnation: self.parts.hub.hello().incarnation,
         };
-        for seed in &self.parts.seeds {
+        for seed in self.control_places() {
             self.parts.hub.send(&seed.vm, beat.clone());
         }
     }
 
+    /// Control VMs: those that the control role here or the view tells of, and the
+    /// seeds, which may know of others.
+    fn control_places(&self) -> Vec<Place> {
+        let told = if self.members.is_empty() {
+            &self.view.control
+        } else {
+            &self.members
+        };
+        let mut places: Vec<Place> = told.clone();
+        places.extend(self.parts.seeds.iter().cloned());
+        let mut seen = BTreeSet::new();
+        places.retain(|p| seen.insert(p.vm.clone()));
+        places
+    }
+
+    fn dial_control(&self) {
+        for place in self.control_places() {
+            self.parts.hub.dial(&place);
+        }
+    }
+
+    /// Follows a change among the control VMs.
+    fn follow_control(&mut self) {
+        let places = self.control_places();
+        self.feed.set_seeds(places.clone());
+        self.queries.set_seeds(places);
+        if self.parts.control || self.parts.scheduler {
+            self.dial_control();
+        }
+    }
+
+    /// Time that this process waits for someone else's reading of the platform's
+    /// list, in milliseconds: the leader least, then the other control VMs, then
+    /// routers, each at a time of its own.
+    fn listing_patience(&self) -> u64 {
+        let every = self.parts.listing_ms;
+        if self.leads {
+            return every;
+        }
+        let spread = self.parts.hub.hello().incarnation % every.max(1);
+        let turns = if self.parts.control { 2 } else { 4 };
+        every * turns + spread
+    }
+
+    /// Follows and passes on a reading of the platform's list.
+    fn listed(&mut self, now: Millis, changed: bool, from: Option<&Name>) {
+        let listing = self.roster.listing().clone();
+        if changed {
+            let leaving = listing.endpoints.iter().filter(|l| l.leaving).count();
+            tracing::info!(
+                event = "endpoints-changed",
+                listing = listing.id,
+                endpoints = listing.endpoints.len(),
+                leaving,
+                from = from.map_or("", Name::as_str),
+            );
+            self.follow_live(now);
+        }
+        let mut to: Vec<Name> = self.feed.children().cloned().collect();
+        if from.is_none() && self.parts.control {
+            to.extend(self.members.iter().map(|p| p.vm.clone()));
+        }
+        let news = if changed {
+            Message::Listing(Box::new((*listing).clone()))
+        } else {
+            Message::ListingKept(listing.id)
+        };
+        for vm in to {
+            if Some(&vm) != from && vm != self.me {
+                self.parts.hub.send(&vm, news.clone());
+            }
+        }
+    }
+
+    fn send_listing(&self, vm: &Name) {
+        let listing = self.roster.listing();
+        if !listing.endpoints.is_empty() {
+            let listing = Box::new((**listing).clone());
+            self.parts.hub.send(vm, Message::Listing(listing));
+        }
+    }
+
+    /// Answers a child's question how new the view is.
+    fn check(&self, now: Millis, vm: &Name, sent: u64) {
+        let Some(proof) = self.feed.proof() else {
+            return;
+        };
+        let checked = Message::Checked {
+            sent,
+            age_ms: now.since(proof),
+            head: self.view.version,
+        };
+        self.parts.hub.send(vm, checked);
+    }
+
+    /// A root asks the leader for the proof that its view is the newest.
+    fn prove(&mut self, now: Millis) {
+        if !self.feed.is_root() {
+            return;
+        }
+        if let Some((at, answer)) = &mut self.proving {
+            match answer.try_recv() {
+                Ok(Reply::Head(head)) => {
+                    let at = *at;
+                    self.feed.prove(at, head, self.view.version);
+                    self.proving = None;
+                    self.dirty = true;
+                }
+                Ok(_) | Err(oneshot::error::TryRecvError::Closed) => self.proving = None,
+                Err(oneshot::error::TryRecvError::Empty) => {}
+            }
+        }
+        if self.feed.wants_proof(now) && self.proving.is_none() {
+            let (sender, receiver) = oneshot::channel();
+            self.proving = Some((now, receiver));
+            self.queries.ask(now, &self.parts.hub, Query::Head, sender);
+        }
+    }
+
     /// Becomes ready once the view is as new as the version that a quorum had
     /// in force after this process started.
     ///
@@ -494,7 +687,7 @@
     /// Tells other regions' schedulers what those here have given.
     fn tell_served(&mut self) {
         let mut wanted = BTreeSet::new();
-        for (to, served) in self.reigns.served(&self.view) {
+        for (to, served) in self.reigns.served(&self.live) {
             self.parts.hub.dial(&to.place);
             self.parts.hub.send(&to.place.vm, Message::Served(served));
             wanted.insert(to.place.vm);
@@ -504,11 +697,12 @@
 
     fn publish(&self) {
         let shared = Shared {
-            view: self.shown.0.clone(),
-            index: self.shown.1.clone(),
+            view: self.live.clone(),
+            index: self.index.clone(),
             ready: self.ready,
             stopping: self.stopping,
-            pulse: self.feed.pulse(),
+            proof: self.feed.proof(),
+            routers: self.desk.routers(),
         };
         self.parts.publish.send_replace(Arc::new(shared));
     }
@@ -521,7 +715,7 @@
         m.ready.set(i64::from(self.ready && !self.stopping));
         m.alone
             .set(value(self.desk.shards().filter(|(_, up)| !up).count()));
-        self.reigns.measure(&self.view);
+        self.reigns.measure(&self.live);
         let (datagrams, udp) = self.parts.hub.udp();
         let set = |what, number| m.link.with_label_values(&[what]).set(value(number));
         set("datagrams", datagrams);
@@ -538,14 +732,14 @@
     }
 
     fn watched(&self) -> Vec<Watched> {
-        let config = &self.view.config;
+        let config = &self.live.config;
         let mut watched = Vec::new();
         for shard in self.reigns.shards() {
             let service = config.services.get(&shard.service);
             let Some(path) = service.and_then(|s| s.load.clone()) else {
                 continue;
             };
-            for (endpoint, ..) in endpoints(&self.view, &shard) {
+            for (endpoint, ..) in endpoints(&self.live, &shard) {
                 let address = config.endpoints.get(&endpoint).map(|e| e.address);
                 watched.extend(address.map(|address| Watched {
                     endpoint,
--- a/components/node/src/reign.rs
+++ b/components/node/src/reign.rs
@@ -5,7 +5,7 @@
 use crate::metric::{value, Metrics};
 use crate::shared::ShardStatus;
 use coordination::ask::{Report, Served};
-use coordination::desk::endpoints;
+use coordination::desk::{endpoints, memory};
 use coordination::scheduler::{Effect, Effects, Scheduler, Session};
 use state::clock::Millis;
 use state::event::{Event, Step};
@@ -71,6 +71,7 @@
             let slots = reign.scheduler.slots();
             let known: Vec<EndpointId> = endpoints(view, &reign.shard).map(|e| e.0).collect();
             slots.retain(|id| known.contains(&id));
+            slots.set_memory(memory(view, &reign.shard));
             for (id, count, lead, leaving) in endpoints(view, &reign.shard) {
                 slots.set(id, count, lead, leaving);
             }
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -21,8 +21,10 @@
     pub(crate) ready: bool,
     /// Whether this process is stopping.
     pub(crate) stopping: bool,
-    /// Time of the last sign of life from control.
-    pub(crate) pulse: Option<Millis>,
+    /// Latest time at which this view was proved to be the newest.
+    pub(crate) proof: Option<Millis>,
+    /// Routers that share the endpoints, as far as the schedulers tell.
+    pub(crate) routers: u32,
 }
 
 /// What the reactor publishes.
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -7,7 +7,8 @@
 use smallvec::SmallVec;
 use state::clock::Stamp;
 use state::id::{CustomerId, Epoch, Name, RequestId, Version};
-use state::record::{Answer, ChangeId, Known};
+use state::listing::Listing;
+use state::record::{Answer, ChangeId, Known, Release};
 use state::secret::Hash;
 use state::view::{Place, Step, View};
 use std::net::SocketAddr;
@@ -50,6 +51,8 @@
         /// The file.
         text: String,
     },
+    /// An operator's complete configuration.
+    Release(Box<Release>),
     /// An operator's planned stop, or its end.
     Depart(Leaving),
     /// Report what became of a claimed request.
@@ -129,6 +132,23 @@
     Served(Served),
     /// This VM does not schedule in that reign, or not yet.
     Unseated(Epoch),
+    /// The platform's endpoints, as they are since the last reading.
+    Listing(Box<Listing>),
+    /// The platform's endpoints are still those of the listing with this number.
+    ListingKept(u64),
+    /// Send the listing: its number is not known here.
+    ListingWanted,
+    /// How old is your proof of the newest version? With the sender's own time.
+    Check(u64),
+    /// The answer to a check.
+    Checked {
+        /// Time that the check bore.
+        sent: u64,
+        /// Age of the proof when the check was answered, in milliseconds.
+        age_ms: u64,
+        /// The newest version that it proves.
+        head: Version,
+    },
 }
 
 impl Message {
@@ -150,6 +170,11 @@
             Message::Grants(_) => "grants",
             Message::Served(..) => "served",
             Message::Unseated(_) => "unseated",
+            Message::Listing(_) => "listing",
+            Message::ListingKept(_) => "listing-kept",
+            Message::ListingWanted => "listing-wanted",
+            Message::Check(_) => "check",
+            Message::Checked { .. } => "checked",
         }
     }
 }
--- a/components/settings/src/configuration.rs
+++ b/components/settings/src/configuration.rs
@@ -3,13 +3,17 @@
 use crate::section::{self, list, raw, Section};
 use errors::{Error, Result};
 use smallvec::SmallVec;
-use state::config::{Cost, Customer, Draft, Endpoint, Limits, Rule, Service, Then, When};
+use state::config::{
+    Cost, Customer, Draft, Endpoint, Engine, Limits, Part, Rule, Send, Service, Then, When,
+};
 use state::id::Name;
+use state::secret::Hash;
 use std::fmt::Write;
 
 raw!(RawCustomer {
     key_sha256,
     weight,
+    priority,
     services
 });
 raw!(RawService {
@@ -17,7 +21,10 @@
     estimate,
     timeout,
     idempotent,
-    load
+    load,
+    connections,
+    memory_tokens,
+    event_tokens
 });
 raw!(RawEndpoint {
     service,
@@ -31,6 +38,7 @@
     when_customer,
     when_service,
     when_method,
+    when_host,
     when_path,
     when_header,
     when_data_centre,
@@ -43,13 +51,19 @@
     concurrency,
     queue,
     timeout,
+    aim,
     weight,
+    priority,
     idempotent,
     retries,
+    anonymous,
+    resume,
 });
 
 /// Longest time-out, in milliseconds.
 const TIMEOUT_MAX_MS: u64 = 3_600_000;
+/// Largest weight of a service in a rule.
+const WEIGHT_MAX: u32 = 1_000_000;
 /// Time-out of a service that sets none, in milliseconds.
 const TIMEOUT_MS: u64 = 60_000;
 
@@ -104,23 +118,34 @@
     let raw: RawCustomer = s.raw()?;
     Ok(Customer {
         name: name(s)?,
-        key: s.convert(
-            "key-sha256",
-            &raw.key_sha256,
-            "the SHA-256 of the customer's key",
-        )?,
+        keys: keys(s, &raw.key_sha256)?,
         weight: s.small("weight", &raw.weight, 1..=1000, 1)?,
+        priority: priority(s, &raw.priority)?,
         services: names(s, "services", &raw.services)?,
     })
 }
 
+fn keys(s: &Section, value: &Option<String>) -> Result<SmallVec<[Hash; 2]>> {
+    let what = "the SHA-256 of the customer's key, or several";
+    let text = s.need("key-sha256", value, what)?;
+    let each = |part| Hash::try_from(part).map_err(|allowed| s.wrong("key-sha256", text, allowed));
+    list(text).map(each).collect()
+}
+
+fn priority(s: &Section, value: &Option<String>) -> Result<Option<u8>> {
+    let number = |_| s.small("priority", value, 0..=u32::from(u8::MAX), 0);
+    let number = value.as_ref().map(number).transpose()?;
+    Ok(number.map(|n| u8::try_from(n).unwrap_or(u8::MAX)))
+}
+
 fn service(s: &Section) -> Result<Service> {
     let raw: RawService = s.raw()?;
     let cost = match raw.cost.as_deref() {
         None | Some("request") => Cost::Request,
         Some("event") => Cost::Event,
         Some("time") => Cost::Time,
-        Some(other) => return Err(s.wrong("cost", other, "request, event or time")),
+        Some("token") => Cost::Token,
+        Some(other) => return Err(s.wrong("cost", other, "request, event, time or token")),
     };
     if let Some(path) = raw.load.as_deref().filter(|p| !p.starts_with('/')) {
         return Err(s.wrong("load", path, "a path that begins with /"));
@@ -132,10 +157,27 @@
         estimate: s.small("estimate", &raw.estimate, 1..=1_000_000, estimate)?,
         timeout_ms: s.millis("timeout", &raw.timeout, 10..=TIMEOUT_MAX_MS, TIMEOUT_MS)?,
         idempotent: s.flag("idempotent", &raw.idempotent)?.unwrap_or(false),
+        connections: optional(s, "connections", &raw.connections, 1 << 20)?,
+        engine: engine(s, &raw)?,
         load: raw.load,
     })
 }
 
+fn engine(s: &Section, raw: &RawService) -> Result<Option<Engine>> {
+    if raw.memory_tokens.is_none() {
+        return Ok(None);
+    }
+    Ok(Some(Engine {
+        memory_tokens: s.number("memory-tokens", &raw.memory_tokens, 1..=1 << 40, 1)?,
+        event_tokens: s.small("event-tokens", &raw.event_tokens, 1..=1 << 16, 1)?,
+    }))
+}
+
+fn optional(s: &Section, key: &str, value: &Option<String>, max: u32) -> Result<Option<u32>> {
+    let number = |_| s.small(key, value, 1..=max, 1);
+    value.as_ref().map(number).transpose()
+}
+
 fn endpoint(s: &Section) -> Result<Endpoint> {
     let raw: RawEndpoint = s.raw()?;
     let address = "an IP number with a port, such as 127.0.0.1:9001";
@@ -194,6 +236,7 @@
         customers: names(s, "when-customer", &raw.when_customer)?,
         service: optional_name(s, "when-service", &raw.when_service)?,
         methods: list(methods).map(str::to_owned).collect(),
+        host: raw.when_host.as_ref().map(|h| h.to_ascii_lowercase()),
         path: raw.when_path.clone(),
         header,
         data_centre: optional_name(s, "when-data-centre", &raw.when_data_centre)?,
@@ -203,10 +246,7 @@
 }
 
 fn then(s: &Section, raw: &RawRule) -> Result<Then> {
-    let small = |key, value: &Option<String>, max: u32| -> Result<Option<u32>> {
-        let number = |_| s.small(key, value, 1..=max, 1);
-        value.as_ref().map(number).transpose()
-    };
+    let small = |key, value: &Option<String>, max: u32| optional(s, key, value, max);
     let limits = Limits {
         rate: small("rate", &raw.rate, 1_000_000)?,
         concurrency: small("concurrency", &raw.concurrency, 1_000_000)?,
@@ -234,14 +274,33 @@
     }
     let timeout = |_| s.millis("timeout", &raw.timeout, 10..=TIMEOUT_MAX_MS, TIMEOUT_MS);
     let retries = |_| s.small("retries", &raw.retries, 0..=10, 2);
-    Ok(Then::Send {
-        service: s.convert("service", &raw.service, "the service that receives it")?,
+    let aim = |_| s.millis("aim", &raw.aim, 1..=TIMEOUT_MAX_MS, TIMEOUT_MS);
+    Ok(Then::Send(Box::new(Send {
+        services: parts(s, &raw.service)?,
         limits,
         timeout_ms: raw.timeout.as_ref().map(timeout).transpose()?,
+        aim_ms: raw.aim.as_ref().map(aim).transpose()?,
         weight: small("weight", &raw.weight, 1000)?,
+        priority: priority(s, &raw.priority)?.unwrap_or(0),
         idempotent: s.flag("idempotent", &raw.idempotent)?,
         retries: raw.retries.as_ref().map(retries).transpose()?,
-    })
+        anonymous: s.flag("anonymous", &raw.anonymous)?.unwrap_or(false),
+        resume: s.flag("resume", &raw.resume)?.unwrap_or(false),
+    })))
+}
+
+/// One service, or several with their weights: `a:90, b:10`.
+fn parts(s: &Section, value: &Option<String>) -> Result<SmallVec<[Part; 1]>> {
+    let what = "the service that receives it, or several as NAME:WEIGHT, NAME:WEIGHT";
+    let text = s.need("service", value, what)?;
+    let each = |part: &str| {
+        let (name, weight) = part.split_once(':').unwrap_or((part, "1"));
+        let service = Name::try_from(name.trim()).map_err(|a| s.wrong("service", text, a))?;
+        let weight = weight.trim().parse().ok().filter(|w| *w <= WEIGHT_MAX);
+        let weight = weight.ok_or_else(|| s.wrong("service", text, what))?;
+        Ok(Part { service, weight })
+    };
+    list(text).map(each).collect()
 }
 
 /// Prints a configuration as a file that [`parse`] reads back.
@@ -249,8 +308,10 @@
     let mut out = String::new();
     for c in &draft.customers {
         head(&mut out, "customer", &c.name);
-        line(&mut out, "key-sha256", &c.key.hex());
+        let keys: Vec<String> = c.keys.iter().map(Hash::hex).collect();
+        line(&mut out, "key-sha256", &keys.join(", "));
         line(&mut out, "weight", &c.weight);
+        option(&mut out, "priority", c.priority.as_ref());
         line(&mut out, "services", &join(&c.services));
     }
     for s in &draft.services {
@@ -259,12 +320,19 @@
             Cost::Request => "request",
             Cost::Event => "event",
             Cost::Time => "time",
+            Cost::Token => "token",
         };
         line(&mut out, "cost", &cost);
         line(&mut out, "estimate", &s.estimate);
         line(&mut out, "timeout", &format_args!("{}ms", s.timeout_ms));
         line(&mut out, "idempotent", &yes(s.idempotent));
         option(&mut out, "load", s.load.as_ref());
+        option(&mut out, "connections", s.connections.as_ref());
+        let engine = s.engine.as_ref();
+        let memory = engine.map(|e| e.memory_tokens);
+        let event = engine.map(|e| e.event_tokens);
+        option(&mut out, "memory-tokens", memory.as_ref());
+        option(&mut out, "event-tokens", event.as_ref());
     }
     for e in &draft.endpoints {
         head(&mut out, "endpoint", &e.name);
@@ -291,6 +359,7 @@
     if !when.methods.is_empty() {
         line(out, "when-method", &when.methods.join(", "));
     }
+    option(out, "when-host", when.host.as_ref());
     option(out, "when-path", when.path.as_ref());
     match &when.header {
         Some((name, Some(value))) => line(out, "when-header", &format_args!("{name}: {value}")),
@@ -308,27 +377,36 @@
             line(out, "then", &"refuse");
             line(out, "reason", reason);
         }
-        Then::Send {
-            service,
-            limits,
-            timeout_ms,
-            weight,
-            idempotent,
-            retries,
-        } => {
-            line(out, "then", &"send");
-            line(out, "service", service);
-            option(out, "rate", limits.rate.as_ref());
-            option(out, "concurrency", limits.concurrency.as_ref());
-            option(out, "queue", limits.queue.as_ref());
-            option(
-                out,
-                "timeout",
-                timeout_ms.map(|ms| format!("{ms}ms")).as_ref(),
-            );
-            option(out, "weight", weight.as_ref());
-            option(out, "idempotent", idempotent.map(yes).as_ref());
-            option(out, "retries", retries.as_ref());
+        Then::Send(send) => print_send(out, send),
+    }
+}
+
+fn print_send(out: &mut String, send: &Send) {
+    let millis = |ms: Option<u64>| ms.map(|ms| format!("{ms}ms"));
+    line(out, "then", &"send");
+    match send.services.as_slice() {
+        [Part { service, weight: 1 }] => line(out, "service", service),
+        parts => {
+            let parts: Vec<String> = (parts.iter())
+                .map(|p| format!("{}:{}", p.service, p.weight))
+                .collect();
+            line(out, "service", &parts.join(", "));
+        }
+    }
+    option(out, "rate", send.limits.rate.as_ref());
+    option(out, "concurrency", send.limits.concurrency.as_ref());
+    option(out, "queue", send.limits.queue.as_ref());
+    option(out, "timeout", millis(send.timeout_ms).as_ref());
+    option(out, "aim", millis(send.aim_ms).as_ref());
+    option(out, "weight", send.weight.as_ref());
+    if send.priority > 0 {
+        line(out, "priority", &send.priority);
+    }
+    option(out, "idempotent", send.idempotent.map(yes).as_ref());
+    option(out, "retries", send.retries.as_ref());
+    for (key, set) in [("anonymous", send.anonymous), ("resume", send.resume)] {
+        if set {
+            line(out, key, &yes(set));
         }
     }
 }
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -8,4 +8,7 @@
 mod section;
 
 pub use configuration::{parse as parse_configuration, print as print_configuration};
-pub use process::{Callers, Control, Fault, Link, Log, Operators, Platform, Router, Settings, Vm};
+pub use process::{
+    Callers, Control, Fault, KeyFiles, Link, Listing, Log, Operators, Peers, Platform, Readiness,
+    Releases, Retries, Router, Settings, Vm,
+};
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -6,6 +6,7 @@
 use state::id::Name;
 use state::secret::Hash;
 use state::view::Place;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -18,6 +19,10 @@
     pub data_centre: Name,
     /// Region of that data centre.
     pub region: Name,
+    /// How callers, endpoints and operators of complete configurations speak.
+    pub interface: String,
+    /// Longest time for what is in progress to end after a stop, in milliseconds.
+    pub grace_ms: u64,
 }
 
 /// Links to other processes.
@@ -25,16 +30,24 @@
 pub struct Link {
     /// Where they listen.
     pub listen: SocketAddr,
+    /// Files that prove who this VM is; without them, peers are taken for what
+    /// they say they are.
+    pub keys: Option<KeyFiles>,
+    /// Silence after which a link is down, in milliseconds.
+    pub idle_ms: u64,
+    /// Time between signs of life on a quiet link, in milliseconds.
+    pub keep_alive_ms: u64,
+}
+
+/// Files that `cowslipford keys` made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyFiles {
     /// Certificate of the fleet's authority.
     pub authority: PathBuf,
     /// Certificate of this VM.
     pub certificate: PathBuf,
     /// Private key of this VM.
     pub key: PathBuf,
-    /// Silence after which a link is down, in milliseconds.
-    pub idle_ms: u64,
-    /// Time between signs of life on a quiet link, in milliseconds.
-    pub keep_alive_ms: u64,
 }
 
 /// The callers' side of a router.
@@ -68,6 +81,19 @@
     /// Silence from control after which it refuses requests, in milliseconds;
     /// `None` serves the last version for as long as it lasts.
     pub stale_ms: Option<u64>,
+    /// Retries that all routers together may add in any [`Retries::window_ms`].
+    pub retries: Retries,
+}
+
+/// Bounds on retries over the whole fleet, for each service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Retries {
+    /// Retries for each thousand first tries.
+    pub per_mille: u64,
+    /// Retries beyond that.
+    pub extra: u64,
+    /// Time over which both are counted, in milliseconds.
+    pub window_ms: u64,
 }
 
 /// The operators' side.
@@ -75,8 +101,8 @@
 pub struct Operators {
     /// Where operators connect.
     pub listen: SocketAddr,
-    /// Hash of the operators' key.
-    pub key: Hash,
+    /// Hash of the operators' key; without one, only what needs none is answered.
+    pub key: Option<Hash>,
 }
 
 /// The control role.
@@ -88,6 +114,52 @@
     pub compact_bytes: u64,
     /// Children that it feeds with the configuration.
     pub fanout: usize,
+    /// Whether a new group may begin, when control VMs are found through seeds.
+    pub begins: bool,
+}
+
+/// Where operators send complete configurations and read them back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Releases {
+    /// Where they connect.
+    pub listen: SocketAddr,
+}
+
+/// Where it is asked whether this router takes requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Readiness {
+    /// Where to ask.
+    pub listen: SocketAddr,
+}
+
+/// The platform's list of all endpoints, in place of those of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listing {
+    /// Where it is served.
+    pub address: SocketAddr,
+    /// Time between two looks of the VM that reads it for the fleet, in
+    /// milliseconds.
+    pub every_ms: u64,
+    /// Region of each data centre.
+    pub regions: BTreeMap<Name, Name>,
+}
+
+/// How this process learns of the control VMs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Peers {
+    /// All of them are known by name, for good.
+    Named(SmallVec<[Place; 5]>),
+    /// Some of them are known by address; they tell of the others.
+    Seeds(SmallVec<[Place; 5]>),
+}
+
+impl Peers {
+    /// Places that are known from the settings.
+    pub fn places(&self) -> &[Place] {
+        match self {
+            Peers::Named(places) | Peers::Seeds(places) => places,
+        }
+    }
 }
 
 /// The platform's list of live and leaving VMs.
@@ -127,7 +199,7 @@
     /// Links.
     pub link: Link,
     /// Control VMs.
-    pub seeds: SmallVec<[Place; 5]>,
+    pub peers: Peers,
     /// The operators' side.
     pub operators: Operators,
     /// The callers' side, if this is a router.
@@ -138,8 +210,14 @@
     pub scheduler: bool,
     /// The control role, if this VM has a disk for it.
     pub control: Option<Control>,
-    /// The platform's list, if this VM follows it.
+    /// The platform's list of VMs, if this VM follows it.
     pub platform: Option<Platform>,
+    /// The platform's list of all endpoints, if they come from there.
+    pub listing: Option<Listing>,
+    /// Complete configurations, if operators send them here.
+    pub releases: Option<Releases>,
+    /// Readiness on an address of its own.
+    pub readiness: Option<Readiness>,
     /// Logs.
     pub log: Log,
     /// Hooks for tests.
@@ -149,10 +227,13 @@
 raw!(RawVm {
     name,
     data_centre,
-    region
+    region,
+    interface,
+    grace
 });
 raw!(RawLink {
     listen,
+    authentication,
     authority,
     certificate,
     key,
@@ -172,15 +253,23 @@
     queue_customer,
     queue_bytes,
     fanout,
-    without_control
+    without_control,
+    revocation,
+    retry_ratio,
+    retry_extra,
+    retry_window
 });
 raw!(RawOperators { listen, key_sha256 });
 raw!(RawScheduler {});
 raw!(RawControl {
     data,
     compact_bytes,
-    fanout
+    fanout,
+    first_start
 });
+raw!(RawSeeds { addresses });
+raw!(RawListen { listen });
+raw!(RawListing { address, every });
 raw!(RawPlatform {
     address,
     path,
@@ -193,9 +282,19 @@
 });
 raw!(RawFault { hook });
 
+/// Age of the last proof of the newest version up to which a router serves, as
+/// a part of the time in which a removed key must be refused everywhere, in
+/// hundredths. The rest is for the way of a change to a router that is reached.
+const PROOF_PERCENT: u64 = 60;
+/// Retries for each first try, unless set: an outage must not double the load.
+const RETRY_RATIO: f64 = 0.1;
+/// Retries beyond that in a window, unless set.
+const RETRY_EXTRA: u64 = 10;
+
 const ADDRESS: &str = "an IP number with a port, such as 127.0.0.1:7001";
 const KINDS: &str =
-    "vm, link, peers, operators, callers, router, scheduler, control, platform, log, fault";
+    "vm, link, peers, seeds, operators, callers, router, scheduler, control, platform, listing, \
+     data-centres, releases, readiness, log, fault";
 
 impl Settings {
     /// Reads and checks a file.
@@ -234,17 +333,24 @@
                 allowed: "this section is needed".to_owned(),
             })
         };
-        let vm = vm(need("vm")?)?;
-        let seeds = seeds(need("peers")?)?;
+        let link = link(need("link")?, base)?;
+        // Peers that know only an address must come to the same name.
+        let name = find("seeds").map(|_| Place::at(link.listen).vm);
+        let vm = vm(need("vm")?, name)?;
         let control = find("control").map(|s| control(s, base)).transpose()?;
-        let seed = seeds.iter().any(|place| place.vm == vm.name);
-        if control.is_some() && !seed {
+        let peers = match find("seeds") {
+            Some(s) => Peers::Seeds(seeds(s, link.listen)?),
+            None => Peers::Named(peers(need("peers")?)?),
+        };
+        let known = peers.places().iter().any(|place| place.vm == vm.name);
+        if control.is_some() && matches!(peers, Peers::Named(_)) && !known {
             let allowed = "a VM with [control] stands in [peers] itself";
             return Err(need("peers")?.wrong(vm.name.as_str(), "", allowed));
         }
+        let regions = find("data-centres").map(regions).transpose()?;
         Ok(Settings {
-            link: link(need("link")?, base)?,
-            seeds,
+            link,
+            peers,
             operators: operators(need("operators")?)?,
             callers: find("callers").map(callers).transpose()?,
             router: router(find("router"))?,
@@ -254,6 +360,14 @@
             },
             control,
             platform: find("platform").map(platform).transpose()?,
+            listing: find("listing")
+                .map(|s| listing(s, regions.unwrap_or_default()))
+                .transpose()?,
+            releases: (find("releases").map(listen).transpose()?).map(|listen| Releases { listen }),
+            readiness: find("readiness")
+                .map(listen)
+                .transpose()?
+                .map(|listen| Readiness { listen }),
             log: log(find("log"))?,
             fault: fault(find("fault"))?,
             vm,
@@ -261,16 +375,65 @@
     }
 }
 
-fn vm(s: &Section) -> Result<Vm> {
+fn listen(s: &Section) -> Result<SocketAddr> {
+    let raw: RawListen = s.raw()?;
+    s.parse("listen", &raw.listen, ADDRESS)
+}
+
+fn listing(s: &Section, regions: BTreeMap<Name, Name>) -> Result<Listing> {
+    let raw: RawListing = s.raw()?;
+    Ok(Listing {
+        address: s.parse("address", &raw.address, ADDRESS)?,
+        every_ms: s.millis("every", &raw.every, 100..=600_000, 500)?,
+        regions,
+    })
+}
+
+/// Region of each data centre.
+fn regions(s: &Section) -> Result<BTreeMap<Name, Name>> {
+    let name =
+        |key: &str, text: &str| Name::try_from(text).map_err(|allowed| s.wrong(key, text, allowed));
+    let pairs = s.pairs().iter();
+    pairs
+        .map(|(key, value)| Ok((name(key, key)?, name(key, value)?)))
+        .collect()
+}
+
+fn vm(s: &Section, name: Option<Name>) -> Result<Vm> {
     let raw: RawVm = s.raw()?;
     let region = Some(raw.region.unwrap_or_else(|| "main".to_owned()));
+    let name = match (name, &raw.name) {
+        (Some(name), None) => name,
+        (Some(_), Some(other)) => {
+            return Err(s.wrong(
+                "name",
+                other,
+                "no name: with [seeds] it follows from the link",
+            ));
+        }
+        (None, name) => s.convert("name", name, "the VM's name")?,
+    };
     Ok(Vm {
-        name: s.convert("name", &raw.name, "the VM's name")?,
+        name,
         data_centre: s.convert("data-centre", &raw.data_centre, "the data centre's name")?,
         region: s.convert("region", &region, "the region's name")?,
+        interface: raw.interface.unwrap_or_else(|| "own".to_owned()),
+        grace_ms: s.millis("grace", &raw.grace, 500..=600_000, 30_000)?,
     })
 }
 
+/// Places of seeds. Their links listen on the port of this VM's own.
+fn seeds(s: &Section, link: SocketAddr) -> Result<SmallVec<[Place; 5]>> {
+    let raw: RawSeeds = s.raw()?;
+    let what = "addresses of control VMs, such as 10.0.0.1:7001, 10.0.0.2:7001";
+    let text = s.need("addresses", &raw.addresses, what)?;
+    let each = |part: &str| {
+        let address: SocketAddr = part.parse().map_err(|_| s.wrong("addresses", text, what))?;
+        Ok(Place::at(SocketAddr::new(address.ip(), link.port())))
+    };
+    section::list(text).map(each).collect()
+}
+
 fn link(s: &Section, base: &Path) -> Result<Link> {
     let raw: RawLink = s.raw()?;
     let path = |key, value: &Option<String>| -> Result<PathBuf> {
@@ -278,17 +441,24 @@
         Ok(base.join(s.need(key, value, what)?))
     };
     let idle_ms = s.millis("idle", &raw.idle, 200..=60_000, 1500)?;
+    let keys = match raw.authentication.as_deref() {
+        Some("none") => None,
+        None | Some("certificates") => Some(KeyFiles {
+            authority: path("authority", &raw.authority)?,
+            certificate: path("certificate", &raw.certificate)?,
+            key: path("key", &raw.key)?,
+        }),
+        Some(other) => return Err(s.wrong("authentication", other, "certificates or none")),
+    };
     Ok(Link {
         listen: s.parse("listen", &raw.listen, ADDRESS)?,
-        authority: path("authority", &raw.authority)?,
-        certificate: path("certificate", &raw.certificate)?,
-        key: path("key", &raw.key)?,
+        keys,
         idle_ms,
         keep_alive_ms: s.millis("keep-alive", &raw.keep_alive, 50..=idle_ms / 2, idle_ms / 3)?,
     })
 }
 
-fn seeds(s: &Section) -> Result<SmallVec<[Place; 5]>> {
+fn peers(s: &Section) -> Result<SmallVec<[Place; 5]>> {
     let mut seeds: SmallVec<[Place; 5]> = SmallVec::new();
     for (key, value) in s.pairs() {
         let vm = Name::try_from(key.as_str()).map_err(|allowed| s.wrong(key, value, allowed))?;
@@ -309,11 +479,10 @@
     let raw: RawOperators = s.raw()?;
     Ok(Operators {
         listen: s.parse("listen", &raw.listen, ADDRESS)?,
-        key: s.convert(
-            "key-sha256",
-            &raw.key_sha256,
-            "the SHA-256 of the operators' key",
-        )?,
+        key: match &raw.key_sha256 {
+            None => None,
+            key => Some(s.convert("key-sha256", key, "the SHA-256 of the operators' key")?),
+        },
     })
 }
 
@@ -346,6 +515,12 @@
             0,
         )?),
     };
+    let revocation = |_| s.millis("revocation", &raw.revocation, 1000..=86_400_000, 0);
+    let revocation = raw.revocation.as_ref().map(revocation).transpose()?;
+    let stale_ms = match revocation.map(|ms| ms * PROOF_PERCENT / 100) {
+        Some(proof) => Some(stale_ms.map_or(proof, |stale| stale.min(proof))),
+        None => stale_ms,
+    };
     let queue = s.number("queue", &raw.queue, 1..=1 << 20, 4096)?;
     let fanout = s.number("fanout", &raw.fanout, 1..=64, 4)?;
     Ok(Router {
@@ -354,6 +529,24 @@
         queue_bytes: s.number("queue-bytes", &raw.queue_bytes, 1..=1 << 40, 32 << 20)?,
         fanout: usize::try_from(fanout).unwrap_or(4),
         stale_ms,
+        retries: retries(s, &raw)?,
+    })
+}
+
+fn retries(s: &Section, raw: &RawRouter) -> Result<Retries> {
+    let what = "retries for each first try, such as 0.2";
+    let ratio: f64 = match &raw.retry_ratio {
+        None => RETRY_RATIO,
+        ratio => s.parse("retry-ratio", ratio, what)?,
+    };
+    if !(0.0..=1.0).contains(&ratio) {
+        return Err(s.wrong("retry-ratio", &ratio.to_string(), what));
+    }
+    Ok(Retries {
+        // CAST: at most 1000.
+        per_mille: (ratio * 1000.0) as u64,
+        extra: s.number("retry-extra", &raw.retry_extra, 0..=1 << 20, RETRY_EXTRA)?,
+        window_ms: s.millis("retry-window", &raw.retry_window, 100..=600_000, 10_000)?,
     })
 }
 
@@ -364,6 +557,7 @@
         data: base.join(s.need("data", &raw.data, "the folder of the durable state")?),
         compact_bytes: s.number("compact-bytes", &raw.compact_bytes, 4096..=1 << 30, 4 << 20)?,
         fanout: usize::try_from(fanout).unwrap_or(8),
+        begins: s.flag("first-start", &raw.first_start)?.unwrap_or(false),
     })
 }
 
--- a/components/settings/src/section.rs
+++ b/components/settings/src/section.rs
@@ -231,8 +231,8 @@
     pub(crate) fn flag(&self, key: &str, value: &Option<String>) -> Result<Option<bool>> {
         match value.as_deref() {
             None => Ok(None),
-            Some("yes") => Ok(Some(true)),
-            Some("no") => Ok(Some(false)),
+            Some("yes" | "true") => Ok(Some(true)),
+            Some("no" | "false") => Ok(Some(false)),
             Some(text) => Err(self.wrong(key, text, "yes or no")),
         }
     }
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -45,7 +45,8 @@
 fn can_read_settings() {
     let settings = Settings::parse("vm.ini", Path::new("/etc/fleet"), &process()).unwrap();
     assert_eq!(settings.vm.name.as_str(), "c1");
-    assert_eq!(settings.link.authority, Path::new("/etc/fleet/a.pem"));
+    let keys = settings.link.keys.unwrap();
+    assert_eq!(keys.authority, Path::new("/etc/fleet/a.pem"));
     assert!(settings.scheduler && settings.log.json);
     assert_eq!(settings.router.queue, 100);
     assert_eq!(settings.router.stale_ms, None);
--- a/components/state/src/config.rs
+++ b/components/state/src/config.rs
@@ -1,22 +1,28 @@
 //! What operators decide: customers, services, endpoints and rules.
 
 use crate::id::{CustomerId, EndpointId, Name, ServiceId};
+use crate::route::Routes;
 use crate::secret::Hash;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
+/// Rules of a configuration at most: their places are numbered by `u16`.
+pub const RULES_MAX: usize = 1 << 15;
+
 /// Someone who sends requests and receives a fair share.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Customer {
     /// Name, unique among customers.
     pub name: Name,
-    /// Hash of the bearer key.
-    pub key: Hash,
+    /// Hashes of its bearer keys; any of them tells who it is.
+    pub keys: SmallVec<[Hash; 2]>,
     /// Share relative to others, 1 to 1000.
     pub weight: u32,
+    /// Rank of its requests, 0 the most urgent, in place of the rule's.
+    pub priority: Option<u8>,
     /// Services that it may reach.
     pub services: SmallVec<[Name; 4]>,
 }
@@ -31,6 +37,19 @@
     Event,
     /// One unit for each millisecond that a slot is held.
     Time,
+    /// One unit for each prompt token, two for each token generated.
+    Token,
+}
+
+/// What endpoints of a service have in common when they are model engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Engine {
+    /// Tokens that fit into an engine's memory: running requests and kept parts
+    /// of prompts together.
+    pub memory_tokens: u64,
+    /// Tokens that one streamed event holds.
+    pub event_tokens: u32,
 }
 
 /// A set of endpoints that are equal to callers.
@@ -49,6 +68,11 @@
     pub idempotent: bool,
     /// Path where its endpoints report their load, as `{"running":N,"waiting":N}`.
     pub load: Option<String>,
+    /// Connections that each of its endpoints takes from all routers together;
+    /// `None` for no bound.
+    pub connections: Option<u32>,
+    /// Set when its endpoints are model engines.
+    pub engine: Option<Engine>,
 }
 
 /// One replica of a service.
@@ -81,6 +105,8 @@
     pub service: Option<Name>,
     /// Methods, any of them, in upper case.
     pub methods: SmallVec<[String; 2]>,
+    /// Host that the caller names.
+    pub host: Option<String>,
     /// Prefix of the path.
     pub path: Option<String>,
     /// Header that must be present, with its value when one is given.
@@ -105,25 +131,67 @@
     pub queue: Option<u32>,
 }
 
+/// One service of several that share a rule's requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Part {
+    /// Service.
+    pub service: Name,
+    /// Part of the requests, relative to the other services of the rule.
+    pub weight: u32,
+}
+
+/// How a request that matches is sent.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Send {
+    /// Services that receive it, each by its weight; at least one weighs more
+    /// than 0.
+    pub services: SmallVec<[Part; 1]>,
+    /// Limits.
+    pub limits: Limits,
+    /// Time-out in milliseconds, in place of the service's.
+    pub timeout_ms: Option<u64>,
+    /// Time to the first byte of an answer that callers count as on time, in
+    /// milliseconds.
+    pub aim_ms: Option<u64>,
+    /// Weight in place of the customer's.
+    pub weight: Option<u32>,
+    /// Rank of its requests, 0 the most urgent.
+    pub priority: u8,
+    /// Whether it may run twice; `None` goes by service and method.
+    pub idempotent: Option<bool>,
+    /// Retries at most.
+    pub retries: Option<u32>,
+    /// Whether callers without a customer's key may use it.
+    pub anonymous: bool,
+    /// Whether a stream that broke off may go on at another endpoint, after the
+    /// last event that arrived whole.
+    pub resume: bool,
+}
+
+impl Send {
+    /// The service that gets a request, by a number that was drawn for it.
+    pub fn service(&self, draw: u64) -> Option<&Name> {
+        let total: u64 = self.services.iter().map(|p| u64::from(p.weight)).sum();
+        let mut at = draw.checked_rem(total)?;
+        for part in &self.services {
+            let weight = u64::from(part.weight);
+            if at < weight {
+                return Some(&part.service);
+            }
+            at -= weight;
+        }
+        None
+    }
+}
+
 /// What happens to a request that matches.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Then {
     /// Queue it for a service.
-    Send {
-        /// Service that receives it.
-        service: Name,
-        /// Limits.
-        limits: Limits,
-        /// Time-out in milliseconds, in place of the service's.
-        timeout_ms: Option<u64>,
-        /// Weight in place of the customer's.
-        weight: Option<u32>,
-        /// Whether it may run twice; `None` goes by service and method.
-        idempotent: Option<bool>,
-        /// Retries at most.
-        retries: Option<u32>,
-    },
+    Send(Box<Send>),
     /// Answer 403 with a reason.
     Refuse {
         /// Reason given to the caller.
@@ -202,6 +270,7 @@
 pub struct Index {
     keys: HashMap<Hash, CustomerId>,
     services: HashMap<Name, ServiceId>,
+    routes: Routes,
 }
 
 impl Index {
@@ -214,16 +283,20 @@
     pub fn service(&self, name: &Name) -> Option<ServiceId> {
         self.services.get(name).copied()
     }
+
+    /// Rules by host and path.
+    pub fn routes(&self) -> &Routes {
+        &self.routes
+    }
 }
 
 impl From<&Config> for Index {
     fn from(config: &Config) -> Self {
         Index {
-            keys: config
-                .customers
-                .iter()
-                .map(|(id, c)| (c.key, *id))
+            keys: (config.customers.iter())
+                .flat_map(|(id, c)| c.keys.iter().map(|key| (*key, *id)))
                 .collect(),
+            routes: Routes::from(config.rules.as_slice()),
             services: (config.services.iter())
                 .map(|(id, s)| (s.name.clone(), *id))
                 .collect(),
@@ -254,6 +327,7 @@
     /// The first [`Contradiction`] in the order of the sections.
     pub fn check(&self) -> Result<(), Contradiction> {
         self.check_unique()?;
+        self.check_count()?;
         let services: BTreeSet<&Name> = self.services.iter().map(|s| &s.name).collect();
         let customers: BTreeSet<&Name> = self.customers.iter().map(|c| &c.name).collect();
         let known = |set: &BTreeSet<&Name>, kind, name: &Name, key, value: &Name| {
@@ -290,8 +364,11 @@
             if let Some(service) = &rule.when.service {
                 known(&services, "rule", &rule.name, "when-service", service)?;
             }
-            if let Then::Send { service, .. } = &rule.then {
-                known(&services, "rule", &rule.name, "service", service)?;
+            if let Then::Send(send) = &rule.then {
+                for part in &send.services {
+                    known(&services, "rule", &rule.name, "service", &part.service)?;
+                }
+                check_weights(rule, send)?;
             }
         }
         Ok(())
@@ -317,16 +394,44 @@
             return Err(found);
         }
         let mut keys = BTreeSet::new();
-        let double = self.customers.iter().find(|c| !keys.insert(c.key));
-        match double {
+        let mut all = (self.customers.iter()).flat_map(|c| c.keys.iter().map(move |key| (c, key)));
+        match all.find(|(_, key)| !keys.insert(**key)) {
             None => Ok(()),
-            Some(c) => Err(Contradiction {
+            Some((customer, key)) => Err(Contradiction {
                 kind: "customer",
-                name: c.name.clone(),
+                name: customer.name.clone(),
                 key: "key-sha256",
-                value: c.key.hex(),
+                value: key.hex(),
                 allowed: "a key that no other customer has".to_owned(),
             }),
         }
     }
+
+    /// Refuses more rules than their places can number.
+    fn check_count(&self) -> Result<(), Contradiction> {
+        let Some(rule) = self.rules.get(RULES_MAX) else {
+            return Ok(());
+        };
+        Err(Contradiction {
+            kind: "rule",
+            name: rule.name.clone(),
+            key: "(section)",
+            value: self.rules.len().to_string(),
+            allowed: format!("at most {RULES_MAX} rules"),
+        })
+    }
+}
+
+/// Refuses a rule whose requests would go nowhere.
+fn check_weights(rule: &Rule, send: &Send) -> Result<(), Contradiction> {
+    if send.service(0).is_some() {
+        return Ok(());
+    }
+    Err(Contradiction {
+        kind: "rule",
+        name: rule.name.clone(),
+        key: "service",
+        value: String::new(),
+        allowed: "at least one service with a weight above 0".to_owned(),
+    })
 }
--- a/components/state/src/id.rs
+++ b/components/state/src/id.rs
@@ -1,5 +1,6 @@
 //! Identifiers: checked names for people, small `Copy` keys for the wire.
 
+use crate::secret::Hash;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -16,6 +17,11 @@
     pub fn as_str(&self) -> &str {
         &self.0
     }
+
+    /// The name of what has none.
+    pub fn unnamed() -> Self {
+        Name("unnamed".to_owned())
+    }
 }
 
 impl TryFrom<String> for Name {
@@ -108,3 +114,12 @@
         write!(f, "{:016x}-{:x}", self.router, self.count)
     }
 }
+
+impl EndpointId {
+    /// Number of an endpoint that no configuration has numbered, the same
+    /// wherever it is worked out.
+    pub fn of(name: &Name) -> Self {
+        let Hash(bytes) = Hash::of(&[name.as_str().as_bytes()]);
+        EndpointId(u32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]))
+    }
+}
--- /dev/null
+++ b/components/state/src/listing.rs
@@ -0,0 +1,46 @@
+//! The platform's list of endpoints, as one VM reads it for the whole fleet.
+
+use crate::config::Endpoint;
+use crate::id::EndpointId;
+use crate::view::View;
+use serde::{Deserialize, Serialize};
+
+/// One endpoint of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Listed {
+    /// The endpoint. Its name is of one start: one that comes back has another.
+    pub endpoint: Endpoint,
+    /// Whether it gets no new work.
+    pub leaving: bool,
+}
+
+/// All endpoints at one reading.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Listing {
+    /// A number drawn for this content.
+    pub id: u64,
+    /// The endpoints.
+    pub endpoints: Vec<Listed>,
+}
+
+impl View {
+    /// This view with the endpoints of a listing besides those of its
+    /// configuration.
+    pub fn with_listing(&self, listing: &Listing) -> View {
+        let mut view = self.clone();
+        for listed in &listing.endpoints {
+            let id = EndpointId::of(&listed.endpoint.name);
+            let known = view.config.endpoints.contains_key(&id);
+            if known || view.config.service(&listed.endpoint.service).is_none() {
+                continue;
+            }
+            view.config.endpoints.insert(id, listed.endpoint.clone());
+            if listed.leaving {
+                view.leaving.insert(id);
+            }
+        }
+        view
+    }
+}
--- a/components/state/src/record.rs
+++ b/components/state/src/record.rs
@@ -1,5 +1,6 @@
 //! Records of the replicated log and the answers they give.
 
+use crate::config::Draft;
 use crate::delta::Delta;
 use crate::id::{CustomerId, RequestId, Version};
 use crate::secret::Hash;
@@ -83,6 +84,18 @@
     Unknown,
 }
 
+/// A complete configuration as its operator sent it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Release {
+    /// Number that the operator chose; the highest is in force.
+    pub number: u64,
+    /// The bytes that were sent, to be read back.
+    pub document: Vec<u8>,
+    /// What they say.
+    pub draft: Draft,
+}
+
 /// One entry of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -98,6 +111,9 @@
         /// What it changes.
         delta: Box<Delta>,
     },
+    /// An operator's complete configuration, under the number that the operator
+    /// chose. It replaces all of an older number.
+    Release(Box<Release>),
     /// A scheduler is seated.
     Seat(Seat),
     /// Someone leaves.
@@ -138,6 +154,9 @@
     Accepted(Version),
     /// The change was based on an older version; this one is current.
     Conflict(Version),
+    /// The complete configuration with this number is in force: the one that was
+    /// sent, or a newer one.
+    Released(u64),
     /// The key is this request's.
     Fresh,
     /// Another request has the key: its fingerprint and what is known.
--- a/components/state/src/store.rs
+++ b/components/state/src/store.rs
@@ -1,9 +1,10 @@
 //! The state machine that the replicated log drives.
 
+use crate::delta::Delta;
 use crate::id::{CustomerId, RequestId, Version};
-use crate::record::{Answer, ChangeId, Known, Record};
+use crate::record::{Answer, ChangeId, Known, Members, Record, Release};
 use crate::secret::Hash;
-use crate::view::{Change, Step, View};
+use crate::view::{Change, Place, Step, View};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -50,13 +51,27 @@
     pub answers: BTreeMap<ChangeId, Answer>,
     /// Changes by age, oldest first.
     pub answer_ages: VecDeque<ChangeId>,
+    /// The newest complete configuration, as its operator sent it.
+    pub release: Option<Document>,
+}
+
+/// A complete configuration in its operator's own words.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Document {
+    /// Number that the operator chose.
+    pub number: u64,
+    /// What was sent.
+    pub bytes: Vec<u8>,
 }
 
 impl Store {
     /// Applies a record; gives its answer, and the step if the view changed.
     pub fn apply(&mut self, record: &Record) -> (Answer, Option<Step>) {
         match record {
-            Record::Blank | Record::Members(_) => (Answer::Done, None),
+            Record::Blank => (Answer::Done, None),
+            Record::Members(members) => (Answer::Done, self.members(members)),
+            Record::Release(release) => self.release(release),
             Record::Change { id, base, delta } => self.change(*id, *base, delta),
             Record::Seat(seat) => {
                 let old = self.view.seat(&seat.shard);
@@ -104,12 +119,33 @@
         (Answer::Accepted(version), Some(step))
     }
 
-    fn change(
-        &mut self,
-        id: ChangeId,
-        base: Version,
-        delta: &crate::delta::Delta,
-    ) -> (Answer, Option<Step>) {
+    /// Tells everyone where the control VMs are.
+    fn members(&mut self, members: &Members) -> Option<Step> {
+        let places: Vec<Place> = members.voters.iter().map(|m| m.place.clone()).collect();
+        let same = places == self.view.control;
+        (!same).then(|| self.step(Change::Control(places)).1)?
+    }
+
+    /// Replaces the configuration, if the operator's number is the highest.
+    ///
+    /// The difference is worked out here and not by whoever proposes: two
+    /// releases that are under way at once would else both count from the same
+    /// configuration, and the second would bring back parts of it.
+    fn release(&mut self, release: &Release) -> (Answer, Option<Step>) {
+        let newest = self.release.as_ref().map(|r| r.number);
+        if let Some(newest) = newest.filter(|newest| release.number <= *newest) {
+            return (Answer::Released(newest), None);
+        }
+        self.release = Some(Document {
+            number: release.number,
+            bytes: release.document.clone(),
+        });
+        let delta = Delta::between(&self.view.config, &release.draft);
+        let (_, step) = self.step(Change::Release(release.number, delta));
+        (Answer::Released(release.number), step)
+    }
+
+    fn change(&mut self, id: ChangeId, base: Version, delta: &Delta) -> (Answer, Option<Step>) {
         if let Some(first) = self.answers.get(&id) {
             return (first.clone(), None);
         }
