--- a/components/state/src/view.rs
+++ b/components/state/src/view.rs
@@ -17,6 +17,20 @@
     pub address: SocketAddr,
 }
 
+impl Place {
+    /// A VM that is known by its address alone, under the name that follows from
+    /// it: a seed has no other name before it was reached.
+    pub fn at(address: SocketAddr) -> Self {
+        let host = address.ip().to_string().replace(['.', ':'], "-");
+        let vm = Name::try_from(format!("vm-{host}"));
+        Place {
+            // An address has only digits, letters, dots and colons.
+            vm: vm.unwrap_or_else(|_| Name::unnamed()),
+            address,
+        }
+    }
+}
+
 /// The endpoints of one service in one region; each has one scheduler.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -58,6 +72,10 @@
 pub enum Change {
     /// Operators changed the configuration.
     Config(Delta),
+    /// An operator's complete configuration of this number replaced the one before.
+    Release(u64, Delta),
+    /// The control VMs are these.
+    Control(Vec<Place>),
     /// A scheduler was seated.
     Seat(Seat),
     /// Someone leaves.
@@ -84,6 +102,10 @@
     pub config: Config,
     /// Version that last changed the configuration; operators base changes on it.
     pub config_version: Version,
+    /// Number of the operator's complete configuration in force, 0 for none.
+    pub release: u64,
+    /// Control VMs that vote; empty until the first change among them.
+    pub control: Vec<Place>,
     /// Scheduler of each shard, as pairs because a shard is no JSON key.
     pub seats: Vec<Seat>,
     /// Endpoints that get no new work.
@@ -118,7 +140,7 @@
         }
         self.apply(&step.change);
         self.version = next;
-        if matches!(step.change, Change::Config(_)) {
+        if matches!(step.change, Change::Config(_) | Change::Release(..)) {
             self.config_version = next;
         }
         Taken::InForce
@@ -149,13 +171,12 @@
 
     fn apply(&mut self, change: &Change) {
         match change {
-            Change::Config(delta) => {
-                delta.apply(&mut self.config);
-                let config = &self.config;
-                self.seats
-                    .retain(|s| config.services.contains_key(&s.shard.service));
-                self.leaving.retain(|e| config.endpoints.contains_key(e));
+            Change::Config(delta) => self.configure(delta),
+            Change::Release(number, delta) => {
+                self.release = *number;
+                self.configure(delta);
             }
+            Change::Control(places) => self.control.clone_from(places),
             Change::Seat(seat) => {
                 self.seats.retain(|s| s.shard != seat.shard);
                 self.seats.push(seat.clone());
@@ -171,4 +192,12 @@
             }
         }
     }
+
+    fn configure(&mut self, delta: &Delta) {
+        delta.apply(&mut self.config);
+        let config = &self.config;
+        self.seats
+            .retain(|s| config.services.contains_key(&s.shard.service));
+        self.leaving.retain(|e| config.endpoints.contains_key(e));
+    }
 }
--- a/components/state/tests/store.rs
+++ b/components/state/tests/store.rs
@@ -22,6 +22,8 @@
         timeout_ms,
         idempotent: false,
         load: None,
+        connections: None,
+        engine: None,
     }
 }
 
--- a/components/transport/src/clock.rs
+++ b/components/transport/src/clock.rs
@@ -2,29 +2,34 @@
 
 use state::clock::{Millis, Stamp};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Monotonic time, wall time and the hybrid logical clock.
 #[derive(Clone, Debug)]
 pub struct Clock {
-    origin: Instant,
+    /// Milliseconds of the system's clock when this one was made.
+    origin: u64,
     stamp: Arc<Mutex<Stamp>>,
 }
 
 impl Default for Clock {
     fn default() -> Self {
         Clock {
-            origin: Instant::now(),
+            origin: boot_millis(),
             stamp: Arc::default(),
         }
     }
 }
 
 impl Clock {
-    /// Monotonic milliseconds since this clock was made.
+    /// Monotonic milliseconds since this clock was made, with the time for which
+    /// the VM was suspended.
+    ///
+    /// `Instant` does not count that time on Linux. A leader that wakes after five
+    /// seconds would still be inside its lease and show an old configuration, and
+    /// a router would serve keys that were revoked long ago.
     pub fn now(&self) -> Millis {
-        let ms = self.origin.elapsed().as_millis();
-        Millis(u64::try_from(ms).unwrap_or(u64::MAX))
+        Millis(boot_millis().saturating_sub(self.origin))
     }
 
     /// Stamps an event of this process.
@@ -40,6 +45,14 @@
     }
 }
 
+/// Milliseconds since the VM started, suspensions included.
+fn boot_millis() -> u64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or(0);
+    seconds * 1000 + nanos / 1_000_000
+}
+
 /// Wall clock in microseconds since 1970.
 pub fn wall_micros() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/components/transport/src/key.rs
+++ b/components/transport/src/key.rs
@@ -5,8 +5,12 @@
     BasicConstraints, CertificateParams, DistinguishedName, DnType, ExtendedKeyUsagePurpose, IsCa,
     Issuer, KeyPair, KeyUsagePurpose,
 };
+use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
+use rustls::crypto::CryptoProvider;
+use rustls::server::WebPkiClientVerifier;
+use rustls::{DigitallySignedStruct, SignatureScheme};
 use rustls_pki_types::pem::PemObject;
-use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName, UnixTime};
 use state::id::Name;
 use std::path::Path;
 use std::sync::Arc;
@@ -94,7 +98,9 @@
 /// What a process needs to open and accept links.
 #[derive(Clone, Debug)]
 pub struct Keys {
-    authority: CertificateDer<'static>,
+    /// Certificate of the authority that all peers need; without one, any peer
+    /// is taken for what it says it is.
+    authority: Option<CertificateDer<'static>>,
     certificate: CertificateDer<'static>,
     key: Arc<PrivateKeyDer<'static>>,
 }
@@ -107,7 +113,7 @@
     /// When one cannot be read or holds something else.
     pub fn read(authority: &Path, certificate: &Path, key: &Path) -> Result<Self> {
         Ok(Keys {
-            authority: pem(authority)?,
+            authority: Some(pem(authority)?),
             certificate: pem(certificate)?,
             key: Arc::new(
                 PrivateKeyDer::from_pem_file(key).map_err(|e| wrong(key, &e.to_string()))?,
@@ -115,6 +121,34 @@
         })
     }
 
+    /// Makes a key for this start of the process alone, and trusts every peer.
+    ///
+    /// Links are encrypted, so that nobody reads along, but whoever reaches the
+    /// address of the links can pose as any VM of the fleet. It is for networks
+    /// that only the fleet's VMs reach, where no secret can be handed out before
+    /// they start.
+    ///
+    /// # Errors
+    ///
+    /// When the key cannot be made.
+    pub fn unauthenticated(vm: &Name) -> Result<Self> {
+        let step = "make a key for this start";
+        let key = KeyPair::generate().map_err(Error::key(step))?;
+        let params = CertificateParams::new(vec![host(vm)]).map_err(Error::key(step))?;
+        let certificate = params.self_signed(&key).map_err(Error::key(step))?;
+        let private = PrivateKeyDer::try_from(key.serialize_der());
+        Ok(Keys {
+            authority: None,
+            certificate: certificate.der().clone(),
+            key: Arc::new(private.map_err(Error::key(step))?),
+        })
+    }
+
+    /// Whether peers must show a certificate of the fleet's authority.
+    pub fn are_checked(&self) -> bool {
+        self.authority.is_some()
+    }
+
     /// Takes keys from memory.
     ///
     /// # Errors
@@ -125,7 +159,7 @@
         let certificate =
             |text: &str| CertificateDer::from_pem_slice(text.as_bytes()).map_err(Error::key(step));
         Ok(Keys {
-            authority: certificate(authority)?,
+            authority: Some(certificate(authority)?),
             certificate: certificate(&pair.certificate)?,
             key: Arc::new(
                 PrivateKeyDer::from_pem_slice(pair.key.as_bytes()).map_err(Error::key(step))?,
@@ -133,12 +167,15 @@
         })
     }
 
-    fn roots(&self) -> Result<Arc<rustls::RootCertStore>> {
+    fn roots(&self) -> Result<Option<Arc<rustls::RootCertStore>>> {
+        let Some(authority) = &self.authority else {
+            return Ok(None);
+        };
         let mut roots = rustls::RootCertStore::empty();
         roots
-            .add(self.authority.clone())
+            .add(authority.clone())
             .map_err(Error::key("read the authority's certificate"))?;
-        Ok(Arc::new(roots))
+        Ok(Some(Arc::new(roots)))
     }
 
     /// Settings for accepting links: only peers of this fleet's authority.
@@ -149,16 +186,19 @@
     pub fn server(&self) -> Result<rustls::ServerConfig> {
         let step = "prepare to accept links";
         let provider = Arc::new(rustls::crypto::ring::default_provider());
-        let verifier = rustls::server::WebPkiClientVerifier::builder_with_provider(
-            self.roots()?,
-            provider.clone(),
-        )
-        .build()
-        .map_err(Error::key(step))?;
-        let mut config = rustls::ServerConfig::builder_with_provider(provider)
+        let builder = rustls::ServerConfig::builder_with_provider(provider.clone())
             .with_protocol_versions(&[&rustls::version::TLS13])
-            .map_err(Error::key(step))?
-            .with_client_cert_verifier(verifier)
+            .map_err(Error::key(step))?;
+        let builder = match self.roots()? {
+            Some(roots) => {
+                let verifier = WebPkiClientVerifier::builder_with_provider(roots, provider)
+                    .build()
+                    .map_err(Error::key(step))?;
+                builder.with_client_cert_verifier(verifier)
+            }
+            None => builder.with_no_client_auth(),
+        };
+        let mut config = builder
             .with_single_cert(vec![self.certificate.clone()], self.key.clone_key())
             .map_err(Error::key(step))?;
         config.alpn_protocols = vec![PROTOCOL.to_vec()];
@@ -173,17 +213,65 @@
     pub fn client(&self) -> Result<rustls::ClientConfig> {
         let step = "prepare to open links";
         let provider = Arc::new(rustls::crypto::ring::default_provider());
-        let mut config = rustls::ClientConfig::builder_with_provider(provider)
+        let builder = rustls::ClientConfig::builder_with_provider(provider.clone())
             .with_protocol_versions(&[&rustls::version::TLS13])
-            .map_err(Error::key(step))?
-            .with_root_certificates(self.roots()?)
-            .with_client_auth_cert(vec![self.certificate.clone()], self.key.clone_key())
             .map_err(Error::key(step))?;
+        let mut config = match self.roots()? {
+            Some(roots) => builder
+                .with_root_certificates(roots)
+                .with_client_auth_cert(vec![self.certificate.clone()], self.key.clone_key())
+                .map_err(Error::key(step))?,
+            None => builder
+                .dangerous()
+                .with_custom_certificate_verifier(Arc::new(Unchecked(provider)))
+                .with_no_client_auth(),
+        };
         config.alpn_protocols = vec![PROTOCOL.to_vec()];
         Ok(config)
     }
 }
 
+/// Takes any certificate, but still has its holder prove that it has the key.
+#[derive(Debug)]
+struct Unchecked(Arc<CryptoProvider>);
+
+impl ServerCertVerifier for Unchecked {
+    fn verify_server_cert(
+        &self,
+        _end_entity: &CertificateDer<'_>,
+        _intermediates: &[CertificateDer<'_>],
+        _server_name: &ServerName<'_>,
+        _ocsp_response: &[u8],
+        _now: UnixTime,
+    ) -> Result<ServerCertVerified, rustls::Error> {
+        Ok(ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        dss: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.0.signature_verification_algorithms;
+        rustls::crypto::verify_tls12_signature(message, cert, dss, algorithms)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        dss: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.0.signature_verification_algorithms;
+        rustls::crypto::verify_tls13_signature(message, cert, dss, algorithms)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.0.signature_verification_algorithms.supported_schemes()
+    }
+}
+
 fn pem(path: &Path) -> Result<CertificateDer<'static>> {
     CertificateDer::from_pem_file(path).map_err(|e| wrong(path, &e.to_string()))
 }
--- a/components/transport/src/link.rs
+++ b/components/transport/src/link.rs
@@ -107,6 +107,8 @@
     clock: Clock,
     endpoint: quinn::Endpoint,
     client: quinn::ClientConfig,
+    /// Whether peers must prove who they are.
+    checked: bool,
     table: Mutex<Table>,
     events: flume::Sender<Event>,
     counts: Counts,
@@ -126,6 +128,7 @@
 pub struct Socket {
     endpoint: quinn::Endpoint,
     client: quinn::ClientConfig,
+    checked: bool,
 }
 
 impl Socket {
@@ -159,7 +162,11 @@
             "bind the address of the links",
             address.to_string(),
         ))?;
-        Ok(Socket { endpoint, client })
+        Ok(Socket {
+            endpoint,
+            client,
+            checked: keys.are_checked(),
+        })
     }
 
     /// The address that was bound.
@@ -183,6 +190,7 @@
             clock,
             endpoint: self.endpoint,
             client: self.client,
+            checked: self.checked,
             table: Mutex::default(),
             events,
             counts: Counts::default(),
@@ -440,7 +448,7 @@
         let Message::Hello(hello) = frame.message else {
             return Err(refusal(far, "it did not say hello first"));
         };
-        if !is_certified(&connection, &hello.place.vm) {
+        if self.inner.checked && !is_certified(&connection, &hello.place.vm) {
             return Err(refusal(far, "its certificate is another VM's"));
         }
         if dialed.is_some_and(|vm| *vm != hello.place.vm) {
--- a/src/cmd/dev.rs
+++ b/src/cmd/dev.rs
@@ -5,7 +5,7 @@
 use super::{keys, log, Failure};
 use crate::cli::Dev;
 use errors::{Error, Result};
-use node::Process;
+use node::{Interface, Process};
 use settings::Settings;
 use standin::{Kind, Server};
 use state::id::Name;
@@ -33,7 +33,7 @@
     keys::make(folder, &[name])?;
     let settings = settings(args, folder)?;
     log::start(&settings.log);
-    let mut process = Process::start(settings).await?;
+    let mut process = Process::start(settings, Interface::own()).await?;
     let model = stand_in(Kind::Model).await?;
     let plain = stand_in(Kind::Plain).await?;
     let operators = process.addresses().operators;
--- a/src/cmd/run.rs
+++ b/src/cmd/run.rs
@@ -3,22 +3,30 @@
 use super::{log, Failure};
 use crate::cli::Run;
 use errors::Error;
-use node::Process;
+use node::{Interface, Process};
 use settings::Settings;
+use std::path::Path;
+use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 
+/// Time between two looks whether the settings file has changed.
+const LOOK: Duration = Duration::from_secs(1);
+
 /// Runs until told to stop, by a signal or by the operators.
 pub(crate) fn run(args: &Run) -> Result<(), Failure> {
     let settings = Settings::read(&args.settings)?;
     log::start(&settings.log);
-    runtime()?.block_on(serve(settings))
+    runtime()?.block_on(serve(settings, &args.settings))
 }
 
-async fn serve(settings: Settings) -> Result<(), Failure> {
-    let mut process = Process::start(settings).await?;
+async fn serve(settings: Settings, file: &Path) -> Result<(), Failure> {
+    let interface = interface(&settings)?;
+    let mut process = Process::start(settings.clone(), interface).await?;
+    let reloads = process.reloads();
     let ended = tokio::select! {
         ended = process.wait() => ended,
         () = told() => Ok(()),
+        () = follow(file, settings, &reloads) => Ok(()),
     };
     if ended.is_ok() {
         process.stop().await;
@@ -26,6 +34,49 @@
     Ok(ended?)
 }
 
+/// The way of speaking that the settings name.
+pub(crate) fn interface(settings: &Settings) -> Result<Interface, Failure> {
+    match settings.vm.interface.as_str() {
+        "own" => Ok(Interface::own()),
+        platform::NAME => Ok(platform::interface()),
+        other => {
+            let allowed = format!("[vm] interface = {other:?}: own or {}", platform::NAME);
+            Err(Failure::Input(allowed))
+        }
+    }
+}
+
+/// Follows the settings file, on SIGHUP and when it changes without one. A file
+/// that is wrong is told of, and the last good one stays.
+async fn follow(file: &Path, mut settings: Settings, reloads: &node::Reloads) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        return std::future::pending().await;
+    };
+    let mut refused = String::new();
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => {}
+            () = tokio::time::sleep(LOOK) => {}
+        }
+        match Settings::read(file) {
+            Ok(read) if read != settings => {
+                tracing::info!(event = "settings-reloaded", file = %file.display());
+                reloads.follow(&read);
+                settings = read;
+                refused.clear();
+            }
+            Ok(_) => {}
+            Err(error) => {
+                let reason = error.to_string();
+                if reason != refused {
+                    tracing::warn!(event = "settings-refused", reason);
+                    refused = reason;
+                }
+            }
+        }
+    }
+}
+
 /// Waits for SIGTERM or Ctrl-C.
 pub(crate) async fn told() {
     let (Ok(mut term), Ok(mut int)) = (
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -69,7 +69,7 @@
     assert_eq!(answer.status, 422);
     assert!(answer
         .text()
-        .contains("[service assistant] cost = \\\"guess\\\": request, event or time"));
+        .contains("[service assistant] cost = \\\"guess\\\": request, event, time or token"));
     assert_eq!(config_version(&fleet, "c1"), base);
     let refused = fleet.apply(&bad, &[]);
     assert_eq!(refused.0.code(), Some(2));
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -430,6 +430,7 @@
         let log = fs::File::create(self.settings.with_extension("log")).unwrap();
         let child = Command::new(BINARY)
             .args(["run", &self.settings.display().to_string()])
+            .stdout(log.try_clone().unwrap())
             .stderr(log)
             .spawn();
         self.child = Some(child.unwrap());
