Let a request wait for the engine that keeps its prompt while that answers in time

Cause: an ask at the head was sent to whatever engine had room, so that shared parts were read again on ever more engines and pushed others out; the asks of a customer's first rule held up those of its others. Change: asks are looked at in fair order, and of the engines that answer in time the one with the least to read is chosen; an ask that is better off waiting is passed over, and what it will take counts for those behind it. Ruled out: memory of the engines (none was preempted, kept parts fit ten times).

--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -38,6 +38,9 @@
     pub concurrency: u32,
     /// Rank, 0 the most urgent.
     pub priority: u8,
+    /// Time within which its caller counts the first byte of an answer as on
+    /// time, in milliseconds.
+    pub aim_ms: u32,
     /// Expected cost, in units of the service.
     pub hint: u32,
     /// What is known of its prompt.
--- a/components/coordination/src/desk/abroad.rs
+++ b/components/coordination/src/desk/abroad.rs
@@ -1,7 +1,7 @@
 //! Asks in other regions, beside those at home, for requests that wait long.
 
 use super::alone::mix;
-use super::line::{Request, Stage};
+use super::line::{aim_ms, Request, Stage};
 use super::{endpoints, Desk, Effects, Ticket};
 use crate::ask::Seq;
 use crate::prelude::*;
@@ -74,6 +74,7 @@
             concurrency: 0,
             hint: arrival.hint,
             priority: arrival.priority,
+            aim_ms: aim_ms(now, &arrival),
             prompt: arrival.prompt,
             avoid,
             guest: true,
--- a/components/coordination/src/desk/line.rs
+++ b/components/coordination/src/desk/line.rs
@@ -39,6 +39,11 @@
     pub(super) asked: u32,
 }
 
+/// Time that is left until an answer is late, in milliseconds.
+pub(super) fn aim_ms(now: Millis, arrival: &Arrival) -> u32 {
+    u32::try_from(arrival.aim.since(now)).unwrap_or(u32::MAX)
+}
+
 impl Desk {
     /// The shard that serves a service for this router: in its own region, or
     /// else the first that has endpoints.
@@ -156,6 +161,7 @@
                 concurrency: arrival.concurrency,
                 hint: arrival.hint,
                 priority: arrival.priority,
+                aim_ms: aim_ms(now, &arrival),
                 prompt: arrival.prompt,
                 avoid: request.avoid,
                 guest: false,
--- a/components/coordination/src/desk/mod.rs
+++ b/components/coordination/src/desk/mod.rs
@@ -51,6 +51,8 @@
     pub prompt: Prompt,
     /// Bytes that it keeps in memory while it waits.
     pub bytes: u64,
+    /// When its caller counts the first byte of an answer as late.
+    pub aim: Millis,
     /// When it is given up.
     pub deadline: Millis,
 }
--- a/components/coordination/src/engine.rs
+++ b/components/coordination/src/engine.rs
@@ -118,12 +118,16 @@
     }
 
     /// Expected time to the first token of a request, in microseconds, with
+    /// `missing` tokens to read, `claimed` tokens of others that go before it, and
     /// `running` others in progress. `id` spreads new parts over engines.
-    pub fn expected_us(&self, id: EndpointId, prompt: &Prompt, running: u32) -> u64 {
-        let missing = self.missing(prompt);
-        // Reading again costs everyone, waiting only this one: a kept part is
-        // worth half its reading more than the time it saves here.
-        let reading = self.unread + missing + missing / 2;
+    pub fn expected_us(
+        &self,
+        id: EndpointId,
+        prompt: &Prompt,
+        missing: u64,
+        claimed: u64,
+        running: u32,
+    ) -> u64 {
         let stray = if missing == prompt.tokens() {
             // Every scheduler, and every router that has lost it, would choose
             // the same engine for a part that none is known to have.
@@ -131,7 +135,13 @@
         } else {
             0
         };
-        (reading + stray) * 1_000_000 / self.rate + u64::from(running) * BATCH_US
+        let reading = self.unread + claimed + missing + stray;
+        self.reading_us(reading) + u64::from(running) * BATCH_US
+    }
+
+    /// Time to read some tokens, in microseconds.
+    pub fn reading_us(&self, tokens: u64) -> u64 {
+        tokens * 1_000_000 / self.rate
     }
 
     /// Takes a request that is sent now.
--- a/components/coordination/src/scheduler.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -3,13 +3,16 @@
 //! Between two customers that both wait, the one with less virtual service
 //! goes first. Which router a request waits on plays no part.
 
+mod queue;
+
+use self::queue::{Key, Queue};
 use crate::ask::{Hello, Seq, Served};
 use crate::engine::Reading;
 use crate::health;
 use crate::ledger::{virtual_cost, Ledger};
 use crate::limit::Bucket;
 use crate::prelude::*;
-use crate::slot::{Choice, Slots, Taken, Wish};
+use crate::slot::{Choice, Claims, Slots, Wish};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// How long a new scheduler gathers sessions before its first grant, in
@@ -28,6 +31,9 @@
 const TELL_ALL: u32 = 8;
 /// Guests among whom the least served is sought.
 const GUESTS: usize = 64;
+/// Asks that are looked at for one grant. Those behind them wait anyway, and each
+/// costs a look at every endpoint.
+const LOOK: usize = 24;
 /// Longest wait before an unused class is forgotten, in milliseconds.
 const CLASS_MS: u64 = 60_000;
 
@@ -51,8 +57,6 @@
 
 #[derive(Clone, Debug)]
 struct Line {
-    /// Asks in the order of their arrival, of all routers.
-    asks: VecDeque<(Session, Seq)>,
     running: u32,
     bucket: Option<Bucket>,
     used: Millis,
@@ -68,6 +72,14 @@
     reading: Option<Reading>,
 }
 
+/// An ask whose turn has come.
+#[derive(Clone, Copy, Debug)]
+struct Next {
+    key: Key,
+    ask: Ask,
+    endpoint: EndpointId,
+}
+
 /// The scheduler of one shard in one reign.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -75,9 +87,10 @@
     ledger: Ledger,
     slots: Slots,
     lines: BTreeMap<Class, Line>,
-    /// Waiting asks of a customer over all its lines.
-    waiting: BTreeMap<CustomerId, u32>,
-    asks: BTreeMap<(Session, Seq), Ask>,
+    /// Asks of this region.
+    queue: Queue,
+    /// Asks from other regions, in the order of their arrival.
+    guests: VecDeque<(Key, Ask)>,
     running: BTreeMap<(Session, Seq), Running>,
     sessions: BTreeSet<Session>,
     orphans: BTreeMap<Session, Millis>,
@@ -87,8 +100,6 @@
     spent: BTreeMap<Session, Vec<(CustomerId, u64)>>,
     /// Largest floor that a router remembers.
     floor: u64,
-    /// Asks from other regions, in the order of their arrival.
-    guests: VecDeque<(Session, Seq)>,
     /// Service given here in this reign, for the other regions to count.
     served: BTreeMap<CustomerId, u64>,
     /// Customers whose total has grown since it was last told.
@@ -114,8 +125,7 @@
             ledger: Ledger::default(),
             slots: Slots::new(choice),
             lines: BTreeMap::new(),
-            waiting: BTreeMap::new(),
-            asks: BTreeMap::new(),
+            queue: Queue::default(),
             running: BTreeMap::new(),
             sessions: BTreeSet::new(),
             orphans: BTreeMap::new(),
@@ -144,7 +154,7 @@
 
     /// Asks that wait.
     pub fn waiting(&self) -> usize {
-        self.asks.len()
+        self.queue.len() + self.guests.len()
     }
 
     /// Requests in progress.
@@ -229,9 +239,8 @@
         if !self.sessions.remove(&session) {
             return;
         }
-        let range = (session, Seq(0))..=(session, Seq(u64::MAX));
-        let lost: Vec<Seq> = self.asks.range(range).map(|((_, seq), _)| *seq).collect();
-        for seq in lost {
+        self.guests.retain(|((of, _), _)| *of != session);
+        for seq in self.queue.of_session(session) {
             self.withdraw(session, seq);
         }
         self.orphans.insert(session, now.after(ORPHAN_MS));
@@ -243,22 +252,17 @@
             return Effects::new();
         }
         if ask.guest {
-            self.guests.push_back((session, ask.seq));
-            self.asks.insert((session, ask.seq), ask);
+            self.guests.push_back(((session, ask.seq), ask));
             return self.grant(now);
         }
         let line = self.line(now, ask.class);
-        line.asks.push_back((session, ask.seq));
         match (&mut line.bucket, ask.rate) {
             (bucket, 0) => *bucket = None,
             (Some(bucket), rate) => bucket.set_rate(rate, now),
             (bucket @ None, rate) => *bucket = Some(Bucket::new(rate, now)),
         }
-        if self.asks.insert((session, ask.seq), ask).is_none() {
-            let customer = ask.class.customer;
-            *self.waiting.entry(customer).or_default() += 1;
-            self.ledger.set_backlogged(customer, true);
-        }
+        self.queue.insert(now, (session, ask.seq), ask);
+        self.ledger.set_backlogged(ask.class.customer, true);
         self.grant(now)
     }
 
@@ -374,9 +378,8 @@
             self.orphans.remove(&session);
             self.drop_running(now, session);
         }
-        self.lines.retain(|_, line| {
-            line.running > 0 || !line.asks.is_empty() || now.since(line.used) < CLASS_MS
-        });
+        self.lines
+            .retain(|_, line| line.running > 0 || now.since(line.used) < CLASS_MS);
         self.grant(now)
     }
 
@@ -394,31 +397,17 @@
             self.ledger.open(self.floor);
         }
         while self.slots.any_free(now) {
-            let Some(key) = self.next_ask(now).or_else(|| self.next_guest()) else {
-                break;
-            };
-            let Some(ask) = self.asks.get(&key).copied() else {
+            let Some(next) = self.next(now) else {
                 break;
             };
-            let wish = Wish {
-                prompt: ask.prompt,
-                avoid: ask.avoid,
-            };
-            let Some(taken) = self.slots.take(now, wish) else {
-                break;
-            };
-            effects.push(self.start(now, key, ask, taken));
+            effects.push(self.start(now, next));
         }
         effects
     }
 
-    fn start(
-        &mut self,
-        now: Millis,
-        key: (Session, Seq),
-        ask: Ask,
-        Taken { endpoint, reading }: Taken,
-    ) -> Effect {
+    fn start(&mut self, now: Millis, next: Next) -> Effect {
+        let Next { key, ask, endpoint } = next;
+        let reading = self.slots.take(now, endpoint, ask.prompt);
         let customer = ask.class.customer;
         // The charge comes first, so that a customer leaving the backlog with
         // this ask still carries it.
@@ -450,61 +439,77 @@
         Effect::Grant(key.0, grant)
     }
 
-    /// The ask to serve next: of the least served customer that its limits let
-    /// start, the one that has waited longest.
-    fn next_ask(&mut self, now: Millis) -> Option<(Session, Seq)> {
-        for customer in self.ledger.waiting() {
-            let first = Class { customer, rule: 0 };
-            let last = Class {
-                customer,
-                rule: u16::MAX,
-            };
-            for (_, line) in self.lines.range_mut(first..=last) {
-                let asks = &self.asks;
-                while line.asks.front().is_some_and(|key| !asks.contains_key(key)) {
-                    line.asks.pop_front();
+    /// The ask to serve next, and where.
+    ///
+    /// Customers come by the service that they have received, and each one's asks
+    /// in their order. An ask that is better off waiting for its endpoint is passed
+    /// over, but what it will take there counts for those behind it.
+    fn next(&mut self, now: Millis) -> Option<Next> {
+        let mut claims = Claims::default();
+        let mut looked = 0;
+        let customers: SmallVec<[CustomerId; 32]> = self.ledger.waiting().collect();
+        for round in 0..LOOK {
+            let mut any = false;
+            for customer in &customers {
+                let Some((key, waiting)) = self.queue.of(*customer).nth(round) else {
+                    continue;
+                };
+                any = true;
+                looked += 1;
+                if looked > LOOK {
+                    return self.next_guest(now);
                 }
-                let Some(key) = line.asks.front().copied() else {
+                let ask = waiting.ask;
+                let slack_ms = waiting.slack_ms(now);
+                if !self.may_start(now, &ask) {
                     continue;
+                }
+                let wish = Wish {
+                    prompt: ask.prompt,
+                    avoid: ask.avoid,
+                    slack_ms,
                 };
-                let cap = asks.get(&key).map_or(0, |a| a.concurrency);
-                let slow = cap != 0 && line.running >= cap;
-                let late = line.bucket.as_mut().is_some_and(|b| !b.ready(now));
-                if !slow && !late {
-                    return Some(key);
+                if let Some(endpoint) = self.slots.choose(now, wish, &mut claims) {
+                    return Some(Next { key, ask, endpoint });
                 }
             }
+            if !any {
+                break;
+            }
         }
-        None
+        self.next_guest(now)
+    }
+
+    /// Whether the limits of an ask's class let it start.
+    fn may_start(&mut self, now: Millis, ask: &Ask) -> bool {
+        let line = self.line(now, ask.class);
+        let full = ask.concurrency != 0 && line.running >= ask.concurrency;
+        !full && line.bucket.as_mut().is_none_or(|b| b.ready(now))
     }
 
     /// The guest to serve next, once nobody of this region can start: of the
     /// first few, the least served one.
-    fn next_guest(&mut self) -> Option<(Session, Seq)> {
-        let asks = &self.asks;
-        self.guests.retain(|key| asks.contains_key(key));
+    fn next_guest(&mut self, now: Millis) -> Option<Next> {
         let first = self.guests.iter().take(GUESTS);
-        let level = |key: &&(Session, Seq)| {
-            let ask = asks.get(*key);
-            ask.map_or(u64::MAX, |a| self.ledger.level(a.class.customer))
+        let level = |(_, ask): &&(Key, Ask)| self.ledger.level(ask.class.customer);
+        let (key, ask) = first.min_by_key(level).copied()?;
+        let wish = Wish {
+            prompt: ask.prompt,
+            avoid: ask.avoid,
+            slack_ms: 0,
         };
-        first.min_by_key(level).copied()
+        let endpoint = self.slots.choose(now, wish, &mut Claims::default())?;
+        Some(Next { key, ask, endpoint })
     }
 
     fn remove_ask(&mut self, session: Session, seq: Seq) {
-        let Some(ask) = self.asks.remove(&(session, seq)) else {
+        let key = (session, seq);
+        let Some(ask) = self.queue.remove(key) else {
+            self.guests.retain(|(other, _)| *other != key);
             return;
         };
-        if ask.guest {
-            return;
-        }
         let customer = ask.class.customer;
-        let Some(waiting) = self.waiting.get_mut(&customer) else {
-            return;
-        };
-        *waiting -= 1;
-        if *waiting == 0 {
-            self.waiting.remove(&customer);
+        if !self.queue.has_any_of(customer) {
             self.ledger.set_backlogged(customer, false);
         }
     }
@@ -546,7 +551,6 @@
 
     fn line(&mut self, now: Millis, class: Class) -> &mut Line {
         let line = self.lines.entry(class).or_insert_with(|| Line {
-            asks: VecDeque::new(),
             running: 0,
             bucket: None,
             used: now,
--- a/components/coordination/src/slot.rs
+++ b/components/coordination/src/slot.rs
@@ -10,6 +10,13 @@
 /// Prompt prefixes remembered for each endpoint.
 pub const PREFIXES: usize = 64;
 
+/// Part of the time that is left which an engine may be expected to take, in
+/// hundredths: steps, the way and the other requests of a batch take the rest.
+const IN_TIME_PERCENT: u64 = 70;
+/// What a request that waits for an engine claims at least, in tokens: one that
+/// has nothing to read still takes its place in a step.
+const CLAIM_MIN: u64 = 64;
+
 /// What a scheduler knows of one endpoint.
 #[derive(Clone, Debug)]
 struct Slot {
@@ -34,16 +41,13 @@
     pub prompt: Prompt,
     /// Endpoint to avoid, if another is free.
     pub avoid: Option<EndpointId>,
+    /// Time that is left until an answer is late, in milliseconds.
+    pub slack_ms: u64,
 }
 
-/// A slot that was taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Taken {
-    /// Endpoint.
-    pub endpoint: EndpointId,
-    /// What the request takes of it, if it is a model engine.
-    pub reading: Option<Reading>,
-}
+/// What asks that wait for an engine will have it read, in tokens.
+#[derive(Clone, Debug, Default)]
+pub struct Claims(BTreeMap<EndpointId, u64>);
 
 /// How to choose among free endpoints; all but the first are baselines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -119,21 +123,66 @@
         self.all.retain(|id, _| keep(*id));
     }
 
-    /// Takes a slot of the best endpoint that has one free.
-    pub fn take(&mut self, now: Millis, wish: Wish) -> Option<Taken> {
-        let endpoint = self
-            .best(now, wish, true)
-            .or_else(|| self.best(now, wish, false))?;
-        self.hold(now, endpoint);
-        let slot = self.all.get_mut(&endpoint)?;
-        let reading = match &mut slot.engine {
-            Some(engine) => Some(engine.begin(now, wish.prompt)),
-            None => {
-                slot.remember(wish.prompt.first());
-                None
+    /// The endpoint to which a request is best sent now; `None` if it is better
+    /// off waiting, which `claims` is told of.
+    pub fn choose(&mut self, now: Millis, wish: Wish, claims: &mut Claims) -> Option<EndpointId> {
+        if self.memory.is_some() {
+            return self.place(now, wish, claims);
+        }
+        self.best(now, wish, true)
+            .or_else(|| self.best(now, wish, false))
+    }
+
+    /// The engine that a request is to wait for or to be sent to.
+    ///
+    /// Of the engines that answer in time, it is the one with the least to read:
+    /// what is read again takes time from everyone. If none does, it is the one
+    /// that answers first.
+    fn place(&self, now: Millis, wish: Wish, claims: &mut Claims) -> Option<EndpointId> {
+        let mut best: Option<(bool, (u64, u64), EndpointId, u64)> = None;
+        for (id, slot) in &self.all {
+            let Some(engine) = slot.engine.as_ref().filter(|_| slot.is_open(now)) else {
+                continue;
+            };
+            let missing = engine.missing(&wish.prompt);
+            let claimed = claims.0.get(id).copied().unwrap_or(0);
+            let running = slot.running + slot.foreign;
+            let wait_us = engine.expected_us(*id, &wish.prompt, missing, claimed, running);
+            let avoided = wish.avoid == Some(*id);
+            let in_time = wait_us * 100 <= wish.slack_ms * 1000 * IN_TIME_PERCENT;
+            let cost = if in_time {
+                (missing, wait_us)
+            } else {
+                (wait_us + engine.reading_us(missing) / 2, 0)
+            };
+            let key = (avoided || !in_time, cost);
+            let better = best.is_none_or(|(late, cost, ..)| key < (late, cost));
+            if better {
+                best = Some((key.0, key.1, *id, missing));
             }
-        };
-        Some(Taken { endpoint, reading })
+        }
+        let (_, _, id, missing) = best?;
+        let slot = self.all.get(&id)?;
+        let free = slot.room(now) > 0;
+        let engine = slot.engine.as_ref()?;
+        let claimed = claims.0.entry(id).or_default();
+        if free && *claimed == 0 && engine.has_room(&wish.prompt) {
+            return Some(id);
+        }
+        *claimed += missing.max(CLAIM_MIN);
+        None
+    }
+
+    /// Takes a slot of an endpoint; gives what the request takes of it, if it is a
+    /// model engine.
+    pub fn take(&mut self, now: Millis, id: EndpointId, prompt: Prompt) -> Option<Reading> {
+        self.hold(now, id);
+        let slot = self.all.get_mut(&id)?;
+        if let Some(engine) = &mut slot.engine {
+            return Some(engine.begin(now, prompt));
+        }
+        slot.remember(prompt.first());
+        None
     }
 
     /// Notes the first byte of an answer of an engine.
@@ -215,12 +264,11 @@
         let avoid = wish.avoid.filter(|_| avoiding);
         let free = (self.all.iter())
             .filter(|(id, s)| s.room(now) > 0 && Some(**id) != avoid)
-            .filter(|(_, s)| s.engine.as_ref().is_none_or(|e| e.has_room(&wish.prompt)))
             .map(|(id, s)| (*id, s));
         self.turn += 1;
         match self.choice {
             Choice::Least => free
-                .min_by_key(|(id, s)| (s.score(*id, &wish.prompt), *id))
+                .min_by_key(|(id, s)| (s.score(&wish.prompt), *id))
                 .map(|(id, _)| id),
             Choice::RoundRobin => nth(free.map(|(id, _)| id).collect(), self.turn),
             Choice::Random => {
@@ -272,12 +320,14 @@
         }
     }
 
-    /// Expected time of an engine, or the load in thousandths of the slots, where
-    /// an endpoint that has not seen the prefix counts as one request fuller.
-    fn score(&self, id: EndpointId, prompt: &Prompt) -> u64 {
-        if let Some(engine) = &self.engine {
-            return engine.expected_us(id, prompt, self.running + self.foreign);
-        }
+    /// Whether it takes work at all now, if not at this moment.
+    fn is_open(&self, now: Millis) -> bool {
+        !self.leaving && self.health.capacity(now, self.slots + self.lead) > 0
+    }
+
+    /// Load in thousandths of the slots, where an endpoint that has not seen the
+    /// prefix counts as one request fuller.
+    fn score(&self, prompt: &Prompt) -> u64 {
         let prefix = prompt.first();
         let cold = u32::from(prefix != 0 && !self.prefixes.contains(&prefix));
         u64::from(self.running + self.foreign + cold) * 1000 / u64::from(self.slots.max(1))
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -10,7 +10,7 @@
 use coordination::retry::{after, Bounds, Budget, Next, Reach, Try};
 use coordination::rule::{decide, idempotent, shadowed, Request};
 use coordination::scheduler::{Effect, Effects, Scheduler, Session, GATHER_MS, ORPHAN_MS};
-use coordination::slot::{Slots, Wish};
+use coordination::slot::{Claims, Slots, Wish};
 use coordination::spread::{Confirm, Tree, Welcome};
 use rstest::rstest;
 use state::clock::Millis;
@@ -210,12 +210,15 @@
     let wish = Wish {
         prompt: Prompt::default(),
         avoid: None,
+        slack_ms: 0,
     };
     let id = EndpointId(1);
     let mut slots = Slots::default();
     slots.set(id, 4, 0, false);
     for _ in 0..4 {
-        slots.take(Millis(0), wish);
+        let taken = slots.choose(Millis(0), wish, &mut Claims::default());
+        assert_eq!(taken, Some(id));
+        slots.take(Millis(0), id, wish.prompt);
     }
     for _ in 0..4 {
         slots.free(Millis(900), id, Some(Verdict::Fine));
@@ -232,14 +235,21 @@
     let wish = |prefix| Wish {
         prompt: Prompt::of_prefix(prefix),
         avoid: None,
+        slack_ms: 0,
+    };
+    let take = |slots: &mut Slots, prefix| {
+        let wish = wish(prefix);
+        let id = slots.choose(Millis(0), wish, &mut Claims::default())?;
+        slots.take(Millis(0), id, wish.prompt);
+        Some(id)
     };
     let mut slots = Slots::default();
     slots.set(EndpointId(1), 8, 0, false);
     slots.set(EndpointId(2), 8, 0, false);
-    let first = slots.take(Millis(0), wish(77)).unwrap();
-    assert_eq!(slots.take(Millis(0), wish(77)), Some(first));
+    let first = take(&mut slots, 77).unwrap();
+    assert_eq!(take(&mut slots, 77), Some(first));
     // Two fuller than the other one, it is passed over.
-    assert_ne!(slots.take(Millis(0), wish(77)), Some(first));
+    assert_ne!(take(&mut slots, 77), Some(first));
 }
 
 fn rule(text: &str, when: When) -> Rule {
@@ -326,6 +336,7 @@
         concurrency,
         hint: 10,
         priority: 0,
+        aim_ms: 0,
         prompt: Prompt::default(),
         avoid: None,
         guest: false,
--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -326,6 +326,7 @@
             queue: 1000,
             hint: job.hint,
             priority: 0,
+            aim: Millis(0),
             prompt: Prompt::default(),
             bytes: 0,
             deadline: Millis(u64::MAX),
--- a/components/node/src/front/plan.rs
+++ b/components/node/src/front/plan.rs
@@ -82,6 +82,7 @@
         customer: known.map_or(ANONYMOUS, |(id, _)| id),
         rule: place,
     };
+    let now = front.parts.clock.now();
     let arrival = Arrival {
         service: service_id,
         class,
@@ -93,7 +94,8 @@
         hint: hint(asked, settings, &prompt),
         prompt,
         bytes: call.body.len() as u64,
-        deadline: front.parts.clock.now().after(millis(timeout)),
+        aim: now.after(send.aim_ms.unwrap_or(millis(timeout))),
+        deadline: now.after(millis(timeout)),
     };
     Ok(Plan {
         rule: rule.name.clone(),
