Refuse requests once callers know that a router stops

Change: it stays open for the two misses that callers' balancer needs, then answers 503 'stopping' with a short Retry-After, and drains.

--- a/components/node/src/front/admit.rs
+++ b/components/node/src/front/admit.rs
@@ -11,10 +11,13 @@
 use hyper::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
-use state::id::RequestId;
+use state::id::{RequestId, Version};
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 
+/// Time after which a caller is to come back that another router can serve at once.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+
 /// Bytes that a refused caller may still send, at least.
 const DISCARD: usize = 4 * 1024 * 1024;
 
@@ -31,7 +34,12 @@
 }
 
 fn check_ready(published: &Published) -> Result<(), Refusal> {
-    if published.ready {
+    if published.closed {
+        let text = "this router is stopping; another one will take it";
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Err(Refusal::not_run(status, "stopping", text).after_time(ELSEWHERE));
+    }
+    if published.ready && published.view.config_version > Version(0) {
         return Ok(());
     }
     let text = "this router does not know the configuration yet";
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -86,8 +86,10 @@
     Watched(oneshot::Sender<Vec<Watched>>),
     /// What is the state?
     Status(oneshot::Sender<Status>),
-    /// Stop taking requests.
+    /// Stop: callers are to go elsewhere.
     Stop,
+    /// Take no more requests.
+    Close,
     /// End.
     End,
 }
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -158,11 +158,14 @@
         }
         let began = std::time::Instant::now();
         let most = self.grace.saturating_sub(END);
+        if self.is_asked {
+            tokio::time::sleep(LINGER.min(most)).await;
+        }
+        if self.reactor.send(Input::Close).is_err() {
+            return;
+        }
         while began.elapsed() < most {
             tokio::time::sleep(DRAIN_STEP).await;
-            if self.is_asked && began.elapsed() < LINGER.min(most) {
-                continue;
-            }
             let Some(status) = self.status().await else {
                 return;
             };
--- a/components/node/src/reactor.rs
+++ b/components/node/src/reactor.rs
@@ -87,6 +87,7 @@
     needed: Option<Version>,
     ready: bool,
     stopping: bool,
+    closed: bool,
     seats_dialed: BTreeSet<Name>,
     regions_dialed: BTreeSet<Name>,
     beat_at: Millis,
@@ -129,6 +130,7 @@
             needed: None,
             ready: false,
             stopping: false,
+            closed: false,
             seats_dialed: BTreeSet::new(),
             regions_dialed: BTreeSet::new(),
             beat_at: now,
@@ -246,6 +248,11 @@
             // Whoever asked may have gone.
             Input::Watched(reply) => drop(reply.send(self.watched())),
             Input::Stop => self.stop(),
+            Input::Close => {
+                tracing::info!(event = "closed");
+                self.closed = true;
+                self.dirty = true;
+            }
             // The loop has ended already.
             Input::End => {}
         }
@@ -408,7 +415,7 @@
 
     fn stop(&mut self) {
         if !self.stopping {
-            tracing::info!("stopping: no new requests are taken");
+            tracing::info!(event = "stopping", version = self.view.version.0);
             self.parts.journal.note(Event::new(Step::Stopping));
             self.stopping = true;
             self.dirty = true;
@@ -701,6 +708,7 @@
             index: self.index.clone(),
             ready: self.ready,
             stopping: self.stopping,
+            closed: self.closed,
             proof: self.feed.proof(),
             routers: self.desk.routers(),
         };
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -21,6 +21,8 @@
     pub(crate) ready: bool,
     /// Whether this process is stopping.
     pub(crate) stopping: bool,
+    /// Whether it takes no more requests, since they might not end before it does.
+    pub(crate) closed: bool,
     /// Latest time at which this view was proved to be the newest.
     pub(crate) proof: Option<Millis>,
     /// Routers that share the endpoints, as far as the schedulers tell.
