Refuse at once what would be served late, and say when to come back

Change: the scheduler measures the pace at which waiting work is started; an ask that would wait longer than its patience behind what goes before it in fair order is refused when it comes, with the time until there is room as its Retry-After, spread; one that was let in and is overtaken by a loss is refused at the next review. Ruled out: ordering late ones behind; they would be held and still not served.

--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -134,6 +134,17 @@
     pub totals: Vec<(CustomerId, u64)>,
 }
 
+/// An ask that cannot be served in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Reign that refuses it.
+    pub epoch: Epoch,
+    /// The ask.
+    pub seq: Seq,
+    /// Time after which its caller may come back, in milliseconds.
+    pub after_ms: u32,
+}
+
 /// A slot given to a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
--- a/components/coordination/src/desk/alone.rs
+++ b/components/coordination/src/desk/alone.rs
@@ -20,8 +20,10 @@
         effects: &mut Effects,
     ) {
         for effect in granted {
-            if let LocalEffect::Grant(_, grant) = effect {
-                self.use_grant(now, shard, grant, effects);
+            match effect {
+                LocalEffect::Grant(_, grant) => self.use_grant(now, shard, grant, effects),
+                LocalEffect::Refuse(_, refusal) => self.use_refusal(now, shard, refusal, effects),
+                LocalEffect::Ejected(_) | LocalEffect::Restored(_) => {}
             }
         }
     }
--- a/components/coordination/src/desk/line.rs
+++ b/components/coordination/src/desk/line.rs
@@ -225,6 +225,33 @@
         self.announce(now, arrival.service, arrival.class, effects);
     }
 
+    pub(super) fn use_refusal(
+        &mut self,
+        now: Millis,
+        shard: &Shard,
+        refusal: Refusal,
+        effects: &mut Effects,
+    ) {
+        let Some(session) = self.sessions.get_mut(shard) else {
+            return;
+        };
+        let Some(ticket) = session.asked.remove(&refusal.seq) else {
+            return;
+        };
+        let abroad = |r: &Request| r.shard != *shard;
+        if self.requests.get(ticket).is_none_or(abroad) {
+            return;
+        }
+        self.leave_abroad(now, ticket, effects);
+        let Some(request) = self.requests.remove(ticket) else {
+            return;
+        };
+        let arrival = request.arrival;
+        self.unwait(&arrival, true);
+        effects.push(Effect::Refuse(ticket, refusal.after_ms));
+        self.announce(now, arrival.service, arrival.class, effects);
+    }
+
     /// Moves waiting requests from shards whose last endpoint has gone.
     pub(super) fn move_orphans(&mut self, now: Millis, view: &View, effects: &mut Effects) {
         let gone: Vec<Shard> = (self.sessions.keys())
--- a/components/coordination/src/desk/mod.rs
+++ b/components/coordination/src/desk/mod.rs
@@ -75,6 +75,9 @@
     Report(Seat, Report),
     /// Send the request to this endpoint.
     Dispatch(Ticket, EndpointId),
+    /// Refuse the request: it cannot be served in time. Its caller may come back
+    /// after this many milliseconds.
+    Refuse(Ticket, u32),
     /// Give the request up: its deadline has passed, and it was not sent.
     Expire(Ticket),
 }
@@ -302,6 +305,19 @@
         effects
     }
 
+    /// Takes the refusal of an ask; one of an earlier reign is dropped.
+    pub fn refuse(&mut self, now: Millis, refusal: Refusal) -> Effects {
+        let mut effects = Effects::new();
+        let epoch = refusal.epoch;
+        let of = |s: &Session| s.up && s.seat.as_ref().is_some_and(|seat| seat.epoch == epoch);
+        let found = self.sessions.iter().find(|(_, s)| of(s));
+        let Some(shard) = found.map(|(shard, _)| shard.clone()) else {
+            return effects;
+        };
+        self.use_refusal(now, &shard, refusal, &mut effects);
+        effects
+    }
+
     /// Follows the view: new schedulers, endpoints that come and go.
     pub fn follow(&mut self, now: Millis, view: &View) -> Effects {
         let mut effects = Effects::new();
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -3,8 +3,10 @@
 //! Between two customers that both wait, the one with less virtual service
 //! goes first. Which router a request waits on plays no part.
 
+mod pace;
 mod queue;
 
+use self::pace::Pace;
 use self::queue::{Key, Queue};
 use crate::ask::{Hello, Seq, Served};
 use crate::engine::Reading;
@@ -12,6 +14,7 @@
 use crate::ledger::{virtual_cost, Ledger};
 use crate::limit::Bucket;
 use crate::prelude::*;
+use crate::prompt::mix;
 use crate::slot::{Choice, Claims, Slots, Wish};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -31,6 +34,13 @@
 const TELL_ALL: u32 = 8;
 /// Guests among whom the least served is sought.
 const GUESTS: usize = 64;
+/// Time between two looks through all asks that wait, in milliseconds.
+const REVIEW_MS: u64 = 100;
+/// How many times its patience an ask may wait that was let in: it was expected
+/// to be served in time, and is next in its order.
+const LATE_FACTOR: u64 = 2;
+/// Shortest time after which a refused caller may come back, in milliseconds.
+const RETURN_MS: u64 = 300;
 /// Asks that are looked at for one grant. Those behind them wait anyway, and each
 /// costs a look at every endpoint.
 const LOOK: usize = 24;
@@ -46,6 +56,8 @@
 pub enum Effect {
     /// Give this grant to the router of the session.
     Grant(Session, Grant),
+    /// Tell the router of the session that an ask cannot be served in time.
+    Refuse(Session, Refusal),
     /// An endpoint was ejected.
     Ejected(EndpointId),
     /// An ejected endpoint is back.
@@ -89,6 +101,9 @@
     lines: BTreeMap<Class, Line>,
     /// Asks of this region.
     queue: Queue,
+    pace: Pace,
+    /// When asks that wait were last looked through.
+    reviewed: Millis,
     /// Asks from other regions, in the order of their arrival.
     guests: VecDeque<(Key, Ask)>,
     running: BTreeMap<(Session, Seq), Running>,
@@ -126,6 +141,8 @@
             slots: Slots::new(choice),
             lines: BTreeMap::new(),
             queue: Queue::default(),
+            pace: Pace::default(),
+            reviewed: now,
             running: BTreeMap::new(),
             sessions: BTreeSet::new(),
             orphans: BTreeMap::new(),
@@ -261,9 +278,12 @@
             (Some(bucket), rate) => bucket.set_rate(rate, now),
             (bucket @ None, rate) => *bucket = Some(Bucket::new(rate, now)),
         }
-        self.queue.insert(now, (session, ask.seq), ask);
+        let key = (session, ask.seq);
+        self.queue.insert(now, key, ask);
         self.ledger.set_backlogged(ask.class.customer, true);
-        self.grant(now)
+        let mut effects = self.grant(now);
+        effects.extend(self.refuse_if_late(now, key));
+        effects
     }
 
     /// Takes back an ask that was given up.
@@ -378,9 +398,12 @@
             self.orphans.remove(&session);
             self.drop_running(now, session);
         }
+        self.pace.tick(now, self.queue.len() > 0);
+        let mut refused = self.review(now);
         self.lines
             .retain(|_, line| line.running > 0 || now.since(line.used) < CLASS_MS);
-        self.grant(now)
+        refused.extend(self.grant(now));
+        refused
     }
 
     /// Grants free slots to waiting customers, least served first.
@@ -409,6 +432,7 @@
         let Next { key, ask, endpoint } = next;
         let reading = self.slots.take(now, endpoint, ask.prompt);
         let customer = ask.class.customer;
+        self.pace.start(ask.hint);
         // The charge comes first, so that a customer leaving the backlog with
         // this ask still carries it.
         let amount = virtual_cost(ask.hint, ask.weight);
@@ -439,6 +463,65 @@
         Effect::Grant(key.0, grant)
     }
 
+    /// Refuses an ask that has just come, if it would be served too late.
+    ///
+    /// A customer that asks for more than its share would else have ever longer
+    /// queues: one would see all of its requests served late, the last ones not
+    /// at all after they had waited for nothing. Refused at once, those that are
+    /// served are served in time, and the others' callers know when to come back.
+    fn refuse_if_late(&mut self, now: Millis, key: Key) -> Option<Effect> {
+        let waiting = *self.queue.get(key)?;
+        let ask = waiting.ask;
+        let ahead = self.queue.cost_of(ask.class.customer) - u64::from(ask.hint);
+        let wait = self.pace.time_for(self.queue.cost_before(ahead))?;
+        (wait > waiting.patience_ms()).then(|| self.refuse(now, key, &ask, wait))
+    }
+
+    /// Looks through all asks that wait, and refuses those that are late and will
+    /// not be served soon: an engine may have been lost since they came.
+    fn review(&mut self, now: Millis) -> Effects {
+        let mut effects = Effects::new();
+        if now.since(self.reviewed) < REVIEW_MS {
+            return effects;
+        }
+        self.reviewed = now;
+        let mut late: SmallVec<[(Key, Ask, u64); 8]> = SmallVec::new();
+        for customer in self.queue.customers() {
+            let mut ahead = 0;
+            for (key, waiting) in self.queue.of(customer) {
+                let Some(wait) = self.pace.time_for(self.queue.cost_before(ahead)) else {
+                    break;
+                };
+                ahead += u64::from(waiting.ask.hint);
+                let total = now.since(waiting.since) + wait;
+                if wait > 0 && total > waiting.patience_ms() * LATE_FACTOR {
+                    late.push((key, waiting.ask, wait));
+                }
+            }
+        }
+        for (key, ask, wait) in late {
+            effects.push(self.refuse(now, key, &ask, wait));
+        }
+        effects
+    }
+
+    /// Takes an ask out of the queue and says when its caller may come back.
+    fn refuse(&mut self, now: Millis, key: Key, ask: &Ask, wait: u64) -> Effect {
+        self.remove_ask(key.0, key.1);
+        let excess = wait
+            .saturating_sub(u64::from(ask.aim_ms) / 2)
+            .max(RETURN_MS);
+        // Callers that are refused together must not come back together.
+        let spread = mix(now.0 ^ (key.1).0 << 20) % 1000;
+        let after = excess * (750 + spread / 2) / 1000;
+        let refusal = Refusal {
+            epoch: self.epoch,
+            seq: key.1,
+            after_ms: u32::try_from(after).unwrap_or(u32::MAX),
+        };
+        Effect::Refuse(key.0, refusal)
+    }
+
     /// The ask to serve next, and where.
     ///
     /// Customers come by the service that they have received, and each one's asks
--- a/components/coordination/src/scheduler/queue.rs
+++ b/components/coordination/src/scheduler/queue.rs
@@ -5,6 +5,10 @@
 use crate::prelude::*;
 use std::collections::BTreeMap;
 
+/// Part of the time to its aim for which an ask may be expected to wait, in
+/// hundredths; the rest is for reading its prompt and for the way.
+const PATIENCE_PERCENT: u64 = 60;
+
 /// Names an ask: its session and its number there.
 pub(super) type Key = (Session, Seq);
 
@@ -25,6 +29,11 @@
 }
 
 impl Waiting {
+    /// Time for which it may wait in all, in milliseconds.
+    pub(super) fn patience_ms(&self) -> u64 {
+        u64::from(self.ask.aim_ms) * PATIENCE_PERCENT / 100
+    }
+
     /// Time that is left until its caller counts an answer as late, in
     /// milliseconds.
     pub(super) fn slack_ms(&self, now: Millis) -> u64 {
@@ -37,6 +46,8 @@
 pub(super) struct Queue {
     asks: BTreeMap<Key, Waiting>,
     customers: BTreeMap<CustomerId, BTreeMap<Order, Key>>,
+    /// Expected cost of each customer's asks together.
+    costs: BTreeMap<CustomerId, u64>,
     arrivals: u64,
 }
 
@@ -51,6 +62,7 @@
             arrival: self.arrivals,
         };
         self.arrivals += 1;
+        *self.costs.entry(ask.class.customer).or_default() += u64::from(ask.hint);
         let since = now;
         self.asks.insert(key, Waiting { ask, since, order });
         let customer = self.customers.entry(ask.class.customer).or_default();
@@ -61,15 +73,24 @@
     pub(super) fn remove(&mut self, key: Key) -> Option<Ask> {
         let Waiting { ask, order, .. } = self.asks.remove(&key)?;
         let customer = ask.class.customer;
+        if let Some(cost) = self.costs.get_mut(&customer) {
+            *cost -= u64::from(ask.hint);
+        }
         if let Some(queue) = self.customers.get_mut(&customer) {
             queue.remove(&order);
             if queue.is_empty() {
                 self.customers.remove(&customer);
+                self.costs.remove(&customer);
             }
         }
         Some(ask)
     }
 
+    /// An ask.
+    pub(super) fn get(&self, key: Key) -> Option<&Waiting> {
+        self.asks.get(&key)
+    }
+
     /// Whether a customer has an ask here.
     pub(super) fn has_any_of(&self, customer: CustomerId) -> bool {
         self.customers.contains_key(&customer)
@@ -81,6 +102,23 @@
         keys.filter_map(|(_, key)| Some((*key, self.asks.get(key)?)))
     }
 
+    /// Expected cost of what is served before a customer's ask that has `ahead` of
+    /// its own customer's before it: each customer gets as much as that one, or all
+    /// that it asks for.
+    pub(super) fn cost_before(&self, ahead: u64) -> u64 {
+        self.costs.values().map(|cost| ahead.min(*cost)).sum()
+    }
+
+    /// Expected cost of a customer's asks together.
+    pub(super) fn cost_of(&self, customer: CustomerId) -> u64 {
+        self.costs.get(&customer).copied().unwrap_or(0)
+    }
+
+    /// Customers with asks.
+    pub(super) fn customers(&self) -> impl Iterator<Item = CustomerId> + '_ {
+        self.customers.keys().copied()
+    }
+
     /// Asks of a session.
     pub(super) fn of_session(&self, session: Session) -> Vec<Seq> {
         let range = (session, Seq(0))..=(session, Seq(u64::MAX));
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -336,7 +336,7 @@
         concurrency,
         hint: 10,
         priority: 0,
-        aim_ms: 0,
+        aim_ms: u32::MAX,
         prompt: Prompt::default(),
         avoid: None,
         guest: false,
--- a/components/coordination/tests/desk.rs
+++ b/components/coordination/tests/desk.rs
@@ -70,7 +70,7 @@
         queue: 100,
         hint: 10,
         priority: 0,
-        aim: Millis(0),
+        aim: Millis(u64::MAX),
         prompt: Prompt::default(),
         bytes: 10,
         deadline: Millis(5000),
--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -326,7 +326,7 @@
             queue: 1000,
             hint: job.hint,
             priority: 0,
-            aim: Millis(0),
+            aim: Millis(u64::MAX),
             prompt: Prompt::default(),
             bytes: 0,
             deadline: Millis(u64::MAX),
@@ -373,7 +373,7 @@
                     };
                     self.dispatch(work, endpoint.0 as usize);
                 }
-                Effect::Expire(_) => {}
+                Effect::Expire(_) | Effect::Refuse(..) => {}
             }
         }
     }
--- a/components/node/src/batch.rs
+++ b/components/node/src/batch.rs
@@ -1,6 +1,6 @@
 //! Messages of one round of the reactor, joined by receiver.
 
-use coordination::ask::{Grant, Report};
+use coordination::ask::{Grant, Refusal, Report};
 use protocol::wire::Message;
 use smallvec::SmallVec;
 use state::id::{Epoch, Name};
@@ -11,6 +11,7 @@
 pub(crate) struct Batch {
     reports: Vec<(Name, Epoch, SmallVec<[Report; 2]>)>,
     grants: Vec<(Name, SmallVec<[Grant; 2]>)>,
+    refusals: Vec<(Name, SmallVec<[Refusal; 2]>)>,
 }
 
 impl Batch {
@@ -34,6 +35,17 @@
         }
     }
 
+    /// Adds a refusal to a router.
+    pub(crate) fn refuse(&mut self, vm: &Name, refusal: Refusal) {
+        match self.refusals.iter_mut().find(|(v, _)| v == vm) {
+            Some((_, refusals)) => refusals.push(refusal),
+            None => {
+                let refusals = SmallVec::from_iter([refusal]);
+                self.refusals.push((vm.clone(), refusals));
+            }
+        }
+    }
+
     /// Sends everything. A message without a link is lost with its session.
     pub(crate) fn send(&mut self, hub: &Hub) {
         for (vm, epoch, reports) in self.reports.drain(..) {
@@ -42,5 +54,8 @@
         for (vm, grants) in self.grants.drain(..) {
             hub.send(&vm, Message::Grants(grants));
         }
+        for (vm, refusals) in self.refusals.drain(..) {
+            hub.send(&vm, Message::Refusals(refusals));
+        }
     }
 }
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -304,20 +304,28 @@
             front.parts.journal.note(event.endpoint(dispatch.endpoint));
             Ok(dispatch)
         }
+        Ok(Decision::Refused(after_ms)) => {
+            let text = "the endpoints have more to do than they can in time";
+            let after = Duration::from_millis(u64::from(after_ms));
+            Err(unserved("overloaded", text, retries, idempotent).after_time(after))
+        }
         Ok(Decision::Expired) | Err(_) => {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
             let text = "no endpoint was free before the deadline";
-            // An earlier try of an idempotent request may have been sent.
-            let refusal = if retries > 0 && idempotent {
-                Refusal::unknown(status, "deadline", text)
-            } else {
-                Refusal::not_run(status, "deadline", text)
-            };
-            Err(refusal.after(1))
+            Err(unserved("deadline", text, retries, idempotent).after(1))
         }
     }
 }
 
+/// A refusal of a request that had no turn, or none after a failed try.
+fn unserved(code: &'static str, text: &str, retries: u32, idempotent: bool) -> Refusal {
+    // An earlier try of an idempotent request may have been sent.
+    if retries > 0 && idempotent {
+        Refusal::unknown(StatusCode::BAD_GATEWAY, code, text)
+    } else {
+        Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, code, text)
+    }
+}
+
 /// Queues a request again.
 async fn again(front: &Front, slot: Slot) -> Result<Decided, Refusal> {
     let (sender, receiver) = oneshot::channel();
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -27,6 +27,9 @@
 pub(crate) enum Decision {
     /// Send it.
     Dispatch(Dispatch),
+    /// It cannot be served in time; its caller may come back after this many
+    /// milliseconds.
+    Refused(u32),
     /// Its deadline has passed.
     Expired,
 }
--- a/components/node/src/reactor.rs
+++ b/components/node/src/reactor.rs
@@ -334,6 +334,12 @@
                     self.act(now, effects);
                 }
             }
+            Message::Refusals(refusals) => {
+                for refusal in refusals {
+                    let effects = self.desk.refuse(now, refusal);
+                    self.act(now, effects);
+                }
+            }
             Message::Served(served) => self.reigns.hear_served(&self.live, &served),
             Message::Unseated(epoch) => self.desk.unseated(now, epoch),
             Message::Listing(listing) => {
@@ -430,6 +436,12 @@
                     self.batch.report(&seat.place.vm, seat.epoch, report);
                 }
                 Effect::Dispatch(ticket, endpoint) => self.dispatch(now, ticket, endpoint),
+                Effect::Refuse(ticket, after_ms) => {
+                    if let Some(sender) = self.decisions.remove(&ticket) {
+                        // The caller may have gone at the same moment.
+                        let _ = sender.send(Decision::Refused(after_ms));
+                    }
+                }
                 Effect::Expire(ticket) => {
                     if let Some(sender) = self.decisions.remove(&ticket) {
                         // The caller may have gone at the same moment.
--- a/components/node/src/reign.rs
+++ b/components/node/src/reign.rs
@@ -241,6 +241,12 @@
                         batch.grant(vm, grant);
                     }
                 }
+                Effect::Refuse(session, refusal) => {
+                    let vm = self.sessions.iter().find(|(_, s)| **s == session);
+                    if let Some((vm, _)) = vm {
+                        batch.refuse(vm, refusal);
+                    }
+                }
                 Effect::Ejected(endpoint) => {
                     tracing::warn!(%endpoint, "an endpoint is ejected after failures");
                     journal.note(Event::new(Step::Ejected).endpoint(endpoint));
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -1,7 +1,7 @@
 //! The messages.
 
 use coordination::agree::Envelope;
-use coordination::ask::{Grant, Report, Served};
+use coordination::ask::{Grant, Refusal, Report, Served};
 use coordination::spread::Confirm;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -127,6 +127,8 @@
     Reports(Epoch, SmallVec<[Report; 2]>),
     /// From a scheduler to a router.
     Grants(SmallVec<[Grant; 2]>),
+    /// From a scheduler to a router.
+    Refusals(SmallVec<[Refusal; 2]>),
     /// From a scheduler to those of the same service in other regions: service
     /// that it has given in its reign.
     Served(Served),
@@ -168,6 +170,7 @@
             Message::Confirm(_) => "confirm",
             Message::Reports(..) => "reports",
             Message::Grants(_) => "grants",
+            Message::Refusals(_) => "refusals",
             Message::Served(..) => "served",
             Message::Unseated(_) => "unseated",
             Message::Listing(_) => "listing",
