Let service of some seconds ago count for less

Change: customers that are behind come up towards the one served most over the time that the settings name; counters still only grow, so memories merge as before. Ruled out: the estimate of costs (settled at the end), a lost session (none).

--- a/components/coordination/src/desk/mod.rs
+++ b/components/coordination/src/desk/mod.rs
@@ -92,6 +92,9 @@
     pub requests: usize,
     /// Bytes of bodies that wait.
     pub bytes: u64,
+    /// Time over which service counts while the router schedules for itself, in
+    /// milliseconds; `None` for all of it.
+    pub memory_ms: Option<u64>,
 }
 
 /// The desk of one router.
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -102,6 +102,9 @@
     /// Asks of this region.
     queue: Queue,
     pace: Pace,
+    /// Time over which service counts, in milliseconds; `None` for all of it.
+    memory_ms: Option<u64>,
+    ticked: Millis,
     /// When asks that wait were last looked through.
     reviewed: Millis,
     /// Asks from other regions, in the order of their arrival.
@@ -142,6 +145,8 @@
             lines: BTreeMap::new(),
             queue: Queue::default(),
             pace: Pace::default(),
+            memory_ms: None,
+            ticked: now,
             reviewed: now,
             running: BTreeMap::new(),
             sessions: BTreeSet::new(),
@@ -159,6 +164,11 @@
         }
     }
 
+    /// Sets the time over which service counts; `None` for all of it.
+    pub fn set_memory(&mut self, memory_ms: Option<u64>) {
+        self.memory_ms = memory_ms;
+    }
+
     /// Its reign.
     pub fn epoch(&self) -> Epoch {
         self.epoch
@@ -399,6 +409,10 @@
             self.drop_running(now, session);
         }
         self.pace.tick(now, self.queue.len() > 0);
+        if let Some(memory_ms) = self.memory_ms {
+            self.ledger.forget(now.since(self.ticked), memory_ms);
+        }
+        self.ticked = now;
         let mut refused = self.review(now);
         self.lines
             .retain(|_, line| line.running > 0 || now.since(line.used) < CLASS_MS);
--- a/components/coordination/tests/desk.rs
+++ b/components/coordination/tests/desk.rs
@@ -81,6 +81,7 @@
     let bounds = Bounds {
         requests: 200,
         bytes: 1500,
+        memory_ms: None,
     };
     let mut desk = Desk::new(name("main"), 7, bounds);
     desk.link_up(Millis(0), &name("s"));
--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -698,6 +698,7 @@
     let bounds = Bounds {
         requests: 100_000,
         bytes: u64::MAX,
+        memory_ms: None,
     };
     let desk = Desk::new(
         Name::try_from("main").unwrap(),
--- a/components/node/src/reactor.rs
+++ b/components/node/src/reactor.rs
@@ -108,7 +108,12 @@
         desk.link_up(now, &me);
         Reactor {
             desk,
-            reigns: Reigns::new(me.clone(), parts.journal.clone(), parts.metrics.clone()),
+            reigns: Reigns::new(
+                me.clone(),
+                parts.bounds.memory_ms,
+                parts.journal.clone(),
+                parts.metrics.clone(),
+            ),
             feed: Feed::new(
                 me.clone(),
                 seeds.clone(),
--- a/components/node/src/reign.rs
+++ b/components/node/src/reign.rs
@@ -22,6 +22,8 @@
 /// All schedulers of this VM, by reign.
 pub(crate) struct Reigns {
     me: Name,
+    /// Time over which service counts, in milliseconds.
+    memory_ms: Option<u64>,
     all: BTreeMap<Epoch, Reign>,
     journal: Journal,
     metrics: Metrics,
@@ -29,9 +31,15 @@
 
 impl Reigns {
     /// No schedulers yet.
-    pub(crate) fn new(me: Name, journal: Journal, metrics: Metrics) -> Self {
+    pub(crate) fn new(
+        me: Name,
+        memory_ms: Option<u64>,
+        journal: Journal,
+        metrics: Metrics,
+    ) -> Self {
         Reigns {
             me,
+            memory_ms,
             all: BTreeMap::new(),
             journal,
             metrics,
@@ -58,9 +66,11 @@
         for (epoch, shard) in begun {
             let event = Event::new(Step::ReignBegan).service(shard.service);
             self.journal.note(event.epoch(epoch));
+            let mut scheduler = Scheduler::new(epoch, now);
+            scheduler.set_memory(self.memory_ms);
             let reign = Reign {
                 shard,
-                scheduler: Scheduler::new(epoch, now),
+                scheduler,
                 sessions: BTreeMap::new(),
             };
             self.all.insert(epoch, reign);
