--- a/components/coordination/src/agree/join.rs
+++ b/components/coordination/src/agree/join.rs
@@ -31,7 +31,7 @@
         let heard = self.heard(now);
         for seed in self.seeds.clone() {
             if seed.vm != self.me.place.vm {
-                self.call(&seed, heard.clone());
+                self.call(&seed, heard.clone(), false);
             }
         }
         self.begin_if_all_new(now);
@@ -56,7 +56,7 @@
         let heard: SmallVec<[Member; 5]> = SmallVec::from_iter([self.me.clone()]);
         for place in places {
             if place.vm != self.me.place.vm {
-                self.call(&place, heard.clone());
+                self.call(&place, heard.clone(), false);
             }
         }
     }
@@ -73,7 +73,11 @@
     }
 
     pub(super) fn on_join(&mut self, now: Millis, place: &Place, join: Join) {
-        let Join { member, heard } = join;
+        let Join {
+            member,
+            heard,
+            began,
+        } = join;
         let allowed = match self.admission {
             Admission::Seeds => self.seeds.contains(&member.place),
             Admission::Open { .. } => true,
@@ -85,21 +89,34 @@
         }
         match self.role {
             Role::Newcomer if !self.seeds.contains(&member.place) => {}
+            Role::Newcomer if began && heard.iter().any(|m| m.disk == self.me.disk) => {
+                self.begin(now, heard);
+            }
             Role::Newcomer => {
                 let vm = member.place.vm.clone();
                 self.newcomers.calls.insert(vm, (now, member, heard));
                 self.begin_if_all_new(now);
             }
             Role::Leader => self.admit(member),
-            _ if self.log.last() == Index(0) => {
-                let began = self.members().voters.clone();
-                self.call(&member.place, began);
+            _ if self.began_with(member.disk) => {
+                let began = self.log.members_at(Index(0)).voters.clone();
+                self.call(&member.place, began, true);
             }
-            _ if member.place == *place => self.pass_on(Join { member, heard }),
+            _ if member.place == *place => self.pass_on(Join {
+                member,
+                heard,
+                began,
+            }),
             _ => {}
         }
     }
 
+    /// Whether the group began with a disk, as far as this member still knows.
+    fn began_with(&self, disk: Disk) -> bool {
+        let knows = self.log.snapshot().index == Index(0);
+        knows && self.log.members_at(Index(0)).votes(disk)
+    }
+
     /// Passes a call on to the leader: a newcomer knows only some of the members.
     fn pass_on(&mut self, join: Join) {
         let leader = self.leader().filter(|l| l.vm != self.me.place.vm);
@@ -130,30 +147,43 @@
         if !agree {
             return;
         }
-        let mut snapshot = self.log.snapshot().clone();
-        snapshot.index = Index(0);
-        snapshot.members = Members {
-            voters: heard,
-            learners: SmallVec::new(),
-        };
-        self.log.install(snapshot.clone());
-        self.ready.install = Some(snapshot);
+        self.begin(now, heard);
         // The others must hear that this one has heard them all. Should that be
         // lost, their next call is answered with it.
         for seed in self.seeds.clone() {
             if seed.vm != self.me.place.vm {
                 let began = self.members().voters.clone();
-                self.call(&seed, began);
+                self.call(&seed, began, true);
             }
         }
+    }
+
+    /// Begins a group with its first members.
+    ///
+    /// A disk that the others have begun with, and that was not told before its
+    /// process ended, begins with them: it is the disk that they heard, and has
+    /// promised nothing since. Left out, it would be a voter that never votes.
+    fn begin(&mut self, now: Millis, members: SmallVec<[Member; 5]>) {
+        let mut snapshot = self.log.snapshot().clone();
+        snapshot.index = Index(0);
+        snapshot.members = Members {
+            voters: members,
+            learners: SmallVec::new(),
+        };
+        self.log.install(snapshot.clone());
+        self.ready.install = Some(snapshot);
         self.role = Role::Follower;
         self.reset_election(now);
     }
 
     /// Calls another member, with whom this one has heard or began.
-    fn call(&mut self, place: &Place, heard: SmallVec<[Member; 5]>) {
+    fn call(&mut self, place: &Place, heard: SmallVec<[Member; 5]>, began: bool) {
         let member = self.me.clone();
-        let join = Join { member, heard };
+        let join = Join {
+            member,
+            heard,
+            began,
+        };
         self.send(place, None, Message::Join(Box::new(join)));
     }
 
--- a/components/coordination/src/agree/message.rs
+++ b/components/coordination/src/agree/message.rs
@@ -14,6 +14,8 @@
     pub member: Member,
     /// Newcomers that it has heard, itself among them.
     pub heard: SmallVec<[Member; 5]>,
+    /// Whether these have begun a group.
+    pub began: bool,
 }
 
 /// A piece of a snapshot.
--- a/components/coordination/tests/agree.rs
+++ b/components/coordination/tests/agree.rs
@@ -34,27 +34,159 @@
     let mut reads = 0;
     let mut accepted = 0;
     for seed in seeds() {
-        let mut world = World::new(count, seed, Faults::ALL);
-        for _ in 0..15_000 {
-            world.step();
-            world.operate();
-        }
-        world.heal();
-        let leader = world.run_to_leader(20_000);
-        let base = world.told;
-        let answer = world.change(leader, u128::MAX, base);
-        assert!(answer.is_some(), "no progress after healing, seed {seed}");
-        world.run(10_000);
-        assert!(
-            world.is_repaired(),
-            "a member stays out after healing, seed {seed}"
-        );
+        let world = break_and_heal(World::new(count, seed, Faults::ALL), seed);
         reads += world.reads;
         accepted += world.accepted.len();
     }
     println!("{count} members: {reads} reads, {accepted} accepted entries");
 }
 
+#[rstest]
+#[case(3)]
+#[case(5)]
+fn can_agree_under_all_faults_while_vms_are_replaced(#[case] count: usize) {
+    // Symptom: an accepted change is lost, or the next loss stops the group.
+    // Sequence: as above, and VMs go for good while empty ones come at other
+    // addresses, known to nobody but through the seeds.
+    // Cause: a newcomer that begins a group of its own, votes before it has caught
+    // up, is never admitted, or a lost one that is counted for ever.
+    for seed in seeds() {
+        break_and_heal(World::open(count, seed, Faults::ALL_OPEN), seed);
+    }
+}
+
+/// Runs a world with its faults, heals it, and checks that it recovers whole.
+fn break_and_heal(mut world: World, seed: u64) -> World {
+    for _ in 0..15_000 {
+        world.step();
+        world.operate();
+    }
+    world.heal();
+    let healed = world.now;
+    // A leader of before may give way to a higher term that began then; whoever
+    // leads next must make progress.
+    let progress = (0..).any(|n| {
+        let leader = world.run_to_leader(20_000);
+        let base = world.told;
+        let answer = world.change(leader, u128::MAX - n, base);
+        answer.is_some() || world.now > healed + 20_000
+    });
+    let in_time = world.now <= healed + 20_000;
+    assert!(
+        progress && in_time,
+        "no progress after healing, seed {seed}"
+    );
+    world.run(15_000);
+    assert!(
+        world.is_repaired(),
+        "a member stays out after healing, seed {seed}"
+    );
+    world
+}
+
+#[rstest]
+#[case(8578)]
+#[case(10880)]
+fn can_take_every_disk_back_after_healing(#[case] seed: u64) {
+    // Symptom: a member stays out for ever after all faults have ended.
+    // Sequence: these seeds once led to it, when the model drew its faults in
+    // another order; the story itself is the next test.
+    // Cause: see there.
+    break_and_heal(World::new(5, seed, Faults::ALL), seed);
+}
+
+#[test]
+fn can_find_out_that_no_leader_counts_it() {
+    // Symptom: a new disk stays out for ever, and the next lost one meets a group
+    // that has a voter less than it believes.
+    // Sequence: a leader that is cut off with the new disk admits it as a learner;
+    // the others elect another leader, and the entry is lost with its term.
+    // Cause: the disk's own log says that it is a member, so that it waits for a
+    // leader; the leader has never heard of it, and sends it nothing.
+    let mut world = World::new(5, 23, Faults::NONE);
+    let old = world.run_to_leader(3000);
+    let lost = (0..5).find(|n| *n != old).unwrap();
+    let others: Vec<usize> = (0..5).filter(|n| *n != old && *n != lost).collect();
+    world.crash(lost);
+    world.wipe(lost);
+    for other in &others {
+        for n in [old, lost] {
+            world.cut.insert((n, *other));
+            world.cut.insert((*other, n));
+        }
+    }
+    world.boot(lost);
+    let disk = world.nodes[lost].medium.id;
+    let learns = |world: &World| {
+        let core = world.nodes[lost].core.as_ref().unwrap();
+        core.members().learners.iter().any(|m| m.disk == disk)
+    };
+    for _ in 0..1000 {
+        world.step();
+        if learns(&world) {
+            break;
+        }
+    }
+    assert!(learns(&world));
+    world.isolate(lost);
+    let new = (0..5000).find_map(|_| {
+        world.step();
+        world.leader().filter(|n| others.contains(n))
+    });
+    assert!(world.change(new.unwrap(), 1, Version(0)).is_some());
+    world.cut.clear();
+    world.run(15_000);
+    assert!(world.is_repaired());
+}
+
+#[test]
+fn can_replace_every_vm_one_after_the_other() {
+    // Symptom: the group stops when the last of its first VMs is taken away.
+    // Sequence: each VM in turn goes for good; an empty one comes elsewhere.
+    // Cause: lost voters that are counted for ever, or newcomers that are refused
+    // because the settings did not name them.
+    let mut world = World::open(3, 21, Faults::NONE);
+    let leader = world.run_to_leader(3000);
+    assert!(world.change(leader, 1, Version(0)).is_some());
+    for n in [0, 1, 2, 0] {
+        world.replace(n, 1000);
+        world.run(8000);
+        assert!(world.is_repaired(), "after c{n} was replaced");
+        let leader = world.run_to_leader(3000);
+        let view = &world.nodes[leader].store.view;
+        assert_eq!(view.config_version, Version(1));
+        let placed: Vec<&Place> = world.nodes.iter().map(|node| &node.place).collect();
+        assert!(view.control.iter().all(|place| placed.contains(&place)));
+    }
+}
+
+#[test]
+fn can_admit_again_a_voter_that_was_taken_for_gone() {
+    // Symptom: a VM that was frozen for some seconds never votes again.
+    // Sequence: an empty VM joins before the one that it replaces is stopped; a
+    // third one is frozen meanwhile, and is taken out as the voter too many; the
+    // replaced one goes, and the frozen one wakes.
+    // Cause: it is told nothing, since it is no member, and does not ask.
+    let mut world = World::open(3, 22, Faults::NONE);
+    let leader = world.run_to_leader(3000);
+    let frozen = (0..3).find(|n| *n != leader).unwrap();
+    let replaced = (0..3).find(|n| *n != leader && *n != frozen).unwrap();
+    world.add();
+    world.run(2000);
+    let voters = |world: &World| {
+        let core = world.nodes[leader].core.as_ref().unwrap();
+        core.members().voters.len()
+    };
+    assert_eq!(voters(&world), 4);
+    world.nodes[frozen].frozen_until = world.now + 5000;
+    world.run(4500);
+    assert_eq!(voters(&world), 3);
+    world.run(1000);
+    world.retire(replaced);
+    world.run(15_000);
+    assert!(world.is_repaired());
+}
+
 #[test]
 fn can_begin_only_with_all_members() {
     // Symptom: a group that lost disks begins a second history.
--- a/components/coordination/tests/model/mod.rs
+++ b/components/coordination/tests/model/mod.rs
@@ -9,7 +9,9 @@
     reason = "a helper that panics fails its test"
 )]
 
-use coordination::agree::{Core, Entry, Envelope, Index, Ready, Role, Snapshot, Start, Term};
+use coordination::agree::{
+    Admission, Core, Entry, Envelope, Index, Ready, Role, Snapshot, Start, Term,
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use state::clock::Millis;
@@ -32,6 +34,8 @@
     pub(crate) lose_disk: f64,
     pub(crate) cut: f64,
     pub(crate) freeze: f64,
+    /// A VM goes for good, and an empty one comes at another address.
+    pub(crate) replace: f64,
     /// Largest difference of a clock's rate from true, in hundredths.
     pub(crate) drift: u64,
 }
@@ -45,6 +49,7 @@
         lose_disk: 0.0,
         cut: 0.0,
         freeze: 0.0,
+        replace: 0.0,
         drift: 0,
     };
     pub(crate) const ALL: Faults = Faults {
@@ -55,8 +60,14 @@
         lose_disk: 0.25,
         cut: 0.002,
         freeze: 0.001,
+        replace: 0.0,
         drift: 5,
     };
+    /// The same, for a group whose members are found through seeds.
+    pub(crate) const ALL_OPEN: Faults = Faults {
+        replace: 0.000_3,
+        ..Faults::ALL
+    };
 }
 
 /// What one disk holds.
@@ -64,6 +75,8 @@
 pub(crate) struct Medium {
     pub(crate) id: Disk,
     pub(crate) start: Start,
+    /// Whether it was there when the fleet first started.
+    pub(crate) begins: bool,
 }
 
 pub(crate) struct Node {
@@ -112,12 +125,27 @@
     pub(crate) told: Version,
     pub(crate) reads: u64,
     seed: u64,
+    /// Whether members are found through seeds, and any VM may become one.
+    open: bool,
+    /// Voters that the group is to have.
+    wanted: usize,
+    /// VMs that have ever been; names and addresses are not used again.
+    placed: usize,
     /// What was broken, for the report of a failed run.
     events: Vec<String>,
 }
 
 impl World {
     pub(crate) fn new(count: usize, seed: u64, faults: Faults) -> Self {
+        World::with(count, seed, faults, false)
+    }
+
+    /// A group whose members are found through seeds.
+    pub(crate) fn open(count: usize, seed: u64, faults: Faults) -> Self {
+        World::with(count, seed, faults, true)
+    }
+
+    fn with(count: usize, seed: u64, faults: Faults, open: bool) -> Self {
         let mut world = World {
             now: 0,
             nodes: Vec::new(),
@@ -135,21 +163,13 @@
             told: Version(0),
             reads: 0,
             seed,
+            open,
+            wanted: count,
+            placed: count,
             events: Vec::new(),
         };
         for n in 0..count {
-            let drift = world.faults.drift;
-            let rate = 100 - drift + world.rng.random_range(0..=2 * drift);
-            world.nodes.push(Node {
-                place: place(n),
-                core: None,
-                medium: Medium::default(),
-                store: Store::default(),
-                frozen_until: 0,
-                rate,
-                down_until: 0,
-            });
-            world.wipe(n);
+            world.push(place(n));
         }
         for n in 0..count {
             world.boot(n);
@@ -157,6 +177,37 @@
         world
     }
 
+    fn push(&mut self, place: Place) {
+        let drift = self.faults.drift;
+        let rate = 100 - drift + self.rng.random_range(0..=2 * drift);
+        self.nodes.push(Node {
+            place,
+            core: None,
+            medium: Medium::default(),
+            store: Store::default(),
+            frozen_until: 0,
+            rate,
+            down_until: 0,
+        });
+        self.wipe(self.nodes.len() - 1);
+    }
+
+    /// Adds an empty VM.
+    pub(crate) fn add(&mut self) -> usize {
+        self.push(place(self.placed));
+        self.placed += 1;
+        let n = self.nodes.len() - 1;
+        self.boot(n);
+        n
+    }
+
+    /// Takes the last VM away for good, after swapping it with `n`.
+    pub(crate) fn retire(&mut self, n: usize) {
+        self.nodes.swap_remove(n);
+        self.flights.clear();
+        self.cut.clear();
+    }
+
     fn clock(&self, n: usize) -> Millis {
         Millis(self.now * self.nodes[n].rate / 100)
     }
@@ -167,6 +218,8 @@
         self.nodes[n].medium = Medium {
             id: Disk(self.next_disk.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
             start: Start::default(),
+            // Only the first start of all is told to be one.
+            begins: self.now == 0,
         };
     }
 
@@ -179,7 +232,27 @@
         };
         let start = self.nodes[n].medium.start.clone();
         self.nodes[n].store = restore(&start.snapshot);
-        self.nodes[n].core = Some(Core::new(me, seeds, start, self.clock(n)));
+        let mut core = Core::new(me, seeds, start, self.clock(n));
+        if self.open {
+            core.admit_by(Admission::Open {
+                begins: self.nodes[n].medium.begins,
+                voters: self.wanted,
+            });
+        }
+        self.nodes[n].core = Some(core);
+    }
+
+    /// Takes a VM away for good, and puts an empty one at another address, which
+    /// starts after `ms`.
+    pub(crate) fn replace(&mut self, n: usize, ms: u64) {
+        self.crash(n);
+        self.nodes[n].place = place(self.placed);
+        self.placed += 1;
+        self.wipe(n);
+        self.nodes[n].down_until = self.now + ms;
+        self.flights.retain(|f| f.to != n && f.from != n);
+        self.cut.retain(|(from, to)| *from != n && *to != n);
+        self.note(n, "is replaced");
     }
 
     fn note(&mut self, n: usize, what: &str) {
@@ -491,11 +564,15 @@
             self.nodes[n].down_until = self.now + self.rng.random_range(100..2000);
             // Promises are for one lost disk at a time: the next one may go only
             // when the group has put the last one right.
-            if self.rng.random_bool(faults.lose_disk) && self.is_repaired() {
+            if self.rng.random_bool(faults.lose_disk) && self.bears_loss_of(n) {
                 self.wipe(n);
                 self.note(n, "loses its disk");
             }
         }
+        if faults.replace > 0.0 && self.rng.random_bool(faults.replace) && self.bears_loss_of(n) {
+            let ms = self.rng.random_range(100..4000);
+            self.replace(n, ms);
+        }
         if faults.cut > 0.0 && self.rng.random_bool(faults.cut) {
             let other = self.rng.random_range(0..count);
             self.note(n, &format!("is cut from c{other}"));
@@ -518,8 +595,22 @@
         }
     }
 
-    /// Whether every voter that the newest members name is a disk that exists.
+    /// Whether every voter that the newest members name is a disk that exists, and
+    /// all of them know it.
     pub(crate) fn is_repaired(&self) -> bool {
+        self.is_known_by(|_| true)
+    }
+
+    /// Whether the group is whole but for one member, and all others know it: one
+    /// that has not caught up is lost already, and promises are for one at a time.
+    fn bears_loss_of(&self, n: usize) -> bool {
+        self.is_known_by(|other| other != n)
+    }
+
+    fn is_known_by<F>(&self, must_know: F) -> bool
+    where
+        F: Fn(usize) -> bool,
+    {
         let disks: Vec<Disk> = self.nodes.iter().map(|n| n.medium.id).collect();
         let newest = (self.nodes.iter())
             .filter_map(|n| n.core.as_ref())
@@ -527,12 +618,12 @@
         newest.is_some_and(|core| {
             let members = core.members();
             // The entry itself must be accepted, by all who would be left.
-            let all = self.nodes.iter().filter_map(|n| n.core.as_ref());
-            let known = all.filter(|c| c.members() == members && c.commit() >= c.log().members().0);
+            let knows = |c: &Core| c.members() == members && c.commit() >= c.log().members().0;
+            let mut all = self.nodes.iter().enumerate();
             members.voters.len() == self.nodes.len()
                 && members.learners.is_empty()
                 && members.voters.iter().all(|v| disks.contains(&v.disk))
-                && known.count() >= self.nodes.len() - 1
+                && all.all(|(n, node)| !must_know(n) || node.core.as_ref().is_some_and(knows))
         })
     }
 
@@ -653,7 +744,9 @@
 fn place(n: usize) -> Place {
     Place {
         vm: Name::try_from(format!("c{n}")).unwrap(),
-        address: format!("127.0.0.{}:7001", n + 1).parse().unwrap(),
+        address: format!("127.0.{}.{}:7001", n / 250, n % 250 + 1)
+            .parse()
+            .unwrap(),
     }
 }
 
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -137,7 +137,13 @@
             place: parts.place.clone(),
         };
         let mut core = Core::new(me, parts.seeds.clone(), start, parts.clock.now());
-        core.admit_by(parts.admission);
+        core.admit_by(match parts.admission {
+            Admission::Seeds => Admission::Seeds,
+            Admission::Open { begins, voters } => Admission::Open {
+                begins: folder.begins(begins)?,
+                voters,
+            },
+        });
         let control = Control {
             core,
             folder,
--- a/components/transport/src/disk.rs
+++ b/components/transport/src/disk.rs
@@ -82,6 +82,24 @@
         self.identity
     }
 
+    /// Whether this disk may begin a group: it was told so now, or at an earlier
+    /// start.
+    ///
+    /// A process may end before it has met the others, and is not told at its next
+    /// start that the fleet starts for the first time. If the disk did not
+    /// remember, no group would ever begin.
+    ///
+    /// # Errors
+    ///
+    /// When the disk refuses.
+    pub fn begins(&self, told: bool) -> Result<bool> {
+        let file = self.path.join(FIRST);
+        if told && !file.exists() {
+            write_whole(&self.path, FIRST, b"")?;
+        }
+        Ok(file.exists())
+    }
+
     /// Syncs so far.
     pub fn syncs(&self) -> u64 {
         self.syncs
@@ -163,6 +181,9 @@
     }
 }
 
+/// File that says that this disk was there when the fleet first started.
+const FIRST: &str = "first-start";
+
 fn identity(path: &Path, fresh: Disk) -> Result<Disk> {
     let file = path.join("disk");
     match fs::read(&file) {
