--- a/components/coordination/src/engine.rs
+++ b/components/coordination/src/engine.rs
@@ -139,6 +139,16 @@
         self.reading_us(reading) + u64::from(running) * BATCH_US
     }
 
+    /// Tokens of prompts that it has yet to read.
+    pub fn unread(&self) -> u64 {
+        self.unread
+    }
+
+    /// Tokens that it reads in a second.
+    pub fn rate(&self) -> u64 {
+        self.rate
+    }
+
     /// Time to read some tokens, in microseconds.
     pub fn reading_us(&self, tokens: u64) -> u64 {
         tokens * 1_000_000 / self.rate
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -84,6 +84,29 @@
     reading: Option<Reading>,
 }
 
+/// What a scheduler believes of its shard.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Belief {
+    /// Asks that wait.
+    pub waiting: usize,
+    /// Requests in progress.
+    pub running: usize,
+    /// Customers with asks that wait.
+    pub customers: usize,
+    /// Prompt tokens that engines have yet to read.
+    pub unread: u64,
+    /// Tokens that the slowest engine reads in a second.
+    pub slowest: u64,
+    /// Tokens that the fastest engine reads in a second.
+    pub fastest: u64,
+    /// Cost that is started in a second while work waits.
+    pub pace: u64,
+    /// Asks refused in this reign.
+    pub refused: u64,
+    /// Grants given in this reign.
+    pub granted: u64,
+}
+
 /// An ask whose turn has come.
 #[derive(Clone, Copy, Debug)]
 struct Next {
@@ -105,6 +128,8 @@
     /// Time over which service counts, in milliseconds; `None` for all of it.
     memory_ms: Option<u64>,
     ticked: Millis,
+    refused: u64,
+    granted: u64,
     /// When asks that wait were last looked through.
     reviewed: Millis,
     /// Asks from other regions, in the order of their arrival.
@@ -147,6 +172,8 @@
             pace: Pace::default(),
             memory_ms: None,
             ticked: now,
+            refused: 0,
+            granted: 0,
             reviewed: now,
             running: BTreeMap::new(),
             sessions: BTreeSet::new(),
@@ -189,6 +216,22 @@
         self.running.len()
     }
 
+    /// What it has come to believe, for logs and metrics.
+    pub fn belief(&self) -> Belief {
+        let (unread, slowest, fastest) = self.slots.reading();
+        Belief {
+            waiting: self.waiting(),
+            running: self.running.len(),
+            customers: self.queue.customers().count(),
+            unread,
+            slowest,
+            fastest,
+            pace: self.pace.per_second(),
+            refused: self.refused,
+            granted: self.granted,
+        }
+    }
+
     /// Routers with a session.
     pub fn routers(&self) -> usize {
         self.sessions.len()
@@ -447,6 +490,7 @@
         let reading = self.slots.take(now, endpoint, ask.prompt);
         let customer = ask.class.customer;
         self.pace.start(ask.hint);
+        self.granted += 1;
         // The charge comes first, so that a customer leaving the backlog with
         // this ask still carries it.
         let amount = virtual_cost(ask.hint, ask.weight);
@@ -522,6 +566,7 @@
     /// Takes an ask out of the queue and says when its caller may come back.
     fn refuse(&mut self, now: Millis, key: Key, ask: &Ask, wait: u64) -> Effect {
         self.remove_ask(key.0, key.1);
+        self.refused += 1;
         let excess = wait
             .saturating_sub(u64::from(ask.aim_ms) / 2)
             .max(RETURN_MS);
--- a/components/coordination/src/scheduler/pace.rs
+++ b/components/coordination/src/scheduler/pace.rs
@@ -57,6 +57,11 @@
         };
     }
 
+    /// Cost that is started in a second while work waits; 0 until measured.
+    pub(super) fn per_second(&self) -> u64 {
+        self.per_second
+    }
+
     /// Time until `cost` has been started, in milliseconds; `None` while the pace
     /// is not known.
     pub(super) fn time_for(&self, cost: u64) -> Option<u64> {
--- a/components/coordination/src/slot.rs
+++ b/components/coordination/src/slot.rs
@@ -255,6 +255,18 @@
         )
     }
 
+    /// Tokens that all engines have yet to read, and the slowest and the fastest
+    /// rate at which one reads, in tokens a second.
+    pub fn reading(&self) -> (u64, u64, u64) {
+        let engines = || self.all.values().filter_map(|s| s.engine.as_ref());
+        let rates = || engines().map(Engine::rate);
+        (
+            engines().map(Engine::unread).sum(),
+            rates().min().unwrap_or(0),
+            rates().max().unwrap_or(0),
+        )
+    }
+
     /// When an ejected endpoint may next be probed.
     pub fn next_probe(&self) -> Option<Millis> {
         self.all.values().filter_map(|s| s.health.until()).min()
--- a/components/node/src/reign.rs
+++ b/components/node/src/reign.rs
@@ -195,8 +195,32 @@
         all.collect()
     }
 
+    /// Logs what each scheduler believes.
+    fn tell_beliefs(&self, view: &View) {
+        for (epoch, reign) in &self.all {
+            let belief = reign.scheduler.belief();
+            let service = view.config.services.get(&reign.shard.service);
+            tracing::info!(
+                event = "scheduler-state",
+                service = service.map_or("", |s| s.name.as_str()),
+                region = reign.shard.region.as_str(),
+                epoch = epoch.0,
+                waiting = belief.waiting,
+                running = belief.running,
+                customers = belief.customers,
+                unread = belief.unread,
+                slowest = belief.slowest,
+                fastest = belief.fastest,
+                pace = belief.pace,
+                refused = belief.refused,
+                granted = belief.granted,
+            );
+        }
+    }
+
     /// Brings the gauges up to date.
     pub(crate) fn measure(&self, view: &View) {
+        self.tell_beliefs(view);
         for status in self.status(view) {
             let service = view.config.services.get(&status.shard.service);
             let service = service.map_or("", |s| s.name.as_str());
