--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -1,6 +1,6 @@
 //! What routers and schedulers say to each other.
 //!
-//! A session is one link between a router and a scheduler in one reign. Asks
+//! A session is one link between a router and a scheduler in one epoch. Asks
 //! are numbered within it; a grant, its return and its reports name the ask.
 
 use crate::prompt::Prompt;
@@ -49,7 +49,7 @@
     pub avoid: Option<EndpointId>,
     /// Whether it comes from another region, and takes only what nobody here
     /// waits for.
-    pub guest: bool,
+    pub remote: bool,
 }
 
 /// A request that a router has sent, as told to a new scheduler.
@@ -122,22 +122,22 @@
     Done(Seq, u32, Verdict),
 }
 
-/// What a scheduler has given in its reign, for those of other regions.
+/// What a scheduler has given in its epoch, for those of other regions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Served {
-    /// Its reign.
+    /// Its epoch.
     pub epoch: Epoch,
     /// Whether these are the totals of all customers.
     pub all: bool,
-    /// Virtual service by customer, since the reign began.
+    /// Virtual service by customer, since the epoch began.
     pub totals: Vec<(CustomerId, u64)>,
 }
 
 /// An ask that cannot be served in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
-    /// Reign that refuses it.
+    /// Assigned that refuses it.
     pub epoch: Epoch,
     /// The ask.
     pub seq: Seq,
@@ -148,7 +148,7 @@
 /// A slot given to a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
-    /// Reign that gives it.
+    /// Assigned that gives it.
     pub epoch: Epoch,
     /// The ask.
     pub seq: Seq,
--- a/components/coordination/src/seat.rs
+++ b/components/coordination/src/assignment.rs
@@ -1,7 +1,7 @@
 //! Which VM schedules which shard, as the leading control VM decides it.
 
 use crate::prelude::*;
-use state::view::{Place, Seat, Shard};
+use state::view::{Assignment, Place, Shard};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Silence after which a scheduler counts as lost, in milliseconds.
@@ -20,12 +20,12 @@
 
 /// What the leader knows of the VMs that can schedule.
 #[derive(Clone, Debug, Default)]
-pub struct Seats {
+pub struct Assigner {
     candidates: BTreeMap<Name, Candidate>,
     from: Millis,
 }
 
-impl Seats {
+impl Assigner {
     /// Starts anew as leader.
     pub fn begin(&mut self, now: Millis) {
         self.candidates.clear();
@@ -48,9 +48,14 @@
         self.candidates.remove(vm);
     }
 
-    /// Seats to be filled or changed, given the view and the shards that have
+    /// Assigner to be filled or changed, given the view and the shards that have
     /// endpoints.
-    pub fn plan(&self, now: Millis, view: &View, shards: &BTreeSet<Shard>) -> SmallVec<[Seat; 4]> {
+    pub fn plan(
+        &self,
+        now: Millis,
+        view: &View,
+        shards: &BTreeSet<Shard>,
+    ) -> SmallVec<[Assignment; 4]> {
         let mut plan = SmallVec::new();
         if now < self.from {
             return plan;
@@ -61,8 +66,8 @@
             })
             .collect();
         let mut load: BTreeMap<&Name, usize> = live.keys().map(|vm| (*vm, 0)).collect();
-        for seat in &view.seats {
-            if let Some(n) = load.get_mut(&seat.place.vm) {
+        for assignment in &view.assignments {
+            if let Some(n) = load.get_mut(&assignment.place.vm) {
                 *n += 1;
             }
         }
@@ -70,7 +75,7 @@
             .iter()
             .filter(|s| view.config.services.contains_key(&s.service))
         {
-            let held = view.seat(shard);
+            let held = view.assignment(shard);
             if held.is_some_and(|s| live.get(&s.place.vm).is_some_and(|c| c.place == s.place)) {
                 continue;
             }
@@ -82,7 +87,7 @@
             if let Some(n) = load.get_mut(*vm) {
                 *n += 1;
             }
-            plan.push(Seat {
+            plan.push(Assignment {
                 shard: shard.clone(),
                 place: candidate.place.clone(),
                 // The version that the record will bring is not known yet, but
--- a/components/coordination/src/desk/alone.rs
+++ b/components/coordination/src/dispatcher/local.rs
@@ -1,17 +1,17 @@
-//! How a desk grants itself a share of the slots, while it has no scheduler.
+//! How a dispatcher grants itself a share of the slots, while it has no scheduler.
 
-use super::{endpoints, memory, Desk, Effects};
+use super::{endpoints, memory, Dispatcher, Effects};
 use crate::prelude::*;
 use crate::scheduler::{Effect as LocalEffect, Scheduler, GATHER_MS};
 use state::view::Shard;
 
-/// Time without a scheduler after which the desk grants itself, in milliseconds.
-pub const ALONE_MS: u64 = 300;
+/// Time without a scheduler after which the dispatcher grants itself, in milliseconds.
+pub const LOCAL_MS: u64 = 300;
 
-/// The reign of a desk that schedules alone; seats begin at 1.
-pub(super) const ALONE: Epoch = Epoch(0);
+/// The epoch of a dispatcher that schedules for itself; assignments begin at 1.
+pub(super) const LOCAL: Epoch = Epoch(0);
 
-impl Desk {
+impl Dispatcher {
     pub(super) fn use_local(
         &mut self,
         now: Millis,
@@ -28,7 +28,7 @@
         }
     }
 
-    pub(super) fn go_alone(
+    pub(super) fn schedule_locally(
         &mut self,
         now: Millis,
         view: &View,
@@ -41,7 +41,7 @@
         };
         // It need not gather, it is alone.
         let past = Millis(now.0.saturating_sub(GATHER_MS));
-        let mut local = Scheduler::new(ALONE, past);
+        let mut local = Scheduler::new(LOCAL, past);
         local.set_memory(self.bounds.memory_ms);
         let local_session = local.open(now, None, &session.introduce(held));
         session.local = Some((local, local_session));
--- a/components/coordination/src/desk/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -1,28 +1,28 @@
-//! A router's desk: requests that wait here, asks that are out, grants in use.
+//! A router's dispatcher: requests that wait here, asks that are out, grants in use.
 //!
-//! Each shard has a session with its scheduler. While there is none, the desk
+//! Each shard has a session with its scheduler. While there is none, the dispatcher
 //! grants itself a share of the slots.
 
-mod abroad;
-mod alone;
-mod line;
+mod local;
+mod queue;
+mod remote;
 mod session;
 
-pub use self::abroad::{GUESTS, GUEST_MS};
-pub use self::alone::ALONE_MS;
-pub use self::line::WINDOW;
+pub use self::local::LOCAL_MS;
+pub use self::queue::WINDOW;
+pub use self::remote::{REMOTES, REMOTE_MS};
 pub use self::session::HELLO_AGAIN_MS;
 
-use self::line::{Line, Request, Stage};
+use self::queue::{Queue, Request, Stage};
 use self::session::Session;
 use crate::prelude::*;
 use slotmap::SlotMap;
-use state::view::{Seat, Shard};
+use state::view::{Assignment, Shard};
 use std::collections::{BTreeMap, BTreeSet};
 
 slotmap::new_key_type! {
-    /// A request at this desk.
-    pub struct Ticket;
+    /// A request at this dispatcher.
+    pub struct Handle;
 }
 
 /// Largest factor between two reports of one request's growing cost.
@@ -68,18 +68,18 @@
     NoEndpoint,
 }
 
-/// Something that the desk wants done.
+/// Something that the dispatcher wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
     /// Tell a scheduler.
-    Report(Seat, Report),
+    Report(Assignment, Report),
     /// Send the request to this endpoint.
-    Dispatch(Ticket, EndpointId),
+    Dispatch(Handle, EndpointId),
     /// Refuse the request: it cannot be served in time. Its caller may come back
     /// after this many milliseconds.
-    Refuse(Ticket, u32),
+    Refuse(Handle, u32),
     /// Give the request up: its deadline has passed, and it was not sent.
-    Expire(Ticket),
+    Expire(Handle),
 }
 
 /// Effects of one input.
@@ -97,28 +97,28 @@
     pub memory_ms: Option<u64>,
 }
 
-/// The desk of one router.
-pub struct Desk {
+/// The dispatcher of one router.
+pub struct Dispatcher {
     region: Name,
     incarnation: u64,
     bounds: Bounds,
-    requests: SlotMap<Ticket, Request>,
-    lines: BTreeMap<(ServiceId, Class), Line>,
+    requests: SlotMap<Handle, Request>,
+    classes: BTreeMap<(ServiceId, Class), Queue>,
     sessions: BTreeMap<Shard, Session>,
     links: BTreeSet<Name>,
     waiting: usize,
     bytes: u64,
 }
 
-impl Desk {
-    /// A desk without requests.
+impl Dispatcher {
+    /// A dispatcher without requests.
     pub fn new(region: Name, incarnation: u64, bounds: Bounds) -> Self {
-        Desk {
+        Dispatcher {
             region,
             incarnation,
             bounds,
             requests: SlotMap::with_key(),
-            lines: BTreeMap::new(),
+            classes: BTreeMap::new(),
             sessions: BTreeMap::new(),
             links: BTreeSet::new(),
             waiting: 0,
@@ -139,15 +139,15 @@
     /// Waiting requests of each customer.
     pub fn queues(&self) -> BTreeMap<CustomerId, u32> {
         let mut queues = BTreeMap::new();
-        for ((_, class), line) in &self.lines {
-            if line.count > 0 {
-                *queues.entry(class.customer).or_default() += line.count;
+        for ((_, class), queue) in &self.classes {
+            if queue.count > 0 {
+                *queues.entry(class.customer).or_default() += queue.count;
             }
         }
         queues
     }
 
-    /// Shards with whether this desk has a scheduler for them.
+    /// Shards with whether this dispatcher has a scheduler for them.
     pub fn shards(&self) -> impl Iterator<Item = (&Shard, bool)> {
         self.sessions.iter().map(|(shard, s)| (shard, s.up))
     }
@@ -167,17 +167,17 @@
         now: Millis,
         view: &View,
         arrival: Arrival,
-    ) -> Result<(Ticket, Effects), Full> {
+    ) -> Result<(Handle, Effects), Full> {
         let shard = self.shard(view, arrival.service).ok_or(Full::NoEndpoint)?;
         let full = self.bytes.saturating_add(arrival.bytes) > self.bounds.bytes;
         if full || self.waiting >= self.bounds.requests {
             return Err(Full::Router);
         }
-        let line = self
-            .lines
+        let queue = self
+            .classes
             .entry((arrival.service, arrival.class))
             .or_default();
-        if line.count >= arrival.queue {
+        if queue.count >= arrival.queue {
             return Err(Full::Customer);
         }
         let request = Request {
@@ -186,16 +186,16 @@
             avoid: None,
             stage: Stage::Waiting,
             since: now,
-            guest: None,
+            remote: None,
             cost: 0,
             told: 0,
         };
-        let ticket = self.requests.insert(request);
-        self.wait(ticket);
+        let handle = self.requests.insert(request);
+        self.wait(handle);
         self.ensure(now, view, &shard);
         let mut effects = Effects::new();
         self.announce(now, arrival.service, arrival.class, &mut effects);
-        Ok((ticket, effects))
+        Ok((handle, effects))
     }
 
     /// Ends a request whose caller went away while it waited.
@@ -203,20 +203,20 @@
     /// A grant may have come at the same moment: the caller has gone without
     /// taking it, and nothing was sent. Its slot must be given back, or it would
     /// stay taken for good, seen as a request in progress that no endpoint has.
-    pub fn leave(&mut self, now: Millis, ticket: Ticket) -> Effects {
+    pub fn leave(&mut self, now: Millis, handle: Handle) -> Effects {
         let held = |r: &Request| matches!(r.stage, Stage::Held { .. });
-        if self.requests.get(ticket).is_some_and(held) {
-            return self.done(now, ticket, 0, Verdict::Gone);
+        if self.requests.get(handle).is_some_and(held) {
+            return self.done(now, handle, 0, Verdict::Gone);
         }
         let mut effects = Effects::new();
-        self.drop_waiting(now, ticket, &mut effects);
+        self.drop_waiting(now, handle, &mut effects);
         effects
     }
 
     /// Queues a dispatched request again, after a failed try.
-    pub fn again(&mut self, now: Millis, ticket: Ticket, verdict: Verdict) -> Effects {
+    pub fn again(&mut self, now: Millis, handle: Handle, verdict: Verdict) -> Effects {
         let mut effects = Effects::new();
-        let Some(request) = self.requests.get_mut(ticket) else {
+        let Some(request) = self.requests.get_mut(handle) else {
             return effects;
         };
         let Stage::Held { seq, endpoint } = request.stage else {
@@ -232,15 +232,15 @@
         let of = Some((class, request.arrival.weight));
         let done = Report::Done(seq, cost, verdict);
         self.tell_of(now, &shard, of, done, &mut effects);
-        self.wait(ticket);
+        self.wait(handle);
         self.announce(now, service, class, &mut effects);
         effects
     }
 
     /// Notes that the first byte of an answer has come.
-    pub fn began(&mut self, now: Millis, ticket: Ticket) -> Effects {
+    pub fn began(&mut self, now: Millis, handle: Handle) -> Effects {
         let mut effects = Effects::new();
-        let Some(request) = self.requests.get(ticket) else {
+        let Some(request) = self.requests.get(handle) else {
             return effects;
         };
         let Stage::Held { seq, .. } = request.stage else {
@@ -252,9 +252,9 @@
     }
 
     /// Raises the cost of a dispatched request.
-    pub fn progress(&mut self, now: Millis, ticket: Ticket, cost: u32) -> Effects {
+    pub fn progress(&mut self, now: Millis, handle: Handle, cost: u32) -> Effects {
         let mut effects = Effects::new();
-        let Some(request) = self.requests.get_mut(ticket) else {
+        let Some(request) = self.requests.get_mut(handle) else {
             return effects;
         };
         request.cost = cost;
@@ -270,17 +270,17 @@
     }
 
     /// Ends a dispatched request.
-    pub fn done(&mut self, now: Millis, ticket: Ticket, cost: u32, verdict: Verdict) -> Effects {
+    pub fn done(&mut self, now: Millis, handle: Handle, cost: u32, verdict: Verdict) -> Effects {
         let mut effects = Effects::new();
-        let Some(request) = self.requests.get(ticket) else {
+        let Some(request) = self.requests.get(handle) else {
             return effects;
         };
         let Stage::Held { seq, .. } = request.stage else {
-            return self.leave(now, ticket);
+            return self.leave(now, handle);
         };
         let shard = request.shard.clone();
         let arrival = request.arrival;
-        self.requests.remove(ticket);
+        self.requests.remove(handle);
         let of = Some((arrival.class, arrival.weight));
         let done = Report::Done(seq, cost, verdict);
         self.tell_of(now, &shard, of, done, &mut effects);
@@ -289,15 +289,15 @@
 
     /// Takes a grant.
     ///
-    /// A grant of an earlier reign is dropped: that scheduler's slots belong to
+    /// A grant of an earlier epoch is dropped: that scheduler's slots belong to
     /// its successor. A grant for a request that is gone is given back.
     pub fn grant(&mut self, now: Millis, grant: Grant) -> Effects {
         let mut effects = Effects::new();
         let found = self.sessions.iter_mut().find(|(_, s)| {
             s.up && s
-                .seat
+                .assignment
                 .as_ref()
-                .is_some_and(|seat| seat.epoch == grant.epoch)
+                .is_some_and(|assignment| assignment.epoch == grant.epoch)
         });
         let Some((shard, session)) = found else {
             return effects;
@@ -308,11 +308,16 @@
         effects
     }
 
-    /// Takes the refusal of an ask; one of an earlier reign is dropped.
+    /// Takes the refusal of an ask; one of an earlier epoch is dropped.
     pub fn refuse(&mut self, now: Millis, refusal: Refusal) -> Effects {
         let mut effects = Effects::new();
         let epoch = refusal.epoch;
-        let of = |s: &Session| s.up && s.seat.as_ref().is_some_and(|seat| seat.epoch == epoch);
+        let of = |s: &Session| {
+            s.up && s
+                .assignment
+                .as_ref()
+                .is_some_and(|assignment| assignment.epoch == epoch)
+        };
         let found = self.sessions.iter().find(|(_, s)| of(s));
         let Some(shard) = found.map(|(shard, _)| shard.clone()) else {
             return effects;
@@ -326,12 +331,12 @@
         let mut effects = Effects::new();
         let shards: Vec<Shard> = self.sessions.keys().cloned().collect();
         for shard in shards {
-            let seat = view.seat(&shard).cloned();
+            let assignment = view.assignment(&shard).cloned();
             let Some(session) = self.sessions.get_mut(&shard) else {
                 continue;
             };
-            if session.seat != seat {
-                session.seat = seat;
+            if session.assignment != assignment {
+                session.assignment = assignment;
                 session.hello_at = Some(now);
                 self.down(now, &shard);
             }
@@ -345,7 +350,7 @@
     pub fn link_up(&mut self, now: Millis, vm: &Name) -> Effects {
         let mut effects = Effects::new();
         self.links.insert(vm.clone());
-        for shard in self.seated_at(vm) {
+        for shard in self.assigned_to(vm) {
             self.down(now, &shard);
             self.hello(now, &shard, &mut effects);
         }
@@ -355,15 +360,19 @@
     /// Notes that a link to a VM was lost.
     pub fn link_down(&mut self, now: Millis, vm: &Name) {
         self.links.remove(vm);
-        for shard in self.seated_at(vm) {
+        for shard in self.assigned_to(vm) {
             self.down(now, &shard);
         }
     }
 
-    /// Notes that a VM does not know yet that it schedules in this reign.
-    pub fn unseated(&mut self, now: Millis, epoch: Epoch) {
+    /// Notes that a VM does not know yet that it schedules in this epoch.
+    pub fn unassigned(&mut self, now: Millis, epoch: Epoch) {
         for session in self.sessions.values_mut() {
-            if session.seat.as_ref().is_some_and(|s| s.epoch == epoch) {
+            if session
+                .assignment
+                .as_ref()
+                .is_some_and(|s| s.epoch == epoch)
+            {
                 session.hello_at = Some(now.after(HELLO_AGAIN_MS));
             }
         }
@@ -372,20 +381,20 @@
     /// Lets time pass: gives up what is late, and acts alone where it must.
     pub fn tick(&mut self, now: Millis, view: &View) -> Effects {
         let mut effects = Effects::new();
-        let late: Vec<Ticket> = (self.requests.iter())
+        let late: Vec<Handle> = (self.requests.iter())
             .filter(|(_, r)| !matches!(r.stage, Stage::Held { .. }) && r.arrival.deadline <= now)
-            .map(|(ticket, _)| ticket)
+            .map(|(handle, _)| handle)
             .collect();
-        for ticket in late {
-            self.drop_waiting(now, ticket, &mut effects);
-            effects.push(Effect::Expire(ticket));
+        for handle in late {
+            self.drop_waiting(now, handle, &mut effects);
+            effects.push(Effect::Expire(handle));
         }
         let shards: Vec<Shard> = self.sessions.keys().cloned().collect();
         for shard in shards {
             self.tick_session(now, view, &shard, &mut effects);
         }
-        self.lines.retain(|_, line| line.count > 0);
-        self.ask_abroad(now, view, &mut effects);
+        self.classes.retain(|_, queue| queue.count > 0);
+        self.ask_remote(now, view, &mut effects);
         effects
     }
 }
--- a/components/coordination/src/desk/line.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -1,7 +1,7 @@
 //! Queues of waiting requests, and their way from arrival to dispatch.
 
-use super::alone::ALONE;
-use super::{endpoints, Arrival, Desk, Effect, Effects, Ticket};
+use super::local::LOCAL;
+use super::{endpoints, Arrival, Dispatcher, Effect, Effects, Handle};
 use crate::ask::Seq;
 use crate::prelude::*;
 use state::view::Shard;
@@ -26,14 +26,14 @@
     pub(super) stage: Stage,
     pub(super) since: Millis,
     /// The ask in another region that runs beside the one in its own.
-    pub(super) guest: Option<(Shard, Seq)>,
+    pub(super) remote: Option<(Shard, Seq)>,
     pub(super) cost: u32,
     pub(super) told: u32,
 }
 
 #[derive(Clone, Debug, Default)]
-pub(super) struct Line {
-    pub(super) waiting: VecDeque<Ticket>,
+pub(super) struct Queue {
+    pub(super) waiting: VecDeque<Handle>,
     /// Requests that wait, asked or not.
     pub(super) count: u32,
     pub(super) asked: u32,
@@ -44,7 +44,7 @@
     u32::try_from(arrival.aim.since(now)).unwrap_or(u32::MAX)
 }
 
-impl Desk {
+impl Dispatcher {
     /// The shard that serves a service for this router: in its own region, or
     /// else the first that has endpoints.
     pub(super) fn shard(&self, view: &View, service: ServiceId) -> Option<Shard> {
@@ -63,46 +63,46 @@
         })
     }
 
-    pub(super) fn wait(&mut self, ticket: Ticket) {
-        let Some(request) = self.requests.get(ticket) else {
+    pub(super) fn wait(&mut self, handle: Handle) {
+        let Some(request) = self.requests.get(handle) else {
             return;
         };
         let key = (request.arrival.service, request.arrival.class);
         self.waiting += 1;
         self.bytes += request.arrival.bytes;
-        let line = self.lines.entry(key).or_default();
-        line.waiting.push_back(ticket);
-        line.count += 1;
+        let queue = self.classes.entry(key).or_default();
+        queue.waiting.push_back(handle);
+        queue.count += 1;
     }
 
     /// Counts a request out of its queue.
     pub(super) fn unwait(&mut self, arrival: &Arrival, asked: bool) {
         self.waiting = self.waiting.saturating_sub(1);
         self.bytes = self.bytes.saturating_sub(arrival.bytes);
-        if let Some(line) = self.lines.get_mut(&(arrival.service, arrival.class)) {
-            line.count = line.count.saturating_sub(1);
+        if let Some(queue) = self.classes.get_mut(&(arrival.service, arrival.class)) {
+            queue.count = queue.count.saturating_sub(1);
             if asked {
-                line.asked = line.asked.saturating_sub(1);
+                queue.asked = queue.asked.saturating_sub(1);
             }
         }
     }
 
-    pub(super) fn drop_waiting(&mut self, now: Millis, ticket: Ticket, effects: &mut Effects) {
-        let Some(request) = self.requests.get(ticket) else {
+    pub(super) fn drop_waiting(&mut self, now: Millis, handle: Handle, effects: &mut Effects) {
+        let Some(request) = self.requests.get(handle) else {
             return;
         };
         let arrival = request.arrival;
         let shard = request.shard.clone();
         let stage = request.stage;
         if !matches!(stage, Stage::Held { .. }) {
-            self.leave_abroad(now, ticket, effects);
+            self.leave_remote(now, handle, effects);
         }
         match stage {
             Stage::Held { .. } => return,
             Stage::Waiting => {
                 let key = (arrival.service, arrival.class);
-                if let Some(line) = self.lines.get_mut(&key) {
-                    line.waiting.retain(|t| *t != ticket);
+                if let Some(queue) = self.classes.get_mut(&key) {
+                    queue.waiting.retain(|t| *t != handle);
                 }
                 self.unwait(&arrival, false);
             }
@@ -114,7 +114,7 @@
                 self.unwait(&arrival, true);
             }
         }
-        self.requests.remove(ticket);
+        self.requests.remove(handle);
         self.announce(now, arrival.service, arrival.class, effects);
     }
 
@@ -127,17 +127,17 @@
         effects: &mut Effects,
     ) {
         loop {
-            let Some(line) = self.lines.get_mut(&(service, class)) else {
+            let Some(queue) = self.classes.get_mut(&(service, class)) else {
                 return;
             };
-            if line.asked >= WINDOW {
+            if queue.asked >= WINDOW {
                 return;
             }
-            let Some(ticket) = line.waiting.front().copied() else {
+            let Some(handle) = queue.waiting.front().copied() else {
                 return;
             };
-            let Some(request) = self.requests.get_mut(ticket) else {
-                line.waiting.pop_front();
+            let Some(request) = self.requests.get_mut(handle) else {
+                queue.waiting.pop_front();
                 continue;
             };
             let Some(session) = self.sessions.get_mut(&request.shard) else {
@@ -146,11 +146,11 @@
             if !session.up && session.local.is_none() {
                 return;
             }
-            line.waiting.pop_front();
-            line.asked += 1;
+            queue.waiting.pop_front();
+            queue.asked += 1;
             let seq = Seq(session.next);
             session.next += 1;
-            session.asked.insert(seq, ticket);
+            session.asked.insert(seq, handle);
             request.stage = Stage::Asked(seq);
             let arrival = request.arrival;
             let ask = Ask {
@@ -164,7 +164,7 @@
                 aim_ms: aim_ms(now, &arrival),
                 prompt: arrival.prompt,
                 avoid: request.avoid,
-                guest: false,
+                remote: false,
             };
             let shard = request.shard.clone();
             self.tell(now, &shard, Report::Ask(ask), effects);
@@ -172,11 +172,11 @@
     }
 
     pub(super) fn announce_all(&mut self, now: Millis, shard: &Shard, effects: &mut Effects) {
-        let lines: Vec<(ServiceId, Class)> = (self.lines.keys())
+        let classes: Vec<(ServiceId, Class)> = (self.classes.keys())
             .filter(|(service, _)| *service == shard.service)
             .copied()
             .collect();
-        for (service, class) in lines {
+        for (service, class) in classes {
             self.announce(now, service, class, effects);
         }
     }
@@ -191,23 +191,23 @@
         let Some(session) = self.sessions.get_mut(shard) else {
             return;
         };
-        let Some(ticket) = session.asked.remove(&grant.seq) else {
+        let Some(handle) = session.asked.remove(&grant.seq) else {
             self.tell(now, shard, Report::Return(grant.seq), effects);
             return;
         };
-        let abroad = |r: &Request| r.shard != *shard;
-        if self.requests.get(ticket).is_some_and(abroad) {
-            self.move_abroad(now, ticket, shard, effects);
+        let remote = |r: &Request| r.shard != *shard;
+        if self.requests.get(handle).is_some_and(remote) {
+            self.move_remote(now, handle, shard, effects);
         } else {
-            self.leave_abroad(now, ticket, effects);
+            self.leave_remote(now, handle, effects);
         }
         let Some(session) = self.sessions.get_mut(shard) else {
             return;
         };
-        let Some(request) = self.requests.get_mut(ticket) else {
+        let Some(request) = self.requests.get_mut(handle) else {
             return;
         };
-        if grant.epoch != ALONE {
+        if grant.epoch != LOCAL {
             session.hear();
             let customer = request.arrival.class.customer;
             let memory = session.known.entry(customer).or_default();
@@ -221,7 +221,7 @@
         request.told = request.arrival.hint;
         let arrival = request.arrival;
         self.unwait(&arrival, true);
-        effects.push(Effect::Dispatch(ticket, grant.endpoint));
+        effects.push(Effect::Dispatch(handle, grant.endpoint));
         self.announce(now, arrival.service, arrival.class, effects);
     }
 
@@ -235,20 +235,20 @@
         let Some(session) = self.sessions.get_mut(shard) else {
             return;
         };
-        let Some(ticket) = session.asked.remove(&refusal.seq) else {
+        let Some(handle) = session.asked.remove(&refusal.seq) else {
             return;
         };
-        let abroad = |r: &Request| r.shard != *shard;
-        if self.requests.get(ticket).is_none_or(abroad) {
+        let remote = |r: &Request| r.shard != *shard;
+        if self.requests.get(handle).is_none_or(remote) {
             return;
         }
-        self.leave_abroad(now, ticket, effects);
-        let Some(request) = self.requests.remove(ticket) else {
+        self.leave_remote(now, handle, effects);
+        let Some(request) = self.requests.remove(handle) else {
             return;
         };
         let arrival = request.arrival;
         self.unwait(&arrival, true);
-        effects.push(Effect::Refuse(ticket, refusal.after_ms));
+        effects.push(Effect::Refuse(handle, refusal.after_ms));
         self.announce(now, arrival.service, arrival.class, effects);
     }
 
@@ -262,16 +262,16 @@
             let Some(other) = self.shard(view, shard.service).filter(|s| *s != shard) else {
                 continue;
             };
-            let waiting: Vec<Ticket> = (self.requests.iter())
+            let waiting: Vec<Handle> = (self.requests.iter())
                 .filter(|(_, r)| r.shard == shard && !matches!(r.stage, Stage::Held { .. }))
-                .map(|(ticket, _)| ticket)
+                .map(|(handle, _)| handle)
                 .collect();
             if waiting.is_empty() {
                 continue;
             }
             self.down(now, &shard);
-            for ticket in waiting {
-                if let Some(request) = self.requests.get_mut(ticket) {
+            for handle in waiting {
+                if let Some(request) = self.requests.get_mut(handle) {
                     request.shard = other.clone();
                 }
             }
--- a/components/coordination/src/desk/abroad.rs
+++ b/components/coordination/src/dispatcher/remote.rs
@@ -1,8 +1,8 @@
 //! Asks in other regions, beside those at home, for requests that wait long.
 
-use super::alone::mix;
-use super::line::{aim_ms, Request, Stage};
-use super::{endpoints, Desk, Effects, Ticket};
+use super::local::mix;
+use super::queue::{aim_ms, Request, Stage};
+use super::{endpoints, Dispatcher, Effects, Handle};
 use crate::ask::Seq;
 use crate::prelude::*;
 use state::view::Shard;
@@ -10,26 +10,30 @@
 /// Wait after which a request is asked for in another region too, in
 /// milliseconds. Asked for at once, slots of another region would be granted
 /// and given back all the time.
-pub const GUEST_MS: u64 = 250;
+pub const REMOTE_MS: u64 = 250;
 
 /// Requests asked for in other regions at once.
-pub const GUESTS: usize = 64;
+pub const REMOTES: usize = 64;
 
-impl Desk {
+impl Dispatcher {
     /// Asks other regions for requests that have waited here for a while.
-    pub(super) fn ask_abroad(&mut self, now: Millis, view: &View, effects: &mut Effects) {
-        let abroad = self.requests.values().filter(|r| r.guest.is_some()).count();
+    pub(super) fn ask_remote(&mut self, now: Millis, view: &View, effects: &mut Effects) {
+        let remote = self
+            .requests
+            .values()
+            .filter(|r| r.remote.is_some())
+            .count();
         let waits = |r: &Request| {
             let asked = matches!(r.stage, Stage::Asked(_));
-            asked && r.guest.is_none() && now.since(r.since) >= GUEST_MS
+            asked && r.remote.is_none() && now.since(r.since) >= REMOTE_MS
         };
-        let long: Vec<Ticket> = (self.requests.iter())
+        let long: Vec<Handle> = (self.requests.iter())
             .filter(|(_, r)| waits(r))
-            .map(|(ticket, _)| ticket)
-            .take(GUESTS.saturating_sub(abroad))
+            .map(|(handle, _)| handle)
+            .take(REMOTES.saturating_sub(remote))
             .collect();
-        for ticket in long {
-            self.ask_guest(now, view, ticket, effects);
+        for handle in long {
+            self.ask_guest(now, view, handle, effects);
         }
     }
 
@@ -37,16 +41,16 @@
         &mut self,
         now: Millis,
         view: &View,
-        ticket: Ticket,
+        handle: Handle,
         effects: &mut Effects,
     ) {
-        let Some(request) = self.requests.get(ticket) else {
+        let Some(request) = self.requests.get(handle) else {
             return;
         };
         let (arrival, avoid) = (request.arrival, request.avoid);
         let home = request.shard.clone();
-        let others: SmallVec<[Shard; 7]> = (view.seats.iter())
-            .map(|seat| &seat.shard)
+        let others: SmallVec<[Shard; 7]> = (view.assignments.iter())
+            .map(|assignment| &assignment.shard)
             .filter(|s| s.service == home.service && **s != home)
             .filter(|s| endpoints(view, s).any(|(_, _, _, leaving)| !leaving))
             .cloned()
@@ -62,9 +66,9 @@
         };
         let seq = Seq(session.next);
         session.next += 1;
-        session.asked.insert(seq, ticket);
-        if let Some(request) = self.requests.get_mut(ticket) {
-            request.guest = Some((shard.clone(), seq));
+        session.asked.insert(seq, handle);
+        if let Some(request) = self.requests.get_mut(handle) {
+            request.remote = Some((shard.clone(), seq));
         }
         let ask = Ask {
             seq,
@@ -77,15 +81,15 @@
             aim_ms: aim_ms(now, &arrival),
             prompt: arrival.prompt,
             avoid,
-            guest: true,
+            remote: true,
         };
         self.tell(now, &shard, Report::Ask(ask), effects);
     }
 
     /// Takes back the ask in another region, if there is one.
-    pub(super) fn leave_abroad(&mut self, now: Millis, ticket: Ticket, effects: &mut Effects) {
-        let request = self.requests.get_mut(ticket);
-        let Some((shard, seq)) = request.and_then(|r| r.guest.take()) else {
+    pub(super) fn leave_remote(&mut self, now: Millis, handle: Handle, effects: &mut Effects) {
+        let request = self.requests.get_mut(handle);
+        let Some((shard, seq)) = request.and_then(|r| r.remote.take()) else {
             return;
         };
         if let Some(session) = self.sessions.get_mut(&shard) {
@@ -94,18 +98,18 @@
         self.tell(now, &shard, Report::Withdraw(seq), effects);
     }
 
-    /// Makes a region where a guest was granted its own.
-    pub(super) fn move_abroad(
+    /// Makes the region that granted a remote ask the home of its request.
+    pub(super) fn move_remote(
         &mut self,
         now: Millis,
-        ticket: Ticket,
+        handle: Handle,
         shard: &Shard,
         effects: &mut Effects,
     ) {
-        let Some(request) = self.requests.get_mut(ticket) else {
+        let Some(request) = self.requests.get_mut(handle) else {
             return;
         };
-        request.guest = None;
+        request.remote = None;
         let home = std::mem::replace(&mut request.shard, shard.clone());
         if let Stage::Asked(seq) = request.stage {
             if let Some(session) = self.sessions.get_mut(&home) {
--- a/components/coordination/src/desk/session.rs
+++ b/components/coordination/src/dispatcher/session.rs
@@ -1,13 +1,13 @@
 //! Sessions with schedulers, and what is remembered from one to the next.
 
-use super::alone::ALONE_MS;
-use super::line::Stage;
-use super::{Desk, Effect, Effects, Ticket};
+use super::local::LOCAL_MS;
+use super::queue::Stage;
+use super::{Dispatcher, Effect, Effects, Handle};
 use crate::ask::{Hello, Seq};
 use crate::ledger::virtual_cost;
 use crate::prelude::*;
 use crate::scheduler::{Scheduler, Session as LocalSession};
-use state::view::{Seat, Shard};
+use state::view::{Assignment, Shard};
 use std::collections::BTreeMap;
 
 /// Time before a refused hello is sent again, in milliseconds.
@@ -24,12 +24,12 @@
 
 #[derive(Clone, Debug)]
 pub(super) struct Session {
-    pub(super) seat: Option<Seat>,
+    pub(super) assignment: Option<Assignment>,
     pub(super) up: bool,
     pub(super) hello_at: Option<Millis>,
     pub(super) down_since: Millis,
     pub(super) next: u64,
-    pub(super) asked: BTreeMap<Seq, Ticket>,
+    pub(super) asked: BTreeMap<Seq, Handle>,
     pub(super) known: BTreeMap<CustomerId, Memory>,
     pub(super) floor: u64,
     /// Whether the scheduler has shown, by a grant, that it took the hello.
@@ -67,7 +67,7 @@
 
     pub(super) fn new(now: Millis) -> Self {
         Session {
-            seat: None,
+            assignment: None,
             up: false,
             hello_at: None,
             down_since: now,
@@ -82,10 +82,14 @@
     }
 }
 
-impl Desk {
-    pub(super) fn seated_at(&self, vm: &Name) -> Vec<Shard> {
+impl Dispatcher {
+    pub(super) fn assigned_to(&self, vm: &Name) -> Vec<Shard> {
         (self.sessions.iter())
-            .filter(|(_, s)| s.seat.as_ref().is_some_and(|seat| seat.place.vm == *vm))
+            .filter(|(_, s)| {
+                s.assignment
+                    .as_ref()
+                    .is_some_and(|assignment| assignment.place.vm == *vm)
+            })
             .map(|(shard, _)| shard.clone())
             .collect()
     }
@@ -102,7 +106,7 @@
         };
         if session.hello_at.is_some_and(|at| at <= now) {
             session.hello_at = None;
-            if (session.seat.as_ref()).is_some_and(|s| self.links.contains(&s.place.vm)) {
+            if (session.assignment.as_ref()).is_some_and(|s| self.links.contains(&s.place.vm)) {
                 self.down(now, shard);
                 self.hello(now, shard, effects);
                 return;
@@ -111,8 +115,8 @@
         if session.up {
             return;
         }
-        if session.local.is_none() && now.since(session.down_since) >= ALONE_MS {
-            self.go_alone(now, view, shard, effects);
+        if session.local.is_none() && now.since(session.down_since) >= LOCAL_MS {
+            self.schedule_locally(now, view, shard, effects);
             return;
         }
         if let Some((local, _)) = &mut session.local {
@@ -126,13 +130,13 @@
             return;
         }
         let mut session = Session::new(now);
-        session.seat = view.seat(shard).cloned();
+        session.assignment = view.assignment(shard).cloned();
         // Ask at once: the link may be up already.
-        session.hello_at = session.seat.as_ref().map(|_| now);
+        session.hello_at = session.assignment.as_ref().map(|_| now);
         self.sessions.insert(shard.clone(), session);
     }
 
-    /// Tells whoever schedules the shard: its scheduler or this desk itself.
+    /// Tells whoever schedules the shard: its scheduler or this dispatcher itself.
     pub(super) fn tell(
         &mut self,
         now: Millis,
@@ -143,7 +147,7 @@
         self.tell_of(now, shard, None, report, effects);
     }
 
-    /// Like [`Desk::tell`], of an end whose class and weight are `of`.
+    /// Like [`Dispatcher::tell`], of an end whose class and weight are `of`.
     pub(super) fn tell_of(
         &mut self,
         now: Millis,
@@ -155,8 +159,8 @@
         let Some(session) = self.sessions.get_mut(shard) else {
             return;
         };
-        if let (true, Some(seat)) = (session.up, &session.seat) {
-            effects.push(Effect::Report(seat.clone(), report));
+        if let (true, Some(assignment)) = (session.up, &session.assignment) {
+            effects.push(Effect::Report(assignment.clone(), report));
             return;
         }
         if let (Report::Done(_, cost, _), Some((class, weight))) = (&report, of) {
@@ -183,19 +187,19 @@
         }
         session.local = None;
         let asked = std::mem::take(&mut session.asked);
-        for ticket in asked.into_values().rev() {
-            let Some(request) = self.requests.get_mut(ticket) else {
+        for handle in asked.into_values().rev() {
+            let Some(request) = self.requests.get_mut(handle) else {
                 continue;
             };
             if request.shard != *shard {
-                request.guest = None;
+                request.remote = None;
                 continue;
             }
             request.stage = Stage::Waiting;
             let key = (request.arrival.service, request.arrival.class);
-            let line = self.lines.entry(key).or_default();
-            line.asked = line.asked.saturating_sub(1);
-            line.waiting.push_front(ticket);
+            let queue = self.classes.entry(key).or_default();
+            queue.asked = queue.asked.saturating_sub(1);
+            queue.waiting.push_front(handle);
         }
     }
 
@@ -229,14 +233,14 @@
         let Some(session) = self.sessions.get_mut(shard) else {
             return;
         };
-        let Some(seat) = session.seat.clone() else {
+        let Some(assignment) = session.assignment.clone() else {
             return;
         };
         session.up = true;
         let hello = Report::Hello(session.introduce(held));
         session.heard = false;
         session.hello_at = None;
-        effects.push(Effect::Report(seat, hello));
+        effects.push(Effect::Report(assignment, hello));
         self.announce_all(now, shard, effects);
     }
 }
--- a/components/coordination/src/ledger.rs
+++ b/components/coordination/src/ledger.rs
@@ -63,7 +63,7 @@
         self.order.iter().map(|(_, customer)| *customer)
     }
 
-    /// Takes over what a router remembers of an earlier reign.
+    /// Takes over what a router remembers of an earlier epoch.
     ///
     /// Settled service only grows, so the largest memory is the latest one,
     /// and merging the same memory twice changes nothing.
@@ -81,7 +81,7 @@
         waiting.min().unwrap_or(self.floor)
     }
 
-    /// Begins to grant, with the floor that an earlier reign reached.
+    /// Begins to grant, with the floor that an earlier epoch reached.
     ///
     /// Until then nobody is lifted: a customer that is behind the others by
     /// right would be lifted to whoever happened to be told first, and what it
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -5,7 +5,8 @@
 
 pub mod agree;
 pub mod ask;
-pub mod desk;
+pub mod assignment;
+pub mod dispatcher;
 pub mod engine;
 pub mod health;
 pub mod ledger;
@@ -17,6 +18,5 @@
 pub mod retry;
 pub mod rule;
 pub mod scheduler;
-pub mod seat;
 pub mod slot;
-pub mod spread;
+pub mod tree;
--- a/components/coordination/src/platform.rs
+++ b/components/coordination/src/platform.rs
@@ -18,10 +18,10 @@
     Leaving,
 }
 
-/// One line of the list.
+/// One entry of the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub struct Line {
+pub struct Entry {
     /// Address of an endpoint.
     pub address: SocketAddr,
     /// Its state.
@@ -30,7 +30,7 @@
 
 /// What follows from a list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
+pub enum Change {
     /// The endpoint gets no new work.
     Leaves(EndpointId),
     /// The endpoint is back.
@@ -52,11 +52,13 @@
     ///
     /// The list lags and may be wrong. One that lacks more than half of the
     /// endpoints that were live says more of the platform than of them: taken at
-    /// its word, an empty list would stop the whole fleet. Only what it says in
+    /// its change, an empty list would stop the whole fleet. Only what it says in
     /// so many words counts then.
-    pub fn compare(&mut self, view: &View, list: &[Line]) -> SmallVec<[Word; 4]> {
-        let states: BTreeMap<SocketAddr, State> =
-            list.iter().map(|line| (line.address, line.state)).collect();
+    pub fn compare(&mut self, view: &View, list: &[Entry]) -> SmallVec<[Change; 4]> {
+        let states: BTreeMap<SocketAddr, State> = list
+            .iter()
+            .map(|entry| (entry.address, entry.state))
+            .collect();
         let endpoints = &view.config.endpoints;
         self.seen.retain(|id, _| endpoints.contains_key(id));
         self.announced.retain(|id| endpoints.contains_key(id));
@@ -70,7 +72,7 @@
                 Some(State::Live) => {
                     self.seen.insert(*id, 0);
                     if leaving && self.announced.remove(id) {
-                        words.push(Word::Back(*id));
+                        words.push(Change::Back(*id));
                     }
                 }
                 None if self.seen.contains_key(id) => {
@@ -92,8 +94,8 @@
         words
     }
 
-    fn leaves(&mut self, id: EndpointId) -> Word {
+    fn leaves(&mut self, id: EndpointId) -> Change {
         self.announced.insert(id);
-        Word::Leaves(id)
+        Change::Leaves(id)
     }
 }
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -32,8 +32,8 @@
 pub const ORPHAN_MS: u64 = 1000;
 /// Tellings of which one tells all totals.
 const TELL_ALL: u32 = 8;
-/// Guests among whom the least served is sought.
-const GUESTS: usize = 64;
+/// Remote asks among whom the least served is sought.
+const REMOTES: usize = 64;
 /// Time between two looks through all asks that wait, in milliseconds.
 const REVIEW_MS: u64 = 100;
 /// How many times its patience an ask may wait that was let in: it was expected
@@ -68,7 +68,7 @@
 pub type Effects = SmallVec<[Effect; 4]>;
 
 #[derive(Clone, Debug)]
-struct Line {
+struct ClassState {
     running: u32,
     bucket: Option<Bucket>,
     used: Millis,
@@ -101,9 +101,9 @@
     pub fastest: u64,
     /// Cost that is started in a second while work waits.
     pub pace: u64,
-    /// Asks refused in this reign.
+    /// Asks refused in this epoch.
     pub refused: u64,
-    /// Grants given in this reign.
+    /// Grants given in this epoch.
     pub granted: u64,
 }
 
@@ -115,13 +115,13 @@
     endpoint: EndpointId,
 }
 
-/// The scheduler of one shard in one reign.
+/// The scheduler of one shard in one epoch.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
     epoch: Epoch,
     ledger: Ledger,
     slots: Slots,
-    lines: BTreeMap<Class, Line>,
+    classes: BTreeMap<Class, ClassState>,
     /// Asks of this region.
     queue: Queue,
     pace: Pace,
@@ -133,7 +133,7 @@
     /// When asks that wait were last looked through.
     reviewed: Millis,
     /// Asks from other regions, in the order of their arrival.
-    guests: VecDeque<(Key, Ask)>,
+    remotes: VecDeque<(Key, Ask)>,
     running: BTreeMap<(Session, Seq), Running>,
     sessions: BTreeSet<Session>,
     orphans: BTreeMap<Session, Millis>,
@@ -143,12 +143,12 @@
     spent: BTreeMap<Session, Vec<(CustomerId, u64)>>,
     /// Largest floor that a router remembers.
     floor: u64,
-    /// Service given here in this reign, for the other regions to count.
+    /// Service given here in this epoch, for the other regions to count.
     served: BTreeMap<CustomerId, u64>,
     /// Customers whose total has grown since it was last told.
     grown: BTreeSet<CustomerId>,
     tellings: u32,
-    /// What other regions' schedulers have told of theirs, by reign.
+    /// What other regions' schedulers have told of theirs, by epoch.
     foreign: BTreeMap<Epoch, BTreeMap<CustomerId, u64>>,
     is_open: bool,
     opened: Millis,
@@ -156,7 +156,7 @@
 }
 
 impl Scheduler {
-    /// A scheduler whose reign begins now.
+    /// A scheduler whose epoch begins now.
     pub fn new(epoch: Epoch, now: Millis) -> Self {
         Scheduler::with_choice(epoch, now, Choice::Least)
     }
@@ -167,7 +167,7 @@
             epoch,
             ledger: Ledger::default(),
             slots: Slots::new(choice),
-            lines: BTreeMap::new(),
+            classes: BTreeMap::new(),
             queue: Queue::default(),
             pace: Pace::default(),
             memory_ms: None,
@@ -180,7 +180,7 @@
             orphans: BTreeMap::new(),
             spent: BTreeMap::new(),
             floor: 0,
-            guests: VecDeque::new(),
+            remotes: VecDeque::new(),
             served: BTreeMap::new(),
             grown: BTreeSet::new(),
             tellings: 0,
@@ -196,7 +196,7 @@
         self.memory_ms = memory_ms;
     }
 
-    /// Its reign.
+    /// Its epoch.
     pub fn epoch(&self) -> Epoch {
         self.epoch
     }
@@ -208,7 +208,7 @@
 
     /// Asks that wait.
     pub fn waiting(&self) -> usize {
-        self.queue.len() + self.guests.len()
+        self.queue.len() + self.remotes.len()
     }
 
     /// Requests in progress.
@@ -279,7 +279,7 @@
             self.slots.hold(now, held.endpoint);
             let amount = virtual_cost(held.cost, held.weight);
             self.ledger.charge(held.class.customer, amount);
-            self.line(now, held.class).running += 1;
+            self.class(now, held.class).running += 1;
             self.running.insert((session, held.seq), running);
         }
         session
@@ -309,7 +309,7 @@
         if !self.sessions.remove(&session) {
             return;
         }
-        self.guests.retain(|((of, _), _)| *of != session);
+        self.remotes.retain(|((of, _), _)| *of != session);
         for seq in self.queue.of_session(session) {
             self.withdraw(session, seq);
         }
@@ -321,12 +321,12 @@
         if !self.sessions.contains(&session) {
             return Effects::new();
         }
-        if ask.guest {
-            self.guests.push_back(((session, ask.seq), ask));
+        if ask.remote {
+            self.remotes.push_back(((session, ask.seq), ask));
             return self.grant(now);
         }
-        let line = self.line(now, ask.class);
-        match (&mut line.bucket, ask.rate) {
+        let class = self.class(now, ask.class);
+        match (&mut class.bucket, ask.rate) {
             (bucket, 0) => *bucket = None,
             (Some(bucket), rate) => bucket.set_rate(rate, now),
             (bucket @ None, rate) => *bucket = Some(Bucket::new(rate, now)),
@@ -347,7 +347,7 @@
     /// Takes back a grant that was not used.
     pub fn give_back(&mut self, now: Millis, session: Session, seq: Seq) -> Effects {
         if let Some((running, _)) = self.end(now, session, seq, 0, None) {
-            if let Some(bucket) = self.line(now, running.class).bucket.as_mut() {
+            if let Some(bucket) = self.class(now, running.class).bucket.as_mut() {
                 bucket.give_back();
             }
         }
@@ -401,7 +401,7 @@
         effects
     }
 
-    /// Service given here in this reign, by customer, to tell other regions:
+    /// Service given here in this epoch, by customer, to tell other regions:
     /// totals that have grown since the last telling, and at times all of them,
     /// in case one was lost.
     pub fn tell_served(&mut self) -> Served {
@@ -416,9 +416,9 @@
         }
     }
 
-    /// Takes what another region's scheduler gave in its reign.
+    /// Takes what another region's scheduler gave in its epoch.
     ///
-    /// The first telling of all totals of a reign only sets where counting begins:
+    /// The first telling of all totals of an epoch only sets where counting begins:
     /// what it gave before was counted by whoever scheduled here then.
     pub fn hear_served(&mut self, served: &Served) {
         let known = self.foreign.contains_key(&served.epoch);
@@ -433,7 +433,7 @@
         }
     }
 
-    /// Forgets reigns of other regions that `keep` refuses.
+    /// Forgets schedulers of other regions that `keep` refuses.
     pub fn retain_foreign<F>(&mut self, keep: F)
     where
         F: Fn(Epoch) -> bool,
@@ -457,8 +457,8 @@
         }
         self.ticked = now;
         let mut refused = self.review(now);
-        self.lines
-            .retain(|_, line| line.running > 0 || now.since(line.used) < CLASS_MS);
+        self.classes
+            .retain(|_, class| class.running > 0 || now.since(class.used) < CLASS_MS);
         refused.extend(self.grant(now));
         refused
     }
@@ -496,9 +496,9 @@
         let amount = virtual_cost(ask.hint, ask.weight);
         self.ledger.charge(customer, amount);
         self.remove_ask(key.0, key.1);
-        let line = self.line(now, ask.class);
-        line.running += 1;
-        if let Some(bucket) = &mut line.bucket {
+        let class = self.class(now, ask.class);
+        class.running += 1;
+        if let Some(bucket) = &mut class.bucket {
             bucket.take(now);
         }
         let running = Running {
@@ -599,7 +599,7 @@
                 any = true;
                 looked += 1;
                 if looked > LOOK {
-                    return self.next_guest(now);
+                    return self.next_remote(now);
                 }
                 let ask = waiting.ask;
                 let slack_ms = waiting.slack_ms(now);
@@ -619,20 +619,20 @@
                 break;
             }
         }
-        self.next_guest(now)
+        self.next_remote(now)
     }
 
     /// Whether the limits of an ask's class let it start.
     fn may_start(&mut self, now: Millis, ask: &Ask) -> bool {
-        let line = self.line(now, ask.class);
-        let full = ask.concurrency != 0 && line.running >= ask.concurrency;
-        !full && line.bucket.as_mut().is_none_or(|b| b.ready(now))
+        let class = self.class(now, ask.class);
+        let full = ask.concurrency != 0 && class.running >= ask.concurrency;
+        !full && class.bucket.as_mut().is_none_or(|b| b.ready(now))
     }
 
-    /// The guest to serve next, once nobody of this region can start: of the
+    /// The remote ask to serve next, once nobody of this region can start: of the
     /// first few, the least served one.
-    fn next_guest(&mut self, now: Millis) -> Option<Next> {
-        let first = self.guests.iter().take(GUESTS);
+    fn next_remote(&mut self, now: Millis) -> Option<Next> {
+        let first = self.remotes.iter().take(REMOTES);
         let level = |(_, ask): &&(Key, Ask)| self.ledger.level(ask.class.customer);
         let (key, ask) = first.min_by_key(level).copied()?;
         let wish = Wish {
@@ -647,7 +647,7 @@
     fn remove_ask(&mut self, session: Session, seq: Seq) {
         let key = (session, seq);
         let Some(ask) = self.queue.remove(key) else {
-            self.guests.retain(|(other, _)| *other != key);
+            self.remotes.retain(|(other, _)| *other != key);
             return;
         };
         let customer = ask.class.customer;
@@ -674,8 +674,8 @@
         if let Some(reading) = &running.reading {
             self.slots.end(running.endpoint, reading);
         }
-        let line = self.line(now, running.class);
-        line.running = line.running.saturating_sub(1);
+        let class = self.class(now, running.class);
+        class.running = class.running.saturating_sub(1);
         Some((running, change))
     }
 
@@ -691,13 +691,13 @@
         }
     }
 
-    fn line(&mut self, now: Millis, class: Class) -> &mut Line {
-        let line = self.lines.entry(class).or_insert_with(|| Line {
+    fn class(&mut self, now: Millis, class: Class) -> &mut ClassState {
+        let class = self.classes.entry(class).or_insert_with(|| ClassState {
             running: 0,
             bucket: None,
             used: now,
         });
-        line.used = now;
-        line
+        class.used = now;
+        class
     }
 }
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -5,13 +5,13 @@
 use coordination::health::{Change, Health, EJECT_MS, FAILURES};
 use coordination::ledger::{virtual_cost, Ledger};
 use coordination::limit::Bucket;
-use coordination::platform::{Line, State, Watch, Word};
+use coordination::platform::{Change as ListChange, Entry, State, Watch};
 use coordination::prompt::Prompt;
 use coordination::retry::{after, Bounds, Budget, Next, Reach, Try};
 use coordination::rule::{decide, idempotent, shadowed, Request};
 use coordination::scheduler::{Effect, Effects, Scheduler, Session, GATHER_MS, ORPHAN_MS};
 use coordination::slot::{Claims, Slots, Wish};
-use coordination::spread::{Confirm, Tree, Welcome};
+use coordination::tree::{Confirm, Tree, Welcome};
 use rstest::rstest;
 use state::clock::Millis;
 use state::config::{Cost, Endpoint, Rule, Service, Then, When};
@@ -339,7 +339,7 @@
         aim_ms: u32::MAX,
         prompt: Prompt::default(),
         avoid: None,
-        guest: false,
+        remote: false,
     }
 }
 
@@ -512,12 +512,12 @@
 fn can_serve_guests_only_from_slots_that_nobody_here_wants() {
     let (mut scheduler, session) = scheduler(1);
     let now = Millis(GATHER_MS);
-    let guest = |seq| Ask {
-        guest: true,
+    let remote = |seq| Ask {
+        remote: true,
         ..ask(seq, B, 0, 0)
     };
     assert_eq!(granted(&scheduler.ask(now, session, ask(1, A, 0, 0))), [1]);
-    assert!(granted(&scheduler.ask(now, session, guest(2))).is_empty());
+    assert!(granted(&scheduler.ask(now, session, remote(2))).is_empty());
     assert!(granted(&scheduler.ask(now, session, ask(3, A, 0, 0))).is_empty());
     let done = scheduler.done(now, session, Seq(1), 10, Verdict::Fine);
     assert_eq!(granted(&done), [3]);
@@ -545,13 +545,13 @@
     assert_eq!(hear(9, true, &[(A, 500), (B, 50)]), [(A, 0), (B, 0)]);
     assert_eq!(hear(9, false, &[(A, 700)]), [(A, 200), (B, 0)]);
     assert_eq!(hear(9, true, &[(A, 700), (B, 60)]), [(A, 200), (B, 10)]);
-    // A later reign begins its totals anew.
+    // A later epoch begins its totals anew.
     assert_eq!(hear(10, true, &[(A, 30)]), [(A, 200), (B, 10)]);
     assert_eq!(hear(10, false, &[(A, 40), (B, 5)]), [(A, 210), (B, 15)]);
 }
 
 /// A view with four endpoints, and the lines that call the given ones live.
-fn platform(live: &[u16]) -> (View, Vec<Line>) {
+fn platform(live: &[u16]) -> (View, Vec<Entry>) {
     let address = |n: u16| std::net::SocketAddr::from(([127, 0, 0, 1], n));
     let mut view = View::default();
     for n in 1..=4 {
@@ -568,7 +568,7 @@
             .endpoints
             .insert(EndpointId(u32::from(n)), endpoint);
     }
-    let line = |n: &u16| Line {
+    let line = |n: &u16| Entry {
         address: address(*n),
         state: State::Live,
     };
@@ -583,12 +583,18 @@
     let mut leaving = list.clone();
     leaving[0].state = State::Leaving;
     let e1 = EndpointId(1);
-    assert_eq!(watch.compare(&view, &leaving).to_vec(), [Word::Leaves(e1)]);
+    assert_eq!(
+        watch.compare(&view, &leaving).to_vec(),
+        [ListChange::Leaves(e1)]
+    );
     // It says so until it is in force, and once it is, no more.
-    assert_eq!(watch.compare(&view, &leaving).to_vec(), [Word::Leaves(e1)]);
+    assert_eq!(
+        watch.compare(&view, &leaving).to_vec(),
+        [ListChange::Leaves(e1)]
+    );
     view.leaving.insert(e1);
     assert!(watch.compare(&view, &leaving).is_empty());
-    assert_eq!(watch.compare(&view, &list).to_vec(), [Word::Back(e1)]);
+    assert_eq!(watch.compare(&view, &list).to_vec(), [ListChange::Back(e1)]);
 }
 
 #[test]
@@ -614,7 +620,7 @@
     watch.compare(&view, &list);
     assert!(watch.compare(&view, &list[..3]).is_empty());
     let words = watch.compare(&view, &list[..3]);
-    assert_eq!(words.to_vec(), [Word::Leaves(EndpointId(4))]);
+    assert_eq!(words.to_vec(), [ListChange::Leaves(EndpointId(4))]);
 }
 
 #[test]
--- a/components/coordination/tests/desk.rs
+++ b/components/coordination/tests/dispatcher.rs
@@ -1,13 +1,15 @@
-//! The router's desk.
+//! The router's dispatcher.
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 use coordination::ask::{Class, Grant, Report, Verdict};
-use coordination::desk::{Arrival, Bounds, Desk, Effect, Full, Ticket, ALONE_MS, GUEST_MS, WINDOW};
+use coordination::dispatcher::{
+    Arrival, Bounds, Dispatcher, Effect, Full, Handle, LOCAL_MS, REMOTE_MS, WINDOW,
+};
 use coordination::prompt::Prompt;
 use state::clock::Millis;
 use state::config::{Cost, Endpoint, Service};
 use state::id::{CustomerId, EndpointId, Epoch, Name, ServiceId};
-use state::view::{Place, Seat, Shard, View};
+use state::view::{Assignment, Place, Shard, View};
 
 const SERVICE: ServiceId = ServiceId(1);
 const ENDPOINT: EndpointId = EndpointId(2);
@@ -43,7 +45,7 @@
             lead: 1,
         },
     );
-    view.seats.push(Seat {
+    view.assignments.push(Assignment {
         shard: Shard {
             service: SERVICE,
             region: name("main"),
@@ -77,22 +79,24 @@
     }
 }
 
-fn desk() -> Desk {
+fn dispatcher() -> Dispatcher {
     let bounds = Bounds {
         requests: 200,
         bytes: 1500,
         memory_ms: None,
     };
-    let mut desk = Desk::new(name("main"), 7, bounds);
-    desk.link_up(Millis(0), &name("s"));
-    desk
+    let mut dispatcher = Dispatcher::new(name("main"), 7, bounds);
+    dispatcher.link_up(Millis(0), &name("s"));
+    dispatcher
 }
 
-fn arrive(desk: &mut Desk, view: &View, customer: u32) -> (Ticket, Vec<Report>) {
-    let (ticket, effects) = desk.arrive(Millis(0), view, arrival(customer)).unwrap();
+fn arrive(dispatcher: &mut Dispatcher, view: &View, customer: u32) -> (Handle, Vec<Report>) {
+    let (handle, effects) = dispatcher
+        .arrive(Millis(0), view, arrival(customer))
+        .unwrap();
     let mut all = reports(&effects);
-    all.extend(reports(&desk.tick(Millis(0), view)));
-    (ticket, all)
+    all.extend(reports(&dispatcher.tick(Millis(0), view)));
+    (handle, all)
 }
 
 fn reports(effects: &[Effect]) -> Vec<Report> {
@@ -129,93 +133,93 @@
     // its caller goes away, before it has seen the grant.
     // Cause: leaving was understood as leaving the queue only.
     let view = view(1);
-    let mut desk = desk();
-    let (ticket, sent) = arrive(&mut desk, &view, 1);
+    let mut dispatcher = dispatcher();
+    let (handle, sent) = arrive(&mut dispatcher, &view, 1);
     let seq = asked(&sent);
-    let dispatched = desk.grant(Millis(1), grant(1, seq));
-    assert_eq!(dispatched, [Effect::Dispatch(ticket, ENDPOINT)]);
-    let left = reports(&desk.leave(Millis(2), ticket));
+    let dispatched = dispatcher.grant(Millis(1), grant(1, seq));
+    assert_eq!(dispatched, [Effect::Dispatch(handle, ENDPOINT)]);
+    let left = reports(&dispatcher.leave(Millis(2), handle));
     assert_eq!(left, [Report::Done(seq, 0, Verdict::Gone)]);
-    assert_eq!((desk.held(), desk.waiting()), (0, 0));
+    assert_eq!((dispatcher.held(), dispatcher.waiting()), (0, 0));
 }
 
 #[test]
-fn can_drop_a_grant_of_an_earlier_reign() {
+fn can_drop_a_grant_of_an_earlier_epoch() {
     // Symptom: two schedulers give away the same slot.
-    // Sequence: a new scheduler is seated while a grant of the old one is on
+    // Sequence: a new scheduler is assigned while a grant of the old one is on
     // its way.
-    // Cause: a grant that is not tied to its reign.
-    let mut desk = desk();
-    let (_, sent) = arrive(&mut desk, &view(1), 1);
+    // Cause: a grant that is not tied to its epoch.
+    let mut dispatcher = dispatcher();
+    let (_, sent) = arrive(&mut dispatcher, &view(1), 1);
     let seq = asked(&sent);
-    desk.follow(Millis(1), &view(2));
-    desk.tick(Millis(1), &view(2));
-    assert_eq!(desk.grant(Millis(2), grant(1, seq)), []);
-    assert_eq!(desk.waiting(), 1);
+    dispatcher.follow(Millis(1), &view(2));
+    dispatcher.tick(Millis(1), &view(2));
+    assert_eq!(dispatcher.grant(Millis(2), grant(1, seq)), []);
+    assert_eq!(dispatcher.waiting(), 1);
 }
 
 #[test]
 fn can_return_a_grant_for_a_request_that_left() {
     let view = view(1);
-    let mut desk = desk();
-    let (ticket, sent) = arrive(&mut desk, &view, 1);
+    let mut dispatcher = dispatcher();
+    let (handle, sent) = arrive(&mut dispatcher, &view, 1);
     let seq = asked(&sent);
     assert_eq!(
-        reports(&desk.leave(Millis(1), ticket)),
+        reports(&dispatcher.leave(Millis(1), handle)),
         [Report::Withdraw(seq)]
     );
-    let back = reports(&desk.grant(Millis(2), grant(1, seq)));
+    let back = reports(&dispatcher.grant(Millis(2), grant(1, seq)));
     assert_eq!(back, [Report::Return(seq)]);
 }
 
 #[test]
 fn can_keep_a_flood_from_its_scheduler() {
     let view = view(1);
-    let mut desk = desk();
+    let mut dispatcher = dispatcher();
     let mut asks = 0;
     for _ in 0..100 {
-        let (_, sent) = arrive(&mut desk, &view, 1);
+        let (_, sent) = arrive(&mut dispatcher, &view, 1);
         asks += sent.iter().filter(|r| matches!(r, Report::Ask(_))).count();
     }
     assert_eq!(asks, WINDOW as usize);
-    let full = desk.arrive(Millis(0), &view, arrival(1)).err();
+    let full = dispatcher.arrive(Millis(0), &view, arrival(1)).err();
     assert_eq!(full, Some(Full::Customer));
     // Another customer still has room, until the router's own bound.
     let mut more = 0;
-    while desk.arrive(Millis(0), &view, arrival(2)).is_ok() {
+    while dispatcher.arrive(Millis(0), &view, arrival(2)).is_ok() {
         more += 1;
     }
     assert_eq!(more, 50);
-    let full = desk.arrive(Millis(0), &view, arrival(3)).err();
+    let full = dispatcher.arrive(Millis(0), &view, arrival(3)).err();
     assert_eq!(full, Some(Full::Router));
 }
 
 #[test]
 fn can_give_up_at_the_deadline() {
     let view = view(1);
-    let mut desk = desk();
-    let (ticket, sent) = arrive(&mut desk, &view, 1);
-    assert!(desk.tick(Millis(4999), &view).is_empty());
-    let late = desk.tick(Millis(5000), &view);
-    assert!(late.contains(&Effect::Expire(ticket)));
+    let mut dispatcher = dispatcher();
+    let (handle, sent) = arrive(&mut dispatcher, &view, 1);
+    assert!(dispatcher.tick(Millis(4999), &view).is_empty());
+    let late = dispatcher.tick(Millis(5000), &view);
+    assert!(late.contains(&Effect::Expire(handle)));
     assert_eq!(reports(&late), [Report::Withdraw(asked(&sent))]);
 }
 
 #[test]
-fn can_act_alone_without_a_scheduler_and_tell_the_next_one() {
+fn can_schedule_locally_without_a_scheduler_and_tell_the_next_one() {
     // Symptom: service that was given without a scheduler is forgotten, or
     // counted twice.
-    // Sequence: the scheduler is lost; the desk serves a request by itself; a
-    // scheduler is seated; its hello is said twice; a third one is seated.
+    // Sequence: the scheduler is lost; the dispatcher serves a request by itself; a
+    // scheduler is assigned; its hello is said twice; a third one is assigned.
     // Cause: spending that is not told, or told to each scheduler again.
-    let mut desk = desk();
-    let (first, _) = arrive(&mut desk, &view(1), 1);
-    desk.link_down(Millis(1), &name("s"));
-    let alone = desk.tick(Millis(1 + ALONE_MS), &view(1));
+    let mut dispatcher = dispatcher();
+    let (first, _) = arrive(&mut dispatcher, &view(1), 1);
+    dispatcher.link_down(Millis(1), &name("s"));
+    let alone = dispatcher.tick(Millis(1 + LOCAL_MS), &view(1));
     assert_eq!(alone, [Effect::Dispatch(first, ENDPOINT)]);
-    desk.done(Millis(400), first, 25, Verdict::Fine);
+    dispatcher.done(Millis(400), first, 25, Verdict::Fine);
     // Another one waits, so that the customer stays in the backlog.
-    arrive(&mut desk, &view(1), 1);
+    arrive(&mut dispatcher, &view(1), 1);
     let spent = |reports: &[Report]| {
         reports.iter().find_map(|r| match r {
             Report::Hello(hello) => hello
@@ -226,27 +230,27 @@
             _ => None,
         })
     };
-    desk.follow(Millis(500), &view(2));
-    let hello = reports(&desk.link_up(Millis(500), &name("s")));
+    dispatcher.follow(Millis(500), &view(2));
+    let hello = reports(&dispatcher.link_up(Millis(500), &name("s")));
     assert_eq!(spent(&hello).map(|k| (k.level, k.spent)), Some((0, 25_000)));
     // The hello is told again as long as nothing shows that it was heard.
-    desk.unseated(Millis(500), Epoch(2));
-    let again = reports(&desk.tick(Millis(600), &view(2)));
+    dispatcher.unassigned(Millis(500), Epoch(2));
+    let again = reports(&dispatcher.tick(Millis(600), &view(2)));
     assert_eq!(spent(&again).map(|k| (k.level, k.spent)), Some((0, 25_000)));
-    let (_, sent) = arrive(&mut desk, &view(2), 2);
-    desk.grant(Millis(700), grant(2, asked(&sent)));
-    desk.follow(Millis(800), &view(3));
-    let third = reports(&desk.tick(Millis(800), &view(3)));
+    let (_, sent) = arrive(&mut dispatcher, &view(2), 2);
+    dispatcher.grant(Millis(700), grant(2, asked(&sent)));
+    dispatcher.follow(Millis(800), &view(3));
+    let third = reports(&dispatcher.tick(Millis(800), &view(3)));
     assert_eq!(spent(&third).map(|k| (k.level, k.spent)), Some((25_000, 0)));
 }
 
 #[test]
 fn can_avoid_an_endpoint_that_failed() {
     let view = view(1);
-    let mut desk = desk();
-    let (ticket, sent) = arrive(&mut desk, &view, 1);
-    desk.grant(Millis(1), grant(1, asked(&sent)));
-    let again = reports(&desk.again(Millis(2), ticket, Verdict::Failed));
+    let mut dispatcher = dispatcher();
+    let (handle, sent) = arrive(&mut dispatcher, &view, 1);
+    dispatcher.grant(Millis(1), grant(1, asked(&sent)));
+    let again = reports(&dispatcher.again(Millis(2), handle, Verdict::Failed));
     let asks: Vec<_> = again
         .iter()
         .filter_map(|r| match r {
@@ -264,17 +268,19 @@
     endpoint.name = name("far");
     endpoint.region = name("other");
     view.config.endpoints.insert(EndpointId(3), endpoint);
-    let mut seat = view.seats[0].clone();
-    seat.shard.region = name("other");
-    seat.place.vm = name("t");
-    seat.epoch = Epoch(5);
-    view.seats.push(seat);
+    let mut assignment = view.assignments[0].clone();
+    assignment.shard.region = name("other");
+    assignment.place.vm = name("t");
+    assignment.epoch = Epoch(5);
+    view.assignments.push(assignment);
     view
 }
 
 fn asks(effects: &[Effect]) -> Vec<(String, coordination::ask::Ask)> {
     let each = effects.iter().filter_map(|e| match e {
-        Effect::Report(seat, Report::Ask(ask)) => Some((seat.place.vm.to_string(), *ask)),
+        Effect::Report(assignment, Report::Ask(ask)) => {
+            Some((assignment.place.vm.to_string(), *ask))
+        }
         _ => None,
     });
     each.collect()
@@ -284,47 +290,47 @@
 fn can_ask_another_region_after_a_while_and_use_one_grant_only() {
     // Symptom: endpoints of one region idle while another's callers wait; or a
     // request runs in both.
-    // Sequence: a request waits at home, is asked for abroad, and both grant.
+    // Sequence: a request waits at home, is asked for in another region too, and both grant.
     // Cause: regions that do not know of each other, or asks that do not.
     let view = two_regions();
-    let mut desk = desk();
-    desk.link_up(Millis(0), &name("t"));
-    let (ticket, sent) = arrive(&mut desk, &view, 1);
+    let mut dispatcher = dispatcher();
+    dispatcher.link_up(Millis(0), &name("t"));
+    let (handle, sent) = arrive(&mut dispatcher, &view, 1);
     let home = asked(&sent);
-    assert!(asks(&desk.tick(Millis(GUEST_MS - 1), &view)).is_empty());
-    let mut abroad = asks(&desk.tick(Millis(GUEST_MS), &view));
-    abroad.extend(asks(&desk.tick(Millis(GUEST_MS + 20), &view)));
-    assert_eq!(abroad.len(), 1);
-    let (vm, ask) = &abroad[0];
-    assert_eq!((vm.as_str(), ask.guest), ("t", true));
+    assert!(asks(&dispatcher.tick(Millis(REMOTE_MS - 1), &view)).is_empty());
+    let mut remote = asks(&dispatcher.tick(Millis(REMOTE_MS), &view));
+    remote.extend(asks(&dispatcher.tick(Millis(REMOTE_MS + 20), &view)));
+    assert_eq!(remote.len(), 1);
+    let (vm, ask) = &remote[0];
+    assert_eq!((vm.as_str(), ask.remote), ("t", true));
     let far = Grant {
         endpoint: EndpointId(3),
         ..grant(5, ask.seq)
     };
-    let effects = desk.grant(Millis(300), far);
-    assert!(effects.contains(&Effect::Dispatch(ticket, EndpointId(3))));
+    let effects = dispatcher.grant(Millis(300), far);
+    assert!(effects.contains(&Effect::Dispatch(handle, EndpointId(3))));
     assert_eq!(reports(&effects), [Report::Withdraw(home)]);
     // The grant at home was on its way: it is given back.
-    let late = reports(&desk.grant(Millis(301), grant(1, home)));
+    let late = reports(&dispatcher.grant(Millis(301), grant(1, home)));
     assert_eq!(late, [Report::Return(home)]);
-    assert_eq!((desk.held(), desk.waiting()), (1, 0));
-    let done = desk.done(Millis(400), ticket, 9, Verdict::Fine);
+    assert_eq!((dispatcher.held(), dispatcher.waiting()), (1, 0));
+    let done = dispatcher.done(Millis(400), handle, 9, Verdict::Fine);
     assert!(
-        matches!(&done[..], [Effect::Report(seat, Report::Done(seq, 9, Verdict::Fine))]
-        if seat.place.vm == name("t") && *seq == ask.seq)
+        matches!(&done[..], [Effect::Report(assignment, Report::Done(seq, 9, Verdict::Fine))]
+        if assignment.place.vm == name("t") && *seq == ask.seq)
     );
 }
 
 #[test]
-fn can_take_back_the_ask_abroad_when_home_grants() {
+fn can_take_back_the_remote_ask_when_home_grants() {
     let view = two_regions();
-    let mut desk = desk();
-    desk.link_up(Millis(0), &name("t"));
-    let (ticket, sent) = arrive(&mut desk, &view, 1);
-    let mut abroad = asks(&desk.tick(Millis(GUEST_MS), &view));
-    abroad.extend(asks(&desk.tick(Millis(GUEST_MS + 20), &view)));
-    let effects = desk.grant(Millis(300), grant(1, asked(&sent)));
-    assert!(effects.contains(&Effect::Dispatch(ticket, ENDPOINT)));
-    assert_eq!(reports(&effects), [Report::Withdraw(abroad[0].1.seq)]);
-    assert_eq!((desk.held(), desk.waiting()), (1, 0));
+    let mut dispatcher = dispatcher();
+    dispatcher.link_up(Millis(0), &name("t"));
+    let (handle, sent) = arrive(&mut dispatcher, &view, 1);
+    let mut remote = asks(&dispatcher.tick(Millis(REMOTE_MS), &view));
+    remote.extend(asks(&dispatcher.tick(Millis(REMOTE_MS + 20), &view)));
+    let effects = dispatcher.grant(Millis(300), grant(1, asked(&sent)));
+    assert!(effects.contains(&Effect::Dispatch(handle, ENDPOINT)));
+    assert_eq!(reports(&effects), [Report::Withdraw(remote[0].1.seq)]);
+    assert_eq!((dispatcher.held(), dispatcher.waiting()), (1, 0));
 }
--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -7,7 +7,7 @@
 mod naive;
 
 use coordination::ask::{Class, Grant, Report, Verdict};
-use coordination::desk::{Arrival, Bounds, Desk, Effect, Ticket};
+use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Handle};
 use coordination::prompt::Prompt;
 use coordination::scheduler::{Effect as Given, Scheduler, Session};
 use coordination::slot::Choice;
@@ -17,7 +17,7 @@
 use state::clock::Millis;
 use state::config::{Cost, Endpoint, Service};
 use state::id::{CustomerId, EndpointId, Epoch, Name, ServiceId};
-use state::view::{Change, Place, Seat, Shard, Step, View};
+use state::view::{Assignment, Change, Place, Shard, Step, View};
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
 
@@ -133,7 +133,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Work {
     job: Job,
-    ticket: Option<Ticket>,
+    handle: Option<Handle>,
     incarnation: u64,
     done: u32,
 }
@@ -144,9 +144,9 @@
 }
 
 struct Router {
-    desk: Desk,
+    dispatcher: Dispatcher,
     incarnation: u64,
-    jobs: BTreeMap<Ticket, Job>,
+    jobs: BTreeMap<Handle, Job>,
 }
 
 pub(crate) struct Fleet {
@@ -230,14 +230,14 @@
         if self.policy == Policy::Scheduler {
             let me = Name::try_from("s").unwrap();
             for n in 0..self.routers.len() {
-                let effects = self.routers[n].desk.link_up(Millis(0), &me);
+                let effects = self.routers[n].dispatcher.link_up(Millis(0), &me);
                 self.act(n, effects);
             }
         }
         while self.now < self.setup.run_ms {
             self.now += 1;
             if self.now == self.down_until {
-                self.reseat();
+                self.reassign();
             }
             self.arrive();
             self.carry_mail();
@@ -333,10 +333,10 @@
         };
         let now = self.now();
         let router = &mut self.routers[job.router];
-        let Ok((ticket, effects)) = router.desk.arrive(now, &self.view, arrival) else {
+        let Ok((handle, effects)) = router.dispatcher.arrive(now, &self.view, arrival) else {
             return false;
         };
-        router.jobs.insert(ticket, job);
+        router.jobs.insert(handle, job);
         *self.waiting.entry(customer).or_default() += 1;
         self.act(job.router, effects);
         true
@@ -358,16 +358,16 @@
     fn act(&mut self, router: usize, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Report(seat, report) => {
+                Effect::Report(assignment, report) => {
                     self.bytes += size(&report);
-                    self.post(Mail::ToScheduler(router, seat.epoch.0, report));
+                    self.post(Mail::ToScheduler(router, assignment.epoch.0, report));
                 }
-                Effect::Dispatch(ticket, endpoint) => {
+                Effect::Dispatch(handle, endpoint) => {
                     let from = &mut self.routers[router];
-                    let job = from.jobs[&ticket];
+                    let job = from.jobs[&handle];
                     let work = Work {
                         job,
-                        ticket: Some(ticket),
+                        handle: Some(handle),
                         incarnation: from.incarnation,
                         done: 0,
                     };
@@ -403,7 +403,7 @@
                 Mail::ToRouter(router, incarnation, grant) => {
                     if self.routers[router].incarnation == incarnation {
                         let now = self.now();
-                        let effects = self.routers[router].desk.grant(now, grant);
+                        let effects = self.routers[router].dispatcher.grant(now, grant);
                         self.act(router, effects);
                     }
                 }
@@ -451,7 +451,7 @@
         }
         if self.policy == Policy::Scheduler {
             for n in 0..self.routers.len() {
-                let effects = self.routers[n].desk.tick(now, &self.view);
+                let effects = self.routers[n].dispatcher.tick(now, &self.view);
                 self.act(n, effects);
             }
         }
@@ -462,7 +462,7 @@
         for (job, endpoint) in self.naive.place(&busy) {
             let work = Work {
                 job,
-                ticket: None,
+                handle: None,
                 incarnation: 0,
                 done: 0,
             };
@@ -502,7 +502,7 @@
 
     fn tell(&mut self, work: Work, ended: bool) {
         let router = work.job.router;
-        let Some(ticket) = work.ticket else {
+        let Some(handle) = work.handle else {
             if ended {
                 self.naive.ended(work.job);
             }
@@ -514,10 +514,10 @@
             return;
         }
         let effects = if ended {
-            to.jobs.remove(&ticket);
-            to.desk.done(now, ticket, work.done, Verdict::Fine)
+            to.jobs.remove(&handle);
+            to.dispatcher.done(now, handle, work.done, Verdict::Fine)
         } else {
-            to.desk.progress(now, ticket, work.done)
+            to.dispatcher.progress(now, handle, work.done)
         };
         self.act(router, effects);
     }
@@ -575,12 +575,12 @@
     }
 
     fn restart_router(&mut self, n: usize) {
-        let sent: Vec<Ticket> = (self.endpoints.iter().flatten())
+        let sent: Vec<Handle> = (self.endpoints.iter().flatten())
             .filter(|w| w.job.router == n)
-            .filter_map(|w| w.ticket)
+            .filter_map(|w| w.handle)
             .collect();
-        for (ticket, job) in &self.routers[n].jobs {
-            if !sent.contains(ticket) {
+        for (handle, job) in &self.routers[n].jobs {
+            if !sent.contains(handle) {
                 *self.waiting.entry(job.customer).or_default() -= 1;
             }
         }
@@ -595,17 +595,17 @@
         }
         let me = Name::try_from("s").unwrap();
         let now = self.now();
-        let effects = self.routers[n].desk.link_up(now, &me);
+        let effects = self.routers[n].dispatcher.link_up(now, &me);
         self.act(n, effects);
     }
 
     fn lose_scheduler(&mut self) {
         let epoch = Epoch(self.scheduler.epoch().0 + 1);
-        // A second passes until the next one is seated.
+        // A second passes until the next one is assigned.
         let me = Name::try_from("s").unwrap();
         let now = self.now();
         for router in &mut self.routers {
-            router.desk.link_down(now, &me);
+            router.dispatcher.link_down(now, &me);
         }
         self.down_until = self.now + 1000;
         let at = Millis(self.down_until);
@@ -614,19 +614,19 @@
         self.sessions.clear();
     }
 
-    /// Seats the next scheduler, and lets the routers know.
-    fn reseat(&mut self) {
+    /// Assigner the next scheduler, and lets the routers know.
+    fn reassign(&mut self) {
         let now = self.now();
         let me = Name::try_from("s").unwrap();
         let step = Step {
             version: state::id::Version(self.view.version.0 + 1),
-            change: Change::Seat(seat(self.scheduler.epoch())),
+            change: Change::Assignment(assignment(self.scheduler.epoch())),
         };
         self.view.take(&step);
         for n in 0..self.routers.len() {
-            let effects = self.routers[n].desk.follow(now, &self.view);
+            let effects = self.routers[n].dispatcher.follow(now, &self.view);
             self.act(n, effects);
-            let effects = self.routers[n].desk.link_up(now, &me);
+            let effects = self.routers[n].dispatcher.link_up(now, &me);
             self.act(n, effects);
         }
     }
@@ -642,8 +642,8 @@
     }
 }
 
-fn seat(epoch: Epoch) -> Seat {
-    Seat {
+fn assignment(epoch: Epoch) -> Assignment {
+    Assignment {
         shard: Shard {
             service: SERVICE,
             region: Name::try_from("main").unwrap(),
@@ -682,7 +682,7 @@
         };
         view.config.endpoints.insert(EndpointId(n), endpoint);
     }
-    view.seats.push(seat(Epoch(1)));
+    view.assignments.push(assignment(Epoch(1)));
     view
 }
 
@@ -700,13 +700,13 @@
         bytes: u64::MAX,
         memory_ms: None,
     };
-    let desk = Desk::new(
+    let dispatcher = Dispatcher::new(
         Name::try_from("main").unwrap(),
         (n as u64) << 32 | incarnation,
         bounds,
     );
     Router {
-        desk,
+        dispatcher,
         incarnation,
         jobs: BTreeMap::new(),
     }
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -4,7 +4,7 @@
 use crate::journal::Journal;
 use crate::metric::{value, Metrics};
 use coordination::agree::{Admission, Core, Index, Ready, Refusal, Role, Snapshot, Term};
-use coordination::seat::Seats;
+use coordination::assignment::Assigner;
 use errors::{Error, Result};
 use protocol::wire::{Hello, Leaving, Message, Query, Reply};
 use serde::{Deserialize, Serialize};
@@ -107,7 +107,7 @@
     core: Core,
     folder: Folder,
     store: Store,
-    seats: Seats,
+    assignments: Assigner,
     shards: BTreeSet<Shard>,
     /// Members as the reactor was last told.
     members: Vec<Place>,
@@ -115,8 +115,8 @@
     places: HashMap<Name, Place>,
     /// Who waits for the entry of a term at an index to be applied.
     waiters: BTreeMap<Index, (Term, Name, u64)>,
-    /// Entries whose seats are not applied yet.
-    seats_until: Index,
+    /// Entries whose assignments are not applied yet.
+    assigned_until: Index,
     was_leader: bool,
     fresh: bool,
     fresh_at: Millis,
@@ -148,12 +148,12 @@
             core,
             folder,
             store,
-            seats: Seats::default(),
+            assignments: Assigner::default(),
             shards: BTreeSet::new(),
             members: Vec::new(),
             places: HashMap::new(),
             waiters: BTreeMap::new(),
-            seats_until: Index(0),
+            assigned_until: Index(0),
             was_leader: false,
             fresh: false,
             fresh_at: Millis(0),
@@ -202,7 +202,7 @@
             }
             Input::Down(vm) => {
                 self.places.remove(&vm);
-                self.seats.lost(&vm);
+                self.assignments.lost(&vm);
             }
             Input::Message(vm, message) => self.message(now, &vm, message),
             // Whoever asked may have gone.
@@ -233,7 +233,7 @@
             Message::Beat {
                 region,
                 incarnation,
-            } => self.seats.heard(now, place, region, incarnation),
+            } => self.assignments.heard(now, place, region, incarnation),
             Message::Query(id, query) => self.query(now, vm, id, query),
             _ => {}
         }
@@ -325,7 +325,7 @@
         }
     }
 
-    /// What only a leader does: seats schedulers.
+    /// What only a leader does: assigns schedulers.
     fn lead(&mut self, now: Millis) {
         let leads = self.core.role() == Role::Leader;
         if leads != self.was_leader {
@@ -333,18 +333,18 @@
             self.to_reactor(ReactorInput::Leads(leads));
             self.note_role(leads);
             if leads {
-                self.seats.begin(now);
+                self.assignments.begin(now);
             } else {
                 self.give_up_waiters();
             }
         }
-        if !leads || !self.core.may_serve(now) || self.core.commit() < self.seats_until {
+        if !leads || !self.core.may_serve(now) || self.core.commit() < self.assigned_until {
             return;
         }
-        for seat in self.seats.plan(now, &self.store.view, &self.shards) {
-            tracing::info!(vm = %seat.place.vm, epoch = %seat.epoch, "a scheduler is seated");
-            if let Ok(index) = self.core.propose(now, Record::Seat(seat)) {
-                self.seats_until = index;
+        for assignment in self.assignments.plan(now, &self.store.view, &self.shards) {
+            tracing::info!(vm = %assignment.place.vm, epoch = %assignment.epoch, "a scheduler is assigned");
+            if let Ok(index) = self.core.propose(now, Record::Assignment(assignment)) {
+                self.assigned_until = index;
             }
         }
     }
--- a/components/node/src/feed.rs
+++ b/components/node/src/dissemination.rs
@@ -1,6 +1,6 @@
 //! The feed: how this process learns the view, and whom it feeds in turn.
 
-use coordination::spread::{Confirm, Tree, Welcome};
+use coordination::tree::{Confirm, Tree, Welcome};
 use protocol::wire::Message;
 use smallvec::SmallVec;
 use state::clock::Millis;
@@ -35,7 +35,7 @@
 }
 
 /// The feed of one process.
-pub(crate) struct Feed {
+pub(crate) struct Dissemination {
     me: Name,
     seeds: Vec<Place>,
     next_seed: usize,
@@ -53,7 +53,7 @@
     version: Version,
 }
 
-impl Feed {
+impl Dissemination {
     /// A feed that has nothing yet. `root` is for control VMs.
     pub(crate) fn new(
         me: Name,
@@ -73,7 +73,7 @@
                 since: Millis(0),
             }
         };
-        Feed {
+        Dissemination {
             me,
             seeds,
             next_seed: first,
--- a/components/node/src/front/plan.rs
+++ b/components/node/src/front/plan.rs
@@ -8,7 +8,7 @@
 use crate::shared::Published;
 use bytes::Bytes;
 use coordination::ask::Class;
-use coordination::desk::Arrival;
+use coordination::dispatcher::Arrival;
 use coordination::prompt::Prompt;
 use coordination::rule;
 use hyper::{HeaderMap, StatusCode, Uri};
--- a/components/node/src/front/relay.rs
+++ b/components/node/src/front/relay.rs
@@ -7,7 +7,7 @@
 use crate::journal::Journal;
 use bytes::Bytes;
 use coordination::ask::Verdict;
-use coordination::desk::Ticket;
+use coordination::dispatcher::Handle;
 use coordination::prompt::Prompt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::StatusCode;
@@ -26,7 +26,7 @@
 
 /// A dispatched request; when dropped, its slot is given back.
 pub(crate) struct Slot {
-    pub(crate) ticket: Ticket,
+    pub(crate) handle: Handle,
     pub(crate) id: RequestId,
     pub(crate) cost: Meter,
     pub(crate) verdict: Verdict,
@@ -52,7 +52,7 @@
             Verdict::Fine | Verdict::Failed => Step::Ended,
         };
         self.journal.note(Event::new(step).request(self.id));
-        let done = Input::Done(self.ticket, self.cost.units(), self.verdict);
+        let done = Input::Done(self.handle, self.cost.units(), self.verdict);
         // The reactor ends only together with this process.
         let _ = self.reactor.send(done);
     }
@@ -176,15 +176,15 @@
 impl Relay {
     fn count(&mut self, bytes: &Bytes) {
         if !std::mem::replace(&mut self.has_begun, true) {
-            let began = Input::Began(self.slot.ticket);
+            let began = Input::Began(self.slot.handle);
             let _ = self.slot.reactor.send(began);
         }
         self.slot.cost.take(bytes);
         let units = self.slot.cost.units();
-        // The desk reports each doubling; it need not hear of every event.
+        // The dispatcher reports each doubling; it need not hear of every event.
         if units >= self.told.saturating_mul(2).max(16) {
             self.told = units;
-            let progress = Input::Progress(self.slot.ticket, units);
+            let progress = Input::Progress(self.slot.handle, units);
             let _ = self.slot.reactor.send(progress);
         }
         if let Some(kept) = &mut self.kept {
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -13,7 +13,7 @@
 use crate::shared::Published;
 use bytes::Bytes;
 use coordination::ask::Verdict;
-use coordination::desk::{Full as QueueFull, Ticket};
+use coordination::dispatcher::{Full as QueueFull, Handle};
 use coordination::retry::{self, Next, Reach, Try};
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
@@ -118,17 +118,17 @@
 
 /// A queued request; when dropped, it leaves the queue.
 struct Waiting {
-    ticket: Option<Ticket>,
+    handle: Option<Handle>,
     id: RequestId,
     front: Arc<Front>,
 }
 
 impl Drop for Waiting {
     fn drop(&mut self) {
-        if let Some(ticket) = self.ticket {
+        if let Some(handle) = self.handle {
             let event = Event::new(Step::CallerGone).request(self.id);
             self.front.parts.journal.note(event);
-            let _ = self.front.parts.reactor.send(Input::Leave(ticket));
+            let _ = self.front.parts.reactor.send(Input::Leave(handle));
         }
     }
 }
@@ -143,11 +143,11 @@
     began: Instant,
 ) -> Result<Served, Refusal> {
     front.earn_retries(plan.service);
-    let (ticket, mut decided) = arrive(front, plan).await?;
+    let (handle, mut decided) = arrive(front, plan).await?;
     let mut retries = 0;
     loop {
         let waiting = Waiting {
-            ticket: Some(ticket),
+            handle: Some(handle),
             id: call.id,
             front: front.clone(),
         };
@@ -155,7 +155,7 @@
         note.dispatch(&dispatch);
         note_dispatch(front, &call, plan, &dispatch, retries, began);
         let mut slot = Slot {
-            ticket,
+            handle,
             id: call.id,
             cost: Meter::new(plan.cost, plan.arrival.prompt, plan.engine),
             verdict: Verdict::Gone,
@@ -261,7 +261,7 @@
     }
 }
 
-async fn arrive(front: &Front, plan: &Plan) -> Result<(Ticket, Decided), Refusal> {
+async fn arrive(front: &Front, plan: &Plan) -> Result<(Handle, Decided), Refusal> {
     let (sender, receiver) = oneshot::channel();
     let arrive = Input::Arrive(plan.arrival, sender);
     if front.parts.reactor.send(arrive).is_err() {
@@ -297,7 +297,7 @@
         .journal
         .note(Event::new(Step::Queued).request(call.id));
     let decision = decided.await;
-    waiting.ticket = None;
+    waiting.handle = None;
     match decision {
         Ok(Decision::Dispatch(dispatch)) => {
             let event = Event::new(Step::Granted).request(call.id);
@@ -329,8 +329,8 @@
 /// Queues a request again.
 async fn again(front: &Front, slot: Slot) -> Result<Decided, Refusal> {
     let (sender, receiver) = oneshot::channel();
-    let again = Input::Again(slot.ticket, slot.verdict, sender);
-    // The ticket lives on: its slot is given back by `again`, not once more.
+    let again = Input::Again(slot.handle, slot.verdict, sender);
+    // The handle lives on: its slot is given back by `again`, not once more.
     slot.disarm();
     let _ = front.parts.reactor.send(again);
     receiver.await.map_err(|_| no_endpoint())
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -2,7 +2,7 @@
 
 use crate::shared::Status;
 use coordination::ask::Verdict;
-use coordination::desk::{Arrival, Full, Ticket};
+use coordination::dispatcher::{Arrival, Full, Handle};
 use protocol::wire::{Query, Reply};
 use state::id::{EndpointId, Name};
 use state::listing::Listed;
@@ -53,17 +53,17 @@
     /// Something happened on the links.
     Link(link::Event),
     /// A request arrives.
-    Arrive(Arrival, oneshot::Sender<Result<(Ticket, Decided), Full>>),
+    Arrive(Arrival, oneshot::Sender<Result<(Handle, Decided), Full>>),
     /// A waiting request's caller has gone.
-    Leave(Ticket),
+    Leave(Handle),
     /// A request failed and is to be queued again.
-    Again(Ticket, Verdict, oneshot::Sender<Decided>),
+    Again(Handle, Verdict, oneshot::Sender<Decided>),
     /// The first byte of an answer has come.
-    Began(Ticket),
+    Began(Handle),
     /// A request has cost this much so far.
-    Progress(Ticket, u32),
+    Progress(Handle, u32),
     /// A request has ended.
-    Done(Ticket, u32, Verdict),
+    Done(Handle, u32, Verdict),
     /// Something for the control VMs.
     Query(Query, oneshot::Sender<Reply>),
     /// An endpoint reported its load.
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -6,7 +6,7 @@
 
 mod batch;
 mod control;
-mod feed;
+mod dissemination;
 mod fetch;
 mod front;
 mod http;
@@ -22,8 +22,8 @@
 mod query;
 mod reactor;
 mod readiness;
-mod reign;
 mod releases;
+mod schedulers;
 mod shared;
 
 pub use coordination::rule::shadowed;
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -29,7 +29,7 @@
     /// Whether this process is ready.
     pub(crate) ready: IntGauge,
     /// Shards that this router schedules alone.
-    pub(crate) alone: IntGauge,
+    pub(crate) local: IntGauge,
     /// Grants given by this VM's schedulers.
     pub(crate) grants: IntCounter,
     /// Grants that routers gave back.
@@ -106,8 +106,8 @@
             connections: gauge("cowslipford_connections", "Callers' connections.")?,
             version: gauge("cowslipford_version", "Version in force.")?,
             ready: gauge("cowslipford_ready", "Whether this process is ready.")?,
-            alone: gauge(
-                "cowslipford_alone_shards",
+            local: gauge(
+                "cowslipford_local_shards",
                 "Shards that this router schedules alone.",
             )?,
             grants: counter(
--- a/components/node/src/platform.rs
+++ b/components/node/src/platform.rs
@@ -3,7 +3,7 @@
 use crate::fetch::fetch;
 use crate::input::Input;
 use crate::shared::{raised, Published};
-use coordination::platform::{Line, Watch, Word};
+use coordination::platform::{Change, Entry, Watch};
 use errors::{Error, Result};
 use protocol::wire::{Leaving, Query};
 use settings::Platform;
@@ -45,13 +45,13 @@
             continue;
         };
         let view = published.borrow().view.clone();
-        for word in watch.compare(&view, &list) {
-            announce(&reactor, &view, word).await;
+        for change in watch.compare(&view, &list) {
+            announce(&reactor, &view, change).await;
         }
     }
 }
 
-async fn read(platform: &Platform) -> Result<Vec<Line>> {
+async fn read(platform: &Platform) -> Result<Vec<Entry>> {
     let step = "read the platform's list";
     let peer = platform.address;
     let fetched = tokio::time::timeout(LONGEST, fetch(peer, &platform.path, LIST_MAX));
@@ -59,10 +59,10 @@
     serde_json::from_slice(&page).map_err(Error::peer(step, peer))
 }
 
-async fn announce(reactor: &flume::Sender<Input>, view: &View, word: Word) {
-    let (id, leaves) = match word {
-        Word::Leaves(id) => (id, true),
-        Word::Back(id) => (id, false),
+async fn announce(reactor: &flume::Sender<Input>, view: &View, change: Change) {
+    let (id, leaves) = match change {
+        Change::Leaves(id) => (id, true),
+        Change::Back(id) => (id, false),
     };
     let Some(endpoint) = view.config.endpoints.get(&id) else {
         return;
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -11,7 +11,7 @@
 use crate::shared::{raised, Published, Shared, Status};
 use crate::{http, listing, platform, poll, readiness, releases};
 use coordination::agree::Admission;
-use coordination::desk::Bounds;
+use coordination::dispatcher::Bounds;
 use coordination::retry;
 use errors::{Error, Result};
 use protocol::wire::Hello;
@@ -170,8 +170,8 @@
                 return;
             };
             let busy = status.held > 0 || status.waiting.values().any(|n| *n > 0);
-            let seated = !status.reigns.is_empty() && !status.peers.is_empty();
-            let handing_over = seated && began.elapsed() < HAND_OVER;
+            let assigned = !status.schedulers.is_empty() && !status.peers.is_empty();
+            let handing_over = assigned && began.elapsed() < HAND_OVER;
             if !(busy || handing_over) {
                 return;
             }
--- a/components/node/src/reactor.rs
+++ b/components/node/src/reactor.rs
@@ -1,21 +1,21 @@
 //! The reactor: one task that owns the router's and schedulers' decisions.
 
 use crate::batch::Batch;
-use crate::feed::Feed;
+use crate::dissemination::Dissemination;
 use crate::input::{Decision, Dispatch, Input, Watched};
 use crate::journal::Journal;
 use crate::metric::{value, Metrics};
 use crate::query::Queries;
-use crate::reign::Reigns;
+use crate::schedulers::Schedulers;
 use crate::shared::{Published, Shared, Status};
-use coordination::desk::{endpoints, Bounds, Desk, Effect, Effects, Ticket};
+use coordination::dispatcher::{endpoints, Bounds, Dispatcher, Effect, Effects, Handle};
 use coordination::listing::Roster;
 use protocol::wire::{Message, Query, Reply};
 use state::clock::Millis;
 use state::config::Index;
 use state::event::{Event, Step};
 use state::id::{EndpointId, Name, Version};
-use state::view::{Place, Seat, View};
+use state::view::{Assignment, Place, View};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,7 +49,7 @@
     pub(crate) listing_ms: u64,
     /// Region of this VM.
     pub(crate) region: Name,
-    /// Bounds of the desk.
+    /// Bounds of the dispatcher.
     pub(crate) bounds: Bounds,
     /// Children to feed.
     pub(crate) fanout: usize,
@@ -77,18 +77,18 @@
     members: Vec<Place>,
     leads: bool,
     proving: Option<(Millis, oneshot::Receiver<Reply>)>,
-    desk: Desk,
-    reigns: Reigns,
-    feed: Feed,
+    dispatcher: Dispatcher,
+    schedulers: Schedulers,
+    dissemination: Dissemination,
     queries: Queries,
     batch: Batch,
-    decisions: HashMap<Ticket, oneshot::Sender<Decision>>,
+    decisions: HashMap<Handle, oneshot::Sender<Decision>>,
     head: Option<oneshot::Receiver<Reply>>,
     needed: Option<Version>,
     ready: bool,
     stopping: bool,
     closed: bool,
-    seats_dialed: BTreeSet<Name>,
+    schedulers_dialed: BTreeSet<Name>,
     regions_dialed: BTreeSet<Name>,
     beat_at: Millis,
     measure_at: Millis,
@@ -104,17 +104,17 @@
         let spread = hello.incarnation as usize;
         let seeds = parts.seeds.clone();
         let now = parts.clock.now();
-        let mut desk = Desk::new(parts.region.clone(), hello.incarnation, parts.bounds);
-        desk.link_up(now, &me);
+        let mut dispatcher = Dispatcher::new(parts.region.clone(), hello.incarnation, parts.bounds);
+        dispatcher.link_up(now, &me);
         Reactor {
-            desk,
-            reigns: Reigns::new(
+            dispatcher,
+            schedulers: Schedulers::new(
                 me.clone(),
                 parts.bounds.memory_ms,
                 parts.journal.clone(),
                 parts.metrics.clone(),
             ),
-            feed: Feed::new(
+            dissemination: Dissemination::new(
                 me.clone(),
                 seeds.clone(),
                 spread,
@@ -136,7 +136,7 @@
             ready: false,
             stopping: false,
             closed: false,
-            seats_dialed: BTreeSet::new(),
+            schedulers_dialed: BTreeSet::new(),
             regions_dialed: BTreeSet::new(),
             beat_at: now,
             measure_at: now,
@@ -183,50 +183,50 @@
         match input {
             Input::Link(event) => self.link(now, event),
             Input::Arrive(arrival, reply) => {
-                let answer = match self.desk.arrive(now, &self.live, arrival) {
-                    Ok((ticket, effects)) => {
+                let answer = match self.dispatcher.arrive(now, &self.live, arrival) {
+                    Ok((handle, effects)) => {
                         let (sender, decided) = oneshot::channel();
-                        self.decisions.insert(ticket, sender);
+                        self.decisions.insert(handle, sender);
                         self.act(now, effects);
-                        Ok((ticket, decided))
+                        Ok((handle, decided))
                     }
                     Err(full) => Err(full),
                 };
-                // A caller that has gone drops the receiver, and its guard the ticket.
-                if let Err(Ok((ticket, _))) = reply.send(answer) {
-                    self.leave(now, ticket);
+                // A caller that has gone drops the receiver, and its guard the handle.
+                if let Err(Ok((handle, _))) = reply.send(answer) {
+                    self.leave(now, handle);
                 }
             }
-            Input::Leave(ticket) => self.leave(now, ticket),
-            Input::Again(ticket, verdict, reply) => {
+            Input::Leave(handle) => self.leave(now, handle),
+            Input::Again(handle, verdict, reply) => {
                 self.parts.metrics.retries.inc();
                 let (sender, decided) = oneshot::channel();
-                self.decisions.insert(ticket, sender);
-                let effects = self.desk.again(now, ticket, verdict);
+                self.decisions.insert(handle, sender);
+                let effects = self.dispatcher.again(now, handle, verdict);
                 self.act(now, effects);
                 if reply.send(decided).is_err() {
-                    self.leave(now, ticket);
+                    self.leave(now, handle);
                 }
             }
-            Input::Began(ticket) => {
-                let effects = self.desk.began(now, ticket);
+            Input::Began(handle) => {
+                let effects = self.dispatcher.began(now, handle);
                 self.act(now, effects);
             }
-            Input::Progress(ticket, cost) => {
-                let effects = self.desk.progress(now, ticket, cost);
+            Input::Progress(handle, cost) => {
+                let effects = self.dispatcher.progress(now, handle, cost);
                 self.act(now, effects);
             }
-            Input::Done(ticket, cost, verdict) => {
-                self.decisions.remove(&ticket);
-                let effects = self.desk.done(now, ticket, cost, verdict);
+            Input::Done(handle, cost, verdict) => {
+                self.decisions.remove(&handle);
+                let effects = self.dispatcher.done(now, handle, cost, verdict);
                 self.act(now, effects);
             }
             Input::Query(query, answer) => self.queries.ask(now, &self.parts.hub, query, answer),
-            Input::Load(endpoint, load) => self.reigns.load(now, endpoint, load),
+            Input::Load(endpoint, load) => self.schedulers.load(now, endpoint, load),
             Input::Applied(steps) => self.steps(now, None, &steps),
             Input::Restored(view) => self.whole(now, *view),
             Input::Fresh(fresh) => {
-                self.feed.fresh(now, &self.parts.hub, fresh);
+                self.dissemination.fresh(now, &self.parts.hub, fresh);
                 self.dirty = true;
             }
             Input::Leads(leads) => self.leads = leads,
@@ -263,9 +263,9 @@
         }
     }
 
-    fn leave(&mut self, now: Millis, ticket: Ticket) {
-        self.decisions.remove(&ticket);
-        let effects = self.desk.leave(now, ticket);
+    fn leave(&mut self, now: Millis, handle: Handle) {
+        self.decisions.remove(&handle);
+        let effects = self.dispatcher.leave(now, handle);
         self.act(now, effects);
     }
 
@@ -274,18 +274,19 @@
             link::Event::Up(hello) => {
                 let vm = &hello.place.vm;
                 self.parts.journal.note(Event::new(Step::LinkUp).peer(vm));
-                self.feed.link_up(&self.parts.hub, vm, self.view.version);
+                self.dissemination
+                    .link_up(&self.parts.hub, vm, self.view.version);
                 self.to_control(crate::control::Input::Up(hello.clone()));
-                let effects = self.desk.link_up(now, vm);
+                let effects = self.dispatcher.link_up(now, vm);
                 self.act(now, effects);
             }
             link::Event::Down(vm) => {
                 self.parts
                     .journal
                     .note(Event::new(Step::LinkDown).peer(&vm));
-                self.feed.link_down(now, &vm);
-                self.reigns.link_down(now, &vm);
-                self.desk.link_down(now, &vm);
+                self.dissemination.link_down(now, &vm);
+                self.schedulers.link_down(now, &vm);
+                self.dispatcher.link_down(now, &vm);
                 self.to_control(crate::control::Input::Down(vm));
             }
             link::Event::Message(vm, message) => self.message(now, vm, message),
@@ -303,50 +304,52 @@
                 let hub = &self.parts.hub;
                 let peer = hub.peers().into_iter().find(|p| p.place.vm == vm);
                 if let Some(peer) = peer {
-                    self.feed.subscribe(hub, peer.place, &self.view, version);
+                    self.dissemination
+                        .subscribe(hub, peer.place, &self.view, version);
                 }
                 self.send_listing(&vm);
             }
             Message::Elsewhere(place) => {
-                self.feed.elsewhere(now, &self.parts.hub, &vm, place);
+                self.dissemination
+                    .elsewhere(now, &self.parts.hub, &vm, place);
             }
             Message::Pulse(head) => {
-                self.feed.fed(now, &vm);
-                self.feed
+                self.dissemination.fed(now, &vm);
+                self.dissemination
                     .pulsed(now, &self.parts.hub, &vm, &self.view, head);
                 self.dirty = true;
             }
             Message::Steps(steps) => {
-                self.feed.fed(now, &vm);
+                self.dissemination.fed(now, &vm);
                 self.steps(now, Some(&vm), &steps);
             }
             Message::Whole(view) => {
-                self.feed.fed(now, &vm);
+                self.dissemination.fed(now, &vm);
                 self.whole(now, *view);
             }
-            Message::Confirm(confirm) => self.feed.confirm(&vm, confirm),
+            Message::Confirm(confirm) => self.dissemination.confirm(&vm, confirm),
             Message::Reports(epoch, reports) => {
                 let known = self
-                    .reigns
+                    .schedulers
                     .reports(now, &vm, epoch, reports, &mut self.batch);
                 if !known {
-                    self.parts.hub.send(&vm, Message::Unseated(epoch));
+                    self.parts.hub.send(&vm, Message::Unassigned(epoch));
                 }
             }
             Message::Grants(grants) => {
                 for grant in grants {
-                    let effects = self.desk.grant(now, grant);
+                    let effects = self.dispatcher.grant(now, grant);
                     self.act(now, effects);
                 }
             }
             Message::Refusals(refusals) => {
                 for refusal in refusals {
-                    let effects = self.desk.refuse(now, refusal);
+                    let effects = self.dispatcher.refuse(now, refusal);
                     self.act(now, effects);
                 }
             }
-            Message::Served(served) => self.reigns.hear_served(&self.live, &served),
-            Message::Unseated(epoch) => self.desk.unseated(now, epoch),
+            Message::Served(served) => self.schedulers.hear_served(&self.live, &served),
+            Message::Unassigned(epoch) => self.dispatcher.unassigned(now, epoch),
             Message::Listing(listing) => {
                 let changed = self.roster.take(now, *listing);
                 self.listed(now, changed, Some(&vm));
@@ -362,7 +365,7 @@
             Message::Check(sent) => self.check(now, &vm, sent),
             Message::Checked { sent, age_ms, head } => {
                 let at = Millis(sent.saturating_sub(age_ms));
-                self.feed.checked(&vm, at, head, self.view.version);
+                self.dissemination.checked(&vm, at, head, self.view.version);
                 self.dirty = true;
             }
         }
@@ -377,7 +380,7 @@
 
     fn steps(&mut self, now: Millis, from: Option<&Name>, steps: &[state::view::Step]) {
         if self
-            .feed
+            .dissemination
             .steps(&mut self.view, &self.parts.hub, from, steps)
         {
             self.in_force(now);
@@ -385,7 +388,10 @@
     }
 
     fn whole(&mut self, now: Millis, view: View) {
-        if self.feed.whole(&mut self.view, &self.parts.hub, view) {
+        if self
+            .dissemination
+            .whole(&mut self.view, &self.parts.hub, view)
+        {
             self.in_force(now);
         }
     }
@@ -404,7 +410,7 @@
             rules = self.view.config.rules.len(),
             customers = self.view.config.customers.len(),
         );
-        self.feed.reached(version);
+        self.dissemination.reached(version);
         self.follow_live(now);
         self.follow_control();
         let told = self.view.stopping.get(&self.me);
@@ -416,10 +422,10 @@
     /// Follows a change of the view or of the platform's endpoints.
     fn follow_live(&mut self, now: Millis) {
         self.live = Arc::new(self.view.with_listing(self.roster.listing()));
-        self.reigns.follow(now, &self.live, &mut self.batch);
-        let effects = self.desk.follow(now, &self.live);
+        self.schedulers.follow(now, &self.live, &mut self.batch);
+        let effects = self.dispatcher.follow(now, &self.live);
         self.act(now, effects);
-        let shards = coordination::seat::shards(&self.live);
+        let shards = coordination::assignment::shards(&self.live);
         self.to_control(crate::control::Input::Shards(shards));
         self.dirty = true;
     }
@@ -436,19 +442,20 @@
     fn act(&mut self, now: Millis, effects: Effects) {
         for effect in effects {
             match effect {
-                Effect::Report(seat, report) => {
-                    self.reach(&seat);
-                    self.batch.report(&seat.place.vm, seat.epoch, report);
+                Effect::Report(assignment, report) => {
+                    self.reach(&assignment);
+                    self.batch
+                        .report(&assignment.place.vm, assignment.epoch, report);
                 }
-                Effect::Dispatch(ticket, endpoint) => self.dispatch(now, ticket, endpoint),
-                Effect::Refuse(ticket, after_ms) => {
-                    if let Some(sender) = self.decisions.remove(&ticket) {
+                Effect::Dispatch(handle, endpoint) => self.dispatch(now, handle, endpoint),
+                Effect::Refuse(handle, after_ms) => {
+                    if let Some(sender) = self.decisions.remove(&handle) {
                         // The caller may have gone at the same moment.
                         let _ = sender.send(Decision::Refused(after_ms));
                     }
                 }
-                Effect::Expire(ticket) => {
-                    if let Some(sender) = self.decisions.remove(&ticket) {
+                Effect::Expire(handle) => {
+                    if let Some(sender) = self.decisions.remove(&handle) {
                         // The caller may have gone at the same moment.
                         let _ = sender.send(Decision::Expired);
                     }
@@ -457,12 +464,12 @@
         }
     }
 
-    fn dispatch(&mut self, now: Millis, ticket: Ticket, endpoint: EndpointId) {
+    fn dispatch(&mut self, now: Millis, handle: Handle, endpoint: EndpointId) {
         let found = self.live.config.endpoints.get(&endpoint);
-        let sender = self.decisions.remove(&ticket);
+        let sender = self.decisions.remove(&handle);
         let (Some(found), Some(sender)) = (found, sender) else {
             let gone = coordination::ask::Verdict::Gone;
-            let effects = self.desk.done(now, ticket, 0, gone);
+            let effects = self.dispatcher.done(now, handle, 0, gone);
             self.act(now, effects);
             return;
         };
@@ -474,25 +481,26 @@
         if sender.send(Decision::Dispatch(dispatch)).is_err() {
             // The caller left while the grant was on its way: no byte was sent.
             let gone = coordination::ask::Verdict::Gone;
-            let effects = self.desk.done(now, ticket, 0, gone);
+            let effects = self.dispatcher.done(now, handle, 0, gone);
             self.act(now, effects);
         }
     }
 
-    fn reach(&mut self, seat: &Seat) {
-        if self.seats_dialed.insert(seat.place.vm.clone()) {
-            self.parts.hub.dial(&seat.place);
+    fn reach(&mut self, assignment: &Assignment) {
+        if self.schedulers_dialed.insert(assignment.place.vm.clone()) {
+            self.parts.hub.dial(&assignment.place);
         }
     }
 
     fn tick(&mut self) {
         let now = self.now();
         let live = self.live.clone();
-        let effects = self.desk.tick(now, &live);
+        let effects = self.dispatcher.tick(now, &live);
         self.act(now, effects);
-        self.reigns.tick(now, &mut self.batch);
+        self.schedulers.tick(now, &mut self.batch);
         self.queries.tick(now, &self.parts.hub);
-        self.feed.tick(now, &self.parts.hub, self.view.version);
+        self.dissemination
+            .tick(now, &self.parts.hub, self.view.version);
         self.reach_schedulers();
         self.prove(now);
         self.beat(now);
@@ -505,15 +513,15 @@
         }
     }
 
-    /// Dials the schedulers that the desk has sessions with.
+    /// Dials the schedulers that the dispatcher has sessions with.
     fn reach_schedulers(&mut self) {
-        let wanted: BTreeMap<Name, Seat> = (self.desk.shards())
-            .filter_map(|(shard, _)| self.live.seat(shard))
-            .map(|seat| (seat.place.vm.clone(), seat.clone()))
+        let wanted: BTreeMap<Name, Assignment> = (self.dispatcher.shards())
+            .filter_map(|(shard, _)| self.live.assignment(shard))
+            .map(|assignment| (assignment.place.vm.clone(), assignment.clone()))
             .collect();
-        self.seats_dialed.retain(|vm| wanted.contains_key(vm));
-        for seat in wanted.values() {
-            self.reach(seat);
+        self.schedulers_dialed.retain(|vm| wanted.contains_key(vm));
+        for assignment in wanted.values() {
+            self.reach(assignment);
         }
     }
 
@@ -527,15 +535,15 @@
         for vm in hub.dialed() {
             let seed = member && self.control_places().iter().any(|s| s.vm == vm);
             let needed = seed
-                || self.feed.needs(&vm)
+                || self.dissemination.needs(&vm)
                 || self.queries.needs(&vm)
-                || self.seats_dialed.contains(&vm)
+                || self.schedulers_dialed.contains(&vm)
                 || self.regions_dialed.contains(&vm);
             if needed {
                 continue;
             }
             // The peer may use the link that we opened.
-            if self.feed.feeds(&vm) || self.reigns.serves(&vm) {
+            if self.dissemination.feeds(&vm) || self.schedulers.serves(&vm) {
                 hub.undial(&vm);
             } else {
                 hub.close(&vm);
@@ -581,7 +589,7 @@
     /// Follows a change among the control VMs.
     fn follow_control(&mut self) {
         let places = self.control_places();
-        self.feed.set_seeds(places.clone());
+        self.dissemination.set_seeds(places.clone());
         self.queries.set_seeds(places);
         if self.parts.control || self.parts.scheduler {
             self.dial_control();
@@ -615,7 +623,7 @@
             );
             self.follow_live(now);
         }
-        let mut to: Vec<Name> = self.feed.children().cloned().collect();
+        let mut to: Vec<Name> = self.dissemination.children().cloned().collect();
         if from.is_none() && self.parts.control {
             to.extend(self.members.iter().map(|p| p.vm.clone()));
         }
@@ -641,7 +649,7 @@
 
     /// Answers a child's question how new the view is.
     fn check(&self, now: Millis, vm: &Name, sent: u64) {
-        let Some(proof) = self.feed.proof() else {
+        let Some(proof) = self.dissemination.proof() else {
             return;
         };
         let checked = Message::Checked {
@@ -654,14 +662,14 @@
 
     /// A root asks the leader for the proof that its view is the newest.
     fn prove(&mut self, now: Millis) {
-        if !self.feed.is_root() {
+        if !self.dissemination.is_root() {
             return;
         }
         if let Some((at, answer)) = &mut self.proving {
             match answer.try_recv() {
                 Ok(Reply::Head(head)) => {
                     let at = *at;
-                    self.feed.prove(at, head, self.view.version);
+                    self.dissemination.prove(at, head, self.view.version);
                     self.proving = None;
                     self.dirty = true;
                 }
@@ -669,7 +677,7 @@
                 Err(oneshot::error::TryRecvError::Empty) => {}
             }
         }
-        if self.feed.wants_proof(now) && self.proving.is_none() {
+        if self.dissemination.wants_proof(now) && self.proving.is_none() {
             let (sender, receiver) = oneshot::channel();
             self.proving = Some((now, receiver));
             self.queries.ask(now, &self.parts.hub, Query::Head, sender);
@@ -711,7 +719,7 @@
     /// Tells other regions' schedulers what those here have given.
     fn tell_served(&mut self) {
         let mut wanted = BTreeSet::new();
-        for (to, served) in self.reigns.served(&self.live) {
+        for (to, served) in self.schedulers.served(&self.live) {
             self.parts.hub.dial(&to.place);
             self.parts.hub.send(&to.place.vm, Message::Served(served));
             wanted.insert(to.place.vm);
@@ -726,21 +734,22 @@
             ready: self.ready,
             stopping: self.stopping,
             closed: self.closed,
-            proof: self.feed.proof(),
-            routers: self.desk.routers(),
+            proof: self.dissemination.proof(),
+            routers: self.dispatcher.routers(),
         };
         self.parts.publish.send_replace(Arc::new(shared));
     }
 
     fn measure(&self) {
         let m = &self.parts.metrics;
-        m.waiting.set(value(self.desk.waiting()));
-        m.held.set(value(self.desk.held()));
+        m.waiting.set(value(self.dispatcher.waiting()));
+        m.held.set(value(self.dispatcher.held()));
         m.version.set(value(self.view.version.0));
         m.ready.set(i64::from(self.ready && !self.stopping));
-        m.alone
-            .set(value(self.desk.shards().filter(|(_, up)| !up).count()));
-        self.reigns.measure(&self.live);
+        m.local.set(value(
+            self.dispatcher.shards().filter(|(_, up)| !up).count(),
+        ));
+        self.schedulers.measure(&self.live);
         let (datagrams, udp) = self.parts.hub.udp();
         let set = |what, number| m.link.with_label_values(&[what]).set(value(number));
         set("datagrams", datagrams);
@@ -759,7 +768,7 @@
     fn watched(&self) -> Vec<Watched> {
         let config = &self.live.config;
         let mut watched = Vec::new();
-        for shard in self.reigns.shards() {
+        for shard in self.schedulers.shards() {
             let service = config.services.get(&shard.service);
             let Some(path) = service.and_then(|s| s.load.clone()) else {
                 continue;
@@ -790,8 +799,8 @@
             config_version: self.view.config_version.0,
             ready: self.ready,
             stopping: self.stopping,
-            parent: self.feed.parent().cloned(),
-            confirmed: self.feed.total(self.view.version),
+            parent: self.dissemination.parent().cloned(),
+            confirmed: self.dissemination.total(self.view.version),
             peers: self
                 .parts
                 .hub
@@ -800,17 +809,17 @@
                 .map(|p| p.place.vm)
                 .collect(),
             waiting: self
-                .desk
+                .dispatcher
                 .queues()
                 .iter()
                 .map(|(id, n)| (name(id), *n))
                 .collect(),
-            held: self.desk.held(),
-            alone: (self.desk.shards())
+            held: self.dispatcher.held(),
+            local: (self.dispatcher.shards())
                 .filter(|(_, up)| !up)
                 .map(|(shard, _)| shard.clone())
                 .collect(),
-            reigns: self.reigns.status(&self.view),
+            schedulers: self.schedulers.status(&self.view),
             control: None,
         }
     }
--- a/components/node/src/reign.rs
+++ b/components/node/src/schedulers.rs
@@ -5,31 +5,31 @@
 use crate::metric::{value, Metrics};
 use crate::shared::ShardStatus;
 use coordination::ask::{Report, Served};
-use coordination::desk::{endpoints, memory};
+use coordination::dispatcher::{endpoints, memory};
 use coordination::scheduler::{Effect, Effects, Scheduler, Session};
 use state::clock::Millis;
 use state::event::{Event, Step};
 use state::id::{EndpointId, Epoch, Name};
-use state::view::{Seat, Shard, View};
+use state::view::{Assignment, Shard, View};
 use std::collections::BTreeMap;
 
-struct Reign {
+struct Assigned {
     shard: Shard,
     scheduler: Scheduler,
     sessions: BTreeMap<Name, Session>,
 }
 
-/// All schedulers of this VM, by reign.
-pub(crate) struct Reigns {
+/// All schedulers of this VM, by epoch.
+pub(crate) struct Schedulers {
     me: Name,
     /// Time over which service counts, in milliseconds.
     memory_ms: Option<u64>,
-    all: BTreeMap<Epoch, Reign>,
+    all: BTreeMap<Epoch, Assigned>,
     journal: Journal,
     metrics: Metrics,
 }
 
-impl Reigns {
+impl Schedulers {
     /// No schedulers yet.
     pub(crate) fn new(
         me: Name,
@@ -37,7 +37,7 @@
         journal: Journal,
         metrics: Metrics,
     ) -> Self {
-        Reigns {
+        Schedulers {
             me,
             memory_ms,
             all: BTreeMap::new(),
@@ -46,50 +46,50 @@
         }
     }
 
-    /// Begins and ends reigns as the view says.
+    /// Starts and ends schedulers as the view says.
     pub(crate) fn follow(&mut self, now: Millis, view: &View, batch: &mut Batch) {
-        let seats = || view.seats.iter().filter(|s| s.place.vm == self.me);
+        let assignments = || view.assignments.iter().filter(|s| s.place.vm == self.me);
         let over: Vec<Epoch> = (self.all.keys())
-            .filter(|epoch| !seats().any(|s| s.epoch == **epoch))
+            .filter(|epoch| !assignments().any(|s| s.epoch == **epoch))
             .copied()
             .collect();
-        let begun: Vec<(Epoch, Shard)> = seats()
+        let begun: Vec<(Epoch, Shard)> = assignments()
             .filter(|s| !self.all.contains_key(&s.epoch))
             .map(|s| (s.epoch, s.shard.clone()))
             .collect();
         for epoch in over {
-            if let Some(reign) = self.all.remove(&epoch) {
-                let event = Event::new(Step::ReignEnded).service(reign.shard.service);
+            if let Some(assigned) = self.all.remove(&epoch) {
+                let event = Event::new(Step::SchedulerEnded).service(assigned.shard.service);
                 self.journal.note(event.epoch(epoch));
             }
         }
         for (epoch, shard) in begun {
-            let event = Event::new(Step::ReignBegan).service(shard.service);
+            let event = Event::new(Step::SchedulerBegan).service(shard.service);
             self.journal.note(event.epoch(epoch));
             let mut scheduler = Scheduler::new(epoch, now);
             scheduler.set_memory(self.memory_ms);
-            let reign = Reign {
+            let assigned = Assigned {
                 shard,
                 scheduler,
                 sessions: BTreeMap::new(),
             };
-            self.all.insert(epoch, reign);
+            self.all.insert(epoch, assigned);
         }
-        let seated = |epoch| view.seats.iter().any(|s| s.epoch == epoch);
-        for reign in self.all.values_mut() {
-            reign.scheduler.retain_foreign(seated);
-            let slots = reign.scheduler.slots();
-            let known: Vec<EndpointId> = endpoints(view, &reign.shard).map(|e| e.0).collect();
+        let is_assigned = |epoch| view.assignments.iter().any(|s| s.epoch == epoch);
+        for assigned in self.all.values_mut() {
+            assigned.scheduler.retain_foreign(is_assigned);
+            let slots = assigned.scheduler.slots();
+            let known: Vec<EndpointId> = endpoints(view, &assigned.shard).map(|e| e.0).collect();
             slots.retain(|id| known.contains(&id));
-            slots.set_memory(memory(view, &reign.shard));
-            for (id, count, lead, leaving) in endpoints(view, &reign.shard) {
+            slots.set_memory(memory(view, &assigned.shard));
+            for (id, count, lead, leaving) in endpoints(view, &assigned.shard) {
                 slots.set(id, count, lead, leaving);
             }
         }
         self.tick(now, batch);
     }
 
-    /// Takes a router's reports; false if this VM has no such reign.
+    /// Takes a router's reports; false if this VM has no such epoch.
     pub(crate) fn reports<R>(
         &mut self,
         now: Millis,
@@ -101,51 +101,52 @@
     where
         R: IntoIterator<Item = Report>,
     {
-        let Some(reign) = self.all.get_mut(&epoch) else {
+        let Some(assigned) = self.all.get_mut(&epoch) else {
             return false;
         };
         for report in reports {
-            let effects = reign.report(now, vm, report, &self.metrics);
-            reign.act(effects, batch, &self.journal, &self.metrics);
+            let effects = assigned.report(now, vm, report, &self.metrics);
+            assigned.act(effects, batch, &self.journal, &self.metrics);
         }
         true
     }
 
     /// Ends sessions whose link was lost.
     pub(crate) fn link_down(&mut self, now: Millis, vm: &Name) {
-        for reign in self.all.values_mut() {
+        for assigned in self.all.values_mut() {
             // It stays known by its router, whose next hello settles its requests.
-            if let Some(session) = reign.sessions.get(vm) {
-                reign.scheduler.close(now, *session);
+            if let Some(session) = assigned.sessions.get(vm) {
+                assigned.scheduler.close(now, *session);
             }
         }
     }
 
-    /// What each reign has given, for the seats of its service in other regions.
-    pub(crate) fn served(&mut self, view: &View) -> Vec<(Seat, Served)> {
+    /// What each scheduler has given, for those of its service in other regions.
+    pub(crate) fn served(&mut self, view: &View) -> Vec<(Assignment, Served)> {
         let mut all = Vec::new();
-        for reign in self.all.values_mut() {
-            let other =
-                |s: &&Seat| s.shard.service == reign.shard.service && s.shard != reign.shard;
-            let others: Vec<&Seat> = view.seats.iter().filter(other).collect();
+        for assigned in self.all.values_mut() {
+            let other = |s: &&Assignment| {
+                s.shard.service == assigned.shard.service && s.shard != assigned.shard
+            };
+            let others: Vec<&Assignment> = view.assignments.iter().filter(other).collect();
             if others.is_empty() {
                 continue;
             }
-            let served = reign.scheduler.tell_served();
+            let served = assigned.scheduler.tell_served();
             all.extend(others.into_iter().map(|to| (to.clone(), served.clone())));
         }
         all
     }
 
-    /// Takes what a reign in another region has given.
+    /// Takes what a scheduler in another region has given.
     pub(crate) fn hear_served(&mut self, view: &View, served: &Served) {
-        let Some(seat) = view.seats.iter().find(|s| s.epoch == served.epoch) else {
+        let Some(assignment) = view.assignments.iter().find(|s| s.epoch == served.epoch) else {
             return;
         };
-        for reign in self.all.values_mut() {
-            let other = reign.shard.region != seat.shard.region;
-            if other && reign.shard.service == seat.shard.service {
-                reign.scheduler.hear_served(served);
+        for assigned in self.all.values_mut() {
+            let other = assigned.shard.region != assignment.shard.region;
+            if other && assigned.shard.service == assignment.shard.service {
+                assigned.scheduler.hear_served(served);
             }
         }
     }
@@ -157,16 +158,16 @@
 
     /// Takes an endpoint's load report.
     pub(crate) fn load(&mut self, now: Millis, endpoint: EndpointId, load: u32) {
-        for reign in self.all.values_mut() {
-            reign.scheduler.slots().report(now, endpoint, load);
+        for assigned in self.all.values_mut() {
+            assigned.scheduler.slots().report(now, endpoint, load);
         }
     }
 
     /// Lets time pass.
     pub(crate) fn tick(&mut self, now: Millis, batch: &mut Batch) {
-        for reign in self.all.values_mut() {
-            let effects = reign.scheduler.tick(now);
-            reign.act(effects, batch, &self.journal, &self.metrics);
+        for assigned in self.all.values_mut() {
+            let effects = assigned.scheduler.tick(now);
+            assigned.act(effects, batch, &self.journal, &self.metrics);
         }
     }
 
@@ -181,14 +182,14 @@
             let customer = view.config.customers.get(&id);
             customer.map_or_else(|| id.to_string(), |c| c.name.to_string())
         };
-        let all = self.all.iter().map(|(epoch, reign)| ShardStatus {
-            shard: reign.shard.clone(),
+        let all = self.all.iter().map(|(epoch, assigned)| ShardStatus {
+            shard: assigned.shard.clone(),
             epoch: epoch.0,
-            slots: reign.scheduler.totals().0,
-            running: reign.scheduler.running(),
-            waiting: reign.scheduler.waiting(),
-            routers: reign.scheduler.routers(),
-            levels: (reign.scheduler.levels().into_iter())
+            slots: assigned.scheduler.totals().0,
+            running: assigned.scheduler.running(),
+            waiting: assigned.scheduler.waiting(),
+            routers: assigned.scheduler.routers(),
+            levels: (assigned.scheduler.levels().into_iter())
                 .map(|(id, level)| (name(id), level))
                 .collect(),
         });
@@ -197,13 +198,13 @@
 
     /// Logs what each scheduler believes.
     fn tell_beliefs(&self, view: &View) {
-        for (epoch, reign) in &self.all {
-            let belief = reign.scheduler.belief();
-            let service = view.config.services.get(&reign.shard.service);
+        for (epoch, assigned) in &self.all {
+            let belief = assigned.scheduler.belief();
+            let service = view.config.services.get(&assigned.shard.service);
             tracing::info!(
                 event = "scheduler-state",
                 service = service.map_or("", |s| s.name.as_str()),
-                region = reign.shard.region.as_str(),
+                region = assigned.shard.region.as_str(),
                 epoch = epoch.0,
                 waiting = belief.waiting,
                 running = belief.running,
@@ -247,7 +248,7 @@
     }
 }
 
-impl Reign {
+impl Assigned {
     fn report(&mut self, now: Millis, vm: &Name, report: Report, metrics: &Metrics) -> Effects {
         let session = self.sessions.get(vm).copied();
         if let Report::Hello(hello) = report {
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -1,6 +1,6 @@
 //! What the reactor shows to the other parts of the process.
 
-use coordination::spread::Confirm;
+use coordination::tree::Confirm;
 use serde::Serialize;
 use state::clock::Millis;
 use state::config::Index;
@@ -38,7 +38,7 @@
 pub(crate) struct ShardStatus {
     /// The shard.
     pub(crate) shard: Shard,
-    /// Reign.
+    /// Assigned.
     pub(crate) epoch: u64,
     /// Slots of endpoints that take work.
     pub(crate) slots: u32,
@@ -79,9 +79,9 @@
     /// Requests in progress here.
     pub(crate) held: usize,
     /// Shards that this router has scheduled alone since it lost their scheduler.
-    pub(crate) alone: Vec<Shard>,
+    pub(crate) local: Vec<Shard>,
     /// Shards that are scheduled here.
-    pub(crate) reigns: Vec<ShardStatus>,
+    pub(crate) schedulers: Vec<ShardStatus>,
     /// State of the replicated log, if this is a control VM.
     pub(crate) control: Option<serde_json::Value>,
 }
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -2,7 +2,7 @@
 
 use coordination::agree::Envelope;
 use coordination::ask::{Grant, Refusal, Report, Served};
-use coordination::spread::Confirm;
+use coordination::tree::Confirm;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use state::clock::Stamp;
@@ -111,7 +111,7 @@
     Query(u64, Query),
     /// From a control VM.
     Reply(u64, Reply),
-    /// Feed me, I have this version.
+    /// Dissemination me, I have this version.
     Subscribe(Version),
     /// Ask this node instead.
     Elsewhere(Place),
@@ -130,10 +130,10 @@
     /// From a scheduler to a router.
     Refusals(SmallVec<[Refusal; 2]>),
     /// From a scheduler to those of the same service in other regions: service
-    /// that it has given in its reign.
+    /// that it has given in its epoch.
     Served(Served),
-    /// This VM does not schedule in that reign, or not yet.
-    Unseated(Epoch),
+    /// This VM does not schedule in that epoch, or not yet.
+    Unassigned(Epoch),
     /// The platform's endpoints, as they are since the last reading.
     Listing(Box<Listing>),
     /// The platform's endpoints are still those of the listing with this number.
@@ -172,7 +172,7 @@
             Message::Grants(_) => "grants",
             Message::Refusals(_) => "refusals",
             Message::Served(..) => "served",
-            Message::Unseated(_) => "unseated",
+            Message::Unassigned(_) => "unassigned",
             Message::Listing(_) => "listing",
             Message::ListingKept(_) => "listing-kept",
             Message::ListingWanted => "listing-wanted",
--- a/components/state/src/event.rs
+++ b/components/state/src/event.rs
@@ -30,10 +30,10 @@
     Claimed,
     /// A new version came into force on this process.
     VersionInForce,
-    /// A scheduler began its reign over a service.
-    ReignBegan,
-    /// A scheduler ended its reign over a service.
-    ReignEnded,
+    /// A scheduler began to work for a service.
+    SchedulerBegan,
+    /// A scheduler ended its work for a service.
+    SchedulerEnded,
     /// A link to a peer came up.
     LinkUp,
     /// A link to a peer went down.
--- a/components/state/src/id.rs
+++ b/components/state/src/id.rs
@@ -92,7 +92,7 @@
     EndpointId(u32)
 );
 key!(
-    /// Reign of one scheduler over one service. A later reign has a larger number.
+    /// Term of office of one scheduler. A later one has a larger number.
     Epoch(u64)
 );
 key!(
--- a/components/state/src/record.rs
+++ b/components/state/src/record.rs
@@ -4,7 +4,7 @@
 use crate::delta::Delta;
 use crate::id::{CustomerId, RequestId, Version};
 use crate::secret::Hash;
-use crate::view::{Departure, Place, Seat};
+use crate::view::{Assignment, Departure, Place};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -114,8 +114,8 @@
     /// An operator's complete configuration, under the number that the operator
     /// chose. It replaces all of an older number.
     Release(Box<Release>),
-    /// A scheduler is seated.
-    Seat(Seat),
+    /// A scheduler is assigned.
+    Assignment(Assignment),
     /// Someone leaves.
     Departure(Departure),
     /// A router claims an idempotency key before it sends.
--- a/components/state/src/store.rs
+++ b/components/state/src/store.rs
@@ -73,12 +73,12 @@
             Record::Members(members) => (Answer::Done, self.members(members)),
             Record::Release(release) => self.release(release),
             Record::Change { id, base, delta } => self.change(*id, *base, delta),
-            Record::Seat(seat) => {
-                let old = self.view.seat(&seat.shard);
-                if old.is_some_and(|s| s.epoch >= seat.epoch) {
+            Record::Assignment(assignment) => {
+                let old = self.view.assignment(&assignment.shard);
+                if old.is_some_and(|s| s.epoch >= assignment.epoch) {
                     return (Answer::Done, None);
                 }
-                self.step(Change::Seat(seat.clone()))
+                self.step(Change::Assignment(assignment.clone()))
             }
             Record::Departure(departure) if self.view.knows(departure) => {
                 // Several may announce the same; it is one departure.
--- a/components/state/src/view.rs
+++ b/components/state/src/view.rs
@@ -41,15 +41,15 @@
     pub region: Name,
 }
 
-/// Which VM schedules a shard, and in which reign.
+/// Which VM schedules a shard, and in which epoch.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub struct Seat {
+pub struct Assignment {
     /// What it schedules.
     pub shard: Shard,
     /// Scheduler.
     pub place: Place,
-    /// Reign; grants of an earlier one are refused.
+    /// Its number; grants of an earlier one are refused.
     pub epoch: Epoch,
 }
 
@@ -76,8 +76,8 @@
     Release(u64, Delta),
     /// The control VMs are these.
     Control(Vec<Place>),
-    /// A scheduler was seated.
-    Seat(Seat),
+    /// A scheduler was assigned.
+    Assignment(Assignment),
     /// Someone leaves.
     Departure(Departure),
 }
@@ -107,7 +107,7 @@
     /// Control VMs that vote; empty until the first change among them.
     pub control: Vec<Place>,
     /// Scheduler of each shard, as pairs because a shard is no JSON key.
-    pub seats: Vec<Seat>,
+    pub assignments: Vec<Assignment>,
     /// Endpoints that get no new work.
     pub leaving: BTreeSet<EndpointId>,
     /// VMs told to stop, with the incarnation concerned.
@@ -156,8 +156,8 @@
     }
 
     /// The scheduler of a shard.
-    pub fn seat(&self, shard: &Shard) -> Option<&Seat> {
-        self.seats.iter().find(|s| s.shard == *shard)
+    pub fn assignment(&self, shard: &Shard) -> Option<&Assignment> {
+        self.assignments.iter().find(|s| s.shard == *shard)
     }
 
     /// Whether a departure is in force already.
@@ -177,9 +177,9 @@
                 self.configure(delta);
             }
             Change::Control(places) => self.control.clone_from(places),
-            Change::Seat(seat) => {
-                self.seats.retain(|s| s.shard != seat.shard);
-                self.seats.push(seat.clone());
+            Change::Assignment(assignment) => {
+                self.assignments.retain(|s| s.shard != assignment.shard);
+                self.assignments.push(assignment.clone());
             }
             Change::Departure(Departure::Endpoint(id)) => {
                 self.leaving.insert(*id);
@@ -196,7 +196,7 @@
     fn configure(&mut self, delta: &Delta) {
         delta.apply(&mut self.config);
         let config = &self.config;
-        self.seats
+        self.assignments
             .retain(|s| config.services.contains_key(&s.shard.service));
         self.leaving.retain(|e| config.endpoints.contains_key(e));
     }
--- a/components/state/tests/store.rs
+++ b/components/state/tests/store.rs
@@ -8,7 +8,7 @@
 use state::record::{Answer, ChangeId, Known, Record, Stored};
 use state::secret::Hash;
 use state::store::{Store, CLAIMS_MAX, CLAIM_SECONDS, STORED_MAX};
-use state::view::{Change, Departure, Place, Seat, Shard, Step, Taken, View};
+use state::view::{Assignment, Change, Departure, Place, Shard, Step, Taken, View};
 
 fn name(text: &str) -> Name {
     Name::try_from(text).unwrap()
@@ -76,9 +76,9 @@
 }
 
 #[test]
-fn can_seat_only_a_later_epoch() {
-    let seat = |epoch| {
-        Record::Seat(Seat {
+fn can_assign_only_a_later_epoch() {
+    let assignment = |epoch| {
+        Record::Assignment(Assignment {
             shard: Shard {
                 service: ServiceId(1),
                 region: name("main"),
@@ -91,9 +91,9 @@
         })
     };
     let mut store = Store::default();
-    assert!(store.apply(&seat(5)).1.is_some());
-    assert!(store.apply(&seat(5)).1.is_none());
-    assert!(store.apply(&seat(4)).1.is_none());
+    assert!(store.apply(&assignment(5)).1.is_some());
+    assert!(store.apply(&assignment(5)).1.is_none());
+    assert!(store.apply(&assignment(4)).1.is_none());
 }
 
 fn claim(key: u8, count: u64, at: u64) -> Record {
--- a/components/transport/tests/link.rs
+++ b/components/transport/tests/link.rs
@@ -56,13 +56,13 @@
     assert!(matches!(next(&b).await, Some(Event::Up(h)) if h.place == a.place));
     for n in 0..500 {
         assert!(a.hub.send(&b.place.vm, Message::Pulse(Version(n))));
-        assert!(b.hub.send(&a.place.vm, Message::Unseated(Epoch(n))));
+        assert!(b.hub.send(&a.place.vm, Message::Unassigned(Epoch(n))));
     }
     for n in 0..500 {
         let to_b = next(&b).await;
         assert!(matches!(to_b, Some(Event::Message(_, Message::Pulse(v))) if v == Version(n)));
         let to_a = next(&a).await;
-        assert!(matches!(to_a, Some(Event::Message(_, Message::Unseated(e))) if e == Epoch(n)));
+        assert!(matches!(to_a, Some(Event::Message(_, Message::Unassigned(e))) if e == Epoch(n)));
     }
     a.hub.stop().await;
     assert!(matches!(next(&b).await, Some(Event::Down(vm)) if vm == a.place.vm));
--- a/src/cmd/page.rs
+++ b/src/cmd/page.rs
@@ -141,7 +141,7 @@
         "ended",
         "refused",
         "link-up",
-        "reign-began",
+        "scheduler-began",
     ];
     let item = |step: &&str| {
         let Look {
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -61,20 +61,20 @@
     for (customer, count) in page["waiting"].as_object().into_iter().flatten() {
         println!("  waiting: {customer} {count}");
     }
-    for shard in page["alone"].as_array().into_iter().flatten() {
-        println!("  alone: without a scheduler for {shard}");
+    for shard in page["local"].as_array().into_iter().flatten() {
+        println!("  local: without a scheduler for {shard}");
     }
-    for reign in page["reigns"].as_array().into_iter().flatten() {
+    for epoch in page["schedulers"].as_array().into_iter().flatten() {
         println!(
             "  schedules {} since epoch {}: running {} of {} slots, waiting {}, routers {}",
-            reign["shard"],
-            reign["epoch"],
-            reign["running"],
-            reign["slots"],
-            reign["waiting"],
-            reign["routers"],
+            epoch["shard"],
+            epoch["epoch"],
+            epoch["running"],
+            epoch["slots"],
+            epoch["waiting"],
+            epoch["routers"],
         );
-        for (customer, level) in reign["levels"].as_object().into_iter().flatten() {
+        for (customer, level) in epoch["levels"].as_object().into_iter().flatten() {
             println!("    service received: {customer} {level}");
         }
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -278,7 +278,7 @@
         eventually("nobody is alone", || {
             let alone = |v: &harness::Vm| {
                 v.status()
-                    .is_some_and(|s| s["alone"].as_array().is_some_and(|a| !a.is_empty()))
+                    .is_some_and(|s| s["local"].as_array().is_some_and(|a| !a.is_empty()))
             };
             !fleet.vms.iter().filter(|v| v.is_live()).any(alone)
         });
@@ -293,8 +293,8 @@
 fn can_freeze_a_scheduler_and_let_it_go_on() {
     // Symptom: a scheduler that was stopped for a while grants slots that its
     // successor has granted already.
-    // Sequence: the scheduler freezes, another is seated, the first goes on.
-    // Cause: grants that do not name the reign they belong to.
+    // Sequence: the scheduler freezes, another is assigned, the first goes on.
+    // Cause: grants that do not name the epoch they belong to.
     let fleet = Fleet::start(Plan::default());
     let scheduler = fleet.scheduler();
     let router = fleet
@@ -304,17 +304,17 @@
         .unwrap();
     let router = router.name.clone();
     fleet.vm(&scheduler).signal("-STOP");
-    eventually("another one is seated", || {
-        let seated = |v: &harness::Vm| {
+    eventually("another one is assigned", || {
+        let assigned = |v: &harness::Vm| {
             v.name != scheduler
                 && v.status()
-                    .is_some_and(|s| s["reigns"].as_array().is_some_and(|r| !r.is_empty()))
+                    .is_some_and(|s| s["schedulers"].as_array().is_some_and(|r| !r.is_empty()))
         };
         fleet
             .vms
             .iter()
             .filter(|v| v.callers.is_some() && v.name != scheduler)
-            .any(seated)
+            .any(assigned)
     });
     assert_eq!(
         fleet.call(&router, "alpha", "/assistant", &[], "x").status,
@@ -323,7 +323,7 @@
     fleet.vm(&scheduler).signal("-CONT");
     eventually("the first one knows that it is over", || {
         let status = fleet.vm(&scheduler).status();
-        status.is_some_and(|s| s["reigns"].as_array().is_some_and(Vec::is_empty))
+        status.is_some_and(|s| s["schedulers"].as_array().is_some_and(Vec::is_empty))
     });
     assert_eq!(
         fleet
@@ -405,11 +405,11 @@
     assert!(applied.0.success(), "{}", applied.2);
     eventually("both regions have a scheduler", || {
         let status = fleet.vm("c1").status().unwrap();
-        let reigns = fleet.vms.iter().filter_map(|v| v.status());
-        let seats: usize = reigns
-            .map(|s| s["reigns"].as_array().map_or(0, Vec::len))
+        let schedulers = fleet.vms.iter().filter_map(|v| v.status());
+        let assignments: usize = schedulers
+            .map(|s| s["schedulers"].as_array().map_or(0, Vec::len))
             .sum();
-        status["version"].as_u64() == Some(fleet.version()) && seats == 3
+        status["version"].as_u64() == Some(fleet.version()) && assignments == 3
     });
     let before = fleet.counts("assistant-2")["calls"].as_u64().unwrap();
     let callers = fleet.callers("r1");
@@ -430,7 +430,7 @@
             v.status().is_some_and(|s| {
                 let running = |r: &serde_json::Value| r["running"] == 0 && r["waiting"] == 0;
                 s["held"] == 0
-                    && s["reigns"]
+                    && s["schedulers"]
                         .as_array()
                         .is_some_and(|r| r.iter().all(running))
             })
@@ -453,7 +453,7 @@
     });
     let level = || {
         let status = fleet.vm("r1").status().unwrap();
-        let levels = status["reigns"].as_array().unwrap().iter();
+        let levels = status["schedulers"].as_array().unwrap().iter();
         levels
             .filter_map(|r| r["levels"]["beta"].as_u64())
             .sum::<u64>()
@@ -474,7 +474,7 @@
         fleet.cut("r2", &["r1"], false);
         eventually("the router is alone", || {
             let status = fleet.vm("r2").status().unwrap();
-            status["alone"].as_array().is_some_and(|a| !a.is_empty())
+            status["local"].as_array().is_some_and(|a| !a.is_empty())
         });
         for _ in 0..5 {
             call("r2");
@@ -483,7 +483,7 @@
         fleet.cut("r2", &[], false);
         eventually("it has a scheduler again", || {
             let status = fleet.vm("r2").status().unwrap();
-            status["alone"].as_array().is_some_and(Vec::is_empty)
+            status["local"].as_array().is_some_and(Vec::is_empty)
         });
         for router in ["r1", "r2"] {
             call(router);
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -370,15 +370,15 @@
     pub(crate) fn scheduler(&self) -> String {
         let mut found = None;
         eventually("a VM schedules", || {
-            let seated = |v: &&Vm| {
+            let assigned = |v: &&Vm| {
                 let status = v.status();
-                status.is_some_and(|s| s["reigns"].as_array().is_some_and(|r| !r.is_empty()))
+                status.is_some_and(|s| s["schedulers"].as_array().is_some_and(|r| !r.is_empty()))
             };
             found = self
                 .vms
                 .iter()
                 .filter(|v| v.is_live())
-                .find(seated)
+                .find(assigned)
                 .map(|v| v.name.clone());
             found.is_some()
         });
--- a/tests/traps.rs
+++ b/tests/traps.rs
@@ -160,18 +160,13 @@
     let threads = || std::fs::read_dir("/proc/self/task").unwrap().count();
     let server = tiny_http::Server::http("127.0.0.1:0").unwrap();
     let before = threads();
-    let slow: Vec<TcpStream> = (0..100)
-        .map(|_| connect(&server, b"GET / HTTP/1.1\r\nHos"))
-        .collect();
-    let began = std::time::Instant::now();
-    // Other tests of this file run beside it; a hundred stands out all the same.
+    let mut slow: Vec<TcpStream> = Vec::new();
+    // One after the other: of many that come at once, the library may queue some
+    // behind a thread that it has only just told of another.
     while threads() < before + 80 {
-        assert!(
-            began.elapsed() < Duration::from_secs(20),
-            "{} threads",
-            threads()
-        );
-        std::thread::sleep(Duration::from_millis(20));
+        assert!(slow.len() < 2000, "{} threads", threads());
+        slow.push(connect(&server, b"GET / HTTP/1.1\r\nHos"));
+        std::thread::sleep(Duration::from_millis(5));
     }
     drop(slow);
 }
