Have a process that has just started wait before it votes

Cause: a voter forgot with its process that it had just renewed a leader's lease. Back within that lease, it helped to elect another: two members could answer readers, and one of them an older version. Found by reading, while asking how soon a restarted group may elect. Change: until it hears a leader, a process counts its own start as hearing one. Recovery is no slower: who stands waits longer.

--- a/components/coordination/src/agree/core.rs
+++ b/components/coordination/src/agree/core.rs
@@ -115,6 +115,8 @@
     pub(super) votes: BTreeSet<Disk>,
     pub(super) progress: BTreeMap<Disk, Progress>,
     pub(super) heard_leader: Option<Millis>,
+    /// When this process started.
+    pub(super) started: Millis,
     pub(super) election_at: Millis,
     pub(super) beat_at: Millis,
     pub(super) began: Option<Index>,
@@ -150,6 +152,7 @@
             votes: BTreeSet::new(),
             progress: BTreeMap::new(),
             heard_leader: None,
+            started: now,
             election_at: now,
             beat_at: now,
             began: None,
--- a/components/coordination/src/agree/elect.rs
+++ b/components/coordination/src/agree/elect.rs
@@ -104,7 +104,10 @@
 
     /// Whether another's log has all that this one has, and no leader lives.
     fn fresh_enough(&self, now: Millis, last: (Term, Index)) -> bool {
-        let quiet = (self.heard_leader).is_none_or(|at| now.since(at) >= ELECTION_MS);
+        // A process that has just started may have renewed a leader's lease right
+        // before it ended.
+        let heard = self.heard_leader.unwrap_or(self.started);
+        let quiet = now.since(heard) >= ELECTION_MS;
         let leads = self.role == Role::Leader;
         quiet && !leads && last >= (self.log.last_term(), self.log.last())
     }
--- a/components/coordination/tests/agree.rs
+++ b/components/coordination/tests/agree.rs
@@ -279,6 +279,30 @@
     assert_eq!(world.told, Version(1));
 }
 
+#[test]
+fn can_respect_a_lease_across_a_quick_restart() {
+    // Symptom: a reader is told an older version after a newer one.
+    // Sequence: a leader renews its lease by a voter; the voter's process ends and
+    // is back within the lease; a third member, which does not hear the leader,
+    // asks it to vote.
+    // Cause: a voter that forgets with its process that it has just heard a leader.
+    let mut world = World::new(3, 25, Faults::NONE);
+    let leader = world.run_to_leader(3000);
+    let voter = (0..3).find(|n| *n != leader).unwrap();
+    let deaf = (0..3).find(|n| *n != leader && *n != voter).unwrap();
+    world.cut.insert((leader, deaf));
+    world.cut.insert((deaf, leader));
+    for _ in 0..200 {
+        world.run(37);
+        world.crash(voter);
+        world.boot(voter);
+        for _ in 0..30 {
+            world.step();
+            assert!(world.servers() <= 1, "two members may serve");
+        }
+    }
+}
+
 #[test]
 fn can_return_from_isolation_without_an_election() {
     // Symptom: the group loses its leader each time a member comes back.
--- a/components/coordination/tests/model/mod.rs
+++ b/components/coordination/tests/model/mod.rs
@@ -655,6 +655,15 @@
         })
     }
 
+    /// Members that may answer readers.
+    pub(crate) fn servers(&self) -> usize {
+        let serves = |n: &usize| {
+            let core = self.nodes[*n].core.as_ref();
+            self.is_awake(*n) && core.is_some_and(|c| c.may_serve(self.clock(*n)))
+        };
+        (0..self.nodes.len()).filter(serves).count()
+    }
+
     /// Runs until a member leads, for at most this long.
     pub(crate) fn run_to_leader(&mut self, ms: u64) -> usize {
         let end = self.now + ms;
