--- a/tests/users.rs
+++ b/tests/users.rs
@@ -1,10 +1,6 @@
 //! The whole path on the users' platform: separate processes that find each other
 //! through seeds, the platform's list, its operators' and callers' words.
-#![expect(
-    clippy::unwrap_used,
-    clippy::panic,
-    reason = "a helper that panics fails its test"
-)]
+#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 use std::collections::HashMap;
 use std::io::{Read, Write};
