Explain a request from its id; say 503 where the newest version is not proved; another endpoint where none was connected

1. cowslipford explain ID FILE...: one request through the logs of several processes, its cause first. Lines a second are bounded; counters and latencies by service, outcome and reason; endpoints that come, leave and go are named. 2. Cause, found with it: a router that was cut off for 8 s answered 401 at version 40 while others were further. Change: past the bound of its proof it says 503 in place of 401 and 404, so that callers go elsewhere. 3. Cause, found with it: a booking waited 0.8 s for a connection to an endpoint that was down, and was then refused. Change: 0.3 s, and up to two other endpoints, since nothing was sent. 4. Tests: can_follow_the_platforms_list failed twice, with 'address already in use' at a stand-in's start. Traced: a process that another thread forks holds a copy of the listening probe until its exec. Probes are now of the other transport.

--- a/components/node/src/front/note.rs
+++ b/components/node/src/front/note.rs
@@ -3,6 +3,7 @@
 use super::plan::Plan;
 use super::refusal::Refusal;
 use crate::input::Dispatch;
+use crate::metric::Metrics;
 use crate::shared::Published;
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
@@ -16,6 +17,7 @@
     id: RequestId,
     identity: Option<HeaderValue>,
     began: Instant,
+    metrics: Metrics,
     /// Version of the view that decided, and the operator's number.
     version: u64,
     release: u64,
@@ -31,9 +33,16 @@
 
 impl Note {
     /// A request that has just arrived.
-    pub(crate) fn new(id: RequestId, began: Instant, now: Millis, published: &Published) -> Self {
+    pub(crate) fn new(
+        id: RequestId,
+        began: Instant,
+        now: Millis,
+        published: &Published,
+        metrics: Metrics,
+    ) -> Self {
         Note {
             id,
+            metrics,
             identity: None,
             began,
             version: published.view.version.0,
@@ -107,19 +116,26 @@
         reason: &'static str,
         retry_after: Option<Duration>,
     ) {
+        let service = text(self.service.as_ref());
+        let took = self.began.elapsed();
+        let metrics = &self.metrics;
+        let ends = metrics.ends.with_label_values(&[service, outcome, reason]);
+        ends.inc();
+        let histogram = metrics.took.with_label_values(&[service, outcome]);
+        histogram.observe(took.as_secs_f64());
         tracing::info!(
             event = "request-ended",
             request = %self.id,
             caller = self.caller(),
             rule = text(self.rule.as_ref()),
             customer = text(self.customer.as_ref()),
-            service = text(self.service.as_ref()),
+            service,
             endpoint = text(self.endpoint.as_ref()),
             version = self.version,
             release = self.release,
             proof_ms = self.proof_ms,
             waited_ms = self.waited.map(millis),
-            took_ms = millis(self.began.elapsed()),
+            took_ms = millis(took),
             tries = self.tries,
             status = status.as_u16(),
             outcome,
--- a/components/node/src/front/plan.rs
+++ b/components/node/src/front/plan.rs
@@ -53,7 +53,8 @@
     let key = asked.key.as_ref();
     let id = key.and_then(|k| published.index.customer(k));
     let known = id.and_then(|id| Some((id, config.customers.get(&id)?)));
-    let (place, rule) = decide(front, published, asked, call, known.map(|(_, c)| &c.name))?;
+    let decided = decide(front, published, asked, call, known.map(|(_, c)| &c.name));
+    let (place, rule) = decided.map_err(|refusal| doubt(front, published, refusal))?;
     let send = match &rule.then {
         Then::Refuse { reason } => {
             let status = StatusCode::FORBIDDEN;
@@ -62,7 +63,7 @@
         Then::Send(send) => send,
     };
     if known.is_none() && !send.anonymous {
-        return Err(unknown_customer());
+        return Err(doubt(front, published, unknown_customer()));
     }
     if known.is_some() {
         check_proof(front, published)?;
@@ -111,6 +112,15 @@
     })
 }
 
+/// A refusal, or that it is not known whether it would be right.
+///
+/// A router that is cut off lacks keys and rules that were added since. Told that
+/// theirs does not exist, callers would give up, though any other router serves
+/// them.
+fn doubt(front: &Front, published: &Published, refusal: Refusal) -> Refusal {
+    check_proof(front, published).err().unwrap_or(refusal)
+}
+
 /// The rule that decides, or why none does.
 fn decide<'a>(
     front: &Front,
--- a/components/node/src/front/pool.rs
+++ b/components/node/src/front/pool.rs
@@ -16,8 +16,9 @@
 /// Longest time to connect to an endpoint.
 ///
 /// Connecting within a region takes some milliseconds; one that has not
-/// answered after this is cut off or down, and another is tried.
-const CONNECT: Duration = Duration::from_millis(800);
+/// answered after this is cut off or down, or the packet was lost, and another
+/// endpoint is quicker than its next one a second later.
+const CONNECT: Duration = Duration::from_millis(300);
 /// Time for which a connection is kept idle when its endpoint tells none.
 const IDLE: Duration = Duration::from_secs(4);
 /// Longest time for which one is kept, whatever the endpoint tells.
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -27,6 +27,11 @@
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
+/// Endpoints that may fail to take the connection for a request before it counts as
+/// a failed try: each costs the time to connect, and after two of them the service
+/// is hardly there.
+const UNCONNECTED: u32 = 2;
+
 type Reply = Response<Either<Full<Bytes>, Relay>>;
 
 /// Serves one request. It never fails: an error is an answer too.
@@ -40,7 +45,9 @@
     };
     let began = Instant::now();
     let published = front.parts.published.borrow().clone();
-    let mut note = Note::new(id, began, front.parts.clock.now(), &published);
+    let now = front.parts.clock.now();
+    let metrics = front.parts.metrics.clone();
+    let mut note = Note::new(id, began, now, &published, metrics);
     let answered = answer(&front, &published, &mut note, request, began).await;
     let reply = match answered {
         Ok(Served::Relayed(head, mut relay)) => {
@@ -157,6 +164,7 @@
     front.earn_retries(plan.service);
     let (handle, mut decided) = arrive(front, plan).await?;
     let mut retries = 0;
+    let mut unconnected = 0;
     loop {
         let waiting = Waiting {
             handle: Some(handle),
@@ -207,6 +215,14 @@
         if let (Some(claim), Reach::Nothing) = (&mut claim, failed.reach) {
             claim.not_sent();
         }
+        if failed.unconnected && unconnected < UNCONNECTED {
+            // Nothing was sent: it costs no endpoint anything.
+            note.failed(&failed.error, "elsewhere");
+            slot.verdict = Verdict::Failed;
+            decided = again(front, slot).await?;
+            unconnected += 1;
+            continue;
+        }
         let attempt = Try {
             reach: failed.reach,
             idempotent: plan.idempotent,
@@ -264,6 +280,7 @@
         Err(Failed {
             reach: Reach::Sent,
             refused: true,
+            unconnected: false,
             error: Box::new(errors::Error::Peer {
                 step: "read an answer",
                 peer: "(endpoint)".to_owned(),
--- a/components/node/src/front/upstream.rs
+++ b/components/node/src/front/upstream.rs
@@ -53,6 +53,8 @@
     pub(crate) reach: Reach,
     /// Whether the endpoint itself said that it did not run the request.
     pub(crate) refused: bool,
+    /// Whether there was no connection to send it on.
+    pub(crate) unconnected: bool,
     pub(crate) error: Box<Error>,
 }
 
@@ -61,6 +63,7 @@
         Failed {
             reach,
             refused: false,
+            unconnected: false,
             error: Box::new(error),
         }
     }
@@ -92,7 +95,10 @@
         let reused = kept.is_some();
         let mut connection = match kept.take() {
             Some(connection) => connection,
-            None => pool::connect(to.address).await.map_err(nothing)?,
+            None => pool::connect(to.address).await.map_err(|error| Failed {
+                unconnected: true,
+                ..nothing(error)
+            })?,
         };
         let left = way.left.saturating_sub(began.elapsed());
         let request = call.request(to, way.interface, left).map_err(nothing)?;
@@ -147,6 +153,7 @@
         return Err(Failed {
             reach: Reach::Nothing,
             refused: true,
+            unconnected: false,
             error: Box::new(wrong("the endpoint did not run the request")),
         });
     }
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -2,16 +2,26 @@
 
 use errors::{Error, Result};
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
+/// Bounds of latency histograms in seconds, from a local answer to a long stream.
+const BUCKETS: [f64; 14] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
+];
+
 /// All metrics of one process.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
     /// Requests by outcome and status.
     pub(crate) requests: IntCounterVec,
+    /// Requests by service, outcome and reason, as their log lines say them.
+    pub(crate) ends: IntCounterVec,
+    /// Seconds from a request's arrival to the end of its answer, by service and
+    /// outcome.
+    pub(crate) took: HistogramVec,
     /// Seconds from a request's arrival to its dispatch.
     pub(crate) wait: Histogram,
     /// Seconds from a request's arrival to the end of its answer.
@@ -72,10 +82,7 @@
             Ok(g)
         };
         let seconds = |name: &str, help: &str| -> Result<Histogram> {
-            let buckets = vec![
-                0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
-            ];
-            let opts = HistogramOpts::new(name, help).buckets(buckets);
+            let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
             let h = Histogram::with_opts(opts).map_err(Error::key(step))?;
             r.register(Box::new(h.clone())).map_err(Error::key(step))?;
             Ok(h)
@@ -90,7 +97,27 @@
         .map_err(Error::key(step))?;
         r.register(Box::new(requests.clone()))
             .map_err(Error::key(step))?;
+        let ends = IntCounterVec::new(
+            Opts::new(
+                "cowslipford_request_ends_total",
+                "Requests by service, outcome and reason.",
+            ),
+            &["service", "outcome", "reason"],
+        )
+        .map_err(Error::key(step))?;
+        r.register(Box::new(ends.clone()))
+            .map_err(Error::key(step))?;
+        let opts = HistogramOpts::new(
+            "cowslipford_request_took_seconds",
+            "Time from arrival to the end of the answer, by service and outcome.",
+        );
+        let took = HistogramVec::new(opts.buckets(BUCKETS.to_vec()), &["service", "outcome"])
+            .map_err(Error::key(step))?;
+        r.register(Box::new(took.clone()))
+            .map_err(Error::key(step))?;
         Ok(Metrics {
+            ends,
+            took,
             requests,
             wait: seconds("cowslipford_wait_seconds", "Time from arrival to dispatch.")?,
             duration: seconds(
--- a/components/node/src/reactor.rs
+++ b/components/node/src/reactor.rs
@@ -15,6 +15,7 @@
 use state::config::Index;
 use state::event::{Event, Step};
 use state::id::{EndpointId, Name, Version};
+use state::listing::Listed;
 use state::view::{Assignment, Place, View};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -32,6 +33,9 @@
 /// Time between two updates of the gauges, in milliseconds.
 const MEASURE_MS: u64 = 1000;
 
+/// Endpoints that one log line names at most.
+const NAMED: usize = 12;
+
 /// What a reactor is given.
 pub(crate) struct Parts {
     /// Links.
@@ -608,14 +612,7 @@
     fn listed(&mut self, now: Millis, changed: bool, from: Option<&Name>) {
         let listing = self.roster.listing().clone();
         if changed {
-            let leaving = listing.endpoints.iter().filter(|l| l.leaving).count();
-            tracing::info!(
-                event = "endpoints-changed",
-                listing = listing.id,
-                endpoints = listing.endpoints.len(),
-                leaving,
-                from = from.map_or("", Name::as_str),
-            );
+            self.tell_endpoints(from);
             self.follow_live(now);
         }
         let mut to: Vec<Name> = self.dissemination.children().cloned().collect();
@@ -634,6 +631,38 @@
         }
     }
 
+    /// Logs which endpoints have come, leave or have gone.
+    fn tell_endpoints(&self, from: Option<&Name>) {
+        let listing = self.roster.listing();
+        let before = &self.live.config.endpoints;
+        let name = |l: &&Listed| EndpointId::of(&l.endpoint.name);
+        let fresh = |l: &&Listed| !before.contains_key(&name(l));
+        let leaves = |l: &&Listed| l.leaving && !self.live.leaving.contains(&name(l));
+        let now: BTreeSet<&Name> = listing.endpoints.iter().map(|l| &l.endpoint.name).collect();
+        let gone = before.values().filter(|e| !now.contains(&e.name));
+        tracing::info!(
+            event = "endpoints-changed",
+            listing = listing.id,
+            endpoints = listing.endpoints.len(),
+            come = joined(
+                listing
+                    .endpoints
+                    .iter()
+                    .filter(fresh)
+                    .map(|l| &l.endpoint.name)
+            ),
+            leave = joined(
+                listing
+                    .endpoints
+                    .iter()
+                    .filter(leaves)
+                    .map(|l| &l.endpoint.name)
+            ),
+            gone = joined(gone.map(|e| &e.name)),
+            from = from.map_or("", Name::as_str),
+        );
+    }
+
     fn send_listing(&self, vm: &Name) {
         let listing = self.roster.listing();
         if !listing.endpoints.is_empty() {
@@ -819,3 +848,12 @@
         }
     }
 }
+
+/// The first few names, for a log line.
+fn joined<'a, N>(names: N) -> String
+where
+    N: Iterator<Item = &'a Name>,
+{
+    let names: Vec<&str> = names.take(NAMED).map(Name::as_str).collect();
+    names.join(",")
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -34,6 +34,8 @@
     Stop(Stop),
     /// Shows the fleet's state.
     Status(Status),
+    /// Explains how a request ended.
+    Explain(Explain),
     /// Shows the time line.
     Timeline(Timeline),
     /// Makes keys.
@@ -217,6 +219,23 @@
     pub(crate) key: String,
 }
 
+/// Follow one request through the logs of several processes, the cause first.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "explain",
+    example = "{command_name} 9c41d07be2a35f68 r1.log r2.log c1.log",
+    note = "The logs are JSON lines, as [log] format = json writes them to standard output."
+)]
+pub(crate) struct Explain {
+    /// identity of the request: the router's, or its caller's
+    #[argh(positional)]
+    pub(crate) id: String,
+    /// log files
+    #[argh(positional)]
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// Merge the events of all processes into one time line, cause before effect.
 #[derive(Debug, FromArgs)]
 #[argh(
--- /dev/null
+++ b/src/cmd/explain.rs
@@ -0,0 +1,168 @@
+//! `cowslipford explain`: one request through the log files of several processes.
+
+use super::Failure;
+use crate::cli::Explain;
+use errors::Error;
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// Time around a request in which what a process came to believe is shown.
+const AROUND_S: f64 = 2.0;
+
+/// One line of a log.
+#[derive(Debug)]
+struct Line {
+    /// Seconds since the start of its day.
+    at: f64,
+    time: String,
+    /// File, or what stands before the line in it.
+    process: String,
+    event: String,
+    fields: Value,
+}
+
+/// Reads the files and prints what happened, the cause first.
+pub(crate) fn run(args: &Explain) -> Result<(), Failure> {
+    let mut lines = Vec::new();
+    for file in &args.files {
+        let text = std::fs::read_to_string(file).map_err(Error::file("read a log", file))?;
+        let name = file
+            .file_stem()
+            .map_or_else(String::new, |n| n.to_string_lossy().into());
+        lines.extend(text.lines().filter_map(|line| read(&name, line)));
+    }
+    lines.sort_by(|a, b| a.at.total_cmp(&b.at));
+    let own: Vec<&Line> = lines.iter().filter(|l| is_of(l, &args.id)).collect();
+    let Some(end) = own.iter().rfind(|l| l.event == "request-ended") else {
+        let text = format!("no line of these files tells how {} ended", args.id);
+        return Err(Failure::Input(text));
+    };
+    println!("{}", cause(end, &own, &lines));
+    for line in &own {
+        println!(
+            "{} {} {}: {}",
+            line.time,
+            line.process,
+            line.event,
+            show(&line.fields)
+        );
+    }
+    let began = end.at - end.number("took_ms") / 1000.0;
+    println!("around it:");
+    for line in around(&lines, began, end) {
+        println!(
+            "{} {} {}: {}",
+            line.time,
+            line.process,
+            line.event,
+            show(&line.fields)
+        );
+    }
+    Ok(())
+}
+
+impl Line {
+    fn text(&self, key: &str) -> &str {
+        self.fields[key].as_str().unwrap_or("")
+    }
+
+    fn number(&self, key: &str) -> f64 {
+        self.fields[key].as_f64().unwrap_or(0.0)
+    }
+}
+
+/// Reads a line; what stands before its JSON names the process.
+fn read(file: &str, line: &str) -> Option<Line> {
+    let start = line.find('{')?;
+    let mut fields: BTreeMap<String, Value> = serde_json::from_str(&line[start..]).ok()?;
+    let time = fields.remove("timestamp")?.as_str()?.to_owned();
+    let event = fields.remove("event")?.as_str()?.to_owned();
+    let before = line[..start].split_whitespace().last();
+    Some(Line {
+        at: seconds(&time)?,
+        time,
+        process: before.unwrap_or(file).to_owned(),
+        event,
+        fields: serde_json::to_value(fields).ok()?,
+    })
+}
+
+/// Seconds since midnight of a time such as `2026-05-20T00:03:27.008441Z`.
+fn seconds(time: &str) -> Option<f64> {
+    let clock = time.split('T').nth(1)?.trim_end_matches('Z');
+    let mut parts = clock.split(':').map(|part| part.parse::<f64>().ok());
+    let (hours, minutes, seconds) = (parts.next()??, parts.next()??, parts.next()??);
+    Some(hours * 3600.0 + minutes * 60.0 + seconds)
+}
+
+fn is_of(line: &Line, id: &str) -> bool {
+    line.text("request") == id || line.text("caller") == id
+}
+
+/// Why a request ended as it did.
+fn cause(end: &Line, own: &[&Line], all: &[Line]) -> String {
+    let failed = own.iter().rfind(|l| l.event == "try-failed");
+    let endpoint = end.text("endpoint");
+    let error = failed.map_or("", |l| l.text("error"));
+    match end.text("reason") {
+        "whole" => format!("It was answered whole by {endpoint}."),
+        "caller-gone" => "Its caller left before the answer had ended.".to_owned(),
+        "endpoint-broke-off" => format!("{endpoint} broke off in the middle of its answer."),
+        "overloaded" => format!(
+            "It was refused at once: {} had more waiting than it could serve in time{}.",
+            end.text("service"),
+            belief(end, all),
+        ),
+        "stale" => format!(
+            "It was refused: {} had last proved its version {} to be the newest {} ms before.",
+            end.process,
+            end.number("version"),
+            end.number("proof_ms"),
+        ),
+        "unknown-customer" => format!(
+            "Its key belongs to no customer at version {}, release {}.",
+            end.number("version"),
+            end.number("release"),
+        ),
+        "no-rule" => format!(
+            "No rule matches it at version {}, release {}.",
+            end.number("version"),
+            end.number("release"),
+        ),
+        "stopping" => format!("{} was stopping.", end.process),
+        "not-ready" => format!("{} did not know the configuration yet.", end.process),
+        "timeout" => format!("{endpoint} did not answer within the time of its rule."),
+        "endpoint-unreachable" => format!("{endpoint} did not take it: {error}."),
+        "endpoint-failed" => format!("{endpoint} may have run it, and failed: {error}."),
+        other => format!("It ended with '{other}'."),
+    }
+}
+
+/// What the scheduler of a refused request believed then.
+fn belief(end: &Line, all: &[Line]) -> String {
+    let of = |l: &&Line| l.event == "scheduler-state" && l.text("service") == end.text("service");
+    let last = all.iter().filter(of).rfind(|l| l.at <= end.at);
+    last.map_or_else(String::new, |l| {
+        format!(
+            " ({} asks of {} customers waited, {} ran, {:.1} s before)",
+            l.number("waiting"),
+            l.number("customers"),
+            l.number("running"),
+            end.at - l.at,
+        )
+    })
+}
+
+/// What processes came to believe around a request, without other requests.
+fn around<'a>(lines: &'a [Line], began: f64, end: &'a Line) -> impl Iterator<Item = &'a Line> {
+    let other = |event: &str| matches!(event, "request-ended" | "try-failed" | "scheduler-state");
+    let near = move |l: &&Line| l.at >= began - AROUND_S && l.at <= end.at;
+    lines.iter().filter(near).filter(move |l| !other(&l.event))
+}
+
+fn show(fields: &Value) -> String {
+    let shown = fields.as_object().into_iter().flatten();
+    let shown = shown.filter(|(key, value)| *key != "level" && *value != "");
+    let pairs: Vec<String> = shown.map(|(key, value)| format!("{key}={value}")).collect();
+    pairs.join(" ")
+}
--- a/src/cmd/log.rs
+++ b/src/cmd/log.rs
@@ -1,10 +1,11 @@
 //! Logs to standard output, which never hold the process up.
 
-use flume::{Receiver, Sender, TrySendError};
+use flume::{Receiver, Sender};
 use settings::Log;
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::Instant;
 use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::EnvFilter;
 
@@ -15,6 +16,10 @@
 /// see requests hang that have nothing to do with logs.
 const WAITING: usize = 4096;
 
+/// Lines that are written in a second at most, about a megabyte; the rest is dropped
+/// and counted. A flood of refused requests must not cost more than its answers.
+const LINES_A_SECOND: u64 = 2500;
+
 /// Starts logging as the settings say.
 pub(crate) fn start(log: &Log) {
     let filter = EnvFilter::new(format!("{},quinn=warn,rustls=warn,hyper=warn", log.level));
@@ -23,6 +28,9 @@
     let output = Output {
         sender,
         dropped: dropped.clone(),
+        second: Arc::default(),
+        lines: Arc::default(),
+        began: Instant::now(),
     };
     let lines = tracing_subscriber::fmt()
         .with_env_filter(filter)
@@ -69,13 +77,28 @@
 struct Output {
     sender: Sender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
+    /// The second that is being counted, since the start.
+    second: Arc<AtomicU64>,
+    /// Lines in it.
+    lines: Arc<AtomicU64>,
+    began: Instant,
+}
+
+impl Output {
+    /// Whether there is room for one more line in this second. Two threads that
+    /// begin a second at once may let some lines more pass.
+    fn has_room(&self) -> bool {
+        let second = self.began.elapsed().as_secs();
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.lines.store(0, Ordering::Relaxed);
+        }
+        self.lines.fetch_add(1, Ordering::Relaxed) < LINES_A_SECOND
+    }
 }
 
 impl Write for Output {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
-            self.sender.try_send(line.to_vec())
-        {
+        if !self.has_room() || self.sender.try_send(line.to_vec()).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod client;
 mod dev;
+mod explain;
 mod failure;
 mod get;
 mod keys;
@@ -31,6 +32,7 @@
         Command::Get(args) => get::run(&args),
         Command::Stop(args) => stop::run(&args),
         Command::Status(args) => status::run(&args),
+        Command::Explain(args) => explain::run(&args),
         Command::Timeline(args) => timeline::run(&args),
         Command::Keys(args) => keys::run(&args),
         Command::Load(args) => load::run(&args),
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -11,7 +11,7 @@
 use state::secret::Hash;
 use std::fs;
 use std::io::{BufRead, BufReader};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -136,7 +136,7 @@
         let keys = fleet.folder.path().join("keys");
         let made = run(&["keys", &keys.display().to_string()], &names);
         assert!(made.0.success(), "{}", made.2);
-        let places: Vec<SocketAddr> = control.iter().map(|_| fleet.fresh_address()).collect();
+        let places: Vec<SocketAddr> = control.iter().map(|_| fleet.fresh_link()).collect();
         let peers: String = (control.iter().zip(&places))
             .map(|(name, place)| format!("{name} = {place}\n"))
             .collect();
@@ -145,7 +145,7 @@
             fleet.vms.push(vm);
         }
         for name in &routers {
-            let place = fleet.fresh_address();
+            let place = fleet.fresh_link();
             let vm = fleet.vm_settings(name, &peers, place, false);
             fleet.vms.push(vm);
         }
@@ -174,10 +174,20 @@
             1 + self.hosts + self.number % 8 * 30,
         );
         // The system chooses the port; nobody else binds this address.
-        let probe = TcpListener::bind((IpAddr::V4(ip), 0)).unwrap();
+        //
+        // The probe must not be of the kind that will listen: a process that another
+        // thread starts at this moment holds a copy of it until it runs its program,
+        // and the port would still be taken when ours wants it.
+        let probe = UdpSocket::bind((IpAddr::V4(ip), 0)).unwrap();
         probe.local_addr().unwrap()
     }
 
+    /// The same for links, which listen on UDP.
+    pub(crate) fn fresh_link(&mut self) -> SocketAddr {
+        let ip = self.fresh_address().ip();
+        TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
+    }
+
     fn vm_settings(&mut self, name: &str, peers: &str, link: SocketAddr, control: bool) -> Vm {
         let data = self.folder.path().join(format!("data-{name}"));
         let operators = self.fresh_address();
--- a/tests/users.rs
+++ b/tests/users.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -199,7 +199,10 @@
             platform,
         };
         fleet.tell_endpoints(&["ready", "ready"]);
-        fleet.port = fleet.free_port();
+        // Links listen on UDP.
+        let probe = TcpListener::bind((fleet.host(), 0)).unwrap();
+        fleet.port = probe.local_addr().unwrap().port();
+        drop(probe);
         let hosts: Vec<IpAddr> = (0..3).map(|_| fleet.host()).collect();
         fleet.seeds = hosts.iter().map(|ip| (*ip, 1).into()).collect();
         for ip in hosts {
@@ -222,10 +225,12 @@
     }
 
     /// A port that the system has just given: nobody else uses these addresses.
+    ///
+    /// The probe is of another kind than what will listen: a process that another
+    /// thread starts at this moment holds a copy of it until it runs its program.
     fn free_port(&mut self) -> u16 {
-        let ip = self.host();
-        let listener = TcpListener::bind((ip, 0)).unwrap();
-        listener.local_addr().unwrap().port()
+        let probe = UdpSocket::bind((self.host(), 0)).unwrap();
+        probe.local_addr().unwrap().port()
     }
 
     fn common(&self, ip: IpAddr) -> String {
