--- a/tests/users.rs
+++ b/tests/users.rs
@@ -409,6 +409,19 @@
         (0..2).all(|n| fleet.status(n, "/b/0", "k2") == 200 && fleet.status(n, "/a/0", "k2") == 404)
     });
     assert_eq!(fleet.read(0).as_deref(), Some(&*second));
+    // From its id to its cause, by the processes' own logs.
+    let logs = fleet
+        .routers
+        .iter()
+        .map(|vm| vm.settings.with_extension("log"));
+    let explained = Command::new(BINARY)
+        .args(["explain", "id-1"])
+        .args(logs)
+        .output()
+        .unwrap();
+    let text = String::from_utf8(explained.stdout).unwrap();
+    assert!(text.contains("No rule matches it at version"), "{text}");
+    assert!(text.contains("request-ended") && text.contains("version-in-force"));
 }
 
 #[test]
