--- a/components/coordination/src/scheduler/queue.rs
+++ b/components/coordination/src/scheduler/queue.rs
@@ -7,7 +7,7 @@
 
 /// Part of the time to its aim for which an ask may be expected to wait, in
 /// hundredths; the rest is for reading its prompt and for the way.
-const PATIENCE_PERCENT: u64 = 45;
+const PATIENCE_PERCENT: u64 = 40;
 
 /// Names an ask: its session and its number there.
 pub(super) type Key = (Session, Seq);
