Tell the next scheduler what engines keep

Cause: a scheduler's picture of the engines ended with it; after each change (a restart of routers in turn changes it again and again) shared parts were sent to other engines and read again. Change: routers remember the last 384 parts that they sent and where, and tell them with their hello, also to the scheduler that a router runs for itself. That one now knows its endpoints before it hears what they hold; before, requests in progress did not count there.

--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -3,7 +3,7 @@
 //! A session is one link between a router and a scheduler in one epoch. Asks
 //! are numbered within it; a grant, its return and its reports name the ask.
 
-use crate::prompt::Prompt;
+use crate::prompt::{Part, Prompt};
 use serde::{Deserialize, Serialize};
 use state::id::{CustomerId, EndpointId, Epoch};
 
@@ -90,6 +90,15 @@
     pub spent: u64,
 }
 
+/// A part of a prompt that a router has sent to a model engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    /// Engine.
+    pub endpoint: EndpointId,
+    /// The part.
+    pub part: Part,
+}
+
 /// What a router says first to a scheduler.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -100,6 +109,8 @@
     pub known: Vec<Known>,
     /// Largest floor that a grant has told.
     pub floor: u64,
+    /// What engines have of the prompts that were sent last.
+    pub kept: Vec<Kept>,
 }
 
 /// What a router tells a scheduler.
--- a/components/coordination/src/dispatcher/local.rs
+++ b/components/coordination/src/dispatcher/local.rs
@@ -2,7 +2,7 @@
 
 use super::{endpoints, memory, Dispatcher, Effects};
 use crate::prelude::*;
-use crate::scheduler::{Effect as LocalEffect, Scheduler, GATHER_MS};
+use crate::scheduler::{Effect as LocalEffect, Scheduler, Session as LocalSession, GATHER_MS};
 use state::view::Shard;
 
 /// Time without a scheduler after which the dispatcher grants itself, in milliseconds.
@@ -41,10 +41,14 @@
         };
         // It need not gather, it is alone.
         let past = Millis(now.0.saturating_sub(GATHER_MS));
-        let mut local = Scheduler::new(LOCAL, past);
-        let local_session = local.open(now, None, &session.introduce(held));
-        session.local = Some((local, local_session));
+        let hello = session.introduce(held);
+        session.local = Some((Scheduler::new(LOCAL, past), LocalSession::default()));
+        // It must know its endpoints before it hears what they have.
         self.arm_local(view, shard);
+        let session = self.sessions.get_mut(shard);
+        if let Some((local, opened)) = session.and_then(|s| s.local.as_mut()) {
+            *opened = local.open(now, None, &hello);
+        }
         self.announce_all(now, shard, effects);
     }
 
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -220,6 +220,7 @@
         };
         request.told = request.arrival.hint;
         let arrival = request.arrival;
+        session.remember_sent(grant.endpoint, &arrival.prompt);
         self.unwait(&arrival, true);
         effects.push(Effect::Dispatch(handle, grant.endpoint));
         self.announce(now, arrival.service, arrival.class, effects);
--- a/components/coordination/src/dispatcher/session.rs
+++ b/components/coordination/src/dispatcher/session.rs
@@ -3,16 +3,21 @@
 use super::local::LOCAL_MS;
 use super::queue::Stage;
 use super::{Dispatcher, Effect, Effects, Handle};
-use crate::ask::{Hello, Seq};
+use crate::ask::{Hello, Kept, Seq};
 use crate::ledger::virtual_cost;
 use crate::prelude::*;
+use crate::prompt::UNSHARED;
 use crate::scheduler::{Scheduler, Session as LocalSession};
 use state::view::{Assignment, Shard};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Time before a refused hello is sent again, in milliseconds.
 pub const HELLO_AGAIN_MS: u64 = 50;
 
+/// Parts of prompts that are remembered for the next scheduler: some kilobytes in a
+/// hello, and the shared parts of a few hundred requests.
+const SENT: usize = 384;
+
 /// What is remembered of a customer's service.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Memory {
@@ -36,6 +41,8 @@
     pub(super) heard: bool,
     pub(super) routers: u32,
     pub(super) local: Option<(Scheduler, LocalSession)>,
+    /// Parts of prompts that were sent last.
+    sent: VecDeque<Kept>,
 }
 
 impl Session {
@@ -50,6 +57,26 @@
             held,
             known: known.collect(),
             floor: self.floor,
+            kept: self.sent.iter().copied().collect(),
+        }
+    }
+
+    /// Remembers what an engine has of a prompt that is sent to it.
+    ///
+    /// A scheduler's picture of the engines ends with it. If its successor began
+    /// with none, it would send requests to other engines than those that have
+    /// kept their prompts, and all of them would be read again.
+    pub(super) fn remember_sent(&mut self, endpoint: EndpointId, prompt: &Prompt) {
+        if prompt.tokens() == 0 {
+            return;
+        }
+        for part in prompt.parts().filter(|p| p.key != UNSHARED) {
+            let kept = Kept { endpoint, part };
+            self.sent.retain(|k| *k != kept);
+            self.sent.push_back(kept);
+        }
+        while self.sent.len() > SENT {
+            self.sent.pop_front();
         }
     }
 
@@ -78,6 +105,7 @@
             heard: false,
             routers: 1,
             local: None,
+            sent: VecDeque::new(),
         }
     }
 }
--- a/components/coordination/src/engine.rs
+++ b/components/coordination/src/engine.rs
@@ -6,7 +6,7 @@
 //! the grants and the first tokens that we see; reports lag and are not needed.
 
 use crate::prelude::*;
-use crate::prompt::{mix, Prompt};
+use crate::prompt::{mix, Part, Prompt};
 use std::collections::BTreeMap;
 
 /// Prompt tokens that an engine reads in a second, until it was measured.
@@ -191,6 +191,20 @@
         reading
     }
 
+    /// Learns from someone else that it has a part of a prompt.
+    pub fn learn(&mut self, now: Millis, part: Part) {
+        let kept = self.kept.entry(part.key);
+        kept.or_insert_with(|| {
+            self.kept_tokens += u64::from(part.tokens);
+            Kept {
+                tokens: part.tokens,
+                users: 0,
+                used: now,
+            }
+        });
+        self.evict();
+    }
+
     /// Notes a request's first token: its prompt has been read.
     pub fn began(&mut self, now: Millis, reading: &mut Reading) {
         if std::mem::replace(&mut reading.has_begun, true) {
--- a/components/coordination/src/prompt.rs
+++ b/components/coordination/src/prompt.rs
@@ -9,7 +9,7 @@
 pub const PARTS: usize = 4;
 
 /// Key of a part that nobody shares. What is kept of it is never of use.
-pub const LOCAL: u32 = u32::MAX;
+pub const UNSHARED: u32 = u32::MAX;
 
 /// A part of a prompt that endpoints may have kept from an earlier request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,7 +55,10 @@
             output,
             ..Prompt::default()
         };
-        prompt.parts[0] = Part { key: LOCAL, tokens };
+        prompt.parts[0] = Part {
+            key: UNSHARED,
+            tokens,
+        };
         prompt
     }
 
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -48,7 +48,7 @@
 const CLASS_MS: u64 = 60_000;
 
 /// A session with a router, in an arena of this scheduler.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Session(pub u32);
 
 /// Something that a scheduler wants done.
@@ -252,6 +252,9 @@
         let session = Session(self.next);
         self.next += 1;
         self.sessions.insert(session);
+        for kept in &hello.kept {
+            self.slots.learn(now, kept.endpoint, kept.part);
+        }
         for known in &hello.known {
             self.ledger.remember(known.customer, known.level);
         }
--- a/components/coordination/src/slot.rs
+++ b/components/coordination/src/slot.rs
@@ -3,6 +3,7 @@
 use crate::engine::{Engine, Reading};
 use crate::health::{Change, Health};
 use crate::prelude::*;
+use crate::prompt::Part;
 use std::collections::{BTreeMap, VecDeque};
 
 /// How far back a load report may lag, in milliseconds.
@@ -187,6 +188,14 @@
         None
     }
 
+    /// Learns that an engine has a part of a prompt.
+    pub fn learn(&mut self, now: Millis, id: EndpointId, part: Part) {
+        let slot = self.all.get_mut(&id);
+        if let Some(engine) = slot.and_then(|s| s.engine.as_mut()) {
+            engine.learn(now, part);
+        }
+    }
+
     /// Notes the first byte of an answer of an engine.
     pub fn began(&mut self, now: Millis, id: EndpointId, reading: &mut Reading) {
         let slot = self.all.get_mut(&id);
--- a/components/coordination/tests/load.rs
+++ b/components/coordination/tests/load.rs
@@ -4,7 +4,7 @@
 //! arrival at a bounded rate, keep what they have read, and then generate.
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
-use coordination::ask::{Ask, Class, Hello, Report, Seq, Verdict};
+use coordination::ask::{Ask, Class, Hello, Kept, Report, Seq, Verdict};
 use coordination::prompt::Prompt;
 use coordination::scheduler::{Effect, Scheduler, Session, GATHER_MS};
 use coordination::slot::{Claims, Slots, Wish};
@@ -273,6 +273,39 @@
     assert!(urgent.is_none_or(|id| id != first));
 }
 
+#[test]
+fn can_go_on_with_what_engines_keep_after_a_scheduler_is_lost() {
+    // Symptom: after each change of scheduler all shared parts are read again.
+    // Sequence: a scheduler is lost; its successor is told by a router what it has
+    // sent where.
+    // Cause: a picture of the engines that ends with its scheduler.
+    let now = Millis(1000);
+    let part = Prompt::new([(7, 13_000)], 0).parts().next().unwrap();
+    let hello = Hello {
+        kept: vec![Kept {
+            endpoint: EndpointId(3),
+            part,
+        }],
+        ..Hello::default()
+    };
+    let mut scheduler = Scheduler::new(Epoch(2), Millis(0));
+    scheduler.slots().set_memory(Some(MEMORY));
+    for id in 1..=4 {
+        scheduler.slots().set(EndpointId(id), 64, 0, false);
+    }
+    scheduler.open(now, None, &hello);
+    for own in 100..120 {
+        let wish = Wish {
+            prompt: Prompt::new([(7, 13_000), (own, 10)], 10),
+            avoid: None,
+            aim_ms: 600,
+            slack_ms: 600,
+        };
+        let chosen = scheduler.slots().choose(now, wish, &mut Claims::default());
+        assert_eq!(chosen, Some(EndpointId(3)));
+    }
+}
+
 #[test]
 fn can_serve_in_time_what_is_served_when_one_customer_floods() {
     // Symptom: every request of a customer that asks for more than its share is
