--- a/components/coordination/tests/dispatcher.rs
+++ b/components/coordination/tests/dispatcher.rs
@@ -243,6 +243,31 @@
     assert_eq!(spent(&third).map(|k| (k.level, k.spent)), Some((25_000, 0)));
 }
 
+#[test]
+fn can_count_requests_in_progress_when_it_schedules_locally() {
+    // Symptom: an endpoint has more requests than its slots while routers are
+    // without a scheduler.
+    // Sequence: four requests run on four slots; the scheduler is lost; two more
+    // come.
+    // Cause: a local scheduler that hears what runs before it knows the endpoints.
+    let view = view(1);
+    let mut dispatcher = dispatcher();
+    for _ in 0..4 {
+        let (_, sent) = arrive(&mut dispatcher, &view, 1);
+        dispatcher.grant(Millis(0), grant(1, asked(&sent)));
+    }
+    assert_eq!(dispatcher.held(), 4);
+    dispatcher.link_down(Millis(1), &name("s"));
+    let (first, _) = arrive(&mut dispatcher, &view, 1);
+    arrive(&mut dispatcher, &view, 2);
+    let mut effects = dispatcher.tick(Millis(1 + LOCAL_MS), &view);
+    effects.extend(dispatcher.tick(Millis(1 + 2 * LOCAL_MS), &view));
+    let dispatched = |e: &Effect| matches!(e, Effect::Dispatch(..));
+    assert!(!effects.iter().any(dispatched), "{effects:?}");
+    assert_eq!(dispatcher.waiting(), 2);
+    assert_eq!(dispatcher.leave(Millis(900), first).len(), 0);
+}
+
 #[test]
 fn can_avoid_an_endpoint_that_failed() {
     let view = view(1);
