Split the reactor and the scheduler by job; accept connections in one place

The reactor's list of endpoints, its peers and what it shows, the scheduler's late asks and its choice of the next stand in files of their own.

--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -3,9 +3,12 @@
 //! Between two customers that both wait, the one with less virtual service
 //! goes first. Which router a request waits on plays no part.
 
+mod late;
+mod next;
 mod pace;
 mod queue;
 
+use self::next::Next;
 use self::pace::Pace;
 use self::queue::{Key, Queue};
 use crate::ask::{Hello, Seq, Served};
@@ -14,8 +17,7 @@
 use crate::ledger::{virtual_cost, Ledger};
 use crate::limit::Bucket;
 use crate::prelude::*;
-use crate::prompt::mix;
-use crate::slot::{Choice, Claims, Slots, Wish};
+use crate::slot::{Choice, Slots};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// How long a new scheduler gathers sessions before its first grant, in
@@ -32,18 +34,6 @@
 pub const ORPHAN_MS: u64 = 1000;
 /// Tellings of which one tells all totals.
 const TELL_ALL: u32 = 8;
-/// Remote asks among whom the least served is sought.
-const REMOTES: usize = 64;
-/// Time between two looks through all asks that wait, in milliseconds.
-const REVIEW_MS: u64 = 100;
-/// How many times its patience an ask may wait that was let in: it was expected
-/// to be served in time, and is next in its order.
-const LATE_FACTOR: u64 = 2;
-/// Shortest time after which a refused caller may come back, in milliseconds.
-const RETURN_MS: u64 = 300;
-/// Asks that are looked at for one grant. Those behind them wait anyway, and each
-/// costs a look at every endpoint.
-const LOOK: usize = 24;
 /// Longest wait before an unused class is forgotten, in milliseconds.
 const CLASS_MS: u64 = 60_000;
 
@@ -107,14 +97,6 @@
     pub granted: u64,
 }
 
-/// An ask whose turn has come.
-#[derive(Clone, Copy, Debug)]
-struct Next {
-    key: Key,
-    ask: Ask,
-    endpoint: EndpointId,
-}
-
 /// The scheduler of one shard in one epoch.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -510,131 +492,6 @@
         Effect::Grant(key.0, grant)
     }
 
-    /// Refuses an ask that has just come, if it would be served too late.
-    ///
-    /// A customer that asks for more than its share would else have ever longer
-    /// queues: one would see all of its requests served late, the last ones not
-    /// at all after they had waited for nothing. Refused at once, those that are
-    /// served are served in time, and the others' callers know when to come back.
-    fn refuse_if_late(&mut self, now: Millis, key: Key) -> Option<Effect> {
-        let waiting = *self.queue.get(key)?;
-        let ask = waiting.ask;
-        let ahead = self.queue.cost_of(ask.class.customer) - u64::from(ask.hint);
-        let wait = self.pace.time_for(self.queue.cost_before(ahead))?;
-        (wait > waiting.patience_ms()).then(|| self.refuse(now, key, &ask, wait))
-    }
-
-    /// Looks through all asks that wait, and refuses those that are late and will
-    /// not be served soon: an engine may have been lost since they came.
-    fn review(&mut self, now: Millis) -> Effects {
-        let mut effects = Effects::new();
-        if now.since(self.reviewed) < REVIEW_MS {
-            return effects;
-        }
-        self.reviewed = now;
-        let mut late: SmallVec<[(Key, Ask, u64); 8]> = SmallVec::new();
-        for customer in self.queue.customers() {
-            let mut ahead = 0;
-            for (key, waiting) in self.queue.of(customer) {
-                let Some(wait) = self.pace.time_for(self.queue.cost_before(ahead)) else {
-                    break;
-                };
-                ahead += u64::from(waiting.ask.hint);
-                let total = now.since(waiting.since) + wait;
-                if wait > 0 && total > waiting.patience_ms() * LATE_FACTOR {
-                    late.push((key, waiting.ask, wait));
-                }
-            }
-        }
-        for (key, ask, wait) in late {
-            effects.push(self.refuse(now, key, &ask, wait));
-        }
-        effects
-    }
-
-    /// Takes an ask out of the queue and says when its caller may come back.
-    fn refuse(&mut self, now: Millis, key: Key, ask: &Ask, wait: u64) -> Effect {
-        self.remove_ask(key.0, key.1);
-        self.refused += 1;
-        let excess = wait
-            .saturating_sub(u64::from(ask.aim_ms) / 2)
-            .max(RETURN_MS);
-        // Callers that are refused together must not come back together.
-        let spread = mix(now.0 ^ (key.1).0 << 20) % 1000;
-        let after = excess * (750 + spread / 2) / 1000;
-        let refusal = Refusal {
-            epoch: self.epoch,
-            seq: key.1,
-            after_ms: u32::try_from(after).unwrap_or(u32::MAX),
-        };
-        Effect::Refuse(key.0, refusal)
-    }
-
-    /// The ask to serve next, and where.
-    ///
-    /// Customers come by the service that they have received, and each one's asks
-    /// in their order. An ask that is better off waiting for its endpoint is passed
-    /// over, but what it will take there counts for those behind it.
-    fn next(&mut self, now: Millis) -> Option<Next> {
-        let mut claims = Claims::default();
-        let mut looked = 0;
-        let customers: SmallVec<[CustomerId; 32]> = self.ledger.waiting().collect();
-        for round in 0..LOOK {
-            let mut any = false;
-            for customer in &customers {
-                let Some((key, waiting)) = self.queue.of(*customer).nth(round) else {
-                    continue;
-                };
-                any = true;
-                looked += 1;
-                if looked > LOOK {
-                    return self.next_remote(now);
-                }
-                let ask = waiting.ask;
-                let slack_ms = waiting.slack_ms(now);
-                if !self.may_start(now, &ask) {
-                    continue;
-                }
-                let wish = Wish {
-                    prompt: ask.prompt,
-                    avoid: ask.avoid,
-                    aim_ms: u64::from(ask.aim_ms),
-                    slack_ms,
-                };
-                if let Some(endpoint) = self.slots.choose(now, wish, &mut claims) {
-                    return Some(Next { key, ask, endpoint });
-                }
-            }
-            if !any {
-                break;
-            }
-        }
-        self.next_remote(now)
-    }
-
-    /// Whether the limits of an ask's class let it start.
-    fn may_start(&mut self, now: Millis, ask: &Ask) -> bool {
-        let class = self.class(now, ask.class);
-        let full = ask.concurrency != 0 && class.running >= ask.concurrency;
-        !full && class.bucket.as_mut().is_none_or(|b| b.ready(now))
-    }
-
-    /// The remote ask to serve next, once nobody of this region can start: of the
-    /// first few, the least served one.
-    fn next_remote(&mut self, now: Millis) -> Option<Next> {
-        let first = self.remotes.iter().take(REMOTES);
-        let level = |(_, ask): &&(Key, Ask)| self.ledger.level(ask.class.customer);
-        let (key, ask) = first.min_by_key(level).copied()?;
-        let wish = Wish {
-            prompt: ask.prompt,
-            avoid: ask.avoid,
-            aim_ms: u64::from(ask.aim_ms),
-            slack_ms: 0,
-        };
-        let endpoint = self.slots.choose(now, wish, &mut Claims::default())?;
-        Some(Next { key, ask, endpoint })
-    }
-
     fn remove_ask(&mut self, session: Session, seq: Seq) {
         let key = (session, seq);
         let Some(ask) = self.queue.remove(key) else {
--- /dev/null
+++ b/components/coordination/src/scheduler/next.rs
@@ -0,0 +1,87 @@
+//! Whose request gets the next free slot, and where.
+
+use super::queue::Key;
+use super::Scheduler;
+use crate::prelude::*;
+use crate::slot::{Claims, Wish};
+
+/// Asks that are looked at for one grant. Those behind them wait anyway, and each
+/// costs a look at every endpoint.
+const LOOK: usize = 24;
+/// Remote asks among whom the least served is sought.
+const REMOTES: usize = 64;
+
+/// An ask whose turn has come.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Next {
+    pub(super) key: Key,
+    pub(super) ask: Ask,
+    pub(super) endpoint: EndpointId,
+}
+
+impl Scheduler {
+    /// The ask to serve next, and where.
+    ///
+    /// Customers come by the service that they have received, and each one's asks
+    /// in their order. An ask that is better off waiting for its endpoint is passed
+    /// over, but what it will take there counts for those behind it.
+    pub(super) fn next(&mut self, now: Millis) -> Option<Next> {
+        let mut claims = Claims::default();
+        let mut looked = 0;
+        let customers: SmallVec<[CustomerId; 32]> = self.ledger.waiting().collect();
+        for round in 0..LOOK {
+            let mut any = false;
+            for customer in &customers {
+                let Some((key, waiting)) = self.queue.of(*customer).nth(round) else {
+                    continue;
+                };
+                any = true;
+                looked += 1;
+                if looked > LOOK {
+                    return self.next_remote(now);
+                }
+                let ask = waiting.ask;
+                let slack_ms = waiting.slack_ms(now);
+                if !self.may_start(now, &ask) {
+                    continue;
+                }
+                let wish = Wish {
+                    prompt: ask.prompt,
+                    avoid: ask.avoid,
+                    aim_ms: u64::from(ask.aim_ms),
+                    slack_ms,
+                };
+                if let Some(endpoint) = self.slots.choose(now, wish, &mut claims) {
+                    return Some(Next { key, ask, endpoint });
+                }
+            }
+            if !any {
+                break;
+            }
+        }
+        self.next_remote(now)
+    }
+
+    /// Whether the limits of an ask's class let it start.
+    pub(super) fn may_start(&mut self, now: Millis, ask: &Ask) -> bool {
+        let class = self.class(now, ask.class);
+        let full = ask.concurrency != 0 && class.running >= ask.concurrency;
+        !full && class.bucket.as_mut().is_none_or(|b| b.ready(now))
+    }
+
+    /// The remote ask to serve next, once nobody of this region can start: of the
+    /// first few, the least served one.
+    pub(super) fn next_remote(&mut self, now: Millis) -> Option<Next> {
+        let first = self.remotes.iter().take(REMOTES);
+        let level = |(_, ask): &&(Key, Ask)| self.ledger.level(ask.class.customer);
+        let (key, ask) = first.min_by_key(level).copied()?;
+        let wish = Wish {
+            prompt: ask.prompt,
+            avoid: ask.avoid,
+            aim_ms: u64::from(ask.aim_ms),
+            slack_ms: 0,
+        };
+        let endpoint = self.slots.choose(now, wish, &mut Claims::default())?;
+        Some(Next { key, ask, endpoint })
+    }
+}
--- a/components/node/src/front/listen.rs
+++ b/components/node/src/front/listen.rs
@@ -2,6 +2,7 @@
 
 use super::pool::{Key, Pool};
 use super::serve::serve;
+use crate::http::accept;
 use crate::input::Input;
 use crate::interface::Interface;
 use crate::journal::Journal;
@@ -130,14 +131,7 @@
         tasks.spawn(self.clone().tend_pool(stop.clone()));
         loop {
             let stream = tokio::select! {
-                accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => stream,
-                    Err(error) => {
-                        tracing::warn!(%error, "a connection could not be accepted");
-                        tokio::time::sleep(Duration::from_millis(20)).await;
-                        continue;
-                    }
-                },
+                stream = accept(&listener) => stream,
                 Some(_) = tasks.join_next() => continue,
                 () = raised(&mut stop) => break,
             };
--- a/components/node/src/http.rs
+++ b/components/node/src/http.rs
@@ -11,7 +11,7 @@
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
 use tokio::task::JoinSet;
 
@@ -20,6 +20,22 @@
 /// Time for a head to arrive; an idle connection is closed after it as well.
 const HEAD: Duration = Duration::from_secs(20);
 
+/// Pause after a connection could not be accepted: descriptors may be short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts the next connection.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                tracing::warn!(%error, "a connection could not be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Serves `answer` until told to stop; then lets answers end.
 pub(crate) async fn serve<F, A>(listener: TcpListener, answer: F, mut stop: watch::Receiver<bool>)
 where
@@ -31,14 +47,7 @@
     let mut tasks = JoinSet::new();
     loop {
         let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    tracing::warn!(%error, "a connection could not be accepted");
-                    tokio::time::sleep(Duration::from_millis(20)).await;
-                    continue;
-                }
-            },
+            stream = accept(&listener) => stream,
             Some(_) = tasks.join_next() => continue,
             () = raised(&mut stop) => break,
         };
--- /dev/null
+++ b/components/node/src/reactor/listing.rs
@@ -0,0 +1,90 @@
+//! The platform's list of endpoints: whose turn it is, and passing news of it on.
+
+use super::Reactor;
+use protocol::wire::Message;
+use state::clock::Millis;
+use state::id::{EndpointId, Name};
+use state::listing::Listed;
+use std::collections::BTreeSet;
+
+/// Endpoints that one log line names at most.
+const NAMED: usize = 12;
+
+impl Reactor {
+    /// Time that this process waits for someone else's reading of the platform's
+    /// list, in milliseconds: the leader least, then the other control VMs, then
+    /// routers, each at a time of its own.
+    pub(super) fn listing_patience(&self) -> u64 {
+        let every = self.parts.listing_ms;
+        if self.leads {
+            return every;
+        }
+        let spread = self.parts.hub.hello().incarnation % every.max(1);
+        let turns = if self.parts.control { 2 } else { 4 };
+        every * turns + spread
+    }
+
+    /// Follows and passes on a reading of the platform's list.
+    pub(super) fn listed(&mut self, now: Millis, changed: bool, from: Option<&Name>) {
+        let listing = self.roster.listing().clone();
+        if changed {
+            self.tell_endpoints(from);
+            self.follow_live(now);
+        }
+        let mut to: Vec<Name> = self.dissemination.children().cloned().collect();
+        if from.is_none() && self.parts.control {
+            to.extend(self.members.iter().map(|p| p.vm.clone()));
+        }
+        let news = if changed {
+            Message::Listing(Box::new((*listing).clone()))
+        } else {
+            Message::ListingKept(listing.id)
+        };
+        for vm in to {
+            if Some(&vm) != from && vm != self.me {
+                self.parts.hub.send(&vm, news.clone());
+            }
+        }
+    }
+
+    /// Logs which endpoints have come, leave or have gone.
+    pub(super) fn tell_endpoints(&self, from: Option<&Name>) {
+        let listing = self.roster.listing();
+        let before = &self.live.config.endpoints;
+        let id = |l: &Listed| EndpointId::of(&l.endpoint.name);
+        let names = |wanted: &dyn Fn(&Listed) -> bool| {
+            let found = listing.endpoints.iter().filter(|l| wanted(l));
+            joined(found.map(|l| &l.endpoint.name))
+        };
+        let come = names(&|l| !before.contains_key(&id(l)));
+        let leave = names(&|l| l.leaving && !self.live.leaving.contains(&id(l)));
+        let now: BTreeSet<&Name> = listing.endpoints.iter().map(|l| &l.endpoint.name).collect();
+        let gone = before.values().filter(|e| !now.contains(&e.name));
+        tracing::info!(
+            event = "endpoints-changed",
+            listing = listing.id,
+            endpoints = listing.endpoints.len(),
+            come,
+            leave,
+            gone = joined(gone.map(|e| &e.name)),
+            from = from.map_or("", Name::as_str),
+        );
+    }
+
+    pub(super) fn send_listing(&self, vm: &Name) {
+        let listing = self.roster.listing();
+        if !listing.endpoints.is_empty() {
+            let listing = Box::new((**listing).clone());
+            self.parts.hub.send(vm, Message::Listing(listing));
+        }
+    }
+}
+
+/// The first few names, for a log line.
+fn joined<'a, N>(names: N) -> String
+where
+    N: Iterator<Item = &'a Name>,
+{
+    let names: Vec<&str> = names.take(NAMED).map(Name::as_str).collect();
+    names.join(",")
+}
--- a/components/node/src/reactor.rs
+++ b/components/node/src/reactor/mod.rs
@@ -1,23 +1,26 @@
 //! The reactor: one task that owns the router's and schedulers' decisions.
 
+mod listing;
+mod peers;
+mod show;
+
 use crate::batch::Batch;
 use crate::dissemination::Dissemination;
-use crate::input::{Decision, Dispatch, Input, Watched};
+use crate::input::{Decision, Dispatch, Input};
 use crate::journal::Journal;
-use crate::metric::{value, Metrics};
+use crate::metric::Metrics;
 use crate::query::Queries;
 use crate::schedulers::Schedulers;
-use crate::shared::{Published, Shared, Status};
-use coordination::dispatcher::{endpoints, Bounds, Dispatcher, Effect, Effects, Handle};
+use crate::shared::Published;
+use coordination::dispatcher::{Bounds, Dispatcher, Effect, Effects, Handle};
 use coordination::listing::Roster;
-use protocol::wire::{Message, Query, Reply};
+use protocol::wire::{Message, Reply};
 use state::clock::Millis;
 use state::config::Index;
 use state::event::{Event, Step};
 use state::id::{EndpointId, Name, Version};
-use state::listing::Listed;
 use state::view::{Assignment, Place, View};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
@@ -28,14 +31,9 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Inputs taken in one round before messages are sent.
 const ROUND: usize = 256;
-/// Time between two heartbeats of a VM that can schedule, in milliseconds.
-const BEAT_MS: u64 = 300;
 /// Time between two updates of the gauges, in milliseconds.
 const MEASURE_MS: u64 = 1000;
 
-/// Endpoints that one log line names at most.
-const NAMED: usize = 12;
-
 /// What a reactor is given.
 pub(crate) struct Parts {
     /// Links.
@@ -511,349 +509,4 @@
             self.close_links();
         }
     }
-
-    /// Dials the schedulers that the dispatcher has sessions with.
-    fn reach_schedulers(&mut self) {
-        let wanted: BTreeMap<Name, Assignment> = (self.dispatcher.shards())
-            .filter_map(|(shard, _)| self.live.assignment(shard))
-            .map(|assignment| (assignment.place.vm.clone(), assignment.clone()))
-            .collect();
-        self.schedulers_dialed.retain(|vm| wanted.contains_key(vm));
-        for assignment in wanted.values() {
-            self.reach(assignment);
-        }
-    }
-
-    /// Closes links that nothing here needs any more.
-    ///
-    /// Each costs signs of life on both VMs: links that stay after a query would
-    /// make a control VM's traffic grow with the fleet.
-    fn close_links(&mut self) {
-        let hub = &self.parts.hub;
-        let member = self.parts.control || self.parts.scheduler;
-        for vm in hub.dialed() {
-            let seed = member && self.control_places().iter().any(|s| s.vm == vm);
-            let needed = seed
-                || self.dissemination.needs(&vm)
-                || self.queries.needs(&vm)
-                || self.schedulers_dialed.contains(&vm)
-                || self.regions_dialed.contains(&vm);
-            if needed {
-                continue;
-            }
-            // The peer may use the link that we opened.
-            if self.dissemination.feeds(&vm) || self.schedulers.serves(&vm) {
-                hub.undial(&vm);
-            } else {
-                hub.close(&vm);
-            }
-        }
-    }
-
-    fn beat(&mut self, now: Millis) {
-        if !self.parts.scheduler || self.stopping || now < self.beat_at {
-            return;
-        }
-        self.beat_at = now.after(BEAT_MS);
-        let beat = Message::Beat {
-            region: self.parts.region.clone(),
-            incarnation: self.parts.hub.hello().incarnation,
-        };
-        for seed in self.control_places() {
-            self.parts.hub.send(&seed.vm, beat.clone());
-        }
-    }
-
-    /// Control VMs: those that the control role here or the view tells of, and the
-    /// seeds, which may know of others.
-    fn control_places(&self) -> Vec<Place> {
-        let told = if self.members.is_empty() {
-            &self.view.control
-        } else {
-            &self.members
-        };
-        let mut places: Vec<Place> = told.clone();
-        places.extend(self.parts.seeds.iter().cloned());
-        let mut seen = BTreeSet::new();
-        places.retain(|p| seen.insert(p.vm.clone()));
-        places
-    }
-
-    fn dial_control(&self) {
-        for place in self.control_places() {
-            self.parts.hub.dial(&place);
-        }
-    }
-
-    /// Follows a change among the control VMs.
-    fn follow_control(&mut self) {
-        let places = self.control_places();
-        self.dissemination.set_seeds(places.clone());
-        self.queries.set_seeds(places);
-        if self.parts.control || self.parts.scheduler {
-            self.dial_control();
-        }
-    }
-
-    /// Time that this process waits for someone else's reading of the platform's
-    /// list, in milliseconds: the leader least, then the other control VMs, then
-    /// routers, each at a time of its own.
-    fn listing_patience(&self) -> u64 {
-        let every = self.parts.listing_ms;
-        if self.leads {
-            return every;
-        }
-        let spread = self.parts.hub.hello().incarnation % every.max(1);
-        let turns = if self.parts.control { 2 } else { 4 };
-        every * turns + spread
-    }
-
-    /// Follows and passes on a reading of the platform's list.
-    fn listed(&mut self, now: Millis, changed: bool, from: Option<&Name>) {
-        let listing = self.roster.listing().clone();
-        if changed {
-            self.tell_endpoints(from);
-            self.follow_live(now);
-        }
-        let mut to: Vec<Name> = self.dissemination.children().cloned().collect();
-        if from.is_none() && self.parts.control {
-            to.extend(self.members.iter().map(|p| p.vm.clone()));
-        }
-        let news = if changed {
-            Message::Listing(Box::new((*listing).clone()))
-        } else {
-            Message::ListingKept(listing.id)
-        };
-        for vm in to {
-            if Some(&vm) != from && vm != self.me {
-                self.parts.hub.send(&vm, news.clone());
-            }
-        }
-    }
-
-    /// Logs which endpoints have come, leave or have gone.
-    fn tell_endpoints(&self, from: Option<&Name>) {
-        let listing = self.roster.listing();
-        let before = &self.live.config.endpoints;
-        let name = |l: &&Listed| EndpointId::of(&l.endpoint.name);
-        let fresh = |l: &&Listed| !before.contains_key(&name(l));
-        let leaves = |l: &&Listed| l.leaving && !self.live.leaving.contains(&name(l));
-        let now: BTreeSet<&Name> = listing.endpoints.iter().map(|l| &l.endpoint.name).collect();
-        let gone = before.values().filter(|e| !now.contains(&e.name));
-        tracing::info!(
-            event = "endpoints-changed",
-            listing = listing.id,
-            endpoints = listing.endpoints.len(),
-            come = joined(
-                listing
-                    .endpoints
-                    .iter()
-                    .filter(fresh)
-                    .map(|l| &l.endpoint.name)
-            ),
-            leave = joined(
-                listing
-                    .endpoints
-                    .iter()
-                    .filter(leaves)
-                    .map(|l| &l.endpoint.name)
-            ),
-            gone = joined(gone.map(|e| &e.name)),
-            from = from.map_or("", Name::as_str),
-        );
-    }
-
-    fn send_listing(&self, vm: &Name) {
-        let listing = self.roster.listing();
-        if !listing.endpoints.is_empty() {
-            let listing = Box::new((**listing).clone());
-            self.parts.hub.send(vm, Message::Listing(listing));
-        }
-    }
-
-    /// Answers a child's question how new the view is.
-    fn check(&self, now: Millis, vm: &Name, sent: u64) {
-        let Some(proof) = self.dissemination.proof() else {
-            return;
-        };
-        let checked = Message::Checked {
-            sent,
-            age_ms: now.since(proof),
-            head: self.view.version,
-        };
-        self.parts.hub.send(vm, checked);
-    }
-
-    /// A root asks the leader for the proof that its view is the newest.
-    fn prove(&mut self, now: Millis) {
-        if !self.dissemination.is_root() {
-            return;
-        }
-        if let Some((at, answer)) = &mut self.proving {
-            match answer.try_recv() {
-                Ok(Reply::Head(head)) => {
-                    let at = *at;
-                    self.dissemination.prove(at, head, self.view.version);
-                    self.proving = None;
-                    self.dirty = true;
-                }
-                Ok(_) | Err(oneshot::error::TryRecvError::Closed) => self.proving = None,
-                Err(oneshot::error::TryRecvError::Empty) => {}
-            }
-        }
-        if self.dissemination.wants_proof(now) && self.proving.is_none() {
-            let (sender, receiver) = oneshot::channel();
-            self.proving = Some((now, receiver));
-            self.queries.ask(now, &self.parts.hub, Query::Head, sender);
-        }
-    }
-
-    /// Becomes ready once the view is as new as the version that a quorum had
-    /// in force after this process started.
-    ///
-    /// A process that served what its first peer happened to have could step
-    /// back behind its own earlier life: one would see a removed customer
-    /// served again after a restart.
-    fn seek_ready(&mut self, now: Millis) {
-        if self.ready {
-            return;
-        }
-        if self.needed.is_none() {
-            let head = self.head.get_or_insert_with(|| {
-                let (sender, receiver) = oneshot::channel();
-                self.queries.ask(now, &self.parts.hub, Query::Head, sender);
-                receiver
-            });
-            match head.try_recv() {
-                Ok(Reply::Head(version)) => self.needed = Some(version),
-                Ok(_) | Err(oneshot::error::TryRecvError::Closed) => self.head = None,
-                Err(oneshot::error::TryRecvError::Empty) => {}
-            }
-        }
-        if self
-            .needed
-            .is_some_and(|needed| self.view.version >= needed)
-        {
-            tracing::info!(version = %self.view.version, "ready");
-            self.ready = true;
-            self.dirty = true;
-        }
-    }
-
-    /// Tells other regions' schedulers what those here have given.
-    fn tell_served(&mut self) {
-        let mut wanted = BTreeSet::new();
-        for (to, served) in self.schedulers.served(&self.live) {
-            self.parts.hub.dial(&to.place);
-            self.parts.hub.send(&to.place.vm, Message::Served(served));
-            wanted.insert(to.place.vm);
-        }
-        self.regions_dialed = wanted;
-    }
-
-    fn publish(&self) {
-        let shared = Shared {
-            view: self.live.clone(),
-            index: self.index.clone(),
-            ready: self.ready,
-            stopping: self.stopping,
-            closed: self.closed,
-            proof: self.dissemination.proof(),
-            routers: self.dispatcher.routers(),
-        };
-        self.parts.publish.send_replace(Arc::new(shared));
-    }
-
-    fn measure(&self) {
-        let m = &self.parts.metrics;
-        m.waiting.set(value(self.dispatcher.waiting()));
-        m.held.set(value(self.dispatcher.held()));
-        m.version.set(value(self.view.version.0));
-        m.ready.set(i64::from(self.ready && !self.stopping));
-        m.local.set(value(
-            self.dispatcher.shards().filter(|(_, up)| !up).count(),
-        ));
-        self.schedulers.measure(&self.live);
-        let (datagrams, udp) = self.parts.hub.udp();
-        let set = |what, number| m.link.with_label_values(&[what]).set(value(number));
-        set("datagrams", datagrams);
-        set("datagram_bytes", udp);
-        set("links", self.parts.hub.peers().len() as u64);
-        for (kind, (frames, bytes)) in self.parts.hub.counts().kinds() {
-            m.frames
-                .with_label_values(&[kind, "frames"])
-                .set(value(frames));
-            m.frames
-                .with_label_values(&[kind, "bytes"])
-                .set(value(bytes));
-        }
-    }
-
-    fn watched(&self) -> Vec<Watched> {
-        let config = &self.live.config;
-        let mut watched = Vec::new();
-        for shard in self.schedulers.shards() {
-            let service = config.services.get(&shard.service);
-            let Some(path) = service.and_then(|s| s.load.clone()) else {
-                continue;
-            };
-            for (endpoint, ..) in endpoints(&self.live, &shard) {
-                let address = config.endpoints.get(&endpoint).map(|e| e.address);
-                watched.extend(address.map(|address| Watched {
-                    endpoint,
-                    address,
-                    path: path.clone(),
-                }));
-            }
-        }
-        watched
-    }
-
-    fn status(&self) -> Status {
-        let customers = &self.view.config.customers;
-        let name = |id| {
-            customers
-                .get(id)
-                .map_or(String::new(), |c| c.name.to_string())
-        };
-        Status {
-            vm: self.me.clone(),
-            incarnation: self.parts.hub.hello().incarnation,
-            version: self.view.version.0,
-            config_version: self.view.config_version.0,
-            ready: self.ready,
-            stopping: self.stopping,
-            parent: self.dissemination.parent().cloned(),
-            confirmed: self.dissemination.total(self.view.version),
-            peers: self
-                .parts
-                .hub
-                .peers()
-                .into_iter()
-                .map(|p| p.place.vm)
-                .collect(),
-            waiting: self
-                .dispatcher
-                .queues()
-                .iter()
-                .map(|(id, n)| (name(id), *n))
-                .collect(),
-            held: self.dispatcher.held(),
-            local: (self.dispatcher.shards())
-                .filter(|(_, up)| !up)
-                .map(|(shard, _)| shard.clone())
-                .collect(),
-            schedulers: self.schedulers.status(&self.view),
-            control: None,
-        }
-    }
-}
-
-/// The first few names, for a log line.
-fn joined<'a, N>(names: N) -> String
-where
-    N: Iterator<Item = &'a Name>,
-{
-    let names: Vec<&str> = names.take(NAMED).map(Name::as_str).collect();
-    names.join(",")
 }
--- /dev/null
+++ b/components/node/src/reactor/peers.rs
@@ -0,0 +1,177 @@
+//! Other processes: who is reached, and how new the view is.
+
+use super::Reactor;
+use protocol::wire::{Message, Query, Reply};
+use state::clock::Millis;
+use state::id::Name;
+use state::view::{Assignment, Place};
+use std::collections::{BTreeMap, BTreeSet};
+use tokio::sync::oneshot;
+
+/// Time between two heartbeats of a VM that can schedule, in milliseconds.
+const BEAT_MS: u64 = 300;
+
+impl Reactor {
+    /// Dials the schedulers that the dispatcher has sessions with.
+    pub(super) fn reach_schedulers(&mut self) {
+        let wanted: BTreeMap<Name, Assignment> = (self.dispatcher.shards())
+            .filter_map(|(shard, _)| self.live.assignment(shard))
+            .map(|assignment| (assignment.place.vm.clone(), assignment.clone()))
+            .collect();
+        self.schedulers_dialed.retain(|vm| wanted.contains_key(vm));
+        for assignment in wanted.values() {
+            self.reach(assignment);
+        }
+    }
+
+    /// Closes links that nothing here needs any more.
+    ///
+    /// Each costs signs of life on both VMs: links that stay after a query would
+    /// make a control VM's traffic grow with the fleet.
+    pub(super) fn close_links(&mut self) {
+        let hub = &self.parts.hub;
+        let member = self.parts.control || self.parts.scheduler;
+        for vm in hub.dialed() {
+            let seed = member && self.control_places().iter().any(|s| s.vm == vm);
+            let needed = seed
+                || self.dissemination.needs(&vm)
+                || self.queries.needs(&vm)
+                || self.schedulers_dialed.contains(&vm)
+                || self.regions_dialed.contains(&vm);
+            if needed {
+                continue;
+            }
+            // The peer may use the link that we opened.
+            if self.dissemination.feeds(&vm) || self.schedulers.serves(&vm) {
+                hub.undial(&vm);
+            } else {
+                hub.close(&vm);
+            }
+        }
+    }
+
+    pub(super) fn beat(&mut self, now: Millis) {
+        if !self.parts.scheduler || self.stopping || now < self.beat_at {
+            return;
+        }
+        self.beat_at = now.after(BEAT_MS);
+        let beat = Message::Beat {
+            region: self.parts.region.clone(),
+            incarnation: self.parts.hub.hello().incarnation,
+        };
+        for seed in self.control_places() {
+            self.parts.hub.send(&seed.vm, beat.clone());
+        }
+    }
+
+    /// Control VMs: those that the control role here or the view tells of, and the
+    /// seeds, which may know of others.
+    pub(super) fn control_places(&self) -> Vec<Place> {
+        let told = if self.members.is_empty() {
+            &self.view.control
+        } else {
+            &self.members
+        };
+        let mut places: Vec<Place> = told.clone();
+        places.extend(self.parts.seeds.iter().cloned());
+        let mut seen = BTreeSet::new();
+        places.retain(|p| seen.insert(p.vm.clone()));
+        places
+    }
+
+    pub(super) fn dial_control(&self) {
+        for place in self.control_places() {
+            self.parts.hub.dial(&place);
+        }
+    }
+
+    /// Follows a change among the control VMs.
+    pub(super) fn follow_control(&mut self) {
+        let places = self.control_places();
+        self.dissemination.set_seeds(places.clone());
+        self.queries.set_seeds(places);
+        if self.parts.control || self.parts.scheduler {
+            self.dial_control();
+        }
+    }
+
+    /// Answers a child's question how new the view is.
+    pub(super) fn check(&self, now: Millis, vm: &Name, sent: u64) {
+        let Some(proof) = self.dissemination.proof() else {
+            return;
+        };
+        let checked = Message::Checked {
+            sent,
+            age_ms: now.since(proof),
+            head: self.view.version,
+        };
+        self.parts.hub.send(vm, checked);
+    }
+
+    /// A root asks the leader for the proof that its view is the newest.
+    pub(super) fn prove(&mut self, now: Millis) {
+        if !self.dissemination.is_root() {
+            return;
+        }
+        if let Some((at, answer)) = &mut self.proving {
+            match answer.try_recv() {
+                Ok(Reply::Head(head)) => {
+                    let at = *at;
+                    self.dissemination.prove(at, head, self.view.version);
+                    self.proving = None;
+                    self.dirty = true;
+                }
+                Ok(_) | Err(oneshot::error::TryRecvError::Closed) => self.proving = None,
+                Err(oneshot::error::TryRecvError::Empty) => {}
+            }
+        }
+        if self.dissemination.wants_proof(now) && self.proving.is_none() {
+            let (sender, receiver) = oneshot::channel();
+            self.proving = Some((now, receiver));
+            self.queries.ask(now, &self.parts.hub, Query::Head, sender);
+        }
+    }
+
+    /// Becomes ready once the view is as new as the version that a quorum had
+    /// in force after this process started.
+    ///
+    /// A process that served what its first peer happened to have could step
+    /// back behind its own earlier life: one would see a removed customer
+    /// served again after a restart.
+    pub(super) fn seek_ready(&mut self, now: Millis) {
+        if self.ready {
+            return;
+        }
+        if self.needed.is_none() {
+            let head = self.head.get_or_insert_with(|| {
+                let (sender, receiver) = oneshot::channel();
+                self.queries.ask(now, &self.parts.hub, Query::Head, sender);
+                receiver
+            });
+            match head.try_recv() {
+                Ok(Reply::Head(version)) => self.needed = Some(version),
+                Ok(_) | Err(oneshot::error::TryRecvError::Closed) => self.head = None,
+                Err(oneshot::error::TryRecvError::Empty) => {}
+            }
+        }
+        if self
+            .needed
+            .is_some_and(|needed| self.view.version >= needed)
+        {
+            tracing::info!(version = %self.view.version, "ready");
+            self.ready = true;
+            self.dirty = true;
+        }
+    }
+
+    /// Tells other regions' schedulers what those here have given.
+    pub(super) fn tell_served(&mut self) {
+        let mut wanted = BTreeSet::new();
+        for (to, served) in self.schedulers.served(&self.live) {
+            self.parts.hub.dial(&to.place);
+            self.parts.hub.send(&to.place.vm, Message::Served(served));
+            wanted.insert(to.place.vm);
+        }
+        self.regions_dialed = wanted;
+    }
+}
--- /dev/null
+++ b/components/node/src/reactor/show.rs
@@ -0,0 +1,107 @@
+//! What the reactor shows to the rest of the process and to operators.
+
+use super::Reactor;
+use crate::input::Watched;
+use crate::metric::value;
+use crate::shared::{Shared, Status};
+use coordination::dispatcher::endpoints;
+use std::sync::Arc;
+
+impl Reactor {
+    pub(super) fn publish(&self) {
+        let shared = Shared {
+            view: self.live.clone(),
+            index: self.index.clone(),
+            ready: self.ready,
+            stopping: self.stopping,
+            closed: self.closed,
+            proof: self.dissemination.proof(),
+            routers: self.dispatcher.routers(),
+        };
+        self.parts.publish.send_replace(Arc::new(shared));
+    }
+
+    pub(super) fn measure(&self) {
+        let m = &self.parts.metrics;
+        m.waiting.set(value(self.dispatcher.waiting()));
+        m.held.set(value(self.dispatcher.held()));
+        m.version.set(value(self.view.version.0));
+        m.ready.set(i64::from(self.ready && !self.stopping));
+        m.local.set(value(
+            self.dispatcher.shards().filter(|(_, up)| !up).count(),
+        ));
+        self.schedulers.measure(&self.live);
+        let (datagrams, udp) = self.parts.hub.udp();
+        let set = |what, number| m.link.with_label_values(&[what]).set(value(number));
+        set("datagrams", datagrams);
+        set("datagram_bytes", udp);
+        set("links", self.parts.hub.peers().len() as u64);
+        for (kind, (frames, bytes)) in self.parts.hub.counts().kinds() {
+            m.frames
+                .with_label_values(&[kind, "frames"])
+                .set(value(frames));
+            m.frames
+                .with_label_values(&[kind, "bytes"])
+                .set(value(bytes));
+        }
+    }
+
+    pub(super) fn watched(&self) -> Vec<Watched> {
+        let config = &self.live.config;
+        let mut watched = Vec::new();
+        for shard in self.schedulers.shards() {
+            let service = config.services.get(&shard.service);
+            let Some(path) = service.and_then(|s| s.load.clone()) else {
+                continue;
+            };
+            for (endpoint, ..) in endpoints(&self.live, &shard) {
+                let address = config.endpoints.get(&endpoint).map(|e| e.address);
+                watched.extend(address.map(|address| Watched {
+                    endpoint,
+                    address,
+                    path: path.clone(),
+                }));
+            }
+        }
+        watched
+    }
+
+    pub(super) fn status(&self) -> Status {
+        let customers = &self.view.config.customers;
+        let name = |id| {
+            customers
+                .get(id)
+                .map_or(String::new(), |c| c.name.to_string())
+        };
+        Status {
+            vm: self.me.clone(),
+            incarnation: self.parts.hub.hello().incarnation,
+            version: self.view.version.0,
+            config_version: self.view.config_version.0,
+            ready: self.ready,
+            stopping: self.stopping,
+            parent: self.dissemination.parent().cloned(),
+            confirmed: self.dissemination.total(self.view.version),
+            peers: self
+                .parts
+                .hub
+                .peers()
+                .into_iter()
+                .map(|p| p.place.vm)
+                .collect(),
+            waiting: self
+                .dispatcher
+                .queues()
+                .iter()
+                .map(|(id, n)| (name(id), *n))
+                .collect(),
+            held: self.dispatcher.held(),
+            local: (self.dispatcher.shards())
+                .filter(|(_, up)| !up)
+                .map(|(shard, _)| shard.clone())
+                .collect(),
+            schedulers: self.schedulers.status(&self.view),
+            control: None,
+        }
+    }
+}
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -38,30 +38,19 @@
         return Err(Failure::Input(text));
     };
     println!("{}", cause(end, &own, &lines));
-    for line in &own {
-        println!(
-            "{} {} {}: {}",
-            line.time,
-            line.process,
-            line.event,
-            show(&line.fields)
-        );
-    }
+    own.iter().for_each(|line| line.print());
     let began = end.at - end.number("took_ms") / 1000.0;
     println!("around it:");
-    for line in around(&lines, began, end) {
-        println!(
-            "{} {} {}: {}",
-            line.time,
-            line.process,
-            line.event,
-            show(&line.fields)
-        );
-    }
+    around(&lines, began, end).for_each(Line::print);
     Ok(())
 }
 
 impl Line {
+    fn print(&self) {
+        let fields = show(&self.fields);
+        println!("{} {} {}: {fields}", self.time, self.process, self.event);
+    }
+
     fn text(&self, key: &str) -> &str {
         self.fields[key].as_str().unwrap_or("")
     }
@@ -87,7 +76,7 @@
     })
 }
 
-/// Seconds since midnight of a time such as `2026-05-20T00:03:27.008441Z`.
+/// Seconds since midnight of a time, as RFC 3339 writes it.
 fn seconds(time: &str) -> Option<f64> {
     let clock = time.split('T').nth(1)?.trim_end_matches('Z');
     let mut parts = clock.split(':').map(|part| part.parse::<f64>().ok());
