--- a/components/coordination/src/engine.rs
+++ b/components/coordination/src/engine.rs
@@ -7,7 +7,8 @@
 
 use crate::prelude::*;
 use crate::prompt::{mix, Part, Prompt};
-use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::hash::{BuildHasherDefault, Hasher};
 
 /// Prompt tokens that an engine reads in a second, until it was measured.
 ///
@@ -43,6 +44,28 @@
 /// microseconds: a step takes longer for each request of the batch.
 const BATCH_US: u64 = 400;
 
+/// Takes a key as its own hash: keys of parts are mixed already. A grant looks at
+/// every engine, so that looking up parts is most of its cost.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mixed(u64);
+
+impl Hasher for Mixed {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = mix(self.0 ^ u64::from(*byte));
+        }
+    }
+
+    fn write_u32(&mut self, key: u32) {
+        // The map's tables look at the highest bits as well as at the lowest.
+        self.0 = u64::from(key) << 32 | u64::from(key);
+    }
+}
+
 /// A part of prompts in an engine's memory.
 #[derive(Clone, Copy, Debug)]
 struct Kept {
@@ -68,7 +91,7 @@
 #[derive(Clone, Debug)]
 pub struct Engine {
     memory: u64,
-    kept: BTreeMap<u32, Kept>,
+    kept: HashMap<u32, Kept, BuildHasherDefault<Mixed>>,
     kept_tokens: u64,
     /// Tokens that running requests are expected to generate.
     output: u64,
@@ -83,7 +106,7 @@
     pub fn new(memory: u64) -> Self {
         Engine {
             memory,
-            kept: BTreeMap::new(),
+            kept: HashMap::default(),
             kept_tokens: 0,
             output: 0,
             unread: 0,
@@ -250,7 +273,7 @@
     fn evict(&mut self) {
         while self.kept_tokens + self.output > self.memory {
             let idle = self.kept.iter().filter(|(_, k)| k.users == 0);
-            let Some((key, kept)) = idle.min_by_key(|(_, k)| k.used) else {
+            let Some((key, kept)) = idle.min_by_key(|(key, k)| (k.used, **key)) else {
                 return;
             };
             let (key, tokens) = (*key, kept.tokens);
