--- a/components/coordination/src/tree.rs
+++ b/components/coordination/src/tree.rs
@@ -58,9 +58,17 @@
     }
 
     /// Takes a child, or sends it on to a child in turn.
+    ///
+    /// One that is a child already asks again when it has missed a step. What its
+    /// subtree has confirmed still holds, and it tells only what changes: forgotten
+    /// here, it would never be told again, and one would see a version that is in
+    /// force everywhere without the confirmation of some.
     pub fn welcome(&mut self, place: Place, version: Version) -> Welcome {
-        let known = self.children.contains_key(&place.vm);
-        if !known && self.children.len() >= self.fanout {
+        if let Some(child) = self.children.get_mut(&place.vm) {
+            child.place = place;
+            return Welcome::Child;
+        }
+        if self.children.len() >= self.fanout {
             self.turn += 1;
             let next = self.children.values().nth(self.turn % self.children.len());
             if let Some(child) = next {
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -470,6 +470,33 @@
     }
 }
 
+#[test]
+fn can_keep_what_a_child_confirmed_when_it_asks_again() {
+    // Symptom: a version that is in force everywhere is never confirmed by all.
+    // Sequence: a child that feeds others confirms for all of them; it misses a
+    // step and asks its parent again.
+    // Cause: a parent that takes it for a new child, while the child tells only
+    // what changes.
+    let place = |n: u8| Place {
+        vm: name(&format!("r{n}")),
+        address: format!("127.0.0.{n}:1").parse().unwrap(),
+    };
+    let mut tree = Tree::new(2);
+    tree.welcome(place(1), Version(4));
+    let confirm = Confirm {
+        version: Version(5),
+        routers: 3,
+        slowest: [name("r1")].into_iter().collect(),
+    };
+    tree.confirm(&name("r1"), confirm.clone());
+    assert_eq!(tree.welcome(place(1), Version(4)), Welcome::Child);
+    assert_eq!(tree.total(None), confirm);
+    // One whose link was lost is a new child.
+    tree.lost(&name("r1"));
+    tree.welcome(place(1), Version(4));
+    assert_eq!(tree.total(None).routers, 1);
+}
+
 #[test]
 fn can_feed_340_routers_with_few_children_each() {
     let mut nodes: Vec<Tree> = vec![Tree::new(8)];
