Let dev print what to paste: unlock standard output between batches of the log

Cause: the log's thread kept standard output locked for the life of the process, so that dev served and then hung at its first printed line. Change: the lock is taken for each batch.

--- a/src/cmd/log.rs
+++ b/src/cmd/log.rs
@@ -55,7 +55,8 @@
 }
 
 fn write(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
-    let mut out = io::stdout().lock();
+    // Locked for each batch alone: kept, what a command prints would wait for ever.
+    let mut out = io::stdout();
     while let Ok(first) = lines.recv() {
         let mut batch = first;
         for line in lines.try_iter().take(64) {
