--- a/tests/dev.rs
+++ b/tests/dev.rs
@@ -1,5 +1,4 @@
 //! The fleet for trying, as the README starts it.
-#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 use std::io::{BufRead, BufReader};
 use std::process::{Command, Stdio};
