Tell a former parent to forget this process: routers were counted twice

Cause: a process that finds another parent told the former one nothing. Where the link stays up for scheduling, the former parent kept it as a child, fed it, and counted it at the version at which it left. Seen with the statuses of a failed run beside seven busy loops: the root counted 9 routers of 6, three at version 4 for good, while all were at version 6 with one parent each. Ruled out: a confirmation that is lost with its link (each change of a link is reported down first, on both sides). Change: a pulse from a node that is not the parent is answered with 'unsubscribe'.

--- a/components/node/src/dissemination.rs
+++ b/components/node/src/dissemination.rs
@@ -226,8 +226,8 @@
         view: &View,
         head: Version,
     ) {
-        let parent = matches!(&self.stand, Stand::Child { parent } if parent.vm == *from);
-        if !parent {
+        if self.parent() != Some(from) {
+            self.leave(hub, from);
             return;
         }
         if view.version < head {
@@ -263,6 +263,24 @@
         hub.send(&vm, message);
     }
 
+    /// Tells a node that goes on feeding this one that another does so.
+    ///
+    /// A link outlives a change of parent where something else needs it, and the
+    /// former parent would count this process for ever, at the version at which it
+    /// left. One would see more routers confirmed than there are, and a version that
+    /// is in force everywhere never confirmed. Each pulse is answered, so that one
+    /// lost answer does not matter.
+    fn leave(&self, hub: &Hub, from: &Name) {
+        if !self.is_root() {
+            hub.send(from, Message::Unsubscribe);
+        }
+    }
+
+    /// Forgets a child that another node feeds.
+    pub(crate) fn unsubscribe(&mut self, vm: &Name) {
+        self.tree.lost(vm);
+    }
+
     /// Takes a child's confirmation.
     pub(crate) fn confirm(&mut self, vm: &Name, confirm: Confirm) {
         self.tree.confirm(vm, confirm);
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -306,6 +306,7 @@
                 }
                 self.send_listing(&vm);
             }
+            Message::Unsubscribe => self.dissemination.unsubscribe(&vm),
             Message::Elsewhere(place) => {
                 self.dissemination
                     .elsewhere(now, &self.parts.hub, &vm, place);
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -111,8 +111,10 @@
     Query(u64, Query),
     /// From a control VM.
     Reply(u64, Reply),
-    /// Dissemination me, I have this version.
+    /// Dissemination: feed me, I have this version.
     Subscribe(Version),
+    /// Dissemination: another node feeds me, forget me.
+    Unsubscribe,
     /// Ask this node instead.
     Elsewhere(Place),
     /// The version in force, as a root of the tree has just seen it confirmed.
@@ -163,6 +165,7 @@
             Message::Query(..) => "query",
             Message::Reply(..) => "reply",
             Message::Subscribe(_) => "subscribe",
+            Message::Unsubscribe => "unsubscribe",
             Message::Elsewhere(_) => "elsewhere",
             Message::Pulse(_) => "pulse",
             Message::Steps(_) => "steps",
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -338,6 +338,35 @@
     });
 }
 
+#[test]
+fn can_leave_a_parent_whose_link_stays_up() {
+    // Symptom: more routers are confirmed than there are, some of them at a version
+    // of long ago, so that no version is ever confirmed by all.
+    // Sequence: a parent falls silent, its child finds another one, the former
+    // parent is heard again over the link that is still up.
+    // Cause: nobody tells the former parent, and it goes on counting the child.
+    let fleet = Fleet::start(Plan {
+        routers: 1,
+        ..Plan::default()
+    });
+    let parent = || {
+        let status = fleet.vm("r1").status()?;
+        Some(status["parent"].as_str()?.to_owned())
+    };
+    eventually("it has a parent", || parent().is_some());
+    let former = parent().unwrap();
+    fleet.cut("r1", &[&former], true);
+    eventually("it has another parent", || {
+        parent().is_some_and(|p| p != former)
+    });
+    fleet.cut("r1", &[], true);
+    eventually("the control VMs count it once, beside themselves", || {
+        let counted = |vm| fleet.vm(vm).status().unwrap()["confirmed"]["routers"].as_u64();
+        let total: Option<u64> = ["c1", "c2", "c3"].into_iter().map(counted).sum();
+        total == Some(4)
+    });
+}
+
 #[test]
 fn can_check_files_without_starting_anything() {
     let folder = tempfile::tempdir().unwrap();
