--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -150,10 +150,12 @@
 /// An ask that cannot be served in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
-    /// Assigned that refuses it.
+    /// Epoch of the scheduler that refuses it, 0 for the router itself.
     pub epoch: Epoch,
     /// The ask.
     pub seq: Seq,
+    /// Time for which it would have waited, in milliseconds.
+    pub wait_ms: u32,
     /// Time after which its caller may come back, in milliseconds.
     pub after_ms: u32,
 }
--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -77,9 +77,8 @@
     Report(Assignment, Report),
     /// Send the request to this endpoint.
     Dispatch(Handle, EndpointId),
-    /// Refuse the request: it cannot be served in time. Its caller may come back
-    /// after this many milliseconds.
-    Refuse(Handle, u32),
+    /// Refuse the request: it cannot be served in time.
+    Refuse(Handle, Refusal),
     /// Give the request up: its deadline has passed, and it was not sent.
     Expire(Handle),
 }
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -256,7 +256,7 @@
         };
         let arrival = request.arrival;
         self.unwait(&arrival, true);
-        effects.push(Effect::Refuse(handle, refusal.after_ms));
+        effects.push(Effect::Refuse(handle, refusal));
         self.announce(now, arrival.service, arrival.class, effects);
     }
 
--- a/components/coordination/src/limit.rs
+++ b/components/coordination/src/limit.rs
@@ -1,4 +1,4 @@
-//! Limits on the starts of requests.
+//! Limits on the starts of requests, and on lines of logs.
 
 use state::clock::Millis;
 
@@ -51,3 +51,33 @@
         self.filled = self.filled.max(now);
     }
 }
+
+/// A bound on how often something is done in each second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ceiling {
+    most: u64,
+    second: u64,
+    done: u64,
+}
+
+impl Ceiling {
+    /// A bound of `most` times a second.
+    pub fn new(most: u64) -> Self {
+        Ceiling {
+            most,
+            second: 0,
+            done: 0,
+        }
+    }
+
+    /// Whether it may be done once more now, which counts.
+    pub fn admits(&mut self, now: Millis) -> bool {
+        let second = now.0 / 1000;
+        if second != self.second {
+            self.second = second;
+            self.done = 0;
+        }
+        self.done += 1;
+        self.done <= self.most
+    }
+}
--- a/components/coordination/src/scheduler/late.rs
+++ b/components/coordination/src/scheduler/late.rs
@@ -69,6 +69,7 @@
         let refusal = Refusal {
             epoch: self.epoch,
             seq: key.1,
+            wait_ms: u32::try_from(wait).unwrap_or(u32::MAX),
             after_ms: u32::try_from(after).unwrap_or(u32::MAX),
         };
         Effect::Refuse(key.0, refusal)
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -671,3 +671,18 @@
         .filter(|(all, told)| *all && told.len() == 2);
     assert_eq!(all.count(), 2);
 }
+
+#[test]
+fn can_keep_lines_of_logs_under_a_ceiling() {
+    // Symptom: a flood of refused requests takes more for its log than for its answers.
+    // Sequence: ten times the ceiling in one second, then a calm one.
+    // Cause: a line for each of them.
+    let mut ceiling = coordination::limit::Ceiling::new(100);
+    let second = |ceiling: &mut coordination::limit::Ceiling, at: u64, lines: u64| {
+        let times = (0..lines).map(|n| Millis(at * 1000 + n * 1000 / lines));
+        times.filter(|now| ceiling.admits(*now)).count()
+    };
+    assert_eq!(second(&mut ceiling, 1, 1000), 100);
+    assert_eq!(second(&mut ceiling, 2, 60), 60);
+    assert_eq!(second(&mut ceiling, 3, 1000), 100);
+}
--- a/components/coordination/tests/load.rs
+++ b/components/coordination/tests/load.rs
@@ -155,6 +155,7 @@
                     tally.refused += 1;
                     tally.refused_after = tally.refused_after.max(self.now - job.arrived);
                     assert!(refusal.after_ms > 0);
+                    assert!(refusal.wait_ms > 0);
                 }
                 Effect::Ejected(_) | Effect::Restored(_) => {}
             }
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -12,6 +12,7 @@
 use state::delta::Delta;
 use state::event::{Event, Step};
 use state::id::{Name, Version};
+use state::line::Line;
 use state::record::{Disk, Member, Record};
 use state::store::{Document, Store};
 use state::view::{Departure, Place, Shard};
@@ -342,7 +343,13 @@
             return;
         }
         for assignment in self.assignments.plan(now, &self.store.view, &self.shards) {
-            tracing::info!(vm = %assignment.place.vm, epoch = %assignment.epoch, "a scheduler is assigned");
+            tracing::info!(
+                event = Line::SchedulerAssigned.as_str(),
+                vm = %assignment.place.vm,
+                epoch = assignment.epoch.0,
+                service = self.store.view.config.service_name(assignment.shard.service),
+                region = %assignment.shard.region,
+            );
             if let Ok(index) = self.core.propose(now, Record::Assignment(assignment)) {
                 self.assigned_until = index;
             }
@@ -352,10 +359,10 @@
     fn note_role(&self, leads: bool) {
         let term = self.core.term().0;
         let step = if leads {
-            tracing::info!(term, "this VM leads");
+            tracing::info!(event = Line::LeaderBegan.as_str(), term);
             Step::LeaderBegan
         } else {
-            tracing::info!(term, "this VM no longer leads");
+            tracing::info!(event = Line::LeaderEnded.as_str(), term);
             Step::LeaderEnded
         };
         self.parts
@@ -403,7 +410,7 @@
         }
         self.members = members.all().map(|m| m.place.clone()).collect();
         tracing::info!(
-            event = "members-changed",
+            event = Line::MembersChanged.as_str(),
             voters = ?members.voters.iter().map(|m| m.place.vm.as_str()).collect::<Vec<_>>(),
             learners = ?members.learners.iter().map(|m| m.place.vm.as_str()).collect::<Vec<_>>(),
         );
--- a/components/node/src/front/admit.rs
+++ b/components/node/src/front/admit.rs
@@ -1,6 +1,7 @@
 //! What is checked before a request is looked at: readiness, framing, customer, body.
 
 use super::listen::{Front, BODY_UNIT};
+use super::note::Note;
 use super::refusal::Refusal;
 use super::upstream::Call;
 use crate::interface::Asked;
@@ -25,12 +26,21 @@
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
 /// Checks what the head alone tells; gives what it asks for.
-pub(super) fn admit(front: &Front, published: &Published, head: &Parts) -> Result<Asked, Refusal> {
+pub(super) fn admit(
+    front: &Front,
+    published: &Published,
+    head: &Parts,
+    note: &mut Note,
+) -> Result<Asked, Refusal> {
+    let asked = (front.parts.interface.ask)(head);
+    if let Ok(asked) = &asked {
+        // First of all: a refused request must be found by its caller's identity too.
+        note.identify(asked.identity.clone());
+    }
     check_ready(published)?;
     check_framing(head)?;
     check_size(head, front.parts.callers.head_max)?;
-    (front.parts.interface.ask)(head)
-        .map_err(|reason| Refusal::not_run(StatusCode::BAD_REQUEST, "bad-head", reason))
+    asked.map_err(|reason| Refusal::not_run(StatusCode::BAD_REQUEST, "bad-head", reason))
 }
 
 fn check_ready(published: &Published) -> Result<(), Refusal> {
--- a/components/node/src/front/note.rs
+++ b/components/node/src/front/note.rs
@@ -3,13 +3,14 @@
 use super::plan::Plan;
 use super::refusal::Refusal;
 use crate::input::Dispatch;
-use crate::metric::Metrics;
+use crate::metric::{Labels, Metrics};
 use crate::shared::Published;
 use coordination::ask::Placement;
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
 use state::clock::Millis;
 use state::id::{Name, RequestId};
+use state::line::Line;
 use state::outcome::Outcome;
 use std::time::{Duration, Instant};
 
@@ -102,7 +103,7 @@
         self.endpoint = Some(dispatch.name.clone());
         let Placement { epoch, basis, .. } = dispatch.placement;
         tracing::info!(
-            event = "request-sent",
+            event = Line::RequestSent.as_str(),
             request = %self.id,
             caller = self.caller(),
             rule = text(self.rule.as_ref()),
@@ -122,7 +123,7 @@
     /// A try has failed, and another may follow.
     pub(crate) fn failed(&self, error: &errors::Error, next: &'static str) {
         tracing::info!(
-            event = "try-failed",
+            event = Line::TryFailed.as_str(),
             request = %self.id,
             caller = self.caller(),
             endpoint = text(self.endpoint.as_ref()),
@@ -138,7 +139,7 @@
             Some(refusal.status),
             refusal.outcome.as_str(),
             refusal.code,
-            refusal.retry_after,
+            Some(refusal),
         );
     }
 
@@ -152,18 +153,24 @@
         status: Option<StatusCode>,
         outcome: &'static str,
         reason: &'static str,
-        retry_after: Option<Duration>,
+        refusal: Option<&Refusal>,
     ) {
+        let retry_after = refusal.and_then(|r| r.retry_after);
+        let basis = refusal.and_then(|r| r.basis);
         self.is_told = true;
         let service = text(self.service.as_ref());
         let took = self.began.elapsed();
-        let metrics = &self.metrics;
-        let ends = metrics.ends.with_label_values(&[service, outcome, reason]);
-        ends.inc();
-        let histogram = metrics.took.with_label_values(&[service, outcome]);
-        histogram.observe(took.as_secs_f64());
+        self.metrics.ended(
+            took,
+            Labels {
+                service,
+                rule: text(self.rule.as_ref()),
+                outcome,
+                reason,
+            },
+        );
         tracing::info!(
-            event = "request-ended",
+            event = Line::RequestEnded.as_str(),
             request = %self.id,
             caller = self.caller(),
             rule = text(self.rule.as_ref()),
@@ -180,6 +187,8 @@
             outcome,
             reason,
             retry_after_ms = retry_after.map(millis),
+            expected_ms = basis.map(|b| b.wait_ms),
+            epoch = basis.map(|b| b.epoch.0),
         );
     }
 
--- a/components/node/src/front/refusal.rs
+++ b/components/node/src/front/refusal.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::{Interface, IDENTITY};
 use bytes::Bytes;
+use coordination::ask;
 use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
 use hyper::{Response, StatusCode};
@@ -21,6 +22,8 @@
     pub(crate) outcome: Outcome,
     /// Time after which coming back makes sense.
     pub(crate) retry_after: Option<Duration>,
+    /// What a scheduler knew that refused it.
+    pub(crate) basis: Option<ask::Refusal>,
 }
 
 impl Refusal {
@@ -35,6 +38,7 @@
             message: message.into(),
             outcome: Outcome::NotRun,
             retry_after: None,
+            basis: None,
         }
     }
 
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -102,14 +102,13 @@
     began: Instant,
 ) -> Result<Served, Refusal> {
     let (head, body) = request.into_parts();
-    let asked = match admit(front, published, &head) {
+    let asked = match admit(front, published, &head, note) {
         Ok(asked) => asked,
         Err(refusal) => {
             discard(body, front.parts.callers.body_max).await;
             return Err(refusal);
         }
     };
-    note.identify(asked.identity.clone());
     let id = note.id();
     front
         .parts
@@ -328,10 +327,12 @@
             front.parts.journal.note(event.endpoint(dispatch.endpoint));
             Ok(dispatch)
         }
-        Ok(Decision::Refused(after_ms)) => {
+        Ok(Decision::Refused(refused)) => {
             let text = "the endpoints have more to do than they can in time";
-            let after = Duration::from_millis(u64::from(after_ms));
-            Err(unserved("overloaded", text, retries, idempotent).after_time(after))
+            let after = Duration::from_millis(u64::from(refused.after_ms));
+            let mut refusal = unserved("overloaded", text, retries, idempotent).after_time(after);
+            refusal.basis = Some(refused);
+            Err(refusal)
         }
         Ok(Decision::Expired) | Err(_) => {
             let text = "no endpoint was free before the deadline";
--- a/components/node/src/http.rs
+++ b/components/node/src/http.rs
@@ -7,6 +7,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use state::line::Line;
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
@@ -29,7 +30,7 @@
         match listener.accept().await {
             Ok((stream, _)) => return stream,
             Err(error) => {
-                tracing::warn!(%error, "a connection could not be accepted");
+                tracing::warn!(event = Line::AcceptFailed.as_str(), %error);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -1,7 +1,7 @@
 //! What the reactor is told.
 
 use crate::shared::Status;
-use coordination::ask::{Placement, Verdict};
+use coordination::ask::{Placement, Refusal, Verdict};
 use coordination::dispatcher::{Arrival, Full, Handle};
 use protocol::wire::{Query, Reply};
 use state::id::{EndpointId, Name};
@@ -31,9 +31,8 @@
 pub(crate) enum Decision {
     /// Send it.
     Dispatch(Dispatch),
-    /// It cannot be served in time; its caller may come back after this many
-    /// milliseconds.
-    Refused(u32),
+    /// It cannot be served in time.
+    Refused(Refusal),
     /// Its deadline has passed.
     Expired,
 }
--- a/components/node/src/listing.rs
+++ b/components/node/src/listing.rs
@@ -5,6 +5,7 @@
 use crate::interface::Interface;
 use crate::shared::raised;
 use errors::{Error, Result};
+use state::line::Line;
 use state::listing::Listed;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
@@ -45,9 +46,12 @@
         if read.is_ok() != reachable {
             reachable = read.is_ok();
             match &read {
-                Ok(_) => tracing::info!(event = "dependency-regained", dependency = "listing"),
+                Ok(_) => tracing::info!(
+                    event = Line::DependencyRegained.as_str(),
+                    dependency = "listing"
+                ),
                 Err(error) => {
-                    tracing::warn!(event = "dependency-lost", dependency = "listing", %error);
+                    tracing::warn!(event = Line::DependencyLost.as_str(), dependency = "listing", %error);
                 }
             }
         }
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -5,22 +5,40 @@
     Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder,
 };
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 /// Bounds of latency histograms in seconds, from a local answer to a long stream.
 const BUCKETS: [f64; 14] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
 ];
 
+/// Rules that have series of their own: each costs some kilobytes, and operators bring
+/// new names with each configuration.
+const RULES: usize = 256;
+
+/// What is counted of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Labels<'a> {
+    pub(crate) service: &'a str,
+    pub(crate) rule: &'a str,
+    pub(crate) outcome: &'a str,
+    pub(crate) reason: &'a str,
+}
+
 /// All metrics of one process.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
+    /// Names of rules that are labels.
+    rules: Arc<Mutex<BTreeSet<String>>>,
     /// Requests by outcome and status.
     pub(crate) requests: IntCounterVec,
-    /// Requests by service, outcome and reason, as their log lines say them.
+    /// Requests by service, rule, outcome and reason, as their log lines say them.
     pub(crate) ends: IntCounterVec,
-    /// Seconds from a request's arrival to the end of its answer, by service and
-    /// outcome.
+    /// Seconds from a request's arrival to the end of its answer, by service, rule
+    /// and outcome.
     pub(crate) took: HistogramVec,
     /// Seconds from a request's arrival to its dispatch.
     pub(crate) wait: Histogram,
@@ -100,22 +118,26 @@
         let ends = IntCounterVec::new(
             Opts::new(
                 "cowslipford_request_ends_total",
-                "Requests by service, outcome and reason.",
+                "Requests by service, rule, outcome and reason.",
             ),
-            &["service", "outcome", "reason"],
+            &["service", "rule", "outcome", "reason"],
         )
         .map_err(Error::key(step))?;
         r.register(Box::new(ends.clone()))
             .map_err(Error::key(step))?;
         let opts = HistogramOpts::new(
             "cowslipford_request_took_seconds",
-            "Time from arrival to the end of the answer, by service and outcome.",
+            "Time from arrival to the end of the answer, by service, rule and outcome.",
         );
-        let took = HistogramVec::new(opts.buckets(BUCKETS.to_vec()), &["service", "outcome"])
-            .map_err(Error::key(step))?;
+        let took = HistogramVec::new(
+            opts.buckets(BUCKETS.to_vec()),
+            &["service", "rule", "outcome"],
+        )
+        .map_err(Error::key(step))?;
         r.register(Box::new(took.clone()))
             .map_err(Error::key(step))?;
         Ok(Metrics {
+            rules: Arc::default(),
             ends,
             took,
             requests,
@@ -166,6 +188,34 @@
         })
     }
 
+    /// Counts a request that has ended.
+    pub(crate) fn ended(&self, took: Duration, labels: Labels<'_>) {
+        let Labels {
+            service,
+            rule,
+            outcome,
+            reason,
+        } = labels;
+        let rule = self.rule(rule);
+        let ends = [service, rule, outcome, reason];
+        self.ends.with_label_values(&ends).inc();
+        let histogram = self.took.with_label_values(&[service, rule, outcome]);
+        histogram.observe(took.as_secs_f64());
+    }
+
+    /// A rule's name, if it is one of the first [`RULES`].
+    fn rule<'a>(&self, rule: &'a str) -> &'a str {
+        let mut rules = self.rules.lock().unwrap_or_else(PoisonError::into_inner);
+        if rules.contains(rule) {
+            return rule;
+        }
+        if rules.len() >= RULES {
+            return "(other)";
+        }
+        rules.insert(rule.to_owned());
+        rule
+    }
+
     /// The text that `/metrics` gives.
     pub(crate) fn text(&self) -> String {
         let families = self.registry.gather();
--- a/components/node/src/platform.rs
+++ b/components/node/src/platform.rs
@@ -7,6 +7,7 @@
 use errors::{Error, Result};
 use protocol::wire::{Leaving, Query};
 use settings::Platform;
+use state::line::Line;
 use state::view::View;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
@@ -37,8 +38,15 @@
         if list.is_ok() != reachable {
             reachable = list.is_ok();
             match &list {
-                Ok(_) => tracing::info!("the platform's list can be read again"),
-                Err(error) => tracing::warn!(%error, "the platform's list cannot be read"),
+                Ok(_) => tracing::info!(
+                    event = Line::DependencyRegained.as_str(),
+                    dependency = "platform",
+                ),
+                Err(error) => tracing::warn!(
+                    event = Line::DependencyLost.as_str(),
+                    dependency = "platform",
+                    %error,
+                ),
             }
         }
         let Ok(list) = list else {
@@ -68,7 +76,12 @@
         return;
     };
     let name = endpoint.name.clone();
-    tracing::info!(endpoint = %name, leaves, "the platform's list has changed");
+    tracing::info!(
+        event = Line::EndpointAnnounced.as_str(),
+        endpoint = %name,
+        leaves,
+        version = view.version.0,
+    );
     let leaving = if leaves {
         Leaving::Endpoint(name)
     } else {
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -16,6 +16,7 @@
 use errors::{Error, Result};
 use protocol::wire::Hello;
 use settings::{Peers, Settings};
+use state::line::Line;
 use state::view::Place;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -176,7 +177,7 @@
                 return;
             }
         }
-        tracing::warn!(event = "drain-incomplete", grace_ms = ?self.grace.as_millis());
+        tracing::warn!(event = Line::DrainIncomplete.as_str(), grace_ms = ?self.grace.as_millis());
     }
 
     async fn status(&self) -> Option<Status> {
@@ -343,7 +344,7 @@
                     .name("control".to_owned())
                     .spawn(move || {
                         if let Err(error) = control.run(&control_inputs) {
-                            tracing::error!(%error, "the durable state cannot be kept");
+                            tracing::error!(event = Line::StateLost.as_str(), %error);
                             fail.send_replace(Some(error.to_string()));
                         }
                     })
@@ -430,11 +431,12 @@
             operators: operators_address,
         };
         tracing::info!(
+            event = Line::Started.as_str(),
             vm = %self.place.vm,
+            incarnation = self.incarnation,
             link = %addresses.link,
             operators = %addresses.operators,
             callers = ?addresses.callers,
-            "started"
         );
         Ok(Process {
             addresses,
--- a/components/node/src/reactor/listing.rs
+++ b/components/node/src/reactor/listing.rs
@@ -4,6 +4,7 @@
 use protocol::wire::Message;
 use state::clock::Millis;
 use state::id::{EndpointId, Name};
+use state::line::Line;
 use state::listing::Listed;
 use std::collections::BTreeSet;
 
@@ -61,7 +62,7 @@
         let now: BTreeSet<&Name> = listing.endpoints.iter().map(|l| &l.endpoint.name).collect();
         let gone = before.values().filter(|e| !now.contains(&e.name));
         tracing::info!(
-            event = "endpoints-changed",
+            event = Line::EndpointsChanged.as_str(),
             listing = listing.id,
             endpoints = listing.endpoints.len(),
             come,
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -1,9 +1,11 @@
 //! The reactor: one task that owns the router's and schedulers' decisions.
 
+mod dependency;
 mod listing;
 mod peers;
 mod show;
 
+use self::dependency::Told;
 use crate::batch::Batch;
 use crate::dissemination::Dissemination;
 use crate::input::{Decision, Dispatch, Input};
@@ -19,6 +21,7 @@
 use state::config::Index;
 use state::event::{Event, Step};
 use state::id::{EndpointId, Name, Version};
+use state::line::Line;
 use state::view::{Assignment, Place, View};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -94,6 +97,7 @@
     regions_dialed: BTreeSet<Name>,
     beat_at: Millis,
     measure_at: Millis,
+    told: Told,
     dirty: bool,
 }
 
@@ -137,6 +141,7 @@
             regions_dialed: BTreeSet::new(),
             beat_at: now,
             measure_at: now,
+            told: Told::default(),
             dirty: true,
             me,
             parts,
@@ -251,7 +256,7 @@
             Input::Watched(reply) => drop(reply.send(self.watched())),
             Input::Stop => self.stop(),
             Input::Close => {
-                tracing::info!(event = "closed");
+                tracing::info!(event = Line::Closed.as_str());
                 self.closed = true;
                 self.dirty = true;
             }
@@ -402,7 +407,7 @@
             .journal
             .note(Event::new(Step::VersionInForce).version(version));
         tracing::info!(
-            event = "version-in-force",
+            event = Line::VersionInForce.as_str(),
             version = version.0,
             release = self.view.release,
             rules = self.view.config.rules.len(),
@@ -430,7 +435,10 @@
 
     fn stop(&mut self) {
         if !self.stopping {
-            tracing::info!(event = "stopping", version = self.view.version.0);
+            tracing::info!(
+                event = Line::Stopping.as_str(),
+                version = self.view.version.0
+            );
             self.parts.journal.note(Event::new(Step::Stopping));
             self.stopping = true;
             self.dirty = true;
@@ -446,10 +454,10 @@
                         .report(&assignment.place.vm, assignment.epoch, report);
                 }
                 Effect::Dispatch(handle, endpoint) => self.dispatch(now, handle, endpoint),
-                Effect::Refuse(handle, after_ms) => {
+                Effect::Refuse(handle, refusal) => {
                     if let Some(sender) = self.decisions.remove(&handle) {
                         // The caller may have gone at the same moment.
-                        let _ = sender.send(Decision::Refused(after_ms));
+                        let _ = sender.send(Decision::Refused(refusal));
                     }
                 }
                 Effect::Expire(handle) => {
@@ -508,6 +516,7 @@
         self.prove(now);
         self.beat(now);
         self.seek_ready(now);
+        self.tell_dependencies(now);
         if now >= self.measure_at {
             self.measure_at = now.after(MEASURE_MS);
             self.measure();
--- a/components/node/src/reactor/peers.rs
+++ b/components/node/src/reactor/peers.rs
@@ -4,6 +4,7 @@
 use protocol::wire::{Message, Query, Reply};
 use state::clock::Millis;
 use state::id::Name;
+use state::line::Line;
 use state::view::{Assignment, Place};
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::oneshot;
@@ -158,7 +159,11 @@
             .needed
             .is_some_and(|needed| self.view.version >= needed)
         {
-            tracing::info!(version = %self.view.version, "ready");
+            tracing::info!(
+                event = Line::Ready.as_str(),
+                version = self.view.version.0,
+                needed = self.needed.map(|v| v.0),
+            );
             self.ready = true;
             self.dirty = true;
         }
--- a/components/node/src/releases.rs
+++ b/components/node/src/releases.rs
@@ -10,6 +10,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use protocol::wire::{Query, Reply};
 use state::id::Version;
+use state::line::Line;
 use state::record::Answer;
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,7 +59,7 @@
     let release = match (parts.interface.release)(document) {
         Ok(release) => release,
         Err(reason) => {
-            tracing::info!(event = "release-refused", reason);
+            tracing::info!(event = Line::ReleaseRefused.as_str(), reason);
             return text(StatusCode::BAD_REQUEST, &reason);
         }
     };
@@ -66,7 +67,7 @@
     let reply = ask(parts, Query::Release(Box::new(release)), ACCEPT).await;
     match reply {
         Some(Reply::Answer(Answer::Released(newest))) => {
-            tracing::info!(event = "release-accepted", number, newest);
+            tracing::info!(event = Line::ReleaseAccepted.as_str(), number, newest);
             let body = serde_json::json!({ "number": number, "newest": newest });
             let mut response = Response::new(Full::new(Bytes::from(format!("{body}\n"))));
             json(&mut response);
@@ -74,7 +75,7 @@
         }
         Some(Reply::Invalid(reason)) => text(StatusCode::BAD_REQUEST, &reason),
         _ => {
-            tracing::warn!(event = "release-unanswered", number);
+            tracing::warn!(event = Line::ReleaseUnanswered.as_str(), number);
             unsure("the control VMs did not accept it in time; it may yet be in force")
         }
     }
--- a/components/node/src/schedulers.rs
+++ b/components/node/src/schedulers.rs
@@ -10,6 +10,7 @@
 use state::clock::Millis;
 use state::event::{Event, Step};
 use state::id::{EndpointId, Epoch, Name};
+use state::line::Line;
 use state::view::{Assignment, Shard, View};
 use std::collections::BTreeMap;
 
@@ -17,6 +18,8 @@
     shard: Shard,
     scheduler: Scheduler,
     sessions: BTreeMap<Name, Session>,
+    /// Names of the endpoints, for logs.
+    names: BTreeMap<EndpointId, Name>,
 }
 
 /// All schedulers of this VM, by epoch.
@@ -63,6 +66,7 @@
                 shard,
                 scheduler,
                 sessions: BTreeMap::new(),
+                names: BTreeMap::new(),
             };
             self.all.insert(epoch, assigned);
         }
@@ -71,6 +75,8 @@
             assigned.scheduler.retain_foreign(is_assigned);
             let slots = assigned.scheduler.slots();
             let known: Vec<EndpointId> = endpoints(view, &assigned.shard).map(|e| e.0).collect();
+            let name = |id: &EndpointId| Some((*id, view.config.endpoints.get(id)?.name.clone()));
+            assigned.names = known.iter().filter_map(name).collect();
             slots.retain(|id| known.contains(&id));
             set_engines(slots, view, &assigned.shard);
             for (id, count, lead, leaving) in endpoints(view, &assigned.shard) {
@@ -191,10 +197,9 @@
     fn tell_beliefs(&self, view: &View) {
         for (epoch, assigned) in &self.all {
             let belief = assigned.scheduler.belief();
-            let service = view.config.services.get(&assigned.shard.service);
             tracing::info!(
-                event = "scheduler-state",
-                service = service.map_or("", |s| s.name.as_str()),
+                event = Line::SchedulerState.as_str(),
+                service = view.config.service_name(assigned.shard.service),
                 region = assigned.shard.region.as_str(),
                 epoch = epoch.0,
                 waiting = belief.waiting,
@@ -214,8 +219,7 @@
     pub(crate) fn measure(&self, view: &View) {
         self.tell_beliefs(view);
         for status in self.status(view) {
-            let service = view.config.services.get(&status.shard.service);
-            let service = service.map_or("", |s| s.name.as_str());
+            let service = view.config.service_name(status.shard.service);
             let region = status.shard.region.as_str();
             let set = |what, number| {
                 let gauge = self
@@ -257,6 +261,15 @@
         self.scheduler.take(now, session, report)
     }
 
+    /// Logs a change of an endpoint's health.
+    fn tell(&self, line: Line, endpoint: EndpointId) {
+        tracing::info!(
+            event = line.as_str(),
+            endpoint = self.names.get(&endpoint).map_or("", Name::as_str),
+            epoch = self.scheduler.epoch().0,
+        );
+    }
+
     fn act(&self, effects: Effects, batch: &mut Batch, journal: &Journal, metrics: &Metrics) {
         for effect in effects {
             match effect {
@@ -274,11 +287,11 @@
                     }
                 }
                 Effect::Ejected(endpoint) => {
-                    tracing::warn!(%endpoint, "an endpoint is ejected after failures");
+                    self.tell(Line::EndpointEjected, endpoint);
                     journal.note(Event::new(Step::Ejected).endpoint(endpoint));
                 }
                 Effect::Restored(endpoint) => {
-                    tracing::info!(%endpoint, "an endpoint is back");
+                    self.tell(Line::EndpointRestored, endpoint);
                     journal.note(Event::new(Step::Restored).endpoint(endpoint));
                 }
             }
--- a/components/state/src/config.rs
+++ b/components/state/src/config.rs
@@ -245,6 +245,11 @@
 }
 
 impl Config {
+    /// Name of a service; empty if it is gone.
+    pub fn service_name(&self, id: ServiceId) -> &str {
+        self.services.get(&id).map_or("", |s| s.name.as_str())
+    }
+
     /// Number of the service of that name.
     pub fn service(&self, name: &Name) -> Option<ServiceId> {
         let mut all = self.services.iter();
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod delta;
 pub mod event;
 pub mod id;
+pub mod line;
 pub mod listing;
 pub mod outcome;
 pub mod prelude;
--- /dev/null
+++ b/components/state/src/line.rs
@@ -0,0 +1,135 @@
+//! Kinds of log lines. Each line names its kind in the field `event`, by which
+//! readers of logs find it.
+
+/// What a log line tells of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Line {
+    /// The process serves on its addresses.
+    Started,
+    /// The process takes requests.
+    Ready,
+    /// The process turns callers away.
+    Stopping,
+    /// The process refuses new requests.
+    Closed,
+    /// Requests were still in progress when the time for a stop was up.
+    DrainIncomplete,
+    /// The settings file has changed and is followed.
+    SettingsReloaded,
+    /// The settings file has changed and cannot be used.
+    SettingsRefused,
+    /// Something that the process needs cannot be reached.
+    DependencyLost,
+    /// It can be reached again.
+    DependencyRegained,
+    /// Log lines were dropped.
+    LinesDropped,
+    /// A try of a request is sent to an endpoint.
+    RequestSent,
+    /// A try has failed.
+    TryFailed,
+    /// A request has ended.
+    RequestEnded,
+    /// What a scheduler believes.
+    SchedulerState,
+    /// The leader has assigned a scheduler.
+    SchedulerAssigned,
+    /// An endpoint gets no requests after failures in a row.
+    EndpointEjected,
+    /// An ejected endpoint has answered.
+    EndpointRestored,
+    /// The list of endpoints has changed.
+    EndpointsChanged,
+    /// The platform says that an endpoint leaves, or is back.
+    EndpointAnnounced,
+    /// A version is in force in this process.
+    VersionInForce,
+    /// The control VMs have changed.
+    MembersChanged,
+    /// This VM leads the control VMs.
+    LeaderBegan,
+    /// It no longer does.
+    LeaderEnded,
+    /// A complete configuration was accepted.
+    ReleaseAccepted,
+    /// A complete configuration was refused.
+    ReleaseRefused,
+    /// Nobody knows yet whether a complete configuration was accepted.
+    ReleaseUnanswered,
+    /// The durable state cannot be kept: the process ends.
+    StateLost,
+    /// A connection could not be accepted.
+    AcceptFailed,
+    /// A message to another process could not be written.
+    MessageLost,
+}
+
+impl Line {
+    /// All kinds.
+    pub const ALL: [Line; 29] = [
+        Line::Started,
+        Line::Ready,
+        Line::Stopping,
+        Line::Closed,
+        Line::DrainIncomplete,
+        Line::SettingsReloaded,
+        Line::SettingsRefused,
+        Line::DependencyLost,
+        Line::DependencyRegained,
+        Line::LinesDropped,
+        Line::RequestSent,
+        Line::TryFailed,
+        Line::RequestEnded,
+        Line::SchedulerState,
+        Line::SchedulerAssigned,
+        Line::EndpointEjected,
+        Line::EndpointRestored,
+        Line::EndpointsChanged,
+        Line::EndpointAnnounced,
+        Line::VersionInForce,
+        Line::MembersChanged,
+        Line::LeaderBegan,
+        Line::LeaderEnded,
+        Line::ReleaseAccepted,
+        Line::ReleaseRefused,
+        Line::ReleaseUnanswered,
+        Line::StateLost,
+        Line::AcceptFailed,
+        Line::MessageLost,
+    ];
+
+    /// Its name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Line::Started => "started",
+            Line::Ready => "ready",
+            Line::Stopping => "stopping",
+            Line::Closed => "closed",
+            Line::DrainIncomplete => "drain-incomplete",
+            Line::SettingsReloaded => "settings-reloaded",
+            Line::SettingsRefused => "settings-refused",
+            Line::DependencyLost => "dependency-lost",
+            Line::DependencyRegained => "dependency-regained",
+            Line::LinesDropped => "lines-dropped",
+            Line::RequestSent => "request-sent",
+            Line::TryFailed => "try-failed",
+            Line::RequestEnded => "request-ended",
+            Line::SchedulerState => "scheduler-state",
+            Line::SchedulerAssigned => "scheduler-assigned",
+            Line::EndpointEjected => "endpoint-ejected",
+            Line::EndpointRestored => "endpoint-restored",
+            Line::EndpointsChanged => "endpoints-changed",
+            Line::EndpointAnnounced => "endpoint-announced",
+            Line::VersionInForce => "version-in-force",
+            Line::MembersChanged => "members-changed",
+            Line::LeaderBegan => "leader-began",
+            Line::LeaderEnded => "leader-ended",
+            Line::ReleaseAccepted => "release-accepted",
+            Line::ReleaseRefused => "release-refused",
+            Line::ReleaseUnanswered => "release-unanswered",
+            Line::StateLost => "state-lost",
+            Line::AcceptFailed => "accept-failed",
+            Line::MessageLost => "message-lost",
+        }
+    }
+}
--- a/components/transport/src/link.rs
+++ b/components/transport/src/link.rs
@@ -12,6 +12,7 @@
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use rustls_pki_types::CertificateDer;
 use state::id::Name;
+use state::line::Line;
 use state::view::Place;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -317,7 +318,7 @@
         let bytes = match codec::encode(&frame) {
             Ok(bytes) => Bytes::from(bytes),
             Err(error) => {
-                tracing::error!(%error, peer = %vm, "a message was not sent");
+                tracing::error!(event = Line::MessageLost.as_str(), peer = %vm, kind, %error);
                 return false;
             }
         };
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -30,7 +30,7 @@
     let answer = answer?.accepted()?;
     let parsed: serde_json::Value = serde_json::from_str(&answer.body)
         .map_err(Error::peer("read an answer", args.operators))?;
-    println!("accepted as version {} (id {id})", parsed["version"]);
+    say!("accepted as version {} (id {id})", parsed["version"]);
     Ok(())
 }
 
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -12,15 +12,15 @@
     let is_settings = text.lines().any(|line| line.trim() == "[vm]");
     if is_settings {
         let settings = Settings::read(&args.file)?;
-        println!("{file}: settings of VM {} are fine", settings.vm.name);
+        say!("{file}: settings of VM {} are fine", settings.vm.name);
         return Ok(());
     }
     let draft = settings::parse_configuration(&file, &text)?;
     for (earlier, later) in node::shadowed(&draft.rules) {
         let (earlier, later) = (&draft.rules[earlier].name, &draft.rules[later].name);
-        println!("{file}: warning: rule {later} can never match: {earlier} comes first");
+        say!("{file}: warning: rule {later} can never match: {earlier} comes first");
     }
-    println!(
+    say!(
         "{file}: {} customers, {} services, {} endpoints and {} rules are fine",
         draft.customers.len(),
         draft.services.len(),
--- a/src/cmd/dev.rs
+++ b/src/cmd/dev.rs
@@ -140,19 +140,19 @@
     let program = program
         .file_name()
         .map_or_else(String::new, |n| n.to_string_lossy().into());
-    println!("cowslipford is ready: callers on {callers}, operators on {operators}");
-    println!();
-    println!("A streamed answer of the model service:");
-    println!("  curl -N -H 'Authorization: Bearer alpha' -d 'a plan for Monday' \\");
-    println!("    http://{callers}/assistant");
-    println!();
-    println!("A booking that runs once, however often it is sent:");
-    println!("  curl -i -H 'Authorization: Bearer beta' -H 'Idempotency-Key: monday-9' \\");
-    println!("    -d 'Monday at nine' http://{callers}/booking");
-    println!();
-    println!("The state, and what happened:");
-    println!("  {program} status --operators {operators}");
-    println!("  {program} timeline --operators {operators}");
-    println!();
-    println!("Ctrl-C ends it.");
+    say!("cowslipford is ready: callers on {callers}, operators on {operators}");
+    say!("");
+    say!("A streamed answer of the model service:");
+    say!("  curl -N -H 'Authorization: Bearer alpha' -d 'a plan for Monday' \\");
+    say!("    http://{callers}/assistant");
+    say!("");
+    say!("A booking that runs once, however often it is sent:");
+    say!("  curl -i -H 'Authorization: Bearer beta' -H 'Idempotency-Key: monday-9' \\");
+    say!("    -d 'Monday at nine' http://{callers}/booking");
+    say!("");
+    say!("The state, and what happened:");
+    say!("  {program} status --operators {operators}");
+    say!("  {program} timeline --operators {operators}");
+    say!("");
+    say!("Ctrl-C ends it.");
 }
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -9,6 +9,9 @@
 /// Time around a request in which what a process came to believe is shown.
 const AROUND_S: f64 = 2.0;
 
+/// A refusal that took longer came to one that was let in at first, in milliseconds.
+const AT_ONCE_MS: f64 = 50.0;
+
 /// One line of a log.
 #[derive(Debug)]
 struct Line {
@@ -33,14 +36,19 @@
     }
     lines.sort_by(|a, b| a.at.total_cmp(&b.at));
     let own: Vec<&Line> = lines.iter().filter(|l| is_of(l, &args.id)).collect();
-    let Some(end) = own.iter().rfind(|l| l.event == "request-ended") else {
-        let text = format!("no line of these files tells how {} ended", args.id);
+    let sent = |l: &&&Line| l.event == "request-sent";
+    let ended = own.iter().rfind(|l| l.event == "request-ended");
+    let Some(end) = ended.or_else(|| own.iter().rfind(sent)) else {
+        let text = format!("no line of these files tells of {}", args.id);
         return Err(Failure::Input(text));
     };
-    println!("{}", cause(end, &own, &lines));
+    match ended {
+        Some(end) => say!("{}", cause(end, &own, &lines)),
+        None => say!("{}", unfinished(end, &lines)),
+    }
     own.iter().for_each(|line| line.print());
     let began = end.at - end.number("took_ms") / 1000.0;
-    println!("around it:");
+    say!("around it:");
     around(&lines, began, end).for_each(Line::print);
     Ok(())
 }
@@ -48,7 +56,7 @@
 impl Line {
     fn print(&self) {
         let fields = show(&self.fields);
-        println!("{} {} {}: {fields}", self.time, self.process, self.event);
+        say!("{} {} {}: {fields}", self.time, self.process, self.event);
     }
 
     fn text(&self, key: &str) -> &str {
@@ -62,7 +70,8 @@
 
 /// Reads a line; what stands before its JSON names the process.
 fn read(file: &str, line: &str) -> Option<Line> {
-    let start = line.find('{')?;
+    // A process that is lost in the middle of a line leaves a piece before the next.
+    let start = line.rfind("{\"timestamp\"")?;
     let mut fields: BTreeMap<String, Value> = serde_json::from_str(&line[start..]).ok()?;
     let time = fields.remove("timestamp")?.as_str()?.to_owned();
     let event = fields.remove("event")?.as_str()?.to_owned();
@@ -94,12 +103,33 @@
     let endpoint = end.text("endpoint");
     let error = failed.map_or("", |l| l.text("error"));
     match end.text("reason") {
+        "whole" if end.number("status") >= 500.0 => format!(
+            "{endpoint} itself answered that it failed, with {}, on try {}.",
+            end.number("status"),
+            end.number("tries"),
+        ),
         "whole" => format!("It was answered whole by {endpoint}."),
-        "caller-gone" => "Its caller left before the answer had ended.".to_owned(),
+        "caller-gone" if end.text("outcome") == "not-run" => {
+            "Its caller left before it was sent.".to_owned()
+        }
+        "caller-gone" if end.text("outcome") == "unknown" => format!(
+            "Its caller left {} ms after its arrival, before {endpoint} had answered.",
+            end.number("took_ms"),
+        ),
+        "caller-gone" => format!("Its caller left in the middle of the answer of {endpoint}."),
+        "customer-queue-full" => format!(
+            "It was refused: too many requests of {} waited on {}.",
+            end.text("customer"),
+            end.process,
+        ),
+        "deadline" => "No endpoint was free for it before its deadline.".to_owned(),
+        "no-endpoint" => format!("{} had no endpoint that takes work.", end.text("service")),
         "endpoint-broke-off" => format!("{endpoint} broke off in the middle of its answer."),
         "overloaded" => format!(
-            "It was refused at once: {} had more waiting than it could serve in time{}.",
+            "It was refused {}: {} had more waiting than it could serve in time{}{}.",
+            when(end),
             end.text("service"),
+            expected(end),
             belief(end, all),
         ),
         "stale" => format!(
@@ -120,13 +150,50 @@
         ),
         "stopping" => format!("{} was stopping.", end.process),
         "not-ready" => format!("{} did not know the configuration yet.", end.process),
-        "timeout" => format!("{endpoint} did not answer within the time of its rule."),
+        "timeout" => format!("{endpoint} had not ended its answer within the time of its rule."),
         "endpoint-unreachable" => format!("{endpoint} did not take it: {error}."),
         "endpoint-failed" => format!("{endpoint} may have run it, and failed: {error}."),
         other => format!("It ended with '{other}'."),
     }
 }
 
+/// What became of a request that was sent and has no end: its router was stopped or
+/// lost, or the log ends first.
+fn unfinished(sent: &Line, all: &[Line]) -> String {
+    let endpoint = sent.text("endpoint");
+    let router = &sent.process;
+    let next = |event: &str| {
+        let of = |l: &&Line| l.process == *router && l.event == event && l.at > sent.at;
+        all.iter().find(of).map(|l| l.at - sent.at)
+    };
+    match (next("drain-incomplete"), next("started")) {
+        (Some(stopped), again) if again.is_none_or(|again| stopped < again) => format!(
+            "It was sent to {endpoint}, and {router} had to stop {stopped:.1} s later, \
+             before the answer had ended."
+        ),
+        (_, Some(again)) => format!(
+            "It was sent to {endpoint}, and {router} was lost: it started again {again:.1} s later."
+        ),
+        _ => format!("It was sent to {endpoint}; no line tells of its end."),
+    }
+}
+
+/// After how long a request was refused.
+fn when(end: &Line) -> String {
+    match end.number("took_ms") {
+        took if took < AT_ONCE_MS => "at once".to_owned(),
+        took => format!("after {took} ms, as it would have come too late"),
+    }
+}
+
+/// How long a refused request would have waited, where its line tells.
+fn expected(end: &Line) -> String {
+    match end.number("expected_ms") as u64 {
+        0 => String::new(),
+        wait => format!(", it would have waited {wait} ms"),
+    }
+}
+
 /// What the scheduler of a refused request believed then.
 fn belief(end: &Line, all: &[Line]) -> String {
     let of = |l: &&Line| l.event == "scheduler-state" && l.text("service") == end.text("service");
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -8,7 +8,7 @@
 pub(crate) fn run(args: &Get) -> Result<(), Failure> {
     let client = Client { key: &args.key };
     let answer = client.get(args.operators, "/config")?.accepted()?;
-    println!("; version {}", answer.version.unwrap_or_default());
-    print!("{}", answer.body);
+    say!("; version {}", answer.version.unwrap_or_default());
+    say!("{}", answer.body.trim_end());
     Ok(())
 }
--- a/src/cmd/keys.rs
+++ b/src/cmd/keys.rs
@@ -19,7 +19,7 @@
         vms.push(name);
     }
     make(&args.folder, &vms)?;
-    println!(
+    say!(
         "{}: authority and {} certificates",
         args.folder.display(),
         vms.len()
--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -183,5 +183,5 @@
         "whole-us": quantiles(&total.whole),
         "statuses": total.statuses,
     });
-    println!("{line}");
+    say!("{line}");
 }
--- a/src/cmd/log.rs
+++ b/src/cmd/log.rs
@@ -1,10 +1,13 @@
 //! Logs to standard output, which never hold the process up.
 
+use coordination::limit::Ceiling;
 use flume::{Receiver, Sender};
 use settings::Log;
+use state::clock::Millis;
+use state::line::Line;
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::EnvFilter;
@@ -20,6 +23,11 @@
 /// and counted. A flood of refused requests must not cost more than its answers.
 const LINES_A_SECOND: u64 = 2500;
 
+/// Bytes that are written at once: a pipe takes so many (`PIPE_BUF`) whole or not at
+/// all. Larger writes were seen cut in the middle of a line, and what other processes
+/// write to the same pipe may come between.
+const WRITE_MAX: usize = 4096;
+
 /// Starts logging as the settings say.
 pub(crate) fn start(log: &Log) {
     let filter = EnvFilter::new(format!("{},quinn=warn,rustls=warn,hyper=warn", log.level));
@@ -28,8 +36,7 @@
     let output = Output {
         sender,
         dropped: dropped.clone(),
-        second: Arc::default(),
-        lines: Arc::default(),
+        ceiling: Arc::new(Mutex::new(Ceiling::new(LINES_A_SECOND))),
         began: Instant::now(),
     };
     let lines = tracing_subscriber::fmt()
@@ -57,15 +64,20 @@
 fn write(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
     // Locked for each batch alone: kept, what a command prints would wait for ever.
     let mut out = io::stdout();
-    while let Ok(first) = lines.recv() {
+    let mut next = None;
+    while let Some(first) = next.take().or_else(|| lines.recv().ok()) {
         let mut batch = first;
-        for line in lines.try_iter().take(64) {
+        while let Ok(line) = lines.try_recv() {
+            if batch.len() + line.len() > WRITE_MAX {
+                next = Some(line);
+                break;
+            }
             batch.extend_from_slice(&line);
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
-            let line =
-                format!("{{\"level\":\"WARN\",\"event\":\"lines-dropped\",\"lines\":{lost}}}\n");
+            let event = Line::LinesDropped.as_str();
+            let line = format!("{{\"level\":\"WARN\",\"event\":\"{event}\",\"lines\":{lost}}}\n");
             batch.extend_from_slice(line.as_bytes());
         }
         // Nobody is left to read them; the process goes on without.
@@ -78,22 +90,16 @@
 struct Output {
     sender: Sender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
-    /// The second that is being counted, since the start.
-    second: Arc<AtomicU64>,
-    /// Lines in it.
-    lines: Arc<AtomicU64>,
+    ceiling: Arc<Mutex<Ceiling>>,
     began: Instant,
 }
 
 impl Output {
-    /// Whether there is room for one more line in this second. Two threads that
-    /// begin a second at once may let some lines more pass.
     fn has_room(&self) -> bool {
-        let second = self.began.elapsed().as_secs();
-        if self.second.swap(second, Ordering::Relaxed) != second {
-            self.lines.store(0, Ordering::Relaxed);
-        }
-        self.lines.fetch_add(1, Ordering::Relaxed) < LINES_A_SECOND
+        let now = u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let ceiling = self.ceiling.lock();
+        let mut ceiling = ceiling.unwrap_or_else(PoisonError::into_inner);
+        ceiling.admits(Millis(now))
     }
 }
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,16 @@
 //! The commands, one file each.
 
+/// Prints a line as `println` does, but for a reader that has seen enough.
+///
+/// `println` panics once the other end of a pipe is closed: `explain ... | head -1`
+/// would end with a trace. Nobody is left to tell, and nothing has failed.
+macro_rules! say {
+    ($($line:tt)*) => {{
+        use std::io::Write as _;
+        let _ = writeln!(std::io::stdout(), $($line)*);
+    }};
+}
+
 mod apply;
 mod check;
 mod client;
--- a/src/cmd/run.rs
+++ b/src/cmd/run.rs
@@ -5,6 +5,7 @@
 use errors::Error;
 use node::{Interface, Process};
 use settings::Settings;
+use state::line::Line;
 use std::path::Path;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
@@ -60,7 +61,7 @@
         }
         match Settings::read(file) {
             Ok(read) if read != settings => {
-                tracing::info!(event = "settings-reloaded", file = %file.display());
+                tracing::info!(event = Line::SettingsReloaded.as_str(), file = %file.display());
                 reloads.follow(&read);
                 settings = read;
                 refused.clear();
@@ -69,7 +70,7 @@
             Err(error) => {
                 let reason = error.to_string();
                 if reason != refused {
-                    tracing::warn!(event = "settings-refused", reason);
+                    tracing::warn!(event = Line::SettingsRefused.as_str(), reason);
                     refused = reason;
                 }
             }
--- a/src/cmd/stand_in.rs
+++ b/src/cmd/stand_in.rs
@@ -18,7 +18,7 @@
     };
     runtime()?.block_on(async {
         let server = Server::start(settings).await?;
-        println!("listening on {}", server.address());
+        say!("listening on {}", server.address());
         told().await;
         server.stop().await;
         Ok(())
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -22,7 +22,7 @@
     }
     for page in &pages {
         if args.json {
-            println!("{page}");
+            say!("{page}");
         } else {
             print(page);
         }
@@ -40,7 +40,7 @@
         (_, Some(true)) => "ready",
         _ => "not ready",
     };
-    println!(
+    say!(
         "{:<12} {:<9} version {} in progress {} fed by {}",
         text(&page["vm"]),
         state,
@@ -49,7 +49,7 @@
         text(&page["parent"]),
     );
     if let Some(control) = page["control"].as_object() {
-        println!(
+        say!(
             "  control: {} term {} accepted {} voters {} learners {}",
             text(&control["role"]),
             control["term"],
@@ -59,13 +59,13 @@
         );
     }
     for (customer, count) in page["waiting"].as_object().into_iter().flatten() {
-        println!("  waiting: {customer} {count}");
+        say!("  waiting: {customer} {count}");
     }
     for shard in page["local"].as_array().into_iter().flatten() {
-        println!("  local: without a scheduler for {shard}");
+        say!("  local: without a scheduler for {shard}");
     }
     for epoch in page["schedulers"].as_array().into_iter().flatten() {
-        println!(
+        say!(
             "  schedules {} since epoch {}: running {} of {} slots, waiting {}, routers {}",
             epoch["shard"],
             epoch["epoch"],
@@ -75,7 +75,7 @@
             epoch["routers"],
         );
         for (customer, level) in epoch["levels"].as_object().into_iter().flatten() {
-            println!("    service received: {customer} {level}");
+            say!("    service received: {customer} {level}");
         }
     }
 }
@@ -89,12 +89,12 @@
         .filter_map(|p| p["vm"].as_str())
         .collect();
     if lagging.is_empty() {
-        println!(
+        say!(
             "version {newest} is in force on all {} processes",
             pages.len()
         );
     } else {
-        println!(
+        say!(
             "version {newest} is not yet in force on: {}",
             lagging.join(", ")
         );
--- a/src/cmd/stop.rs
+++ b/src/cmd/stop.rs
@@ -32,6 +32,6 @@
     client
         .post(args.operators, &path, String::new())?
         .accepted()?;
-    println!("announced: {} {name}", args.kind);
+    say!("announced: {} {name}", args.kind);
     Ok(())
 }
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -34,7 +34,7 @@
     match args.format.as_str() {
         "text" => print_text(&lines, &names),
         "json" => print_json(&lines),
-        "page" => print!("{}", page::render(&lines, &names)),
+        "page" => say!("{}", page::render(&lines, &names).trim_end()),
         other => return Err(Failure::Input(format!("{other:?}: say text, json or page"))),
     }
     if dropped > 0 {
@@ -151,13 +151,13 @@
         add("peer", event.peer.as_ref().map(Name::to_string));
         add("version", event.version.map(|v| v.to_string()));
         add("epoch", event.epoch.map(|v| v.to_string()));
-        println!("{text}");
+        say!("{text}");
     }
 }
 
 fn print_json(lines: &[Line]) {
     for line in lines {
-        println!("{}", serde_json::to_string(line).unwrap_or_default());
+        say!("{}", serde_json::to_string(line).unwrap_or_default());
     }
 }
 
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -10,11 +10,19 @@
         r#"{"timestamp":"2026-05-20T00:03:30.000000Z","level":"INFO","event":"request-ended","request":"7e09-3f","caller":"stale-1","rule":"","customer":"","service":"","endpoint":"","version":28,"release":73,"proof_ms":3877,"took_ms":0,"tries":0,"status":503,"outcome":"not-run","reason":"stale","retry_after_ms":1000}
 {"timestamp":"2026-05-20T00:03:31.000000Z","level":"INFO","event":"try-failed","request":"7e09-40","caller":"lost-1","endpoint":"i-9","tries":1,"next":"unknown","error":"send to an endpoint with 10.0.0.9:80: connection error"}
 {"timestamp":"2026-05-20T00:03:31.000100Z","level":"INFO","event":"request-ended","request":"7e09-40","caller":"lost-1","rule":"r","customer":"alpha","service":"llm","endpoint":"i-9","version":29,"release":73,"proof_ms":10,"waited_ms":3,"took_ms":200,"tries":1,"status":502,"outcome":"unknown","reason":"endpoint-failed"}
+{"timestamp":"2026-05-20T00:03:31.50{"timestamp":"2026-05-20T00:03:31.600000Z","level":"INFO","event":"request-ended","request":"7e09-41","caller":"error-1","rule":"r","customer":"alpha","service":"llm","endpoint":"i-9","version":29,"release":73,"proof_ms":10,"waited_ms":3,"took_ms":70,"tries":2,"status":500,"outcome":"answered","reason":"whole"}
 "#,
     ),
     (
         "r2",
-        r#"{"timestamp":"2026-05-20T00:03:32.000000Z","level":"INFO","event":"request-ended","request":"aa11-1","caller":"full-1","rule":"r","customer":"alpha","service":"llm","endpoint":"","version":29,"release":73,"proof_ms":10,"took_ms":2,"tries":0,"status":503,"outcome":"not-run","reason":"overloaded","retry_after_ms":355}
+        r#"{"timestamp":"2026-05-20T00:03:32.000000Z","level":"INFO","event":"request-ended","request":"aa11-1","caller":"full-1","rule":"r","customer":"alpha","service":"llm","endpoint":"","version":29,"release":73,"proof_ms":10,"took_ms":2,"tries":0,"status":503,"outcome":"not-run","reason":"overloaded","retry_after_ms":355,"expected_ms":480,"epoch":3}
+{"timestamp":"2026-05-20T00:03:32.100000Z","level":"INFO","event":"request-sent","request":"aa11-2","caller":"gone-1","rule":"r","customer":"alpha","service":"llm","endpoint":"i-9","version":29,"epoch":3,"to_read":3000,"ahead":9000,"tries":1,"waited_ms":2}
+{"timestamp":"2026-05-20T00:03:34.600000Z","level":"INFO","event":"request-ended","request":"aa11-2","caller":"gone-1","rule":"r","customer":"alpha","service":"llm","endpoint":"i-9","version":29,"release":73,"proof_ms":10,"waited_ms":2,"took_ms":2500,"tries":1,"outcome":"unknown","reason":"caller-gone"}
+{"timestamp":"2026-05-20T00:03:35.000000Z","level":"INFO","event":"request-sent","request":"aa11-3","caller":"killed-1","rule":"r","customer":"alpha","service":"llm","endpoint":"i-7","version":29,"epoch":3,"to_read":3000,"ahead":0,"tries":1,"waited_ms":2}
+{"timestamp":"2026-05-20T00:03:36.500000Z","level":"INFO","event":"started","vm":"r2"}
+{"timestamp":"2026-05-20T00:03:37.000000Z","level":"INFO","event":"request-sent","request":"aa12-1","caller":"stopped-1","rule":"r","customer":"alpha","service":"llm","endpoint":"i-7","version":29,"epoch":3,"to_read":3000,"ahead":0,"tries":1,"waited_ms":2}
+{"timestamp":"2026-05-20T00:03:45.000000Z","level":"WARN","event":"drain-incomplete","grace_ms":"8000"}
+{"timestamp":"2026-05-20T00:03:46.000000Z","level":"INFO","event":"started","vm":"r2"}
 not a line of a log
 "#,
     ),
@@ -51,6 +59,7 @@
     let cause = text.lines().next().unwrap();
     assert!(cause.starts_with("It was refused at once: llm"), "{text}");
     assert!(cause.contains("41 asks of 7 customers waited, 200 ran, 0.6 s before"));
+    assert!(cause.contains("it would have waited 480 ms"), "{text}");
     assert!(text.contains("retry_after_ms=355"));
 }
 
@@ -80,7 +89,74 @@
     assert!(text.contains("c1 version-in-force: customers=2 release=73 rules=5 version=29"));
 }
 
+#[test]
+fn can_tell_of_a_request_whose_caller_left_an_endpoint_that_was_silent() {
+    let (_, text) = explain("gone-1");
+    let cause = text.lines().next().unwrap();
+    assert_eq!(
+        cause,
+        "Its caller left 2500 ms after its arrival, before i-9 had answered."
+    );
+    assert!(text.contains("request-sent: ahead=9000"), "{text}");
+}
+
+#[test]
+fn can_tell_of_a_request_that_was_lost_with_its_router() {
+    let (_, text) = explain("killed-1");
+    let cause = text.lines().next().unwrap();
+    assert_eq!(
+        cause,
+        "It was sent to i-7, and r2 was lost: it started again 1.5 s later."
+    );
+}
+
+#[test]
+fn can_tell_of_a_request_that_a_stop_cut() {
+    let (_, text) = explain("stopped-1");
+    let cause = text.lines().next().unwrap();
+    assert_eq!(
+        cause,
+        "It was sent to i-7, and r2 had to stop 8.0 s later, before the answer had ended."
+    );
+}
+
+#[test]
+fn can_tell_of_an_endpoints_own_error_behind_a_torn_line() {
+    let (_, text) = explain("error-1");
+    let cause = text.lines().next().unwrap();
+    assert_eq!(
+        cause,
+        "i-9 itself answered that it failed, with 500, on try 2."
+    );
+}
+
 #[test]
 fn errors_when_no_log_tells_of_a_request() {
     assert!(!explain("nobody").0);
 }
+
+#[test]
+fn can_end_quietly_when_its_reader_has_seen_enough() {
+    // Symptom: `explain ... | head -1` ends with a trace of a panic.
+    // Sequence: the reader closes the pipe while there is more to print.
+    // Cause: a macro of the language that panics then.
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("r1.log");
+    let line = LOGS[1].1.lines().next().unwrap();
+    let around = LOGS[2].1.lines().next().unwrap();
+    let around = around.replace("00:03:29.5", "00:03:31.5");
+    // More than a pipe holds.
+    let many: String = (0..2000).map(|_| format!("{around}\n")).collect();
+    std::fs::write(&file, format!("{line}\n{many}")).unwrap();
+    let mut process = Command::new(env!("CARGO_BIN_EXE_cowslipford"))
+        .args(["explain", "full-1"])
+        .arg(&file)
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(process.stdout.take());
+    let output = process.wait_with_output().unwrap();
+    assert!(output.status.success(), "{output:?}");
+    assert!(output.stderr.is_empty(), "{output:?}");
+}
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -47,6 +47,22 @@
     }
 }
 
+/// Source files below a folder, without those of tests.
+pub(crate) fn sources(folder: &std::path::Path, found: &mut Vec<PathBuf>) {
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir()
+            && path
+                .file_name()
+                .is_some_and(|n| n != "tests" && n != "target")
+        {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|e| e == "rs") {
+            found.push(path);
+        }
+    }
+}
+
 /// What a fleet consists of.
 pub(crate) struct Plan {
     pub(crate) control: usize,
--- a/tests/names.rs
+++ b/tests/names.rs
@@ -1,6 +1,8 @@
 //! The users' platform's own names stand in `platform/` and `deploy/` alone.
-#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
+mod harness;
+
+use harness::sources;
 use std::path::Path;
 
 /// Names that nothing but the platform uses.
@@ -23,21 +25,6 @@
     "max_attempts",
 ];
 
-fn sources(folder: &Path, found: &mut Vec<std::path::PathBuf>) {
-    for entry in std::fs::read_dir(folder).unwrap() {
-        let path = entry.unwrap().path();
-        if path.is_dir()
-            && path
-                .file_name()
-                .is_some_and(|n| n != "tests" && n != "target")
-        {
-            sources(&path, found);
-        } else if path.extension().is_some_and(|e| e == "rs") {
-            found.push(path);
-        }
-    }
-}
-
 #[test]
 fn can_keep_the_platforms_names_in_one_folder() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
--- a/tests/users.rs
+++ b/tests/users.rs
@@ -472,6 +472,13 @@
             let answer = fleet.call(0, "/a/0", "k1");
             answer.is_some_and(|a| a.status_code == 503 && a.body.contains("stopping"))
         });
+        // A request that is refused at the door is found by its caller's identity too.
+        let log = fleet.routers[0].settings.with_extension("log");
+        eventually("the log tells whom it refused", || {
+            let text = std::fs::read_to_string(&log).unwrap();
+            let refused = |l: &str| l.contains(r#""reason":"stopping""#) && l.contains("id-1");
+            text.lines().any(refused)
+        });
         assert_eq!(slow.join().unwrap(), 200);
     });
 }
