Ask engines what they have kept where no router remembers it

Cause: a scheduler's picture of its engines comes from the routers. Change: a new scheduler names the engines of which nothing is known, once each; its VM asks them for what they have kept. Parts are named by their own identity now, not chained to those before them: engines list parts so, and a part still counts only behind all parts before it. Also: a request that ends before its first token no longer forgets a part that its engine had read before.

--- a/components/coordination/src/engine.rs
+++ b/components/coordination/src/engine.rs
@@ -200,6 +200,11 @@
             .sum()
     }
 
+    /// Whether nothing is known of what it has kept.
+    pub fn is_unknown(&self) -> bool {
+        self.kept.is_empty()
+    }
+
     /// Whether it has room for a request that is on time within `aim_ms`, in its
     /// memory and in what it is to read.
     pub fn has_room(&self, prompt: &Prompt, aim_ms: u64) -> bool {
@@ -335,16 +340,12 @@
         if !reading.has_begun {
             self.unread = self.unread.saturating_sub(reading.to_read());
         }
-        let kept_before = reading.prompt.tokens() - reading.missing;
-        let mut at = 0;
         for part in reading.prompt.parts() {
-            let was_missing = at >= kept_before;
-            at += u64::from(part.tokens);
             let Some(kept) = self.kept.get_mut(&part.key) else {
                 continue;
             };
             kept.users = kept.users.saturating_sub(1);
-            if kept.users == 0 && was_missing && !reading.has_begun {
+            if kept.users == 0 && !kept.is_read {
                 self.kept_tokens -= u64::from(kept.tokens);
                 self.kept.remove(&part.key);
             }
--- a/components/coordination/src/prompt.rs
+++ b/components/coordination/src/prompt.rs
@@ -14,13 +14,23 @@
 /// A part of a prompt that endpoints may have kept from an earlier request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
-    /// Names the part together with all parts before it, 0 for none: an endpoint
-    /// can use a kept part only if it has all of them.
+    /// Names the part, 0 for none. An endpoint can use a kept part only if it has all
+    /// parts before it too.
     pub key: u32,
     /// Its length in tokens.
     pub tokens: u32,
 }
 
+impl Part {
+    /// A part by its identity.
+    pub fn new(id: u64, tokens: u32) -> Self {
+        Part {
+            key: chain(0, id),
+            tokens,
+        }
+    }
+}
+
 /// A prompt, as parts in order, and what it is expected to bring.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Prompt {
@@ -39,11 +49,10 @@
             output,
             ..Prompt::default()
         };
-        let mut key = 0;
         for (n, (id, tokens)) in parts.into_iter().enumerate() {
-            key = chain(key, id);
             let part = &mut prompt.parts[n.min(PARTS - 1)];
-            part.key = key;
+            // What follows the last part that is told is one with it.
+            part.key = chain(part.key, id);
             part.tokens = part.tokens.saturating_add(tokens);
         }
         prompt
@@ -85,7 +94,7 @@
     }
 }
 
-/// Key of a part after those that `before` names.
+/// Key of a part that begins with what `before` names, 0 for nothing.
 fn chain(before: u32, id: u64) -> u32 {
     let mixed = mix(u64::from(before).rotate_left(32) ^ id);
     // CAST: the upper half of 64 bits fits into 32.
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -269,6 +269,14 @@
         session
     }
 
+    /// Engines to ask what they have kept, once the routers have told what they know.
+    pub fn unknown(&mut self, now: Millis) -> Vec<EndpointId> {
+        if now < self.opened {
+            return Vec::new();
+        }
+        self.slots.unknown(now)
+    }
+
     /// Takes a report of an open session. A hello is for [`Scheduler::open`].
     pub fn take(&mut self, now: Millis, session: Session, report: Report) -> Effects {
         match report {
--- a/components/coordination/tests/load.rs
+++ b/components/coordination/tests/load.rs
@@ -5,7 +5,7 @@
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 use coordination::ask::{Ask, Class, Hello, Kept, Report, Seq, Verdict};
-use coordination::prompt::Prompt;
+use coordination::prompt::{Part, Prompt};
 use coordination::scheduler::{Effect, Scheduler, Session, GATHER_MS};
 use coordination::slot::{Claims, Slots, Wish};
 use rand::{Rng, SeedableRng};
@@ -531,3 +531,65 @@
     let chosen = slots.choose(later, wish, &mut Claims::default());
     assert_eq!(chosen, Some(EndpointId(1)));
 }
+
+#[test]
+fn can_count_on_a_kept_part_only_behind_all_parts_before_it() {
+    // Symptom: an engine is expected to answer at once, and reads the whole prompt.
+    // Cause: a part is of use only if all parts before it are kept as well.
+    let mut slots = Slots::default();
+    slots.set_memory(Some(MEMORY));
+    slots.set(EndpointId(1), 64, 0, false);
+    let now = Millis(1000);
+    let prompt = Prompt::new([(7, 6000), (8, 5000), (9, 100)], 10);
+    let to_read = |slots: &mut Slots| {
+        let reading = slots.take(now, EndpointId(1), prompt).unwrap();
+        slots.end(EndpointId(1), &reading);
+        reading.to_read()
+    };
+    slots.learn(now, EndpointId(1), Part::new(8, 5000));
+    assert_eq!(to_read(&mut slots), 11_100);
+    slots.learn(now, EndpointId(1), Part::new(7, 6000));
+    assert_eq!(to_read(&mut slots), 100);
+}
+
+#[test]
+fn can_learn_from_engines_what_nobody_remembers() {
+    // Symptom: after all processes were lost at once, most requests are refused for
+    // some seconds, while engines read what they have kept already.
+    // Sequence: a scheduler begins; no router remembers what it has sent.
+    // Cause: a picture that only what is sent from now on fills.
+    let mut scheduler = Scheduler::new(Epoch(2), Millis(0));
+    scheduler.slots().set_memory(Some(MEMORY));
+    for id in 1..=3 {
+        scheduler.slots().set(EndpointId(id), 64, 0, false);
+    }
+    // One of them a router remembers; a hello may still be on its way at first.
+    assert_eq!(scheduler.unknown(Millis(GATHER_MS - 1)), []);
+    let hello = Hello {
+        kept: vec![Kept {
+            endpoint: EndpointId(1),
+            part: Part::new(7, 13_000),
+        }],
+        ..Hello::default()
+    };
+    scheduler.open(Millis(GATHER_MS - 1), None, &hello);
+    let now = Millis(GATHER_MS);
+    assert_eq!(scheduler.unknown(now), [EndpointId(2), EndpointId(3)]);
+    // Each is asked once.
+    assert_eq!(scheduler.unknown(now), []);
+    let parts = [Part::new(8, 2000), Part::new(9, 5000)];
+    for part in parts {
+        scheduler.slots().learn(now, EndpointId(3), part);
+    }
+    let wish = Wish {
+        prompt: Prompt::new([(8, 2000), (9, 5000), (100, 10)], 10),
+        avoid: None,
+        aim_ms: 600,
+        slack_ms: 600,
+    };
+    let slots = scheduler.slots();
+    let chosen = slots.choose(now, wish, &mut Claims::default());
+    assert_eq!(chosen, Some(EndpointId(3)));
+    let reading = slots.take(now, EndpointId(3), wish.prompt).unwrap();
+    assert_eq!(reading.to_read(), 10);
+}
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -1,8 +1,10 @@
 //! What the reactor is told.
 
+use crate::inventory::Unknown;
 use crate::shared::Status;
 use coordination::ask::{Placement, Refusal, Verdict};
 use coordination::dispatcher::{Arrival, Full, Handle};
+use coordination::prompt::Part;
 use protocol::wire::{Query, Reply};
 use state::id::{EndpointId, Name};
 use state::listing::Listed;
@@ -88,6 +90,10 @@
     ListingDue(oneshot::Sender<bool>),
     /// What it has read.
     ListingRead(Vec<Listed>),
+    /// Which engines are to be asked what they have kept?
+    Unknown(oneshot::Sender<Vec<Unknown>>),
+    /// What an engine has kept.
+    Inventory(EndpointId, Vec<Part>),
     /// Which endpoints are scheduled here, and where do they report their load?
     Watched(oneshot::Sender<Vec<Watched>>),
     /// What is the state?
--- a/components/node/src/interface.rs
+++ b/components/node/src/interface.rs
@@ -3,7 +3,7 @@
 //! The node decides by what these functions read and give; they decide nothing.
 
 use bytes::Bytes;
-use coordination::prompt::Prompt;
+use coordination::prompt::{Part, Prompt};
 use hyper::header::{HeaderMap, HeaderValue, AUTHORIZATION};
 use hyper::http::{request, response};
 use hyper::StatusCode;
@@ -81,6 +81,15 @@
     pub next: Option<String>,
 }
 
+/// How an engine tells what it has kept of prompts.
+#[derive(Clone, Copy, Debug)]
+pub struct Inventory {
+    /// Path of its page.
+    pub path: &'static str,
+    /// Reads the page; an error says what is wrong with it.
+    pub read: fn(&[u8]) -> Result<Vec<Part>, String>,
+}
+
 /// One way of speaking.
 #[derive(Clone, Copy, Debug)]
 pub struct Interface {
@@ -101,6 +110,8 @@
     pub listing: &'static str,
     /// Reads a page of the list.
     pub page: fn(&[u8], &Regions) -> Result<Page, String>,
+    /// How engines tell what they have kept, if they do.
+    pub inventory: Option<Inventory>,
 }
 
 impl Interface {
@@ -115,6 +126,7 @@
             release: own_release,
             listing: "/endpoints",
             page: own_page,
+            inventory: None,
         }
     }
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod http;
 mod input;
 mod interface;
+mod inventory;
 mod journal;
 mod listing;
 mod metric;
@@ -27,6 +28,6 @@
 mod shared;
 
 pub use coordination::rule::shadowed;
-pub use interface::{region, Answered, Asked, Interface, Onward, Page, Regions};
+pub use interface::{region, Answered, Asked, Interface, Inventory, Onward, Page, Regions};
 pub use journal::{Journal, Lane};
 pub use process::{Addresses, Process, Reloads};
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -9,7 +9,7 @@
 use crate::operators::{Operators, Parts as OperatorParts};
 use crate::reactor::{Parts as ReactorParts, Reactor};
 use crate::shared::{raised, Published, Shared, Status};
-use crate::{http, listing, platform, poll, readiness, releases};
+use crate::{http, inventory, listing, platform, poll, readiness, releases};
 use coordination::agree::Admission;
 use coordination::dispatcher::Bounds;
 use coordination::retry;
@@ -394,6 +394,10 @@
         );
         if self.settings.scheduler {
             tasks.push(tokio::spawn(poll::run(reactor.clone(), stopped.clone())));
+            if let Some(inventory) = self.interface.inventory {
+                let asking = inventory::run(inventory, reactor.clone(), stopped.clone());
+                tasks.push(tokio::spawn(asking));
+            }
         }
         if let Some(platform) = &self.settings.platform {
             tasks.push(tokio::spawn(platform::run(
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -252,6 +252,14 @@
             }
             // Whoever asked may have gone.
             Input::Status(reply) => drop(reply.send(self.status())),
+            Input::Unknown(reply) => {
+                let unknown = self.schedulers.unknown(now, &self.live);
+                // Whoever asked may have gone.
+                let _ = reply.send(unknown);
+            }
+            Input::Inventory(endpoint, parts) => {
+                self.schedulers.learn(now, endpoint, &parts);
+            }
             // Whoever asked may have gone.
             Input::Watched(reply) => drop(reply.send(self.watched())),
             Input::Stop => self.stop(),
--- a/components/node/src/schedulers.rs
+++ b/components/node/src/schedulers.rs
@@ -1,11 +1,13 @@
 //! The schedulers that this VM runs.
 
 use crate::batch::Batch;
+use crate::inventory::Unknown;
 use crate::journal::Journal;
 use crate::metric::{value, Metrics};
 use crate::shared::ShardStatus;
 use coordination::ask::{Report, Served};
 use coordination::dispatcher::{endpoints, set_engines};
+use coordination::prompt::Part;
 use coordination::scheduler::{Effect, Effects, Scheduler, Session};
 use state::clock::Millis;
 use state::event::{Event, Step};
@@ -160,6 +162,29 @@
         }
     }
 
+    /// Engines to ask what they have kept.
+    pub(crate) fn unknown(&mut self, now: Millis, view: &View) -> Vec<Unknown> {
+        let mut all = Vec::new();
+        for assigned in self.all.values_mut() {
+            let unknown = assigned.scheduler.unknown(now).into_iter();
+            all.extend(unknown.filter_map(|endpoint| {
+                let address = view.config.endpoints.get(&endpoint)?.address;
+                Some(Unknown { endpoint, address })
+            }));
+        }
+        all
+    }
+
+    /// Takes what an engine has kept.
+    pub(crate) fn learn(&mut self, now: Millis, endpoint: EndpointId, parts: &[Part]) {
+        for assigned in self.all.values_mut() {
+            let slots = assigned.scheduler.slots();
+            parts
+                .iter()
+                .for_each(|part| slots.learn(now, endpoint, *part));
+        }
+    }
+
     /// Lets time pass.
     pub(crate) fn tick(&mut self, now: Millis, batch: &mut Batch) {
         for assigned in self.all.values_mut() {
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -58,6 +58,8 @@
     ReleaseUnanswered,
     /// The durable state cannot be kept: the process ends.
     StateLost,
+    /// An engine did not tell what it has kept.
+    InventoryMissing,
     /// A connection could not be accepted.
     AcceptFailed,
     /// A message to another process could not be written.
@@ -66,7 +68,7 @@
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 29] = [
+    pub const ALL: [Line; 30] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -94,6 +96,7 @@
         Line::ReleaseRefused,
         Line::ReleaseUnanswered,
         Line::StateLost,
+        Line::InventoryMissing,
         Line::AcceptFailed,
         Line::MessageLost,
     ];
@@ -128,6 +131,7 @@
             Line::ReleaseRefused => "release-refused",
             Line::ReleaseUnanswered => "release-unanswered",
             Line::StateLost => "state-lost",
+            Line::InventoryMissing => "inventory-missing",
             Line::AcceptFailed => "accept-failed",
             Line::MessageLost => "message-lost",
         }
