Test that ages count the time for which a VM was suspended

A hook for tests moves a process's clock as a suspension does. A router that is cut off and was suspended for 500 s of the 600 s in which a removed key must be refused answers 503 'stale' at once.

--- a/components/node/src/operators.rs
+++ b/components/node/src/operators.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 use tiny_http::{Header, Method, Request, Response, Server};
 use tokio::sync::{oneshot, watch};
+use transport::clock::Clock;
 use transport::link::Hub;
 
 /// Threads that answer operators.
@@ -33,6 +34,7 @@
     /// Hash of the operators' key; without one nobody has it.
     pub(crate) key: Option<Hash>,
     pub(crate) hub: Hub,
+    pub(crate) clock: Clock,
     pub(crate) journal: Journal,
     pub(crate) metrics: Metrics,
     pub(crate) reactor: flume::Sender<Input>,
@@ -151,6 +153,7 @@
         },
         (Method::Post, "/stop") => depart(parts, &query),
         (Method::Post, "/fault/cut") if parts.fault_hook => cut(parts, &query),
+        (Method::Post, "/fault/suspend") if parts.fault_hook => suspend(parts, &query),
         _ => error(404, "there is nothing here"),
     }
 }
@@ -300,6 +303,16 @@
     }
 }
 
+fn suspend(parts: &Parts, query: &BTreeMap<String, String>) -> Page {
+    match query.get("ms").and_then(|ms| ms.parse().ok()) {
+        Some(ms) => {
+            parts.clock.suspend(ms);
+            text(200, "suspended\n")
+        }
+        None => error(400, "ms: a number of milliseconds"),
+    }
+}
+
 /// Asks another part of the process and waits for its answer.
 fn wait<T, F>(parts: &Parts, ask: F) -> Option<T>
 where
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -317,6 +317,7 @@
             OperatorParts {
                 key: self.settings.operators.key,
                 hub: hub.clone(),
+                clock: self.clock.clone(),
                 journal: self.journal.clone(),
                 metrics: self.metrics.clone(),
                 reactor: reactor.clone(),
--- a/components/transport/src/clock.rs
+++ b/components/transport/src/clock.rs
@@ -1,6 +1,7 @@
 //! The clocks of this process.
 
 use state::clock::{Millis, Stamp};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -9,6 +10,8 @@
 pub struct Clock {
     /// Milliseconds of the system's clock when this one was made.
     origin: u64,
+    /// Milliseconds by which a test has moved it on.
+    moved: Arc<AtomicU64>,
     stamp: Arc<Mutex<Stamp>>,
 }
 
@@ -16,6 +19,7 @@
     fn default() -> Self {
         Clock {
             origin: boot_millis(),
+            moved: Arc::default(),
             stamp: Arc::default(),
         }
     }
@@ -29,7 +33,13 @@
     /// seconds would still be inside its lease and show an old configuration, and
     /// a router would serve keys that were revoked long ago.
     pub fn now(&self) -> Millis {
-        Millis(boot_millis().saturating_sub(self.origin))
+        let moved = self.moved.load(Ordering::Relaxed);
+        Millis(boot_millis().saturating_sub(self.origin) + moved)
+    }
+
+    /// For tests of failures: moves the clock on as a suspension of the VM does.
+    pub fn suspend(&self, ms: u64) {
+        self.moved.fetch_add(ms, Ordering::Relaxed);
     }
 
     /// Stamps an event of this process.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -579,3 +579,30 @@
         events().contains("ejected")
     });
 }
+
+#[test]
+fn can_refuse_after_a_suspension_what_nobody_has_proved_since() {
+    // Symptom: a router that wakes from a suspension serves keys that were revoked
+    // long ago.
+    // Sequence: a router is suspended for most of the time in which a removed key must
+    // be refused, and is cut off when it wakes.
+    // Cause: an age that is measured by a clock which stands still meanwhile.
+    let fleet = Fleet::start(Plan {
+        control: 1,
+        routers: 1,
+        settings: "[router]\nrevocation = 600s".to_owned(),
+        ..Plan::default()
+    });
+    let call = || fleet.call("r1", "alpha", "/assistant", &[], "x");
+    eventually("it serves", || call().status == 200);
+    fleet.cut("r1", &["c1"], true);
+    // Cut off alone, it serves for six minutes.
+    assert_eq!(call().status, 200);
+    fleet.suspend("r1", 500_000);
+    let answer = call();
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.outcome(), "not-run");
+    assert!(answer.text().contains("stale"), "{}", answer.text());
+    fleet.cut("r1", &[], true);
+    eventually("it serves again", || call().status == 200);
+}
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -438,6 +438,14 @@
         assert_eq!(answer.status, 200);
     }
 
+    /// Moves a VM's clock on as a suspension does.
+    pub(crate) fn suspend(&self, vm: &str, ms: u64) {
+        let operators = self.vm(vm).operators;
+        let path = format!("/fault/suspend?ms={ms}");
+        let answer = http::send(operators, "POST", &path, OPERATOR, &[], "");
+        assert_eq!(answer.status, 200);
+    }
+
     /// Sends a request through a router.
     pub(crate) fn call(
         &self,
