--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -30,6 +30,7 @@
     for engines in ENGINES {
         let mut slots = Slots::default();
         slots.set_memory(Some(500_000));
+        slots.set_copy_rate(Some(1_000_000));
         for id in 1..=engines {
             slots.set(EndpointId(id), 10_000, 0, false);
         }
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -482,7 +482,7 @@
         let Next { key, ask, endpoint } = next;
         let reading = self
             .slots
-            .take_for(now, endpoint, ask.prompt, ask.avoid.is_none());
+            .take_with(now, endpoint, ask.prompt, ask.avoid.is_none());
         let customer = ask.class.customer;
         self.pace.start(ask.hint);
         self.granted += 1;
--- a/components/coordination/src/slot.rs
+++ b/components/coordination/src/slot/mod.rs
@@ -1,6 +1,10 @@
 //! Slots of a shard's endpoints and the choice among them.
 
-use crate::engine::{Engine, Reading, Source};
+mod place;
+
+pub use self::place::Claims;
+
+use crate::engine::{Engine, Reading};
 use crate::health::{Change, Health};
 use crate::prelude::*;
 use crate::prompt::Part;
@@ -12,29 +16,8 @@
 /// Prompt prefixes remembered for each endpoint.
 pub const PREFIXES: usize = 64;
 
-/// Part of the time that is left which an engine may be expected to take, in
-/// hundredths: steps, the way and the other requests of a batch take the rest.
-const IN_TIME_PERCENT: u64 = 85;
-/// Part of its aim by which a request must be answered earlier for a copy between
-/// engines to be worth it, in hundredths.
-///
-/// A copy takes some hundred megabytes of the network, and memory of one more engine.
-/// With 0 here there were 1,630 copies in 50 s, with 33 there were 880, and the same
-/// 85 of 100 of the worth of all requests were served; without copies it was 83 (18
-/// engines, 230 requests a second, mean of four runs; 50 gave 84.6).
-const COPY_WORTH_PERCENT: u64 = 33;
-/// Weight of the work that an engine has for a request beside the time until it
-/// answers: what it reads delays everyone on it. With 4, 0.3 to 1.0 of 100 less of the
-/// worth was served on each of four days.
-const WORK_WEIGHT: u64 = 2;
-/// What a failure costs, in aims of the request: its caller waits for nothing, and
-/// often may not send it again.
-const FAILURE_AIMS: u64 = 2;
 /// What a failure costs at an endpoint that is no engine, in slots taken of all.
 const FAILURE_LOADS: u64 = 2;
-/// What a request that waits for an engine claims at least, in tokens: one that
-/// has nothing to read still takes its place in a step.
-const CLAIM_MIN: u64 = 64;
 
 /// What a scheduler knows of one endpoint.
 #[derive(Clone, Debug)]
@@ -69,35 +52,6 @@
     pub slack_ms: u64,
 }
 
-/// What asks that wait for an engine will have it read, in tokens.
-#[derive(Clone, Debug, Default)]
-pub struct Claims(BTreeMap<EndpointId, u64>);
-
-/// What a request would find at an engine.
-#[derive(Clone, Copy, Debug)]
-struct Estimate {
-    is_late: bool,
-    /// Time to its first token, in microseconds.
-    wait_us: u64,
-    /// Time that it takes from others, in microseconds.
-    work_us: u64,
-    /// Tokens that the engine would have to read.
-    to_read: u64,
-}
-
-impl Estimate {
-    /// Engines come in this order: those that answer in time, and of them those that
-    /// answer soon and have little to do for it.
-    ///
-    /// By work alone, all that share a part would go to one engine for as long as it
-    /// answers in time. What it reads delays the tokens of all that it generates:
-    /// streams took 1.56 s instead of 0.90 s on average there, and as many more of
-    /// them were cut when processes were lost.
-    fn rank(&self) -> (bool, u64) {
-        (self.is_late, self.wait_us + WORK_WEIGHT * self.work_us)
-    }
-}
-
 /// How to choose among free endpoints; all but the first are baselines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -193,47 +147,15 @@
             .or_else(|| self.best(now, wish, false))
     }
 
-    /// The engine that a request is to wait for or to be sent to.
-    ///
-    /// Of the engines that answer in time, it is the one with the least to read:
-    /// what is read again takes time from everyone. If none does, it is the one
-    /// that answers first.
-    fn place(&self, now: Millis, wish: Wish, claims: &mut Claims) -> Option<EndpointId> {
-        // A try that failed may have failed by what it was to copy.
-        let source = (wish.avoid.is_none()).then(|| self.source(now, &wish.prompt));
-        let source = source.flatten();
-        let mut best: Option<(Estimate, EndpointId)> = None;
-        for (id, slot) in &self.all {
-            let claimed = claims.0.get(id).copied().unwrap_or(0);
-            let Some(estimate) = slot.estimate(now, *id, &wish, source, claimed) else {
-                continue;
-            };
-            let better = (best.as_ref()).is_none_or(|(other, _)| estimate.rank() < other.rank());
-            if better {
-                best = Some((estimate, *id));
-            }
-        }
-        let (estimate, id) = best?;
-        let slot = self.all.get(&id)?;
-        let free = slot.room(now) > 0;
-        let engine = slot.engine.as_ref()?;
-        let claimed = claims.0.entry(id).or_default();
-        if free && *claimed == 0 && engine.has_room(&wish.prompt, wish.aim_ms) {
-            return Some(id);
-        }
-        *claimed += estimate.to_read.max(CLAIM_MIN);
-        None
-    }
-
     /// Takes a slot of an endpoint for the first try of a request; gives what that
     /// takes of it, if it is a model engine.
     pub fn take(&mut self, now: Millis, id: EndpointId, prompt: Prompt) -> Option<Reading> {
-        self.take_for(now, id, prompt, true)
+        self.take_with(now, id, prompt, true)
     }
 
     /// Takes a slot of an endpoint; `copies` says whether the engine may copy parts
     /// of the prompt from another one.
-    pub fn take_for(
+    pub fn take_with(
         &mut self,
         now: Millis,
         id: EndpointId,
@@ -250,24 +172,6 @@
         None
     }
 
-    /// The engine that has read the most of a prompt's start.
-    ///
-    /// An engine reads some 50 tokens in a millisecond and copies a thousand: without
-    /// copies, a part that is asked for more often than one engine can serve is read
-    /// again by each further engine.
-    fn source(&self, now: Millis, prompt: &Prompt) -> Option<Source> {
-        let rate = self.copy_rate?;
-        let open = self.all.iter().filter(|(_, slot)| slot.is_open(now));
-        let read = open.filter_map(|(id, slot)| Some((slot.engine.as_ref()?, *id)));
-        let read = read.map(|(engine, id)| (engine.has_read(prompt), id));
-        let (tokens, endpoint) = read.max_by_key(|(tokens, _)| *tokens)?;
-        (tokens > 0).then_some(Source {
-            endpoint,
-            tokens,
-            rate,
-        })
-    }
-
     /// Engines to ask what they have kept: nothing is known of them. Each is told once,
     /// as the question costs an engine time.
     pub fn unknown(&mut self, now: Millis) -> Vec<EndpointId> {
@@ -424,38 +328,6 @@
 }
 
 impl Slot {
-    /// What a request would find here, behind `claimed` tokens of others; `None` if
-    /// this is no engine that takes work.
-    fn estimate(
-        &self,
-        now: Millis,
-        id: EndpointId,
-        wish: &Wish,
-        source: Option<Source>,
-        claimed: u64,
-    ) -> Option<Estimate> {
-        let engine = self.engine.as_ref().filter(|_| self.is_open(now))?;
-        let missing = engine.missing(&wish.prompt);
-        let copied = source.map_or(0, |s| s.gain(&wish.prompt, missing));
-        let copying_us = source.map_or(0, |s| s.copying_us(copied));
-        let penalty_us = match copied {
-            0 => 0,
-            _ => wish.aim_ms * 10 * COPY_WORTH_PERCENT,
-        };
-        let to_read = missing - copied;
-        let running = self.running + self.foreign;
-        let wait_us = engine.expected_us(id, &wish.prompt, to_read, claimed, running);
-        let risk_us = self.reliability.failed(now) * wish.aim_ms * FAILURE_AIMS;
-        let wait_us = wait_us + copying_us + penalty_us + risk_us;
-        let in_time = wait_us * 100 <= wish.slack_ms * 1000 * IN_TIME_PERCENT;
-        Some(Estimate {
-            is_late: wish.avoid == Some(id) || !in_time,
-            wait_us,
-            work_us: engine.reading_us(to_read) + copying_us,
-            to_read,
-        })
-    }
-
     fn note(&mut self, now: Millis) {
         self.history.push_back((now, self.running));
         while let Some((at, _)) = self.history.get(1) {
--- a/components/coordination/tests/load.rs
+++ b/components/coordination/tests/load.rs
@@ -315,7 +315,7 @@
     let now = Millis(1000);
     let first = slots.take(now, EndpointId(2), prompt).unwrap();
     assert_eq!(first.source(), Some(EndpointId(1)));
-    let second = slots.take_for(now, EndpointId(3), prompt, false).unwrap();
+    let second = slots.take_with(now, EndpointId(3), prompt, false).unwrap();
     assert_eq!((second.source(), second.to_read()), (None, 13_000));
 }
 
