Let grants wait for what engines tell, and the first answer prove the newest version

Change: the answer that makes a router ready is a proof. A scheduler that begins asks the engines of which nothing is known and grants nothing until they have told, for at most 150 ms; it names them itself, in place of a look each 200 ms.

--- a/components/coordination/src/dispatcher/local.rs
+++ b/components/coordination/src/dispatcher/local.rs
@@ -23,7 +23,7 @@
             match effect {
                 LocalEffect::Grant(_, grant) => self.use_grant(now, shard, grant, effects),
                 LocalEffect::Refuse(_, refusal) => self.use_refusal(now, shard, refusal, effects),
-                LocalEffect::Ejected(_) | LocalEffect::Restored(_) => {}
+                LocalEffect::Ejected(_) | LocalEffect::Restored(_) | LocalEffect::Inquire(_) => {}
             }
         }
     }
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -17,6 +17,7 @@
 use crate::ledger::{virtual_cost, Ledger};
 use crate::limit::Bucket;
 use crate::prelude::*;
+use crate::prompt::Part;
 use crate::slot::{Choice, Slots};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -38,6 +39,9 @@
 /// Shortest aim for this, in milliseconds: below it the way there and a full queue
 /// take more than the aim.
 const SILENT_MIN_MS: u64 = 500;
+/// Longest wait for engines to tell what they have kept, from the end of the gathering
+/// on, in milliseconds: a page of one takes some 10 to 30 ms.
+const INQUIRY_MS: u64 = 150;
 /// Tellings of which one tells all totals.
 const TELL_ALL: u32 = 8;
 /// Longest wait before an unused class is forgotten, in milliseconds.
@@ -54,6 +58,8 @@
     Grant(Session, Grant),
     /// Tell the router of the session that an ask cannot be served in time.
     Refuse(Session, Refusal),
+    /// Ask this engine what it has kept of prompts.
+    Inquire(EndpointId),
     /// An endpoint was ejected.
     Ejected(EndpointId),
     /// An ejected endpoint is back.
@@ -139,6 +145,9 @@
     foreign: BTreeMap<Epoch, BTreeMap<CustomerId, u64>>,
     is_open: bool,
     opened: Millis,
+    may_inquire: bool,
+    /// Engines that were asked what they have kept and have not told.
+    inquired: BTreeSet<EndpointId>,
     next: u32,
 }
 
@@ -171,6 +180,8 @@
             tellings: 0,
             foreign: BTreeMap::new(),
             is_open: false,
+            may_inquire: false,
+            inquired: BTreeSet::new(),
             opened: now.after(GATHER_MS),
             next: 0,
         }
@@ -269,12 +280,18 @@
         session
     }
 
-    /// Engines to ask what they have kept, once the routers have told what they know.
-    pub fn unknown(&mut self, now: Millis) -> Vec<EndpointId> {
-        if now < self.opened {
-            return Vec::new();
+    /// Lets it ask engines what they have kept, where no router has told.
+    pub fn allow_inquiry(&mut self) {
+        self.may_inquire = true;
+    }
+
+    /// Takes what an engine has kept; nothing if it did not tell.
+    pub fn learn(&mut self, now: Millis, endpoint: EndpointId, parts: &[Part]) -> Effects {
+        for part in parts {
+            self.slots.learn(now, endpoint, *part);
         }
-        self.slots.unknown(now)
+        self.inquired.remove(&endpoint);
+        self.grant(now)
     }
 
     /// Takes a report of an open session. A hello is for [`Scheduler::open`].
@@ -468,6 +485,10 @@
         }
         if !std::mem::replace(&mut self.is_open, true) {
             self.ledger.open(self.floor);
+            self.inquire(now, &mut effects);
+        }
+        if !self.inquired.is_empty() && now < self.opened.after(INQUIRY_MS) {
+            return effects;
         }
         while self.slots.any_free(now) {
             let Some(next) = self.next(now) else {
@@ -478,6 +499,18 @@
         effects
     }
 
+    /// Asks engines what they have kept.
+    ///
+    /// Grants wait for the answers: after a loss of all processes, what waits by then
+    /// would be sent to engines that have to read all of it again.
+    fn inquire(&mut self, now: Millis, effects: &mut Effects) {
+        if !self.may_inquire {
+            return;
+        }
+        self.inquired = self.slots.unknown(now).into_iter().collect();
+        effects.extend(self.inquired.iter().copied().map(Effect::Inquire));
+    }
+
     fn start(&mut self, now: Millis, next: Next) -> Effect {
         let Next { key, ask, endpoint } = next;
         let reading = self
--- a/components/coordination/src/slot/mod.rs
+++ b/components/coordination/src/slot/mod.rs
@@ -35,8 +35,6 @@
     prefixes: VecDeque<u32>,
     /// Its picture, if it is a model engine.
     engine: Option<Engine>,
-    /// Whether it was asked what it has kept.
-    was_asked: bool,
 }
 
 /// What to look for in an endpoint.
@@ -117,7 +115,6 @@
             reliability: Reliability::default(),
             prefixes: VecDeque::new(),
             engine: None,
-            was_asked: false,
         });
         match (self.memory, &mut slot.engine) {
             (Some(memory), Some(engine)) => engine.set_memory(memory),
@@ -172,19 +169,11 @@
         None
     }
 
-    /// Engines to ask what they have kept: nothing is known of them. Each is told once,
-    /// as the question costs an engine time.
-    pub fn unknown(&mut self, now: Millis) -> Vec<EndpointId> {
-        let mut unknown = Vec::new();
-        for (id, slot) in &mut self.all {
-            let open = slot.is_open(now);
-            let engine = slot.engine.as_ref().filter(|_| open);
-            if engine.is_some_and(Engine::is_unknown) && !slot.was_asked {
-                slot.was_asked = true;
-                unknown.push(*id);
-            }
-        }
-        unknown
+    /// Engines of which nothing is known.
+    pub fn unknown(&self, now: Millis) -> Vec<EndpointId> {
+        let open = self.all.iter().filter(|(_, slot)| slot.is_open(now));
+        let unknown = open.filter(|(_, s)| s.engine.as_ref().is_some_and(Engine::is_unknown));
+        unknown.map(|(id, _)| *id).collect()
     }
 
     /// Learns that an engine has a part of a prompt.
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -1,6 +1,5 @@
 //! What the reactor is told.
 
-use crate::inventory::Unknown;
 use crate::shared::Status;
 use coordination::ask::{Placement, Refusal, Verdict};
 use coordination::dispatcher::{Arrival, Full, Handle};
@@ -90,9 +89,7 @@
     ListingDue(oneshot::Sender<bool>),
     /// What it has read.
     ListingRead(Vec<Listed>),
-    /// Which engines are to be asked what they have kept?
-    Unknown(oneshot::Sender<Vec<Unknown>>),
-    /// What an engine has kept.
+    /// What an engine has kept; nothing if it did not tell.
     Inventory(EndpointId, Vec<Part>),
     /// Which endpoints are scheduled here, and where do they report their load?
     Watched(oneshot::Sender<Vec<Watched>>),
--- a/components/node/src/inventory.rs
+++ b/components/node/src/inventory.rs
@@ -14,12 +14,9 @@
 use state::line::Line;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-/// Time between two looks for engines of which nothing is known: short beside the
-/// seconds in which a fleet that was lost fills its engines again.
-const PERIOD: Duration = Duration::from_millis(200);
 /// Longest time for one engine; what comes later is known by then.
 const LONGEST: Duration = Duration::from_millis(800);
 /// Largest page in bytes: some ten thousand parts.
@@ -32,47 +29,41 @@
     pub(crate) address: SocketAddr,
 }
 
-/// Asks until told to stop.
+/// Asks the engines that schedulers name, until told to stop.
 pub(crate) async fn run(
     inventory: Inventory,
+    inquiries: flume::Receiver<Unknown>,
     reactor: flume::Sender<Input>,
     mut stop: watch::Receiver<bool>,
 ) {
-    let mut period = tokio::time::interval(PERIOD);
+    let mut asking = JoinSet::new();
     loop {
         tokio::select! {
-            _ = period.tick() => {}
-            () = raised(&mut stop) => return,
-        }
-        let (sender, receiver) = oneshot::channel();
-        if reactor.send(Input::Unknown(sender)).is_err() {
-            return;
-        }
-        let mut round = JoinSet::new();
-        for unknown in receiver.await.unwrap_or_default() {
-            round.spawn(ask(inventory, unknown));
-        }
-        while let Some(done) = round.join_next().await {
-            match done {
-                Ok(Ok((endpoint, parts))) => {
-                    // The reactor ends only together with this process.
-                    let _ = reactor.send(Input::Inventory(endpoint, parts));
-                }
-                // Its parts are learned from the requests that it gets.
-                Ok(Err(error)) => {
-                    tracing::info!(event = Line::InventoryMissing.as_str(), %error);
-                }
-                Err(_) => {}
+            Ok(unknown) = inquiries.recv_async() => {
+                asking.spawn(tell(inventory, unknown, reactor.clone()));
             }
+            Some(_) = asking.join_next() => {}
+            () = raised(&mut stop) => break,
         }
     }
+    asking.shutdown().await;
+}
+
+/// Asks one engine, and tells the reactor what it has kept.
+async fn tell(inventory: Inventory, unknown: Unknown, reactor: flume::Sender<Input>) {
+    let parts = ask(inventory, unknown).await.unwrap_or_else(|error| {
+        // Its parts are learned from the requests that it gets.
+        tracing::info!(event = Line::InventoryMissing.as_str(), %error);
+        Vec::new()
+    });
+    // The reactor ends only together with this process.
+    let _ = reactor.send(Input::Inventory(unknown.endpoint, parts));
 }
 
-async fn ask(inventory: Inventory, unknown: Unknown) -> Result<(EndpointId, Vec<Part>)> {
+async fn ask(inventory: Inventory, unknown: Unknown) -> Result<Vec<Part>> {
     let step = "ask an engine what it has kept";
     let peer = unknown.address;
     let page = tokio::time::timeout(LONGEST, fetch(peer, inventory.path, PAGE_MAX));
     let page = page.await.map_err(Error::peer(step, peer))??;
-    let parts = (inventory.read)(&page).map_err(Error::peer(step, peer))?;
-    Ok((unknown.endpoint, parts))
+    (inventory.read)(&page).map_err(Error::peer(step, peer))
 }
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -354,8 +354,10 @@
             }
             _ => None,
         };
+        let (inquiries, unknown) = flume::unbounded();
         let parts = ReactorParts {
             hub: hub.clone(),
+            inquiries: self.interface.inventory.map(|_| inquiries),
             clock: self.clock.clone(),
             journal: self.journal.clone(),
             metrics: self.metrics.clone(),
@@ -396,7 +398,7 @@
         if self.settings.scheduler {
             tasks.push(tokio::spawn(poll::run(reactor.clone(), stopped.clone())));
             if let Some(inventory) = self.interface.inventory {
-                let asking = inventory::run(inventory, reactor.clone(), stopped.clone());
+                let asking = inventory::run(inventory, unknown, reactor.clone(), stopped.clone());
                 tasks.push(tokio::spawn(asking));
             }
         }
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -9,6 +9,7 @@
 use crate::batch::Batch;
 use crate::dissemination::Dissemination;
 use crate::input::{Decision, Dispatch, Input};
+use crate::inventory::Unknown;
 use crate::journal::Journal;
 use crate::metric::Metrics;
 use crate::query::Queries;
@@ -64,6 +65,8 @@
     pub(crate) scheduler: bool,
     /// Where the control role takes its messages, if it is here.
     pub(crate) to_control: Option<flume::Sender<crate::control::Input>>,
+    /// Where to ask engines what they have kept, if they can tell.
+    pub(crate) inquiries: Option<flume::Sender<Unknown>>,
     /// Where to publish.
     pub(crate) publish: watch::Sender<Published>,
 }
@@ -88,7 +91,8 @@
     queries: Queries,
     batch: Batch,
     decisions: HashMap<Handle, oneshot::Sender<Decision>>,
-    head: Option<oneshot::Receiver<Reply>>,
+    /// When the newest version was asked for, before this process is ready.
+    head: Option<(Millis, oneshot::Receiver<Reply>)>,
     needed: Option<Version>,
     ready: bool,
     stopping: bool,
@@ -114,7 +118,12 @@
         dispatcher.link_up(now, &me);
         Reactor {
             dispatcher,
-            schedulers: Schedulers::new(me.clone(), parts.journal.clone(), parts.metrics.clone()),
+            schedulers: Schedulers::new(
+                me.clone(),
+                parts.journal.clone(),
+                parts.metrics.clone(),
+                parts.inquiries.clone(),
+            ),
             dissemination: Dissemination::new(
                 me.clone(),
                 seeds.clone(),
@@ -252,13 +261,9 @@
             }
             // Whoever asked may have gone.
             Input::Status(reply) => drop(reply.send(self.status())),
-            Input::Unknown(reply) => {
-                let unknown = self.schedulers.unknown(now, &self.live);
-                // Whoever asked may have gone.
-                let _ = reply.send(unknown);
-            }
             Input::Inventory(endpoint, parts) => {
-                self.schedulers.learn(now, endpoint, &parts);
+                let batch = &mut self.batch;
+                self.schedulers.learn(now, endpoint, &parts, batch);
             }
             // Whoever asked may have gone.
             Input::Watched(reply) => drop(reply.send(self.watched())),
--- a/components/node/src/reactor/peers.rs
+++ b/components/node/src/reactor/peers.rs
@@ -144,13 +144,19 @@
             return;
         }
         if self.needed.is_none() {
-            let head = self.head.get_or_insert_with(|| {
+            let (at, head) = self.head.get_or_insert_with(|| {
                 let (sender, receiver) = oneshot::channel();
                 self.queries.ask(now, &self.parts.hub, Query::Head, sender);
-                receiver
+                (now, receiver)
             });
             match head.try_recv() {
-                Ok(Reply::Head(version)) => self.needed = Some(version),
+                Ok(Reply::Head(version)) => {
+                    // It proves as much as an answer to a check. Without it, a router
+                    // whose feed has just begun would refuse callers until the next
+                    // check, for up to half a second after each loss of everything.
+                    self.dissemination.prove(*at, version, self.view.version);
+                    self.needed = Some(version);
+                }
                 Ok(_) | Err(oneshot::error::TryRecvError::Closed) => self.head = None,
                 Err(oneshot::error::TryRecvError::Empty) => {}
             }
--- a/components/node/src/schedulers.rs
+++ b/components/node/src/schedulers.rs
@@ -15,13 +15,15 @@
 use state::line::Line;
 use state::view::{Assignment, Shard, View};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 struct Assigned {
     shard: Shard,
     scheduler: Scheduler,
     sessions: BTreeMap<Name, Session>,
-    /// Names of the endpoints, for logs.
-    names: BTreeMap<EndpointId, Name>,
+    endpoints: BTreeMap<EndpointId, (Name, SocketAddr)>,
+    /// Where to ask engines what they have kept, if they can tell.
+    inquiries: Option<flume::Sender<Unknown>>,
 }
 
 /// All schedulers of this VM, by epoch.
@@ -30,16 +32,23 @@
     all: BTreeMap<Epoch, Assigned>,
     journal: Journal,
     metrics: Metrics,
+    inquiries: Option<flume::Sender<Unknown>>,
 }
 
 impl Schedulers {
-    /// No schedulers yet.
-    pub(crate) fn new(me: Name, journal: Journal, metrics: Metrics) -> Self {
+    /// No schedulers yet. Engines are asked over `inquiries` what they have kept.
+    pub(crate) fn new(
+        me: Name,
+        journal: Journal,
+        metrics: Metrics,
+        inquiries: Option<flume::Sender<Unknown>>,
+    ) -> Self {
         Schedulers {
             me,
             all: BTreeMap::new(),
             journal,
             metrics,
+            inquiries,
         }
     }
 
@@ -63,12 +72,16 @@
         for (epoch, shard) in begun {
             let event = Event::new(Step::SchedulerBegan).service(shard.service);
             self.journal.note(event.epoch(epoch));
-            let scheduler = Scheduler::new(epoch, now);
+            let mut scheduler = Scheduler::new(epoch, now);
+            if self.inquiries.is_some() {
+                scheduler.allow_inquiry();
+            }
             let assigned = Assigned {
                 shard,
                 scheduler,
                 sessions: BTreeMap::new(),
-                names: BTreeMap::new(),
+                endpoints: BTreeMap::new(),
+                inquiries: self.inquiries.clone(),
             };
             self.all.insert(epoch, assigned);
         }
@@ -77,8 +90,11 @@
             assigned.scheduler.retain_foreign(is_assigned);
             let slots = assigned.scheduler.slots();
             let known: Vec<EndpointId> = endpoints(view, &assigned.shard).map(|e| e.0).collect();
-            let name = |id: &EndpointId| Some((*id, view.config.endpoints.get(id)?.name.clone()));
-            assigned.names = known.iter().filter_map(name).collect();
+            let found = |id: &EndpointId| {
+                let endpoint = view.config.endpoints.get(id)?;
+                Some((*id, (endpoint.name.clone(), endpoint.address)))
+            };
+            assigned.endpoints = known.iter().filter_map(found).collect();
             slots.retain(|id| known.contains(&id));
             set_engines(slots, view, &assigned.shard);
             for (id, count, lead, leaving) in endpoints(view, &assigned.shard) {
@@ -162,26 +178,19 @@
         }
     }
 
-    /// Engines to ask what they have kept.
-    pub(crate) fn unknown(&mut self, now: Millis, view: &View) -> Vec<Unknown> {
-        let mut all = Vec::new();
-        for assigned in self.all.values_mut() {
-            let unknown = assigned.scheduler.unknown(now).into_iter();
-            all.extend(unknown.filter_map(|endpoint| {
-                let address = view.config.endpoints.get(&endpoint)?.address;
-                Some(Unknown { endpoint, address })
-            }));
-        }
-        all
-    }
-
     /// Takes what an engine has kept.
-    pub(crate) fn learn(&mut self, now: Millis, endpoint: EndpointId, parts: &[Part]) {
+    pub(crate) fn learn(
+        &mut self,
+        now: Millis,
+        endpoint: EndpointId,
+        parts: &[Part],
+        batch: &mut Batch,
+    ) {
         for assigned in self.all.values_mut() {
-            let slots = assigned.scheduler.slots();
-            parts
-                .iter()
-                .for_each(|part| slots.learn(now, endpoint, *part));
+            if assigned.endpoints.contains_key(&endpoint) {
+                let effects = assigned.scheduler.learn(now, endpoint, parts);
+                assigned.act(effects, batch, &self.journal, &self.metrics);
+            }
         }
     }
 
@@ -290,7 +299,10 @@
     fn tell(&self, line: Line, endpoint: EndpointId) {
         tracing::info!(
             event = line.as_str(),
-            endpoint = self.names.get(&endpoint).map_or("", Name::as_str),
+            endpoint = self
+                .endpoints
+                .get(&endpoint)
+                .map_or("", |(name, _)| name.as_str()),
             epoch = self.scheduler.epoch().0,
         );
     }
@@ -311,6 +323,14 @@
                         batch.refuse(vm, refusal);
                     }
                 }
+                Effect::Inquire(endpoint) => {
+                    let address = self.endpoints.get(&endpoint).map(|(_, address)| *address);
+                    let unknown = address.map(|address| Unknown { endpoint, address });
+                    if let (Some(unknown), Some(inquiries)) = (unknown, &self.inquiries) {
+                        // Its receiver ends only together with this process.
+                        let _ = inquiries.send(unknown);
+                    }
+                }
                 Effect::Ejected(endpoint) => {
                     self.tell(Line::EndpointEjected, endpoint);
                     journal.note(Event::new(Step::Ejected).endpoint(endpoint));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -606,3 +606,31 @@
     fleet.cut("r1", &[], true);
     eventually("it serves again", || call().status == 200);
 }
+
+#[test]
+fn can_serve_as_soon_as_the_newest_version_is_known_after_a_restart() {
+    // Symptom: after all processes were lost, routers that know the newest version
+    // refuse callers for half a second more.
+    // Sequence: everything is killed and starts again; callers go on calling.
+    // Cause: a router asks for the newest version before it is ready, and asks once
+    // more for the proof of the same.
+    let mut fleet = Fleet::start(Plan {
+        control: 3,
+        routers: 2,
+        settings: "[router]\nrevocation = 600s".to_owned(),
+        ..Plan::default()
+    });
+    let vms = ["c1", "c2", "c3", "r1", "r2"];
+    for _ in 0..3 {
+        vms.iter().for_each(|vm| fleet.vm_mut(vm).kill());
+        vms.iter().for_each(|vm| fleet.vm_mut(vm).start());
+        let mut refused = Vec::new();
+        eventually("it serves", || {
+            let answer = fleet.call("r1", "alpha", "/assistant", &[], "x");
+            refused.push(answer.text());
+            answer.status == 200
+        });
+        let stale = refused.iter().filter(|text| text.contains("stale")).count();
+        assert_eq!(stale, 0, "of {} answers", refused.len());
+    }
+}
