--- a/components/node/src/reactor/dependency.rs
+++ b/components/node/src/reactor/dependency.rs
@@ -3,16 +3,20 @@
 
 use super::Reactor;
 use state::clock::Millis;
-use state::id::Name;
+use state::id::{Epoch, Name};
 use state::line::Line;
 use state::view::Shard;
 use std::collections::BTreeMap;
 
+/// The scheduler of a shard: its VM, in its epoch.
+type Peer = (Name, Epoch);
+
 /// What was told last.
 #[derive(Debug, Default)]
 pub(super) struct Told {
     feed: Option<Name>,
-    schedulers: BTreeMap<Shard, bool>,
+    /// Who schedules each shard for this router; nobody but itself if it lost its own.
+    schedulers: BTreeMap<Shard, Option<Peer>>,
 }
 
 impl Reactor {
@@ -20,27 +24,35 @@
     pub(super) fn tell_dependencies(&mut self, now: Millis) {
         self.tell_feed(now);
         let shards = self.dispatcher.shards();
-        let shards: BTreeMap<Shard, bool> = shards.map(|(s, up)| (s.clone(), up)).collect();
-        for (shard, up) in &shards {
-            // One that is being sought for the first time was not lost.
-            let before = self.told.schedulers.get(shard).copied().unwrap_or(false);
-            if before == *up {
+        let schedulers: BTreeMap<Shard, Option<Peer>> = shards
+            .map(|(shard, up)| {
+                let assignment = self.live.assignment(shard).filter(|_| up);
+                (
+                    shard.clone(),
+                    assignment.map(|a| (a.place.vm.clone(), a.epoch)),
+                )
+            })
+            .collect();
+        for (shard, peer) in &schedulers {
+            let before = self.told.schedulers.get(shard).cloned().flatten();
+            if before == *peer {
                 continue;
             }
             let service = self.live.config.service_name(shard.service);
-            let assignment = self.live.assignment(shard);
-            let epoch = assignment.map(|a| a.epoch.0);
-            let peer = assignment.map_or("", |a| a.place.vm.as_str());
             let dependency = "scheduler";
-            if *up {
-                let event = Line::DependencyRegained.as_str();
-                tracing::info!(event, dependency, service, peer, epoch);
-            } else {
-                let event = Line::DependencyLost.as_str();
-                tracing::warn!(event, dependency, service, peer, epoch);
+            match (peer, before) {
+                (Some((vm, epoch)), _) => {
+                    let event = Line::DependencyRegained.as_str();
+                    tracing::info!(event, dependency, service, peer = %vm, epoch = epoch.0);
+                }
+                (None, Some((vm, epoch))) => {
+                    let event = Line::DependencyLost.as_str();
+                    tracing::warn!(event, dependency, service, peer = %vm, epoch = epoch.0);
+                }
+                (None, None) => {}
             }
         }
-        self.told.schedulers = shards;
+        self.told.schedulers = schedulers;
     }
 
     fn tell_feed(&mut self, now: Millis) {
