Show what a process takes of its VM: memory, connections, lateness, a line each second under pressure

Cause: the logs of the flooded router could not tell whether waiting requests, bodies, connections or queues between tasks filled its memory. No logic changed.

--- a/components/node/src/front/listen.rs
+++ b/components/node/src/front/listen.rs
@@ -6,7 +6,7 @@
 use crate::input::Input;
 use crate::interface::Interface;
 use crate::journal::Journal;
-use crate::metric::Metrics;
+use crate::metric::{value, Metrics};
 use crate::shared::{raised, Published};
 use coordination::retry;
 use hyper::service::service_fn;
@@ -69,14 +69,18 @@
     pub(crate) pool: Arc<Pool>,
     /// Memory for bodies, in units of [`BODY_UNIT`].
     pub(crate) bodies: Arc<Semaphore>,
+    /// Units of it in all.
+    body_units: usize,
 }
 
 impl Front {
     /// Makes it.
     pub(crate) fn new(parts: Parts) -> Arc<Self> {
         let units = usize::try_from(parts.body_bytes).unwrap_or(usize::MAX) / BODY_UNIT;
+        let units = units.clamp(1, Semaphore::MAX_PERMITS);
         Arc::new(Front {
-            bodies: Arc::new(Semaphore::new(units.clamp(1, Semaphore::MAX_PERMITS))),
+            bodies: Arc::new(Semaphore::new(units)),
+            body_units: units,
             parts,
             requests: AtomicU64::new(0),
             budgets: Mutex::default(),
@@ -116,9 +120,19 @@
                 found.is_some_and(|e| e.address == *address)
             };
             self.pool.prune(lives);
+            self.measure();
         }
     }
 
+    fn measure(&self) {
+        let metrics = &self.parts.metrics;
+        metrics.kept.set(value(self.pool.len()));
+        let free = self.bodies.available_permits();
+        let taken = self.body_units.saturating_sub(free) * BODY_UNIT;
+        metrics.body_bytes.set(value(taken));
+        metrics.inputs.set(value(self.parts.reactor.len()));
+    }
+
     /// Serves until `stop` turns true; then lets connections end what they hold.
     pub(crate) async fn run(
         self: Arc<Self>,
--- a/components/node/src/front/note.rs
+++ b/components/node/src/front/note.rs
@@ -44,6 +44,7 @@
     /// Its task ends wherever it stands: one would find a request in the logs that was
     /// sent and never ended.
     fn drop(&mut self) {
+        self.metrics.here.dec();
         if !self.is_told {
             let outcome = match self.tries {
                 0 => Outcome::NotRun,
@@ -63,6 +64,7 @@
         published: &Published,
         metrics: Metrics,
     ) -> Self {
+        metrics.here.inc();
         Note {
             id,
             metrics,
--- a/components/node/src/front/pool.rs
+++ b/components/node/src/front/pool.rs
@@ -108,6 +108,11 @@
         });
     }
 
+    /// Idle connections in all.
+    pub(crate) fn len(&self) -> usize {
+        self.lock().values().map(Vec::len).sum()
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<Key, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod releases;
 mod schedulers;
 mod shared;
+mod vitals;
 
 pub use coordination::rule::shadowed;
 pub use interface::{region, Answered, Asked, Interface, Inventory, Onward, Page, Regions, Told};
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -55,6 +55,18 @@
     pub(crate) held: IntGauge,
     /// Callers' connections.
     pub(crate) connections: IntGauge,
+    /// Requests that have a head and have not ended.
+    pub(crate) here: IntGauge,
+    /// Bytes of bodies that arrive, wait or run.
+    pub(crate) body_bytes: IntGauge,
+    /// Idle connections kept to endpoints.
+    pub(crate) kept: IntGauge,
+    /// Inputs that wait for the reactor.
+    pub(crate) inputs: IntGauge,
+    /// Bytes of memory that the process holds.
+    pub(crate) resident: IntGauge,
+    /// Most milliseconds by which a task ran late in the last second.
+    pub(crate) late: IntGauge,
     /// Version in force.
     pub(crate) version: IntGauge,
     /// Whether this process is ready.
@@ -165,6 +177,30 @@
                 "Requests in progress on this router.",
             )?,
             connections: gauge("cowslipford_connections", "Callers' connections.")?,
+            here: gauge(
+                "cowslipford_requests_here",
+                "Requests that have a head and have not ended.",
+            )?,
+            body_bytes: gauge(
+                "cowslipford_body_bytes",
+                "Bytes of bodies that arrive, wait or run.",
+            )?,
+            kept: gauge(
+                "cowslipford_kept_connections",
+                "Idle connections kept to endpoints.",
+            )?,
+            inputs: gauge(
+                "cowslipford_reactor_inputs",
+                "Inputs that wait for the reactor.",
+            )?,
+            resident: gauge(
+                "cowslipford_resident_bytes",
+                "Memory that the process holds.",
+            )?,
+            late: gauge(
+                "cowslipford_late_milliseconds",
+                "Most by which a task ran late in the last second.",
+            )?,
             version: gauge("cowslipford_version", "Version in force.")?,
             ready: gauge("cowslipford_ready", "Whether this process is ready.")?,
             local: gauge(
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -9,7 +9,7 @@
 use crate::operators::{Operators, Parts as OperatorParts};
 use crate::reactor::{Parts as ReactorParts, Reactor};
 use crate::shared::{raised, Published, Shared, Status};
-use crate::{http, inventory, listing, platform, poll, readiness, releases};
+use crate::{http, inventory, listing, platform, poll, readiness, releases, vitals};
 use coordination::agree::Admission;
 use coordination::dispatcher::Bounds;
 use coordination::retry;
@@ -395,6 +395,8 @@
             )
             .await?,
         );
+        let vitals = vitals::run(self.metrics.clone(), stopped.clone());
+        tasks.push(tokio::spawn(vitals));
         if self.settings.scheduler {
             tasks.push(tokio::spawn(poll::run(reactor.clone(), stopped.clone())));
             if let Some(inventory) = self.interface.inventory {
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -66,11 +66,13 @@
     AcceptFailed,
     /// A message to another process could not be written.
     MessageLost,
+    /// What the process takes of its VM, while that is much.
+    Pressure,
 }
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 31] = [
+    pub const ALL: [Line; 32] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -102,6 +104,7 @@
         Line::ListingUnreadable,
         Line::AcceptFailed,
         Line::MessageLost,
+        Line::Pressure,
     ];
 
     /// Its name in logs.
@@ -138,6 +141,7 @@
             Line::ListingUnreadable => "listing-unreadable",
             Line::AcceptFailed => "accept-failed",
             Line::MessageLost => "message-lost",
+            Line::Pressure => "pressure",
         }
     }
 }
