--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -395,7 +395,11 @@
             )
             .await?,
         );
-        let vitals = vitals::run(self.metrics.clone(), stopped.clone());
+        let vitals = vitals::run(
+            self.metrics.clone(),
+            self.settings.vm.memory,
+            stopped.clone(),
+        );
         tasks.push(tokio::spawn(vitals));
         if self.settings.scheduler {
             tasks.push(tokio::spawn(poll::run(reactor.clone(), stopped.clone())));
--- a/components/node/src/vitals.rs
+++ b/components/node/src/vitals.rs
@@ -25,7 +25,7 @@
 const PAGE: i64 = 4096;
 
 /// Watches until told to stop.
-pub(crate) async fn run(metrics: Metrics, mut stop: watch::Receiver<bool>) {
+pub(crate) async fn run(metrics: Metrics, memory: u64, mut stop: watch::Receiver<bool>) {
     let mut next = Instant::now() + LOOK;
     let mut latest = Duration::ZERO;
     loop {
@@ -38,13 +38,13 @@
         if Instant::now() < next {
             continue;
         }
-        look(&metrics, latest);
+        look(&metrics, memory, latest);
         next = Instant::now() + LOOK;
         latest = Duration::ZERO;
     }
 }
 
-fn look(metrics: &Metrics, late: Duration) {
+fn look(metrics: &Metrics, memory: u64, late: Duration) {
     metrics.late.set(value(late.as_millis()));
     let resident = resident().unwrap_or_else(|error| {
         tracing::debug!(%error, "the resident memory cannot be read");
@@ -58,6 +58,7 @@
         event = Line::Pressure.as_str(),
         late_ms = value(late.as_millis()),
         resident,
+        memory,
         connections = metrics.connections.get(),
         here = metrics.here.get(),
         waiting = metrics.waiting.get(),
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -23,6 +23,11 @@
     pub interface: String,
     /// Longest time for what is in progress to end after a stop, in milliseconds.
     pub grace_ms: u64,
+    /// Memory that this process may take, in bytes.
+    pub memory: u64,
+    /// Files and sockets that it may have open; the system's own limit, where none
+    /// is named.
+    pub descriptors: Option<u64>,
 }
 
 /// Links to other processes.
@@ -229,7 +234,9 @@
     data_centre,
     region,
     interface,
-    grace
+    grace,
+    memory,
+    descriptors
 });
 raw!(RawLink {
     listen,
@@ -291,6 +298,14 @@
 /// Retries beyond that in a window, unless set.
 const RETRY_EXTRA: u64 = 10;
 
+/// Memory that a process may take, unless its settings say otherwise, in bytes: the
+/// smallest VM that is sold today.
+const MEMORY: u64 = 512_000_000;
+/// Least that can be named, in bytes: a process at rest with 340 peers takes half of it.
+const MEMORY_MIN: u64 = 48_000_000;
+/// Most that can be named, in bytes.
+const MEMORY_MAX: u64 = 1 << 44;
+
 const ADDRESS: &str = "an IP number with a port, such as 127.0.0.1:7001";
 const KINDS: &str =
     "vm, link, peers, seeds, operators, callers, router, scheduler, control, platform, listing, \
@@ -419,6 +434,11 @@
         region: s.convert("region", &region, "the region's name")?,
         interface: raw.interface.unwrap_or_else(|| "own".to_owned()),
         grace_ms: s.millis("grace", &raw.grace, 500..=600_000, 30_000)?,
+        memory: s.bytes("memory", &raw.memory, MEMORY_MIN..=MEMORY_MAX, MEMORY)?,
+        descriptors: match &raw.descriptors {
+            None => None,
+            text => Some(s.number("descriptors", text, 64..=1 << 30, 0)?),
+        },
     })
 }
 
--- a/components/settings/src/section.rs
+++ b/components/settings/src/section.rs
@@ -227,6 +227,26 @@
         parsed.ok_or_else(|| self.wrong(key, text, what))
     }
 
+    /// Parses a size: bytes, or a number of MB or GB.
+    pub(crate) fn bytes(
+        &self,
+        key: &str,
+        value: &Option<String>,
+        bounds: std::ops::RangeInclusive<u64>,
+        default: u64,
+    ) -> Result<u64> {
+        let Some(text) = value else {
+            return Ok(default);
+        };
+        let what = format!(
+            "a size such as 160MB or 1GB, from {} to {} bytes",
+            bounds.start(),
+            bounds.end()
+        );
+        let parsed = size(text).filter(|bytes| bounds.contains(bytes));
+        parsed.ok_or_else(|| self.wrong(key, text, what))
+    }
+
     /// Parses `yes` or `no`.
     pub(crate) fn flag(&self, key: &str, value: &Option<String>) -> Result<Option<bool>> {
         match value.as_deref() {
@@ -251,6 +271,18 @@
     number.checked_mul(factor)
 }
 
+fn size(text: &str) -> Option<u64> {
+    let digits = text.trim_end_matches(|c: char| !c.is_ascii_digit());
+    let number: u64 = digits.parse().ok()?;
+    let factor = match text[digits.len()..].trim() {
+        "" => 1,
+        "MB" => 1_000_000,
+        "GB" => 1_000_000_000,
+        _ => return None,
+    };
+    number.checked_mul(factor)
+}
+
 /// Splits a comma-separated list.
 pub(crate) fn list(text: &str) -> impl Iterator<Item = &str> {
     text.split(',')
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -77,6 +77,10 @@
     pub(crate) batch: u32,
     /// More sections for each VM's settings.
     pub(crate) settings: String,
+    /// Keys added to `[vm]`.
+    pub(crate) vm_keys: String,
+    /// Files that each VM's process may have open, if not as many as this one.
+    pub(crate) files: Option<u32>,
     /// Keys added to `[link]`.
     pub(crate) link_keys: String,
     /// Keys added to `[control]`.
@@ -94,6 +98,8 @@
             plains: 1,
             batch: 4,
             settings: String::new(),
+            vm_keys: String::new(),
+            files: None,
             link_keys: String::new(),
             control_keys: String::new(),
         }
@@ -108,6 +114,7 @@
     pub(crate) link: SocketAddr,
     pub(crate) callers: Option<SocketAddr>,
     pub(crate) operators: SocketAddr,
+    files: Option<u32>,
     child: Option<Child>,
 }
 
@@ -215,13 +222,14 @@
             n => format!("region-{n}"),
         };
         let mut text = format!(
-            "[vm]\nname = {name}\ndata-centre = dc-{}\nregion = {region}\n\
+            "[vm]\nname = {name}\ndata-centre = dc-{}\nregion = {region}\n{}\n\
              [link]\nlisten = {link}\nauthority = keys/authority.pem\n\
              certificate = keys/{name}.pem\nkey = keys/{name}.key\n{}\n\
              [peers]\n{peers}\
              [operators]\nlisten = {operators}\nkey-sha256 = {key}\n\
              [fault]\nhook = yes\n{}\n",
             1 + self.vms.len() % 3,
+            self.plan.vm_keys,
             self.plan.link_keys,
             self.plan.settings,
         );
@@ -246,6 +254,7 @@
             link,
             callers,
             operators,
+            files: self.plan.files,
             child: None,
         }
     }
@@ -462,8 +471,18 @@
 impl Vm {
     pub(crate) fn start(&mut self) {
         let log = fs::File::create(self.settings.with_extension("log")).unwrap();
-        let child = Command::new(BINARY)
-            .args(["run", &self.settings.display().to_string()])
+        let settings = self.settings.display().to_string();
+        let mut command = match self.files {
+            None => Command::new(BINARY),
+            Some(files) => {
+                let mut shell = Command::new("sh");
+                let limited = format!("ulimit -n {files}; exec \"$0\" \"$@\"");
+                shell.args(["-c", &limited, BINARY]);
+                shell
+            }
+        };
+        let child = command
+            .args(["run", &settings])
             .stdout(log.try_clone().unwrap())
             .stderr(log)
             .spawn();
@@ -514,6 +533,14 @@
         ended.unwrap()
     }
 
+    /// Most memory that its process has held so far, in bytes.
+    pub(crate) fn peak_memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
+        let kilobytes = line.split_whitespace().nth(1).unwrap();
+        kilobytes.parse::<u64>().unwrap() * 1024
+    }
+
     /// Removes its durable state.
     pub(crate) fn wipe(&self) {
         fs::remove_dir_all(&self.data).unwrap();
