Take on what the VM has room for, and refuse at once while tasks run late

Cause: a router accepted connections up to a constant, each of 36 KB, and requests faster than its processor could refuse them; 1,536 of them waited behind the asks that the scheduler knows of. Ruled out before: bodies (15 of 180 MB) and queues between tasks. Change: connections, bodies and kept connections to endpoints follow from memory and descriptors; answers close their connection from three quarters of them on; requests are refused while tasks run 40 ms late, and a router where they do for longer says that it is not ready and closes what it refuses; what waits to be asked for is bounded by time. Both tests of the flood pass.

--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -30,6 +30,18 @@
 /// Largest factor between two reports of one request's growing cost.
 const PROGRESS_FACTOR: u32 = 2;
 
+/// Part of its aim for which the first of a class may wait to be asked for, before
+/// newcomers of the class are turned away.
+///
+/// The scheduler knows of [`WINDOW`] requests of a class, and refuses what would be late of
+/// them; what waits behind them it does not see. Bounded by a number alone, 512 of each
+/// kind waited 1.5 s here to be refused then.
+const STUCK_PART: u64 = 4;
+/// Part of its aim for which a request may wait to be asked for.
+const UNASKED_PART: u64 = 2;
+/// Time after which the caller of such a one may come back, in milliseconds.
+const UNASKED_RETURN_MS: u32 = 300;
+
 /// A request that arrives.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
@@ -175,7 +187,9 @@
             .classes
             .entry((arrival.service, arrival.class))
             .or_default();
-        if queue.count >= arrival.queue {
+        let first = queue.waiting.front().and_then(|h| self.requests.get(*h));
+        let is_stuck = first.is_some_and(|r| r.waited(now) >= r.aim_total() / STUCK_PART);
+        if queue.count >= arrival.queue || is_stuck {
             return Err(Full::Customer);
         }
         let request = Request {
@@ -394,6 +408,7 @@
             self.drop_waiting(now, handle, &mut effects);
             effects.push(Effect::Expire(handle));
         }
+        self.refuse_unasked(now, &mut effects);
         let shards: Vec<Shard> = self.sessions.keys().cloned().collect();
         for shard in shards {
             self.tick_session(now, view, &shard, &mut effects);
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -2,6 +2,7 @@
 
 use super::local::LOCAL;
 use super::{endpoints, Arrival, Dispatcher, Effect, Effects, Handle};
+use super::{UNASKED_PART, UNASKED_RETURN_MS};
 use crate::ask::{Placement, Seq};
 use crate::prelude::*;
 use state::view::Shard;
@@ -33,6 +34,18 @@
     pub(super) placement: Placement,
 }
 
+impl Request {
+    /// Time since it was queued, in milliseconds.
+    pub(super) fn waited(&self, now: Millis) -> u64 {
+        now.since(self.since)
+    }
+
+    /// Time from when it was queued until its answer is late, in milliseconds.
+    pub(super) fn aim_total(&self) -> u64 {
+        self.arrival.aim.since(self.since)
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
     pub(super) waiting: VecDeque<Handle>,
@@ -120,6 +133,32 @@
         self.announce(now, arrival.service, arrival.class, effects);
     }
 
+    /// Refuses requests that have waited too long to be asked for.
+    ///
+    /// Kept, they would be asked for when they can no longer be in time, and their callers
+    /// would hold their connections for nothing. Without a scheduler all of them wait for
+    /// the next one.
+    pub(super) fn refuse_unasked(&mut self, now: Millis, effects: &mut Effects) {
+        let is_late = |r: &Request| {
+            let is_up = || self.sessions.get(&r.shard).is_some_and(|s| s.up);
+            r.stage == Stage::Waiting && r.waited(now) >= r.aim_total() / UNASKED_PART && is_up()
+        };
+        let late: Vec<(Handle, u64)> = (self.requests.iter())
+            .filter(|(_, r)| is_late(r))
+            .map(|(handle, r)| (handle, r.waited(now)))
+            .collect();
+        for (handle, waited) in late {
+            self.drop_waiting(now, handle, effects);
+            let refusal = Refusal {
+                epoch: LOCAL,
+                seq: Seq(0),
+                wait_ms: u32::try_from(waited).unwrap_or(u32::MAX),
+                after_ms: UNASKED_RETURN_MS,
+            };
+            effects.push(Effect::Refuse(handle, refusal));
+        }
+    }
+
     /// Sends asks for waiting requests of a class, up to the window.
     pub(super) fn announce(
         &mut self,
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -6,12 +6,14 @@
 pub mod agree;
 pub mod ask;
 pub mod assignment;
+pub mod budget;
 pub mod dispatcher;
 pub mod engine;
 pub mod health;
 pub mod ledger;
 pub mod limit;
 pub mod listing;
+pub mod overload;
 pub mod platform;
 pub mod prelude;
 pub mod prompt;
--- /dev/null
+++ b/components/coordination/src/overload.rs
@@ -0,0 +1,60 @@
+//! Whether a router is overloaded, decided by how late its tasks run.
+//!
+//! Callers come to a router by a hash of their address, so that one large customer can
+//! send all its requests to one router while the others have ten times the room. Two
+//! answers to that: a request that comes while tasks run late is refused at once, and a
+//! router where they run late for longer says that it is not ready, so that new
+//! connections go to others.
+
+use state::clock::Millis;
+
+/// Lateness from which on requests are refused, in milliseconds: a third of the shortest
+/// time to an answer that callers count as good, 150 ms, leaves room for the rest.
+pub const LATE_MS: u64 = 40;
+/// Mean lateness below which a router that turned callers away takes them again, in
+/// milliseconds: half, so that it does not change its mind with each burst.
+const CALM_MS: u64 = 20;
+/// Time over which the mean is taken, in milliseconds: a burst that is over within it is
+/// met by refusals alone.
+const MEMORY_MS: u64 = 400;
+/// Least time for which new connections are turned away, in milliseconds. Whoever sends
+/// them asks once a second and takes two misses.
+const AWAY_MIN_MS: u64 = 2300;
+/// Longest time for it, in milliseconds, and least time between two of them. Where all
+/// routers are overloaded, none is helped by turning callers away for good.
+const AWAY_MAX_MS: u64 = 5000;
+/// See [`AWAY_MAX_MS`].
+const BACK_MIN_MS: u64 = 2000;
+
+/// What it knows of the lateness so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Overload {
+    /// Mean lateness in microseconds.
+    mean_us: u64,
+    probed: Millis,
+    /// Since when new connections are turned away, or taken again.
+    changed: Millis,
+    is_away: bool,
+}
+
+impl Overload {
+    /// Takes a probe of the lateness; gives whether new connections are to go elsewhere.
+    pub fn probe(&mut self, now: Millis, late_ms: u64) -> bool {
+        let part = now.since(self.probed).min(MEMORY_MS);
+        self.probed = now;
+        let sample_us = late_ms.saturating_mul(1000);
+        self.mean_us = (self.mean_us * (MEMORY_MS - part) + sample_us * part) / MEMORY_MS;
+        let mean_ms = self.mean_us / 1000;
+        let since = now.since(self.changed);
+        let changes = if self.is_away {
+            since >= AWAY_MAX_MS || (since >= AWAY_MIN_MS && mean_ms < CALM_MS)
+        } else {
+            mean_ms >= LATE_MS && (since >= BACK_MIN_MS || self.changed == Millis(0))
+        };
+        if changes {
+            self.is_away = !self.is_away;
+            self.changed = now;
+        }
+        self.is_away
+    }
+}
--- a/components/node/src/front/admit.rs
+++ b/components/node/src/front/admit.rs
@@ -38,6 +38,7 @@
         note.identify(asked.identity.clone());
     }
     check_ready(published)?;
+    check_lateness(front, note.id())?;
     check_framing(head)?;
     check_size(head, front.parts.callers.head_max)?;
     asked.map_err(|reason| Refusal::not_run(StatusCode::BAD_REQUEST, "bad-head", reason))
@@ -57,6 +58,23 @@
     Err(Refusal::not_run(status, "not-ready", text).after(1))
 }
 
+/// Refuses a request while tasks of this router run late.
+///
+/// Callers of one large customer come to one router. Let in faster than its processor
+/// can serve them, they waited 1 to 2 s for refusals, and nothing that the router held
+/// moved on in time. Refused at once they come back to another router, and the
+/// processor stays with those that were let in.
+fn check_lateness(front: &Front, id: RequestId) -> Result<(), Refusal> {
+    if !front.parts.lateness.is_late() {
+        return Ok(());
+    }
+    let text = "this router has more to do than it can in time; another one may have room";
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    // Callers that are refused together must not come back together.
+    let after = ELSEWHERE * (1 + u32::try_from(id.count % 4).unwrap_or(0));
+    Err(Refusal::not_run(status, "router-busy", text).after_time(after))
+}
+
 /// Refuses a customer's request while the newest version is not proved.
 ///
 /// A router that is cut off does not hear that a key was taken away. Served on,
--- a/components/node/src/front/listen.rs
+++ b/components/node/src/front/listen.rs
@@ -8,6 +8,8 @@
 use crate::journal::Journal;
 use crate::metric::{value, Metrics};
 use crate::shared::{raised, Published};
+use crate::vitals::Lateness;
+use coordination::budget::Budget;
 use coordination::retry;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -34,8 +36,10 @@
     pub(crate) callers: Callers,
     /// Requests of one customer that may wait here.
     pub(crate) queue_customer: u32,
-    /// Bytes that all bodies may take.
-    pub(crate) body_bytes: u64,
+    /// What it may take on.
+    pub(crate) budget: Budget,
+    /// How late tasks of this process run.
+    pub(crate) lateness: Lateness,
     /// Age of the last proof of the newest version past which customers are
     /// refused, in milliseconds.
     pub(crate) stale_ms: Option<u64>,
@@ -76,15 +80,15 @@
 impl Front {
     /// Makes it.
     pub(crate) fn new(parts: Parts) -> Arc<Self> {
-        let units = usize::try_from(parts.body_bytes).unwrap_or(usize::MAX) / BODY_UNIT;
+        let units = usize::try_from(parts.budget.body_bytes).unwrap_or(usize::MAX) / BODY_UNIT;
         let units = units.clamp(1, Semaphore::MAX_PERMITS);
         Arc::new(Front {
             bodies: Arc::new(Semaphore::new(units)),
             body_units: units,
+            pool: Arc::new(Pool::new(parts.budget.kept)),
             parts,
             requests: AtomicU64::new(0),
             budgets: Mutex::default(),
-            pool: Arc::default(),
         })
     }
 
@@ -139,7 +143,7 @@
         listener: TcpListener,
         mut stop: watch::Receiver<bool>,
     ) {
-        let places = Arc::new(Semaphore::new(self.parts.callers.connections));
+        let places = Arc::new(Semaphore::new(self.parts.budget.connections));
         let mut tasks = JoinSet::new();
         tasks.spawn(self.clone().tend_pool(stop.clone()));
         loop {
@@ -169,7 +173,8 @@
         let front = self.clone();
         let service = service_fn(move |request| {
             let front = front.clone();
-            async move { serve(front, request).await }
+            // Boxed, so that a connection holds it only while a request is on it.
+            Box::pin(serve(front, request))
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
--- a/components/node/src/front/pool.rs
+++ b/components/node/src/front/pool.rs
@@ -56,12 +56,21 @@
 pub(crate) type Key = (EndpointId, SocketAddr);
 
 /// Idle connections by endpoint.
-#[derive(Default)]
 pub(crate) struct Pool {
+    /// Connections that may be kept in all.
+    most: usize,
     idle: Mutex<HashMap<Key, Vec<Idle>>>,
 }
 
 impl Pool {
+    /// An empty pool of at most so many connections.
+    pub(crate) fn new(most: usize) -> Self {
+        Pool {
+            most,
+            idle: Mutex::default(),
+        }
+    }
+
     /// An idle connection to an endpoint, the one used last. With `once`, only
     /// one that was used a moment ago.
     pub(crate) fn take(&self, endpoint: &Key, once: bool) -> Option<Connection> {
@@ -85,6 +94,10 @@
         }
         let keep = told.map_or(IDLE, |told| told * IDLE_PERCENT / 100);
         let mut idle = self.lock();
+        // Counted over all endpoints: there may be a thousand of them.
+        if idle.values().map(Vec::len).sum::<usize>() >= self.most {
+            return;
+        }
         let kept = idle.entry(*endpoint).or_default();
         if kept.len() >= KEPT {
             kept.remove(0);
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -32,6 +32,10 @@
 /// is hardly there.
 const UNCONNECTED: u32 = 2;
 
+/// Time after which the caller may come back of whom too many wait here, at the least: as
+/// long as one of them waits for its turn where it is served at all.
+const QUEUE_RETURN: Duration = Duration::from_millis(200);
+
 type Reply = Response<Either<Full<Bytes>, Relay>>;
 
 /// Serves one request. It never fails: an error is an answer too.
@@ -48,6 +52,7 @@
     let now = front.parts.clock.now();
     let metrics = front.parts.metrics.clone();
     let mut note = Note::new(id, began, now, &published, metrics);
+    let mut is_last = false;
     let answered = answer(&front, &published, &mut note, request, began).await;
     let reply = match answered {
         Ok(Served::Relayed(head, mut relay)) => {
@@ -59,6 +64,7 @@
             response.map(Either::Left)
         }
         Err(refusal) => {
+            is_last = front.parts.lateness.is_away();
             let event = Event::new(Step::Refused).request(id);
             front.parts.journal.note(event);
             count(&front, refusal.outcome, refusal.status);
@@ -71,15 +77,20 @@
         .metrics
         .duration
         .observe(began.elapsed().as_secs_f64());
-    Ok(last(&front, reply))
+    Ok(last(&front, reply, is_last))
 }
 
-/// Makes an answer the last one of its connection, once this process is stopping.
+/// Makes an answer the last one of its connection, if it is to be, or once this process is
+/// stopping or connections are scarce.
+///
+/// A refusal is while new connections go to other routers: its caller finds one there.
 ///
 /// Closed instead, a connection could cross a request that its caller has just
 /// sent on it: one would see the request fail that could have been served.
-fn last(front: &Front, mut reply: Reply) -> Reply {
-    if front.parts.published.borrow().stopping {
+fn last(front: &Front, mut reply: Reply, is_last: bool) -> Reply {
+    let open = usize::try_from(front.parts.metrics.connections.get()).unwrap_or(0);
+    let is_scarce = front.parts.budget.is_scarce(open);
+    if is_last || is_scarce || front.parts.published.borrow().stopping {
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(CONNECTION, close);
     }
@@ -290,8 +301,11 @@
     if front.parts.reactor.send(arrive).is_err() {
         return Err(no_endpoint());
     }
-    let busy =
-        |code, text: &str| Refusal::not_run(StatusCode::TOO_MANY_REQUESTS, code, text).after(1);
+    let busy = |code, text: &str| {
+        // Callers that are refused together must not come back together.
+        let after = QUEUE_RETURN * rand::random_range(1..=3);
+        Refusal::not_run(StatusCode::TOO_MANY_REQUESTS, code, text).after_time(after)
+    };
     match receiver.await {
         Ok(Ok(admitted)) => Ok(admitted),
         Ok(Err(QueueFull::Customer)) => {
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -9,8 +9,10 @@
 use crate::operators::{Operators, Parts as OperatorParts};
 use crate::reactor::{Parts as ReactorParts, Reactor};
 use crate::shared::{raised, Published, Shared, Status};
+use crate::vitals::Lateness;
 use crate::{http, inventory, listing, platform, poll, readiness, releases, vitals};
 use coordination::agree::Admission;
+use coordination::budget::{Budget, Vm};
 use coordination::dispatcher::Bounds;
 use coordination::retry;
 use errors::{Error, Result};
@@ -245,25 +247,32 @@
         seeds
     }
 
+    /// What this router may take on, of what its VM has and operators allow.
+    fn budget(settings: &Settings, callers: &settings::Callers) -> Budget {
+        let named = settings.vm.descriptors.unwrap_or(u64::MAX);
+        let limit = transport::descriptor::limit().unwrap_or(u64::MAX);
+        let vm = Vm {
+            memory: settings.vm.memory,
+            descriptors: named.min(limit),
+        };
+        let budget = Budget::from(vm);
+        budget.within(callers.connections, settings.router.queue_bytes)
+    }
+
     /// Starts what is served on addresses of their own.
     async fn start_sides(
         settings: &Settings,
         interface: Interface,
-        clock: &Clock,
+        ready: &readiness::Parts,
         reactor: &flume::Sender<Input>,
         control: Option<&flume::Sender<control::Input>>,
-        published: &watch::Receiver<Published>,
         stopped: &watch::Receiver<bool>,
     ) -> Result<Vec<JoinHandle<()>>> {
         let mut tasks = Vec::new();
         if let Some(readiness) = &settings.readiness {
+            let parts = ready.clone();
             let listener = bind("bind the address of readiness", readiness.listen).await?;
-            let (published, clock) = (published.clone(), clock.clone());
-            let stale_ms = settings.router.stale_ms;
-            let answer = move |_| {
-                let ready = readiness::is_ready(&published.borrow(), &clock, stale_ms);
-                std::future::ready(readiness::answer(ready))
-            };
+            let answer = move |_| std::future::ready(readiness::answer(parts.is_ready()));
             tasks.push(tokio::spawn(http::serve(listener, answer, stopped.clone())));
         }
         if let (Some(releases), Some(control)) = (&settings.releases, control) {
@@ -354,6 +363,7 @@
             }
             _ => None,
         };
+        let lateness = Lateness::default();
         let (inquiries, unknown) = flume::unbounded();
         let parts = ReactorParts {
             hub: hub.clone(),
@@ -377,6 +387,12 @@
             to_control: to_control.clone(),
             publish,
         };
+        let ready = readiness::Parts {
+            published: published.clone(),
+            clock: self.clock.clone(),
+            stale_ms: self.settings.router.stale_ms,
+            lateness: lateness.clone(),
+        };
         let reactor_task = tokio::spawn(Reactor::new(parts).run(inputs));
         let mut tasks = vec![tokio::spawn(forward(
             events,
@@ -387,17 +403,18 @@
             Starter::start_sides(
                 &self.settings,
                 self.interface,
-                &self.clock,
+                &ready,
                 &reactor,
                 to_control.as_ref(),
-                &published,
                 &stopped,
             )
             .await?,
         );
+        let memory = self.settings.vm.memory;
         let vitals = vitals::run(
+            lateness.clone(),
             self.metrics.clone(),
-            self.settings.vm.memory,
+            memory,
             stopped.clone(),
         );
         tasks.push(tokio::spawn(vitals));
@@ -420,7 +437,8 @@
             let front = Front::new(FrontParts {
                 callers: callers.clone(),
                 queue_customer: self.settings.router.queue_customer,
-                body_bytes: self.settings.router.queue_bytes,
+                budget: Starter::budget(&self.settings, callers),
+                lateness,
                 stale_ms: self.settings.router.stale_ms,
                 interface: self.interface,
                 retries: retry::Bounds {
--- a/components/node/src/readiness.rs
+++ b/components/node/src/readiness.rs
@@ -1,17 +1,37 @@
 //! Tells on an address of its own whether this router takes requests.
 
 use crate::shared::Published;
+use crate::vitals::Lateness;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Response, StatusCode};
+use tokio::sync::watch;
 use transport::clock::Clock;
 
-/// Whether requests would be served: by what is in force, and by its proof.
-pub(crate) fn is_ready(published: &Published, clock: &Clock, stale_ms: Option<u64>) -> bool {
-    let now = clock.now();
-    let age = published.proof.map_or(u64::MAX, |at| now.since(at));
-    let proved = stale_ms.is_none_or(|bound| age <= bound);
-    published.ready && !published.stopping && proved
+/// What readiness depends on.
+#[derive(Clone)]
+pub(crate) struct Parts {
+    /// What is in force.
+    pub(crate) published: watch::Receiver<Published>,
+    /// Clock.
+    pub(crate) clock: Clock,
+    /// Age of the last proof of the newest version past which customers are refused, in
+    /// milliseconds.
+    pub(crate) stale_ms: Option<u64>,
+    /// How late tasks of this process run.
+    pub(crate) lateness: Lateness,
+}
+
+impl Parts {
+    /// Whether requests would be served: by what is in force, by its proof, and by the
+    /// processor.
+    pub(crate) fn is_ready(&self) -> bool {
+        let published = self.published.borrow();
+        let now = self.clock.now();
+        let age = published.proof.map_or(u64::MAX, |at| now.since(at));
+        let proved = self.stale_ms.is_none_or(|bound| age <= bound);
+        published.ready && !published.stopping && proved && !self.lateness.is_away()
+    }
 }
 
 /// The answer, whatever was asked.
--- a/components/node/src/vitals.rs
+++ b/components/node/src/vitals.rs
@@ -5,18 +5,22 @@
 
 use crate::metric::{value, Metrics};
 use crate::shared::raised;
+use coordination::overload::{Overload, LATE_MS};
+use state::clock::Millis;
 use state::line::Line;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 /// Time between two looks.
 const LOOK: Duration = Duration::from_secs(1);
 
-/// Time between two probes of how late tasks run.
-const PROBE: Duration = Duration::from_millis(50);
+/// Time between two probes of how late tasks run. Each costs a wake-up.
+const PROBE: Duration = Duration::from_millis(20);
 
-/// Lateness of tasks from which on a process counts as under pressure.
-const LATE: Duration = Duration::from_millis(20);
+/// Lateness of tasks from which on that line is written, in milliseconds.
+const TOLD_MS: u64 = 20;
 
 /// Callers' connections from which on it does.
 const MANY: i64 = 256;
@@ -24,39 +28,122 @@
 /// Bytes of a page of memory.
 const PAGE: i64 = 4096;
 
+/// How late tasks of this process run: a task that sleeps tells it when it wakes.
+///
+/// It is the time that whatever has just come waits until the processor turns to it.
+#[derive(Clone, Debug)]
+pub(crate) struct Lateness {
+    began: Instant,
+    shared: Arc<Probe>,
+}
+
+#[derive(Debug, Default)]
+struct Probe {
+    /// When the sleeping task is due, in milliseconds since the beginning.
+    due: AtomicU64,
+    /// How late it was the last time, in milliseconds.
+    last: AtomicU64,
+    /// Whether new connections are to go to other routers.
+    is_away: AtomicBool,
+}
+
+impl Default for Lateness {
+    fn default() -> Self {
+        let lateness = Lateness {
+            began: Instant::now(),
+            shared: Arc::default(),
+        };
+        lateness.shared.due.store(u64::MAX, Ordering::Relaxed);
+        lateness
+    }
+}
+
+impl Lateness {
+    /// Milliseconds by which tasks run late now: by the last probe, or by the one that
+    /// should have come since.
+    pub(crate) fn ms(&self) -> u64 {
+        let due = self.shared.due.load(Ordering::Relaxed);
+        let overdue = self.elapsed().saturating_sub(due);
+        overdue.max(self.shared.last.load(Ordering::Relaxed))
+    }
+
+    /// Whether requests are to be refused for it.
+    pub(crate) fn is_late(&self) -> bool {
+        self.ms() >= LATE_MS
+    }
+
+    /// Whether new connections are to go to other routers.
+    pub(crate) fn is_away(&self) -> bool {
+        self.shared.is_away.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether they are, and tells each change.
+    fn turn(&self, is_away: bool, late_ms: u64) {
+        if self.shared.is_away.swap(is_away, Ordering::Relaxed) == is_away {
+            return;
+        }
+        tracing::info!(event = Line::Overload.as_str(), away = is_away, late_ms);
+    }
+
+    fn elapsed(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Sleeps for one probe; gives by how many milliseconds it woke too late.
+    async fn probe(&self) -> u64 {
+        let due = self.elapsed() + millis(PROBE);
+        self.shared.due.store(due, Ordering::Relaxed);
+        tokio::time::sleep(PROBE).await;
+        let late = self.elapsed().saturating_sub(due);
+        self.shared.last.store(late, Ordering::Relaxed);
+        late
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Watches until told to stop.
-pub(crate) async fn run(metrics: Metrics, memory: u64, mut stop: watch::Receiver<bool>) {
+pub(crate) async fn run(
+    lateness: Lateness,
+    metrics: Metrics,
+    memory: u64,
+    mut stop: watch::Receiver<bool>,
+) {
     let mut next = Instant::now() + LOOK;
-    let mut latest = Duration::ZERO;
+    let mut latest = 0;
+    let mut overload = Overload::default();
     loop {
-        let due = tokio::time::Instant::now() + PROBE;
-        tokio::select! {
-            () = tokio::time::sleep_until(due) => {}
+        let late = tokio::select! {
+            late = lateness.probe() => late,
             () = raised(&mut stop) => return,
-        }
-        latest = latest.max(due.elapsed());
+        };
+        let is_away = overload.probe(Millis(lateness.elapsed()), late);
+        lateness.turn(is_away, late);
+        latest = latest.max(late);
         if Instant::now() < next {
             continue;
         }
         look(&metrics, memory, latest);
         next = Instant::now() + LOOK;
-        latest = Duration::ZERO;
+        latest = 0;
     }
 }
 
-fn look(metrics: &Metrics, memory: u64, late: Duration) {
-    metrics.late.set(value(late.as_millis()));
+fn look(metrics: &Metrics, memory: u64, late_ms: u64) {
+    metrics.late.set(value(late_ms));
     let resident = resident().unwrap_or_else(|error| {
         tracing::debug!(%error, "the resident memory cannot be read");
         0
     });
     metrics.resident.set(resident);
-    if late < LATE && metrics.connections.get() < MANY {
+    if late_ms < TOLD_MS && metrics.connections.get() < MANY {
         return;
     }
     tracing::info!(
         event = Line::Pressure.as_str(),
-        late_ms = value(late.as_millis()),
+        late_ms,
         resident,
         memory,
         connections = metrics.connections.get(),
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -68,11 +68,13 @@
     MessageLost,
     /// What the process takes of its VM, while that is much.
     Pressure,
+    /// New connections are to go to other routers, or may come again.
+    Overload,
 }
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 32] = [
+    pub const ALL: [Line; 33] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -105,6 +107,7 @@
         Line::AcceptFailed,
         Line::MessageLost,
         Line::Pressure,
+        Line::Overload,
     ];
 
     /// Its name in logs.
@@ -142,6 +145,7 @@
             Line::AcceptFailed => "accept-failed",
             Line::MessageLost => "message-lost",
             Line::Pressure => "pressure",
+            Line::Overload => "overload",
         }
     }
 }
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -1,6 +1,7 @@
 //! Links between processes, their keys, disks, and the clocks.
 
 pub mod clock;
+pub mod descriptor;
 pub mod disk;
 pub mod frame;
 pub mod key;
--- a/tests/flood.rs
+++ b/tests/flood.rs
@@ -1,4 +1,5 @@
 //! A router whose callers ask for more than its VM has.
+#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 mod harness;
 
