Show a message of the log that no link carries (fails as committed)

can_send_large_entries_in_messages_that_a_link_carries fails: six configurations of 1 MiB that are proposed at once leave as one message of 6,291,456 bytes; a link carries 4,194,304.

--- a/components/coordination/tests/agree.rs
+++ b/components/coordination/tests/agree.rs
@@ -9,8 +9,9 @@
 use model::{Faults, World};
 use rstest::rstest;
 use state::clock::Millis;
+use state::config::Draft;
 use state::id::{Name, Version};
-use state::record::{Answer, Disk, Member, Members, Record};
+use state::record::{Answer, Disk, Member, Members, Record, Release};
 use state::view::Place;
 
 /// Seeds that CI runs; `AGREE_SEEDS=from..to` runs others.
@@ -202,6 +203,55 @@
     assert!(sent <= 44, "{sent} messages in a second");
 }
 
+/// Proposes complete configurations of a megabyte, all before anything is sent.
+fn propose_releases(world: &mut World, leader: usize, numbers: std::ops::Range<u64>) {
+    let clock = world.clock(leader);
+    let core = world.nodes[leader].core.as_mut().unwrap();
+    for number in numbers {
+        let release = Release {
+            number,
+            document: vec![0; 1 << 20],
+            draft: Draft::default(),
+        };
+        let record = Record::Release(Box::new(release));
+        core.propose(clock, record).unwrap();
+    }
+}
+
+#[test]
+fn can_send_large_entries_in_messages_that_a_link_carries() {
+    // The leader sent all entries that a follower lacked in one message, 64 at most
+    // and whatever their size. Six configurations of a megabyte that came at once
+    // made a message that no link carries; it was tried again for ever, and nothing
+    // more was accepted.
+    const LINK: usize = 4 << 20;
+    let mut world = World::new(3, 25, Faults::NONE);
+    let leader = world.run_to_leader(3000);
+    world.run(1000);
+    propose_releases(&mut world, leader, 1..7);
+    world.settle(leader);
+    world.run(3000);
+    let newest = |world: &World, n: usize| {
+        let release = world.nodes[n].store.release.as_ref();
+        release.map(|r| r.number)
+    };
+    assert!((0..3).all(|n| newest(&world, n) == Some(6)));
+    propose_releases(&mut world, leader, 7..13);
+    let ready = world.nodes[leader].core.as_mut().unwrap().ready();
+    let documents = |message: &Message| match message {
+        Message::Append { entries, .. } => (entries.iter())
+            .map(|entry| match &entry.record {
+                Record::Release(release) => release.document.len(),
+                _ => 0,
+            })
+            .sum(),
+        _ => 0,
+    };
+    let sizes = ready.messages.iter().map(|(_, e)| documents(&e.message));
+    let largest = sizes.max().unwrap();
+    assert!((1..LINK).contains(&largest), "{largest} bytes");
+}
+
 #[test]
 fn can_begin_only_with_all_members() {
     // Symptom: a group that lost disks begins a second history.
