Send at most one operator's record in a message of the log

Cause: a batch was bounded by entries (64) and not by bytes, while a link carries 4 MiB a message. Ruled out: bounding by bytes measured at each sending, since it would encode every entry twice; all records but an operator's are small.

--- a/components/coordination/src/agree/log.rs
+++ b/components/coordination/src/agree/log.rs
@@ -1,5 +1,6 @@
 //! The log in memory, as the disk has it.
 
+use super::BATCH;
 use serde::{Deserialize, Serialize};
 use state::record::{Disk, Members, Record};
 use std::collections::VecDeque;
@@ -119,9 +120,28 @@
 
     /// Entries from a place on, at most `max`.
     pub fn from(&self, index: Index, max: usize) -> Vec<Entry> {
+        self.rest(index).take(max).cloned().collect()
+    }
+
+    fn rest(&self, index: Index) -> impl Iterator<Item = &Entry> {
         let skip = index.0.saturating_sub(self.snapshot.index.0 + 1);
         let skip = usize::try_from(skip).unwrap_or(usize::MAX);
-        self.entries.iter().skip(skip).take(max).cloned().collect()
+        self.entries.iter().skip(skip)
+    }
+
+    /// Entries from a place on that one message carries.
+    ///
+    /// At most one of them is an operator's: several would together be more than a
+    /// link carries. The message would never leave, and nothing after it be accepted;
+    /// one would see `message-lost` of kind `agree` again and again.
+    pub fn batch(&self, index: Index) -> Vec<Entry> {
+        let mut large = 0;
+        let fits = |entry: &&Entry| {
+            large += usize::from(entry.record.is_large());
+            large <= 1
+        };
+        let entries = self.rest(index).take(BATCH).take_while(fits);
+        entries.cloned().collect()
     }
 
     /// Appends an entry at the end.
--- a/components/coordination/src/agree/replicate.rs
+++ b/components/coordination/src/agree/replicate.rs
@@ -3,7 +3,7 @@
 use super::core::{Core, Role};
 use super::log::{Entry, Index, Snapshot, Term};
 use super::message::{Install, Message};
-use super::{BATCH, ELECTION_MS, PIECE};
+use super::{ELECTION_MS, PIECE};
 use crate::prelude::*;
 use state::record::{Disk, Member};
 use state::view::Place;
@@ -310,7 +310,7 @@
         let next = progress.next.max(start.next());
         let prev = Index(next.0 - 1);
         let entries = if idle {
-            self.log.from(next, BATCH)
+            self.log.batch(next)
         } else {
             Vec::new()
         };
--- a/components/state/src/record.rs
+++ b/components/state/src/record.rs
@@ -144,6 +144,13 @@
     Members(Box<Members>),
 }
 
+impl Record {
+    /// Whether its size is an operator's choice: it may be megabytes.
+    pub fn is_large(&self) -> bool {
+        matches!(self, Record::Change { .. } | Record::Release(_))
+    }
+}
+
 /// What applying a record gave.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
