Refuse what no message carries, and bound the bodies that arrive at once

Cause: configurations were taken up to 16 MiB while a message carries 4 MiB; the leader appended one that it could never send. Ruled out: larger messages, since each link may hold one; fewer connections alone, since a slow sender of a small body needs none of the room.

A record of the log has at most RECORD_MAX, 2,883,584 bytes; more is answered 413 at once, or 'invalid' where a file becomes a record. Bodies share 8 MiB of room; the next wait a second, then are told 503 with Retry-After.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -6,6 +6,7 @@
 use coordination::agree::{Admission, Core, Index, Ready, Refusal, Role, Snapshot, Term};
 use coordination::assignment::Assigner;
 use errors::{Error, Result};
+use protocol::codec;
 use protocol::wire::{Hello, Leaving, Message, Query, Reply};
 use serde::{Deserialize, Serialize};
 use state::clock::Millis;
@@ -262,6 +263,7 @@
             }
             other => self.record(other),
         };
+        let record = record.and_then(checked);
         let proposed = record.map(|record| self.core.propose(now, record));
         match proposed {
             Ok(Ok(index)) => {
@@ -453,7 +455,7 @@
         let Some(term) = log.term(index) else {
             return Ok(());
         };
-        let bytes = protocol::codec::pack(&self.store)?;
+        let bytes = codec::pack(&self.store)?;
         let snapshot = Snapshot {
             index,
             term,
@@ -524,11 +526,19 @@
     }
 }
 
+/// A record that can be sent to the other control VMs, or why it cannot.
+fn checked(record: Record) -> Result<Record, String> {
+    if record.is_large() && !codec::fits(&record) {
+        return Err(format!("it has more than {} bytes", codec::RECORD_MAX));
+    }
+    Ok(record)
+}
+
 fn restore(snapshot: &Snapshot) -> Result<Store> {
     if snapshot.bytes.is_empty() {
         return Ok(Store::default());
     }
-    protocol::codec::unpack(&snapshot.bytes).map_err(|_| Error::Corrupt {
+    codec::unpack(&snapshot.bytes).map_err(|_| Error::Corrupt {
         step: "read the state",
         path: "(snapshot)".to_owned(),
         reason: "it was written by another version of this program".to_owned(),
--- a/components/node/src/operators.rs
+++ b/components/node/src/operators.rs
@@ -6,6 +6,7 @@
 use crate::metric::Metrics;
 use crate::shared::Published;
 use errors::{Error, Result};
+use protocol::codec;
 use protocol::wire::{Leaving, Query, Reply};
 use serde::{Deserialize, Serialize};
 use state::id::{Name, Version};
@@ -24,8 +25,9 @@
 
 /// Threads that answer operators.
 const THREADS: usize = 2;
-/// Largest configuration file in bytes.
-const BODY_MAX: u64 = 4 * 1024 * 1024;
+/// Largest configuration file in bytes: what a record of the log can hold.
+// CAST: `usize` is at most 64 bits on every supported target.
+const BODY_MAX: u64 = codec::RECORD_MAX as u64;
 /// Longest time for an answer of the control VMs.
 const ANSWER: Duration = Duration::from_secs(10);
 
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -268,11 +268,8 @@
         }
         if let (Some(releases), Some(control)) = (&settings.releases, control) {
             let listener = bind("bind the address of releases", releases.listen).await?;
-            let parts = Arc::new(releases::Parts {
-                interface,
-                reactor: reactor.clone(),
-                control: control.clone(),
-            });
+            let parts = releases::Parts::new(interface, reactor.clone(), control.clone());
+            let parts = Arc::new(parts);
             let answer = move |request| releases::answer(parts.clone(), request);
             tasks.push(tokio::spawn(http::serve(listener, answer, stopped.clone())));
         }
--- a/components/node/src/releases.rs
+++ b/components/node/src/releases.rs
@@ -4,20 +4,32 @@
 use crate::input::Input;
 use crate::interface::Interface;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
+use protocol::codec;
 use protocol::wire::{Query, Reply};
 use state::id::Version;
 use state::line::Line;
 use state::record::Answer;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Semaphore, SemaphorePermit};
 
-/// Largest configuration in bytes.
-const BODY_MAX: usize = 16 * 1024 * 1024;
+/// Bytes of configurations that are taken at once, over all connections.
+///
+/// Each is held until its last byte has come, and then some times over while it is read
+/// and proposed. Without this bound the connections together take more than the VM has,
+/// and its process, a voter, is ended: one would see a control VM start again whenever
+/// operators are busy. 70 bodies of 2.4 MB took it to 165 MB without the bound.
+const ROOM: usize = 8 * 1024 * 1024;
+/// Longest time that a configuration waits for room before its operator is told to come
+/// again.
+const ROOM_TIME: Duration = Duration::from_secs(1);
+/// Bytes of a refused body that are read and dropped, so that its sender, who may read
+/// the answer only then, gets it.
+const DROP_MAX: usize = 16 * 1024 * 1024;
 /// Time for a configuration to arrive.
 const BODY_TIME: Duration = Duration::from_secs(10);
 /// Longest time for the control VMs to accept a configuration.
@@ -35,6 +47,24 @@
     pub(crate) interface: Interface,
     pub(crate) reactor: flume::Sender<Input>,
     pub(crate) control: flume::Sender<control::Input>,
+    /// Room for bodies that arrive, in bytes.
+    room: Semaphore,
+}
+
+impl Parts {
+    /// Parts with all room free.
+    pub(crate) fn new(
+        interface: Interface,
+        reactor: flume::Sender<Input>,
+        control: flume::Sender<control::Input>,
+    ) -> Self {
+        Parts {
+            interface,
+            reactor,
+            control,
+            room: Semaphore::new(ROOM),
+        }
+    }
 }
 
 /// Answers one request.
@@ -50,9 +80,21 @@
 }
 
 async fn put(parts: &Parts, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let body = Limited::new(request.into_body(), BODY_MAX).collect();
-    let document = match tokio::time::timeout(BODY_TIME, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
+    let mut body = request.into_body();
+    let Some(length) = announced(&body) else {
+        skip(body).await;
+        return too_large();
+    };
+    let Some(_room) = room(parts, length).await else {
+        skip(body).await;
+        return unsure("too many configurations come at once");
+    };
+    let document = match tokio::time::timeout(BODY_TIME, receive(&mut body, length)).await {
+        Ok(Ok(Some(document))) => document,
+        Ok(Ok(None)) => {
+            skip(body).await;
+            return too_large();
+        }
         Ok(Err(error)) => return text(StatusCode::BAD_REQUEST, &error.to_string()),
         Err(_) => return text(StatusCode::REQUEST_TIMEOUT, "the body took too long"),
     };
@@ -63,6 +105,9 @@
             return text(StatusCode::BAD_REQUEST, &reason);
         }
     };
+    if !codec::fits(&release) {
+        return too_large();
+    }
     let number = release.number;
     let reply = ask(parts, Query::Release(Box::new(release)), ACCEPT).await;
     match reply {
@@ -81,6 +126,54 @@
     }
 }
 
+/// Bytes that a body may bring, if it can be taken: as many as it announces, or the most.
+fn announced(body: &Incoming) -> Option<usize> {
+    let Some(length) = body.size_hint().exact() else {
+        return Some(codec::RECORD_MAX);
+    };
+    let length = usize::try_from(length).ok()?;
+    (length <= codec::RECORD_MAX).then_some(length)
+}
+
+/// Waits a moment for room for a body.
+async fn room(parts: &Parts, length: usize) -> Option<SemaphorePermit<'_>> {
+    let length = u32::try_from(length).ok()?;
+    let room = tokio::time::timeout(ROOM_TIME, parts.room.acquire_many(length));
+    room.await.ok()?.ok()
+}
+
+/// Reads a body; gives nothing if it is longer than `max`.
+async fn receive(body: &mut Incoming, max: usize) -> Result<Option<Bytes>, hyper::Error> {
+    let mut document = Vec::with_capacity(max);
+    while let Some(frame) = body.frame().await {
+        let Ok(piece) = frame?.into_data() else {
+            continue;
+        };
+        if document.len() + piece.len() > max {
+            return Ok(None);
+        }
+        document.extend_from_slice(&piece);
+    }
+    Ok(Some(document.into()))
+}
+
+/// Reads what is left of a body and keeps nothing of it.
+async fn skip(mut body: Incoming) {
+    let skipping = async {
+        let mut left = DROP_MAX;
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            match left.checked_sub(length) {
+                Some(rest) => left = rest,
+                None => return,
+            }
+        }
+    };
+    if tokio::time::timeout(BODY_TIME, skipping).await.is_err() {
+        tracing::debug!("a refused body took too long");
+    }
+}
+
 async fn read(parts: &Parts) -> Response<Full<Bytes>> {
     let reading = async {
         let head = match ask(parts, Query::Head, READ).await {
@@ -119,6 +212,12 @@
     tokio::time::timeout(wait, receiver).await.ok()?.ok()
 }
 
+fn too_large() -> Response<Full<Bytes>> {
+    let most = codec::RECORD_MAX;
+    let reason = format!("a configuration has at most {most} bytes");
+    text(StatusCode::PAYLOAD_TOO_LARGE, &reason)
+}
+
 fn json(response: &mut Response<Full<Bytes>>) {
     let kind = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, kind);
--- a/components/protocol/src/codec.rs
+++ b/components/protocol/src/codec.rs
@@ -1,7 +1,9 @@
 //! Encoding of frames.
 
 use crate::wire::Frame;
+use coordination::agree::BATCH;
 use errors::{Error, Result};
+use postcard::ser_flavors::Size;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -12,6 +14,25 @@
 /// Longest body in bytes. A whole view of the design size is a tenth of it.
 pub const BODY_MAX: usize = 4 * 1024 * 1024;
 
+/// Bytes of a record of the log that no operator chose the size of, at most: a stored
+/// answer, 16 KiB of body, is the largest.
+const SMALL_MAX: usize = 20 * 1024;
+/// Largest record of the log in bytes, so that a message carries one with as many small
+/// ones as go into a batch.
+pub const RECORD_MAX: usize = BODY_MAX - BATCH * SMALL_MAX;
+
+/// Whether a value can be a record of the log, or the query that asks for one.
+///
+/// One that is larger could not be sent to the other control VMs. A leader that wrote it
+/// to its log would accept nothing more.
+pub fn fits<T>(value: &T) -> bool
+where
+    T: Serialize,
+{
+    let length = postcard::serialize_with_flavor(value, Size::default());
+    length.is_ok_and(|length| length <= RECORD_MAX)
+}
+
 /// Encodes a frame with its head.
 ///
 /// # Errors
