--- a/components/transport/tests/link.rs
+++ b/components/transport/tests/link.rs
@@ -1,8 +1,9 @@
 //! Links between processes.
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
-use protocol::wire::{Hello, Message};
+use protocol::wire::{Hello, Message, Query};
 use state::id::{Epoch, Name, Version};
+use state::record::ChangeId;
 use state::view::Place;
 use std::time::Duration;
 use transport::clock::Clock;
@@ -130,6 +131,38 @@
     }
 }
 
+#[tokio::test]
+async fn can_bound_the_bytes_that_wait_for_a_slow_peer() {
+    // What waits on a link was bounded by messages, 8,192, whatever their size. To a
+    // peer that takes nothing 64 messages of a megabyte were all accepted and held;
+    // 8,192 would have been more than any VM has.
+    let fleet = authority().unwrap();
+    let (a, b) = (side(&fleet, "a", "a", 1), side(&fleet, "b", "b", 1));
+    a.hub.dial(&b.place);
+    assert!(matches!(next(&a).await, Some(Event::Up(_))));
+    let large = Query::Change {
+        id: ChangeId(1),
+        base: Version(1),
+        text: "x".repeat(1 << 20),
+    };
+    // Nothing leaves meanwhile: this task does not wait, and no other one runs.
+    let message = || Message::Query(1, large.clone());
+    let taken = (0..64).filter(|_| a.hub.send(&b.place.vm, message()));
+    assert!(taken.count() < 16);
+    // The link is opened anew, and carries again what fits.
+    assert!(matches!(next(&a).await, Some(Event::Down(_))));
+    assert!(matches!(next(&a).await, Some(Event::Up(_))));
+    for _ in 0..2 {
+        while !matches!(next(&b).await, Some(Event::Up(_))) {}
+    }
+    for _ in 0..20 {
+        assert!(a.hub.send(&b.place.vm, message()));
+        while !matches!(next(&b).await, Some(Event::Message(..))) {}
+    }
+    a.hub.stop().await;
+    b.hub.stop().await;
+}
+
 #[tokio::test]
 async fn can_cut_a_peer_off_for_tests() {
     let fleet = authority().unwrap();
