Bound the bytes that wait on a link

Cause: the backlog was bounded by messages, 8,192, and a message is up to 4 MiB. Ruled out: fewer messages, since grants and reports are small and come in bursts. The bytes of a batch count until the library has taken them; past two of the largest messages the link is cut, as it was past 8,192 messages.

Within the library up to 10 MB a link wait besides, as before.

--- a/components/transport/src/link.rs
+++ b/components/transport/src/link.rs
@@ -16,6 +16,7 @@
 use state::view::Place;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::task::{JoinHandle, JoinSet};
@@ -24,6 +25,11 @@
 ///
 /// A peer that takes nothing would otherwise hold ever more of our memory.
 const BACKLOG: usize = 8192;
+/// Bytes that wait on one link; past them the link is cut, too.
+///
+/// Whole views and configurations are megabytes: thousands of them for one slow peer are
+/// more than a VM has. Two of the largest messages fit.
+const BACKLOG_BYTES: usize = 2 * (codec::HEAD + codec::BODY_MAX);
 /// Time between two tries to open a link.
 const REDIAL: Duration = Duration::from_millis(150);
 /// Longest time to open a link.
@@ -89,9 +95,20 @@
     serial: u64,
     dialed: bool,
     sender: flume::Sender<Bytes>,
+    /// Bytes that wait on it.
+    waiting: Arc<AtomicUsize>,
     connection: quinn::Connection,
 }
 
+impl Link {
+    /// Queues a frame; false if more waits already than may.
+    fn queue(&self, frame: Bytes) -> bool {
+        let length = frame.len();
+        let waiting = self.waiting.fetch_add(length, Ordering::Relaxed);
+        waiting + length <= BACKLOG_BYTES && self.sender.try_send(frame).is_ok()
+    }
+}
+
 #[derive(Default)]
 struct Table {
     links: HashMap<Name, Link>,
@@ -330,7 +347,7 @@
             return true;
         }
         let length = bytes.len() as u64;
-        if link.sender.try_send(bytes).is_err() {
+        if !link.queue(bytes) {
             link.connection.close(1_u8.into(), b"backlog");
             return false;
         }
@@ -457,13 +474,15 @@
         }
         let vm = hello.place.vm.clone();
         let (sender, receiver) = flume::bounded(BACKLOG);
+        let waiting = Arc::new(AtomicUsize::new(0));
+        let queue = (sender, waiting.clone());
         let serial = self
-            .enter(hello, dialed.is_some(), sender, &connection)
+            .enter(hello, dialed.is_some(), queue, &connection)
             .ok_or_else(|| refusal(far, "there is a link already"))?;
         let hub = self.clone();
         Ok(Box::pin(async move {
             let why = tokio::select! {
-                why = write_frames(&mut out, &receiver) => why,
+                why = write_frames(&mut out, &receiver, &waiting) => why,
                 why = hub.read_frames(&mut input, &vm) => why,
             };
             connection.close(0_u8.into(), b"end");
@@ -481,7 +500,7 @@
         &self,
         hello: Hello,
         dialed: bool,
-        sender: flume::Sender<Bytes>,
+        (sender, waiting): (flume::Sender<Bytes>, Arc<AtomicUsize>),
         connection: &quinn::Connection,
     ) -> Option<u64> {
         let mut table = self.inner.table();
@@ -509,6 +528,7 @@
             serial,
             dialed,
             sender,
+            waiting,
             connection: connection.clone(),
         };
         table.links.insert(vm, link);
@@ -578,7 +598,11 @@
     }
 }
 
-async fn write_frames(out: &mut quinn::SendStream, frames: &flume::Receiver<Bytes>) -> Error {
+async fn write_frames(
+    out: &mut quinn::SendStream,
+    frames: &flume::Receiver<Bytes>,
+    waiting: &AtomicUsize,
+) -> Error {
     loop {
         let Ok(first) = frames.recv_async().await else {
             return refusal("?", "the link was replaced");
@@ -586,9 +610,11 @@
         // What else waits goes into the same datagrams.
         let mut batch = vec![first];
         batch.extend(frames.try_iter().take(63));
+        let length = batch.iter().map(Bytes::len).sum();
         if let Err(error) = out.write_all_chunks(&mut batch).await {
             return Error::peer("write", "?")(error);
         }
+        waiting.fetch_sub(length, Ordering::Relaxed);
     }
 }
 
