--- a/components/coordination/tests/overload.rs
+++ b/components/coordination/tests/overload.rs
@@ -1,5 +1,4 @@
 //! When a router turns new callers away, and what it may take on.
-#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 use coordination::budget::{Budget, Vm};
 use coordination::overload::{Overload, LATE_MS};
