Let the benchmark's engines answer at a usual speed

They answered within a millisecond, so that the scheduler learned an engine forty times too fast and hardly anything waited at 1,100 engines.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -26,7 +26,13 @@
 /// Events measured of each kind.
 const EVENTS: u32 = 2000;
 /// Time between two requests of an engine, in milliseconds: about what reading one takes.
-const EACH_MS: u64 = 200;
+const EACH_MS: u64 = 100;
+/// The same before the measurement: each is answered before the next one comes.
+const ROUND_MS: u64 = 500;
+/// Time for the way and the steps of a request, in milliseconds.
+const FIRST_MS: u64 = 40;
+/// Tokens that an engine reads in a millisecond.
+const RATE: u64 = 50;
 /// Answers that are generated while events are measured.
 const STREAMS: usize = 400;
 /// Customers whose asks wait.
@@ -62,10 +68,12 @@
     }
     for n in 0..SENT * u64::from(engines) {
         let id = EndpointId(1 + u32::try_from(n % u64::from(engines)).unwrap_or(0));
-        if let Some(mut reading) = slots.take(Millis(n), id, prompt(n)) {
-            slots.began(Millis(n + 1), id, &mut reading);
-            slots.end(Millis(n + 2), id, &reading);
-            slots.free(Millis(n + 2), id, Some(Verdict::Fine));
+        let now = Millis(n / u64::from(engines) * ROUND_MS);
+        if let Some(mut reading) = slots.take(now, id, prompt(n)) {
+            let first = now.after(FIRST_MS + reading.to_read() / RATE);
+            slots.began(first, id, &mut reading);
+            slots.end(first, id, &reading);
+            slots.free(first, id, Some(Verdict::Fine));
         }
     }
 }
@@ -113,7 +121,7 @@
         let mut load = Load {
             scheduler,
             session,
-            now: Millis(GATHER_MS + SENT * u64::from(engines)),
+            now: Millis(GATHER_MS + SENT * ROUND_MS),
             next: 0,
             granted: VecDeque::new(),
         };
