Record the labels of a stand-in's calls over all its lives

The counters of a stand-in end with its process. A test that kills stand-ins could not tell a request that ran before the kill from one that never ran.

--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -11,7 +11,10 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::fs::{File, OpenOptions};
+use std::io::Write;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -45,6 +48,8 @@
     pub pace: Duration,
     /// How far its load report lags.
     pub lag: Duration,
+    /// File to which the label of each call is appended before the call is worked on.
+    pub record: Option<PathBuf>,
 }
 
 impl Default for Settings {
@@ -56,6 +61,7 @@
             tokens: 20,
             pace: Duration::from_millis(5),
             lag: Duration::from_secs(1),
+            record: None,
         }
     }
 }
@@ -63,6 +69,7 @@
 struct Shared {
     settings: Settings,
     counter: Counter,
+    record: Option<File>,
     reported: Mutex<Counts>,
     batch: Arc<Semaphore>,
 }
@@ -94,7 +101,7 @@
     ///
     /// # Errors
     ///
-    /// When the address is taken.
+    /// When the address is taken, or the record cannot be opened.
     pub async fn start(settings: Settings) -> Result<Self> {
         let listener = TcpListener::bind(settings.listen)
             .await
@@ -105,10 +112,12 @@
         let address = listener
             .local_addr()
             .map_err(Error::file("bind the stand-in", "?"))?;
+        let record = settings.record.as_ref().map(open_record).transpose()?;
         let shared = Arc::new(Shared {
             batch: Arc::new(Semaphore::new(settings.batch)),
             settings,
             counter: Counter::default(),
+            record,
             reported: Mutex::default(),
         });
         let (stop, stopped) = watch::channel(false);
@@ -139,6 +148,12 @@
     }
 }
 
+fn open_record(path: &PathBuf) -> Result<File> {
+    let mut options = OpenOptions::new();
+    let opened = options.create(true).append(true).open(path);
+    opened.map_err(Error::file("open the record", path.display().to_string()))
+}
+
 async fn run(listener: TcpListener, shared: Arc<Shared>, mut stopped: watch::Receiver<bool>) {
     let mut tasks = JoinSet::new();
     tasks.spawn(report(shared.clone()));
@@ -209,6 +224,10 @@
             *c.labels.entry(label.clone()).or_default() += 1;
         }
     });
+    if let Err(error) = shared.record(label.as_deref()) {
+        let text = serde_json::json!({"error": format!("write the record: {error}")});
+        return Ok(json(StatusCode::INTERNAL_SERVER_ERROR, text.to_string()));
+    }
     let body = request
         .into_body()
         .collect()
@@ -308,6 +327,21 @@
     }
 }
 
+impl Shared {
+    /// Appends a call's label to the record.
+    ///
+    /// The counters end with the process. Without the record, a test that kills
+    /// stand-ins could not tell a request that ran before the kill from one that
+    /// never ran.
+    fn record(&self, label: Option<&str>) -> std::io::Result<()> {
+        let (Some(mut file), Some(label)) = (self.record.as_ref(), label) else {
+            return Ok(());
+        };
+        // One write a line: lines of calls that arrive together do not mix.
+        file.write_all(format!("{label}\n").as_bytes())
+    }
+}
+
 /// A place in the batch, given back when dropped.
 struct Place {
     shared: Arc<Shared>,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -105,6 +105,9 @@
     /// milliseconds by which its load report lags, 1000 by default
     #[argh(option, default = "1000")]
     pub(crate) lag: u64,
+    /// file to which the label of each call is appended
+    #[argh(option)]
+    pub(crate) record: Option<PathBuf>,
 }
 
 /// Check settings or a configuration without starting anything.
--- a/src/cmd/stand_in.rs
+++ b/src/cmd/stand_in.rs
@@ -15,6 +15,7 @@
         tokens: args.tokens,
         pace: Duration::from_millis(args.pace),
         lag: Duration::from_millis(args.lag),
+        record: args.record.clone(),
     };
     runtime()?.block_on(async {
         let server = Server::start(settings).await?;
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -115,7 +115,10 @@
 pub(crate) struct StandIn {
     pub(crate) name: String,
     pub(crate) address: SocketAddr,
-    child: Child,
+    /// Where it records the labels of its calls, over all its lives.
+    pub(crate) record: PathBuf,
+    args: Vec<String>,
+    child: Option<Child>,
 }
 
 pub(crate) struct Fleet {
@@ -253,23 +256,21 @@
     /// Starts one more stand-in.
     pub(crate) fn add_stand_in(&mut self, name: &str, plain: bool) {
         let listen = self.fresh_address().to_string();
-        let mut command = Command::new(BINARY);
-        command.args(["stand-in", "--listen", &listen]);
-        command.args(["--batch", &self.plan.batch.to_string()]);
+        let record = self.folder.path().join(format!("{name}.record"));
+        let batch = self.plan.batch.to_string();
+        let mut args = vec!["stand-in", "--listen", &listen, "--batch", &batch];
         if plain {
-            command.arg("--plain");
+            args.push("--plain");
         }
-        let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
-        let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap())
-            .read_line(&mut line)
-            .unwrap();
-        let address = line.trim().rsplit(' ').next().unwrap().parse().unwrap();
-        self.stand_ins.push(StandIn {
+        let mut stand_in = StandIn {
             name: name.to_owned(),
-            address,
-            child,
-        });
+            address: listen.parse().unwrap(),
+            args: args.into_iter().map(str::to_owned).collect(),
+            record,
+            child: None,
+        };
+        stand_in.start();
+        self.stand_ins.push(stand_in);
     }
 
     pub(crate) fn wait_ready(&self) {
@@ -325,9 +326,7 @@
 
     /// Kills a stand-in.
     pub(crate) fn kill_stand_in(&mut self, place: usize) {
-        let child = &mut self.stand_ins[place].child;
-        child.kill().unwrap();
-        child.wait().unwrap();
+        self.stand_ins[place].kill();
     }
 
     /// Sends a configuration with the command line.
@@ -461,7 +460,10 @@
 
 impl Vm {
     pub(crate) fn start(&mut self) {
-        let log = fs::File::create(self.settings.with_extension("log")).unwrap();
+        // Appended to: the log of a life that a test has ended is evidence too.
+        let mut options = fs::OpenOptions::new();
+        options.create(true).append(true);
+        let log = options.open(self.settings.with_extension("log")).unwrap();
         let child = Command::new(BINARY)
             .args(["run", &self.settings.display().to_string()])
             .stdout(log.try_clone().unwrap())
@@ -498,9 +500,14 @@
 
     /// Sends it a signal by name.
     pub(crate) fn signal(&self, signal: &str) {
-        let pid = self.pid().to_string();
-        let sent = Command::new("kill").args([signal, &pid]).status().unwrap();
-        assert!(sent.success());
+        signal_process(self.pid(), signal);
+    }
+
+    /// How it ended, once it has; it counts as not running from then on.
+    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().unwrap()?;
+        self.child = None;
+        Some(status)
     }
 
     /// Waits for it to end by itself.
@@ -524,6 +531,58 @@
     }
 }
 
+impl StandIn {
+    /// Starts it and waits until it listens.
+    pub(crate) fn start(&mut self) {
+        let mut command = Command::new(BINARY);
+        command.args(&self.args).arg("--record").arg(&self.record);
+        let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap())
+            .read_line(&mut line)
+            .unwrap();
+        assert!(line.starts_with("listening"), "{}: {line:?}", self.name);
+        self.child = Some(child);
+    }
+
+    pub(crate) fn is_live(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Notices that it has ended by itself.
+    pub(crate) fn reap(&mut self) {
+        let ended = self.child.as_mut().map(|c| c.try_wait().unwrap());
+        if ended.flatten().is_some() {
+            self.child = None;
+        }
+    }
+
+    /// Kills it without warning.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Sends it a signal by name.
+    pub(crate) fn signal(&self, signal: &str) {
+        signal_process(self.child.as_ref().unwrap().id(), signal);
+    }
+
+    /// Labels of the calls that reached it, in order, over all its lives.
+    pub(crate) fn recorded(&self) -> Vec<String> {
+        let text = fs::read_to_string(&self.record).unwrap_or_default();
+        text.lines().map(str::to_owned).collect()
+    }
+}
+
+fn signal_process(pid: u32, signal: &str) {
+    let pid = pid.to_string();
+    let sent = Command::new("kill").args([signal, &pid]).status().unwrap();
+    assert!(sent.success());
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for vm in &mut self.vms {
@@ -533,8 +592,10 @@
             }
         }
         for stand_in in &mut self.stand_ins {
-            let _ = stand_in.child.kill();
-            let _ = stand_in.child.wait();
+            if let Some(mut child) = stand_in.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
         }
         if std::thread::panicking() {
             for vm in &self.vms {
