A soak over real processes: faults from outside, overlapping, by seed

Tests so far bring one fault at a time, chosen by whoever wrote them. The soak draws series of signals, restarts, disturbed connections, configurations, revoked keys, planned stops and floods from a seed, and holds what callers, an operator and the stand-ins' records tell against the promises.

Its first run failed by a fault of its own: the probe of revoked keys used a path that a rule refuses before the key is looked at. It now sends a booking, and a key in force must get one.

--- /dev/null
+++ b/tests/soak/callers.rs
@@ -0,0 +1,348 @@
+//! Callers that keep their connections open, a flood, and probes of what is in force.
+
+use super::check::{End, Kind, Ledger, Request, REVOKED};
+use super::harness::http::Answer;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper_util::rt::TokioIo;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+/// Longest wait of a caller for its answer; then it leaves. More than the timeout of
+/// the services, so that a router has the time to tell.
+const CALLER: Duration = Duration::from_secs(15);
+/// Longest wait of a probe.
+const PROBE: Duration = Duration::from_secs(3);
+/// Time between two probes of a router.
+const PROBES: Duration = Duration::from_millis(100);
+/// Time in which a revoked key must be refused everywhere, as the settings say.
+pub(crate) const REVOCATION: Duration = Duration::from_secs(4);
+/// Callers of each customer; they share the routers.
+const USUAL: u64 = 4;
+/// Connections of the customer that floods: many times its usual.
+const FLOOD: u64 = 80;
+/// Answers that each other customer must get through a flooded router.
+const SERVED: u32 = 5;
+/// Longest wait for them, and for anything else that must happen in the end.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(90);
+
+/// How a router is reached.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Route {
+    pub(crate) direct: SocketAddr,
+    pub(crate) proxied: SocketAddr,
+}
+
+/// What callers share.
+pub(crate) struct World {
+    pub(crate) seed: u64,
+    pub(crate) routes: Vec<Route>,
+    pub(crate) ledger: Ledger,
+    pub(crate) stop: AtomicBool,
+    pub(crate) names: AtomicU32,
+}
+
+impl World {
+    pub(crate) fn request(&self, who: &str, kind: Kind) -> Request {
+        let number = self.names.fetch_add(1, Ordering::Relaxed);
+        Request {
+            name: format!("{who}-{number}"),
+            sending: 0,
+            kind,
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+}
+
+/// A caller's connection, kept for as long as the other side keeps it.
+pub(crate) struct Client {
+    address: SocketAddr,
+    sender: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl Client {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Client {
+            address,
+            sender: None,
+        }
+    }
+
+    /// Sends a request; an answer with status 0 is none.
+    pub(crate) async fn call(
+        &mut self,
+        request: hyper::Request<Full<Bytes>>,
+        patience: Duration,
+    ) -> Answer {
+        let mut answer = Answer::default();
+        let called = tokio::time::timeout(patience, self.exchange(request, &mut answer));
+        if called.await.ok().flatten().is_none() {
+            // What is still to come on this connection belongs to nobody.
+            self.sender = None;
+        }
+        answer
+    }
+
+    /// Gives something only if the connection can be kept.
+    async fn exchange(
+        &mut self,
+        request: hyper::Request<Full<Bytes>>,
+        answer: &mut Answer,
+    ) -> Option<()> {
+        let mut sender = match self.sender.take() {
+            Some(sender) if !sender.is_closed() => sender,
+            _ => connect(self.address).await?,
+        };
+        sender.ready().await.ok()?;
+        let response = sender.send_request(request).await.ok()?;
+        let (head, mut body) = response.into_parts();
+        answer.status = head.status.as_u16();
+        answer.headers = head.headers;
+        let mut bytes = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                answer.body = bytes.into();
+                return None;
+            };
+            bytes.extend_from_slice(frame.data_ref().map_or(&[], |d| &d[..]));
+            answer.body = Bytes::copy_from_slice(&bytes);
+        }
+        answer.whole = true;
+        self.sender = Some(sender);
+        Some(())
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    // It ends with its sender, or with the connection.
+    tokio::spawn(connection);
+    Some(sender)
+}
+
+/// Builds a request.
+pub(crate) fn request(
+    method: &str,
+    path: &str,
+    key: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> hyper::Request<Full<Bytes>> {
+    let bearer = format!("Bearer {key}");
+    let mut builder = hyper::Request::builder().method(method).uri(path);
+    builder = builder
+        .header("host", "soak")
+        .header("authorization", bearer);
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    builder
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .unwrap()
+}
+
+/// Sends one request of a caller and judges its answer.
+pub(crate) async fn send(
+    world: &World,
+    client: &mut Client,
+    customer: &str,
+    sent: &Request,
+    pace: u32,
+    key: Option<&str>,
+) -> End {
+    let label = sent.label();
+    let pace = pace.to_string();
+    let (path, tokens) = match sent.kind {
+        Kind::Stream(tokens) => ("/assistant", tokens.to_string()),
+        Kind::Booking => ("/booking", "1".to_owned()),
+    };
+    let mut headers = vec![
+        ("stand-in-id", label.as_str()),
+        ("stand-in-pace", pace.as_str()),
+        ("stand-in-tokens", tokens.as_str()),
+    ];
+    headers.extend(key.map(|key| ("idempotency-key", key)));
+    let http = request("POST", path, customer, &headers, &sent.name);
+    let answer = client.call(http, CALLER).await;
+    world.ledger.judge(sent, &answer)
+}
+
+/// Starts the usual callers and the probes.
+pub(crate) fn start(world: &Arc<World>, tasks: &mut JoinSet<()>) {
+    for (place, customer) in ["alpha", "beta", "gamma"].into_iter().enumerate() {
+        for n in 0..USUAL {
+            let stream = world.seed * 1000 + place as u64 * USUAL + n;
+            tasks.spawn(caller(world.clone(), customer, stream));
+        }
+    }
+    for place in 0..world.routes.len() {
+        tasks.spawn(probe(world.clone(), place));
+    }
+}
+
+async fn caller(world: Arc<World>, customer: &'static str, stream: u64) {
+    let mut rng = Pcg64::seed_from_u64(stream);
+    let mut client = Client::new(address(&world, &mut rng));
+    while !world.is_over() {
+        let pace = rng.random_range(0..60);
+        let end = match rng.random_range(0..3) {
+            0 => {
+                let sent = world.request("stream", Kind::Stream(rng.random_range(1..40)));
+                send(&world, &mut client, customer, &sent, pace, None).await
+            }
+            1 => {
+                let sent = world.request("booking", Kind::Booking);
+                send(&world, &mut client, customer, &sent, pace * 10, None).await
+            }
+            _ => keyed(&world, &mut client, customer, &mut rng).await,
+        };
+        if end != End::Whole && rng.random_bool(0.5) {
+            client = Client::new(address(&world, &mut rng));
+        }
+        let pause = rng.random_range(5..60);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+fn address(world: &World, rng: &mut Pcg64) -> SocketAddr {
+    let route = world.routes[rng.random_range(0..world.routes.len())];
+    if rng.random_bool(0.6) {
+        route.proxied
+    } else {
+        route.direct
+    }
+}
+
+/// A booking with an idempotency key, sent again through any router until it is
+/// answered, and once more after that.
+async fn keyed(world: &World, client: &mut Client, customer: &str, rng: &mut Pcg64) -> End {
+    let mut sent = world.request("booking", Kind::Booking);
+    let key = sent.name.clone();
+    let pace = rng.random_range(0..600);
+    let mut last = send(world, client, customer, &sent, pace, Some(&key)).await;
+    for _ in 0..rng.random_range(1..5) {
+        let mut other = Client::new(address(world, rng));
+        sent.sending += 1;
+        let end = send(world, &mut other, customer, &sent, pace, Some(&key)).await;
+        if end == End::Whole && last == End::Whole {
+            break;
+        }
+        last = end;
+        let pause = rng.random_range(0..300);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+    last
+}
+
+/// Asks a router again and again which configuration is in force, and whether keys
+/// that were revoked are refused.
+async fn probe(world: Arc<World>, place: usize) {
+    let mut client = Client::new(world.routes[place].direct);
+    let mut newest = 0;
+    let mut turn = 0;
+    while !world.is_over() {
+        let answer = client
+            .call(request("GET", "/forbidden", "alpha", &[], ""), PROBE)
+            .await;
+        if let Some(marker) = marker(&answer) {
+            world.ledger.count("configuration seen");
+            if marker < newest {
+                let text = format!("router {place}: configuration {marker} after {newest}");
+                world.ledger.wrong(text);
+            }
+            newest = newest.max(marker);
+        }
+        let revoked = world.ledger.revoked(REVOCATION);
+        if !revoked.is_empty() {
+            turn += 1;
+            let revoked = &revoked[turn % revoked.len()];
+            refused(&world, &mut client, place, &revoked.key, revoked.at).await;
+        }
+        tokio::time::sleep(PROBES).await;
+    }
+}
+
+/// Sends a booking with a revoked key, which no endpoint may get to see.
+async fn refused(world: &World, client: &mut Client, place: usize, key: &str, at: Instant) {
+    let after = at.elapsed();
+    let label = world.request(REVOKED, Kind::Booking).label();
+    let headers = [("stand-in-id", label.as_str())];
+    let answer = client
+        .call(request("POST", "/booking", key, &headers, ""), PROBE)
+        .await;
+    match answer.status {
+        401 => world.ledger.count("revoked key refused"),
+        0 | 503 => {}
+        status => {
+            let text = format!("router {place}: {key} got {status}, {after:?} after revocation");
+            world.ledger.wrong(text);
+        }
+    }
+}
+
+/// Number of the configuration by which a router has refused; 0 before the first.
+pub(crate) fn marker(answer: &Answer) -> Option<u64> {
+    if answer.status != 403 || !answer.whole {
+        return None;
+    }
+    let text = answer.text();
+    let Some((_, rest)) = text.split_once("marker ") else {
+        return Some(0);
+    };
+    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok()
+}
+
+/// Floods a router until each other customer has been served beside the flood.
+pub(crate) async fn flood(world: Arc<World>, place: usize) {
+    let over = Arc::new(AtomicBool::new(false));
+    let mut tasks = JoinSet::new();
+    for _ in 0..FLOOD {
+        let (world, over) = (world.clone(), over.clone());
+        tasks.spawn(async move {
+            let mut client = Client::new(world.routes[place].direct);
+            while !over.load(Ordering::Relaxed) {
+                let sent = world.request("flood", Kind::Stream(5));
+                if send(&world, &mut client, "gamma", &sent, 5, None).await != End::Whole {
+                    // A router that is gone must not be asked in a busy loop.
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        });
+    }
+    let served = tokio::join!(
+        beside(&world, place, "alpha"),
+        beside(&world, place, "beta")
+    );
+    over.store(true, Ordering::Relaxed);
+    tasks.join_all().await;
+    if served != (true, true) {
+        let text = format!("router {place}: alpha, beta served beside a flood: {served:?}");
+        world.ledger.wrong(text);
+    }
+}
+
+async fn beside(world: &World, place: usize, customer: &str) -> bool {
+    let mut client = Client::new(world.routes[place].direct);
+    let began = Instant::now();
+    let mut served = 0;
+    while served < SERVED && began.elapsed() < PATIENCE {
+        let sent = world.request("beside", Kind::Stream(5));
+        match send(world, &mut client, customer, &sent, 5, None).await {
+            End::Whole => served += 1,
+            _ => tokio::time::sleep(Duration::from_millis(50)).await,
+        }
+    }
+    served >= SERVED
+}
--- /dev/null
+++ b/tests/soak/run.rs
@@ -0,0 +1,424 @@
+//! One run: a fleet of real processes, its callers, and the faults of one seed.
+
+use super::callers::{self, request, Client, Route, World, PATIENCE, REVOCATION};
+use super::check::{End, Kind, Ledger};
+use super::harness::{Fleet, Plan};
+use super::operator::{InForce, Operator, Order};
+use super::proxy::{Mode, Proxy};
+use super::schedule::{schedule, Act, Step, Target, CONTROL, PROXIED, PROXIES, ROUTERS, STAND_INS};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::{JoinHandle, JoinSet};
+
+/// Time between two looks at something that must come true.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// What came of a run.
+pub(crate) struct Report {
+    /// Faults by kind, answers by their end, and what else was counted.
+    pub(crate) counts: BTreeMap<&'static str, u64>,
+    /// Promises that were broken.
+    pub(crate) wrong: Vec<String>,
+    /// Where the logs are kept, if any was.
+    pub(crate) folder: PathBuf,
+}
+
+struct Run {
+    fleet: Fleet,
+    runtime: Runtime,
+    world: Arc<World>,
+    proxies: Vec<Proxy>,
+    operator: JoinHandle<InForce>,
+    orders: UnboundedSender<Order>,
+    callers: JoinSet<()>,
+    floods: JoinSet<()>,
+    /// VMs that were sent SIGTERM in their present life.
+    terminated: [bool; CONTROL + ROUTERS],
+    /// VMs that start again as soon as they have ended.
+    returning: [bool; CONTROL + ROUTERS],
+    counts: BTreeMap<&'static str, u64>,
+}
+
+/// Runs a seed's schedule and gives what came of it.
+pub(crate) fn run(seed: u64, length: Duration) -> Report {
+    let mut run = Run::start(seed);
+    let began = Instant::now();
+    for step in schedule(seed, length) {
+        run.wait(step, began);
+        run.act(step.act);
+    }
+    run.heal();
+    run.check_served();
+    run.finish()
+}
+
+impl Run {
+    fn start(seed: u64) -> Self {
+        let fleet = Fleet::start(Plan {
+            control: CONTROL,
+            routers: ROUTERS,
+            models: 2,
+            plains: 2,
+            settings: format!("[router]\nrevocation = {}s", REVOCATION.as_secs()),
+            ..Plan::default()
+        });
+        assert_eq!(fleet.stand_ins.len(), STAND_INS);
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
+        let routers = fleet.vms.iter().filter_map(|v| v.callers);
+        let endpoints = PROXIED.iter().map(|n| fleet.stand_ins[*n].address);
+        let targets: Vec<_> = routers.chain(endpoints).collect();
+        assert_eq!(targets.len(), PROXIES);
+        let proxies: Vec<Proxy> = runtime.block_on(async {
+            let mut proxies = Vec::new();
+            for target in &targets {
+                proxies.push(Proxy::start(*target).await);
+            }
+            proxies
+        });
+        let routes = (targets.iter().zip(&proxies))
+            .take(ROUTERS)
+            .map(|(direct, proxy)| Route {
+                direct: *direct,
+                proxied: proxy.address,
+            });
+        let world = Arc::new(World {
+            seed,
+            routes: routes.collect(),
+            ledger: Ledger::default(),
+            stop: AtomicBool::new(false),
+            names: AtomicU32::new(0),
+        });
+        let mut operator = Operator {
+            world: world.clone(),
+            vms: fleet.vms.iter().map(|v| v.operators).collect(),
+            text: text(&fleet, &proxies),
+            in_force: InForce {
+                guest: "guest-0".to_owned(),
+                ..InForce::default()
+            },
+            keys: 0,
+            ids: 0,
+            turn: 0,
+        };
+        let (orders, received) = tokio::sync::mpsc::unbounded_channel();
+        runtime.block_on(operator.change());
+        fleet.wait_version(operator.in_force.version);
+        let operator = runtime.spawn(operator.run(received));
+        let mut callers = JoinSet::new();
+        {
+            let _inside = runtime.enter();
+            callers::start(&world, &mut callers);
+        }
+        Run {
+            fleet,
+            runtime,
+            world,
+            proxies,
+            operator,
+            orders,
+            callers,
+            floods: JoinSet::new(),
+            terminated: [false; CONTROL + ROUTERS],
+            returning: [false; CONTROL + ROUTERS],
+            counts: BTreeMap::new(),
+        }
+    }
+
+    /// Waits for a step's moment.
+    fn wait(&mut self, step: Step, began: Instant) {
+        loop {
+            self.reap();
+            let left = step.at.saturating_sub(began.elapsed());
+            if left.is_zero() {
+                return;
+            }
+            std::thread::sleep(left.min(LOOK));
+        }
+    }
+
+    /// Notes processes that have ended: with 0 after SIGTERM, or else wrongly.
+    fn reap(&mut self) {
+        for (place, vm) in self.fleet.vms.iter_mut().enumerate() {
+            let Some(status) = vm.ended() else { continue };
+            let asked = std::mem::replace(&mut self.terminated[place], false);
+            if !asked || !status.success() {
+                let text = format!("{} ended with {status}, asked to: {asked}", vm.name);
+                self.world.ledger.wrong(text);
+            }
+            if std::mem::replace(&mut self.returning[place], false) {
+                vm.start();
+            }
+        }
+    }
+
+    fn act(&mut self, act: Act) {
+        if let Some(kind) = act.kind() {
+            *self.counts.entry(kind).or_default() += 1;
+        }
+        let name = |place: usize| self.fleet.stand_ins[place].name.clone();
+        match act {
+            Act::Line(place, mode) => self.proxies[place].set(mode),
+            Act::Pause(target) => self.signal(target, "-STOP"),
+            Act::Resume(target) => self.signal(target, "-CONT"),
+            Act::Kill(target) => self.kill(target),
+            Act::Terminate(target) => self.terminate(target),
+            Act::Start(target) => self.start_again(target),
+            Act::Change => self.order(Order::Change),
+            Act::Revoke => self.order(Order::Revoke),
+            Act::Withdraw(place) => self.order(Order::Withdraw(name(place))),
+            Act::Return(place) => self.order(Order::Return(name(place))),
+            Act::Flood(place) => {
+                let flood = callers::flood(self.world.clone(), place);
+                self.floods.spawn_on(flood, self.runtime.handle());
+            }
+        }
+    }
+
+    fn order(&self, order: Order) {
+        self.orders.send(order).unwrap();
+    }
+
+    /// Sends a signal; to a process that is down it does nothing.
+    fn signal(&self, target: Target, signal: &str) {
+        match target {
+            Target::Vm(place) if self.fleet.vms[place].is_live() => {
+                self.fleet.vms[place].signal(signal);
+            }
+            Target::StandIn(place) if self.fleet.stand_ins[place].is_live() => {
+                self.fleet.stand_ins[place].signal(signal);
+            }
+            Target::Vm(_) | Target::StandIn(_) => {}
+        }
+    }
+
+    fn kill(&mut self, target: Target) {
+        match target {
+            Target::Vm(place) => {
+                self.fleet.vms[place].kill();
+                self.terminated[place] = false;
+            }
+            Target::StandIn(place) => self.fleet.stand_ins[place].kill(),
+        }
+    }
+
+    fn terminate(&mut self, target: Target) {
+        self.signal(target, "-TERM");
+        if let Target::Vm(place) = target {
+            self.terminated[place] |= self.fleet.vms[place].is_live();
+        }
+    }
+
+    /// Starts a process that is down, or lets one that is ending return.
+    fn start_again(&mut self, target: Target) {
+        match target {
+            Target::Vm(place) if !self.fleet.vms[place].is_live() => {
+                self.fleet.vms[place].start();
+            }
+            Target::StandIn(place) => {
+                let stand_in = &mut self.fleet.stand_ins[place];
+                stand_in.reap();
+                if !stand_in.is_live() {
+                    stand_in.start();
+                }
+            }
+            Target::Vm(place) => self.returning[place] = self.terminated[place],
+        }
+    }
+
+    /// Ends all faults.
+    fn heal(&mut self) {
+        for proxy in &self.proxies {
+            proxy.set(Mode::Pass);
+        }
+        for place in 0..STAND_INS {
+            self.signal(Target::StandIn(place), "-CONT");
+            // It may just be ending.
+            self.kill(Target::StandIn(place));
+            self.start_again(Target::StandIn(place));
+            self.order(Order::Return(self.fleet.stand_ins[place].name.clone()));
+        }
+        for place in 0..CONTROL + ROUTERS {
+            self.signal(Target::Vm(place), "-CONT");
+        }
+        let ended = self.eventually(|run| {
+            run.reap();
+            !run.terminated.contains(&true)
+        });
+        if !ended {
+            let text = format!("a planned stop never ended: {:?}", self.terminated);
+            self.world.ledger.wrong(text);
+        }
+        for place in 0..CONTROL + ROUTERS {
+            self.start_again(Target::Vm(place));
+        }
+        let ready = self.eventually(|run| {
+            run.reap();
+            run.fleet.vms.iter().all(|vm| vm.is_ready())
+        });
+        if !ready {
+            self.world.ledger.wrong("some VM is never ready again");
+        }
+    }
+
+    fn eventually<F>(&mut self, mut holds: F) -> bool
+    where
+        F: FnMut(&mut Self) -> bool,
+    {
+        let began = Instant::now();
+        while began.elapsed() < PATIENCE {
+            if holds(self) {
+                return true;
+            }
+            std::thread::sleep(LOOK);
+        }
+        false
+    }
+
+    /// Checks that everything is served again, over each way to each router.
+    fn check_served(&self) {
+        let world = &self.world;
+        for route in &world.routes {
+            for address in [route.direct, route.proxied] {
+                for customer in ["alpha", "beta", "gamma"] {
+                    for kind in [Kind::Stream(3), Kind::Booking] {
+                        if !self
+                            .runtime
+                            .block_on(served(world, address, customer, kind))
+                        {
+                            let text = format!("{customer} never gets {kind:?} from {route:?}");
+                            world.ledger.wrong(text);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Ends callers and operator, and checks what is left.
+    fn finish(mut self) -> Report {
+        while self.runtime.block_on(self.floods.join_next()).is_some() {}
+        self.world.stop.store(true, Ordering::Relaxed);
+        while let Some(ended) = self.runtime.block_on(self.callers.join_next()) {
+            ended.unwrap();
+        }
+        // The operator ends when nobody can give it orders.
+        let (nobody, _) = tokio::sync::mpsc::unbounded_channel();
+        self.orders = nobody;
+        let in_force = self.runtime.block_on(&mut self.operator).unwrap();
+        self.check_in_force(&in_force);
+        self.check_idle();
+        self.check_logs();
+        self.reap();
+        let records: Vec<String> = (self.fleet.stand_ins.iter())
+            .flat_map(|s| s.recorded())
+            .collect();
+        let (seen, wrong) = self.world.ledger.close(&records);
+        self.counts.extend(seen);
+        if !wrong.is_empty() {
+            self.fleet.folder.disable_cleanup(true);
+        }
+        Report {
+            counts: self.counts,
+            wrong,
+            folder: self.fleet.folder.path().to_owned(),
+        }
+    }
+
+    /// Checks that the last accepted configuration is in force on every router.
+    fn check_in_force(&mut self, in_force: &InForce) {
+        for place in 0..ROUTERS {
+            let mut last = None;
+            let mut guest = 0;
+            let held = self.eventually(|run| {
+                let direct = run.world.routes[place].direct;
+                let ask = |path: &str, key: &str| {
+                    let mut client = Client::new(direct);
+                    let http = request("POST", path, key, &[], "");
+                    run.runtime.block_on(client.call(http, PATIENCE))
+                };
+                last = callers::marker(&ask("/forbidden", "alpha"));
+                // Probes of revoked keys mean something only if a key in force is known.
+                guest = ask("/booking", &in_force.guest).status;
+                last >= Some(in_force.marker) && guest == 200
+            });
+            if !held || last > Some(in_force.marker) {
+                let text = format!("router {place}: {last:?}, guest {guest}, not {in_force:?}");
+                self.world.ledger.wrong(text);
+            }
+        }
+    }
+
+    /// Checks that no request is left on a router once no caller is.
+    fn check_idle(&mut self) {
+        for place in CONTROL..CONTROL + ROUTERS {
+            let mut last = None;
+            let idle = self.eventually(|run| {
+                last = run.fleet.vms[place].status();
+                let idle = |s: &serde_json::Value| {
+                    let waiting = s["waiting"].as_object();
+                    s["held"] == 0
+                        && waiting.is_some_and(|w| w.values().all(|n| n == 0))
+                        && s["local"].as_array().is_some_and(Vec::is_empty)
+                };
+                last.as_ref().is_some_and(idle)
+            });
+            if !idle {
+                let text = format!("{} is never idle: {last:?}", self.fleet.vms[place].name);
+                self.world.ledger.wrong(text);
+            }
+        }
+    }
+
+    fn check_logs(&self) {
+        for vm in &self.fleet.vms {
+            if let Some(line) = vm.log().lines().find(|l| l.contains("panicked")) {
+                let text = format!("{}: {line}", vm.name);
+                self.world.ledger.wrong(text);
+            }
+        }
+    }
+}
+
+async fn served(world: &World, address: std::net::SocketAddr, customer: &str, kind: Kind) -> bool {
+    let began = Instant::now();
+    let mut client = Client::new(address);
+    while began.elapsed() < PATIENCE {
+        let sent = world.request(
+            if kind == Kind::Booking {
+                "booking"
+            } else {
+                "last"
+            },
+            kind,
+        );
+        if callers::send(world, &mut client, customer, &sent, 5, None).await == End::Whole {
+            return true;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    false
+}
+
+/// The configuration, with the proxies' addresses and short timeouts.
+fn text(fleet: &Fleet, proxies: &[Proxy]) -> String {
+    let mut text = fleet.configuration();
+    for (place, proxy) in PROXIED.iter().zip(&proxies[ROUTERS..]) {
+        let direct = format!("address = {}\n", fleet.stand_ins[*place].address);
+        text = text.replace(&direct, &format!("address = {}\n", proxy.address));
+    }
+    // A silent endpoint must cost a caller less than its patience.
+    text.replace("cost = event\n", "cost = event\ntimeout = 6s\n")
+        .replace(
+            "[service booking]\ncost = request\n",
+            "[service booking]\ncost = request\ntimeout = 6s\n",
+        )
+}
--- /dev/null
+++ b/tests/soak/schedule.rs
@@ -0,0 +1,186 @@
+//! The schedule of faults: a seed gives the same faults at the same moments.
+
+use super::proxy::Mode;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use std::time::Duration;
+
+/// Control VMs; they come first among the VMs.
+pub(crate) const CONTROL: usize = 3;
+/// Routers, behind them.
+pub(crate) const ROUTERS: usize = 3;
+/// Stand-ins: two model engines, then two plain services.
+pub(crate) const STAND_INS: usize = 4;
+/// Stand-ins that the routers reach through a proxy: the first of each service. The
+/// others are reached directly, so that a killed one refuses the connection.
+pub(crate) const PROXIED: [usize; 2] = [0, 2];
+/// Proxies: one before each router, then one before each stand-in of `PROXIED`.
+pub(crate) const PROXIES: usize = ROUTERS + PROXIED.len();
+
+/// Milliseconds between the beginnings of two faults, or series of faults. Far less
+/// than they last, so that they overlap.
+const BETWEEN_MS: std::ops::Range<u64> = 50..700;
+/// Milliseconds that a fault lasts.
+const LENGTH_MS: std::ops::Range<u64> = 200..4000;
+/// Milliseconds between the faults of a series.
+const SERIES_MS: std::ops::Range<u64> = 50..900;
+/// How often a fault comes as a series.
+const SERIES: f64 = 0.25;
+/// Most faults of a series.
+const SERIES_MAX: u64 = 4;
+
+/// A process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Target {
+    Vm(usize),
+    StandIn(usize),
+}
+
+/// What is done to the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Act {
+    /// Sets what a proxy does.
+    Line(usize, Mode),
+    /// SIGSTOP.
+    Pause(Target),
+    /// SIGCONT.
+    Resume(Target),
+    /// SIGKILL.
+    Kill(Target),
+    /// SIGTERM: a planned stop.
+    Terminate(Target),
+    /// Starts a process that is down.
+    Start(Target),
+    /// Applies another configuration.
+    Change,
+    /// The same, with another key for the customer whose keys are revoked.
+    Revoke,
+    /// Announces that an endpoint stops.
+    Withdraw(usize),
+    /// Takes that back.
+    Return(usize),
+    /// One customer sends many times its usual through a router.
+    Flood(usize),
+}
+
+impl Act {
+    /// Name under which faults are counted; none for what ends a fault.
+    pub(crate) fn kind(self) -> Option<&'static str> {
+        Some(match self {
+            Act::Line(_, Mode::Delay(_)) => "delay",
+            Act::Line(_, Mode::Silence) => "silence",
+            Act::Line(_, Mode::CutUp) => "cut-up",
+            Act::Line(_, Mode::CutDown) => "cut-down",
+            Act::Line(_, Mode::Reset) => "reset",
+            Act::Pause(Target::Vm(_)) => "pause-vm",
+            Act::Pause(Target::StandIn(_)) => "pause-stand-in",
+            Act::Kill(Target::Vm(_)) => "kill-vm",
+            Act::Kill(Target::StandIn(_)) => "kill-stand-in",
+            Act::Terminate(Target::Vm(_)) => "terminate-vm",
+            Act::Terminate(Target::StandIn(_)) => "terminate-stand-in",
+            Act::Change => "change",
+            Act::Revoke => "revoke",
+            Act::Withdraw(_) => "withdraw-endpoint",
+            Act::Flood(_) => "flood",
+            Act::Line(_, Mode::Pass) | Act::Resume(_) | Act::Start(_) | Act::Return(_) => {
+                return None
+            }
+        })
+    }
+}
+
+/// An act and its moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Step {
+    pub(crate) at: Duration,
+    pub(crate) act: Act,
+}
+
+/// Makes the schedule of a seed. What is still on at its end is ended by the runner.
+pub(crate) fn schedule(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let mut steps = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < length {
+        let (begin, end) = fault(&mut rng);
+        let mut moment = at;
+        for _ in 0..repeats(&mut rng) {
+            let lasts = millis(&mut rng, LENGTH_MS);
+            steps.push(Step {
+                at: moment,
+                act: begin,
+            });
+            steps.extend(end.map(|act| Step {
+                at: moment + lasts,
+                act,
+            }));
+            moment += millis(&mut rng, SERIES_MS);
+        }
+        at += millis(&mut rng, BETWEEN_MS);
+    }
+    steps.retain(|s| s.at < length);
+    steps.sort_by_key(|s| s.at);
+    steps
+}
+
+fn repeats(rng: &mut Pcg64) -> u64 {
+    if rng.random_bool(SERIES) {
+        rng.random_range(2..=SERIES_MAX)
+    } else {
+        1
+    }
+}
+
+fn millis(rng: &mut Pcg64, range: std::ops::Range<u64>) -> Duration {
+    Duration::from_millis(rng.random_range(range))
+}
+
+/// One fault: how it begins, and what ends it.
+fn fault(rng: &mut Pcg64) -> (Act, Option<Act>) {
+    match rng.random_range(0..100) {
+        0..32 => {
+            let place = rng.random_range(0..PROXIES);
+            (
+                Act::Line(place, mode(rng)),
+                Some(Act::Line(place, Mode::Pass)),
+            )
+        }
+        32..48 => {
+            let target = target(rng);
+            (Act::Pause(target), Some(Act::Resume(target)))
+        }
+        48..62 => {
+            let target = target(rng);
+            (Act::Kill(target), Some(Act::Start(target)))
+        }
+        62..76 => {
+            let target = target(rng);
+            (Act::Terminate(target), Some(Act::Start(target)))
+        }
+        76..84 => (Act::Change, None),
+        84..90 => (Act::Revoke, None),
+        90..96 => {
+            let place = rng.random_range(0..STAND_INS);
+            (Act::Withdraw(place), Some(Act::Return(place)))
+        }
+        _ => (Act::Flood(rng.random_range(0..ROUTERS)), None),
+    }
+}
+
+fn mode(rng: &mut Pcg64) -> Mode {
+    match rng.random_range(0..5) {
+        0 => Mode::Delay(millis(rng, 5..300)),
+        1 => Mode::Silence,
+        2 => Mode::CutUp,
+        3 => Mode::CutDown,
+        _ => Mode::Reset,
+    }
+}
+
+fn target(rng: &mut Pcg64) -> Target {
+    if rng.random_bool(0.7) {
+        Target::Vm(rng.random_range(0..CONTROL + ROUTERS))
+    } else {
+        Target::StandIn(rng.random_range(0..STAND_INS))
+    }
+}
