--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -30,6 +30,8 @@
 const FLOOD: u64 = 80;
 /// Answers that each other customer must get through a flooded router.
 const SERVED: u32 = 5;
+/// Events of a stream of a flood, or beside one; no endpoint fails these.
+const BESIDE: u32 = 5;
 /// Longest wait for them, and for anything else that must happen in the end.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(90);
 
@@ -162,6 +164,7 @@
     key: Option<&str>,
 ) -> End {
     let label = sent.label();
+    let fault = fault(sent);
     let pace = pace.to_string();
     let (path, tokens) = match sent.kind {
         Kind::Stream(tokens) => ("/assistant", tokens.to_string()),
@@ -171,6 +174,7 @@
         ("stand-in-id", label.as_str()),
         ("stand-in-pace", pace.as_str()),
         ("stand-in-tokens", tokens.as_str()),
+        ("stand-in-fault", fault),
     ];
     headers.extend(key.map(|key| ("idempotency-key", key)));
     let http = request("POST", path, customer, &headers, &sent.name);
@@ -178,6 +182,19 @@
     world.ledger.judge(sent, &answer)
 }
 
+/// How the endpoint misbehaves with a request: most often not at all.
+fn fault(sent: &Request) -> &'static str {
+    if sent.kind == Kind::Stream(BESIDE) {
+        return "";
+    }
+    match sent.label().bytes().map(u32::from).sum::<u32>() % 40 {
+        0 => "cut",
+        1 => "silence",
+        2 => "swap",
+        _ => "",
+    }
+}
+
 /// Starts the usual callers and the probes.
 pub(crate) fn start(world: &Arc<World>, tasks: &mut JoinSet<()>) {
     for (place, customer) in ["alpha", "beta", "gamma"].into_iter().enumerate() {
@@ -313,7 +330,7 @@
         tasks.spawn(async move {
             let mut client = Client::new(world.routes[place].direct);
             while !over.load(Ordering::Relaxed) {
-                let sent = world.request("flood", Kind::Stream(5));
+                let sent = world.request("flood", Kind::Stream(BESIDE));
                 if send(&world, &mut client, "gamma", &sent, 5, None).await != End::Whole {
                     // A router that is gone must not be asked in a busy loop.
                     tokio::time::sleep(Duration::from_millis(50)).await;
@@ -338,7 +355,7 @@
     let began = Instant::now();
     let mut served = 0;
     while served < SERVED && began.elapsed() < PATIENCE {
-        let sent = world.request("beside", Kind::Stream(5));
+        let sent = world.request("beside", Kind::Stream(BESIDE));
         match send(world, &mut client, customer, &sent, 5, None).await {
             End::Whole => served += 1,
             _ => tokio::time::sleep(Duration::from_millis(50)).await,
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -2,11 +2,14 @@
 
 use super::callers::{self, request, Client, Route, World, PATIENCE, REVOCATION};
 use super::check::{End, Kind, Ledger};
-use super::harness::{Fleet, Plan};
+use super::harness::{Fleet, Plan, OPERATOR};
 use super::operator::{InForce, Operator, Order};
 use super::proxy::{Mode, Proxy};
-use super::schedule::{schedule, Act, Step, Target, CONTROL, PROXIED, PROXIES, ROUTERS, STAND_INS};
+use super::schedule::{
+    schedule, Act, Step, Target, CONTROL, PROXIED, PROXIES, ROUTERS, STAND_INS, VMS,
+};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
@@ -17,6 +20,10 @@
 
 /// Time between two looks at something that must come true.
 const LOOK: Duration = Duration::from_millis(50);
+/// Longest wait for a fault hook.
+const HOOK: Duration = Duration::from_secs(3);
+/// Path that joins all links of a VM.
+const JOIN: &str = "/fault/cut";
 
 /// What came of a run.
 pub(crate) struct Report {
@@ -38,9 +45,9 @@
     callers: JoinSet<()>,
     floods: JoinSet<()>,
     /// VMs that were sent SIGTERM in their present life.
-    terminated: [bool; CONTROL + ROUTERS],
+    terminated: [bool; VMS],
     /// VMs that start again as soon as they have ended.
-    returning: [bool; CONTROL + ROUTERS],
+    returning: [bool; VMS],
     counts: BTreeMap<&'static str, u64>,
 }
 
@@ -127,8 +134,8 @@
             orders,
             callers,
             floods: JoinSet::new(),
-            terminated: [false; CONTROL + ROUTERS],
-            returning: [false; CONTROL + ROUTERS],
+            terminated: [false; VMS],
+            returning: [false; VMS],
             counts: BTreeMap::new(),
         }
     }
@@ -172,6 +179,13 @@
             Act::Kill(target) => self.kill(target),
             Act::Terminate(target) => self.terminate(target),
             Act::Start(target) => self.start_again(target),
+            Act::Cut(vm, peer) => self.hook(vm, &self.cut_path(peer)),
+            Act::Join(vm) => self.hook(vm, JOIN),
+            Act::Suspend(vm, ms) => self.hook(vm, &format!("/fault/suspend?ms={ms}")),
+            Act::Wipe(place) => {
+                self.kill(Target::Vm(place));
+                self.fleet.vms[place].wipe();
+            }
             Act::Change => self.order(Order::Change),
             Act::Revoke => self.order(Order::Revoke),
             Act::Withdraw(place) => self.order(Order::Withdraw(name(place))),
@@ -183,6 +197,31 @@
         }
     }
 
+    fn cut_path(&self, peer: usize) -> String {
+        let name = &self.fleet.vms[peer].name;
+        format!("/fault/cut?silent=yes&peers={name}")
+    }
+
+    /// Asks a VM to disturb itself. One that is down or paused may not hear of it.
+    fn hook(&self, vm: usize, path: &str) {
+        let asked = hooked(self.fleet.vms[vm].operators, path.to_owned());
+        self.runtime.spawn(asked);
+    }
+
+    /// Joins all links again.
+    fn join_links(&mut self) {
+        let joined = self.eventually(|run| {
+            let all = run.fleet.vms.iter().map(|v| v.operators);
+            let asked = all.map(|vm| run.runtime.block_on(hooked(vm, JOIN.to_owned())));
+            asked.filter(|joined| !joined).count() == 0
+        });
+        if !joined {
+            self.world
+                .ledger
+                .wrong("some VM does not hear its operator");
+        }
+    }
+
     fn order(&self, order: Order) {
         self.orders.send(order).unwrap();
     }
@@ -246,7 +285,7 @@
             self.start_again(Target::StandIn(place));
             self.order(Order::Return(self.fleet.stand_ins[place].name.clone()));
         }
-        for place in 0..CONTROL + ROUTERS {
+        for place in 0..VMS {
             self.signal(Target::Vm(place), "-CONT");
         }
         let ended = self.eventually(|run| {
@@ -257,9 +296,10 @@
             let text = format!("a planned stop never ended: {:?}", self.terminated);
             self.world.ledger.wrong(text);
         }
-        for place in 0..CONTROL + ROUTERS {
+        for place in 0..VMS {
             self.start_again(Target::Vm(place));
         }
+        self.join_links();
         let ready = self.eventually(|run| {
             run.reap();
             run.fleet.vms.iter().all(|vm| vm.is_ready())
@@ -267,6 +307,8 @@
         if !ready {
             self.world.ledger.wrong("some VM is never ready again");
         }
+        // A VM that was paused may have read an order to cut only after the first time.
+        self.join_links();
     }
 
     fn eventually<F>(&mut self, mut holds: F) -> bool
@@ -359,7 +401,7 @@
 
     /// Checks that no request is left on a router once no caller is.
     fn check_idle(&mut self) {
-        for place in CONTROL..CONTROL + ROUTERS {
+        for place in CONTROL..VMS {
             let mut last = None;
             let idle = self.eventually(|run| {
                 last = run.fleet.vms[place].status();
@@ -388,7 +430,14 @@
     }
 }
 
-async fn served(world: &World, address: std::net::SocketAddr, customer: &str, kind: Kind) -> bool {
+/// Asks a VM's fault hook for something; gives whether it did it.
+async fn hooked(operators: SocketAddr, path: String) -> bool {
+    let mut client = Client::new(operators);
+    let http = request("POST", &path, OPERATOR, &[], "");
+    client.call(http, HOOK).await.status == 200
+}
+
+async fn served(world: &World, address: SocketAddr, customer: &str, kind: Kind) -> bool {
     let began = Instant::now();
     let mut client = Client::new(address);
     while began.elapsed() < PATIENCE {
--- a/tests/soak/schedule.rs
+++ b/tests/soak/schedule.rs
@@ -9,6 +9,8 @@
 pub(crate) const CONTROL: usize = 3;
 /// Routers, behind them.
 pub(crate) const ROUTERS: usize = 3;
+/// All VMs.
+pub(crate) const VMS: usize = CONTROL + ROUTERS;
 /// Stand-ins: two model engines, then two plain services.
 pub(crate) const STAND_INS: usize = 4;
 /// Stand-ins that the routers reach through a proxy: the first of each service. The
@@ -22,6 +24,9 @@
 const BETWEEN_MS: std::ops::Range<u64> = 50..700;
 /// Milliseconds that a fault lasts.
 const LENGTH_MS: std::ops::Range<u64> = 200..4000;
+/// Milliseconds by which a clock moves on: less and more than a lease, an epoch and
+/// the time for a revocation.
+const SUSPEND_MS: std::ops::Range<u64> = 300..9000;
 /// Milliseconds between the faults of a series.
 const SERIES_MS: std::ops::Range<u64> = 50..900;
 /// How often a fault comes as a series.
@@ -51,6 +56,14 @@
     Terminate(Target),
     /// Starts a process that is down.
     Start(Target),
+    /// Cuts the link between two VMs, in silence, on the side of the first.
+    Cut(usize, usize),
+    /// Joins all links of a VM.
+    Join(usize),
+    /// Moves a VM's clock on by so many milliseconds, as a suspension does.
+    Suspend(usize, u64),
+    /// Kills a control VM and removes its disk.
+    Wipe(usize),
     /// Applies another configuration.
     Change,
     /// The same, with another key for the customer whose keys are revoked.
@@ -78,13 +91,18 @@
             Act::Kill(Target::StandIn(_)) => "kill-stand-in",
             Act::Terminate(Target::Vm(_)) => "terminate-vm",
             Act::Terminate(Target::StandIn(_)) => "terminate-stand-in",
+            Act::Cut(..) => "cut-link",
+            Act::Suspend(..) => "suspend-clock",
+            Act::Wipe(_) => "wipe-disk",
             Act::Change => "change",
             Act::Revoke => "revoke",
             Act::Withdraw(_) => "withdraw-endpoint",
             Act::Flood(_) => "flood",
-            Act::Line(_, Mode::Pass) | Act::Resume(_) | Act::Start(_) | Act::Return(_) => {
-                return None
-            }
+            Act::Line(_, Mode::Pass)
+            | Act::Resume(_)
+            | Act::Start(_)
+            | Act::Join(_)
+            | Act::Return(_) => return None,
         })
     }
 }
@@ -118,6 +136,7 @@
         }
         at += millis(&mut rng, BETWEEN_MS);
     }
+    wipe(&mut rng, &mut steps, length);
     steps.retain(|s| s.at < length);
     steps.sort_by_key(|s| s.at);
     steps
@@ -135,17 +154,43 @@
     Duration::from_millis(rng.random_range(range))
 }
 
+/// Adds the loss of one disk. More would be a majority of the disks, if the repair of
+/// the first had not ended, and to lose that is to lose what was accepted.
+fn wipe(rng: &mut Pcg64, steps: &mut Vec<Step>, length: Duration) {
+    let place = rng.random_range(0..CONTROL);
+    let at = length.mul_f64(rng.random_range(0.1..0.9));
+    let back = at + millis(rng, LENGTH_MS);
+    let start = Act::Start(Target::Vm(place));
+    steps.push(Step {
+        at,
+        act: Act::Wipe(place),
+    });
+    steps.push(Step {
+        at: back,
+        act: start,
+    });
+}
+
 /// One fault: how it begins, and what ends it.
 fn fault(rng: &mut Pcg64) -> (Act, Option<Act>) {
     match rng.random_range(0..100) {
-        0..32 => {
+        0..24 => {
             let place = rng.random_range(0..PROXIES);
             (
                 Act::Line(place, mode(rng)),
                 Some(Act::Line(place, Mode::Pass)),
             )
         }
-        32..48 => {
+        24..32 => {
+            let vm = rng.random_range(0..VMS);
+            let peer = (vm + rng.random_range(1..VMS)) % VMS;
+            (Act::Cut(vm, peer), Some(Act::Join(vm)))
+        }
+        32..36 => {
+            let vm = rng.random_range(0..VMS);
+            (Act::Suspend(vm, rng.random_range(SUSPEND_MS)), None)
+        }
+        36..48 => {
             let target = target(rng);
             (Act::Pause(target), Some(Act::Resume(target)))
         }
@@ -179,7 +224,7 @@
 
 fn target(rng: &mut Pcg64) -> Target {
     if rng.random_bool(0.7) {
-        Target::Vm(rng.random_range(0..CONTROL + ROUTERS))
+        Target::Vm(rng.random_range(0..VMS))
     } else {
         Target::StandIn(rng.random_range(0..STAND_INS))
     }
