--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -13,12 +13,12 @@
 /// Longest wait of a caller for its answer; then it leaves. More than the timeout of
 /// the services, so that a router has the time to tell.
 const CALLER: Duration = Duration::from_secs(15);
-/// Longest wait of a probe.
-const PROBE: Duration = Duration::from_secs(3);
+/// Longest wait of a probe, and for an answer of an operators' page.
+pub(crate) const PROBE: Duration = Duration::from_secs(3);
 /// Time between two probes of a router.
 const PROBES: Duration = Duration::from_millis(100);
 /// Time in which a revoked key must be refused everywhere, as the settings say.
-pub(crate) const REVOCATION: Duration = Duration::from_secs(4);
+pub(crate) const REVOCATION: Duration = Duration::from_secs(2);
 /// Callers of each customer; they share the routers.
 const USUAL: u64 = 4;
 /// Connections of the customer that floods: many times its usual.
--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -1,7 +1,7 @@
 //! An operator that changes the configuration while faults go on, one change after
 //! the other, each sent until its outcome is known.
 
-use super::callers::{World, PATIENCE};
+use super::callers::{World, PATIENCE, PROBE};
 use super::harness::http::{request, Answer, Client};
 use super::harness::OPERATOR;
 use state::secret::Hash;
@@ -10,8 +10,6 @@
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::UnboundedReceiver;
 
-/// Longest wait for one answer.
-const ANSWER: Duration = Duration::from_secs(4);
 /// Time between two tries.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -96,7 +94,7 @@
             self.sent += 1;
             let mut client = Client::new(self.vms[self.sent % self.vms.len()]);
             let http = request(method, path, OPERATOR, &[], body);
-            let answer = client.call(http, ANSWER).await;
+            let answer = client.call(http, PROBE).await;
             if answer.whole && [200, 409].contains(&answer.status) {
                 return answer;
             }
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -1,9 +1,9 @@
 //! One run: a fleet of real processes, its callers, and the faults of one seed.
 
-use super::callers::{self, Route, World, PATIENCE, REVOCATION};
+use super::callers::{self, Route, World, PATIENCE, PROBE, REVOCATION};
 use super::check::{End, Kind, Ledger};
 use super::harness::http::{request, Client};
-use super::harness::{Fleet, Plan, Process, OPERATOR};
+use super::harness::{Fleet, Plan, Process, Vm, OPERATOR};
 use super::operator::{InForce, Operator, Order};
 use super::proxy::{Mode, Proxy};
 use super::schedule::{schedule, Act, Step, Target, CONTROL, PROXIED, ROUTERS, STAND_INS, VMS};
@@ -19,8 +19,6 @@
 
 /// Time between two looks at something that must come true.
 const LOOK: Duration = Duration::from_millis(50);
-/// Longest wait for a fault hook.
-const HOOK: Duration = Duration::from_secs(3);
 /// Path that joins all links of a VM.
 const JOIN: &str = "/fault/cut";
 
@@ -171,10 +169,8 @@
             Act::Kill(target) => self.kill(target),
             Act::Terminate(target) => self.terminate(target),
             Act::Start(target) => self.start_again(target),
-            Act::Cut(vm, peer) => {
-                let peer = &self.fleet.vms[peer].name;
-                self.hook(vm, &format!("/fault/cut?peers={peer}"));
-            }
+            Act::Cut(vm, peer) => self.cut(vm, &self.fleet.vms[peer..=peer]),
+            Act::Isolate(vm) => self.cut(vm, &self.fleet.vms),
             Act::Join(vm) => self.hook(vm, JOIN),
             Act::Suspend(vm, ms) => self.hook(vm, &format!("/fault/suspend?ms={ms}")),
             Act::Wipe(place) => {
@@ -192,6 +188,11 @@
         }
     }
 
+    fn cut(&self, vm: usize, peers: &[Vm]) {
+        let names: Vec<&str> = peers.iter().map(|p| p.name.as_str()).collect();
+        self.hook(vm, &format!("/fault/cut?peers={}", names.join(",")));
+    }
+
     /// Asks a VM to disturb itself. One that is down or paused may not hear of it.
     fn hook(&self, vm: usize, path: &str) {
         let asked = hooked(self.fleet.vms[vm].operators, path.to_owned());
@@ -386,7 +387,7 @@
 async fn hooked(operators: SocketAddr, path: String) -> bool {
     let mut client = Client::new(operators);
     let http = request("POST", &path, OPERATOR, &[], "");
-    client.call(http, HOOK).await.status == 200
+    client.call(http, PROBE).await.status == 200
 }
 
 /// Sends requests until one is served; one try is made in any case.
--- a/tests/soak/schedule.rs
+++ b/tests/soak/schedule.rs
@@ -60,6 +60,8 @@
     /// silence: there the hook loses messages of a link that stays up, which no network
     /// does to QUIC. Links fall silent where a process is paused.
     Cut(usize, usize),
+    /// The same with all links of a VM.
+    Isolate(usize),
     /// Joins all links of a VM.
     Join(usize),
     /// Moves a VM's clock on by so many milliseconds, as a suspension does.
@@ -98,7 +100,9 @@
     while at < length {
         let (kind, begin, end) = fault(&mut rng);
         let mut moment = at;
-        for _ in 0..repeats(&mut rng) {
+        let is_series = rng.random_bool(SERIES);
+        let most = if is_series { SERIES_MAX } else { 1 };
+        for _ in 0..rng.random_range(1..=most) {
             let lasts = millis(&mut rng, LENGTH_MS);
             steps.push(step(moment, begin, Some(kind)));
             steps.extend(end.map(|end| step(moment + lasts, end, None)));
@@ -116,14 +120,6 @@
     Step { at, act, kind }
 }
 
-fn repeats(rng: &mut Pcg64) -> u64 {
-    if rng.random_bool(SERIES) {
-        rng.random_range(2..=SERIES_MAX)
-    } else {
-        1
-    }
-}
-
 fn millis(rng: &mut Pcg64, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(rng.random_range(range))
 }
@@ -149,6 +145,9 @@
         24..32 => {
             let vm = rng.random_range(0..VMS);
             let peer = (vm + rng.random_range(1..VMS)) % VMS;
+            if rng.random_bool(0.5) {
+                return ("isolate", Act::Isolate(vm), Some(Act::Join(vm)));
+            }
             ("cut-link", Act::Cut(vm, peer), Some(Act::Join(vm)))
         }
         32..36 => {
