--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -10,10 +10,9 @@
 use http::Answer;
 use state::secret::Hash;
 use std::fs;
-use std::io::{BufRead, BufReader};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitStatus};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
@@ -114,15 +113,29 @@
     pub(crate) link: SocketAddr,
     pub(crate) callers: Option<SocketAddr>,
     pub(crate) operators: SocketAddr,
+<<<<<<< HEAD
     files: Option<u32>,
     child: Option<Child>,
+=======
+    pub(crate) process: Process,
+>>>>>>> soak
 }
 
 /// One stand-in's process.
 pub(crate) struct StandIn {
     pub(crate) name: String,
     pub(crate) address: SocketAddr,
-    child: Child,
+    /// Where it records the labels of its calls, over all its lives.
+    pub(crate) record: PathBuf,
+    pub(crate) process: Process,
+}
+
+/// A process of the fleet, over all its lives.
+pub(crate) struct Process {
+    args: Vec<String>,
+    /// Output of all lives: that of one that a test has ended is evidence too.
+    log: PathBuf,
+    child: Option<Child>,
 }
 
 pub(crate) struct Fleet {
@@ -249,36 +262,45 @@
         fs::write(&settings, text).unwrap();
         Vm {
             name: name.to_owned(),
+            process: Process::new(
+                &["run", &settings.display().to_string()],
+                settings.with_extension("log"),
+            ),
             settings,
             data,
             link,
             callers,
             operators,
+<<<<<<< HEAD
             files: self.plan.files,
             child: None,
+=======
+>>>>>>> soak
         }
     }
 
     /// Starts one more stand-in.
     pub(crate) fn add_stand_in(&mut self, name: &str, plain: bool) {
         let listen = self.fresh_address().to_string();
-        let mut command = Command::new(BINARY);
-        command.args(["stand-in", "--listen", &listen]);
-        command.args(["--batch", &self.plan.batch.to_string()]);
+        let record = self.folder.path().join(format!("{name}.record"));
+        let batch = self.plan.batch.to_string();
+        let mut args = vec!["stand-in", "--listen", &listen, "--batch", &batch];
+        let shown = record.display().to_string();
+        args.extend(["--record", &shown]);
         if plain {
-            command.arg("--plain");
+            args.push("--plain");
         }
-        let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
-        let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap())
-            .read_line(&mut line)
-            .unwrap();
-        let address = line.trim().rsplit(' ').next().unwrap().parse().unwrap();
-        self.stand_ins.push(StandIn {
+        let mut stand_in = StandIn {
             name: name.to_owned(),
-            address,
-            child,
+            address: listen.parse().unwrap(),
+            process: Process::new(&args, record.with_extension("log")),
+            record,
+        };
+        stand_in.process.start();
+        eventually("a stand-in listens", || {
+            TcpStream::connect(stand_in.address).is_ok()
         });
+        self.stand_ins.push(stand_in);
     }
 
     pub(crate) fn wait_ready(&self) {
@@ -334,9 +356,7 @@
 
     /// Kills a stand-in.
     pub(crate) fn kill_stand_in(&mut self, place: usize) {
-        let child = &mut self.stand_ins[place].child;
-        child.kill().unwrap();
-        child.wait().unwrap();
+        self.stand_ins[place].process.kill();
     }
 
     /// Sends a configuration with the command line.
@@ -470,6 +490,7 @@
 
 impl Vm {
     pub(crate) fn start(&mut self) {
+<<<<<<< HEAD
         let log = fs::File::create(self.settings.with_extension("log")).unwrap();
         let settings = self.settings.display().to_string();
         let mut command = match self.files {
@@ -483,18 +504,16 @@
         };
         let child = command
             .args(["run", &settings])
-            .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn();
-        self.child = Some(child.unwrap());
+=======
+        self.process.start();
     }
 
     pub(crate) fn is_live(&self) -> bool {
-        self.child.is_some()
+        self.process.is_live()
     }
 
     pub(crate) fn pid(&self) -> u32 {
-        self.child.as_ref().unwrap().id()
+        self.process.pid()
     }
 
     pub(crate) fn is_ready(&self) -> bool {
@@ -502,37 +521,104 @@
     }
 
     pub(crate) fn status(&self) -> Option<serde_json::Value> {
-        self.child.as_ref()?;
+        if !self.is_live() {
+            return None;
+        }
         let answer = http::try_get(self.operators, "/status", OPERATOR)?;
         serde_json::from_slice(&answer.body).ok()
     }
 
     /// Kills it without warning.
     pub(crate) fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            child.kill().unwrap();
-            child.wait().unwrap();
-        }
+        self.process.kill();
     }
 
     /// Sends it a signal by name.
     pub(crate) fn signal(&self, signal: &str) {
-        let pid = self.pid().to_string();
-        let sent = Command::new("kill").args([signal, &pid]).status().unwrap();
-        assert!(sent.success());
+        self.process.signal(signal);
     }
 
     /// Waits for it to end by itself.
     pub(crate) fn wait(&mut self) -> ExitStatus {
-        let mut child = self.child.take().unwrap();
         let mut ended = None;
         eventually("a process ends", || {
-            ended = child.try_wait().unwrap();
+            ended = self.process.ended();
             ended.is_some()
         });
         ended.unwrap()
     }
 
+    /// Removes its durable state.
+    pub(crate) fn wipe(&self) {
+        fs::remove_dir_all(&self.data).unwrap();
+    }
+
+    pub(crate) fn log(&self) -> String {
+        fs::read_to_string(&self.process.log).unwrap_or_default()
+    }
+}
+
+impl StandIn {
+    /// Labels of the calls that reached it, in order, over all its lives.
+    pub(crate) fn recorded(&self) -> Vec<String> {
+        let text = fs::read_to_string(&self.record).unwrap_or_default();
+        text.lines().map(str::to_owned).collect()
+    }
+}
+
+impl Process {
+    fn new(args: &[&str], log: PathBuf) -> Self {
+        Process {
+            args: args.iter().map(|a| (*a).to_owned()).collect(),
+            log,
+            child: None,
+        }
+    }
+
+    pub(crate) fn start(&mut self) {
+        let mut options = fs::OpenOptions::new();
+        let log = options.create(true).append(true).open(&self.log).unwrap();
+        let child = Command::new(BINARY)
+            .args(&self.args)
+>>>>>>> soak
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn();
+        self.child = Some(child.unwrap());
+    }
+
+    pub(crate) fn is_live(&self) -> bool {
+        self.child.is_some()
+    }
+
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.as_ref().unwrap().id()
+    }
+
+    /// Kills it without warning.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Sends it a signal by name.
+    pub(crate) fn signal(&self, signal: &str) {
+        let pid = self.pid().to_string();
+        let sent = Command::new("kill").args([signal, &pid]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    /// How it ended, once it has; it counts as not running from then on.
+    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().unwrap()?;
+        self.child = None;
+        Some(status)
+    }
+}
+
+<<<<<<< HEAD
     /// Most memory that its process has held so far, in bytes.
     pub(crate) fn peak_memory(&self) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap();
@@ -548,21 +634,19 @@
 
     pub(crate) fn log(&self) -> String {
         fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default()
+=======
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+>>>>>>> soak
     }
 }
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        for vm in &mut self.vms {
-            if let Some(mut child) = vm.child.take() {
-                let _ = child.kill();
-                let _ = child.wait();
-            }
-        }
-        for stand_in in &mut self.stand_ins {
-            let _ = stand_in.child.kill();
-            let _ = stand_in.child.wait();
-        }
         if std::thread::panicking() {
             for vm in &self.vms {
                 eprintln!("--- log of {}\n{}", vm.name, vm.log());
