--- a/components/coordination/src/budget.rs
+++ b/components/coordination/src/budget.rs
@@ -11,8 +11,8 @@
 /// planned: what the allocator keeps, and bytes that have arrived and were not read.
 const PLANNED: u64 = 85;
 /// Memory of one caller's connection with a request on it, in bytes: 36 KB were measured
-/// at rest after bodies of 1 to 17 KB, and a request in progress takes some more.
-const CONNECTION: u64 = 40_000;
+/// at rest after bodies of 1 to 17 KB, and one in progress has a connection to an endpoint.
+const CONNECTION: u64 = 36_000 + KEPT_CONNECTION;
 /// Part of what is left beside the process at rest that bodies may take, in hundredths.
 /// They are few of the bytes of a flood: 15 of 180 MB.
 const BODIES: u64 = 25;
@@ -21,12 +21,14 @@
 const KEPT: u64 = 10;
 /// Memory of one of them, in bytes: its two buffers and its task.
 const KEPT_CONNECTION: u64 = 20_000;
-/// Descriptors for listeners, links, logs, operators and what the system keeps for
-/// itself.
+/// Descriptors for listeners, links, logs and operators.
 const FILES: u64 = 64;
-/// Part of the other descriptors that callers may take, in hundredths. The rest is for
-/// connections to endpoints: without one a request that was accepted is of no use.
-const CALLERS: u64 = 65;
+/// Descriptors that the system may keep for other uses, in hundredths.
+const RESERVED: u64 = 5;
+/// Part of the other descriptors that callers may take, in hundredths. As many are for
+/// connections to endpoints, one for each request in progress, beside those that are kept:
+/// without one a request that was accepted is of no use.
+const CALLERS: u64 = 45;
 /// Least that is planned with, however small the VM: with less no router is of use.
 const LEAST: u64 = 16;
 /// Part of the connections from which on answers close theirs, in hundredths.
@@ -63,7 +65,8 @@
         let body_bytes = free * BODIES / 100;
         let kept_bytes = free * KEPT / 100;
         let by_memory = (free - body_bytes - kept_bytes) / CONNECTION;
-        let sockets = vm.descriptors.saturating_sub(FILES);
+        let reserved = FILES + vm.descriptors * RESERVED / 100;
+        let sockets = vm.descriptors.saturating_sub(reserved);
         let by_descriptors = sockets * CALLERS / 100;
         let count = |number: u64| usize::try_from(number.max(LEAST)).unwrap_or(usize::MAX);
         Budget {
--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -187,9 +187,11 @@
             .classes
             .entry((arrival.service, arrival.class))
             .or_default();
+        if queue.count >= arrival.queue {
+            return Err(Full::Customer);
+        }
         let first = queue.waiting.front().and_then(|h| self.requests.get(*h));
-        let is_stuck = first.is_some_and(|r| r.waited(now) >= r.aim_total() / STUCK_PART);
-        if queue.count >= arrival.queue || is_stuck {
+        if first.is_some_and(|r| self.waits_in_vain(now, r, STUCK_PART)) {
             return Err(Full::Customer);
         }
         let request = Request {
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -39,11 +39,6 @@
     pub(super) fn waited(&self, now: Millis) -> u64 {
         now.since(self.since)
     }
-
-    /// Time from when it was queued until its answer is late, in milliseconds.
-    pub(super) fn aim_total(&self) -> u64 {
-        self.arrival.aim.since(self.since)
-    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -133,18 +128,29 @@
         self.announce(now, arrival.service, arrival.class, effects);
     }
 
+    /// Whether a request has waited to be asked for longer than a part of its aim, while
+    /// there was a scheduler to ask.
+    ///
+    /// One that was sent before is not counted, nor one whose aim has passed: the scheduler
+    /// decides what is still worth it.
+    pub(super) fn waits_in_vain(&self, now: Millis, request: &Request, part: u64) -> bool {
+        let up = self.sessions.get(&request.shard).filter(|s| s.up);
+        let Some(session) = up.filter(|_| request.stage == Stage::Waiting) else {
+            return false;
+        };
+        let since = request.since.max(session.up_since);
+        let aim = request.arrival.aim.since(request.since);
+        request.avoid.is_none() && aim > 0 && now.since(since) >= aim / part
+    }
+
     /// Refuses requests that have waited too long to be asked for.
     ///
     /// Kept, they would be asked for when they can no longer be in time, and their callers
     /// would hold their connections for nothing. Without a scheduler all of them wait for
     /// the next one.
     pub(super) fn refuse_unasked(&mut self, now: Millis, effects: &mut Effects) {
-        let is_late = |r: &Request| {
-            let is_up = || self.sessions.get(&r.shard).is_some_and(|s| s.up);
-            r.stage == Stage::Waiting && r.waited(now) >= r.aim_total() / UNASKED_PART && is_up()
-        };
         let late: Vec<(Handle, u64)> = (self.requests.iter())
-            .filter(|(_, r)| is_late(r))
+            .filter(|(_, r)| self.waits_in_vain(now, r, UNASKED_PART))
             .map(|(handle, r)| (handle, r.waited(now)))
             .collect();
         for (handle, waited) in late {
--- a/components/coordination/src/dispatcher/session.rs
+++ b/components/coordination/src/dispatcher/session.rs
@@ -33,6 +33,7 @@
     pub(super) up: bool,
     pub(super) hello_at: Option<Millis>,
     pub(super) down_since: Millis,
+    pub(super) up_since: Millis,
     pub(super) next: u64,
     pub(super) asked: BTreeMap<Seq, Handle>,
     pub(super) known: BTreeMap<CustomerId, Memory>,
@@ -98,6 +99,7 @@
             up: false,
             hello_at: None,
             down_since: now,
+            up_since: now,
             next: 0,
             asked: BTreeMap::new(),
             known: BTreeMap::new(),
@@ -265,6 +267,7 @@
             return;
         };
         session.up = true;
+        session.up_since = now;
         let hello = Report::Hello(session.introduce(held));
         session.heard = false;
         session.hello_at = None;
--- a/components/coordination/src/overload.rs
+++ b/components/coordination/src/overload.rs
@@ -17,6 +17,16 @@
 /// Time over which the mean is taken, in milliseconds: a burst that is over within it is
 /// met by refusals alone.
 const MEMORY_MS: u64 = 400;
+/// Weight of one probe in the mean, in milliseconds: the time between two probes of a
+/// router that is not late. The lateness of the one probe is in the time since the last
+/// one; weighed by it, a single pause of 120 ms turned callers away for seconds.
+const PROBE_MS: u64 = 20;
+/// Most that one probe counts for, in milliseconds: after a pause of seconds, as when a VM
+/// was suspended, the mean would take seconds to fall.
+const SAMPLE_MAX_MS: u64 = 200;
+/// Lateness for which a router counts without room for another connection, in
+/// milliseconds: whoever comes is closed at once.
+const FULL_MS: u64 = 2 * LATE_MS;
 /// Least time for which new connections are turned away, in milliseconds. Whoever sends
 /// them asks once a second and takes two misses.
 const AWAY_MIN_MS: u64 = 2300;
@@ -31,19 +41,19 @@
 pub struct Overload {
     /// Mean lateness in microseconds.
     mean_us: u64,
-    probed: Millis,
     /// Since when new connections are turned away, or taken again.
     changed: Millis,
     is_away: bool,
 }
 
 impl Overload {
-    /// Takes a probe of the lateness; gives whether new connections are to go elsewhere.
-    pub fn probe(&mut self, now: Millis, late_ms: u64) -> bool {
-        let part = now.since(self.probed).min(MEMORY_MS);
-        self.probed = now;
-        let sample_us = late_ms.saturating_mul(1000);
-        self.mean_us = (self.mean_us * (MEMORY_MS - part) + sample_us * part) / MEMORY_MS;
+    /// Takes a probe of the lateness, and whether there is no room for another
+    /// connection; gives whether new connections are to go elsewhere.
+    pub fn probe(&mut self, now: Millis, late_ms: u64, is_full: bool) -> bool {
+        let full_ms = if is_full { FULL_MS } else { 0 };
+        let sample_us = late_ms.clamp(full_ms, SAMPLE_MAX_MS.max(full_ms)) * 1000;
+        let rest = MEMORY_MS - PROBE_MS;
+        self.mean_us = (self.mean_us * rest + sample_us * PROBE_MS) / MEMORY_MS;
         let mean_ms = self.mean_us / 1000;
         let since = now.since(self.changed);
         let changes = if self.is_away {
--- a/components/coordination/tests/agree.rs
+++ b/components/coordination/tests/agree.rs
@@ -188,6 +188,49 @@
     assert!(world.is_repaired());
 }
 
+#[test]
+fn can_bear_two_lost_disks_where_two_losses_are_to_be_borne() {
+    // A fleet that was to bear the loss of two VMs with a disk ran three control VMs. Two of
+    // them lost their disks right after a change was accepted: for the rest of the day every
+    // router answered `not-ready`, and no configuration could be read back. With five voters
+    // wanted, none is taken out while two are away, and any two may be lost afterwards.
+    let mut world = World::open(3, 26, Faults::NONE);
+    world.wanted = 5;
+    for n in 0..3 {
+        world.crash(n);
+        world.nodes[n].down_until = world.now + 100;
+    }
+    world.run_to_leader(5000);
+    world.add();
+    world.add();
+    world.run(6000);
+    let voters = |world: &World, n: usize| {
+        let core = world.nodes[n].core.as_ref().unwrap();
+        core.members().voters.len()
+    };
+    let leader = world.run_to_leader(3000);
+    assert_eq!(voters(&world, leader), 5);
+    let away: Vec<usize> = (0..5).filter(|n| *n != leader).take(2).collect();
+    for n in &away {
+        world.nodes[*n].frozen_until = world.now + 6000;
+    }
+    world.run(5500);
+    let leader = world.run_to_leader(3000);
+    assert_eq!(voters(&world, leader), 5);
+    world.run(5000);
+    let leader = world.run_to_leader(3000);
+    assert!(world.change(leader, 1, Version(0)).is_some());
+    for n in (0..5).filter(|n| *n != leader).take(2).collect::<Vec<_>>() {
+        world.crash(n);
+        world.wipe(n);
+        world.nodes[n].down_until = world.now + 500;
+    }
+    world.run(8000);
+    let leader = world.run_to_leader(5000);
+    let view = &world.nodes[leader].store.view;
+    assert_eq!(view.config_version, Version(1));
+}
+
 #[test]
 fn can_be_quiet_once_all_have_begun() {
     // Symptom: control VMs send each other hundreds of messages a second.
--- a/components/coordination/tests/dispatcher.rs
+++ b/components/coordination/tests/dispatcher.rs
@@ -430,4 +430,10 @@
     dispatcher.link_down(Millis(10), &name("s"));
     assert!(refused(&dispatcher.tick(Millis(250), &view)).is_empty());
     assert_eq!(dispatcher.waiting(), handles.len());
+    let mut newcomer = arrival(1);
+    newcomer.aim = Millis(250).after(400);
+    assert!(dispatcher.arrive(Millis(250), &view, newcomer).is_ok());
+    // The next one is asked for them before any is given up.
+    dispatcher.link_up(Millis(260), &name("s"));
+    assert!(refused(&dispatcher.tick(Millis(280), &view)).is_empty());
 }
--- a/components/node/src/front/listen.rs
+++ b/components/node/src/front/listen.rs
@@ -86,6 +86,8 @@
     pub(crate) bodies: Arc<Semaphore>,
     /// Units of it in all.
     body_units: usize,
+    /// Places for callers' connections.
+    places: Arc<Semaphore>,
     /// Lines that tell of one request refused while tasks run late.
     busy_lines: Mutex<Ceiling>,
 }
@@ -98,6 +100,7 @@
         Arc::new(Front {
             bodies: Arc::new(Semaphore::new(units)),
             body_units: units,
+            places: Arc::new(Semaphore::new(parts.budget.connections)),
             busy_lines: Mutex::new(Ceiling::new(BUSY_LINES)),
             pool: Arc::new(Pool::new(parts.budget.kept)),
             parts,
@@ -116,6 +119,12 @@
         lines.admits(self.parts.clock.now())
     }
 
+    /// Callers' connections that are open.
+    pub(crate) fn connections(&self) -> usize {
+        let free = self.places.available_permits();
+        self.parts.budget.connections.saturating_sub(free)
+    }
+
     /// Counts the first try of a request.
     pub(crate) fn earn_retries(&self, service: ServiceId) {
         let now = self.parts.clock.now();
@@ -167,7 +176,6 @@
         listener: TcpListener,
         mut stop: watch::Receiver<bool>,
     ) {
-        let places = Arc::new(Semaphore::new(self.parts.budget.connections));
         let mut tasks = JoinSet::new();
         tasks.spawn(self.clone().tend_pool(stop.clone()));
         loop {
@@ -176,8 +184,9 @@
                 Some(_) = tasks.join_next() => continue,
                 () = raised(&mut stop) => break,
             };
-            let Ok(place) = places.clone().try_acquire_owned() else {
+            let Ok(place) = self.places.clone().try_acquire_owned() else {
                 // Past the bound a connection is closed at once: it costs nothing.
+                self.parts.metrics.turned_away.inc();
                 continue;
             };
             let (front, stop) = (self.clone(), stop.clone());
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -88,8 +88,7 @@
 /// Closed instead, a connection could cross a request that its caller has just
 /// sent on it: one would see the request fail that could have been served.
 fn last(front: &Front, mut reply: Reply) -> Reply {
-    let open = usize::try_from(front.parts.metrics.connections.get()).unwrap_or(0);
-    let is_scarce = front.parts.budget.is_scarce(open);
+    let is_scarce = front.parts.budget.is_scarce(front.connections());
     if is_scarce || front.parts.published.borrow().stopping {
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(CONNECTION, close);
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -53,6 +53,8 @@
     pub(crate) waiting: IntGauge,
     /// Requests in progress on this router.
     pub(crate) held: IntGauge,
+    /// Connections closed at once, since there was no place for them.
+    pub(crate) turned_away: IntCounter,
     /// Requests refused without a log line.
     pub(crate) untold: IntCounter,
     /// Callers' connections.
@@ -178,6 +180,10 @@
                 "cowslipford_in_progress",
                 "Requests in progress on this router.",
             )?,
+            turned_away: counter(
+                "cowslipford_connections_turned_away_total",
+                "Connections closed at once, since there was no place for them.",
+            )?,
             untold: counter(
                 "cowslipford_untold_refusals_total",
                 "Requests refused while tasks ran late, without a log line.",
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -248,7 +248,7 @@
     }
 
     /// What this router may take on, of what its VM has and operators allow.
-    fn budget(settings: &Settings, callers: &settings::Callers) -> Budget {
+    fn budget(settings: &Settings) -> Budget {
         let named = settings.vm.descriptors.unwrap_or(u64::MAX);
         let limit = transport::descriptor::limit().unwrap_or(u64::MAX);
         let vm = Vm {
@@ -256,7 +256,8 @@
             descriptors: named.min(limit),
         };
         let budget = Budget::from(vm);
-        budget.within(callers.connections, settings.router.queue_bytes)
+        let named = settings.callers.as_ref().map(|c| c.connections);
+        budget.within(named.unwrap_or(usize::MAX), settings.router.queue_bytes)
     }
 
     /// Starts what is served on addresses of their own.
@@ -408,10 +409,12 @@
             .await?,
         );
         let memory = self.settings.vm.memory;
+        let budget = Starter::budget(&self.settings);
         let vitals = vitals::run(
             lateness.clone(),
             self.metrics.clone(),
             memory,
+            budget.connections,
             stopped.clone(),
         );
         tasks.push(tokio::spawn(vitals));
@@ -434,7 +437,7 @@
             let front = Front::new(FrontParts {
                 callers: callers.clone(),
                 queue_customer: self.settings.router.queue_customer,
-                budget: Starter::budget(&self.settings, callers),
+                budget,
                 lateness,
                 stale_ms: self.settings.router.stale_ms,
                 interface: self.interface,
@@ -465,6 +468,8 @@
             link = %addresses.link,
             operators = %addresses.operators,
             callers = ?addresses.callers,
+            connections = budget.connections,
+            body_bytes = budget.body_bytes,
         );
         Ok(Process {
             addresses,
@@ -489,7 +494,8 @@
         Peers::Named(_) => Admission::Seeds,
         Peers::Seeds(seeds) => Admission::Open {
             begins: control.begins,
-            voters: seeds.len(),
+            // Seeds are three at most, where more may be lost than three voters bear.
+            voters: seeds.len().max(control.voters()),
         },
     }
 }
--- a/components/node/src/vitals.rs
+++ b/components/node/src/vitals.rs
@@ -109,8 +109,10 @@
     lateness: Lateness,
     metrics: Metrics,
     memory: u64,
+    connections: usize,
     mut stop: watch::Receiver<bool>,
 ) {
+    let connections = value(connections);
     let mut next = Instant::now() + LOOK;
     let mut latest = 0;
     let mut overload = Overload::default();
@@ -119,7 +121,8 @@
             late = lateness.probe() => late,
             () = raised(&mut stop) => return,
         };
-        let is_away = overload.probe(Millis(lateness.elapsed()), late);
+        let is_full = metrics.connections.get() >= connections;
+        let is_away = overload.probe(Millis(lateness.elapsed()), late, is_full);
         lateness.turn(is_away, late);
         latest = latest.max(late);
         if Instant::now() < next {
@@ -154,6 +157,7 @@
         kept = metrics.kept.get(),
         inputs = metrics.inputs.get(),
         untold = metrics.untold.get(),
+        turned_away = metrics.turned_away.get(),
     );
 }
 
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -121,6 +121,16 @@
     pub fanout: usize,
     /// Whether a new group may begin, when control VMs are found through seeds.
     pub begins: bool,
+    /// Control VMs that may be lost at once, with their disks.
+    pub losses: u32,
+}
+
+impl Control {
+    /// Voters that a group needs, so that after so many losses a majority is left that
+    /// knows everything that was accepted.
+    pub fn voters(&self) -> usize {
+        usize::try_from(self.losses).map_or(usize::MAX, |n| 2 * n + 1)
+    }
 }
 
 /// Where operators send complete configurations and read them back.
@@ -272,7 +282,8 @@
     data,
     compact_bytes,
     fanout,
-    first_start
+    first_start,
+    losses
 });
 raw!(RawSeeds { addresses });
 raw!(RawListen { listen });
@@ -583,6 +594,7 @@
         )?,
         fanout: usize::try_from(fanout).unwrap_or(8),
         begins: s.flag("first-start", &raw.first_start)?.unwrap_or(false),
+        losses: s.small("losses", &raw.losses, 0..=3, 1)?,
     })
 }
 
