Show that one request without a key ends a process, by its operators' address

The library allocates what a request announces when it drops it; nothing on our side of its interface prevents that.

--- a/tests/flood.rs
+++ b/tests/flood.rs
@@ -107,3 +107,21 @@
         http::get(address, "/assistant/again", "alpha").status == 200
     });
 }
+
+#[test]
+fn can_outlive_a_stranger_that_announces_a_body_it_does_not_send() {
+    // One request without a key, which announced a body of four exabytes on the operators'
+    // address and sent none, was answered 401 and ended a control VM's process:
+    //   memory allocation of 4611686018427387904 bytes failed
+    // The library that serves operators allocates what was announced when it drops the
+    // request, to read the rest away.
+    let fleet = Fleet::start(Plan {
+        control: 1,
+        routers: 1,
+        ..Plan::default()
+    });
+    let address = fleet.vm("c1").operators;
+    let head = b"POST /status HTTP/1.1\r\nhost: a\r\ncontent-length: 4611686018427387904\r\n\r\n";
+    http::raw(address, head, Duration::from_secs(3));
+    eventually("the process still answers", || fleet.vm("c1").is_ready());
+}
