Serve operators by hyper; refuse as the scheduler has just refused; tell a flood from a pause

A class of which one was just refused that would have waited for its whole aim is refused for 100 ms without asking the scheduler. One late probe no longer refuses: can_freeze_a_scheduler_and_let_it_go_on failed once, with 503 for the first request after SIGCONT, traced to the one probe that was seconds late.

--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -80,6 +80,11 @@
     Router,
     /// No endpoint serves it.
     NoEndpoint,
+    /// Its scheduler has just said that requests of its class would be late.
+    Late {
+        /// Time after which its caller may come back, in milliseconds.
+        after_ms: u32,
+    },
 }
 
 /// Something that the dispatcher wants done.
@@ -187,6 +192,9 @@
             .classes
             .entry((arrival.service, arrival.class))
             .or_default();
+        if let Some(after_ms) = queue.turned_away(now) {
+            return Err(Full::Late { after_ms });
+        }
         if queue.count >= arrival.queue {
             return Err(Full::Customer);
         }
@@ -415,7 +423,8 @@
         for shard in shards {
             self.tick_session(now, view, &shard, &mut effects);
         }
-        self.classes.retain(|_, queue| queue.count > 0);
+        self.classes
+            .retain(|_, queue| queue.count > 0 || queue.turned_away(now).is_some());
         self.ask_remote(now, view, &mut effects);
         effects
     }
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -12,6 +12,10 @@
 /// that a flood on one router costs its scheduler no memory.
 pub const WINDOW: u32 = 32;
 
+/// Time for which newcomers of a class are refused as one of it was, in milliseconds: short
+/// beside the 300 ms after which a refused caller comes back at the earliest.
+const TURNED_MS: u64 = 100;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
     Waiting,
@@ -47,6 +51,28 @@
     /// Requests that wait, asked or not.
     pub(super) count: u32,
     pub(super) asked: u32,
+    /// Until when newcomers are refused as one of the class was, and when they may come
+    /// back.
+    turned: Option<(Millis, u32)>,
+}
+
+impl Queue {
+    /// Time after which a newcomer may come back, in milliseconds, if it is not let in.
+    pub(super) fn turned_away(&self, now: Millis) -> Option<u32> {
+        let (until, after_ms) = self.turned?;
+        (now < until).then_some(after_ms)
+    }
+
+    /// Remembers a refusal of a request with this aim.
+    ///
+    /// A scheduler that is asked for several times what its engines can do spends its
+    /// processor on refusals: requests waited 0.5 s for theirs. One that would have waited
+    /// for its whole aim, twice what it may, tells enough of those that come right after it.
+    fn note_refusal(&mut self, now: Millis, aim_ms: u64, refusal: &Refusal) {
+        if u64::from(refusal.wait_ms) >= aim_ms {
+            self.turned = Some((now.after(TURNED_MS), refusal.after_ms));
+        }
+    }
 }
 
 /// Time that is left until an answer is late, in milliseconds.
@@ -300,6 +326,10 @@
             return;
         };
         let arrival = request.arrival;
+        let aim_ms = arrival.aim.since(request.since);
+        if let Some(queue) = self.classes.get_mut(&(arrival.service, arrival.class)) {
+            queue.note_refusal(now, aim_ms, &refusal);
+        }
         self.unwait(&arrival, true);
         effects.push(Effect::Refuse(handle, refusal));
         self.announce(now, arrival.service, arrival.class, effects);
--- a/components/coordination/src/overload.rs
+++ b/components/coordination/src/overload.rs
@@ -36,6 +36,15 @@
 /// See [`AWAY_MAX_MS`].
 const BACK_MIN_MS: u64 = 2000;
 
+/// Lateness that counts now, of the last probe, the one before and the one that is due, in
+/// milliseconds.
+///
+/// One late probe alone says that this process was held up, not that it has more to do than
+/// it can: right after it was suspended it would refuse whoever comes first.
+pub fn lateness(last_ms: u64, before_ms: u64, overdue_ms: u64) -> u64 {
+    last_ms.min(before_ms.max(overdue_ms))
+}
+
 /// What it knows of the lateness so far.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Overload {
--- a/components/coordination/tests/dispatcher.rs
+++ b/components/coordination/tests/dispatcher.rs
@@ -1,7 +1,7 @@
 //! The router's dispatcher.
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
-use coordination::ask::{Basis, Class, Grant, Report, Verdict};
+use coordination::ask::{Basis, Class, Grant, Refusal, Report, Verdict};
 use coordination::dispatcher::{
     Arrival, Bounds, Dispatcher, Effect, Full, Handle, LOCAL_MS, REMOTE_MS, WINDOW,
 };
@@ -437,3 +437,35 @@
     dispatcher.link_up(Millis(260), &name("s"));
     assert!(refused(&dispatcher.tick(Millis(280), &view)).is_empty());
 }
+
+#[test]
+fn can_refuse_as_the_scheduler_has_just_refused() {
+    // Asked for three times what its engines could do, a scheduler spent its processor on
+    // refusals: requests waited 438 to 724 ms for theirs, `expected_ms` 582 to 1,249, with
+    // aims of 400 to 600 ms, and what could be served was granted late.
+    let view = view(1);
+    let mut dispatcher = dispatcher();
+    let mut first = arrival(1);
+    first.aim = Millis(400);
+    let (_, effects) = dispatcher.arrive(Millis(0), &view, first).unwrap();
+    let mut told = reports(&effects);
+    told.extend(reports(&dispatcher.tick(Millis(0), &view)));
+    let refusal = |wait_ms| Refusal {
+        epoch: Epoch(1),
+        seq: asked(&told),
+        wait_ms,
+        after_ms: 700,
+    };
+    dispatcher.refuse(Millis(10), refusal(900));
+    let late = |now: u64, customer| {
+        let mut arrival = arrival(customer);
+        arrival.aim = Millis(now).after(400);
+        arrival
+    };
+    let newcomer = dispatcher.arrive(Millis(20), &view, late(20, 1));
+    assert_eq!(newcomer.err(), Some(Full::Late { after_ms: 700 }));
+    assert!(dispatcher.arrive(Millis(20), &view, late(20, 2)).is_ok());
+    dispatcher.tick(Millis(60), &view);
+    assert!(dispatcher.arrive(Millis(109), &view, late(109, 1)).is_err());
+    assert!(dispatcher.arrive(Millis(110), &view, late(110, 1)).is_ok());
+}
--- a/components/coordination/tests/overload.rs
+++ b/components/coordination/tests/overload.rs
@@ -1,7 +1,7 @@
 //! When a router turns new callers away, and what it may take on.
 
 use coordination::budget::{Budget, Vm};
-use coordination::overload::{Overload, LATE_MS};
+use coordination::overload::{lateness, Overload, LATE_MS};
 use rstest::rstest;
 use state::clock::Millis;
 
@@ -124,3 +124,22 @@
     assert_eq!(budget.within(usize::MAX, u64::MAX), budget);
     assert!(!bounded.is_scarce(74) && bounded.is_scarce(75));
 }
+
+#[rstest]
+#[case::calm(1, 0, 0, false)]
+#[case::flooded(157, 172, 0, true)]
+#[case::flooded_for_one_probe(157, 1, 0, false)]
+#[case::flooded_and_the_next_probe_is_overdue(157, 1, 60, true)]
+#[case::over(1, 157, 0, false)]
+#[case::just_woken(1, 1, 3000, false)]
+#[case::woken_a_moment_ago(3000, 1, 0, false)]
+fn can_tell_a_flood_from_a_pause(
+    #[case] last: u64,
+    #[case] before: u64,
+    #[case] overdue: u64,
+    #[case] is_late: bool,
+) {
+    // A VM that was stopped for some seconds refused the first request after it went on,
+    // though it had nothing to do: its one probe was seconds late.
+    assert_eq!(lateness(last, before, overdue) >= LATE_MS, is_late);
+}
--- a/components/node/src/front/pool.rs
+++ b/components/node/src/front/pool.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use transport::descriptor;
 
 /// Longest time to connect to an endpoint.
 ///
@@ -132,12 +133,20 @@
 }
 
 /// Opens a connection to an endpoint.
+///
+/// # Errors
+///
+/// [`Error::Peer`] if the endpoint could not be reached; another one if this process could
+/// not try.
 pub(crate) async fn connect(address: SocketAddr) -> Result<Connection> {
     let step = "connect to an endpoint";
     let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address))
         .await
         .map_err(Error::peer(step, address))?
-        .map_err(Error::peer(step, address))?;
+        .map_err(|error| match descriptor::are_out(&error) {
+            true => Error::file("open a socket", "(this process)")(error),
+            false => Error::peer(step, address)(error),
+        })?;
     // Small requests must not wait for more.
     let _ = stream.set_nodelay(true);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -32,6 +32,9 @@
 /// is hardly there.
 const UNCONNECTED: u32 = 2;
 
+/// Why requests are refused that would be late.
+const OVERLOADED: &str = "the endpoints have more to do than they can in time";
+
 /// Time after which the caller may come back of whom too many wait here, at the least: as
 /// long as one of them waits for its turn where it is served at all.
 const QUEUE_RETURN: Duration = Duration::from_millis(200);
@@ -227,7 +230,7 @@
         if failed.unconnected && unconnected < UNCONNECTED {
             // Nothing was sent: it costs no endpoint anything.
             note.failed(&failed.error, "elsewhere");
-            slot.verdict = Verdict::Failed;
+            slot.verdict = failed.verdict;
             decided = again(front, slot).await?;
             unconnected += 1;
             continue;
@@ -315,6 +318,11 @@
             Err(busy("customer-queue-full", &text))
         }
         Ok(Err(QueueFull::Router)) => Err(busy("router-queue-full", "too many requests wait here")),
+        Ok(Err(QueueFull::Late { after_ms })) => {
+            let spread = rand::random_range(750..=1250);
+            let after = Duration::from_millis(u64::from(after_ms) * spread / 1000);
+            Err(unserved("overloaded", OVERLOADED, 0, false).after_time(after))
+        }
         Ok(Err(QueueFull::NoEndpoint)) | Err(_) => Err(no_endpoint()),
     }
 }
@@ -341,9 +349,9 @@
             Ok(dispatch)
         }
         Ok(Decision::Refused(refused)) => {
-            let text = "the endpoints have more to do than they can in time";
             let after = Duration::from_millis(u64::from(refused.after_ms));
-            let mut refusal = unserved("overloaded", text, retries, idempotent).after_time(after);
+            let mut refusal =
+                unserved("overloaded", OVERLOADED, retries, idempotent).after_time(after);
             refusal.basis = Some(refused);
             Err(refusal)
         }
--- a/components/node/src/front/upstream.rs
+++ b/components/node/src/front/upstream.rs
@@ -96,10 +96,7 @@
         let reused = kept.is_some();
         let mut connection = match kept.take() {
             Some(connection) => connection,
-            None => pool::connect(to.address).await.map_err(|error| Failed {
-                unconnected: true,
-                ..nothing(error)
-            })?,
+            None => pool::connect(to.address).await.map_err(unconnected)?,
         };
         let left = way.left.saturating_sub(began.elapsed());
         let request = call.request(to, way.interface, left).map_err(nothing)?;
@@ -120,6 +117,22 @@
     }
 }
 
+/// A try for which there was no connection.
+///
+/// A router that is out of descriptors would else tell the scheduler of sound endpoints
+/// that they have failed, and have them ejected for all routers.
+fn unconnected(error: Error) -> Failed {
+    let verdict = match error {
+        Error::Peer { .. } => Verdict::Failed,
+        _ => Verdict::Gone,
+    };
+    Failed {
+        unconnected: true,
+        verdict,
+        ..Failed::new(Reach::Nothing, error)
+    }
+}
+
 /// Checks that an answer is one to this call.
 fn check(
     call: &Call,
--- a/components/node/src/operators.rs
+++ b/components/node/src/operators.rs
@@ -5,7 +5,11 @@
 use crate::journal::Journal;
 use crate::metric::Metrics;
 use crate::shared::Published;
-use errors::{Error, Result};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderName, HeaderValue, AUTHORIZATION, CONTENT_TYPE};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use protocol::codec;
 use protocol::wire::{Leaving, Query, Reply};
 use serde::{Deserialize, Serialize};
@@ -13,21 +17,19 @@
 use state::record::{Answer, ChangeId};
 use state::secret::Hash;
 use std::collections::BTreeMap;
-use std::io::Read;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread::JoinHandle;
 use std::time::Duration;
-use tiny_http::{Header, Method, Request, Response, Server};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{oneshot, watch, Semaphore};
 use transport::clock::Clock;
 use transport::link::Hub;
 
-/// Threads that answer operators.
-const THREADS: usize = 2;
+/// Configuration files that are read at once; the next ones wait.
+const FILES: usize = 2;
 /// Largest configuration file in bytes: what a record of the log can hold.
-// CAST: `usize` is at most 64 bits on every supported target.
-const BODY_MAX: u64 = codec::RECORD_MAX as u64;
+const BODY_MAX: usize = codec::RECORD_MAX;
+/// Time for one to arrive.
+const BODY_TIME: Duration = Duration::from_secs(10);
 /// Longest time for an answer of the control VMs.
 const ANSWER: Duration = Duration::from_secs(10);
 
@@ -43,14 +45,15 @@
     pub(crate) control: Option<flume::Sender<control::Input>>,
     pub(crate) published: watch::Receiver<Published>,
     pub(crate) fault_hook: bool,
-    /// Ends waits for an answer without stopping the process.
-    pub(crate) runtime: tokio::runtime::Handle,
+    /// Places for configuration files that are read.
+    pub(crate) files: Semaphore,
 }
 
-/// The running operators' side.
-pub(crate) struct Operators {
-    server: Arc<Server>,
-    threads: Vec<JoinHandle<()>>,
+impl Parts {
+    /// Places for as many files as are read at once.
+    pub(crate) fn places() -> Semaphore {
+        Semaphore::new(FILES)
+    }
 }
 
 /// A peer, as operators see it.
@@ -66,122 +69,92 @@
 }
 
 struct Page {
-    status: u16,
+    status: StatusCode,
     kind: &'static str,
     body: String,
     headers: Vec<(&'static str, String)>,
 }
 
-impl Operators {
-    /// Starts to answer on a bound socket.
-    pub(crate) fn start(listener: TcpListener, parts: Parts) -> Result<Self> {
-        let server = Server::from_listener(listener, None)
-            .map_err(Error::peer("serve operators", "(socket)"))?;
-        let server = Arc::new(server);
-        let parts = Arc::new(parts);
-        let mut threads = Vec::new();
-        for n in 0..THREADS {
-            let (server, parts) = (server.clone(), parts.clone());
-            let thread = std::thread::Builder::new()
-                .name(format!("operators-{n}"))
-                .spawn(move || serve(&server, &parts))
-                .map_err(Error::file("start a thread", "operators"))?;
-            threads.push(thread);
-        }
-        Ok(Operators { server, threads })
-    }
-
-    /// Stops and joins its threads.
-    pub(crate) fn stop(self) {
-        for _ in &self.threads {
-            self.server.unblock();
-        }
-        for thread in self.threads {
-            // A thread that has panicked has nothing left to tell.
-            let _ = thread.join();
-        }
-    }
-}
-
-fn serve(server: &Server, parts: &Parts) {
-    while let Ok(mut request) = server.recv() {
-        let reply = answer(parts, &mut request);
-        let mut response = Response::from_string(reply.body).with_status_code(reply.status);
-        let kind = Header::from_bytes("content-type", reply.kind);
-        let more = (reply.headers.iter()).map(|(n, v)| Header::from_bytes(*n, v.as_bytes()));
-        for header in std::iter::once(kind).chain(more).flatten() {
-            response.add_header(header);
+/// Answers one request.
+pub(crate) async fn respond(
+    parts: Arc<Parts>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let page = answer(&parts, request).await;
+    let mut response = Response::new(Full::new(Bytes::from(page.body)));
+    *response.status_mut() = page.status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(page.kind));
+    for (name, value) in page.headers {
+        // What this process made is a proper value.
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            headers.insert(HeaderName::from_static(name), value);
         }
-        // An operator that went away needs no answer.
-        let _ = request.respond(response);
     }
+    response
 }
 
-fn answer(parts: &Parts, request: &mut Request) -> Page {
-    let url = request.url().to_owned();
-    let (path, query) = url.split_once('?').unwrap_or((&url, ""));
-    let query = pairs(query);
+async fn answer(parts: &Parts, request: Request<Incoming>) -> Page {
+    let (head, incoming) = request.into_parts();
+    let path = head.uri.path();
+    let query = pairs(head.uri.query().unwrap_or(""));
     let published = parts.published.borrow().clone();
     match path {
-        "/live" => return text(200, "live\n"),
-        "/ready" if published.ready && !published.stopping => return text(200, "ready\n"),
-        "/ready" => return text(503, "not ready\n"),
-        "/metrics" => return text(200, &parts.metrics.text()),
+        "/live" => return text(StatusCode::OK, "live\n"),
+        "/ready" if published.ready && !published.stopping => {
+            return text(StatusCode::OK, "ready\n")
+        }
+        "/ready" => return text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        "/metrics" => return text(StatusCode::OK, &parts.metrics.text()),
         _ => {}
     }
-    if !is_operator(parts, request) {
+    if !is_operator(parts, &head.headers) {
         return error(
-            401,
+            StatusCode::UNAUTHORIZED,
             "send Authorization: Bearer KEY with the operators' key",
         );
     }
-    match (request.method(), path) {
-        (Method::Get, "/status") => status(parts),
-        (Method::Get, "/peers") => json(200, &peers(parts)),
-        (Method::Get, "/events") => {
+    match (&head.method, path) {
+        (&Method::GET, "/status") => status(parts).await,
+        (&Method::GET, "/peers") => json(StatusCode::OK, &peers(parts)),
+        (&Method::GET, "/events") => {
             let hello = parts.hub.hello();
             json(
-                200,
+                StatusCode::OK,
                 &parts
                     .journal
                     .lane(hello.place.vm.clone(), hello.incarnation),
             )
         }
-        (Method::Get, "/names") => json(200, &names(&published)),
-        (Method::Get, "/config") => config(&published),
-        (Method::Post, "/config") => match body(request) {
-            Ok(text) => change(parts, &query, text),
-            Err(reason) => error(413, &reason),
+        (&Method::GET, "/names") => json(StatusCode::OK, &names(&published)),
+        (&Method::GET, "/config") => config(&published),
+        (&Method::POST, "/config") => match body(parts, incoming).await {
+            Ok(text) => change(parts, &query, text).await,
+            Err(reason) => error(StatusCode::PAYLOAD_TOO_LARGE, &reason),
         },
-        (Method::Post, "/stop") => depart(parts, &query),
-        (Method::Post, "/fault/cut") if parts.fault_hook => cut(parts, &query),
-        (Method::Post, "/fault/suspend") if parts.fault_hook => suspend(parts, &query),
-        _ => error(404, "there is nothing here"),
+        (&Method::POST, "/stop") => depart(parts, &query).await,
+        (&Method::POST, "/fault/cut") if parts.fault_hook => cut(parts, &query),
+        (&Method::POST, "/fault/suspend") if parts.fault_hook => suspend(parts, &query),
+        _ => error(StatusCode::NOT_FOUND, "there is nothing here"),
     }
 }
 
-fn is_operator(parts: &Parts, request: &Request) -> bool {
-    let header = request
-        .headers()
-        .iter()
-        .find(|h| h.field.equiv("authorization"));
-    let key = header.and_then(|h| h.value.as_str().strip_prefix("Bearer "));
+fn is_operator(parts: &Parts, headers: &HeaderMap) -> bool {
+    let header = headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok());
+    let key = header.and_then(|h| h.strip_prefix("Bearer "));
     key.is_some_and(|k| Some(Hash::of(&[k.trim().as_bytes()])) == parts.key)
 }
 
-fn status(parts: &Parts) -> Page {
-    let Some(mut status) = wait(parts, |reply| {
-        parts.reactor.send(Input::Status(reply)).is_ok()
-    }) else {
-        return error(503, "the process is ending");
+async fn status(parts: &Parts) -> Page {
+    let Some(mut status) = wait(|reply| parts.reactor.send(Input::Status(reply)).is_ok()).await
+    else {
+        return error(StatusCode::SERVICE_UNAVAILABLE, "the process is ending");
     };
     if let Some(control) = &parts.control {
-        let found = wait(parts, |reply| {
-            control.send(control::Input::Status(reply)).is_ok()
-        });
+        let found = wait(|reply| control.send(control::Input::Status(reply)).is_ok()).await;
         status.control = found.and_then(|s: control::Status| serde_json::to_value(s).ok());
     }
-    json(200, &status)
+    json(StatusCode::OK, &status)
 }
 
 fn peers(parts: &Parts) -> Vec<Peer> {
@@ -213,20 +186,20 @@
 
 fn config(published: &Published) -> Page {
     let draft = published.view.config.draft();
-    let mut reply = text(200, &settings::print_configuration(&draft));
+    let mut reply = text(StatusCode::OK, &settings::print_configuration(&draft));
     let version = published.view.config_version.to_string();
     reply.headers.push(("cowslipford-version", version));
     reply
 }
 
-fn change(parts: &Parts, query: &BTreeMap<String, String>, text: String) -> Page {
+async fn change(parts: &Parts, query: &BTreeMap<String, String>, text: String) -> Page {
     let id = query
         .get("id")
         .and_then(|v| u128::from_str_radix(v, 16).ok());
     let base = query.get("base").and_then(|v| v.parse().ok());
     let (Some(id), Some(base)) = (id, base) else {
         return error(
-            400,
+            StatusCode::BAD_REQUEST,
             "give id (hexadecimal, the same for a resend) and base (a version)",
         );
     };
@@ -235,10 +208,10 @@
         base: Version(base),
         text,
     };
-    accepted(parts, query)
+    accepted(parts, query).await
 }
 
-fn depart(parts: &Parts, query: &BTreeMap<String, String>) -> Page {
+async fn depart(parts: &Parts, query: &BTreeMap<String, String>) -> Page {
     let name = |key: &str| query.get(key).map(|v| Name::try_from(v.as_str()));
     let leaving = match (name("endpoint"), name("endpoint-back"), name("vm")) {
         (Some(Ok(name)), None, None) => Leaving::Endpoint(name),
@@ -246,31 +219,32 @@
         (None, None, Some(Ok(name))) => {
             let incarnation = query.get("incarnation").and_then(|v| v.parse().ok());
             let Some(incarnation) = incarnation else {
-                return error(400, "give the VM's incarnation, as /peers shows it");
+                return error(
+                    StatusCode::BAD_REQUEST,
+                    "give the VM's incarnation, as /peers shows it",
+                );
             };
             Leaving::Vm(name, incarnation)
         }
         _ => {
             return error(
-                400,
+                StatusCode::BAD_REQUEST,
                 "give one of endpoint, endpoint-back and vm, with a name",
             )
         }
     };
-    accepted(parts, Query::Depart(leaving))
+    accepted(parts, Query::Depart(leaving)).await
 }
 
-fn accepted(parts: &Parts, query: Query) -> Page {
-    let reply = wait(parts, |reply| {
-        parts.reactor.send(Input::Query(query, reply)).is_ok()
-    });
+async fn accepted(parts: &Parts, query: Query) -> Page {
+    let reply = wait(|reply| parts.reactor.send(Input::Query(query, reply)).is_ok()).await;
     match reply {
         Some(Reply::Answer(Answer::Accepted(version))) => json(
-            200,
+            StatusCode::OK,
             &serde_json::json!({"accepted": true, "version": version.0}),
         ),
         Some(Reply::Answer(Answer::Conflict(version))) => json(
-            409,
+            StatusCode::CONFLICT,
             &serde_json::json!({
                 "accepted": false,
                 "version": version.0,
@@ -278,10 +252,13 @@
                           make the change anew",
             }),
         ),
-        Some(Reply::Invalid(reason)) => error(422, &reason),
-        Some(_) => error(500, "the control VMs answered something else"),
+        Some(Reply::Invalid(reason)) => error(StatusCode::UNPROCESSABLE_ENTITY, &reason),
+        Some(_) => error(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "the control VMs answered something else",
+        ),
         None => error(
-            503,
+            StatusCode::SERVICE_UNAVAILABLE,
             "no quorum of control VMs answered; whether the change was accepted is not known: \
              send it again with the same id",
         ),
@@ -299,9 +276,9 @@
         Ok(names) => {
             let silent = query.get("silent").is_some_and(|v| v == "yes");
             parts.hub.cut(&names, silent);
-            text(200, "cut\n")
+            text(StatusCode::OK, "cut\n")
         }
-        Err(reason) => error(400, &reason),
+        Err(reason) => error(StatusCode::BAD_REQUEST, &reason),
     }
 }
 
@@ -309,14 +286,14 @@
     match query.get("ms").and_then(|ms| ms.parse().ok()) {
         Some(ms) => {
             parts.clock.suspend(ms);
-            text(200, "suspended\n")
+            text(StatusCode::OK, "suspended\n")
         }
-        None => error(400, "ms: a number of milliseconds"),
+        None => error(StatusCode::BAD_REQUEST, "ms: a number of milliseconds"),
     }
 }
 
 /// Asks another part of the process and waits for its answer.
-fn wait<T, F>(parts: &Parts, ask: F) -> Option<T>
+async fn wait<T, F>(ask: F) -> Option<T>
 where
     F: FnOnce(oneshot::Sender<T>) -> bool,
 {
@@ -324,21 +301,20 @@
     if !ask(sender) {
         return None;
     }
-    let answer = async { tokio::time::timeout(ANSWER, receiver).await };
-    parts.runtime.block_on(answer).ok()?.ok()
+    tokio::time::timeout(ANSWER, receiver).await.ok()?.ok()
 }
 
-fn body(request: &mut Request) -> Result<String, String> {
-    let mut text = String::new();
-    let mut reader = request.as_reader().take(BODY_MAX + 1);
-    reader
-        .read_to_string(&mut text)
-        .map_err(|e| e.to_string())?;
-    // CAST: `usize` is at most 64 bits on every supported target.
-    if text.len() as u64 > BODY_MAX {
-        return Err(format!("a configuration has at most {BODY_MAX} bytes"));
-    }
-    Ok(text)
+/// Reads a configuration file. Only what has arrived is kept, whatever was announced.
+async fn body(parts: &Parts, incoming: Incoming) -> Result<String, String> {
+    let place = parts.files.acquire().await;
+    let _place = place.map_err(|_| "the process is ending".to_owned())?;
+    let reading = Limited::new(incoming, BODY_MAX).collect();
+    let read = tokio::time::timeout(BODY_TIME, reading).await;
+    let read = read.map_err(|_| "the configuration took too long to arrive".to_owned())?;
+    let bytes = read.map_err(|error| {
+        format!("a configuration has at most {BODY_MAX} bytes, or could not be read: {error}")
+    })?;
+    String::from_utf8(bytes.to_bytes().into()).map_err(|error| error.to_string())
 }
 
 fn pairs(query: &str) -> BTreeMap<String, String> {
@@ -346,7 +322,7 @@
     parts.map(|(k, v)| (k.to_owned(), v.to_owned())).collect()
 }
 
-fn text(status: u16, body: &str) -> Page {
+fn text(status: StatusCode, body: &str) -> Page {
     Page {
         status,
         kind: "text/plain; charset=utf-8",
@@ -355,7 +331,7 @@
     }
 }
 
-fn json<T>(status: u16, value: &T) -> Page
+fn json<T>(status: StatusCode, value: &T) -> Page
 where
     T: Serialize,
 {
@@ -367,6 +343,6 @@
     }
 }
 
-fn error(status: u16, reason: &str) -> Page {
+fn error(status: StatusCode, reason: &str) -> Page {
     json(status, &serde_json::json!({"error": reason}))
 }
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -6,7 +6,7 @@
 use crate::interface::Interface;
 use crate::journal::Journal;
 use crate::metric::Metrics;
-use crate::operators::{Operators, Parts as OperatorParts};
+use crate::operators::{self, Parts as OperatorParts};
 use crate::reactor::{Parts as ReactorParts, Reactor};
 use crate::shared::{raised, Published, Shared, Status};
 use crate::vitals::Lateness;
@@ -69,7 +69,6 @@
     reactor: flume::Sender<Input>,
     reactor_task: JoinHandle<()>,
     control: Option<(flume::Sender<control::Input>, Thread<()>)>,
-    operators: Operators,
     tasks: Vec<JoinHandle<()>>,
     stop: watch::Sender<bool>,
     published: watch::Receiver<Published>,
@@ -143,8 +142,6 @@
         for task in self.tasks {
             let _ = task.await;
         }
-        let operators = self.operators;
-        let _ = tokio::task::spawn_blocking(move || operators.stop()).await;
         if let Some((control, thread)) = self.control {
             let _ = control.send(control::Input::Stop);
             let _ = tokio::task::spawn_blocking(move || thread.join()).await;
@@ -307,33 +304,31 @@
 
         // The hub's greeting carries the operators' address: it is bound first.
         let step = "bind the operators' address";
-        let listen = self.settings.operators.listen;
-        let operators_socket =
-            std::net::TcpListener::bind(listen).map_err(Error::file(step, listen.to_string()))?;
-        let operators_address = operators_socket
-            .local_addr()
-            .map_err(Error::file(step, listen.to_string()))?;
+        let operators_listener = bind(step, self.settings.operators.listen).await?;
+        let operators_address = operators_listener.local_addr().map_err(Error::file(
+            step,
+            self.settings.operators.listen.to_string(),
+        ))?;
         let hello = Hello {
             place: self.place.clone(),
             incarnation: self.incarnation,
             operators: operators_address,
         };
         let (hub, events) = self.socket.start(hello, self.clock.clone());
-        let operators = Operators::start(
-            operators_socket,
-            OperatorParts {
-                key: self.settings.operators.key,
-                hub: hub.clone(),
-                clock: self.clock.clone(),
-                journal: self.journal.clone(),
-                metrics: self.metrics.clone(),
-                reactor: reactor.clone(),
-                control: to_control.clone(),
-                published: published.clone(),
-                fault_hook: self.settings.fault.hook,
-                runtime: tokio::runtime::Handle::current(),
-            },
-        )?;
+        let operator_parts = Arc::new(OperatorParts {
+            key: self.settings.operators.key,
+            hub: hub.clone(),
+            clock: self.clock.clone(),
+            journal: self.journal.clone(),
+            metrics: self.metrics.clone(),
+            reactor: reactor.clone(),
+            control: to_control.clone(),
+            published: published.clone(),
+            fault_hook: self.settings.fault.hook,
+            files: OperatorParts::places(),
+        });
+        let answer = move |request| operators::respond(operator_parts.clone(), request);
+        let operators = http::serve(operators_listener, answer, stopped.clone());
         let control = match (&self.settings.control, &to_control) {
             (Some(settings), Some(sender)) => {
                 let control = Control::open(control::Parts {
@@ -392,11 +387,10 @@
             lateness: lateness.clone(),
         };
         let reactor_task = tokio::spawn(Reactor::new(parts).run(inputs));
-        let mut tasks = vec![tokio::spawn(forward(
-            events,
-            reactor.clone(),
-            stopped.clone(),
-        ))];
+        let mut tasks = vec![
+            tokio::spawn(operators),
+            tokio::spawn(forward(events, reactor.clone(), stopped.clone())),
+        ];
         tasks.extend(
             Starter::start_sides(
                 &self.settings,
@@ -479,7 +473,6 @@
             reactor,
             reactor_task,
             control,
-            operators,
             tasks,
             stop,
             published,
--- a/components/node/src/vitals.rs
+++ b/components/node/src/vitals.rs
@@ -5,7 +5,7 @@
 
 use crate::metric::{value, Metrics};
 use crate::shared::raised;
-use coordination::overload::{Overload, LATE_MS};
+use coordination::overload::{self, Overload, LATE_MS};
 use state::clock::Millis;
 use state::line::Line;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -43,6 +43,8 @@
     due: AtomicU64,
     /// How late it was the last time, in milliseconds.
     last: AtomicU64,
+    /// How late it was the time before.
+    before: AtomicU64,
     /// Whether new connections are to go to other routers.
     is_away: AtomicBool,
 }
@@ -59,12 +61,12 @@
 }
 
 impl Lateness {
-    /// Milliseconds by which tasks run late now: by the last probe, or by the one that
-    /// should have come since.
-    pub(crate) fn ms(&self) -> u64 {
+    /// Milliseconds by which tasks run late now.
+    fn ms(&self) -> u64 {
         let due = self.shared.due.load(Ordering::Relaxed);
         let overdue = self.elapsed().saturating_sub(due);
-        overdue.max(self.shared.last.load(Ordering::Relaxed))
+        let last = self.shared.last.load(Ordering::Relaxed);
+        overload::lateness(last, self.shared.before.load(Ordering::Relaxed), overdue)
     }
 
     /// Whether requests are to be refused for it.
@@ -95,7 +97,8 @@
         self.shared.due.store(due, Ordering::Relaxed);
         tokio::time::sleep(PROBE).await;
         let late = self.elapsed().saturating_sub(due);
-        self.shared.last.store(late, Ordering::Relaxed);
+        let last = self.shared.last.swap(late, Ordering::Relaxed);
+        self.shared.before.store(last, Ordering::Relaxed);
         late
     }
 }
