--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -474,7 +474,9 @@
         let shards = status["schedulers"].as_array().unwrap().iter();
         shards.filter_map(|r| r["running"].as_u64()).sum::<u64>()
     };
-    eventually("the first call is settled", || running() == 0 && level() > 0);
+    eventually("the first call is settled", || {
+        running() == 0 && level() > 0
+    });
     let start = level();
     let mut calls = 0;
     for _ in 0..2 {
