Let routers time first bytes, so that a late scheduler does not take its engines for slow

Cause: the time from a grant to a first byte was taken when the scheduler heard of the byte. Routers tell now how long it took after the grant; one that itself runs late tells nothing.

Ruled out: the pace of what was started as a cause of its own.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -59,6 +59,9 @@
     }
 }
 
+/// A first byte that its scheduler hears of as soon as it comes.
+const PROMPTLY: Option<u32> = Some(u32::MAX);
+
 /// Engines that have answered some requests.
 fn fill(slots: &mut Slots, engines: u32) {
     slots.set_memory(Some(MEMORY));
@@ -71,7 +74,7 @@
         let now = Millis(n / u64::from(engines) * ROUND_MS);
         if let Some(mut reading) = slots.take(now, id, prompt(n)) {
             let first = now.after(FIRST_MS + reading.to_read() / RATE);
-            slots.began(first, id, &mut reading);
+            slots.began(first, id, &mut reading, PROMPTLY);
             slots.end(first, id, &reading);
             slots.free(first, id, Some(Verdict::Fine));
         }
@@ -184,7 +187,7 @@
 
     fn began(&mut self, seq: Seq) -> Duration {
         let began = Instant::now();
-        let effects = self.scheduler.began(self.now, self.session, seq);
+        let effects = (self.scheduler).began(self.now, self.session, seq, PROMPTLY);
         let took = began.elapsed();
         self.note(&effects);
         took
--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -127,8 +127,9 @@
     Withdraw(Seq),
     /// A grant was not used: no byte was sent.
     Return(Seq),
-    /// The first byte of a request's answer has come.
-    Began(Seq),
+    /// The first byte of a request's answer has come, this many milliseconds after its
+    /// grant had; `None` where the router itself ran late, and cannot tell.
+    Began(Seq, Option<u32>),
     /// A request has cost this much so far.
     Progress(Seq, u32),
     /// A request has ended at this cost.
--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -266,8 +266,9 @@
         effects
     }
 
-    /// Notes that the first byte of an answer has come.
-    pub fn began(&mut self, now: Millis, handle: Handle) -> Effects {
+    /// Notes that the first byte of an answer has come, `took_ms` after the request was
+    /// dispatched; `None` if this router ran late, and what it measures says nothing.
+    pub fn began(&mut self, now: Millis, handle: Handle, took_ms: Option<u32>) -> Effects {
         let mut effects = Effects::new();
         let Some(request) = self.requests.get(handle) else {
             return effects;
@@ -276,7 +277,7 @@
             return effects;
         };
         let shard = request.shard.clone();
-        self.tell(now, &shard, Report::Began(seq), &mut effects);
+        self.tell(now, &shard, Report::Began(seq, took_ms), &mut effects);
         effects
     }
 
--- a/components/coordination/src/engine/clock.rs
+++ b/components/coordination/src/engine/clock.rs
@@ -30,6 +30,9 @@
 /// Time for a grant and its request to reach the engine, in microseconds.
 const WAY_US: u64 = 4_000;
 
+/// Part of that time for the grant alone, in microseconds.
+const GRANT_US: u64 = WAY_US / 2;
+
 /// Reading of one engine in time.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Clock {
@@ -55,6 +58,39 @@
     pub ahead_us: u64,
 }
 
+/// The first event of one request, as its scheduler hears of it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct First {
+    /// When it hears of it.
+    pub(super) heard: Millis,
+    /// Time from the grant to the event as its router measured it, in milliseconds.
+    pub(super) took_ms: Option<u32>,
+    /// Whether nothing but reading took that time.
+    pub(super) is_plain: bool,
+}
+
+impl First {
+    /// When the event came, in microseconds.
+    ///
+    /// A scheduler that has more to do than it can hears of events late. By its own clock
+    /// its engines would be slow, it would send them less, refuse more, and be later still:
+    /// engines that read 63,900 tokens a second were believed to read 6,500 to 19,900.
+    fn came_us(&self, expected: &Expected) -> u64 {
+        let heard_us = self.heard.0 * 1000;
+        let took_us = self.took_ms.map(|ms| u64::from(ms) * 1000);
+        took_us.map_or(heard_us, |took_us| {
+            heard_us.min(expected.granted_us() + GRANT_US + took_us)
+        })
+    }
+}
+
+impl Expected {
+    /// When it was granted, in microseconds.
+    fn granted_us(&self) -> u64 {
+        self.starts_us.saturating_sub(self.ahead_us)
+    }
+}
+
 /// How far an engine is with what it was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -168,16 +204,16 @@
         }
     }
 
-    /// Notes a first event; `is_plain` says that nothing but reading took its time.
-    pub(super) fn began(&mut self, now: Millis, expected: &Expected, is_plain: bool) {
+    /// Notes a first event.
+    pub(super) fn began(&mut self, expected: &Expected, first: First) {
         self.forget(expected);
-        let now_us = now.0 * 1000;
+        let came_us = first.came_us(expected);
         // What is pending came after it, and began to be read when this one had been.
-        let read_us = now_us.saturating_sub(self.tail_us());
+        let read_us = came_us.saturating_sub(self.tail_us());
         self.ends_us = read_us + self.reading_us(self.unread);
-        if is_plain {
+        if first.is_plain && first.took_ms.is_some() {
             // CAST: milliseconds since a start are far below 2^63 microseconds.
-            let took_us = now_us as i64 - expected.starts_us as i64;
+            let took_us = came_us as i64 - expected.starts_us as i64;
             self.learn(took_us, expected.tokens);
         }
     }
--- a/components/coordination/src/engine/mod.rs
+++ b/components/coordination/src/engine/mod.rs
@@ -366,14 +366,19 @@
         self.evict(changes);
     }
 
-    /// Notes a request's first token: its prompt has been read.
-    pub fn began(&mut self, now: Millis, reading: &mut Reading) {
+    /// Notes a request's first token, `took_ms` after its grant: its prompt has been read.
+    pub fn began(&mut self, now: Millis, reading: &mut Reading, took_ms: Option<u32>) {
         if std::mem::replace(&mut reading.has_begun, true) {
             return;
         }
         // Copying takes its own time.
         let is_plain = reading.copied == 0;
-        self.clock.began(now, &reading.expected, is_plain);
+        let first = clock::First {
+            heard: now,
+            took_ms,
+            is_plain,
+        };
+        self.clock.began(&reading.expected, first);
         for part in reading.prompt.parts() {
             if let Some(kept) = self.kept.get_mut(&part.key) {
                 kept.is_read = true;
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -346,7 +346,7 @@
                 Effects::new()
             }
             Report::Return(seq) => self.give_back(now, session, seq),
-            Report::Began(seq) => self.began(now, session, seq),
+            Report::Began(seq, took_ms) => self.began(now, session, seq, took_ms),
             Report::Progress(seq, cost) => {
                 self.progress(session, seq, cost);
                 Effects::new()
@@ -405,12 +405,18 @@
     }
 
     /// Notes the first byte of an answer: an engine has read the prompt, and may
-    /// be given the next one.
-    pub fn began(&mut self, now: Millis, session: Session, seq: Seq) -> Effects {
+    /// be given the next one. It came `took_ms` after the grant reached its router.
+    pub fn began(
+        &mut self,
+        now: Millis,
+        session: Session,
+        seq: Seq,
+        took_ms: Option<u32>,
+    ) -> Effects {
         if let Some(running) = self.running.get_mut(&(session, seq)) {
             running.silent_at = None;
             if let Some(reading) = &mut running.reading {
-                self.slots.began(now, running.endpoint, reading);
+                self.slots.began(now, running.endpoint, reading, took_ms);
             }
         }
         self.grant(now)
--- a/components/coordination/src/slot/mod.rs
+++ b/components/coordination/src/slot/mod.rs
@@ -240,9 +240,15 @@
         self.change(id, |engine, changes| engine.learn(now, part, changes));
     }
 
-    /// Notes the first byte of an answer of an engine.
-    pub fn began(&mut self, now: Millis, id: EndpointId, reading: &mut Reading) {
-        self.change(id, |engine, _| engine.began(now, reading));
+    /// Notes the first byte of an answer of an engine, `took_ms` after its grant.
+    pub fn began(
+        &mut self,
+        now: Millis,
+        id: EndpointId,
+        reading: &mut Reading,
+        took_ms: Option<u32>,
+    ) {
+        self.change(id, |engine, _| engine.began(now, reading, took_ms));
     }
 
     /// Gives back what a request took of an engine.
--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -636,8 +636,8 @@
     match report {
         Report::Hello(hello) => 12 + 12 * hello.held.len() as u64 + 8 * hello.known.len() as u64,
         Report::Ask(_) => 14,
-        Report::Withdraw(_) | Report::Return(_) | Report::Began(_) => 3,
-        Report::Progress(..) => 5,
+        Report::Withdraw(_) | Report::Return(_) => 3,
+        Report::Progress(..) | Report::Began(..) => 5,
         Report::Done(..) => 6,
     }
 }
--- a/components/coordination/tests/load.rs
+++ b/components/coordination/tests/load.rs
@@ -18,6 +18,9 @@
 
 /// Tokens that an engine reads in a millisecond.
 const RATE: u64 = 40;
+/// What is told of a first byte that its scheduler hears of as soon as it comes: it cannot
+/// have come later than that.
+const PROMPTLY: Option<u32> = Some(u32::MAX);
 /// Tokens that fit into an engine.
 const MEMORY: u64 = 500_000;
 /// Time to generate an answer, in milliseconds.
@@ -179,7 +182,7 @@
                 if *missing > 0 {
                     break;
                 }
-                reports.push(Report::Began(*seq));
+                reports.push(Report::Began(*seq, PROMPTLY));
                 engine.generating.push_back((self.now + GENERATE_MS, *seq));
                 engine.waiting.pop_front();
             }
@@ -194,7 +197,7 @@
         }
         for report in reports {
             match &report {
-                Report::Began(seq) => {
+                Report::Began(seq, _) => {
                     let job = &self.jobs[seq];
                     let tally = self.tallies.get_mut(&job.customer).unwrap();
                     if self.now - job.arrived <= u64::from(AIM_MS) {
--- a/components/coordination/tests/placement.rs
+++ b/components/coordination/tests/placement.rs
@@ -151,7 +151,7 @@
         let (id, reading, has_begun) = &mut self.running[at];
         *has_begun = true;
         let mut other = *reading;
-        self.slots.began(self.now, *id, reading);
+        self.slots.began(self.now, *id, reading, scan::PROMPTLY);
         self.scan.began(self.now, *id, &mut other);
     }
 
--- a/components/coordination/tests/pressure.rs
+++ b/components/coordination/tests/pressure.rs
@@ -10,6 +10,9 @@
 use state::id::{EndpointId, Epoch};
 
 const ENGINE: EndpointId = EndpointId(1);
+/// What is told of a first byte that its scheduler hears of as soon as it comes: it cannot
+/// have come later than that.
+const PROMPTLY: Option<u32> = Some(u32::MAX);
 
 /// A scheduler of one engine with one router.
 fn scheduler() -> (Scheduler, Session) {
@@ -59,7 +62,7 @@
     );
     assert!(granted(&scheduler.take(now, session, ask(2, 8000, 900))).is_empty());
     assert!(granted(&scheduler.take(now, session, ask(3, 400, 400))).is_empty());
-    let read = scheduler.take(Millis(1200), session, Report::Began(Seq(1)));
+    let read = scheduler.take(Millis(1200), session, Report::Began(Seq(1), PROMPTLY));
     assert_eq!(granted(&read)[0], 3);
 }
 
@@ -77,7 +80,7 @@
         scheduler.tick(Millis(tick));
     }
     scheduler.take(Millis(1250), session, ask(3, 2000, 400));
-    let read = scheduler.take(Millis(1350), session, Report::Began(Seq(1)));
+    let read = scheduler.take(Millis(1350), session, Report::Began(Seq(1), PROMPTLY));
     assert_eq!(granted(&read), [3]);
 }
 
@@ -100,7 +103,7 @@
         let mut effects = scheduler.take(Millis(now), session, ask(now, 1000, 400));
         effects.extend(scheduler.tick(Millis(now)));
         let old = now.saturating_sub(150);
-        effects.extend(scheduler.take(Millis(now), session, Report::Began(Seq(old))));
+        effects.extend(scheduler.take(Millis(now), session, Report::Began(Seq(old), PROMPTLY)));
         for effect in effects {
             if let Effect::Refuse(_, refusal) = effect {
                 let waited = now - refusal.seq.0;
@@ -150,7 +153,7 @@
         expected = u64::from(grant.basis.first_ms);
         let took = 4 + 110 + u64::from(tokens) / 44;
         let first = Millis(now + took);
-        scheduler.take(first, session, Report::Began(Seq(seq)));
+        scheduler.take(first, session, Report::Began(Seq(seq), PROMPTLY));
         scheduler.take(first, session, Report::Done(Seq(seq), 10, Verdict::Fine));
     }
     // The last one had 6,600 tokens.
@@ -210,3 +213,48 @@
     assert_eq!(granted(&scheduler.flush(now)), [1, 2, 3]);
     assert!(scheduler.flush(now).is_empty());
 }
+
+#[test]
+fn a_late_scheduler_does_not_take_its_engines_for_slow() {
+    // Symptom: engines with little to do, and thousands of requests refused as overloaded;
+    // engines that read 60,000 tokens a second are believed to read 7,000.
+    // Sequence: a scheduler is told of more than it can take in, and hears of first bytes
+    // half a second after they came.
+    // Cause: the time to a first byte was taken when the scheduler heard of it.
+    let (mut scheduler, session) = scheduler();
+    let mut expected = 0;
+    for seq in 0..60 {
+        let now = 1000 + seq * 2000;
+        let sent = scheduler.take(Millis(now), session, ask(seq, 6600, 800));
+        let Effect::Grant(_, grant) = sent[0] else {
+            unreachable!("an idle engine is sent a request");
+        };
+        expected = u64::from(grant.basis.first_ms);
+        let heard = Millis(now + 260 + 500);
+        scheduler.take(heard, session, Report::Began(Seq(seq), Some(260)));
+        scheduler.take(heard, session, Report::Done(Seq(seq), 10, Verdict::Fine));
+    }
+    assert!(expected.abs_diff(262) < 15, "{expected}");
+    assert!(
+        scheduler.belief().slowest > 25_000,
+        "{:?}",
+        scheduler.belief()
+    );
+}
+
+#[test]
+fn a_router_that_runs_late_says_nothing_of_an_engine() {
+    // Symptom: engines are taken for slow that one busy router uses.
+    // Sequence: a router has more to do than it can, and reads first bytes late.
+    // Cause: what it measured is the time until it turned to them.
+    let (mut scheduler, session) = scheduler();
+    let before = scheduler.belief().slowest;
+    for seq in 0..20 {
+        let now = 1000 + seq * 2000;
+        scheduler.take(Millis(now), session, ask(seq, 6600, 800));
+        let heard = Millis(now + 1500);
+        scheduler.take(heard, session, Report::Began(Seq(seq), None));
+        scheduler.take(heard, session, Report::Done(Seq(seq), 10, Verdict::Fine));
+    }
+    assert_eq!(scheduler.belief().slowest, before);
+}
--- a/components/coordination/tests/scan/mod.rs
+++ b/components/coordination/tests/scan/mod.rs
@@ -19,6 +19,9 @@
 const AIM_MAX_MS: u64 = 2000;
 const CLAIM_MIN: u64 = 64;
 
+/// A first byte that is heard of as soon as it comes.
+pub(crate) const PROMPTLY: Option<u32> = Some(u32::MAX);
+
 struct Slot {
     slots: u32,
     leaving: bool,
@@ -92,7 +95,7 @@
 
     pub(crate) fn began(&mut self, now: Millis, id: EndpointId, reading: &mut Reading) {
         if let Some(slot) = self.all.get_mut(&id) {
-            slot.engine.began(now, reading);
+            slot.engine.began(now, reading, PROMPTLY);
         }
     }
 
--- a/components/node/src/front/relay.rs
+++ b/components/node/src/front/relay.rs
@@ -5,6 +5,7 @@
 use super::pool::{Connection, Key, Pool};
 use crate::input::Input;
 use crate::journal::Journal;
+use crate::vitals::Lateness;
 use bytes::Bytes;
 use coordination::ask::Verdict;
 use coordination::dispatcher::Handle;
@@ -131,6 +132,8 @@
     pub(crate) kept: Option<Kept>,
     pub(crate) told: u32,
     pub(crate) has_begun: bool,
+    /// How late tasks of this process run.
+    pub(crate) lateness: Lateness,
     /// The request's log line, with the status of the answer.
     pub(crate) note: Option<(Note, StatusCode)>,
     /// How the answer ended.
@@ -178,7 +181,10 @@
 impl Relay {
     fn count(&mut self, bytes: &Bytes) {
         if !std::mem::replace(&mut self.has_begun, true) {
-            let began = Input::Began(self.slot.handle);
+            let took_ms = u32::try_from(self.slot.cost.began.elapsed().as_millis()).ok();
+            let took_ms = took_ms.filter(|_| !self.lateness.is_late());
+            let began = Input::Began(self.slot.handle, took_ms);
+            // The reactor ends only together with this process.
             let _ = self.slot.reactor.send(began);
         }
         self.slot.cost.take(bytes);
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -429,6 +429,7 @@
         kept,
         told: 0,
         has_begun: false,
+        lateness: front.parts.lateness.clone(),
         note: None,
         ended: "caller-gone",
         way: Way {
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -62,8 +62,9 @@
     Leave(Handle),
     /// A request failed and is to be queued again.
     Again(Handle, Verdict, oneshot::Sender<Decided>),
-    /// The first byte of an answer has come.
-    Began(Handle),
+    /// The first byte of an answer has come, this many milliseconds after its dispatch;
+    /// `None` if tasks ran late meanwhile.
+    Began(Handle, Option<u32>),
     /// A request has cost this much so far.
     Progress(Handle, u32),
     /// A request has ended.
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -221,8 +221,8 @@
                     self.leave(now, handle);
                 }
             }
-            Input::Began(handle) => {
-                let effects = self.dispatcher.began(now, handle);
+            Input::Began(handle, took_ms) => {
+                let effects = self.dispatcher.began(now, handle, took_ms);
                 self.act(now, effects);
             }
             Input::Progress(handle, cost) => {
