--- a/components/coordination/src/overload.rs
+++ b/components/coordination/src/overload.rs
@@ -30,6 +30,9 @@
 /// Least time for which new connections are turned away, in milliseconds. Whoever sends
 /// them asks once a second and takes two misses.
 const AWAY_MIN_MS: u64 = 2300;
+/// Time for which new connections have to be turned away before whoever sends them has
+/// noticed, in milliseconds: two misses, a second apart.
+const NOTICED_MS: u64 = 2000;
 /// Longest time for it, in milliseconds, and least time between two of them. Where all
 /// routers are overloaded, none is helped by turning callers away for good.
 const AWAY_MAX_MS: u64 = 5000;
@@ -76,4 +79,13 @@
         }
         self.is_away
     }
+
+    /// Whether a caller that connects anew comes to another router by now.
+    ///
+    /// Callers keep their connections: those of one large customer went on coming to the
+    /// router that it had overloaded, while all others had room. Closed with an answer
+    /// sooner, they would come back to the same one.
+    pub fn is_passed_over(&self, now: Millis) -> bool {
+        self.is_away && now.since(self.changed) >= NOTICED_MS
+    }
 }
--- a/components/coordination/tests/overload.rs
+++ b/components/coordination/tests/overload.rs
@@ -143,3 +143,25 @@
     // though it had nothing to do: its one probe was seconds late.
     assert_eq!(lateness(last, before, overdue) >= LATE_MS, is_late);
 }
+
+#[test]
+fn callers_are_sent_to_another_router_once_that_helps() {
+    // Symptom: one router has more to do than it can for as long as a large customer asks,
+    // beside others with room.
+    // Sequence: the router says that it is not ready, but the customer's callers keep their
+    // connections to it.
+    // Cause: nothing tells them to connect anew, which brings them to another router only
+    // once new connections go there.
+    let mut overload = Overload::default();
+    let mut away = None;
+    for now in (0..12_000).step_by(60) {
+        let is_away = overload.probe(Millis(now), 60, false);
+        if is_away {
+            let since = *away.get_or_insert(now);
+            assert_eq!(overload.is_passed_over(Millis(now)), now - since >= 2000);
+        } else {
+            away = None;
+            assert!(!overload.is_passed_over(Millis(now)));
+        }
+    }
+}
--- a/components/node/src/vitals.rs
+++ b/components/node/src/vitals.rs
@@ -47,6 +47,8 @@
     before: AtomicU64,
     /// Whether new connections are to go to other routers.
     is_away: AtomicBool,
+    /// Whether they do by now.
+    is_passed_over: AtomicBool,
 }
 
 impl Default for Lateness {
@@ -79,8 +81,17 @@
         self.shared.is_away.load(Ordering::Relaxed)
     }
 
-    /// Notes whether they are, and tells each change.
-    fn turn(&self, is_away: bool, late_ms: u64) {
+    /// Whether they do by now, so that callers are best off with a new connection.
+    pub(crate) fn is_passed_over(&self) -> bool {
+        self.shared.is_passed_over.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether they are to and whether they do, and tells each change.
+    fn turn(&self, is_away: bool, is_passed_over: bool, late_ms: u64) {
+        let shared = &self.shared;
+        shared
+            .is_passed_over
+            .store(is_passed_over, Ordering::Relaxed);
         if self.shared.is_away.swap(is_away, Ordering::Relaxed) == is_away {
             return;
         }
@@ -125,8 +136,9 @@
             () = raised(&mut stop) => return,
         };
         let is_full = metrics.connections.get() >= connections;
-        let is_away = overload.probe(Millis(lateness.elapsed()), late, is_full);
-        lateness.turn(is_away, late);
+        let now = Millis(lateness.elapsed());
+        let is_away = overload.probe(now, late, is_full);
+        lateness.turn(is_away, overload.is_passed_over(now), late);
         latest = latest.max(late);
         if Instant::now() < next {
             continue;
