--- a/components/coordination/src/assignment.rs
+++ b/components/coordination/src/assignment.rs
@@ -9,15 +9,48 @@
 /// Time that a new leader waits for candidates to report, in milliseconds.
 pub const SETTLE_MS: u64 = 600;
 
+/// Endpoints in a data centre, on average over its region, from which on each data centre
+/// has a scheduler of its own. With fewer, a part of prompts would be kept in few places,
+/// and each scheduler would see too little of the load.
+const DIVIDE: usize = 12;
+/// The same below which they have one again: some way below, so that endpoints which come
+/// and go do not change schedulers each time.
+const UNITE: usize = 8;
+
+/// Routers for each scheduler from which on its VM takes no callers: it is then one in
+/// twelve of the routers at most that callers miss.
+const ROUTERS_EACH: usize = 12;
+
 /// A VM that can schedule.
 #[derive(Clone, Debug)]
 struct Candidate {
-    place: Place,
-    region: Name,
+    site: Site,
     incarnation: u64,
     heard: Millis,
 }
 
+/// Where a VM that can schedule stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Site {
+    /// The VM and the address of its links.
+    pub place: Place,
+    /// Its region.
+    pub region: Name,
+    /// Its data centre.
+    pub data_centre: Name,
+}
+
+impl Site {
+    /// How far it is from a shard's endpoints: another region, another data centre.
+    fn distance(&self, shard: &Shard) -> (bool, bool) {
+        let elsewhere = |data_centre: &Name| *data_centre != self.data_centre;
+        (
+            self.region != shard.region,
+            shard.data_centre.as_ref().is_some_and(elsewhere),
+        )
+    }
+}
+
 /// What the leader knows of the VMs that can schedule.
 #[derive(Clone, Debug, Default)]
 pub struct Assigner {
@@ -33,14 +66,14 @@
     }
 
     /// Hears a heartbeat of a candidate.
-    pub fn heard(&mut self, now: Millis, place: Place, region: Name, incarnation: u64) {
+    pub fn heard(&mut self, now: Millis, site: Site, incarnation: u64) {
+        let vm = site.place.vm.clone();
         let candidate = Candidate {
-            place: place.clone(),
-            region,
+            site,
             incarnation,
             heard: now,
         };
-        self.candidates.insert(place.vm, candidate);
+        self.candidates.insert(vm, candidate);
     }
 
     /// Forgets a candidate whose link was lost.
@@ -76,11 +109,14 @@
             .filter(|s| view.config.services.contains_key(&s.service))
         {
             let held = view.assignment(shard);
-            if held.is_some_and(|s| live.get(&s.place.vm).is_some_and(|c| c.place == s.place)) {
+            if held.is_some_and(|s| {
+                live.get(&s.place.vm)
+                    .is_some_and(|c| c.site.place == s.place)
+            }) {
                 continue;
             }
             let best = (live.iter())
-                .min_by_key(|(vm, c)| (c.region != shard.region, load.get(*vm).copied(), *vm));
+                .min_by_key(|(vm, c)| (c.site.distance(shard), load.get(*vm).copied(), *vm));
             let Some((vm, candidate)) = best else {
                 continue;
             };
@@ -89,7 +125,7 @@
             }
             plan.push(Assignment {
                 shard: shard.clone(),
-                place: candidate.place.clone(),
+                place: candidate.site.place.clone(),
                 // The version that the record will bring is not known yet, but
                 // it is above the current one; so is this epoch above all others.
                 epoch: Epoch(view.version.0 + 1 + plan.len() as u64),
@@ -99,16 +135,57 @@
     }
 }
 
+/// Whether a VM that schedules for some routers takes no callers beside it, in a fleet of
+/// that many shards.
+///
+/// Callers come to a router by a hash of their address. Where a large one came to the VM of
+/// a scheduler, all routers waited for decisions while it served that caller.
+pub fn is_dedicated(routers: usize, shards: usize) -> bool {
+    routers >= shards * ROUTERS_EACH
+}
+
 /// The shards that have endpoints.
+///
+/// One scheduler for hundreds of engines is the ceiling of a fleet whose VMs have an eighth
+/// of a core: it is told of each request four times. A region with many endpoints is thus
+/// divided by data centre.
 pub fn shards(view: &View) -> BTreeSet<Shard> {
-    let mut shards = BTreeSet::new();
+    let mut regions: BTreeMap<Shard, BTreeMap<&Name, usize>> = BTreeMap::new();
     for endpoint in view.config.endpoints.values() {
-        if let Some(service) = view.config.service(&endpoint.service) {
-            shards.insert(Shard {
-                service,
-                region: endpoint.region.clone(),
-            });
+        let Some(service) = view.config.service(&endpoint.service) else {
+            continue;
+        };
+        let region = Shard {
+            service,
+            region: endpoint.region.clone(),
+            data_centre: None,
+        };
+        let counts = regions.entry(region).or_default();
+        *counts.entry(&endpoint.data_centre).or_default() += 1;
+    }
+    let mut shards = BTreeSet::new();
+    for (region, counts) in regions {
+        if !divides(view, &region, &counts) {
+            shards.insert(region);
+            continue;
         }
+        let divided = counts.into_keys().map(|data_centre| Shard {
+            data_centre: Some(data_centre.clone()),
+            ..region.clone()
+        });
+        shards.extend(divided);
     }
     shards
 }
+
+/// Whether each data centre of a region has a scheduler of its own, given the endpoints in
+/// each.
+fn divides(view: &View, region: &Shard, counts: &BTreeMap<&Name, usize>) -> bool {
+    let of_region =
+        |a: &&Assignment| a.shard.service == region.service && a.shard.region == region.region;
+    let newest = view.assignments.iter().filter(of_region);
+    let newest = newest.max_by_key(|a| a.epoch);
+    let is_divided = newest.is_some_and(|a| a.shard.data_centre.is_some());
+    let least = if is_divided { UNITE } else { DIVIDE };
+    counts.len() > 1 && counts.values().sum::<usize>() >= least * counts.len()
+}
--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -7,14 +7,17 @@
 mod queue;
 mod remote;
 mod session;
+mod spread;
 
 pub use self::local::LOCAL_MS;
 pub use self::queue::WINDOW;
 pub use self::remote::{REMOTES, REMOTE_MS};
 pub use self::session::HELLO_AGAIN_MS;
+pub use self::spread::Home;
 
 use self::queue::{Queue, Request, Stage};
 use self::session::Session;
+use self::spread::{Spread, State};
 use crate::ask::Placement;
 use crate::prelude::*;
 use crate::slot::Slots;
@@ -114,8 +117,8 @@
 
 /// The dispatcher of one router.
 pub struct Dispatcher {
-    region: Name,
     incarnation: u64,
+    spread: Spread,
     bounds: Bounds,
     requests: SlotMap<Handle, Request>,
     classes: BTreeMap<(ServiceId, Class), Queue>,
@@ -127,10 +130,10 @@
 
 impl Dispatcher {
     /// A dispatcher without requests.
-    pub fn new(region: Name, incarnation: u64, bounds: Bounds) -> Self {
+    pub fn new(home: Home, bounds: Bounds) -> Self {
         Dispatcher {
-            region,
-            incarnation,
+            incarnation: home.incarnation,
+            spread: Spread::new(home),
             bounds,
             requests: SlotMap::with_key(),
             classes: BTreeMap::new(),
@@ -172,6 +175,17 @@
         self.sessions.values().map(|s| s.routers).max().unwrap_or(1)
     }
 
+    /// The shard to ask for a request.
+    fn shard(&self, now: Millis, arrival: &Arrival) -> Option<&Shard> {
+        let state = |shard: &Shard| {
+            let session = self.sessions.get(shard);
+            session.map_or(State::UNKNOWN, |s| s.state(now, arrival.class.customer))
+        };
+        let (service, aim_ms) = (arrival.service, arrival.aim.since(now));
+        let spread = &self.spread;
+        spread.choose(now, service, &arrival.prompt, aim_ms, state)
+    }
+
     /// Takes a request, or says why it cannot wait.
     ///
     /// # Errors
@@ -183,18 +197,23 @@
         view: &View,
         arrival: Arrival,
     ) -> Result<(Handle, Effects), Full> {
-        let shard = self.shard(view, arrival.service).ok_or(Full::NoEndpoint)?;
+        if self.spread.is_empty() {
+            self.spread.follow(view);
+        }
+        let shard = self.shard(now, &arrival).cloned();
+        let shard = shard.ok_or(Full::NoEndpoint)?;
         let full = self.bytes.saturating_add(arrival.bytes) > self.bounds.bytes;
         if full || self.waiting >= self.bounds.requests {
             return Err(Full::Router);
         }
+        let session = self.sessions.get(&shard);
+        if let Some(after_ms) = session.and_then(|s| s.turned_away(now, arrival.class)) {
+            return Err(Full::Late { after_ms });
+        }
         let queue = self
             .classes
             .entry((arrival.service, arrival.class))
             .or_default();
-        if let Some(after_ms) = queue.turned_away(now) {
-            return Err(Full::Late { after_ms });
-        }
         if queue.count >= arrival.queue {
             return Err(Full::Customer);
         }
@@ -205,6 +224,7 @@
         let request = Request {
             arrival,
             shard: shard.clone(),
+            is_moved: false,
             avoid: None,
             stage: Stage::Waiting,
             since: now,
@@ -359,6 +379,7 @@
     /// Follows the view: new schedulers, endpoints that come and go.
     pub fn follow(&mut self, now: Millis, view: &View) -> Effects {
         let mut effects = Effects::new();
+        self.spread.follow(view);
         let shards: Vec<Shard> = self.sessions.keys().cloned().collect();
         for shard in shards {
             let assignment = view.assignment(&shard).cloned();
@@ -424,8 +445,7 @@
         for shard in shards {
             self.tick_session(now, view, &shard, &mut effects);
         }
-        self.classes
-            .retain(|_, queue| queue.count > 0 || queue.turned_away(now).is_some());
+        self.classes.retain(|_, queue| queue.count > 0);
         self.ask_remote(now, view, &mut effects);
         effects
     }
@@ -447,6 +467,6 @@
 ) -> impl Iterator<Item = (EndpointId, u32, u32, bool)> + 'a {
     let service = view.config.services.get(&shard.service).map(|s| &s.name);
     (view.config.endpoints.iter())
-        .filter(move |(_, e)| Some(&e.service) == service && e.region == shard.region)
+        .filter(move |(_, e)| Some(&e.service) == service && shard.covers(e))
         .map(|(id, e)| (*id, e.slots, e.lead, view.leaving.contains(id)))
 }
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -1,6 +1,7 @@
 //! Queues of waiting requests, and their way from arrival to dispatch.
 
 use super::local::LOCAL;
+use super::session::Session;
 use super::{endpoints, Arrival, Dispatcher, Effect, Effects, Handle};
 use super::{UNASKED_PART, UNASKED_RETURN_MS};
 use crate::ask::{Placement, Seq};
@@ -12,9 +13,8 @@
 /// that a flood on one router costs its scheduler no memory.
 pub const WINDOW: u32 = 32;
 
-/// Time for which newcomers of a class are refused as one of it was, in milliseconds: short
-/// beside the 300 ms after which a refused caller comes back at the earliest.
-const TURNED_MS: u64 = 100;
+/// Waiting requests of a class among which one is sought whose scheduler can be asked.
+const LOOK: usize = 32;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -27,6 +27,8 @@
 pub(super) struct Request {
     pub(super) arrival: Arrival,
     pub(super) shard: Shard,
+    /// Whether another shard has refused it.
+    pub(super) is_moved: bool,
     pub(super) avoid: Option<EndpointId>,
     pub(super) stage: Stage,
     pub(super) since: Millis,
@@ -51,28 +53,6 @@
     /// Requests that wait, asked or not.
     pub(super) count: u32,
     pub(super) asked: u32,
-    /// Until when newcomers are refused as one of the class was, and when they may come
-    /// back.
-    turned: Option<(Millis, u32)>,
-}
-
-impl Queue {
-    /// Time after which a newcomer may come back, in milliseconds, if it is not let in.
-    pub(super) fn turned_away(&self, now: Millis) -> Option<u32> {
-        let (until, after_ms) = self.turned?;
-        (now < until).then_some(after_ms)
-    }
-
-    /// Remembers a refusal of a request with this aim.
-    ///
-    /// A scheduler that is asked for several times what its engines can do spends its
-    /// processor on refusals: requests waited 0.5 s for theirs. One that would have waited
-    /// for its whole aim, twice what it may, tells enough of those that come right after it.
-    fn note_refusal(&mut self, now: Millis, aim_ms: u64, refusal: &Refusal) {
-        if u64::from(refusal.wait_ms) >= aim_ms {
-            self.turned = Some((now.after(TURNED_MS), refusal.after_ms));
-        }
-    }
 }
 
 /// Time that is left until an answer is late, in milliseconds.
@@ -81,24 +61,6 @@
 }
 
 impl Dispatcher {
-    /// The shard that serves a service for this router: in its own region, or
-    /// else the first that has endpoints.
-    pub(super) fn shard(&self, view: &View, service: ServiceId) -> Option<Shard> {
-        let name = &view.config.services.get(&service)?.name;
-        let open = || {
-            (view.config.endpoints.iter())
-                .filter(|(id, e)| e.service == *name && !view.leaving.contains(id))
-                .map(|(_, e)| &e.region)
-        };
-        let region = open()
-            .find(|r| **r == self.region)
-            .or_else(|| open().min())?;
-        Some(Shard {
-            service,
-            region: region.clone(),
-        })
-    }
-
     pub(super) fn wait(&mut self, handle: Handle) {
         let Some(request) = self.requests.get(handle) else {
             return;
@@ -206,20 +168,25 @@
             if queue.asked >= WINDOW {
                 return;
             }
-            let Some(handle) = queue.waiting.front().copied() else {
+            let can_ask = |handle: &Handle| {
+                let request = self.requests.get(*handle);
+                let session = request.map(|r| self.sessions.get(&r.shard));
+                session.is_none_or(|s| s.is_some_and(Session::can_ask))
+            };
+            // Those of a shard that has lost its scheduler do not hold up the others.
+            let mut next = queue.waiting.iter().take(LOOK);
+            let Some(at) = next.position(can_ask) else {
+                return;
+            };
+            let Some(handle) = queue.waiting.remove(at) else {
                 return;
             };
             let Some(request) = self.requests.get_mut(handle) else {
-                queue.waiting.pop_front();
                 continue;
             };
             let Some(session) = self.sessions.get_mut(&request.shard) else {
                 return;
             };
-            if !session.up && session.local.is_none() {
-                return;
-            }
-            queue.waiting.pop_front();
             queue.asked += 1;
             let seq = Seq(session.next);
             session.next += 1;
@@ -286,6 +253,8 @@
             let memory = session.known.entry(customer).or_default();
             memory.level = memory.level.max(grant.level);
             session.floor = session.floor.max(grant.floor);
+            let wait_ms = request.waited(now) + u64::from(grant.basis.ahead_ms);
+            session.note_wait(now, customer, wait_ms);
         }
         request.stage = Stage::Held {
             seq: grant.seq,
@@ -322,43 +291,108 @@
             return;
         }
         self.leave_remote(now, handle, effects);
-        let Some(request) = self.requests.remove(handle) else {
+        let Some(request) = self.requests.get(handle) else {
             return;
         };
         let arrival = request.arrival;
         let aim_ms = arrival.aim.since(request.since);
-        if let Some(queue) = self.classes.get_mut(&(arrival.service, arrival.class)) {
-            queue.note_refusal(now, aim_ms, &refusal);
+        if let Some(session) = self.sessions.get_mut(shard) {
+            session.note_wait(now, arrival.class.customer, u64::from(refusal.wait_ms));
+            session.note_refusal(now, arrival.class, aim_ms, &refusal);
+        }
+        if self.ask_elsewhere(now, handle, shard) {
+            self.announce(now, arrival.service, arrival.class, effects);
+            return;
         }
+        self.requests.remove(handle);
         self.unwait(&arrival, true);
         effects.push(Effect::Refuse(handle, refusal));
         self.announce(now, arrival.service, arrival.class, effects);
     }
 
-    /// Moves waiting requests from shards whose last endpoint has gone.
+    /// Lets a request that a shard has refused be asked for at another one, once, if that
+    /// has room; false if there is none.
+    ///
+    /// A router with few requests of a customer cannot know beforehand which shard is
+    /// pressed: one would see requests refused at one data centre beside idle ones.
+    fn ask_elsewhere(&mut self, now: Millis, handle: Handle, refused: &Shard) -> bool {
+        let Some(request) = self.requests.get(handle).filter(|r| !r.is_moved) else {
+            return false;
+        };
+        let arrival = request.arrival;
+        let other = self.shard(now, &arrival).filter(|s| *s != refused);
+        let Some(other) = other.cloned() else {
+            return false;
+        };
+        if !self.sessions.get(&other).is_some_and(|s| s.up) {
+            return false;
+        }
+        if let Some(request) = self.requests.get_mut(handle) {
+            request.shard = other;
+            request.is_moved = true;
+            request.stage = Stage::Waiting;
+        }
+        let key = (arrival.service, arrival.class);
+        let queue = self.classes.entry(key).or_default();
+        queue.asked = queue.asked.saturating_sub(1);
+        queue.waiting.push_front(handle);
+        true
+    }
+
+    /// Moves waiting requests from shards whose last endpoint has gone, or that are
+    /// divided otherwise now.
     pub(super) fn move_orphans(&mut self, now: Millis, view: &View, effects: &mut Effects) {
         let gone: Vec<Shard> = (self.sessions.keys())
             .filter(|shard| endpoints(view, shard).all(|(_, _, _, leaving)| leaving))
+            .chain(self.sessions.keys().filter(|shard| !self.spread.has(shard)))
             .cloned()
             .collect();
         for shard in gone {
-            let Some(other) = self.shard(view, shard.service).filter(|s| *s != shard) else {
-                continue;
+            self.move_from(now, view, &shard, effects);
+            if !self.spread.has(&shard) && self.requests.values().all(|r| r.shard != shard) {
+                self.sessions.remove(&shard);
+            }
+        }
+    }
+
+    /// Moves what waits at a shard to others, and what is held there if another shard
+    /// covers its endpoint now.
+    fn move_from(&mut self, now: Millis, view: &View, shard: &Shard, effects: &mut Effects) {
+        let mut moves: Vec<(Handle, Shard)> = Vec::new();
+        for (handle, request) in self.requests.iter().filter(|(_, r)| r.shard == *shard) {
+            let other = match request.stage {
+                Stage::Held { endpoint, .. } if !self.spread.has(shard) => {
+                    self.spread.covering(view, shard.service, endpoint)
+                }
+                Stage::Held { .. } => None,
+                Stage::Waiting | Stage::Asked(_) => self.shard(now, &request.arrival),
             };
-            let waiting: Vec<Handle> = (self.requests.iter())
-                .filter(|(_, r)| r.shard == shard && !matches!(r.stage, Stage::Held { .. }))
-                .map(|(handle, _)| handle)
-                .collect();
-            if waiting.is_empty() {
+            let other = other.filter(|other| *other != shard);
+            moves.extend(other.map(|other| (handle, other.clone())));
+        }
+        if moves.is_empty() {
+            return;
+        }
+        self.down(now, shard);
+        let mut others: Vec<Shard> = Vec::new();
+        for (handle, other) in moves {
+            self.ensure(now, view, &other);
+            let Some(request) = self.requests.get_mut(handle) else {
                 continue;
+            };
+            request.shard = other.clone();
+            if let (Stage::Held { seq, .. }, Some(session)) =
+                (&mut request.stage, self.sessions.get_mut(&other))
+            {
+                // Its number belonged to the other session.
+                *seq = Seq(session.next);
+                session.next += 1;
             }
-            self.down(now, &shard);
-            for handle in waiting {
-                if let Some(request) = self.requests.get_mut(handle) {
-                    request.shard = other.clone();
-                }
+            if !others.contains(&other) {
+                others.push(other);
             }
-            self.ensure(now, view, &other);
+        }
+        for other in others {
             self.announce_all(now, &other, effects);
         }
     }
--- a/components/coordination/src/dispatcher/remote.rs
+++ b/components/coordination/src/dispatcher/remote.rs
@@ -51,7 +51,7 @@
         let home = request.shard.clone();
         let others: SmallVec<[Shard; 7]> = (view.assignments.iter())
             .map(|assignment| &assignment.shard)
-            .filter(|s| s.service == home.service && **s != home)
+            .filter(|s| s.service == home.service && s.region != home.region)
             .filter(|s| endpoints(view, s).any(|(_, _, _, leaving)| !leaving))
             .cloned()
             .collect();
--- a/components/coordination/src/dispatcher/session.rs
+++ b/components/coordination/src/dispatcher/session.rs
@@ -2,6 +2,7 @@
 
 use super::local::LOCAL_MS;
 use super::queue::Stage;
+use super::spread::{State, Wait};
 use super::{Dispatcher, Effect, Effects, Handle};
 use crate::ask::{Hello, Kept, Seq};
 use crate::ledger::virtual_cost;
@@ -14,6 +15,10 @@
 /// Time before a refused hello is sent again, in milliseconds.
 pub const HELLO_AGAIN_MS: u64 = 50;
 
+/// Time for which newcomers of a class are refused as one of it was, in milliseconds: short
+/// beside the 300 ms after which a refused caller comes back at the earliest.
+const TURNED_MS: u64 = 100;
+
 /// Parts of prompts that are remembered for the next scheduler: some kilobytes in a
 /// hello, and the shared parts of a few hundred requests.
 const SENT: usize = 384;
@@ -25,6 +30,8 @@
     pub(super) level: u64,
     /// Given here since, without a scheduler that counted it.
     pub(super) spent: u64,
+    /// How long its requests have waited there of late.
+    pub(super) wait: Wait,
 }
 
 #[derive(Clone, Debug)]
@@ -42,6 +49,9 @@
     pub(super) heard: bool,
     pub(super) routers: u32,
     pub(super) local: Option<(Scheduler, LocalSession)>,
+    /// Until when newcomers of a class are refused as one of it was, and when they may
+    /// come back.
+    turned: BTreeMap<Class, (Millis, u32)>,
     /// Parts of prompts that were sent last.
     sent: VecDeque<Kept>,
 }
@@ -107,9 +117,55 @@
             heard: false,
             routers: 1,
             local: None,
+            turned: BTreeMap::new(),
             sent: VecDeque::new(),
         }
     }
+
+    /// Whether there is anyone to ask: a scheduler, or this router itself.
+    pub(super) fn can_ask(&self) -> bool {
+        self.up || self.local.is_some()
+    }
+
+    /// What a choice among shards depends on, for a customer's request.
+    pub(super) fn state(&self, now: Millis, customer: CustomerId) -> State {
+        let memory = self.known.get(&customer);
+        State {
+            down_since: (!self.up).then_some(self.down_since),
+            wait_ms: memory.map_or(0, |m| m.wait.ms(now)),
+        }
+    }
+
+    /// Notes how long a customer's request waited here, or would have, in milliseconds.
+    pub(super) fn note_wait(&mut self, now: Millis, customer: CustomerId, ms: u64) {
+        let memory = self.known.entry(customer).or_default();
+        memory.wait.note(now, ms);
+    }
+
+    /// Time after which a newcomer may come back, in milliseconds, if it is not let in.
+    pub(super) fn turned_away(&self, now: Millis, class: Class) -> Option<u32> {
+        let (until, after_ms) = self.turned.get(&class)?;
+        (now < *until).then_some(*after_ms)
+    }
+
+    /// Remembers a refusal of a request with this aim.
+    ///
+    /// A scheduler that is asked for several times what its engines can do spends its
+    /// processor on refusals: requests waited 0.5 s for theirs. One that would have waited
+    /// for its whole aim, twice what it may, tells enough of those that come right after it.
+    pub(super) fn note_refusal(
+        &mut self,
+        now: Millis,
+        class: Class,
+        aim_ms: u64,
+        refusal: &Refusal,
+    ) {
+        self.turned.retain(|_, (until, _)| now < *until);
+        if u64::from(refusal.wait_ms) >= aim_ms {
+            let until = now.after(TURNED_MS);
+            self.turned.insert(class, (until, refusal.after_ms));
+        }
+    }
 }
 
 impl Dispatcher {
--- /dev/null
+++ b/components/coordination/src/dispatcher/spread.rs
@@ -0,0 +1,240 @@
+//! Which shard of a service a request is asked for at, where a region has several.
+//!
+//! The load: hundreds of engines in a few data centres, each with a scheduler of its own,
+//! and callers of whom two in three come to the routers of one data centre. Prompts share
+//! parts of thousands of tokens that take an engine a fifth of a second to read. Asked for
+//! at random, each part would be read in each data centre; asked for at home, one data
+//! centre would be overloaded beside idle ones.
+
+use crate::assignment::shards;
+use crate::prelude::*;
+use crate::prompt::mix;
+use state::view::Shard;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Tokens of shared parts from which on a request goes where others with these parts go:
+/// reading them takes an engine some 20 ms, several times the way to another data centre.
+const AFFINITY_TOKENS: u64 = 1000;
+/// Part of its aim that a request may be expected to wait at its shard before another one
+/// is sought: beyond it the scheduler is about to refuse.
+const PRESSED_PART: u64 = 4;
+/// Part of its aim that it waits at most at the other one. It is half, so that requests do
+/// not change places where all shards have too much to do, and lose the parts kept.
+const FREE_PART: u64 = 8;
+/// Time in which a measured wait loses half of its weight, in milliseconds: about what a
+/// scheduler needs to work off what it has let in.
+const HALF_LIFE_MS: u64 = 200;
+/// Time without its scheduler after which a shard is passed over for others, in
+/// milliseconds: a new link is up by then.
+const LOST_MS: u64 = 100;
+
+/// Where a router stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Home {
+    /// Its region.
+    pub region: Name,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// A number that differs between lives of routers.
+    pub incarnation: u64,
+}
+
+/// How long requests of one customer have waited at one shard of late.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Wait {
+    ms: u64,
+    at: Millis,
+}
+
+impl Wait {
+    /// Takes the wait of one more request, in milliseconds.
+    pub(super) fn note(&mut self, now: Millis, ms: u64) {
+        self.ms = u64::midpoint(self.ms(now), ms);
+        self.at = now;
+    }
+
+    /// What a newcomer may expect, in milliseconds: old news counts less and less.
+    pub(super) fn ms(&self, now: Millis) -> u64 {
+        let halvings = now.since(self.at) / HALF_LIFE_MS;
+        self.ms >> halvings.min(63)
+    }
+}
+
+/// What a router knows of a shard when it chooses.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct State {
+    /// Since when it has had no scheduler, if it has none.
+    pub(super) down_since: Option<Millis>,
+    /// How long a request has to wait there, in milliseconds.
+    pub(super) wait_ms: u64,
+}
+
+impl State {
+    /// Of a shard that was not asked yet.
+    pub(super) const UNKNOWN: State = State {
+        down_since: None,
+        wait_ms: 0,
+    };
+
+    fn is_lost(&self, now: Millis) -> bool {
+        self.down_since.is_some_and(|at| now.since(at) >= LOST_MS)
+    }
+
+    fn waits_within(&self, now: Millis, ms: u64) -> bool {
+        !self.is_lost(now) && self.wait_ms <= ms
+    }
+}
+
+/// A shard that requests of this router may be asked for at.
+#[derive(Clone, Debug)]
+struct Candidate {
+    shard: Shard,
+    /// Endpoints that take work.
+    open: u32,
+    /// A number that looks random, the same for the shard at all routers.
+    mark: u64,
+}
+
+impl Candidate {
+    /// The lower, the sooner the shard is taken for a key: each key has an order of its
+    /// own, in which a shard comes first as often as it has endpoints (weighted rendezvous
+    /// hashing: Schindelhauer and Schomaker, 2005). One that is lost or added moves only the
+    /// keys that it takes.
+    fn rank(&self, key: u64) -> f64 {
+        // CAST: 53 bits fit into the mantissa.
+        let unit = ((mix(self.mark ^ mix(key)) >> 11) + 1) as f64 / (1_u64 << 53) as f64;
+        -unit.ln() / f64::from(self.open)
+    }
+}
+
+/// The shards of each service.
+#[derive(Clone, Debug)]
+pub(super) struct Spread {
+    home: Home,
+    /// All that have endpoints, in any region.
+    shards: BTreeSet<Shard>,
+    /// Those that this router asks.
+    candidates: BTreeMap<ServiceId, Vec<Candidate>>,
+}
+
+impl Spread {
+    pub(super) fn new(home: Home) -> Self {
+        Spread {
+            home,
+            shards: BTreeSet::new(),
+            candidates: BTreeMap::new(),
+        }
+    }
+
+    /// Whether no endpoint is known.
+    pub(super) fn is_empty(&self) -> bool {
+        self.candidates.is_empty()
+    }
+
+    /// Follows a change of the endpoints.
+    pub(super) fn follow(&mut self, view: &View) {
+        self.shards = shards(view);
+        self.candidates.clear();
+        for shard in &self.shards {
+            let open = super::endpoints(view, shard).filter(|(_, _, _, leaving)| !leaving);
+            let open = u32::try_from(open.count()).unwrap_or(u32::MAX);
+            if open == 0 {
+                continue;
+            }
+            let candidate = Candidate {
+                shard: shard.clone(),
+                open,
+                mark: mark(shard),
+            };
+            let all = self.candidates.entry(shard.service).or_default();
+            all.push(candidate);
+        }
+        for all in self.candidates.values_mut() {
+            keep_one_region(all, &self.home.region);
+        }
+    }
+
+    /// Whether a shard has endpoints, as they are divided now.
+    pub(super) fn has(&self, shard: &Shard) -> bool {
+        self.shards.contains(shard)
+    }
+
+    /// The shard that covers an endpoint of a service now.
+    pub(super) fn covering(
+        &self,
+        view: &View,
+        service: ServiceId,
+        id: EndpointId,
+    ) -> Option<&Shard> {
+        let endpoint = view.config.endpoints.get(&id)?;
+        let mut all = self.shards.iter().filter(|s| s.service == service);
+        all.find(|shard| shard.covers(endpoint))
+    }
+
+    /// The shard to ask for a request that is late after `aim_ms`; `state` tells what is
+    /// known of each.
+    pub(super) fn choose<F>(
+        &self,
+        now: Millis,
+        service: ServiceId,
+        prompt: &Prompt,
+        aim_ms: u64,
+        state: F,
+    ) -> Option<&Shard>
+    where
+        F: Fn(&Shard) -> State,
+    {
+        let order = self.order(service, prompt);
+        let first = order.first()?;
+        let is_pressed = order.len() > 1 && {
+            let here = state(&first.shard);
+            !here.waits_within(now, aim_ms / PRESSED_PART)
+        };
+        if !is_pressed {
+            return Some(&first.shard);
+        }
+        let mut others = order.iter().skip(1);
+        let free = others.find(|c| state(&c.shard).waits_within(now, aim_ms / FREE_PART));
+        let alive = || order.iter().find(|c| !state(&c.shard).is_lost(now));
+        let chosen = free.or_else(alive).unwrap_or(first);
+        Some(&chosen.shard)
+    }
+
+    /// Shards of a service, the one that a request belongs to before the others.
+    fn order(&self, service: ServiceId, prompt: &Prompt) -> SmallVec<[&Candidate; 8]> {
+        let all = self.candidates.get(&service).into_iter().flatten();
+        let mut order: SmallVec<[&Candidate; 8]> = all.collect();
+        if order.len() < 2 {
+            return order;
+        }
+        let (key, tokens) = prompt.shared();
+        if tokens >= AFFINITY_TOKENS {
+            order.sort_by(|a, b| a.rank(key.into()).total_cmp(&b.rank(key.into())));
+            return order;
+        }
+        let key = self.home.incarnation;
+        let elsewhere =
+            |c: &Candidate| c.shard.data_centre.as_ref() != Some(&self.home.data_centre);
+        order.sort_by(|a, b| {
+            let by_rank = a.rank(key).total_cmp(&b.rank(key));
+            elsewhere(a).cmp(&elsewhere(b)).then(by_rank)
+        });
+        order
+    }
+}
+
+/// Keeps the shards of a region, or of the first one if it has none.
+fn keep_one_region(all: &mut Vec<Candidate>, region: &Name) {
+    let regions = || all.iter().map(|c| &c.shard.region);
+    let chosen = regions().find(|r| *r == region).or_else(|| regions().min());
+    if let Some(chosen) = chosen.cloned() {
+        all.retain(|c| c.shard.region == chosen);
+    }
+}
+
+/// A number that looks random, the same for the same shard.
+fn mark(shard: &Shard) -> u64 {
+    let name = shard.data_centre.as_ref().unwrap_or(&shard.region);
+    let bytes = name.as_str().bytes();
+    bytes.fold(0, |mark, byte| mix(mark ^ u64::from(byte)))
+}
--- a/components/coordination/src/prompt.rs
+++ b/components/coordination/src/prompt.rs
@@ -88,6 +88,15 @@
         self.parts[0].key
     }
 
+    /// Key of its last part that other requests may share, 0 for none, and the tokens up to
+    /// its end: the last part of all is a request's own, or its session's.
+    pub fn shared(&self) -> (u32, u64) {
+        let count = self.parts().count();
+        let shared = || self.parts().take(count.saturating_sub(1));
+        let tokens = shared().map(|p| u64::from(p.tokens)).sum();
+        (shared().last().map_or(0, |p| p.key), tokens)
+    }
+
     /// Length in tokens.
     pub fn tokens(&self) -> u64 {
         self.parts().map(|p| u64::from(p.tokens)).sum()
--- /dev/null
+++ b/components/coordination/tests/assignment.rs
@@ -0,0 +1,145 @@
+//! Which shards there are, and which VM schedules each.
+#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
+
+use coordination::assignment::{is_dedicated, shards, Assigner, Site, SETTLE_MS};
+use rstest::rstest;
+use state::clock::Millis;
+use state::config::{Cost, Endpoint, Service};
+use state::id::{EndpointId, Epoch, Name, ServiceId};
+use state::view::{Assignment, Place, Shard, View};
+use std::collections::BTreeSet;
+
+const SERVICE: ServiceId = ServiceId(1);
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+/// Endpoints of one service, as many in each data centre.
+fn view(counts: &[u32]) -> View {
+    let mut view = View::default();
+    view.config.services.insert(
+        SERVICE,
+        Service {
+            name: name("assistant"),
+            cost: Cost::Event,
+            estimate: 100,
+            timeout_ms: 1000,
+            idempotent: true,
+            load: None,
+            connections: None,
+            engine: None,
+        },
+    );
+    for (n, count) in counts.iter().enumerate() {
+        for k in 0..*count {
+            let endpoint = Endpoint {
+                name: name(&format!("e-{n}-{k}")),
+                service: name("assistant"),
+                address: "127.0.0.1:9001".parse().unwrap(),
+                data_centre: name(&format!("dc-{n}")),
+                region: name("main"),
+                slots: 4,
+                lead: 1,
+            };
+            let id = EndpointId(u32::try_from(n).unwrap() * 1000 + k);
+            view.config.endpoints.insert(id, endpoint);
+        }
+    }
+    view
+}
+
+fn shard(data_centre: Option<&str>) -> Shard {
+    Shard {
+        service: SERVICE,
+        region: name("main"),
+        data_centre: data_centre.map(name),
+    }
+}
+
+fn assign(view: &mut View, shard: Shard, vm: &str, epoch: u64) {
+    view.assignments.push(Assignment {
+        shard,
+        place: Place {
+            vm: name(vm),
+            address: "127.0.0.1:7001".parse().unwrap(),
+        },
+        epoch: Epoch(epoch),
+    });
+}
+
+#[rstest]
+#[case::few_in_three(&[3, 3, 3], false)]
+#[case::many_in_one(&[140], false)]
+#[case::many_in_two(&[12, 12], true)]
+#[case::many_but_uneven(&[30, 2, 4], true)]
+#[case::some(&[11, 12], false)]
+fn a_region_with_many_endpoints_is_divided_by_data_centre(
+    #[case] counts: &[u32],
+    #[case] is_divided: bool,
+) {
+    let shards = shards(&view(counts));
+    if is_divided {
+        assert_eq!(shards.len(), counts.len());
+        assert!(shards.iter().all(|s| s.data_centre.is_some()));
+    } else {
+        assert_eq!(shards, BTreeSet::from([shard(None)]));
+    }
+}
+
+#[test]
+fn endpoints_that_come_and_go_do_not_change_schedulers_each_time() {
+    // Symptom: all routers open new sessions each time that an endpoint comes or goes.
+    // Sequence: a region has about as many endpoints as divide it.
+    // Cause: one bound for dividing and for joining again.
+    let mut divided = view(&[10, 10]);
+    assert_eq!(shards(&divided).len(), 1);
+    assign(&mut divided, shard(Some("dc-0")), "a", 4);
+    assert_eq!(shards(&divided).len(), 2);
+    // A scheduler of the whole region from before says nothing any more.
+    assign(&mut divided, shard(None), "b", 3);
+    assert_eq!(shards(&divided).len(), 2);
+    let mut few = view(&[7, 7]);
+    assign(&mut few, shard(Some("dc-0")), "a", 4);
+    assert_eq!(shards(&few).len(), 1);
+}
+
+#[test]
+fn a_scheduler_stands_in_the_data_centre_of_its_endpoints() {
+    let view = view(&[12, 12]);
+    let mut assigner = Assigner::default();
+    assigner.begin(Millis(0));
+    let now = Millis(SETTLE_MS);
+    for (vm, data_centre) in [("a", "dc-0"), ("b", "dc-0"), ("c", "dc-1")] {
+        let site = Site {
+            place: Place {
+                vm: name(vm),
+                address: "127.0.0.1:7001".parse().unwrap(),
+            },
+            region: name("main"),
+            data_centre: name(data_centre),
+        };
+        assigner.heard(now, site, 1);
+    }
+    let plan = assigner.plan(now, &view, &shards(&view));
+    let placed: Vec<(Option<Name>, &str)> = (plan.iter())
+        .map(|a| (a.shard.data_centre.clone(), a.place.vm.as_str()))
+        .collect();
+    assert_eq!(
+        placed,
+        [(Some(name("dc-0")), "a"), (Some(name("dc-1")), "c")]
+    );
+    // Each has an epoch of its own, above all others.
+    assert!(plan[0].epoch < plan[1].epoch);
+}
+
+#[test]
+fn a_vm_that_schedules_for_many_routers_takes_no_callers() {
+    // Symptom: requests of all routers wait 0.5 s for decisions.
+    // Sequence: a large customer's callers come to the router that schedules.
+    // Cause: both share an eighth of a core.
+    assert!(is_dedicated(288, 6));
+    // Where routers are few, each is needed for callers.
+    assert!(!is_dedicated(8, 2));
+    assert!(!is_dedicated(55, 5));
+}
--- a/components/coordination/tests/dispatcher.rs
+++ b/components/coordination/tests/dispatcher.rs
@@ -3,7 +3,7 @@
 
 use coordination::ask::{Basis, Class, Grant, Refusal, Report, Verdict};
 use coordination::dispatcher::{
-    Arrival, Bounds, Dispatcher, Effect, Full, Handle, LOCAL_MS, REMOTE_MS, WINDOW,
+    Arrival, Bounds, Dispatcher, Effect, Full, Handle, Home, LOCAL_MS, REMOTE_MS, WINDOW,
 };
 use coordination::prompt::Prompt;
 use state::clock::Millis;
@@ -47,6 +47,7 @@
     );
     view.assignments.push(Assignment {
         shard: Shard {
+            data_centre: None,
             service: SERVICE,
             region: name("main"),
         },
@@ -79,12 +80,20 @@
     }
 }
 
+fn home() -> Home {
+    Home {
+        region: name("main"),
+        data_centre: name("dc"),
+        incarnation: 7,
+    }
+}
+
 fn dispatcher() -> Dispatcher {
     let bounds = Bounds {
         requests: 200,
         bytes: 1500,
     };
-    let mut dispatcher = Dispatcher::new(name("main"), 7, bounds);
+    let mut dispatcher = Dispatcher::new(home(), bounds);
     dispatcher.link_up(Millis(0), &name("s"));
     dispatcher
 }
--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -7,7 +7,7 @@
 mod naive;
 
 use coordination::ask::{Class, Grant, Report, Verdict};
-use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Handle};
+use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Handle, Home};
 use coordination::prompt::Prompt;
 use coordination::scheduler::{Effect as Given, Scheduler, Session};
 use coordination::slot::Choice;
@@ -645,6 +645,7 @@
 fn assignment(epoch: Epoch) -> Assignment {
     Assignment {
         shard: Shard {
+            data_centre: None,
             service: SERVICE,
             region: Name::try_from("main").unwrap(),
         },
@@ -699,11 +700,12 @@
         requests: 100_000,
         bytes: u64::MAX,
     };
-    let dispatcher = Dispatcher::new(
-        Name::try_from("main").unwrap(),
-        (n as u64) << 32 | incarnation,
-        bounds,
-    );
+    let home = Home {
+        region: Name::try_from("main").unwrap(),
+        data_centre: Name::try_from("dc").unwrap(),
+        incarnation: (n as u64) << 32 | incarnation,
+    };
+    let dispatcher = Dispatcher::new(home, bounds);
     Router {
         dispatcher,
         incarnation,
--- a/components/coordination/tests/load.rs
+++ b/components/coordination/tests/load.rs
@@ -5,26 +5,24 @@
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 mod asks;
+mod engines;
 
 use coordination::ask::{Ask, Class, Hello, Kept, Report, Seq, Verdict};
 use coordination::prompt::{Part, Prompt};
 use coordination::scheduler::{Effect, Scheduler, Session, GATHER_MS};
 use coordination::slot::{Claims, Slots, Wish};
+use engines::{Engine, Progress, RATE};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use state::clock::Millis;
 use state::id::{CustomerId, EndpointId, Epoch};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 
-/// Tokens that an engine reads in a millisecond.
-const RATE: u64 = 40;
 /// What is told of a first byte that its scheduler hears of as soon as it comes: it cannot
 /// have come later than that.
 const PROMPTLY: Option<u32> = Some(u32::MAX);
 /// Tokens that fit into an engine.
 const MEMORY: u64 = 500_000;
-/// Time to generate an answer, in milliseconds.
-const GENERATE_MS: u64 = 600;
 /// Tokens that an engine copies from another one in a millisecond.
 const COPY_RATE: u64 = 1000;
 /// Time within which a first token is on time, in milliseconds.
@@ -49,20 +47,12 @@
     refused_after: u64,
 }
 
-#[derive(Default)]
-struct Engine {
-    waiting: VecDeque<(Seq, u64)>,
-    kept: BTreeSet<u64>,
-    generating: VecDeque<(u64, Seq)>,
-    read: u64,
-}
-
 struct World {
     now: u64,
     rng: Pcg64,
     scheduler: Scheduler,
     session: Session,
-    engines: BTreeMap<EndpointId, Engine>,
+    engines: BTreeMap<EndpointId, Engine<Seq>>,
     jobs: BTreeMap<Seq, Job>,
     next: u64,
     tallies: BTreeMap<CustomerId, Tally>,
@@ -98,9 +88,7 @@
 
     /// What an engine has kept of a job's parts, from the first on, in tokens.
     fn kept(&self, engine: EndpointId, job: &Job) -> u64 {
-        let kept = &self.engines[&engine].kept;
-        let parts = job.parts.iter().take_while(|(id, _)| kept.contains(id));
-        parts.map(|(_, tokens)| u64::from(*tokens)).sum()
+        self.engines[&engine].kept(&job.parts)
     }
 
     /// A request with a shared part of 13,000 tokens and one of its own.
@@ -151,8 +139,7 @@
                     let missing = all - own - copied + copied * RATE / COPY_RATE;
                     self.copies += u64::from(copied > 0);
                     let engine = self.engines.get_mut(&grant.endpoint).unwrap();
-                    engine.kept.extend(job.parts.iter().map(|(id, _)| *id));
-                    engine.waiting.push_back((grant.seq, missing));
+                    engine.send(grant.seq, &job.parts, missing);
                 }
                 Effect::Refuse(_, refusal) => {
                     let job = self.jobs.remove(&refusal.seq).unwrap();
@@ -173,27 +160,11 @@
         let now = Millis(self.now);
         let mut reports = Vec::new();
         for engine in self.engines.values_mut() {
-            let mut left = RATE;
-            while let Some((seq, missing)) = engine.waiting.front_mut() {
-                let take = left.min(*missing);
-                *missing -= take;
-                left -= take;
-                engine.read += take;
-                if *missing > 0 {
-                    break;
-                }
-                reports.push(Report::Began(*seq, PROMPTLY));
-                engine.generating.push_back((self.now + GENERATE_MS, *seq));
-                engine.waiting.pop_front();
-            }
-            while engine
-                .generating
-                .front()
-                .is_some_and(|(at, _)| *at <= self.now)
-            {
-                let (_, seq) = engine.generating.pop_front().unwrap();
-                reports.push(Report::Done(seq, 5000, Verdict::Fine));
-            }
+            let progress = engine.step(self.now).into_iter();
+            reports.extend(progress.map(|progress| match progress {
+                Progress::Began(seq) => Report::Began(seq, PROMPTLY),
+                Progress::Ended(seq) => Report::Done(seq, 5000, Verdict::Fine),
+            }));
         }
         for report in reports {
             match &report {
--- /dev/null
+++ b/components/coordination/tests/spread.rs
@@ -0,0 +1,305 @@
+//! Which scheduler a router asks, where a region's engines are divided by data centre.
+#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
+
+use coordination::ask::{Ask, Basis, Class, Grant, Hello, Refusal, Report};
+use coordination::assignment::shards;
+use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Full, Handle, Home};
+use coordination::prompt::Prompt;
+use state::clock::Millis;
+use state::config::{Cost, Endpoint, Service};
+use state::id::{CustomerId, EndpointId, Epoch, Name, ServiceId};
+use state::view::{Assignment, Place, View};
+use std::collections::BTreeMap;
+
+const SERVICE: ServiceId = ServiceId(1);
+const CENTRES: u32 = 4;
+const ENGINES: u32 = 12;
+const AIM_MS: u64 = 800;
+
+fn name(text: &str) -> Name {
+    Name::try_from(text).unwrap()
+}
+
+/// Engines in four data centres; `joined` counts all as of one.
+fn view(joined: bool) -> View {
+    let mut view = View::default();
+    view.config.services.insert(
+        SERVICE,
+        Service {
+            name: name("assistant"),
+            cost: Cost::Token,
+            estimate: 100,
+            timeout_ms: 10_000,
+            idempotent: false,
+            load: None,
+            connections: None,
+            engine: None,
+        },
+    );
+    for n in 0..CENTRES * ENGINES {
+        let centre = if joined { 0 } else { n % CENTRES };
+        let endpoint = Endpoint {
+            name: name(&format!("e-{n}")),
+            service: name("assistant"),
+            address: "127.0.0.1:9001".parse().unwrap(),
+            data_centre: name(&format!("dc-{centre}")),
+            region: name("main"),
+            slots: 4,
+            lead: 0,
+        };
+        view.config.endpoints.insert(EndpointId(n), endpoint);
+    }
+    assign(&mut view, 1);
+    view
+}
+
+fn assign(view: &mut View, from: u64) {
+    for (n, shard) in shards(view).into_iter().enumerate() {
+        view.assignments.push(Assignment {
+            shard,
+            place: Place {
+                vm: name(&format!("s-{n}")),
+                address: "127.0.0.1:7001".parse().unwrap(),
+            },
+            epoch: Epoch(from + n as u64),
+        });
+    }
+}
+
+/// A router in a data centre with links to all schedulers.
+fn router(view: &View, centre: u32) -> Dispatcher {
+    let home = Home {
+        region: name("main"),
+        data_centre: name(&format!("dc-{centre}")),
+        incarnation: 100 + u64::from(centre),
+    };
+    let bounds = Bounds {
+        requests: 1000,
+        bytes: u64::MAX,
+    };
+    let mut dispatcher = Dispatcher::new(home, bounds);
+    dispatcher.follow(Millis(0), view);
+    for n in 0..CENTRES {
+        dispatcher.link_up(Millis(0), &name(&format!("s-{n}")));
+    }
+    dispatcher
+}
+
+/// A request of customer 1 whose prompt begins with a shared part.
+fn arrival(now: u64, part: u64, shared: u32, own: u64) -> Arrival {
+    Arrival {
+        service: SERVICE,
+        class: Class {
+            customer: CustomerId(1),
+            rule: 0,
+        },
+        weight: 1,
+        rate: 0,
+        concurrency: 0,
+        queue: 500,
+        hint: 10,
+        priority: 0,
+        aim: Millis(now + AIM_MS),
+        prompt: Prompt::new([(part, shared), (1 << 40 | own, 1000)], 50),
+        bytes: 0,
+        deadline: Millis(now + 10_000),
+    }
+}
+
+/// The same of another customer: only some asks of each are out at once.
+fn of(customer: u64, arrival: Arrival) -> Arrival {
+    let customer = CustomerId(u32::try_from(customer).unwrap());
+    let class = Class {
+        customer,
+        ..arrival.class
+    };
+    Arrival { class, ..arrival }
+}
+
+/// Asks with the epochs of the schedulers that they go to.
+fn asks(effects: &[Effect]) -> Vec<(u64, Ask)> {
+    let each = effects.iter().filter_map(|e| match e {
+        Effect::Report(assignment, Report::Ask(ask)) => Some((assignment.epoch.0, *ask)),
+        _ => None,
+    });
+    each.collect()
+}
+
+/// Lets a request arrive and gives the scheduler that is asked for it.
+fn arrive(dispatcher: &mut Dispatcher, view: &View, arrival: Arrival) -> (Handle, u64, Ask) {
+    let now = Millis(arrival.aim.0 - AIM_MS);
+    let (handle, mut effects) = dispatcher.arrive(now, view, arrival).unwrap();
+    effects.extend(dispatcher.tick(now, view));
+    let (epoch, ask) = asks(&effects)[0];
+    (handle, epoch, ask)
+}
+
+/// Lets a router have sessions with all schedulers.
+fn meet_all(router: &mut Dispatcher, view: &View) {
+    for part in 0..40 {
+        let some = arrival(0, part, 13_000, part);
+        arrive(router, view, of(100 + part, some));
+    }
+}
+
+fn refusal(epoch: u64, ask: &Ask, wait_ms: u32) -> Refusal {
+    Refusal {
+        epoch: Epoch(epoch),
+        seq: ask.seq,
+        wait_ms,
+        after_ms: 300,
+    }
+}
+
+#[test]
+fn prompts_with_a_part_in_common_go_to_one_scheduler_from_everywhere() {
+    // Symptom: each shared part is read in each data centre, five times in all.
+    // Cause: routers that ask at home, or anywhere.
+    let view = view(false);
+    let mut routers: Vec<Dispatcher> = (0..CENTRES).map(|n| router(&view, n)).collect();
+    let mut counts: BTreeMap<u64, u32> = BTreeMap::new();
+    for part in 0..400 {
+        let asked: Vec<u64> = (routers.iter_mut().zip(0..))
+            .map(|(router, own)| arrive(router, &view, of(part, arrival(0, part, 13_000, own))).1)
+            .collect();
+        assert!(asked.iter().all(|epoch| *epoch == asked[0]), "{asked:?}");
+        *counts.entry(asked[0]).or_default() += 1;
+    }
+    // Spread as evenly as dice fall: 100 each, some three deviations of 9.
+    assert!(counts.values().all(|n| (70..130).contains(n)), "{counts:?}");
+    assert_eq!(counts.len(), 4);
+}
+
+#[test]
+fn prompts_that_share_little_stay_in_their_data_centre() {
+    let view = view(false);
+    for centre in 0..CENTRES {
+        let mut router = router(&view, centre);
+        for part in 0..20 {
+            let (_, epoch, _) = arrive(&mut router, &view, arrival(0, part, 300, part));
+            assert_eq!(epoch, 1 + u64::from(centre));
+        }
+    }
+}
+
+#[test]
+fn what_one_scheduler_refuses_another_one_is_asked_for_once() {
+    // Symptom: requests are refused at one data centre beside idle engines in others.
+    // Sequence: a router with few requests asks a scheduler that has too much to do.
+    // Cause: its refusal was final.
+    let view = view(false);
+    let mut router = router(&view, 0);
+    // Sessions with all four.
+    for part in 0..40 {
+        arrive(
+            &mut router,
+            &view,
+            of(100 + part, arrival(0, part, 13_000, part)),
+        );
+    }
+    let (handle, first, ask) = arrive(&mut router, &view, arrival(100, 7, 13_000, 900));
+    let effects = router.refuse(Millis(110), refusal(first, &ask, 900));
+    let again = asks(&effects);
+    let [(second, ask)] = again[..] else {
+        unreachable!("{effects:?}");
+    };
+    assert_ne!(second, first);
+    // Its time goes on.
+    assert!(u64::from(ask.aim_ms) < AIM_MS);
+    let effects = router.refuse(Millis(120), refusal(second, &ask, 900));
+    let is_refused = |e: &Effect| matches!(e, Effect::Refuse(h, _) if *h == handle);
+    assert!(effects.iter().any(is_refused), "{effects:?}");
+    assert!(asks(&effects).is_empty());
+}
+
+#[test]
+fn newcomers_go_elsewhere_while_their_scheduler_is_pressed_and_come_back() {
+    let view = view(false);
+    let mut router = router(&view, 0);
+    meet_all(&mut router, &view);
+    let (_, first, ask) = arrive(&mut router, &view, arrival(0, 7, 300, 1));
+    router.refuse(Millis(5), refusal(first, &ask, 700));
+    let (_, other, _) = arrive(&mut router, &view, arrival(10, 7, 300, 2));
+    assert_ne!(other, first);
+    // Where all are pressed they stay, and the parts that are kept stay of use.
+    for own in 0..30 {
+        let next = router.arrive(Millis(20), &view, arrival(20, 7, 300, 10 + own));
+        let mut asked = next.map_or_else(|_| Vec::new(), |(_, effects)| asks(&effects));
+        while let Some((epoch, ask)) = asked.pop() {
+            asked.extend(asks(&router.refuse(Millis(21), refusal(epoch, &ask, 900))));
+        }
+    }
+    let next = router.arrive(Millis(30), &view, arrival(30, 7, 300, 99));
+    assert!(matches!(next, Err(Full::Late { .. })), "{next:?}");
+    // Old news counts less and less.
+    let (_, back, _) = arrive(&mut router, &view, arrival(1500, 7, 300, 100));
+    assert_eq!(back, first);
+}
+
+#[test]
+fn a_scheduler_that_is_lost_is_passed_over_and_holds_up_nobody() {
+    // Symptom: all requests of a customer wait while one of four schedulers is away.
+    // Sequence: the first in the queue belongs to the scheduler that is lost.
+    // Cause: a queue of a customer in which the first one blocks the others.
+    let view = view(false);
+    let mut router = router(&view, 0);
+    meet_all(&mut router, &view);
+    let (_, first, _) = arrive(&mut router, &view, arrival(0, 7, 13_000, 1));
+    let vm = name(&format!("s-{}", first - 1));
+    router.link_down(Millis(10), &vm);
+    // Too soon to know that it is lost.
+    let waiting = router.arrive(Millis(20), &view, arrival(20, 7, 13_000, 2));
+    assert!(asks(&waiting.unwrap().1).is_empty());
+    let other = (100..).find(|part| {
+        let next = router.arrive(Millis(30), &view, arrival(30, *part, 13_000, *part));
+        !asks(&next.unwrap().1).is_empty()
+    });
+    assert!(other.is_some_and(|part| part < 120), "{other:?}");
+    let next = router.arrive(Millis(150), &view, arrival(150, 7, 13_000, 3));
+    let asked = asks(&next.unwrap().1);
+    assert!(asked.len() == 1 && asked[0].0 != first, "{asked:?}");
+}
+
+#[test]
+fn a_region_that_is_divided_anew_keeps_what_is_in_progress() {
+    // Symptom: endpoints get more than their slots when schedulers change.
+    // Sequence: requests run when a region is divided; the new schedulers grant.
+    // Cause: requests in progress belong to a shard that is no more.
+    let joined = view(true);
+    let mut router = router(&joined, 0);
+    let (handle, epoch, ask) = arrive(&mut router, &joined, arrival(0, 7, 13_000, 1));
+    let grant = Grant {
+        epoch: Epoch(epoch),
+        seq: ask.seq,
+        endpoint: EndpointId(2),
+        copy_from: None,
+        basis: Basis::default(),
+        level: 0,
+        floor: 0,
+        routers: 1,
+    };
+    let effects = router.grant(Millis(10), grant);
+    assert!(effects.contains(&Effect::Dispatch(handle, EndpointId(2))));
+    let mut divided = view(false);
+    divided.assignments.clear();
+    assign(&mut divided, 20);
+    let mut effects = router.follow(Millis(20), &divided);
+    effects.extend(router.tick(Millis(40), &divided));
+    for n in 0..CENTRES {
+        effects.extend(router.link_up(Millis(50), &name(&format!("s-{n}"))));
+    }
+    let hellos = effects.iter().filter_map(|e| match e {
+        Effect::Report(assignment, Report::Hello(Hello { held, .. })) => {
+            Some((assignment.epoch.0, held.clone()))
+        }
+        _ => None,
+    });
+    let held: Vec<(u64, EndpointId)> = hellos
+        .flat_map(|(epoch, held)| held.into_iter().map(move |h| (epoch, h.endpoint)))
+        .collect();
+    assert!(held.iter().all(|h| *h == (22, EndpointId(2))), "{held:?}");
+    assert!(!held.is_empty());
+    // The old scheduler is not asked any more.
+    let (_, epoch, _) = arrive(&mut router, &divided, arrival(100, 7, 13_000, 2));
+    assert!(epoch >= 20);
+}
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -4,7 +4,7 @@
 use crate::journal::Journal;
 use crate::metric::{value, Metrics};
 use coordination::agree::{Admission, Core, Index, Ready, Refusal, Role, Snapshot, Term};
-use coordination::assignment::Assigner;
+use coordination::assignment::{Assigner, Site};
 use errors::{Error, Result};
 use protocol::codec;
 use protocol::wire::{Hello, Leaving, Message, Query, Reply};
@@ -234,8 +234,16 @@
             }
             Message::Beat {
                 region,
+                data_centre,
                 incarnation,
-            } => self.assignments.heard(now, place, region, incarnation),
+            } => {
+                let site = Site {
+                    place,
+                    region,
+                    data_centre,
+                };
+                self.assignments.heard(now, site, incarnation);
+            }
             Message::Query(id, query) => self.query(now, vm, id, query),
             _ => {}
         }
@@ -351,6 +359,7 @@
                 epoch = assignment.epoch.0,
                 service = self.store.view.config.service_name(assignment.shard.service),
                 region = %assignment.shard.region,
+                data_centre = assignment.shard.data_centre.as_ref().map(Name::as_str),
             );
             if let Ok(index) = self.core.propose(now, Record::Assignment(assignment)) {
                 self.assigned_until = index;
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -13,7 +13,7 @@
 use crate::{http, inventory, listing, platform, poll, readiness, releases, vitals};
 use coordination::agree::Admission;
 use coordination::budget::{Budget, Vm};
-use coordination::dispatcher::Bounds;
+use coordination::dispatcher::{Bounds, Home};
 use coordination::retry;
 use errors::{Error, Result};
 use protocol::wire::Hello;
@@ -366,7 +366,11 @@
             metrics: self.metrics.clone(),
             seeds,
             listing_ms: (self.settings.listing.as_ref()).map_or(LISTING_MS, |l| l.every_ms),
-            region: self.settings.vm.region.clone(),
+            home: Home {
+                region: self.settings.vm.region.clone(),
+                data_centre: self.settings.vm.data_centre.clone(),
+                incarnation: hub.hello().incarnation,
+            },
             bounds: Bounds {
                 requests: self.settings.router.queue,
                 bytes: self.settings.router.queue_bytes,
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -15,7 +15,7 @@
 use crate::query::Queries;
 use crate::schedulers::Schedulers;
 use crate::shared::Published;
-use coordination::dispatcher::{Bounds, Dispatcher, Effect, Effects, Handle};
+use coordination::dispatcher::{Bounds, Dispatcher, Effect, Effects, Handle, Home};
 use coordination::listing::Roster;
 use protocol::wire::{Message, Reply};
 use state::clock::Millis;
@@ -53,8 +53,8 @@
     /// Time between two readings of the platform's list of endpoints, in
     /// milliseconds.
     pub(crate) listing_ms: u64,
-    /// Region of this VM.
-    pub(crate) region: Name,
+    /// Where this VM stands.
+    pub(crate) home: Home,
     /// Bounds of the dispatcher.
     pub(crate) bounds: Bounds,
     /// Children to feed.
@@ -102,6 +102,8 @@
     beat_at: Millis,
     measure_at: Millis,
     told: Told,
+    /// Whether new callers are to go to other routers, since this VM schedules for many.
+    dedicated: bool,
     dirty: bool,
 }
 
@@ -114,7 +116,7 @@
         let spread = hello.incarnation as usize;
         let seeds = parts.seeds.clone();
         let now = parts.clock.now();
-        let mut dispatcher = Dispatcher::new(parts.region.clone(), hello.incarnation, parts.bounds);
+        let mut dispatcher = Dispatcher::new(parts.home.clone(), parts.bounds);
         dispatcher.link_up(now, &me);
         Reactor {
             dispatcher,
@@ -151,6 +153,7 @@
             beat_at: now,
             measure_at: now,
             told: Told::default(),
+            dedicated: false,
             dirty: true,
             me,
             parts,
@@ -535,6 +538,7 @@
         if now >= self.measure_at {
             self.measure_at = now.after(MEASURE_MS);
             self.measure();
+            self.dedicate();
             self.tell_served();
             self.close_links();
         }
--- a/components/node/src/reactor/peers.rs
+++ b/components/node/src/reactor/peers.rs
@@ -57,7 +57,8 @@
         }
         self.beat_at = now.after(BEAT_MS);
         let beat = Message::Beat {
-            region: self.parts.region.clone(),
+            region: self.parts.home.region.clone(),
+            data_centre: self.parts.home.data_centre.clone(),
             incarnation: self.parts.hub.hello().incarnation,
         };
         for seed in self.control_places() {
--- a/components/node/src/reactor/show.rs
+++ b/components/node/src/reactor/show.rs
@@ -5,6 +5,7 @@
 use crate::metric::value;
 use crate::shared::{Shared, Status};
 use coordination::dispatcher::endpoints;
+use state::line::Line;
 use std::sync::Arc;
 
 impl Reactor {
@@ -15,12 +16,23 @@
             ready: self.ready,
             stopping: self.stopping,
             closed: self.closed,
+            is_dedicated: self.dedicated,
             proof: self.dissemination.proof(),
             routers: self.dispatcher.routers(),
         };
         self.parts.publish.send_replace(Arc::new(shared));
     }
 
+    /// Sends new callers to other routers while this VM schedules for many.
+    pub(super) fn dedicate(&mut self) {
+        let dedicated = self.schedulers.is_dedicated(&self.live);
+        if dedicated != self.dedicated {
+            tracing::info!(event = Line::Dedicated.as_str(), dedicated);
+            self.dedicated = dedicated;
+            self.dirty = true;
+        }
+    }
+
     pub(super) fn measure(&self) {
         let m = &self.parts.metrics;
         m.waiting.set(value(self.dispatcher.waiting()));
--- a/components/node/src/readiness.rs
+++ b/components/node/src/readiness.rs
@@ -24,13 +24,14 @@
 
 impl Parts {
     /// Whether requests would be served: by what is in force, by its proof, and by the
-    /// processor.
+    /// processor, which a scheduler for many routers needs for itself.
     pub(crate) fn is_ready(&self) -> bool {
         let published = self.published.borrow();
         let now = self.clock.now();
         let age = published.proof.map_or(u64::MAX, |at| now.since(at));
         let proved = self.stale_ms.is_none_or(|bound| age <= bound);
-        published.ready && !published.stopping && proved && !self.lateness.is_away()
+        let has_time = !published.is_dedicated && !self.lateness.is_away();
+        published.ready && !published.stopping && proved && has_time
     }
 }
 
--- a/components/node/src/schedulers.rs
+++ b/components/node/src/schedulers.rs
@@ -7,6 +7,7 @@
 use crate::metric::{value, Metrics};
 use crate::shared::ShardStatus;
 use coordination::ask::{Report, Served};
+use coordination::assignment;
 use coordination::dispatcher::{endpoints, set_engines};
 use coordination::scheduler::{Effect, Effects, Scheduler, Session};
 use state::clock::Millis;
@@ -54,7 +55,9 @@
 
     /// Starts and ends schedulers as the view says.
     pub(crate) fn follow(&mut self, now: Millis, view: &View, batch: &mut Batch) {
-        let assignments = || view.assignments.iter().filter(|s| s.place.vm == self.me);
+        let current = assignment::shards(view);
+        let is_mine = |a: &&Assignment| a.place.vm == self.me && current.contains(&a.shard);
+        let assignments = || view.assignments.iter().filter(is_mine);
         let over: Vec<Epoch> = (self.all.keys())
             .filter(|epoch| !assignments().any(|s| s.epoch == **epoch))
             .copied()
@@ -168,7 +171,7 @@
             return;
         };
         for assigned in self.all.values_mut() {
-            let other = assigned.shard.region != assignment.shard.region;
+            let other = assigned.shard != assignment.shard;
             if other && assigned.shard.service == assignment.shard.service {
                 assigned.scheduler.hear_served(served);
             }
@@ -213,6 +216,13 @@
         }
     }
 
+    /// Whether callers are to go to other routers, since this VM schedules for many.
+    pub(crate) fn is_dedicated(&self, view: &View) -> bool {
+        let routers = self.all.values().map(|a| a.scheduler.routers()).max();
+        let shards = view.assignments.len().max(1);
+        routers.is_some_and(|routers| assignment::is_dedicated(routers, shards))
+    }
+
     /// Shards that are scheduled here.
     pub(crate) fn shards(&self) -> Vec<Shard> {
         self.all.values().map(|r| r.shard.clone()).collect()
@@ -246,6 +256,7 @@
                 event = Line::SchedulerState.as_str(),
                 service = view.config.service_name(assigned.shard.service),
                 region = assigned.shard.region.as_str(),
+                data_centre = assigned.shard.data_centre.as_ref().map(Name::as_str),
                 epoch = epoch.0,
                 waiting = belief.waiting,
                 running = belief.running,
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -23,6 +23,8 @@
     pub(crate) stopping: bool,
     /// Whether it takes no more requests, since they might not end before it does.
     pub(crate) closed: bool,
+    /// Whether new callers are to go to other routers, since this VM schedules for many.
+    pub(crate) is_dedicated: bool,
     /// Latest time at which this view was proved to be the newest.
     pub(crate) proof: Option<Millis>,
     /// Routers that share the endpoints, as far as the schedulers tell.
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -104,6 +104,8 @@
     Beat {
         /// Its region.
         region: Name,
+        /// Its data centre.
+        data_centre: Name,
         /// Its incarnation.
         incarnation: u64,
     },
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -70,11 +70,14 @@
     Pressure,
     /// New connections are to go to other routers, or may come again.
     Overload,
+    /// New callers are to go to other routers since this VM schedules for many, or may come
+    /// again.
+    Dedicated,
 }
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 33] = [
+    pub const ALL: [Line; 34] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -108,6 +111,7 @@
         Line::MessageLost,
         Line::Pressure,
         Line::Overload,
+        Line::Dedicated,
     ];
 
     /// Its name in logs.
@@ -146,6 +150,7 @@
             Line::MessageLost => "message-lost",
             Line::Pressure => "pressure",
             Line::Overload => "overload",
+            Line::Dedicated => "dedicated",
         }
     }
 }
--- a/components/state/src/view.rs
+++ b/components/state/src/view.rs
@@ -1,6 +1,6 @@
 //! What every router knows of the fleet: configuration, schedulers, departures.
 
-use crate::config::Config;
+use crate::config::{Config, Endpoint};
 use crate::delta::Delta;
 use crate::id::{EndpointId, Epoch, Name, ServiceId, Version};
 use serde::{Deserialize, Serialize};
@@ -31,7 +31,8 @@
     }
 }
 
-/// The endpoints of one service in one region; each has one scheduler.
+/// The endpoints of one service in one region, or in one data centre of it; each has one
+/// scheduler.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Shard {
@@ -39,6 +40,16 @@
     pub service: ServiceId,
     /// Region.
     pub region: Name,
+    /// The data centre, where the region's endpoints are divided among schedulers.
+    pub data_centre: Option<Name>,
+}
+
+impl Shard {
+    /// Whether it covers an endpoint of its service.
+    pub fn covers(&self, endpoint: &Endpoint) -> bool {
+        let is_here = |data_centre: &Name| *data_centre == endpoint.data_centre;
+        self.region == endpoint.region && self.data_centre.as_ref().is_none_or(is_here)
+    }
 }
 
 /// Which VM schedules a shard, and in which epoch.
--- a/components/state/tests/store.rs
+++ b/components/state/tests/store.rs
@@ -80,6 +80,7 @@
     let assignment = |epoch| {
         Record::Assignment(Assignment {
             shard: Shard {
+                data_centre: None,
                 service: ServiceId(1),
                 region: name("main"),
             },
