Stay away for longer after a flood that came back at once; read the list in turns

A large customer's callers come to one router. Overloaded it turned them away, was calm within two seconds, took them all again and was overloaded at once: away at 9.2, 13.5, 18.0, 23.3, 27.9 and 32.4 s. After such a relapse it stays away twice as long, 20 s at most; one that is late also while away comes back as before, since then others are overloaded too.

a_flood_that_comes_back_at_once_keeps_a_router_away_for_longer and routers_read_the_list_in_turn_however_many_there_are fail on the code before.

--- a/components/coordination/src/listing.rs
+++ b/components/coordination/src/listing.rs
@@ -14,9 +14,26 @@
 ///
 /// A page that changes while it is read may lack an endpoint that lives.
 pub const MISSING: u32 = 2;
+/// Readings that routers leave to the control VMs before they read themselves.
+const ROUTER_TURNS: u64 = 4;
 /// Endpoints remembered as leaving.
 const LEAVING_MAX: usize = 4096;
 
+/// Time in which news of a reading reaches most routers, divided by how many read meanwhile,
+/// in milliseconds: with it between their turns, some five read at once when the control VMs
+/// fall silent, and not all of them.
+const TURN_MS: u64 = 20;
+
+/// Time that a router waits for someone else's reading, in milliseconds, where the list is
+/// read each `every_ms`, among so many routers.
+///
+/// Within one time between readings, 291 routers in turn had a moment of 2 ms each: while
+/// the leader was frozen, the list was asked for 25 times a second.
+pub fn router_patience_ms(every_ms: u64, routers: u32, incarnation: u64) -> u64 {
+    let spread_ms = every_ms.max(u64::from(routers) * TURN_MS).max(1);
+    every_ms * ROUTER_TURNS + incarnation % spread_ms
+}
+
 /// What one process knows of the list.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
--- a/components/coordination/src/overload.rs
+++ b/components/coordination/src/overload.rs
@@ -38,6 +38,12 @@
 const AWAY_MAX_MS: u64 = 5000;
 /// See [`AWAY_MAX_MS`].
 const BACK_MIN_MS: u64 = 2000;
+/// Time after its return within which a router that was calm by then has relapsed if it is
+/// overloaded again, in milliseconds: what came back at once is the same flood.
+const RELAPSE_MS: u64 = 10_000;
+/// Longest time for which a calm router stays away, in milliseconds. It has to try at
+/// times: a flood ends without a word.
+const HOLD_MAX_MS: u64 = 20_000;
 
 /// Lateness that counts now, of the last probe, the one before and the one that is due, in
 /// milliseconds.
@@ -56,6 +62,10 @@
     /// Since when new connections are turned away, or taken again.
     changed: Millis,
     is_away: bool,
+    /// Time for which it stays away though it is calm, in milliseconds.
+    hold_ms: u64,
+    /// Whether it was calm when it took connections again.
+    was_relieved: bool,
 }
 
 impl Overload {
@@ -67,17 +77,44 @@
         let rest = MEMORY_MS - PROBE_MS;
         self.mean_us = (self.mean_us * rest + sample_us * PROBE_MS) / MEMORY_MS;
         let mean_ms = self.mean_us / 1000;
+        if self.is_away {
+            self.consider_return(now, mean_ms);
+        } else if mean_ms >= LATE_MS {
+            self.consider_leave(now);
+        }
+        self.is_away
+    }
+
+    fn consider_return(&mut self, now: Millis, mean_ms: u64) {
         let since = now.since(self.changed);
-        let changes = if self.is_away {
-            since >= AWAY_MAX_MS || (since >= AWAY_MIN_MS && mean_ms < CALM_MS)
-        } else {
-            mean_ms >= LATE_MS && (since >= BACK_MIN_MS || self.changed == Millis(0))
-        };
-        if changes {
-            self.is_away = !self.is_away;
+        let is_calm = mean_ms < CALM_MS;
+        let until = if is_calm { self.hold_ms } else { AWAY_MAX_MS };
+        if since >= until {
+            self.is_away = false;
             self.changed = now;
+            self.was_relieved = is_calm;
         }
-        self.is_away
+    }
+
+    /// Turns callers away, for twice as long each time that they overload it at once after
+    /// they were away.
+    ///
+    /// A large customer's callers are sent to one router by their address. Calm for as long
+    /// as they went elsewhere, it took them all again each five seconds, and refused most of
+    /// what came meanwhile.
+    fn consider_leave(&mut self, now: Millis) {
+        let since = now.since(self.changed);
+        let is_first = self.changed == Millis(0);
+        if !is_first && !self.was_relieved && since < BACK_MIN_MS {
+            return;
+        }
+        let has_relapsed = self.was_relieved && since < RELAPSE_MS;
+        self.hold_ms = match has_relapsed {
+            true => (self.hold_ms * 2).min(HOLD_MAX_MS),
+            false => AWAY_MIN_MS,
+        };
+        self.is_away = true;
+        self.changed = now;
     }
 
     /// Whether a caller that connects anew comes to another router by now.
--- a/components/coordination/tests/listing.rs
+++ b/components/coordination/tests/listing.rs
@@ -3,7 +3,7 @@
 
 mod endpoints;
 
-use coordination::listing::{Roster, MISSING};
+use coordination::listing::{router_patience_ms, Roster, MISSING};
 use state::clock::Millis;
 use state::listing::{Listed, Listing};
 
@@ -76,3 +76,27 @@
     assert!(!other.confirm(Millis(1010), 99));
     assert!(other.is_due(Millis(2200), 1100));
 }
+
+#[test]
+fn routers_read_the_list_in_turn_however_many_there_are() {
+    // Symptom: the platform's list is asked for 25 times a second instead of twice.
+    // Sequence: the control VMs fall silent; each router waits for its turn, and hears of
+    // others' readings 100 ms after they are due.
+    // Cause: the turns of 291 routers lay within half a second.
+    let readers = |routers: u32| {
+        let lives = (0..u64::from(routers)).map(|n| n.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let turns = lives.map(|life| router_patience_ms(500, routers, life));
+        let mut turns: Vec<u64> = turns.collect();
+        turns.sort_unstable();
+        let first = turns[0];
+        (first, turns.iter().filter(|at| **at < first + 100).count())
+    };
+    let (first, at_once) = readers(291);
+    assert!(
+        (2000..2300).contains(&first) && at_once < 20,
+        "{first} {at_once}"
+    );
+    // A few routers still read within what an endpoint's leave may take to be known.
+    let (first, _) = readers(6);
+    assert!(first <= 2500, "{first}");
+}
--- a/components/coordination/tests/overload.rs
+++ b/components/coordination/tests/overload.rs
@@ -165,3 +165,40 @@
         }
     }
 }
+
+#[test]
+fn a_flood_that_comes_back_at_once_keeps_a_router_away_for_longer() {
+    // Symptom: of a large customer's requests half are refused, beside 290 routers with room.
+    // Sequence: its router turns it away and is calm; two seconds later it takes its callers
+    // again, all of them, and is overloaded at once: `overload away=true late_ms=203`, two
+    // seconds later `away=false late_ms=2`, and so on.
+    // Cause: calm was taken for the end of the flood.
+    let mut overload = Overload::default();
+    let (mut now, mut was, mut here) = (0, false, 0);
+    let mut stays = Vec::new();
+    let mut since = 0;
+    while now < 60_000 {
+        // Callers come for as long as they are not turned away.
+        let late_ms = if was { 1 } else { 150 };
+        now += STEP + late_ms;
+        here += if was { 0 } else { STEP + late_ms };
+        let is = overload.probe(Millis(now), late_ms, false);
+        if was && !is {
+            stays.push(now - since);
+        } else if is && !was {
+            since = now;
+        }
+        was = is;
+    }
+    assert!(
+        stays.windows(2).all(|pair| pair[0] <= pair[1] + 50),
+        "{stays:?}"
+    );
+    assert!(
+        stays
+            .last()
+            .is_some_and(|stay| (15_000..21_000).contains(stay)),
+        "{stays:?}"
+    );
+    assert!(here < 6000, "{here}");
+}
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -1,6 +1,6 @@
 //! A request's way: who asks, which rule decides, its turn, its answer.
 
-use super::admit::{admit, discard, read};
+use super::admit::{admit, discard, read, BUSY};
 use super::claim::{claim, Claim, Claimed};
 use super::listen::Front;
 use super::note::Note;
@@ -56,6 +56,7 @@
     let metrics = front.parts.metrics.clone();
     let mut note = Note::new(id, began, now, &published, metrics);
     let answered = answer(&front, &published, &mut note, request, began).await;
+    let is_busy = matches!(&answered, Err(refusal) if refusal.code == BUSY);
     let reply = match answered {
         Ok(Served::Relayed(head, mut relay)) => {
             relay.note = Some((note, head.status));
@@ -82,17 +83,20 @@
         .metrics
         .duration
         .observe(began.elapsed().as_secs_f64());
-    Ok(last(&front, reply))
+    Ok(last(&front, reply, is_busy))
 }
 
 /// Makes an answer the last one of its connection, once this process is stopping or
-/// connections are scarce.
+/// connections are scarce, or if it refuses what another router takes: what this one can
+/// serve of a flood stays with it.
 ///
 /// Closed instead, a connection could cross a request that its caller has just
 /// sent on it: one would see the request fail that could have been served.
-fn last(front: &Front, mut reply: Reply) -> Reply {
+fn last(front: &Front, mut reply: Reply, is_busy: bool) -> Reply {
     let is_scarce = front.parts.budget.is_scarce(front.connections());
-    if is_scarce || front.parts.published.borrow().stopping {
+    let is_elsewhere = is_busy && front.parts.lateness.is_passed_over();
+    let published = front.parts.published.borrow();
+    if is_scarce || is_elsewhere || published.is_dedicated || published.stopping {
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(CONNECTION, close);
     }
--- a/components/node/src/reactor/listing.rs
+++ b/components/node/src/reactor/listing.rs
@@ -1,6 +1,7 @@
 //! The platform's list of endpoints: whose turn it is, and passing news of it on.
 
 use super::Reactor;
+use coordination::listing::router_patience_ms;
 use protocol::wire::Message;
 use state::clock::Millis;
 use state::id::{EndpointId, Name};
@@ -8,6 +9,8 @@
 use state::listing::Listed;
 use std::collections::BTreeSet;
 
+/// Readings that the other control VMs leave to the leader before they read themselves.
+const CONTROL_TURNS: u64 = 2;
 /// Endpoints that one log line names at most.
 const NAMED: usize = 12;
 
@@ -20,9 +23,11 @@
         if self.leads {
             return every;
         }
-        let spread = self.parts.hub.hello().incarnation % every.max(1);
-        let turns = if self.parts.control { 2 } else { 4 };
-        every * turns + spread
+        let incarnation = self.parts.hub.hello().incarnation;
+        if self.parts.control {
+            return every * CONTROL_TURNS + incarnation % every.max(1);
+        }
+        router_patience_ms(every, self.dispatcher.routers(), incarnation)
     }
 
     /// Follows and passes on a reading of the platform's list.
