Send new callers on from a router that has far more to do than others, before it is late

Cause: a large customer's callers come to one router by a hash of their address.

Change: grants tell how many requests all routers of a scheduler have in progress. A router with 64 or more, and four times the mean, says that it is not ready until it has half of that; the connections that it has stay, and it serves on them what it can.

Ruled out by profile (perf, benches/path): a cheaper request. Nothing in the router's own code takes more than 2 of 100 of its time; kernel, QUIC and tokio are flat.

--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -202,4 +202,6 @@
     pub floor: u64,
     /// Routers with a session, for the share to fall back to.
     pub routers: u32,
+    /// Requests in progress of all these routers.
+    pub running: u32,
 }
--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -19,6 +19,7 @@
 use self::session::Session;
 use self::spread::{Spread, State};
 use crate::ask::Placement;
+use crate::overload::HotSpot;
 use crate::prelude::*;
 use crate::slot::Slots;
 use slotmap::SlotMap;
@@ -126,6 +127,7 @@
     links: BTreeSet<Name>,
     waiting: usize,
     bytes: u64,
+    hot_spot: HotSpot,
 }
 
 impl Dispatcher {
@@ -141,6 +143,7 @@
             links: BTreeSet::new(),
             waiting: 0,
             bytes: 0,
+            hot_spot: HotSpot::default(),
         }
     }
 
@@ -154,6 +157,19 @@
         self.requests.len() - self.waiting
     }
 
+    /// Whether far more requests are in progress here than at other routers.
+    pub fn is_hot(&self) -> bool {
+        self.hot_spot.is_hot()
+    }
+
+    /// Requests that other routers have in progress on average, as the schedulers tell.
+    fn usual(&self) -> usize {
+        let told = self.sessions.values().filter(|s| s.up);
+        let each = told.map(|s| s.running.div_ceil(s.routers));
+        // CAST: 32 bits fit into a size on every supported target.
+        each.map(|n| n as usize).sum()
+    }
+
     /// Waiting requests of each customer.
     pub fn queues(&self) -> BTreeMap<CustomerId, u32> {
         let mut queues = BTreeMap::new();
@@ -354,6 +370,7 @@
         };
         let shard = shard.clone();
         session.routers = grant.routers.max(1);
+        session.running = grant.running;
         self.use_grant(now, &shard, grant, &mut effects);
         effects
     }
@@ -441,6 +458,8 @@
             effects.push(Effect::Expire(handle));
         }
         self.refuse_unasked(now, &mut effects);
+        let usual = self.usual();
+        self.hot_spot.look(self.held(), usual);
         let shards: Vec<Shard> = self.sessions.keys().cloned().collect();
         for shard in shards {
             self.tick_session(now, view, &shard, &mut effects);
--- a/components/coordination/src/dispatcher/session.rs
+++ b/components/coordination/src/dispatcher/session.rs
@@ -48,6 +48,8 @@
     /// Whether the scheduler has shown, by a grant, that it took the hello.
     pub(super) heard: bool,
     pub(super) routers: u32,
+    /// Requests in progress of all routers with a session there.
+    pub(super) running: u32,
     pub(super) local: Option<(Scheduler, LocalSession)>,
     /// Until when newcomers of a class are refused as one of it was, and when they may
     /// come back.
@@ -116,6 +118,7 @@
             floor: 0,
             heard: false,
             routers: 1,
+            running: 0,
             local: None,
             turned: BTreeMap::new(),
             sent: VecDeque::new(),
--- a/components/coordination/src/overload.rs
+++ b/components/coordination/src/overload.rs
@@ -54,6 +54,38 @@
     last_ms.min(before_ms.max(overdue_ms))
 }
 
+/// Requests in progress from which on a router may be a hot spot: an eighth of a core serves
+/// about four times as many, and a few bursts bring fewer.
+const HOT_MIN: usize = 64;
+/// Times as many in progress as other routers have on average, from which on it is one.
+const HOT_FACTOR: usize = 4;
+
+/// Whether a router has far more in progress than the others.
+///
+/// A large customer's callers come to one router by a hash of their address. Turned away
+/// only once that was late, they were refused for seconds at one router after the other,
+/// while each took all of them again as soon as it was calm. A hot spot sends new callers
+/// on before it is late, and keeps what it serves.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HotSpot {
+    is_hot: bool,
+}
+
+impl HotSpot {
+    /// Compares what is in progress here with what other routers have on average.
+    pub fn look(&mut self, here: usize, usual: usize) {
+        let bound = HOT_MIN.max(usual * HOT_FACTOR);
+        // Half, so that it does not change its mind with each request.
+        let bound = if self.is_hot { bound / 2 } else { bound };
+        self.is_hot = here >= bound;
+    }
+
+    /// Whether this router is one.
+    pub fn is_hot(self) -> bool {
+        self.is_hot
+    }
+}
+
 /// What it knows of the lateness so far.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Overload {
@@ -66,9 +98,16 @@
     hold_ms: u64,
     /// Whether it was calm when it took connections again.
     was_relieved: bool,
+    /// Whether it has far more to do than other routers.
+    is_hot: bool,
 }
 
 impl Overload {
+    /// Notes whether this router has far more to do than the others.
+    pub fn note_hot(&mut self, is_hot: bool) {
+        self.is_hot = is_hot;
+    }
+
     /// Takes a probe of the lateness, and whether there is no room for another
     /// connection; gives whether new connections are to go elsewhere.
     pub fn probe(&mut self, now: Millis, late_ms: u64, is_full: bool) -> bool {
@@ -79,13 +118,16 @@
         let mean_ms = self.mean_us / 1000;
         if self.is_away {
             self.consider_return(now, mean_ms);
-        } else if mean_ms >= LATE_MS {
+        } else if mean_ms >= LATE_MS || self.is_hot {
             self.consider_leave(now);
         }
         self.is_away
     }
 
     fn consider_return(&mut self, now: Millis, mean_ms: u64) {
+        if self.is_hot {
+            return;
+        }
         let since = now.since(self.changed);
         let is_calm = mean_ms < CALM_MS;
         let until = if is_calm { self.hold_ms } else { AWAY_MAX_MS };
@@ -105,7 +147,8 @@
     fn consider_leave(&mut self, now: Millis) {
         let since = now.since(self.changed);
         let is_first = self.changed == Millis(0);
-        if !is_first && !self.was_relieved && since < BACK_MIN_MS {
+        let is_sure = self.was_relieved || self.is_hot;
+        if !is_first && !is_sure && since < BACK_MIN_MS {
             return;
         }
         let has_relapsed = self.was_relieved && since < RELAPSE_MS;
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -611,6 +611,7 @@
             floor: self.ledger.floor(),
             // CAST: sessions are numbered by `u32`.
             routers: self.sessions.len() as u32,
+            running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
         };
         Effect::Grant(key.0, grant)
     }
--- a/components/coordination/tests/dispatcher.rs
+++ b/components/coordination/tests/dispatcher.rs
@@ -133,6 +133,7 @@
         level: 0,
         floor: 0,
         routers: 1,
+        running: 1,
     }
 }
 
--- a/components/coordination/tests/overload.rs
+++ b/components/coordination/tests/overload.rs
@@ -1,7 +1,7 @@
 //! When a router turns new callers away, and what it may take on.
 
 use coordination::budget::{Budget, Vm};
-use coordination::overload::{lateness, Overload, LATE_MS};
+use coordination::overload::{lateness, HotSpot, Overload, LATE_MS};
 use rstest::rstest;
 use state::clock::Millis;
 
@@ -202,3 +202,48 @@
     );
     assert!(here < 6000, "{here}");
 }
+
+#[rstest]
+#[case::calm(10, 9, false)]
+#[case::a_burst(50, 4, false)]
+#[case::all_are_busy(200, 180, false)]
+#[case::one_customer(200, 10, true)]
+fn can_tell_a_hot_spot_from_a_busy_fleet(
+    #[case] here: usize,
+    #[case] usual: usize,
+    #[case] is_hot: bool,
+) {
+    let mut spot = HotSpot::default();
+    spot.look(here, usual);
+    assert_eq!(spot.is_hot(), is_hot);
+}
+
+#[test]
+fn a_hot_spot_sends_callers_on_before_it_is_late_and_until_it_is_cool() {
+    // Symptom: half of a large customer's requests are refused at one router after the
+    // other, each for seconds, beside 290 with room.
+    // Sequence: its callers come to one router, which serves what it can of them on the
+    // connections that they keep, and runs late with the rest.
+    // Cause: new callers are sent on only when it is late, and come back while it still
+    // serves as much as it can.
+    let mut overload = Overload::default();
+    let mut spot = HotSpot::default();
+    let mut away = Vec::new();
+    for now in (STEP..30_000).step_by(20) {
+        let here = if (2000..15_000).contains(&now) {
+            300
+        } else {
+            10
+        };
+        spot.look(here, 10);
+        overload.note_hot(spot.is_hot());
+        // It is calm all along.
+        if overload.probe(Millis(now), 5, false) {
+            away.push(now);
+        }
+    }
+    let (first, last) = (away[0], away[away.len() - 1]);
+    assert!((2000..2100).contains(&first), "{first}");
+    assert!((14_900..15_100).contains(&last), "{last}");
+    assert_eq!(away.len() as u64, (last - first) / 20 + 1);
+}
--- a/components/coordination/tests/spread.rs
+++ b/components/coordination/tests/spread.rs
@@ -277,6 +277,7 @@
         level: 0,
         floor: 0,
         routers: 1,
+        running: 1,
     };
     let effects = router.grant(Millis(10), grant);
     assert!(effects.contains(&Effect::Dispatch(handle, EndpointId(2))));
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -413,6 +413,7 @@
             self.metrics.clone(),
             memory,
             budget.connections,
+            published.clone(),
             stopped.clone(),
         );
         tasks.push(tokio::spawn(vitals));
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -524,7 +524,9 @@
     fn tick(&mut self) {
         let now = self.now();
         let live = self.live.clone();
+        let was_hot = self.dispatcher.is_hot();
         let effects = self.dispatcher.tick(now, &live);
+        self.dirty |= was_hot != self.dispatcher.is_hot();
         self.act(now, effects);
         self.schedulers.tick(now, &mut self.batch);
         self.queries.tick(now, &self.parts.hub);
--- a/components/node/src/reactor/show.rs
+++ b/components/node/src/reactor/show.rs
@@ -17,6 +17,7 @@
             stopping: self.stopping,
             closed: self.closed,
             is_dedicated: self.dedicated,
+            is_hot: self.dispatcher.is_hot(),
             proof: self.dissemination.proof(),
             routers: self.dispatcher.routers(),
         };
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -25,6 +25,8 @@
     pub(crate) closed: bool,
     /// Whether new callers are to go to other routers, since this VM schedules for many.
     pub(crate) is_dedicated: bool,
+    /// Whether far more requests are in progress here than at other routers.
+    pub(crate) is_hot: bool,
     /// Latest time at which this view was proved to be the newest.
     pub(crate) proof: Option<Millis>,
     /// Routers that share the endpoints, as far as the schedulers tell.
--- a/components/node/src/vitals.rs
+++ b/components/node/src/vitals.rs
@@ -4,7 +4,7 @@
 //! second tells the same, so that what led to an end can be read afterwards.
 
 use crate::metric::{value, Metrics};
-use crate::shared::raised;
+use crate::shared::{raised, Published};
 use coordination::overload::{self, Overload, LATE_MS};
 use state::clock::Millis;
 use state::line::Line;
@@ -86,16 +86,13 @@
         self.shared.is_passed_over.load(Ordering::Relaxed)
     }
 
-    /// Notes whether they are to and whether they do, and tells each change.
-    fn turn(&self, is_away: bool, is_passed_over: bool, late_ms: u64) {
+    /// Notes whether they are to and whether they do; tells whether the first has changed.
+    fn turn(&self, is_away: bool, is_passed_over: bool) -> bool {
         let shared = &self.shared;
         shared
             .is_passed_over
             .store(is_passed_over, Ordering::Relaxed);
-        if self.shared.is_away.swap(is_away, Ordering::Relaxed) == is_away {
-            return;
-        }
-        tracing::info!(event = Line::Overload.as_str(), away = is_away, late_ms);
+        shared.is_away.swap(is_away, Ordering::Relaxed) != is_away
     }
 
     fn elapsed(&self) -> u64 {
@@ -124,6 +121,7 @@
     metrics: Metrics,
     memory: u64,
     connections: usize,
+    published: watch::Receiver<Published>,
     mut stop: watch::Receiver<bool>,
 ) {
     let connections = value(connections);
@@ -137,8 +135,13 @@
         };
         let is_full = metrics.connections.get() >= connections;
         let now = Millis(lateness.elapsed());
+        let is_hot = published.borrow().is_hot;
+        overload.note_hot(is_hot);
         let is_away = overload.probe(now, late, is_full);
-        lateness.turn(is_away, overload.is_passed_over(now), late);
+        if lateness.turn(is_away, overload.is_passed_over(now)) {
+            let event = Line::Overload.as_str();
+            tracing::info!(event, away = is_away, hot = is_hot, late_ms = late);
+        }
         latest = latest.max(late);
         if Instant::now() < next {
             continue;
