--- a/components/coordination/tests/assignment.rs
+++ b/components/coordination/tests/assignment.rs
@@ -1,49 +1,21 @@
 //! Which shards there are, and which VM schedules each.
-#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
+
+mod views;
 
 use coordination::assignment::{is_dedicated, shards, Assigner, Site, SETTLE_MS};
 use rstest::rstest;
 use state::clock::Millis;
-use state::config::{Cost, Endpoint, Service};
-use state::id::{EndpointId, Epoch, Name, ServiceId};
-use state::view::{Assignment, Place, Shard, View};
+use state::id::Name;
+use state::view::{Shard, View};
 use std::collections::BTreeSet;
-
-const SERVICE: ServiceId = ServiceId(1);
-
-fn name(text: &str) -> Name {
-    Name::try_from(text).unwrap()
-}
+use views::{name, place, SERVICE};
 
 /// Endpoints of one service, as many in each data centre.
 fn view(counts: &[u32]) -> View {
-    let mut view = View::default();
-    view.config.services.insert(
-        SERVICE,
-        Service {
-            name: name("assistant"),
-            cost: Cost::Event,
-            estimate: 100,
-            timeout_ms: 1000,
-            idempotent: true,
-            load: None,
-            connections: None,
-            engine: None,
-        },
-    );
-    for (n, count) in counts.iter().enumerate() {
+    let mut view = views::view(None);
+    for (n, count) in (0..).zip(counts) {
         for k in 0..*count {
-            let endpoint = Endpoint {
-                name: name(&format!("e-{n}-{k}")),
-                service: name("assistant"),
-                address: "127.0.0.1:9001".parse().unwrap(),
-                data_centre: name(&format!("dc-{n}")),
-                region: name("main"),
-                slots: 4,
-                lead: 1,
-            };
-            let id = EndpointId(u32::try_from(n).unwrap() * 1000 + k);
-            view.config.endpoints.insert(id, endpoint);
+            views::add(&mut view, n * 1000 + k, &format!("dc-{n}"), 4);
         }
     }
     view
@@ -57,17 +29,6 @@
     }
 }
 
-fn assign(view: &mut View, shard: Shard, vm: &str, epoch: u64) {
-    view.assignments.push(Assignment {
-        shard,
-        place: Place {
-            vm: name(vm),
-            address: "127.0.0.1:7001".parse().unwrap(),
-        },
-        epoch: Epoch(epoch),
-    });
-}
-
 #[rstest]
 #[case::few_in_three(&[3, 3, 3], false)]
 #[case::many_in_one(&[140], false)]
@@ -94,13 +55,13 @@
     // Cause: one bound for dividing and for joining again.
     let mut divided = view(&[10, 10]);
     assert_eq!(shards(&divided).len(), 1);
-    assign(&mut divided, shard(Some("dc-0")), "a", 4);
+    views::assign(&mut divided, [shard(Some("dc-0"))], 4);
     assert_eq!(shards(&divided).len(), 2);
     // A scheduler of the whole region from before says nothing any more.
-    assign(&mut divided, shard(None), "b", 3);
+    views::assign(&mut divided, [shard(None)], 3);
     assert_eq!(shards(&divided).len(), 2);
     let mut few = view(&[7, 7]);
-    assign(&mut few, shard(Some("dc-0")), "a", 4);
+    views::assign(&mut few, [shard(Some("dc-0"))], 4);
     assert_eq!(shards(&few).len(), 1);
 }
 
@@ -112,10 +73,7 @@
     let now = Millis(SETTLE_MS);
     for (vm, data_centre) in [("a", "dc-0"), ("b", "dc-0"), ("c", "dc-1")] {
         let site = Site {
-            place: Place {
-                vm: name(vm),
-                address: "127.0.0.1:7001".parse().unwrap(),
-            },
+            place: place(vm),
             region: name("main"),
             data_centre: name(data_centre),
         };
--- a/components/coordination/tests/divided.rs
+++ b/components/coordination/tests/divided.rs
@@ -6,6 +6,7 @@
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 mod engines;
+mod views;
 
 use coordination::ask::{Class, Grant, Refusal, Report, Verdict};
 use coordination::assignment::shards;
@@ -18,15 +19,14 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use state::clock::Millis;
-use state::config::{Cost, Endpoint, Service};
-use state::id::{CustomerId, EndpointId, Epoch, Name, ServiceId};
-use state::view::{Assignment, Place, View};
+use state::id::{CustomerId, EndpointId, Name};
+use state::view::View;
 use std::collections::{BTreeMap, VecDeque};
+use views::{name, SERVICE};
 
-const SERVICE: ServiceId = ServiceId(0);
 const CENTRES: usize = 3;
 /// Engines in each data centre.
-const ENGINES: u32 = 12;
+const ENGINES: usize = 12;
 /// Routers in each data centre.
 const ROUTERS: usize = 4;
 /// Tokens that fit into an engine.
@@ -44,56 +44,25 @@
 const MESSAGES: u64 = 100;
 const CUSTOMERS: u32 = 8;
 
-fn name(text: &str) -> Name {
-    Name::try_from(text).unwrap()
-}
-
-fn centre(n: usize) -> Name {
-    name(&format!("dc-{n}"))
+/// Name of a data centre.
+fn centre(n: usize) -> String {
+    format!("dc-{n}")
 }
 
 /// Engines in several data centres, or as many in one.
 fn view(is_divided: bool) -> View {
-    let mut view = View::default();
-    view.config.services.insert(
-        SERVICE,
-        Service {
-            name: name("assistant"),
-            cost: Cost::Token,
-            estimate: 100,
-            timeout_ms: 10_000,
-            idempotent: false,
-            load: None,
-            connections: None,
-            engine: Some(state::config::Engine {
-                memory_tokens: MEMORY,
-                event_tokens: 1,
-                copy_tokens_per_s: None,
-            }),
-        },
-    );
-    for n in 0..ENGINES * CENTRES as u32 {
-        let endpoint = Endpoint {
-            name: name(&format!("e-{n}")),
-            service: name("assistant"),
-            address: "127.0.0.1:9000".parse().unwrap(),
-            data_centre: centre(if is_divided { n as usize % CENTRES } else { 0 }),
-            region: name("main"),
-            slots: 64,
-            lead: 0,
-        };
-        view.config.endpoints.insert(EndpointId(n), endpoint);
-    }
-    for (n, shard) in shards(&view).into_iter().enumerate() {
-        view.assignments.push(Assignment {
-            shard,
-            place: Place {
-                vm: name(&format!("s-{n}")),
-                address: "127.0.0.1:7001".parse().unwrap(),
-            },
-            epoch: Epoch(1 + n as u64),
-        });
+    let engine = state::config::Engine {
+        memory_tokens: MEMORY,
+        event_tokens: 1,
+        copy_tokens_per_s: None,
+    };
+    let mut view = views::view(Some(engine));
+    for (n, id) in (0..CENTRES * ENGINES).zip(0..) {
+        let data_centre = if is_divided { n % CENTRES } else { 0 };
+        views::add(&mut view, id, &centre(data_centre), 64);
     }
+    let all = shards(&view);
+    views::assign(&mut view, all, 1);
     view
 }
 
@@ -177,7 +146,7 @@
         let router = |n: usize| {
             let home = Home {
                 region: name("main"),
-                data_centre: centre(n % CENTRES),
+                data_centre: name(&centre(n % CENTRES)),
                 incarnation: n as u64,
             };
             let bounds = Bounds {
@@ -220,7 +189,7 @@
 
     /// Requests in a second that engines can read, if they find all shared parts kept.
     fn capacity() -> f64 {
-        (RATE * 1000 * u64::from(ENGINES) * CENTRES as u64) as f64 / OWN_TOKENS as f64
+        (RATE * 1000 * (ENGINES * CENTRES) as u64) as f64 / OWN_TOKENS as f64
     }
 
     fn post(&mut self, mail: Mail) {
--- a/components/coordination/tests/spread.rs
+++ b/components/coordination/tests/spread.rs
@@ -1,71 +1,34 @@
 //! Which scheduler a router asks, where a region's engines are divided by data centre.
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
+mod views;
+
 use coordination::ask::{Ask, Basis, Class, Grant, Hello, Refusal, Report};
 use coordination::assignment::shards;
 use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Full, Handle, Home};
 use coordination::prompt::Prompt;
 use state::clock::Millis;
-use state::config::{Cost, Endpoint, Service};
-use state::id::{CustomerId, EndpointId, Epoch, Name, ServiceId};
-use state::view::{Assignment, Place, View};
+use state::id::{CustomerId, EndpointId, Epoch};
+use state::view::View;
 use std::collections::BTreeMap;
+use views::{name, SERVICE};
 
-const SERVICE: ServiceId = ServiceId(1);
 const CENTRES: u32 = 4;
 const ENGINES: u32 = 12;
 const AIM_MS: u64 = 800;
 
-fn name(text: &str) -> Name {
-    Name::try_from(text).unwrap()
-}
-
 /// Engines in four data centres; `joined` counts all as of one.
 fn view(joined: bool) -> View {
-    let mut view = View::default();
-    view.config.services.insert(
-        SERVICE,
-        Service {
-            name: name("assistant"),
-            cost: Cost::Token,
-            estimate: 100,
-            timeout_ms: 10_000,
-            idempotent: false,
-            load: None,
-            connections: None,
-            engine: None,
-        },
-    );
+    let mut view = views::view(None);
     for n in 0..CENTRES * ENGINES {
         let centre = if joined { 0 } else { n % CENTRES };
-        let endpoint = Endpoint {
-            name: name(&format!("e-{n}")),
-            service: name("assistant"),
-            address: "127.0.0.1:9001".parse().unwrap(),
-            data_centre: name(&format!("dc-{centre}")),
-            region: name("main"),
-            slots: 4,
-            lead: 0,
-        };
-        view.config.endpoints.insert(EndpointId(n), endpoint);
+        views::add(&mut view, n, &format!("dc-{centre}"), 4);
     }
-    assign(&mut view, 1);
+    let all = shards(&view);
+    views::assign(&mut view, all, 1);
     view
 }
 
-fn assign(view: &mut View, from: u64) {
-    for (n, shard) in shards(view).into_iter().enumerate() {
-        view.assignments.push(Assignment {
-            shard,
-            place: Place {
-                vm: name(&format!("s-{n}")),
-                address: "127.0.0.1:7001".parse().unwrap(),
-            },
-            epoch: Epoch(from + n as u64),
-        });
-    }
-}
-
 /// A router in a data centre with links to all schedulers.
 fn router(view: &View, centre: u32) -> Dispatcher {
     let home = Home {
@@ -283,7 +246,8 @@
     assert!(effects.contains(&Effect::Dispatch(handle, EndpointId(2))));
     let mut divided = view(false);
     divided.assignments.clear();
-    assign(&mut divided, 20);
+    let all = shards(&divided);
+    views::assign(&mut divided, all, 20);
     let mut effects = router.follow(Millis(20), &divided);
     effects.extend(router.tick(Millis(40), &divided));
     for n in 0..CENTRES {
