--- a/components/coordination/src/assignment.rs
+++ b/components/coordination/src/assignment.rs
@@ -135,8 +135,8 @@
     }
 }
 
-/// Whether a VM that schedules for some routers takes no callers beside it, in a fleet of
-/// that many shards.
+/// Whether a VM that schedules for so many routers takes no callers beside it, in a fleet of
+/// so many shards.
 ///
 /// Callers come to a router by a hash of their address. Where a large one came to the VM of
 /// a scheduler, all routers waited for decisions while it served that caller.
--- a/components/coordination/src/overload.rs
+++ b/components/coordination/src/overload.rs
@@ -126,6 +126,7 @@
 
     fn consider_return(&mut self, now: Millis, mean_ms: u64) {
         if self.is_hot {
+            // What callers ask for on the connections that they have is as much as it can do.
             return;
         }
         let since = now.since(self.changed);
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -86,9 +86,9 @@
     Ok(last(&front, reply, is_busy))
 }
 
-/// Makes an answer the last one of its connection, once this process is stopping or
-/// connections are scarce, or if it refuses what another router takes: what this one can
-/// serve of a flood stays with it.
+/// Makes an answer the last one of its connection, once this process is stopping, schedules
+/// for many routers or has few connections left, or if it refuses what another router
+/// takes: what this one can serve of a flood stays with it.
 ///
 /// Closed instead, a connection could cross a request that its caller has just
 /// sent on it: one would see the request fail that could have been served.
