--- a/components/settings/src/section.rs
+++ b/components/settings/src/section.rs
@@ -215,16 +215,9 @@
         bounds: std::ops::RangeInclusive<u64>,
         default: u64,
     ) -> Result<u64> {
-        let Some(text) = value else {
-            return Ok(default);
-        };
-        let what = format!(
-            "a duration such as 250ms, 5s or 2m, from {}ms to {}ms",
-            bounds.start(),
-            bounds.end()
-        );
-        let parsed = duration(text).filter(|ms| bounds.contains(ms));
-        parsed.ok_or_else(|| self.wrong(key, text, what))
+        let (least, most) = (bounds.start(), bounds.end());
+        let what = format!("a duration such as 250ms, 5s or 2m, from {least}ms to {most}ms");
+        self.within(key, value, bounds, default, duration, what)
     }
 
     /// Parses a size: bytes, or a number of MB or GB.
@@ -235,15 +228,28 @@
         bounds: std::ops::RangeInclusive<u64>,
         default: u64,
     ) -> Result<u64> {
+        let (least, most) = (bounds.start(), bounds.end());
+        let what = format!("a size such as 160MB or 1GB, from {least} to {most} bytes");
+        self.within(key, value, bounds, default, size, what)
+    }
+
+    /// Parses a value with a unit by `parse`; `what` says what is right.
+    fn within<P>(
+        &self,
+        key: &str,
+        value: &Option<String>,
+        bounds: std::ops::RangeInclusive<u64>,
+        default: u64,
+        parse: P,
+        what: String,
+    ) -> Result<u64>
+    where
+        P: Fn(&str) -> Option<u64>,
+    {
         let Some(text) = value else {
             return Ok(default);
         };
-        let what = format!(
-            "a size such as 160MB or 1GB, from {} to {} bytes",
-            bounds.start(),
-            bounds.end()
-        );
-        let parsed = size(text).filter(|bytes| bounds.contains(bytes));
+        let parsed = parse(text).filter(|number| bounds.contains(number));
         parsed.ok_or_else(|| self.wrong(key, text, what))
     }
 
