--- a/components/node/src/front/admit.rs
+++ b/components/node/src/front/admit.rs
@@ -14,6 +14,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
 use state::id::{RequestId, Version};
+use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 
@@ -206,6 +207,7 @@
         headers: head.headers,
         body,
         _memory: memory,
+        fingerprint: OnceLock::new(),
     })
 }
 
--- a/components/node/src/front/note.rs
+++ b/components/node/src/front/note.rs
@@ -3,6 +3,7 @@
 use super::flow::Flow;
 use super::plan::Plan;
 use super::refusal::Refusal;
+use super::upstream::Failed;
 use crate::input::Dispatch;
 use crate::metric::{Labels, Metrics};
 use crate::shared::Published;
@@ -10,11 +11,15 @@
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
 use state::clock::Millis;
+use state::fingerprint::Fingerprint;
 use state::id::{Name, RequestId};
 use state::line::Line;
 use state::outcome::Outcome;
 use std::time::{Duration, Instant};
 
+/// Reason of answers that their endpoint broke off.
+pub(crate) const BROKE_OFF: &str = "endpoint-broke-off";
+
 /// What is known of a request so far.
 #[derive(Debug)]
 pub(crate) struct Note {
@@ -31,6 +36,7 @@
     customer: Option<Name>,
     service: Option<Name>,
     endpoint: Option<Name>,
+    fingerprint: Option<Fingerprint>,
     waited: Option<Duration>,
     flow: Flow,
     tries: u32,
@@ -78,6 +84,7 @@
             customer: None,
             service: None,
             endpoint: None,
+            fingerprint: None,
             waited: None,
             flow: Flow::new(began),
             tries: 0,
@@ -103,8 +110,9 @@
     }
 
     /// It is sent to an endpoint.
-    pub(crate) fn dispatch(&mut self, dispatch: &Dispatch) {
+    pub(crate) fn dispatch(&mut self, dispatch: &Dispatch, fingerprint: Fingerprint) {
         self.tries += 1;
+        self.fingerprint = Some(fingerprint);
         self.metrics.sent.inc();
         self.waited.get_or_insert_with(|| self.began.elapsed());
         self.endpoint = Some(dispatch.name.clone());
@@ -140,15 +148,17 @@
     }
 
     /// A try has failed, and another may follow.
-    pub(crate) fn failed(&self, error: &errors::Error, next: &'static str) {
+    pub(crate) fn failed(&self, failed: &Failed, next: &'static str) {
         tracing::info!(
             event = Line::TryFailed.as_str(),
             request = %self.id,
             caller = self.caller(),
             endpoint = text(self.endpoint.as_ref()),
+            fingerprint = self.fingerprint.map(tracing::field::display),
             tries = self.tries,
             next,
-            %error,
+            broke_off = failed.broke_off,
+            error = %failed.error,
         );
     }
 
@@ -194,6 +204,7 @@
     ) {
         let retry_after = refusal.and_then(|r| r.retry_after);
         let basis = refusal.and_then(|r| r.basis);
+        let broken = self.fingerprint.filter(|_| reason == BROKE_OFF);
         self.is_told = true;
         let service = text(self.service.as_ref());
         let took = self.began.elapsed();
@@ -215,6 +226,7 @@
             first_ms = first.map(millis),
             pause_ms = self.flow.pause().map(millis),
             events = self.flow.events(),
+            fingerprint = broken.map(tracing::field::display),
             tries = self.tries,
             status = status.map(|s| s.as_u16()),
             outcome,
--- a/components/node/src/front/relay.rs
+++ b/components/node/src/front/relay.rs
@@ -1,6 +1,6 @@
 //! Passes an answer's body through to the caller, and counts its cost.
 
-use super::note::Note;
+use super::note::{Note, BROKE_OFF};
 use super::plan::token_cost;
 use super::pool::{Connection, Key, Pool};
 use crate::input::Input;
@@ -254,7 +254,7 @@
             // answer: what was cut must look cut.
             Poll::Ready(Some(Err(error))) => {
                 self.slot.verdict = Verdict::Failed;
-                self.ended = "endpoint-broke-off";
+                self.ended = BROKE_OFF;
                 Poll::Ready(Some(Err(Cut::Endpoint(error))))
             }
             Poll::Ready(None) => {
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -190,7 +190,7 @@
             front: front.clone(),
         };
         let dispatch = turn(front, &call, waiting, decided, retries, plan.idempotent).await?;
-        note.dispatch(&dispatch);
+        note.dispatch(&dispatch, call.fingerprint());
         note_dispatch(front, &call, plan, &dispatch, retries, began);
         let mut slot = Slot {
             handle,
@@ -235,7 +235,7 @@
         }
         if failed.unconnected && unconnected < UNCONNECTED {
             // Nothing was sent: it costs no endpoint anything.
-            note.failed(&failed.error, "elsewhere");
+            note.failed(&failed, "elsewhere");
             slot.verdict = failed.verdict;
             decided = again(front, slot).await?;
             unconnected += 1;
@@ -250,7 +250,7 @@
         };
         let now = front.parts.clock.now();
         let next = front.with_budget(plan.service, |budget| retry::after(attempt, now, budget));
-        note.failed(&failed.error, next.as_str());
+        note.failed(&failed, next.as_str());
         slot.verdict = failed.verdict;
         if next != Next::Again {
             return Err(give_up(next, &dispatch, &failed));
@@ -294,6 +294,7 @@
             reach: Reach::Sent,
             verdict: Verdict::Error,
             unconnected: false,
+            broke_off: false,
             error: Box::new(errors::Error::Peer {
                 step: "read an answer",
                 peer: "(endpoint)".to_owned(),
--- a/components/node/src/front/upstream.rs
+++ b/components/node/src/front/upstream.rs
@@ -18,7 +18,9 @@
     HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING,
 };
 use hyper::{HeaderMap, Method, Request, Response, Uri};
+use state::fingerprint::{Fingerprint, Subject};
 use state::id::{Name, RequestId};
+use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 
@@ -46,6 +48,8 @@
     pub(crate) body: Bytes,
     /// The body's part of the memory for bodies.
     pub(crate) _memory: Option<OwnedSemaphorePermit>,
+    /// Its fingerprint, once it was asked for.
+    pub(crate) fingerprint: OnceLock<Fingerprint>,
 }
 
 /// A failed try.
@@ -56,6 +60,8 @@
     pub(crate) verdict: Verdict,
     /// Whether there was no connection to send it on.
     pub(crate) unconnected: bool,
+    /// Whether the endpoint broke off a request that may have been running.
+    pub(crate) broke_off: bool,
     pub(crate) error: Box<Error>,
 }
 
@@ -65,6 +71,7 @@
             reach,
             verdict: Verdict::Failed,
             unconnected: false,
+            broke_off: false,
             error: Box::new(error),
         }
     }
@@ -111,7 +118,10 @@
                 }
                 let reach = if unsent { Reach::Nothing } else { Reach::Sent };
                 let error = Error::peer("send to an endpoint", to.address)(error.into_error());
-                return Err(Failed::new(reach, error));
+                return Err(Failed {
+                    broke_off: reach == Reach::Sent,
+                    ..Failed::new(reach, error)
+                });
             }
         }
     }
@@ -165,11 +175,12 @@
     }
     if not_run {
         return Err(Failed {
-            reach: Reach::Nothing,
             // One that says that it is full is not broken.
             verdict: Verdict::Gone,
-            unconnected: false,
-            error: Box::new(wrong("the endpoint did not run the request")),
+            ..Failed::new(
+                Reach::Nothing,
+                wrong("the endpoint did not run the request"),
+            )
         });
     }
     if !is_sound {
@@ -183,6 +194,21 @@
 }
 
 impl Call {
+    /// What makes it the same request as another one.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let host = self.headers.get(HOST).and_then(|v| v.to_str().ok());
+            let path = self.uri.path_and_query();
+            Fingerprint::of(&Subject {
+                customer: self.customer.as_ref().map_or("", Name::as_str),
+                method: self.method.as_str(),
+                host: host.or(self.uri.host()).unwrap_or(""),
+                path: path.map_or("/", |p| p.as_str()),
+                body: &self.body,
+            })
+        })
+    }
+
     /// Builds the onward request anew: nothing of the caller's framing is kept.
     fn request(
         &self,
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod config;
 pub mod delta;
 pub mod event;
+pub mod fingerprint;
 pub mod id;
 pub mod line;
 pub mod listing;
