Add a failing test: a request that crashes endpoints goes on to the next ones

Three control VMs, three routers and three stand-ins as processes; the request ends the stand-in that works on it, after its first event. Once it has ended three, it is sent by each router four times more, three seconds later: it reaches endpoints 12 times, where 3 are borne.

The stand-in learns to end its process on demand, as its command only.

--- a/components/standin/src/fault.rs
+++ b/components/standin/src/fault.rs
@@ -15,6 +15,8 @@
     Swap,
     /// The answer says that the server failed.
     Broken,
+    /// The process ends while it works on the request, if it may.
+    Crash,
 }
 
 impl From<&str> for Fault {
@@ -25,6 +27,7 @@
             "redirect" => Fault::Redirect,
             "swap" => Fault::Swap,
             "broken" => Fault::Broken,
+            "crash" => Fault::Crash,
             _ => Fault::None,
         }
     }
--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -24,6 +24,9 @@
 /// Header that carries a request's identity, and its answer's.
 pub const IDENTITY: &str = "cowslipford-request-id";
 
+/// Status with which a process ends that a request has crashed.
+const CRASHED: i32 = 70;
+
 /// What kind of endpoint it plays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -50,6 +53,8 @@
     pub lag: Duration,
     /// File to which the label of each call is appended before the call is worked on.
     pub record: Option<PathBuf>,
+    /// Whether a request may end the process.
+    pub may_crash: bool,
 }
 
 impl Default for Settings {
@@ -62,6 +67,7 @@
             pace: Duration::from_millis(5),
             lag: Duration::from_secs(1),
             record: None,
+            may_crash: false,
         }
     }
 }
@@ -253,6 +259,7 @@
         _ if fault == Fault::Broken => json(StatusCode::INTERNAL_SERVER_ERROR, String::new()),
         Kind::Plain => {
             tokio::time::sleep(pace).await;
+            shared.crash(fault);
             place.end(1);
             plain(&body, fault)
         }
@@ -308,6 +315,9 @@
     fault: Fault,
 ) {
     for n in 0..tokens {
+        if n > 0 {
+            place.shared.crash(fault);
+        }
         if fault == Fault::Cut && n >= tokens / 2 {
             sender.abort(Broken);
             return;
@@ -328,6 +338,13 @@
 }
 
 impl Shared {
+    /// Ends the process if that is the fault, without a word to anyone.
+    fn crash(&self, fault: Fault) {
+        if fault == Fault::Crash && self.settings.may_crash {
+            std::process::exit(CRASHED);
+        }
+    }
+
     /// Appends a call's label to the record.
     ///
     /// The counters end with the process. Without the record, a test that kills
--- a/src/cmd/stand_in.rs
+++ b/src/cmd/stand_in.rs
@@ -16,6 +16,7 @@
         pace: Duration::from_millis(args.pace),
         lag: Duration::from_millis(args.lag),
         record: args.record.clone(),
+        may_crash: true,
     };
     runtime()?.block_on(async {
         let server = Server::start(settings).await?;
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -347,6 +347,27 @@
         }
     }
 
+    /// Starts stand-ins again whose processes have ended by themselves; gives how many.
+    pub(crate) fn restart_crashed(&mut self) -> usize {
+        let mut crashed = 0;
+        for stand_in in &mut self.stand_ins {
+            if stand_in.process.ended().is_some() {
+                crashed += 1;
+                stand_in.process.start();
+                eventually("a stand-in listens again", || {
+                    TcpStream::connect(stand_in.address).is_ok()
+                });
+            }
+        }
+        crashed
+    }
+
+    /// Calls with a label that reached stand-ins, over all lives of these.
+    pub(crate) fn recorded(&self, label: &str) -> usize {
+        let all = self.stand_ins.iter().flat_map(StandIn::recorded);
+        all.filter(|l| l == label).count()
+    }
+
     /// Kills a stand-in.
     pub(crate) fn kill_stand_in(&mut self, place: usize) {
         self.stand_ins[place].process.kill();
