Quarantine a request that crashes endpoints one after the other

Cause: no part of the fleet knew that two requests are the same. Retries are bounded for one attempt on one router; the caller's next attempt was new everywhere, and its crashes were held against the engines alone.

Change: a router reports each request that an endpoint broke off, by its fingerprint, to the control VMs. These count crashes in a row: a try that was sent before the last crash that counts adds nothing, and a whole answer clears. From the second crash on all routers watch for such an answer, from the third on they refuse the request, also where it waits for its turn. A router without control VMs still counts what it has seen itself. A quarantine ends after ten minutes and comes back, twice as long, with the next crash. Refusals are 502 'quarantined', outcome unknown, no Retry-After.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -30,6 +30,8 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Time between two notes to the reactor that a leader lives, in milliseconds.
 const FRESH_MS: u64 = 500;
+/// Time between two looks for suspicions that have lasted long enough, in milliseconds.
+const EXPIRE_MS: u64 = 5000;
 /// Messages taken in one round, whose records share one sync.
 const ROUND: usize = 512;
 
@@ -119,6 +121,8 @@
     waiters: BTreeMap<Index, (Term, Name, u64)>,
     /// Entries whose assignments are not applied yet.
     assigned_until: Index,
+    /// When suspicions are next looked through for those that have lasted long enough.
+    expire_at: Millis,
     was_leader: bool,
     fresh: bool,
     fresh_at: Millis,
@@ -156,6 +160,7 @@
             places: HashMap::new(),
             waiters: BTreeMap::new(),
             assigned_until: Index(0),
+            expire_at: Millis(0),
             was_leader: false,
             fresh: false,
             fresh_at: Millis(0),
@@ -320,6 +325,11 @@
                 Ok(Record::Change { id, base, delta })
             }
             Query::Release(release) => Ok(Record::Release(release)),
+            Query::Suspects { crashes, cleared } => Ok(Record::Suspects {
+                at: self.parts.clock.stamp(),
+                crashes,
+                cleared,
+            }),
             Query::Depart(leaving) => self.departure(leaving).map(Record::Departure),
         }
     }
@@ -352,6 +362,7 @@
         if !leads || !self.core.may_serve(now) || self.core.commit() < self.assigned_until {
             return;
         }
+        self.expire_suspects(now);
         for assignment in self.assignments.plan(now, &self.store.view, &self.shards) {
             tracing::info!(
                 event = Line::SchedulerAssigned.as_str(),
@@ -367,6 +378,25 @@
         }
     }
 
+    /// Ends suspicions and quarantines that have lasted long enough.
+    fn expire_suspects(&mut self, now: Millis) {
+        if now < self.expire_at {
+            return;
+        }
+        self.expire_at = now.after(EXPIRE_MS);
+        let at = self.parts.clock.stamp();
+        if !self.store.suspects.is_expired(at.wall) {
+            return;
+        }
+        let record = Record::Suspects {
+            at,
+            crashes: Vec::new(),
+            cleared: Vec::new(),
+        };
+        // Refused, it is tried again: nothing has expired yet.
+        let _ = self.core.propose(now, record);
+    }
+
     fn note_role(&self, leads: bool) {
         let term = self.core.term().0;
         let step = if leads {
--- a/components/node/src/front/listen.rs
+++ b/components/node/src/front/listen.rs
@@ -9,6 +9,7 @@
 use crate::interface::Interface;
 use crate::journal::Journal;
 use crate::metric::{value, Metrics};
+use crate::quarantine::Verdicts;
 use crate::shared::{raised, Published};
 use crate::vitals::{Lateness, PROBE};
 use coordination::budget::Budget;
@@ -73,6 +74,8 @@
     pub(crate) reactor: flume::Sender<Input>,
     /// What is in force.
     pub(crate) published: watch::Receiver<Published>,
+    /// What is done with requests that may crash endpoints.
+    pub(crate) verdicts: watch::Receiver<Arc<Verdicts>>,
 }
 
 /// The callers' side.
--- a/components/node/src/front/mod.rs
+++ b/components/node/src/front/mod.rs
@@ -10,6 +10,7 @@
 mod refusal;
 mod relay;
 mod serve;
+mod trial;
 mod upstream;
 
 pub(crate) use listen::{Front, Parts};
--- a/components/node/src/front/relay.rs
+++ b/components/node/src/front/relay.rs
@@ -3,6 +3,7 @@
 use super::note::{Note, BROKE_OFF};
 use super::plan::token_cost;
 use super::pool::{Connection, Key, Pool};
+use super::trial::Trial;
 use crate::input::Input;
 use crate::journal::Journal;
 use crate::vitals::Lateness;
@@ -128,6 +129,7 @@
     /// What an answer that has come whole says of the endpoint.
     pub(crate) whole: Verdict,
     pub(crate) slot: Slot,
+    pub(crate) trial: Trial,
     pub(crate) deadline: Pin<Box<tokio::time::Sleep>>,
     pub(crate) kept: Option<Kept>,
     pub(crate) told: u32,
@@ -217,6 +219,9 @@
     fn end(&mut self) {
         self.slot.verdict = self.whole;
         self.ended = "whole";
+        if self.whole == Verdict::Fine {
+            self.trial.answered();
+        }
         if let Some(connection) = self.way.connection.take() {
             let way = &self.way;
             way.pool.put(&way.endpoint, connection, way.keep);
@@ -255,6 +260,7 @@
             Poll::Ready(Some(Err(error))) => {
                 self.slot.verdict = Verdict::Failed;
                 self.ended = BROKE_OFF;
+                self.trial.broke_off();
                 Poll::Ready(Some(Err(Cut::Endpoint(error))))
             }
             Poll::Ready(None) => {
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -7,6 +7,7 @@
 use super::plan::{no_endpoint, plan, Plan};
 use super::refusal::{insert, Refusal, OUTCOME};
 use super::relay::{Kept, Meter, Relay, Slot, Way};
+use super::trial::{quarantined, Trial};
 use super::upstream::{self, Answer, Call, Failed};
 use crate::input::{Decided, Decision, Dispatch, Input};
 use crate::interface::IDENTITY;
@@ -179,6 +180,7 @@
     note: &mut Note,
     began: Instant,
 ) -> Result<Served, Refusal> {
+    front.check_quarantine(&call)?;
     front.earn_retries(plan.service);
     let (handle, mut decided) = arrive(front, plan).await?;
     let mut retries = 0;
@@ -192,6 +194,7 @@
         let dispatch = turn(front, &call, waiting, decided, retries, plan.idempotent).await?;
         note.dispatch(&dispatch, call.fingerprint());
         note_dispatch(front, &call, plan, &dispatch, retries, began);
+        let trial = Trial::new(front, &call, plan.customer);
         let mut slot = Slot {
             handle,
             id: call.id,
@@ -214,7 +217,10 @@
         let sent = tokio::time::timeout(left, upstream::send(&call, &dispatch, way)).await;
         let failed = match sent {
             Ok(Ok(answer)) => match front.failure(plan, retries, answer) {
-                Ok(answer) => return Ok(pass(front, answer, slot, claim, dispatch, plan, began)),
+                Ok(answer) => {
+                    let answering = (answer, trial);
+                    return Ok(pass(front, answering, slot, claim, dispatch, plan, began));
+                }
                 Err(failed) => failed,
             },
             Ok(Err(failed)) => failed,
@@ -230,6 +236,9 @@
                 );
             }
         };
+        if failed.broke_off {
+            trial.broke_off();
+        }
         if let (Some(claim), Reach::Nothing) = (&mut claim, failed.reach) {
             claim.not_sent();
         }
@@ -347,7 +356,11 @@
         .parts
         .journal
         .note(Event::new(Step::Queued).request(call.id));
-    let decision = decided.await;
+    let decision = tokio::select! {
+        biased;
+        () = front.until_quarantined(call) => return Err(quarantined()),
+        decision = decided => decision,
+    };
     waiting.handle = None;
     match decision {
         Ok(Decision::Dispatch(dispatch)) => {
@@ -401,7 +414,7 @@
 /// Passes an endpoint's answer on as it comes.
 fn pass(
     front: &Front,
-    answer: Answer,
+    (answer, trial): (Answer, Trial),
     slot: Slot,
     claim: Option<Claim>,
     dispatch: Dispatch,
@@ -432,6 +445,7 @@
             Verdict::Fine
         },
         slot,
+        trial,
         deadline: Box::pin(tokio::time::sleep(left)),
         kept,
         told: 0,
--- /dev/null
+++ b/components/node/src/front/trial.rs
@@ -0,0 +1,84 @@
+//! One try of a request, as far as it tells whether the request crashes endpoints.
+
+use super::listen::Front;
+use super::refusal::Refusal;
+use super::upstream::Call;
+use crate::input::Input;
+use hyper::StatusCode;
+use state::clock::Stamp;
+use state::fingerprint::Fingerprint;
+use state::id::CustomerId;
+use state::suspect::{Clearance, Crash};
+use std::sync::Arc;
+
+/// A try that is under way at an endpoint.
+pub(crate) struct Trial {
+    front: Arc<Front>,
+    fingerprint: Fingerprint,
+    customer: CustomerId,
+    sent: Stamp,
+}
+
+impl Trial {
+    /// A try that begins now.
+    pub(crate) fn new(front: &Arc<Front>, call: &Call, customer: CustomerId) -> Self {
+        Trial {
+            front: front.clone(),
+            fingerprint: call.fingerprint(),
+            customer,
+            sent: front.parts.clock.stamp(),
+        }
+    }
+
+    /// Its endpoint broke it off.
+    pub(crate) fn broke_off(&self) {
+        let crash = Crash {
+            fingerprint: self.fingerprint,
+            customer: self.customer,
+            sent: self.sent,
+            at: self.front.parts.clock.stamp(),
+        };
+        // The reactor ends only together with this process.
+        let _ = self.front.parts.reactor.send(Input::Crashed(crash));
+    }
+
+    /// Its endpoint has answered whole, and not that it failed.
+    pub(crate) fn answered(&self) {
+        if !self.front.parts.verdicts.borrow().knows(&self.fingerprint) {
+            return;
+        }
+        let clearance = Clearance {
+            fingerprint: self.fingerprint,
+            at: self.front.parts.clock.stamp(),
+        };
+        let _ = self.front.parts.reactor.send(Input::Cleared(clearance));
+    }
+}
+
+impl Front {
+    /// Refuses a request that is in quarantine.
+    pub(crate) fn check_quarantine(&self, call: &Call) -> Result<(), Refusal> {
+        let verdicts = self.parts.verdicts.borrow();
+        if verdicts.is_empty() || !verdicts.is_quarantined(&call.fingerprint()) {
+            return Ok(());
+        }
+        Err(quarantined())
+    }
+
+    /// Waits until a request is put into quarantine.
+    pub(crate) async fn until_quarantined(&self, call: &Call) {
+        let mut verdicts = self.parts.verdicts.clone();
+        let found = verdicts.wait_for(|v| !v.is_empty() && v.is_quarantined(&call.fingerprint()));
+        if found.await.is_err() {
+            // The reactor has ended, and this process with it.
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+/// The refusal of a request in quarantine. Its earlier tries may have run.
+pub(crate) fn quarantined() -> Refusal {
+    let text = "endpoints have crashed while they ran this request, one after the other; \
+                it is not sent to any more of them";
+    Refusal::unknown(StatusCode::BAD_GATEWAY, "quarantined", text)
+}
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -7,6 +7,7 @@
 use protocol::wire::{Query, Reply};
 use state::id::{EndpointId, Name};
 use state::listing::Listed;
+use state::suspect::{Clearance, Crash};
 use state::view::{Place, Step, View};
 use std::net::SocketAddr;
 use tokio::sync::oneshot;
@@ -69,6 +70,10 @@
     Progress(Handle, u32),
     /// A request has ended.
     Done(Handle, u32, Verdict),
+    /// An endpoint broke off a request.
+    Crashed(Crash),
+    /// An endpoint has answered a suspected request whole.
+    Cleared(Clearance),
     /// Something for the control VMs.
     Query(Query, oneshot::Sender<Reply>),
     /// An endpoint reported its load.
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod platform;
 mod poll;
 mod process;
+mod quarantine;
 mod query;
 mod reactor;
 mod readiness;
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -297,6 +297,7 @@
         let callers = listener.as_ref().and_then(|l| l.local_addr().ok());
         let (reactor, inputs) = flume::unbounded();
         let (publish, published) = watch::channel(Arc::new(Shared::default()));
+        let (publish_verdicts, verdicts) = watch::channel(Arc::default());
         let (stop, stopped) = watch::channel(false);
         let (fail, failed) = watch::channel(None);
         let (to_control, control_inputs) = flume::unbounded();
@@ -383,6 +384,7 @@
             scheduler: self.settings.scheduler,
             to_control: to_control.clone(),
             publish,
+            verdicts: publish_verdicts,
         };
         let ready = readiness::Parts {
             published: published.clone(),
@@ -452,6 +454,7 @@
                 metrics: self.metrics.clone(),
                 reactor: reactor.clone(),
                 published: published.clone(),
+                verdicts,
             });
             tasks.push(tokio::spawn(front.run(listener, stopped)));
         }
--- /dev/null
+++ b/components/node/src/quarantine.rs
@@ -0,0 +1,172 @@
+//! Requests that may crash endpoints: what this process reports of them to the control VMs,
+//! and what its callers' side is to do with them.
+
+use crate::query::Queries;
+use protocol::wire::{Query, Reply};
+use state::clock::Millis;
+use state::fingerprint::Fingerprint;
+use state::line::Line;
+use state::suspect::{changes, Clearance, Crash, Standing, Standings, Suspects};
+use std::sync::Arc;
+use tokio::sync::{oneshot, watch};
+use transport::clock::wall_micros;
+use transport::link::Hub;
+
+/// Crashes, and clearances, that wait to be reported; the oldest give way.
+const PENDING_MAX: usize = 256;
+/// Crashes, and clearances, of one report.
+const REPORT_MAX: usize = 64;
+/// Time between two looks for own suspicions that have lasted long enough, in milliseconds.
+const EXPIRE_MS: u64 = 5000;
+
+/// What the callers' side is to do with requests, by the fleet and by this router alone.
+#[derive(Debug, Default)]
+pub(crate) struct Verdicts {
+    fleet: Standings,
+    own: Standings,
+}
+
+impl Verdicts {
+    /// Whether every request is to be served like any other.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.fleet.is_empty() && self.own.is_empty()
+    }
+
+    /// Whether a whole answer to this request is of interest.
+    pub(crate) fn knows(&self, fingerprint: &Fingerprint) -> bool {
+        self.fleet.contains_key(fingerprint) || self.own.contains_key(fingerprint)
+    }
+
+    /// Whether a request is to be refused.
+    pub(crate) fn is_quarantined(&self, fingerprint: &Fingerprint) -> bool {
+        let of = [&self.fleet, &self.own];
+        let mut found = of.iter().filter_map(|all| all.get(fingerprint));
+        found.any(|standing| *standing == Standing::Quarantined)
+    }
+}
+
+/// What this process knows of such requests.
+///
+/// Its own suspicions count beside the fleet's: a router that has no control VM to ask still
+/// stops what it has itself seen crash endpoints.
+pub(crate) struct Quarantine {
+    own: Suspects,
+    fleet: Standings,
+    crashes: Vec<Crash>,
+    cleared: Vec<Clearance>,
+    report: Option<oneshot::Receiver<Reply>>,
+    expire_at: Millis,
+    publish: watch::Sender<Arc<Verdicts>>,
+}
+
+impl Quarantine {
+    /// Nothing is suspected yet.
+    pub(crate) fn new(publish: watch::Sender<Arc<Verdicts>>) -> Self {
+        Quarantine {
+            own: Suspects::default(),
+            fleet: Standings::new(),
+            crashes: Vec::new(),
+            cleared: Vec::new(),
+            report: None,
+            expire_at: Millis(0),
+            publish,
+        }
+    }
+
+    /// An endpoint broke off a request.
+    pub(crate) fn crashed(&mut self, crash: Crash) {
+        self.own.crashed(&crash);
+        if self.crashes.len() >= PENDING_MAX {
+            self.crashes.remove(0);
+        }
+        self.crashes.push(crash);
+        self.publish();
+    }
+
+    /// An endpoint has answered a suspected request whole.
+    pub(crate) fn cleared(&mut self, clearance: Clearance) {
+        self.own.cleared(&clearance);
+        (self.cleared).retain(|c| c.fingerprint != clearance.fingerprint);
+        if self.cleared.len() >= PENDING_MAX {
+            self.cleared.remove(0);
+        }
+        self.cleared.push(clearance);
+        self.publish();
+    }
+
+    /// Follows what the control VMs have decided.
+    pub(crate) fn follow(&mut self, fleet: &Standings) {
+        if *fleet == self.fleet {
+            return;
+        }
+        for (fingerprint, standing) in changes(&self.fleet, fleet) {
+            if standing != Some(Standing::Quarantined) {
+                self.own.forget(&fingerprint);
+            }
+        }
+        self.fleet.clone_from(fleet);
+        self.publish();
+    }
+
+    /// Lets time pass: reports what waits for it, one report at a time.
+    pub(crate) fn tick(&mut self, now: Millis, queries: &mut Queries, hub: &Hub) {
+        if now >= self.expire_at {
+            self.expire_at = now.after(EXPIRE_MS);
+            self.own.expire(wall_micros());
+            self.publish();
+        }
+        if let Some(report) = &mut self.report {
+            if matches!(report.try_recv(), Err(oneshot::error::TryRecvError::Empty)) {
+                return;
+            }
+            self.report = None;
+        }
+        if self.crashes.is_empty() && self.cleared.is_empty() {
+            return;
+        }
+        let query = Query::Suspects {
+            crashes: first(&mut self.crashes),
+            cleared: first(&mut self.cleared),
+        };
+        let (sender, receiver) = oneshot::channel();
+        self.report = Some(receiver);
+        queries.ask(now, hub, query, sender);
+    }
+
+    fn publish(&self) {
+        let verdicts = Verdicts {
+            fleet: self.fleet.clone(),
+            own: self.own.standings(1),
+        };
+        self.publish.send_if_modified(|published| {
+            let is_same = published.fleet == verdicts.fleet && published.own == verdicts.own;
+            if !is_same {
+                tell(published, &verdicts);
+                *published = Arc::new(verdicts);
+            }
+            !is_same
+        });
+    }
+}
+
+/// Takes the first few.
+fn first<T>(all: &mut Vec<T>) -> Vec<T> {
+    let most = all.len().min(REPORT_MAX);
+    all.drain(..most).collect()
+}
+
+/// Logs which requests are refused from now on, and which no longer.
+fn tell(old: &Verdicts, new: &Verdicts) {
+    let known = new.fleet.keys().chain(new.own.keys());
+    let begun = known.filter(|f| new.is_quarantined(f) && !old.is_quarantined(f));
+    for fingerprint in begun {
+        let is_own = !new.fleet.contains_key(fingerprint);
+        let event = Line::QuarantineBegan.as_str();
+        tracing::warn!(event, %fingerprint, is_own);
+    }
+    let known = old.fleet.keys().chain(old.own.keys());
+    let ended = known.filter(|f| old.is_quarantined(f) && !new.is_quarantined(f));
+    for fingerprint in ended {
+        tracing::info!(event = Line::QuarantineEnded.as_str(), %fingerprint);
+    }
+}
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -12,6 +12,7 @@
 use crate::inventory::Unknown;
 use crate::journal::Journal;
 use crate::metric::Metrics;
+use crate::quarantine::{Quarantine, Verdicts};
 use crate::query::Queries;
 use crate::schedulers::Schedulers;
 use crate::shared::Published;
@@ -69,6 +70,8 @@
     pub(crate) inquiries: Option<flume::Sender<Unknown>>,
     /// Where to publish.
     pub(crate) publish: watch::Sender<Published>,
+    /// Where to publish what is done with requests that may crash endpoints.
+    pub(crate) verdicts: watch::Sender<Arc<Verdicts>>,
 }
 
 /// The reactor.
@@ -89,6 +92,7 @@
     schedulers: Schedulers,
     dissemination: Dissemination,
     queries: Queries,
+    quarantine: Quarantine,
     batch: Batch,
     decisions: HashMap<Handle, oneshot::Sender<Decision>>,
     /// When the newest version was asked for, before this process is ready.
@@ -134,6 +138,7 @@
                 parts.control,
             ),
             queries: Queries::new(seeds, spread, parts.control || parts.scheduler),
+            quarantine: Quarantine::new(parts.verdicts.clone()),
             view: View::default(),
             live: Arc::default(),
             index: Arc::default(),
@@ -237,6 +242,8 @@
                 let effects = self.dispatcher.done(now, handle, cost, verdict);
                 self.act(now, effects);
             }
+            Input::Crashed(crash) => self.quarantine.crashed(crash),
+            Input::Cleared(clearance) => self.quarantine.cleared(clearance),
             Input::Query(query, answer) => self.queries.ask(now, &self.parts.hub, query, answer),
             Input::Load(endpoint, load) => self.schedulers.load(now, endpoint, load),
             Input::Applied(steps) => self.steps(now, None, &steps),
@@ -432,6 +439,7 @@
             customers = self.view.config.customers.len(),
         );
         self.dissemination.reached(version);
+        self.quarantine.follow(&self.view.suspects);
         self.follow_live(now);
         self.follow_control();
         let told = self.view.stopping.get(&self.me);
@@ -529,6 +537,8 @@
         self.dirty |= was_hot != self.dispatcher.is_hot();
         self.act(now, effects);
         self.schedulers.tick(now, &mut self.batch);
+        self.quarantine
+            .tick(now, &mut self.queries, &self.parts.hub);
         self.queries.tick(now, &self.parts.hub);
         self.dissemination
             .tick(now, &self.parts.hub, self.view.version);
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -10,6 +10,7 @@
 use state::listing::Listing;
 use state::record::{Answer, ChangeId, Known, Release};
 use state::secret::Hash;
+use state::suspect::{Clearance, Crash};
 use state::view::{Place, Step, View};
 use std::net::SocketAddr;
 
@@ -55,6 +56,13 @@
     Release(Box<Release>),
     /// An operator's planned stop, or its end.
     Depart(Leaving),
+    /// Report what was seen of requests that may crash endpoints.
+    Suspects {
+        /// Requests that their endpoints broke off.
+        crashes: Vec<Crash>,
+        /// Suspected requests that were answered whole.
+        cleared: Vec<Clearance>,
+    },
     /// Report what became of a claimed request.
     Settle {
         /// Hash of customer and key.
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod route;
 pub mod secret;
 pub mod store;
+pub mod suspect;
 pub mod view;
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -36,6 +36,10 @@
     SchedulerShare,
     /// The leader has assigned a scheduler.
     SchedulerAssigned,
+    /// A request is refused from now on, since it has crashed endpoints.
+    QuarantineBegan,
+    /// It is served again.
+    QuarantineEnded,
     /// An endpoint gets no requests after failures in a row.
     EndpointEjected,
     /// An ejected endpoint has answered.
@@ -79,7 +83,7 @@
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 35] = [
+    pub const ALL: [Line; 37] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -96,6 +100,8 @@
         Line::SchedulerState,
         Line::SchedulerShare,
         Line::SchedulerAssigned,
+        Line::QuarantineBegan,
+        Line::QuarantineEnded,
         Line::EndpointEjected,
         Line::EndpointRestored,
         Line::EndpointsChanged,
@@ -136,6 +142,8 @@
             Line::SchedulerState => "scheduler-state",
             Line::SchedulerShare => "scheduler-share",
             Line::SchedulerAssigned => "scheduler-assigned",
+            Line::QuarantineBegan => "quarantine-began",
+            Line::QuarantineEnded => "quarantine-ended",
             Line::EndpointEjected => "endpoint-ejected",
             Line::EndpointRestored => "endpoint-restored",
             Line::EndpointsChanged => "endpoints-changed",
--- a/components/state/src/record.rs
+++ b/components/state/src/record.rs
@@ -1,9 +1,11 @@
 //! Records of the replicated log and the answers they give.
 
+use crate::clock::Stamp;
 use crate::config::Draft;
 use crate::delta::Delta;
 use crate::id::{CustomerId, RequestId, Version};
 use crate::secret::Hash;
+use crate::suspect::{Clearance, Crash};
 use crate::view::{Assignment, Departure, Place};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -140,6 +142,16 @@
         /// What is known now; `None` frees a key whose request was not run.
         known: Option<Known>,
     },
+    /// What routers have seen of requests that may crash endpoints; without either, time has
+    /// passed.
+    Suspects {
+        /// Leader's time.
+        at: Stamp,
+        /// Requests that their endpoints broke off.
+        crashes: Vec<Crash>,
+        /// Suspected requests that were answered whole.
+        cleared: Vec<Clearance>,
+    },
     /// The members change; in force from the moment it is appended.
     Members(Box<Members>),
 }
--- a/components/state/src/store.rs
+++ b/components/state/src/store.rs
@@ -4,6 +4,7 @@
 use crate::id::{CustomerId, RequestId, Version};
 use crate::record::{Answer, ChangeId, Known, Members, Record, Release};
 use crate::secret::Hash;
+use crate::suspect::{changes, Clearance, Crash, Suspects, CRASHES_WATCHED};
 use crate::view::{Change, Place, Step, View};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -53,6 +54,8 @@
     pub answer_ages: VecDeque<ChangeId>,
     /// The newest complete configuration, as its operator sent it.
     pub release: Option<Document>,
+    /// Requests that may crash endpoints.
+    pub suspects: Suspects,
 }
 
 /// A complete configuration in its operator's own words.
@@ -109,6 +112,11 @@
                 self.settle(key, *request, known.as_ref());
                 (Answer::Done, None)
             }
+            Record::Suspects {
+                at,
+                crashes,
+                cleared,
+            } => (Answer::Done, self.suspect(at.wall, crashes, cleared)),
         }
     }
 
@@ -119,6 +127,21 @@
         (Answer::Accepted(version), Some(step))
     }
 
+    /// Counts crashes and clearances; gives the step if routers are to act on it.
+    fn suspect(
+        &mut self,
+        now_micros: u64,
+        crashes: &[Crash],
+        cleared: &[Clearance],
+    ) -> Option<Step> {
+        self.suspects.expire(now_micros);
+        crashes.iter().for_each(|c| self.suspects.crashed(c));
+        cleared.iter().for_each(|c| self.suspects.cleared(c));
+        let standings = self.suspects.standings(CRASHES_WATCHED);
+        let changes = changes(&self.view.suspects, &standings);
+        (!changes.is_empty()).then(|| self.step(Change::Suspects(changes)).1)?
+    }
+
     /// Tells everyone where the control VMs are.
     fn members(&mut self, members: &Members) -> Option<Step> {
         let places: Vec<Place> = members.voters.iter().map(|m| m.place.clone()).collect();
--- /dev/null
+++ b/components/state/src/suspect.rs
@@ -0,0 +1,196 @@
+//! Requests suspected of crashing the endpoints that run them, and their quarantine.
+//!
+//! All requests in progress at an endpoint that ends are suspects, and one of them may be
+//! to blame. What is in progress at one crash after the other, and never answered whole in
+//! between, is quarantined.
+
+use crate::clock::Stamp;
+use crate::fingerprint::Fingerprint;
+use crate::id::CustomerId;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Crashes after which a request is quarantined.
+pub const CRASHES_MAX: u32 = 3;
+/// Crashes after which all routers watch for an answer that clears a request.
+pub const CRASHES_WATCHED: u32 = 2;
+/// Time for which a quarantine holds first, and a suspicion, in microseconds.
+pub const HOLD_MICROS: u64 = 600 * 1_000_000;
+/// Doublings of that time at most: a request that crashes endpoints again after its
+/// quarantine is kept away longer each time.
+const DOUBLINGS_MAX: u32 = 6;
+/// Suspects that are kept.
+pub const SUSPECTS_MAX: usize = 2048;
+/// Suspects of one customer that are kept, so that none can crowd out those of others.
+pub const CUSTOMER_MAX: usize = 256;
+
+/// An endpoint broke off a request, perhaps because the request crashed it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Crash {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Whose it is.
+    pub customer: CustomerId,
+    /// When the try was sent.
+    pub sent: Stamp,
+    /// When the endpoint broke it off.
+    pub at: Stamp,
+}
+
+/// An endpoint has answered a request whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Clearance {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// When the answer ended.
+    pub at: Stamp,
+}
+
+/// What routers are to do with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Standing {
+    /// Serve it, and tell when it is answered whole.
+    Watched,
+    /// Refuse it.
+    Quarantined,
+}
+
+/// What routers are to do with requests that are not to be served like any other.
+pub type Standings = BTreeMap<Fingerprint, Standing>;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Suspect {
+    customer: CustomerId,
+    crashes: u32,
+    /// When the last crash that counts happened.
+    crashed: Stamp,
+    /// When the suspicion, or the quarantine, ends by itself.
+    until_micros: u64,
+    /// Quarantines that have ended by themselves.
+    released: u32,
+}
+
+/// All suspects, at most [`SUSPECTS_MAX`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Suspects {
+    all: BTreeMap<Fingerprint, Suspect>,
+}
+
+impl Suspect {
+    fn hold_micros(&self) -> u64 {
+        HOLD_MICROS << self.released.min(DOUBLINGS_MAX)
+    }
+
+    fn is_quarantined(&self) -> bool {
+        self.crashes >= CRASHES_MAX
+    }
+}
+
+impl Suspects {
+    /// Takes a crash.
+    ///
+    /// It counts only if the try was sent after the last one that counted: copies of a
+    /// popular request that are in progress at several endpoints, lost together with their
+    /// rack, tell no more than one of them does. The same holds for a report that comes twice.
+    pub fn crashed(&mut self, crash: &Crash) {
+        if let Some(suspect) = self.all.get_mut(&crash.fingerprint) {
+            if crash.sent > suspect.crashed {
+                suspect.crashes = suspect.crashes.saturating_add(1);
+                suspect.crashed = crash.at;
+                suspect.until_micros = crash.at.wall.saturating_add(suspect.hold_micros());
+            }
+            return;
+        }
+        self.make_room(crash.customer);
+        let suspect = Suspect {
+            customer: crash.customer,
+            crashes: 1,
+            crashed: crash.at,
+            until_micros: crash.at.wall.saturating_add(HOLD_MICROS),
+            released: 0,
+        };
+        self.all.insert(crash.fingerprint, suspect);
+    }
+
+    /// Takes a whole answer; one that ended before the last crash clears nothing.
+    pub fn cleared(&mut self, clearance: &Clearance) {
+        let suspect = self.all.get(&clearance.fingerprint);
+        if suspect.is_some_and(|s| clearance.at > s.crashed) {
+            self.all.remove(&clearance.fingerprint);
+        }
+    }
+
+    /// Forgets a request whatever is known of it.
+    pub fn forget(&mut self, fingerprint: &Fingerprint) {
+        self.all.remove(fingerprint);
+    }
+
+    /// Ends what has lasted long enough. A request that leaves quarantine is watched for as
+    /// long again, and the next crash brings it back.
+    pub fn expire(&mut self, now_micros: u64) {
+        let is_over = |s: &Suspect| s.until_micros <= now_micros;
+        self.all.retain(|_, s| s.is_quarantined() || !is_over(s));
+        for suspect in self.all.values_mut().filter(|s| is_over(s)) {
+            suspect.crashes = CRASHES_WATCHED;
+            suspect.released += 1;
+            suspect.until_micros = now_micros.saturating_add(suspect.hold_micros());
+        }
+    }
+
+    /// Whether anything has lasted long enough to be ended.
+    pub fn is_expired(&self, now_micros: u64) -> bool {
+        self.all.values().any(|s| s.until_micros <= now_micros)
+    }
+
+    /// Whether a request is suspected at all.
+    pub fn knows(&self, fingerprint: &Fingerprint) -> bool {
+        self.all.contains_key(fingerprint)
+    }
+
+    /// What routers are to do with those that have crashed endpoints at least `from` times.
+    pub fn standings(&self, from: u32) -> Standings {
+        let told = self.all.iter().filter(|(_, s)| s.crashes >= from);
+        let standing = |s: &Suspect| match s.is_quarantined() {
+            true => Standing::Quarantined,
+            false => Standing::Watched,
+        };
+        told.map(|(f, s)| (*f, standing(s))).collect()
+    }
+
+    /// Suspects that are kept.
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// Whether nothing is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    /// Drops the least suspected, of the customer if it has its share of all.
+    fn make_room(&mut self, customer: CustomerId) {
+        let own = |s: &Suspect| s.customer == customer;
+        let is_full = self.all.values().filter(|s| own(s)).count() >= CUSTOMER_MAX;
+        if !is_full && self.all.len() < SUSPECTS_MAX {
+            return;
+        }
+        let given = self.all.iter().filter(|(_, s)| !is_full || own(s));
+        let least = given.min_by_key(|(_, s)| (s.crashes, s.crashed));
+        if let Some(least) = least.map(|(f, _)| *f) {
+            self.all.remove(&least);
+        }
+    }
+}
+
+/// The changes that lead from some standings to others.
+pub fn changes(old: &Standings, new: &Standings) -> Vec<(Fingerprint, Option<Standing>)> {
+    let gone = old.keys().filter(|f| !new.contains_key(f));
+    let gone = gone.map(|f| (*f, None));
+    let set = new.iter().filter(|(f, s)| old.get(f) != Some(s));
+    gone.chain(set.map(|(f, s)| (*f, Some(*s)))).collect()
+}
--- a/components/state/src/view.rs
+++ b/components/state/src/view.rs
@@ -2,7 +2,9 @@
 
 use crate::config::{Config, Endpoint};
 use crate::delta::Delta;
+use crate::fingerprint::Fingerprint;
 use crate::id::{EndpointId, Epoch, Name, ServiceId, Version};
+use crate::suspect::{Standing, Standings};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -91,6 +93,8 @@
     Assignment(Assignment),
     /// Someone leaves.
     Departure(Departure),
+    /// What is to be done with requests that may crash endpoints; `None` for nothing more.
+    Suspects(Vec<(Fingerprint, Option<Standing>)>),
 }
 
 /// A change with the version that it brings.
@@ -123,6 +127,8 @@
     pub leaving: BTreeSet<EndpointId>,
     /// VMs told to stop, with the incarnation concerned.
     pub stopping: BTreeMap<Name, u64>,
+    /// Requests that are watched or quarantined since they may crash endpoints.
+    pub suspects: Standings,
 }
 
 /// What became of an offered step.
@@ -201,6 +207,14 @@
             Change::Departure(Departure::Vm(name, incarnation)) => {
                 self.stopping.insert(name.clone(), *incarnation);
             }
+            Change::Suspects(changes) => {
+                for (fingerprint, standing) in changes {
+                    match standing {
+                        Some(standing) => self.suspects.insert(*fingerprint, *standing),
+                        None => self.suspects.remove(fingerprint),
+                    };
+                }
+            }
         }
     }
 
--- /dev/null
+++ b/components/state/tests/suspect.rs
@@ -0,0 +1,199 @@
+//! Requests suspected of crashing endpoints.
+#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
+
+use rstest::rstest;
+use state::clock::Stamp;
+use state::fingerprint::{Fingerprint, Subject};
+use state::id::CustomerId;
+use state::record::Record;
+use state::store::Store;
+use state::suspect::{
+    Clearance, Crash, Standing, Suspects, CRASHES_MAX, CRASHES_WATCHED, CUSTOMER_MAX, HOLD_MICROS,
+    SUSPECTS_MAX,
+};
+use state::view::View;
+
+fn request(number: u32) -> Fingerprint {
+    Fingerprint::of(&Subject {
+        customer: "alpha",
+        method: "POST",
+        host: "",
+        path: "/",
+        body: &number.to_be_bytes(),
+    })
+}
+
+fn at_ms(ms: u64) -> Stamp {
+    Stamp {
+        wall: ms * 1000,
+        count: 0,
+    }
+}
+
+/// A try of request `number` that was sent and broken off at these times.
+fn crash(number: u32, sent_ms: u64, ended_ms: u64) -> Crash {
+    Crash {
+        fingerprint: request(number),
+        customer: CustomerId(1),
+        sent: at_ms(sent_ms),
+        at: at_ms(ended_ms),
+    }
+}
+
+fn answered(number: u32, ms: u64) -> Clearance {
+    Clearance {
+        fingerprint: request(number),
+        at: at_ms(ms),
+    }
+}
+
+fn is_quarantined(suspects: &Suspects, number: u32) -> bool {
+    let standings = suspects.standings(1);
+    standings.get(&request(number)) == Some(&Standing::Quarantined)
+}
+
+/// Suspects after request 1 has crashed endpoints so often, a second apart.
+fn crashed(times: u32) -> Suspects {
+    let mut suspects = Suspects::default();
+    for n in 0..u64::from(times) {
+        suspects.crashed(&crash(1, n * 1000, n * 1000 + 100));
+    }
+    suspects
+}
+
+/// Guards against a request that crashes more than three endpoints, and against a
+/// quarantine after fewer.
+#[test]
+fn can_quarantine_a_request_after_three_crashes() {
+    assert!(!is_quarantined(&crashed(CRASHES_MAX - 1), 1));
+    assert!(is_quarantined(&crashed(CRASHES_MAX), 1));
+}
+
+/// Guards against the quarantine of a popular request, in progress at several endpoints
+/// that are lost at the same moment.
+#[test]
+fn can_tell_crashes_at_one_moment_from_crashes_in_a_row() {
+    let mut suspects = Suspects::default();
+    for n in 0..20 {
+        suspects.crashed(&crash(1, n, 500 + n));
+    }
+    assert!(!is_quarantined(&suspects, 1));
+}
+
+/// Guards against one crash that counts twice, reported again to the next leader.
+#[test]
+fn can_hear_of_a_crash_twice() {
+    let mut suspects = crashed(CRASHES_MAX - 1);
+    let last = u64::from(CRASHES_MAX - 2) * 1000;
+    for _ in 0..10 {
+        suspects.crashed(&crash(1, last, last + 100));
+    }
+    assert!(!is_quarantined(&suspects, 1));
+}
+
+/// Guards against the quarantine of bystanders that come again through a storm of crashes.
+#[test]
+fn can_clear_a_request_that_is_answered_between_crashes() {
+    let mut suspects = Suspects::default();
+    for n in 0..30 {
+        suspects.crashed(&crash(1, n * 1000, n * 1000 + 100));
+        if n % 2 == 1 {
+            suspects.cleared(&answered(1, n * 1000 + 500));
+        }
+        assert!(!is_quarantined(&suspects, 1), "crash {n}");
+    }
+}
+
+/// Guards against an answer that clears a request of crashes after it.
+#[test]
+fn can_tell_an_answer_that_ended_before_the_last_crash() {
+    let mut suspects = crashed(CRASHES_MAX);
+    let last = u64::from(CRASHES_MAX - 1) * 1000 + 100;
+    suspects.cleared(&answered(1, last));
+    assert!(is_quarantined(&suspects, 1));
+    suspects.cleared(&answered(1, last + 1));
+    assert!(suspects.is_empty());
+}
+
+/// Guards against a quarantine without end, and against one that ends while the request
+/// still crashes endpoints.
+#[test]
+fn can_end_a_quarantine_and_bring_it_back_for_longer() {
+    let mut suspects = crashed(CRASHES_MAX);
+    let mut last_ms = u64::from(CRASHES_MAX - 1) * 1000 + 100;
+    for doubled in 0..4 {
+        let hold_ms = (HOLD_MICROS / 1000) << doubled;
+        let end_ms = last_ms + hold_ms;
+        suspects.expire((end_ms - 1) * 1000);
+        assert!(is_quarantined(&suspects, 1), "quarantine {doubled}");
+        suspects.expire(end_ms * 1000);
+        assert!(!is_quarantined(&suspects, 1), "quarantine {doubled}");
+        last_ms = end_ms + 10;
+        suspects.crashed(&crash(1, end_ms + 5, last_ms));
+        assert!(is_quarantined(&suspects, 1), "quarantine {doubled}");
+    }
+}
+
+#[rstest]
+#[case::suspicion(CRASHES_MAX - 1, 1)]
+#[case::quarantine(CRASHES_MAX, 4)]
+fn can_forget_a_request_that_crashes_nothing_more(#[case] crashes: u32, #[case] holds: u64) {
+    let mut suspects = crashed(crashes);
+    let ended = u64::from(crashes) * 1_000_000;
+    suspects.expire(ended + HOLD_MICROS);
+    suspects.expire(ended + (holds + 1) * HOLD_MICROS);
+    assert!(suspects.is_empty());
+}
+
+/// Guards against a caller that drives suspects of others out by many bodies that fail once.
+#[test]
+fn can_bound_suspects_of_one_customer_and_of_all() {
+    let mut suspects = crashed(CRASHES_MAX);
+    for customer in 2..40 {
+        for n in 0..500 {
+            suspects.crashed(&Crash {
+                customer: CustomerId(customer),
+                ..crash(1000 * customer + n, 5000, 5001 + u64::from(n))
+            });
+        }
+        let most = (CUSTOMER_MAX * usize::try_from(customer - 1).unwrap() + 1).min(SUSPECTS_MAX);
+        assert_eq!(suspects.len(), most);
+    }
+    assert!(is_quarantined(&suspects, 1));
+}
+
+fn report(at: u64, crashes: Vec<Crash>, cleared: Vec<Clearance>) -> Record {
+    Record::Suspects {
+        at: at_ms(at),
+        crashes,
+        cleared,
+    }
+}
+
+/// Guards against routers that have another verdict than the control VMs: a view that took
+/// each step knows what the store knows.
+#[test]
+fn can_follow_suspects_step_by_step() {
+    let mut store = Store::default();
+    let mut view = View::default();
+    let mut versions = Vec::new();
+    let mut apply = |record: &Record, store: &mut Store| {
+        if let (_, Some(step)) = store.apply(record) {
+            view.take(&step);
+            versions.push((step.version, view.suspects.get(&request(1)).copied()));
+        }
+        assert_eq!(view, store.view);
+    };
+    for n in 0..4 {
+        let one = vec![crash(1, n * 1000, n * 1000 + 100)];
+        apply(&report(n * 1000 + 150, one, Vec::new()), &mut store);
+    }
+    apply(
+        &report(9000, Vec::new(), vec![answered(1, 8990)]),
+        &mut store,
+    );
+    let standings: Vec<Option<Standing>> = versions.iter().map(|(_, s)| *s).collect();
+    let expected = [Some(Standing::Watched), Some(Standing::Quarantined), None];
+    assert_eq!(standings, expected);
+    assert_eq!(CRASHES_WATCHED, 2);
+}
