--- a/components/state/tests/suspect.rs
+++ b/components/state/tests/suspect.rs
@@ -1,5 +1,4 @@
 //! Requests suspected of crashing endpoints.
-#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 use rstest::rstest;
 use state::clock::Stamp;
