--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -7,7 +7,7 @@
 use http_body_util::channel::{Channel, Sender};
 use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, LOCATION};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, LOCATION, RETRY_AFTER};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -15,7 +15,8 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
@@ -27,6 +28,9 @@
 /// Status with which a process ends that a request has crashed.
 const CRASHED: i32 = 70;
 
+/// Header that says that the stand-in leaves.
+pub const LEAVING: HeaderName = HeaderName::from_static("cowslipford-leaving");
+
 /// What kind of endpoint it plays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -78,6 +82,9 @@
     record: Option<File>,
     reported: Mutex<Counts>,
     batch: Arc<Semaphore>,
+    /// Value of `Retry-After` with which it turns work away, while it does.
+    turns_away: Mutex<Option<HeaderValue>>,
+    is_leaving: AtomicBool,
 }
 
 /// A running stand-in.
@@ -125,6 +132,8 @@
             counter: Counter::default(),
             record,
             reported: Mutex::default(),
+            turns_away: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
         });
         let (stop, stopped) = watch::channel(false);
         let task = tokio::spawn(run(listener, shared.clone(), stopped));
@@ -207,10 +216,31 @@
             let counts = serde_json::to_string(&shared.counter.read());
             Ok(json(StatusCode::OK, counts.unwrap_or_default()))
         }
-        _ => work(shared, request).await,
+        "/stand-in/turn-away" => {
+            let value = request.uri().query().map(HeaderValue::from_str);
+            *shared.turning_away() = value.and_then(Result::ok);
+            Ok(json(StatusCode::OK, String::new()))
+        }
+        "/stand-in/leave" => {
+            shared.is_leaving.store(true, Ordering::Relaxed);
+            Ok(json(StatusCode::OK, String::new()))
+        }
+        _ => {
+            let answered = work(shared.clone(), request).await;
+            let is_leaving = shared.is_leaving.load(Ordering::Relaxed);
+            answered.map(|response| with_leaving(response, is_leaving))
+        }
     }
 }
 
+fn with_leaving(mut response: Response<Body>, is_leaving: bool) -> Response<Body> {
+    if is_leaving {
+        let value = HeaderValue::from_static("1");
+        response.headers_mut().insert(LEAVING, value);
+    }
+    response
+}
+
 async fn work(shared: Arc<Shared>, request: Request<Incoming>) -> Result<Response<Body>, Broken> {
     let header = |name: &str| {
         let value = request.headers().get(name).and_then(|v| v.to_str().ok());
@@ -234,6 +264,12 @@
         let text = serde_json::json!({"error": format!("write the record: {error}")});
         return Ok(json(StatusCode::INTERNAL_SERVER_ERROR, text.to_string()));
     }
+    let turned_away = shared.turning_away().clone();
+    if let Some(after) = turned_away {
+        let mut response = json(StatusCode::SERVICE_UNAVAILABLE, String::new());
+        response.headers_mut().insert(RETRY_AFTER, after);
+        return Ok(response);
+    }
     let body = request
         .into_body()
         .collect()
@@ -338,6 +374,11 @@
 }
 
 impl Shared {
+    fn turning_away(&self) -> MutexGuard<'_, Option<HeaderValue>> {
+        let value = self.turns_away.lock();
+        value.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Ends the process if that is the fault, without a word to anyone.
     fn crash(&self, fault: Fault) {
         if fault == Fault::Crash && self.settings.may_crash {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -461,6 +461,13 @@
         serde_json::from_slice(&answer.body).unwrap()
     }
 
+    /// Tells a stand-in how to behave from now on.
+    pub(crate) fn tell_stand_in(&self, name: &str, path: &str) {
+        let stand_in = self.stand_ins.iter().find(|s| s.name == name).unwrap();
+        let answer = http::get(stand_in.address, path, "");
+        assert_eq!(answer.status, 200);
+    }
+
     /// Calls that bore a label, over all stand-ins.
     pub(crate) fn labelled(&self, label: &str) -> u64 {
         let counts = (self.stand_ins.iter()).map(|s| self.counts(&s.name));
