Stay away from an endpoint that asks for rest, or says that it leaves

What callers saw: three of nine engines turned everything away for eight seconds, with Retry-After: 3; a third of all requests for engines went there all the same and came back refused (308 of 352), one router sending one of them 56 requests in three seconds.

Cause: nobody read what an endpoint says of itself in an answer. A 503 that was not run is no failure and frees its slot, so that its endpoint looked least loaded and was chosen next.

The router that was told keeps such endpoints by name and time, gives grants for them back, and tells their scheduler, also the next one in its hello. The scheduler grants it other endpoints; a rest counts for that router alone, leaving for all. Where every endpoint of a shard is away for longer than a request's aim the request is refused at once, with the time of the first return.

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -51,6 +51,7 @@
 
 fn wish(n: u64) -> Wish {
     Wish {
+        asker: None,
         prompt: prompt(n),
         avoid: None,
         aim_ms: u64::from(AIM_MS),
--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -3,6 +3,7 @@
 //! A session is one link between a router and a scheduler in one epoch. Asks
 //! are numbered within it; a grant, its return and its reports name the ask.
 
+use crate::away::Away;
 use crate::prompt::{Part, Prompt};
 use serde::{Deserialize, Serialize};
 use state::id::{CustomerId, EndpointId, Epoch};
@@ -113,6 +114,8 @@
     pub floor: u64,
     /// What engines have of the prompts that were sent last.
     pub kept: Vec<Kept>,
+    /// Endpoints that want no requests of this router.
+    pub away: Vec<Away>,
 }
 
 /// What a router tells a scheduler.
@@ -134,6 +137,8 @@
     Progress(Seq, u32),
     /// A request has ended at this cost.
     Done(Seq, u32, Verdict),
+    /// An endpoint wants no requests of this router.
+    Away(Away),
 }
 
 /// What a scheduler has given in its epoch, for those of other regions.
--- /dev/null
+++ b/components/coordination/src/away.rs
@@ -0,0 +1,106 @@
+//! Endpoints that want no requests for a while, by their own word.
+
+use crate::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Longest absence that is believed, in milliseconds.
+pub const AWAY_MAX_MS: u32 = 3_600_000;
+/// Time for which an endpoint that leaves counts as away, in milliseconds. It is gone long
+/// before, or has started again under its name and not been heard of since.
+pub const LEAVING_MS: u32 = 600_000;
+
+/// What an endpoint has said in an answer to one router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Away {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Time for which it wants no more requests, in milliseconds.
+    pub ms: u32,
+    /// Whether it leaves, and wants none from any router.
+    pub is_leaving: bool,
+}
+
+impl Away {
+    /// An endpoint that leaves, or has gone already.
+    pub fn leaving(endpoint: EndpointId) -> Self {
+        Away {
+            endpoint,
+            ms: LEAVING_MS,
+            is_leaving: true,
+        }
+    }
+
+    /// An endpoint that wants no requests from one router for a time.
+    pub fn resting(endpoint: EndpointId, time: Duration) -> Self {
+        let ms = u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        Away {
+            endpoint,
+            ms: ms.min(AWAY_MAX_MS),
+            is_leaving: false,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Absence {
+    until: Millis,
+    is_leaving: bool,
+}
+
+/// What endpoints have said to this router.
+#[derive(Clone, Debug, Default)]
+pub struct Absences {
+    all: BTreeMap<EndpointId, Absence>,
+}
+
+impl Absences {
+    /// Takes an endpoint's word; of two, the one that holds longer counts. True if it says
+    /// more than was known.
+    pub fn note(&mut self, now: Millis, away: &Away) -> bool {
+        let until = now.after(u64::from(away.ms));
+        if until <= now {
+            return false;
+        }
+        let new = Absence {
+            until,
+            is_leaving: away.is_leaving,
+        };
+        let known = self.all.entry(away.endpoint).or_insert(Absence {
+            until: now,
+            is_leaving: false,
+        });
+        let is_news = new.until > known.until || new.is_leaving != known.is_leaving;
+        known.until = known.until.max(new.until);
+        known.is_leaving |= new.is_leaving;
+        is_news
+    }
+
+    /// When an endpoint may be sent requests again; `None` if it may be now.
+    pub fn until(&self, now: Millis, endpoint: EndpointId) -> Option<Millis> {
+        let absence = self.all.get(&endpoint)?;
+        (absence.until > now).then_some(absence.until)
+    }
+
+    /// Whether no endpoint is away.
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    /// Forgets absences that are over.
+    pub fn expire(&mut self, now: Millis) {
+        self.all.retain(|_, absence| absence.until > now);
+    }
+
+    /// All absences with the time that is left of them, for a scheduler that knows none.
+    pub fn told(&self, now: Millis) -> Vec<Away> {
+        let all = self.all.iter().map(|(endpoint, absence)| Away {
+            endpoint: *endpoint,
+            ms: u32::try_from(absence.until.since(now)).unwrap_or(u32::MAX),
+            is_leaving: absence.is_leaving,
+        });
+        all.filter(|away| away.ms > 0).collect()
+    }
+}
--- /dev/null
+++ b/components/coordination/src/dispatcher/absence.rs
@@ -0,0 +1,102 @@
+//! Endpoints that want no requests of this router, and requests that could go nowhere else.
+
+use super::queue::Stage;
+use super::{endpoints, Dispatcher, Effect, Effects, Handle};
+use crate::ask::Seq;
+use crate::away::Away;
+use crate::dispatcher::local::LOCAL;
+use crate::prelude::*;
+use state::view::Shard;
+
+impl Dispatcher {
+    /// Takes what an endpoint has said of itself in its answer to a request; true if it says
+    /// more than was known.
+    pub fn away(&mut self, now: Millis, handle: Handle, away: Away) -> (bool, Effects) {
+        let mut effects = Effects::new();
+        let is_news = self.absences.note(now, &away);
+        let shard = self.requests.get(handle).map(|r| r.shard.clone());
+        if let Some(shard) = shard.filter(|_| is_news) {
+            self.tell(now, &shard, Report::Away(away), &mut effects);
+        }
+        (is_news, effects)
+    }
+
+    /// Gives back a grant of an endpoint that is away, and queues its request again; false
+    /// if the endpoint is not away.
+    ///
+    /// The grant was on its way when the endpoint said so, or its scheduler has not heard.
+    pub(super) fn turn_back(
+        &mut self,
+        now: Millis,
+        shard: &Shard,
+        grant: &Grant,
+        effects: &mut Effects,
+    ) -> bool {
+        if self.absences.until(now, grant.endpoint).is_none() {
+            return false;
+        }
+        let session = self.sessions.get_mut(shard);
+        let handle = session.and_then(|s| s.asked.remove(&grant.seq));
+        self.tell(now, shard, Report::Return(grant.seq), effects);
+        let Some((handle, request)) = handle.and_then(|h| Some((h, self.requests.get_mut(h)?)))
+        else {
+            return true;
+        };
+        if request.shard != *shard {
+            request.remote = None;
+            return true;
+        }
+        request.stage = Stage::Waiting;
+        let (service, class) = (request.arrival.service, request.arrival.class);
+        let queue = self.classes.entry((service, class)).or_default();
+        queue.asked = queue.asked.saturating_sub(1);
+        queue.waiting.push_front(handle);
+        self.announce(now, service, class, effects);
+        true
+    }
+
+    /// Until when every endpoint of a shard is away, if they all are.
+    pub(super) fn shut_until(&self, now: Millis, shard: &Shard) -> Option<Millis> {
+        self.shut.get(shard).copied().filter(|until| *until > now)
+    }
+
+    /// Finds the shards of which every endpoint is away, and refuses requests that would be
+    /// late by the time one returns.
+    pub(super) fn follow_absences(&mut self, now: Millis, view: &View, effects: &mut Effects) {
+        self.shut.clear();
+        if self.absences.is_empty() {
+            return;
+        }
+        self.absences.expire(now);
+        for shard in self.sessions.keys() {
+            let open = endpoints(view, shard).filter(|(_, _, _, leaving)| !leaving);
+            let until = |id| self.absences.until(now, id).unwrap_or(now);
+            let first = open.map(|(id, ..)| until(id)).min();
+            if let Some(first) = first.filter(|first| *first > now) {
+                self.shut.insert(shard.clone(), first);
+            }
+        }
+        if self.shut.is_empty() {
+            return;
+        }
+        let waits = |r: &super::Request| !matches!(r.stage, Stage::Held { .. });
+        let late: Vec<(Handle, u64)> = (self.requests.iter())
+            .filter(|(_, r)| waits(r) && r.remote.is_none())
+            .filter_map(|(handle, r)| {
+                let until = self.shut_until(now, &r.shard)?;
+                (until > r.arrival.aim).then(|| (handle, until.since(now)))
+            })
+            .collect();
+        for (handle, wait_ms) in late {
+            self.drop_waiting(now, handle, effects);
+            let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
+            let refusal = Refusal {
+                epoch: LOCAL,
+                seq: Seq(0),
+                wait_ms,
+                after_ms: wait_ms,
+            };
+            effects.push(Effect::Refuse(handle, refusal));
+        }
+    }
+}
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -231,6 +231,9 @@
         grant: Grant,
         effects: &mut Effects,
     ) {
+        if self.turn_back(now, shard, &grant, effects) {
+            return;
+        }
         let Some(session) = self.sessions.get_mut(shard) else {
             return;
         };
--- a/components/coordination/src/scheduler/late.rs
+++ b/components/coordination/src/scheduler/late.rs
@@ -50,7 +50,7 @@
                 };
                 ahead += u64::from(waiting.ask.hint);
                 let total = now.since(waiting.since) + wait;
-                let answer = (is_pressed).then(|| late_answer(slots, now, waiting));
+                let answer = (is_pressed).then(|| late_answer(slots, now, key, waiting));
                 if let Some(answer) = answer.flatten() {
                     late.push((key, waiting.ask, wait.max(answer)));
                 } else if wait > 0 && total > waiting.patience_ms() * LATE_FACTOR {
@@ -90,8 +90,8 @@
 ///
 /// While work waits, what is late takes an engine from what would be in time: one
 /// would see most of what is served come late, and as much be refused.
-fn late_answer(slots: &mut Slots, now: Millis, waiting: &Waiting) -> Option<u64> {
+fn late_answer(slots: &mut Slots, now: Millis, key: Key, waiting: &Waiting) -> Option<u64> {
     let slack_ms = waiting.slack_ms(now);
-    let soonest_ms = slots.soonest_ms(now, &waiting.wish(now, true))?;
+    let soonest_ms = slots.soonest_ms(now, &waiting.wish(now, key.0, true))?;
     (soonest_ms > slack_ms).then_some(soonest_ms)
 }
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -271,6 +271,9 @@
         for kept in &hello.kept {
             self.slots.learn(now, kept.endpoint, kept.part);
         }
+        for away in &hello.away {
+            self.slots.close(now, session.0, away);
+        }
         for known in &hello.known {
             self.ledger.remember(known.customer, known.level);
         }
@@ -358,6 +361,10 @@
                 Effects::new()
             }
             Report::Done(seq, cost, verdict) => self.done(now, session, seq, cost, verdict),
+            Report::Away(away) => {
+                self.slots.close(now, session.0, &away);
+                Effects::new()
+            }
         }
     }
 
@@ -366,6 +373,7 @@
         if !self.sessions.remove(&session) {
             return;
         }
+        self.slots.reopen(session.0);
         self.remotes.retain(|((of, _), _)| *of != session);
         for seq in self.queue.of_session(session) {
             self.withdraw(session, seq);
--- a/components/coordination/src/scheduler/next.rs
+++ b/components/coordination/src/scheduler/next.rs
@@ -69,7 +69,7 @@
                     return None;
                 }
                 let ask = waiting.ask;
-                let wish = waiting.wish(now, only_in_time);
+                let wish = waiting.wish(now, key.0, only_in_time);
                 if !self.may_start(now, &ask) {
                     continue;
                 }
@@ -98,6 +98,7 @@
         let level = |(_, ask): &&(Key, Ask)| self.ledger.level(ask.class.customer);
         let (key, ask) = first.min_by_key(level).copied()?;
         let wish = Wish {
+            asker: Some(key.0 .0),
             prompt: ask.prompt,
             avoid: ask.avoid,
             aim_ms: u64::from(ask.aim_ms),
--- a/components/coordination/src/scheduler/queue.rs
+++ b/components/coordination/src/scheduler/queue.rs
@@ -41,8 +41,9 @@
     }
 
     /// What it looks for in an endpoint; with `only_in_time`, one that answers in time.
-    pub(super) fn wish(&self, now: Millis, only_in_time: bool) -> Wish {
+    pub(super) fn wish(&self, now: Millis, of: Session, only_in_time: bool) -> Wish {
         Wish {
+            asker: Some(of.0),
             prompt: self.ask.prompt,
             avoid: self.ask.avoid,
             aim_ms: u64::from(self.ask.aim_ms),
--- a/components/coordination/src/slot/mod.rs
+++ b/components/coordination/src/slot/mod.rs
@@ -10,12 +10,13 @@
 use self::keeper::Parts;
 use self::order::Order;
 use self::table::{Place, Table};
+use crate::away::Away;
 use crate::engine::{Changes, Engine, Reading};
 use crate::health::{Change, Health};
 use crate::prelude::*;
 use crate::prompt::Part;
 use crate::reliability::Reliability;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 /// How far back a load report may lag, in milliseconds.
 pub const REPORT_LAG_MS: u64 = 2000;
@@ -45,11 +46,17 @@
     engine: Option<Engine>,
     /// When it says that it started, in Unix milliseconds.
     born: Option<u64>,
+    /// Until when it wants no requests of a router, by the number of that one's session.
+    closed: BTreeMap<u32, Millis>,
+    /// Until when it wants none at all.
+    left: Option<Millis>,
 }
 
 /// What to look for in an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish {
+    /// Session of the router that asks, if one does.
+    pub asker: Option<u32>,
     /// What is known of the prompt.
     pub prompt: Prompt,
     /// Endpoint to avoid, if another is free.
@@ -143,6 +150,28 @@
         slot.leaving = leaving;
     }
 
+    /// Takes an endpoint's word to the router of a session that it wants no requests.
+    pub fn close(&mut self, now: Millis, session: u32, away: &Away) {
+        let Some(slot) = self.touch(away.endpoint) else {
+            return;
+        };
+        let until = now.after(u64::from(away.ms));
+        if away.is_leaving {
+            slot.left = slot.left.max(Some(until));
+            return;
+        }
+        slot.closed.retain(|_, until| *until > now);
+        let known = slot.closed.entry(session).or_insert(until);
+        *known = until.max(*known);
+    }
+
+    /// Forgets what endpoints have said to the router of a session that has ended.
+    pub fn reopen(&mut self, session: u32) {
+        for slot in self.all.values_mut() {
+            slot.closed.remove(&session);
+        }
+    }
+
     /// Forgets endpoints that `keep` refuses.
     pub fn retain<F>(&mut self, keep: F)
     where
@@ -372,7 +401,8 @@
 
     fn best(&mut self, now: Millis, wish: Wish, avoiding: bool) -> Option<EndpointId> {
         let avoid = wish.avoid.filter(|_| avoiding);
-        let free = (self.all.iter()).filter(|(id, s)| s.room(now) > 0 && Some(*id) != avoid);
+        let is_free = |s: &Slot| s.room(now) > 0 && !s.is_closed_to(now, wish.asker);
+        let free = (self.all.iter()).filter(|(id, s)| is_free(s) && Some(*id) != avoid);
         self.turn += 1;
         match self.choice {
             Choice::Least => free
@@ -410,6 +440,8 @@
             prefixes: VecDeque::new(),
             engine: None,
             born: None,
+            closed: BTreeMap::new(),
+            left: None,
         }
     }
 
@@ -428,7 +460,7 @@
     }
 
     fn room(&self, now: Millis) -> u32 {
-        if self.leaving {
+        if self.leaving || self.has_left(now) {
             return 0;
         }
         let capacity = self.health.capacity(now, self.slots + self.lead);
@@ -445,9 +477,22 @@
         }
     }
 
+    /// Whether it has said that it wants no more requests from anyone.
+    fn has_left(&self, now: Millis) -> bool {
+        self.left.is_some_and(|until| until > now)
+    }
+
+    /// Whether it wants no requests of the router of a session.
+    fn is_closed_to(&self, now: Millis, session: Option<u32>) -> bool {
+        let until = session.and_then(|session| self.closed.get(&session));
+        until.is_some_and(|until| *until > now)
+    }
+
     /// Whether it takes work at all now, if not at this moment.
     fn is_open(&self, now: Millis) -> bool {
-        !self.leaving && self.health.capacity(now, self.slots + self.lead) > 0
+        !self.leaving
+            && !self.has_left(now)
+            && self.health.capacity(now, self.slots + self.lead) > 0
     }
 
     /// Load in thousandths of the slots, where an endpoint that has not seen the
--- a/components/coordination/src/slot/place.rs
+++ b/components/coordination/src/slot/place.rs
@@ -431,6 +431,9 @@
     /// others; `None` if this is no engine that takes work.
     fn estimate(&self, now: Millis, wish: &Wish, work: &Work, claimed: u64) -> Option<Estimate> {
         let engine = self.engine.as_ref().filter(|_| self.is_open(now))?;
+        if self.is_closed_to(now, wish.asker) {
+            return None;
+        }
         let Work {
             to_read,
             copying_us,
@@ -478,6 +481,7 @@
         let (_, phase) = self.engine.as_ref()?.phase(now);
         let returns = self.health.until().filter(|until| *until > now);
         let falls = self.reliability.falls(now);
-        [phase, returns, falls].into_iter().flatten().min()
+        let left = self.left.filter(|until| *until > now);
+        [phase, returns, falls, left].into_iter().flatten().min()
     }
 }
--- a/components/coordination/src/slot/table.rs
+++ b/components/coordination/src/slot/table.rs
@@ -55,6 +55,11 @@
         self.slots.iter().flatten()
     }
 
+    /// All endpoints, to change them.
+    pub(super) fn values_mut(&mut self) -> impl Iterator<Item = &mut Slot> {
+        self.slots.iter_mut().flatten()
+    }
+
     /// The place of an endpoint, which `make` makes if it is new.
     pub(super) fn place_or_insert<F>(&mut self, id: EndpointId, make: F) -> Place
     where
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -208,6 +208,7 @@
     // Sequence: four requests run and end; a report of a second ago says four.
     // Cause: a late report that is set against what runs now.
     let wish = Wish {
+        asker: None,
         prompt: Prompt::default(),
         avoid: None,
         aim_ms: 600,
@@ -235,6 +236,7 @@
 #[test]
 fn can_prefer_an_endpoint_that_has_seen_the_prefix_while_loads_are_near() {
     let wish = |prefix| Wish {
+        asker: None,
         prompt: Prompt::of_prefix(prefix),
         avoid: None,
         aim_ms: 600,
--- a/components/coordination/tests/load.rs
+++ b/components/coordination/tests/load.rs
@@ -309,6 +309,7 @@
     let now = Millis(1000);
     let choose = |slots: &mut Slots, own: u64, slack_ms| {
         let wish = Wish {
+            asker: None,
             prompt: Prompt::new([(7, 13_000), (own, 4000)], 100),
             avoid: None,
             aim_ms: 600,
@@ -352,6 +353,7 @@
     scheduler.open(now, None, &hello);
     for own in 100..120 {
         let wish = Wish {
+            asker: None,
             prompt: Prompt::new([(7, 13_000), (own, 10)], 10),
             avoid: None,
             aim_ms: 600,
@@ -424,6 +426,7 @@
     // Sequence: an engine swallows requests; its callers leave long after their aim.
     // Cause: a caller that leaves says nothing of the endpoint.
     let wish = |own: u64| Wish {
+        asker: None,
         prompt: Prompt::new([(own, 2000)], 100),
         avoid: None,
         aim_ms: 600,
@@ -490,6 +493,7 @@
     }
     let now = Millis(1000);
     let wish = Wish {
+        asker: None,
         prompt: Prompt::default(),
         avoid: None,
         aim_ms: 150,
--- a/components/coordination/tests/placement.rs
+++ b/components/coordination/tests/placement.rs
@@ -94,6 +94,7 @@
     fn wish(&mut self) -> Wish {
         let aim_ms = self.rng.random_range(200..1500);
         Wish {
+            asker: None,
             prompt: self.prompt(),
             avoid: self.rng.random_bool(0.05).then(|| self.any_engine()),
             aim_ms,
--- a/components/coordination/tests/pressure.rs
+++ b/components/coordination/tests/pressure.rs
@@ -40,6 +40,7 @@
 
 fn wish(tokens: u32, aim_ms: u64) -> Wish {
     Wish {
+        asker: None,
         prompt: Prompt::new([(77, tokens)], 50),
         avoid: None,
         aim_ms,
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -215,6 +215,15 @@
             left,
         };
         let sent = tokio::time::timeout(left, upstream::send(&call, &dispatch, way)).await;
+        let away = match &sent {
+            Ok(Ok(answer)) => answer.away,
+            Ok(Err(failed)) => failed.away,
+            Err(_) => None,
+        };
+        if let Some(away) = away {
+            // Before the request is queued again: it must not come back there.
+            let _ = front.parts.reactor.send(Input::Away(handle, away));
+        }
         let failed = match sent {
             Ok(Ok(answer)) => match front.failure(plan, retries, answer) {
                 Ok(answer) => {
@@ -304,6 +313,7 @@
             verdict: Verdict::Error,
             unconnected: false,
             broke_off: false,
+            away: None,
             error: Box::new(errors::Error::Peer {
                 step: "read an answer",
                 peer: "(endpoint)".to_owned(),
--- a/components/node/src/front/upstream.rs
+++ b/components/node/src/front/upstream.rs
@@ -10,6 +10,7 @@
 use crate::interface::{Answered, Interface, Onward};
 use bytes::Bytes;
 use coordination::ask::Verdict;
+use coordination::away::Away;
 use coordination::retry::Reach;
 use errors::{Error, Result};
 use http_body_util::Full;
@@ -62,6 +63,8 @@
     pub(crate) unconnected: bool,
     /// Whether the endpoint broke off a request that may have been running.
     pub(crate) broke_off: bool,
+    /// What the endpoint says of itself.
+    pub(crate) away: Option<Away>,
     pub(crate) error: Box<Error>,
 }
 
@@ -72,6 +75,7 @@
             verdict: Verdict::Failed,
             unconnected: false,
             broke_off: false,
+            away: None,
             error: Box::new(error),
         }
     }
@@ -81,6 +85,8 @@
 pub(crate) struct Answer {
     pub(crate) response: Response<Incoming>,
     pub(crate) connection: Connection,
+    /// What the endpoint says of itself.
+    pub(crate) away: Option<Away>,
 }
 
 /// How a call is sent.
@@ -156,7 +162,11 @@
         identity,
         not_run,
         is_sound,
+        is_leaving,
+        rest,
     } = (interface.answer)(&head);
+    let rest = rest.map(|time| Away::resting(to.endpoint, time));
+    let away = is_leaving.then(|| Away::leaving(to.endpoint)).or(rest);
     let wrong = |reason: &str| Error::Peer {
         step: "read an answer",
         peer: to.address.to_string(),
@@ -171,12 +181,16 @@
         // An endpoint that mixes up its answers would give this caller someone
         // else's; the identity that it returns shows it.
         let error = wrong("it bears the identity of another request");
-        return Err(Failed::new(Reach::Sent, error));
+        return Err(Failed {
+            away,
+            ..Failed::new(Reach::Sent, error)
+        });
     }
     if not_run {
         return Err(Failed {
             // One that says that it is full is not broken.
             verdict: Verdict::Gone,
+            away,
             ..Failed::new(
                 Reach::Nothing,
                 wrong("the endpoint did not run the request"),
@@ -185,11 +199,15 @@
     }
     if !is_sound {
         let error = wrong("it is not an endpoint's own answer");
-        return Err(Failed::new(Reach::Sent, error));
+        return Err(Failed {
+            away,
+            ..Failed::new(Reach::Sent, error)
+        });
     }
     Ok(Answer {
         response: Response::from_parts(head, body),
         connection,
+        away,
     })
 }
 
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -3,6 +3,7 @@
 use crate::interface::Told;
 use crate::shared::Status;
 use coordination::ask::{Placement, Refusal, Verdict};
+use coordination::away::Away;
 use coordination::dispatcher::{Arrival, Full, Handle};
 use protocol::wire::{Query, Reply};
 use state::id::{EndpointId, Name};
@@ -70,6 +71,8 @@
     Progress(Handle, u32),
     /// A request has ended.
     Done(Handle, u32, Verdict),
+    /// An endpoint has said in its answer to a request that it wants no more of them.
+    Away(Handle, Away),
     /// An endpoint broke off a request.
     Crashed(Crash),
     /// An endpoint has answered a suspected request whole.
--- a/components/node/src/interface.rs
+++ b/components/node/src/interface.rs
@@ -2,6 +2,7 @@
 //!
 //! The node decides by what these functions read and give; they decide nothing.
 
+use crate::backoff::retry_after;
 use bytes::Bytes;
 use coordination::prompt::{Part, Prompt};
 use hyper::header::{HeaderMap, HeaderValue, AUTHORIZATION};
@@ -26,6 +27,9 @@
 /// the prompt. Only a router sets it.
 const COPY_FROM: &str = "cowslipford-copy-from";
 
+/// Header by which an endpoint says that it leaves.
+const LEAVING: &str = "cowslipford-leaving";
+
 /// What a caller's head says.
 #[derive(Clone, Debug, Default)]
 pub struct Asked {
@@ -67,6 +71,10 @@
     pub not_run: bool,
     /// Whether it can be an endpoint's own answer.
     pub is_sound: bool,
+    /// Whether the endpoint says that it leaves, or that another one has its address.
+    pub is_leaving: bool,
+    /// Time for which the endpoint wants no more requests of this router.
+    pub rest: Option<Duration>,
 }
 
 /// Region of each data centre.
@@ -173,6 +181,8 @@
         identity: head.headers.get(IDENTITY).cloned(),
         not_run: false,
         is_sound: true,
+        is_leaving: head.headers.contains_key(LEAVING),
+        rest: retry_after(head),
     }
 }
 
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! task; the control role runs on a thread of its own, because it waits for
 //! the disk. They and the links talk by flume channels.
 
+mod backoff;
 mod batch;
 mod control;
 mod dissemination;
@@ -29,6 +30,7 @@
 mod shared;
 mod vitals;
 
+pub use backoff::retry_after;
 pub use coordination::rule::shadowed;
 pub use interface::{region, Answered, Asked, Interface, Inventory, Onward, Page, Regions, Told};
 pub use journal::{Journal, Lane};
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -16,6 +16,7 @@
 use crate::query::Queries;
 use crate::schedulers::Schedulers;
 use crate::shared::Published;
+use coordination::away::Away;
 use coordination::dispatcher::{Bounds, Dispatcher, Effect, Effects, Handle, Home};
 use coordination::listing::Roster;
 use protocol::wire::{Message, Reply};
@@ -242,6 +243,7 @@
                 let effects = self.dispatcher.done(now, handle, cost, verdict);
                 self.act(now, effects);
             }
+            Input::Away(handle, away) => self.away(now, handle, away),
             Input::Crashed(crash) => self.quarantine.crashed(crash),
             Input::Cleared(clearance) => self.quarantine.cleared(clearance),
             Input::Query(query, answer) => self.queries.ask(now, &self.parts.hub, query, answer),
@@ -290,6 +292,20 @@
         }
     }
 
+    fn away(&mut self, now: Millis, handle: Handle, away: Away) {
+        let (is_news, effects) = self.dispatcher.away(now, handle, away);
+        if is_news {
+            let endpoint = self.live.config.endpoints.get(&away.endpoint);
+            tracing::info!(
+                event = Line::EndpointAway.as_str(),
+                endpoint = endpoint.map_or("", |e| e.name.as_str()),
+                for_ms = away.ms,
+                is_leaving = away.is_leaving,
+            );
+        }
+        self.act(now, effects);
+    }
+
     fn leave(&mut self, now: Millis, handle: Handle) {
         self.decisions.remove(&handle);
         let effects = self.dispatcher.leave(now, handle);
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -44,6 +44,8 @@
     EndpointEjected,
     /// An ejected endpoint has answered.
     EndpointRestored,
+    /// An endpoint has said that it wants no requests for a while, or none any more.
+    EndpointAway,
     /// The list of endpoints has changed.
     EndpointsChanged,
     /// The platform says that an endpoint leaves, or is back.
@@ -83,7 +85,7 @@
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 37] = [
+    pub const ALL: [Line; 38] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -104,6 +106,7 @@
         Line::QuarantineEnded,
         Line::EndpointEjected,
         Line::EndpointRestored,
+        Line::EndpointAway,
         Line::EndpointsChanged,
         Line::EndpointAnnounced,
         Line::VersionInForce,
@@ -146,6 +149,7 @@
             Line::QuarantineEnded => "quarantine-ended",
             Line::EndpointEjected => "endpoint-ejected",
             Line::EndpointRestored => "endpoint-restored",
+            Line::EndpointAway => "endpoint-away",
             Line::EndpointsChanged => "endpoints-changed",
             Line::EndpointAnnounced => "endpoint-announced",
             Line::VersionInForce => "version-in-force",
