Let a caller come back at once whose endpoint turned it away

One attempt is all that some rules allow: the caller was told to come back after a second, though the router knows by now that its next try goes elsewhere. It comes back after 50 to 150 ms. Callers that are refused together since every endpoint is away are told times 20 ms apart.

--- a/components/coordination/src/dispatcher/absence.rs
+++ b/components/coordination/src/dispatcher/absence.rs
@@ -8,6 +8,11 @@
 use crate::prelude::*;
 use state::view::Shard;
 
+/// Callers that are told different times to come back, of those that are refused at once.
+const SPREAD: u32 = 16;
+/// Time between two of these times, in milliseconds.
+const SPREAD_MS: u32 = 20;
+
 impl Dispatcher {
     /// Takes what an endpoint has said of itself in its answer to a request; true if it says
     /// more than was known.
@@ -87,14 +92,16 @@
                 (until > r.arrival.aim).then(|| (handle, until.since(now)))
             })
             .collect();
-        for (handle, wait_ms) in late {
+        for (n, (handle, wait_ms)) in (0..).zip(late) {
             self.drop_waiting(now, handle, effects);
             let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
+            // Callers that are refused together must not come back together.
+            let spread_ms = n % SPREAD * SPREAD_MS;
             let refusal = Refusal {
                 epoch: LOCAL,
                 seq: Seq(0),
                 wait_ms,
-                after_ms: wait_ms,
+                after_ms: wait_ms.saturating_add(spread_ms),
             };
             effects.push(Effect::Refuse(handle, refusal));
         }
--- a/components/node/src/front/admit.rs
+++ b/components/node/src/front/admit.rs
@@ -21,8 +21,9 @@
 /// Reason of refusals while tasks run late.
 pub(super) const BUSY: &str = "router-busy";
 
-/// Time after which a caller is to come back that another router can serve at once.
-const ELSEWHERE: Duration = Duration::from_millis(50);
+/// Time after which a caller is to come back that another router, or another endpoint, can
+/// serve at once.
+pub(super) const ELSEWHERE: Duration = Duration::from_millis(50);
 
 /// Bytes that a refused caller may still send, at least.
 const DISCARD: usize = 4 * 1024 * 1024;
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -1,6 +1,6 @@
 //! A request's way: who asks, which rule decides, its turn, its answer.
 
-use super::admit::{admit, discard, read, BUSY};
+use super::admit::{admit, discard, read, BUSY, ELSEWHERE};
 use super::claim::{claim, Claim, Claimed};
 use super::listen::Front;
 use super::note::Note;
@@ -416,6 +416,11 @@
     let status = StatusCode::BAD_GATEWAY;
     let text = format!("{}: {}", dispatch.name, failed.error);
     match next {
+        Next::NotRun if failed.away.is_some() => {
+            // The next try goes to another endpoint.
+            let after = ELSEWHERE * rand::random_range(1..=3);
+            Refusal::not_run(status, "endpoint-away", text).after_time(after)
+        }
         Next::NotRun => Refusal::not_run(status, "endpoint-unreachable", text).after(1),
         Next::Unknown | Next::Again => Refusal::unknown(status, "endpoint-failed", text),
     }
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -117,11 +117,13 @@
             end.number("took_ms"),
         ),
         "caller-gone" => format!("Its caller left in the middle of the answer of {endpoint}."),
-        "quarantined" => {
-            "It was refused: endpoints have crashed while they ran this request, one after the \
-                          other. `quarantine-began` with its fingerprint tells since when."
-                .to_owned()
-        }
+        "endpoint-away" => format!(
+            "{endpoint} turned it away and wants no more requests for now; its caller may come back \
+             at once."
+        ),
+        "quarantined" => "It was refused: endpoints have crashed while they ran this request, one \
+                          after the other. `quarantine-began` tells since when."
+            .to_owned(),
         "customer-queue-full" => format!(
             "It was refused: too many requests of {} waited on {}.",
             end.text("customer"),
