Show quarantined requests to operators, and let them end a quarantine

'status' lists fingerprints, 'unquarantine' clears one on all routers: a new version of the endpoints may run well what the old one could not. Tests with processes: the leader lost between crashes and a router started again, requests that must not run twice, other customers, bodies and paths.

--- a/components/node/src/operators.rs
+++ b/components/node/src/operators.rs
@@ -13,9 +13,11 @@
 use protocol::codec;
 use protocol::wire::{Leaving, Query, Reply};
 use serde::{Deserialize, Serialize};
+use state::fingerprint::Fingerprint;
 use state::id::{Name, Version};
 use state::record::{Answer, ChangeId};
 use state::secret::Hash;
+use state::suspect::Clearance;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -133,6 +135,7 @@
             Err(reason) => error(StatusCode::PAYLOAD_TOO_LARGE, &reason),
         },
         (&Method::POST, "/stop") => depart(parts, &query).await,
+        (&Method::POST, "/unquarantine") => unquarantine(parts, &query).await,
         (&Method::POST, "/fault/cut") if parts.fault_hook => cut(parts, &query),
         (&Method::POST, "/fault/suspend") if parts.fault_hook => suspend(parts, &query),
         _ => error(StatusCode::NOT_FOUND, "there is nothing here"),
@@ -236,6 +239,27 @@
     accepted(parts, Query::Depart(leaving)).await
 }
 
+/// Ends the quarantine of a request.
+async fn unquarantine(parts: &Parts, query: &BTreeMap<String, String>) -> Page {
+    let text = query.get("fingerprint").map_or("", String::as_str);
+    let fingerprint = match Fingerprint::try_from(text) {
+        Ok(fingerprint) => fingerprint,
+        Err(allowed) => {
+            let reason = format!("give fingerprint: {allowed}");
+            return error(StatusCode::BAD_REQUEST, &reason);
+        }
+    };
+    let clearance = Clearance {
+        fingerprint,
+        at: parts.clock.stamp(),
+    };
+    let query = Query::Suspects {
+        crashes: Vec::new(),
+        cleared: vec![clearance],
+    };
+    accepted(parts, query).await
+}
+
 async fn accepted(parts: &Parts, query: Query) -> Page {
     let reply = wait(|reply| parts.reactor.send(Input::Query(query, reply)).is_ok()).await;
     match reply {
--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -7,6 +7,7 @@
 use state::fingerprint::Fingerprint;
 use state::line::Line;
 use state::suspect::{changes, Clearance, Crash, Standing, Standings, Suspects};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use tokio::sync::{oneshot, watch};
 use transport::clock::wall_micros;
@@ -133,6 +134,14 @@
         queries.ask(now, hub, query, sender);
     }
 
+    /// Fingerprints of requests that are refused here.
+    pub(crate) fn quarantined(&self) -> Vec<String> {
+        let verdicts = self.publish.borrow();
+        let known = verdicts.fleet.keys().chain(verdicts.own.keys());
+        let refused: BTreeSet<_> = known.filter(|f| verdicts.is_quarantined(f)).collect();
+        refused.into_iter().map(Fingerprint::to_string).collect()
+    }
+
     fn publish(&self) {
         let verdicts = Verdicts {
             fleet: self.fleet.clone(),
--- a/components/node/src/reactor/show.rs
+++ b/components/node/src/reactor/show.rs
@@ -114,6 +114,7 @@
                 .map(|(shard, _)| shard.clone())
                 .collect(),
             schedulers: self.schedulers.status(&self.view),
+            quarantined: self.quarantine.quarantined(),
             control: None,
         }
     }
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -86,6 +86,8 @@
     pub(crate) local: Vec<Shard>,
     /// Shards that are scheduled here.
     pub(crate) schedulers: Vec<ShardStatus>,
+    /// Fingerprints of requests that this process refuses, since they crash endpoints.
+    pub(crate) quarantined: Vec<String>,
     /// State of the replicated log, if this is a control VM.
     pub(crate) control: Option<serde_json::Value>,
 }
--- a/components/state/src/store.rs
+++ b/components/state/src/store.rs
@@ -116,7 +116,10 @@
                 at,
                 crashes,
                 cleared,
-            } => (Answer::Done, self.suspect(at.wall, crashes, cleared)),
+            } => {
+                let step = self.suspect(at.wall, crashes, cleared);
+                (Answer::Accepted(self.view.version), step)
+            }
         }
     }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -32,6 +32,8 @@
     Get(Get),
     /// Announces a planned stop.
     Stop(Stop),
+    /// Serves a quarantined request again.
+    Unquarantine(Unquarantine),
     /// Shows the fleet's state.
     Status(Status),
     /// Explains how a request ended.
@@ -202,6 +204,27 @@
     pub(crate) key: String,
 }
 
+/// Serve a request again that is quarantined since it crashed endpoints.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "unquarantine",
+    example = "{command_name} 71197ba8f0e9dd0bc98307d9e85bac10",
+    note = "`status` shows the fingerprints, and log lines of requests that endpoints broke off \
+            bear theirs. Three more crashes bring the quarantine back."
+)]
+pub(crate) struct Unquarantine {
+    /// fingerprint of the request
+    #[argh(positional)]
+    pub(crate) fingerprint: String,
+    /// operators' address of any process, 127.0.0.1:8081 by default
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 8081))")]
+    pub(crate) operators: SocketAddr,
+    /// operators' key
+    #[argh(option, default = "String::from(\"operator\")")]
+    pub(crate) key: String,
+}
+
 /// Show version, members, queues, slots and counters of all processes.
 #[derive(Debug, FromArgs)]
 #[argh(
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -27,6 +27,7 @@
 mod status;
 mod stop;
 mod timeline;
+mod unquarantine;
 
 pub(crate) use failure::Failure;
 
@@ -42,6 +43,7 @@
         Command::Apply(args) => apply::run(&args),
         Command::Get(args) => get::run(&args),
         Command::Stop(args) => stop::run(&args),
+        Command::Unquarantine(args) => unquarantine::run(&args),
         Command::Status(args) => status::run(&args),
         Command::Explain(args) => explain::run(&args),
         Command::Timeline(args) => timeline::run(&args),
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -48,6 +48,9 @@
         page["held"],
         text(&page["parent"]),
     );
+    for fingerprint in page["quarantined"].as_array().into_iter().flatten() {
+        say!("  quarantined: {}", text(fingerprint));
+    }
     if let Some(control) = page["control"].as_object() {
         say!(
             "  control: {} term {} accepted {} voters {} learners {}",
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -64,3 +64,86 @@
     let later = press_on(&mut fleet, "/assistant");
     assert!(later <= BORNE, "it reached endpoints {later} times more");
 }
+
+/// Whether a router refuses the request, and says so truly.
+fn is_refused(fleet: &mut Fleet, router: &str, path: &str) -> bool {
+    let answer = crash(fleet, router, path);
+    if answer.status != 502 || !answer.text().contains("\"quarantined\"") {
+        return false;
+    }
+    assert_eq!(answer.outcome(), "unknown");
+    assert_eq!(answer.header("retry-after"), "");
+    true
+}
+
+/// Guards against verdicts that are lost with the process that counted, or that refuses.
+#[test]
+fn can_keep_a_quarantine_through_the_loss_of_the_leader_and_of_a_router() {
+    let mut fleet = fleet();
+    crash_until(&mut fleet, "/assistant", CRASHES - 1);
+    let leader = fleet.leader();
+    fleet.vm_mut(&leader).kill();
+    fleet.leader();
+    crash_until(&mut fleet, "/assistant", CRASHES);
+    std::thread::sleep(CONTACT_WINDOW);
+    let later = press_on(&mut fleet, "/assistant");
+    assert!(later <= BORNE, "it reached endpoints {later} times more");
+    fleet.vm_mut("r1").kill();
+    fleet.vm_mut("r1").start();
+    eventually("the router is back", || fleet.vm("r1").is_ready());
+    assert!(is_refused(&mut fleet, "r1", "/assistant"));
+}
+
+/// Guards against a request that must not run twice, and is said not to have run.
+#[test]
+fn can_quarantine_a_request_that_is_not_idempotent() {
+    let mut fleet = fleet();
+    crash_until(&mut fleet, "/booking", CRASHES);
+    eventually("it is refused", || is_refused(&mut fleet, "r1", "/booking"));
+}
+
+/// Guards against a quarantine that also meets other customers, bodies and paths.
+#[test]
+fn can_serve_others_beside_a_quarantined_request() {
+    let mut fleet = fleet();
+    crash_until(&mut fleet, "/assistant", CRASHES);
+    eventually("it is refused", || {
+        is_refused(&mut fleet, "r1", "/assistant")
+    });
+    for (customer, path, body) in [
+        ("beta", "/assistant", "plan for everyone"),
+        ("alpha", "/assistant", "plan for one"),
+        ("alpha", "/assistant/2", "plan for everyone"),
+    ] {
+        eventually("another request is served", || {
+            fleet.call("r1", customer, path, &[], body).status == 200
+        });
+    }
+}
+
+/// Guards against a quarantine that operators cannot end.
+#[test]
+fn can_end_a_quarantine_by_hand() {
+    let mut fleet = fleet();
+    crash_until(&mut fleet, "/assistant", CRASHES);
+    let mut fingerprint = String::new();
+    eventually("the quarantine is shown", || {
+        let status = fleet.vm("r2").status();
+        let shown = status.and_then(|s| Some(s["quarantined"][0].as_str()?.to_owned()));
+        fingerprint = shown.unwrap_or_default();
+        !fingerprint.is_empty()
+    });
+    let operators = fleet.vm("r1").operators.to_string();
+    let args = ["unquarantine", &fingerprint, "--operators", &operators];
+    let (status, _, error) = harness::run(&args, &[] as &[&str]);
+    assert!(status.success(), "{error}");
+    // The fault is gone, as with a new version of the endpoints.
+    for router in ["r1", "r2", "r3"] {
+        eventually("it is served", || {
+            let answer = fleet.call(router, "alpha", "/assistant", &[], "plan for everyone");
+            answer.status == 200 && answer.whole
+        });
+    }
+    let (status, _, _) = harness::run(&["unquarantine", "nothing"], &[] as &[&str]);
+    assert_eq!(status.code(), Some(2));
+}
