Report crashes over the links that feed the view

Each router that had a request at a crashed endpoint asked the leader itself, and dialled all control VMs for it: with 300 routers and 24 endpoints lost at once some 1,800 handshakes (worked out, not measured) at VMs with an eighth of a core. Reports go up the tree instead, gathered on the way, and the control VM at its root asks the leader. A report lost with its parent undercounts one crash.

--- a/components/node/src/operators.rs
+++ b/components/node/src/operators.rs
@@ -17,7 +17,7 @@
 use state::id::{Name, Version};
 use state::record::{Answer, ChangeId};
 use state::secret::Hash;
-use state::suspect::Clearance;
+use state::suspect::{Clearance, Sightings};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -253,11 +253,11 @@
         fingerprint,
         at: parts.clock.stamp(),
     };
-    let query = Query::Suspects {
-        crashes: Vec::new(),
+    let seen = Sightings {
         cleared: vec![clearance],
+        ..Sightings::default()
     };
-    accepted(parts, query).await
+    accepted(parts, Query::Suspects(seen)).await
 }
 
 async fn accepted(parts: &Parts, query: Query) -> Page {
--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -2,21 +2,24 @@
 //! and what its callers' side is to do with them.
 
 use crate::query::Queries;
-use protocol::wire::{Query, Reply};
+use protocol::wire::{Message, Query, Reply};
 use state::clock::Millis;
 use state::fingerprint::Fingerprint;
+use state::id::Name;
 use state::line::Line;
-use state::suspect::{changes, Clearance, Crash, Standing, Standings, Suspects};
+use state::suspect::{changes, Clearance, Crash, Sightings, Standing, Standings, Suspects};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use tokio::sync::{oneshot, watch};
 use transport::clock::wall_micros;
 use transport::link::Hub;
 
-/// Crashes, and clearances, that wait to be reported; the oldest give way.
-const PENDING_MAX: usize = 256;
+/// Crashes, and clearances, that wait to be reported.
+const PENDING_MAX: usize = 512;
 /// Crashes, and clearances, of one report.
 const REPORT_MAX: usize = 64;
+/// Time between two reports, in milliseconds.
+const REPORT_MS: u64 = 50;
 /// Time between two looks for own suspicions that have lasted long enough, in milliseconds.
 const EXPIRE_MS: u64 = 5000;
 
@@ -46,6 +49,17 @@
     }
 }
 
+/// Whom a process reports to: over the links by which it learns the view, since hundreds of
+/// routers that opened links to the control VMs at each crash would overload these.
+pub(crate) enum Up<'a> {
+    /// It is a control VM, and asks the leader.
+    Control(&'a mut Queries, &'a Hub),
+    /// The node that feeds it.
+    Parent(&'a Name, &'a Hub),
+    /// Nobody feeds it now.
+    Nobody,
+}
+
 /// What this process knows of such requests.
 ///
 /// Its own suspicions count beside the fleet's: a router that has no control VM to ask still
@@ -53,8 +67,9 @@
 pub(crate) struct Quarantine {
     own: Suspects,
     fleet: Standings,
-    crashes: Vec<Crash>,
-    cleared: Vec<Clearance>,
+    /// What is to be reported, also of those that this process feeds.
+    pending: Sightings,
+    report_at: Millis,
     report: Option<oneshot::Receiver<Reply>>,
     expire_at: Millis,
     publish: watch::Sender<Arc<Verdicts>>,
@@ -66,8 +81,8 @@
         Quarantine {
             own: Suspects::default(),
             fleet: Standings::new(),
-            crashes: Vec::new(),
-            cleared: Vec::new(),
+            pending: Sightings::default(),
+            report_at: Millis(0),
             report: None,
             expire_at: Millis(0),
             publish,
@@ -77,24 +92,32 @@
     /// An endpoint broke off a request.
     pub(crate) fn crashed(&mut self, crash: Crash) {
         self.own.crashed(&crash);
-        if self.crashes.len() >= PENDING_MAX {
-            self.crashes.remove(0);
-        }
-        self.crashes.push(crash);
+        let crashes = vec![crash];
+        self.relay(Sightings {
+            crashes,
+            ..Sightings::default()
+        });
         self.publish();
     }
 
     /// An endpoint has answered a suspected request whole.
     pub(crate) fn cleared(&mut self, clearance: Clearance) {
         self.own.cleared(&clearance);
-        (self.cleared).retain(|c| c.fingerprint != clearance.fingerprint);
-        if self.cleared.len() >= PENDING_MAX {
-            self.cleared.remove(0);
-        }
-        self.cleared.push(clearance);
+        let is_other = |c: &Clearance| c.fingerprint != clearance.fingerprint;
+        self.pending.cleared.retain(is_other);
+        let cleared = vec![clearance];
+        self.relay(Sightings {
+            cleared,
+            ..Sightings::default()
+        });
         self.publish();
     }
 
+    /// Takes what others have seen, to be passed on.
+    pub(crate) fn relay(&mut self, seen: Sightings) {
+        self.pending.add(seen, PENDING_MAX);
+    }
+
     /// Follows what the control VMs have decided.
     pub(crate) fn follow(&mut self, fleet: &Standings) {
         if *fleet == self.fleet {
@@ -109,29 +132,40 @@
         self.publish();
     }
 
-    /// Lets time pass: reports what waits for it, one report at a time.
-    pub(crate) fn tick(&mut self, now: Millis, queries: &mut Queries, hub: &Hub) {
+    /// Lets time pass: ends old suspicions, and reports what waits for it.
+    pub(crate) fn tick(&mut self, now: Millis, up: Up<'_>) {
         if now >= self.expire_at {
             self.expire_at = now.after(EXPIRE_MS);
             self.own.expire(wall_micros());
             self.publish();
         }
+        if self.pending.is_empty() || now < self.report_at {
+            return;
+        }
+        self.report_at = now.after(REPORT_MS);
+        match up {
+            Up::Control(queries, hub) => self.ask(now, queries, hub),
+            Up::Parent(parent, hub) => {
+                let seen = self.pending.take(REPORT_MAX);
+                if !hub.send(parent, Message::Sightings(seen.clone())) {
+                    self.relay(seen);
+                }
+            }
+            Up::Nobody => {}
+        }
+    }
+
+    /// Reports to the leader, one report at a time.
+    fn ask(&mut self, now: Millis, queries: &mut Queries, hub: &Hub) {
         if let Some(report) = &mut self.report {
             if matches!(report.try_recv(), Err(oneshot::error::TryRecvError::Empty)) {
                 return;
             }
-            self.report = None;
         }
-        if self.crashes.is_empty() && self.cleared.is_empty() {
-            return;
-        }
-        let query = Query::Suspects {
-            crashes: first(&mut self.crashes),
-            cleared: first(&mut self.cleared),
-        };
         let (sender, receiver) = oneshot::channel();
         self.report = Some(receiver);
-        queries.ask(now, hub, query, sender);
+        let seen = self.pending.take(REPORT_MAX);
+        queries.ask(now, hub, Query::Suspects(seen), sender);
     }
 
     /// Fingerprints of requests that are refused here.
@@ -158,12 +192,6 @@
     }
 }
 
-/// Takes the first few.
-fn first<T>(all: &mut Vec<T>) -> Vec<T> {
-    let most = all.len().min(REPORT_MAX);
-    all.drain(..most).collect()
-}
-
 /// Logs which requests are refused from now on, and which no longer.
 fn tell(old: &Verdicts, new: &Verdicts) {
     let known = new.fleet.keys().chain(new.own.keys());
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -12,7 +12,7 @@
 use crate::inventory::Unknown;
 use crate::journal::Journal;
 use crate::metric::Metrics;
-use crate::quarantine::{Quarantine, Verdicts};
+use crate::quarantine::{Quarantine, Up, Verdicts};
 use crate::query::Queries;
 use crate::schedulers::Schedulers;
 use crate::shared::Published;
@@ -372,6 +372,7 @@
                 self.whole(now, *view);
             }
             Message::Confirm(confirm) => self.dissemination.confirm(&vm, confirm),
+            Message::Sightings(seen) => self.quarantine.relay(seen),
             Message::Reports(epoch, reports) => {
                 let known = self
                     .schedulers
@@ -553,8 +554,13 @@
         self.dirty |= was_hot != self.dispatcher.is_hot();
         self.act(now, effects);
         self.schedulers.tick(now, &mut self.batch);
-        self.quarantine
-            .tick(now, &mut self.queries, &self.parts.hub);
+        let hub = &self.parts.hub;
+        let up = match self.dissemination.parent() {
+            _ if self.parts.control => Up::Control(&mut self.queries, hub),
+            Some(parent) => Up::Parent(parent, hub),
+            None => Up::Nobody,
+        };
+        self.quarantine.tick(now, up);
         self.queries.tick(now, &self.parts.hub);
         self.dissemination
             .tick(now, &self.parts.hub, self.view.version);
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -10,7 +10,7 @@
 use state::listing::Listing;
 use state::record::{Answer, ChangeId, Known, Release};
 use state::secret::Hash;
-use state::suspect::{Clearance, Crash};
+use state::suspect::Sightings;
 use state::view::{Place, Step, View};
 use std::net::SocketAddr;
 
@@ -57,12 +57,7 @@
     /// An operator's planned stop, or its end.
     Depart(Leaving),
     /// Report what was seen of requests that may crash endpoints.
-    Suspects {
-        /// Requests that their endpoints broke off.
-        crashes: Vec<Crash>,
-        /// Suspected requests that were answered whole.
-        cleared: Vec<Clearance>,
-    },
+    Suspects(Sightings),
     /// Report what became of a claimed request.
     Settle {
         /// Hash of customer and key.
@@ -135,6 +130,8 @@
     Whole(Box<View>),
     /// What a subtree has in force.
     Confirm(Confirm),
+    /// What a subtree has seen of requests that may crash endpoints.
+    Sightings(Sightings),
     /// From a router to a scheduler.
     Reports(Epoch, SmallVec<[Report; 2]>),
     /// From a scheduler to a router.
@@ -181,6 +178,7 @@
             Message::Steps(_) => "steps",
             Message::Whole(_) => "whole",
             Message::Confirm(_) => "confirm",
+            Message::Sightings(_) => "sightings",
             Message::Reports(..) => "reports",
             Message::Grants(_) => "grants",
             Message::Refusals(_) => "refusals",
--- a/components/state/src/record.rs
+++ b/components/state/src/record.rs
@@ -5,7 +5,7 @@
 use crate::delta::Delta;
 use crate::id::{CustomerId, RequestId, Version};
 use crate::secret::Hash;
-use crate::suspect::{Clearance, Crash};
+use crate::suspect::Sightings;
 use crate::view::{Assignment, Departure, Place};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -142,15 +142,13 @@
         /// What is known now; `None` frees a key whose request was not run.
         known: Option<Known>,
     },
-    /// What routers have seen of requests that may crash endpoints; without either, time has
+    /// What routers have seen of requests that may crash endpoints, if only that time has
     /// passed.
     Suspects {
         /// Leader's time.
         at: Stamp,
-        /// Requests that their endpoints broke off.
-        crashes: Vec<Crash>,
-        /// Suspected requests that were answered whole.
-        cleared: Vec<Clearance>,
+        /// What was seen.
+        seen: Sightings,
     },
     /// The members change; in force from the moment it is appended.
     Members(Box<Members>),
--- a/components/state/src/suspect.rs
+++ b/components/state/src/suspect.rs
@@ -48,6 +48,47 @@
     pub at: Stamp,
 }
 
+/// What routers have seen of requests that may crash endpoints.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Sightings {
+    /// Requests that their endpoints broke off.
+    pub crashes: Vec<Crash>,
+    /// Suspected requests that were answered whole.
+    pub cleared: Vec<Clearance>,
+}
+
+impl Sightings {
+    /// Whether nothing was seen.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.cleared.is_empty()
+    }
+
+    /// Adds others; beyond `most` crashes, and clearances, the oldest give way.
+    pub fn add(&mut self, mut others: Sightings, most: usize) {
+        self.crashes.append(&mut others.crashes);
+        self.cleared.append(&mut others.cleared);
+        drop_first(&mut self.crashes, most);
+        drop_first(&mut self.cleared, most);
+    }
+
+    /// Takes the first few out.
+    pub fn take(&mut self, most: usize) -> Sightings {
+        let crashes = self.crashes.len().min(most);
+        let cleared = self.cleared.len().min(most);
+        Sightings {
+            crashes: self.crashes.drain(..crashes).collect(),
+            cleared: self.cleared.drain(..cleared).collect(),
+        }
+    }
+}
+
+/// Drops what is before the last `most`.
+fn drop_first<T>(all: &mut Vec<T>, most: usize) {
+    let surplus = all.len().saturating_sub(most);
+    all.drain(..surplus);
+}
+
 /// What routers are to do with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
