Let the soak send a request that crashes engines

Under all its faults a caller sends one body that ends the engine that runs it, by any router. Once the faults are over every router refuses it, and no engine gets it again.

--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -9,4 +9,4 @@
 pub mod fault;
 pub mod server;
 
-pub use server::{Kind, Server, Settings};
+pub use server::{Kind, Server, Settings, CRASHED};
--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -25,8 +25,8 @@
 /// Header that carries a request's identity, and its answer's.
 pub const IDENTITY: &str = "cowslipford-request-id";
 
-/// Status with which a process ends that a request has crashed.
-const CRASHED: i32 = 70;
+/// Exit code of a process that a request has crashed.
+pub const CRASHED: i32 = 70;
 
 /// Header that says that the stand-in leaves.
 pub const LEAVING: HeaderName = HeaderName::from_static("cowslipford-leaving");
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -30,6 +30,9 @@
 /// Longest wait for them, and for anything else that must happen in the end.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(90);
 
+/// Name of the request that crashes the model engines that run it, whoever sends it.
+pub(crate) const QUERY_OF_DEATH: &str = "query-of-death";
+
 /// How a router is reached.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Route {
@@ -43,6 +46,8 @@
     pub(crate) routes: Vec<Route>,
     pub(crate) ledger: Ledger,
     pub(crate) stop: AtomicBool,
+    /// Whether callers are to crash no more engines.
+    pub(crate) calm: AtomicBool,
     pub(crate) names: AtomicU32,
 }
 
@@ -87,6 +92,9 @@
 
 /// How the endpoint misbehaves with a request: most often not at all.
 fn fault(sent: &Request) -> &'static str {
+    if sent.name == QUERY_OF_DEATH {
+        return "crash";
+    }
     if sent.kind == Kind::Stream(BESIDE) {
         return "";
     }
@@ -109,6 +117,37 @@
     for place in 0..world.routes.len() {
         tasks.spawn(probe(world.clone(), place));
     }
+    tasks.spawn(crash_engines(world.clone()));
+}
+
+/// Sends the query of death again and again, by any router.
+async fn crash_engines(world: Arc<World>) {
+    let mut rng = Pcg64::seed_from_u64(world.seed);
+    while !world.calm.load(Ordering::Relaxed) && !world.stop.load(Ordering::Relaxed) {
+        let address = address(&world, &mut rng);
+        query_of_death(&world, address).await;
+        let pause = rng.random_range(100..900);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+/// Sends the query of death; gives whether it was refused as quarantined.
+pub(crate) async fn query_of_death(world: &World, address: SocketAddr) -> bool {
+    let sending = world.names.fetch_add(1, Ordering::Relaxed);
+    let sent = Request {
+        name: QUERY_OF_DEATH.to_owned(),
+        sending,
+        kind: Kind::Stream(BESIDE),
+    };
+    let label = sent.label();
+    let headers = [
+        ("stand-in-id", label.as_str()),
+        ("stand-in-fault", fault(&sent)),
+    ];
+    let http = request("POST", "/assistant", "alpha", &headers, &sent.name);
+    let answer = Client::new(address).call(http, CALLER).await;
+    world.ledger.judge(&sent, &answer);
+    answer.text().contains("\"quarantined\"")
 }
 
 async fn caller(world: Arc<World>, customer: &'static str, stream: u64) {
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -1,6 +1,6 @@
 //! One run: a fleet of real processes, its callers, and the faults of one seed.
 
-use super::callers::{self, Route, World, PATIENCE, PROBE, REVOCATION};
+use super::callers::{self, Route, World, PATIENCE, PROBE, QUERY_OF_DEATH, REVOCATION};
 use super::check::{End, Kind, Ledger};
 use super::harness::http::{request, Client};
 use super::harness::{Fleet, Plan, Process, Vm, OPERATOR};
@@ -8,7 +8,7 @@
 use super::proxy::{Mode, Proxy};
 use super::schedule::{schedule, Act, Step, Target, CONTROL, PROXIED, ROUTERS, STAND_INS, VMS};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
@@ -57,7 +57,9 @@
         }
         run.act(step.act);
     }
+    run.world.calm.store(true, Ordering::Relaxed);
     run.heal();
+    run.check_quarantine();
     run.check_served();
     run.finish()
 }
@@ -92,6 +94,7 @@
             routes: routes.collect(),
             ledger: Ledger::default(),
             stop: AtomicBool::new(false),
+            calm: AtomicBool::new(false),
             names: AtomicU32::new(0),
         });
         let mut operator = Operator {
@@ -140,7 +143,11 @@
     fn reap(&mut self) {
         for stand_in in &mut self.fleet.stand_ins {
             // However it ended: the record is what counts.
-            stand_in.process.ended();
+            let ended = stand_in.process.ended();
+            if ended.is_some_and(|status| status.code() == Some(standin::CRASHED)) {
+                self.world.ledger.count("engine crashed");
+                stand_in.process.start();
+            }
         }
         for (place, vm) in self.fleet.vms.iter_mut().enumerate() {
             let Some(status) = vm.process.ended() else {
@@ -298,6 +305,44 @@
         }
     }
 
+    /// Checks that no router sends a query of death on, once they are all told.
+    fn check_quarantine(&mut self) {
+        for place in 0..ROUTERS {
+            let what = format!("router {place} refuses the query of death");
+            self.must(&what, |run| {
+                run.reap();
+                run.send_query_of_death(place)
+            });
+        }
+        let before = self.queries_of_death();
+        for n in 0..4 * ROUTERS {
+            self.send_query_of_death(n % ROUTERS);
+        }
+        let later = self.queries_of_death() - before;
+        if later > 0 {
+            let text = format!("the query of death reached engines {later} times more");
+            self.world.ledger.wrong(text);
+        }
+        self.must("engines that were crashed are back", |run| {
+            run.reap();
+            (run.fleet.stand_ins.iter()).all(|s| TcpStream::connect(s.address).is_ok())
+        });
+    }
+
+    /// Sends it by a router; gives whether that refuses it as quarantined.
+    fn send_query_of_death(&self, place: usize) -> bool {
+        let address = self.world.routes[place].direct;
+        let sent = callers::query_of_death(&self.world, address);
+        self.runtime.block_on(sent)
+    }
+
+    /// How often the query of death has reached engines.
+    fn queries_of_death(&self) -> usize {
+        let all = self.fleet.stand_ins.iter().flat_map(|s| s.recorded());
+        all.filter(|label| label.starts_with(QUERY_OF_DEATH))
+            .count()
+    }
+
     /// Checks that everything is served again, over each way to each router.
     fn check_served(&self) {
         let began = Instant::now();
