Tell a scheduler again who is away when it grants just that

An endpoint that goes missing from the list for a moment is new to its scheduler, which would grant it to a router that gives the grant back, over and over. Shards are looked through for being shut only where as many endpoints are away as they have: with 1,100 endpoints each look compares all of them.

--- a/components/coordination/src/away.rs
+++ b/components/coordination/src/away.rs
@@ -50,6 +50,18 @@
     is_leaving: bool,
 }
 
+impl Absence {
+    /// What is left of it, as of an endpoint's word that is heard now.
+    fn left(&self, now: Millis, endpoint: EndpointId) -> Option<Away> {
+        let ms = u32::try_from(self.until.since(now)).unwrap_or(u32::MAX);
+        (ms > 0).then_some(Away {
+            endpoint,
+            ms,
+            is_leaving: self.is_leaving,
+        })
+    }
+}
+
 /// What endpoints have said to this router.
 #[derive(Clone, Debug, Default)]
 pub struct Absences {
@@ -84,6 +96,17 @@
         (absence.until > now).then_some(absence.until)
     }
 
+    /// What is left of an endpoint's absence.
+    pub fn of(&self, now: Millis, endpoint: EndpointId) -> Option<Away> {
+        let absence = self.all.get(&endpoint)?;
+        absence.left(now, endpoint)
+    }
+
+    /// Endpoints that are away.
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
     /// Whether no endpoint is away.
     pub fn is_empty(&self) -> bool {
         self.all.is_empty()
@@ -96,11 +119,8 @@
 
     /// All absences with the time that is left of them, for a scheduler that knows none.
     pub fn told(&self, now: Millis) -> Vec<Away> {
-        let all = self.all.iter().map(|(endpoint, absence)| Away {
-            endpoint: *endpoint,
-            ms: u32::try_from(absence.until.since(now)).unwrap_or(u32::MAX),
-            is_leaving: absence.is_leaving,
-        });
-        all.filter(|away| away.ms > 0).collect()
+        let all = self.all.iter();
+        all.filter_map(|(endpoint, absence)| absence.left(now, *endpoint))
+            .collect()
     }
 }
--- a/components/coordination/src/dispatcher/absence.rs
+++ b/components/coordination/src/dispatcher/absence.rs
@@ -37,11 +37,13 @@
         grant: &Grant,
         effects: &mut Effects,
     ) -> bool {
-        if self.absences.until(now, grant.endpoint).is_none() {
+        let Some(away) = self.absences.of(now, grant.endpoint) else {
             return false;
-        }
+        };
         let session = self.sessions.get_mut(shard);
         let handle = session.and_then(|s| s.asked.remove(&grant.seq));
+        // A scheduler that has lost sight of the endpoint meanwhile has forgotten it.
+        self.tell(now, shard, Report::Away(away), effects);
         self.tell(now, shard, Report::Return(grant.seq), effects);
         let Some((handle, request)) = handle.and_then(|h| Some((h, self.requests.get_mut(h)?)))
         else {
@@ -74,6 +76,9 @@
         }
         self.absences.expire(now);
         for shard in self.sessions.keys() {
+            if self.absences.len() < self.spread.open(shard) {
+                continue;
+            }
             let open = endpoints(view, shard).filter(|(_, _, _, leaving)| !leaving);
             let until = |id| self.absences.until(now, id).unwrap_or(now);
             let first = open.map(|(id, ..)| until(id)).min();
--- a/components/coordination/src/dispatcher/spread.rs
+++ b/components/coordination/src/dispatcher/spread.rs
@@ -131,6 +131,14 @@
         self.candidates.is_empty()
     }
 
+    /// Endpoints of a shard that take work, if this router may ask it.
+    pub(super) fn open(&self, shard: &Shard) -> usize {
+        let candidates = self.candidates.get(&shard.service);
+        let found = candidates.and_then(|all| all.iter().find(|c| c.shard == *shard));
+        // CAST: 32 bits fit into a size on every supported target.
+        found.map_or(0, |c| c.open as usize)
+    }
+
     /// Follows a change of the endpoints.
     pub(super) fn follow(&mut self, view: &View) {
         self.shards = shards(view);
--- a/components/coordination/tests/away.rs
+++ b/components/coordination/tests/away.rs
@@ -151,7 +151,12 @@
     assert!(is_news && reports(&told) == [Report::Away(rest(E1, 3000))]);
     let back = dispatcher.grant(Millis(3), grant(second, E1));
     assert!(!is_sent(&back));
-    assert!(reports(&back).contains(&Report::Return(second)));
+    // Its scheduler may have forgotten, and would grant it the same again and again.
+    let told = reports(&back);
+    assert_eq!(
+        told[..2],
+        [Report::Away(rest(E1, 2999)), Report::Return(second)]
+    );
     let again = asked(&back).unwrap();
     assert!(is_sent(&dispatcher.grant(Millis(4), grant(again, E2))));
     let (_, third) = arrive(&mut dispatcher, &view, 10_000);
