--- a/components/coordination/tests/region/divided.rs
+++ b/components/coordination/tests/region/divided.rs
@@ -1,7 +1,7 @@
 //! Routers and schedulers of a region in several data centres, under uneven and too much
 //! load.
 
-use crate::setup::{Callers, Setup, ALIKE};
+use crate::setup::{Callers, Setup, Tasks, ALIKE};
 use crate::world::{Tally, World};
 use std::collections::BTreeMap;
 
@@ -22,6 +22,7 @@
         is_divided,
         messages: 100,
         processor_us: None,
+        tasks: Tasks::Turns,
         kinds: ALIKE,
     };
     let part = |centre: usize| match centre {
--- a/components/coordination/tests/region/fair_share.rs
+++ b/components/coordination/tests/region/fair_share.rs
@@ -2,7 +2,7 @@
 //!
 //! Callers of one address all come to one router, until that says that it is not ready.
 
-use crate::setup::{Callers, Setup, MIXED};
+use crate::setup::{Callers, Setup, Tasks, MIXED};
 use crate::world::World;
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -31,6 +31,7 @@
         is_divided,
         messages: 400,
         processor_us: Some(120),
+        tasks: Tasks::Turns,
         kinds: MIXED,
     }
 }
@@ -92,6 +93,36 @@
     assert_shares(&world);
 }
 
+/// Guards against a router that spends its processor on reading what it then refuses.
+#[rstest]
+fn a_customer_behind_a_router_with_one_queue_gets_its_share(
+    #[values(false, true)] is_divided: bool,
+    #[values(1.0, 2.0, 4.0, 8.0)] flood: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let world = flooded_in_order(is_divided, flood, seed, true);
+    assert_shares(&world);
+}
+
+/// Guards against bounds on what is let in that make no difference.
+#[rstest]
+fn a_router_that_reads_whatever_comes_gives_less_of_a_share(
+    #[values(4.0, 8.0)] flood: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let least = |is_bounded| flooded_in_order(true, flood, seed, is_bounded).least_share(CALM_S);
+    let (bounded, unbounded) = (least(true), least(false));
+    assert!(bounded > unbounded, "{bounded:.2} {unbounded:.2}");
+}
+
+fn flooded_in_order(is_divided: bool, flood: f64, seed: u64, is_bounded: bool) -> World {
+    let setup = Setup {
+        tasks: Tasks::OneQueue { is_bounded },
+        ..setup(is_divided)
+    };
+    flooded(setup, callers(setup), flood, seed)
+}
+
 // A customer that asks for several times of what there is gets less of it than one that asks
 // for all of it, though it has the least service of those that wait: of its long, middle and
 // short requests 132, 187 and 1,353 were granted in 12 s of the first case, 473, 658 and 948
--- a/components/coordination/tests/region/setup.rs
+++ b/components/coordination/tests/region/setup.rs
@@ -51,6 +51,18 @@
     },
 ];
 
+/// How a router with a bounded processor gets to what waits for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Tasks {
+    /// Tasks take turns, one of them accepts connections, and callers keep theirs.
+    Turns,
+    /// All in the order in which it comes, each try on a connection of its own.
+    OneQueue {
+        /// Whether the router bounds what it lets in, or reads whatever comes.
+        is_bounded: bool,
+    },
+}
+
 /// What a region consists of.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Setup {
@@ -66,6 +78,8 @@
     /// Microseconds of a processor that a router has in each millisecond; `None` for as
     /// many as it needs.
     pub(crate) processor_us: Option<u64>,
+    /// How that processor gets to what waits for it.
+    pub(crate) tasks: Tasks,
     /// What is asked for.
     pub(crate) kinds: &'static [Kind],
 }
--- a/components/coordination/tests/region/world.rs
+++ b/components/coordination/tests/region/world.rs
@@ -5,11 +5,12 @@
 //! tell each other what they have given, as those of one service do.
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
+mod one_queue;
 mod router;
 
 use self::router::{Processor, Router, Work, ASK_READY_MS, BACKLOG, UNREAD_MS};
 use crate::engines::{Engine, Progress};
-use crate::setup::{centre_name, Callers, Setup, MEMORY};
+use crate::setup::{centre_name, Callers, Setup, Tasks, MEMORY};
 use crate::views::{name, SERVICE};
 use coordination::ask::{Class, Grant, Refusal, Report, Served, Verdict};
 use coordination::dispatcher::{
@@ -152,6 +153,7 @@
                 jobs: BTreeMap::new(),
                 backlog: VecDeque::new(),
                 work: VecDeque::new(),
+                in_order: VecDeque::new(),
                 until_accept: 0,
                 kept: BTreeMap::new(),
                 credit_us: 0,
@@ -259,6 +261,9 @@
         if self.setup.processor_us.is_none() {
             return self.take(at, job);
         }
+        if self.setup.tasks != Tasks::Turns {
+            return self.queue_in_order(at, job);
+        }
         if self.uses_kept(at, job.customer) {
             return self.push(at, Work::Try(job));
         }
@@ -269,7 +274,11 @@
     }
 
     fn push(&mut self, at: usize, work: Work) {
-        self.routers[at].work.push_back(work);
+        let router = &mut self.routers[at];
+        match self.setup.tasks {
+            Tasks::Turns => router.work.push_back(work),
+            Tasks::OneQueue { .. } => router.in_order.push_back((self.now, work)),
+        }
     }
 
     /// Lets a router take a try in.
--- a/components/coordination/tests/region/world/router.rs
+++ b/components/coordination/tests/region/world/router.rs
@@ -1,6 +1,7 @@
 //! A router with a bounded processor: what it lets in, and when it gets to what waits.
 
 use super::{Job, World};
+use crate::setup::Tasks;
 use coordination::ask::{Grant, Refusal};
 use coordination::dispatcher::{Dispatcher, Handle};
 use coordination::intake::{Arrivals, Intake, Limit, Probes};
@@ -10,13 +11,13 @@
 
 /// What a router's processor needs to take in a try on a new connection, and on a kept
 /// one, in microseconds.
-const OPEN_US: u64 = 20;
-const READ_US: u64 = 15;
+pub(super) const OPEN_US: u64 = 20;
+pub(super) const READ_US: u64 = 15;
 /// What it needs to refuse one, and to close a connection unread.
-const REFUSE_US: u64 = 15;
-const CLOSE_US: u64 = 12;
+pub(super) const REFUSE_US: u64 = 15;
+pub(super) const CLOSE_US: u64 = 12;
 /// What it needs to send a request to its engine and to pass its answer on.
-const SERVE_US: u64 = 150;
+pub(super) const SERVE_US: u64 = 150;
 /// Connections that a router accepts before its other tasks have their turn.
 const ACCEPT: usize = 128;
 /// Connections that wait to be accepted by a router at most; others find none.
@@ -24,9 +25,9 @@
 /// Time after which a caller gives up that was not taken in, in milliseconds.
 pub(super) const UNREAD_MS: u64 = 1000;
 /// Time after which the caller of a busy router comes back, in milliseconds.
-const BUSY_RETURN_MS: u64 = 100;
+pub(super) const BUSY_RETURN_MS: u64 = 100;
 /// Time between two probes of a router's lateness, in milliseconds.
-const PROBE_MS: u64 = 20;
+pub(super) const PROBE_MS: u64 = 20;
 /// Time between two questions for a router's readiness, in milliseconds.
 pub(super) const ASK_READY_MS: u64 = 1000;
 
@@ -48,6 +49,8 @@
     pub(super) backlog: VecDeque<Job>,
     /// What waits for its processor.
     pub(super) work: VecDeque<Work>,
+    /// The same with the time at which it came, of a router with one queue.
+    pub(super) in_order: VecDeque<(u64, Work)>,
     /// Pieces of work until connections are accepted again.
     pub(super) until_accept: usize,
     /// Connections that callers of each customer have kept.
@@ -60,14 +63,14 @@
 /// What a router knows of its own lateness, and what is known of it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Processor {
-    due: u64,
-    last_ms: u64,
-    before_ms: u64,
-    taken: u64,
-    arrivals: Arrivals,
-    limit: Limit,
+    pub(super) due: u64,
+    pub(super) last_ms: u64,
+    pub(super) before_ms: u64,
+    pub(super) taken: u64,
+    pub(super) arrivals: Arrivals,
+    pub(super) limit: Limit,
     is_woken: bool,
-    overload: Overload,
+    pub(super) overload: Overload,
     misses: u32,
     /// Whether new connections go to other routers.
     pub(super) is_out: bool,
@@ -81,6 +84,9 @@
         let Some(each_us) = self.setup.processor_us else {
             return;
         };
+        if let Tasks::OneQueue { is_bounded } = self.setup.tasks {
+            return self.process_in_order(at, each_us, is_bounded);
+        }
         self.wake_probe(at);
         let router = &mut self.routers[at];
         router.credit_us = (router.credit_us + each_us).min(10 * each_us);
