Name an endpoint's word about itself by the field's terms

Backoff for away and absence, evidence for sightings, attempt for trial; a shard whose endpoints are all away is unavailable.

--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -3,7 +3,7 @@
 //! A session is one link between a router and a scheduler in one epoch. Asks
 //! are numbered within it; a grant, its return and its reports name the ask.
 
-use crate::away::Away;
+use crate::backoff::Backoff;
 use crate::prompt::{Part, Prompt};
 use serde::{Deserialize, Serialize};
 use state::id::{CustomerId, EndpointId, Epoch};
@@ -115,7 +115,7 @@
     /// What engines have of the prompts that were sent last.
     pub kept: Vec<Kept>,
     /// Endpoints that want no requests of this router.
-    pub away: Vec<Away>,
+    pub backoff: Vec<Backoff>,
 }
 
 /// What a router tells a scheduler.
@@ -138,7 +138,7 @@
     /// A request has ended at this cost.
     Done(Seq, u32, Verdict),
     /// An endpoint wants no requests of this router.
-    Away(Away),
+    Backoff(Backoff),
 }
 
 /// What a scheduler has given in its epoch, for those of other regions.
--- a/components/coordination/src/away.rs
+++ b/components/coordination/src/backoff.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Longest absence that is believed, in milliseconds.
-pub const AWAY_MAX_MS: u32 = 3_600_000;
+/// Longest backoff that is believed, in milliseconds.
+pub const BACKOFF_MAX_MS: u32 = 3_600_000;
 /// Time for which an endpoint that leaves counts as away, in milliseconds. It is gone long
 /// before, or has started again under its name and not been heard of since.
 pub const LEAVING_MS: u32 = 600_000;
@@ -14,7 +14,7 @@
 /// What an endpoint has said in an answer to one router.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub struct Away {
+pub struct Backoff {
     /// The endpoint.
     pub endpoint: EndpointId,
     /// Time for which it wants no more requests, in milliseconds.
@@ -23,10 +23,10 @@
     pub is_leaving: bool,
 }
 
-impl Away {
+impl Backoff {
     /// An endpoint that leaves, or has gone already.
     pub fn leaving(endpoint: EndpointId) -> Self {
-        Away {
+        Backoff {
             endpoint,
             ms: LEAVING_MS,
             is_leaving: true,
@@ -36,25 +36,25 @@
     /// An endpoint that wants no requests from one router for a time.
     pub fn resting(endpoint: EndpointId, time: Duration) -> Self {
         let ms = u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
-        Away {
+        Backoff {
             endpoint,
-            ms: ms.min(AWAY_MAX_MS),
+            ms: ms.min(BACKOFF_MAX_MS),
             is_leaving: false,
         }
     }
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Absence {
+struct Entry {
     until: Millis,
     is_leaving: bool,
 }
 
-impl Absence {
+impl Entry {
     /// What is left of it, as of an endpoint's word that is heard now.
-    fn left(&self, now: Millis, endpoint: EndpointId) -> Option<Away> {
+    fn left(&self, now: Millis, endpoint: EndpointId) -> Option<Backoff> {
         let ms = u32::try_from(self.until.since(now)).unwrap_or(u32::MAX);
-        (ms > 0).then_some(Away {
+        (ms > 0).then_some(Backoff {
             endpoint,
             ms,
             is_leaving: self.is_leaving,
@@ -64,23 +64,23 @@
 
 /// What endpoints have said to this router.
 #[derive(Clone, Debug, Default)]
-pub struct Absences {
-    all: BTreeMap<EndpointId, Absence>,
+pub struct Backoffs {
+    all: BTreeMap<EndpointId, Entry>,
 }
 
-impl Absences {
+impl Backoffs {
     /// Takes an endpoint's word; of two, the one that holds longer counts. True if it says
     /// more than was known.
-    pub fn note(&mut self, now: Millis, away: &Away) -> bool {
-        let until = now.after(u64::from(away.ms));
+    pub fn note(&mut self, now: Millis, backoff: &Backoff) -> bool {
+        let until = now.after(u64::from(backoff.ms));
         if until <= now {
             return false;
         }
-        let new = Absence {
+        let new = Entry {
             until,
-            is_leaving: away.is_leaving,
+            is_leaving: backoff.is_leaving,
         };
-        let known = self.all.entry(away.endpoint).or_insert(Absence {
+        let known = self.all.entry(backoff.endpoint).or_insert(Entry {
             until: now,
             is_leaving: false,
         });
@@ -92,14 +92,14 @@
 
     /// When an endpoint may be sent requests again; `None` if it may be now.
     pub fn until(&self, now: Millis, endpoint: EndpointId) -> Option<Millis> {
-        let absence = self.all.get(&endpoint)?;
-        (absence.until > now).then_some(absence.until)
+        let entry = self.all.get(&endpoint)?;
+        (entry.until > now).then_some(entry.until)
     }
 
-    /// What is left of an endpoint's absence.
-    pub fn of(&self, now: Millis, endpoint: EndpointId) -> Option<Away> {
-        let absence = self.all.get(&endpoint)?;
-        absence.left(now, endpoint)
+    /// What is left of an endpoint's backoff.
+    pub fn of(&self, now: Millis, endpoint: EndpointId) -> Option<Backoff> {
+        let entry = self.all.get(&endpoint)?;
+        entry.left(now, endpoint)
     }
 
     /// Endpoints that are away.
@@ -112,15 +112,15 @@
         self.all.is_empty()
     }
 
-    /// Forgets absences that are over.
+    /// Forgets backoffs that are over.
     pub fn expire(&mut self, now: Millis) {
-        self.all.retain(|_, absence| absence.until > now);
+        self.all.retain(|_, entry| entry.until > now);
     }
 
-    /// All absences with the time that is left of them, for a scheduler that knows none.
-    pub fn told(&self, now: Millis) -> Vec<Away> {
+    /// All backoffs with the time that is left of them, for a scheduler that knows none.
+    pub fn told(&self, now: Millis) -> Vec<Backoff> {
         let all = self.all.iter();
-        all.filter_map(|(endpoint, absence)| absence.left(now, *endpoint))
+        all.filter_map(|(endpoint, entry)| entry.left(now, *endpoint))
             .collect()
     }
 }
--- a/components/coordination/src/dispatcher/absence.rs
+++ b/components/coordination/src/dispatcher/backoff.rs
@@ -3,7 +3,7 @@
 use super::queue::Stage;
 use super::{endpoints, Dispatcher, Effect, Effects, Handle};
 use crate::ask::Seq;
-use crate::away::Away;
+use crate::backoff::Backoff;
 use crate::dispatcher::local::LOCAL;
 use crate::prelude::*;
 use state::view::Shard;
@@ -16,12 +16,12 @@
 impl Dispatcher {
     /// Takes what an endpoint has said of itself in its answer to a request; true if it says
     /// more than was known.
-    pub fn away(&mut self, now: Millis, handle: Handle, away: Away) -> (bool, Effects) {
+    pub fn backoff(&mut self, now: Millis, handle: Handle, backoff: Backoff) -> (bool, Effects) {
         let mut effects = Effects::new();
-        let is_news = self.absences.note(now, &away);
+        let is_news = self.backoffs.note(now, &backoff);
         let shard = self.requests.get(handle).map(|r| r.shard.clone());
         if let Some(shard) = shard.filter(|_| is_news) {
-            self.tell(now, &shard, Report::Away(away), &mut effects);
+            self.tell(now, &shard, Report::Backoff(backoff), &mut effects);
         }
         (is_news, effects)
     }
@@ -30,20 +30,20 @@
     /// if the endpoint is not away.
     ///
     /// The grant was on its way when the endpoint said so, or its scheduler has not heard.
-    pub(super) fn turn_back(
+    pub(super) fn decline(
         &mut self,
         now: Millis,
         shard: &Shard,
         grant: &Grant,
         effects: &mut Effects,
     ) -> bool {
-        let Some(away) = self.absences.of(now, grant.endpoint) else {
+        let Some(backoff) = self.backoffs.of(now, grant.endpoint) else {
             return false;
         };
         let session = self.sessions.get_mut(shard);
         let handle = session.and_then(|s| s.asked.remove(&grant.seq));
         // A scheduler that has lost sight of the endpoint meanwhile has forgotten it.
-        self.tell(now, shard, Report::Away(away), effects);
+        self.tell(now, shard, Report::Backoff(backoff), effects);
         self.tell(now, shard, Report::Return(grant.seq), effects);
         let Some((handle, request)) = handle.and_then(|h| Some((h, self.requests.get_mut(h)?)))
         else {
@@ -63,37 +63,40 @@
     }
 
     /// Until when every endpoint of a shard is away, if they all are.
-    pub(super) fn shut_until(&self, now: Millis, shard: &Shard) -> Option<Millis> {
-        self.shut.get(shard).copied().filter(|until| *until > now)
+    pub(super) fn unavailable_until(&self, now: Millis, shard: &Shard) -> Option<Millis> {
+        self.unavailable
+            .get(shard)
+            .copied()
+            .filter(|until| *until > now)
     }
 
     /// Finds the shards of which every endpoint is away, and refuses requests that would be
     /// late by the time one returns.
-    pub(super) fn follow_absences(&mut self, now: Millis, view: &View, effects: &mut Effects) {
-        self.shut.clear();
-        if self.absences.is_empty() {
+    pub(super) fn follow_backoffs(&mut self, now: Millis, view: &View, effects: &mut Effects) {
+        self.unavailable.clear();
+        if self.backoffs.is_empty() {
             return;
         }
-        self.absences.expire(now);
+        self.backoffs.expire(now);
         for shard in self.sessions.keys() {
-            if self.absences.len() < self.spread.open(shard) {
+            if self.backoffs.len() < self.spread.open(shard) {
                 continue;
             }
             let open = endpoints(view, shard).filter(|(_, _, _, leaving)| !leaving);
-            let until = |id| self.absences.until(now, id).unwrap_or(now);
+            let until = |id| self.backoffs.until(now, id).unwrap_or(now);
             let first = open.map(|(id, ..)| until(id)).min();
             if let Some(first) = first.filter(|first| *first > now) {
-                self.shut.insert(shard.clone(), first);
+                self.unavailable.insert(shard.clone(), first);
             }
         }
-        if self.shut.is_empty() {
+        if self.unavailable.is_empty() {
             return;
         }
         let waits = |r: &super::Request| !matches!(r.stage, Stage::Held { .. });
         let late: Vec<(Handle, u64)> = (self.requests.iter())
             .filter(|(_, r)| waits(r) && r.remote.is_none())
             .filter_map(|(handle, r)| {
-                let until = self.shut_until(now, &r.shard)?;
+                let until = self.unavailable_until(now, &r.shard)?;
                 (until > r.arrival.aim).then(|| (handle, until.since(now)))
             })
             .collect();
--- a/components/coordination/src/dispatcher/local.rs
+++ b/components/coordination/src/dispatcher/local.rs
@@ -36,13 +36,13 @@
         effects: &mut Effects,
     ) {
         let held = self.renumber(shard);
-        let away = self.absences.told(now);
+        let backoff = self.backoffs.told(now);
         let Some(session) = self.sessions.get_mut(shard) else {
             return;
         };
         // It need not gather, it is alone.
         let past = Millis(now.0.saturating_sub(GATHER_MS));
-        let hello = session.introduce(held, away);
+        let hello = session.introduce(held, backoff);
         session.local = Some((Scheduler::new(LOCAL, past), LocalSession::default()));
         // It must know its endpoints before it hears what they have.
         self.arm_local(view, shard);
--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -3,7 +3,7 @@
 //! Each shard has a session with its scheduler. While there is none, the dispatcher
 //! grants itself a share of the slots.
 
-mod absence;
+mod backoff;
 mod local;
 mod queue;
 mod remote;
@@ -20,7 +20,7 @@
 use self::session::Session;
 use self::spread::{Spread, State};
 use crate::ask::Placement;
-use crate::away::Absences;
+use crate::backoff::Backoffs;
 use crate::overload::HotSpot;
 use crate::prelude::*;
 use crate::slot::Slots;
@@ -130,9 +130,9 @@
     waiting: usize,
     bytes: u64,
     hot_spot: HotSpot,
-    absences: Absences,
+    backoffs: Backoffs,
     /// Shards of which every endpoint is away, and until when.
-    shut: BTreeMap<Shard, Millis>,
+    unavailable: BTreeMap<Shard, Millis>,
 }
 
 impl Dispatcher {
@@ -149,8 +149,8 @@
             waiting: 0,
             bytes: 0,
             hot_spot: HotSpot::default(),
-            absences: Absences::default(),
-            shut: BTreeMap::new(),
+            backoffs: Backoffs::default(),
+            unavailable: BTreeMap::new(),
         }
     }
 
@@ -203,11 +203,11 @@
         let state = |shard: &Shard| {
             let session = self.sessions.get(shard);
             let state = session.map_or(State::UNKNOWN, |s| s.state(now, arrival.class.customer));
-            let shut_ms = self
-                .shut_until(now, shard)
+            let unavailable_ms = self
+                .unavailable_until(now, shard)
                 .map_or(0, |until| until.since(now));
             State {
-                wait_ms: state.wait_ms.max(shut_ms),
+                wait_ms: state.wait_ms.max(unavailable_ms),
                 ..state
             }
         };
@@ -236,7 +236,10 @@
         if full || self.waiting >= self.bounds.requests {
             return Err(Full::Router);
         }
-        if let Some(until) = self.shut_until(now, &shard).filter(|u| *u > arrival.aim) {
+        if let Some(until) = self
+            .unavailable_until(now, &shard)
+            .filter(|u| *u > arrival.aim)
+        {
             let after_ms = u32::try_from(until.since(now)).unwrap_or(u32::MAX);
             return Err(Full::Late { after_ms });
         }
@@ -477,7 +480,7 @@
             effects.push(Effect::Expire(handle));
         }
         self.refuse_unasked(now, &mut effects);
-        self.follow_absences(now, view, &mut effects);
+        self.follow_backoffs(now, view, &mut effects);
         let usual = self.usual();
         self.hot_spot.look(self.held(), usual);
         let shards: Vec<Shard> = self.sessions.keys().cloned().collect();
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -231,7 +231,7 @@
         grant: Grant,
         effects: &mut Effects,
     ) {
-        if self.turn_back(now, shard, &grant, effects) {
+        if self.decline(now, shard, &grant, effects) {
             return;
         }
         let Some(session) = self.sessions.get_mut(shard) else {
--- a/components/coordination/src/dispatcher/session.rs
+++ b/components/coordination/src/dispatcher/session.rs
@@ -5,7 +5,7 @@
 use super::spread::{State, Wait};
 use super::{Dispatcher, Effect, Effects, Handle};
 use crate::ask::{Hello, Kept, Seq};
-use crate::away::Away;
+use crate::backoff::Backoff;
 use crate::ledger::virtual_cost;
 use crate::prelude::*;
 use crate::prompt::UNSHARED;
@@ -61,7 +61,7 @@
 
 impl Session {
     /// The hello that tells what this router holds and remembers.
-    pub(super) fn introduce(&self, held: Vec<Held>, away: Vec<Away>) -> Hello {
+    pub(super) fn introduce(&self, held: Vec<Held>, backoff: Vec<Backoff>) -> Hello {
         let known = self.known.iter().map(|(customer, memory)| Known {
             customer: *customer,
             level: memory.level,
@@ -72,7 +72,7 @@
             known: known.collect(),
             floor: self.floor,
             kept: self.sent.iter().copied().collect(),
-            away,
+            backoff,
         }
     }
 
@@ -321,7 +321,7 @@
 
     pub(super) fn hello(&mut self, now: Millis, shard: &Shard, effects: &mut Effects) {
         let held = self.renumber(shard);
-        let away = self.absences.told(now);
+        let backoff = self.backoffs.told(now);
         let Some(session) = self.sessions.get_mut(shard) else {
             return;
         };
@@ -330,7 +330,7 @@
         };
         session.up = true;
         session.up_since = now;
-        let hello = Report::Hello(session.introduce(held, away));
+        let hello = Report::Hello(session.introduce(held, backoff));
         session.heard = false;
         session.hello_at = None;
         effects.push(Effect::Report(assignment, hello));
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod agree;
 pub mod ask;
 pub mod assignment;
-pub mod away;
+pub mod backoff;
 pub mod budget;
 pub mod dispatcher;
 pub mod engine;
--- a/components/coordination/src/overload.rs
+++ b/components/coordination/src/overload.rs
@@ -35,8 +35,8 @@
 const NOTICED_MS: u64 = 2000;
 /// Longest time for it, in milliseconds, and least time between two of them. Where all
 /// routers are overloaded, none is helped by turning callers away for good.
-const AWAY_MAX_MS: u64 = 5000;
-/// See [`AWAY_MAX_MS`].
+const BACKOFF_MAX_MS: u64 = 5000;
+/// See [`BACKOFF_MAX_MS`].
 const BACK_MIN_MS: u64 = 2000;
 /// Time after its return within which a router that was calm by then has relapsed if it is
 /// overloaded again, in milliseconds: what came back at once is the same flood.
@@ -127,7 +127,11 @@
         }
         let since = now.since(self.changed);
         let is_calm = mean_ms < CALM_MS;
-        let until = if is_calm { self.hold_ms } else { AWAY_MAX_MS };
+        let until = if is_calm {
+            self.hold_ms
+        } else {
+            BACKOFF_MAX_MS
+        };
         if since >= until {
             self.is_away = false;
             self.changed = now;
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -271,8 +271,8 @@
         for kept in &hello.kept {
             self.slots.learn(now, kept.endpoint, kept.part);
         }
-        for away in &hello.away {
-            self.slots.close(now, session.0, away);
+        for backoff in &hello.backoff {
+            self.slots.close(now, session.0, backoff);
         }
         for known in &hello.known {
             self.ledger.remember(known.customer, known.level);
@@ -361,8 +361,8 @@
                 Effects::new()
             }
             Report::Done(seq, cost, verdict) => self.done(now, session, seq, cost, verdict),
-            Report::Away(away) => {
-                self.slots.close(now, session.0, &away);
+            Report::Backoff(backoff) => {
+                self.slots.close(now, session.0, &backoff);
                 Effects::new()
             }
         }
--- a/components/coordination/src/slot/mod.rs
+++ b/components/coordination/src/slot/mod.rs
@@ -10,7 +10,7 @@
 use self::keeper::Parts;
 use self::order::Order;
 use self::table::{Place, Table};
-use crate::away::Away;
+use crate::backoff::Backoff;
 use crate::engine::{Changes, Engine, Reading};
 use crate::health::{Change, Health};
 use crate::prelude::*;
@@ -151,12 +151,12 @@
     }
 
     /// Takes an endpoint's word to the router of a session that it wants no requests.
-    pub fn close(&mut self, now: Millis, session: u32, away: &Away) {
-        let Some(slot) = self.touch(away.endpoint) else {
+    pub fn close(&mut self, now: Millis, session: u32, backoff: &Backoff) {
+        let Some(slot) = self.touch(backoff.endpoint) else {
             return;
         };
-        let until = now.after(u64::from(away.ms));
-        if away.is_leaving {
+        let until = now.after(u64::from(backoff.ms));
+        if backoff.is_leaving {
             slot.left = slot.left.max(Some(until));
             return;
         }
--- a/components/coordination/tests/away.rs
+++ b/components/coordination/tests/backoff.rs
@@ -4,7 +4,7 @@
 mod views;
 
 use coordination::ask::{Ask, Basis, Class, Grant, Hello, Report, Seq, Verdict};
-use coordination::away::{Absences, Away, AWAY_MAX_MS, LEAVING_MS};
+use coordination::backoff::{Backoff, Backoffs, BACKOFF_MAX_MS, LEAVING_MS};
 use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Full, Handle, Home};
 use coordination::prompt::Prompt;
 use coordination::scheduler::{self, Scheduler, Session, GATHER_MS};
@@ -24,8 +24,8 @@
     rule: 0,
 };
 
-fn rest(endpoint: EndpointId, ms: u64) -> Away {
-    Away::resting(endpoint, Duration::from_millis(ms))
+fn rest(endpoint: EndpointId, ms: u64) -> Backoff {
+    Backoff::resting(endpoint, Duration::from_millis(ms))
 }
 
 fn engine() -> Engine {
@@ -128,15 +128,15 @@
 #[case::later_word_is_shorter(3000, 1000, 3000)]
 #[case::later_word_is_longer(1000, 3000, 3000)]
 #[case::nothing(0, 0, 0)]
-#[case::without_end(u64::MAX, 1, u64::from(AWAY_MAX_MS))]
+#[case::without_end(u64::MAX, 1, u64::from(BACKOFF_MAX_MS))]
 fn can_keep_the_longer_of_two_words(#[case] first: u64, #[case] second: u64, #[case] ends: u64) {
-    let mut absences = Absences::default();
-    absences.note(Millis(0), &rest(E1, first));
-    absences.note(Millis(0), &rest(E1, second));
-    let until = absences.until(Millis(0), E1);
+    let mut backoffs = Backoffs::default();
+    backoffs.note(Millis(0), &rest(E1, first));
+    backoffs.note(Millis(0), &rest(E1, second));
+    let until = backoffs.until(Millis(0), E1);
     assert_eq!(until, (ends > 0).then_some(Millis(ends)));
-    assert_eq!(absences.until(Millis(ends), E1), None);
-    assert_eq!(absences.until(Millis(0), E2), None);
+    assert_eq!(backoffs.until(Millis(ends), E1), None);
+    assert_eq!(backoffs.until(Millis(0), E2), None);
 }
 
 /// Guards against a grant that was on its way when its endpoint asked for rest.
@@ -147,15 +147,15 @@
     let (first, seq) = arrive(&mut dispatcher, &view, 10_000);
     assert!(is_sent(&dispatcher.grant(Millis(1), grant(seq, E1))));
     let (_, second) = arrive(&mut dispatcher, &view, 10_000);
-    let (is_news, told) = dispatcher.away(Millis(2), first, rest(E1, 3000));
-    assert!(is_news && reports(&told) == [Report::Away(rest(E1, 3000))]);
+    let (is_news, told) = dispatcher.backoff(Millis(2), first, rest(E1, 3000));
+    assert!(is_news && reports(&told) == [Report::Backoff(rest(E1, 3000))]);
     let back = dispatcher.grant(Millis(3), grant(second, E1));
     assert!(!is_sent(&back));
     // Its scheduler may have forgotten, and would grant it the same again and again.
     let told = reports(&back);
     assert_eq!(
         told[..2],
-        [Report::Away(rest(E1, 2999)), Report::Return(second)]
+        [Report::Backoff(rest(E1, 2999)), Report::Return(second)]
     );
     let again = asked(&back).unwrap();
     assert!(is_sent(&dispatcher.grant(Millis(4), grant(again, E2))));
@@ -171,14 +171,14 @@
     let mut dispatcher = dispatcher(&view);
     let (first, seq) = arrive(&mut dispatcher, &view, 10_000);
     dispatcher.grant(Millis(1), grant(seq, E1));
-    dispatcher.away(Millis(2), first, rest(E1, 3000));
+    dispatcher.backoff(Millis(2), first, rest(E1, 3000));
     dispatcher.link_down(Millis(500), &name("s-0"));
     let told = reports(&dispatcher.link_up(Millis(1002), &name("s-0")));
     let hello = told.iter().find_map(|r| match r {
         Report::Hello(hello) => Some(hello.clone()),
         _ => None,
     });
-    assert_eq!(hello.unwrap().away, [rest(E1, 2000)]);
+    assert_eq!(hello.unwrap().backoff, [rest(E1, 2000)]);
 }
 
 /// Guards against callers that wait until their deadline for endpoints of which all are away.
@@ -190,7 +190,7 @@
     dispatcher.grant(Millis(1), grant(seq, E1));
     let (waiting, _) = arrive(&mut dispatcher, &view, 1000);
     let (patient, _) = arrive(&mut dispatcher, &view, 5000);
-    dispatcher.away(Millis(10), first, rest(E1, 4000));
+    dispatcher.backoff(Millis(10), first, rest(E1, 4000));
     let refused = |effects: &[Effect]| -> Vec<Handle> {
         let each = effects.iter().filter_map(|e| match e {
             Effect::Refuse(handle, refusal) => Some((*handle, refusal.after_ms)),
@@ -203,7 +203,7 @@
         .collect()
     };
     assert!(refused(&dispatcher.tick(Millis(20), &view)).is_empty());
-    dispatcher.away(Millis(20), first, rest(E2, 2990));
+    dispatcher.backoff(Millis(20), first, rest(E2, 2990));
     assert_eq!(refused(&dispatcher.tick(Millis(20), &view)), [waiting]);
     let full = dispatcher.arrive(Millis(30), &view, arrival(1000));
     assert_eq!(full.unwrap_err(), Full::Late { after_ms: 2980 });
@@ -263,7 +263,7 @@
 fn can_grant_others_what_is_away_for_one_router(#[case] is_engine: bool) {
     let (mut scheduler, one, two) = scheduler(is_engine);
     let now = Millis(GATHER_MS);
-    scheduler.take(now, one, Report::Away(rest(E1, 3000)));
+    scheduler.take(now, one, Report::Backoff(rest(E1, 3000)));
     assert_eq!(granted(&mut scheduler, now, one, 0), [E2; 4]);
     assert!(granted(&mut scheduler, now, two, 0).contains(&E1));
     let ended = now.after(3000);
@@ -277,7 +277,7 @@
 fn can_keep_everyone_from_an_endpoint_that_leaves(#[case] is_engine: bool) {
     let (mut scheduler, one, two) = scheduler(is_engine);
     let now = Millis(GATHER_MS);
-    scheduler.take(now, one, Report::Away(Away::leaving(E1)));
+    scheduler.take(now, one, Report::Backoff(Backoff::leaving(E1)));
     assert_eq!(granted(&mut scheduler, now, one, 0), [E2; 4]);
     assert_eq!(granted(&mut scheduler, now, two, 0), [E2; 4]);
     let over = now.after(u64::from(LEAVING_MS));
@@ -289,7 +289,7 @@
 fn can_forget_a_rest_with_its_session() {
     let (mut scheduler, one, _) = scheduler(true);
     let now = Millis(GATHER_MS);
-    scheduler.take(now, one, Report::Away(rest(E1, 3000)));
+    scheduler.take(now, one, Report::Backoff(rest(E1, 3000)));
     let again = scheduler.open(now, Some(one), &Hello::default());
     assert!(granted(&mut scheduler, now, again, 0).contains(&E1));
 }
--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -639,7 +639,7 @@
         Report::Withdraw(_) | Report::Return(_) => 3,
         Report::Progress(..) | Report::Began(..) => 5,
         Report::Done(..) => 6,
-        Report::Away(_) => 9,
+        Report::Backoff(_) => 9,
     }
 }
 
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -16,7 +16,7 @@
 use state::line::Line;
 use state::record::{Disk, Member, Record};
 use state::store::{Document, Store};
-use state::suspect::Sightings;
+use state::suspect::Evidence;
 use state::view::{Departure, Place, Shard};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::path::PathBuf;
@@ -326,9 +326,9 @@
                 Ok(Record::Change { id, base, delta })
             }
             Query::Release(release) => Ok(Record::Release(release)),
-            Query::Suspects(seen) => Ok(Record::Suspects {
+            Query::Suspects(evidence) => Ok(Record::Suspects {
                 at: self.parts.clock.stamp(),
-                seen,
+                evidence,
             }),
             Query::Depart(leaving) => self.departure(leaving).map(Record::Departure),
         }
@@ -390,7 +390,7 @@
         }
         let record = Record::Suspects {
             at,
-            seen: Sightings::default(),
+            evidence: Evidence::default(),
         };
         // Refused, it is tried again: nothing has expired yet.
         let _ = self.core.propose(now, record);
--- a/components/node/src/front/trial.rs
+++ b/components/node/src/front/attempt.rs
@@ -12,17 +12,17 @@
 use std::sync::Arc;
 
 /// A try that is under way at an endpoint.
-pub(crate) struct Trial {
+pub(crate) struct Attempt {
     front: Arc<Front>,
     fingerprint: Fingerprint,
     customer: CustomerId,
     sent: Stamp,
 }
 
-impl Trial {
+impl Attempt {
     /// A try that begins now.
     pub(crate) fn new(front: &Arc<Front>, call: &Call, customer: CustomerId) -> Self {
-        Trial {
+        Attempt {
             front: front.clone(),
             fingerprint: call.fingerprint(),
             customer,
--- a/components/node/src/front/mod.rs
+++ b/components/node/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! The callers' side of a router.
 
 mod admit;
+mod attempt;
 mod claim;
 mod flow;
 mod listen;
@@ -10,7 +11,6 @@
 mod refusal;
 mod relay;
 mod serve;
-mod trial;
 mod upstream;
 
 pub(crate) use listen::{Front, Parts};
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -1,13 +1,13 @@
 //! A request's way: who asks, which rule decides, its turn, its answer.
 
 use super::admit::{admit, discard, read, BUSY, ELSEWHERE};
+use super::attempt::{quarantined, Attempt};
 use super::claim::{claim, Claim, Claimed};
 use super::listen::Front;
 use super::note::Note;
 use super::plan::{no_endpoint, plan, Plan};
 use super::refusal::{insert, Refusal, OUTCOME};
 use super::relay::{Kept, Meter, Relay, Slot, Way};
-use super::trial::{quarantined, Trial};
 use super::upstream::{self, Answer, Call, Failed};
 use crate::input::{Decided, Decision, Dispatch, Input};
 use crate::interface::IDENTITY;
@@ -194,7 +194,7 @@
         let dispatch = turn(front, &call, waiting, decided, retries, plan.idempotent).await?;
         note.dispatch(&dispatch, call.fingerprint());
         note_dispatch(front, &call, plan, &dispatch, retries, began);
-        let trial = Trial::new(front, &call, plan.customer);
+        let attempt = Attempt::new(front, &call, plan.customer);
         let mut slot = Slot {
             handle,
             id: call.id,
@@ -215,19 +215,19 @@
             left,
         };
         let sent = tokio::time::timeout(left, upstream::send(&call, &dispatch, way)).await;
-        let away = match &sent {
-            Ok(Ok(answer)) => answer.away,
-            Ok(Err(failed)) => failed.away,
+        let backoff = match &sent {
+            Ok(Ok(answer)) => answer.backoff,
+            Ok(Err(failed)) => failed.backoff,
             Err(_) => None,
         };
-        if let Some(away) = away {
+        if let Some(backoff) = backoff {
             // Before the request is queued again: it must not come back there.
-            let _ = front.parts.reactor.send(Input::Away(handle, away));
+            let _ = front.parts.reactor.send(Input::Backoff(handle, backoff));
         }
         let failed = match sent {
             Ok(Ok(answer)) => match front.failure(plan, retries, answer) {
                 Ok(answer) => {
-                    let answering = (answer, trial);
+                    let answering = (answer, attempt);
                     return Ok(pass(front, answering, slot, claim, dispatch, plan, began));
                 }
                 Err(failed) => failed,
@@ -246,7 +246,7 @@
             }
         };
         if failed.broke_off {
-            trial.broke_off();
+            attempt.broke_off();
         }
         if let (Some(claim), Reach::Nothing) = (&mut claim, failed.reach) {
             claim.not_sent();
@@ -313,7 +313,7 @@
             verdict: Verdict::Error,
             unconnected: false,
             broke_off: false,
-            away: None,
+            backoff: None,
             error: Box::new(errors::Error::Peer {
                 step: "read an answer",
                 peer: "(endpoint)".to_owned(),
@@ -416,10 +416,10 @@
     let status = StatusCode::BAD_GATEWAY;
     let text = format!("{}: {}", dispatch.name, failed.error);
     match next {
-        Next::NotRun if failed.away.is_some() => {
+        Next::NotRun if failed.backoff.is_some() => {
             // The next try goes to another endpoint.
             let after = ELSEWHERE * rand::random_range(1..=3);
-            Refusal::not_run(status, "endpoint-away", text).after_time(after)
+            Refusal::not_run(status, "endpoint-backoff", text).after_time(after)
         }
         Next::NotRun => Refusal::not_run(status, "endpoint-unreachable", text).after(1),
         Next::Unknown | Next::Again => Refusal::unknown(status, "endpoint-failed", text),
@@ -429,7 +429,7 @@
 /// Passes an endpoint's answer on as it comes.
 fn pass(
     front: &Front,
-    (answer, trial): (Answer, Trial),
+    (answer, attempt): (Answer, Attempt),
     slot: Slot,
     claim: Option<Claim>,
     dispatch: Dispatch,
@@ -460,7 +460,7 @@
             Verdict::Fine
         },
         slot,
-        trial,
+        attempt,
         deadline: Box::pin(tokio::time::sleep(left)),
         kept,
         told: 0,
--- a/components/node/src/front/upstream.rs
+++ b/components/node/src/front/upstream.rs
@@ -10,7 +10,7 @@
 use crate::interface::{Answered, Interface, Onward};
 use bytes::Bytes;
 use coordination::ask::Verdict;
-use coordination::away::Away;
+use coordination::backoff::Backoff;
 use coordination::retry::Reach;
 use errors::{Error, Result};
 use http_body_util::Full;
@@ -64,7 +64,7 @@
     /// Whether the endpoint broke off a request that may have been running.
     pub(crate) broke_off: bool,
     /// What the endpoint says of itself.
-    pub(crate) away: Option<Away>,
+    pub(crate) backoff: Option<Backoff>,
     pub(crate) error: Box<Error>,
 }
 
@@ -75,7 +75,7 @@
             verdict: Verdict::Failed,
             unconnected: false,
             broke_off: false,
-            away: None,
+            backoff: None,
             error: Box::new(error),
         }
     }
@@ -86,7 +86,7 @@
     pub(crate) response: Response<Incoming>,
     pub(crate) connection: Connection,
     /// What the endpoint says of itself.
-    pub(crate) away: Option<Away>,
+    pub(crate) backoff: Option<Backoff>,
 }
 
 /// How a call is sent.
@@ -165,8 +165,8 @@
         is_leaving,
         rest,
     } = (interface.answer)(&head);
-    let rest = rest.map(|time| Away::resting(to.endpoint, time));
-    let away = is_leaving.then(|| Away::leaving(to.endpoint)).or(rest);
+    let rest = rest.map(|time| Backoff::resting(to.endpoint, time));
+    let backoff = is_leaving.then(|| Backoff::leaving(to.endpoint)).or(rest);
     let wrong = |reason: &str| Error::Peer {
         step: "read an answer",
         peer: to.address.to_string(),
@@ -182,7 +182,7 @@
         // else's; the identity that it returns shows it.
         let error = wrong("it bears the identity of another request");
         return Err(Failed {
-            away,
+            backoff,
             ..Failed::new(Reach::Sent, error)
         });
     }
@@ -190,7 +190,7 @@
         return Err(Failed {
             // One that says that it is full is not broken.
             verdict: Verdict::Gone,
-            away,
+            backoff,
             ..Failed::new(
                 Reach::Nothing,
                 wrong("the endpoint did not run the request"),
@@ -200,14 +200,14 @@
     if !is_sound {
         let error = wrong("it is not an endpoint's own answer");
         return Err(Failed {
-            away,
+            backoff,
             ..Failed::new(Reach::Sent, error)
         });
     }
     Ok(Answer {
         response: Response::from_parts(head, body),
         connection,
-        away,
+        backoff,
     })
 }
 
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -3,7 +3,7 @@
 use crate::interface::Told;
 use crate::shared::Status;
 use coordination::ask::{Placement, Refusal, Verdict};
-use coordination::away::Away;
+use coordination::backoff::Backoff;
 use coordination::dispatcher::{Arrival, Full, Handle};
 use protocol::wire::{Query, Reply};
 use state::id::{EndpointId, Name};
@@ -72,7 +72,7 @@
     /// A request has ended.
     Done(Handle, u32, Verdict),
     /// An endpoint has said in its answer to a request that it wants no more of them.
-    Away(Handle, Away),
+    Backoff(Handle, Backoff),
     /// An endpoint broke off a request.
     Crashed(Crash),
     /// An endpoint has answered a suspected request whole.
--- a/components/node/src/interface.rs
+++ b/components/node/src/interface.rs
@@ -2,7 +2,7 @@
 //!
 //! The node decides by what these functions read and give; they decide nothing.
 
-use crate::backoff::retry_after;
+use crate::retry_after::retry_after;
 use bytes::Bytes;
 use coordination::prompt::{Part, Prompt};
 use hyper::header::{HeaderMap, HeaderValue, AUTHORIZATION};
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -4,7 +4,6 @@
 //! task; the control role runs on a thread of its own, because it waits for
 //! the disk. They and the links talk by flume channels.
 
-mod backoff;
 mod batch;
 mod control;
 mod dissemination;
@@ -26,12 +25,13 @@
 mod reactor;
 mod readiness;
 mod releases;
+mod retry_after;
 mod schedulers;
 mod shared;
 mod vitals;
 
-pub use backoff::retry_after;
 pub use coordination::rule::shadowed;
 pub use interface::{region, Answered, Asked, Interface, Inventory, Onward, Page, Regions, Told};
 pub use journal::{Journal, Lane};
 pub use process::{Addresses, Process, Reloads};
+pub use retry_after::retry_after;
--- a/components/node/src/operators.rs
+++ b/components/node/src/operators.rs
@@ -17,7 +17,7 @@
 use state::id::{Name, Version};
 use state::record::{Answer, ChangeId};
 use state::secret::Hash;
-use state::suspect::{Clearance, Sightings};
+use state::suspect::{Clearance, Evidence};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -253,11 +253,11 @@
         fingerprint,
         at: parts.clock.stamp(),
     };
-    let seen = Sightings {
+    let evidence = Evidence {
         cleared: vec![clearance],
-        ..Sightings::default()
+        ..Evidence::default()
     };
-    accepted(parts, Query::Suspects(seen)).await
+    accepted(parts, Query::Suspects(evidence)).await
 }
 
 async fn accepted(parts: &Parts, query: Query) -> Page {
--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -7,7 +7,7 @@
 use state::fingerprint::Fingerprint;
 use state::id::Name;
 use state::line::Line;
-use state::suspect::{changes, Clearance, Crash, Sightings, Standing, Standings, Suspects};
+use state::suspect::{changes, Clearance, Crash, Evidence, Standing, Standings, Suspects};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use tokio::sync::{oneshot, watch};
@@ -68,7 +68,7 @@
     own: Suspects,
     fleet: Standings,
     /// What is to be reported, also of those that this process feeds.
-    pending: Sightings,
+    pending: Evidence,
     report_at: Millis,
     report: Option<oneshot::Receiver<Reply>>,
     expire_at: Millis,
@@ -81,7 +81,7 @@
         Quarantine {
             own: Suspects::default(),
             fleet: Standings::new(),
-            pending: Sightings::default(),
+            pending: Evidence::default(),
             report_at: Millis(0),
             report: None,
             expire_at: Millis(0),
@@ -93,9 +93,9 @@
     pub(crate) fn crashed(&mut self, crash: Crash) {
         self.own.crashed(&crash);
         let crashes = vec![crash];
-        self.relay(Sightings {
+        self.relay(Evidence {
             crashes,
-            ..Sightings::default()
+            ..Evidence::default()
         });
         self.publish();
     }
@@ -106,16 +106,16 @@
         let is_other = |c: &Clearance| c.fingerprint != clearance.fingerprint;
         self.pending.cleared.retain(is_other);
         let cleared = vec![clearance];
-        self.relay(Sightings {
+        self.relay(Evidence {
             cleared,
-            ..Sightings::default()
+            ..Evidence::default()
         });
         self.publish();
     }
 
     /// Takes what others have seen, to be passed on.
-    pub(crate) fn relay(&mut self, seen: Sightings) {
-        self.pending.add(seen, PENDING_MAX);
+    pub(crate) fn relay(&mut self, evidence: Evidence) {
+        self.pending.add(evidence, PENDING_MAX);
     }
 
     /// Follows what the control VMs have decided.
@@ -146,9 +146,9 @@
         match up {
             Up::Control(queries, hub) => self.ask(now, queries, hub),
             Up::Parent(parent, hub) => {
-                let seen = self.pending.take(REPORT_MAX);
-                if !hub.send(parent, Message::Sightings(seen.clone())) {
-                    self.relay(seen);
+                let evidence = self.pending.take(REPORT_MAX);
+                if !hub.send(parent, Message::Evidence(evidence.clone())) {
+                    self.relay(evidence);
                 }
             }
             Up::Nobody => {}
@@ -164,8 +164,8 @@
         }
         let (sender, receiver) = oneshot::channel();
         self.report = Some(receiver);
-        let seen = self.pending.take(REPORT_MAX);
-        queries.ask(now, hub, Query::Suspects(seen), sender);
+        let evidence = self.pending.take(REPORT_MAX);
+        queries.ask(now, hub, Query::Suspects(evidence), sender);
     }
 
     /// Fingerprints of requests that are refused here.
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -16,7 +16,7 @@
 use crate::query::Queries;
 use crate::schedulers::Schedulers;
 use crate::shared::Published;
-use coordination::away::Away;
+use coordination::backoff::Backoff;
 use coordination::dispatcher::{Bounds, Dispatcher, Effect, Effects, Handle, Home};
 use coordination::listing::Roster;
 use protocol::wire::{Message, Reply};
@@ -243,7 +243,7 @@
                 let effects = self.dispatcher.done(now, handle, cost, verdict);
                 self.act(now, effects);
             }
-            Input::Away(handle, away) => self.away(now, handle, away),
+            Input::Backoff(handle, backoff) => self.backoff(now, handle, backoff),
             Input::Crashed(crash) => self.quarantine.crashed(crash),
             Input::Cleared(clearance) => self.quarantine.cleared(clearance),
             Input::Query(query, answer) => self.queries.ask(now, &self.parts.hub, query, answer),
@@ -292,15 +292,15 @@
         }
     }
 
-    fn away(&mut self, now: Millis, handle: Handle, away: Away) {
-        let (is_news, effects) = self.dispatcher.away(now, handle, away);
+    fn backoff(&mut self, now: Millis, handle: Handle, backoff: Backoff) {
+        let (is_news, effects) = self.dispatcher.backoff(now, handle, backoff);
         if is_news {
-            let endpoint = self.live.config.endpoints.get(&away.endpoint);
+            let endpoint = self.live.config.endpoints.get(&backoff.endpoint);
             tracing::info!(
-                event = Line::EndpointAway.as_str(),
+                event = Line::EndpointBackoff.as_str(),
                 endpoint = endpoint.map_or("", |e| e.name.as_str()),
-                for_ms = away.ms,
-                is_leaving = away.is_leaving,
+                for_ms = backoff.ms,
+                is_leaving = backoff.is_leaving,
             );
         }
         self.act(now, effects);
@@ -372,7 +372,7 @@
                 self.whole(now, *view);
             }
             Message::Confirm(confirm) => self.dissemination.confirm(&vm, confirm),
-            Message::Sightings(seen) => self.quarantine.relay(seen),
+            Message::Evidence(seen) => self.quarantine.relay(seen),
             Message::Reports(epoch, reports) => {
                 let known = self
                     .schedulers
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -10,7 +10,7 @@
 use state::listing::Listing;
 use state::record::{Answer, ChangeId, Known, Release};
 use state::secret::Hash;
-use state::suspect::Sightings;
+use state::suspect::Evidence;
 use state::view::{Place, Step, View};
 use std::net::SocketAddr;
 
@@ -57,7 +57,7 @@
     /// An operator's planned stop, or its end.
     Depart(Leaving),
     /// Report what was seen of requests that may crash endpoints.
-    Suspects(Sightings),
+    Suspects(Evidence),
     /// Report what became of a claimed request.
     Settle {
         /// Hash of customer and key.
@@ -131,7 +131,7 @@
     /// What a subtree has in force.
     Confirm(Confirm),
     /// What a subtree has seen of requests that may crash endpoints.
-    Sightings(Sightings),
+    Evidence(Evidence),
     /// From a router to a scheduler.
     Reports(Epoch, SmallVec<[Report; 2]>),
     /// From a scheduler to a router.
@@ -178,7 +178,7 @@
             Message::Steps(_) => "steps",
             Message::Whole(_) => "whole",
             Message::Confirm(_) => "confirm",
-            Message::Sightings(_) => "sightings",
+            Message::Evidence(_) => "evidence",
             Message::Reports(..) => "reports",
             Message::Grants(_) => "grants",
             Message::Refusals(_) => "refusals",
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -45,7 +45,7 @@
     /// An ejected endpoint has answered.
     EndpointRestored,
     /// An endpoint has said that it wants no requests for a while, or none any more.
-    EndpointAway,
+    EndpointBackoff,
     /// The list of endpoints has changed.
     EndpointsChanged,
     /// The platform says that an endpoint leaves, or is back.
@@ -106,7 +106,7 @@
         Line::QuarantineEnded,
         Line::EndpointEjected,
         Line::EndpointRestored,
-        Line::EndpointAway,
+        Line::EndpointBackoff,
         Line::EndpointsChanged,
         Line::EndpointAnnounced,
         Line::VersionInForce,
@@ -149,7 +149,7 @@
             Line::QuarantineEnded => "quarantine-ended",
             Line::EndpointEjected => "endpoint-ejected",
             Line::EndpointRestored => "endpoint-restored",
-            Line::EndpointAway => "endpoint-away",
+            Line::EndpointBackoff => "endpoint-backoff",
             Line::EndpointsChanged => "endpoints-changed",
             Line::EndpointAnnounced => "endpoint-announced",
             Line::VersionInForce => "version-in-force",
--- a/components/state/src/record.rs
+++ b/components/state/src/record.rs
@@ -5,7 +5,7 @@
 use crate::delta::Delta;
 use crate::id::{CustomerId, RequestId, Version};
 use crate::secret::Hash;
-use crate::suspect::Sightings;
+use crate::suspect::Evidence;
 use crate::view::{Assignment, Departure, Place};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -148,7 +148,7 @@
         /// Leader's time.
         at: Stamp,
         /// What was seen.
-        seen: Sightings,
+        evidence: Evidence,
     },
     /// The members change; in force from the moment it is appended.
     Members(Box<Members>),
--- a/components/state/src/store.rs
+++ b/components/state/src/store.rs
@@ -4,7 +4,7 @@
 use crate::id::{CustomerId, RequestId, Version};
 use crate::record::{Answer, ChangeId, Known, Members, Record, Release};
 use crate::secret::Hash;
-use crate::suspect::{changes, Sightings, Suspects, CRASHES_WATCHED};
+use crate::suspect::{changes, Evidence, Suspects, CRASHES_WATCHED};
 use crate::view::{Change, Place, Step, View};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -112,8 +112,8 @@
                 self.settle(key, *request, known.as_ref());
                 (Answer::Done, None)
             }
-            Record::Suspects { at, seen } => {
-                let step = self.suspect(at.wall, seen);
+            Record::Suspects { at, evidence } => {
+                let step = self.suspect(at.wall, evidence);
                 (Answer::Accepted(self.view.version), step)
             }
         }
@@ -127,10 +127,10 @@
     }
 
     /// Counts crashes and clearances; gives the step if routers are to act on it.
-    fn suspect(&mut self, now_micros: u64, seen: &Sightings) -> Option<Step> {
+    fn suspect(&mut self, now_micros: u64, evidence: &Evidence) -> Option<Step> {
         self.suspects.expire(now_micros);
-        (seen.crashes.iter()).for_each(|c| self.suspects.crashed(c));
-        (seen.cleared.iter()).for_each(|c| self.suspects.cleared(c));
+        (evidence.crashes.iter()).for_each(|c| self.suspects.crashed(c));
+        (evidence.cleared.iter()).for_each(|c| self.suspects.cleared(c));
         let standings = self.suspects.standings(CRASHES_WATCHED);
         let changes = changes(&self.view.suspects, &standings);
         (!changes.is_empty()).then(|| self.step(Change::Suspects(changes)).1)?
--- a/components/state/src/suspect.rs
+++ b/components/state/src/suspect.rs
@@ -51,21 +51,21 @@
 /// What routers have seen of requests that may crash endpoints.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub struct Sightings {
+pub struct Evidence {
     /// Requests that their endpoints broke off.
     pub crashes: Vec<Crash>,
     /// Suspected requests that were answered whole.
     pub cleared: Vec<Clearance>,
 }
 
-impl Sightings {
+impl Evidence {
     /// Whether nothing was seen.
     pub fn is_empty(&self) -> bool {
         self.crashes.is_empty() && self.cleared.is_empty()
     }
 
     /// Adds others; beyond `most` crashes, and clearances, the oldest give way.
-    pub fn add(&mut self, mut others: Sightings, most: usize) {
+    pub fn add(&mut self, mut others: Evidence, most: usize) {
         self.crashes.append(&mut others.crashes);
         self.cleared.append(&mut others.cleared);
         drop_first(&mut self.crashes, most);
@@ -73,10 +73,10 @@
     }
 
     /// Takes the first few out.
-    pub fn take(&mut self, most: usize) -> Sightings {
+    pub fn take(&mut self, most: usize) -> Evidence {
         let crashes = self.crashes.len().min(most);
         let cleared = self.cleared.len().min(most);
-        Sightings {
+        Evidence {
             crashes: self.crashes.drain(..crashes).collect(),
             cleared: self.cleared.drain(..cleared).collect(),
         }
--- a/components/state/tests/suspect.rs
+++ b/components/state/tests/suspect.rs
@@ -7,7 +7,7 @@
 use state::record::Record;
 use state::store::Store;
 use state::suspect::{
-    Clearance, Crash, Sightings, Standing, Suspects, CRASHES_MAX, CRASHES_WATCHED, CUSTOMER_MAX,
+    Clearance, Crash, Evidence, Standing, Suspects, CRASHES_MAX, CRASHES_WATCHED, CUSTOMER_MAX,
     HOLD_MICROS, SUSPECTS_MAX,
 };
 use state::view::View;
@@ -164,20 +164,20 @@
 fn report(at: u64, crashes: Vec<Crash>, cleared: Vec<Clearance>) -> Record {
     Record::Suspects {
         at: at_ms(at),
-        seen: Sightings { crashes, cleared },
+        evidence: Evidence { crashes, cleared },
     }
 }
 
 /// Guards against reports that grow without bound while nobody takes them.
 #[test]
 fn can_bound_what_waits_to_be_reported() {
-    let mut pending = Sightings::default();
+    let mut pending = Evidence::default();
     for n in 0..100 {
-        let seen = Sightings {
+        let evidence = Evidence {
             crashes: vec![crash(n, 0, 100)],
             cleared: vec![answered(n, 100)],
         };
-        pending.add(seen, 30);
+        pending.add(evidence, 30);
     }
     let first = pending.take(10);
     assert_eq!(first.crashes[0], crash(70, 0, 100));
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -117,7 +117,7 @@
             end.number("took_ms"),
         ),
         "caller-gone" => format!("Its caller left in the middle of the answer of {endpoint}."),
-        "endpoint-away" => format!(
+        "endpoint-backoff" => format!(
             "{endpoint} turned it away and wants no more requests for now; its caller may come back \
              at once."
         ),
