Keep what a router has seen itself when all routers begin to watch

A router forgot its own count of a request's crashes as soon as the fleet watched the request, so that without control VMs it would have begun anew. It forgets what the fleet suspects less than before. can_tell_who_is_suspected_less holds the rule; can_quarantine_a_request_without_control shows with processes that a router alone stops after three crashes (it passed before too: control was gone before the first crash).

One delivery of a request has a name of its own, beside the tries of a retry.

--- a/components/node/src/front/attempt.rs
+++ b/components/node/src/front/delivery.rs
@@ -1,4 +1,5 @@
-//! One try of a request, as far as it tells whether the request crashes endpoints.
+//! One delivery of a request to an endpoint, as far as it tells whether the request crashes
+//! endpoints.
 
 use super::listen::Front;
 use super::refusal::Refusal;
@@ -11,18 +12,18 @@
 use state::suspect::{Clearance, Crash};
 use std::sync::Arc;
 
-/// A try that is under way at an endpoint.
-pub(crate) struct Attempt {
+/// A delivery that is under way.
+pub(crate) struct Delivery {
     front: Arc<Front>,
     fingerprint: Fingerprint,
     customer: CustomerId,
     sent: Stamp,
 }
 
-impl Attempt {
-    /// A try that begins now.
+impl Delivery {
+    /// A delivery that begins now.
     pub(crate) fn new(front: &Arc<Front>, call: &Call, customer: CustomerId) -> Self {
-        Attempt {
+        Delivery {
             front: front.clone(),
             fingerprint: call.fingerprint(),
             customer,
--- a/components/node/src/front/mod.rs
+++ b/components/node/src/front/mod.rs
@@ -1,8 +1,8 @@
 //! The callers' side of a router.
 
 mod admit;
-mod attempt;
 mod claim;
+mod delivery;
 mod flow;
 mod listen;
 mod note;
--- a/components/node/src/front/relay.rs
+++ b/components/node/src/front/relay.rs
@@ -1,6 +1,6 @@
 //! Passes an answer's body through to the caller, and counts its cost.
 
-use super::attempt::Attempt;
+use super::delivery::Delivery;
 use super::note::{Note, BROKE_OFF};
 use super::plan::token_cost;
 use super::pool::{Connection, Key, Pool};
@@ -129,7 +129,7 @@
     /// What an answer that has come whole says of the endpoint.
     pub(crate) whole: Verdict,
     pub(crate) slot: Slot,
-    pub(crate) attempt: Attempt,
+    pub(crate) delivery: Delivery,
     pub(crate) deadline: Pin<Box<tokio::time::Sleep>>,
     pub(crate) kept: Option<Kept>,
     pub(crate) told: u32,
@@ -220,7 +220,7 @@
         self.slot.verdict = self.whole;
         self.ended = "whole";
         if self.whole == Verdict::Fine {
-            self.attempt.answered();
+            self.delivery.answered();
         }
         if let Some(connection) = self.way.connection.take() {
             let way = &self.way;
@@ -260,7 +260,7 @@
             Poll::Ready(Some(Err(error))) => {
                 self.slot.verdict = Verdict::Failed;
                 self.ended = BROKE_OFF;
-                self.attempt.broke_off();
+                self.delivery.broke_off();
                 Poll::Ready(Some(Err(Cut::Endpoint(error))))
             }
             Poll::Ready(None) => {
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -1,8 +1,8 @@
 //! A request's way: who asks, which rule decides, its turn, its answer.
 
 use super::admit::{admit, discard, read, BUSY, ELSEWHERE};
-use super::attempt::{quarantined, Attempt};
 use super::claim::{claim, Claim, Claimed};
+use super::delivery::{quarantined, Delivery};
 use super::listen::Front;
 use super::note::Note;
 use super::plan::{no_endpoint, plan, Plan};
@@ -194,7 +194,7 @@
         let dispatch = turn(front, &call, waiting, decided, retries, plan.idempotent).await?;
         note.dispatch(&dispatch, call.fingerprint());
         note_dispatch(front, &call, plan, &dispatch, retries, began);
-        let attempt = Attempt::new(front, &call, plan.customer);
+        let delivery = Delivery::new(front, &call, plan.customer);
         let mut slot = Slot {
             handle,
             id: call.id,
@@ -227,7 +227,7 @@
         let failed = match sent {
             Ok(Ok(answer)) => match front.failure(plan, retries, answer) {
                 Ok(answer) => {
-                    let answering = (answer, attempt);
+                    let answering = (answer, delivery);
                     return Ok(pass(front, answering, slot, claim, dispatch, plan, began));
                 }
                 Err(failed) => failed,
@@ -246,7 +246,7 @@
             }
         };
         if failed.broke_off {
-            attempt.broke_off();
+            delivery.broke_off();
         }
         if let (Some(claim), Reach::Nothing) = (&mut claim, failed.reach) {
             claim.not_sent();
@@ -429,7 +429,7 @@
 /// Passes an endpoint's answer on as it comes.
 fn pass(
     front: &Front,
-    (answer, attempt): (Answer, Attempt),
+    (answer, delivery): (Answer, Delivery),
     slot: Slot,
     claim: Option<Claim>,
     dispatch: Dispatch,
@@ -460,7 +460,7 @@
             Verdict::Fine
         },
         slot,
-        attempt,
+        delivery,
         deadline: Box::pin(tokio::time::sleep(left)),
         kept,
         told: 0,
--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -7,7 +7,7 @@
 use state::fingerprint::Fingerprint;
 use state::id::Name;
 use state::line::Line;
-use state::suspect::{changes, Clearance, Crash, Evidence, Standing, Standings, Suspects};
+use state::suspect::{relieved, Clearance, Crash, Evidence, Standing, Standings, Suspects};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use tokio::sync::{oneshot, watch};
@@ -123,10 +123,8 @@
         if *fleet == self.fleet {
             return;
         }
-        for (fingerprint, standing) in changes(&self.fleet, fleet) {
-            if standing != Some(Standing::Quarantined) {
-                self.own.forget(&fingerprint);
-            }
+        for fingerprint in relieved(&self.fleet, fleet) {
+            self.own.forget(&fingerprint);
         }
         self.fleet.clone_from(fleet);
         self.publish();
--- a/components/state/src/suspect.rs
+++ b/components/state/src/suspect.rs
@@ -90,7 +90,7 @@
 }
 
 /// What routers are to do with a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Standing {
     /// Serve it, and tell when it is answered whole.
@@ -228,6 +228,12 @@
     }
 }
 
+/// Requests that are suspected less than before.
+pub fn relieved(old: &Standings, new: &Standings) -> Vec<Fingerprint> {
+    let is_less = |(f, standing): &(&Fingerprint, &Standing)| new.get(f) < Some(standing);
+    old.iter().filter(is_less).map(|(f, _)| *f).collect()
+}
+
 /// The changes that lead from some standings to others.
 pub fn changes(old: &Standings, new: &Standings) -> Vec<(Fingerprint, Option<Standing>)> {
     let gone = old.keys().filter(|f| !new.contains_key(f));
--- a/components/state/tests/suspect.rs
+++ b/components/state/tests/suspect.rs
@@ -7,8 +7,8 @@
 use state::record::Record;
 use state::store::Store;
 use state::suspect::{
-    Clearance, Crash, Evidence, Standing, Suspects, CRASHES_MAX, CRASHES_WATCHED, CUSTOMER_MAX,
-    HOLD_MICROS, SUSPECTS_MAX,
+    relieved, Clearance, Crash, Evidence, Standing, Standings, Suspects, CRASHES_MAX,
+    CRASHES_WATCHED, CUSTOMER_MAX, HOLD_MICROS, SUSPECTS_MAX,
 };
 use state::view::View;
 
@@ -168,6 +168,24 @@
     }
 }
 
+/// Guards against a router that forgets what it has seen itself once all routers watch.
+#[test]
+fn can_tell_who_is_suspected_less() {
+    let nobody = Standings::new();
+    let watched = Standings::from([(request(1), Standing::Watched)]);
+    let quarantined = Standings::from([(request(1), Standing::Quarantined)]);
+    for (old, new, is_relieved) in [
+        (&nobody, &watched, false),
+        (&watched, &watched, false),
+        (&watched, &quarantined, false),
+        (&quarantined, &watched, true),
+        (&watched, &nobody, true),
+        (&quarantined, &nobody, true),
+    ] {
+        assert_eq!(relieved(old, new).len(), usize::from(is_relieved));
+    }
+}
+
 /// Guards against reports that grow without bound while nobody takes them.
 #[test]
 fn can_bound_what_waits_to_be_reported() {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -147,3 +147,22 @@
     let (status, _, _) = harness::run(&["unquarantine", "nothing"], &[] as &[&str]);
     assert_eq!(status.code(), Some(2));
 }
+
+/// Guards against a router that sends what it has itself seen crash endpoints on, since no
+/// control VM tells it to stop.
+#[test]
+fn can_quarantine_a_request_without_control() {
+    let mut fleet = Fleet::start(Plan {
+        control: 1,
+        routers: 1,
+        models: 3,
+        ..Plan::default()
+    });
+    fleet.vm_mut("c1").kill();
+    eventually("the request has crashed endpoints", || {
+        crash(&mut fleet, "r1", "/assistant");
+        fleet.recorded(LABEL) >= CRASHES
+    });
+    assert!(is_refused(&mut fleet, "r1", "/assistant"));
+    assert_eq!(fleet.recorded(LABEL), CRASHES);
+}
