Do not suspect a request that is answered whole all the time

What callers saw, in a test: nine callers of one popular request through a storm of killed endpoints were refused as quarantined. Cause: the request is in progress wherever an endpoint is lost, and with most endpoints ejected no whole answer came between three losses. Change: a router that has had a whole answer to a request in the last ten seconds does not report its crash.

--- a/components/node/src/front/delivery.rs
+++ b/components/node/src/front/delivery.rs
@@ -9,8 +9,8 @@
 use state::clock::Stamp;
 use state::fingerprint::Fingerprint;
 use state::id::CustomerId;
-use state::suspect::{Clearance, Crash};
-use std::sync::Arc;
+use state::suspect::{Clearance, Crash, Successes};
+use std::sync::{Arc, MutexGuard, PoisonError};
 
 /// A delivery that is under way.
 pub(crate) struct Delivery {
@@ -39,24 +39,33 @@
             sent: self.sent,
             at: self.front.parts.clock.stamp(),
         };
+        if self.front.successes().exonerate(&crash) {
+            return;
+        }
         // The reactor ends only together with this process.
         let _ = self.front.parts.reactor.send(Input::Crashed(crash));
     }
 
     /// Its endpoint has answered whole, and not that it failed.
     pub(crate) fn answered(&self) {
-        if !self.front.parts.verdicts.borrow().knows(&self.fingerprint) {
-            return;
-        }
         let clearance = Clearance {
             fingerprint: self.fingerprint,
             at: self.front.parts.clock.stamp(),
         };
+        self.front.successes().answered(&clearance);
+        if !self.front.parts.verdicts.borrow().knows(&self.fingerprint) {
+            return;
+        }
         let _ = self.front.parts.reactor.send(Input::Cleared(clearance));
     }
 }
 
 impl Front {
+    fn successes(&self) -> MutexGuard<'_, Successes> {
+        let successes = self.successes.lock();
+        successes.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Refuses a request that is in quarantine.
     pub(crate) fn check_quarantine(&self, call: &Call) -> Result<(), Refusal> {
         let verdicts = self.parts.verdicts.borrow();
--- a/components/node/src/front/listen.rs
+++ b/components/node/src/front/listen.rs
@@ -20,6 +20,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use settings::Callers;
 use state::id::{Name, ServiceId};
+use state::suspect::Successes;
 use std::collections::HashMap;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -94,6 +95,8 @@
     places: Arc<Semaphore>,
     /// Lines that tell of one request refused while tasks run late.
     busy_lines: Mutex<Ceiling>,
+    /// Requests that were answered whole of late.
+    pub(super) successes: Mutex<Successes>,
 }
 
 impl Front {
@@ -106,6 +109,7 @@
             body_units: units,
             places: Arc::new(Semaphore::new(parts.budget.connections)),
             busy_lines: Mutex::new(Ceiling::new(BUSY_LINES)),
+            successes: Mutex::default(),
             pool: Arc::new(Pool::new(parts.budget.kept)),
             parts,
             requests: AtomicU64::new(0),
--- a/components/state/src/suspect.rs
+++ b/components/state/src/suspect.rs
@@ -8,7 +8,7 @@
 use crate::fingerprint::Fingerprint;
 use crate::id::CustomerId;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Crashes after which a request is quarantined.
 pub const CRASHES_MAX: u32 = 3;
@@ -19,6 +19,10 @@
 /// Doublings of that time at most: a request that crashes endpoints again after its
 /// quarantine is kept away longer each time.
 const DOUBLINGS_MAX: u32 = 6;
+/// Time for which a whole answer exonerates its request, in microseconds.
+pub const SUCCESS_MICROS: u64 = 10 * 1_000_000;
+/// Answered requests that are remembered for it.
+const SUCCESSES_MAX: usize = 4096;
 /// Suspects that are kept.
 pub const SUSPECTS_MAX: usize = 2048;
 /// Suspects of one customer that are kept, so that none can crowd out those of others.
@@ -48,6 +52,41 @@
     pub at: Stamp,
 }
 
+/// Requests that endpoints have answered whole of late.
+///
+/// A popular request is in progress wherever an endpoint is lost. It would be suspected of
+/// each loss, and quarantined in a storm of them in which few answers come through.
+#[derive(Clone, Debug, Default)]
+pub struct Successes {
+    last: BTreeMap<Fingerprint, Stamp>,
+    ages: VecDeque<(Stamp, Fingerprint)>,
+}
+
+impl Successes {
+    /// Takes a whole answer.
+    pub fn answered(&mut self, clearance: &Clearance) {
+        let Clearance { fingerprint, at } = *clearance;
+        self.last.insert(fingerprint, at);
+        self.ages.push_back((at, fingerprint));
+        let is_old = |then: &Stamp| then.wall + SUCCESS_MICROS < at.wall;
+        while let Some((then, fingerprint)) = self.ages.front().copied() {
+            if self.ages.len() <= SUCCESSES_MAX && !is_old(&then) {
+                return;
+            }
+            self.ages.pop_front();
+            if self.last.get(&fingerprint) == Some(&then) {
+                self.last.remove(&fingerprint);
+            }
+        }
+    }
+
+    /// Whether an answer of late shows that a request has not caused a crash.
+    pub fn exonerate(&self, crash: &Crash) -> bool {
+        let last = self.last.get(&crash.fingerprint);
+        last.is_some_and(|last| last.wall + SUCCESS_MICROS >= crash.at.wall)
+    }
+}
+
 /// What routers have seen of requests that may crash endpoints.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/components/state/tests/suspect.rs
+++ b/components/state/tests/suspect.rs
@@ -7,8 +7,8 @@
 use state::record::Record;
 use state::store::Store;
 use state::suspect::{
-    relieved, Clearance, Crash, Evidence, Standing, Standings, Suspects, CRASHES_MAX,
-    CRASHES_WATCHED, CUSTOMER_MAX, HOLD_MICROS, SUSPECTS_MAX,
+    relieved, Clearance, Crash, Evidence, Standing, Standings, Successes, Suspects, CRASHES_MAX,
+    CRASHES_WATCHED, CUSTOMER_MAX, HOLD_MICROS, SUCCESS_MICROS, SUSPECTS_MAX,
 };
 use state::view::View;
 
@@ -168,6 +168,23 @@
     }
 }
 
+/// Guards against the suspicion of a request that is answered whole all the time.
+#[test]
+fn can_exonerate_a_request_that_was_answered_of_late() {
+    let mut successes = Successes::default();
+    assert!(!successes.exonerate(&crash(1, 0, 100)));
+    successes.answered(&answered(1, 50));
+    assert!(successes.exonerate(&crash(1, 40, 100)));
+    assert!(!successes.exonerate(&crash(2, 40, 100)));
+    let over_ms = 50 + SUCCESS_MICROS / 1000;
+    assert!(successes.exonerate(&crash(1, over_ms - 10, over_ms)));
+    assert!(!successes.exonerate(&crash(1, over_ms - 10, over_ms + 1)));
+    // The oldest give way.
+    (2..10_000).for_each(|n| successes.answered(&answered(n, 60)));
+    assert!(!successes.exonerate(&crash(1, 40, 100)));
+    assert!(successes.exonerate(&crash(9999, 40, 100)));
+}
+
 /// Guards against a router that forgets what it has seen itself once all routers watch.
 #[test]
 fn can_tell_who_is_suspected_less() {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -2,8 +2,10 @@
 
 mod harness;
 
-use harness::http::Answer;
-use harness::{eventually, Fleet, Plan};
+use harness::http::{self, Answer};
+use harness::{eventually, Fleet, Plan, Raise};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// Time that verdicts may take to reach all routers.
@@ -166,3 +168,52 @@
     assert!(is_refused(&mut fleet, "r1", "/assistant"));
     assert_eq!(fleet.recorded(LABEL), CRASHES);
 }
+
+/// Guards against the quarantine of a popular request that is in progress wherever an
+/// endpoint is lost.
+#[test]
+fn can_serve_a_popular_request_through_a_storm_of_crashes() {
+    let mut fleet = Fleet::start(Plan {
+        control: 3,
+        routers: 3,
+        models: 4,
+        ..Plan::default()
+    });
+    let routers: Vec<SocketAddr> = ["r1", "r2", "r3"].map(|r| fleet.callers(r)).to_vec();
+    let (stop, served, cut) = (
+        AtomicBool::new(false),
+        AtomicUsize::new(0),
+        AtomicUsize::new(0),
+    );
+    std::thread::scope(|scope| {
+        let _stop = Raise(&stop);
+        for caller in 0..9 {
+            let router = routers[caller % routers.len()];
+            let (stop, served, cut) = (&stop, &served, &cut);
+            scope.spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    let answer = http::send(router, "POST", "/assistant", "alpha", &[], "popular");
+                    assert!(!answer.text().contains("quarantined"), "{answer:?}");
+                    match answer.status == 200 && answer.whole {
+                        true => served.fetch_add(1, Ordering::Relaxed),
+                        false => cut.fetch_add(1, Ordering::Relaxed),
+                    };
+                }
+            });
+        }
+        for turn in 0..24 {
+            let place = turn % 4;
+            fleet.kill_stand_in(place);
+            std::thread::sleep(Duration::from_millis(150));
+            fleet.stand_ins[place].process.start();
+            std::thread::sleep(Duration::from_millis(150));
+        }
+    });
+    println!("served {served:?}, not served {cut:?}");
+    for router in &routers {
+        eventually("it is served behind the storm", || {
+            let answer = http::send(*router, "POST", "/assistant", "alpha", &[], "popular");
+            answer.status == 200 && answer.whole
+        });
+    }
+}
