Let operators evacuate a data centre

Cause: nothing knew of such an order.

Change: an order is a record of the log, accepted by a quorum before it is acknowledged, and a step of the view. Endpoints of an evacuated data centre get no work: schedulers, routers without one, remote asks, moves of waiting requests. A router gives back a grant of a scheduler that has not heard. Orders are fenced by the version that was the newest when they came in: one that was delayed on its way cannot undo a later one. Where no endpoint takes work, waiting requests are refused at once.

--- a/components/coordination/src/dispatcher/backoff.rs
+++ b/components/coordination/src/dispatcher/backoff.rs
@@ -12,6 +12,9 @@
 const SPREAD: u32 = 16;
 /// Time between two of these times, in milliseconds.
 const SPREAD_MS: u32 = 20;
+/// Time for which a scheduler is told to pass over an endpoint that gets no new work, in
+/// milliseconds: it will have heard of that by itself by then, or is told again.
+const AWAY_MS: u32 = 500;
 
 impl Dispatcher {
     /// Takes what an endpoint has said of itself in its answer to a request; true if it says
@@ -37,7 +40,8 @@
         grant: &Grant,
         effects: &mut Effects,
     ) -> bool {
-        let Some(backoff) = self.backoffs.of(now, grant.endpoint) else {
+        let known = self.backoffs.of(now, grant.endpoint);
+        let Some(backoff) = known.or_else(|| self.away(grant.endpoint)) else {
             return false;
         };
         let session = self.sessions.get_mut(shard);
@@ -62,6 +66,16 @@
         true
     }
 
+    /// What a scheduler is told of an endpoint that gets no new work: it grants it still,
+    /// since it has not heard.
+    fn away(&self, endpoint: EndpointId) -> Option<Backoff> {
+        self.away.contains(&endpoint).then_some(Backoff {
+            endpoint,
+            ms: AWAY_MS,
+            is_leaving: false,
+        })
+    }
+
     /// Until when every endpoint of a shard is away, if they all are.
     pub(super) fn unavailable_until(&self, now: Millis, shard: &Shard) -> Option<Millis> {
         self.unavailable
--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -102,6 +102,8 @@
     Dispatch(Handle, EndpointId),
     /// Refuse the request: it cannot be served in time.
     Refuse(Handle, Refusal),
+    /// Refuse the request: no endpoint takes work for it.
+    Unserved(Handle),
     /// Give the request up: its deadline has passed, and it was not sent.
     Expire(Handle),
 }
@@ -131,6 +133,10 @@
     bytes: u64,
     hot_spot: HotSpot,
     backoffs: Backoffs,
+    /// Endpoints that get no new work, as this router knows.
+    away: BTreeSet<EndpointId>,
+    /// Whether a request was queued again at a shard without endpoints that take work.
+    is_any_stranded: bool,
     /// Shards of which every endpoint is away, and until when.
     unavailable: BTreeMap<Shard, Millis>,
 }
@@ -150,6 +156,8 @@
             bytes: 0,
             hot_spot: HotSpot::default(),
             backoffs: Backoffs::default(),
+            away: BTreeSet::new(),
+            is_any_stranded: false,
             unavailable: BTreeMap::new(),
         }
     }
@@ -319,6 +327,7 @@
         let of = Some((class, request.arrival.weight));
         let done = Report::Done(seq, cost, verdict);
         self.tell_of(now, &shard, of, done, &mut effects);
+        self.is_any_stranded |= self.spread.open(&shard) == 0;
         self.wait(handle);
         self.announce(now, service, class, &mut effects);
         effects
@@ -419,6 +428,9 @@
     pub fn follow(&mut self, now: Millis, view: &View) -> Effects {
         let mut effects = Effects::new();
         self.spread.follow(view);
+        let endpoints = view.config.endpoints.iter();
+        let away = endpoints.filter(|(id, endpoint)| !view.takes_work(**id, endpoint));
+        self.away = away.map(|(id, _)| *id).collect();
         let shards: Vec<Shard> = self.sessions.keys().cloned().collect();
         for shard in shards {
             let assignment = view.assignment(&shard).cloned();
@@ -479,6 +491,9 @@
             self.drop_waiting(now, handle, &mut effects);
             effects.push(Effect::Expire(handle));
         }
+        if std::mem::take(&mut self.is_any_stranded) {
+            self.move_orphans(now, view, &mut effects);
+        }
         self.refuse_unasked(now, &mut effects);
         self.follow_backoffs(now, view, &mut effects);
         let usual = self.usual();
@@ -502,7 +517,7 @@
     slots.set_copy_rate(rate.map(u64::from));
 }
 
-/// Endpoints of a shard: number, slots, lead, and whether it is leaving.
+/// Endpoints of a shard: number, slots, lead, and whether it gets no new work.
 pub fn endpoints<'a>(
     view: &'a View,
     shard: &'a Shard,
@@ -510,5 +525,5 @@
     let service = view.config.services.get(&shard.service).map(|s| &s.name);
     (view.config.endpoints.iter())
         .filter(move |(_, e)| Some(&e.service) == service && shard.covers(e))
-        .map(|(id, e)| (*id, e.slots, e.lead, view.leaving.contains(id)))
+        .map(|(id, e)| (*id, e.slots, e.lead, !view.takes_work(*id, e)))
 }
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -362,21 +362,50 @@
         }
     }
 
+    /// Refuses requests whose service has endpoints, none of which takes work.
+    ///
+    /// Where it has none at all, they may have been replaced, and the next reading of the
+    /// list may show the new ones.
+    fn refuse_unserved(
+        &mut self,
+        now: Millis,
+        view: &View,
+        shard: &Shard,
+        unserved: Vec<Handle>,
+        effects: &mut Effects,
+    ) {
+        if endpoints(view, shard).next().is_none() {
+            return;
+        }
+        for handle in unserved {
+            self.drop_waiting(now, handle, effects);
+            effects.push(Effect::Unserved(handle));
+        }
+    }
+
     /// Moves what waits at a shard to others, and what is held there if another shard
     /// covers its endpoint now.
     fn move_from(&mut self, now: Millis, view: &View, shard: &Shard, effects: &mut Effects) {
         let mut moves: Vec<(Handle, Shard)> = Vec::new();
+        let mut unserved: Vec<Handle> = Vec::new();
         for (handle, request) in self.requests.iter().filter(|(_, r)| r.shard == *shard) {
             let other = match request.stage {
                 Stage::Held { endpoint, .. } if !self.spread.has(shard) => {
                     self.spread.covering(view, shard.service, endpoint)
                 }
                 Stage::Held { .. } => None,
-                Stage::Waiting | Stage::Asked(_) => self.shard(now, &request.arrival),
+                Stage::Waiting | Stage::Asked(_) => {
+                    let other = self.shard(now, &request.arrival);
+                    if other.is_none() && request.remote.is_none() {
+                        unserved.push(handle);
+                    }
+                    other
+                }
             };
             let other = other.filter(|other| *other != shard);
             moves.extend(other.map(|other| (handle, other.clone())));
         }
+        self.refuse_unserved(now, view, shard, unserved, effects);
         if moves.is_empty() {
             return;
         }
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -331,6 +331,10 @@
                 evidence,
             }),
             Query::Depart(leaving) => self.departure(leaving).map(Record::Departure),
+            Query::Evacuation(order) => Ok(Record::Evacuation {
+                at: self.parts.clock.stamp(),
+                order,
+            }),
         }
     }
 
--- a/components/node/src/front/plan.rs
+++ b/components/node/src/front/plan.rs
@@ -26,6 +26,11 @@
 /// Tokens that are expected to be generated when the caller does not say.
 const OUTPUT: u32 = 256;
 
+/// Why a request is refused that no endpoint takes work for.
+pub(super) const NO_ENDPOINT: &str = "no endpoint serves this request at the moment";
+/// Time after which its caller may come back.
+pub(super) const NO_ENDPOINT_RETURN: Duration = Duration::from_secs(1);
+
 /// What a rule decided for a request.
 pub(super) struct Plan {
     pub(super) rule: Name,
@@ -231,6 +236,6 @@
 }
 
 pub(super) fn no_endpoint() -> Refusal {
-    let text = "no endpoint serves this request at the moment";
-    Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-endpoint", text).after(1)
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Refusal::not_run(status, "no-endpoint", NO_ENDPOINT).after_time(NO_ENDPOINT_RETURN)
 }
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -5,7 +5,7 @@
 use super::delivery::{quarantined, Delivery};
 use super::listen::Front;
 use super::note::Note;
-use super::plan::{no_endpoint, plan, Plan};
+use super::plan::{no_endpoint, plan, Plan, NO_ENDPOINT, NO_ENDPOINT_RETURN};
 use super::refusal::{insert, Refusal, OUTCOME};
 use super::relay::{Kept, Meter, Relay, Slot, Way};
 use super::upstream::{self, Answer, Call, Failed};
@@ -385,6 +385,10 @@
             refusal.basis = Some(refused);
             Err(refusal)
         }
+        Ok(Decision::Unserved) => {
+            let refusal = unserved("no-endpoint", NO_ENDPOINT, retries, idempotent);
+            Err(refusal.after_time(NO_ENDPOINT_RETURN))
+        }
         Ok(Decision::Expired) | Err(_) => {
             let text = "no endpoint was free before the deadline";
             Err(unserved("deadline", text, retries, idempotent).after(1))
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -36,6 +36,8 @@
     Dispatch(Dispatch),
     /// It cannot be served in time.
     Refused(Refusal),
+    /// No endpoint takes work for it.
+    Unserved,
     /// Its deadline has passed.
     Expired,
 }
--- a/components/node/src/interface.rs
+++ b/components/node/src/interface.rs
@@ -125,6 +125,8 @@
     pub releases: &'static str,
     /// Reads a complete configuration; an error says what is wrong with it.
     pub release: fn(Bytes) -> Result<Release, String>,
+    /// Path of orders to evacuate a data centre, which its name follows.
+    pub evacuations: &'static str,
     /// Path of the first page of the platform's list.
     pub listing: &'static str,
     /// Reads a page of the list.
@@ -143,6 +145,7 @@
             status: |status, _| status,
             releases: "/release",
             release: own_release,
+            evacuations: "/evacuation/",
             listing: "/endpoints",
             page: own_page,
             inventory: None,
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod batch;
 mod control;
 mod dissemination;
+mod evacuation;
 mod fetch;
 mod front;
 mod http;
--- a/components/node/src/listing.rs
+++ b/components/node/src/listing.rs
@@ -2,7 +2,7 @@
 
 use crate::fetch::fetch;
 use crate::input::Input;
-use crate::interface::Interface;
+use crate::interface::{Interface, Regions};
 use crate::shared::raised;
 use errors::{Error, Result};
 use state::line::Line;
@@ -27,6 +27,7 @@
 pub(crate) async fn run(
     settings: settings::Listing,
     interface: Interface,
+    regions: Regions,
     reactor: flume::Sender<Input>,
     mut stop: watch::Receiver<bool>,
 ) {
@@ -45,7 +46,7 @@
         if !due.await.unwrap_or(false) {
             continue;
         }
-        let read = read(&settings, &interface, &mut unreadable).await;
+        let read = read(&settings, &interface, &regions, &mut unreadable).await;
         if read.is_ok() != reachable {
             reachable = read.is_ok();
             match &read {
@@ -92,6 +93,7 @@
 async fn read(
     settings: &settings::Listing,
     interface: &Interface,
+    regions: &Regions,
     unreadable: &mut Unreadable,
 ) -> Result<Vec<Listed>> {
     let step = "read the list of endpoints";
@@ -101,7 +103,7 @@
     for _ in 0..PAGES_MAX {
         let fetched = tokio::time::timeout(LONGEST, fetch(peer, &path, PAGE_MAX));
         let page = fetched.await.map_err(Error::peer(step, peer))??;
-        let page = (interface.page)(&page, &settings.regions).map_err(Error::peer(step, peer))?;
+        let page = (interface.page)(&page, regions).map_err(Error::peer(step, peer))?;
         endpoints.extend(page.endpoints);
         unreadable.add(page.unreadable);
         match page.next {
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -51,6 +51,8 @@
     pub(crate) retries: IntCounter,
     /// Requests that wait on this router.
     pub(crate) waiting: IntGauge,
+    /// Data centres whose endpoints get no requests.
+    pub(crate) evacuated: IntGauge,
     /// Requests in progress on this router.
     pub(crate) held: IntGauge,
     /// Connections that callers opened.
@@ -181,6 +183,10 @@
                 "Time from arrival to the end.",
             )?,
             retries: counter("cowslipford_retries_total", "Tries after the first.")?,
+            evacuated: gauge(
+                "cowslipford_evacuated",
+                "Data centres whose endpoints get no requests.",
+            )?,
             waiting: gauge("cowslipford_waiting", "Requests that wait on this router.")?,
             held: gauge(
                 "cowslipford_in_progress",
--- a/components/node/src/operators.rs
+++ b/components/node/src/operators.rs
@@ -1,6 +1,7 @@
 //! The operators' address: state, configuration, planned stops, metrics.
 
 use crate::control;
+use crate::evacuation::{Orders, Outcome};
 use crate::input::Input;
 use crate::journal::Journal;
 use crate::metric::Metrics;
@@ -47,6 +48,8 @@
     pub(crate) control: Option<flume::Sender<control::Input>>,
     pub(crate) published: watch::Receiver<Published>,
     pub(crate) fault_hook: bool,
+    /// Evacuations.
+    pub(crate) orders: Orders,
     /// Places for configuration files that are read.
     pub(crate) files: Semaphore,
 }
@@ -135,6 +138,8 @@
             Err(reason) => error(StatusCode::PAYLOAD_TOO_LARGE, &reason),
         },
         (&Method::POST, "/stop") => depart(parts, &query).await,
+        (&Method::POST, "/evacuation") => evacuate(parts, &query, true).await,
+        (&Method::DELETE, "/evacuation") => evacuate(parts, &query, false).await,
         (&Method::POST, "/unquarantine") => unquarantine(parts, &query).await,
         (&Method::POST, "/fault/cut") if parts.fault_hook => cut(parts, &query),
         (&Method::POST, "/fault/suspend") if parts.fault_hook => suspend(parts, &query),
@@ -239,6 +244,16 @@
     accepted(parts, Query::Depart(leaving)).await
 }
 
+/// Evacuates a data centre, or ends that.
+async fn evacuate(parts: &Parts, query: &BTreeMap<String, String>, is_evacuated: bool) -> Page {
+    let data_centre = query.get("data-centre").map_or("", String::as_str);
+    match parts.orders.give(data_centre, is_evacuated).await {
+        Outcome::Accepted(version) => in_force(version),
+        Outcome::Unknown(reason) => error(StatusCode::UNPROCESSABLE_ENTITY, &reason),
+        Outcome::Unsure => unanswered(),
+    }
+}
+
 /// Ends the quarantine of a request.
 async fn unquarantine(parts: &Parts, query: &BTreeMap<String, String>) -> Page {
     let text = query.get("fingerprint").map_or("", String::as_str);
@@ -263,10 +278,7 @@
 async fn accepted(parts: &Parts, query: Query) -> Page {
     let reply = wait(|reply| parts.reactor.send(Input::Query(query, reply)).is_ok()).await;
     match reply {
-        Some(Reply::Answer(Answer::Accepted(version))) => json(
-            StatusCode::OK,
-            &serde_json::json!({"accepted": true, "version": version.0}),
-        ),
+        Some(Reply::Answer(Answer::Accepted(version))) => in_force(version),
         Some(Reply::Answer(Answer::Conflict(version))) => json(
             StatusCode::CONFLICT,
             &serde_json::json!({
@@ -281,14 +293,25 @@
             StatusCode::INTERNAL_SERVER_ERROR,
             "the control VMs answered something else",
         ),
-        None => error(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "no quorum of control VMs answered; whether the change was accepted is not known: \
-             send it again with the same id",
-        ),
+        None => unanswered(),
     }
 }
 
+fn in_force(version: Version) -> Page {
+    json(
+        StatusCode::OK,
+        &serde_json::json!({"accepted": true, "version": version.0}),
+    )
+}
+
+fn unanswered() -> Page {
+    error(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "no quorum of control VMs answered; whether the change was accepted is not known: \
+         send it again with the same id",
+    )
+}
+
 fn cut(parts: &Parts, query: &BTreeMap<String, String>) -> Page {
     let list = query.get("peers").map_or("", String::as_str);
     let names: Result<Vec<Name>, String> = list
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -1,6 +1,7 @@
 //! One process of the fleet, from its settings to its end.
 
 use crate::control::{self, Control};
+use crate::evacuation::Orders;
 use crate::front::{Front, Parts as FrontParts};
 use crate::input::Input;
 use crate::interface::Interface;
@@ -18,8 +19,10 @@
 use errors::{Error, Result};
 use protocol::wire::Hello;
 use settings::{Peers, Settings};
+use state::id::Name;
 use state::line::Line;
 use state::view::Place;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle as Thread;
@@ -257,6 +260,13 @@
         budget.within(named.unwrap_or(usize::MAX), settings.router.queue_bytes)
     }
 
+    /// Data centres that the settings name.
+    fn data_centres(settings: &Settings) -> Arc<BTreeSet<Name>> {
+        let named = settings.regions.keys().cloned();
+        let own = std::iter::once(settings.vm.data_centre.clone());
+        Arc::new(named.chain(own).collect())
+    }
+
     /// Starts what is served on addresses of their own.
     async fn start_sides(
         settings: &Settings,
@@ -264,6 +274,7 @@
         ready: &readiness::Parts,
         reactor: &flume::Sender<Input>,
         control: Option<&flume::Sender<control::Input>>,
+        orders: Orders,
         stopped: &watch::Receiver<bool>,
     ) -> Result<Vec<JoinHandle<()>>> {
         let mut tasks = Vec::new();
@@ -275,14 +286,15 @@
         }
         if let (Some(releases), Some(control)) = (&settings.releases, control) {
             let listener = bind("bind the address of releases", releases.listen).await?;
-            let parts = releases::Parts::new(interface, reactor.clone(), control.clone());
+            let parts = releases::Parts::new(interface, reactor.clone(), control.clone(), orders);
             let parts = Arc::new(parts);
             let answer = move |request| releases::answer(parts.clone(), request);
             tasks.push(tokio::spawn(http::serve(listener, answer, stopped.clone())));
         }
         if let Some(listing) = &settings.listing {
             let (reactor, stopped) = (reactor.clone(), stopped.clone());
-            let run = listing::run(listing.clone(), interface, reactor, stopped);
+            let regions = settings.regions.clone();
+            let run = listing::run(listing.clone(), interface, regions, reactor, stopped);
             tasks.push(tokio::spawn(run));
         }
         Ok(tasks)
@@ -316,6 +328,8 @@
             operators: operators_address,
         };
         let (hub, events) = self.socket.start(hello, self.clock.clone());
+        let data_centres = Starter::data_centres(&self.settings);
+        let orders = || Orders::new(reactor.clone(), published.clone(), data_centres.clone());
         let operator_parts = Arc::new(OperatorParts {
             key: self.settings.operators.key,
             hub: hub.clone(),
@@ -326,6 +340,7 @@
             control: to_control.clone(),
             published: published.clone(),
             fault_hook: self.settings.fault.hook,
+            orders: orders(),
             files: OperatorParts::places(),
         });
         let answer = move |request| operators::respond(operator_parts.clone(), request);
@@ -404,6 +419,7 @@
                 &ready,
                 &reactor,
                 to_control.as_ref(),
+                orders(),
                 &stopped,
             )
             .await?,
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -109,6 +109,8 @@
     told: Told,
     /// Whether new callers are to go to other routers, since this VM schedules for many.
     dedicated: bool,
+    /// Data centres that were evacuated when it was last logged.
+    evacuated: BTreeSet<Name>,
     dirty: bool,
 }
 
@@ -160,6 +162,7 @@
             measure_at: now,
             told: Told::default(),
             dedicated: false,
+            evacuated: BTreeSet::new(),
             dirty: true,
             me,
             parts,
@@ -457,6 +460,7 @@
         );
         self.dissemination.reached(version);
         self.quarantine.follow(&self.view.suspects);
+        self.tell_evacuations();
         self.follow_live(now);
         self.follow_control();
         let told = self.view.stopping.get(&self.me);
@@ -503,6 +507,12 @@
                         let _ = sender.send(Decision::Refused(refusal));
                     }
                 }
+                Effect::Unserved(handle) => {
+                    if let Some(sender) = self.decisions.remove(&handle) {
+                        // The caller may have gone at the same moment.
+                        let _ = sender.send(Decision::Unserved);
+                    }
+                }
                 Effect::Expire(handle) => {
                     if let Some(sender) = self.decisions.remove(&handle) {
                         // The caller may have gone at the same moment.
--- a/components/node/src/reactor/show.rs
+++ b/components/node/src/reactor/show.rs
@@ -5,7 +5,9 @@
 use crate::metric::value;
 use crate::shared::{Shared, Status};
 use coordination::dispatcher::endpoints;
+use state::id::Name;
 use state::line::Line;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 impl Reactor {
@@ -34,11 +36,27 @@
         }
     }
 
+    /// Logs which data centres are evacuated from now on, and which no longer.
+    pub(super) fn tell_evacuations(&mut self) {
+        let evacuated: BTreeSet<Name> = self.view.evacuated().cloned().collect();
+        let version = self.view.version.0;
+        for data_centre in evacuated.difference(&self.evacuated) {
+            let event = Line::EvacuationBegan.as_str();
+            tracing::info!(event, %data_centre, version);
+        }
+        for data_centre in self.evacuated.difference(&evacuated) {
+            let event = Line::EvacuationEnded.as_str();
+            tracing::info!(event, %data_centre, version);
+        }
+        self.evacuated = evacuated;
+    }
+
     pub(super) fn measure(&mut self) {
         let m = &self.parts.metrics;
         m.waiting.set(value(self.dispatcher.waiting()));
         m.held.set(value(self.dispatcher.held()));
         m.version.set(value(self.view.version.0));
+        m.evacuated.set(value(self.evacuated.len()));
         m.ready.set(i64::from(self.ready && !self.stopping));
         m.local.set(value(
             self.dispatcher.shards().filter(|(_, up)| !up).count(),
@@ -115,6 +133,7 @@
                 .collect(),
             schedulers: self.schedulers.status(&self.view),
             quarantined: self.quarantine.quarantined(),
+            evacuated: self.view.evacuated().cloned().collect(),
             control: None,
         }
     }
--- a/components/node/src/releases.rs
+++ b/components/node/src/releases.rs
@@ -1,6 +1,7 @@
-//! Where operators send complete configurations and read them back.
+//! Where operators send complete configurations and read them back, and order evacuations.
 
 use crate::control;
+use crate::evacuation::{Orders, Outcome};
 use crate::input::Input;
 use crate::interface::Interface;
 use bytes::Bytes;
@@ -47,6 +48,8 @@
     pub(crate) interface: Interface,
     pub(crate) reactor: flume::Sender<Input>,
     pub(crate) control: flume::Sender<control::Input>,
+    /// Evacuations.
+    orders: Orders,
     /// Room for bodies that arrive, in bytes.
     room: Semaphore,
 }
@@ -57,11 +60,13 @@
         interface: Interface,
         reactor: flume::Sender<Input>,
         control: flume::Sender<control::Input>,
+        orders: Orders,
     ) -> Self {
         Parts {
             interface,
             reactor,
             control,
+            orders,
             room: Semaphore::new(ROOM),
         }
     }
@@ -69,6 +74,10 @@
 
 /// Answers one request.
 pub(crate) async fn answer(parts: Arc<Parts>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let data_centre = (request.uri().path()).strip_prefix(parts.interface.evacuations);
+    if let Some(data_centre) = data_centre.map(str::to_owned) {
+        return evacuate(&parts, &data_centre, request).await;
+    }
     if request.uri().path() != parts.interface.releases {
         return text(StatusCode::NOT_FOUND, "there is nothing here");
     }
@@ -79,6 +88,41 @@
     }
 }
 
+/// Evacuates a data centre, or ends that.
+async fn evacuate(
+    parts: &Parts,
+    data_centre: &str,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let is_evacuated = match *request.method() {
+        Method::POST => true,
+        Method::DELETE => false,
+        _ => return text(StatusCode::METHOD_NOT_ALLOWED, "POST or DELETE"),
+    };
+    let mut body = request.into_body();
+    match tokio::time::timeout(BODY_TIME, receive(&mut body, 0)).await {
+        Ok(Ok(Some(_))) => {}
+        Ok(Ok(None)) => {
+            skip(body).await;
+            return text(StatusCode::BAD_REQUEST, "an evacuation has no body");
+        }
+        Ok(Err(error)) => return text(StatusCode::BAD_REQUEST, &error.to_string()),
+        Err(_) => return text(StatusCode::REQUEST_TIMEOUT, "the body took too long"),
+    }
+    match parts.orders.give(data_centre, is_evacuated).await {
+        Outcome::Accepted(version) => {
+            let body = serde_json::json!({ "data-centre": data_centre, "version": version.0 });
+            let mut response = Response::new(Full::new(Bytes::from(format!("{body}\n"))));
+            json(&mut response);
+            response
+        }
+        Outcome::Unknown(reason) => text(StatusCode::NOT_FOUND, &reason),
+        Outcome::Unsure => {
+            unsure("the control VMs did not accept it in time; it may yet be in force")
+        }
+    }
+}
+
 async fn put(parts: &Parts, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let mut body = request.into_body();
     let Some(length) = announced(&body) else {
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -88,6 +88,8 @@
     pub(crate) schedulers: Vec<ShardStatus>,
     /// Fingerprints of requests that this process refuses, since they crash endpoints.
     pub(crate) quarantined: Vec<String>,
+    /// Data centres whose endpoints get no requests.
+    pub(crate) evacuated: Vec<Name>,
     /// State of the replicated log, if this is a control VM.
     pub(crate) control: Option<serde_json::Value>,
 }
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use state::clock::Stamp;
+use state::evacuation::Order;
 use state::id::{CustomerId, Epoch, Name, RequestId, Version};
 use state::listing::Listing;
 use state::record::{Answer, ChangeId, Known, Release};
@@ -67,6 +68,8 @@
         /// What is known; `None` when it was not run.
         known: Option<Known>,
     },
+    /// An operator's order to evacuate a data centre, or to end that.
+    Evacuation(Order),
 }
 
 /// Who leaves, by name.
--- a/components/protocol/tests/codec.rs
+++ b/components/protocol/tests/codec.rs
@@ -1,9 +1,12 @@
 //! Encoding of frames.
 
-use protocol::codec::{body_length, decode, encode, BODY_MAX, HEAD, VERSION};
+use protocol::codec::{body_length, decode, encode, pack, unpack, BODY_MAX, HEAD, VERSION};
 use protocol::wire::{Frame, Message};
 use state::clock::Stamp;
-use state::id::Version;
+use state::evacuation::Order;
+use state::id::{Name, Version};
+use state::record::Record;
+use state::store::Store;
 
 fn frame() -> Frame {
     Frame {
@@ -46,3 +49,19 @@
         }
     }
 }
+
+/// Guards against an evacuation that a snapshot loses.
+#[test]
+fn can_keep_an_evacuation_in_a_snapshot() {
+    let mut store = Store::default();
+    let order = Order {
+        data_centre: Name::try_from("dc-1").unwrap(),
+        is_evacuated: true,
+        base: Version(0),
+    };
+    let at = Stamp::default();
+    store.apply(&Record::Evacuation { at, order });
+    let read: Store = unpack(&pack(&store).unwrap()).unwrap();
+    assert_eq!(read, store);
+    assert!(read.view.evacuated().next().is_some());
+}
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -155,8 +155,6 @@
     /// Time between two looks of the VM that reads it for the fleet, in
     /// milliseconds.
     pub every_ms: u64,
-    /// Region of each data centre.
-    pub regions: BTreeMap<Name, Name>,
 }
 
 /// How this process learns of the control VMs.
@@ -229,6 +227,8 @@
     pub platform: Option<Platform>,
     /// The platform's list of all endpoints, if they come from there.
     pub listing: Option<Listing>,
+    /// Region of each data centre that the settings name.
+    pub regions: BTreeMap<Name, Name>,
     /// Complete configurations, if operators send them here.
     pub releases: Option<Releases>,
     /// Readiness on an address of its own.
@@ -373,7 +373,6 @@
             let allowed = "a VM with [control] stands in [peers] itself";
             return Err(need("peers")?.wrong(vm.name.as_str(), "", allowed));
         }
-        let regions = find("data-centres").map(regions).transpose()?;
         Ok(Settings {
             link,
             peers,
@@ -386,9 +385,8 @@
             },
             control,
             platform: find("platform").map(platform).transpose()?,
-            listing: find("listing")
-                .map(|s| listing(s, regions.unwrap_or_default()))
-                .transpose()?,
+            listing: find("listing").map(listing).transpose()?,
+            regions: (find("data-centres").map(regions).transpose()?).unwrap_or_default(),
             releases: (find("releases").map(listen).transpose()?).map(|listen| Releases { listen }),
             readiness: find("readiness")
                 .map(listen)
@@ -406,12 +404,11 @@
     s.parse("listen", &raw.listen, ADDRESS)
 }
 
-fn listing(s: &Section, regions: BTreeMap<Name, Name>) -> Result<Listing> {
+fn listing(s: &Section) -> Result<Listing> {
     let raw: RawListing = s.raw()?;
     Ok(Listing {
         address: s.parse("address", &raw.address, ADDRESS)?,
         every_ms: s.millis("every", &raw.every, 100..=600_000, 500)?,
-        regions,
     })
 }
 
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod config;
 pub mod delta;
+pub mod evacuation;
 pub mod event;
 pub mod fingerprint;
 pub mod id;
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -40,6 +40,10 @@
     QuarantineBegan,
     /// It is served again.
     QuarantineEnded,
+    /// A data centre's endpoints get no requests from now on.
+    EvacuationBegan,
+    /// They get requests again.
+    EvacuationEnded,
     /// An endpoint gets no requests after failures in a row.
     EndpointEjected,
     /// An ejected endpoint has answered.
@@ -85,7 +89,7 @@
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 38] = [
+    pub const ALL: [Line; 40] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -104,6 +108,8 @@
         Line::SchedulerAssigned,
         Line::QuarantineBegan,
         Line::QuarantineEnded,
+        Line::EvacuationBegan,
+        Line::EvacuationEnded,
         Line::EndpointEjected,
         Line::EndpointRestored,
         Line::EndpointBackoff,
@@ -147,6 +153,8 @@
             Line::SchedulerAssigned => "scheduler-assigned",
             Line::QuarantineBegan => "quarantine-began",
             Line::QuarantineEnded => "quarantine-ended",
+            Line::EvacuationBegan => "evacuation-began",
+            Line::EvacuationEnded => "evacuation-ended",
             Line::EndpointEjected => "endpoint-ejected",
             Line::EndpointRestored => "endpoint-restored",
             Line::EndpointBackoff => "endpoint-backoff",
--- a/components/state/src/record.rs
+++ b/components/state/src/record.rs
@@ -3,6 +3,7 @@
 use crate::clock::Stamp;
 use crate::config::Draft;
 use crate::delta::Delta;
+use crate::evacuation::Order;
 use crate::id::{CustomerId, RequestId, Version};
 use crate::secret::Hash;
 use crate::suspect::Evidence;
@@ -152,6 +153,13 @@
     },
     /// The members change; in force from the moment it is appended.
     Members(Box<Members>),
+    /// An operator evacuates a data centre, or ends that.
+    Evacuation {
+        /// Leader's time.
+        at: Stamp,
+        /// What was ordered.
+        order: Order,
+    },
 }
 
 impl Record {
--- a/components/state/src/store.rs
+++ b/components/state/src/store.rs
@@ -1,6 +1,7 @@
 //! The state machine that the replicated log drives.
 
 use crate::delta::Delta;
+use crate::evacuation::{Evacuation, Order};
 use crate::id::{CustomerId, RequestId, Version};
 use crate::record::{Answer, ChangeId, Known, Members, Record, Release};
 use crate::secret::Hash;
@@ -116,9 +117,27 @@
                 let step = self.suspect(at.wall, evidence);
                 (Answer::Accepted(self.view.version), step)
             }
+            Record::Evacuation { at, order } => self.evacuate(at.wall, order),
         }
     }
 
+    /// Follows an operator's order for a data centre, unless it was overtaken.
+    fn evacuate(&mut self, at: u64, order: &Order) -> (Answer, Option<Step>) {
+        if self.view.is_evacuated(&order.data_centre) == order.is_evacuated {
+            return (Answer::Accepted(self.view.version), None);
+        }
+        let last = self.view.evacuations.get(&order.data_centre);
+        if let Some(last) = last.filter(|last| last.version > order.base) {
+            return (Answer::Conflict(last.version), None);
+        }
+        let evacuation = Evacuation {
+            is_in_force: order.is_evacuated,
+            version: Version(self.view.version.0 + 1),
+            at,
+        };
+        self.step(Change::Evacuation(order.data_centre.clone(), evacuation))
+    }
+
     fn step(&mut self, change: Change) -> (Answer, Option<Step>) {
         let version = Version(self.view.version.0 + 1);
         let step = Step { version, change };
--- a/components/state/src/view.rs
+++ b/components/state/src/view.rs
@@ -1,7 +1,9 @@
 //! What every router knows of the fleet: configuration, schedulers, departures.
 
+use crate::clock::Millis;
 use crate::config::{Config, Endpoint};
 use crate::delta::Delta;
+use crate::evacuation::{Evacuation, Evacuations};
 use crate::fingerprint::Fingerprint;
 use crate::id::{EndpointId, Epoch, Name, ServiceId, Version};
 use crate::suspect::{Standing, Standings};
@@ -95,6 +97,8 @@
     Departure(Departure),
     /// What is to be done with requests that may crash endpoints; `None` for nothing more.
     Suspects(Vec<(Fingerprint, Option<Standing>)>),
+    /// A data centre is evacuated, or no longer.
+    Evacuation(Name, Evacuation),
 }
 
 /// A change with the version that it brings.
@@ -129,6 +133,12 @@
     pub stopping: BTreeMap<Name, u64>,
     /// Requests that are watched or quarantined since they may crash endpoints.
     pub suspects: Standings,
+    /// Data centres that are evacuated, or were.
+    pub evacuations: Evacuations,
+    /// When endpoints that are cold will be warm, by this process's own clock. Each process
+    /// adds it to its copy.
+    #[serde(skip)]
+    pub warm_at: BTreeMap<EndpointId, Millis>,
 }
 
 /// What became of an offered step.
@@ -186,6 +196,23 @@
         }
     }
 
+    /// Whether a data centre is evacuated.
+    pub fn is_evacuated(&self, data_centre: &Name) -> bool {
+        let last = self.evacuations.get(data_centre);
+        last.is_some_and(|evacuation| evacuation.is_in_force)
+    }
+
+    /// Data centres that are evacuated.
+    pub fn evacuated(&self) -> impl Iterator<Item = &Name> {
+        let all = self.evacuations.iter();
+        all.filter(|(_, e)| e.is_in_force).map(|(name, _)| name)
+    }
+
+    /// Whether an endpoint gets new work.
+    pub fn takes_work(&self, id: EndpointId, endpoint: &Endpoint) -> bool {
+        !self.leaving.contains(&id) && !self.is_evacuated(&endpoint.data_centre)
+    }
+
     fn apply(&mut self, change: &Change) {
         match change {
             Change::Config(delta) => self.configure(delta),
@@ -207,6 +234,9 @@
             Change::Departure(Departure::Vm(name, incarnation)) => {
                 self.stopping.insert(name.clone(), *incarnation);
             }
+            Change::Evacuation(data_centre, evacuation) => {
+                self.evacuations.insert(data_centre.clone(), *evacuation);
+            }
             Change::Suspects(changes) => {
                 for (fingerprint, standing) in changes {
                     match standing {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -32,6 +32,8 @@
     Get(Get),
     /// Announces a planned stop.
     Stop(Stop),
+    /// Evacuates a data centre.
+    Evacuate(Evacuate),
     /// Serves a quarantined request again.
     Unquarantine(Unquarantine),
     /// Shows the fleet's state.
@@ -204,6 +206,32 @@
     pub(crate) key: String,
 }
 
+/// Send nothing more to the endpoints of a data centre, until `--end`.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "evacuate",
+    example = "{command_name} dk-1",
+    example = "{command_name} dk-1 --end",
+    note = "Requests in progress there end as they would. Given again, the same order changes \
+            nothing. Exit code 2 for a data centre that the fleet does not know.",
+    error_code(2, "no data centre has that name; nothing was changed")
+)]
+pub(crate) struct Evacuate {
+    /// name of the data centre
+    #[argh(positional)]
+    pub(crate) data_centre: String,
+    /// send requests there again
+    #[argh(switch)]
+    pub(crate) end: bool,
+    /// operators' address of any process, 127.0.0.1:8081 by default
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 8081))")]
+    pub(crate) operators: SocketAddr,
+    /// operators' key
+    #[argh(option, default = "String::from(\"operator\")")]
+    pub(crate) key: String,
+}
+
 /// Serve a request again that is quarantined since it crashed endpoints.
 #[derive(Debug, FromArgs)]
 #[argh(
--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -49,6 +49,11 @@
         self.send(minreq::post(url(address, path)).with_body(body), address)
     }
 
+    /// Takes something back.
+    pub(crate) fn delete(&self, address: SocketAddr, path: &str) -> Result<Answer, Failure> {
+        self.send(minreq::delete(url(address, path)), address)
+    }
+
     /// Reads a page of JSON.
     pub(crate) fn json<T>(&self, address: SocketAddr, path: &str) -> Result<T, Failure>
     where
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -15,6 +15,7 @@
 mod check;
 mod client;
 mod dev;
+mod evacuate;
 mod explain;
 mod failure;
 mod get;
@@ -43,6 +44,7 @@
         Command::Apply(args) => apply::run(&args),
         Command::Get(args) => get::run(&args),
         Command::Stop(args) => stop::run(&args),
+        Command::Evacuate(args) => evacuate::run(&args),
         Command::Unquarantine(args) => unquarantine::run(&args),
         Command::Status(args) => status::run(&args),
         Command::Explain(args) => explain::run(&args),
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -51,6 +51,9 @@
     for fingerprint in page["quarantined"].as_array().into_iter().flatten() {
         say!("  quarantined: {}", text(fingerprint));
     }
+    for data_centre in page["evacuated"].as_array().into_iter().flatten() {
+        say!("  evacuated: {}", text(data_centre));
+    }
     if let Some(control) = page["control"].as_object() {
         say!(
             "  control: {} term {} accepted {} voters {} learners {}",
--- /dev/null
+++ b/tests/evacuation.rs
@@ -0,0 +1,170 @@
+//! Evacuations of data centres over a fleet of processes.
+
+mod harness;
+
+use harness::{eventually, http, Fleet, Plan, OPERATOR};
+
+/// A fleet with one endpoint in each of two data centres.
+fn fleet() -> Fleet {
+    let fleet = Fleet::start(Plan {
+        control: 3,
+        routers: 2,
+        models: 2,
+        plains: 0,
+        ..Plan::default()
+    });
+    let text = fleet.configuration();
+    let (first, second) = text
+        .split_once("[endpoint assistant-2]")
+        .unwrap_or_default();
+    let second = second.replacen("dc-1", "dc-2", 1);
+    let (status, _, error) = fleet.apply(&format!("{first}[endpoint assistant-2]{second}"), &[]);
+    assert!(status.success(), "{error}");
+    fleet.wait_version(fleet.version());
+    fleet
+}
+
+/// Gives an order by the command, to any process; gives its exit code.
+fn order(fleet: &Fleet, vm: &str, args: &[&str]) -> Option<i32> {
+    let operators = fleet.vm(vm).operators.to_string();
+    let all: Vec<&str> = args
+        .iter()
+        .copied()
+        .chain(["--operators", &operators])
+        .collect();
+    harness::run(&["evacuate"], &all).0.code()
+}
+
+fn calls(fleet: &Fleet, endpoint: &str) -> u64 {
+    fleet.counts(endpoint)["calls"].as_u64().unwrap_or(0)
+}
+
+fn is_shown(fleet: &Fleet, vm: &str, data_centre: &str) -> bool {
+    let status = fleet.vm(vm).status().unwrap_or_default();
+    let shown = status["evacuated"].as_array();
+    shown.is_some_and(|all| all.iter().any(|name| name == data_centre))
+}
+
+/// Sends requests by each router, each of which is to be served.
+fn send(fleet: &Fleet) {
+    for turn in 0..20 {
+        let router = format!("r{}", 1 + turn % 2);
+        let answer = fleet.call(&router, "alpha", "/assistant", &[], "hello");
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
+/// Guards against requests that reach an evacuated data centre, and against one that stays
+/// empty when it is in use again.
+#[test]
+fn can_evacuate_a_data_centre_and_use_it_again() {
+    let fleet = fleet();
+    assert_eq!(order(&fleet, "r1", &["dc-2"]), Some(0));
+    assert_eq!(
+        order(&fleet, "c1", &["dc-2"]),
+        Some(0),
+        "the same once more"
+    );
+    for vm in ["r1", "r2"] {
+        eventually("it is shown", || is_shown(&fleet, vm, "dc-2"));
+    }
+    let before = calls(&fleet, "assistant-2");
+    send(&fleet);
+    assert_eq!(calls(&fleet, "assistant-2"), before);
+    assert_eq!(order(&fleet, "r2", &["dc-2", "--end"]), Some(0));
+    eventually("it is in use again", || {
+        send(&fleet);
+        calls(&fleet, "assistant-2") > before
+    });
+}
+
+/// Guards against an acknowledged order that is lost with all processes.
+#[test]
+fn can_keep_an_evacuation_through_the_loss_of_all_processes() {
+    let mut fleet = fleet();
+    assert_eq!(order(&fleet, "r1", &["dc-2"]), Some(0));
+    for vm in &mut fleet.vms {
+        vm.kill();
+    }
+    for vm in &mut fleet.vms {
+        vm.start();
+    }
+    fleet.wait_ready();
+    let before = calls(&fleet, "assistant-2");
+    for vm in ["r1", "r2"] {
+        eventually("it is shown", || is_shown(&fleet, vm, "dc-2"));
+    }
+    eventually("it serves", || {
+        fleet.call("r1", "alpha", "/assistant", &[], "hello").status == 200
+    });
+    send(&fleet);
+    assert_eq!(calls(&fleet, "assistant-2"), before);
+}
+
+/// Guards against an order for a data centre that the fleet does not know.
+#[test]
+fn can_refuse_an_order_for_an_unknown_data_centre() {
+    let fleet = fleet();
+    let version = fleet.version();
+    assert_eq!(order(&fleet, "r1", &["dc-9"]), Some(2));
+    assert_eq!(order(&fleet, "r1", &["No Such"]), Some(2));
+    assert_eq!(fleet.version(), version);
+}
+
+/// Guards against callers who wait for their deadline while all endpoints are evacuated.
+#[test]
+fn can_refuse_at_once_while_all_data_centres_are_evacuated() {
+    let fleet = fleet();
+    assert_eq!(order(&fleet, "r1", &["dc-1"]), Some(0));
+    assert_eq!(order(&fleet, "r1", &["dc-2"]), Some(0));
+    for vm in ["r1", "r2"] {
+        eventually("both are shown", || {
+            is_shown(&fleet, vm, "dc-1") && is_shown(&fleet, vm, "dc-2")
+        });
+        let answer = fleet.call(vm, "alpha", "/assistant", &[], "hello");
+        assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+        assert!(answer.text().contains("no-endpoint"), "{answer:?}");
+        assert_eq!(answer.header("retry-after"), "1");
+    }
+}
+
+/// Guards against orders by HTTP that are misread, or change something by mistake.
+#[test]
+fn can_take_orders_by_http() {
+    let mut fleet = Fleet::bare(Plan {
+        control: 1,
+        routers: 1,
+        ..Plan::default()
+    });
+    let releases = fleet.fresh_address();
+    let settings = fleet.vm("c1").settings.clone();
+    let mut text = std::fs::read_to_string(&settings).unwrap_or_default();
+    text.push_str(&format!("[releases]\nlisten = {releases}\n"));
+    std::fs::write(&settings, text).expect("settings are written");
+    fleet.vm_mut("c1").kill();
+    fleet.vm_mut("c1").start();
+    fleet.wait_ready();
+    let operators = fleet.vm("c1").operators;
+    let call = |to, method: &str, path: &str, body: &str| {
+        http::send(to, method, path, OPERATOR, &[], body).status
+    };
+    eventually("an order is accepted", || {
+        call(releases, "POST", "/evacuation/dc-1", "") == 200
+    });
+    assert!(is_shown(&fleet, "c1", "dc-1"));
+    assert_eq!(call(releases, "POST", "/evacuation/dc-9", ""), 404);
+    assert_eq!(call(releases, "PUT", "/evacuation/dc-1", ""), 405);
+    assert_eq!(call(releases, "DELETE", "/evacuation/dc-1", "{}"), 400);
+    assert!(is_shown(&fleet, "c1", "dc-1"), "nothing was changed");
+    assert_eq!(call(releases, "DELETE", "/evacuation/dc-1", ""), 200);
+    assert!(!is_shown(&fleet, "c1", "dc-1"));
+    assert_eq!(
+        call(operators, "POST", "/evacuation?data-centre=dc-1", ""),
+        200
+    );
+    assert_eq!(
+        call(operators, "DELETE", "/evacuation?data-centre=dc-1", ""),
+        200
+    );
+    assert_eq!(call(operators, "POST", "/evacuation", ""), 422);
+}
