--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -373,7 +373,7 @@
                     };
                     self.dispatch(work, endpoint.0 as usize);
                 }
-                Effect::Expire(_) | Effect::Refuse(..) => {}
+                Effect::Expire(_) | Effect::Refuse(..) | Effect::Unserved(_) => {}
             }
         }
     }
--- a/components/coordination/tests/region/world.rs
+++ b/components/coordination/tests/region/world.rs
@@ -347,7 +347,7 @@
                     self.keep(at, job.customer);
                     self.refused(job, refusal.after_ms);
                 }
-                Effect::Expire(handle) => {
+                Effect::Expire(handle) | Effect::Unserved(handle) => {
                     let job = self.routers[at].jobs.remove(&handle).unwrap();
                     self.refused(job, 300);
                 }
