Grant cold endpoints no more requests than they bear

Cause: how long an endpoint stays cold was read from the list and dropped, and what a service's endpoints bear was not read at all.

Change: the list's times go to all processes, which turn them into moments of their own clocks; running down, they are no change of the list. A scheduler spaces its grants to a cold endpoint evenly at `cold-rate`. What it granted before it knew counts, and a new scheduler waits for a second, since it does not know what its predecessor granted. While an endpoint has had its part, it is passed over, so that work does not wait for it. Routers without a scheduler share the rate, each in a phase of its own; one that has not been told how many they are grants nothing. Endpoints of a data centre whose evacuation has ended count as cold for `cold-time`: the list lags, and would tell too late.

--- a/components/coordination/src/dispatcher/local.rs
+++ b/components/coordination/src/dispatcher/local.rs
@@ -1,6 +1,6 @@
 //! How a dispatcher grants itself a share of the slots, while it has no scheduler.
 
-use super::{endpoints, set_engines, Dispatcher, Effects};
+use super::{endpoints, set_cold, set_engines, Dispatcher, Effects};
 use crate::prelude::*;
 use crate::scheduler::{Effect as LocalEffect, Scheduler, Session as LocalSession, GATHER_MS};
 use state::view::Shard;
@@ -45,7 +45,7 @@
         let hello = session.introduce(held, backoff);
         session.local = Some((Scheduler::new(LOCAL, past), LocalSession::default()));
         // It must know its endpoints before it hears what they have.
-        self.arm_local(view, shard);
+        self.arm_local(now, view, shard);
         let session = self.sessions.get_mut(shard);
         if let Some((local, opened)) = session.and_then(|s| s.local.as_mut()) {
             *opened = local.open(now, None, &hello);
@@ -54,15 +54,23 @@
     }
 
     /// Gives the local scheduler this router's share of each endpoint.
-    pub(super) fn arm_local(&mut self, view: &View, shard: &Shard) {
+    pub(super) fn arm_local(&mut self, now: Millis, view: &View, shard: &Shard) {
         let Some(session) = self.sessions.get_mut(shard) else {
             return;
         };
         let routers = session.routers;
+        let is_counted = session.is_counted;
         let Some((local, _)) = &mut session.local else {
             return;
         };
-        set_engines(local.slots(), view, shard);
+        let slots = local.slots();
+        set_engines(slots, view, shard);
+        let service = view.config.services.get(&shard.service);
+        if let Some(cold) = service.and_then(|s| s.cold) {
+            // How many share it is not known before a scheduler has told.
+            let rate = if is_counted { cold.rate / routers } else { 0 };
+            slots.set_cold_rate(Some(rate));
+        }
         let mut any = 0;
         for (id, slots, _, leaving) in endpoints(view, shard) {
             let share = share(slots, routers, self.incarnation, id);
@@ -78,7 +86,10 @@
             }
         }
         let known: Vec<EndpointId> = endpoints(view, shard).map(|e| e.0).collect();
-        local.slots().retain(|id| known.contains(&id));
+        let slots = local.slots();
+        slots.retain(|id| known.contains(&id));
+        let incarnation = self.incarnation;
+        set_cold(slots, now, view, |id| mix(incarnation, id) % 1000);
     }
 }
 
--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -401,6 +401,7 @@
         };
         let shard = shard.clone();
         session.routers = grant.routers.max(1);
+        session.is_counted = true;
         session.running = grant.running;
         self.use_grant(now, &shard, grant, &mut effects);
         effects
@@ -442,7 +443,7 @@
                 session.hello_at = Some(now);
                 self.down(now, &shard);
             }
-            self.arm_local(view, &shard);
+            self.arm_local(now, view, &shard);
         }
         self.move_orphans(now, view, &mut effects);
         effects
@@ -515,6 +516,18 @@
     slots.set_memory(engine.map(|e| e.memory_tokens));
     let rate = engine.and_then(|e| e.copy_tokens_per_s);
     slots.set_copy_rate(rate.map(u64::from));
+    slots.set_cold_rate(service.and_then(|s| s.cold).map(|cold| cold.rate));
+}
+
+/// Tells slots which endpoints are cold, and until when. Of those who share the rates, each
+/// begins by another `part`, in thousandths, of the time between two requests.
+pub fn set_cold<F>(slots: &mut Slots, now: Millis, view: &View, part: F)
+where
+    F: Fn(EndpointId) -> u64,
+{
+    for (id, warm_at) in &view.warm_at {
+        slots.set_cold(now, *id, *warm_at, part(*id));
+    }
 }
 
 /// Endpoints of a shard: number, slots, lead, and whether it gets no new work.
--- a/components/coordination/src/dispatcher/session.rs
+++ b/components/coordination/src/dispatcher/session.rs
@@ -49,6 +49,8 @@
     /// Whether the scheduler has shown, by a grant, that it took the hello.
     pub(super) heard: bool,
     pub(super) routers: u32,
+    /// Whether a scheduler has told how many routers there are.
+    pub(super) is_counted: bool,
     /// Requests in progress of all routers with a session there.
     pub(super) running: u32,
     pub(super) local: Option<(Scheduler, LocalSession)>,
@@ -120,6 +122,7 @@
             floor: 0,
             heard: false,
             routers: 1,
+            is_counted: false,
             running: 0,
             local: None,
             turned: BTreeMap::new(),
--- a/components/coordination/src/listing.rs
+++ b/components/coordination/src/listing.rs
@@ -34,6 +34,10 @@
     every_ms * ROUTER_TURNS + incarnation % spread_ms
 }
 
+/// How much later than was told an endpoint may turn warm before that is news, in
+/// milliseconds: readings of the list lag by different times.
+const COLD_JITTER_MS: u64 = 500;
+
 /// What one process knows of the list.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -42,6 +46,8 @@
     /// Endpoints that were once told as leaving. None of them comes back, but a
     /// reader that has older pages may say so.
     leaving: BTreeSet<EndpointId>,
+    /// When endpoints that are cold will be warm, by this process's clock.
+    warm_at: BTreeMap<EndpointId, Millis>,
     missing: BTreeMap<EndpointId, u32>,
 }
 
@@ -52,15 +58,32 @@
         now.since(self.heard.unwrap_or(Millis(0))) >= patience
     }
 
-    /// The newest listing.
+    /// The newest listing. How long endpoints stay cold is in [`Roster::warm_at`].
     pub fn listing(&self) -> &Arc<Listing> {
         &self.listing
     }
 
+    /// When endpoints that are cold will be warm, by this process's clock.
+    pub fn warm_at(&self) -> &BTreeMap<EndpointId, Millis> {
+        &self.warm_at
+    }
+
+    /// The newest listing as another process is told it now.
+    pub fn told(&self, now: Millis) -> Listing {
+        let mut listing = (*self.listing).clone();
+        for listed in &mut listing.endpoints {
+            let warm_at = self.warm_at.get(&listed.id());
+            let cold_ms = warm_at.map_or(0, |at| at.since(now));
+            listed.cold_ms = u32::try_from(cold_ms).unwrap_or(u32::MAX);
+        }
+        listing
+    }
+
     /// Takes what this process has read; true if anything changed. `draw` is the
     /// number of the listing if it did.
     pub fn read(&mut self, now: Millis, mut endpoints: Vec<Listed>, draw: u64) -> bool {
         self.heard = Some(now);
+        let is_cold_news = self.note_cold(now, &mut endpoints);
         let present: BTreeSet<Name> = (endpoints.iter())
             .map(|l| l.endpoint.name.clone())
             .collect();
@@ -90,7 +113,7 @@
         });
         endpoints.dedup_by(|next, first| next.endpoint.name == first.endpoint.name);
         self.mark(&mut endpoints);
-        if endpoints == self.listing.endpoints {
+        if endpoints == self.listing.endpoints && !is_cold_news {
             return false;
         }
         self.listing = Arc::new(Listing {
@@ -103,8 +126,9 @@
     /// Takes what another process has read; true if anything changed.
     pub fn take(&mut self, now: Millis, mut listing: Listing) -> bool {
         self.heard = Some(now);
+        let is_cold_news = self.note_cold(now, &mut listing.endpoints);
         self.mark(&mut listing.endpoints);
-        let changed = listing != *self.listing;
+        let changed = is_cold_news || listing != *self.listing;
         if changed {
             self.listing = Arc::new(listing);
         }
@@ -120,6 +144,29 @@
         same
     }
 
+    /// Takes how long endpoints stay cold out of their entries; true if that is longer than
+    /// was known.
+    ///
+    /// The times run down, and readings of them lag: entries that held them would change
+    /// with each reading, and the whole list would go to all processes each time.
+    fn note_cold(&mut self, now: Millis, endpoints: &mut [Listed]) -> bool {
+        self.warm_at.retain(|_, at| *at > now);
+        let mut is_news = false;
+        for listed in endpoints {
+            let cold_ms = u64::from(std::mem::take(&mut listed.cold_ms));
+            if cold_ms == 0 {
+                continue;
+            }
+            let warm_at = now.after(cold_ms);
+            let known = self.warm_at.entry(listed.id()).or_insert(Millis(0));
+            if warm_at.since(*known) > COLD_JITTER_MS {
+                *known = warm_at;
+                is_news = true;
+            }
+        }
+        is_news
+    }
+
     fn mark(&mut self, endpoints: &mut [Listed]) {
         for listed in endpoints {
             let id = listed.id();
--- a/components/coordination/src/slot/mod.rs
+++ b/components/coordination/src/slot/mod.rs
@@ -15,6 +15,7 @@
 use crate::health::{Change, Health};
 use crate::prelude::*;
 use crate::prompt::Part;
+use crate::ramp::Ramp;
 use crate::reliability::Reliability;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -50,6 +51,10 @@
     closed: BTreeMap<u32, Millis>,
     /// Until when it wants none at all.
     left: Option<Millis>,
+    /// When it was last granted a request here.
+    granted: Option<Millis>,
+    /// At which rate it is granted requests, while it is cold.
+    ramp: Option<Ramp>,
 }
 
 /// What to look for in an endpoint.
@@ -91,6 +96,9 @@
     memory: Option<u64>,
     /// Tokens that an engine copies from another one in a second, if it can.
     copy_rate: Option<u64>,
+    /// Requests that a cold endpoint is granted, in thousandths a second; `None` for no
+    /// bound.
+    cold_rate: Option<u32>,
     choice: Choice,
     turn: u64,
 }
@@ -110,6 +118,7 @@
             order: Order::default(),
             memory: None,
             copy_rate: None,
+            cold_rate: None,
             choice,
             turn: 0,
         }
@@ -127,6 +136,30 @@
         self.copy_rate = rate;
     }
 
+    /// Sets how many requests a cold endpoint is granted, in thousandths a second; `None` for
+    /// no bound.
+    pub fn set_cold_rate(&mut self, rate: Option<u32>) {
+        self.cold_rate = rate;
+    }
+
+    /// Notes that an endpoint is cold until `until`. Of those who share the rate, each begins
+    /// by another `part` of the time between two requests, in thousandths.
+    pub fn set_cold(&mut self, now: Millis, id: EndpointId, until: Millis, part: u64) {
+        let Some(rate) = self.cold_rate.filter(|_| until > now) else {
+            return;
+        };
+        let Some(slot) = self.touch(id) else {
+            return;
+        };
+        match slot.ramp.as_mut().filter(|ramp| ramp.until() > now) {
+            Some(ramp) => ramp.extend(until, rate),
+            None => {
+                let quiet = slot.granted.unwrap_or(now);
+                slot.ramp = Some(Ramp::new(until, rate, quiet).shifted(part));
+            }
+        }
+    }
+
     /// Adds or changes an endpoint.
     pub fn set(&mut self, id: EndpointId, slots: u32, lead: u32, leaving: bool) {
         let place = self.all.place_or_insert(id, || Slot::new(id));
@@ -219,6 +252,10 @@
         self.hold(now, id);
         let place = self.all.place(id)?;
         let slot = self.all.at_mut(place)?;
+        slot.granted = Some(now);
+        if let Some(ramp) = &mut slot.ramp {
+            ramp.take(now);
+        }
         let Some(engine) = &mut slot.engine else {
             slot.remember(prompt.first());
             return None;
@@ -442,6 +479,8 @@
             born: None,
             closed: BTreeMap::new(),
             left: None,
+            granted: None,
+            ramp: None,
         }
     }
 
@@ -460,7 +499,7 @@
     }
 
     fn room(&self, now: Millis) -> u32 {
-        if self.leaving || self.has_left(now) {
+        if self.leaving || self.has_left(now) || self.is_paced(now) {
             return 0;
         }
         let capacity = self.health.capacity(now, self.slots + self.lead);
@@ -488,10 +527,16 @@
         until.is_some_and(|until| *until > now)
     }
 
+    /// Whether it is cold, and has had as many requests as it bears for now.
+    fn is_paced(&self, now: Millis) -> bool {
+        self.ramp.is_some_and(|ramp| !ramp.admits(now))
+    }
+
     /// Whether it takes work at all now, if not at this moment.
     fn is_open(&self, now: Millis) -> bool {
         !self.leaving
             && !self.has_left(now)
+            && !self.is_paced(now)
             && self.health.capacity(now, self.slots + self.lead) > 0
     }
 
--- a/components/coordination/src/slot/place.rs
+++ b/components/coordination/src/slot/place.rs
@@ -482,6 +482,9 @@
         let returns = self.health.until().filter(|until| *until > now);
         let falls = self.reliability.falls(now);
         let left = self.left.filter(|until| *until > now);
-        [phase, returns, falls, left].into_iter().flatten().min()
+        let opens = self.ramp.map(|ramp| ramp.opens_at());
+        let opens = opens.filter(|at| *at > now);
+        let all = [phase, returns, falls, left, opens];
+        all.into_iter().flatten().min()
     }
 }
--- /dev/null
+++ b/components/coordination/tests/cold.rs
@@ -0,0 +1,397 @@
+//! Endpoints that are cold, and bear few requests a second until they are warm.
+#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
+
+mod endpoints;
+mod views;
+
+use coordination::ask::{Ask, Class, Grant, Hello, Seq, Verdict};
+use coordination::assignment::shards;
+use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Home, LOCAL_MS};
+use coordination::listing::Roster;
+use coordination::prompt::Prompt;
+use coordination::ramp::Ramp;
+use coordination::returns::Returns;
+use coordination::scheduler::{self, Scheduler};
+use state::clock::Millis;
+use state::config::{Cold, Engine};
+use state::evacuation::Evacuation;
+use state::id::{CustomerId, EndpointId, Epoch, Version};
+use state::listing::Listed;
+use state::view::View;
+use std::collections::BTreeMap;
+use views::{add, assign, name, view, SERVICE};
+
+/// Requests that a cold endpoint bears, in thousandths a second.
+const RATE: u32 = 8400;
+/// Requests in a second that a cold endpoint may get at most: the rate, and one.
+const MOST: usize = 9;
+/// Requests in a second at which it would crash.
+const CRASH: usize = 18;
+const COLD: EndpointId = EndpointId(1);
+/// Tokens that an endpoint reads in a millisecond.
+const TOKENS_PER_MS: u32 = 50;
+
+/// Most moments in any second.
+fn most(moments: &[u64]) -> usize {
+    let within = |from: u64| {
+        moments
+            .iter()
+            .filter(|at| (from..from + 1000).contains(at))
+            .count()
+    };
+    moments.iter().map(|from| within(*from)).max().unwrap_or(0)
+}
+
+fn ask(seq: u64, tokens: u32) -> Ask {
+    Ask {
+        seq: Seq(seq),
+        class: Class {
+            customer: CustomerId(1),
+            rule: 0,
+        },
+        weight: 1,
+        rate: 0,
+        concurrency: 0,
+        priority: 0,
+        aim_ms: 60_000,
+        hint: 100,
+        prompt: Prompt::alone(tokens, 1),
+        avoid: None,
+        remote: false,
+    }
+}
+
+/// A scheduler of plain endpoints or engines whose first one is cold until `until`.
+fn scheduler(epoch: u64, now: Millis, memory: Option<u64>, until: Millis) -> Scheduler {
+    let mut scheduler = Scheduler::new(Epoch(epoch), now);
+    let slots = scheduler.slots();
+    slots.set_memory(memory);
+    slots.set_cold_rate(Some(RATE));
+    for id in 1..=3 {
+        slots.set(EndpointId(id), 64, 0, false);
+    }
+    slots.set_cold(now, COLD, until, 0);
+    scheduler
+}
+
+/// What a load of short requests makes a scheduler grant, by endpoint and moment.
+struct Load {
+    scheduler: Scheduler,
+    session: scheduler::Session,
+    /// Tokens of a prompt.
+    tokens: u32,
+    next: u64,
+    granted: Vec<(EndpointId, u64)>,
+    /// Until when each endpoint reads the prompts that it was sent.
+    reads: BTreeMap<EndpointId, u64>,
+    /// Requests in progress, by the moment of their first byte.
+    running: BTreeMap<(u64, Seq), u64>,
+}
+
+impl Load {
+    fn new(mut scheduler: Scheduler, now: Millis) -> Self {
+        let session = scheduler.open(now, None, &Hello::default());
+        Load {
+            scheduler,
+            session,
+            tokens: 1,
+            next: 0,
+            granted: Vec::new(),
+            reads: BTreeMap::new(),
+            running: BTreeMap::new(),
+        }
+    }
+
+    /// One request a millisecond; each endpoint reads one prompt after the other.
+    fn run(&mut self, from: u64, to: u64) {
+        for at in from..to {
+            let now = Millis(at);
+            self.next += 1;
+            let mut effects = self
+                .scheduler
+                .ask(now, self.session, ask(self.next, self.tokens));
+            while let Some(entry) = self.running.first_entry().filter(|e| e.key().0 <= at) {
+                let ((_, seq), sent) = entry.remove_entry();
+                let took_ms = u32::try_from(at - sent).ok();
+                effects.extend(self.scheduler.began(now, self.session, seq, took_ms));
+                let ended = self
+                    .scheduler
+                    .done(now, self.session, seq, 100, Verdict::Fine);
+                effects.extend(ended);
+            }
+            effects.extend(self.scheduler.tick(now));
+            for effect in effects {
+                if let scheduler::Effect::Grant(_, grant) = effect {
+                    self.grant(at, &grant);
+                }
+            }
+        }
+    }
+
+    fn grant(&mut self, at: u64, grant: &Grant) {
+        self.granted.push((grant.endpoint, at));
+        let reads = self.reads.entry(grant.endpoint).or_insert(0);
+        *reads = (*reads).max(at) + u64::from(self.tokens / TOKENS_PER_MS);
+        self.running.insert((*reads + 10, grant.seq), at);
+    }
+
+    fn moments(&self, of: EndpointId) -> Vec<u64> {
+        let all = self.granted.iter().filter(|(endpoint, _)| *endpoint == of);
+        all.map(|(_, at)| *at).collect()
+    }
+}
+
+/// Guards against a cold endpoint that crashes again, since its free slots attract all that
+/// waits, and against work that waits for it beside others.
+#[test]
+fn can_pace_a_cold_endpoint_while_others_carry_the_load() {
+    let mut load = Load::new(scheduler(1, Millis(0), None, Millis(6000)), Millis(0));
+    load.run(0, 6000);
+    let cold = load.moments(COLD);
+    assert!((30..=50).contains(&cold.len()), "{}", cold.len());
+    assert!(most(&cold) <= MOST, "{}", most(&cold));
+    assert!(load.granted.len() > 5000, "{}", load.granted.len());
+    load.run(6000, 8000);
+    let warm = load.moments(COLD).len() - cold.len();
+    assert!(warm > 200, "{warm} requests once it is warm");
+}
+
+/// Guards against the same at model engines that have as much to read as they can.
+#[test]
+fn can_pace_a_cold_engine_beside_engines_that_are_full() {
+    let scheduler = scheduler(1, Millis(0), Some(500_000), Millis(6000));
+    let mut load = Load::new(scheduler, Millis(0));
+    load.tokens = 150;
+    load.run(0, 6000);
+    let cold = load.moments(COLD);
+    assert!((30..=50).contains(&cold.len()), "{}", cold.len());
+    assert!(most(&cold) <= MOST, "{}", most(&cold));
+    load.run(6000, 8000);
+    let warm = load.moments(COLD).len() - cold.len();
+    assert!(warm > 200, "{warm} requests once it is warm");
+}
+
+/// Guards against requests that were granted before the endpoint was known to be cold, and
+/// are not counted.
+#[test]
+fn can_pace_an_endpoint_that_turns_cold_under_load() {
+    let scheduler = scheduler(1, Millis(0), None, Millis(0));
+    let mut load = Load::new(scheduler, Millis(0));
+    load.run(0, 3000);
+    let slots = load.scheduler.slots();
+    slots.set_cold(Millis(3000), COLD, Millis(6000), 0);
+    load.run(3000, 6000);
+    let moments = load.moments(COLD);
+    let after: Vec<u64> = moments.into_iter().filter(|at| *at >= 3000).collect();
+    assert!(after.iter().all(|at| *at >= 3980), "{after:?}");
+    assert!(most(&after) <= MOST, "{}", most(&after));
+}
+
+/// Guards against a new scheduler that does not know what its predecessor has granted.
+#[test]
+fn can_pace_a_cold_endpoint_through_a_change_of_scheduler() {
+    let mut first = Load::new(scheduler(1, Millis(0), None, Millis(9000)), Millis(0));
+    first.run(0, 4000);
+    let mut second = Load::new(scheduler(2, Millis(3990), None, Millis(9000)), Millis(3990));
+    second.run(4000, 8000);
+    let mut both = first.moments(COLD);
+    both.extend(second.moments(COLD));
+    assert!(both.len() > 40, "{}", both.len());
+    assert!(most(&both) <= MOST, "{}", most(&both));
+}
+
+/// A view of engines, the first of which is cold for 20 s.
+fn cold_view() -> View {
+    let engine = Engine {
+        memory_tokens: 500_000,
+        event_tokens: 1,
+        copy_tokens_per_s: None,
+    };
+    let mut view = view(Some(engine));
+    if let Some(service) = view.config.services.get_mut(&SERVICE) {
+        service.cold = Some(Cold {
+            rate: RATE,
+            for_ms: 3000,
+        });
+    }
+    add(&mut view, COLD.0, "dc-1", 64);
+    let all = shards(&view);
+    assign(&mut view, all, 1);
+    view.warm_at.insert(COLD, Millis(20_000));
+    view
+}
+
+fn arrival() -> Arrival {
+    Arrival {
+        service: SERVICE,
+        class: Class {
+            customer: CustomerId(1),
+            rule: 0,
+        },
+        weight: 1,
+        priority: 0,
+        rate: 0,
+        concurrency: 0,
+        queue: 1000,
+        hint: 10,
+        prompt: Prompt::default(),
+        bytes: 10,
+        aim: Millis(60_000),
+        deadline: Millis(60_000),
+    }
+}
+
+/// A router that a scheduler has told how many routers there are, if any has.
+fn router(incarnation: u64, view: &View, routers: Option<u32>) -> Dispatcher {
+    let home = Home {
+        region: name("main"),
+        data_centre: name("dc-1"),
+        incarnation,
+    };
+    let bounds = Bounds {
+        requests: 10_000,
+        bytes: 1 << 30,
+    };
+    let mut dispatcher = Dispatcher::new(home, bounds);
+    dispatcher.link_up(Millis(0), &name("s-0"));
+    dispatcher.follow(Millis(0), view);
+    if let Some(routers) = routers {
+        dispatcher.arrive(Millis(0), view, arrival()).unwrap();
+        dispatcher.tick(Millis(0), view);
+        let grant = Grant {
+            epoch: Epoch(1),
+            seq: Seq(99),
+            endpoint: COLD,
+            copy_from: None,
+            basis: coordination::ask::Basis::default(),
+            level: 0,
+            floor: 0,
+            routers,
+            running: 1,
+        };
+        dispatcher.grant(Millis(0), grant);
+    }
+    dispatcher.link_down(Millis(0), &name("s-0"));
+    dispatcher
+}
+
+/// Moments at which routers without a scheduler send to the cold endpoint, at a load of one
+/// request in 50 ms each.
+fn shared_out(routers: &mut [Dispatcher], view: &View, to: u64) -> Vec<u64> {
+    let mut moments = Vec::new();
+    for at in (LOCAL_MS..to).step_by(10) {
+        let now = Millis(at);
+        for router in routers.iter_mut() {
+            let mut effects = Vec::new();
+            if at % 50 == 0 {
+                // What it cannot serve in time it refuses.
+                let arrived = router.arrive(now, view, arrival());
+                effects.extend(arrived.map(|(_, e)| e).unwrap_or_default());
+            }
+            effects.extend(router.tick(now, view));
+            let sent = effects.iter().filter(|e| matches!(e, Effect::Dispatch(..)));
+            moments.extend(sent.map(|_| at));
+        }
+    }
+    moments
+}
+
+/// Guards against routers that lose their scheduler, each of which gives the cold endpoint
+/// all that it bears.
+#[test]
+fn can_share_the_rate_of_a_cold_endpoint_among_routers_without_a_scheduler() {
+    let view = cold_view();
+    let all = 1..=86_u64;
+    let mut routers: Vec<Dispatcher> = all
+        .map(|n| router(n.wrapping_mul(0x9e37_79b9_7f4a_7c15), &view, Some(86)))
+        .collect();
+    let moments = shared_out(&mut routers, &view, 20_000);
+    assert!(moments.len() > 60, "{}", moments.len());
+    assert!(most(&moments) < CRASH, "{}", most(&moments));
+}
+
+/// Guards against routers that have just started, and do not know how many share the rate.
+#[test]
+fn can_leave_a_cold_endpoint_alone_where_nobody_has_counted_the_routers() {
+    let view = cold_view();
+    let mut routers = [router(1, &view, None), router(2, &view, None)];
+    assert_eq!(shared_out(&mut routers, &view, 19_000), [0_u64; 0]);
+}
+
+/// Guards against a data centre whose endpoints are all cold when it is in use again, and
+/// which the list of endpoints does not show yet.
+#[test]
+fn can_count_endpoints_as_cold_after_an_evacuation() {
+    let mut view = cold_view();
+    add(&mut view, 2, "dc-2", 64);
+    view.warm_at.clear();
+    let mut evacuation = Evacuation {
+        is_in_force: true,
+        version: Version(5),
+        at: 1_000_000,
+    };
+    let mut returns = Returns::default();
+    view.evacuations.insert(name("dc-2"), evacuation);
+    returns.follow(Millis(100), 1_000_000, &mut view);
+    assert!(view.warm_at.is_empty());
+    evacuation.is_in_force = false;
+    evacuation.version = Version(6);
+    view.evacuations.insert(name("dc-2"), evacuation);
+    returns.follow(Millis(200), 2_000_000, &mut view);
+    assert_eq!(view.warm_at.get(&EndpointId(2)), Some(&Millis(3200)));
+    assert_eq!(view.warm_at.get(&COLD), None);
+    // One that has just started counts from its start; long after it, nothing does.
+    let mut late = view.clone();
+    late.warm_at.clear();
+    Returns::default().follow(Millis(50), 3_000_000, &mut late);
+    assert_eq!(late.warm_at.get(&EndpointId(2)), Some(&Millis(3050)));
+    late.warm_at.clear();
+    Returns::default().follow(Millis(50), 60_000_000, &mut late);
+    assert!(late.warm_at.is_empty());
+}
+
+fn listed(text: &str, cold_ms: u32) -> Listed {
+    Listed {
+        cold_ms,
+        ..endpoints::listed(text, Some(1), false)
+    }
+}
+
+/// Guards against a list that changes with each reading, since the times of cold endpoints
+/// run down, and against one that keeps a new cold time back.
+#[test]
+fn can_follow_cold_times_without_a_change_at_each_reading() {
+    let id = listed("a", 0).id();
+    let mut roster = Roster::default();
+    assert!(roster.read(Millis(0), vec![listed("a", 3000)], 1));
+    assert_eq!(roster.warm_at().get(&id), Some(&Millis(3000)));
+    assert!(!roster.read(Millis(500), vec![listed("a", 2700)], 2));
+    assert_eq!(roster.told(Millis(1000)).endpoints[0].cold_ms, 2000);
+    assert!(roster.read(Millis(1000), vec![listed("a", 3000)], 3));
+    assert_eq!(roster.warm_at().get(&id), Some(&Millis(4000)));
+    let mut other = Roster::default();
+    assert!(other.take(Millis(70), roster.told(Millis(1000))));
+    assert_eq!(other.warm_at().get(&id), Some(&Millis(3070)));
+    assert!(!other.take(Millis(90), roster.told(Millis(1020))));
+    assert!(!roster.read(Millis(5000), vec![listed("a", 0)], 4));
+    assert!(roster.warm_at().is_empty());
+    assert!(roster.read(Millis(6000), vec![listed("a", 3000)], 5));
+}
+
+/// Guards against a ramp that lets more through after a pause.
+#[test]
+fn can_space_requests_evenly_after_a_pause() {
+    let mut ramp = Ramp::new(Millis(60_000), RATE, Millis(0));
+    assert!(!ramp.admits(Millis(999)));
+    let mut moments = Vec::new();
+    for at in (1000..3000).chain(20_000..23_000) {
+        if ramp.admits(Millis(at)) {
+            ramp.take(Millis(at));
+            moments.push(at);
+        }
+    }
+    assert!(most(&moments) <= MOST, "{}", most(&moments));
+    assert!(moments.len() >= 40, "{}", moments.len());
+    assert!(!Ramp::new(Millis(5000), 0, Millis(0)).admits(Millis(4999)));
+    assert!(Ramp::new(Millis(5000), 0, Millis(0)).admits(Millis(5000)));
+}
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -329,6 +329,7 @@
         load: None,
         connections: None,
         engine: None,
+        cold: None,
     };
     assert_eq!(idempotent(rule, &service, method), twice);
 }
--- a/components/coordination/tests/dispatcher.rs
+++ b/components/coordination/tests/dispatcher.rs
@@ -31,6 +31,7 @@
             load: None,
             connections: None,
             engine: None,
+            cold: None,
         },
     );
     view.config.endpoints.insert(
--- a/components/coordination/tests/endpoints/mod.rs
+++ b/components/coordination/tests/endpoints/mod.rs
@@ -11,6 +11,7 @@
     Listed {
         leaving,
         born,
+        cold_ms: 0,
         endpoint: Endpoint {
             name: text(name),
             service: text("s"),
--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -670,6 +670,7 @@
         load: None,
         connections: None,
         engine: None,
+        cold: None,
     };
     view.config.services.insert(SERVICE, service);
     for n in 0..setup.endpoints {
--- a/components/coordination/tests/views/mod.rs
+++ b/components/coordination/tests/views/mod.rs
@@ -30,6 +30,7 @@
         load: None,
         connections: None,
         engine,
+        cold: None,
     };
     let mut view = View::default();
     view.config.services.insert(SERVICE, service);
--- a/components/node/src/interface.rs
+++ b/components/node/src/interface.rs
@@ -221,6 +221,8 @@
         leaving: bool,
         #[serde(default)]
         born: Option<u64>,
+        #[serde(default)]
+        cold_ms: u32,
     }
     #[derive(serde::Deserialize)]
     #[serde(rename_all = "kebab-case")]
@@ -232,6 +234,7 @@
     let endpoints = read.endpoints.into_iter().map(|line| Listed {
         leaving: line.leaving,
         born: line.born,
+        cold_ms: line.cold_ms,
         endpoint: state::config::Endpoint {
             region: region(regions, &line.data_centre),
             name: line.name,
--- a/components/node/src/reactor/listing.rs
+++ b/components/node/src/reactor/listing.rs
@@ -32,7 +32,6 @@
 
     /// Follows and passes on a reading of the platform's list.
     pub(super) fn listed(&mut self, now: Millis, changed: bool, from: Option<&Name>) {
-        let listing = self.roster.listing().clone();
         if changed {
             self.tell_endpoints(from);
             self.follow_live(now);
@@ -42,9 +41,9 @@
             to.extend(self.members.iter().map(|p| p.vm.clone()));
         }
         let news = if changed {
-            Message::Listing(Box::new((*listing).clone()))
+            Message::Listing(Box::new(self.roster.told(now)))
         } else {
-            Message::ListingKept(listing.id)
+            Message::ListingKept(self.roster.listing().id)
         };
         for vm in to {
             if Some(&vm) != from && vm != self.me {
@@ -77,10 +76,9 @@
         );
     }
 
-    pub(super) fn send_listing(&self, vm: &Name) {
-        let listing = self.roster.listing();
-        if !listing.endpoints.is_empty() {
-            let listing = Box::new((**listing).clone());
+    pub(super) fn send_listing(&self, now: Millis, vm: &Name) {
+        if !self.roster.listing().endpoints.is_empty() {
+            let listing = Box::new(self.roster.told(now));
             self.parts.hub.send(vm, Message::Listing(listing));
         }
     }
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -19,6 +19,7 @@
 use coordination::backoff::Backoff;
 use coordination::dispatcher::{Bounds, Dispatcher, Effect, Effects, Handle, Home};
 use coordination::listing::Roster;
+use coordination::returns::Returns;
 use protocol::wire::{Message, Reply};
 use state::clock::Millis;
 use state::config::Index;
@@ -30,7 +31,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
-use transport::clock::Clock;
+use transport::clock::{wall_micros, Clock};
 use transport::link::{self, Hub};
 
 /// Time between two ticks.
@@ -85,6 +86,8 @@
     live: Arc<View>,
     index: Arc<Index>,
     roster: Roster,
+    /// Data centres whose evacuation has ended.
+    returns: Returns,
     /// Control VMs as the control role of this process knows them.
     members: Vec<Place>,
     leads: bool,
@@ -146,6 +149,7 @@
             live: Arc::default(),
             index: Arc::default(),
             roster: Roster::default(),
+            returns: Returns::default(),
             members: Vec::new(),
             leads: false,
             proving: None,
@@ -353,7 +357,7 @@
                     self.dissemination
                         .subscribe(hub, peer.place, &self.view, version);
                 }
-                self.send_listing(&vm);
+                self.send_listing(now, &vm);
             }
             Message::Unsubscribe => self.dissemination.unsubscribe(&vm),
             Message::Elsewhere(place) => {
@@ -409,7 +413,7 @@
                     self.parts.hub.send(&vm, Message::ListingWanted);
                 }
             }
-            Message::ListingWanted => self.send_listing(&vm),
+            Message::ListingWanted => self.send_listing(now, &vm),
             Message::Check(sent) => self.check(now, &vm, sent),
             Message::Checked { sent, age_ms, head } => {
                 let at = Millis(sent.saturating_sub(age_ms));
@@ -471,7 +475,10 @@
 
     /// Follows a change of the view or of the platform's endpoints.
     fn follow_live(&mut self, now: Millis) {
-        self.live = Arc::new(self.view.with_listing(self.roster.listing()));
+        let mut live = self.view.with_listing(self.roster.listing());
+        live.warm_at = self.roster.warm_at().clone();
+        self.returns.follow(now, wall_micros(), &mut live);
+        self.live = Arc::new(live);
         self.schedulers.follow(now, &self.live, &mut self.batch);
         let effects = self.dispatcher.follow(now, &self.live);
         self.act(now, effects);
--- a/components/node/src/schedulers.rs
+++ b/components/node/src/schedulers.rs
@@ -8,7 +8,7 @@
 use crate::shared::ShardStatus;
 use coordination::ask::{Report, Served};
 use coordination::assignment;
-use coordination::dispatcher::{endpoints, set_engines};
+use coordination::dispatcher::{endpoints, set_cold, set_engines};
 use coordination::scheduler::{Effect, Effects, Scheduler, Session};
 use state::clock::Millis;
 use state::event::{Event, Step};
@@ -104,6 +104,7 @@
             for (id, count, lead, leaving) in endpoints(view, &assigned.shard) {
                 slots.set(id, count, lead, leaving);
             }
+            set_cold(slots, now, view, |_| 0);
         }
         self.tick(now, batch);
     }
--- a/components/settings/src/configuration.rs
+++ b/components/settings/src/configuration.rs
@@ -4,7 +4,7 @@
 use errors::{Error, Result};
 use smallvec::SmallVec;
 use state::config::{
-    Cost, Customer, Draft, Endpoint, Engine, Limits, Part, Rule, Send, Service, Then, When,
+    Cold, Cost, Customer, Draft, Endpoint, Engine, Limits, Part, Rule, Send, Service, Then, When,
 };
 use state::id::Name;
 use state::secret::Hash;
@@ -25,7 +25,9 @@
     connections,
     memory_tokens,
     event_tokens,
-    copy_tokens_per_s
+    copy_tokens_per_s,
+    cold_rate,
+    cold_time
 });
 raw!(RawEndpoint {
     service,
@@ -65,6 +67,9 @@
 const TIMEOUT_MAX_MS: u64 = 3_600_000;
 /// Largest weight of a service in a rule.
 const WEIGHT_MAX: u32 = 1_000_000;
+/// Time for which endpoints of a service with `cold-rate` stay cold, unless it is set, in
+/// milliseconds.
+const COLD_MS: u64 = 5000;
 /// Time-out of a service that sets none, in milliseconds.
 const TIMEOUT_MS: u64 = 60_000;
 
@@ -160,6 +165,7 @@
         idempotent: s.flag("idempotent", &raw.idempotent)?.unwrap_or(false),
         connections: optional(s, "connections", &raw.connections, 1 << 20)?,
         engine: engine(s, &raw)?,
+        cold: cold(s, &raw)?,
         load: raw.load,
     })
 }
@@ -175,6 +181,26 @@
     }))
 }
 
+fn cold(s: &Section, raw: &RawService) -> Result<Option<Cold>> {
+    let Some(text) = raw.cold_rate.as_deref() else {
+        return match &raw.cold_time {
+            None => Ok(None),
+            Some(time) => Err(s.wrong("cold-time", time, "only with cold-rate")),
+        };
+    };
+    let allowed = "requests a second, 0.001 to 1000000, such as 8.5";
+    let rate = text
+        .parse()
+        .ok()
+        .filter(|rate| (0.001..=1e6).contains(rate));
+    let rate: f64 = rate.ok_or_else(|| s.wrong("cold-rate", text, allowed))?;
+    Ok(Some(Cold {
+        // CAST: at most 10^9, by the bounds.
+        rate: (rate * 1000.0).round() as u32,
+        for_ms: s.millis("cold-time", &raw.cold_time, 0..=3_600_000, COLD_MS)?,
+    }))
+}
+
 fn optional(s: &Section, key: &str, value: &Option<String>, max: u32) -> Result<Option<u32>> {
     let number = |_| s.small(key, value, 1..=max, 1);
     value.as_ref().map(number).transpose()
@@ -337,6 +363,10 @@
         option(&mut out, "event-tokens", event.as_ref());
         let copy = engine.and_then(|e| e.copy_tokens_per_s);
         option(&mut out, "copy-tokens-per-s", copy.as_ref());
+        if let Some(cold) = s.cold {
+            line(&mut out, "cold-rate", &(f64::from(cold.rate) / 1000.0));
+            line(&mut out, "cold-time", &format_args!("{}ms", cold.for_ms));
+        }
     }
     for e in &draft.endpoints {
         head(&mut out, "endpoint", &e.name);
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -25,7 +25,7 @@
     format!(
         "[customer alpha]\nkey-sha256 = {KEY}\nweight = 2\nservices = assistant, booking\n\
          [service assistant]\ncost = event\nidempotent = yes\nload = /load\n\
-         [service booking]\ncost = request\n\
+         [service booking]\ncost = request\ncold-rate = 8.4\ncold-time = 3s\n\
          [endpoint a-1]\nservice = assistant\naddress = 127.0.0.1:9001\ndata-centre = dk-1\n\
          [rule chat]\nwhen-customer = alpha\nwhen-method = POST, PUT\nwhen-path = /chat\n\
          when-header = x-kind: quick\nwhen-size-max = 500\nthen = limit\nservice = assistant\n\
--- a/components/state/src/config.rs
+++ b/components/state/src/config.rs
@@ -55,6 +55,16 @@
     pub copy_tokens_per_s: Option<u32>,
 }
 
+/// What endpoints of a service bear while they are cold: just started, or idle for long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Cold {
+    /// Requests that one bears, in thousandths of a request a second.
+    pub rate: u32,
+    /// Time for which one stays cold, in milliseconds.
+    pub for_ms: u64,
+}
+
 /// A set of endpoints that are equal to callers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -76,6 +86,8 @@
     pub connections: Option<u32>,
     /// Set when its endpoints are model engines.
     pub engine: Option<Engine>,
+    /// What they bear while they are cold; `None` for as much as ever.
+    pub cold: Option<Cold>,
 }
 
 /// One replica of a service.
--- a/components/state/src/listing.rs
+++ b/components/state/src/listing.rs
@@ -15,6 +15,8 @@
     pub born: Option<u64>,
     /// Whether it gets no new work.
     pub leaving: bool,
+    /// Time for which it stays cold, in milliseconds from the moment at which this is told.
+    pub cold_ms: u32,
 }
 
 impl Listed {
--- a/components/state/tests/release.rs
+++ b/components/state/tests/release.rs
@@ -24,6 +24,7 @@
         load: None,
         connections: None,
         engine: None,
+        cold: None,
     };
     Record::Release(Box::new(Release {
         number,
--- a/components/state/tests/store.rs
+++ b/components/state/tests/store.rs
@@ -24,6 +24,7 @@
         load: None,
         connections: None,
         engine: None,
+        cold: None,
     }
 }
 
