Serve requests in their homes alone

Change: `regions` of a customer and of a rule. Both hold; a set of marks goes with the request and decides which shards may be asked: at its arrival, beside its own region after a wait, after a refusal or a failed try, and when its shard loses its endpoints. A router whose region is not a home asks a scheduler in one. What no home can serve is refused at once.

Before, a request of a customer with a home elsewhere was asked for at its router's region.

--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -21,6 +21,7 @@
 use self::spread::{Spread, State};
 use crate::ask::Placement;
 use crate::backoff::Backoffs;
+use crate::homes::Homes;
 use crate::overload::HotSpot;
 use crate::prelude::*;
 use crate::slot::Slots;
@@ -71,6 +72,8 @@
     pub prompt: Prompt,
     /// Bytes that it keeps in memory while it waits.
     pub bytes: u64,
+    /// Regions in which it may be served.
+    pub homes: Homes,
     /// When its caller counts the first byte of an answer as late.
     pub aim: Millis,
     /// When it is given up.
@@ -219,9 +222,7 @@
                 ..state
             }
         };
-        let (service, aim_ms) = (arrival.service, arrival.aim.since(now));
-        let spread = &self.spread;
-        spread.choose(now, service, &arrival.prompt, aim_ms, state)
+        self.spread.choose(now, arrival, state)
     }
 
     /// Takes a request, or says why it cannot wait.
--- a/components/coordination/src/dispatcher/remote.rs
+++ b/components/coordination/src/dispatcher/remote.rs
@@ -52,6 +52,7 @@
         let others: SmallVec<[Shard; 7]> = (view.assignments.iter())
             .map(|assignment| &assignment.shard)
             .filter(|s| s.service == home.service && s.region != home.region)
+            .filter(|s| arrival.homes.allow(&s.region))
             .filter(|s| endpoints(view, s).any(|(_, _, _, leaving)| !leaving))
             .cloned()
             .collect();
--- a/components/coordination/src/dispatcher/spread.rs
+++ b/components/coordination/src/dispatcher/spread.rs
@@ -6,6 +6,7 @@
 //! at random, each part would be read in each data centre; asked for at home, one data
 //! centre would be overloaded beside idle ones.
 
+use super::Arrival;
 use crate::assignment::shards;
 use crate::prelude::*;
 use crate::prompt::mix;
@@ -113,7 +114,7 @@
     home: Home,
     /// All that have endpoints, in any region.
     shards: BTreeSet<Shard>,
-    /// Those that this router asks.
+    /// Those with endpoints that take work.
     candidates: BTreeMap<ServiceId, Vec<Candidate>>,
 }
 
@@ -131,7 +132,7 @@
         self.candidates.is_empty()
     }
 
-    /// Endpoints of a shard that take work, if this router may ask it.
+    /// Endpoints of a shard that take work.
     pub(super) fn open(&self, shard: &Shard) -> usize {
         let candidates = self.candidates.get(&shard.service);
         let found = candidates.and_then(|all| all.iter().find(|c| c.shard == *shard));
@@ -157,9 +158,6 @@
             let all = self.candidates.entry(shard.service).or_default();
             all.push(candidate);
         }
-        for all in self.candidates.values_mut() {
-            keep_one_region(all, &self.home.region);
-        }
     }
 
     /// Whether a shard has endpoints, as they are divided now.
@@ -179,20 +177,13 @@
         all.find(|shard| shard.covers(endpoint))
     }
 
-    /// The shard to ask for a request that is late after `aim_ms`; `state` tells what is
-    /// known of each.
-    pub(super) fn choose<F>(
-        &self,
-        now: Millis,
-        service: ServiceId,
-        prompt: &Prompt,
-        aim_ms: u64,
-        state: F,
-    ) -> Option<&Shard>
+    /// The shard to ask for a request; `state` tells what is known of each.
+    pub(super) fn choose<F>(&self, now: Millis, arrival: &Arrival, state: F) -> Option<&Shard>
     where
         F: Fn(&Shard) -> State,
     {
-        let order = self.order(service, prompt);
+        let aim_ms = arrival.aim.since(now);
+        let order = self.order(arrival);
         let first = order.first()?;
         let is_pressed = order.len() > 1 && {
             let here = state(&first.shard);
@@ -209,13 +200,15 @@
     }
 
     /// Shards of a service, the one that a request belongs to before the others.
-    fn order(&self, service: ServiceId, prompt: &Prompt) -> SmallVec<[&Candidate; 8]> {
-        let all = self.candidates.get(&service).into_iter().flatten();
-        let mut order: SmallVec<[&Candidate; 8]> = all.collect();
+    fn order(&self, arrival: &Arrival) -> SmallVec<[&Candidate; 8]> {
+        let all = self.candidates.get(&arrival.service).into_iter().flatten();
+        let allowed = all.filter(|c| arrival.homes.allow(&c.shard.region));
+        let mut order: SmallVec<[&Candidate; 8]> = allowed.collect();
+        keep_one_region(&mut order, &self.home.region);
         if order.len() < 2 {
             return order;
         }
-        let (key, tokens) = prompt.shared();
+        let (key, tokens) = arrival.prompt.shared();
         if tokens >= AFFINITY_TOKENS {
             order.sort_by(|a, b| a.rank(key.into()).total_cmp(&b.rank(key.into())));
             return order;
@@ -232,7 +225,7 @@
 }
 
 /// Keeps the shards of a region, or of the first one if it has none.
-fn keep_one_region(all: &mut Vec<Candidate>, region: &Name) {
+fn keep_one_region(all: &mut SmallVec<[&Candidate; 8]>, region: &Name) {
     let regions = || all.iter().map(|c| &c.shard.region);
     let chosen = regions().find(|r| *r == region).or_else(|| regions().min());
     if let Some(chosen) = chosen.cloned() {
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dispatcher;
 pub mod engine;
 pub mod health;
+pub mod homes;
 pub mod intake;
 pub mod ledger;
 pub mod limit;
--- a/components/coordination/tests/backoff.rs
+++ b/components/coordination/tests/backoff.rs
@@ -6,6 +6,7 @@
 use coordination::ask::{Ask, Basis, Class, Grant, Hello, Report, Seq, Verdict};
 use coordination::backoff::{Backoff, Backoffs, BACKOFF_MAX_MS, LEAVING_MS};
 use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Full, Handle, Home};
+use coordination::homes::Homes;
 use coordination::prompt::Prompt;
 use coordination::scheduler::{self, Scheduler, Session, GATHER_MS};
 use rstest::rstest;
@@ -62,6 +63,7 @@
         hint: 10,
         prompt: Prompt::default(),
         bytes: 10,
+        homes: Homes::default(),
         aim: Millis(aim_ms),
         deadline: Millis(20_000),
     }
--- a/components/coordination/tests/cold.rs
+++ b/components/coordination/tests/cold.rs
@@ -7,6 +7,7 @@
 use coordination::ask::{Ask, Class, Grant, Hello, Seq, Verdict};
 use coordination::assignment::shards;
 use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Home, LOCAL_MS};
+use coordination::homes::Homes;
 use coordination::listing::Roster;
 use coordination::prompt::Prompt;
 use coordination::ramp::Ramp;
@@ -236,6 +237,7 @@
         hint: 10,
         prompt: Prompt::default(),
         bytes: 10,
+        homes: Homes::default(),
         aim: Millis(60_000),
         deadline: Millis(60_000),
     }
--- a/components/coordination/tests/dispatcher.rs
+++ b/components/coordination/tests/dispatcher.rs
@@ -5,6 +5,7 @@
 use coordination::dispatcher::{
     Arrival, Bounds, Dispatcher, Effect, Full, Handle, Home, LOCAL_MS, REMOTE_MS, WINDOW,
 };
+use coordination::homes::Homes;
 use coordination::prompt::Prompt;
 use state::clock::Millis;
 use state::config::{Cost, Endpoint, Service};
@@ -77,6 +78,7 @@
         aim: Millis(u64::MAX),
         prompt: Prompt::default(),
         bytes: 10,
+        homes: Homes::default(),
         deadline: Millis(5000),
     }
 }
--- a/components/coordination/tests/evacuation.rs
+++ b/components/coordination/tests/evacuation.rs
@@ -6,6 +6,7 @@
 use coordination::ask::{Basis, Class, Grant, Report, Seq, Verdict};
 use coordination::assignment::shards;
 use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Full, Handle, Home, LOCAL_MS};
+use coordination::homes::Homes;
 use coordination::prompt::Prompt;
 use state::clock::Millis;
 use state::evacuation::Evacuation;
@@ -65,6 +66,7 @@
         hint: 10,
         prompt: Prompt::default(),
         bytes: 10,
+        homes: Homes::default(),
         aim: Millis(10_000),
         deadline: Millis(20_000),
     }
--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
 
 use coordination::ask::{Class, Grant, Report, Verdict};
 use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Handle, Home};
+use coordination::homes::Homes;
 use coordination::prompt::Prompt;
 use coordination::scheduler::{Effect as Given, Scheduler, Session};
 use coordination::slot::Choice;
@@ -329,6 +330,7 @@
             aim: Millis(u64::MAX),
             prompt: Prompt::default(),
             bytes: 0,
+            homes: Homes::default(),
             deadline: Millis(u64::MAX),
         };
         let now = self.now();
--- /dev/null
+++ b/components/coordination/tests/homes.rs
@@ -0,0 +1,224 @@
+//! Requests that may be served in some regions only.
+#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
+
+mod views;
+
+use coordination::ask::{Ask, Basis, Class, Grant, Refusal, Report, Verdict};
+use coordination::assignment::shards;
+use coordination::dispatcher::{
+    Arrival, Bounds, Dispatcher, Effect, Full, Handle, Home, LOCAL_MS, REMOTE_MS,
+};
+use coordination::homes::Homes;
+use coordination::prompt::Prompt;
+use rstest::rstest;
+use state::clock::Millis;
+use state::id::{CustomerId, EndpointId, Name};
+use state::view::View;
+use views::{add, assign, name, view, SERVICE};
+
+const REGIONS: [&str; 3] = ["east", "north", "west"];
+
+/// A view with an endpoint and a scheduler in each of three regions, in that order.
+fn three() -> View {
+    let mut view = view(None);
+    for (id, region) in (1..).zip(REGIONS) {
+        add(&mut view, id, &format!("{region}-1"), 4);
+        let endpoint = view.config.endpoints.get_mut(&EndpointId(id)).unwrap();
+        endpoint.region = name(region);
+    }
+    let all = shards(&view);
+    assign(&mut view, all, 1);
+    view
+}
+
+fn homes(regions: &[&str]) -> Homes {
+    let names: Vec<Name> = regions.iter().map(|r| name(r)).collect();
+    Homes::of(&names)
+}
+
+/// A router in a region with links to all schedulers.
+fn router(view: &View, region: &str) -> Dispatcher {
+    let home = Home {
+        region: name(region),
+        data_centre: name(&format!("{region}-1")),
+        incarnation: 7,
+    };
+    let bounds = Bounds {
+        requests: 100,
+        bytes: 10_000,
+    };
+    let mut dispatcher = Dispatcher::new(home, bounds);
+    for n in 0..REGIONS.len() {
+        dispatcher.link_up(Millis(0), &name(&format!("s-{n}")));
+    }
+    dispatcher.follow(Millis(0), view);
+    dispatcher
+}
+
+fn arrival(homes: Homes) -> Arrival {
+    Arrival {
+        service: SERVICE,
+        class: Class {
+            customer: CustomerId(1),
+            rule: 0,
+        },
+        weight: 1,
+        priority: 0,
+        rate: 0,
+        concurrency: 0,
+        queue: 100,
+        hint: 10,
+        prompt: Prompt::default(),
+        bytes: 10,
+        homes,
+        aim: Millis(10_000),
+        deadline: Millis(20_000),
+    }
+}
+
+/// Asks, with the region whose scheduler they go to.
+fn asks(effects: &[Effect]) -> Vec<(String, Ask)> {
+    let each = effects.iter().filter_map(|e| match e {
+        Effect::Report(to, Report::Ask(ask)) => Some((to.shard.region.to_string(), *ask)),
+        _ => None,
+    });
+    each.collect()
+}
+
+fn regions(effects: &[Effect]) -> Vec<String> {
+    asks(effects)
+        .into_iter()
+        .map(|(region, _)| region)
+        .collect()
+}
+
+fn arrive(router: &mut Dispatcher, view: &View, homes: Homes) -> (Handle, Vec<Effect>) {
+    let (handle, mut effects) = router.arrive(Millis(0), view, arrival(homes)).unwrap();
+    effects.extend(router.tick(Millis(0), view));
+    (handle, effects)
+}
+
+/// Guards against a request that is served in a region that is not one of its homes.
+#[rstest]
+#[case::at_home("east", &[], "east")]
+#[case::its_only_home_is_elsewhere("east", &["west"], "west")]
+#[case::at_home_of_two("west", &["east", "west"], "west")]
+#[case::neither_home_is_here("north", &["east", "west"], "east")]
+fn can_ask_in_a_home_alone(#[case] router_in: &str, #[case] of: &[&str], #[case] asked_in: &str) {
+    let view = three();
+    let mut router = router(&view, router_in);
+    let (_, effects) = arrive(&mut router, &view, homes(of));
+    assert_eq!(regions(&effects), [asked_in]);
+}
+
+/// Guards against an ask in another region, beside the one at home, of a request that waits
+/// long.
+#[test]
+fn can_keep_a_request_that_waits_in_its_homes() {
+    let view = three();
+    let mut router = router(&view, "east");
+    arrive(&mut router, &view, homes(&["east"]));
+    for n in 0..40 {
+        let effects = router.tick(Millis(REMOTE_MS + n * 20), &view);
+        assert_eq!(regions(&effects), [""; 0]);
+    }
+    let (_, effects) = arrive(&mut router, &view, homes(&["east", "north"]));
+    let mut asked = regions(&effects);
+    for n in 0..40 {
+        asked.extend(regions(&router.tick(Millis(2000 + n * 20), &view)));
+    }
+    assert_eq!(asked, ["east", "north"]);
+}
+
+/// Guards against a retry, or a refused request, that is asked for in another region.
+#[test]
+fn can_keep_a_request_that_comes_back_in_its_homes() {
+    let view = three();
+    let mut router = router(&view, "east");
+    let (handle, effects) = arrive(&mut router, &view, homes(&["west"]));
+    let (_, ask) = asks(&effects)[0].clone();
+    let epoch = view
+        .assignments
+        .iter()
+        .find(|a| a.shard.region == name("west"));
+    let epoch = epoch.unwrap().epoch;
+    let grant = Grant {
+        epoch,
+        seq: ask.seq,
+        endpoint: EndpointId(3),
+        copy_from: None,
+        basis: Basis::default(),
+        level: 0,
+        floor: 0,
+        routers: 1,
+        running: 1,
+    };
+    let effects = router.grant(Millis(1), grant);
+    assert!(effects.contains(&Effect::Dispatch(handle, EndpointId(3))));
+    let mut effects = router.again(Millis(2), handle, Verdict::Failed);
+    effects.extend(router.tick(Millis(3), &view));
+    let all = asks(&effects);
+    assert_eq!(regions(&effects), ["west"]);
+    let refusal = Refusal {
+        epoch,
+        seq: all[0].1.seq,
+        wait_ms: 5000,
+        after_ms: 300,
+    };
+    let effects = router.refuse(Millis(4), refusal);
+    assert_eq!(regions(&effects), [""; 0]);
+    assert!(matches!(effects[..], [Effect::Refuse(..)]), "{effects:?}");
+}
+
+/// Guards against a request that moves to another region since its homes have lost all
+/// their endpoints, or that waits for them until its deadline.
+#[test]
+fn can_refuse_a_request_whose_homes_have_nothing_left() {
+    let mut view = three();
+    let mut router = router(&view, "east");
+    let (handle, _) = arrive(&mut router, &view, homes(&["west"]));
+    view.leaving.insert(EndpointId(3));
+    let effects = router.follow(Millis(5), &view);
+    assert_eq!(regions(&effects), [""; 0]);
+    assert!(effects.contains(&Effect::Unserved(handle)), "{effects:?}");
+    let newcomer = router.arrive(Millis(6), &view, arrival(homes(&["west"])));
+    assert_eq!(newcomer.err(), Some(Full::NoEndpoint));
+    let other = router.arrive(Millis(6), &view, arrival(homes(&["west", "north"])));
+    assert!(other.is_ok());
+}
+
+/// Guards against a router without schedulers that serves a request outside of its homes.
+#[test]
+fn can_keep_to_homes_without_a_scheduler() {
+    let view = three();
+    let mut router = router(&view, "east");
+    for n in 0..REGIONS.len() {
+        router.link_down(Millis(0), &name(&format!("s-{n}")));
+    }
+    let (handle, _) = router
+        .arrive(Millis(0), &view, arrival(homes(&["north"])))
+        .unwrap();
+    let mut sent = Vec::new();
+    for n in 0..10 {
+        sent.extend(router.tick(Millis(LOCAL_MS + n * 20), &view));
+    }
+    assert!(
+        sent.contains(&Effect::Dispatch(handle, EndpointId(2))),
+        "{sent:?}"
+    );
+}
+
+/// Guards against two sets of homes of which only one counts.
+#[test]
+fn can_combine_the_homes_of_a_rule_and_of_a_customer() {
+    let both = homes(&["east", "west"]).and(homes(&["west", "north"]));
+    let allowed: Vec<&str> = REGIONS
+        .into_iter()
+        .filter(|r| both.allow(&name(r)))
+        .collect();
+    assert_eq!(allowed, ["west"]);
+    assert!(homes(&[]).and(homes(&["west"])).allow(&name("west")));
+    assert!(!homes(&["west"]).and(homes(&[])).allow(&name("east")));
+    assert!(homes(&["east"]).and(homes(&["west"])).is_empty());
+    assert!(!homes(&[]).is_empty());
+}
--- a/components/coordination/tests/region/world.rs
+++ b/components/coordination/tests/region/world.rs
@@ -16,6 +16,7 @@
 use coordination::dispatcher::{
     endpoints, Arrival, Bounds, Dispatcher, Effect, Full, Handle, Home,
 };
+use coordination::homes::Homes;
 use coordination::prompt::Prompt;
 use coordination::scheduler::{Effect as Given, Scheduler, Session};
 use rand::distr::weighted::WeightedIndex;
@@ -299,6 +300,7 @@
             aim: Millis(job.arrived + job.aim_ms).max(Millis(self.now)),
             prompt,
             bytes: 0,
+            homes: Homes::default(),
             deadline: Millis(job.arrived + 10_000),
         };
         let router = &mut self.routers[at];
--- a/components/coordination/tests/spread.rs
+++ b/components/coordination/tests/spread.rs
@@ -6,6 +6,7 @@
 use coordination::ask::{Ask, Basis, Class, Grant, Hello, Refusal, Report};
 use coordination::assignment::shards;
 use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Full, Handle, Home};
+use coordination::homes::Homes;
 use coordination::prompt::Prompt;
 use state::clock::Millis;
 use state::id::{CustomerId, EndpointId, Epoch};
@@ -65,6 +66,7 @@
         aim: Millis(now + AIM_MS),
         prompt: Prompt::new([(part, shared), (1 << 40 | own, 1000)], 50),
         bytes: 0,
+        homes: Homes::default(),
         deadline: Millis(now + 10_000),
     }
 }
--- a/components/node/src/front/plan.rs
+++ b/components/node/src/front/plan.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use coordination::ask::Class;
 use coordination::dispatcher::Arrival;
+use coordination::homes::Homes;
 use coordination::prompt::Prompt;
 use coordination::rule;
 use hyper::{HeaderMap, StatusCode, Uri};
@@ -88,6 +89,11 @@
         customer: known.map_or(ANONYMOUS, |(id, _)| id),
         rule: place,
     };
+    let homes = Homes::of(&send.regions);
+    let homes = homes.and(known.map_or(Homes::default(), |(_, c)| Homes::of(&c.regions)));
+    if homes.is_empty() {
+        return Err(no_endpoint());
+    }
     let now = front.parts.clock.now();
     let arrival = Arrival {
         service: service_id,
@@ -100,6 +106,7 @@
         hint: hint(asked, settings, &prompt),
         prompt,
         bytes: call.body.len() as u64,
+        homes,
         aim: now.after(send.aim_ms.unwrap_or(millis(timeout))),
         deadline: now.after(millis(timeout)),
     };
--- a/components/settings/src/configuration.rs
+++ b/components/settings/src/configuration.rs
@@ -14,7 +14,8 @@
     key_sha256,
     weight,
     priority,
-    services
+    services,
+    regions
 });
 raw!(RawService {
     cost,
@@ -61,6 +62,7 @@
     retries,
     anonymous,
     resume,
+    regions,
 });
 
 /// Longest time-out, in milliseconds.
@@ -128,6 +130,7 @@
         weight: s.small("weight", &raw.weight, 1..=1000, 1)?,
         priority: priority(s, &raw.priority)?,
         services: names(s, "services", &raw.services)?,
+        regions: names(s, "regions", &raw.regions)?.into_iter().collect(),
     })
 }
 
@@ -314,6 +317,7 @@
         retries: raw.retries.as_ref().map(retries).transpose()?,
         anonymous: s.flag("anonymous", &raw.anonymous)?.unwrap_or(false),
         resume: s.flag("resume", &raw.resume)?.unwrap_or(false),
+        regions: names(s, "regions", &raw.regions)?.into_iter().collect(),
     })))
 }
 
@@ -341,6 +345,7 @@
         line(&mut out, "weight", &c.weight);
         option(&mut out, "priority", c.priority.as_ref());
         line(&mut out, "services", &join(&c.services));
+        print_regions(&mut out, &c.regions);
     }
     for s in &draft.services {
         head(&mut out, "service", &s.name);
@@ -443,6 +448,13 @@
             line(out, key, &yes(set));
         }
     }
+    print_regions(out, &send.regions);
+}
+
+fn print_regions(out: &mut String, regions: &[Name]) {
+    if !regions.is_empty() {
+        line(out, "regions", &join(regions));
+    }
 }
 
 fn yes(flag: bool) -> &'static str {
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -23,14 +23,14 @@
 
 fn configuration() -> String {
     format!(
-        "[customer alpha]\nkey-sha256 = {KEY}\nweight = 2\nservices = assistant, booking\n\
+        "[customer alpha]\nkey-sha256 = {KEY}\nweight = 2\nservices = assistant, booking\nregions = east, west\n\
          [service assistant]\ncost = event\nidempotent = yes\nload = /load\n\
          [service booking]\ncost = request\ncold-rate = 8.4\ncold-time = 3s\n\
          [endpoint a-1]\nservice = assistant\naddress = 127.0.0.1:9001\ndata-centre = dk-1\n\
          [rule chat]\nwhen-customer = alpha\nwhen-method = POST, PUT\nwhen-path = /chat\n\
          when-header = x-kind: quick\nwhen-size-max = 500\nthen = limit\nservice = assistant\n\
          rate = 5\nconcurrency = 2\nqueue = 9\ntimeout = 5s\nweight = 3\nidempotent = no\n\
-         retries = 0\n\
+         retries = 0\nregions = west\n\
          [rule rest]\nthen = refuse\nreason = nothing here\n"
     )
 }
--- a/components/state/src/config.rs
+++ b/components/state/src/config.rs
@@ -25,6 +25,8 @@
     pub priority: Option<u8>,
     /// Services that it may reach.
     pub services: SmallVec<[Name; 4]>,
+    /// Regions in which its requests may be served, all if there are none.
+    pub regions: SmallVec<[Name; 2]>,
 }
 
 /// What one unit of service is.
@@ -183,6 +185,9 @@
     /// Whether a stream that broke off may go on at another endpoint, after the
     /// last event that arrived whole.
     pub resume: bool,
+    /// Regions in which its requests may be served, all if there are none. Where the
+    /// customer has some too, both hold.
+    pub regions: SmallVec<[Name; 2]>,
 }
 
 impl Send {
