Tell what has changed in the list of endpoints, not the whole list

Symptom: what routers and control VMs send grows with the square of the fleet.

Change: a process tells those that it feeds what changed, by the number of the listing before. One that has another listing asks for the whole, as a newcomer is sent it.

Tests: coordination/tests/listing.rs.

--- a/components/coordination/src/listing.rs
+++ b/components/coordination/src/listing.rs
@@ -6,7 +6,7 @@
 //! that news stays away, also while there is no leader.
 
 use crate::prelude::*;
-use state::listing::{Listed, Listing};
+use state::listing::{Change, Listed, Listing};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -42,6 +42,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     listing: Arc<Listing>,
+    /// What the last change was.
+    change: Change,
     heard: Option<Millis>,
     /// Endpoints that were once told as leaving. None of them comes back, but a
     /// reader that has older pages may say so.
@@ -71,19 +73,43 @@
     /// The newest listing as another process is told it now.
     pub fn told(&self, now: Millis) -> Listing {
         let mut listing = (*self.listing).clone();
-        for listed in &mut listing.endpoints {
+        self.tell_cold(now, &mut listing.endpoints);
+        listing
+    }
+
+    /// What the last change was, as another process is told it now.
+    pub fn told_change(&self, now: Millis) -> Change {
+        let mut change = self.change.clone();
+        self.tell_cold(now, &mut change.set);
+        change
+    }
+
+    /// Adds to entries how long their endpoints stay cold from now on.
+    fn tell_cold(&self, now: Millis, endpoints: &mut [Listed]) {
+        for listed in endpoints {
             let warm_at = self.warm_at.get(&listed.id());
             let cold_ms = warm_at.map_or(0, |at| at.since(now));
             listed.cold_ms = u32::try_from(cold_ms).unwrap_or(u32::MAX);
         }
-        listing
+    }
+
+    /// Puts a listing in force, whose `cold` endpoints have turned cold.
+    fn renew(&mut self, listing: Listing, cold: &BTreeSet<EndpointId>) {
+        let mut change = listing.change_from(&self.listing);
+        let is_told = |l: &Listed| change.set.iter().any(|other| other.id() == l.id());
+        let turned = listing.endpoints.iter();
+        let turned = turned.filter(|l| cold.contains(&l.id()) && !is_told(l));
+        let turned: Vec<Listed> = turned.cloned().collect();
+        change.set.extend(turned);
+        self.change = change;
+        self.listing = Arc::new(listing);
     }
 
     /// Takes what this process has read; true if anything changed. `draw` is the
     /// number of the listing if it did.
     pub fn read(&mut self, now: Millis, mut endpoints: Vec<Listed>, draw: u64) -> bool {
         self.heard = Some(now);
-        let is_cold_news = self.note_cold(now, &mut endpoints);
+        let cold = self.note_cold(now, &mut endpoints);
         let present: BTreeSet<Name> = (endpoints.iter())
             .map(|l| l.endpoint.name.clone())
             .collect();
@@ -113,28 +139,40 @@
         });
         endpoints.dedup_by(|next, first| next.endpoint.name == first.endpoint.name);
         self.mark(&mut endpoints);
-        if endpoints == self.listing.endpoints && !is_cold_news {
+        if endpoints == self.listing.endpoints && cold.is_empty() {
             return false;
         }
-        self.listing = Arc::new(Listing {
+        let listing = Listing {
             id: draw,
             endpoints,
-        });
+        };
+        self.renew(listing, &cold);
         true
     }
 
     /// Takes what another process has read; true if anything changed.
     pub fn take(&mut self, now: Millis, mut listing: Listing) -> bool {
         self.heard = Some(now);
-        let is_cold_news = self.note_cold(now, &mut listing.endpoints);
+        let cold = self.note_cold(now, &mut listing.endpoints);
         self.mark(&mut listing.endpoints);
-        let changed = is_cold_news || listing != *self.listing;
+        let changed = !cold.is_empty() || listing != *self.listing;
         if changed {
-            self.listing = Arc::new(listing);
+            self.renew(listing, &cold);
         }
         changed
     }
 
+    /// Takes a change that another process tells; true if it is news, `None` if it is one of
+    /// another listing, which has to be asked for.
+    pub fn follow(&mut self, now: Millis, change: &Change) -> Option<bool> {
+        if change.id == self.listing.id {
+            self.heard = Some(now);
+            return Some(false);
+        }
+        let listing = self.listing.changed(change)?;
+        Some(self.take(now, listing))
+    }
+
     /// Hears that a listing still holds; false if this process has another one.
     pub fn confirm(&mut self, now: Millis, id: u64) -> bool {
         let same = self.listing.id == id;
@@ -144,14 +182,14 @@
         same
     }
 
-    /// Takes how long endpoints stay cold out of their entries; true if that is longer than
-    /// was known.
+    /// Takes how long endpoints stay cold out of their entries; gives those that stay so for
+    /// longer than was known.
     ///
     /// The times run down, and readings of them lag: entries that held them would change
     /// with each reading, and the whole list would go to all processes each time.
-    fn note_cold(&mut self, now: Millis, endpoints: &mut [Listed]) -> bool {
+    fn note_cold(&mut self, now: Millis, endpoints: &mut [Listed]) -> BTreeSet<EndpointId> {
         self.warm_at.retain(|_, at| *at > now);
-        let mut is_news = false;
+        let mut news = BTreeSet::new();
         for listed in endpoints {
             let cold_ms = u64::from(std::mem::take(&mut listed.cold_ms));
             if cold_ms == 0 {
@@ -161,10 +199,10 @@
             let known = self.warm_at.entry(listed.id()).or_insert(Millis(0));
             if warm_at.since(*known) > COLD_JITTER_MS {
                 *known = warm_at;
-                is_news = true;
+                news.insert(listed.id());
             }
         }
-        is_news
+        news
     }
 
     fn mark(&mut self, endpoints: &mut [Listed]) {
--- a/components/coordination/tests/listing.rs
+++ b/components/coordination/tests/listing.rs
@@ -100,3 +100,62 @@
     let (first, _) = readers(6);
     assert!(first <= 2500, "{first}");
 }
+
+/// Guards against a list that is sent whole to all processes whenever one endpoint changes,
+/// and against changes that a process applies to another list than theirs.
+#[test]
+fn can_follow_a_list_by_its_changes() {
+    let all = |leaving: &[bool]| -> Vec<Listed> {
+        let each = leaving.iter().enumerate();
+        each.map(|(n, leaving)| listed(&format!("e-{n}"), *leaving))
+            .collect()
+    };
+    let mut reader = Roster::default();
+    let mut other = Roster::default();
+    reader.read(Millis(0), all(&[false; 300]), 1);
+    assert_eq!(
+        other.follow(Millis(5), &reader.told_change(Millis(0))),
+        Some(true)
+    );
+    let mut later = vec![false; 300];
+    later[7] = true;
+    later.truncate(299);
+    for n in 0..u64::from(MISSING) {
+        reader.read(Millis(500 * n + 500), all(&later), 2 + n);
+    }
+    let change = reader.told_change(Millis(1000));
+    assert_eq!((change.set.len(), change.gone.len()), (0, 1), "{change:?}");
+    // The one between was lost on its way: it has to ask for the whole list.
+    assert_eq!(other.follow(Millis(1005), &change), None);
+    assert!(other.take(Millis(1010), reader.told(Millis(1005))));
+    assert_eq!(names(&other), names(&reader));
+    assert_eq!(
+        other.follow(Millis(1015), &change),
+        Some(false),
+        "it is known"
+    );
+    reader.read(Millis(1500), all(&[true; 299]), 9);
+    assert_eq!(
+        other.follow(Millis(1505), &reader.told_change(Millis(1500))),
+        Some(true)
+    );
+    assert_eq!(names(&other), names(&reader));
+}
+
+/// Guards against a change that leaves out that an endpoint has turned cold.
+#[test]
+fn can_tell_a_change_of_cold_endpoints_alone() {
+    let mut reader = Roster::default();
+    let mut other = Roster::default();
+    let cold = |cold_ms| Listed {
+        cold_ms,
+        ..listed("a", false)
+    };
+    reader.read(Millis(0), vec![cold(0), listed("b", false)], 1);
+    other.follow(Millis(0), &reader.told_change(Millis(0)));
+    assert!(reader.read(Millis(500), vec![cold(3000), listed("b", false)], 2));
+    let change = reader.told_change(Millis(700));
+    assert_eq!(change.set.len(), 1);
+    assert_eq!(other.follow(Millis(700), &change), Some(true));
+    assert_eq!(other.warm_at().values().next(), Some(&Millis(3500)));
+}
--- a/components/node/src/reactor/listing.rs
+++ b/components/node/src/reactor/listing.rs
@@ -41,7 +41,7 @@
             to.extend(self.members.iter().map(|p| p.vm.clone()));
         }
         let news = if changed {
-            Message::Listing(Box::new(self.roster.told(now)))
+            Message::ListingChange(Box::new(self.roster.told_change(now)))
         } else {
             Message::ListingKept(self.roster.listing().id)
         };
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -406,6 +406,12 @@
                 let changed = self.roster.take(now, *listing);
                 self.listed(now, changed, Some(&vm));
             }
+            Message::ListingChange(change) => match self.roster.follow(now, &change) {
+                Some(is_news) => self.listed(now, is_news, Some(&vm)),
+                None => {
+                    self.parts.hub.send(&vm, Message::ListingWanted);
+                }
+            },
             Message::ListingKept(id) => {
                 if self.roster.confirm(now, id) {
                     self.listed(now, false, Some(&vm));
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -8,7 +8,7 @@
 use state::clock::Stamp;
 use state::evacuation::Order;
 use state::id::{CustomerId, Epoch, Name, RequestId, Version};
-use state::listing::Listing;
+use state::listing::{Change, Listing};
 use state::record::{Answer, ChangeId, Known, Release};
 use state::secret::Hash;
 use state::suspect::Evidence;
@@ -154,6 +154,8 @@
     ListingWanted,
     /// How old is your proof of the newest version? With the sender's own time.
     Check(u64),
+    /// What has changed since the platform's endpoints were last told.
+    ListingChange(Box<Change>),
     /// The answer to a check.
     Checked {
         /// Time that the check bore.
@@ -188,6 +190,7 @@
             Message::Served(..) => "served",
             Message::Unassigned(_) => "unassigned",
             Message::Listing(_) => "listing",
+            Message::ListingChange(_) => "listing-change",
             Message::ListingKept(_) => "listing-kept",
             Message::ListingWanted => "listing-wanted",
             Message::Check(_) => "check",
