Let a bounded number of routers stand as candidates for schedulers

Symptom: what a control VM sends and receives grows with the fleet.

Cause: each router that may schedule keeps a link to each control VM and beats over it every 300 ms, and asks all of them whenever it has a query.

Change: in a fleet whose schedulers count more than 24 routers, those drawn by lot stand, 24 on average, with the ones that schedule. While a shard is without a scheduler, or one cannot be reached, the others come to stand one after the other within 1.5 s, also after a loss of all processes. A query opens a link to one control VM at a time.

--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -209,6 +209,12 @@
         self.sessions.values().map(|s| s.routers).max().unwrap_or(1)
     }
 
+    /// The same, once a scheduler has told.
+    pub fn routers_told(&self) -> Option<u32> {
+        let told = self.sessions.values().filter(|s| s.is_counted);
+        told.map(|s| s.routers).max()
+    }
+
     /// The shard to ask for a request.
     fn shard(&self, now: Millis, arrival: &Arrival) -> Option<&Shard> {
         let state = |shard: &Shard| {
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod assignment;
 pub mod backoff;
 pub mod budget;
+pub mod candidacy;
 pub mod dispatcher;
 pub mod engine;
 pub mod health;
--- a/components/node/src/query.rs
+++ b/components/node/src/query.rs
@@ -32,6 +32,8 @@
     next: u64,
     target: usize,
     used: Millis,
+    /// When the next one was last chosen since none could be reached.
+    turned: Millis,
     dialed: bool,
     /// Whether links to control VMs are always kept.
     keep: bool,
@@ -47,6 +49,7 @@
             next: 0,
             target,
             used: Millis(0),
+            turned: Millis(0),
             dialed: false,
             keep,
         }
@@ -88,9 +91,11 @@
             let known = leader.and_then(|l| self.seeds.iter().position(|s| *s == l));
             let asked_now = known == Some(self.target);
             self.target = known.unwrap_or(self.target + 1) % self.seeds.len().max(1);
+            let is_linked = |n: usize| self.seeds.get(n).is_some_and(|s| hub.is_up(&s.vm));
+            // A VM that names itself, nobody, or one without a link is asked again a little
+            // later.
+            let soon = !asked_now && known.is_some_and(is_linked);
             if let Some(open) = self.open.get_mut(&id) {
-                // A VM that names itself or nobody is asked again a little later.
-                let soon = known.is_some() && !asked_now;
                 open.sent = None;
                 open.due = now.after(if soon { 0 } else { PAUSE_MS });
             }
@@ -121,13 +126,22 @@
         (self.dialed || self.keep) && self.seeds.iter().any(|s| s.vm == *vm)
     }
 
+    /// Chooses the next control VM if the link to one takes long. Opened to all of them by all
+    /// routers, links would keep control VMs busy with handshakes.
+    fn turn(&mut self, now: Millis) {
+        if now.since(self.turned) >= AGAIN_MS {
+            self.turned = now;
+            self.target = (self.target + 1) % self.seeds.len().max(1);
+        }
+    }
+
     fn send(&mut self, now: Millis, hub: &Hub) {
         if self.open.is_empty() {
             return;
         }
         self.used = now;
         self.dialed = true;
-        for seed in &self.seeds {
+        if let Some(seed) = self.seeds.get(self.target) {
             hub.dial(seed);
         }
         // A seed without a link is passed over while another has one.
@@ -136,6 +150,7 @@
             .map(|i| (self.target + i) % count)
             .find(|i| hub.is_up(&self.seeds[*i].vm));
         let Some(up) = up else {
+            self.turn(now);
             return;
         };
         self.target = up;
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -17,6 +17,7 @@
 use crate::schedulers::Schedulers;
 use crate::shared::Published;
 use coordination::backoff::Backoff;
+use coordination::candidacy::Candidacy;
 use coordination::dispatcher::{Bounds, Dispatcher, Effect, Effects, Handle, Home};
 use coordination::listing::Roster;
 use coordination::returns::Returns;
@@ -107,6 +108,11 @@
     closed: bool,
     schedulers_dialed: BTreeSet<Name>,
     regions_dialed: BTreeSet<Name>,
+    candidacy: Candidacy,
+    /// Whether this VM stands as a candidate for schedulers.
+    is_candidate: bool,
+    /// Whether a shard has no scheduler.
+    is_unassigned: bool,
     beat_at: Millis,
     measure_at: Millis,
     told: Told,
@@ -143,7 +149,7 @@
                 parts.fanout,
                 parts.control,
             ),
-            queries: Queries::new(seeds, spread, parts.control || parts.scheduler),
+            queries: Queries::new(seeds, spread, parts.control),
             quarantine: Quarantine::new(parts.verdicts.clone()),
             view: View::default(),
             live: Arc::default(),
@@ -162,6 +168,9 @@
             closed: false,
             schedulers_dialed: BTreeSet::new(),
             regions_dialed: BTreeSet::new(),
+            candidacy: Candidacy::new(hello.incarnation),
+            is_candidate: false,
+            is_unassigned: false,
             beat_at: now,
             measure_at: now,
             told: Told::default(),
@@ -177,7 +186,7 @@
     pub(crate) async fn run(mut self, inputs: flume::Receiver<Input>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        if self.parts.control || self.parts.scheduler {
+        if self.parts.control {
             self.dial_control();
         }
         loop {
@@ -489,6 +498,8 @@
         let effects = self.dispatcher.follow(now, &self.live);
         self.act(now, effects);
         let shards = coordination::assignment::shards(&self.live);
+        let is_assigned = |shard| self.live.assignment(shard).is_some();
+        self.is_unassigned = !shards.iter().all(is_assigned);
         self.to_control(crate::control::Input::Shards(shards));
         self.dirty = true;
     }
@@ -589,6 +600,7 @@
             .tick(now, &self.parts.hub, self.view.version);
         self.reach_schedulers();
         self.prove(now);
+        self.stand(now);
         self.beat(now);
         self.seek_ready(now);
         self.tell_dependencies(now);
--- a/components/node/src/reactor/peers.rs
+++ b/components/node/src/reactor/peers.rs
@@ -1,6 +1,7 @@
 //! Other processes: who is reached, and how new the view is.
 
 use super::Reactor;
+use coordination::candidacy::Known;
 use protocol::wire::{Message, Query, Reply};
 use state::clock::Millis;
 use state::id::Name;
@@ -31,7 +32,7 @@
     /// make a control VM's traffic grow with the fleet.
     pub(super) fn close_links(&mut self) {
         let hub = &self.parts.hub;
-        let member = self.parts.control || self.parts.scheduler;
+        let member = self.parts.control || self.is_candidate;
         for vm in hub.dialed() {
             let seed = member && self.control_places().iter().any(|s| s.vm == vm);
             let needed = seed
@@ -51,8 +52,23 @@
         }
     }
 
+    /// Decides whether this VM stands as a candidate for schedulers.
+    pub(super) fn stand(&mut self, now: Millis) {
+        let is_lost = |(_, is_up): (_, bool)| !is_up;
+        let known = Known {
+            is_assigned: self.view.assignments.iter().any(|a| a.place.vm == self.me),
+            is_unscheduled: self.is_unassigned || self.dispatcher.shards().any(is_lost),
+            routers: self.dispatcher.routers_told(),
+        };
+        let stands = self.parts.scheduler && self.candidacy.stands(now, known);
+        if stands && !self.is_candidate {
+            self.dial_control();
+        }
+        self.is_candidate = stands;
+    }
+
     pub(super) fn beat(&mut self, now: Millis) {
-        if !self.parts.scheduler || self.stopping || now < self.beat_at {
+        if !self.is_candidate || self.stopping || now < self.beat_at {
             return;
         }
         self.beat_at = now.after(BEAT_MS);
@@ -92,7 +108,7 @@
         let places = self.control_places();
         self.dissemination.set_seeds(places.clone());
         self.queries.set_seeds(places);
-        if self.parts.control || self.parts.scheduler {
+        if self.parts.control || self.is_candidate {
             self.dial_control();
         }
     }
