Let the connection that has rested longest give way to a new one

Cause: the bound on connections is reached before it is known whose they are, and held by what does nothing.

One with a request on it, or an answer still under way, never gives way.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod prompt;
 pub mod ramp;
 pub mod reliability;
+pub mod rest;
 pub mod retry;
 pub mod returns;
 pub mod rule;
--- a/components/node/src/front/listen.rs
+++ b/components/node/src/front/listen.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' connections, within bounds.
 
 use super::admit::BUSY;
+use super::guests::{Guests, Place};
 use super::pool::{Key, Pool};
 use super::refusal::Refusal;
 use super::serve::serve;
@@ -16,6 +17,7 @@
 use coordination::intake::Intake;
 use coordination::limit::Ceiling;
 use coordination::retry;
+use http_body_util::BodyExt;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use settings::Callers;
@@ -26,7 +28,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinSet;
 use transport::clock::Clock;
 
@@ -41,6 +43,9 @@
 /// callers found no connection 349 times instead of 1,034.
 const BUSY_LINES: u64 = 20;
 
+/// Time for a connection that rests to make room for a new one.
+const GIVE_WAY: Duration = Duration::from_millis(20);
+
 /// Time between two looks at kept connections.
 const TEND: Duration = Duration::from_secs(1);
 
@@ -93,6 +98,8 @@
     body_units: usize,
     /// Places for callers' connections.
     places: Arc<Semaphore>,
+    /// Which of them rest.
+    guests: Arc<Guests>,
     /// Lines that tell of one request refused while tasks run late.
     busy_lines: Mutex<Ceiling>,
     /// Requests that were answered whole of late.
@@ -111,6 +118,7 @@
             busy_lines: Mutex::new(Ceiling::new(BUSY_LINES)),
             successes: Mutex::default(),
             pool: Arc::new(Pool::new(parts.budget.kept)),
+            guests: Guests::new(parts.clock.clone()),
             parts,
             requests: AtomicU64::new(0),
             budgets: Mutex::default(),
@@ -194,6 +202,18 @@
         }
     }
 
+    /// A place for a connection; where all are taken, that of the one which has rested longest.
+    async fn place(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(place) = self.places.clone().try_acquire_owned() {
+            return Some(place);
+        }
+        if !self.guests.make_room() {
+            return None;
+        }
+        let place = self.places.clone().acquire_owned();
+        tokio::time::timeout(GIVE_WAY, place).await.ok()?.ok()
+    }
+
     /// Serves until `stop` turns true; then lets connections end what they hold.
     pub(crate) async fn run(
         self: Arc<Self>,
@@ -208,7 +228,7 @@
                 Some(_) = tasks.join_next() => continue,
                 () = raised(&mut stop) => break,
             };
-            let Ok(place) = self.places.clone().try_acquire_owned() else {
+            let Some(place) = self.place().await else {
                 // Past the bound a connection is closed at once: it costs nothing.
                 self.parts.metrics.turned_away.inc();
                 continue;
@@ -228,11 +248,20 @@
         let _ = stream.set_nodelay(true);
         self.parts.metrics.connections.inc();
         self.parts.metrics.accepted.inc();
-        let front = self.clone();
+        let place = Arc::new(self.guests.open());
+        let (front, of) = (self.clone(), place.clone());
         let service = service_fn(move |request| {
-            let front = front.clone();
+            let (front, in_use) = (front.clone(), of.begin());
             // Boxed, so that a connection holds it only while a request is on it.
-            Box::pin(serve(front, request))
+            Box::pin(async move {
+                let reply = serve(front, request).await?;
+                // It is in use until its answer has been passed on.
+                let held = move |frame| {
+                    let _ = &in_use;
+                    frame
+                };
+                Ok::<_, std::convert::Infallible>(reply.map(|body| body.map_frame(held)))
+            })
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
@@ -243,6 +272,7 @@
         let ended = tokio::select! {
             ended = connection.as_mut() => Some(ended),
             () = raised(&mut stop) => None,
+            () = Place::until_told(&place) => None,
         };
         let ended = match ended {
             Some(ended) => ended,
--- a/components/node/src/front/mod.rs
+++ b/components/node/src/front/mod.rs
@@ -4,6 +4,7 @@
 mod claim;
 mod delivery;
 mod flow;
+mod guests;
 mod listen;
 mod note;
 mod plan;
--- a/tests/flood.rs
+++ b/tests/flood.rs
@@ -125,3 +125,31 @@
     http::raw(address, head, Duration::from_secs(3));
     eventually("the process still answers", || fleet.vm("c1").is_ready());
 }
+
+/// Guards against callers who are not let in since a flood has left the router full of
+/// connections on which nothing is asked.
+#[test]
+fn can_let_callers_in_beside_connections_that_rest() {
+    let mut fleet = Fleet::start(Plan {
+        control: 1,
+        routers: 1,
+        ..Plan::default()
+    });
+    let settings = fleet.vm("r1").settings.clone();
+    let text = std::fs::read_to_string(&settings).unwrap();
+    let text = text.replace("[callers]\n", "[callers]\nconnections = 40\n");
+    std::fs::write(&settings, text).unwrap();
+    fleet.vm_mut("r1").kill();
+    fleet.vm_mut("r1").start();
+    let address = fleet.callers("r1");
+    eventually("it serves", || {
+        http::get(address, "/assistant/ready", "alpha").status == 200
+    });
+    let kept: Vec<Kept> = (0..60).map(|_| Kept::open(address)).collect();
+    std::thread::sleep(Duration::from_secs(1));
+    for _ in 0..30 {
+        let answer = Kept::open(address).ask("/booking", "x");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    }
+    drop(kept);
+}
