Tell which rules have changed, not all of them

Cause: a difference between two configurations carries all rules when any of them has changed, and goes to every process.

--- a/components/state/src/delta.rs
+++ b/components/state/src/delta.rs
@@ -15,6 +15,24 @@
     pub removed: Vec<K>,
 }
 
+/// Rules that stand behind each other in a configuration.
+///
+/// Their order is their meaning, so that they cannot be told by name alone. Told whole,
+/// hundreds of rules would go to all processes whenever one of them changes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Run {
+    /// As many rules of the configuration before, from a place on.
+    Kept {
+        /// Place of the first one.
+        from: u32,
+        /// How many there are.
+        count: u32,
+    },
+    /// Rules that are new or changed.
+    New(Vec<Rule>),
+}
+
 /// What turns one configuration into the next.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -25,8 +43,8 @@
     pub services: Items<ServiceId, Service>,
     /// Endpoints.
     pub endpoints: Items<EndpointId, Endpoint>,
-    /// All rules, when any of them changed: their order is their meaning.
-    pub rules: Option<Vec<Rule>>,
+    /// Where the new rules come from, in their order, when any of them changed.
+    pub rules: Option<Vec<Run>>,
     /// Next number to assign.
     pub next: u32,
 }
@@ -56,7 +74,7 @@
                 |e| &e.name,
                 || EndpointId(number(&mut next)),
             ),
-            rules: (config.rules != draft.rules).then(|| draft.rules.clone()),
+            rules: (config.rules != draft.rules).then(|| runs(&config.rules, &draft.rules)),
             next,
         }
     }
@@ -66,8 +84,8 @@
         self.customers.apply(&mut config.customers);
         self.services.apply(&mut config.services);
         self.endpoints.apply(&mut config.endpoints);
-        if let Some(rules) = &self.rules {
-            config.rules.clone_from(rules);
+        if let Some(runs) = &self.rules {
+            config.rules = join(&config.rules, runs);
         }
         config.next = self.next;
     }
@@ -88,6 +106,42 @@
     }
 }
 
+/// Where rules come from that follow on `old` ones.
+fn runs(old: &[Rule], new: &[Rule]) -> Vec<Run> {
+    let places: BTreeMap<&Name, usize> = old.iter().zip(0..).map(|(r, n)| (&r.name, n)).collect();
+    let mut runs: Vec<Run> = Vec::new();
+    for rule in new {
+        let place = places.get(&rule.name).copied();
+        let kept = place.filter(|place| old.get(*place) == Some(rule));
+        let kept = kept.and_then(|place| u32::try_from(place).ok());
+        match (kept, runs.last_mut()) {
+            (Some(place), Some(Run::Kept { from, count })) if *from + *count == place => {
+                *count += 1
+            }
+            (Some(from), _) => runs.push(Run::Kept { from, count: 1 }),
+            (None, Some(Run::New(rules))) => rules.push(rule.clone()),
+            (None, _) => runs.push(Run::New(vec![rule.clone()])),
+        }
+    }
+    runs
+}
+
+/// The rules that runs give, of which some are kept of `old` ones.
+fn join(old: &[Rule], runs: &[Run]) -> Vec<Rule> {
+    let mut rules = Vec::new();
+    for run in runs {
+        match run {
+            Run::New(new) => rules.extend_from_slice(new),
+            Run::Kept { from, count } => {
+                // CAST: 32 bits fit into a size on every supported target.
+                let kept = old.iter().skip(*from as usize).take(*count as usize);
+                rules.extend(kept.cloned());
+            }
+        }
+    }
+    rules
+}
+
 fn number(next: &mut u32) -> u32 {
     let number = *next;
     *next += 1;
