Copy parts of prompts between schedulers, and stay at home where engines have time

Cause: a scheduler knows its own engines alone, so that a part which is asked for in three data centres would be read three times if prompts stayed at home.

Change: schedulers of a service tell those of its region which shared parts their engines have read, and an engine copies such a part from one elsewhere. Where engines copy, a prompt stays in its data centre while most engines there have nothing to read (grants tell); else it goes where its part is kept, as before, which balances the load.

--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -211,4 +211,6 @@
     pub routers: u32,
     /// Requests in progress of all these routers.
     pub running: u32,
+    /// Part of the engines that have a prompt to read, in hundredths; 0 if there are none.
+    pub busy: u8,
 }
--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -409,6 +409,7 @@
         let shard = shard.clone();
         session.routers = grant.routers.max(1);
         session.is_counted = true;
+        session.note_busy(u32::from(grant.busy));
         session.running = grant.running;
         self.use_grant(now, &shard, grant, &mut effects);
         effects
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -306,6 +306,7 @@
         if let Some(session) = self.sessions.get_mut(shard) {
             session.note_wait(now, arrival.class.customer, u64::from(refusal.wait_ms));
             session.note_refusal(now, arrival.class, aim_ms, &refusal);
+            session.note_busy(100);
         }
         if self.ask_elsewhere(now, handle, shard) {
             self.announce(now, arrival.service, arrival.class, effects);
--- a/components/coordination/src/dispatcher/session.rs
+++ b/components/coordination/src/dispatcher/session.rs
@@ -20,6 +20,12 @@
 /// beside the 300 ms after which a refused caller comes back at the earliest.
 const TURNED_MS: u64 = 100;
 
+/// Part of a shard's engines that have something to read from which on they count as busy, in
+/// hundredths.
+const BUSY_PERCENT: u32 = 60;
+/// Requests over which that part is averaged.
+const BUSY_MEMORY: u32 = 8;
+
 /// Parts of prompts that are remembered for the next scheduler: some kilobytes in a
 /// hello, and the shared parts of a few hundred requests.
 const SENT: usize = 384;
@@ -53,6 +59,8 @@
     pub(super) is_counted: bool,
     /// Requests in progress of all routers with a session there.
     pub(super) running: u32,
+    /// Part of its engines that have something to read, in hundredths, averaged.
+    busy: u32,
     pub(super) local: Option<(Scheduler, LocalSession)>,
     /// Until when newcomers of a class are refused as one of it was, and when they may
     /// come back.
@@ -124,6 +132,7 @@
             routers: 1,
             is_counted: false,
             running: 0,
+            busy: 0,
             local: None,
             turned: BTreeMap::new(),
             sent: VecDeque::new(),
@@ -141,9 +150,15 @@
         State {
             down_since: (!self.up).then_some(self.down_since),
             wait_ms: memory.map_or(0, |m| m.wait.ms(now)),
+            is_busy: self.busy >= BUSY_PERCENT,
         }
     }
 
+    /// Notes how many of its engines had something to read, in hundredths.
+    pub(super) fn note_busy(&mut self, percent: u32) {
+        self.busy = (self.busy * (BUSY_MEMORY - 1) + percent) / BUSY_MEMORY;
+    }
+
     /// Notes how long a customer's request waited here, or would have, in milliseconds.
     pub(super) fn note_wait(&mut self, now: Millis, customer: CustomerId, ms: u64) {
         let memory = self.known.entry(customer).or_default();
--- a/components/coordination/src/dispatcher/spread.rs
+++ b/components/coordination/src/dispatcher/spread.rs
@@ -68,6 +68,8 @@
     pub(super) down_since: Option<Millis>,
     /// How long a request has to wait there, in milliseconds.
     pub(super) wait_ms: u64,
+    /// Whether most of its engines have something to read.
+    pub(super) is_busy: bool,
 }
 
 impl State {
@@ -75,6 +77,7 @@
     pub(super) const UNKNOWN: State = State {
         down_since: None,
         wait_ms: 0,
+        is_busy: false,
     };
 
     fn is_lost(&self, now: Millis) -> bool {
@@ -116,6 +119,8 @@
     shards: BTreeSet<Shard>,
     /// Those with endpoints that take work.
     candidates: BTreeMap<ServiceId, Vec<Candidate>>,
+    /// Services whose engines copy parts of prompts from each other.
+    copying: BTreeSet<ServiceId>,
 }
 
 impl Spread {
@@ -124,6 +129,7 @@
             home,
             shards: BTreeSet::new(),
             candidates: BTreeMap::new(),
+            copying: BTreeSet::new(),
         }
     }
 
@@ -144,6 +150,10 @@
     pub(super) fn follow(&mut self, view: &View) {
         self.shards = shards(view);
         self.candidates.clear();
+        let services = view.config.services.iter();
+        let copying =
+            services.filter(|(_, s)| s.engine.is_some_and(|e| e.copy_tokens_per_s.is_some()));
+        self.copying = copying.map(|(id, _)| *id).collect();
         for shard in &self.shards {
             let open = super::endpoints(view, shard).filter(|(_, _, _, leaving)| !leaving);
             let open = u32::try_from(open.count()).unwrap_or(u32::MAX);
@@ -183,7 +193,7 @@
         F: Fn(&Shard) -> State,
     {
         let aim_ms = arrival.aim.since(now);
-        let order = self.order(arrival);
+        let order = self.order(arrival, &state);
         let first = order.first()?;
         let is_pressed = order.len() > 1 && {
             let here = state(&first.shard);
@@ -200,7 +210,10 @@
     }
 
     /// Shards of a service, the one that a request belongs to before the others.
-    fn order(&self, arrival: &Arrival) -> SmallVec<[&Candidate; 8]> {
+    fn order<F>(&self, arrival: &Arrival, state: &F) -> SmallVec<[&Candidate; 8]>
+    where
+        F: Fn(&Shard) -> State,
+    {
         let all = self.candidates.get(&arrival.service).into_iter().flatten();
         let allowed = all.filter(|c| arrival.homes.allow(&c.shard.region));
         let mut order: SmallVec<[&Candidate; 8]> = allowed.collect();
@@ -209,11 +222,18 @@
             return order;
         }
         let (key, tokens) = arrival.prompt.shared();
-        if tokens >= AFFINITY_TOKENS {
+        let is_here =
+            |c: &&&Candidate| c.shard.data_centre.as_ref() == Some(&self.home.data_centre);
+        let here = order.iter().find(is_here);
+        let stays = here.is_some_and(|c| !state(&c.shard).is_busy);
+        if tokens >= AFFINITY_TOKENS && !(stays && self.copying.contains(&arrival.service)) {
             order.sort_by(|a, b| a.rank(key.into()).total_cmp(&b.rank(key.into())));
             return order;
         }
-        let key = self.home.incarnation;
+        let key = match tokens >= AFFINITY_TOKENS {
+            true => u64::from(key),
+            false => self.home.incarnation,
+        };
         let elsewhere =
             |c: &Candidate| c.shard.data_centre.as_ref() != Some(&self.home.data_centre);
         order.sort_by(|a, b| {
--- a/components/coordination/src/engine/mod.rs
+++ b/components/coordination/src/engine/mod.rs
@@ -113,6 +113,13 @@
         self.source
     }
 
+    /// Parts of the prompt that other requests may share.
+    pub fn shared(&self) -> impl Iterator<Item = Part> {
+        let count = self.prompt.parts().count().saturating_sub(1);
+        let parts: SmallVec<[Part; 4]> = self.prompt.parts().take(count).collect();
+        parts.into_iter()
+    }
+
     /// Tokens that the engine has to read.
     pub fn to_read(&self) -> u64 {
         self.missing - self.copied
@@ -216,6 +223,11 @@
             .sum()
     }
 
+    /// Whether others can copy a part from it.
+    pub fn has_read_part(&self, key: u32) -> bool {
+        self.kept.get(&key).is_some_and(|k| k.is_read)
+    }
+
     /// Whether nothing is known of what it has kept.
     pub fn is_unknown(&self) -> bool {
         self.kept.is_empty()
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -3,6 +3,7 @@
 //! Between two customers that both wait, the one with less virtual service
 //! goes first. Which router a request waits on plays no part.
 
+mod kept;
 mod late;
 mod next;
 mod pace;
@@ -11,6 +12,7 @@
 
 pub use self::share::Share;
 
+use self::kept::Telling;
 use self::next::Next;
 use self::pace::Pace;
 use self::queue::{Key, Queue};
@@ -128,6 +130,7 @@
     refused: u64,
     granted: u64,
     shares: Shares,
+    telling: Telling,
     /// When asks that wait were last looked through.
     reviewed: Millis,
     /// Asks from other regions, in the order of their arrival.
@@ -180,6 +183,7 @@
             refused: 0,
             granted: 0,
             shares: Shares::default(),
+            telling: Telling::default(),
             reviewed: now,
             running: BTreeMap::new(),
             sessions: BTreeSet::new(),
@@ -433,6 +437,7 @@
                 self.slots.began(now, running.endpoint, reading, took_ms);
             }
         }
+        self.note_read(session, seq);
         self.grant(now)
     }
 
@@ -627,6 +632,7 @@
             // CAST: sessions are numbered by `u32`.
             routers: self.sessions.len() as u32,
             running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
+            busy: self.slots.busy(),
         };
         Effect::Grant(key.0, grant)
     }
--- a/components/coordination/src/slot/mod.rs
+++ b/components/coordination/src/slot/mod.rs
@@ -1,5 +1,6 @@
 //! Slots of a shard's endpoints and the choice among them.
 
+mod foreign;
 mod keeper;
 mod order;
 mod place;
@@ -7,6 +8,7 @@
 
 pub use self::place::Claims;
 
+use self::foreign::Foreign;
 use self::keeper::Parts;
 use self::order::Order;
 use self::table::{Place, Table};
@@ -91,6 +93,8 @@
     all: Table,
     /// Engines by the parts that they keep.
     parts: Parts,
+    /// Parts that engines elsewhere keep.
+    foreign: Foreign,
     /// Engines by when they would answer.
     order: Order,
     memory: Option<u64>,
@@ -115,6 +119,7 @@
         Slots {
             all: Table::default(),
             parts: Parts::default(),
+            foreign: Foreign::default(),
             order: Order::default(),
             memory: None,
             copy_rate: None,
@@ -136,6 +141,35 @@
         self.copy_rate = rate;
     }
 
+    /// Part of the engines that have a prompt to read, in hundredths, as of the last choice.
+    pub fn busy(&self) -> u8 {
+        self.order.busy()
+    }
+
+    /// Whether engines copy parts from each other.
+    pub fn can_copy(&self) -> bool {
+        self.copy_rate.is_some()
+    }
+
+    /// Whether an engine here has read a part.
+    pub fn has_read(&self, id: EndpointId, key: u32) -> bool {
+        let engine = self.all.get(id).and_then(|slot| slot.engine.as_ref());
+        engine.is_some_and(|engine| engine.has_read_part(key))
+    }
+
+    /// Learns that an engine of another scheduler has read a part.
+    pub fn learn_foreign(&mut self, key: u32, endpoint: EndpointId) {
+        self.foreign.learn(key, endpoint);
+    }
+
+    /// Forgets engines of other schedulers that `keep` refuses.
+    pub fn retain_foreign<F>(&mut self, keep: F)
+    where
+        F: Fn(EndpointId) -> bool,
+    {
+        self.foreign.retain(keep);
+    }
+
     /// Sets how many requests a cold endpoint is granted, in thousandths a second; `None` for
     /// no bound.
     pub fn set_cold_rate(&mut self, rate: Option<u32>) {
--- a/components/coordination/src/slot/order.rs
+++ b/components/coordination/src/slot/order.rs
@@ -143,6 +143,13 @@
         };
     }
 
+    /// Part of the engines that have a prompt to read, in hundredths.
+    pub(super) fn busy(&self) -> u8 {
+        let busy = self.reading.len() + self.late.len();
+        let percent = (busy * 100).checked_div(busy + self.still.len());
+        u8::try_from(percent.unwrap_or(0)).unwrap_or(100)
+    }
+
     /// What is known of an engine; `None` if it takes no work.
     pub(super) fn row(&self, now: Millis, place: Place) -> Option<Row> {
         let standing = self.known.get(place.index())?.standing.as_ref()?;
--- a/components/coordination/src/slot/place.rs
+++ b/components/coordination/src/slot/place.rs
@@ -416,9 +416,18 @@
         };
         let mut found = (shares.backwards())
             .filter_map(|(k, tokens)| Some((k.backwards().find(|p| has_read(p, tokens))?, tokens)));
-        let (place, tokens) = found.next()?;
-        let endpoint = self.all.at(place)?.id;
-        (tokens > 0).then_some(Source {
+        let near = found.next();
+        let near = near.and_then(|(place, tokens)| Some((self.all.at(place)?.id, tokens)));
+        let near = near.filter(|(_, tokens)| *tokens > 0);
+        let far = self.foreign.most(prompt);
+        let is_far = match (near, far) {
+            (Some((_, near)), Some((_, far))) => far > near,
+            (near, far) => near.is_none() && far.is_some(),
+        };
+        let (endpoint, tokens) = if is_far { far? } else { near? };
+        // Between data centres a copy takes about twice as long.
+        let rate = if is_far { rate / 2 } else { rate };
+        Some(Source {
             endpoint,
             tokens,
             rate,
--- a/components/coordination/tests/backoff.rs
+++ b/components/coordination/tests/backoff.rs
@@ -123,6 +123,7 @@
         floor: 0,
         routers: 1,
         running: 1,
+        busy: 0,
     }
 }
 
--- a/components/coordination/tests/cold.rs
+++ b/components/coordination/tests/cold.rs
@@ -270,6 +270,7 @@
             floor: 0,
             routers,
             running: 1,
+            busy: 0,
         };
         dispatcher.grant(Millis(0), grant);
     }
--- a/components/coordination/tests/dispatcher.rs
+++ b/components/coordination/tests/dispatcher.rs
@@ -137,6 +137,7 @@
         floor: 0,
         routers: 1,
         running: 1,
+        busy: 0,
     }
 }
 
--- a/components/coordination/tests/homes.rs
+++ b/components/coordination/tests/homes.rs
@@ -152,6 +152,7 @@
         floor: 0,
         routers: 1,
         running: 1,
+        busy: 0,
     };
     let effects = router.grant(Millis(1), grant);
     assert!(effects.contains(&Effect::Dispatch(handle, EndpointId(3))));
--- a/components/coordination/tests/spread.rs
+++ b/components/coordination/tests/spread.rs
@@ -9,6 +9,7 @@
 use coordination::homes::Homes;
 use coordination::prompt::Prompt;
 use state::clock::Millis;
+use state::config::Engine;
 use state::id::{CustomerId, EndpointId, Epoch};
 use state::view::View;
 use std::collections::BTreeMap;
@@ -135,6 +136,61 @@
     assert_eq!(counts.len(), 4);
 }
 
+/// The same view of engines that copy parts from each other.
+fn copying_view() -> View {
+    let mut view = view(false);
+    if let Some(service) = view.config.services.get_mut(&SERVICE) {
+        service.engine = Some(Engine {
+            memory_tokens: 500_000,
+            event_tokens: 1,
+            copy_tokens_per_s: Some(200_000),
+        });
+    }
+    view
+}
+
+/// Lets a router hear how busy the engines of its data centre are, by so many grants.
+fn hear(router: &mut Dispatcher, view: &View, busy: u8, grants: u64) {
+    let home = 1;
+    for n in 0..grants {
+        let (_, epoch, ask) = arrive(router, view, of(500 + n, arrival(0, n, 300, n)));
+        assert_eq!(epoch, home);
+        let grant = Grant {
+            epoch: Epoch(epoch),
+            seq: ask.seq,
+            endpoint: EndpointId(0),
+            copy_from: None,
+            basis: Basis::default(),
+            level: 0,
+            floor: 0,
+            routers: 4,
+            running: 1,
+            busy,
+        };
+        router.grant(Millis(0), grant);
+    }
+}
+
+/// Guards against bodies of 17 kB that cross to another data centre for a part which engines
+/// at home can copy, and against a data centre that keeps what it cannot serve.
+#[test]
+fn prompts_stay_at_home_while_engines_there_have_time_to_copy() {
+    let view = copying_view();
+    let mut router = router(&view, 0);
+    let elsewhere = |router: &mut Dispatcher, from: u64| {
+        let asked = (from..from + 40).map(|part| {
+            let one = of(part, arrival(0, part, 13_000, part));
+            arrive(router, &view, one).1
+        });
+        asked.filter(|epoch| *epoch != 1).count()
+    };
+    assert_eq!(elsewhere(&mut router, 0), 0);
+    hear(&mut router, &view, 95, 20);
+    assert!(elsewhere(&mut router, 1000) > 20);
+    hear(&mut router, &view, 10, 20);
+    assert_eq!(elsewhere(&mut router, 2000), 0);
+}
+
 #[test]
 fn prompts_that_share_little_stay_in_their_data_centre() {
     let view = view(false);
@@ -243,6 +299,7 @@
         floor: 0,
         routers: 1,
         running: 1,
+        busy: 0,
     };
     let effects = router.grant(Millis(10), grant);
     assert!(effects.contains(&Effect::Dispatch(handle, EndpointId(2))));
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -39,6 +39,8 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Inputs taken in one round before messages are sent.
 const ROUND: usize = 256;
+/// Time between two tellings of what engines have come to keep, in milliseconds.
+const TELL_KEPT_MS: u64 = 200;
 /// Time between two updates of the gauges, in milliseconds.
 const MEASURE_MS: u64 = 1000;
 
@@ -115,6 +117,7 @@
     is_unassigned: bool,
     beat_at: Millis,
     measure_at: Millis,
+    tell_kept_at: Millis,
     told: Told,
     /// Whether new callers are to go to other routers, since this VM schedules for many.
     dedicated: bool,
@@ -173,6 +176,7 @@
             is_unassigned: false,
             beat_at: now,
             measure_at: now,
+            tell_kept_at: now,
             told: Told::default(),
             dedicated: false,
             evacuated: BTreeSet::new(),
@@ -409,6 +413,7 @@
                     self.act(now, effects);
                 }
             }
+            Message::Kept(kept) => self.schedulers.hear_kept(&self.live, &vm, &kept),
             Message::Served(served) => self.schedulers.hear_served(&self.live, &served),
             Message::Unassigned(epoch) => self.dispatcher.unassigned(now, epoch),
             Message::Listing(listing) => {
@@ -604,6 +609,10 @@
         self.beat(now);
         self.seek_ready(now);
         self.tell_dependencies(now);
+        if now >= self.tell_kept_at {
+            self.tell_kept_at = now.after(TELL_KEPT_MS);
+            self.tell_kept();
+        }
         if now >= self.measure_at {
             self.measure_at = now.after(MEASURE_MS);
             self.measure();
--- a/components/node/src/reactor/peers.rs
+++ b/components/node/src/reactor/peers.rs
@@ -192,6 +192,13 @@
         }
     }
 
+    /// Tells other schedulers of the region what engines of those here keep.
+    pub(super) fn tell_kept(&mut self) {
+        for (to, kept) in self.schedulers.kept(&self.live) {
+            self.parts.hub.send(&to.place.vm, Message::Kept(kept));
+        }
+    }
+
     /// Tells other regions' schedulers what those here have given.
     pub(super) fn tell_served(&mut self) {
         let mut wanted = BTreeSet::new();
--- a/components/node/src/schedulers.rs
+++ b/components/node/src/schedulers.rs
@@ -6,7 +6,7 @@
 use crate::journal::Journal;
 use crate::metric::{value, Metrics};
 use crate::shared::ShardStatus;
-use coordination::ask::{Report, Served};
+use coordination::ask::{Kept, Report, Served};
 use coordination::assignment;
 use coordination::dispatcher::{endpoints, set_cold, set_engines};
 use coordination::scheduler::{Effect, Effects, Scheduler, Session};
@@ -15,7 +15,7 @@
 use state::id::{EndpointId, Epoch, Name};
 use state::line::Line;
 use state::view::{Assignment, Shard, View};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 struct Assigned {
@@ -23,6 +23,8 @@
     scheduler: Scheduler,
     sessions: BTreeMap<Name, Session>,
     endpoints: BTreeMap<EndpointId, (Name, SocketAddr)>,
+    /// Schedulers that were told all that engines here keep.
+    told: BTreeSet<Epoch>,
     /// Where to ask engines what they have kept, if they can tell.
     inquiries: Option<flume::Sender<Unknown>>,
 }
@@ -85,6 +87,7 @@
                 scheduler,
                 sessions: BTreeMap::new(),
                 endpoints: BTreeMap::new(),
+                told: BTreeSet::new(),
                 inquiries: self.inquiries.clone(),
             };
             self.all.insert(epoch, assigned);
@@ -105,6 +108,10 @@
                 slots.set(id, count, lead, leaving);
             }
             set_cold(slots, now, view, |_| 0);
+            slots.retain_foreign(|id| {
+                let endpoint = view.config.endpoints.get(&id);
+                endpoint.is_some_and(|endpoint| view.takes_work(id, endpoint))
+            });
         }
         self.tick(now, batch);
     }
@@ -166,6 +173,49 @@
         all
     }
 
+    /// What engines of each scheduler have come to keep, for the others of its service in its
+    /// region: prompts must not be copied to another one.
+    pub(crate) fn kept(&mut self, view: &View) -> Vec<(Assignment, Vec<Kept>)> {
+        let mut all = Vec::new();
+        for assigned in self.all.values_mut() {
+            let fresh = assigned.scheduler.tell_kept();
+            let shard = &assigned.shard;
+            let others = view.assignments.iter().filter(|a| {
+                let other = &a.shard;
+                other.service == shard.service && other.region == shard.region && other != shard
+            });
+            let others: Vec<&Assignment> = others.collect();
+            assigned
+                .told
+                .retain(|e| others.iter().any(|a| a.epoch == *e));
+            for to in others {
+                let kept = match assigned.told.insert(to.epoch) {
+                    true => assigned.scheduler.all_kept(),
+                    false => fresh.clone(),
+                };
+                if !kept.is_empty() {
+                    all.push((to.clone(), kept));
+                }
+            }
+        }
+        all
+    }
+
+    /// Takes what engines of another scheduler keep.
+    pub(crate) fn hear_kept(&mut self, view: &View, from: &Name, kept: &[Kept]) {
+        for assigned in self.all.values_mut() {
+            let shard = &assigned.shard;
+            let is_other = |a: &&Assignment| {
+                let other = &a.shard;
+                other.service == shard.service && other.region == shard.region && other != shard
+            };
+            let mut others = view.assignments.iter().filter(is_other);
+            if others.any(|a| a.place.vm == *from) {
+                assigned.scheduler.hear_kept(kept);
+            }
+        }
+    }
+
     /// Takes what a scheduler in another region has given.
     pub(crate) fn hear_served(&mut self, view: &View, served: &Served) {
         let Some(assignment) = view.assignments.iter().find(|s| s.epoch == served.epoch) else {
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -1,7 +1,7 @@
 //! The messages.
 
 use coordination::agree::Envelope;
-use coordination::ask::{Grant, Refusal, Report, Served};
+use coordination::ask::{Grant, Kept, Refusal, Report, Served};
 use coordination::tree::Confirm;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -144,6 +144,9 @@
     /// From a scheduler to those of the same service in other regions: service
     /// that it has given in its epoch.
     Served(Served),
+    /// From a scheduler to those of the same service in its region: parts of prompts that its
+    /// engines have read.
+    Kept(Vec<Kept>),
     /// This VM does not schedule in that epoch, or not yet.
     Unassigned(Epoch),
     /// The platform's endpoints, as they are since the last reading.
@@ -188,6 +191,7 @@
             Message::Grants(_) => "grants",
             Message::Refusals(_) => "refusals",
             Message::Served(..) => "served",
+            Message::Kept(_) => "kept",
             Message::Unassigned(_) => "unassigned",
             Message::Listing(_) => "listing",
             Message::ListingChange(_) => "listing-change",
