Feed routers from their own data centre

Symptom: what is spread to all crosses between data centres once for each router whose parent stands elsewhere, two in three of them: after a loss of all processes the whole view and the whole list.

Cause: a root takes in whoever asks, and sends others on to its children in turn.

Change: a process introduces itself with its data centre. A control VM sends a router from elsewhere to a control VM there, once in five seconds, since that one may be lost for it; all nodes send others on to children of their data centre before the rest.

Tests: decisions.rs (300 routers in three data centres, 8 of them fed from elsewhere).

--- a/components/coordination/src/tree.rs
+++ b/components/coordination/src/tree.rs
@@ -1,7 +1,8 @@
 //! Spread of the view from the control VMs to all routers, along a tree.
 //!
 //! Each node feeds a bounded number of children and sends later ones on to a
-//! child of its own, so that no node's traffic grows with the fleet.
+//! child of its own, so that no node's traffic grows with the fleet. It prefers one in the
+//! newcomer's data centre: what is spread then crosses between data centres once.
 
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,7 @@
 #[derive(Clone, Debug)]
 struct Child {
     place: Place,
+    data_centre: Name,
     confirm: Confirm,
 }
 
@@ -63,14 +65,22 @@
     /// subtree has confirmed still holds, and it tells only what changes: forgotten
     /// here, it would never be told again, and one would see a version that is in
     /// force everywhere without the confirmation of some.
-    pub fn welcome(&mut self, place: Place, version: Version) -> Welcome {
+    pub fn welcome(&mut self, place: Place, data_centre: &Name, version: Version) -> Welcome {
         if let Some(child) = self.children.get_mut(&place.vm) {
             child.place = place;
             return Welcome::Child;
         }
         if self.children.len() >= self.fanout {
             self.turn += 1;
-            let next = self.children.values().nth(self.turn % self.children.len());
+            let near = || {
+                self.children
+                    .values()
+                    .filter(|c| c.data_centre == *data_centre)
+            };
+            let next = match near().count() {
+                0 => self.children.values().nth(self.turn % self.children.len()),
+                count => near().nth(self.turn % count),
+            };
             if let Some(child) = next {
                 return Welcome::Elsewhere(child.place.clone());
             }
@@ -81,7 +91,12 @@
             slowest: SmallVec::from_iter([place.vm.clone()]),
         };
         let vm = place.vm.clone();
-        self.children.insert(vm, Child { place, confirm });
+        let child = Child {
+            place,
+            data_centre: data_centre.clone(),
+            confirm,
+        };
+        self.children.insert(vm, child);
         Welcome::Child
     }
 
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -511,18 +511,21 @@
         address: format!("127.0.0.{n}:1").parse().unwrap(),
     };
     let mut tree = Tree::new(2);
-    tree.welcome(place(1), Version(4));
+    tree.welcome(place(1), &name("dc-1"), Version(4));
     let confirm = Confirm {
         version: Version(5),
         routers: 3,
         slowest: [name("r1")].into_iter().collect(),
     };
     tree.confirm(&name("r1"), confirm.clone());
-    assert_eq!(tree.welcome(place(1), Version(4)), Welcome::Child);
+    assert_eq!(
+        tree.welcome(place(1), &name("dc-1"), Version(4)),
+        Welcome::Child
+    );
     assert_eq!(tree.total(None), confirm);
     // One whose link was lost is a new child.
     tree.lost(&name("r1"));
-    tree.welcome(place(1), Version(4));
+    tree.welcome(place(1), &name("dc-1"), Version(4));
     assert_eq!(tree.total(None).routers, 1);
 }
 
@@ -533,7 +536,7 @@
     for n in 1..=340 {
         let mut at = 0;
         loop {
-            match nodes[at].welcome(place(n), Version(1)) {
+            match nodes[at].welcome(place(n), &name("dc-1"), Version(1)) {
                 Welcome::Child => break,
                 Welcome::Elsewhere(next) => {
                     at = next.vm.as_str()[1..].parse().unwrap();
@@ -547,11 +550,37 @@
     assert!(depth.iter().max() <= Some(&6), "{:?}", depth.iter().max());
 }
 
+/// Guards against a view that crosses between data centres once for each router.
+#[test]
+fn can_feed_routers_from_their_own_data_centre() {
+    let centres = ["dc-1", "dc-2", "dc-3"].map(name);
+    let centre_of = |n: usize| &centres[n % 3];
+    let mut nodes: Vec<Tree> = vec![Tree::new(8)];
+    let mut crossings = 0;
+    for n in 1..=300_u16 {
+        let mut at = 0;
+        let of = centre_of(usize::from(n));
+        let place = Place {
+            vm: name(&format!("r{n}")),
+            address: "127.0.0.1:1".parse().unwrap(),
+        };
+        while let Welcome::Elsewhere(next) = nodes[at].welcome(place.clone(), of, Version(1)) {
+            at = next.vm.as_str()[1..].parse().unwrap();
+        }
+        crossings += usize::from(at == 0 || centre_of(at) != of);
+        nodes.push(Tree::new(4));
+    }
+    assert_eq!(
+        crossings, 8,
+        "all but the children of the root are fed at home"
+    );
+}
+
 #[test]
 fn can_tell_operators_which_routers_lag() {
     let mut tree = Tree::new(4);
-    tree.welcome(place(1), Version(5));
-    tree.welcome(place(2), Version(7));
+    tree.welcome(place(1), &name("dc-1"), Version(5));
+    tree.welcome(place(2), &name("dc-1"), Version(7));
     let own = name("c1");
     let total = tree.total(Some((&own, Version(7))));
     assert_eq!((total.version, total.routers), (Version(5), 3));
--- a/components/node/src/dissemination.rs
+++ b/components/node/src/dissemination.rs
@@ -1,12 +1,12 @@
 //! The feed: how this process learns the view, and whom it feeds in turn.
 
 use coordination::tree::{Confirm, Tree, Welcome};
-use protocol::wire::Message;
+use protocol::wire::{Hello, Message};
 use smallvec::SmallVec;
 use state::clock::Millis;
 use state::id::{Name, Version};
 use state::view::{Place, Step, Taken, View};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use transport::link::Hub;
 
 /// Time between two pulses of a root, in milliseconds.
@@ -20,6 +20,9 @@
 /// A proof is as old as this and the way of the check when it is at its oldest:
 /// well below what routers must refuse at.
 const CHECK_MS: u64 = 500;
+/// Time for which a node that was sent to a control VM of its own data centre is taken in when
+/// it comes back, in milliseconds: that one cannot feed it.
+const SENT_HOME_MS: u64 = 5000;
 /// Steps kept for children that missed some.
 const HISTORY: usize = 256;
 
@@ -41,6 +44,8 @@
     next_seed: usize,
     stand: Stand,
     tree: Tree,
+    /// Nodes that were sent to a control VM of their own data centre, and when.
+    sent_home: BTreeMap<Name, Millis>,
     history: VecDeque<Step>,
     /// Last sign of life that began at a root.
     pulse: Option<Millis>,
@@ -79,6 +84,7 @@
             next_seed: first,
             stand,
             tree: Tree::new(fanout),
+            sent_home: BTreeMap::new(),
             history: VecDeque::new(),
             pulse: None,
             proof: None,
@@ -240,13 +246,27 @@
     }
 
     /// Takes a node that wants to be fed.
-    pub(crate) fn subscribe(&mut self, hub: &Hub, place: Place, view: &View, version: Version) {
+    pub(crate) fn subscribe(
+        &mut self,
+        now: Millis,
+        hub: &Hub,
+        peer: Hello,
+        view: &View,
+        version: Version,
+    ) {
+        let Hello {
+            place, data_centre, ..
+        } = peer;
         if matches!(self.stand, Stand::Root { fresh: false, .. }) {
             self.send_away(hub, &place.vm);
             return;
         }
         let vm = place.vm.clone();
-        if let Welcome::Elsewhere(other) = self.tree.welcome(place, version) {
+        if let Some(nearer) = self.nearer(now, hub, &vm, &data_centre) {
+            hub.send(&vm, Message::Elsewhere(nearer));
+            return;
+        }
+        if let Welcome::Elsewhere(other) = self.tree.welcome(place, &data_centre, version) {
             hub.send(&vm, Message::Elsewhere(other));
             return;
         }
@@ -263,6 +283,25 @@
         hub.send(&vm, message);
     }
 
+    /// A control VM in the data centre of a node that wants to be fed by this one, which is
+    /// elsewhere; `None` for one that was sent there a moment ago.
+    fn nearer(&mut self, now: Millis, hub: &Hub, vm: &Name, data_centre: &Name) -> Option<Place> {
+        let is_far = self.is_root() && hub.hello().data_centre != *data_centre;
+        if !is_far || self.feeds(vm) {
+            return None;
+        }
+        self.sent_home.retain(|_, at| now.since(*at) < SENT_HOME_MS);
+        if self.sent_home.contains_key(vm) {
+            return None;
+        }
+        let peers = hub.peers();
+        let is_near = |p: &&Hello| p.data_centre == *data_centre && p.place.vm != *vm;
+        let mut near = peers.iter().filter(is_near);
+        let control = near.find(|p| self.seeds.iter().any(|s| s.vm == p.place.vm))?;
+        self.sent_home.insert(vm.clone(), now);
+        Some(control.place.clone())
+    }
+
     /// Tells a node that goes on feeding this one that another does so.
     ///
     /// A link outlives a change of parent where something else needs it, and the
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -326,6 +326,7 @@
             place: self.place.clone(),
             incarnation: self.incarnation,
             operators: operators_address,
+            data_centre: self.settings.vm.data_centre.clone(),
         };
         let (hub, events) = self.socket.start(hello, self.clock.clone());
         let data_centres = Starter::data_centres(&self.settings);
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -368,7 +368,7 @@
                 let peer = hub.peers().into_iter().find(|p| p.place.vm == vm);
                 if let Some(peer) = peer {
                     self.dissemination
-                        .subscribe(hub, peer.place, &self.view, version);
+                        .subscribe(now, hub, peer, &self.view, version);
                 }
                 self.send_listing(now, &vm);
             }
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -25,6 +25,8 @@
     pub incarnation: u64,
     /// Where its operators' address listens.
     pub operators: SocketAddr,
+    /// Its data centre.
+    pub data_centre: Name,
 }
 
 /// What a process asks of the control VMs.
--- a/components/transport/tests/link.rs
+++ b/components/transport/tests/link.rs
@@ -33,6 +33,7 @@
         place: place.clone(),
         incarnation,
         operators: any,
+        data_centre: name("dc-1"),
     };
     let (hub, events) = socket.start(hello, Clock::default());
     Side { hub, events, place }
