Evacuate in the soak; hold the return of a data centre against another evacuation

can_evacuate_a_data_centre_and_use_it_again failed once: 'never came true: it is in use again'. Traced: its requests came one after the other, and of two idle endpoints the one with the lower number is chosen each time, so that nothing had to come to the other one. It evacuates the other data centre now, and all requests have to be served by the one that is back.

The soak evacuates a data centre beside its other faults, and checks at the end that it gets no request while the others serve.

--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -72,10 +72,16 @@
     send(&fleet);
     assert_eq!(calls(&fleet, "assistant-2"), before);
     assert_eq!(order(&fleet, "r2", &["dc-2", "--end"]), Some(0));
-    eventually("it is in use again", || {
-        send(&fleet);
-        calls(&fleet, "assistant-2") > before
-    });
+    assert_eq!(order(&fleet, "c2", &["dc-1"]), Some(0));
+    for vm in ["r1", "r2"] {
+        eventually("the other one is shown", || {
+            is_shown(&fleet, vm, "dc-1") && !is_shown(&fleet, vm, "dc-2")
+        });
+    }
+    let there = calls(&fleet, "assistant-1");
+    send(&fleet);
+    assert_eq!(calls(&fleet, "assistant-1"), there);
+    assert_eq!(calls(&fleet, "assistant-2"), before + 20);
 }
 
 /// Guards against an acknowledged order that is lost with all processes.
--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -20,6 +20,8 @@
     Revoke,
     /// Announces that an endpoint stops, or takes that back, by this path.
     Depart(String),
+    /// Evacuates a data centre, or ends that, by this method and path.
+    Evacuate(&'static str, String),
 }
 
 /// What is in force when the operator has done all its orders.
@@ -49,6 +51,9 @@
             match order {
                 Order::Change => self.change().await,
                 Order::Revoke => self.revoke().await,
+                Order::Evacuate(method, path) => {
+                    self.until_known(method, &path, "").await;
+                }
                 Order::Depart(path) => {
                     while self.until_known("POST", &path, "").await.status == 409 {}
                 }
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -6,7 +6,10 @@
 use super::harness::{Fleet, Plan, Process, Vm, OPERATOR};
 use super::operator::{InForce, Operator, Order};
 use super::proxy::{Mode, Proxy};
-use super::schedule::{schedule, Act, Step, Target, CONTROL, PROXIED, ROUTERS, STAND_INS, VMS};
+use super::schedule::{
+    schedule, Act, Step, Target, CONTROL, EVACUATED, EVACUATED_CENTRE, PROXIED, ROUTERS, STAND_INS,
+    VMS,
+};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -60,6 +63,7 @@
     run.world.calm.store(true, Ordering::Relaxed);
     run.heal();
     run.check_quarantine();
+    run.check_evacuation();
     run.check_served();
     run.finish()
 }
@@ -186,6 +190,8 @@
             }
             Act::Change => self.order(Order::Change),
             Act::Revoke => self.order(Order::Revoke),
+            Act::Evacuate => self.evacuate("POST"),
+            Act::UseAgain => self.evacuate("DELETE"),
             Act::Withdraw(place) => depart("endpoint", place),
             Act::Return(place) => depart("endpoint-back", place),
             Act::Flood(place) => {
@@ -195,6 +201,11 @@
         }
     }
 
+    fn evacuate(&self, method: &'static str) {
+        let path = format!("/evacuation?data-centre={EVACUATED_CENTRE}");
+        self.order(Order::Evacuate(method, path));
+    }
+
     fn cut(&self, vm: usize, peers: &[Vm]) {
         let names: Vec<&str> = peers.iter().map(|p| p.name.as_str()).collect();
         self.hook(vm, &format!("/fault/cut?peers={}", names.join(",")));
@@ -271,6 +282,7 @@
             self.start_again(Target::StandIn(place));
             self.act(Act::Return(place));
         }
+        self.act(Act::UseAgain);
         for place in 0..VMS {
             self.signal(Target::Vm(place), "-CONT");
         }
@@ -343,6 +355,34 @@
             .count()
     }
 
+    /// Checks that an evacuated data centre gets no requests, while others serve them.
+    fn check_evacuation(&mut self) {
+        self.act(Act::Evacuate);
+        for place in 0..ROUTERS {
+            let what = format!("router {place} has evacuated {EVACUATED_CENTRE}");
+            self.must(&what, |run| {
+                let status = run.fleet.vms[CONTROL + place].status().unwrap_or_default();
+                status["evacuated"][0] == EVACUATED_CENTRE
+            });
+        }
+        // What was sent there before may still arrive.
+        std::thread::sleep(LOOK);
+        let before = self.evacuated_calls();
+        self.check_served();
+        let later = self.evacuated_calls() - before;
+        if later > 0 {
+            let text = format!("{EVACUATED_CENTRE} got {later} requests after its evacuation");
+            self.world.ledger.wrong(text);
+        }
+        self.act(Act::UseAgain);
+    }
+
+    /// Calls that have reached the stand-ins of the data centre that is evacuated.
+    fn evacuated_calls(&self) -> usize {
+        let all = EVACUATED.iter().map(|n| &self.fleet.stand_ins[*n]);
+        all.map(|s| s.recorded().len()).sum()
+    }
+
     /// Checks that everything is served again, over each way to each router.
     fn check_served(&self) {
         let began = Instant::now();
@@ -458,6 +498,11 @@
         let direct = format!("address = {}\n", fleet.stand_ins[*place].address);
         text = text.replace(&direct, &format!("address = {}\n", proxy.address));
     }
+    for place in EVACUATED {
+        let address = format!("address = {}\n", fleet.stand_ins[place].address);
+        let here = format!("{address}data-centre = dc-1");
+        text = text.replace(&here, &format!("{address}data-centre = {EVACUATED_CENTRE}"));
+    }
     // A silent endpoint must cost a caller less than its patience.
     text.replace("cost = event\n", "cost = event\ntimeout = 6s\n")
         .replace("cost = request\n", "cost = request\ntimeout = 6s\n")
--- a/tests/soak/schedule.rs
+++ b/tests/soak/schedule.rs
@@ -16,6 +16,10 @@
 /// Stand-ins that the routers reach through a proxy: the first of each service. The
 /// others are reached directly, so that a killed one refuses the connection.
 pub(crate) const PROXIED: [usize; 2] = [0, 2];
+/// Stand-ins in the data centre that is evacuated.
+pub(crate) const EVACUATED: [usize; 2] = [1, 3];
+/// Its name.
+pub(crate) const EVACUATED_CENTRE: &str = "dc-2";
 /// Proxies: one before each router, then one before each stand-in of `PROXIED`.
 pub(crate) const PROXIES: usize = ROUTERS + PROXIED.len();
 
@@ -76,6 +80,10 @@
     Withdraw(usize),
     /// Takes that back.
     Return(usize),
+    /// Evacuates the data centre of the second stand-in of each service.
+    Evacuate,
+    /// Ends that.
+    UseAgain,
     /// One customer sends many times its usual through a router.
     Flood(usize),
 }
@@ -163,6 +171,7 @@
             let end = Act::Return(place);
             ("withdraw-endpoint", Act::Withdraw(place), Some(end))
         }
+        96..98 => ("evacuate", Act::Evacuate, Some(Act::UseAgain)),
         _ => ("flood", Act::Flood(rng.random_range(0..ROUTERS)), None),
     }
 }
