Send the list of endpoints to a node once it is taken in

Symptom: after a loss of processes the whole list goes out several times to each of them.

Cause: whoever is asked to feed a node sends it the list, also when it sends the node on to another one; a root with eight children sends on nearly all who ask.

Change: the list goes to a new child alone. One that asks again has it, or says so.

--- a/components/node/src/dissemination.rs
+++ b/components/node/src/dissemination.rs
@@ -245,7 +245,7 @@
         }
     }
 
-    /// Takes a node that wants to be fed.
+    /// Takes a node that wants to be fed; true if it is a new child.
     pub(crate) fn subscribe(
         &mut self,
         now: Millis,
@@ -253,22 +253,23 @@
         peer: Hello,
         view: &View,
         version: Version,
-    ) {
+    ) -> bool {
         let Hello {
             place, data_centre, ..
         } = peer;
         if matches!(self.stand, Stand::Root { fresh: false, .. }) {
             self.send_away(hub, &place.vm);
-            return;
+            return false;
         }
         let vm = place.vm.clone();
+        let was_child = self.feeds(&vm);
         if let Some(nearer) = self.nearer(now, hub, &vm, &data_centre) {
             hub.send(&vm, Message::Elsewhere(nearer));
-            return;
+            return false;
         }
         if let Welcome::Elsewhere(other) = self.tree.welcome(place, &data_centre, version) {
             hub.send(&vm, Message::Elsewhere(other));
-            return;
+            return false;
         }
         let first = self.history.front().map(|s| s.version.0);
         let reach = first.is_some_and(|first| first <= version.0 + 1);
@@ -281,6 +282,7 @@
             Message::Whole(Box::new(view.clone()))
         };
         hub.send(&vm, message);
+        !was_child
     }
 
     /// A control VM in the data centre of a node that wants to be fed by this one, which is
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -366,11 +366,15 @@
             Message::Subscribe(version) => {
                 let hub = &self.parts.hub;
                 let peer = hub.peers().into_iter().find(|p| p.place.vm == vm);
-                if let Some(peer) = peer {
+                let is_new = peer.is_some_and(|peer| {
                     self.dissemination
-                        .subscribe(now, hub, peer, &self.view, version);
+                        .subscribe(now, hub, peer, &self.view, version)
+                });
+                // One that was sent on is told by whoever takes it in: sent at each step, the
+                // list would be most of what a fleet that starts again has to carry.
+                if is_new {
+                    self.send_listing(now, &vm);
                 }
-                self.send_listing(now, &vm);
             }
             Message::Unsubscribe => self.dissemination.unsubscribe(&vm),
             Message::Elsewhere(place) => {
