Let a customer keep its turn past asks that cannot start

Cause: a scheduler looked at one ask of the customer with least service, then at one of each other. The oldest asks of a customer that floods are late everywhere, or wait for their engine: each of them lost it the turn.

Change: eight asks of the customer whose turn it is are looked at before one of each other.

--- a/components/coordination/src/scheduler/next.rs
+++ b/components/coordination/src/scheduler/next.rs
@@ -8,6 +8,8 @@
 /// Asks that are looked at for one grant. Those behind them wait anyway, and each
 /// costs a look at some tens of engines.
 const LOOK: usize = 24;
+/// Asks of the customer whose turn it is that are looked at before one of another.
+const TURN: usize = 8;
 /// Remote asks among whom the least served is sought.
 const REMOTES: usize = 64;
 
@@ -19,6 +21,16 @@
     pub(super) endpoint: EndpointId,
 }
 
+/// What a look at an ask shows.
+enum Look {
+    /// It is to start.
+    Start(Next),
+    /// It is better off waiting.
+    Wait,
+    /// There is no such ask.
+    Missing,
+}
+
 impl Scheduler {
     /// The ask to serve next, and where.
     ///
@@ -53,28 +65,36 @@
         aim_ms.is_some_and(|aim_ms| self.slots.may_begin(now, u64::from(aim_ms)))
     }
 
-    /// The same among the asks of this region.
+    /// The same among the asks of this region: some of the customer that has least service,
+    /// then one of each customer, and so on.
+    ///
+    /// The oldest asks of a customer that floods cannot start: they are late everywhere, or
+    /// wait for their engine. If each of them lost it the turn, a customer that asks for most
+    /// would get least.
     fn next_own(&mut self, now: Millis, only_in_time: bool, claims: &mut Claims) -> Option<Next> {
-        let mut looked = 0;
         let customers: SmallVec<[CustomerId; 32]> = self.ledger.waiting().collect();
+        let (first, _) = customers.split_first()?;
+        let mut looked = 0;
+        for n in 0..TURN {
+            looked += 1;
+            match self.look(now, *first, n, only_in_time, claims) {
+                Look::Start(next) => return Some(next),
+                Look::Wait => {}
+                Look::Missing => break,
+            }
+        }
         for round in 0..LOOK {
             let mut any = false;
-            for customer in &customers {
-                let Some((key, waiting)) = self.queue.of(*customer).nth(round) else {
-                    continue;
-                };
-                any = true;
-                looked += 1;
+            for (place, customer) in customers.iter().enumerate() {
                 if looked > LOOK {
                     return None;
                 }
-                let ask = waiting.ask;
-                let wish = waiting.wish(now, key.0, only_in_time);
-                if !self.may_start(now, &ask) {
-                    continue;
-                }
-                if let Some(endpoint) = self.slots.choose(now, wish, claims) {
-                    return Some(Next { key, ask, endpoint });
+                looked += 1;
+                let n = if place == 0 { round + TURN } else { round };
+                match self.look(now, *customer, n, only_in_time, claims) {
+                    Look::Start(next) => return Some(next),
+                    Look::Wait => any = true,
+                    Look::Missing => {}
                 }
             }
             if !any {
@@ -84,6 +104,29 @@
         None
     }
 
+    /// Looks at the `n`th ask of a customer.
+    fn look(
+        &mut self,
+        now: Millis,
+        customer: CustomerId,
+        n: usize,
+        only_in_time: bool,
+        claims: &mut Claims,
+    ) -> Look {
+        let Some((key, waiting)) = self.queue.of(customer).nth(n) else {
+            return Look::Missing;
+        };
+        let ask = waiting.ask;
+        let wish = waiting.wish(now, key.0, only_in_time);
+        if !self.may_start(now, &ask) {
+            return Look::Wait;
+        }
+        match self.slots.choose(now, wish, claims) {
+            Some(endpoint) => Look::Start(Next { key, ask, endpoint }),
+            None => Look::Wait,
+        }
+    }
+
     /// Whether the limits of an ask's class let it start.
     pub(super) fn may_start(&mut self, now: Millis, ask: &Ask) -> bool {
         let class = self.class(now, ask.class);
