--- a/components/coordination/tests/cold.rs
+++ b/components/coordination/tests/cold.rs
@@ -1,13 +1,16 @@
 //! Endpoints that are cold, and bear few requests a second until they are warm.
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
+mod arrivals;
+mod asks;
 mod endpoints;
 mod views;
 
-use coordination::ask::{Ask, Class, Grant, Hello, Seq, Verdict};
+use arrivals::{arrival, grant};
+use asks::ask;
+use coordination::ask::{Grant, Hello, Seq, Verdict};
 use coordination::assignment::shards;
-use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Home, LOCAL_MS};
-use coordination::homes::Homes;
+use coordination::dispatcher::{Dispatcher, Effect, LOCAL_MS};
 use coordination::listing::Roster;
 use coordination::prompt::Prompt;
 use coordination::ramp::Ramp;
@@ -16,7 +19,7 @@
 use state::clock::Millis;
 use state::config::{Cold, Engine};
 use state::evacuation::Evacuation;
-use state::id::{CustomerId, EndpointId, Epoch, Version};
+use state::id::{EndpointId, Epoch, Version};
 use state::listing::Listed;
 use state::view::View;
 use std::collections::BTreeMap;
@@ -43,25 +46,6 @@
     moments.iter().map(|from| within(*from)).max().unwrap_or(0)
 }
 
-fn ask(seq: u64, tokens: u32) -> Ask {
-    Ask {
-        seq: Seq(seq),
-        class: Class {
-            customer: CustomerId(1),
-            rule: 0,
-        },
-        weight: 1,
-        rate: 0,
-        concurrency: 0,
-        priority: 0,
-        aim_ms: 60_000,
-        hint: 100,
-        prompt: Prompt::alone(tokens, 1),
-        avoid: None,
-        remote: false,
-    }
-}
-
 /// A scheduler of plain endpoints or engines whose first one is cold until `until`.
 fn scheduler(epoch: u64, now: Millis, memory: Option<u64>, until: Millis) -> Scheduler {
     let mut scheduler = Scheduler::new(Epoch(epoch), now);
@@ -108,9 +92,11 @@
         for at in from..to {
             let now = Millis(at);
             self.next += 1;
-            let mut effects = self
-                .scheduler
-                .ask(now, self.session, ask(self.next, self.tokens));
+            let mut effects = self.scheduler.ask(
+                now,
+                self.session,
+                ask(self.next, Prompt::alone(self.tokens, 1), 60_000, 100),
+            );
             while let Some(entry) = self.running.first_entry().filter(|e| e.key().0 <= at) {
                 let ((_, seq), sent) = entry.remove_entry();
                 let took_ms = u32::try_from(at - sent).ok();
@@ -222,55 +208,19 @@
     view
 }
 
-fn arrival() -> Arrival {
-    Arrival {
-        service: SERVICE,
-        class: Class {
-            customer: CustomerId(1),
-            rule: 0,
-        },
-        weight: 1,
-        priority: 0,
-        rate: 0,
-        concurrency: 0,
-        queue: 1000,
-        hint: 10,
-        prompt: Prompt::default(),
-        bytes: 10,
-        homes: Homes::default(),
-        aim: Millis(60_000),
-        deadline: Millis(60_000),
-    }
-}
-
 /// A router that a scheduler has told how many routers there are, if any has.
 fn router(incarnation: u64, view: &View, routers: Option<u32>) -> Dispatcher {
-    let home = Home {
-        region: name("main"),
-        data_centre: name("dc-1"),
-        incarnation,
-    };
-    let bounds = Bounds {
-        requests: 10_000,
-        bytes: 1 << 30,
-    };
-    let mut dispatcher = Dispatcher::new(home, bounds);
+    let mut dispatcher = arrivals::dispatcher(name("main"), name("dc-1"), incarnation);
     dispatcher.link_up(Millis(0), &name("s-0"));
     dispatcher.follow(Millis(0), view);
     if let Some(routers) = routers {
-        dispatcher.arrive(Millis(0), view, arrival()).unwrap();
+        dispatcher
+            .arrive(Millis(0), view, arrival(SERVICE))
+            .unwrap();
         dispatcher.tick(Millis(0), view);
         let grant = Grant {
-            epoch: Epoch(1),
-            seq: Seq(99),
-            endpoint: COLD,
-            copy_from: None,
-            basis: coordination::ask::Basis::default(),
-            level: 0,
-            floor: 0,
             routers,
-            running: 1,
-            busy: 0,
+            ..grant(Epoch(1), Seq(99), COLD)
         };
         dispatcher.grant(Millis(0), grant);
     }
@@ -288,7 +238,7 @@
             let mut effects = Vec::new();
             if at % 50 == 0 {
                 // What it cannot serve in time it refuses.
-                let arrived = router.arrive(now, view, arrival());
+                let arrived = router.arrive(now, view, arrival(SERVICE));
                 effects.extend(arrived.map(|(_, e)| e).unwrap_or_default());
             }
             effects.extend(router.tick(now, view));
--- a/components/coordination/tests/copies.rs
+++ b/components/coordination/tests/copies.rs
@@ -1,11 +1,14 @@
 //! Parts of prompts that engines copy from those of another scheduler.
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
-use coordination::ask::{Ask, Class, Grant, Hello, Kept, Seq, Verdict};
+mod asks;
+
+use asks::ask;
+use coordination::ask::{Grant, Hello, Kept, Verdict};
 use coordination::prompt::Prompt;
 use coordination::scheduler::{Effect, Scheduler, Session};
 use state::clock::Millis;
-use state::id::{CustomerId, EndpointId, Epoch};
+use state::id::{EndpointId, Epoch};
 
 const HERE: EndpointId = EndpointId(1);
 const THERE: EndpointId = EndpointId(2);
@@ -23,22 +26,8 @@
 
 /// Sends a request with a shared part of 13,000 tokens; gives its grant.
 fn send(scheduler: &mut Scheduler, session: Session, at: u64, own: u64) -> Grant {
-    let ask = Ask {
-        seq: Seq(own),
-        class: Class {
-            customer: CustomerId(1),
-            rule: 0,
-        },
-        weight: 1,
-        rate: 0,
-        concurrency: 0,
-        priority: 0,
-        aim_ms: 600,
-        hint: 100,
-        prompt: Prompt::new([(7, 13_000), (1000 + own, 1000)], 50),
-        avoid: None,
-        remote: false,
-    };
+    let prompt = Prompt::new([(7, 13_000), (1000 + own, 1000)], 50);
+    let ask = ask(own, prompt, 600, 100);
     let mut effects = scheduler.ask(Millis(at), session, ask);
     effects.extend(scheduler.tick(Millis(at)));
     let granted = effects.into_iter().find_map(|e| match e {
--- a/components/coordination/tests/evacuation.rs
+++ b/components/coordination/tests/evacuation.rs
@@ -1,19 +1,20 @@
 //! Requests of a router beside data centres that are evacuated.
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
+mod arrivals;
 mod views;
 
-use coordination::ask::{Basis, Class, Grant, Report, Seq, Verdict};
+use arrivals::{arrival, grant};
+use coordination::ask::{Report, Seq, Verdict};
 use coordination::assignment::shards;
-use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Full, Handle, Home, LOCAL_MS};
-use coordination::homes::Homes;
-use coordination::prompt::Prompt;
+use coordination::dispatcher::{Dispatcher, Effect, Full, Handle, LOCAL_MS};
 use state::clock::Millis;
 use state::evacuation::Evacuation;
-use state::id::{CustomerId, EndpointId, Epoch, Version};
+use state::id::{EndpointId, Epoch, Version};
 use state::view::View;
 use views::{add, assign, name, view, SERVICE};
 
+const EPOCH: Epoch = Epoch(1);
 const HERE: EndpointId = EndpointId(1);
 const THERE: EndpointId = EndpointId(2);
 
@@ -37,41 +38,11 @@
 }
 
 fn dispatcher() -> Dispatcher {
-    let home = Home {
-        region: name("main"),
-        data_centre: name("dc-1"),
-        incarnation: 7,
-    };
-    let bounds = Bounds {
-        requests: 100,
-        bytes: 10_000,
-    };
-    let mut dispatcher = Dispatcher::new(home, bounds);
+    let mut dispatcher = arrivals::dispatcher(name("main"), name("dc-1"), 7);
     dispatcher.link_up(Millis(0), &name("s-0"));
     dispatcher
 }
 
-fn arrival() -> Arrival {
-    Arrival {
-        service: SERVICE,
-        class: Class {
-            customer: CustomerId(1),
-            rule: 0,
-        },
-        weight: 1,
-        priority: 0,
-        rate: 0,
-        concurrency: 0,
-        queue: 100,
-        hint: 10,
-        prompt: Prompt::default(),
-        bytes: 10,
-        homes: Homes::default(),
-        aim: Millis(10_000),
-        deadline: Millis(20_000),
-    }
-}
-
 fn asked(effects: &[Effect]) -> Option<Seq> {
     effects.iter().find_map(|e| match e {
         Effect::Report(_, Report::Ask(ask)) => Some(ask.seq),
@@ -91,26 +62,13 @@
     reports.any(|e| matches!(e, Effect::Report(_, Report::Return(of)) if *of == seq))
 }
 
-fn grant(seq: Seq, endpoint: EndpointId) -> Grant {
-    Grant {
-        epoch: Epoch(1),
-        seq,
-        endpoint,
-        copy_from: None,
-        basis: Basis::default(),
-        level: 0,
-        floor: 0,
-        routers: 1,
-        running: 1,
-        busy: 0,
-    }
-}
-
 /// A dispatcher with a session and a request that it has asked for.
 fn waiting(view: &View) -> (Dispatcher, Handle, Seq) {
     let mut dispatcher = dispatcher();
     dispatcher.follow(Millis(0), view);
-    let (handle, mut effects) = dispatcher.arrive(Millis(0), view, arrival()).unwrap();
+    let (handle, mut effects) = dispatcher
+        .arrive(Millis(0), view, arrival(SERVICE))
+        .unwrap();
     effects.extend(dispatcher.tick(Millis(1), view));
     let seq = asked(&effects).unwrap();
     (dispatcher, handle, seq)
@@ -123,11 +81,11 @@
     let (mut dispatcher, _, seq) = waiting(&view);
     order(&mut view, "dc-2", true);
     dispatcher.follow(Millis(2), &view);
-    let effects = dispatcher.grant(Millis(3), grant(seq, THERE));
+    let effects = dispatcher.grant(Millis(3), grant(EPOCH, seq, THERE));
     assert_eq!(sent(&effects), None);
     assert!(is_returned(&effects, seq));
     let again = asked(&effects).expect("it is asked for anew");
-    let effects = dispatcher.grant(Millis(4), grant(again, HERE));
+    let effects = dispatcher.grant(Millis(4), grant(EPOCH, again, HERE));
     assert_eq!(sent(&effects), Some(HERE));
 }
 
@@ -142,7 +100,7 @@
     let mut to = Vec::new();
     for n in 0..6 {
         let now = Millis(LOCAL_MS + n);
-        let arrived = dispatcher.arrive(Millis(0), &view, arrival());
+        let arrived = dispatcher.arrive(Millis(0), &view, arrival(SERVICE));
         let (_, effects) = arrived.unwrap();
         to.extend(sent(&effects));
         to.extend(sent(&dispatcher.tick(now, &view)));
@@ -160,11 +118,13 @@
     order(&mut view, "dc-2", true);
     let effects = dispatcher.follow(Millis(2), &view);
     assert!(effects.contains(&Effect::Unserved(handle)), "{effects:?}");
-    let newcomer = dispatcher.arrive(Millis(3), &view, arrival());
+    let newcomer = dispatcher.arrive(Millis(3), &view, arrival(SERVICE));
     assert_eq!(newcomer.err(), Some(Full::NoEndpoint));
     order(&mut view, "dc-1", false);
     dispatcher.follow(Millis(4), &view);
-    assert!(dispatcher.arrive(Millis(5), &view, arrival()).is_ok());
+    assert!(dispatcher
+        .arrive(Millis(5), &view, arrival(SERVICE))
+        .is_ok());
 }
 
 /// Guards against a request that waits for ever since its try failed during the evacuation.
@@ -172,7 +132,7 @@
 fn can_refuse_a_retry_that_no_data_centre_may_serve() {
     let mut view = two();
     let (mut dispatcher, handle, seq) = waiting(&view);
-    let effects = dispatcher.grant(Millis(2), grant(seq, THERE));
+    let effects = dispatcher.grant(Millis(2), grant(EPOCH, seq, THERE));
     assert_eq!(sent(&effects), Some(THERE));
     order(&mut view, "dc-1", true);
     order(&mut view, "dc-2", true);
--- a/components/coordination/tests/homes.rs
+++ b/components/coordination/tests/homes.rs
@@ -1,18 +1,17 @@
 //! Requests that may be served in some regions only.
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
+mod arrivals;
 mod views;
 
-use coordination::ask::{Ask, Basis, Class, Grant, Refusal, Report, Verdict};
+use arrivals::grant;
+use coordination::ask::{Ask, Refusal, Report, Verdict};
 use coordination::assignment::shards;
-use coordination::dispatcher::{
-    Arrival, Bounds, Dispatcher, Effect, Full, Handle, Home, LOCAL_MS, REMOTE_MS,
-};
+use coordination::dispatcher::{Arrival, Dispatcher, Effect, Full, Handle, LOCAL_MS, REMOTE_MS};
 use coordination::homes::Homes;
-use coordination::prompt::Prompt;
 use rstest::rstest;
 use state::clock::Millis;
-use state::id::{CustomerId, EndpointId, Name};
+use state::id::{EndpointId, Name};
 use state::view::View;
 use views::{add, assign, name, view, SERVICE};
 
@@ -38,16 +37,7 @@
 
 /// A router in a region with links to all schedulers.
 fn router(view: &View, region: &str) -> Dispatcher {
-    let home = Home {
-        region: name(region),
-        data_centre: name(&format!("{region}-1")),
-        incarnation: 7,
-    };
-    let bounds = Bounds {
-        requests: 100,
-        bytes: 10_000,
-    };
-    let mut dispatcher = Dispatcher::new(home, bounds);
+    let mut dispatcher = arrivals::dispatcher(name(region), name(&format!("{region}-1")), 7);
     for n in 0..REGIONS.len() {
         dispatcher.link_up(Millis(0), &name(&format!("s-{n}")));
     }
@@ -57,22 +47,8 @@
 
 fn arrival(homes: Homes) -> Arrival {
     Arrival {
-        service: SERVICE,
-        class: Class {
-            customer: CustomerId(1),
-            rule: 0,
-        },
-        weight: 1,
-        priority: 0,
-        rate: 0,
-        concurrency: 0,
-        queue: 100,
-        hint: 10,
-        prompt: Prompt::default(),
-        bytes: 10,
         homes,
-        aim: Millis(10_000),
-        deadline: Millis(20_000),
+        ..arrivals::arrival(SERVICE)
     }
 }
 
@@ -142,18 +118,7 @@
         .iter()
         .find(|a| a.shard.region == name("west"));
     let epoch = epoch.unwrap().epoch;
-    let grant = Grant {
-        epoch,
-        seq: ask.seq,
-        endpoint: EndpointId(3),
-        copy_from: None,
-        basis: Basis::default(),
-        level: 0,
-        floor: 0,
-        routers: 1,
-        running: 1,
-        busy: 0,
-    };
+    let grant = grant(epoch, ask.seq, EndpointId(3));
     let effects = router.grant(Millis(1), grant);
     assert!(effects.contains(&Effect::Dispatch(handle, EndpointId(3))));
     let mut effects = router.again(Millis(2), handle, Verdict::Failed);
