Count what a router spent once, however often it says hello

Cause: a router that served without its scheduler tells it what its customers received, again with each hello until a grant shows that it was counted. A link that comes up twice brings two hellos; where another router's ask lets the first be counted in between, the second is counted as well.

Change: hellos say whether they tell the same spending, by a number that changes with each grant that shows it; a scheduler subtracts what it has counted of the same telling.

--- a/components/coordination/src/ask.rs
+++ b/components/coordination/src/ask.rs
@@ -110,6 +110,9 @@
     pub held: Vec<Held>,
     /// What this router knows of customers' service.
     pub known: Vec<Known>,
+    /// Changes each time that what was spent has been counted: what hellos of one telling say
+    /// of it is the same spending.
+    pub telling: u64,
     /// Largest floor that a grant has told.
     pub floor: u64,
     /// What engines have of the prompts that were sent last.
--- a/components/coordination/src/dispatcher/session.rs
+++ b/components/coordination/src/dispatcher/session.rs
@@ -52,6 +52,8 @@
     pub(super) asked: BTreeMap<Seq, Handle>,
     pub(super) known: BTreeMap<CustomerId, Memory>,
     pub(super) floor: u64,
+    /// Changes each time that a scheduler has shown that it counted what was spent.
+    telling: u64,
     /// Whether the scheduler has shown, by a grant, that it took the hello.
     pub(super) heard: bool,
     pub(super) routers: u32,
@@ -80,6 +82,7 @@
         Hello {
             held,
             known: known.collect(),
+            telling: self.telling,
             floor: self.floor,
             kept: self.sent.iter().copied().collect(),
             backoff,
@@ -112,12 +115,13 @@
         if std::mem::replace(&mut self.heard, true) {
             return;
         }
+        self.telling = self.telling.wrapping_add(1);
         for memory in self.known.values_mut() {
             memory.level += std::mem::take(&mut memory.spent);
         }
     }
 
-    pub(super) fn new(now: Millis) -> Self {
+    pub(super) fn new(now: Millis, telling: u64) -> Self {
         Session {
             assignment: None,
             up: false,
@@ -128,6 +132,7 @@
             asked: BTreeMap::new(),
             known: BTreeMap::new(),
             floor: 0,
+            telling,
             heard: false,
             routers: 1,
             is_counted: false,
@@ -238,7 +243,7 @@
         if self.sessions.contains_key(shard) {
             return;
         }
-        let mut session = Session::new(now);
+        let mut session = Session::new(now, self.incarnation);
         session.assignment = view.assignment(shard).cloned();
         // Ask at once: the link may be up already.
         session.hello_at = session.assignment.as_ref().map(|_| now);
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod next;
 mod pace;
 mod queue;
+mod settled;
 mod share;
 
 pub use self::share::Share;
@@ -16,6 +17,7 @@
 use self::next::Next;
 use self::pace::Pace;
 use self::queue::{Key, Queue};
+use self::settled::Settled;
 use self::share::Shares;
 use crate::ask::{Basis, Hello, Seq, Served};
 use crate::engine::Reading;
@@ -142,6 +144,8 @@
     /// the largest memory of each customer is known, since memories are not
     /// added up and this is.
     spent: BTreeMap<Session, Vec<(CustomerId, u64)>>,
+    /// What of it was added.
+    settled: Settled,
     /// Largest floor that a router remembers.
     floor: u64,
     /// Service given here in this epoch, for the other regions to count.
@@ -189,6 +193,7 @@
             sessions: BTreeSet::new(),
             orphans: BTreeMap::new(),
             spent: BTreeMap::new(),
+            settled: Settled::default(),
             floor: 0,
             remotes: VecDeque::new(),
             served: BTreeMap::new(),
@@ -281,8 +286,7 @@
         for known in &hello.known {
             self.ledger.remember(known.customer, known.level);
         }
-        let spent = hello.known.iter().filter(|k| k.spent > 0);
-        let spent = spent.map(|k| (k.customer, k.spent)).collect();
+        let spent = self.settled.open(older, session, hello);
         self.spent.insert(session, spent);
         for held in &hello.held {
             let running = Running {
@@ -562,8 +566,11 @@
             return effects;
         }
         let spent = std::mem::take(&mut self.spent);
-        for (customer, spent) in spent.into_values().flatten() {
-            self.ledger.settle(customer, 0, spent);
+        for (session, all) in spent {
+            for (customer, spent) in all {
+                self.ledger.settle(customer, 0, spent);
+                self.settled.add(session, customer, spent);
+            }
         }
         if !std::mem::replace(&mut self.is_open, true) {
             self.ledger.open(self.floor);
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -744,3 +744,41 @@
     assert_eq!(second(&mut ceiling, 2, 60), 60);
     assert_eq!(second(&mut ceiling, 3, 1000), 100);
 }
+
+/// Guards against service that is counted twice, since a router says hello again before it
+/// has heard that the first one was taken.
+#[test]
+fn can_count_what_a_router_spent_once_through_two_hellos() {
+    let known = |spent| Known {
+        customer: A,
+        level: 0,
+        spent,
+    };
+    let hello = |telling, spent| Hello {
+        known: vec![known(spent)],
+        telling,
+        ..Hello::default()
+    };
+    let mut scheduler = Scheduler::new(Epoch(2), Millis(0));
+    scheduler.slots().set(EndpointId(1), 4, 0, false);
+    let other = scheduler.open(Millis(1), None, &Hello::default());
+    let first = scheduler.open(Millis(300), None, &hello(7, 500));
+    // Another router's ask lets what was spent be settled.
+    scheduler.ask(Millis(310), other, ask(1, B, 0, 0));
+    scheduler.tick(Millis(310));
+    assert_eq!(scheduler.levels().first(), Some(&(A, 500)));
+    let second = scheduler.open(Millis(320), Some(first), &hello(7, 500));
+    scheduler.ask(Millis(330), other, ask(2, B, 0, 0));
+    scheduler.tick(Millis(330));
+    assert_eq!(scheduler.levels().first(), Some(&(A, 500)));
+    // What it has spent since is told with the next one, and counts.
+    let third = scheduler.open(Millis(340), Some(second), &hello(7, 700));
+    scheduler.ask(Millis(350), other, ask(3, B, 0, 0));
+    scheduler.tick(Millis(350));
+    assert_eq!(scheduler.levels().first(), Some(&(A, 700)));
+    // Once it has heard that, it tells only what came after.
+    scheduler.open(Millis(360), Some(third), &hello(8, 40));
+    scheduler.ask(Millis(370), other, ask(4, B, 0, 0));
+    scheduler.tick(Millis(370));
+    assert_eq!(scheduler.levels().first(), Some(&(A, 740)));
+}
