--- a/components/coordination/src/candidacy.rs
+++ b/components/coordination/src/candidacy.rs
@@ -1,9 +1,8 @@
 //! Whether a VM that can schedule stands as a candidate for it.
 //!
 //! A candidate keeps links to all control VMs and beats over them. The load: hundreds of
-//! routers, all of which can schedule. If all of them did so, what a control VM receives
-//! would grow with the fleet, and after a loss of all processes it would be busy with their
-//! handshakes before it can assign a scheduler.
+//! routers, all of which can schedule. If all of them did so for good, what a control VM
+//! receives would grow with the fleet.
 
 use crate::prelude::*;
 use crate::prompt::mix;
@@ -62,8 +61,11 @@
     }
 
     /// Whether it is one of the few that always stand.
+    ///
+    /// Before the routers are counted all stand: if the first few alone did so, they would be
+    /// assigned all shards, wherever these are.
     fn is_drawn(&self, routers: Option<u32>) -> bool {
-        routers.is_some_and(|routers| self.lot % u64::from(routers.max(1)) < CANDIDATES)
+        routers.is_none_or(|routers| self.lot % u64::from(routers.max(1)) < CANDIDATES)
     }
 
     /// Whether it is its turn, since nobody schedules.
