--- a/components/coordination/tests/candidacy.rs
+++ b/components/coordination/tests/candidacy.rs
@@ -1,7 +1,5 @@
 //! Which VMs stand as candidates for a scheduler.
 
-#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
-
 mod views;
 
 use coordination::assignment::{shards, Assigner, Site};
--- a/components/coordination/tests/views/mod.rs
+++ b/components/coordination/tests/views/mod.rs
@@ -1,4 +1,5 @@
 //! A view of one service as tests build it.
+#![allow(dead_code, reason = "each test file uses a part of it")]
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 use state::config::{Cost, Endpoint, Engine, Service};
