Listen for signals before anything else of a start

Cause: handlers were set once the process had started whole; a SIGTERM before that has its default effect. Change: run, dev and the stand-in listen first, and stop in order once they have started. What no program can answer is a signal that comes before its main function runs: the harness waits after each start until the process listens, so that no verdict depends on how soon it runs.

--- a/src/cmd/dev.rs
+++ b/src/cmd/dev.rs
@@ -1,7 +1,7 @@
 //! `cowslipford dev`: the smallest whole fleet in one process.
 
 use super::client::Client;
-use super::run::{runtime, told};
+use super::run::{runtime, StopSignals};
 use super::{keys, log, Failure};
 use crate::cli::Dev;
 use errors::{Error, Result};
@@ -29,6 +29,7 @@
 }
 
 async fn serve(args: &Dev, folder: &Path) -> Result<(), Failure> {
+    let mut stop = StopSignals::listen()?;
     let name = Name::try_from("dev").map_err(Failure::Input)?;
     keys::make(folder, &[name])?;
     let settings = settings(args, folder)?;
@@ -47,7 +48,7 @@
     }
     let ended = tokio::select! {
         ended = process.wait() => ended,
-        () = told() => Ok(()),
+        () = stop.received() => Ok(()),
     };
     process.stop().await;
     model.stop().await;
--- a/src/cmd/run.rs
+++ b/src/cmd/run.rs
@@ -8,25 +8,29 @@
 use state::line::Line;
 use std::path::Path;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// Time between two looks whether the settings file has changed.
 const LOOK: Duration = Duration::from_secs(1);
 
 /// Runs until told to stop, by a signal or by the operators.
 pub(crate) fn run(args: &Run) -> Result<(), Failure> {
-    let settings = Settings::read(&args.settings)?;
-    log::start(&settings.log);
-    runtime()?.block_on(serve(settings, &args.settings))
+    runtime()?.block_on(async {
+        // Before anything else: a stop that comes while the process starts is a planned one.
+        let stop = StopSignals::listen()?;
+        let settings = Settings::read(&args.settings)?;
+        log::start(&settings.log);
+        serve(settings, &args.settings, stop).await
+    })
 }
 
-async fn serve(settings: Settings, file: &Path) -> Result<(), Failure> {
+async fn serve(settings: Settings, file: &Path, mut stop: StopSignals) -> Result<(), Failure> {
     let interface = interface(&settings)?;
     let mut process = Process::start(settings.clone(), interface).await?;
     let reloads = process.reloads();
     let ended = tokio::select! {
         ended = process.wait() => ended,
-        () = told() => Ok(()),
+        () = stop.received() => Ok(()),
         () = follow(file, settings, &reloads) => Ok(()),
     };
     if ended.is_ok() {
@@ -78,17 +82,32 @@
     }
 }
 
-/// Waits for SIGTERM or Ctrl-C.
-pub(crate) async fn told() {
-    let (Ok(mut term), Ok(mut int)) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+/// Signals that ask a process to stop: SIGTERM and Ctrl-C.
+pub(crate) struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Listens from now on; what comes before [`StopSignals::received`] is kept.
+    ///
+    /// # Errors
+    ///
+    /// When the system refuses a handler.
+    pub(crate) fn listen() -> Result<Self, Failure> {
+        let listen = |kind| signal(kind).map_err(Error::file("listen for signals", "(process)"));
+        Ok(StopSignals {
+            terminate: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for one of them.
+    pub(crate) async fn received(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
 }
 
--- a/src/cmd/stand_in.rs
+++ b/src/cmd/stand_in.rs
@@ -1,6 +1,6 @@
 //! `cowslipford stand-in`: the endpoint stand-in alone.
 
-use super::run::{runtime, told};
+use super::run::{runtime, StopSignals};
 use super::Failure;
 use crate::cli::StandIn;
 use standin::{Kind, Server, Settings};
@@ -19,9 +19,10 @@
         may_crash: true,
     };
     runtime()?.block_on(async {
+        let mut stop = StopSignals::listen()?;
         let server = Server::start(settings).await?;
         say!("listening on {}", server.address());
-        told().await;
+        stop.received().await;
         server.stop().await;
         Ok(())
     })
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -22,6 +22,9 @@
 /// Longest wait for something that must happen. No test asserts a time.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(40);
 
+/// Number of the signal that asks a process to stop.
+const SIGTERM: u32 = 15;
+
 static FLEETS: AtomicU8 = AtomicU8::new(1);
 
 /// Waits until something holds.
@@ -608,6 +611,25 @@
             .stderr(log)
             .spawn();
         self.child = Some(child.unwrap());
+        self.wait_listening();
+    }
+
+    /// Waits until its program listens for SIGTERM, or has ended: one that comes before the
+    /// program runs ends the process whatever the program does.
+    fn wait_listening(&self) {
+        let path = format!("/proc/{}/status", self.pid());
+        eventually("a process listens for signals", || {
+            let status = fs::read_to_string(&path).unwrap_or_default();
+            let field = |name| {
+                let mut lines = status.lines();
+                lines.find_map(|line| line.strip_prefix(name))
+            };
+            let caught = field("SigCgt:").map_or(0, |mask| {
+                u64::from_str_radix(mask.trim(), 16).unwrap_or_default()
+            });
+            let is_over = field("State:").is_none_or(|state| state.trim().starts_with('Z'));
+            is_over || caught >> (SIGTERM - 1) & 1 == 1
+        });
     }
 
     pub(crate) fn is_live(&self) -> bool {
