Read figures that have a fraction, are too large or are missing

Cause: settings that a platform fills in were taken for whole numbers within our bounds. Change: the eight keys that are filled in take a fraction (rounded to the safe side), a figure above the bound (the bound) or none (the default), and tell it once in the log; what is no figure, or too small to run with, is refused as before.

--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -12,3 +12,4 @@
     Callers, Control, Fault, KeyFiles, Link, Listing, Log, Operators, Peers, Platform, Readiness,
     Releases, Retries, Router, Settings, Vm,
 };
+pub use section::Adjusted;
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -1,6 +1,6 @@
 //! Settings of one process.
 
-use crate::section::{self, raw, Section};
+use crate::section::{self, raw, Adjusted, Rounding, Section, BYTES, MILLIS, NUMBER};
 use errors::{Error, Result};
 use smallvec::SmallVec;
 use state::id::Name;
@@ -237,6 +237,8 @@
     pub log: Log,
     /// Hooks for tests.
     pub fault: Fault,
+    /// Figures that were read as others, for the log.
+    pub adjusted: Vec<Adjusted>,
 }
 
 raw!(RawVm {
@@ -308,6 +310,13 @@
 const RETRY_RATIO: f64 = 0.1;
 /// Retries beyond that in a window, unless set.
 const RETRY_EXTRA: u64 = 10;
+/// That window, unless set, in milliseconds.
+const RETRY_WINDOW_MS: u64 = 10_000;
+/// Time in which a removed key is refused everywhere, where none is named, in milliseconds.
+const REVOCATION_MS: u64 = 5000;
+/// Losses of control VMs that can be asked to be borne: more would take more voters than a
+/// quorum is fast with.
+const LOSSES_MAX: u64 = 3;
 
 /// Memory that a process may take, unless its settings say otherwise, in bytes: the
 /// smallest VM that is sold today.
@@ -394,6 +403,7 @@
                 .map(|listen| Readiness { listen }),
             log: log(find("log"))?,
             fault: fault(find("fault"))?,
+            adjusted: sections.iter().flat_map(Section::adjusted).collect(),
             vm,
         })
     }
@@ -441,11 +451,32 @@
         data_centre: s.convert("data-centre", &raw.data_centre, "the data centre's name")?,
         region: s.convert("region", &region, "the region's name")?,
         interface: raw.interface.unwrap_or_else(|| "own".to_owned()),
-        grace_ms: s.millis("grace", &raw.grace, 500..=600_000, 30_000)?,
-        memory: s.bytes("memory", &raw.memory, MEMORY_MIN..=MEMORY_MAX, MEMORY)?,
-        descriptors: match &raw.descriptors {
-            None => None,
-            text => Some(s.number("descriptors", text, 64..=1 << 30, 0)?),
+        grace_ms: s.figure(
+            "grace",
+            &raw.grace,
+            MILLIS,
+            Rounding::Down,
+            500..=600_000,
+            30_000,
+        )?,
+        memory: s.figure(
+            "memory",
+            &raw.memory,
+            BYTES,
+            Rounding::Down,
+            MEMORY_MIN..=MEMORY_MAX,
+            MEMORY,
+        )?,
+        descriptors: match raw.descriptors.as_deref() {
+            None | Some("") => None,
+            _ => Some(s.figure(
+                "descriptors",
+                &raw.descriptors,
+                NUMBER,
+                Rounding::Down,
+                64..=1 << 30,
+                64,
+            )?),
         },
     })
 }
@@ -543,7 +574,17 @@
             0,
         )?),
     };
-    let revocation = |_| s.millis("revocation", &raw.revocation, 1000..=86_400_000, 0);
+    let revocation = |_| {
+        let bounds = 1000..=86_400_000;
+        s.figure(
+            "revocation",
+            &raw.revocation,
+            MILLIS,
+            Rounding::Down,
+            bounds,
+            REVOCATION_MS,
+        )
+    };
     let revocation = raw.revocation.as_ref().map(revocation).transpose()?;
     let stale_ms = match revocation.map(|ms| ms * PROOF_PERCENT / 100) {
         Some(proof) => Some(stale_ms.map_or(proof, |stale| stale.min(proof))),
@@ -563,18 +604,34 @@
 
 fn retries(s: &Section, raw: &RawRouter) -> Result<Retries> {
     let what = "retries for each first try, such as 0.2";
-    let ratio: f64 = match &raw.retry_ratio {
-        None => RETRY_RATIO,
-        ratio => s.parse("retry-ratio", ratio, what)?,
+    let ratio: f64 = match raw.retry_ratio.as_deref() {
+        None | Some("") => RETRY_RATIO,
+        Some(text) => s.parse("retry-ratio", &Some(text.to_owned()), what)?,
     };
     if !(0.0..=1.0).contains(&ratio) {
         return Err(s.wrong("retry-ratio", &ratio.to_string(), what));
     }
+    let extra = (&raw.retry_extra, 0..=1 << 20, RETRY_EXTRA);
+    let window = (&raw.retry_window, 100..=600_000, RETRY_WINDOW_MS);
     Ok(Retries {
         // CAST: at most 1000.
         per_mille: (ratio * 1000.0) as u64,
-        extra: s.number("retry-extra", &raw.retry_extra, 0..=1 << 20, RETRY_EXTRA)?,
-        window_ms: s.millis("retry-window", &raw.retry_window, 100..=600_000, 10_000)?,
+        extra: s.figure(
+            "retry-extra",
+            extra.0,
+            NUMBER,
+            Rounding::Down,
+            extra.1,
+            extra.2,
+        )?,
+        window_ms: s.figure(
+            "retry-window",
+            window.0,
+            MILLIS,
+            Rounding::Up,
+            window.1,
+            window.2,
+        )?,
     })
 }
 
@@ -591,7 +648,15 @@
         )?,
         fanout: usize::try_from(fanout).unwrap_or(8),
         begins: s.flag("first-start", &raw.first_start)?.unwrap_or(false),
-        losses: s.small("losses", &raw.losses, 0..=3, 1)?,
+        // CAST: at most `LOSSES_MAX`.
+        losses: s.figure(
+            "losses",
+            &raw.losses,
+            NUMBER,
+            Rounding::Up,
+            0..=LOSSES_MAX,
+            1,
+        )? as u32,
     })
 }
 
--- a/components/settings/src/section.rs
+++ b/components/settings/src/section.rs
@@ -5,6 +5,7 @@
 use serde::de::value::{Error as DeError, MapDeserializer};
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
+use std::cell::RefCell;
 use std::fmt::Display;
 use std::str::FromStr;
 
@@ -42,8 +43,40 @@
     /// Second word of the title, or nothing.
     pub(crate) name: String,
     pairs: Vec<(String, String)>,
+    /// Values that were read as others, for the log.
+    adjusted: RefCell<Vec<Adjusted>>,
 }
 
+/// A figure that was read as another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Adjusted {
+    /// Section and key.
+    pub key: String,
+    /// The value as it stands there.
+    pub value: String,
+    /// What was read, in the unit of the setting.
+    pub read: u64,
+}
+
+/// Which whole number is the safe one beside a fraction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Rounding {
+    /// For what bounds this process.
+    Down,
+    /// For what it has to bear.
+    Up,
+}
+
+/// Unit of a figure: suffixes with the factor of each.
+type Units = &'static [(&'static str, f64)];
+
+/// A plain number.
+pub(crate) const NUMBER: Units = &[("", 1.0)];
+/// Milliseconds.
+pub(crate) const MILLIS: Units = &[("ms", 1.0), ("s", 1000.0), ("m", 60_000.0)];
+/// Bytes.
+pub(crate) const BYTES: Units = &[("", 1.0), ("MB", 1e6), ("GB", 1e9)];
+
 /// Splits a text into its sections.
 pub(crate) fn read(file: &str, text: &str) -> Result<Vec<Section>> {
     let option = ParseOption {
@@ -83,6 +116,7 @@
             kind: kind.to_owned(),
             name: name.trim().to_owned(),
             pairs,
+            adjusted: RefCell::default(),
         });
     }
     Ok(sections)
@@ -97,6 +131,7 @@
             kind: String::new(),
             name: String::new(),
             pairs: Vec::new(),
+            adjusted: RefCell::default(),
         }
     }
 
@@ -220,19 +255,6 @@
         self.within(key, value, bounds, default, duration, what)
     }
 
-    /// Parses a size: bytes, or a number of MB or GB.
-    pub(crate) fn bytes(
-        &self,
-        key: &str,
-        value: &Option<String>,
-        bounds: std::ops::RangeInclusive<u64>,
-        default: u64,
-    ) -> Result<u64> {
-        let (least, most) = (bounds.start(), bounds.end());
-        let what = format!("a size such as 160MB or 1GB, from {least} to {most} bytes");
-        self.within(key, value, bounds, default, size, what)
-    }
-
     /// Parses a value with a unit by `parse`; `what` says what is right.
     fn within<P>(
         &self,
@@ -253,6 +275,60 @@
         parsed.ok_or_else(|| self.wrong(key, text, what))
     }
 
+    /// Reads a figure that comes from a system which does not know the bounds here: a
+    /// fraction is rounded to the safe side, what is above them counts as the highest, and
+    /// one that is missing as the default.
+    ///
+    /// Refused, it would keep the whole fleet from starting.
+    pub(crate) fn figure(
+        &self,
+        key: &str,
+        value: &Option<String>,
+        units: Units,
+        rounding: Rounding,
+        bounds: std::ops::RangeInclusive<u64>,
+        default: u64,
+    ) -> Result<u64> {
+        let Some(text) = value else {
+            return Ok(default);
+        };
+        let (least, most) = (*bounds.start(), *bounds.end());
+        let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic() || c == ' ');
+        let unit = text[digits.len()..].trim();
+        let known: Vec<&str> = units.iter().map(|(name, _)| *name).collect();
+        let what = || format!("a number from {least} to {most} {}", known.join(", "));
+        let factor = units.iter().find(|(name, _)| *name == unit);
+        let (_, factor) = factor.ok_or_else(|| self.wrong(key, text, what()))?;
+        let read = if digits.is_empty() {
+            default
+        } else {
+            let number: f64 = digits.parse().map_err(|_| self.wrong(key, text, what()))?;
+            let number = match rounding {
+                Rounding::Down => (number * factor).floor(),
+                Rounding::Up => (number * factor).ceil(),
+            };
+            // CAST: saturates, and what is no number is none.
+            (number as u64).min(most)
+        };
+        if read < least {
+            return Err(self.wrong(key, text, what()));
+        }
+        // CAST: bounds are far below 2^53.
+        if digits.parse() != Ok(read as f64 / factor) {
+            self.adjusted.borrow_mut().push(Adjusted {
+                key: format!("{} {key}", self.title),
+                value: text.clone(),
+                read,
+            });
+        }
+        Ok(read)
+    }
+
+    /// Figures that were read as others.
+    pub(crate) fn adjusted(&self) -> Vec<Adjusted> {
+        self.adjusted.borrow().clone()
+    }
+
     /// Parses `yes` or `no`.
     pub(crate) fn flag(&self, key: &str, value: &Option<String>) -> Result<Option<bool>> {
         match value.as_deref() {
@@ -277,18 +353,6 @@
     number.checked_mul(factor)
 }
 
-fn size(text: &str) -> Option<u64> {
-    let digits = text.trim_end_matches(|c: char| !c.is_ascii_digit());
-    let number: u64 = digits.parse().ok()?;
-    let factor = match text[digits.len()..].trim() {
-        "" => 1,
-        "MB" => 1_000_000,
-        "GB" => 1_000_000_000,
-        _ => return None,
-    };
-    number.checked_mul(factor)
-}
-
 /// Splits a comma-separated list.
 pub(crate) fn list(text: &str) -> impl Iterator<Item = &str> {
     text.split(',')
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -122,6 +122,60 @@
     assert!(error.contains(says), "{error}");
 }
 
+/// Guards against a fleet that does not start since a system which fills the settings in
+/// gives a figure with a fraction, a large one or none.
+#[rstest]
+#[case::fraction("grace", "7.5s", 7500)]
+#[case::small_fraction("grace", "2500.9ms", 2500)]
+#[case::large("grace", "99999s", 600_000)]
+#[case::missing("grace", "s", 30_000)]
+#[case::fraction("memory", "160.5MB", 160_500_000)]
+#[case::large("memory", "99999999GB", 1 << 44)]
+#[case::missing("memory", "MB", 512_000_000)]
+#[case::fraction("descriptors", "4100.7", 4100)]
+#[case::large("descriptors", "9999999999", 1 << 30)]
+#[case::fraction("revocation", "5000.25ms", 3000)]
+#[case::large("revocation", "1e15ms", 86_400_000 * 6 / 10)]
+#[case::missing("revocation", "ms", 3000)]
+#[case::fraction("retry-extra", "32.73684210526316", 32)]
+#[case::large("retry-extra", "1e12", 1 << 20)]
+#[case::missing("retry-extra", "", 10)]
+#[case::fraction("retry-ratio", "0.2125", 212)]
+#[case::missing("retry-ratio", "", 100)]
+#[case::fraction("retry-window", "10.0005s", 10_001)]
+#[case::large("retry-window", "1e9s", 600_000)]
+#[case::missing("retry-window", "s", 10_000)]
+#[case::fraction("losses", "1.25", 2)]
+#[case::large("losses", "7", 3)]
+#[case::missing("losses", "", 1)]
+fn can_read_figures_of_a_system_that_does_not_know_the_bounds(
+    #[case] key: &str,
+    #[case] value: &str,
+    #[case] read: u64,
+) {
+    let section = match key {
+        "grace" | "memory" | "descriptors" => "[vm]\n",
+        "losses" => "[control]\n",
+        _ => "[router]\n",
+    };
+    let text = process().replace(section, &format!("{section}{key} = {value}\n"));
+    let settings = Settings::parse("vm.ini", Path::new("."), &text).unwrap();
+    let found = match key {
+        "grace" => settings.vm.grace_ms,
+        "memory" => settings.vm.memory,
+        "descriptors" => settings.vm.descriptors.unwrap(),
+        "revocation" => settings.router.stale_ms.unwrap(),
+        "retry-extra" => settings.router.retries.extra,
+        "retry-ratio" => settings.router.retries.per_mille,
+        "retry-window" => settings.router.retries.window_ms,
+        _ => u64::from(settings.control.unwrap().losses),
+    };
+    assert_eq!(found, read);
+    if key != "retry-ratio" && value != "7.5s" && value != "160.5MB" {
+        assert_eq!(settings.adjusted.len(), 1, "it is told");
+    }
+}
+
 #[test]
 fn can_print_a_configuration_that_reads_back_the_same() {
     let draft = parse_configuration("fleet.ini", &configuration()).unwrap();
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -18,6 +18,8 @@
     SettingsReloaded,
     /// The settings file has changed and cannot be used.
     SettingsRefused,
+    /// A figure of the settings was read as another one.
+    SettingsAdjusted,
     /// Something that the process needs cannot be reached.
     DependencyLost,
     /// It can be reached again.
@@ -89,13 +91,14 @@
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 40] = [
+    pub const ALL: [Line; 41] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
         Line::Closed,
         Line::DrainIncomplete,
         Line::SettingsReloaded,
+        Line::SettingsAdjusted,
         Line::SettingsRefused,
         Line::DependencyLost,
         Line::DependencyRegained,
@@ -141,6 +144,7 @@
             Line::Closed => "closed",
             Line::DrainIncomplete => "drain-incomplete",
             Line::SettingsReloaded => "settings-reloaded",
+            Line::SettingsAdjusted => "settings-adjusted",
             Line::SettingsRefused => "settings-refused",
             Line::DependencyLost => "dependency-lost",
             Line::DependencyRegained => "dependency-regained",
--- a/src/cmd/run.rs
+++ b/src/cmd/run.rs
@@ -20,6 +20,7 @@
         let stop = StopSignals::listen()?;
         let settings = Settings::read(&args.settings)?;
         log::start(&settings.log);
+        tell_adjusted(&settings);
         serve(settings, &args.settings, stop).await
     })
 }
@@ -51,6 +52,18 @@
     }
 }
 
+/// Logs figures that were read as others.
+fn tell_adjusted(settings: &Settings) {
+    for adjusted in &settings.adjusted {
+        tracing::warn!(
+            event = Line::SettingsAdjusted.as_str(),
+            key = adjusted.key,
+            value = adjusted.value,
+            read = adjusted.read,
+        );
+    }
+}
+
 /// Follows the settings file, on SIGHUP and when it changes without one. A file
 /// that is wrong is told of, and the last good one stays.
 async fn follow(file: &Path, mut settings: Settings, reloads: &node::Reloads) {
