Become ready through the tree, and open sessions before they are needed

By the logs: 986 routers each shook hands with the leader to ask for the newest version (ready from 28.0 s), the same leader read 50 pages of the list one after the other (1.7 s), and sessions with schedulers were opened by the first requests, after that. Change: what a router's parent has proved since the router started makes it ready; it asks the leader where that is too old or missing. A list of several pages is read by data centre from the first reading on. Routers with callers open sessions with the schedulers of their own data centre as soon as these are assigned.

--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -461,6 +461,18 @@
         effects
     }
 
+    /// Opens sessions with the schedulers near this router.
+    ///
+    /// Opened when the first request comes, hundreds of routers would open theirs at the moment
+    /// at which a flood or the end of an outage brings work.
+    pub fn open_near(&mut self, now: Millis, view: &View) {
+        for shard in self.spread.near(view) {
+            if view.assignment(&shard).is_some() {
+                self.ensure(now, view, &shard);
+            }
+        }
+    }
+
     /// Notes that a link to a VM came up, and opens sessions over it.
     pub fn link_up(&mut self, now: Millis, vm: &Name) -> Effects {
         let mut effects = Effects::new();
--- a/components/coordination/src/dispatcher/spread.rs
+++ b/components/coordination/src/dispatcher/spread.rs
@@ -176,6 +176,38 @@
         }
     }
 
+    /// Shards near this router that it will ask: those of its own data centre, or of its region
+    /// where that is not divided. Before endpoints are known, those that have a scheduler.
+    pub(super) fn near(&self, view: &View) -> Vec<Shard> {
+        let is_near = |shard: &Shard| {
+            let here = Some(&self.home.data_centre);
+            shard.region == self.home.region
+                && (shard.data_centre.is_none() || shard.data_centre.as_ref() == here)
+        };
+        let mut near = Vec::new();
+        for service in view.config.services.keys() {
+            let assigned = view.assignments.iter().map(|a| &a.shard);
+            let assigned = assigned.filter(|s| s.service == *service && is_near(s));
+            let assigned = assigned.map(|shard| Candidate {
+                shard: shard.clone(),
+                open: 1,
+                mark: mark(shard),
+            });
+            let mut all: Vec<Candidate> = match self.candidates.get(service) {
+                Some(known) => known
+                    .iter()
+                    .filter(|c| is_near(&c.shard))
+                    .cloned()
+                    .collect(),
+                None => assigned.collect(),
+            };
+            let lot = self.home.incarnation;
+            all.sort_by(|a, b| a.rank(lot).total_cmp(&b.rank(lot)));
+            near.extend(all.into_iter().take(CELLS_HERE).map(|c| c.shard));
+        }
+        near
+    }
+
     /// Whether a shard has endpoints, as they are divided now.
     pub(super) fn has(&self, shard: &Shard) -> bool {
         self.shards.contains(shard)
--- a/components/node/src/dissemination.rs
+++ b/components/node/src/dissemination.rs
@@ -20,6 +20,8 @@
 /// A proof is as old as this and the way of the check when it is at its oldest:
 /// well below what routers must refuse at.
 const CHECK_MS: u64 = 500;
+/// The same before the first answer, in milliseconds.
+const CHECK_FIRST_MS: u64 = 100;
 /// Time for which a node that was sent to a control VM of its own data centre is taken in when
 /// it comes back, in milliseconds: that one cannot feed it.
 const SENT_HOME_MS: u64 = 5000;
@@ -56,6 +58,8 @@
     /// A proof that holds once the view has reached its version.
     awaited: Option<(Millis, Version)>,
     check_at: Millis,
+    /// Whether the parent has answered a check.
+    is_checked: bool,
     confirmed: Option<Confirm>,
     version: Version,
     /// Routers below each other root, as it has told.
@@ -99,6 +103,7 @@
             proof: None,
             awaited: None,
             check_at: Millis(0),
+            is_checked: false,
             confirmed: None,
             version: Version(0),
             subtrees: BTreeMap::new(),
@@ -167,6 +172,11 @@
         self.seeds = seeds;
     }
 
+    /// Whether the parent has answered a check.
+    pub(crate) fn is_checked(&self) -> bool {
+        self.is_checked
+    }
+
     /// Whether it is time to ask for a new proof.
     pub(crate) fn wants_proof(&mut self, now: Millis) -> bool {
         let due = now >= self.check_at;
@@ -197,6 +207,7 @@
     /// Takes the parent's answer to a check.
     pub(crate) fn checked(&mut self, from: &Name, at: Millis, head: Version, version: Version) {
         if self.parent() == Some(from) {
+            self.is_checked = true;
             self.prove(at, head, version);
         }
     }
@@ -436,6 +447,7 @@
         if let Some(place) = asked.clone().filter(|p| p.vm == *from) {
             self.pulse = self.pulse.or(Some(now));
             self.stand = Stand::Child { parent: place };
+            self.is_checked = false;
             self.confirmed = None;
         }
     }
@@ -459,7 +471,11 @@
             }
             Stand::Child { parent } => {
                 if now >= self.check_at {
-                    self.check_at = now.after(CHECK_MS);
+                    let pause_ms = match self.proof {
+                        Some(_) => CHECK_MS,
+                        None => CHECK_FIRST_MS,
+                    };
+                    self.check_at = now.after(pause_ms);
                     hub.send(&parent.vm, Message::Check(now.0));
                 }
                 // A parent that is cut off with us, or that we are above of in a
--- a/components/node/src/listing.rs
+++ b/components/node/src/listing.rs
@@ -119,8 +119,12 @@
     async fn read(&mut self) -> (Part, Option<Error>) {
         let centres: Vec<Name> = self.list.regions.keys().cloned().collect();
         let is_long = |pages: usize| centres.len() > 1 && pages >= centres.len();
+        let is_long = match self.pages {
+            Some(pages) => is_long(pages),
+            None => centres.len() > 1 && self.list.has_more().await,
+        };
         let mut part = Part::default();
-        let failure = if self.pages.is_some_and(is_long) {
+        let failure = if is_long {
             self.read_centres(centres, &mut part).await
         } else {
             self.list.read(None, &mut part).await.err()
@@ -165,6 +169,12 @@
 }
 
 impl List {
+    /// Whether it has more than one page, as far as the first one tells.
+    async fn has_more(&self) -> bool {
+        let first = self.page(self.interface.listing).await;
+        first.is_ok_and(|page| page.next.is_some())
+    }
+
     /// Reads all pages, or those of one data centre. Those that were read before one that
     /// fails are kept.
     async fn read(&self, centre: Option<&Name>, part: &mut Part) -> Result<()> {
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -398,6 +398,7 @@
             },
             control: self.settings.control.is_some(),
             scheduler: self.settings.scheduler,
+            callers: self.settings.callers.is_some(),
             to_control: to_control.clone(),
             publish,
             verdicts: publish_verdicts,
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -71,6 +71,8 @@
     pub(crate) control: bool,
     /// Whether this VM may schedule.
     pub(crate) scheduler: bool,
+    /// Whether callers come to this VM.
+    pub(crate) callers: bool,
     /// Where the control role takes its messages, if it is here.
     pub(crate) to_control: Option<flume::Sender<crate::control::Input>>,
     /// Where to ask engines what they have kept, if they can tell.
@@ -123,6 +125,10 @@
     /// When the newest version was asked for, before this process is ready.
     head: Option<(Millis, oneshot::Receiver<Reply>)>,
     needed: Option<Version>,
+    /// When this process started.
+    started: Millis,
+    /// Since when it has a parent, before it is ready.
+    fed_at: Option<Millis>,
     ready: bool,
     stopping: bool,
     closed: bool,
@@ -192,6 +198,8 @@
             decisions: HashMap::new(),
             head: None,
             needed: None,
+            started: now,
+            fed_at: None,
             ready: false,
             stopping: false,
             closed: false,
@@ -563,6 +571,9 @@
         self.schedulers.follow(now, &self.live, &mut self.batch);
         let effects = self.dispatcher.follow(now, &self.live);
         self.act(now, effects);
+        if self.parts.callers {
+            self.dispatcher.open_near(now, &self.live);
+        }
         let shards = coordination::assignment::shards(&self.live);
         self.shards = shards.len();
         let mine = self.live.assignments.iter();
--- a/components/node/src/reactor/peers.rs
+++ b/components/node/src/reactor/peers.rs
@@ -12,6 +12,9 @@
 
 /// Age of the list up to which a control VM tells schedulers of it, in milliseconds.
 const CELL_AGE_MS: u64 = 5000;
+/// Time for the parent to answer how new its view is before the leader is asked, in
+/// milliseconds.
+const PARENT_MS: u64 = 500;
 /// Time between two heartbeats of a VM that can schedule, in milliseconds.
 const BEAT_MS: u64 = 300;
 
@@ -217,7 +220,13 @@
         if self.ready {
             return;
         }
-        if self.needed.is_none() {
+        // What the parent has proved since this process started is as good as an answer of the
+        // leader, which all routers would ask at once after a loss of everything.
+        let proof = self.dissemination.proof();
+        if proof.is_some_and(|at| at >= self.started) {
+            self.needed = Some(self.view.version);
+        }
+        if self.needed.is_none() && self.asks_leader(now) {
             let (at, head) = self.head.get_or_insert_with(|| {
                 let (sender, receiver) = oneshot::channel();
                 self.queries.ask(now, &self.parts.hub, Query::Head, sender);
@@ -249,6 +258,21 @@
         }
     }
 
+    /// Whether it asks the leader itself: at a root of the tree, or where the parent has proved
+    /// nothing since this process started.
+    fn asks_leader(&mut self, now: Millis) -> bool {
+        if self.dissemination.is_root() || self.head.is_some() {
+            return true;
+        }
+        let fed = self.fed_at.get_or_insert(now);
+        let is_fed = self.dissemination.parent().is_some();
+        if !is_fed {
+            self.fed_at = None;
+            return false;
+        }
+        self.dissemination.is_checked() || now.since(*fed) >= PARENT_MS
+    }
+
     /// Tells other schedulers of the region what engines of those here keep.
     pub(super) fn tell_kept(&mut self) {
         for (to, kept) in self.schedulers.kept(&self.live) {
