End answers that their callers leave unread

And an endpoint that cuts off an answer left unread counted as failed, and the request as one that crashes endpoints. Two process tests with an endpoint whose answer has no end (tests/users.rs); they were not run on the code before.

--- a/components/node/src/front/guests.rs
+++ b/components/node/src/front/guests.rs
@@ -3,14 +3,30 @@
 use coordination::rest::{Guest, Rests};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 use transport::clock::Clock;
 
+/// Time past its end for which an answer may be left unread. Whoever reads it hears of its
+/// end before.
+const UNREAD: Duration = Duration::from_millis(500);
+
 #[derive(Default)]
 struct Table {
     rests: Rests,
     /// How to tell each connection to end.
-    ends: HashMap<Guest, Arc<Notify>>,
+    ends: HashMap<Guest, Arc<Ends>>,
+    /// When the answers are to be over that are being passed on.
+    answers: HashMap<Guest, Instant>,
+}
+
+/// How one connection is told to end.
+#[derive(Default)]
+struct Ends {
+    /// Once nothing is on it.
+    soon: Notify,
+    /// At once: its caller does not read.
+    now: Notify,
 }
 
 /// The connections of this router.
@@ -23,7 +39,7 @@
 pub(super) struct Place {
     guests: Arc<Guests>,
     guest: Guest,
-    end: Arc<Notify>,
+    ends: Arc<Ends>,
 }
 
 /// A request that is on a connection, until it is dropped.
@@ -43,14 +59,14 @@
 
     /// Takes a new connection.
     pub(super) fn open(self: &Arc<Self>) -> Place {
-        let end = Arc::new(Notify::new());
+        let ends = Arc::new(Ends::default());
         let mut table = self.table();
         let guest = table.rests.open(self.clock.now());
-        table.ends.insert(guest, end.clone());
+        table.ends.insert(guest, ends.clone());
         Place {
             guests: self.clone(),
             guest,
-            end,
+            ends,
         }
     }
 
@@ -60,12 +76,25 @@
         let Some(guest) = table.rests.take_longest(self.clock.now()) else {
             return false;
         };
-        if let Some(end) = table.ends.get(&guest) {
-            end.notify_one();
+        if let Some(ends) = table.ends.get(&guest) {
+            ends.soon.notify_one();
         }
         true
     }
 
+    /// Ends connections whose callers have left an answer unread past its end; gives how
+    /// many.
+    ///
+    /// An answer is looked at only when its caller takes the next piece. One that takes none
+    /// would hold the slot of its endpoint, and what has come of the answer, for good.
+    pub(super) fn end_unread(&self) -> usize {
+        let table = self.table();
+        let is_over = |at: &Instant| at.elapsed() >= UNREAD;
+        let unread = table.answers.iter().filter(|(_, at)| is_over(at));
+        let ends = unread.filter_map(|(guest, _)| table.ends.get(guest));
+        ends.map(|ends| ends.now.notify_one()).count()
+    }
+
     fn table(&self) -> MutexGuard<'_, Table> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -83,7 +112,19 @@
 
     /// Waits until it is told to give way.
     pub(super) async fn until_told(&self) {
-        self.end.notified().await;
+        self.ends.soon.notified().await;
+    }
+
+    /// Waits until it is told to end at once.
+    pub(super) async fn until_unread(&self) {
+        self.ends.now.notified().await;
+    }
+}
+
+impl Use {
+    /// Notes when the answer that is being passed on is to be over.
+    pub(super) fn answers_until(&self, at: Instant) {
+        self.guests.table().answers.insert(self.guest, at);
     }
 }
 
@@ -92,12 +133,15 @@
         let mut table = self.guests.table();
         table.rests.close(self.guest);
         table.ends.remove(&self.guest);
+        table.answers.remove(&self.guest);
     }
 }
 
 impl Drop for Use {
     fn drop(&mut self) {
         let now = self.guests.clock.now();
-        self.guests.table().rests.end(now, self.guest);
+        let mut table = self.guests.table();
+        table.rests.end(now, self.guest);
+        table.answers.remove(&self.guest);
     }
 }
--- a/components/node/src/front/listen.rs
+++ b/components/node/src/front/listen.rs
@@ -4,7 +4,7 @@
 use super::guests::{Guests, Place};
 use super::pool::{Key, Pool};
 use super::refusal::Refusal;
-use super::serve::serve;
+use super::serve::{serve, Until};
 use crate::http::accept;
 use crate::input::Input;
 use crate::interface::Interface;
@@ -22,6 +22,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use settings::Callers;
 use state::id::{Name, ServiceId};
+use state::line::Line;
 use state::suspect::Successes;
 use std::collections::HashMap;
 use std::sync::atomic::AtomicU64;
@@ -174,6 +175,10 @@
                 found.map_or(view.is_partial(), |e| e.address == *address)
             };
             self.pool.prune(lives);
+            let unread = self.guests.end_unread();
+            if unread > 0 {
+                tracing::info!(event = Line::AnswersUnread.as_str(), connections = unread);
+            }
             self.measure();
         }
     }
@@ -256,6 +261,9 @@
             // Boxed, so that a connection holds it only while a request is on it.
             Box::pin(async move {
                 let reply = serve(front, request).await?;
+                if let Some(Until(at)) = reply.extensions().get() {
+                    in_use.answers_until(*at);
+                }
                 // It is in use until its answer has been passed on.
                 let held = move |frame| {
                     let _ = &in_use;
@@ -274,12 +282,16 @@
             ended = connection.as_mut() => Some(ended),
             () = raised(&mut stop) => None,
             () = Place::until_told(&place) => None,
+            () = Place::until_unread(&place) => Some(Ok(())),
         };
         let ended = match ended {
             Some(ended) => ended,
             None => {
                 connection.as_mut().graceful_shutdown();
-                connection.await
+                tokio::select! {
+                    ended = connection => ended,
+                    () = Place::until_unread(&place) => Ok(()),
+                }
             }
         };
         if let Err(error) = ended {
--- a/components/node/src/front/relay.rs
+++ b/components/node/src/front/relay.rs
@@ -25,6 +25,9 @@
 
 /// Bytes of an answer that are kept for a resend of a claimed request.
 pub(crate) const KEEP_MAX: usize = 16 * 1024;
+/// Time for which a caller may leave a piece unread before its endpoint may cut the answer off
+/// for that, and time in which that shows once it reads on.
+const UNREAD: Duration = Duration::from_secs(1);
 
 /// A dispatched request; when dropped, its slot is given back.
 pub(crate) struct Slot {
@@ -133,6 +136,10 @@
     pub(crate) deadline: Pin<Box<tokio::time::Sleep>>,
     pub(crate) kept: Option<Kept>,
     pub(crate) told: u32,
+    /// When the last piece was passed on, until the caller wants the next one.
+    pub(crate) passed: Option<Instant>,
+    /// When the caller last went on reading that had left a piece unread for long.
+    pub(crate) resumed: Option<Instant>,
     pub(crate) has_begun: bool,
     /// How late tasks of this process run.
     pub(crate) lateness: Lateness,
@@ -216,6 +223,17 @@
         }
     }
 
+    fn poll_deadline(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        if self.deadline.as_mut().poll(context).is_pending() {
+            return Poll::Pending;
+        }
+        self.ended = "timeout";
+        Poll::Ready(Some(Err(Cut::Deadline)))
+    }
+
     fn end(&mut self) {
         self.slot.verdict = self.whole;
         self.ended = "whole";
@@ -244,6 +262,10 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let passed = self.passed.take();
+        if passed.is_some_and(|at| at.elapsed() >= UNREAD) {
+            self.resumed = Some(Instant::now());
+        }
         match Pin::new(&mut self.inner).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(bytes) = frame.data_ref() {
@@ -253,27 +275,27 @@
                 if self.inner.is_end_stream() {
                     self.end();
                 }
+                self.passed = Some(Instant::now());
                 Poll::Ready(Some(Ok(frame)))
             }
             // The error makes hyper close the connection without the end of the
             // answer: what was cut must look cut.
             Poll::Ready(Some(Err(error))) => {
-                self.slot.verdict = Verdict::Failed;
-                self.ended = BROKE_OFF;
-                self.delivery.broke_off();
+                if self.resumed.is_some_and(|at| at.elapsed() < UNREAD) {
+                    // An endpoint cuts off an answer that is left unread.
+                    self.ended = "caller-slow";
+                } else {
+                    self.slot.verdict = Verdict::Failed;
+                    self.ended = BROKE_OFF;
+                    self.delivery.broke_off();
+                }
                 Poll::Ready(Some(Err(Cut::Endpoint(error))))
             }
             Poll::Ready(None) => {
                 self.end();
                 Poll::Ready(None)
             }
-            Poll::Pending => match self.deadline.as_mut().poll(context) {
-                Poll::Ready(()) => {
-                    self.ended = "timeout";
-                    Poll::Ready(Some(Err(Cut::Deadline)))
-                }
-                Poll::Pending => Poll::Pending,
-            },
+            Poll::Pending => self.poll_deadline(context),
         }
     }
 
--- a/components/node/src/front/serve.rs
+++ b/components/node/src/front/serve.rs
@@ -42,6 +42,10 @@
 
 type Reply = Response<Either<Full<Bytes>, Relay>>;
 
+/// When an answer that is passed on is to be over.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Until(pub(crate) Instant);
+
 /// Serves one request. It never fails: an error is an answer too.
 pub(crate) async fn serve(
     front: Arc<Front>,
@@ -62,7 +66,10 @@
     let reply = match answered {
         Ok(Served::Relayed(head, mut relay)) => {
             relay.note = Some((note, head.status));
-            Response::from_parts(head, Either::Right(*relay))
+            let until = Until(relay.deadline.deadline().into_std());
+            let mut reply = Response::from_parts(head, Either::Right(*relay));
+            reply.extensions_mut().insert(until);
+            reply
         }
         Ok(Served::Replayed(response)) => {
             note.answered(response.status(), "replayed");
@@ -468,6 +475,8 @@
         deadline: Box::pin(tokio::time::sleep(left)),
         kept,
         told: 0,
+        passed: None,
+        resumed: None,
         has_begun: false,
         lateness: front.parts.lateness.clone(),
         note: None,
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -24,6 +24,8 @@
     DependencyLost,
     /// It can be reached again.
     DependencyRegained,
+    /// Connections were ended whose callers left an answer unread past its end.
+    AnswersUnread,
     /// Log lines were dropped.
     LinesDropped,
     /// A try of a request is sent to an endpoint.
@@ -91,7 +93,7 @@
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 41] = [
+    pub const ALL: [Line; 42] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -102,6 +104,7 @@
         Line::SettingsRefused,
         Line::DependencyLost,
         Line::DependencyRegained,
+        Line::AnswersUnread,
         Line::LinesDropped,
         Line::RequestSent,
         Line::TryFailed,
@@ -148,6 +151,7 @@
             Line::SettingsRefused => "settings-refused",
             Line::DependencyLost => "dependency-lost",
             Line::DependencyRegained => "dependency-regained",
+            Line::AnswersUnread => "answers-unread",
             Line::LinesDropped => "lines-dropped",
             Line::RequestSent => "request-sent",
             Line::TryFailed => "try-failed",
--- a/tests/users.rs
+++ b/tests/users.rs
@@ -7,7 +7,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -106,6 +106,40 @@
     })
 }
 
+/// An endpoint whose answer has no end; tells once it could not send on for a while, or its
+/// connection was closed.
+fn endless(patience: Duration) -> (SocketAddr, Arc<AtomicBool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let over = Arc::new(AtomicBool::new(false));
+    let tells = over.clone();
+    // Its thread ends with the test's process: it waits for connections until then.
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut head = [0; 4096];
+            let Ok(_) = stream.read(&mut head) else {
+                continue;
+            };
+            let text = String::from_utf8_lossy(&head).to_ascii_lowercase();
+            let id = text.split("attempt-id: ").nth(1).unwrap_or("x");
+            let id = id.split('\r').next().unwrap_or("x");
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: signed\r\n\
+                 Content-Length: 1000000000\r\n\r\n"
+            );
+            stream.set_write_timeout(Some(patience)).unwrap();
+            let piece = [b'.'; 65536];
+            let mut sent = stream.write_all(answer.as_bytes());
+            while sent.is_ok() {
+                sent = stream.write_all(&piece);
+            }
+            tells.store(true, Ordering::Relaxed);
+        }
+    });
+    (address, over)
+}
+
 struct Vm {
     settings: PathBuf,
     child: Option<Child>,
@@ -317,6 +351,31 @@
         *self.list.lock().unwrap() = page;
     }
 
+    /// Lets the list name one endpoint alone, at an address.
+    fn tell_endpoint(&self, address: SocketAddr) {
+        let page = format!(
+            r#"{{"instances":[{{"id":"i-0","service":"app","address":"{address}","zone":"dc-1",
+            "version":"v1","slots":4,"state":"ready","cold_remaining_ms":0}}],"next":null}}"#
+        );
+        *self.list.lock().unwrap() = page;
+    }
+
+    /// Begins a call and reads nothing of its answer.
+    fn call_unread(&self, router: usize, deadline_ms: u64) -> TcpStream {
+        let mut stream = TcpStream::connect(self.routers[router].address).unwrap();
+        let head = format!(
+            "POST /a/0 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-2\r\nKey: k1\r\n\
+             Deadline-Ms: {deadline_ms}\r\nContent-Length: 1\r\n\r\nx"
+        );
+        stream.write_all(head.as_bytes()).unwrap();
+        stream
+    }
+
+    fn log(&self, router: usize) -> String {
+        let path = self.routers[router].settings.with_extension("log");
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
     /// Sends a configuration to a control VM; gives the status.
     fn put(&self, n: usize, text: &str) -> u16 {
         let url = format!("http://{}/configuration", self.control[n].address);
@@ -479,6 +538,56 @@
     });
 }
 
+/// Guards against a caller that reads nothing of its answer, and holds the endpoint's slot and
+/// what has come of the answer for good.
+#[test]
+fn can_end_an_answer_that_its_caller_leaves_unread() {
+    let fleet = Fleet::start();
+    let (address, over) = endless(Duration::from_secs(3600));
+    fleet.tell_endpoint(address);
+    fleet.put_surely(0, &configuration(1, r#""k1""#, "/a/"));
+    fleet.wait_ready();
+    let mut callers = Vec::new();
+    eventually("the endpoint's connection is closed", || {
+        if callers.len() < 20 {
+            callers.push(fleet.call_unread(0, 1500));
+        }
+        std::thread::sleep(Duration::from_millis(250));
+        over.load(Ordering::Relaxed)
+    });
+    assert!(fleet.log(0).contains("answers-unread"));
+}
+
+/// Guards against an endpoint that is taken for failed since it cuts off answers which their
+/// callers leave unread.
+#[test]
+fn can_tell_a_slow_caller_from_an_endpoint_that_breaks_off() {
+    let fleet = Fleet::start();
+    let (address, over) = endless(Duration::from_millis(1200));
+    fleet.tell_endpoint(address);
+    fleet.put_surely(0, &configuration(1, r#""k1""#, "/a/"));
+    fleet.wait_ready();
+    let mut callers = Vec::new();
+    eventually("the endpoint cuts the answer off", || {
+        if callers.len() < 4 {
+            callers.push(fleet.call_unread(0, 8000));
+        }
+        std::thread::sleep(Duration::from_millis(500));
+        over.load(Ordering::Relaxed)
+    });
+    for mut caller in callers {
+        caller.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut all = Vec::new();
+        // How it ends plays no part: what it reads is not whole.
+        let _ = caller.read_to_end(&mut all);
+    }
+    eventually("it is told as the caller's doing", || {
+        fleet.log(0).contains("caller-slow")
+    });
+    assert!(!fleet.log(0).contains("endpoint-broke-off"));
+    assert!(!fleet.log(0).contains("endpoint-ejected"));
+}
+
 #[test]
 fn can_stop_a_router_without_cutting_a_request() {
     // Symptom: a request is cut, or one that comes late is taken and given up.
