--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -532,7 +532,7 @@
     /// The view with the endpoints that this process knows: all of a short list; of a long one
     /// those of the shards that are scheduled here and, while a scheduler is lost, those that
     /// it has granted of late.
-    fn lived(&mut self, now: Millis) -> View {
+    fn live_view(&mut self, now: Millis) -> View {
         let Some(census) = self.roster.census() else {
             let mut live = self.view.with_listing(self.roster.listing());
             live.warm_at = self.roster.warm_at().clone();
@@ -565,7 +565,7 @@
 
     /// Follows a change of the view or of the platform's endpoints.
     fn follow_live(&mut self, now: Millis) {
-        let mut live = self.lived(now);
+        let mut live = self.live_view(now);
         self.returns.follow(now, wall_micros(), &mut live);
         self.live = Arc::new(live);
         self.schedulers.follow(now, &self.live, &mut self.batch);
