Find data centres that the settings do not name in a list that is read by data centre

Read, not seen: an endpoint in a data centre that no setting names was in no part of a long list, and would never have been used. Each sixteenth reading, and the second, takes the list as a whole.

--- a/components/node/src/listing.rs
+++ b/components/node/src/listing.rs
@@ -8,6 +8,7 @@
 use state::id::Name;
 use state::line::Line;
 use state::listing::Listed;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -33,6 +34,11 @@
 const TRIES: u32 = 3;
 /// Pause before the first of them, twice as long before each further one.
 const AGAIN: Duration = Duration::from_millis(50);
+/// Of so many readings of a long list one is not by data centre: it may name one that the
+/// settings do not.
+const SEEK_EACH: usize = 16;
+/// Which of them.
+const SEEK_FIRST: usize = 2;
 const STEP: &str = "read the list of endpoints";
 
 /// Reads until told to stop.
@@ -47,9 +53,11 @@
         list: Arc::new(List {
             address: settings.address,
             interface,
-            regions,
+            regions: regions.clone(),
         }),
         pages: None,
+        centres: regions.keys().cloned().collect(),
+        readings: 0,
     };
     let mut unreadable = Unreadable::default();
     let mut pause = TURN;
@@ -112,32 +120,40 @@
     list: Arc<List>,
     /// Pages of the last whole reading.
     pages: Option<usize>,
+    /// Data centres that the settings name, and others of which endpoints were seen.
+    centres: BTreeSet<Name>,
+    readings: usize,
 }
 
 impl Reader {
     /// Gives what could be read, and why it is not all if it is not.
     async fn read(&mut self) -> (Part, Option<Error>) {
-        let centres: Vec<Name> = self.list.regions.keys().cloned().collect();
-        let is_long = |pages: usize| centres.len() > 1 && pages >= centres.len();
+        let count = self.centres.len();
         let is_long = match self.pages {
-            Some(pages) => is_long(pages),
-            None => centres.len() > 1 && self.list.has_more().await,
+            Some(pages) => count > 1 && pages >= count,
+            None => count > 1 && self.list.has_more().await,
         };
+        self.readings += 1;
+        let seeks_centres = self.readings % SEEK_EACH == SEEK_FIRST;
         let mut part = Part::default();
-        let failure = if is_long {
-            self.read_centres(centres, &mut part).await
+        let failure = if is_long && !seeks_centres {
+            self.read_centres(&mut part).await
         } else {
             self.list.read(None, &mut part).await.err()
         };
+        let seen = part.endpoints.iter();
+        let unknown = seen.filter(|l| !self.centres.contains(&l.endpoint.data_centre));
+        let unknown: Vec<Name> = unknown.map(|l| l.endpoint.data_centre.clone()).collect();
+        self.centres.extend(unknown);
         if failure.is_none() {
             self.pages = Some(part.pages);
         }
         (part, failure)
     }
 
-    async fn read_centres(&self, centres: Vec<Name>, part: &mut Part) -> Option<Error> {
+    async fn read_centres(&self, part: &mut Part) -> Option<Error> {
         let mut tasks = JoinSet::new();
-        for centre in centres {
+        for centre in self.centres.clone() {
             let list = self.list.clone();
             tasks.spawn(async move {
                 let mut part = Part::default();
