Announce features in the hello of a link; define messages for stream objectives and router occupancy

Cause: messages are encoded by position, so a process of an earlier release closes the link when it receives a message that it does not know. Change: an extension behind the hello, which earlier releases ignore, announces the features of a process and its address for callers.

--- a/components/coordination/src/messages.rs
+++ b/components/coordination/src/messages.rs
@@ -8,7 +8,9 @@
 use crate::backoff::Backoff;
 use crate::prompt::{Part, Prompt};
 use serde::{Deserialize, Serialize};
-use state::id::{CustomerId, EndpointId, Epoch};
+use smallvec::SmallVec;
+use state::id::{CustomerId, EndpointId, Epoch, Name};
+use std::net::SocketAddr;
 
 /// Number of an ask within a session.
 #[derive(
@@ -148,6 +150,64 @@
     Done(Seq, u32, Verdict),
     /// An endpoint has asked this router to send no requests.
     Backoff(Backoff),
+    /// A request with objectives for its stream waits for a slot. Sent to schedulers that support
+    /// it, in place of [`Report::Ask`].
+    StreamAsk(Ask, Objective),
+    /// Pauses between events that this router has observed since its last report.
+    Pauses(SmallVec<[Pause; 4]>),
+}
+
+/// What the rule of a request demands of the stream that answers it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Objective {
+    /// Longest pause between two events with which the answer is on time, in milliseconds; 0 for
+    /// no bound.
+    pub max_gap_ms: u32,
+    /// Whether the stream may continue at another endpoint after a break.
+    pub is_resumable: bool,
+}
+
+/// Pauses between the events of all streams from one endpoint through one router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Pause {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Number of pauses.
+    pub count: u32,
+    /// Sum of the pauses, in milliseconds.
+    pub total_ms: u32,
+    /// Longest pause, in milliseconds.
+    pub longest_ms: u32,
+}
+
+/// How much of a router is in use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Occupancy {
+    /// Requests in progress, and those that wait.
+    pub requests: u32,
+    /// Free part of the router's capacity, in thousandths.
+    pub free_permille: u16,
+    /// Whether the router has more to do than it can in time, and needs peers.
+    pub is_pressed: bool,
+    /// Whether the router takes requests of other routers.
+    pub is_open: bool,
+}
+
+/// A router of the same data centre that has room for requests of others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Peer {
+    /// Its VM.
+    pub vm: Name,
+    /// Address on which it accepts callers.
+    pub callers: SocketAddr,
+    /// Free part of its capacity, in thousandths.
+    pub free_permille: u16,
+    /// Age of this figure when the message was sent, in milliseconds.
+    pub age_ms: u32,
 }
 
 /// Service that a scheduler has given in its epoch, for the schedulers of other regions.
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -386,6 +386,8 @@
                 self.slots.back_off(now, session.0, &backoff);
                 Effects::new()
             }
+            Report::StreamAsk(ask, _) => self.ask(now, session, ask),
+            Report::Pauses(_) => Effects::new(),
         }
     }
 
--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -721,6 +721,8 @@
         Report::Progress(..) | Report::FirstByte(..) => 5,
         Report::Done(..) => 6,
         Report::Backoff(_) => 9,
+        Report::StreamAsk(..) => 17,
+        Report::Pauses(pauses) => 1 + 6 * pauses.len() as u64,
     }
 }
 
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -17,7 +17,7 @@
 use coordination::dispatcher::{Bounds, Location};
 use coordination::retry;
 use errors::{Error, Result};
-use protocol::wire::Hello;
+use protocol::wire::{Extension, Features, Hello};
 use settings::{Peers, Settings};
 use state::id::Name;
 use state::line::Line;
@@ -343,6 +343,10 @@
             incarnation: self.incarnation,
             operator_address: operators_address,
             data_centre: self.settings.vm.data_centre.clone(),
+            extension: Extension {
+                features: Features::ALL,
+                callers,
+            },
         };
         let (hub, events) = self.socket.start(hello, self.clock.clone());
         let data_centres = Starter::data_centres(&self.settings);
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -524,6 +524,8 @@
                     .handle_proof_age(&vm, at, version, self.view.version);
                 self.dirty = true;
             }
+            // Not used by this release.
+            Message::Occupancy(_) | Message::Peers(_) => {}
         }
     }
 
--- a/components/protocol/src/codec.rs
+++ b/components/protocol/src/codec.rs
@@ -1,6 +1,6 @@
 //! Encoding of frames on links, and of values that are stored.
 
-use crate::wire::Frame;
+use crate::wire::{Frame, Message};
 use coordination::consensus::BATCH_ENTRIES_MAX;
 use errors::{Error, Result};
 use postcard::ser_flavors::Size;
@@ -39,8 +39,12 @@
 ///
 /// When the body is longer than [`MAX_BODY_BYTES`].
 pub fn encode_frame(frame: &Frame) -> Result<Vec<u8>> {
-    let body =
-        postcard::to_stdvec(frame).map_err(Error::peer("encode a frame", "(this process)"))?;
+    let step = "encode a frame";
+    let own = "(this process)";
+    let mut body = postcard::to_stdvec(frame).map_err(Error::peer(step, own))?;
+    if let Message::Hello(hello) = &frame.message {
+        body = postcard::to_extend(&hello.extension, body).map_err(Error::peer(step, own))?;
+    }
     let length = u32::try_from(body.len())
         .ok()
         .filter(|_| body.len() <= MAX_BODY_BYTES)
@@ -82,7 +86,13 @@
 ///
 /// When the bytes are not a frame.
 pub fn decode_frame(peer: &str, body: &[u8]) -> Result<Frame> {
-    postcard::from_bytes(body).map_err(Error::peer("decode a frame", peer))
+    let step = "decode a frame";
+    let (mut frame, rest): (Frame, &[u8]) =
+        postcard::take_from_bytes(body).map_err(Error::peer(step, peer))?;
+    if let (Message::Hello(hello), false) = (&mut frame.message, rest.is_empty()) {
+        hello.extension = postcard::from_bytes(rest).map_err(Error::peer(step, peer))?;
+    }
+    Ok(frame)
 }
 
 /// Encodes a value to be stored.
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -4,7 +4,7 @@
 
 use coordination::cell;
 use coordination::consensus::Envelope;
-use coordination::messages::{Cached, Grant, Refusal, Report, Totals};
+use coordination::messages::{Cached, Grant, Occupancy, Peer, Refusal, Report, Totals};
 use coordination::tree::Confirmation;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -33,6 +33,44 @@
     pub operator_address: SocketAddr,
     /// Data centre of the sender.
     pub data_centre: Name,
+    /// What the sender supports beyond the first release of the protocol.
+    #[serde(skip)]
+    pub extension: Extension,
+}
+
+/// Optional messages and fields that a process understands.
+///
+/// A process of an earlier release cannot decode a message that it does not know, and closes the
+/// link. Such a message is sent only to a peer that has announced the feature.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Features(pub u32);
+
+impl Features {
+    /// Objectives of streams: [`Report::StreamAsk`] and [`Report::Pauses`].
+    pub const STREAM_OBJECTIVES: Features = Features(1);
+    /// Occupancy of routers: [`Message::Occupancy`] and [`Message::Peers`].
+    pub const OCCUPANCY: Features = Features(1 << 1);
+
+    /// All features of this release.
+    pub const ALL: Features = Features(Self::STREAM_OBJECTIVES.0 | Self::OCCUPANCY.0);
+
+    /// Whether all of `features` are included.
+    pub fn includes(self, features: Features) -> bool {
+        self.0 & features.0 == features.0
+    }
+}
+
+/// Fields that follow a [`Hello`] in its frame.
+///
+/// Processes of an earlier release ignore bytes behind a frame, and send none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Extension {
+    /// Features that the sender supports.
+    pub features: Features,
+    /// Address on which the sender accepts callers, if it is a router.
+    pub callers: Option<SocketAddr>,
 }
 
 /// Request to the control VMs.
@@ -213,6 +251,12 @@
         #[serde(rename = "head")]
         version: Version,
     },
+    /// From a router to the VM of a scheduler: how much of the router is in use. Sent to peers
+    /// with [`Features::OCCUPANCY`].
+    Occupancy(Occupancy),
+    /// From the VM of a scheduler to a router that is under pressure: routers of its data centre
+    /// with room.
+    Peers(Vec<Peer>),
 }
 
 impl Message {
@@ -250,6 +294,8 @@
             Message::FleetSize(_) => "size",
             Message::ProofRequest(_) => "check",
             Message::ProofAge { .. } => "checked",
+            Message::Occupancy(_) => "occupancy",
+            Message::Peers(_) => "peers",
         }
     }
 }
--- a/components/protocol/tests/codec.rs
+++ b/components/protocol/tests/codec.rs
@@ -4,12 +4,13 @@
     body_length, decode_frame, decode_value, encode_frame, encode_value, HEADER_BYTES,
     MAX_BODY_BYTES, PROTOCOL_VERSION,
 };
-use protocol::wire::{Frame, Message};
+use protocol::wire::{Extension, Features, Frame, Hello, Message};
 use state::clock::Stamp;
 use state::evacuation::Order;
 use state::id::{Name, Version};
 use state::record::Record;
 use state::store::Store;
+use state::view::Node;
 
 fn frame() -> Frame {
     Frame {
@@ -32,6 +33,40 @@
     );
 }
 
+fn hello(extension: Extension) -> Frame {
+    let address = "127.0.0.1:7001".parse().unwrap();
+    Frame {
+        stamp: Stamp { wall: 5, count: 2 },
+        message: Message::Hello(Hello {
+            node: Node::at(address),
+            incarnation: 7,
+            operator_address: address,
+            data_centre: Name::try_from("dc-1").unwrap(),
+            extension,
+        }),
+    }
+}
+
+/// Failure: a hello with an extension is unreadable to a process that knows none, or the hello of
+/// such a process is unreadable here, so that a fleet cannot be upgraded process by process.
+#[test]
+fn can_exchange_hellos_with_a_process_that_knows_no_extension() {
+    let extension = Extension {
+        features: Features::ALL,
+        callers: Some("127.0.0.1:8080".parse().unwrap()),
+    };
+    let bytes = encode_frame(&hello(extension)).unwrap();
+    let read = decode_frame("peer", &bytes[HEADER_BYTES..]).unwrap();
+    assert_eq!(read, hello(extension));
+    // An earlier release decodes the frame and ignores the bytes behind it.
+    let earlier: Frame = decode_value(&bytes[HEADER_BYTES..]).unwrap();
+    assert_eq!(earlier, hello(Extension::default()));
+    // It sends the frame alone.
+    let without = encode_value(&earlier).unwrap();
+    let read = decode_frame("peer", &without).unwrap();
+    assert_eq!(read, hello(Extension::default()));
+}
+
 #[test]
 fn errors_when_the_version_or_the_length_is_wrong() {
     let error = body_length("r1", [PROTOCOL_VERSION + 1, 0, 0, 0, 1])
--- a/components/transport/tests/link.rs
+++ b/components/transport/tests/link.rs
@@ -1,7 +1,7 @@
 //! Tests of links between processes.
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
-use protocol::wire::{Hello, Message, Query};
+use protocol::wire::{Extension, Hello, Message, Query};
 use state::id::{Epoch, Name, Version};
 use state::record::ChangeId;
 use state::view::Node;
@@ -36,6 +36,7 @@
         incarnation,
         operator_address: any,
         data_centre: name("dc-1"),
+        extension: Extension::default(),
     };
     let (hub, events) = socket.start(hello, Clock::default());
     Process { hub, events, node }
