--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -329,6 +329,16 @@
         request.map_or(Placement::default(), |r| r.placement)
     }
 
+    /// Sets when the first byte of a request's next answer counts as late.
+    ///
+    /// The target of a stream that is resumed has usually passed with its first event. A
+    /// scheduler would refuse the request as late, although its caller waits for the next event.
+    pub fn set_aim(&mut self, handle: Handle, aim: Millis) {
+        if let Some(request) = self.requests.get_mut(handle) {
+            request.arrival.aim = aim.min(request.arrival.deadline);
+        }
+    }
+
     /// Queues a dispatched request again after a failed try.
     pub fn requeue(&mut self, now: Millis, handle: Handle, verdict: Verdict) -> Effects {
         let mut effects = Effects::new();
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod recent;
 pub mod regions;
 pub mod reliability;
+pub mod resume;
 pub mod retry;
 pub mod rule;
 pub mod scheduler;
--- a/components/coordination/tests/dispatcher.rs
+++ b/components/coordination/tests/dispatcher.rs
@@ -301,6 +301,40 @@
     assert_eq!(asks, [ENDPOINT]);
 }
 
+#[test]
+fn can_ask_for_a_resumed_stream_whose_latency_target_has_passed() {
+    // Symptom: the scheduler refuses the request as late, and the stream is cut.
+    // Sequence: a stream breaks after its latency target.
+    // Cause: the second ask has the rest of the target of the first event, which is nothing.
+    let view = view(1);
+    let mut dispatcher = dispatcher();
+    let early = Arrival {
+        aim: Millis(100),
+        ..arrival(1)
+    };
+    let (handle, effects) = dispatcher.arrive(Millis(0), &view, early).unwrap();
+    let mut sent = reports(&effects);
+    sent.extend(reports(&dispatcher.tick(Millis(0), &view)));
+    let seq = asked(&sent);
+    dispatcher.grant(Millis(1), grant(1, seq));
+    let second_aim_ms = |dispatcher: &mut Dispatcher, aim, now| {
+        dispatcher.progress(Millis(now), handle, 17);
+        dispatcher.set_aim(handle, Millis(aim));
+        let again = reports(&dispatcher.requeue(Millis(now), handle, Verdict::Failed));
+        let done = |r: &&Report| matches!(r, Report::Done(_, 17, Verdict::Failed));
+        assert_eq!(again.iter().filter(done).count(), 1, "{again:?}");
+        let aim_ms = again.iter().find_map(|r| match r {
+            Report::Ask(ask) => Some(ask.aim_ms),
+            _ => None,
+        });
+        dispatcher.grant(Millis(now), grant(1, asked(&again)));
+        aim_ms
+    };
+    assert_eq!(second_aim_ms(&mut dispatcher, 1500, 500), Some(1000));
+    // The target does not go beyond the deadline.
+    assert_eq!(second_aim_ms(&mut dispatcher, 5500, 4500), Some(500));
+}
+
 /// A view with a second region, whose scheduler runs on VM `t`.
 fn two_regions() -> View {
     let mut view = view(1);
