Let the stand-in continue streams and break them within an event

Cause: tests of resumed streams need endpoints that honour Last-Event-Id and that fail in the middle of an event.

Change: a model stand-in writes ids on request, continues after Last-Event-Id, and can close or reset the connection, fall silent, or begin anew. A request with Last-Event-Id takes its fault from stand-in-resumed-fault. socket2, which tokio uses already, sets the option by which the system resets a connection; tokio's own methods need the stream, which hyper owns.

--- a/components/standin/src/fault.rs
+++ b/components/standin/src/fault.rs
@@ -7,6 +7,14 @@
     None,
     /// The response ends halfway through its body.
     Cut,
+    /// The connection is closed in the middle of an event, halfway through the stream.
+    Tear,
+    /// The connection is reset in the middle of an event, halfway through the stream.
+    Reset,
+    /// Nothing more is sent after half of an event, halfway through the stream.
+    Stall,
+    /// The stream begins with its first event, whichever event the request names.
+    Restart,
     /// The connection is closed without a response.
     NoResponse,
     /// The response is a redirect to the stand-in itself.
@@ -24,6 +32,10 @@
     fn from(text: &str) -> Self {
         match text {
             "cut" => Fault::Cut,
+            "tear" => Fault::Tear,
+            "reset" => Fault::Reset,
+            "stall" => Fault::Stall,
+            "restart" => Fault::Restart,
             "silence" => Fault::NoResponse,
             "redirect" => Fault::Redirect,
             "swap" => Fault::WrongIdentity,
--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -14,14 +14,18 @@
 use std::fs::{File, OpenOptions};
 use std::io::Write;
 use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::task::{JoinHandle, JoinSet};
 
+/// Header with the id of the event after which a stream is to continue.
+pub const LAST_EVENT_ID_HEADER: &str = "last-event-id";
+
 /// Header with the identity of a request, which its response repeats.
 pub const IDENTITY_HEADER: &str = "cowslipford-request-id";
 
@@ -100,6 +104,24 @@
     task: JoinHandle<()>,
 }
 
+/// The socket of a connection, as an extension of its requests. It does not keep the connection
+/// open.
+#[derive(Clone, Debug)]
+struct Socket(Weak<OwnedFd>);
+
+/// A stream that a model engine responds with.
+struct Stream {
+    /// First token to send.
+    first: u32,
+    /// Number of tokens in the whole stream.
+    tokens: u32,
+    /// Whether each event has its token's number as its id.
+    has_ids: bool,
+    pace: Duration,
+    fault: Fault,
+    socket: Option<Socket>,
+}
+
 type Body = Either<Full<Bytes>, Channel<Bytes, Aborted>>;
 
 /// The error that aborts a response or closes its connection.
@@ -190,10 +212,18 @@
         };
         let shared = shared.clone();
         tasks.spawn(async move {
-            let service = service_fn(move |request| respond(shared.clone(), request));
+            let socket = stream.as_fd().try_clone_to_owned().ok().map(Arc::new);
+            let weak = socket.as_ref().map(Arc::downgrade).map(Socket);
+            let service = service_fn(move |mut request: Request<Incoming>| {
+                if let Some(socket) = weak.clone() {
+                    request.extensions_mut().insert(socket);
+                }
+                respond(shared.clone(), request)
+            });
             let server = hyper::server::conn::http1::Builder::new();
             // The only errors are those of the connection, such as a caller that disconnects.
             let _ = server.serve_connection(TokioIo::new(stream), service).await;
+            drop(socket);
         });
     }
     tasks.shutdown().await;
@@ -263,13 +293,28 @@
         value.map(str::to_owned)
     };
     let number = |name: &str| header(name).and_then(|v| v.parse().ok());
-    let fault = Fault::from(header("stand-in-fault").unwrap_or_default().as_str());
+    // Token after which the caller asks for the rest of a stream.
+    let last = number(LAST_EVENT_ID_HEADER);
+    let fault = match last {
+        None => "stand-in-fault",
+        Some(_) => "stand-in-resumed-fault",
+    };
+    let fault = Fault::from(header(fault).unwrap_or_default().as_str());
     let tokens = number("stand-in-tokens").unwrap_or(shared.settings.tokens);
     let pace = number("stand-in-pace").map_or(shared.settings.pace, |ms| {
         Duration::from_millis(u64::from(ms))
     });
     let identity = header(IDENTITY_HEADER).unwrap_or_default();
     let label = header("stand-in-id");
+    let socket = request.extensions().get::<Socket>().cloned();
+    let stream = Stream {
+        first: last.map_or(0, |n| n.saturating_add(1)),
+        tokens,
+        has_ids: last.is_some() || header("stand-in-ids").is_some(),
+        pace,
+        fault,
+        socket,
+    };
     shared.counter.update(|c| {
         c.calls += 1;
         if let Some(label) = &label {
@@ -315,7 +360,7 @@
             slot.end_call(1);
             respond_plain(&body, fault)
         }
-        Kind::Model => respond_stream(slot, &body, tokens, pace, fault),
+        Kind::Model => respond_stream(slot, &body, stream),
     };
     if let Ok(value) = HeaderValue::from_str(&identity) {
         response.headers_mut().insert(IDENTITY_HEADER, value);
@@ -352,40 +397,73 @@
 }
 
 /// The response of a model engine, a stream of tokens.
-fn respond_stream(
-    slot: Slot,
-    body: &Bytes,
-    tokens: u32,
-    pace: Duration,
-    fault: Fault,
-) -> Response<Body> {
+fn respond_stream(slot: Slot, body: &Bytes, stream: Stream) -> Response<Body> {
     let (sender, channel) = Channel::new(4);
     let echo = String::from_utf8_lossy(body).into_owned();
     // The task ends when the response is complete or the caller disconnects.
-    tokio::spawn(write_tokens(slot, sender, echo, tokens, pace, fault));
+    tokio::spawn(write_tokens(slot, sender, echo, stream));
     with_content_type(Response::new(Either::Right(channel)), "text/event-stream")
 }
 
+/// Breaks a stream whose last event is not complete.
+async fn break_stream(mut sender: Sender<Bytes, Aborted>, stream: &Stream) {
+    if stream.fault == Fault::Stall {
+        // Empty pieces are not written; sending them fails once the caller has disconnected.
+        while sender.send_data(Bytes::new()).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        return;
+    }
+    // The half event is written first.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let socket = stream.socket.as_ref().and_then(|Socket(s)| s.upgrade());
+    if let (Fault::Reset, Some(socket)) = (stream.fault, socket) {
+        // Without a time to linger, the system resets the connection when it is closed.
+        let _ = socket2::SockRef::from(&*socket).set_linger(Some(Duration::ZERO));
+    }
+    sender.abort(Aborted);
+}
+
 /// Sends one event for each token and the usage at the end, unless a fault intervenes.
 async fn write_tokens(
     slot: Slot,
     mut sender: Sender<Bytes, Aborted>,
     echo: String,
-    tokens: u32,
-    pace: Duration,
-    fault: Fault,
+    stream: Stream,
 ) {
-    for n in 0..tokens {
+    let Stream {
+        tokens,
+        pace,
+        fault,
+        ..
+    } = stream;
+    let first = match fault {
+        Fault::Restart => 0,
+        _ => stream.first,
+    };
+    // Faults occur halfway through the tokens that this response has.
+    let middle = first + tokens.saturating_sub(first) / 2;
+    for n in first..tokens {
         if n > 0 {
             slot.shared.crash(fault);
         }
-        if fault == Fault::Cut && n >= tokens / 2 {
+        if fault == Fault::Cut && n >= middle {
             sender.abort(Aborted);
             return;
         }
         tokio::time::sleep(pace).await;
         let event = serde_json::json!({"token": n, "echo": echo});
-        let line = Bytes::from(format!("data: {event}\n\n"));
+        let id = match stream.has_ids {
+            true => format!("id: {n}\n"),
+            false => String::new(),
+        };
+        let mut line = Bytes::from(format!("{id}data: {event}\n\n"));
+        if n == middle && matches!(fault, Fault::Tear | Fault::Reset | Fault::Stall) {
+            line.truncate(line.len() / 2);
+            let _ = sender.send_data(line).await;
+            break_stream(sender, &stream).await;
+            return;
+        }
         if sender.send_data(line).await.is_err() {
             return;
         }
