Resume broken streams at another endpoint inside the same response

Cause: a stream is cut when its endpoint breaks off, also where its rule has `resume = yes`.

Change: with `[router] resume = yes`, a router passes only whole events of such streams on. The name of the header is part of the interface. The wait is a future inside the relay, so that a caller that leaves cancels it. Streams that cannot be resumed stay visibly cut. Rules without `resume` and routers without the switch pass pieces on as before. New metrics and log fields say what was resumed and why others were not.

--- a/components/node/src/frontend/access_log.rs
+++ b/components/node/src/frontend/access_log.rs
@@ -47,6 +47,10 @@
     timing: Timing,
     /// Times that the request was dispatched to an endpoint.
     tries: u32,
+    /// Times that its stream continued at another endpoint.
+    resumed: u32,
+    /// Why its stream was not resumed after a break.
+    unresumed: Option<&'static str>,
     /// Whether the end of the request has been logged or counted.
     is_logged: bool,
 }
@@ -95,6 +99,8 @@
             first_wait: None,
             timing: Timing::new(arrived_at),
             tries: 0,
+            resumed: 0,
+            unresumed: None,
             is_logged: false,
         }
     }
@@ -116,10 +122,15 @@
         self.customer = customer;
     }
 
-    /// Logs that the request is sent to an endpoint.
+    /// Logs that the request is sent to its first endpoint or, before an answer, to another one.
     pub(crate) fn log_dispatch(&mut self, dispatch: &Dispatch, fingerprint: Fingerprint) {
-        self.tries += 1;
         self.fingerprint = Some(fingerprint);
+        self.log_retry(dispatch);
+    }
+
+    /// Logs that the request is sent to an endpoint.
+    pub(crate) fn log_retry(&mut self, dispatch: &Dispatch) {
+        self.tries += 1;
         self.metrics.attempts.inc();
         self.first_wait
             .get_or_insert_with(|| self.arrived_at.elapsed());
@@ -155,6 +166,16 @@
         self.timing.record_piece(events);
     }
 
+    /// Records that the stream continues at another endpoint.
+    pub(crate) fn record_resumed(&mut self) {
+        self.resumed += 1;
+    }
+
+    /// Records why the stream is not resumed after a break.
+    pub(crate) fn record_unresumed(&mut self, reason: &'static str) {
+        self.unresumed = Some(reason);
+    }
+
     /// Logs a failed try; `next` names what follows it.
     pub(crate) fn log_failure(&self, failure: &Failure, next: &'static str) {
         tracing::info!(
@@ -238,6 +259,8 @@
             events = self.timing.events(),
             fingerprint = crash_fingerprint.map(tracing::field::display),
             tries = self.tries,
+            resumed = (self.resumed > 0).then_some(self.resumed),
+            unresumed = self.unresumed,
             status = status.map(|s| s.as_u16()),
             outcome,
             reason,
--- a/components/node/src/frontend/listen.rs
+++ b/components/node/src/frontend/listen.rs
@@ -62,6 +62,8 @@
     /// Greatest age, in milliseconds, of the last proof that this process has the newest version.
     /// Past it, customers' requests are refused.
     pub(crate) max_proof_age_ms: Option<u64>,
+    /// Whether streams of rules with `resume` continue at another endpoint when theirs breaks off.
+    pub(crate) resume: bool,
     /// Headers and statuses in the exchange with callers and endpoints.
     pub(crate) interface: Interface,
     /// Bounds on retries of each service.
--- a/components/node/src/frontend/mod.rs
+++ b/components/node/src/frontend/mod.rs
@@ -10,6 +10,7 @@
 mod pool;
 mod refusal;
 mod relay;
+mod resume;
 mod serve;
 mod timing;
 mod upstream;
--- a/components/node/src/frontend/plan.rs
+++ b/components/node/src/frontend/plan.rs
@@ -51,6 +51,10 @@
     pub(super) idempotent: bool,
     /// Most retries of the request.
     pub(super) retries: u32,
+    /// Whether a stream that breaks off may continue at another endpoint.
+    pub(super) resume: bool,
+    /// Time from the request's arrival until the first byte counts as late, in milliseconds.
+    pub(super) aim_ms: u64,
     /// The request as the dispatcher queues it.
     pub(super) arrival: Arrival,
 }
@@ -115,6 +119,7 @@
         return Err(no_endpoint());
     }
     let now = frontend.context.clock.now();
+    let aim_ms = send.aim_ms.unwrap_or(millis(timeout));
     let arrival = Arrival {
         service: service_id,
         class,
@@ -132,7 +137,7 @@
         prompt,
         bytes: call.body.len() as u64,
         regions,
-        aim: now.after(send.aim_ms.unwrap_or(millis(timeout))),
+        aim: now.after(aim_ms),
         deadline: now.after(millis(timeout)),
     };
     Ok(Plan {
@@ -145,6 +150,8 @@
         timeout,
         idempotent: rule::is_idempotent(send.idempotent, settings, call.method.as_str()),
         retries: send.retries.unwrap_or(DEFAULT_RETRIES),
+        resume: send.resume,
+        aim_ms,
         arrival,
     })
 }
--- a/components/node/src/frontend/pool.rs
+++ b/components/node/src/frontend/pool.rs
@@ -42,6 +42,15 @@
     driver: JoinHandle<()>,
 }
 
+impl Connection {
+    /// Closes the connection, and returns once it is closed.
+    pub(crate) async fn close(mut self) {
+        self.driver.abort();
+        // The result says only that the task was aborted, or had ended before.
+        let _ = (&mut self.driver).await;
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -4,6 +4,8 @@
 use super::delivery::Delivery;
 use super::plan::token_cost;
 use super::pool::{Connection, Key, Pool};
+use super::resume::{Note, Resumption};
+use super::upstream::Failure;
 use crate::input::Input;
 use crate::journal::Journal;
 use crate::monitor::Lateness;
@@ -11,6 +13,9 @@
 use coordination::dispatcher::Handle;
 use coordination::messages::Verdict;
 use coordination::prompt::Prompt;
+use coordination::resume::Decision;
+use coordination::retry::Reach;
+use errors::Error;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::StatusCode;
 use state::config::{Cost, Engine};
@@ -110,6 +115,11 @@
         }
     }
 
+    /// Events so far.
+    pub(crate) fn events(&self) -> u32 {
+        self.events
+    }
+
     /// Counts the events in a piece of the answer: the lines that begin with `data:`, wherever the
     /// answer is split into pieces.
     pub(crate) fn count_events(&mut self, bytes: &[u8]) {
@@ -165,6 +175,9 @@
     pub(crate) entry: Option<(Entry, StatusCode)>,
     /// How the answer ended, for the access log.
     pub(crate) end_reason: &'static str,
+    /// State of a stream that may be resumed; `None` for all other answers, whose pieces are passed
+    /// on as they come.
+    pub(super) resumption: Option<Box<Resumption>>,
     pub(crate) origin: Origin,
 }
 
@@ -192,12 +205,15 @@
     Endpoint(hyper::Error),
     /// The time for the answer was over.
     Deadline,
+    /// The stream broke and could not be resumed, for this reason.
+    Unresumed(&'static str),
 }
 
 impl std::fmt::Display for Abort {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Abort::Endpoint(error) => write!(f, "the endpoint broke off its answer: {error}"),
+            Abort::Unresumed(reason) => write!(f, "the stream was not resumed: {reason}"),
             Abort::Deadline => f.write_str("the answer was not complete before its deadline"),
         }
     }
@@ -217,7 +233,8 @@
         }
         self.slot.meter.count_events(bytes);
         if let Some((entry, _)) = &mut self.entry {
-            entry.record_piece(self.slot.meter.events);
+            let earlier = self.resumption.as_ref().map_or(0, |r| r.earlier_events);
+            entry.record_piece(earlier + self.slot.meter.events);
         }
         let units = self.slot.meter.units();
         // The dispatcher reports each doubling of the cost, so it is not notified of every event.
@@ -254,6 +271,167 @@
         Poll::Ready(Some(Err(Abort::Deadline)))
     }
 
+    /// Continues the wait for the next answer after a break, if there is one.
+    fn poll_next_answer(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Abort>> {
+        let Some(resumption) = &mut self.resumption else {
+            return Poll::Ready(Ok(()));
+        };
+        let entry = &mut self.entry;
+        let log = |note: Note| {
+            let Some((entry, _)) = entry else { return };
+            match note {
+                Note::Sent(dispatch) => entry.log_retry(&dispatch),
+                Note::Failed(failure, next) => entry.log_failure(&failure, next),
+            }
+        };
+        let next = match resumption.poll_attempt(context, log) {
+            Poll::Ready(None) => return Poll::Ready(Ok(())),
+            Poll::Ready(Some(next)) => next,
+            Poll::Pending => return Poll::Pending,
+        };
+        let resumed = match next {
+            Ok(resumed) => resumed,
+            Err(reason) => return Poll::Ready(Err(self.give_up(reason))),
+        };
+        resumption.frontend().context.metrics.resumed_streams.inc();
+        self.incoming = resumed.body;
+        // The slot of the broken try was released when the request was queued again.
+        self.slot = resumed.slot;
+        self.delivery = resumed.delivery;
+        self.origin = resumed.origin;
+        self.has_begun = false;
+        self.reported_units = 0;
+        self.end_reason = "caller-gone";
+        if let Some((entry, _)) = &mut self.entry {
+            entry.record_resumed();
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// Holds back the unfinished event at the end of a piece; `None` if there is no whole one.
+    fn hold_back(&mut self, frame: Frame<Bytes>) -> Result<Option<Frame<Bytes>>, Abort> {
+        let Some(resumption) = &mut self.resumption else {
+            return Ok(Some(frame));
+        };
+        let Some(bytes) = frame.data_ref() else {
+            // Trailers, which are not forwarded without their hop-by-hop header.
+            return Ok(None);
+        };
+        match resumption.events.push(bytes) {
+            Ok(whole) => {
+                if resumption.events.held() > 0 {
+                    resumption.frontend().context.metrics.held_events.inc();
+                }
+                if whole.is_empty() {
+                    resumption.restart_silence(self.has_begun);
+                    return Ok(None);
+                }
+                Ok(Some(Frame::data(Bytes::from(whole))))
+            }
+            Err(mismatch) => {
+                self.slot.verdict = Verdict::Error;
+                self.end_reason = "not-continued";
+                Err(self.give_up(mismatch.as_str()))
+            }
+        }
+    }
+
+    /// Handles an answer that broke off. Returns the error if the stream is not resumed.
+    fn handle_break(&mut self, error: hyper::Error) -> Option<hyper::Error> {
+        if self
+            .resumed_at
+            .is_some_and(|at| at.elapsed() < SLOW_READ_PAUSE)
+        {
+            // The endpoint broke off since its answer was not read for too long.
+            self.end_reason = "caller-slow";
+            return Some(error);
+        }
+        self.slot.verdict = Verdict::Failed;
+        self.end_reason = BROKE_OFF;
+        let Some(resumption) = &mut self.resumption else {
+            self.delivery.report_break();
+            return Some(error);
+        };
+        let decision = resumption.handle_break(&mut self.slot, &mut self.origin.connection);
+        // Reported after the decision, since a break alone makes the request no suspect.
+        self.delivery.report_break();
+        self.log_break(&error, true, decision.as_str());
+        match decision {
+            Decision::Resume => None,
+            Decision::End(reason) => {
+                self.give_up(reason);
+                Some(error)
+            }
+        }
+    }
+
+    /// Whether the endpoint has been silent for too long and the stream is resumed at another one.
+    /// A silent stream that cannot be resumed is left as it is, since it may go on.
+    fn is_resumed_after_silence(&mut self, context: &mut Context<'_>) -> bool {
+        let Some(resumption) = &mut self.resumption else {
+            return false;
+        };
+        while resumption.is_silent(context, self.has_begun, self.lateness.is_late()) {
+            self.slot.verdict = Verdict::Failed;
+            let decision = resumption.handle_break(&mut self.slot, &mut self.origin.connection);
+            if decision == Decision::Resume {
+                self.end_reason = "endpoint-silent";
+                self.log_break(&"it sent nothing for too long", false, decision.as_str());
+                return true;
+            }
+            self.slot.verdict = Verdict::Cancelled;
+            resumption.restart_silence(self.has_begun);
+        }
+        false
+    }
+
+    /// Logs the break of an answer that could be resumed.
+    fn log_break(&mut self, reason: &dyn std::fmt::Display, broke_off: bool, next: &'static str) {
+        let Some((entry, _)) = &mut self.entry else {
+            return;
+        };
+        let error = Error::Peer {
+            step: "relay an answer",
+            peer: "(endpoint)".to_owned(),
+            reason: reason.to_string(),
+        };
+        let failure = Failure {
+            broke_off,
+            ..Failure::new(Reach::Answering, error)
+        };
+        entry.log_failure(&failure, next);
+    }
+
+    /// Counts and logs that the stream is not resumed.
+    fn give_up(&mut self, reason: &'static str) -> Abort {
+        if let Some(resumption) = &self.resumption {
+            let metrics = &resumption.frontend().context.metrics;
+            metrics.unresumed_streams.with_label_values(&[reason]).inc();
+        }
+        if let Some((entry, _)) = &mut self.entry {
+            entry.record_unresumed(reason);
+        }
+        Abort::Unresumed(reason)
+    }
+
+    /// Handles the end of the body. Returns the bytes that were held back, if there are any.
+    fn end_whole(&mut self) -> Option<Frame<Bytes>> {
+        let rest = match &mut self.resumption {
+            Some(resumption) => {
+                if std::mem::replace(&mut resumption.is_over, true) {
+                    return None;
+                }
+                Bytes::from(resumption.events.finish())
+            }
+            None => Bytes::new(),
+        };
+        if !rest.is_empty() {
+            self.count(&rest);
+        }
+        self.end();
+        (!rest.is_empty()).then(|| Frame::data(rest))
+    }
+
     /// Handles the end of a complete answer: the connection returns to the pool, and the copy for
     /// resends is delivered.
     fn end(&mut self) {
@@ -283,54 +461,69 @@
     type Error = Abort;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Abort>>> {
-        let last_piece_at = self.last_piece_at.take();
+        let this = self.get_mut();
+        let last_piece_at = this.last_piece_at.take();
         if last_piece_at.is_some_and(|at| at.elapsed() >= SLOW_READ_PAUSE) {
-            self.resumed_at = Some(Instant::now());
+            this.resumed_at = Some(Instant::now());
         }
-        match Pin::new(&mut self.incoming).poll_frame(context) {
-            Poll::Ready(Some(Ok(frame))) => {
-                if let Some(bytes) = frame.data_ref() {
-                    let bytes = bytes.clone();
-                    self.count(&bytes);
+        if let (Some(_), Some(resumption)) = (last_piece_at, &mut this.resumption) {
+            // Nothing was read from the endpoint while the caller did not read.
+            resumption.restart_silence(this.has_begun);
+        }
+        loop {
+            match this.poll_next_answer(context) {
+                Poll::Ready(Ok(())) => {}
+                Poll::Ready(Err(abort)) => return Poll::Ready(Some(Err(abort))),
+                Poll::Pending => return this.poll_deadline(context),
+            }
+            match Pin::new(&mut this.incoming).poll_frame(context) {
+                Poll::Ready(Some(Ok(frame))) => {
+                    let frame = match this.hold_back(frame) {
+                        Ok(Some(frame)) => frame,
+                        Ok(None) => continue,
+                        Err(abort) => return Poll::Ready(Some(Err(abort))),
+                    };
+                    if let Some(bytes) = frame.data_ref() {
+                        let bytes = bytes.clone();
+                        this.count(&bytes);
+                    }
+                    if this.is_end_stream() {
+                        this.end();
+                    }
+                    this.last_piece_at = Some(Instant::now());
+                    return Poll::Ready(Some(Ok(frame)));
                 }
-                if self.incoming.is_end_stream() {
-                    self.end();
+                // The error makes hyper close the connection without the end of the answer, so
+                // that the caller can see that the answer is incomplete.
+                Poll::Ready(Some(Err(error))) => {
+                    if let Some(error) = this.handle_break(error) {
+                        return Poll::Ready(Some(Err(Abort::Endpoint(error))));
+                    }
                 }
-                self.last_piece_at = Some(Instant::now());
-                Poll::Ready(Some(Ok(frame)))
-            }
-            // The error makes hyper close the connection without the end of the answer, so
-            // that the caller can see that the answer is incomplete.
-            Poll::Ready(Some(Err(error))) => {
-                if self
-                    .resumed_at
-                    .is_some_and(|at| at.elapsed() < SLOW_READ_PAUSE)
-                {
-                    // The endpoint broke off since its answer was not read for too long.
-                    self.end_reason = "caller-slow";
-                } else {
-                    self.slot.verdict = Verdict::Failed;
-                    self.end_reason = BROKE_OFF;
-                    self.delivery.report_break();
+                Poll::Ready(None) => return Poll::Ready(this.end_whole().map(Ok)),
+                Poll::Pending => {
+                    if !this.is_resumed_after_silence(context) {
+                        return this.poll_deadline(context);
+                    }
                 }
-                Poll::Ready(Some(Err(Abort::Endpoint(error))))
             }
-            Poll::Ready(None) => {
-                self.end();
-                Poll::Ready(None)
-            }
-            Poll::Pending => self.poll_deadline(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
+        match &self.resumption {
+            Some(resumption) => resumption.is_over,
+            None => self.incoming.is_end_stream(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.incoming.size_hint()
+        match &self.resumption {
+            Some(_) => SizeHint::default(),
+            None => self.incoming.size_hint(),
+        }
     }
 }
--- /dev/null
+++ b/components/node/src/frontend/resume.rs
@@ -0,0 +1,391 @@
+//! Resumes a stream at another endpoint, inside the response that its caller reads.
+
+use super::delivery::Delivery;
+use super::listen::Frontend;
+use super::plan::Plan;
+use super::pool::Connection;
+use super::relay::{Origin, Slot};
+use super::serve::{record_dispatch, take_slot, wait_for_dispatch, Queued, MAX_UNCONNECTED_TRIES};
+use super::upstream::{self, Answer, Call, Failure};
+use crate::input::{Decided, Dispatch, Input};
+use coordination::dispatcher::Handle;
+use coordination::messages::Verdict;
+use coordination::resume::{decide, silence_ms, Break, Decision, Events, Position, RESUME_AIM_MS};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE};
+use hyper::http::response::Parts;
+use hyper::HeaderMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+use tokio::time::Sleep;
+
+/// Lateness of the timer of a silence from which on the silence is not believed: this process was
+/// late or suspended itself, and the endpoint's events may wait in a socket.
+const LATE_TIMER: Duration = Duration::from_millis(100);
+
+/// A request whose answer is relayed.
+pub(super) struct Subject {
+    pub(super) frontend: Arc<Frontend>,
+    pub(super) call: Call,
+    pub(super) plan: Plan,
+    pub(super) arrived_at: Instant,
+}
+
+/// Tries of a request so far.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Tries {
+    /// Retries that count against the rule's.
+    pub(super) retries: u32,
+    /// Tries for which no connection could be opened.
+    pub(super) unconnected: u32,
+    /// Endpoints that broke off or fell silent after the request was sent.
+    pub(super) breaks: u32,
+}
+
+/// A step of the way to the next answer, for the access log.
+pub(super) enum Note {
+    /// The request is sent to this endpoint.
+    Sent(Dispatch),
+    /// This try failed; the text says what follows it.
+    Failed(Failure, &'static str),
+}
+
+/// The answer of another endpoint, which continues a stream.
+pub(super) struct Resumed {
+    pub(super) body: Incoming,
+    pub(super) slot: Slot,
+    pub(super) delivery: Delivery,
+    pub(super) origin: Origin,
+    pub(super) tries: Tries,
+}
+
+/// Wait for the next answer; the error says why there is none.
+type Waiting = Pin<Box<dyn Future<Output = Result<Resumed, &'static str>> + Send>>;
+
+/// A wait for the next answer, with its steps so far.
+struct Attempt {
+    waiting: Waiting,
+    notes: flume::Receiver<Note>,
+}
+
+/// State of a stream that may be resumed.
+pub(super) struct Resumption {
+    subject: Arc<Subject>,
+    pub(super) events: Events,
+    tries: Tries,
+    /// Events that were passed on from earlier answers.
+    pub(super) earlier_events: u32,
+    /// Whether the last answer has ended.
+    pub(super) is_over: bool,
+    /// Completes when the endpoint has been silent for too long.
+    silence: Pin<Box<Sleep>>,
+    /// The wait for the next answer, after a break.
+    attempt: Option<Attempt>,
+}
+
+impl Subject {
+    /// Time until the request's deadline.
+    pub(super) fn remaining(&self) -> Duration {
+        self.plan.timeout.saturating_sub(self.arrived_at.elapsed())
+    }
+
+    /// Whether the answer with this head may continue at another endpoint.
+    ///
+    /// A length or an encoding covers the whole body, so that it cannot be put together from two
+    /// answers.
+    pub(super) fn may_resume(&self, head: &Parts) -> bool {
+        self.frontend.context.resume
+            && self.plan.resume
+            && self.plan.idempotent
+            && head.status.is_success()
+            && is_event_stream(&head.headers)
+            && !head.headers.contains_key(CONTENT_LENGTH)
+    }
+
+    /// Decides whether to resume the stream at a position, after these tries.
+    fn decide(&self, position: &Position, tries: Tries) -> Decision {
+        let fingerprint = self.call.fingerprint();
+        let suspicions = self.frontend.context.suspicions.borrow().clone();
+        let broken = Break {
+            position,
+            breaks: tries.breaks,
+            is_suspected: !suspicions.is_empty() && suspicions.contains(&fingerprint),
+            retries: tries.retries,
+            retries_max: self.plan.retries,
+            deadline: self.plan.arrival.deadline,
+        };
+        let now = self.frontend.context.clock.now();
+        self.frontend
+            .with_budget(self.plan.service, |budget| decide(&broken, now, budget))
+    }
+
+    /// Queues the request again after a try that cost `units`, and releases its slot.
+    fn queue_again(
+        &self,
+        handle: Handle,
+        units: u32,
+        verdict: Verdict,
+    ) -> (Queued, oneshot::Receiver<Decided>) {
+        let (sender, reply) = oneshot::channel();
+        let aim = self.frontend.context.clock.now().after(RESUME_AIM_MS);
+        let reactor = &self.frontend.context.reactor;
+        // Sending fails only at the end of this process. The last reported cost is settled.
+        let _ = reactor.send(Input::Progress(handle, units));
+        let _ = reactor.send(Input::Requeue(handle, verdict, Some(aim), sender));
+        let queued = Queued {
+            handle: Some(handle),
+            id: self.call.id,
+            frontend: self.frontend.clone(),
+        };
+        (queued, reply)
+    }
+}
+
+/// Whether the headers are those of a plain stream of server-sent events.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    let media_type = content_type.and_then(|v| v.split(';').next());
+    media_type.is_some_and(|m| m.trim().eq_ignore_ascii_case("text/event-stream"))
+        && !headers.contains_key(CONTENT_ENCODING)
+}
+
+impl Resumption {
+    /// State of a stream whose first answer begins.
+    pub(super) fn new(subject: Subject, tries: Tries) -> Self {
+        let mut resumption = Resumption {
+            subject: Arc::new(subject),
+            events: Events::default(),
+            tries,
+            earlier_events: 0,
+            is_over: false,
+            silence: Box::pin(tokio::time::sleep(Duration::ZERO)),
+            attempt: None,
+        };
+        resumption.restart_silence(false);
+        resumption
+    }
+
+    /// The frontend that serves the request.
+    pub(super) fn frontend(&self) -> &Frontend {
+        &self.subject.frontend
+    }
+
+    /// Measures the silence of the endpoint from now on. `has_begun` says whether the answer has
+    /// brought an event.
+    pub(super) fn restart_silence(&mut self, has_begun: bool) {
+        let aim_ms = (!has_begun).then_some(self.subject.plan.aim_ms);
+        let limit = Duration::from_millis(silence_ms(None, aim_ms));
+        let now = tokio::time::Instant::now();
+        // A target of years would overflow the clock.
+        let at = now
+            .checked_add(limit)
+            .unwrap_or(now + self.subject.plan.timeout);
+        self.silence.as_mut().reset(at);
+    }
+
+    /// Whether the endpoint has been silent for too long.
+    pub(super) fn is_silent(
+        &mut self,
+        context: &mut Context<'_>,
+        has_begun: bool,
+        is_late: bool,
+    ) -> bool {
+        while self.silence.as_mut().poll(context).is_ready() {
+            if !is_late && self.silence.deadline().elapsed() < LATE_TIMER {
+                return true;
+            }
+            self.restart_silence(has_begun);
+        }
+        false
+    }
+
+    /// Decides what follows a break of the present answer. If the stream is resumed, the wait for
+    /// the next answer begins.
+    pub(super) fn handle_break(
+        &mut self,
+        slot: &mut Slot,
+        connection: &mut Option<Connection>,
+    ) -> Decision {
+        let mut tries = self.tries;
+        tries.breaks += 1;
+        let decision = self.subject.decide(self.events.position(), tries);
+        if decision != Decision::Resume {
+            return decision;
+        }
+        tries.retries += 1;
+        self.tries = tries;
+        let last_event_id = match self.events.position() {
+            // Ids that do not fit into a header are no position.
+            Position::After(id) => HeaderValue::from_bytes(id).ok(),
+            _ => None,
+        };
+        self.events.begin_next_answer();
+        self.earlier_events += slot.meter.events();
+        // The dispatcher releases the slot when it queues the request again.
+        slot.is_armed = false;
+        let queued = self
+            .subject
+            .queue_again(slot.handle, slot.meter.units(), slot.verdict);
+        let (notes, receiver) = flume::unbounded();
+        let next = Next {
+            subject: self.subject.clone(),
+            handle: slot.handle,
+            position: self.events.position().clone(),
+            last_event_id,
+            tries,
+            notes,
+        };
+        self.attempt = Some(Attempt {
+            waiting: Box::pin(next.answer(connection.take(), queued)),
+            notes: receiver,
+        });
+        decision
+    }
+
+    /// Continues the wait for the next answer, if there is one; `log` receives its steps.
+    pub(super) fn poll_attempt<F>(
+        &mut self,
+        context: &mut Context<'_>,
+        log: F,
+    ) -> Poll<Option<Result<Resumed, &'static str>>>
+    where
+        F: FnMut(Note),
+    {
+        let Some(attempt) = &mut self.attempt else {
+            return Poll::Ready(None);
+        };
+        let polled = attempt.waiting.as_mut().poll(context);
+        attempt.notes.try_iter().for_each(log);
+        polled.map(|next| {
+            self.attempt = None;
+            if let Ok(resumed) = &next {
+                self.tries = resumed.tries;
+                self.restart_silence(false);
+            }
+            Some(next)
+        })
+    }
+}
+
+/// The way from a break to the next answer.
+struct Next {
+    subject: Arc<Subject>,
+    handle: Handle,
+    position: Position,
+    last_event_id: Option<HeaderValue>,
+    tries: Tries,
+    notes: flume::Sender<Note>,
+}
+
+impl Next {
+    /// Waits for a slot and sends the request, until an endpoint continues the stream.
+    async fn answer(
+        mut self,
+        broken: Option<Connection>,
+        mut queued: (Queued, oneshot::Receiver<Decided>),
+    ) -> Result<Resumed, &'static str> {
+        if let Some(connection) = broken {
+            // The endpoint must stop its work on the request before another one begins.
+            connection.close().await;
+        }
+        let subject = self.subject.clone();
+        let (frontend, call, plan) = (&subject.frontend, &subject.call, &subject.plan);
+        loop {
+            let (waiting, reply) = queued;
+            let decided = reply.await.map_err(|_| "stopping")?;
+            let retries = self.tries.retries;
+            let dispatch =
+                wait_for_dispatch(frontend, call, waiting, decided, retries, plan.idempotent)
+                    .await
+                    .map_err(|refusal| refusal.code)?;
+            record_dispatch(frontend, call, plan, &dispatch, retries, subject.arrived_at);
+            let _ = self.notes.send(Note::Sent(dispatch.clone()));
+            let delivery = Delivery::new(frontend, call, plan.customer);
+            let mut slot = take_slot(frontend, self.handle, call, plan);
+            let failure = match self.send(&dispatch).await {
+                Some(Ok(answer)) => return self.accept(answer, slot, delivery, &dispatch),
+                Some(Err(failure)) => failure,
+                None => {
+                    slot.verdict = Verdict::Failed;
+                    return Err("deadline");
+                }
+            };
+            slot.verdict = failure.verdict;
+            if failure.broke_off {
+                self.tries.breaks += 1;
+                delivery.report_break();
+            }
+            if failure.unconnected && self.tries.unconnected < MAX_UNCONNECTED_TRIES {
+                self.tries.unconnected += 1;
+                let _ = self.notes.send(Note::Failed(failure, "elsewhere"));
+            } else {
+                let decision = subject.decide(&self.position, self.tries);
+                let _ = self.notes.send(Note::Failed(failure, decision.as_str()));
+                if let Decision::End(reason) = decision {
+                    return Err(reason);
+                }
+                self.tries.retries += 1;
+            }
+            slot.is_armed = false;
+            queued = subject.queue_again(self.handle, slot.meter.units(), slot.verdict);
+        }
+    }
+
+    /// Sends the request to an endpoint; `None` if it has not answered by the deadline.
+    async fn send(&self, dispatch: &Dispatch) -> Option<Result<Answer, Failure>> {
+        let frontend = &self.subject.frontend;
+        let remaining = self.subject.remaining();
+        let options = upstream::Options {
+            interface: &frontend.context.interface,
+            pool: &frontend.pool,
+            at_most_once: false,
+            remaining,
+            last_event_id: self.last_event_id.as_ref(),
+        };
+        let sending = upstream::send(&self.subject.call, dispatch, options);
+        let sent = tokio::time::timeout(remaining, sending).await.ok()?;
+        let backoff = match &sent {
+            Ok(answer) => answer.backoff,
+            Err(failure) => failure.backoff,
+        };
+        if let Some(backoff) = backoff {
+            // Sent before the request is queued again, so that it does not return to this endpoint.
+            let reactor = &frontend.context.reactor;
+            let _ = reactor.send(Input::Backoff(self.handle, backoff));
+        }
+        Some(sent)
+    }
+
+    /// Takes an answer that can continue the stream, by its head.
+    fn accept(
+        &self,
+        answer: Answer,
+        mut slot: Slot,
+        delivery: Delivery,
+        dispatch: &Dispatch,
+    ) -> Result<Resumed, &'static str> {
+        let (head, body) = answer.response.into_parts();
+        if !head.status.is_success() || !is_event_stream(&head.headers) {
+            if head.status.is_server_error() {
+                slot.verdict = Verdict::Error;
+            }
+            return Err("no-stream");
+        }
+        Ok(Resumed {
+            body,
+            slot,
+            delivery,
+            origin: Origin {
+                connection: Some(answer.connection),
+                pool: self.subject.frontend.pool.clone(),
+                endpoint: (dispatch.endpoint, dispatch.address),
+                keep_alive: upstream::keep_alive_timeout(&head.headers),
+            },
+            tries: self.tries,
+        })
+    }
+}
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -9,6 +9,7 @@
 use super::plan::{no_endpoint, plan, Plan, NO_ENDPOINT_RETRY_AFTER, NO_ENDPOINT_TEXT};
 use super::refusal::{set_header, Refusal, OUTCOME_HEADER};
 use super::relay::{Meter, Origin, Relay, Replay, Slot};
+use super::resume::{Resumption, Subject, Tries};
 use super::upstream::{self, Answer, Call, Failure};
 use crate::input::{Decided, Decision, Dispatch, Input};
 use crate::interface::REQUEST_ID;
@@ -18,7 +19,7 @@
 use coordination::messages::Verdict;
 use coordination::retry::{self, Action, Reach};
 use http_body_util::{Either, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
 use hyper::{Request, Response, StatusCode};
 use state::event::{Event, Kind};
@@ -32,7 +33,7 @@
 /// Most failed connections of a request that do not count as failed tries. Each costs up to the
 /// connect timeout, and after two of them most of the service's endpoints are likely to be
 /// unreachable.
-const MAX_UNCONNECTED_TRIES: u32 = 2;
+pub(super) const MAX_UNCONNECTED_TRIES: u32 = 2;
 
 /// Text of a refusal because the request would be answered too late.
 const OVERLOADED_TEXT: &str = "the endpoints have more to do than they can in time";
@@ -173,15 +174,15 @@
             }
         }
     }
-    dispatch_until_answered(frontend, call, &plan, claimed, entry, arrived_at).await
+    dispatch_until_answered(frontend, call, plan, claimed, entry, arrived_at).await
 }
 
 /// A queued request. It leaves the queue when this value is dropped, since the caller is gone.
-struct Queued {
+pub(super) struct Queued {
     /// The request in the dispatcher; `None` once it has left the queue.
-    handle: Option<Handle>,
-    id: RequestId,
-    frontend: Arc<Frontend>,
+    pub(super) handle: Option<Handle>,
+    pub(super) id: RequestId,
+    pub(super) frontend: Arc<Frontend>,
 }
 
 impl Drop for Queued {
@@ -198,14 +199,14 @@
 async fn dispatch_until_answered(
     frontend: &Arc<Frontend>,
     call: Call,
-    plan: &Plan,
+    plan: Plan,
     mut claim: Option<Claim>,
     entry: &mut Entry,
     arrived_at: Instant,
 ) -> Result<Served, Refusal> {
     frontend.check_quarantine(&call)?;
     frontend.earn_retries(plan.service);
-    let (handle, mut decided) = enqueue(frontend, plan).await?;
+    let (handle, mut decided) = enqueue(frontend, &plan).await?;
     let mut retries = 0;
     let mut unconnected_tries = 0;
     loop {
@@ -217,17 +218,9 @@
         let dispatch =
             wait_for_dispatch(frontend, &call, queued, decided, retries, plan.idempotent).await?;
         entry.log_dispatch(&dispatch, call.fingerprint());
-        record_dispatch(frontend, &call, plan, &dispatch, retries, arrived_at);
+        record_dispatch(frontend, &call, &plan, &dispatch, retries, arrived_at);
         let delivery = Delivery::new(frontend, &call, plan.customer);
-        let mut slot = Slot {
-            handle,
-            id: call.id,
-            meter: Meter::new(plan.cost, plan.arrival.prompt, plan.engine),
-            verdict: Verdict::Cancelled,
-            is_armed: true,
-            reactor: frontend.context.reactor.clone(),
-            journal: frontend.context.journal.clone(),
-        };
+        let mut slot = take_slot(frontend, handle, &call, &plan);
         if let Some(claim) = &mut claim {
             claim.mark_sent();
         }
@@ -237,6 +230,7 @@
             pool: &frontend.pool,
             at_most_once: !plan.idempotent,
             remaining,
+            last_event_id: None,
         };
         let sent = tokio::time::timeout(remaining, upstream::send(&call, &dispatch, options)).await;
         let backoff = match &sent {
@@ -252,11 +246,22 @@
                 .send(Input::Backoff(handle, backoff));
         }
         let failure = match sent {
-            Ok(Ok(answer)) => match frontend.retriable_failure(plan, retries, answer) {
+            Ok(Ok(answer)) => match frontend.retriable_failure(&plan, retries, answer) {
                 Ok(answer) => {
                     let answering = (answer, delivery);
+                    let subject = Subject {
+                        frontend: frontend.clone(),
+                        call,
+                        plan,
+                        arrived_at,
+                    };
+                    let tries = Tries {
+                        retries,
+                        unconnected: unconnected_tries,
+                        breaks: 0,
+                    };
                     return Ok(relay_answer(
-                        frontend, answering, slot, claim, dispatch, plan, arrived_at,
+                        subject, tries, answering, slot, claim, dispatch,
                     ));
                 }
                 Err(failure) => failure,
@@ -309,8 +314,21 @@
     }
 }
 
+/// The slot of a request that has just been dispatched.
+pub(super) fn take_slot(frontend: &Frontend, handle: Handle, call: &Call, plan: &Plan) -> Slot {
+    Slot {
+        handle,
+        id: call.id,
+        meter: Meter::new(plan.cost, plan.arrival.prompt, plan.engine),
+        verdict: Verdict::Cancelled,
+        is_armed: true,
+        reactor: frontend.context.reactor.clone(),
+        journal: frontend.context.journal.clone(),
+    }
+}
+
 /// Records the dispatch in the journal, and the time in the queue in the metrics.
-fn record_dispatch(
+pub(super) fn record_dispatch(
     frontend: &Frontend,
     call: &Call,
     plan: &Plan,
@@ -406,7 +424,7 @@
 /// # Errors
 ///
 /// The refusal, if the request is quarantined, refused or unserved, or has reached its deadline.
-async fn wait_for_dispatch(
+pub(super) async fn wait_for_dispatch(
     frontend: &Frontend,
     call: &Call,
     mut queued: Queued,
@@ -464,7 +482,7 @@
 /// Queues a request again after a failed try, and releases its slot.
 async fn requeue(frontend: &Frontend, slot: Slot) -> Result<Decided, Refusal> {
     let (sender, receiver) = oneshot::channel();
-    let requeue = Input::Requeue(slot.handle, slot.verdict, sender);
+    let requeue = Input::Requeue(slot.handle, slot.verdict, None, sender);
     // The dispatcher releases the slot when it takes this input, so dropping `slot` must not.
     slot.disarm();
     let _ = frontend.context.reactor.send(requeue);
@@ -490,15 +508,15 @@
 
 /// Starts to relay an endpoint's answer to the caller.
 fn relay_answer(
-    frontend: &Frontend,
+    subject: Subject,
+    tries: Tries,
     (answer, delivery): (Answer, Delivery),
     slot: Slot,
     claim: Option<Claim>,
     dispatch: Dispatch,
-    plan: &Plan,
-    arrived_at: Instant,
 ) -> Served {
     let (mut head, body) = answer.response.into_parts();
+    let frontend = subject.frontend.clone();
     let keep_alive = upstream::keep_alive_timeout(&head.headers);
     upstream::strip_hop_by_hop(&mut head.headers);
     set_header(
@@ -507,7 +525,8 @@
         Outcome::Answered.as_str(),
     );
     set_header(&mut head.headers, REQUEST_ID, &slot.id.to_string());
-    count_answer(frontend, Outcome::Answered, head.status);
+    count_answer(&frontend, Outcome::Answered, head.status);
+    let is_replayed = claim.is_some();
     let replay = claim.map(|claim| {
         let (done, body_end) = oneshot::channel();
         let content_type = head.headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
@@ -521,7 +540,9 @@
             done: Some(done),
         }
     });
-    let remaining = plan.timeout.saturating_sub(arrived_at.elapsed());
+    let remaining = subject.remaining();
+    let is_resumable = !is_replayed && !body.is_end_stream() && subject.may_resume(&head);
+    let resumption = is_resumable.then(|| Box::new(Resumption::new(subject, tries)));
     let mut relay = Relay {
         incoming: body,
         verdict_if_complete: if head.status.is_server_error() {
@@ -540,6 +561,7 @@
         lateness: frontend.context.lateness.clone(),
         entry: None,
         end_reason: "caller-gone",
+        resumption,
         origin: Origin {
             connection: Some(answer.connection),
             pool: frontend.pool.clone(),
--- a/components/node/src/frontend/upstream.rs
+++ b/components/node/src/frontend/upstream.rs
@@ -69,7 +69,7 @@
 }
 
 impl Failure {
-    fn new(reach: Reach, error: Error) -> Self {
+    pub(crate) fn new(reach: Reach, error: Error) -> Self {
         Failure {
             reach,
             verdict: Verdict::Failed,
@@ -97,6 +97,8 @@
     pub(crate) at_most_once: bool,
     /// Time until the request's deadline.
     pub(crate) remaining: Duration,
+    /// Event after which the answer is to continue a stream.
+    pub(crate) last_event_id: Option<&'a HeaderValue>,
 }
 
 /// Sends a call to an endpoint and returns the head of its answer.
@@ -123,7 +125,7 @@
         };
         let remaining = options.remaining.saturating_sub(began.elapsed());
         let request = call
-            .request(dispatch, options.interface, remaining)
+            .request(dispatch, &options, remaining)
             .map_err(unsent_failure)?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
@@ -250,7 +252,7 @@
     fn request(
         &self,
         dispatch: &Dispatch,
-        interface: &Interface,
+        options: &Options<'_>,
         remaining: Duration,
     ) -> Result<Request<Full<Bytes>>> {
         let path = self.uri.path_and_query().map_or("/", |p| p.as_str());
@@ -273,7 +275,11 @@
             time_left: remaining,
             copy_from: dispatch.copy_from,
         };
-        (interface.rewrite_headers)(headers, &outbound);
+        (options.interface.rewrite_headers)(headers, &outbound);
+        if let Some(id) = options.last_event_id {
+            // Replaces the caller's own id, which is of an earlier event.
+            headers.insert(options.interface.last_event_id, id.clone());
+        }
         if !headers.contains_key(HOST) {
             set_header(headers, "host", &dispatch.address.to_string());
         }
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -79,8 +79,9 @@
     ),
     /// The caller of a waiting request has disconnected.
     Cancel(Handle),
-    /// A try has failed and the request is queued again.
-    Requeue(Handle, Verdict, oneshot::Sender<Decided>),
+    /// A try has failed and the request is queued again, with a new latency target if there is
+    /// one.
+    Requeue(Handle, Verdict, Option<Millis>, oneshot::Sender<Decided>),
     /// The first byte of an answer has arrived, this many milliseconds after the dispatch. `None`
     /// if tasks ran late meanwhile, so that the time says little about the endpoint.
     FirstByte(Handle, Option<u32>),
--- a/components/node/src/interface.rs
+++ b/components/node/src/interface.rs
@@ -133,6 +133,8 @@
     pub parse_page: fn(&[u8], &Regions) -> Result<Page, String>,
     /// How to read the prompt caches of engines, if they can list them.
     pub inventory: Option<Inventory>,
+    /// Header that names the event after which a stream continues, in lower case.
+    pub last_event_id: &'static str,
 }
 
 impl Interface {
@@ -150,6 +152,7 @@
             data_centre_path: |_, _| None,
             parse_page: native_page,
             inventory: None,
+            last_event_id: "last-event-id",
         }
     }
 }
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -49,6 +49,12 @@
     pub(crate) duration: Histogram,
     /// Tries of a request after its first one.
     pub(crate) retries: IntCounter,
+    /// Times that a stream continued at another endpoint.
+    pub(crate) resumed_streams: IntCounter,
+    /// Streams that broke and were not resumed, by reason.
+    pub(crate) unresumed_streams: IntCounterVec,
+    /// Pieces of streams that ended in an event that was held back.
+    pub(crate) held_events: IntCounter,
     /// Requests that wait on this router.
     pub(crate) waiting: IntGauge,
     /// Number of evacuated data centres, whose endpoints get no requests.
@@ -142,6 +148,16 @@
         .map_err(Error::key(step))?;
         r.register(Box::new(requests.clone()))
             .map_err(Error::key(step))?;
+        let unresumed_streams = IntCounterVec::new(
+            Opts::new(
+                "cowslipford_streams_not_resumed_total",
+                "Streams of rules with resume that broke and were not resumed.",
+            ),
+            &["reason"],
+        )
+        .map_err(Error::key(step))?;
+        r.register(Box::new(unresumed_streams.clone()))
+            .map_err(Error::key(step))?;
         let ends = IntCounterVec::new(
             Opts::new(
                 "cowslipford_request_ends_total",
@@ -184,6 +200,15 @@
                 "Time from arrival to the end.",
             )?,
             retries: counter("cowslipford_retries_total", "Tries after the first.")?,
+            resumed_streams: counter(
+                "cowslipford_streams_resumed_total",
+                "Times that a stream continued at another endpoint.",
+            )?,
+            unresumed_streams,
+            held_events: counter(
+                "cowslipford_events_held_total",
+                "Pieces of streams that ended in an event that was held back.",
+            )?,
             evacuated: gauge(
                 "cowslipford_evacuated",
                 "Data centres whose endpoints get no requests.",
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -485,6 +485,7 @@
                 budget,
                 lateness,
                 max_proof_age_ms: self.settings.router.stale_ms,
+                resume: self.settings.router.resume,
                 interface: self.interface,
                 retry_bounds: retry::Bounds {
                     per_mille: self.settings.router.retries.per_mille,
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -299,10 +299,13 @@
                 }
             }
             Input::Cancel(handle) => self.cancel(now, handle),
-            Input::Requeue(handle, verdict, reply) => {
+            Input::Requeue(handle, verdict, aim, reply) => {
                 self.parts.metrics.retries.inc();
                 let (sender, decided) = oneshot::channel();
                 self.decisions.insert(handle, sender);
+                if let Some(aim) = aim {
+                    self.dispatcher.set_aim(handle, aim);
+                }
                 let effects = self.dispatcher.requeue(now, handle, verdict);
                 self.perform(now, effects);
                 if reply.send(decided).is_err() {
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -183,6 +183,17 @@
     }
 }
 
+/// Guards against routers that resume streams without being told to.
+#[rstest]
+#[case::default("", false)]
+#[case::on("resume = yes", true)]
+#[case::off("resume = no", false)]
+fn resumes_streams_only_if_switched_on(#[case] line: &str, #[case] expected: bool) {
+    let text = process_settings().replace("[router]\n", &format!("[router]\n{line}\n"));
+    let settings = Settings::parse("vm.ini", Path::new("."), &text).unwrap();
+    assert_eq!(settings.router.resume, expected);
+}
+
 #[test]
 fn printed_configuration_parses_to_the_same_configuration() {
     let draft = parse_configuration("fleet.ini", &configuration()).unwrap();
