--- a/components/coordination/src/resume.rs
+++ b/components/coordination/src/resume.rs
@@ -148,8 +148,14 @@
         if self.position == Position::Unbounded {
             return Ok(piece.to_vec());
         }
-        for byte in piece {
-            self.push_byte(*byte)?;
+        for part in piece.split_inclusive(|b| is_line_end(*b)) {
+            match part.split_last() {
+                Some((end, line)) if is_line_end(*end) => {
+                    self.push_bytes(line);
+                    self.push_line_end(*end)?;
+                }
+                _ => self.push_bytes(part),
+            }
         }
         if self.held.len() - self.whole > HELD_MAX_BYTES {
             if self.is_unconfirmed {
@@ -195,7 +201,14 @@
         self.is_unconfirmed = matches!(self.position, Position::After(_));
     }
 
-    fn push_byte(&mut self, byte: u8) -> Result<(), Mismatch> {
+    /// Takes bytes within a line.
+    fn push_bytes(&mut self, bytes: &[u8]) {
+        self.after_return &= bytes.is_empty();
+        self.held.extend_from_slice(bytes);
+    }
+
+    /// Takes a byte that ends a line.
+    fn push_line_end(&mut self, byte: u8) -> Result<(), Mismatch> {
         self.held.push(byte);
         let is_second = std::mem::take(&mut self.after_return) && byte == b'\n';
         if is_second {
@@ -206,9 +219,6 @@
             self.line_start = self.held.len();
             return Ok(());
         }
-        if byte != b'\n' && byte != b'\r' {
-            return Ok(());
-        }
         self.after_return = byte == b'\r';
         let end = self.held.len() - 1;
         if self.line_start == end {
@@ -274,6 +284,11 @@
     }
 }
 
+/// Whether a byte ends a line, alone or as a part of a line end.
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
 /// Whether an id arrives unchanged as the value of a header.
 fn is_usable(id: &[u8]) -> bool {
     let is_blank = |b: Option<&u8>| b.is_none_or(u8::is_ascii_whitespace);
