Test resumed streams with slow callers, and a strict cancellation

Cause: with the cancellation removed, the test of a caller that leaves passed, since the request left the queue with the first local grant. Change: the router keeps its silent scheduler until the end of that test, so only the cancellation takes the request out of the queue. A new test has a caller that reads nothing for four seconds: the endpoint is not read meanwhile and not taken for silent.

--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -4,6 +4,8 @@
 
 use harness::http::{self, request, Answer, Client};
 use harness::{eventually, Fleet, Plan, OPERATOR_KEY};
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::Duration;
 
 /// Settings of routers that resume streams, with a retry budget for all streams of a test.
@@ -221,6 +223,35 @@
     wait_idle(&fleet);
 }
 
+/// Guards against a router that buffers a stream whose caller does not read it, and that takes the
+/// endpoint for silent meanwhile.
+#[test]
+fn can_wait_for_a_caller_that_does_not_read() {
+    let fleet = fleet(RESUME, 1, 1, 4);
+    let body = "x".repeat(8192);
+    let head = format!(
+        "POST /resumed HTTP/1.1\r\nhost: test\r\nauthorization: Bearer alpha\r\n\
+         connection: close\r\ncontent-length: {}\r\nstand-in-id: slow\r\nstand-in-ids: yes\r\n\
+         stand-in-tokens: 4000\r\nstand-in-pace: 0\r\n\r\n{body}",
+        body.len()
+    );
+    let mut caller = TcpStream::connect(fleet.callers("r1")).unwrap();
+    caller.write_all(head.as_bytes()).unwrap();
+    let name = &fleet.stand_ins[0].name;
+    let tokens = || fleet.counts(name)["tokens"].as_u64();
+    std::thread::sleep(Duration::from_millis(1500));
+    let sent = tokens();
+    // Longer than the silence after which an endpoint is given up.
+    std::thread::sleep(Duration::from_millis(2500));
+    assert_eq!(tokens(), sent, "the endpoint is not read meanwhile");
+    let mut answer = Vec::new();
+    caller.read_to_end(&mut answer).unwrap();
+    let text = String::from_utf8(answer).unwrap();
+    assert!(text.contains("id: 3999\n") && text.ends_with("\r\n0\r\n\r\n"));
+    assert_eq!(fleet.calls_with_label("slow"), 1);
+    assert!(fleet.vm("r1").peak_memory() < 60_000_000);
+}
+
 /// Guards against a request that stays in the queue, or is sent, after its caller has left while the
 /// request waited to be resumed.
 #[test]
@@ -230,6 +261,8 @@
         routers: 2,
         schedulers: 1,
         settings: RESUME.to_owned(),
+        // The router must not schedule alone while the request waits.
+        link_keys: "idle = 10s".to_owned(),
         ..Plan::default()
     });
     let (status, _, error) = fleet.apply(&(fleet.configuration() + RULES), &[]);
@@ -244,7 +277,7 @@
         let mut headers = headers("left", "tear", "");
         headers[3] = ("stand-in-pace", "100");
         let sent = request("POST", "/resumed", "alpha", &headers, "left");
-        runtime.block_on(Client::new(router).call(sent, Duration::from_millis(900)))
+        runtime.block_on(Client::new(router).call(sent, Duration::from_secs(3)))
     });
     running(&fleet);
     // The scheduler answers no more when the stream breaks, after about 600 ms.
@@ -257,6 +290,9 @@
     eventually("the request leaves the queue", || {
         metric(&fleet, "r2", "cowslipford_waiting ") == 0
     });
+    // It has left before any scheduler could answer.
+    let is_lost = |line: &str| line.contains("dependency-lost") && line.contains("scheduler");
+    assert!(!fleet.vm("r2").log().lines().any(is_lost));
     fleet.vm("r1").signal("-CONT");
     eventually("the router serves requests again", || {
         fleet.call("r2", "alpha", "/assistant", &[], "").complete
