Break streams within an event in the soak, and resume them

Cause: the soak broke streams only between events, and nothing resumed them. Change: two of 40 requests are torn or reset within an event, the routers and the rule of streams resume, and the streams have ids. The expected text of a stream has these ids; the checks are the same. The request that crashes engines crashes the next one, too, since a whole answer would clear it. Resumed streams are counted.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -86,8 +86,8 @@
     };
     let booking = request("booking-1", Kind::Booking);
     let stream = request("stream-1", Kind::Stream(2));
-    let events = "data: {\"echo\":\"stream-1\",\"token\":0}\n\n\
-                  data: {\"echo\":\"stream-1\",\"token\":1}\n\n\
+    let events = "id: 0\ndata: {\"echo\":\"stream-1\",\"token\":0}\n\n\
+                  id: 1\ndata: {\"echo\":\"stream-1\",\"token\":1}\n\n\
                   : {\"usage\":{\"tokens\":2}}\n\n";
     let record = |sent, status, outcome, body: &str, complete| {
         observations.record(sent, &answer(status, outcome, body, complete))
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -86,8 +86,13 @@
         ("stand-in-id", label.as_str()),
         ("stand-in-pace", pace.as_str()),
         ("stand-in-tokens", tokens.as_str()),
+        ("stand-in-ids", "yes"),
         ("stand-in-fault", fault),
     ];
+    if sent.name == QUERY_OF_DEATH {
+        // It crashes the endpoint at which its stream is resumed, too.
+        headers.push(("stand-in-resumed-fault", fault));
+    }
     headers.extend(key.map(|key| ("idempotency-key", key)));
     let http = request("POST", path, customer, &headers, &sent.name);
     let answer = client.call(http, CALLER_TIMEOUT).await;
@@ -106,6 +111,8 @@
         0 => "cut",
         1 => "silence",
         2 => "swap",
+        3 => "tear",
+        4 => "reset",
         _ => "",
     }
 }
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -46,7 +46,7 @@
             Kind::Stream(tokens) => {
                 let event = |n| {
                     let event = serde_json::json!({"token": n, "echo": echo});
-                    format!("data: {event}\n\n")
+                    format!("id: {n}\ndata: {event}\n\n")
                 };
                 let usage = serde_json::json!({"usage": {"tokens": tokens}});
                 let events: String = (0..tokens).map(event).collect();
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -78,7 +78,10 @@
             routers: ROUTER_COUNT,
             models: 2,
             plain_services: 2,
-            settings: format!("[router]\nrevocation = {}s", REVOCATION.as_secs()),
+            settings: format!(
+                "[router]\nresume = yes\nrevocation = {}s",
+                REVOCATION.as_secs()
+            ),
             ..Plan::default()
         });
         let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -426,6 +429,12 @@
         self.check_idle();
         self.check_logs();
         self.reap();
+        for vm in &self.fleet.vms {
+            let log = vm.log();
+            for _ in log.lines().filter(|line| line.contains(" resumed=")) {
+                self.shared.observations.count("stream resumed");
+            }
+        }
         let records: Vec<String> = (self.fleet.stand_ins.iter())
             .flat_map(|s| s.recorded_labels())
             .collect();
@@ -523,6 +532,8 @@
             &format!("{address}data-centre = {EVACUATED_DATA_CENTRE}"),
         );
     }
+    let rule = "[rule assistant]\n";
+    text = text.replace(rule, &format!("{rule}resume = yes\n"));
     // A silent endpoint must time out before its caller does.
     text.replace("cost = event\n", "cost = event\ntimeout = 6s\n")
         .replace("cost = request\n", "cost = request\ntimeout = 6s\n")
