Choose engines by the pauses of their streams

Cause: a scheduler represents decoding only as a flat cost of each request. Streams pause for longer than their rule allows where continuous prefill and a slow phase of an engine meet. Change: coordination::engine::step models the steps of an engine and learns the usual pauses, the share of prefill and slow phases from Report::Pauses and first events. The placement decides as before whether a request is granted, and then compares the engines that can begin it by the streams that would pause for too long and by the risk of a slow phase to come. Nothing changes while no ask has an objective.

--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 
 mod backoff;
 mod local;
+mod pauses;
 mod queue;
 mod remote;
 mod selection;
@@ -22,7 +23,7 @@
 use self::selection::{Selector, State};
 use self::session::Session;
 use crate::backoff::Backoffs;
-use crate::messages::Placement;
+use crate::messages::{Objective, Pause, Placement};
 use crate::overload::HotSpot;
 use crate::prelude::*;
 use crate::regions::Regions;
@@ -156,6 +157,12 @@
     has_stranded: bool,
     /// Shards whose endpoints have all asked for a backoff, with the earliest end.
     unavailable_shards: BTreeMap<Shard, Millis>,
+    /// VMs whose schedulers support objectives of streams.
+    stream_vms: BTreeSet<Name>,
+    /// Pauses observed since the last report, by shard and endpoint.
+    pauses: BTreeMap<Shard, Vec<Pause>>,
+    /// When pauses were last reported.
+    pauses_sent: Millis,
 }
 
 impl Dispatcher {
@@ -176,6 +183,9 @@
             closed_endpoints: BTreeSet::new(),
             has_stranded: false,
             unavailable_shards: BTreeMap::new(),
+            stream_vms: BTreeSet::new(),
+            pauses: BTreeMap::new(),
+            pauses_sent: Millis(0),
         }
     }
 
@@ -255,6 +265,21 @@
         now: Millis,
         view: &View,
         arrival: Arrival,
+    ) -> Result<(Handle, Effects), Rejection> {
+        self.arrive_for_stream(now, view, arrival, None)
+    }
+
+    /// Like [`Dispatcher::arrive`], for a request with objectives for its stream.
+    ///
+    /// # Errors
+    ///
+    /// As [`Dispatcher::arrive`].
+    pub fn arrive_for_stream(
+        &mut self,
+        now: Millis,
+        view: &View,
+        arrival: Arrival,
+        objective: Option<Objective>,
     ) -> Result<(Handle, Effects), Rejection> {
         if self.selector.is_empty() {
             self.selector.update(view);
@@ -289,6 +314,7 @@
         }
         let request = Request {
             arrival,
+            objective,
             shard: shard.clone(),
             is_moved: false,
             avoid: None,
@@ -502,6 +528,7 @@
     /// Handles the loss of a link to a VM, and ends the sessions over the link.
     pub fn link_down(&mut self, now: Millis, vm: &Name) {
         self.links.remove(vm);
+        self.stream_vms.remove(vm);
         for shard in self.shards_on(vm) {
             self.end_session(now, &shard);
         }
@@ -546,6 +573,7 @@
         }
         self.queues.retain(|_, queue| queue.count > 0);
         self.ask_other_regions(now, view, &mut effects);
+        self.report_pauses(now, &mut effects);
         effects
     }
 }
@@ -555,6 +583,7 @@
     let service = view.config.services.get(&shard.service);
     let engine = service.and_then(|s| s.engine);
     slots.set_memory_tokens(engine.map(|e| e.memory_tokens));
+    slots.set_event_tokens(engine.map_or(1, |e| e.event_tokens));
     let rate = engine.and_then(|e| e.copy_tokens_per_s);
     slots.set_copy_tokens_per_s(rate.map(u64::from));
     slots.set_cold_rate(service.and_then(|s| s.cold).map(|cold| cold.rate));
--- /dev/null
+++ b/components/coordination/src/dispatcher/pauses.rs
@@ -0,0 +1,70 @@
+//! Pauses between events that this router has observed, for the schedulers of their endpoints.
+
+use super::queue::Stage;
+use super::{Dispatcher, Effects, Handle};
+use crate::messages::Pause;
+use crate::pause::Observed;
+use crate::prelude::*;
+
+/// Time between two reports of pauses, in milliseconds. A slow phase of an engine lasts about half
+/// a second; more reports would cost schedulers more than asks do.
+const REPORT_INTERVAL_MS: u64 = 100;
+/// Most endpoints of a shard in one report: a router seldom has streams of more at once. The
+/// pauses of others are dropped.
+const ENDPOINTS_MAX: usize = 128;
+
+impl Dispatcher {
+    /// Records whether the schedulers of a VM support objectives of streams, before
+    /// [`Dispatcher::link_up`].
+    pub fn set_stream_support(&mut self, vm: &Name, is_supported: bool) {
+        if is_supported {
+            self.stream_vms.insert(vm.clone());
+        } else {
+            self.stream_vms.remove(vm);
+        }
+    }
+
+    /// Records pauses of a dispatched request's stream.
+    pub fn record_pauses(&mut self, handle: Handle, observed: Observed) {
+        let Some(request) = self.requests.get(handle) else {
+            return;
+        };
+        let Stage::Held { endpoint, .. } = request.stage else {
+            return;
+        };
+        if !self.pauses.contains_key(&request.shard) {
+            self.pauses.insert(request.shard.clone(), Vec::new());
+        }
+        let Some(pauses) = self.pauses.get_mut(&request.shard) else {
+            return;
+        };
+        let has_room = pauses.len() < ENDPOINTS_MAX;
+        match pauses.iter_mut().find(|pause| pause.endpoint == endpoint) {
+            Some(pause) => {
+                pause.count = pause.count.saturating_add(observed.count);
+                pause.total_ms = pause.total_ms.saturating_add(observed.total_ms);
+                pause.longest_ms = pause.longest_ms.max(observed.longest_ms);
+            }
+            None if has_room => pauses.push(Pause {
+                endpoint,
+                count: observed.count,
+                total_ms: observed.total_ms,
+                longest_ms: observed.longest_ms,
+            }),
+            None => {}
+        }
+    }
+
+    /// Reports the pauses to the schedulers. Those of shards without a scheduler are dropped: they
+    /// would describe the past by the time that there is one.
+    pub(super) fn report_pauses(&mut self, now: Millis, effects: &mut Effects) {
+        if self.pauses.is_empty() || now.since(self.pauses_sent) < REPORT_INTERVAL_MS {
+            return;
+        }
+        self.pauses_sent = now;
+        for (shard, pauses) in std::mem::take(&mut self.pauses) {
+            let report = Report::Pauses(SmallVec::from_vec(pauses));
+            self.report(now, &shard, report, effects);
+        }
+    }
+}
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -4,7 +4,7 @@
 use super::session::Session;
 use super::{Arrival, Dispatcher, Effect, Effects, Handle};
 use super::{UNASKED_AIM_DIVISOR, UNASKED_RETRY_AFTER_MS};
-use crate::messages::{Placement, Seq};
+use crate::messages::{Objective, Placement, Seq};
 use crate::prelude::*;
 use state::view::Shard;
 use std::collections::VecDeque;
@@ -31,6 +31,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Request {
     pub(super) arrival: Arrival,
+    /// What is demanded of the stream that answers the request.
+    pub(super) objective: Option<Objective>,
     pub(super) shard: Shard,
     /// Whether another shard has refused the request before.
     pub(super) is_moved: bool,
@@ -74,6 +76,14 @@
     u32::try_from(arrival.aim.since(now)).unwrap_or(u32::MAX)
 }
 
+/// The report that asks for a slot.
+pub(super) fn ask_report(ask: Ask, objective: Option<Objective>) -> Report {
+    match objective {
+        Some(objective) => Report::StreamAsk(ask, objective),
+        None => Report::Ask(ask),
+    }
+}
+
 impl Dispatcher {
     /// Adds a request to the queue of its class.
     pub(super) fn enqueue(&mut self, handle: Handle) {
@@ -223,8 +233,9 @@
                 avoid: request.avoid,
                 remote: false,
             };
+            let report = ask_report(ask, request.objective);
             let shard = request.shard.clone();
-            self.report(now, &shard, Report::Ask(ask), effects);
+            self.report(now, &shard, report, effects);
         }
     }
 
--- a/components/coordination/src/dispatcher/remote.rs
+++ b/components/coordination/src/dispatcher/remote.rs
@@ -1,7 +1,7 @@
 //! Asks sent to schedulers of other regions for requests that wait long in their own.
 
 use super::local::hash;
-use super::queue::{aim_ms, Request, Stage};
+use super::queue::{aim_ms, ask_report, Request, Stage};
 use super::{Dispatcher, Effects, Handle};
 use crate::messages::Seq;
 use crate::prelude::*;
@@ -49,6 +49,7 @@
             return;
         };
         let (arrival, avoid) = (request.arrival, request.avoid);
+        let objective = request.objective;
         let own = request.shard.clone();
         let others: SmallVec<[Shard; 7]> = (view.assignments.iter())
             .map(|assignment| &assignment.shard)
@@ -85,7 +86,7 @@
             avoid,
             remote: true,
         };
-        self.report(now, &shard, Report::Ask(ask), effects);
+        self.report(now, &shard, ask_report(ask, objective), effects);
     }
 
     /// Withdraws a request's ask in another region, if there is one.
--- a/components/coordination/src/engine/backlog.rs
+++ b/components/coordination/src/engine/backlog.rs
@@ -57,6 +57,8 @@
     tokens: u64,
     /// When its prefill begins, in microseconds.
     starts_us: u64,
+    /// When its prefill ends, in microseconds.
+    ends_us: u64,
     /// Time from the grant to the first event, in microseconds.
     pub first_us: u64,
     /// Time from the grant to the start of its prefill, in microseconds.
@@ -81,7 +83,7 @@
     /// An overloaded scheduler receives reports late. Using the time of receipt would make
     /// its engines look slow; it would send them less, refuse more requests, and fall further
     /// behind: engines that prefill 63,900 tokens a second were estimated at 6,500 to 19,900.
-    fn occurred_us(&self, expected: &Expected) -> u64 {
+    pub(super) fn occurred_us(&self, expected: &Expected) -> u64 {
         let received_us = self.received.0 * 1000;
         let took_us = self.took_ms.map(|ms| u64::from(ms) * 1000);
         took_us.map_or(received_us, |took_us| {
@@ -91,8 +93,13 @@
 }
 
 impl Expected {
+    /// When the prefill begins and ends, in microseconds.
+    pub(super) fn prefill(&self) -> (u64, u64) {
+        (self.starts_us, self.ends_us)
+    }
+
     /// When the request was granted, in microseconds.
-    fn granted_us(&self) -> u64 {
+    pub(super) fn granted_us(&self) -> u64 {
         self.starts_us.saturating_sub(self.ahead_us)
     }
 }
@@ -206,6 +213,7 @@
         Expected {
             tokens,
             starts_us,
+            ends_us: self.ends_us,
             first_us: self.ends_us + self.post_prefill_us() - now_us,
             ahead_us: starts_us - now_us,
         }
--- a/components/coordination/src/engine/mod.rs
+++ b/components/coordination/src/engine/mod.rs
@@ -7,10 +7,12 @@
 //! lag, are not needed.
 
 mod backlog;
+pub mod step;
 
 pub use self::backlog::{Expected, Phase, Speed};
 
 use self::backlog::Backlog;
+use self::step::{Planned, Prediction, Steps};
 use crate::messages::Forecast;
 use crate::prelude::*;
 use crate::prompt::{mix, Part, Prompt};
@@ -184,6 +186,7 @@
     /// Tokens that running requests are expected to generate.
     output_tokens: u64,
     backlog: Backlog,
+    steps: Steps,
 }
 
 impl Engine {
@@ -197,9 +200,33 @@
             unused: BTreeSet::new(),
             output_tokens: 0,
             backlog: Backlog::default(),
+            steps: Steps::new(1),
         }
     }
 
+    /// The model of the engine's steps.
+    pub fn steps(&self) -> &Steps {
+        &self.steps
+    }
+
+    /// The model of the engine's steps, to record what was measured.
+    pub fn steps_mut(&mut self) -> &mut Steps {
+        &mut self.steps
+    }
+
+    /// Prefill that the engine has accepted, and that of a request with `tokens` to prefill.
+    pub fn planned(&self, now: Millis, tokens: u64) -> Planned {
+        Planned {
+            backlog_us: self.backlog.backlog_us(now),
+            added_us: self.backlog.prefill_us(tokens),
+        }
+    }
+
+    /// Predicts the pauses of the engine's streams if a request with `tokens` to prefill is added.
+    pub fn predict(&self, now: Millis, tokens: u64) -> Prediction {
+        self.steps.predict(now, self.planned(now, tokens))
+    }
+
     /// Changes the size of the cache.
     pub fn set_memory_tokens(&mut self, memory_tokens: u64) {
         self.memory_tokens = memory_tokens;
@@ -325,6 +352,8 @@
             expected: self.backlog.add(now, uncached - copied, copying_us),
             has_first_event: false,
         };
+        let (starts_us, ends_us) = prefill.expected.prefill();
+        self.steps.record_prefill(now, starts_us, ends_us);
         self.output_tokens += u64::from(prompt.output);
         for part in prompt.parts() {
             self.add_user(now, part, changes);
@@ -356,7 +385,12 @@
     /// Clears the cache and the backlog of an engine that has restarted.
     pub fn reset(&mut self, changes: &mut Changes) {
         changes.extend(self.keys().map(Change::Evicted));
-        *self = Engine::new(self.memory_tokens);
+        let mut steps = self.steps.clone();
+        steps.restart();
+        *self = Engine {
+            steps,
+            ..Engine::new(self.memory_tokens)
+        };
     }
 
     /// Records a cached part that a router or the engine itself has reported.
@@ -389,6 +423,13 @@
             took_ms,
             is_prefill_only,
         };
+        if let Some(took_ms) = took_ms.filter(|_| is_prefill_only) {
+            let took_us = first
+                .occurred_us(&prefill.expected)
+                .saturating_sub(prefill.expected.granted_us())
+                .min(u64::from(took_ms) * 1000);
+            (self.steps).record_first_event(now, took_us, &prefill.expected);
+        }
         self.backlog.record_first_event(&prefill.expected, first);
         for part in prefill.prompt.parts() {
             if let Some(entry) = self.cache.get_mut(&part.key) {
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod listing;
 pub mod messages;
 pub mod overload;
+pub mod pause;
 pub mod platform;
 pub mod prelude;
 pub mod prompt;
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -26,7 +26,7 @@
 use crate::health;
 use crate::ledger::{virtual_cost, Ledger};
 use crate::limit::Bucket;
-use crate::messages::{Forecast, Hello, Seq, Totals};
+use crate::messages::{Forecast, Hello, Objective, Seq, Totals};
 use crate::prelude::*;
 use crate::prompt::Part;
 use crate::slot::{Slots, Strategy};
@@ -94,6 +94,8 @@
     class: Class,
     weight: u32,
     endpoint: EndpointId,
+    /// What is demanded of the stream; nothing if another scheduler granted the request.
+    objective: Objective,
     /// Cost charged so far, in units of the service.
     charged: u32,
     /// Work on an inference engine; `None` if another scheduler granted the request.
@@ -123,6 +125,8 @@
     pub refused: u64,
     /// Asks granted in this epoch.
     pub granted: u64,
+    /// Streams that grants of this epoch were expected to keep from their longest pause.
+    pub expected_breaks: u64,
 }
 
 /// The scheduler of one shard in one epoch.
@@ -137,12 +141,13 @@
     throughput: Throughput,
     refused: u64,
     granted: u64,
+    expected_breaks: u64,
     allocations: Allocations,
     announcements: Announcements,
     /// When the waiting asks were last reviewed.
     reviewed_at: Millis,
     /// Waiting asks of other regions, in the order of their arrival.
-    remote_asks: VecDeque<(Key, Ask)>,
+    remote_asks: VecDeque<(Key, Ask, Objective)>,
     running: BTreeMap<(Session, Seq), Running>,
     sessions: BTreeSet<Session>,
     /// Lost sessions, with the time until which their requests count.
@@ -197,6 +202,7 @@
             throughput: Throughput::default(),
             refused: 0,
             granted: 0,
+            expected_breaks: 0,
             allocations: Allocations::default(),
             announcements: Announcements::default(),
             reviewed_at: now,
@@ -256,9 +262,15 @@
             cost_per_s: self.throughput.cost_per_s(),
             refused: self.refused,
             granted: self.granted,
+            expected_breaks: self.expected_breaks,
         }
     }
 
+    /// Number of engines that are slow at the moment.
+    pub fn slow_engines(&self, now: Millis) -> usize {
+        self.slots.slow_engines(now)
+    }
+
     /// Number of routers with a session.
     pub fn routers(&self) -> usize {
         self.sessions.len()
@@ -305,6 +317,7 @@
                 class: held.class,
                 weight: held.weight,
                 endpoint: held.endpoint,
+                objective: Objective::default(),
                 charged: held.cost,
                 prefill: None,
                 silent_at: None,
@@ -386,8 +399,13 @@
                 self.slots.back_off(now, session.0, &backoff);
                 Effects::new()
             }
-            Report::StreamAsk(ask, _) => self.ask(now, session, ask),
-            Report::Pauses(_) => Effects::new(),
+            Report::StreamAsk(ask, objective) => self.ask_stream(now, session, ask, objective),
+            Report::Pauses(pauses) => {
+                for pause in &pauses {
+                    self.slots.record_pauses(now, pause);
+                }
+                Effects::new()
+            }
         }
     }
 
@@ -397,7 +415,7 @@
             return;
         }
         self.slots.clear_backoff(session.0);
-        self.remote_asks.retain(|((of, _), _)| *of != session);
+        self.remote_asks.retain(|((of, _), ..)| *of != session);
         for seq in self.queue.of_session(session) {
             self.withdraw(session, seq);
         }
@@ -406,11 +424,23 @@
 
     /// Adds an ask to the queue.
     pub fn ask(&mut self, now: Millis, session: Session, ask: Ask) -> Effects {
+        self.ask_stream(now, session, ask, Objective::default())
+    }
+
+    /// Adds an ask with objectives for its stream to the queue.
+    pub fn ask_stream(
+        &mut self,
+        now: Millis,
+        session: Session,
+        ask: Ask,
+        objective: Objective,
+    ) -> Effects {
         if !self.sessions.contains(&session) {
             return Effects::new();
         }
         if ask.remote {
-            self.remote_asks.push_back(((session, ask.seq), ask));
+            self.remote_asks
+                .push_back(((session, ask.seq), ask, objective));
             return self.grant(now);
         }
         let class = self.class(now, ask.class);
@@ -420,7 +450,7 @@
             (bucket @ None, rate) => *bucket = Some(Bucket::new(rate, now)),
         }
         let key = (session, ask.seq);
-        self.queue.insert(now, key, ask);
+        self.queue.insert(now, key, ask, objective);
         self.ledger.set_backlogged(ask.class.customer, true);
         self.arrived.push(key);
         self.grant(now)
@@ -626,10 +656,19 @@
 
     /// Starts a request: takes its slot, and charges its expected cost to the customer.
     fn start(&mut self, now: Millis, next: Next) -> Effect {
-        let Next { key, ask, endpoint } = next;
+        let Next {
+            key,
+            ask,
+            objective,
+            endpoint,
+        } = next;
         let prefill = self
             .slots
             .acquire_with(now, endpoint, ask.prompt, ask.avoid.is_none());
+        // The backlog contains the request by now.
+        let breaks = self.slots.expected_breaks(now, endpoint, 0);
+        self.expected_breaks += u64::from(breaks);
+        self.slots.add_stream(endpoint, objective);
         let customer = ask.class.customer;
         self.throughput.start(ask.hint);
         self.granted += 1;
@@ -648,6 +687,7 @@
             class: ask.class,
             weight: ask.weight,
             endpoint,
+            objective,
             charged: ask.hint,
             prefill,
             silent_at: Some(now.after(u64::from(ask.aim_ms).max(SILENT_AIM_MIN_MS) * SILENT_AIMS)),
@@ -672,7 +712,7 @@
     fn remove_ask(&mut self, session: Session, seq: Seq) {
         let key = (session, seq);
         let Some(ask) = self.queue.remove(key) else {
-            self.remote_asks.retain(|(other, _)| *other != key);
+            self.remote_asks.retain(|(other, ..)| *other != key);
             return;
         };
         let customer = ask.class.customer;
@@ -696,6 +736,8 @@
         self.ledger.settle(running.class.customer, charged, amount);
         *self.served.entry(running.class.customer).or_default() += amount;
         self.grown.insert(running.class.customer);
+        self.slots
+            .remove_stream(running.endpoint, running.objective);
         let change = self.slots.release(now, running.endpoint, verdict);
         if let Some(prefill) = &running.prefill {
             self.slots.end_prefill(now, running.endpoint, prefill);
--- a/components/coordination/src/scheduler/next.rs
+++ b/components/coordination/src/scheduler/next.rs
@@ -2,6 +2,7 @@
 
 use super::queue::Key;
 use super::Scheduler;
+use crate::messages::Objective;
 use crate::prelude::*;
 use crate::slot::{Criteria, Reservations};
 
@@ -19,6 +20,7 @@
 pub(super) struct Next {
     pub(super) key: Key,
     pub(super) ask: Ask,
+    pub(super) objective: Objective,
     pub(super) endpoint: EndpointId,
 }
 
@@ -60,7 +62,7 @@
     fn may_grant(&mut self, now: Millis) -> bool {
         let own = self.queue.longest_aim_ms();
         let remotes = self.remote_asks.iter().take(REMOTE_ASKS_EXAMINED);
-        let remote = remotes.map(|(_, ask)| ask.aim_ms).max();
+        let remote = remotes.map(|(_, ask, _)| ask.aim_ms).max();
         let aim_ms = own.max(remote);
         aim_ms.is_some_and(|aim_ms| self.slots.may_begin(now, u64::from(aim_ms)))
     }
@@ -125,13 +127,19 @@
         let Some((key, waiting)) = self.queue.of(customer).nth(n) else {
             return Outcome::Missing;
         };
-        let ask = waiting.ask;
+        let (ask, objective) = (waiting.ask, waiting.objective);
         let criteria = waiting.criteria(now, key.0, only_in_time);
         if !self.is_within_limits(now, &ask) {
             return Outcome::Wait;
         }
-        match self.slots.choose(now, criteria, reservations) {
-            Some(endpoint) => Outcome::Grant(Next { key, ask, endpoint }),
+        let chosen = (self.slots).choose_for_stream(now, criteria, objective, reservations);
+        match chosen {
+            Some(endpoint) => Outcome::Grant(Next {
+                key,
+                ask,
+                objective,
+                endpoint,
+            }),
             None => Outcome::Wait,
         }
     }
@@ -147,8 +155,8 @@
     /// the first ones, that of the customer with the least service.
     pub(super) fn next_remote(&mut self, now: Millis) -> Option<Next> {
         let first = self.remote_asks.iter().take(REMOTE_ASKS_EXAMINED);
-        let level = |(_, ask): &&(Key, Ask)| self.ledger.level(ask.class.customer);
-        let (key, ask) = first.min_by_key(level).copied()?;
+        let level = |(_, ask, _): &&(Key, Ask, Objective)| self.ledger.level(ask.class.customer);
+        let (key, ask, objective) = first.min_by_key(level).copied()?;
         let criteria = Criteria {
             session: Some(key.0 .0),
             prompt: ask.prompt,
@@ -157,9 +165,14 @@
             slack_ms: 0,
             only_in_time: false,
         };
-        let endpoint = self
-            .slots
-            .choose(now, criteria, &mut Reservations::default())?;
-        Some(Next { key, ask, endpoint })
+        let endpoint =
+            self.slots
+                .choose_for_stream(now, criteria, objective, &mut Reservations::default())?;
+        Some(Next {
+            key,
+            ask,
+            objective,
+            endpoint,
+        })
     }
 }
--- a/components/coordination/src/scheduler/queue.rs
+++ b/components/coordination/src/scheduler/queue.rs
@@ -1,7 +1,7 @@
 //! Queue of the asks that wait at a scheduler, by customer.
 
 use super::Session;
-use crate::messages::Seq;
+use crate::messages::{Objective, Seq};
 use crate::prelude::*;
 use crate::slot::Criteria;
 use std::collections::btree_map::{BTreeMap, Entry};
@@ -31,6 +31,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiting {
     pub(super) ask: Ask,
+    /// What is demanded of the stream.
+    pub(super) objective: Objective,
     pub(super) since: Millis,
     order: Order,
 }
@@ -75,7 +77,7 @@
 
 impl Queue {
     /// Adds an ask, unless an ask with its key is in the queue.
-    pub(super) fn insert(&mut self, now: Millis, key: Key, ask: Ask) {
+    pub(super) fn insert(&mut self, now: Millis, key: Key, ask: Ask, objective: Objective) {
         if self.asks.contains_key(&key) {
             return;
         }
@@ -88,7 +90,13 @@
         *self.costs.entry(ask.class.customer).or_default() += u64::from(ask.hint);
         *self.aims.entry(ask.aim_ms).or_default() += 1;
         let since = now;
-        self.asks.insert(key, Waiting { ask, since, order });
+        let waiting = Waiting {
+            ask,
+            objective,
+            since,
+            order,
+        };
+        self.asks.insert(key, waiting);
         let customer = self.customers.entry(ask.class.customer).or_default();
         customer.insert(order, key);
     }
--- a/components/coordination/src/slot/mod.rs
+++ b/components/coordination/src/slot/mod.rs
@@ -15,6 +15,7 @@
 use crate::backoff::Backoff;
 use crate::engine::{Changes, Engine, Prefill};
 use crate::health::{Change, Health};
+use crate::messages::{Objective, Pause};
 use crate::prelude::*;
 use crate::prompt::Part;
 use crate::reliability::Reliability;
@@ -116,6 +117,10 @@
     /// Rate of requests to a cold endpoint, in thousandths of a request per second; `None`
     /// for no limit.
     cold_rate: Option<u32>,
+    /// Tokens of an event of the engines' streams.
+    event_tokens: u32,
+    /// Streams in progress on engines that have a bound on their pauses.
+    bounded_streams: usize,
     strategy: Strategy,
     /// Number of choices so far.
     choices: u64,
@@ -138,6 +143,8 @@
             memory_tokens: None,
             copy_tokens_per_s: None,
             cold_rate: None,
+            event_tokens: 1,
+            bounded_streams: 0,
             strategy,
             choices: 0,
         }
@@ -149,6 +156,61 @@
         self.memory_tokens = memory_tokens;
     }
 
+    /// Sets the tokens of an event of the engines' streams, for all engines that are set from now
+    /// on.
+    pub fn set_event_tokens(&mut self, event_tokens: u32) {
+        self.event_tokens = event_tokens;
+    }
+
+    /// Adds a stream to an engine, if it has a bound on its pauses.
+    pub fn add_stream(&mut self, id: EndpointId, objective: Objective) {
+        if objective.max_gap_ms == 0 {
+            return;
+        }
+        self.bounded_streams += 1;
+        if let Some(engine) = self.engine_mut(id) {
+            engine.steps_mut().add_stream(objective.max_gap_ms);
+        }
+    }
+
+    /// Removes a stream that was added to an engine.
+    pub fn remove_stream(&mut self, id: EndpointId, objective: Objective) {
+        if objective.max_gap_ms == 0 {
+            return;
+        }
+        self.bounded_streams = self.bounded_streams.saturating_sub(1);
+        if let Some(engine) = self.engine_mut(id) {
+            engine.steps_mut().remove_stream(objective.max_gap_ms);
+        }
+    }
+
+    /// Records pauses between the events of an engine's streams. They say nothing about its
+    /// health.
+    pub fn record_pauses(&mut self, now: Millis, pause: &Pause) {
+        if let Some(engine) = self.engine_mut(pause.endpoint) {
+            engine.steps_mut().record_pauses(now, pause);
+        }
+    }
+
+    /// Streams of an engine that are expected to pause beyond their bound if a request with
+    /// `tokens` to prefill is added.
+    pub fn expected_breaks(&self, now: Millis, id: EndpointId, tokens: u64) -> u32 {
+        let endpoint = self.endpoints.get(id);
+        let engine = endpoint.and_then(|endpoint| endpoint.engine.as_ref());
+        engine.map_or(0, |engine| engine.predict(now, tokens).broken)
+    }
+
+    /// Number of engines that are slow at the moment.
+    pub fn slow_engines(&self, now: Millis) -> usize {
+        let engines = self.endpoints.values().filter_map(|e| e.engine.as_ref());
+        engines.filter(|e| e.steps().is_slow(now)).count()
+    }
+
+    fn engine_mut(&mut self, id: EndpointId) -> Option<&mut Engine> {
+        let index = self.endpoints.index_of(id)?;
+        self.endpoints.at_mut(index)?.engine.as_mut()
+    }
+
     /// Sets the tokens that an engine copies from another one in a second; `None` if engines
     /// cannot copy.
     pub fn set_copy_tokens_per_s(&mut self, copy_tokens_per_s: Option<u64>) {
@@ -231,6 +293,9 @@
                 self.parts.apply(index, &changes);
             }
         }
+        if let Some(engine) = &mut endpoint.engine {
+            engine.steps_mut().set_event_tokens(self.event_tokens);
+        }
         endpoint.slots = slots;
         endpoint.prefetch = prefetch;
         endpoint.leaving = leaving;
@@ -284,9 +349,20 @@
         now: Millis,
         criteria: Criteria,
         reservations: &mut Reservations,
+    ) -> Option<EndpointId> {
+        self.choose_for_stream(now, criteria, Objective::default(), reservations)
+    }
+
+    /// Like [`Slots::choose`], for a request with objectives for its stream.
+    pub fn choose_for_stream(
+        &mut self,
+        now: Millis,
+        criteria: Criteria,
+        objective: Objective,
+        reservations: &mut Reservations,
     ) -> Option<EndpointId> {
         if self.memory_tokens.is_some() {
-            return self.choose_engine(now, criteria, reservations);
+            return self.choose_engine(now, criteria, objective, reservations);
         }
         self.choose_plain(now, criteria, true)
             .or_else(|| self.choose_plain(now, criteria, false))
--- a/components/coordination/src/slot/select.rs
+++ b/components/coordination/src/slot/select.rs
@@ -3,7 +3,9 @@
 use super::cache::{Bitset, Coverage};
 use super::ranking::{Candidate, State};
 use super::{Criteria, Endpoint, Index, Slots};
+use crate::engine::step;
 use crate::engine::{backlog_max_ms, Engine, Source};
+use crate::messages::Objective;
 use crate::prelude::*;
 use crate::prompt::MAX_PARTS;
 
@@ -188,9 +190,25 @@
     }
 }
 
+/// Order of the engines for a request: whether its answer is expected too late, the number of
+/// streams that would pause beyond their bound, and the cost. The lowest is best.
+type Rank = (u8, u32, u64);
+
+/// Lateness of an answer that is expected in time, in time unless the engine stays slow, or too
+/// late.
+const IN_TIME: u8 = 0;
+const LATE_IF_SLOW: u8 = 1;
+const LATE: u8 = 2;
+
+/// A rank without regard to pauses.
+fn plain((is_late, cost_us): (bool, u64)) -> Rank {
+    (if is_late { LATE } else { IN_TIME }, 0, cost_us)
+}
+
 /// The best engine of a search so far.
 #[derive(Debug)]
 struct Found<'a> {
+    rank: Rank,
     estimate: Estimate,
     index: Index,
     endpoint: &'a Endpoint,
@@ -208,6 +226,9 @@
     /// Lower bound of the works up to each depth.
     least: SmallVec<[Work; MAX_PARTS + 1]>,
     reservations: &'c Reservations,
+    /// What is demanded of the stream, if engines are compared by the pauses of their streams.
+    /// Only engines that can begin the request now are considered then.
+    objective: Option<Objective>,
     best: Option<Found<'a>>,
 }
 
@@ -217,6 +238,7 @@
         now: Millis,
         criteria: Criteria,
         source: Option<Source>,
+        objective: Option<Objective>,
         reservations: &'c Reservations,
     ) -> Self {
         let coverage = slots.parts.coverage(&criteria.prompt);
@@ -229,6 +251,7 @@
             least: Work::least(&works),
             works,
             reservations,
+            objective,
             best: None,
         }
     }
@@ -236,7 +259,7 @@
     /// Whether an engine with this work cannot be better than the best one so far.
     fn is_worse(&self, work: &Work, candidate: &Candidate) -> bool {
         let best = self.best.as_ref();
-        best.is_some_and(|best| best.estimate.rank() < work.least_rank(&self.criteria, candidate))
+        best.is_some_and(|best| best.rank < plain(work.least_rank(&self.criteria, candidate)))
     }
 
     /// Makes an engine the best one so far if it is better; of equal engines, the one with
@@ -262,10 +285,12 @@
         let Some(estimate) = endpoint.estimate(self.now, &self.criteria, work, reserved) else {
             return;
         };
-        let rank = (estimate.rank(), endpoint.id);
+        let rank = self.rank(endpoint, &estimate);
         let best = self.best.as_ref();
-        if best.is_none_or(|best| rank < (best.estimate.rank(), best.endpoint.id)) {
+        let is_best = best.is_none_or(|best| (rank, endpoint.id) < (best.rank, best.endpoint.id));
+        if is_best && (self.objective.is_none() || self.can_begin(index, endpoint)) {
             self.best = Some(Found {
+                rank,
                 estimate,
                 index,
                 endpoint,
@@ -274,6 +299,47 @@
     }
 }
 
+impl Search<'_, '_> {
+    /// Whether the request can be sent to an engine now.
+    fn can_begin(&self, index: Index, endpoint: &Endpoint) -> bool {
+        let Criteria { prompt, aim_ms, .. } = &self.criteria;
+        let engine = endpoint.engine.as_ref();
+        endpoint.free_slots(self.now) > 0
+            && self.reservations.on(index) == 0
+            && engine.is_some_and(|engine| engine.has_room(self.now, prompt, *aim_ms))
+    }
+
+    /// Rank of an engine, with regard to pauses if the search has an objective.
+    ///
+    /// Cost of pauses is only ever added, so that [`Work::least_rank`] stays a lower bound.
+    fn rank(&self, endpoint: &Endpoint, estimate: &Estimate) -> Rank {
+        let (late, none, cost_us) = plain(estimate.rank());
+        let (Some(objective), Some(engine)) = (self.objective, endpoint.engine.as_ref()) else {
+            return (late, none, cost_us);
+        };
+        let steps = engine.steps();
+        let request = step::Candidate {
+            max_gap_ms: objective.max_gap_ms,
+            output_tokens: u64::from(self.criteria.prompt.output),
+            late_us: self.criteria.aim_ms.min(COST_AIM_MAX_MS) * 1000,
+            answer_us: estimate.answer_us,
+        };
+        let planned = engine.planned(self.now, estimate.prefill_tokens);
+        let (broken, risk_us) = steps.assess(self.now, planned, &request);
+        // A slow engine also takes longer until the first event.
+        let slower_percent = steps.slowness_percent(self.now) - 100;
+        let delay_us = estimate.answer_us * slower_percent / 100;
+        let is_in_time = self.criteria.is_in_time(estimate.answer_us + delay_us);
+        let late = if is_in_time {
+            late
+        } else {
+            late.max(LATE_IF_SLOW)
+        };
+        let work_us = estimate.work_us * slower_percent / 100 * WORK_WEIGHT;
+        (late, broken, cost_us + risk_us + delay_us + work_us)
+    }
+}
+
 impl Slots {
     /// The engine to which a request is sent now; `None` if the request is to wait.
     ///
@@ -283,6 +349,7 @@
         &mut self,
         now: Millis,
         criteria: Criteria,
+        objective: Objective,
         reservations: &mut Reservations,
     ) -> Option<EndpointId> {
         self.update_ranking(now);
@@ -290,7 +357,8 @@
             estimate,
             index,
             endpoint,
-        } = self.search(now, criteria, reservations)?;
+            ..
+        } = self.search(now, criteria, None, reservations)?;
         if estimate.is_late && criteria.only_in_time {
             reservations.is_any_late = true;
             return None;
@@ -299,7 +367,13 @@
         let engine = endpoint.engine.as_ref()?;
         let is_first = reservations.on(index) == 0;
         if free && is_first && engine.has_room(now, &criteria.prompt, criteria.aim_ms) {
-            return Some(endpoint.id);
+            if self.bounded_streams == 0 && objective.max_gap_ms == 0 {
+                return Some(endpoint.id);
+            }
+            // Whether the request is sent, waits or is refused does not depend on pauses: a late
+            // stream is worth more than none. They decide among the engines that can begin it.
+            let calmest = self.search(now, criteria, Some(objective), reservations);
+            return calmest.map_or(Some(endpoint.id), |found| Some(found.endpoint.id));
         }
         reservations.add(index, estimate.prefill_tokens.max(RESERVATION_MIN_TOKENS));
         None
@@ -310,16 +384,17 @@
         &self,
         now: Millis,
         criteria: Criteria,
+        objective: Option<Objective>,
         reservations: &Reservations,
     ) -> Option<Found<'_>> {
         // An earlier try on the avoided endpoint may have failed because of its copy.
         let source = (criteria.avoid.is_none()).then(|| self.source(now, &criteria.prompt));
         let source = source.flatten();
-        let mut search = Search::new(self, now, criteria, source, reservations);
+        let mut search = Search::new(self, now, criteria, source, objective, reservations);
         let coverage = search.coverage.clone();
         let max_depth = self.candidates(now, &coverage, |c, depth| search.consider(c, depth));
         let best = search.best.as_ref();
-        if best.is_none_or(|best| best.estimate.is_late) {
+        if best.is_none_or(|best| best.rank.0 > IN_TIME) {
             // An engine that ranks low because of its load may still answer in time.
             let others = self.ranking.front().iter().skip(FRONT_CONSIDERED);
             let others = others.filter(|candidate| criteria.is_in_time(candidate.answer_us));
--- a/components/coordination/tests/engines/mod.rs
+++ b/components/coordination/tests/engines/mod.rs
@@ -8,11 +8,25 @@
 /// Time to generate an answer, in milliseconds.
 const GENERATE_MS: u64 = 600;
 
+/// Prompt tokens that a step prefills at most.
+const CHUNK_TOKENS: u64 = 1024;
+/// Time of a step in microseconds: of each, of each token that it prefills, and of each stream.
+const STEP_US: u64 = 4_550;
+const PREFILL_TOKEN_NS: u64 = 16_287;
+const STREAM_US: u64 = 300;
+/// Steps of an event.
+pub(crate) const EVENT_STEPS: u32 = 5;
+/// Duration of a step in a slow phase, in percent.
+const SLOW_PERCENT: u64 = 250;
+
 /// Progress of an engine in one millisecond.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Progress<K> {
     /// The first event of a request.
     FirstEvent(K),
+    /// A further event.
+    #[allow(dead_code, reason = "only some tests run engines with steps")]
+    Event(K),
     /// The end of its answer.
     Ended(K),
 }
@@ -28,6 +42,22 @@
     generating: VecDeque<(u64, K)>,
     /// Tokens prefilled so far.
     pub(crate) prefilled_tokens: u64,
+    /// State of an engine that works in steps; `None` for one that only has rates.
+    steps: Option<Steps<K>>,
+}
+
+/// State of an engine that works in steps: each generates one token of every stream and prefills a
+/// chunk.
+#[derive(Clone, Debug)]
+struct Steps<K> {
+    /// Requests that generate, with their tokens so far and the events that are left.
+    streams: Vec<(K, u32, u32)>,
+    /// Events of the requests that wait for their prefill.
+    events: VecDeque<u32>,
+    /// End of the step in progress, in microseconds, and the tokens that it prefills.
+    current: Option<(u64, u64)>,
+    /// Until when the engine is slow, in milliseconds.
+    slow_until_ms: u64,
 }
 
 impl<K> Default for Engine<K> {
@@ -37,7 +67,102 @@
             cached: BTreeSet::new(),
             generating: VecDeque::new(),
             prefilled_tokens: 0,
+            steps: None,
+        }
+    }
+}
+
+#[allow(dead_code, reason = "only some tests run engines with steps")]
+impl<K> Engine<K>
+where
+    K: Copy,
+{
+    /// An idle engine that works in steps.
+    pub(crate) fn with_steps() -> Self {
+        Engine {
+            steps: Some(Steps {
+                streams: Vec::new(),
+                events: VecDeque::new(),
+                current: None,
+                slow_until_ms: 0,
+            }),
+            ..Engine::default()
+        }
+    }
+
+    /// Adds a request with `prefill_tokens` to prefill, whose stream has this many events.
+    pub(crate) fn send_stream(
+        &mut self,
+        key: K,
+        parts: &[(u64, u32)],
+        prefill_tokens: u64,
+        events: u32,
+    ) {
+        self.send(key, parts, prefill_tokens.max(1));
+        self.steps
+            .iter_mut()
+            .for_each(|s| s.events.push_back(events));
+    }
+
+    /// Makes the engine slow until a time.
+    pub(crate) fn slow_down(&mut self, until_ms: u64) {
+        if let Some(steps) = &mut self.steps {
+            steps.slow_until_ms = until_ms;
+        }
+    }
+
+    /// Ends the steps that are over at `now`, and begins the next one.
+    fn run_steps(&mut self, now: u64) -> Vec<Progress<K>> {
+        let mut progress = Vec::new();
+        let Some(steps) = &mut self.steps else {
+            return progress;
+        };
+        let now_us = now * 1000;
+        let mut begins_us = now_us;
+        if let Some((ends_us, chunk)) = steps.current {
+            if ends_us > now_us {
+                return progress;
+            }
+            steps.current = None;
+            begins_us = ends_us;
+            for (key, tokens, left) in &mut steps.streams {
+                *tokens += 1;
+                if *tokens % EVENT_STEPS == 0 {
+                    *left -= 1;
+                    progress.push(match *tokens {
+                        EVENT_STEPS => Progress::FirstEvent(*key),
+                        _ => Progress::Event(*key),
+                    });
+                    if *left == 0 {
+                        progress.push(Progress::Ended(*key));
+                    }
+                }
+            }
+            steps.streams.retain(|(.., left)| *left > 0);
+            self.prefilled_tokens += chunk;
+            let mut left = chunk;
+            while let Some((key, remaining)) = self.waiting.front_mut() {
+                let tokens = left.min(*remaining);
+                *remaining -= tokens;
+                left -= tokens;
+                if *remaining > 0 {
+                    break;
+                }
+                let events = steps.events.pop_front().unwrap_or(1);
+                steps.streams.push((*key, 0, events));
+                self.waiting.pop_front();
+            }
         }
+        let waiting: u64 = self.waiting.iter().map(|(_, tokens)| tokens).sum();
+        if waiting > 0 || !steps.streams.is_empty() {
+            let chunk = waiting.min(CHUNK_TOKENS);
+            let streams = steps.streams.len() as u64;
+            let us = STEP_US + chunk * PREFILL_TOKEN_NS / 1000 + streams * STREAM_US;
+            let is_slow = now < steps.slow_until_ms;
+            let us = if is_slow { us * SLOW_PERCENT / 100 } else { us };
+            steps.current = Some((begins_us + us, chunk));
+        }
+        progress
     }
 }
 
@@ -59,6 +184,9 @@
 
     /// Advances by one millisecond.
     pub(crate) fn step(&mut self, now: u64) -> Vec<Progress<K>> {
+        if self.steps.is_some() {
+            return self.run_steps(now);
+        }
         let mut progress = Vec::new();
         let mut left = TOKENS_PER_MS;
         while let Some((key, remaining)) = self.waiting.front_mut() {
--- a/components/coordination/tests/region/simulation.rs
+++ b/components/coordination/tests/region/simulation.rs
@@ -568,6 +568,8 @@
         }
         for progress in all {
             match progress {
+                // Engines here have rates alone.
+                Progress::Event(_) => {}
                 Progress::FirstEvent((index, handle)) => {
                     let router = &mut self.routers[index];
                     let request = &router.requests[&handle];
