Read the longest pause of a rule, and measure pauses at routers

Cause: the longest pause that callers accept was not part of the configuration, and no process measured pauses. A control VM removes it from a configuration unless [control] stream-objectives is set (default no). Routers pass the objective on with the ask, measure pauses as events pass except while their tasks run late or the caller reads slowly, and report them by endpoint. Metric cowslipford_pauses_over_bound_total; scheduler-state gets slow and expected_breaks.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -95,6 +95,8 @@
     pub(crate) data: PathBuf,
     /// Bytes of log after which a snapshot is taken.
     pub(crate) compact_bytes: u64,
+    /// Whether configurations may contain objectives of streams.
+    pub(crate) stream_objectives: bool,
     /// Links to other processes.
     pub(crate) hub: Hub,
     /// Clock of this process.
@@ -339,11 +341,19 @@
             }),
             Query::Change { id, base, text } => {
                 let draft = settings::parse_configuration("(change)", &text);
-                let draft = draft.map_err(|e| e.to_string())?;
+                let mut draft = draft.map_err(|e| e.to_string())?;
+                if !self.parts.stream_objectives {
+                    draft.remove_stream_objectives();
+                }
                 let delta = Box::new(Delta::between(&self.store.view.config, &draft));
                 Ok(Record::Change { id, base, delta })
             }
-            Query::Release(release) => Ok(Record::Release(release)),
+            Query::Release(mut release) => {
+                if !self.parts.stream_objectives {
+                    release.draft.remove_stream_objectives();
+                }
+                Ok(Record::Release(release))
+            }
             Query::Evidence(evidence) => Ok(Record::Suspects {
                 at: self.parts.clock.stamp(),
                 evidence,
--- a/components/node/src/frontend/plan.rs
+++ b/components/node/src/frontend/plan.rs
@@ -9,7 +9,7 @@
 use crate::shared::Published;
 use bytes::Bytes;
 use coordination::dispatcher::Arrival;
-use coordination::messages::Class;
+use coordination::messages::{Class, Objective};
 use coordination::prompt::Prompt;
 use coordination::regions::Regions;
 use coordination::rule;
@@ -53,6 +53,8 @@
     pub(super) retries: u32,
     /// The request as the dispatcher queues it.
     pub(super) arrival: Arrival,
+    /// What the rule demands of the stream that answers the request.
+    pub(super) objective: Option<Objective>,
 }
 
 /// Finds the rule that matches the request, and makes the plan that follows from it.
@@ -80,13 +82,15 @@
     );
     let (rule_index, rule) =
         decided.map_err(|refusal| refuse_if_current(frontend, published, refusal))?;
-    let send = match &rule.then {
-        Then::Refuse { reason } => {
-            let status = StatusCode::FORBIDDEN;
-            return Err(Refusal::not_run(status, "refused", reason.clone()));
-        }
-        Then::Send(send) => send,
-    };
+    if let Then::Refuse { reason } = &rule.then {
+        let status = StatusCode::FORBIDDEN;
+        return Err(Refusal::not_run(status, "refused", reason.clone()));
+    }
+    let send = rule.then.forward().ok_or_else(no_endpoint)?;
+    let objective = (rule.then.max_gap_ms()).map(|max_gap_ms| Objective {
+        max_gap_ms: u32::try_from(max_gap_ms).unwrap_or(u32::MAX),
+        is_resumable: send.resume,
+    });
     if customer.is_none() && !send.anonymous {
         return Err(refuse_if_current(frontend, published, unknown_customer()));
     }
@@ -146,6 +150,7 @@
         idempotent: rule::is_idempotent(send.idempotent, settings, call.method.as_str()),
         retries: send.retries.unwrap_or(DEFAULT_RETRIES),
         arrival,
+        objective,
     })
 }
 
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -9,10 +9,12 @@
 use crate::monitor::Lateness;
 use bytes::Bytes;
 use coordination::dispatcher::Handle;
-use coordination::messages::Verdict;
+use coordination::messages::{Objective, Verdict};
+use coordination::pause;
 use coordination::prompt::Prompt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::StatusCode;
+use prometheus::IntCounter;
 use state::config::{Cost, Engine};
 use state::event::{Event, Kind};
 use state::id::RequestId;
@@ -28,6 +30,10 @@
 /// Pause of a caller's reading after which an endpoint may break off the answer because of it. An
 /// answer that breaks off within this time after such a pause is attributed to the caller.
 const SLOW_READ_PAUSE: Duration = Duration::from_secs(1);
+/// Time for which a caller leaves a piece unread, after which the pause that follows is attributed
+/// to the caller: a piece is usually written within a millisecond, and an engine's events come
+/// every 20 ms or more.
+const UNREAD_PIECE: Duration = Duration::from_millis(20);
 
 /// A dispatched request, which holds a slot of its endpoint. The slot is released when this value
 /// is dropped.
@@ -75,6 +81,8 @@
     prompt: Prompt,
     /// Tokens that one event of the answer holds.
     event_tokens: u32,
+    /// Whether events are counted for the pauses between them, whatever the unit of cost.
+    has_objective: bool,
     dispatched_at: Instant,
     /// Events of the answer so far.
     events: u32,
@@ -91,6 +99,7 @@
             cost,
             prompt,
             event_tokens: engine.map_or(1, |e| e.event_tokens),
+            has_objective: false,
             dispatched_at: Instant::now(),
             events: 0,
             line_start: [0; 5],
@@ -98,6 +107,14 @@
         }
     }
 
+    /// Counts events also for the objective of a stream.
+    pub(crate) fn for_stream(self, objective: Option<Objective>) -> Self {
+        Meter {
+            has_objective: objective.is_some(),
+            ..self
+        }
+    }
+
     /// Cost so far, in units of the service.
     pub(crate) fn units(&self) -> u32 {
         match self.cost {
@@ -113,7 +130,7 @@
     /// Counts the events in a piece of the answer: the lines that begin with `data:`, wherever the
     /// answer is split into pieces.
     pub(crate) fn count_events(&mut self, bytes: &[u8]) {
-        if !matches!(self.cost, Cost::Event | Cost::Token) {
+        if !matches!(self.cost, Cost::Event | Cost::Token) && !self.has_objective {
             return;
         }
         for byte in bytes {
@@ -159,6 +176,11 @@
     pub(crate) resumed_at: Option<Instant>,
     /// Whether the first piece has arrived.
     pub(crate) has_begun: bool,
+    /// Measures the pauses between events, if the rule has a bound on them, and counts those over
+    /// it.
+    pub(crate) pauses: Option<(pause::Meter, IntCounter)>,
+    /// Whether the caller has read slowly since the latest event.
+    pub(crate) is_caller_slow: bool,
     /// How late tasks of this process run. Latencies measured while tasks run late are discarded.
     pub(crate) lateness: Lateness,
     /// Access log entry of the request, with the status of the answer.
@@ -215,7 +237,11 @@
             // Sending fails only at the end of this process.
             let _ = self.slot.reactor.send(first_byte);
         }
+        let events = self.slot.meter.events;
         self.slot.meter.count_events(bytes);
+        if self.slot.meter.events > events {
+            self.measure_pause();
+        }
         if let Some((entry, _)) = &mut self.entry {
             entry.record_piece(self.slot.meter.events);
         }
@@ -235,6 +261,25 @@
         }
     }
 
+    /// Measures the pause before events that have just arrived.
+    fn measure_pause(&mut self) {
+        let is_caller_slow = std::mem::take(&mut self.is_caller_slow);
+        let Some((pauses, over_bound)) = &mut self.pauses else {
+            return;
+        };
+        let since_dispatch = self.slot.meter.dispatched_at.elapsed();
+        let now_ms = u64::try_from(since_dispatch.as_millis()).unwrap_or(u64::MAX);
+        let is_reliable = !is_caller_slow && !self.lateness.is_late();
+        if let Some(observed) = pauses.record(now_ms, is_reliable) {
+            over_bound.inc_by(u64::from(observed.over_bound));
+            // Sending fails only at the end of this process.
+            let _ = self
+                .slot
+                .reactor
+                .send(Input::Pauses(self.slot.handle, observed));
+        }
+    }
+
     /// Completes the answer at once if it has no body, since an empty body is never polled.
     pub(crate) fn end_if_empty(&mut self) {
         if self.incoming.is_end_stream() {
@@ -290,6 +335,7 @@
         if last_piece_at.is_some_and(|at| at.elapsed() >= SLOW_READ_PAUSE) {
             self.resumed_at = Some(Instant::now());
         }
+        self.is_caller_slow |= last_piece_at.is_some_and(|at| at.elapsed() >= UNREAD_PIECE);
         match Pin::new(&mut self.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(bytes) = frame.data_ref() {
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -16,11 +16,13 @@
 use bytes::Bytes;
 use coordination::dispatcher::{Handle, Rejection};
 use coordination::messages::Verdict;
+use coordination::pause;
 use coordination::retry::{self, Action, Reach};
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
 use hyper::{Request, Response, StatusCode};
+use prometheus::IntCounter;
 use state::event::{Event, Kind};
 use state::id::RequestId;
 use state::outcome::Outcome;
@@ -222,7 +224,8 @@
         let mut slot = Slot {
             handle,
             id: call.id,
-            meter: Meter::new(plan.cost, plan.arrival.prompt, plan.engine),
+            meter: Meter::new(plan.cost, plan.arrival.prompt, plan.engine)
+                .for_stream(plan.objective),
             verdict: Verdict::Cancelled,
             is_armed: true,
             reactor: frontend.context.reactor.clone(),
@@ -370,7 +373,7 @@
 /// The refusal, if the queue is full or the request could not be served in time.
 async fn enqueue(frontend: &Frontend, plan: &Plan) -> Result<(Handle, Decided), Refusal> {
     let (sender, receiver) = oneshot::channel();
-    let arrive = Input::Arrive(plan.arrival, sender);
+    let arrive = Input::Arrive(plan.arrival, plan.objective, sender);
     if frontend.context.reactor.send(arrive).is_err() {
         return Err(no_endpoint());
     }
@@ -537,6 +540,8 @@
         last_piece_at: None,
         resumed_at: None,
         has_begun: false,
+        pauses: pauses(frontend, plan),
+        is_caller_slow: false,
         lateness: frontend.context.lateness.clone(),
         entry: None,
         end_reason: "caller-gone",
@@ -551,6 +556,14 @@
     Served::Relayed(head, Box::new(relay))
 }
 
+/// Meter of the pauses between events and counter of those over their bound, if the rule has one.
+fn pauses(frontend: &Frontend, plan: &Plan) -> Option<(pause::Meter, IntCounter)> {
+    let meter = pause::Meter::new(plan.objective)?;
+    let labels = [plan.service_name.as_str(), "observed"];
+    let counters = &frontend.context.metrics.pauses_over_bound;
+    Some((meter, counters.with_label_values(&labels)))
+}
+
 /// Counts a response by outcome and status in the metrics.
 fn count_answer(frontend: &Frontend, outcome: Outcome, status: StatusCode) {
     let labels = [outcome.as_str(), status.as_str()];
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -4,7 +4,8 @@
 use crate::shared::Status;
 use coordination::backoff::Backoff;
 use coordination::dispatcher::{Arrival, Handle, Rejection};
-use coordination::messages::{Placement, Refusal, Verdict};
+use coordination::messages::{Objective, Placement, Refusal, Verdict};
+use coordination::pause::Observed;
 use protocol::wire::{Query, Reply};
 use state::clock::Millis;
 use state::id::{EndpointId, Name};
@@ -72,9 +73,11 @@
 pub(crate) enum Input {
     /// An event of the links.
     Link(link::Event),
-    /// A request arrives. The reply is its handle and the receiver of its decision.
+    /// A request arrives, with what is demanded of the stream that answers it. The reply is its
+    /// handle and the receiver of its decision.
     Arrive(
         Arrival,
+        Option<Objective>,
         oneshot::Sender<Result<(Handle, Decided), Rejection>>,
     ),
     /// The caller of a waiting request has disconnected.
@@ -84,6 +87,8 @@
     /// The first byte of an answer has arrived, this many milliseconds after the dispatch. `None`
     /// if tasks ran late meanwhile, so that the time says little about the endpoint.
     FirstByte(Handle, Option<u32>),
+    /// Pauses between the events of an answer.
+    Pauses(Handle, Observed),
     /// Cost of a running request so far.
     Progress(Handle, u32),
     /// A request has ended with this cost.
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -43,6 +43,9 @@
     /// Seconds from a request's arrival to the first piece of its answer, by service
     /// and rule.
     pub(crate) first_byte_times: HistogramVec,
+    /// Pauses between events beyond the bound of their rule, by service: those observed by this
+    /// router, and those that schedulers here expected of grants.
+    pub(crate) pauses_over_bound: IntCounterVec,
     /// Seconds from a request's arrival to its dispatch.
     pub(crate) queue_wait: Histogram,
     /// Seconds from a request's arrival to the end of its answer.
@@ -172,7 +175,18 @@
                 .map_err(Error::key(step))?;
         r.register(Box::new(first_byte_times.clone()))
             .map_err(Error::key(step))?;
+        let pauses_over_bound = IntCounterVec::new(
+            Opts::new(
+                "cowslipford_pauses_over_bound_total",
+                "Pauses between events beyond the rule's bound, by service, observed and expected.",
+            ),
+            &["service", "what"],
+        )
+        .map_err(Error::key(step))?;
+        r.register(Box::new(pauses_over_bound.clone()))
+            .map_err(Error::key(step))?;
         Ok(Metrics {
+            pauses_over_bound,
             rules: Arc::default(),
             ends,
             durations,
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -301,7 +301,10 @@
         }
         if let (Some(releases), Some(control)) = (&settings.releases, control) {
             let listener = bind("bind the address of releases", releases.listen).await?;
-            let parts = releases::Parts::new(interface, reactor.clone(), control.clone(), orders);
+            let mut parts =
+                releases::Parts::new(interface, reactor.clone(), control.clone(), orders);
+            parts.stream_objectives =
+                (settings.control.as_ref()).is_some_and(|control| control.stream_objectives);
             let parts = Arc::new(parts);
             let answer = move |request| releases::answer(parts.clone(), request);
             tasks.push(tokio::spawn(http::serve(listener, answer, stopped.clone())));
@@ -374,6 +377,7 @@
                     admission: admission(&self.settings.peers, settings),
                     data: settings.data.clone(),
                     compact_bytes: settings.compact_bytes,
+                    stream_objectives: settings.stream_objectives,
                     hub: hub.clone(),
                     clock: self.clock.clone(),
                     journal: self.journal.clone(),
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -25,7 +25,7 @@
 use coordination::failback::Failbacks;
 use coordination::listing::Registry;
 use coordination::recent::Recent;
-use protocol::wire::{Message, Reply};
+use protocol::wire::{Features, Message, Reply};
 use state::clock::Millis;
 use state::config::{Endpoint, Index};
 use state::event::{Event, Kind};
@@ -182,6 +182,7 @@
         let seeds = parts.seeds.clone();
         let now = parts.clock.now();
         let mut dispatcher = Dispatcher::new(parts.home.clone(), parts.bounds);
+        dispatcher.set_stream_support(&me, true);
         dispatcher.link_up(now, &me);
         Reactor {
             dispatcher,
@@ -282,8 +283,10 @@
         let now = self.now();
         match input {
             Input::Link(event) => self.handle_link(now, event),
-            Input::Arrive(arrival, reply) => {
-                let answer = match self.dispatcher.arrive(now, &self.effective, arrival) {
+            Input::Arrive(arrival, objective, reply) => {
+                let arrived =
+                    (self.dispatcher).arrive_for_stream(now, &self.effective, arrival, objective);
+                let answer = match arrived {
                     Ok((handle, effects)) => {
                         let (sender, decided) = oneshot::channel();
                         self.decisions.insert(handle, sender);
@@ -313,6 +316,7 @@
                 let effects = self.dispatcher.report_first_byte(now, handle, took_ms);
                 self.perform(now, effects);
             }
+            Input::Pauses(handle, observed) => self.dispatcher.record_pauses(handle, observed),
             Input::Progress(handle, cost) => {
                 let effects = self.dispatcher.progress(now, handle, cost);
                 self.perform(now, effects);
@@ -401,6 +405,9 @@
                 self.dissemination
                     .link_up(&self.parts.hub, vm, self.view.version);
                 self.send_to_control(crate::control::Input::Up(hello.clone()));
+                let features = hello.extension.features;
+                self.dispatcher
+                    .set_stream_support(vm, features.includes(Features::STREAM_OBJECTIVES));
                 let effects = self.dispatcher.link_up(now, vm);
                 self.perform(now, effects);
             }
--- a/components/node/src/reactor/status.rs
+++ b/components/node/src/reactor/status.rs
@@ -63,7 +63,8 @@
         metrics.local_shards.set(gauge_value(
             self.dispatcher.shards().filter(|(_, up)| !up).count(),
         ));
-        self.schedulers.update_metrics(&self.effective);
+        let now = self.now();
+        self.schedulers.update_metrics(now, &self.effective);
         let (datagrams, bytes) = self.parts.hub.udp_traffic();
         let set = |what, number| {
             metrics
--- a/components/node/src/releases.rs
+++ b/components/node/src/releases.rs
@@ -51,6 +51,9 @@
     pub(crate) control: flume::Sender<control::Input>,
     /// Sender of evacuation orders.
     orders: Orders,
+    /// Whether configurations may contain objectives of streams. If not, the leader may be a
+    /// process of an earlier release, which could not read them.
+    pub(crate) stream_objectives: bool,
     /// Free buffer space for bodies, in bytes.
     space: Semaphore,
 }
@@ -68,6 +71,7 @@
             reactor,
             control,
             orders,
+            stream_objectives: false,
             space: Semaphore::new(BODIES_BYTES_MAX),
         }
     }
@@ -144,13 +148,16 @@
         Ok(Err(failure)) => return error(StatusCode::BAD_REQUEST, &failure.to_string()),
         Err(_) => return error(StatusCode::REQUEST_TIMEOUT, "the body took too long"),
     };
-    let release = match (parts.interface.parse_release)(document) {
+    let mut release = match (parts.interface.parse_release)(document) {
         Ok(release) => release,
         Err(reason) => {
             tracing::info!(event = Line::ReleaseRefused.as_str(), reason);
             return error(StatusCode::BAD_REQUEST, &reason);
         }
     };
+    if !parts.stream_objectives {
+        release.draft.remove_stream_objectives();
+    }
     if !codec::fits_record(&release) {
         return too_large();
     }
--- a/components/node/src/schedulers.rs
+++ b/components/node/src/schedulers.rs
@@ -34,6 +34,8 @@
     sends_endpoint_details: bool,
     /// Schedulers that were sent the whole cache contents and now get changes alone.
     synced: BTreeSet<Epoch>,
+    /// Streams expected to pause for too long that have been counted in the metrics.
+    counted_breaks: u64,
     /// Channel for queries of an engine's prompt cache, if engines can list it.
     inquiries: Option<flume::Sender<Inquiry>>,
 }
@@ -107,6 +109,7 @@
                 endpoints: BTreeMap::new(),
                 sends_endpoint_details: false,
                 synced: BTreeSet::new(),
+                counted_breaks: 0,
                 inquiries: self.inquiries.clone(),
             };
             self.all.insert(epoch, assigned);
@@ -351,8 +354,8 @@
     }
 
     /// Logs each scheduler's estimate of its queue and endpoints.
-    fn log_summaries(&self, view: &View) {
-        for (epoch, assigned) in &self.all {
+    fn log_summaries(&mut self, now: Millis, view: &View) {
+        for (epoch, assigned) in &mut self.all {
             let summary = assigned.scheduler.summary();
             tracing::info!(
                 event = Line::SchedulerState.as_str(),
@@ -369,13 +372,20 @@
                 pace = summary.cost_per_s,
                 refused = summary.refused,
                 granted = summary.granted,
+                slow = assigned.scheduler.slow_engines(now),
+                expected_breaks = summary.expected_breaks,
             );
+            let service = view.config.service_name(assigned.shard.service);
+            let counter =
+                (self.metrics.pauses_over_bound).with_label_values(&[service, "expected"]);
+            counter.inc_by(summary.expected_breaks - assigned.counted_breaks);
+            assigned.counted_breaks = summary.expected_breaks;
         }
     }
 
     /// Updates the gauges.
-    pub(crate) fn update_metrics(&mut self, view: &View) {
-        self.log_summaries(view);
+    pub(crate) fn update_metrics(&mut self, now: Millis, view: &View) {
+        self.log_summaries(now, view);
         self.log_shares(view);
         for status in self.status(view) {
             let service = view.config.service_name(status.shard.service);
--- a/components/settings/src/configuration.rs
+++ b/components/settings/src/configuration.rs
@@ -64,6 +64,7 @@
     anonymous,
     resume,
     regions,
+    max_gap,
 });
 
 /// Longest timeout of a service or rule, in milliseconds.
@@ -319,6 +320,9 @@
             if limits != Limits::default() || raw.service.is_some() {
                 return Err(s.invalid("then", then, "a refusal has only a reason"));
             }
+            if let Some(gap) = &raw.max_gap {
+                return Err(s.invalid("max-gap", gap, "only with then = send or limit"));
+            }
             let reason = raw.reason.clone();
             return Ok(Then::Refuse {
                 reason: reason.unwrap_or_else(|| "a rule refuses it".to_owned()),
@@ -343,7 +347,16 @@
     };
     let retries = |_| s.number_u32("retries", &raw.retries, 0..=10, 2);
     let aim = |_| s.duration_ms("aim", &raw.aim, 1..=MAX_TIMEOUT_MS, DEFAULT_TIMEOUT_MS);
-    Ok(Then::Send(Box::new(Forward {
+    let gap = |_| {
+        s.duration_ms(
+            "max-gap",
+            &raw.max_gap,
+            1..=MAX_TIMEOUT_MS,
+            DEFAULT_TIMEOUT_MS,
+        )
+    };
+    let max_gap_ms = raw.max_gap.as_ref().map(gap).transpose()?;
+    let forward = Forward {
         services: targets(s, &raw.service)?,
         limits,
         timeout_ms: raw.timeout.as_ref().map(timeout).transpose()?,
@@ -355,7 +368,8 @@
         anonymous: s.flag("anonymous", &raw.anonymous)?.unwrap_or(false),
         resume: s.flag("resume", &raw.resume)?.unwrap_or(false),
         regions: names(s, "regions", &raw.regions)?.into_iter().collect(),
-    })))
+    };
+    Ok(Then::new(forward, max_gap_ms))
 }
 
 /// Reads the services that a rule sends to: one name, or several with weights such as
@@ -458,6 +472,10 @@
             write_pair(out, "reason", reason);
         }
         Then::Send(forward) => print_forward(out, forward),
+        Then::Stream(stream) => {
+            print_forward(out, &stream.forward);
+            write_pair(out, "max-gap", &format_args!("{}ms", stream.max_gap_ms));
+        }
     }
 }
 
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -127,6 +127,9 @@
     pub may_bootstrap: bool,
     /// Simultaneous losses of control VMs, with their disks, that the group must survive.
     pub tolerated_losses: u32,
+    /// Whether configurations may contain objectives of streams. Processes of earlier releases
+    /// cannot read such a configuration, so this is set once all have been replaced.
+    pub stream_objectives: bool,
 }
 
 impl Control {
@@ -289,7 +292,8 @@
     compact_bytes,
     fanout,
     first_start,
-    losses
+    losses,
+    stream_objectives
 });
 raw_section!(RawSeeds { addresses });
 raw_section!(RawListen { listen });
@@ -679,6 +683,7 @@
             0..=MAX_TOLERATED_LOSSES,
             1,
         )? as u32,
+        stream_objectives: (s.flag("stream-objectives", &raw.stream_objectives)?).unwrap_or(false),
     })
 }
 
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -241,6 +241,16 @@
     "idempotent = maybe",
     "[service assistant] idempotent = \"maybe\": yes or no"
 )]
+#[case(
+    "timeout = 5s",
+    "max-gap = 2h",
+    "[rule chat] max-gap = \"2h\": a duration such as"
+)]
+#[case(
+    "reason = nothing here",
+    "max-gap = 1s",
+    "[rule rest] max-gap = \"1s\": only with then = send or limit"
+)]
 #[case(
     "timeout = 5s",
     "timeout = 9h",
@@ -258,3 +268,21 @@
     assert!(error.starts_with("fleet.ini: "), "{error}");
     assert!(error.contains(expected), "{error}");
 }
+
+/// Failure: a bound on pauses is lost when a configuration is read back, or survives although the
+/// settings say that processes of an earlier release are still running.
+#[test]
+fn can_read_back_a_bound_on_pauses_and_remove_it() {
+    let text = configuration().replacen("timeout = 5s", "timeout = 5s\nmax-gap = 300ms", 1);
+    let mut draft = parse_configuration("fleet.ini", &text).unwrap();
+    let gaps = |draft: &state::config::Draft| -> Vec<u64> {
+        let rules = draft.rules.iter();
+        rules.filter_map(|rule| rule.then.max_gap_ms()).collect()
+    };
+    assert_eq!(gaps(&draft), [300]);
+    let printed = print_configuration(&draft);
+    assert_eq!(parse_configuration("printed", &printed).unwrap(), draft);
+    draft.remove_stream_objectives();
+    let plain = parse_configuration("fleet.ini", &configuration()).unwrap();
+    assert_eq!(draft, plain);
+}
--- a/components/state/src/config.rs
+++ b/components/state/src/config.rs
@@ -206,6 +206,16 @@
     }
 }
 
+/// Where a rule sends its requests, and what it demands of the streams that answer them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Stream {
+    /// Where the requests are sent.
+    pub forward: Forward,
+    /// Longest pause between two events with which a response is on time, in milliseconds.
+    pub max_gap_ms: u64,
+}
+
 /// Action of a rule.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -217,6 +227,39 @@
         /// Reason in the response.
         reason: String,
     },
+    /// Forward the request to a service whose streams have a bound on their pauses. Rules without
+    /// such a bound are stored as [`Then::Send`], which earlier releases can read.
+    Stream(Box<Stream>),
+}
+
+impl Then {
+    /// Forwards to a service, with a bound on the pauses of streams if there is one.
+    pub fn new(forward: Forward, max_gap_ms: Option<u64>) -> Self {
+        match max_gap_ms {
+            Some(max_gap_ms) => Then::Stream(Box::new(Stream {
+                forward,
+                max_gap_ms,
+            })),
+            None => Then::Send(Box::new(forward)),
+        }
+    }
+
+    /// Where the requests are sent; `None` if they are refused.
+    pub fn forward(&self) -> Option<&Forward> {
+        match self {
+            Then::Send(forward) => Some(forward),
+            Then::Stream(stream) => Some(&stream.forward),
+            Then::Refuse { .. } => None,
+        }
+    }
+
+    /// Longest pause between two events of a stream, in milliseconds, if there is a bound.
+    pub fn max_gap_ms(&self) -> Option<u64> {
+        match self {
+            Then::Stream(stream) => Some(stream.max_gap_ms),
+            Then::Send(_) | Then::Refuse { .. } => None,
+        }
+    }
 }
 
 /// A routing rule.
@@ -245,6 +288,17 @@
     pub rules: Vec<Rule>,
 }
 
+impl Draft {
+    /// Removes the objectives of streams, which processes of earlier releases cannot read.
+    pub fn remove_stream_objectives(&mut self) {
+        for rule in &mut self.rules {
+            if let Then::Stream(stream) = &rule.then {
+                rule.then = Then::Send(Box::new(stream.forward.clone()));
+            }
+        }
+    }
+}
+
 /// A configuration in force.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -390,7 +444,7 @@
             if let Some(service) = &rule.when.service {
                 check_reference(&services, "rule", &rule.name, "when-service", service)?;
             }
-            if let Then::Send(send) = &rule.then {
+            if let Some(send) = rule.then.forward() {
                 for target in &send.services {
                     check_reference(&services, "rule", &rule.name, "service", &target.service)?;
                 }
