--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -178,7 +178,9 @@
     /// brought an event.
     pub(super) fn restart_silence(&mut self, has_begun: bool) {
         let aim_ms = (!has_begun).then_some(self.subject.plan.aim_ms);
-        let limit = Duration::from_millis(silence_ms(None, aim_ms));
+        let objective = self.subject.plan.objective;
+        let max_gap_ms = objective.map(|objective| u64::from(objective.max_gap_ms));
+        let limit = Duration::from_millis(silence_ms(max_gap_ms, aim_ms));
         let now = tokio::time::Instant::now();
         // A target of years would overflow the clock.
         let at = now
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -17,11 +17,13 @@
 use bytes::Bytes;
 use coordination::dispatcher::{Handle, Rejection};
 use coordination::messages::Verdict;
+use coordination::pause;
 use coordination::retry::{self, Action, Reach};
 use http_body_util::{Either, Full};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
 use hyper::{Request, Response, StatusCode};
+use prometheus::IntCounter;
 use state::event::{Event, Kind};
 use state::id::RequestId;
 use state::outcome::Outcome;
@@ -319,7 +321,7 @@
     Slot {
         handle,
         id: call.id,
-        meter: Meter::new(plan.cost, plan.arrival.prompt, plan.engine),
+        meter: Meter::new(plan.cost, plan.arrival.prompt, plan.engine).for_stream(plan.objective),
         verdict: Verdict::Cancelled,
         is_armed: true,
         reactor: frontend.context.reactor.clone(),
@@ -388,7 +390,7 @@
 /// The refusal, if the queue is full or the request could not be served in time.
 async fn enqueue(frontend: &Frontend, plan: &Plan) -> Result<(Handle, Decided), Refusal> {
     let (sender, receiver) = oneshot::channel();
-    let arrive = Input::Arrive(plan.arrival, sender);
+    let arrive = Input::Arrive(plan.arrival, plan.objective, sender);
     if frontend.context.reactor.send(arrive).is_err() {
         return Err(no_endpoint());
     }
@@ -541,6 +543,7 @@
         }
     });
     let remaining = subject.remaining();
+    let pauses = pauses(&frontend, &subject.plan);
     let is_resumable = !is_replayed && !body.is_end_stream() && subject.may_resume(&head);
     let resumption = is_resumable.then(|| Box::new(Resumption::new(subject, tries)));
     let mut relay = Relay {
@@ -558,6 +561,8 @@
         last_piece_at: None,
         resumed_at: None,
         has_begun: false,
+        pauses,
+        is_caller_slow: false,
         lateness: frontend.context.lateness.clone(),
         entry: None,
         end_reason: "caller-gone",
@@ -573,6 +578,14 @@
     Served::Relayed(head, Box::new(relay))
 }
 
+/// Meter of the pauses between events and counter of those over their bound, if the rule has one.
+fn pauses(frontend: &Frontend, plan: &Plan) -> Option<(pause::Meter, IntCounter)> {
+    let meter = pause::Meter::new(plan.objective)?;
+    let labels = [plan.service_name.as_str(), "observed"];
+    let counters = &frontend.context.metrics.pauses_over_bound;
+    Some((meter, counters.with_label_values(&labels)))
+}
+
 /// Counts a response by outcome and status in the metrics.
 fn count_answer(frontend: &Frontend, outcome: Outcome, status: StatusCode) {
     let labels = [outcome.as_str(), status.as_str()];
