--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -4,7 +4,7 @@
 //! Each engine has the prompt parts of 100 earlier requests in its cache. Each request shares two
 //! parts of its prompt with others and has one part of its own.
 
-use coordination::messages::{Ask, Class, Hello, Seq, Verdict};
+use coordination::messages::{Ask, Class, Hello, Objective, Pause, Seq, Verdict};
 use coordination::prompt::Prompt;
 use coordination::scheduler::{Effect, Scheduler, Session, GATHER_MS};
 use coordination::slot::{Criteria, Reservations, Slots};
@@ -102,6 +102,47 @@
     println!("{engines:>4} engines: {each:>7} ns per decision, {found} placed immediately");
 }
 
+/// Measures placement decisions for streams with a bound on their pauses, while each engine has ten
+/// such streams, one in ten is slow, and one in two has prefill that is under way.
+fn measure_stream_decisions(engines: u32) {
+    let objective = Objective {
+        max_gap_ms: 300,
+        is_resumable: false,
+    };
+    let now = Millis(1_000_000);
+    let mut slots = Slots::default();
+    slots.set_event_tokens(5);
+    add_warm_engines(&mut slots, engines);
+    for id in (1..=engines).map(EndpointId) {
+        for _ in 0..10 {
+            slots.add_stream(id, objective);
+        }
+        if id.0.is_multiple_of(10) {
+            let pause = Pause {
+                endpoint: id,
+                count: 10,
+                total_ms: 3000,
+                longest_ms: 300,
+            };
+            slots.record_pauses(now, &pause);
+        }
+        if id.0.is_multiple_of(2) {
+            slots.acquire(now, id, prompt(u64::from(id.0)));
+        }
+    }
+    let began = Instant::now();
+    let mut found = 0;
+    for n in 0..DECISIONS {
+        let mut reservations = Reservations::default();
+        let chosen = slots.choose_for_stream(now, criteria(n), objective, &mut reservations);
+        found += u64::from(chosen.is_some());
+    }
+    let each = began.elapsed().as_nanos() / u128::from(DECISIONS);
+    println!(
+        "{engines:>4} engines: {each:>7} ns per decision for a stream, {found} placed immediately"
+    );
+}
+
 /// A scheduler with busy engines and a backlog, and one router's session that loads it.
 struct Load {
     scheduler: Scheduler,
@@ -260,6 +301,9 @@
     for engines in DECISION_ENGINES {
         measure_decisions(engines);
     }
+    for engines in DECISION_ENGINES {
+        measure_stream_decisions(engines);
+    }
     for engines in EVENT_ENGINES {
         for waiting in BACKLOGS {
             measure_events(engines, waiting);
--- a/components/coordination/tests/pauses.rs
+++ b/components/coordination/tests/pauses.rs
@@ -8,7 +8,7 @@
 
 use arrivals::{arrival, grant};
 use asks::ask;
-use coordination::dispatcher::{Dispatcher, Effect};
+use coordination::dispatcher::{Dispatcher, Effect, LOCAL_AFTER_MS};
 use coordination::messages::{Hello, Objective, Pause, Report, Seq, Verdict};
 use coordination::pause::{Meter, Observed};
 use coordination::prompt::{Part, Prompt};
@@ -240,3 +240,17 @@
     all.extend(reports(&router.tick(Millis(500), &view)));
     assert_eq!(all, []);
 }
+
+/// Failure: there is no scheduler. The router decides by the same model and keeps its own pauses.
+#[test]
+fn a_router_without_a_scheduler_grants_streams_itself() {
+    let (_, view) = router(true);
+    let mut alone = arrivals::dispatcher(name("main"), name("dc"), 1);
+    alone.update_view(Millis(0), &view);
+    let arrived = alone.arrive_for_stream(Millis(0), &view, arrival(SERVICE), Some(OBJECTIVE));
+    let (handle, _) = arrived.unwrap();
+    let effects = alone.tick(Millis(LOCAL_AFTER_MS), &view);
+    assert_eq!(effects, [Effect::Dispatch(handle, EndpointId(1))]);
+    alone.record_pauses(handle, OBSERVED);
+    assert_eq!(alone.tick(Millis(LOCAL_AFTER_MS + 200), &view), []);
+}
