Add the switch [scheduler] appointments

Cause: appointments change when refused callers return; a deployment turns them on.

Change: [scheduler] takes the key appointments (yes or no, default no); a section without keys means what it meant before. The setting goes to the schedulers of the VM and to its dispatcher. scheduler-state tells places, booked, kept, missed, booked_refused and unbooked, and cowslipford_appointments_total counts them by service and region.

Result: settings tests pass, with a case for an invalid value and one for the section without keys.

--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -89,6 +89,8 @@
     pub(crate) grants: IntCounter,
     /// Grants that routers returned.
     pub(crate) returned_grants: IntCounter,
+    /// Appointments of refused callers, by service, region and what became of them.
+    pub(crate) appointments: IntCounterVec,
     /// Slots, routers, and running and waiting requests of the shards that are scheduled here.
     pub(crate) slots: IntGaugeVec,
     /// Virtual service of customers in the shards that are scheduled here.
@@ -142,6 +144,16 @@
         .map_err(Error::key(step))?;
         r.register(Box::new(requests.clone()))
             .map_err(Error::key(step))?;
+        let appointments = IntCounterVec::new(
+            Opts::new(
+                "cowslipford_appointments_total",
+                "Appointments of refused callers in shards that are scheduled here.",
+            ),
+            &["service", "region", "what"],
+        )
+        .map_err(Error::key(step))?;
+        r.register(Box::new(appointments.clone()))
+            .map_err(Error::key(step))?;
         let ends = IntCounterVec::new(
             Opts::new(
                 "cowslipford_request_ends_total",
@@ -249,6 +261,7 @@
                 "cowslipford_returns_total",
                 "Grants that routers gave back.",
             )?,
+            appointments,
             slots: gauges(
                 "cowslipford_shard",
                 "Slots, running and waiting of shards that are scheduled here.",
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -419,6 +419,7 @@
             },
             is_control: self.settings.control.is_some(),
             may_schedule: self.settings.scheduler,
+            scheduling: self.settings.scheduling,
             serves_callers: self.settings.callers.is_some(),
             to_control: to_control.clone(),
             publish,
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -26,6 +26,7 @@
 use coordination::listing::Registry;
 use coordination::recent::Recent;
 use protocol::wire::{Message, Reply};
+use settings::Scheduling;
 use state::clock::Millis;
 use state::config::{Endpoint, Index};
 use state::event::{Event, Kind};
@@ -72,6 +73,8 @@
     pub(crate) is_control: bool,
     /// Whether this VM may run schedulers.
     pub(crate) may_schedule: bool,
+    /// How the schedulers of this VM decide.
+    pub(crate) scheduling: Scheduling,
     /// Whether this VM is a router that accepts callers.
     pub(crate) serves_callers: bool,
     /// Channel to the control role, if this process runs it.
@@ -182,6 +185,9 @@
         let seeds = parts.seeds.clone();
         let now = parts.clock.now();
         let mut dispatcher = Dispatcher::new(parts.home.clone(), parts.bounds);
+        if parts.scheduling.appointments {
+            dispatcher.enable_appointments();
+        }
         dispatcher.link_up(now, &me);
         Reactor {
             dispatcher,
@@ -190,6 +196,7 @@
                 parts.journal.clone(),
                 parts.metrics.clone(),
                 parts.inquiries.clone(),
+                parts.scheduling,
             ),
             dissemination: Dissemination::new(
                 me.clone(),
--- a/components/node/src/schedulers.rs
+++ b/components/node/src/schedulers.rs
@@ -9,7 +9,9 @@
 use coordination::assignment;
 use coordination::dispatcher::{endpoints, set_cold, set_engines};
 use coordination::messages::{Cached, Report, Totals};
+use coordination::scheduler::appointment::Counts;
 use coordination::scheduler::{Effect, Effects, Scheduler, Session};
+use settings::Scheduling;
 use state::clock::Millis;
 use state::config::Endpoint;
 use state::event::{Event, Kind};
@@ -36,6 +38,8 @@
     synced: BTreeSet<Epoch>,
     /// Channel for queries of an engine's prompt cache, if engines can list it.
     inquiries: Option<flume::Sender<Inquiry>>,
+    /// Appointments that the metrics contain.
+    counted: Counts,
 }
 
 /// All schedulers of this VM.
@@ -48,6 +52,7 @@
     metrics: Metrics,
     /// Channel for queries of an engine's prompt cache, if engines can list it.
     inquiries: Option<flume::Sender<Inquiry>>,
+    scheduling: Scheduling,
 }
 
 impl Schedulers {
@@ -57,6 +62,7 @@
         journal: Journal,
         metrics: Metrics,
         inquiries: Option<flume::Sender<Inquiry>>,
+        scheduling: Scheduling,
     ) -> Self {
         Schedulers {
             me,
@@ -64,6 +70,7 @@
             journal,
             metrics,
             inquiries,
+            scheduling,
         }
     }
 
@@ -99,6 +106,9 @@
             if self.inquiries.is_some() {
                 scheduler.enable_inventory_requests();
             }
+            if self.scheduling.appointments {
+                scheduler.enable_appointments();
+            }
             let assigned = Assigned {
                 shard,
                 scheduler,
@@ -108,6 +118,7 @@
                 sends_endpoint_details: false,
                 synced: BTreeSet::new(),
                 inquiries: self.inquiries.clone(),
+                counted: Counts::default(),
             };
             self.all.insert(epoch, assigned);
         }
@@ -369,14 +380,43 @@
                 pace = summary.cost_per_s,
                 refused = summary.refused,
                 granted = summary.granted,
+                places = summary.places,
+                booked = summary.appointments.booked,
+                kept = summary.appointments.kept,
+                missed = summary.appointments.missed,
+                booked_refused = summary.appointments.refused,
+                unbooked = summary.appointments.unbooked,
             );
         }
     }
 
+    /// Adds the appointments since the last call to the metrics.
+    fn count_appointments(&mut self, view: &View) {
+        for assigned in self.all.values_mut() {
+            let now = assigned.scheduler.appointment_counts();
+            let before = std::mem::replace(&mut assigned.counted, now);
+            let service = view.config.service_name(assigned.shard.service);
+            let region = assigned.shard.region.as_str();
+            let count = |what, now: u64, before: u64| {
+                let labels = [service, region, what];
+                let counter = self.metrics.appointments.with_label_values(&labels);
+                counter.inc_by(now.saturating_sub(before));
+            };
+            count("booked", now.booked, before.booked);
+            count("kept", now.kept, before.kept);
+            count("missed", now.missed, before.missed);
+            count("refused", now.refused, before.refused);
+            count("unbooked", now.unbooked, before.unbooked);
+        }
+    }
+
     /// Updates the gauges.
     pub(crate) fn update_metrics(&mut self, view: &View) {
         self.log_summaries(view);
         self.log_shares(view);
+        if self.scheduling.appointments {
+            self.count_appointments(view);
+        }
         for status in self.status(view) {
             let service = view.config.service_name(status.shard.service);
             let region = status.shard.region.as_str();
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -11,6 +11,6 @@
 pub use configuration::{parse as parse_configuration, print as print_configuration};
 pub use process::{
     Callers, Control, Fault, KeyFiles, Link, Listing, Log, Operators, Peers, Platform, Readiness,
-    Releases, Retries, Router, Settings, Vm,
+    Releases, Retries, Router, Scheduling, Settings, Vm,
 };
 pub use section::Adjustment;
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -75,6 +75,13 @@
     pub connections: usize,
 }
 
+/// How the schedulers of a VM decide.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Scheduling {
+    /// Whether refused callers get appointments.
+    pub appointments: bool,
+}
+
 /// Queue, configuration and retry limits of a router.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Router {
@@ -225,6 +232,8 @@
     pub router: Router,
     /// Whether this VM may run schedulers.
     pub scheduler: bool,
+    /// How schedulers decide.
+    pub scheduling: Scheduling,
     /// The control role, if this VM has it.
     pub control: Option<Control>,
     /// The platform's list of VMs, if this VM polls it.
@@ -283,7 +292,7 @@
     retry_window
 });
 raw_section!(RawOperators { listen, key_sha256 });
-raw_section!(RawScheduler {});
+raw_section!(RawScheduler { appointments });
 raw_section!(RawControl {
     data,
     compact_bytes,
@@ -400,10 +409,8 @@
             operators: operators(need("operators")?)?,
             callers: find("callers").map(callers).transpose()?,
             router: router(find("router"))?,
-            scheduler: match find("scheduler") {
-                Some(s) => s.deserialize::<RawScheduler>().map(|_| true)?,
-                None => false,
-            },
+            scheduler: find("scheduler").is_some(),
+            scheduling: (find("scheduler").map(scheduling).transpose()?).unwrap_or_default(),
             control,
             platform: find("platform").map(platform).transpose()?,
             listing: find("listing").map(listing).transpose()?,
@@ -682,6 +689,13 @@
     })
 }
 
+fn scheduling(s: &Section) -> Result<Scheduling> {
+    let raw: RawScheduler = s.deserialize()?;
+    Ok(Scheduling {
+        appointments: s.flag("appointments", &raw.appointments)?.unwrap_or(false),
+    })
+}
+
 fn platform(s: &Section) -> Result<Platform> {
     let raw: RawPlatform = s.deserialize()?;
     let path = s.required("path", &raw.path, "the path of the list")?;
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -51,6 +51,11 @@
     let keys = settings.link.keys.unwrap();
     assert_eq!(keys.authority, Path::new("/etc/fleet/a.pem"));
     assert!(settings.scheduler && settings.log.json);
+    // A section without keys means what it meant before it had any.
+    assert!(!settings.scheduling.appointments);
+    let text = process_settings().replacen("[scheduler]", "[scheduler]\nappointments = yes", 1);
+    let settings = Settings::parse("vm.ini", Path::new("/etc/fleet"), &text).unwrap();
+    assert!(settings.scheduler && settings.scheduling.appointments);
     assert_eq!(settings.router.queue, 100);
     assert_eq!(settings.router.stale_ms, None);
 }
@@ -71,6 +76,11 @@
     "[shedule]",
     "[shedule] (section) = \"shedule\": the sections vm, link"
 )]
+#[case(
+    "[scheduler]",
+    "[scheduler]\nappointments = some",
+    "[scheduler] appointments = \"some\": yes or no"
+)]
 #[case(
     "queue = 100",
     "queue = many",
