--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -163,6 +163,8 @@
     pauses: BTreeMap<Shard, Vec<Pause>>,
     /// When pauses were last reported.
     pauses_sent: Millis,
+    /// Whether schedulers give appointments to refused requests.
+    has_appointments: bool,
 }
 
 impl Dispatcher {
@@ -186,9 +188,15 @@
             stream_vms: BTreeSet::new(),
             pauses: BTreeMap::new(),
             pauses_sent: Millis(0),
+            has_appointments: false,
         }
     }
 
+    /// Expects that schedulers give appointments to the requests that they refuse.
+    pub fn enable_appointments(&mut self) {
+        self.has_appointments = true;
+    }
+
     /// Number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.waiting
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 //! served first, whichever routers the requests wait on.
 
 mod allocation;
+pub mod appointment;
 mod cached;
 mod next;
 mod queue;
@@ -17,6 +18,7 @@
 pub use self::allocation::Allocation;
 
 use self::allocation::Allocations;
+use self::appointment::Appointments;
 use self::cached::Announcements;
 use self::next::Next;
 use self::queue::{Key, Queue};
@@ -127,6 +129,10 @@
     pub granted: u64,
     /// Streams that grants of this epoch were expected to keep from their longest pause.
     pub expected_breaks: u64,
+    /// Appointments of this epoch.
+    pub appointments: appointment::Counts,
+    /// Places that are booked now.
+    pub places: u64,
 }
 
 /// The scheduler of one shard in one epoch.
@@ -139,6 +145,8 @@
     /// Waiting asks of this region.
     queue: Queue,
     throughput: Throughput,
+    /// Appointments of refused callers; `None` unless they are enabled.
+    appointments: Option<Appointments>,
     refused: u64,
     granted: u64,
     expected_breaks: u64,
@@ -200,6 +208,7 @@
             classes: BTreeMap::new(),
             queue: Queue::default(),
             throughput: Throughput::default(),
+            appointments: None,
             refused: 0,
             granted: 0,
             expected_breaks: 0,
@@ -263,6 +272,8 @@
             refused: self.refused,
             granted: self.granted,
             expected_breaks: self.expected_breaks,
+            appointments: self.appointment_counts(),
+            places: self.appointments.as_ref().map_or(0, Appointments::places),
         }
     }
 
@@ -342,6 +353,17 @@
         self.is_batched = true;
     }
 
+    /// Lets the scheduler book appointments for the callers that it refuses.
+    pub fn enable_appointments(&mut self) {
+        self.appointments = Some(Appointments::default());
+    }
+
+    /// Numbers of appointments in this epoch.
+    pub fn appointment_counts(&self) -> appointment::Counts {
+        let appointments = self.appointments.as_ref();
+        appointments.map_or(appointment::Counts::default(), Appointments::counts)
+    }
+
     /// Grants asks if an event since the last call may have made this possible, and refuses the
     /// asks since then that would be late.
     pub fn flush(&mut self, now: Millis) -> Effects {
@@ -450,7 +472,9 @@
             (bucket @ None, rate) => *bucket = Some(Bucket::new(rate, now)),
         }
         let key = (session, ask.seq);
-        self.queue.insert(now, key, ask, objective);
+        let appointments = self.appointments.as_mut();
+        let returned = appointments.and_then(|a| a.take(now, ask.class, &ask.prompt));
+        self.queue.insert(now, key, ask, objective, returned);
         self.ledger.set_backlogged(ask.class.customer, true);
         self.arrived.push(key);
         self.grant(now)
@@ -590,6 +614,9 @@
             self.orphans.remove(&session);
             self.drop_running(now, session);
         }
+        if let Some(appointments) = &mut self.appointments {
+            appointments.expire(now);
+        }
         self.throughput.tick(now, self.queue.len() > 0);
         let mut effects = self.review(now);
         self.classes
--- a/components/node/src/schedulers.rs
+++ b/components/node/src/schedulers.rs
@@ -9,7 +9,9 @@
 use coordination::assignment;
 use coordination::dispatcher::{endpoints, set_cold, set_engines};
 use coordination::messages::{Cached, Report, Totals};
+use coordination::scheduler::appointment::Counts;
 use coordination::scheduler::{Effect, Effects, Scheduler, Session};
+use settings::Scheduling;
 use state::clock::Millis;
 use state::config::Endpoint;
 use state::event::{Event, Kind};
@@ -38,6 +40,8 @@
     counted_breaks: u64,
     /// Channel for queries of an engine's prompt cache, if engines can list it.
     inquiries: Option<flume::Sender<Inquiry>>,
+    /// Appointments that the metrics contain.
+    counted: Counts,
 }
 
 /// All schedulers of this VM.
@@ -50,6 +54,7 @@
     metrics: Metrics,
     /// Channel for queries of an engine's prompt cache, if engines can list it.
     inquiries: Option<flume::Sender<Inquiry>>,
+    scheduling: Scheduling,
 }
 
 impl Schedulers {
@@ -59,6 +64,7 @@
         journal: Journal,
         metrics: Metrics,
         inquiries: Option<flume::Sender<Inquiry>>,
+        scheduling: Scheduling,
     ) -> Self {
         Schedulers {
             me,
@@ -66,6 +72,7 @@
             journal,
             metrics,
             inquiries,
+            scheduling,
         }
     }
 
@@ -101,6 +108,9 @@
             if self.inquiries.is_some() {
                 scheduler.enable_inventory_requests();
             }
+            if self.scheduling.appointments {
+                scheduler.enable_appointments();
+            }
             let assigned = Assigned {
                 shard,
                 scheduler,
@@ -111,6 +121,7 @@
                 synced: BTreeSet::new(),
                 counted_breaks: 0,
                 inquiries: self.inquiries.clone(),
+                counted: Counts::default(),
             };
             self.all.insert(epoch, assigned);
         }
@@ -374,6 +385,12 @@
                 granted = summary.granted,
                 slow = assigned.scheduler.slow_engines(now),
                 expected_breaks = summary.expected_breaks,
+                places = summary.places,
+                booked = summary.appointments.booked,
+                kept = summary.appointments.kept,
+                missed = summary.appointments.missed,
+                booked_refused = summary.appointments.refused,
+                unbooked = summary.appointments.unbooked,
             );
             let service = view.config.service_name(assigned.shard.service);
             let counter =
@@ -383,10 +400,33 @@
         }
     }
 
+    /// Adds the appointments since the last call to the metrics.
+    fn count_appointments(&mut self, view: &View) {
+        for assigned in self.all.values_mut() {
+            let now = assigned.scheduler.appointment_counts();
+            let before = std::mem::replace(&mut assigned.counted, now);
+            let service = view.config.service_name(assigned.shard.service);
+            let region = assigned.shard.region.as_str();
+            let count = |what, now: u64, before: u64| {
+                let labels = [service, region, what];
+                let counter = self.metrics.appointments.with_label_values(&labels);
+                counter.inc_by(now.saturating_sub(before));
+            };
+            count("booked", now.booked, before.booked);
+            count("kept", now.kept, before.kept);
+            count("missed", now.missed, before.missed);
+            count("refused", now.refused, before.refused);
+            count("unbooked", now.unbooked, before.unbooked);
+        }
+    }
+
     /// Updates the gauges.
     pub(crate) fn update_metrics(&mut self, now: Millis, view: &View) {
         self.log_summaries(now, view);
         self.log_shares(view);
+        if self.scheduling.appointments {
+            self.count_appointments(view);
+        }
         for status in self.status(view) {
             let service = view.config.service_name(status.shard.service);
             let region = status.shard.region.as_str();
