Hand requests of a flooded router over to others of its data centre

All callers of a large customer come to one router, which serves a few hundred requests a second and refuses the rest, while the others of its data centre are nearly idle.

With [router] handover = yes a router passes the excess on over HTTP to routers that have reported room to the VMs of their schedulers. The decision (coordination::handover) adapts the rate served here to how late tasks run; the table at the scheduler's VM (coordination::occupancy) divides free capacity among the routers under pressure. A request is passed on once, runs at most once, and skips dispatcher, rules and log lines at the sender. While peers take the excess, the number of requests does not make a router unready.

Processor time is not measured yet. The switch is off by default.

--- a/components/coordination/src/messages.rs
+++ b/components/coordination/src/messages.rs
@@ -188,7 +188,7 @@
 pub struct Occupancy {
     /// Requests in progress, and those that wait.
     pub requests: u32,
-    /// Free part of the router's capacity, in thousandths.
+    /// Free capacity, in thousandths of [`crate::handover::NOMINAL_PER_S`].
     pub free_permille: u16,
     /// Whether the router has more to do than it can in time, and needs peers.
     pub is_pressed: bool,
@@ -204,7 +204,8 @@
     pub vm: Name,
     /// Address on which it accepts callers.
     pub callers: SocketAddr,
-    /// Free part of its capacity, in thousandths.
+    /// The receiver's share of its free capacity, in thousandths of
+    /// [`crate::handover::NOMINAL_PER_S`].
     pub free_permille: u16,
     /// Age of this figure when the message was sent, in milliseconds.
     pub age_ms: u32,
--- a/components/coordination/src/overload.rs
+++ b/components/coordination/src/overload.rs
@@ -15,6 +15,10 @@
 /// Mean lateness below which an unready router becomes ready again, in milliseconds. Half of
 /// [`OVERLOAD_LATENESS_MS`], so that the router does not flap with each burst.
 pub(crate) const CALM_LATENESS_MS: u64 = 20;
+/// Mean lateness at or above which a router becomes unready although other routers take its
+/// excess, in milliseconds: requests are then refused most of the time, and what arrives is more
+/// than the router can even hand over.
+const RELIEVED_LATENESS_MS: u64 = 2 * OVERLOAD_LATENESS_MS;
 /// Time over which the lateness is averaged, in milliseconds. Shorter bursts only cause
 /// refusals.
 const AVERAGING_MS: u64 = 400;
@@ -95,6 +99,8 @@
     was_calm: bool,
     /// Whether the router is a hot spot.
     is_hot: bool,
+    /// Whether other routers take the excess of this one.
+    is_relieved: bool,
 }
 
 impl Overload {
@@ -103,6 +109,15 @@
         self.is_hot = is_hot;
     }
 
+    /// Sets whether other routers take the excess of this one.
+    ///
+    /// Unreadiness only moves a flood to the next router, which has to find out anew what it can
+    /// serve. While the excess is handed over, the number of requests therefore does not make
+    /// this router unready, and lateness does only above [`RELIEVED_LATENESS_MS`].
+    pub fn set_relieved(&mut self, is_relieved: bool) {
+        self.is_relieved = is_relieved;
+    }
+
     /// Adds a probe of the lateness, and whether there is no room for another connection.
     /// Returns whether new connections should go to other routers.
     pub fn probe(&mut self, now: Millis, late_ms: u64, is_full: bool) -> bool {
@@ -111,9 +126,13 @@
         let rest = AVERAGING_MS - PROBE_WEIGHT_MS;
         self.mean_us = (self.mean_us * rest + sample_us * PROBE_WEIGHT_MS) / AVERAGING_MS;
         let mean_ms = self.mean_us / 1000;
+        let bound_ms = match self.is_relieved && !is_full {
+            true => RELIEVED_LATENESS_MS,
+            false => OVERLOAD_LATENESS_MS,
+        };
         if self.is_unready {
             self.consider_ready(now, mean_ms);
-        } else if mean_ms >= OVERLOAD_LATENESS_MS || self.is_hot {
+        } else if mean_ms >= bound_ms || (self.is_hot && !self.is_relieved) {
             self.consider_unready(now);
         }
         self.is_unready
--- a/components/node/src/frontend/access_log.rs
+++ b/components/node/src/frontend/access_log.rs
@@ -45,7 +45,9 @@
     /// Time from the request's arrival to its first dispatch.
     first_wait: Option<Duration>,
     timing: Timing,
-    /// Times that the request was dispatched to an endpoint.
+    /// VM of the router that has passed the request on to this one.
+    forwarder: Option<HeaderValue>,
+    /// Times that the request was dispatched to an endpoint, or handed over to a router.
     tries: u32,
     /// Whether the end of the request has been logged or counted.
     is_logged: bool,
@@ -94,6 +96,7 @@
             fingerprint: None,
             first_wait: None,
             timing: Timing::new(arrived_at),
+            forwarder: None,
             tries: 0,
             is_logged: false,
         }
@@ -109,6 +112,35 @@
         self.caller_request_id = caller_request_id;
     }
 
+    /// Records the router that has passed the request on to this one.
+    pub(crate) fn set_forwarder(&mut self, forwarder: Option<HeaderValue>) {
+        self.forwarder = forwarder;
+    }
+
+    /// Whether another router has passed the request on to this one.
+    pub(crate) fn is_forwarded(&self) -> bool {
+        self.forwarder.is_some()
+    }
+
+    /// Records that the request is handed over to another router.
+    pub(crate) fn begin_handover(&mut self, peer: &Name) {
+        self.tries += 1;
+        self.endpoint = Some(peer.clone());
+    }
+
+    /// Records that the request did not reach the other router.
+    pub(crate) fn withdraw_handover(&mut self) {
+        self.tries -= 1;
+        self.endpoint = None;
+    }
+
+    /// Counts the end of an answer of another router, which has a log line of its own there.
+    pub(crate) fn count_handed_over(&mut self, reason: &'static str) {
+        self.is_logged = true;
+        let outcome = Outcome::Answered.as_str();
+        self.count(self.arrived_at.elapsed(), None, outcome, reason);
+    }
+
     /// Records the rule that matched, and the service and customer that follow from it.
     pub(crate) fn set_plan(&mut self, plan: &Plan, customer: Option<Name>) {
         self.rule = Some(plan.rule.clone());
@@ -238,6 +270,7 @@
             events = self.timing.events(),
             fingerprint = crash_fingerprint.map(tracing::field::display),
             tries = self.tries,
+            from = self.forwarder.as_ref().and_then(|vm| vm.to_str().ok()),
             status = status.map(|s| s.as_u16()),
             outcome,
             reason,
--- /dev/null
+++ b/components/node/src/frontend/forward.rs
@@ -0,0 +1,370 @@
+//! Hand-over of a request to another router of the data centre, and relaying of its answer.
+//!
+//! The peer receives the request as a caller's request, with one header added, and does all that
+//! serving takes: it authenticates, routes, claims the idempotency key and writes the log lines.
+//! This router only moves bytes. What rule matches, and so whether the request may run twice, is
+//! worked out here only after a failure.
+
+use super::access_log::Entry;
+use super::admit::{BUSY_CODE, FAST_RETRY_AFTER};
+use super::listen::Frontend;
+use super::plan::{plan, Plan};
+use super::pool::{self, Connection, Key, Pool};
+use super::refusal::{Refusal, OUTCOME_HEADER};
+use super::relay::Abort;
+use super::upstream::{keep_alive_timeout, strip_hop_by_hop, Call, Failure};
+use crate::handover::{Decided, Ticket};
+use crate::interface::Inbound;
+use crate::shared::Published;
+use bytes::Bytes;
+use coordination::messages::Verdict;
+use coordination::retry::{self, Action, Reach};
+use errors::{Error, Result};
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST};
+use hyper::http::response::Parts;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use state::id::EndpointId;
+use state::outcome::Outcome;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+/// Header of a request that another router has passed on, with the name of that router's VM. Such
+/// a request is not passed on again.
+pub(super) const FORWARDED: HeaderName = HeaderName::from_static("cowslipford-forwarded");
+
+/// Time between two checks whether the peer of a waiting request is still alive.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Longest time for an answer if the caller names none. The peer applies the rule's bound; this
+/// one only ends what a frozen peer holds.
+const ANSWER_MAX: Duration = Duration::from_secs(600);
+
+/// What has become of a request that may be handed over.
+pub(super) enum Handed {
+    /// A peer answers it.
+    Answered(Parts, Box<Forwarded>),
+    /// It is to be served here, and has not run.
+    Here,
+    /// It is to be served here as a retry of one that may have run at a peer.
+    Again(Box<Plan>),
+}
+
+/// Removes the header of a request that another router has passed on, and counts the request.
+pub(super) fn take_forwarder(frontend: &Frontend, headers: &mut HeaderMap) -> Option<HeaderValue> {
+    let forwarder = headers.remove(FORWARDED)?;
+    frontend.context.metrics.accepted_from_peers.inc();
+    Some(forwarder)
+}
+
+/// Hands a request over to a peer if this router has more to do than it can in time.
+///
+/// # Errors
+///
+/// The refusal, if the request comes from another router and there is no room for it, or if it was
+/// handed over, failed, and must not run again.
+pub(super) async fn hand_over(
+    frontend: &Frontend,
+    published: &Published,
+    inbound: &Inbound,
+    call: &mut Call,
+    entry: &mut Entry,
+    arrived_at: Instant,
+) -> Result<Handed, Refusal> {
+    let Some(handover) = &frontend.context.handover else {
+        return Ok(Handed::Here);
+    };
+    let mut ticket = match handover.decide(entry.is_forwarded()) {
+        Decided::Serve => return Ok(Handed::Here),
+        Decided::Refuse => return Err(no_room(call)),
+        Decided::HandOver(ticket) => ticket,
+    };
+    frontend.context.metrics.handed_over.inc();
+    entry.begin_handover(ticket.vm());
+    let deadline = arrived_at + inbound.timeout.unwrap_or(ANSWER_MAX);
+    let mut again = None;
+    let sent = send(frontend, call, &ticket, deadline, |call| {
+        // A frozen peer never answers. Only a request that may run twice is worth a retry.
+        let found = plan(frontend, published, inbound, call);
+        again = found.ok().filter(|plan| plan.idempotent);
+        again.is_some()
+    });
+    let failure = match sent.await {
+        Ok((response, connection)) => {
+            let (mut head, body) = response.into_parts();
+            ticket.answer(!has_no_room(&head));
+            let keep_alive = keep_alive_timeout(&head.headers);
+            strip_hop_by_hop(&mut head.headers);
+            let mut forwarded = Forwarded {
+                incoming: body,
+                connection: Some(connection),
+                pool: frontend.peers.clone(),
+                key: key(&ticket),
+                keep_alive,
+                deadline,
+                timer: Box::pin(tokio::time::sleep_until(deadline.into())),
+                ticket,
+                entry: None,
+                end_reason: "caller-gone",
+            };
+            forwarded.end_if_empty();
+            return Ok(Handed::Answered(head, Box::new(forwarded)));
+        }
+        Err(failure) => failure,
+    };
+    ticket.fail();
+    let peer = ticket.vm().clone();
+    drop(ticket);
+    if failure.reach == Reach::Nothing {
+        entry.log_failure(&failure, "here");
+        entry.withdraw_handover();
+        return Ok(Handed::Here);
+    }
+    let plan = match again {
+        Some(plan) => Some(plan),
+        None => plan(frontend, published, inbound, call).ok(),
+    };
+    let action = plan.as_ref().map_or(Action::Unknown, |plan| {
+        let attempt = retry::Failure {
+            reach: failure.reach,
+            idempotent: plan.idempotent,
+            retries: 0,
+            retries_max: plan.retries,
+            deadline: plan.arrival.deadline,
+        };
+        let now = frontend.context.clock.now();
+        frontend.with_budget(plan.service, |budget| retry::decide(attempt, now, budget))
+    });
+    entry.log_failure(&failure, action.as_str());
+    match (action, plan) {
+        (Action::Retry, Some(plan)) => Ok(Handed::Again(Box::new(plan))),
+        _ => {
+            let text = format!("{peer}: {}", failure.error);
+            let status = match Instant::now() >= deadline {
+                true => StatusCode::GATEWAY_TIMEOUT,
+                false => StatusCode::BAD_GATEWAY,
+            };
+            Err(Refusal::unknown(status, "peer-failed", text))
+        }
+    }
+}
+
+/// Refusal of another router's request for lack of room. The answer closes its connection, by
+/// which the sender knows that this router has no room.
+fn no_room(call: &Call) -> Refusal {
+    let text = "this router has no room for requests of others";
+    // Spreads the retries of callers that are refused at the same time.
+    let spread = 1 + u32::try_from(call.id.count % 4).unwrap_or(0);
+    Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, BUSY_CODE, text)
+        .with_retry_after(FAST_RETRY_AFTER * spread)
+}
+
+/// Whether an answer says that the peer has no room: the peer itself refuses, and wants no more
+/// requests on this connection.
+fn has_no_room(head: &Parts) -> bool {
+    let outcome = head.headers.get(OUTCOME_HEADER);
+    let is_refusal = outcome.is_some_and(|o| o == Outcome::NotRun.as_str());
+    let closes = head.headers.get(CONNECTION).is_some_and(|c| c == "close");
+    is_refusal && closes
+}
+
+/// Key of a peer in the pool of connections to peers, which has no endpoints.
+fn key(ticket: &Ticket) -> Key {
+    (EndpointId::default(), ticket.address())
+}
+
+/// Sends a request to a peer and returns the head of its answer. `may_give_up` is asked when the
+/// peer has been silent for long.
+async fn send<F>(
+    frontend: &Frontend,
+    call: &mut Call,
+    ticket: &Ticket,
+    deadline: Instant,
+    mut may_give_up: F,
+) -> Result<(Response<Incoming>, Connection), Failure>
+where
+    F: FnMut(&mut Call) -> bool,
+{
+    let address = ticket.address();
+    let mut pooled = frontend.peers.take(&key(ticket), true);
+    loop {
+        let reused = pooled.is_some();
+        let mut connection = match pooled.take() {
+            Some(connection) => connection,
+            None => pool::connect(address)
+                .await
+                .map_err(|error| failed(Reach::Nothing, error))?,
+        };
+        let request = request(call, &frontend.context.vm.to_string(), address)
+            .map_err(|error| failed(Reach::Nothing, error))?;
+        let sending = connection.sender.try_send_request(request);
+        tokio::pin!(sending);
+        let sent = loop {
+            if let Ok(sent) = tokio::time::timeout(CHECK_INTERVAL, sending.as_mut()).await {
+                break sent;
+            }
+            let is_late = Instant::now() >= deadline;
+            if is_late || (ticket.is_peer_silent() && may_give_up(call)) {
+                let error = peer_error(address, "it did not answer in time");
+                return Err(failed(Reach::Sent, error));
+            }
+        };
+        match sent {
+            Ok(response) if response.headers().contains_key(OUTCOME_HEADER) => {
+                return Ok((response, connection))
+            }
+            Ok(_) => {
+                // Something else has the address by now.
+                let error = peer_error(address, "the answer is not that of a router");
+                return Err(failed(Reach::Sent, error));
+            }
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                if unsent && reused {
+                    pooled = frontend.peers.take(&key(ticket), true);
+                    continue;
+                }
+                let reach = if unsent { Reach::Nothing } else { Reach::Sent };
+                let error = Error::peer("hand over to a router", address)(error.into_error());
+                return Err(failed(reach, error));
+            }
+        }
+    }
+}
+
+fn peer_error(address: std::net::SocketAddr, reason: &str) -> Error {
+    Error::Peer {
+        step: "hand over to a router",
+        peer: address.to_string(),
+        reason: reason.to_owned(),
+    }
+}
+
+fn failed(reach: Reach, error: Error) -> Failure {
+    Failure {
+        reach,
+        verdict: Verdict::Cancelled,
+        unconnected: false,
+        broke_off: false,
+        backoff: None,
+        error: Box::new(error),
+    }
+}
+
+/// Builds the request to a peer: the caller's own, apart from its framing.
+fn request(call: &Call, vm: &str, address: std::net::SocketAddr) -> Result<Request<Full<Bytes>>> {
+    let path = call.uri.path_and_query().map_or("/", |p| p.as_str());
+    let step = "build a request";
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(path)
+        .body(Full::new(call.body.clone()))
+        .map_err(Error::peer(step, address))?;
+    let headers = request.headers_mut();
+    headers.clone_from(&call.headers);
+    strip_hop_by_hop(headers);
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(EXPECT);
+    if !headers.contains_key(HOST) {
+        let host = call.uri.host().unwrap_or("").to_owned();
+        let host = HeaderValue::try_from(host).map_err(Error::peer(step, address))?;
+        headers.insert(HOST, host);
+    }
+    let vm = HeaderValue::from_str(vm).map_err(Error::peer(step, address))?;
+    headers.insert(FORWARDED, vm);
+    Ok(request)
+}
+
+/// Body of an answer that another router gives. It is neither metered nor timed here.
+pub(crate) struct Forwarded {
+    incoming: Incoming,
+    /// The connection, until the answer is complete. Dropping it before cancels the request at the
+    /// peer.
+    connection: Option<Connection>,
+    pool: Arc<Pool>,
+    key: Key,
+    /// Time for which the peer announced that it keeps the connection open.
+    keep_alive: Option<Duration>,
+    /// When the answer is broken off.
+    pub(super) deadline: Instant,
+    timer: Pin<Box<tokio::time::Sleep>>,
+    /// Counts the request as in progress at the peer.
+    ticket: Ticket,
+    pub(super) entry: Option<Entry>,
+    /// How the answer ended, for the metrics.
+    end_reason: &'static str,
+}
+
+impl Drop for Forwarded {
+    fn drop(&mut self) {
+        if let Some(entry) = &mut self.entry {
+            entry.count_handed_over(self.end_reason);
+        }
+    }
+}
+
+impl Forwarded {
+    /// Completes the answer at once if it has no body, since an empty body is never polled.
+    fn end_if_empty(&mut self) {
+        if self.incoming.is_end_stream() {
+            self.end();
+        }
+    }
+
+    /// Returns the connection of a complete answer to the pool.
+    fn end(&mut self) {
+        self.end_reason = "handed-over";
+        if let Some(connection) = self.connection.take() {
+            self.pool.put(&self.key, connection, self.keep_alive);
+        }
+    }
+}
+
+impl Body for Forwarded {
+    type Data = Bytes;
+    type Error = Abort;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Abort>>> {
+        match Pin::new(&mut self.incoming).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => {
+                if self.incoming.is_end_stream() {
+                    self.end();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            // The error makes hyper close the connection without the end of the answer, so
+            // that the caller can see that the answer is incomplete.
+            Poll::Ready(Some(Err(error))) => {
+                self.end_reason = "peer-broke-off";
+                tracing::debug!(peer = %self.ticket.vm(), %error, "a peer broke off its answer");
+                Poll::Ready(Some(Err(Abort::Endpoint(error))))
+            }
+            Poll::Ready(None) => {
+                self.end();
+                Poll::Ready(None)
+            }
+            Poll::Pending => {
+                if self.timer.as_mut().poll(context).is_pending() {
+                    return Poll::Pending;
+                }
+                self.end_reason = "timeout";
+                Poll::Ready(Some(Err(Abort::Deadline)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
--- a/components/node/src/frontend/listen.rs
+++ b/components/node/src/frontend/listen.rs
@@ -5,6 +5,7 @@
 use super::pool::{Key, Pool};
 use super::refusal::Refusal;
 use super::serve::{serve, AnswerDeadline};
+use crate::handover::Handover;
 use crate::http::accept;
 use crate::input::Input;
 use crate::interface::Interface;
@@ -46,6 +47,10 @@
 /// Longest time to wait for an idle connection to close and make room for a new one.
 const MAKE_ROOM_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Divisor of the budget of idle connections that gives the part for connections to other routers.
+/// These are at most eight, against tens of endpoints.
+const PEER_CONNECTIONS_DIVISOR: usize = 4;
+
 /// Time between two checks of pooled connections and unread answers.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -82,6 +87,10 @@
     pub(crate) published: watch::Receiver<Published>,
     /// Requests that may crash endpoints, and which of them are in quarantine.
     pub(crate) suspicions: watch::Receiver<Arc<Suspicions>>,
+    /// Hand-over of requests to other routers, if the settings allow it.
+    pub(crate) handover: Option<Handover>,
+    /// Name of this VM.
+    pub(crate) vm: Name,
 }
 
 /// HTTP server for callers: state that all connections and requests share.
@@ -93,6 +102,8 @@
     retry_budgets: Mutex<HashMap<ServiceId, retry::Budget>>,
     /// Idle connections to endpoints.
     pub(crate) pool: Arc<Pool>,
+    /// Idle connections to other routers.
+    pub(crate) peers: Arc<Pool>,
     /// Memory for request bodies, in permits of [`BODY_UNIT_BYTES`].
     pub(crate) body_memory: Arc<Semaphore>,
     /// Total number of permits of `body_memory`.
@@ -113,13 +124,19 @@
         let units =
             usize::try_from(context.budget.body_bytes).unwrap_or(usize::MAX) / BODY_UNIT_BYTES;
         let units = units.clamp(1, Semaphore::MAX_PERMITS);
+        let idle_connections = context.budget.idle_connections;
+        let to_peers = match context.handover {
+            Some(_) => idle_connections / PEER_CONNECTIONS_DIVISOR,
+            None => 0,
+        };
         Arc::new(Frontend {
             body_memory: Arc::new(Semaphore::new(units)),
             body_units: units,
             connection_permits: Arc::new(Semaphore::new(context.budget.connections)),
             busy_lines: Mutex::new(Window::new(MAX_BUSY_LINES_PER_S)),
             successes: Mutex::default(),
-            pool: Arc::new(Pool::new(context.budget.idle_connections)),
+            pool: Arc::new(Pool::new(idle_connections - to_peers)),
+            peers: Arc::new(Pool::new(to_peers)),
             registry: Registry::new(context.clock.clone()),
             context,
             next_request: AtomicU64::new(0),
@@ -180,6 +197,7 @@
                 found.map_or(view.is_partial(), |e| e.address == *address)
             };
             self.pool.prune(is_live);
+            self.peers.prune(|_| true);
             let unread = self.registry.close_unread();
             if unread > 0 {
                 tracing::info!(event = Line::AnswersUnread.as_str(), connections = unread);
@@ -191,7 +209,8 @@
     /// Updates the gauges of pooled connections, memory for bodies and the reactor's queue.
     fn update_gauges(&self) {
         let metrics = &self.context.metrics;
-        metrics.idle_connections.set(gauge_value(self.pool.len()));
+        let idle_connections = self.pool.len() + self.peers.len();
+        metrics.idle_connections.set(gauge_value(idle_connections));
         let free = self.body_memory.available_permits();
         let taken = self.body_units.saturating_sub(free) * BODY_UNIT_BYTES;
         metrics.body_bytes.set(gauge_value(taken));
--- a/components/node/src/frontend/mod.rs
+++ b/components/node/src/frontend/mod.rs
@@ -5,6 +5,7 @@
 mod claim;
 mod connections;
 mod delivery;
+mod forward;
 mod listen;
 mod plan;
 mod pool;
--- a/components/node/src/frontend/refusal.rs
+++ b/components/node/src/frontend/refusal.rs
@@ -56,6 +56,18 @@
         }
     }
 
+    /// The same refusal of a request that an endpoint may have run before.
+    pub(crate) fn into_unknown(self) -> Self {
+        match self.outcome {
+            Outcome::NotRun => Refusal {
+                status: StatusCode::BAD_GATEWAY,
+                outcome: Outcome::Unknown,
+                ..self
+            },
+            _ => self,
+        }
+    }
+
     /// Tells the caller to retry after some seconds.
     pub(crate) fn with_retry_after_s(self, seconds: u32) -> Self {
         self.with_retry_after(Duration::from_secs(u64::from(seconds)))
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -5,6 +5,7 @@
 use super::admit::{admit, discard_body, read_body, BUSY_CODE, FAST_RETRY_AFTER};
 use super::claim::{claim, Claim, Claimed};
 use super::delivery::{quarantined, Delivery};
+use super::forward::{self, Forwarded, Handed};
 use super::listen::Frontend;
 use super::plan::{no_endpoint, plan, Plan, NO_ENDPOINT_RETRY_AFTER, NO_ENDPOINT_TEXT};
 use super::refusal::{set_header, Refusal, OUTCOME_HEADER};
@@ -41,8 +42,9 @@
 /// waits in the queue.
 const QUEUE_FULL_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Response to a caller: a body of the router itself, or one relayed from an endpoint.
-type Reply = Response<Either<Full<Bytes>, Relay>>;
+/// Response to a caller: a body of the router itself, or one relayed from an endpoint or from
+/// another router.
+type Reply = Response<Either<Full<Bytes>, Either<Relay, Forwarded>>>;
 
 /// Deadline of a relayed answer, as an extension of its response.
 #[derive(Clone, Copy, Debug)]
@@ -69,7 +71,14 @@
         Ok(Served::Relayed(head, mut relay)) => {
             relay.entry = Some((entry, head.status));
             let deadline = AnswerDeadline(relay.deadline.deadline().into_std());
-            let mut reply = Response::from_parts(head, Either::Right(*relay));
+            let mut reply = Response::from_parts(head, Either::Right(Either::Left(*relay)));
+            reply.extensions_mut().insert(deadline);
+            reply
+        }
+        Ok(Served::Forwarded(head, mut forwarded)) => {
+            forwarded.entry = Some(entry);
+            let deadline = AnswerDeadline(forwarded.deadline);
+            let mut reply = Response::from_parts(head, Either::Right(Either::Right(*forwarded)));
             reply.extensions_mut().insert(deadline);
             reply
         }
@@ -128,6 +137,8 @@
 enum Served {
     /// An endpoint answers: the head of its answer, and the body to relay.
     Relayed(hyper::http::response::Parts, Box<Relay>),
+    /// Another router answers: the head of its answer, and the body to relay.
+    Forwarded(hyper::http::response::Parts, Box<Forwarded>),
     /// The stored answer to an earlier request with the same idempotency key.
     Replayed(Box<Response<Full<Bytes>>>),
 }
@@ -140,7 +151,8 @@
     request: Request<Incoming>,
     arrived_at: Instant,
 ) -> Result<Served, Refusal> {
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    entry.set_forwarder(forward::take_forwarder(frontend, &mut head.headers));
     let inbound = match admit(frontend, published, &head, entry) {
         Ok(inbound) => inbound,
         Err(refusal) => {
@@ -154,7 +166,13 @@
         .journal
         .record(Event::new(Kind::Taken).request(id));
     let mut call = read_body(frontend, id, inbound.request_id.clone(), head, body).await?;
-    let plan = plan(frontend, published, &inbound, &mut call)?;
+    let handed =
+        forward::hand_over(frontend, published, &inbound, &mut call, entry, arrived_at).await?;
+    let (plan, may_have_run) = match handed {
+        Handed::Answered(head, forwarded) => return Ok(Served::Forwarded(head, forwarded)),
+        Handed::Here => (plan(frontend, published, &inbound, &mut call)?, false),
+        Handed::Again(plan) => (*plan, true),
+    };
     entry.set_plan(&plan, call.customer.clone());
     let event = Event::new(Kind::Taken).request(id);
     frontend
@@ -173,7 +191,11 @@
             }
         }
     }
-    dispatch_until_answered(frontend, call, &plan, claimed, entry, arrived_at).await
+    let served = dispatch_until_answered(frontend, call, &plan, claimed, entry, arrived_at).await;
+    match may_have_run {
+        true => served.map_err(Refusal::into_unknown),
+        false => served,
+    }
 }
 
 /// A queued request. It leaves the queue when this value is dropped, since the caller is gone.
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod evacuation;
 mod fetch;
 mod frontend;
+mod handover;
 mod http;
 mod input;
 mod interface;
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -61,6 +61,16 @@
     pub(crate) request_heads: IntCounter,
     /// Tries sent to endpoints.
     pub(crate) attempts: IntCounter,
+    /// Requests handed over to other routers.
+    pub(crate) handed_over: IntCounter,
+    /// Requests accepted from other routers.
+    pub(crate) accepted_from_peers: IntCounter,
+    /// Hand-overs that failed before the answer began.
+    pub(crate) failed_handovers: IntCounter,
+    /// Requests in progress at other routers.
+    pub(crate) at_peers: IntGauge,
+    /// Routers whose occupancy this VM knows as the VM of a scheduler.
+    pub(crate) reporting_routers: IntGauge,
     /// Connections closed unread, because tasks ran late or the connection limit was reached.
     pub(crate) closed_unread: IntCounter,
     /// Requests refused without a log line.
@@ -202,6 +212,26 @@
                 "Requests whose head was read.",
             )?,
             attempts: counter("cowslipford_tries_sent_total", "Tries sent to endpoints.")?,
+            handed_over: counter(
+                "cowslipford_requests_handed_over_total",
+                "Requests handed over to other routers.",
+            )?,
+            accepted_from_peers: counter(
+                "cowslipford_requests_from_peers_total",
+                "Requests accepted from other routers.",
+            )?,
+            failed_handovers: counter(
+                "cowslipford_handovers_failed_total",
+                "Requests handed over whose answer did not begin.",
+            )?,
+            at_peers: gauge(
+                "cowslipford_requests_at_peers",
+                "Requests in progress at other routers.",
+            )?,
+            reporting_routers: gauge(
+                "cowslipford_reporting_routers",
+                "Routers with a link that may report their occupancy here.",
+            )?,
             closed_unread: counter(
                 "cowslipford_connections_turned_away_total",
                 "Connections closed unread, since tasks ran late or there was no place for them.",
--- a/components/node/src/monitor.rs
+++ b/components/node/src/monitor.rs
@@ -4,6 +4,7 @@
 //! Gauges show these at all times. While the process is under pressure they are also logged every
 //! second, so that the cause of a crash can be found afterwards.
 
+use crate::handover::Handover;
 use crate::metric::{gauge_value, Metrics};
 use crate::shared::{cancelled, Published};
 use coordination::admission::{Admission, Arrivals, Limit, Probes};
@@ -210,6 +211,7 @@
     memory: u64,
     connections: usize,
     published: watch::Receiver<Published>,
+    handover: Option<Handover>,
     mut stop: watch::Receiver<bool>,
 ) {
     let connections = gauge_value(connections);
@@ -222,7 +224,11 @@
             lateness_ms = lateness.probe() => lateness_ms,
             () = cancelled(&mut stop) => return,
         };
-        limit.probe(lateness.sustained_ms(), lateness.arrivals().admitted);
+        let sustained_ms = lateness.sustained_ms();
+        limit.probe(sustained_ms, lateness.arrivals().admitted);
+        if let Some(handover) = &handover {
+            overload.set_relieved(handover.probe(sustained_ms));
+        }
         lateness.reset(limit.connections_max());
         let is_full = metrics.connections.get() >= connections;
         let now = Millis(lateness.elapsed_ms());
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -3,6 +3,7 @@
 use crate::control::{self, Control};
 use crate::evacuation::Orders;
 use crate::frontend::{Context as FrontendContext, Frontend};
+use crate::handover::Handover;
 use crate::input::Input;
 use crate::interface::Interface;
 use crate::journal::Journal;
@@ -394,6 +395,8 @@
             _ => None,
         };
         let lateness = Lateness::default();
+        let handover = (self.settings.router.handover && callers.is_some())
+            .then(|| Handover::new(self.clock.clone(), self.metrics.clone()));
         let (inquiries, inquiry_receiver) = flume::unbounded();
         let parts = ReactorParts {
             hub: hub.clone(),
@@ -420,6 +423,7 @@
             is_control: self.settings.control.is_some(),
             may_schedule: self.settings.scheduler,
             serves_callers: self.settings.callers.is_some(),
+            handover: handover.clone(),
             to_control: to_control.clone(),
             publish,
             suspicions: publish_suspicions,
@@ -455,6 +459,7 @@
             memory,
             budget.connections,
             published.clone(),
+            handover.clone(),
             stopped.clone(),
         );
         tasks.push(tokio::spawn(monitor));
@@ -499,6 +504,8 @@
                 reactor: reactor.clone(),
                 published: published.clone(),
                 suspicions,
+                handover,
+                vm: hub.hello().node.vm.clone(),
             });
             tasks.push(tokio::spawn(frontend.run(listener, stopped)));
         }
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -4,12 +4,15 @@
 
 mod dependency;
 mod listing;
+mod occupancy;
 mod peers;
 mod status;
 
 use self::dependency::Logged;
+use self::occupancy::Reports;
 use crate::batch::Batch;
 use crate::dissemination::Dissemination;
+use crate::handover::Handover;
 use crate::input::{Decision, Dispatch, Input};
 use crate::inventory::Inquiry;
 use crate::journal::Journal;
@@ -74,6 +77,8 @@
     pub(crate) may_schedule: bool,
     /// Whether this VM is a router that accepts callers.
     pub(crate) serves_callers: bool,
+    /// Hand-over of requests to other routers, if this router takes part in it.
+    pub(crate) handover: Option<Handover>,
     /// Channel to the control role, if this process runs it.
     pub(crate) to_control: Option<flume::Sender<crate::control::Input>>,
     /// Channel for queries of an engine's prompt cache, if engines can list it.
@@ -168,6 +173,8 @@
     dedicated: bool,
     /// Evacuated data centres as they were last logged.
     evacuated: BTreeSet<Name>,
+    /// Reports of routers' occupancy, in both directions.
+    reports: Reports,
     /// Whether the published state is out of date.
     dirty: bool,
 }
@@ -183,7 +190,7 @@
         let now = parts.clock.now();
         let mut dispatcher = Dispatcher::new(parts.home.clone(), parts.bounds);
         dispatcher.link_up(now, &me);
-        Reactor {
+        let mut reactor = Reactor {
             dispatcher,
             schedulers: Schedulers::new(
                 me.clone(),
@@ -236,10 +243,14 @@
             logged: Logged::default(),
             dedicated: false,
             evacuated: BTreeSet::new(),
+            reports: Reports::default(),
             dirty: true,
             me,
             parts,
-        }
+        };
+        // The schedulers of this VM know its own router as well.
+        reactor.open_occupancy(&hello);
+        reactor
     }
 
     /// Runs until [`Input::End`], or until all senders of inputs are dropped.
@@ -401,6 +412,7 @@
                 self.dissemination
                     .link_up(&self.parts.hub, vm, self.view.version);
                 self.send_to_control(crate::control::Input::Up(hello.clone()));
+                self.open_occupancy(&hello);
                 let effects = self.dispatcher.link_up(now, vm);
                 self.perform(now, effects);
             }
@@ -408,6 +420,7 @@
                 self.parts
                     .journal
                     .record(Event::new(Kind::LinkDown).peer(&vm));
+                self.close_occupancy(&vm);
                 self.dissemination.link_down(now, &vm);
                 self.schedulers.link_down(now, &vm);
                 self.dispatcher.link_down(now, &vm);
@@ -524,8 +537,12 @@
                     .handle_proof_age(&vm, at, version, self.view.version);
                 self.dirty = true;
             }
-            // Not used by this release.
-            Message::Occupancy(_) | Message::Peers(_) => {}
+            Message::Occupancy(occupancy) => self.handle_occupancy(now, &vm, occupancy),
+            Message::Peers(peers) => {
+                if let Some(handover) = &self.parts.handover {
+                    handover.set_peers(&peers);
+                }
+            }
         }
     }
 
@@ -753,6 +770,7 @@
         self.request_cells(now);
         self.update_readiness(now);
         self.log_dependencies(now);
+        self.send_occupancies(now);
         if now >= self.next_cached_at {
             self.next_cached_at = now.after(CACHED_INTERVAL_MS);
             self.send_cached();
@@ -760,6 +778,9 @@
         if now >= self.next_measure_at {
             self.next_measure_at = now.after(MEASURE_INTERVAL_MS);
             self.update_metrics();
+            if let Some(handover) = &self.parts.handover {
+                handover.log_summaries();
+            }
             self.update_dedicated();
             self.send_service_totals();
             self.close_unused_links();
--- a/components/node/src/reactor/status.rs
+++ b/components/node/src/reactor/status.rs
@@ -63,6 +63,8 @@
         metrics.local_shards.set(gauge_value(
             self.dispatcher.shards().filter(|(_, up)| !up).count(),
         ));
+        let reporting_routers = gauge_value(self.reporting_routers());
+        metrics.reporting_routers.set(reporting_routers);
         self.schedulers.update_metrics(&self.effective);
         let (datagrams, bytes) = self.parts.hub.udp_traffic();
         let set = |what, number| {
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -91,6 +91,8 @@
     pub stale_ms: Option<u64>,
     /// Retry budget, which all routers share.
     pub retries: Retries,
+    /// Whether requests are handed over between the routers of a data centre.
+    pub handover: bool,
 }
 
 /// Retry budget of each service over the whole fleet.
@@ -280,7 +282,8 @@
     revocation,
     retry_ratio,
     retry_extra,
-    retry_window
+    retry_window,
+    handover
 });
 raw_section!(RawOperators { listen, key_sha256 });
 raw_section!(RawScheduler {});
@@ -621,6 +624,7 @@
         fanout: usize::try_from(fanout).unwrap_or(4),
         stale_ms,
         retries: retries(s, &raw)?,
+        handover: s.flag("handover", &raw.handover)?.unwrap_or(false),
     })
 }
 
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -88,11 +88,17 @@
     /// The process began or ceased to send new callers to other routers because it schedules
     /// for many of them.
     Dedicated,
+    /// The router began to hand requests over to other routers.
+    HandoverBegan,
+    /// The router ceased to hand requests over to other routers.
+    HandoverEnded,
+    /// Requests that were handed over to one router within the last second.
+    RequestsHandedOver,
 }
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 42] = [
+    pub const ALL: [Line; 45] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -135,6 +141,9 @@
         Line::Pressure,
         Line::Overload,
         Line::Dedicated,
+        Line::HandoverBegan,
+        Line::HandoverEnded,
+        Line::RequestsHandedOver,
     ];
 
     /// The value of the field `event`.
@@ -182,6 +191,9 @@
             Line::Pressure => "pressure",
             Line::Overload => "overload",
             Line::Dedicated => "dedicated",
+            Line::HandoverBegan => "handover-began",
+            Line::HandoverEnded => "handover-ended",
+            Line::RequestsHandedOver => "requests-handed-over",
         }
     }
 }
