Test the failures of hand-over, one each, and the decision under a flood

The tests of the root run r1 and r4 of one data centre; POST /fault/press makes r1 count every request as excess, so that a single request can be followed through the failure of its peer.

A request that may not run twice waits at a silent peer until the deadline of its rule, not for ten minutes.

--- a/components/coordination/src/handover.rs
+++ b/components/coordination/src/handover.rs
@@ -281,6 +281,8 @@
     excess_at: Option<Millis>,
     /// When a peer last answered.
     answered_at: Option<Millis>,
+    /// Whether each request of a caller counts as excess, for tests.
+    is_forced: bool,
     slots: Vec<Slot>,
 }
 
@@ -295,13 +297,22 @@
             is_exercised: false,
             excess_at: None,
             answered_at: None,
+            is_forced: false,
             slots: Vec::new(),
         }
     }
 
+    /// Makes each request of a caller count as excess from now on, or no longer.
+    pub fn force(&mut self, is_forced: bool) {
+        self.is_forced = is_forced;
+    }
+
     /// Adds a probe of how late tasks run, in milliseconds.
     pub fn probe(&mut self, now: Millis, late_ms: u64) {
         self.late_ms = late_ms;
+        if self.is_forced {
+            self.excess_at = Some(now);
+        }
         if now.since(self.adjusted_at) < ADJUSTMENT_INTERVAL_MS {
             return;
         }
@@ -338,7 +349,7 @@
             if is_excess && is_far_beyond {
                 return Decision::Refuse;
             }
-        } else if is_excess {
+        } else if is_excess || self.is_forced {
             self.is_exercised = true;
             self.excess_at = Some(now);
             if let Some(slot) = self.pick(now) {
--- a/components/node/src/frontend/forward.rs
+++ b/components/node/src/frontend/forward.rs
@@ -86,12 +86,17 @@
     frontend.context.metrics.handed_over.inc();
     entry.begin_handover(ticket.vm());
     let deadline = arrived_at + inbound.timeout.unwrap_or(ANSWER_MAX);
-    let mut again = None;
+    let mut found = None;
     let sent = send(frontend, call, &ticket, deadline, |call| {
-        // A frozen peer never answers. Only a request that may run twice is worth a retry.
-        let found = plan(frontend, published, inbound, call);
-        again = found.ok().filter(|plan| plan.idempotent);
-        again.is_some()
+        // A frozen peer never answers. A request that may run twice is retried at once; any other
+        // one may still be answered, up to its deadline.
+        let planned = plan(frontend, published, inbound, call).ok();
+        let until = planned.as_ref().map(|plan| match plan.idempotent {
+            true => Instant::now(),
+            false => arrived_at + plan.timeout,
+        });
+        found = planned;
+        until.unwrap_or(deadline)
     });
     let failure = match sent.await {
         Ok((response, connection)) => {
@@ -124,7 +129,7 @@
         entry.withdraw_handover();
         return Ok(Handed::Here);
     }
-    let plan = match again {
+    let plan = match found {
         Some(plan) => Some(plan),
         None => plan(frontend, published, inbound, call).ok(),
     };
@@ -144,11 +149,11 @@
         (Action::Retry, Some(plan)) => Ok(Handed::Again(Box::new(plan))),
         _ => {
             let text = format!("{peer}: {}", failure.error);
-            let status = match Instant::now() >= deadline {
-                true => StatusCode::GATEWAY_TIMEOUT,
-                false => StatusCode::BAD_GATEWAY,
-            };
-            Err(Refusal::unknown(status, "peer-failed", text))
+            Err(Refusal::unknown(
+                StatusCode::BAD_GATEWAY,
+                "peer-failed",
+                text,
+            ))
         }
     }
 }
@@ -177,19 +182,20 @@
     (EndpointId::default(), ticket.address())
 }
 
-/// Sends a request to a peer and returns the head of its answer. `may_give_up` is asked when the
-/// peer has been silent for long.
+/// Sends a request to a peer and returns the head of its answer. If the peer has been silent for
+/// long, `patience` is asked once until when to wait.
 async fn send<F>(
     frontend: &Frontend,
     call: &mut Call,
     ticket: &Ticket,
-    deadline: Instant,
-    mut may_give_up: F,
+    mut deadline: Instant,
+    patience: F,
 ) -> Result<(Response<Incoming>, Connection), Failure>
 where
-    F: FnMut(&mut Call) -> bool,
+    F: FnOnce(&mut Call) -> Instant,
 {
     let address = ticket.address();
+    let mut patience = Some(patience);
     let mut pooled = frontend.peers.take(&key(ticket), true);
     loop {
         let reused = pooled.is_some();
@@ -207,8 +213,12 @@
             if let Ok(sent) = tokio::time::timeout(CHECK_INTERVAL, sending.as_mut()).await {
                 break sent;
             }
-            let is_late = Instant::now() >= deadline;
-            if is_late || (ticket.is_peer_silent() && may_give_up(call)) {
+            if ticket.is_peer_silent() {
+                if let Some(patience) = patience.take() {
+                    deadline = deadline.min(patience(call));
+                }
+            }
+            if Instant::now() >= deadline {
                 let error = peer_error(address, "it did not answer in time");
                 return Err(failed(Reach::Sent, error));
             }
--- a/components/node/src/handover.rs
+++ b/components/node/src/handover.rs
@@ -57,6 +57,11 @@
         decision.is_relieved(now)
     }
 
+    /// Makes each request of a caller count as excess from now on, or no longer.
+    pub(crate) fn force(&self, is_forced: bool) {
+        self.lock().force(is_forced);
+    }
+
     /// Replaces the peers.
     pub(crate) fn set_peers(&self, peers: &[Peer]) {
         self.lock().set_peers(self.0.clock.now(), peers);
--- a/components/node/src/operators.rs
+++ b/components/node/src/operators.rs
@@ -2,6 +2,7 @@
 
 use crate::control;
 use crate::evacuation::{Orders, Outcome};
+use crate::handover::Handover;
 use crate::input::Input;
 use crate::journal::Journal;
 use crate::metric::Metrics;
@@ -56,6 +57,8 @@
     pub(crate) published: watch::Receiver<Published>,
     /// Whether paths that inject faults are served.
     pub(crate) fault_hook: bool,
+    /// Hand-over of requests to other routers, if this router takes part in it.
+    pub(crate) handover: Option<Handover>,
     /// Sender of evacuation orders.
     pub(crate) orders: Orders,
     /// Limits the configuration files that are received at once.
@@ -151,6 +154,7 @@
         (&Method::POST, "/unquarantine") => unquarantine(parts, &query).await,
         (&Method::POST, "/fault/cut") if parts.fault_hook => cut(parts, &query),
         (&Method::POST, "/fault/suspend") if parts.fault_hook => suspend(parts, &query),
+        (&Method::POST, "/fault/press") if parts.fault_hook => press(parts, &query),
         _ => error(StatusCode::NOT_FOUND, "there is nothing here"),
     }
 }
@@ -358,6 +362,18 @@
     }
 }
 
+/// Fault injection: makes each request of a caller count as more than this router can serve.
+fn press(parts: &Parts, query: &BTreeMap<String, String>) -> Page {
+    let is_forced = query.get("on").is_some_and(|on| on == "yes");
+    match &parts.handover {
+        Some(handover) => {
+            handover.force(is_forced);
+            text(StatusCode::OK, "pressed\n")
+        }
+        None => error(StatusCode::BAD_REQUEST, "this router hands nothing over"),
+    }
+}
+
 /// Sends a question to another part of the process and waits for the answer.
 async fn request<T, F>(ask: F) -> Option<T>
 where
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -352,6 +352,8 @@
         let (hub, events) = self.socket.start(hello, self.clock.clone());
         let data_centres = Starter::data_centres(&self.settings);
         let orders = || Orders::new(reactor.clone(), published.clone(), data_centres.clone());
+        let handover = (self.settings.router.handover && callers.is_some())
+            .then(|| Handover::new(self.clock.clone(), self.metrics.clone()));
         let operator_parts = Arc::new(OperatorParts {
             key: self.settings.operators.key,
             hub: hub.clone(),
@@ -362,6 +364,7 @@
             control: to_control.clone(),
             published: published.clone(),
             fault_hook: self.settings.fault.hook,
+            handover: handover.clone(),
             orders: orders(),
             files: OperatorParts::file_limit(),
         });
@@ -395,8 +398,6 @@
             _ => None,
         };
         let lateness = Lateness::default();
-        let handover = (self.settings.router.handover && callers.is_some())
-            .then(|| Handover::new(self.clock.clone(), self.metrics.clone()));
         let (inquiries, inquiry_receiver) = flume::unbounded();
         let parts = ReactorParts {
             hub: hub.clone(),
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -120,3 +120,202 @@
     }
     assert!(!log.contains("router-busy"), "requests were refused");
 }
+
+/// Rules under which plain requests may run twice, in addition to the default ones.
+const SAFE_RULE: &str =
+    "[rule safe]\nwhen-path = /safe\nthen = send\nservice = booking\nidempotent = yes\n";
+
+/// Makes a router hand every request over to peers with room, or no longer.
+fn press(fleet: &Fleet, router: &str, on: bool) {
+    let path = format!("/fault/press?on={}", if on { "yes" } else { "no" });
+    let operators = fleet.vm(router).operators;
+    let answer = http::send(operators, "POST", &path, harness::OPERATOR_KEY, &[], "");
+    assert_eq!(answer.status, 200);
+}
+
+/// A fleet in which `r1` hands every request over to `r4`, and has a retry budget.
+fn pressed_fleet() -> Fleet {
+    let fleet = fleet();
+    let text = fleet.configuration() + SAFE_RULE;
+    let applied = fleet.apply(&text, &[]);
+    assert!(applied.0.success(), "{}", applied.2);
+    fleet.wait_version(fleet.version());
+    for _ in 0..40 {
+        assert_eq!(fleet.call("r1", "alpha", "/safe", &[], "x").status, 200);
+    }
+    press(&fleet, "r1", true);
+    wait_for_hand_over(&fleet);
+    fleet
+}
+
+/// Waits until requests at `r1` are answered by `r4`.
+fn wait_for_hand_over(fleet: &Fleet) {
+    let before = metric(fleet, "r4", FROM_PEERS);
+    eventually("requests are handed over", || {
+        fleet.call("r1", "alpha", "/assistant", &[], "x");
+        metric(fleet, "r4", FROM_PEERS) > before
+    });
+}
+
+/// Sends a request through `r1` that takes some seconds, and runs `fault` once an endpoint has it.
+fn call_during<F>(fleet: &mut Fleet, path: &'static str, label: &str, fault: F) -> http::Answer
+where
+    F: FnOnce(&mut Fleet),
+{
+    let address = fleet.callers("r1");
+    let owned = label.to_owned();
+    let caller = std::thread::spawn(move || {
+        let headers = [
+            ("stand-in-id", owned.as_str()),
+            (
+                "stand-in-pace",
+                if path == "/assistant" { "20" } else { "1500" },
+            ),
+            ("stand-in-tokens", "150"),
+        ];
+        http::send(address, "POST", path, "alpha", &headers, "x")
+    });
+    eventually("an endpoint has the request", || {
+        fleet.calls_with_label(label) == 1
+    });
+    fault(fleet);
+    caller.join().unwrap()
+}
+
+fn kill_peer(fleet: &mut Fleet) {
+    let vm = fleet.vms.iter_mut().find(|vm| vm.name == "r4").unwrap();
+    vm.kill();
+}
+
+#[test]
+fn runs_a_request_once_if_the_peer_is_killed_before_it_answers() {
+    // Failure: the peer is killed while a request that must not run twice is in progress there.
+    let mut fleet = pressed_fleet();
+    let answer = call_during(&mut fleet, "/booking", "once", kill_peer);
+    assert_eq!((answer.status, answer.outcome()), (502, "unknown"));
+    assert_eq!(fleet.calls_with_label("once"), 1);
+    assert_eq!(metric(&fleet, "r1", FAILED), 1);
+}
+
+#[test]
+fn retries_an_idempotent_request_if_the_peer_is_killed_before_it_answers() {
+    // Failure: the same with a request that may run twice.
+    let mut fleet = pressed_fleet();
+    let answer = call_during(&mut fleet, "/safe", "twice", kill_peer);
+    assert_eq!((answer.status, answer.outcome()), (200, "answered"));
+    assert_eq!(fleet.calls_with_label("twice"), 2);
+}
+
+#[test]
+fn cuts_a_stream_visibly_if_the_peer_is_killed() {
+    // Failure: the peer is killed in the middle of a stream.
+    let mut fleet = pressed_fleet();
+    let answer = call_during(&mut fleet, "/assistant", "cut", kill_peer);
+    assert_eq!((answer.status, answer.complete), (200, false));
+    assert_eq!(fleet.calls_with_label("cut"), 1);
+}
+
+#[test]
+fn serves_requests_here_if_the_peer_refuses_connections() {
+    // Failure: the peer has just been killed, and its figure is still valid.
+    let mut fleet = pressed_fleet();
+    kill_peer(&mut fleet);
+    for n in 0..20 {
+        let label = format!("here-{n}");
+        let headers = [("stand-in-id", label.as_str())];
+        let answer = fleet.call("r1", "alpha", "/booking", &headers, "x");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        assert_eq!(fleet.calls_with_label(&label), 1);
+    }
+}
+
+#[test]
+fn retries_an_idempotent_request_at_a_frozen_peer() {
+    // Failure: the peer is frozen: it takes connections and answers nothing.
+    let fleet = pressed_fleet();
+    fleet.vm("r4").signal("-STOP");
+    let answer = fleet.call("r1", "alpha", "/safe", &[], "x");
+    fleet.vm("r4").signal("-CONT");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert_eq!(metric(&fleet, "r1", FAILED), 1);
+}
+
+#[test]
+fn two_pressed_routers_pass_nothing_on_to_each_other() {
+    // Failure: two flooded routers hand requests over to each other in a loop.
+    let fleet = pressed_fleet();
+    press(&fleet, "r4", true);
+    eventually("both serve their own requests", || {
+        let before = metric(&fleet, "r4", FROM_PEERS) + metric(&fleet, "r1", FROM_PEERS);
+        for router in ["r1", "r4"] {
+            let answer = fleet.call(router, "alpha", "/booking", &[], "x");
+            assert_eq!(answer.status, 200, "{}", answer.text());
+        }
+        metric(&fleet, "r4", FROM_PEERS) + metric(&fleet, "r1", FROM_PEERS) == before
+    });
+}
+
+#[test]
+fn does_not_pass_on_a_request_with_a_forged_header() {
+    // Failure: a caller sends the header by which a router knows a request of another one.
+    let fleet = pressed_fleet();
+    let before = metric(&fleet, "r1", HANDED_OVER);
+    let forged = [("cowslipford-forwarded", "r9")];
+    let answer = fleet.call("r1", "alpha", "/booking", &forged, "x");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert_eq!(metric(&fleet, "r1", HANDED_OVER), before);
+}
+
+#[test]
+fn finishes_handed_over_requests_while_the_peer_stops() {
+    // Failure: the peer is stopped while it has a stream of another router. It closes at once,
+    // since this fleet has no readiness checks; the one request that was sent to it before it was
+    // known to be closed is refused there, and the caller's retry is served.
+    let mut fleet = pressed_fleet();
+    let answer = call_during(&mut fleet, "/assistant", "stop", |fleet| {
+        fleet.vm("r4").signal("-TERM");
+        let mut refused = 0;
+        for _ in 0..40 {
+            let answer = fleet.call("r1", "alpha", "/booking", &[], "x");
+            match (answer.status, answer.outcome()) {
+                (200, _) => {}
+                (503, "not-run") => refused += 1,
+                other => panic!("{other:?} {}", answer.text()),
+            }
+        }
+        assert!(refused <= 1, "{refused} requests were refused");
+    });
+    assert_eq!((answer.status, answer.complete), (200, true));
+}
+
+#[test]
+fn cancels_a_request_at_the_peer_when_its_caller_leaves() {
+    // Failure: the caller leaves, and the peer goes on with a stream that nobody reads.
+    let fleet = pressed_fleet();
+    let running = |vm| metric(&fleet, vm, "cowslipford_requests_here ");
+    let request = b"POST /assistant HTTP/1.1\r\nhost: test\r\nauthorization: Bearer alpha\r\n\
+        stand-in-tokens: 3000\r\nstand-in-pace: 20\r\nstand-in-id: left\r\ncontent-length: 1\r\n\r\nx";
+    let mut stream = std::net::TcpStream::connect(fleet.callers("r1")).unwrap();
+    std::io::Write::write_all(&mut stream, request).unwrap();
+    eventually("the peer runs the request", || {
+        fleet.calls_with_label("left") == 1 && running("r4") == 1
+    });
+    drop(stream);
+    eventually("nobody runs the request", || {
+        running("r4") == 0 && running("r1") == 0
+    });
+}
+
+#[test]
+fn claims_an_idempotency_key_once() {
+    // Failure: a request and its resend with the same key are served by different routers.
+    let fleet = pressed_fleet();
+    let headers = [("idempotency-key", "k1"), ("stand-in-id", "key")];
+    let first = fleet.call("r1", "alpha", "/booking", &headers, "x");
+    press(&fleet, "r1", false);
+    let second = fleet.call("r1", "alpha", "/booking", &headers, "x");
+    assert_eq!((first.status, second.status), (200, 200));
+    assert_eq!(first.body, second.body);
+    assert_eq!(fleet.calls_with_label("key"), 1);
+    assert_eq!(first.header("cowslipford-outcome"), "answered");
+}
