--- a/components/node/src/frontend/access_log.rs
+++ b/components/node/src/frontend/access_log.rs
@@ -45,7 +45,9 @@
     /// Time from the request's arrival to its first dispatch.
     first_wait: Option<Duration>,
     timing: Timing,
-    /// Times that the request was dispatched to an endpoint.
+    /// VM of the router that has passed the request on to this one.
+    forwarder: Option<HeaderValue>,
+    /// Times that the request was dispatched to an endpoint, or handed over to a router.
     tries: u32,
     /// Times that its stream continued at another endpoint.
     resumed: u32,
@@ -98,6 +100,7 @@
             fingerprint: None,
             first_wait: None,
             timing: Timing::new(arrived_at),
+            forwarder: None,
             tries: 0,
             resumed: 0,
             unresumed: None,
@@ -115,6 +118,35 @@
         self.caller_request_id = caller_request_id;
     }
 
+    /// Records the router that has passed the request on to this one.
+    pub(crate) fn set_forwarder(&mut self, forwarder: Option<HeaderValue>) {
+        self.forwarder = forwarder;
+    }
+
+    /// Whether another router has passed the request on to this one.
+    pub(crate) fn is_forwarded(&self) -> bool {
+        self.forwarder.is_some()
+    }
+
+    /// Records that the request is handed over to another router.
+    pub(crate) fn begin_handover(&mut self, peer: &Name) {
+        self.tries += 1;
+        self.endpoint = Some(peer.clone());
+    }
+
+    /// Records that the request did not reach the other router.
+    pub(crate) fn withdraw_handover(&mut self) {
+        self.tries -= 1;
+        self.endpoint = None;
+    }
+
+    /// Counts the end of an answer of another router, which has a log line of its own there.
+    pub(crate) fn count_handed_over(&mut self, reason: &'static str) {
+        self.is_logged = true;
+        let outcome = Outcome::Answered.as_str();
+        self.count(self.arrived_at.elapsed(), None, outcome, reason);
+    }
+
     /// Records the rule that matched, and the service and customer that follow from it.
     pub(crate) fn set_plan(&mut self, plan: &Plan, customer: Option<Name>) {
         self.rule = Some(plan.rule.clone());
@@ -261,6 +293,7 @@
             tries = self.tries,
             resumed = (self.resumed > 0).then_some(self.resumed),
             unresumed = self.unresumed,
+            from = self.forwarder.as_ref().and_then(|vm| vm.to_str().ok()),
             status = status.map(|s| s.as_u16()),
             outcome,
             reason,
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -3,6 +3,7 @@
 use crate::control::{self, Control};
 use crate::evacuation::Orders;
 use crate::frontend::{Context as FrontendContext, Frontend};
+use crate::handover::Handover;
 use crate::input::Input;
 use crate::interface::Interface;
 use crate::journal::Journal;
@@ -354,6 +355,8 @@
         let (hub, events) = self.socket.start(hello, self.clock.clone());
         let data_centres = Starter::data_centres(&self.settings);
         let orders = || Orders::new(reactor.clone(), published.clone(), data_centres.clone());
+        let handover = (self.settings.router.handover && callers.is_some())
+            .then(|| Handover::new(self.clock.clone(), self.metrics.clone()));
         let operator_parts = Arc::new(OperatorParts {
             key: self.settings.operators.key,
             hub: hub.clone(),
@@ -364,6 +367,7 @@
             control: to_control.clone(),
             published: published.clone(),
             fault_hook: self.settings.fault.hook,
+            handover: handover.clone(),
             orders: orders(),
             files: OperatorParts::file_limit(),
         });
@@ -425,6 +429,7 @@
             may_schedule: self.settings.scheduler,
             scheduling: self.settings.scheduling,
             serves_callers: self.settings.callers.is_some(),
+            handover: handover.clone(),
             to_control: to_control.clone(),
             publish,
             suspicions: publish_suspicions,
@@ -460,6 +465,7 @@
             memory,
             budget.connections,
             published.clone(),
+            handover.clone(),
             stopped.clone(),
         );
         tasks.push(tokio::spawn(monitor));
@@ -505,6 +511,8 @@
                 reactor: reactor.clone(),
                 published: published.clone(),
                 suspicions,
+                handover,
+                vm: hub.hello().node.vm.clone(),
             });
             tasks.push(tokio::spawn(frontend.run(listener, stopped)));
         }
--- a/components/node/src/reactor/status.rs
+++ b/components/node/src/reactor/status.rs
@@ -64,6 +64,8 @@
             self.dispatcher.shards().filter(|(_, up)| !up).count(),
         ));
         let now = self.now();
+        let reporting_routers = gauge_value(self.reporting_routers());
+        metrics.reporting_routers.set(reporting_routers);
         self.schedulers.update_metrics(now, &self.effective);
         let (datagrams, bytes) = self.parts.hub.udp_traffic();
         let set = |what, number| {
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -100,6 +100,8 @@
     pub retries: Retries,
     /// Whether streams of rules with `resume` continue at another endpoint when theirs breaks off.
     pub resume: bool,
+    /// Whether requests are handed over between the routers of a data centre.
+    pub handover: bool,
 }
 
 /// Retry budget of each service over the whole fleet.
@@ -295,7 +297,8 @@
     retry_ratio,
     retry_extra,
     retry_window,
-    resume
+    resume,
+    handover
 });
 raw_section!(RawOperators { listen, key_sha256 });
 raw_section!(RawScheduler { appointments });
@@ -636,6 +639,7 @@
         stale_ms,
         retries: retries(s, &raw)?,
         resume: s.flag("resume", &raw.resume)?.unwrap_or(false),
+        handover: s.flag("handover", &raw.handover)?.unwrap_or(false),
     })
 }
 
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -307,3 +307,14 @@
     let plain = parse_configuration("fleet.ini", &configuration()).unwrap();
     assert_eq!(draft, plain);
 }
+
+#[rstest]
+#[case::default("", false)]
+#[case::on("handover = yes\n", true)]
+#[case::off("handover = no\n", false)]
+fn hands_requests_over_only_if_told_to(#[case] line: &str, #[case] expected: bool) {
+    // Failure: a router of a fleet that is being upgraded hands requests over unasked.
+    let text = process_settings().replace("[router]\n", &format!("[router]\n{line}"));
+    let settings = Settings::parse("vm.ini", Path::new("."), &text).unwrap();
+    assert_eq!(settings.router.handover, expected);
+}
