Test the switch for bounds on pauses with real processes

Cause: that a control VM removes max-gap without [control] stream-objectives, and that routers measure pauses with it, was tested only in parts. Change: a fleet of one control VM and one router applies the same configuration without and with the switch, and serves a stream under the rule.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -417,3 +417,33 @@
         checked.2
     );
 }
+
+/// Failure: a control VM puts a bound on pauses into the log although its settings do not say that
+/// every process can read it; or a stream under such a rule is not served or not measured.
+#[test]
+fn can_put_a_bound_on_pauses_into_force_once_the_settings_allow_it() {
+    for (keys, is_kept) in [("", false), ("stream-objectives = yes\n", true)] {
+        let fleet = Fleet::start(Plan {
+            control: 1,
+            routers: 1,
+            control_keys: keys.to_owned(),
+            ..Plan::default()
+        });
+        let base = config_version(&fleet, "c1");
+        let text = fleet.configuration().replace(
+            "when-path = /assistant\nthen = send\n",
+            "when-path = /assistant\nthen = send\nmax-gap = 1ms\n",
+        );
+        let version = accepted(&send(&fleet, "c1", "d1", base, &text));
+        fleet.wait_version(version);
+        let config = http::get(fleet.vm("r1").operators, "/config", OPERATOR_KEY);
+        assert_eq!(config.text().contains("max-gap = 1ms"), is_kept);
+        let paced = [("stand-in-tokens", "40"), ("stand-in-pace", "10")];
+        let answer = fleet.call("r1", "alpha", "/assistant", &paced, "hello");
+        assert_eq!(answer.status, 200);
+        let metrics = || http::get(fleet.vm("r1").operators, "/metrics", OPERATOR_KEY).text();
+        let observed =
+            "cowslipford_pauses_over_bound_total{service=\"assistant\",what=\"observed\"}";
+        assert_eq!(metrics().contains(observed), is_kept, "{}", metrics());
+    }
+}
