--- a/components/protocol/tests/codec.rs
+++ b/components/protocol/tests/codec.rs
@@ -6,6 +6,7 @@
 };
 use protocol::wire::{Extension, Features, Frame, Hello, Message};
 use state::clock::Stamp;
+use state::config::{Forward, Then};
 use state::evacuation::Order;
 use state::id::{Name, Version};
 use state::record::Record;
@@ -112,3 +113,21 @@
     assert_eq!(read, store);
     assert!(read.view.evacuated().next().is_some());
 }
+
+/// Failure: a configuration that an earlier release has written is read as another one, since an
+/// action of a rule has changed its position.
+#[test]
+fn actions_of_rules_keep_their_positions() {
+    let forward = Forward::default();
+    let reason = "closed".to_owned();
+    let actions = [
+        Then::new(forward.clone(), None),
+        Then::Refuse { reason },
+        Then::new(forward, Some(300)),
+    ];
+    for (position, action) in (0u8..).zip(actions) {
+        let bytes = encode_value(&action).unwrap();
+        assert_eq!(bytes[0], position);
+        assert_eq!(decode_value::<Then>(&bytes).unwrap(), action);
+    }
+}
