Decide what a router admits from what it has served

Cause: the limit of admitted connections followed lateness alone. At 850 attempts a second it closed most of the excess unread, whose callers get no Retry-After and return at once.

Change: `admission::Intake` sets the limit to seven eighths of the requests served per second while tasks run late, and lets it grow while they are on time. The excess is refused with a response, within a quarter of the processor time by the measured cost of refusals; connections are closed unread only after refusals were used up for 200 ms. A router becomes unready when what it refuses and closes is a quarter of its limit. Connections that are being refused are taken from the budget of caller connections. Nothing uses this yet.

In tests/overload.rs one literal of `Arrivals` names the new field; its checks are unchanged.

--- a/components/coordination/src/admission.rs
+++ b/components/coordination/src/admission.rs
@@ -5,8 +5,13 @@
 //! what serving it does, so that a router which reads everything serves less the more comes,
 //! down to almost nothing. What is turned away must therefore cost next to nothing, and what
 //! is admitted must be about as much as can be served.
+//!
+//! [`Limit`] follows lateness alone: it settles where tasks run 20 to 40 ms late, however little
+//! of what it admits is served. [`Intake`] follows what was served: a router at which 850 callers
+//! a second arrive and which can serve 300 of them admits about 300, answers the others with a
+//! refusal, and closes connections unread only when refusals take too much of the processor.
 
-use crate::overload::{CALM_LATENESS_MS, OVERLOAD_LATENESS_MS};
+use crate::overload::{BYPASSED_AFTER_MS, CALM_LATENESS_MS, OVERLOAD_LATENESS_MS};
 
 /// With at least this many requests and connections admitted before a probe, its lateness counts
 /// as caused by this process: an eighth of a core handles about as many in
@@ -23,6 +28,55 @@
 /// Divisor of the limit that gives its growth with each calm probe.
 const GROWTH_DIVISOR: u64 = 8;
 
+/// Time over which an [`Intake`] averages rates, in milliseconds. At 300 requests a second it
+/// covers 60 of them, which bounds the error of a rate to about an eighth.
+const RATE_WINDOW_MS: u64 = 200;
+/// Least limit of an [`Intake`], in thousandths of a request per second: one request with each
+/// probe. Without it a flood would shut out all other callers.
+const RATE_MIN: u64 = 50_000;
+/// Limit from which an [`Intake`] counts as unlimited, in thousandths of a request per second. An
+/// eighth of a core serves a thirtieth of it.
+const RATE_UNLIMITED: u64 = 10_000_000;
+/// Time in which a limit that is used up doubles while tasks are on time, in milliseconds. Most
+/// of the work of an admitted request is done within as much, so that its effect is seen. In the model
+/// of tests/intake.rs 10 of 100 probes are late with it, and 15 with 500 ms.
+const GROWTH_MS: u64 = 1000;
+/// The same where less than four fifths of what was admitted is served, in milliseconds. Such a
+/// router spends its time on refusals of other kinds, which a higher limit may only multiply.
+const UNSERVED_GROWTH_MS: u64 = 2000;
+/// Time in which a limit that is not used up doubles, in milliseconds. A flood that moves to
+/// another router returns within 2 to 20 s, and the limit should still be known then.
+const FORGET_MS: u64 = 30_000;
+/// Time for which unused admissions are kept, in milliseconds: three probes.
+const ADMISSIONS_KEPT_MS: u64 = 60;
+/// Divisor of the process's processor time that gives the part that refusals may take. Served
+/// requests keep three quarters.
+const REFUSAL_SHARE_DIVISOR: u64 = 4;
+/// Largest processor time that refusals may save up, in microseconds: as much as delays the tasks
+/// of a router with an eighth of a core by [`OVERLOAD_LATENESS_MS`].
+const REFUSAL_SAVINGS_MAX_US: u64 = 5000;
+/// Least number of refusals between two probes, so that their cost continues to be measured.
+const REFUSALS_MIN: u64 = 2;
+/// Assumed processor time of a refusal before one was measured, in microseconds.
+const REFUSAL_COST_US: u64 = 50;
+/// Growth of the number of refusals with each calm probe, beyond their part of the processor time:
+/// that part is small where little of the processor is used at all.
+const REFUSALS_GROWTH: u64 = 4;
+/// Largest number of refusals between two probes: as many as wait in the accept queue.
+const REFUSALS_MAX: u64 = 256;
+/// Time for which refusals must have been used up before connections are closed unread, in
+/// milliseconds. 850 connections a second fill an accept queue of 256 in 300 ms, and a caller
+/// allows a second for its connection; until then waiting costs nothing.
+const CLOSE_AFTER_MS: u64 = 200;
+/// Least time after which a refused caller should retry, in milliseconds.
+const RETRY_MIN_MS: u64 = 50;
+/// Largest time after which a refused caller should retry while the router expects room, in
+/// milliseconds.
+const RETRY_MAX_MS: u64 = 200;
+/// Time over which the retries of callers are spread that wait until load balancers bypass the
+/// router, in milliseconds.
+const RETRY_SPREAD_MS: u64 = 500;
+
 /// Measurements of how late this process's tasks run. A probe is a task that sleeps for a
 /// fixed time and measures how late it wakes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -68,7 +122,8 @@
 pub enum Admission {
     /// Serve it.
     Admit,
-    /// Refuse the request and close its connection after the answer.
+    /// Refuse the request, or the first request of the connection, and close its connection after
+    /// the answer.
     Refuse,
     /// Close the connection without reading from it.
     Close,
@@ -85,12 +140,7 @@
     /// connections beyond a bound are left to the system, which drops them at no cost to
     /// this process.
     pub fn for_connection(late_ms: u64, arrivals: Arrivals, connections_max: u64) -> Self {
-        let is_admitted = late_ms < OVERLOAD_LATENESS_MS && arrivals.admitted < connections_max;
-        match (is_admitted, arrivals.closed < CLOSES_MAX) {
-            (true, _) => Admission::Admit,
-            (false, true) => Admission::Close,
-            (false, false) => Admission::Wait,
-        }
+        Quota::closing_excess(connections_max).decide(late_ms, arrivals)
     }
 
     /// Decides on a request that was read from an admitted connection.
@@ -111,10 +161,51 @@
 pub struct Arrivals {
     /// Connections that were admitted.
     pub admitted: u64,
+    /// Connections that were answered with a refusal.
+    pub refused: u64,
     /// Connections that were closed unread.
     pub closed: u64,
 }
 
+/// Largest numbers of connections to admit, to answer with a refusal and to close unread until
+/// the next probe. Further connections are left in the accept queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quota {
+    /// Connections to admit, unless tasks run late.
+    pub connections: u64,
+    /// Connections to answer with a refusal.
+    pub refusals: u64,
+    /// Connections to close unread.
+    pub closes: u64,
+}
+
+impl Quota {
+    /// Admits up to `connections`, and closes others unread without a refusal.
+    pub fn closing_excess(connections: u64) -> Self {
+        Quota {
+            connections,
+            refusals: 0,
+            closes: CLOSES_MAX,
+        }
+    }
+
+    /// Decides on a connection that waits to be accepted.
+    ///
+    /// Hand-over to another router applies to connections that are admitted here, and comes
+    /// before a refusal: see [`Admission::for_request`].
+    pub fn decide(&self, late_ms: u64, arrivals: Arrivals) -> Admission {
+        if late_ms < OVERLOAD_LATENESS_MS && arrivals.admitted < self.connections {
+            Admission::Admit
+        } else if arrivals.refused < self.refusals {
+            Admission::Refuse
+        } else if arrivals.closed < self.closes {
+            Admission::Close
+        } else {
+            Admission::Wait
+        }
+    }
+}
+
 /// Adaptive limit on the connections admitted between two probes.
 ///
 /// The limit grows by a part of itself while the router is calm and shrinks to three quarters
@@ -151,3 +242,201 @@
         self.connections_max
     }
 }
+
+/// Work of a router between two probes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Period {
+    /// Time between the probes, in milliseconds.
+    pub length_ms: u64,
+    /// Sustained lateness of the second probe, in milliseconds.
+    pub late_ms: u64,
+    /// Connections that arrived.
+    pub arrivals: Arrivals,
+    /// Requests that were admitted after their heads were read, on new and on kept connections.
+    pub requests: u64,
+    /// Requests that were sent to an endpoint or handed over to another router.
+    pub served: u64,
+    /// Processor time of the process, in microseconds.
+    pub process_us: u64,
+    /// Processor time of refusals of connections, in microseconds.
+    pub refusal_us: u64,
+}
+
+/// Average of a rate, in thousandths of an event per second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Rate(u64);
+
+impl Rate {
+    /// Adds the events of a time, weighted by that time.
+    fn add(&mut self, events: u64, length_ms: u64) {
+        let sum = self.0 * RATE_WINDOW_MS + events * 1_000_000;
+        self.0 = sum / (RATE_WINDOW_MS + length_ms);
+    }
+}
+
+/// Decides how many connections a router admits, refuses and closes until the next probe, from
+/// what it has served of the requests that it admitted before.
+///
+/// While tasks run late, what is served per second is what the router can serve, and the limit is
+/// set just below it. While they are on time and the limit is used up, it grows. Lateness only
+/// says in which direction the limit is wrong, not by how much.
+#[derive(Clone, Copy, Debug)]
+pub struct Intake {
+    /// Requests that may be admitted, in thousandths per second; `None` if the router was not
+    /// overloaded lately.
+    limit: Option<u64>,
+    /// Requests served.
+    served: Rate,
+    /// Requests admitted, counting a connection as one.
+    admitted: Rate,
+    /// Connections that were refused or closed.
+    excess: Rate,
+    /// Admissions that are left, in thousandths of a request.
+    admissions: u64,
+    /// Measured processor time of a refusal, in microseconds.
+    refusal_cost_us: u64,
+    /// Processor time that refusals may take, in microseconds.
+    refusal_savings_us: u64,
+    /// Time for which refusals have been used up, in milliseconds.
+    starved_ms: u64,
+    quota: Quota,
+}
+
+impl Default for Intake {
+    fn default() -> Self {
+        Intake {
+            limit: None,
+            served: Rate::default(),
+            admitted: Rate::default(),
+            excess: Rate::default(),
+            admissions: 0,
+            refusal_cost_us: REFUSAL_COST_US,
+            refusal_savings_us: 0,
+            starved_ms: 0,
+            quota: Quota {
+                connections: ADMISSIONS_MAX,
+                refusals: REFUSALS_MIN,
+                closes: 0,
+            },
+        }
+    }
+}
+
+impl Intake {
+    /// Takes the work since the last probe, and returns the quota until the next one.
+    pub fn probe(&mut self, period: Period) -> Quota {
+        let arrivals = period.arrivals;
+        // A request on a new connection is counted with the connection.
+        let admitted = arrivals.admitted.max(period.requests);
+        self.served.add(period.served, period.length_ms);
+        self.admitted.add(admitted, period.length_ms);
+        let excess = arrivals.refused + arrivals.closed;
+        self.excess.add(excess, period.length_ms);
+        self.adjust_limit(period.late_ms, period.length_ms, admitted);
+        self.quota = Quota {
+            connections: self.connections(admitted, period.length_ms),
+            refusals: self.refusals(period),
+            closes: self.closes(period),
+        };
+        self.quota
+    }
+
+    /// Quota until the next probe.
+    pub fn quota(&self) -> Quota {
+        self.quota
+    }
+
+    /// Whether more arrives than the router can serve, by so much that new connections should go
+    /// to other routers.
+    pub fn is_exceeded(&self) -> bool {
+        self.limit.is_some_and(|limit| self.excess.0 > limit / 4)
+    }
+
+    /// Requests per second that may be admitted; `None` without a limit.
+    pub fn limit_per_s(&self) -> Option<u64> {
+        self.limit.map(|limit| limit / 1000)
+    }
+
+    fn adjust_limit(&mut self, late_ms: u64, length_ms: u64, admitted: u64) {
+        if late_ms >= OVERLOAD_LATENESS_MS {
+            if admitted == 0 && self.limit.is_none() {
+                // A pause of the process, and not work of its own.
+                return;
+            }
+            let sustainable = (self.served.0 * 7 / 8).max(RATE_MIN);
+            self.limit = Some(self.limit.map_or(sustainable, |l| l.min(sustainable)));
+            return;
+        }
+        let Some(limit) = self.limit else {
+            return;
+        };
+        let is_used_up = self.admitted.0 * 8 >= limit * 7 || self.excess.0 * 8 >= limit;
+        let is_served = self.served.0 * 5 >= self.admitted.0 * 4;
+        let doubling_ms = match (is_used_up, is_served) {
+            (true, _) if late_ms >= CALM_LATENESS_MS => return,
+            (true, true) => GROWTH_MS,
+            (true, false) => UNSERVED_GROWTH_MS,
+            (false, _) => FORGET_MS,
+        };
+        let limit = limit + limit * length_ms.min(doubling_ms) / doubling_ms;
+        self.limit = Some(limit).filter(|limit| *limit < RATE_UNLIMITED);
+    }
+
+    /// Connections to admit until the next probe, after `admitted` requests in a period.
+    fn connections(&mut self, admitted: u64, length_ms: u64) -> u64 {
+        let Some(limit) = self.limit else {
+            self.admissions = 0;
+            return ADMISSIONS_MAX;
+        };
+        let kept = (limit * ADMISSIONS_KEPT_MS / 1000).max(1000);
+        let left = self.admissions.saturating_sub(admitted * 1000);
+        self.admissions = (left + limit * length_ms / 1000).min(kept);
+        self.admissions / 1000
+    }
+
+    /// Connections to refuse until the next probe, so that refusals keep within their part of the
+    /// processor time.
+    fn refusals(&mut self, period: Period) -> u64 {
+        let refused = period.arrivals.refused;
+        if let Some(cost_us) = period.refusal_us.checked_div(refused) {
+            self.refusal_cost_us = ((self.refusal_cost_us * 7 + cost_us) / 8).max(1);
+        }
+        let saved = self.refusal_savings_us.saturating_sub(period.refusal_us);
+        let earned = period.process_us / REFUSAL_SHARE_DIVISOR;
+        self.refusal_savings_us = (saved + earned).min(REFUSAL_SAVINGS_MAX_US);
+        let by_share = self.refusal_savings_us / self.refusal_cost_us;
+        let by_growth = match period.late_ms < CALM_LATENESS_MS {
+            true => self.quota.refusals + REFUSALS_GROWTH,
+            false => 0,
+        };
+        by_share.max(by_growth).clamp(REFUSALS_MIN, REFUSALS_MAX)
+    }
+
+    /// Connections to close unread until the next probe: none before refusals have been used up
+    /// for a while.
+    fn closes(&mut self, period: Period) -> u64 {
+        let is_starved = period.arrivals.refused >= self.quota.refusals;
+        self.starved_ms = match is_starved {
+            true => self.starved_ms + period.length_ms,
+            false => 0,
+        };
+        match self.starved_ms >= CLOSE_AFTER_MS {
+            true => CLOSES_MAX,
+            false => 0,
+        }
+    }
+}
+
+/// Time after which a refused caller should retry, in milliseconds.
+///
+/// A router that has room again soon says so, spread over a short time. Once it has reported that
+/// it is not ready, its callers reach another router as soon as load balancers have noticed.
+/// `unready_ms` is the time since the report, `None` if the router is ready; `random` spreads the
+/// retries of callers that are refused at the same time.
+pub fn retry_after_ms(unready_ms: Option<u64>, random: u64) -> u64 {
+    let until_bypassed = unready_ms.map(|ms| BYPASSED_AFTER_MS.saturating_sub(ms));
+    match until_bypassed.filter(|ms| *ms > 0) {
+        Some(ms) => ms.max(RETRY_MIN_MS) + random % (RETRY_SPREAD_MS + 1),
+        None => RETRY_MIN_MS + random % (RETRY_MAX_MS - RETRY_MIN_MS + 1),
+    }
+}
--- a/components/coordination/src/budget.rs
+++ b/components/coordination/src/budget.rs
@@ -41,6 +41,13 @@
 /// without cutting off a request.
 const CLOSE_FROM_PERCENT: usize = 75;
 
+/// Divisor of the caller connections that gives how many of them are set aside for connections
+/// that are being refused. Most are refused without waiting; of 500 a second that last 20 ms each,
+/// ten are open at once.
+const REFUSALS_DIVISOR: usize = 16;
+/// Least number of connections that are set aside for refusals.
+const REFUSALS_MIN: usize = 4;
+
 /// Resources of a VM that one process may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Resources {
@@ -94,6 +101,15 @@
         }
     }
 
+    /// Sets aside a part of the caller connections for connections that are being refused; returns
+    /// their number.
+    pub fn set_aside_refusals(&mut self) -> usize {
+        let refusals = (self.connections / REFUSALS_DIVISOR).max(REFUSALS_MIN);
+        let refusals = refusals.min(self.connections / 2);
+        self.connections -= refusals;
+        refusals
+    }
+
     /// Whether so many caller connections are open that answers should close theirs.
     pub fn is_nearly_full(self, connections: usize) -> bool {
         connections.saturating_mul(100) >= self.connections.saturating_mul(CLOSE_FROM_PERCENT)
--- a/components/coordination/src/overload.rs
+++ b/components/coordination/src/overload.rs
@@ -34,7 +34,7 @@
 const UNREADY_MIN_MS: u64 = 2300;
 /// Time after which load balancers bypass an unready router, in milliseconds: two failed
 /// probes, a second apart.
-const BYPASSED_AFTER_MS: u64 = 2000;
+pub(crate) const BYPASSED_AFTER_MS: u64 = 2000;
 /// Longest time for which a router that is still late stays unready, in milliseconds. Where
 /// all routers are overloaded, staying unready helps none of them.
 const UNREADY_LATE_MAX_MS: u64 = 5000;
@@ -95,9 +95,17 @@
     was_calm: bool,
     /// Whether the router is a hot spot.
     is_hot: bool,
+    /// Whether more arrives than the router can serve.
+    is_exceeded: bool,
 }
 
 impl Overload {
+    /// Sets whether more arrives than the router can serve. It then becomes unready before its
+    /// tasks run late.
+    pub fn set_exceeded(&mut self, is_exceeded: bool) {
+        self.is_exceeded = is_exceeded;
+    }
+
     /// Sets whether this router is a hot spot.
     pub fn set_hot(&mut self, is_hot: bool) {
         self.is_hot = is_hot;
@@ -113,7 +121,7 @@
         let mean_ms = self.mean_us / 1000;
         if self.is_unready {
             self.consider_ready(now, mean_ms);
-        } else if mean_ms >= OVERLOAD_LATENESS_MS || self.is_hot {
+        } else if mean_ms >= OVERLOAD_LATENESS_MS || self.is_hot || self.is_exceeded {
             self.consider_unready(now);
         }
         self.is_unready
@@ -130,7 +138,7 @@
             return;
         }
         let since = now.since(self.changed_at);
-        let is_calm = mean_ms < CALM_LATENESS_MS;
+        let is_calm = mean_ms < CALM_LATENESS_MS && !self.is_exceeded;
         let until = if is_calm {
             self.hold_ms
         } else {
@@ -164,6 +172,11 @@
         self.changed_at = now;
     }
 
+    /// Time since the router became unready, in milliseconds; `None` if it is ready.
+    pub fn unready_ms(&self, now: Millis) -> Option<u64> {
+        self.is_unready.then(|| now.since(self.changed_at))
+    }
+
     /// Whether new connections reach other routers by now.
     ///
     /// Callers keep their connections, so a customer would stay with the router that it has
--- a/components/coordination/tests/overload.rs
+++ b/components/coordination/tests/overload.rs
@@ -298,7 +298,14 @@
 
 #[test]
 fn connections_beyond_the_bounds_are_left_in_the_accept_queue() {
-    let decide = |admitted, closed| Admission::for_connection(0, Arrivals { admitted, closed }, 8);
+    let decide = |admitted, closed| {
+        let arrivals = Arrivals {
+            admitted,
+            refused: 0,
+            closed,
+        };
+        Admission::for_connection(0, arrivals, 8)
+    };
     assert_eq!(decide(7, 0), Admission::Admit);
     assert_eq!(decide(8, 0), Admission::Close);
     assert_eq!(decide(8, 1000), Admission::Wait);
--- a/components/node/src/monitor.rs
+++ b/components/node/src/monitor.rs
@@ -127,6 +127,7 @@
     fn arrivals(&self) -> Arrivals {
         Arrivals {
             admitted: self.shared.accepted.load(Ordering::Relaxed),
+            refused: 0,
             closed: self.shared.closed.load(Ordering::Relaxed),
         }
     }
