Answer the connections that a router cannot serve with a refusal

Cause: connections beyond what a late router can serve, or beyond its places, were closed unread. Their callers got no Retry-After and came back at once.

Change: with `[router] answer-excess = yes` (default no) the router follows `admission::Intake`. They take places that are set aside from those of callers. Retry-After follows readiness, also for requests that are refused on served connections.

--- a/components/node/src/frontend/admit.rs
+++ b/components/node/src/frontend/admit.rs
@@ -80,11 +80,19 @@
     if frontend.context.lateness.admit_request() == Admission::Admit {
         return Ok(());
     }
-    let text = "this router has more to do than it can in time; another one may have room";
-    let status = StatusCode::SERVICE_UNAVAILABLE;
+    if frontend.context.lateness.answers_excess() {
+        return Err(busy(frontend.context.lateness.retry_after()));
+    }
     // Spreads the retries of callers that are refused at the same time.
     let retry_after = FAST_RETRY_AFTER * (1 + u32::try_from(id.count % 4).unwrap_or(0));
-    Err(Refusal::not_run(status, BUSY_CODE, text).with_retry_after(retry_after))
+    Err(busy(retry_after))
+}
+
+/// Refusal of a request that this router can't serve in time.
+pub(super) fn busy(retry_after: Duration) -> Refusal {
+    let text = "this router has more to do than it can in time; another one may have room";
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Refusal::not_run(status, BUSY_CODE, text).with_retry_after(retry_after)
 }
 
 /// Refuses a customer's request if the last proof that this router has the newest version is too
--- a/components/node/src/frontend/listen.rs
+++ b/components/node/src/frontend/listen.rs
@@ -5,6 +5,7 @@
 use super::pool::{Key, Pool};
 use super::refusal::Refusal;
 use super::serve::{serve, AnswerDeadline};
+use super::turn_away::Template;
 use crate::http::accept;
 use crate::input::Input;
 use crate::interface::Interface;
@@ -21,11 +22,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use settings::Callers;
-use state::id::{Name, ServiceId};
+use state::id::{Name, RequestId, ServiceId};
 use state::line::Line;
 use state::suspect::Successes;
 use std::collections::HashMap;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -46,9 +47,31 @@
 /// Longest time to wait for an idle connection to close and make room for a new one.
 const MAKE_ROOM_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Most probes for which a connection waits until it may be refused, about as long as the accept
+/// queue takes to fill.
+const REFUSAL_PROBES_MAX: usize = 10;
+
 /// Time between two checks of pooled connections and unread answers.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// An accepted connection, and what is done with it.
+enum Accepted {
+    /// It is served.
+    Serve(TcpStream),
+    /// Its request is refused without being served.
+    Refuse(TcpStream),
+}
+
+/// Place for an admitted connection.
+enum Place {
+    /// There is one.
+    Free(OwnedSemaphorePermit),
+    /// There is none, and the connection is refused.
+    Refusal,
+    /// There is none, and the connection is closed unread.
+    None,
+}
+
 /// Settings and handles that the frontend is given at its start.
 pub(crate) struct Context {
     /// Settings of the callers' address.
@@ -57,6 +80,9 @@
     pub(crate) customer_queue_limit: u32,
     /// Memory and connections that this process may use.
     pub(crate) budget: Budget,
+    /// Connections that may be refused at once without being served, in addition to those of the
+    /// budget.
+    pub(crate) refusals: usize,
     /// How late tasks of this process run.
     pub(crate) lateness: Lateness,
     /// Greatest age, in milliseconds, of the last proof that this process has the newest version.
@@ -99,6 +125,10 @@
     body_units: usize,
     /// One permit per connection of a caller.
     connection_permits: Arc<Semaphore>,
+    /// One permit per connection whose refusal waits for its caller.
+    pub(super) refusal_permits: Arc<Semaphore>,
+    /// Response to connections that are refused without being served.
+    pub(super) template: Template,
     /// Open connections of callers, and which of them are idle.
     registry: Arc<Registry>,
     /// Rate limit of log lines for requests that are refused while tasks run late.
@@ -117,6 +147,8 @@
             body_memory: Arc::new(Semaphore::new(units)),
             body_units: units,
             connection_permits: Arc::new(Semaphore::new(context.budget.connections)),
+            refusal_permits: Arc::new(Semaphore::new(context.refusals)),
+            template: Template::new(&context.interface, &context.metrics),
             busy_lines: Mutex::new(Window::new(MAX_BUSY_LINES_PER_S)),
             successes: Mutex::default(),
             pool: Arc::new(Pool::new(context.budget.idle_connections)),
@@ -129,14 +161,24 @@
 
     /// Whether a refusal is logged, and not only counted.
     pub(crate) fn should_log(&self, refusal: &Refusal) -> bool {
-        if refusal.code != BUSY_CODE {
-            return true;
-        }
+        refusal.code != BUSY_CODE || self.may_log_busy()
+    }
+
+    /// Whether a request that is refused while tasks run late is logged, and not only counted.
+    pub(super) fn may_log_busy(&self) -> bool {
         let lines = self.busy_lines.lock();
         let mut lines = lines.unwrap_or_else(PoisonError::into_inner);
         lines.admits(self.context.clock.now())
     }
 
+    /// ID of the next request.
+    pub(super) fn next_id(&self) -> RequestId {
+        RequestId {
+            router: self.context.incarnation,
+            count: self.next_request.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
     /// Number of open connections of callers.
     pub(crate) fn connections(&self) -> usize {
         let free = self.connection_permits.available_permits();
@@ -200,20 +242,20 @@
             .set(gauge_value(self.context.reactor.len()));
     }
 
-    /// Accepts the next connection. While tasks run late, connections are closed unread until one
-    /// is admitted.
-    async fn accept_next(&self, listener: &TcpListener) -> TcpStream {
+    /// Accepts the next connection that is served or refused. Others are closed unread.
+    async fn accept_next(&self, listener: &TcpListener) -> Accepted {
         loop {
             if !self.context.lateness.may_accept() {
                 tokio::time::sleep(PROBE_INTERVAL).await;
                 continue;
             }
             let stream = accept(listener).await;
-            if self.context.lateness.admit_connection() == Admission::Admit {
-                return stream;
+            match self.context.lateness.admit_connection() {
+                Admission::Admit => return Accepted::Serve(stream),
+                Admission::Refuse => return Accepted::Refuse(stream),
+                // The connection's task would only run after all tasks that are already late.
+                Admission::Close | Admission::Wait => self.context.metrics.closed_unread.inc(),
             }
-            // The connection's task would only run after all tasks that are already late.
-            self.context.metrics.closed_unread.inc();
         }
     }
 
@@ -233,6 +275,28 @@
             .ok()
     }
 
+    /// Waits for a permit, or until a connection without one may be refused; others wait in the
+    /// accept queue.
+    async fn place(&self) -> Place {
+        if let Some(permit) = self.permit().await {
+            return Place::Free(permit);
+        }
+        let lateness = &self.context.lateness;
+        if !lateness.answers_excess() {
+            return Place::None;
+        }
+        for _ in 0..REFUSAL_PROBES_MAX {
+            if lateness.refuse_connection() {
+                return Place::Refusal;
+            }
+            let permit = self.connection_permits.clone().acquire_owned();
+            if let Ok(Ok(permit)) = tokio::time::timeout(PROBE_INTERVAL, permit).await {
+                return Place::Free(permit);
+            }
+        }
+        Place::None
+    }
+
     /// Serves connections until `stop` turns true, and then waits for the requests in progress.
     pub(crate) async fn run(
         self: Arc<Self>,
@@ -242,15 +306,29 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(self.clone().maintain(stop.clone()));
         loop {
-            let stream = tokio::select! {
-                stream = self.accept_next(&listener) => stream,
+            let accepted = tokio::select! {
+                accepted = self.accept_next(&listener) => accepted,
                 Some(_) = tasks.join_next() => continue,
                 () = cancelled(&mut stop) => break,
             };
-            let Some(permit) = self.permit().await else {
-                // A connection above the bound is closed at once, which costs almost nothing.
-                self.context.metrics.closed_unread.inc();
-                continue;
+            let stream = match accepted {
+                Accepted::Serve(stream) => stream,
+                Accepted::Refuse(stream) => {
+                    self.turn_away(stream, &stop, &mut tasks);
+                    continue;
+                }
+            };
+            let permit = match self.place().await {
+                Place::Free(permit) => permit,
+                Place::Refusal => {
+                    self.turn_away(stream, &stop, &mut tasks);
+                    continue;
+                }
+                Place::None => {
+                    // A connection above the bound is closed at once, which costs almost nothing.
+                    self.context.metrics.closed_unread.inc();
+                    continue;
+                }
             };
             let (frontend, stop) = (self.clone(), stop.clone());
             tasks.spawn(async move {
--- a/components/node/src/frontend/mod.rs
+++ b/components/node/src/frontend/mod.rs
@@ -12,6 +12,7 @@
 mod relay;
 mod serve;
 mod timing;
+mod turn_away;
 mod upstream;
 
 pub(crate) use listen::{Context, Frontend};
--- a/components/node/src/frontend/refusal.rs
+++ b/components/node/src/frontend/refusal.rs
@@ -13,6 +13,9 @@
 /// Header that says whether an endpoint has run the request.
 pub(crate) const OUTCOME_HEADER: &str = "cowslipford-outcome";
 
+/// Header with the time after which a caller should retry.
+pub(super) const RETRY_AFTER: &str = "retry-after";
+
 /// Why the router refuses a request, as the caller is told.
 #[derive(Clone, Debug)]
 pub(crate) struct Refusal {
@@ -69,13 +72,7 @@
 
     /// Builds the HTTP response that the caller receives.
     pub(crate) fn response(&self, id: RequestId, interface: &Interface) -> Response<Full<Bytes>> {
-        let body = serde_json::json!({
-            "error": self.code,
-            "message": self.message,
-            "outcome": self.outcome.as_str(),
-            "request": id.to_string(),
-        });
-        let mut response = Response::new(Full::new(Bytes::from(format!("{body}\n"))));
+        let mut response = Response::new(Full::new(Bytes::from(self.body(id))));
         *response.status_mut() = (interface.map_status)(self.status, self.outcome);
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -85,15 +82,30 @@
         );
         set_header(headers, REQUEST_ID, &id.to_string());
         if let Some(time) = self.retry_after {
-            // Whole seconds have no decimals, since not every caller parses fractions.
-            let text = match time.subsec_millis() {
-                0 => time.as_secs().to_string(),
-                millis => format!("{}.{millis:03}", time.as_secs()),
-            };
-            set_header(headers, "retry-after", &text);
+            set_header(headers, RETRY_AFTER, &retry_after_text(time));
         }
         response
     }
+
+    /// Body of that response.
+    pub(super) fn body(&self, id: RequestId) -> String {
+        let body = serde_json::json!({
+            "error": self.code,
+            "message": self.message,
+            "outcome": self.outcome.as_str(),
+            "request": id.to_string(),
+        });
+        format!("{body}\n")
+    }
+}
+
+/// Value of the header `Retry-After`. Whole seconds have no decimals, since not every caller
+/// parses fractions.
+pub(super) fn retry_after_text(time: Duration) -> String {
+    match time.subsec_millis() {
+        0 => time.as_secs().to_string(),
+        millis => format!("{}.{millis:03}", time.as_secs()),
+    }
 }
 
 /// Sets a header. A value that is no valid header value is left out.
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -63,6 +63,8 @@
     pub(crate) attempts: IntCounter,
     /// Connections closed unread, because tasks ran late or the connection limit was reached.
     pub(crate) closed_unread: IntCounter,
+    /// Connections that were refused with a response, without being served.
+    pub(crate) refused_connections: IntCounter,
     /// Requests refused without a log line.
     pub(crate) unlogged_refusals: IntCounter,
     /// Open connections of callers.
@@ -206,6 +208,10 @@
                 "cowslipford_connections_turned_away_total",
                 "Connections closed unread, since tasks ran late or there was no place for them.",
             )?,
+            refused_connections: counter(
+                "cowslipford_connections_refused_total",
+                "Connections beyond what can be served, refused with a response.",
+            )?,
             unlogged_refusals: counter(
                 "cowslipford_untold_refusals_total",
                 "Requests refused while tasks ran late, without a log line.",
--- a/components/node/src/monitor.rs
+++ b/components/node/src/monitor.rs
@@ -6,8 +6,9 @@
 
 use crate::metric::{gauge_value, Metrics};
 use crate::shared::{cancelled, Published};
-use coordination::admission::{Admission, Arrivals, Limit, Probes};
+use coordination::admission::{self, Admission, Arrivals, Intake, Limit, Period, Probes, Quota};
 use coordination::overload::Overload;
+use rustix::time::ClockId;
 use state::clock::Millis;
 use state::line::Line;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -24,6 +25,10 @@
 /// Lateness of tasks from which the pressure is logged, in milliseconds.
 const LOGGED_LATENESS_MS: u64 = 20;
 
+/// Processor time to accept a connection and to close it, in microseconds. It is not measured for
+/// each refusal, since it is spent in other places.
+const ACCEPT_US: u64 = 10;
+
 /// Number of callers' connections from which the pressure is logged.
 const LOGGED_CONNECTIONS: i64 = 256;
 
@@ -38,6 +43,8 @@
 pub(crate) struct Lateness {
     /// Origin of the times in `shared`.
     started: Instant,
+    /// Whether connections beyond what can be served are answered with a refusal.
+    answers_excess: bool,
     shared: Arc<Probe>,
 }
 
@@ -54,30 +61,146 @@
     admitted: AtomicU64,
     /// Connections admitted since the last probe.
     accepted: AtomicU64,
+    /// Connections refused with a response since the last probe.
+    refused: AtomicU64,
     /// Connections closed unread since the last probe.
     closed: AtomicU64,
+    /// Processor time of these refusals, in nanoseconds.
+    refusal_ns: AtomicU64,
     /// Largest number of connections that may be admitted between two probes.
     connections_max: AtomicU64,
+    /// Largest number of connections that may be refused between two probes.
+    refusals_max: AtomicU64,
+    /// Largest number of connections that may be closed unread between two probes.
+    closes_max: AtomicU64,
+    /// Time since this router has reported that it is not ready, in milliseconds; the largest
+    /// value if it is ready.
+    unready_ms: AtomicU64,
     /// Whether new connections should go to other routers.
     is_shedding: AtomicBool,
     /// Whether new connections do go to other routers by now.
     is_bypassed: AtomicBool,
 }
 
-impl Default for Lateness {
-    fn default() -> Self {
+/// Decides on connections from one probe to the next.
+enum Decision {
+    /// By lateness alone; connections beyond the limit are closed unread.
+    Limit(Limit),
+    /// By what was served; connections beyond that are refused with a response.
+    Intake(Intake),
+}
+
+impl Decision {
+    fn new(answers_excess: bool) -> Self {
+        match answers_excess {
+            true => Decision::Intake(Intake::default()),
+            false => Decision::Limit(Limit::default()),
+        }
+    }
+
+    /// Quota until the next probe.
+    fn quota(&self) -> Quota {
+        match self {
+            Decision::Limit(limit) => Quota::closing_excess(limit.connections_max()),
+            Decision::Intake(intake) => intake.quota(),
+        }
+    }
+
+    /// Takes the work since the last probe.
+    fn probe(&mut self, period: Period) {
+        match self {
+            Decision::Limit(limit) => limit.probe(period.late_ms, period.arrivals.admitted),
+            Decision::Intake(intake) => {
+                intake.probe(period);
+            }
+        }
+    }
+
+    /// Whether more arrives than the router can serve.
+    fn is_exceeded(&self) -> bool {
+        match self {
+            Decision::Limit(_) => false,
+            Decision::Intake(intake) => intake.is_exceeded(),
+        }
+    }
+
+    /// Requests per second that may be admitted, if there is a limit.
+    fn limit_per_s(&self) -> Option<u64> {
+        match self {
+            Decision::Limit(_) => None,
+            Decision::Intake(intake) => intake.limit_per_s(),
+        }
+    }
+}
+
+/// Measures the processor time of a part of a refusal until it is dropped. It must be dropped by
+/// the thread that created it.
+pub(crate) struct RefusalTimer<'a> {
+    lateness: &'a Lateness,
+    began_ns: u64,
+}
+
+impl Drop for RefusalTimer<'_> {
+    fn drop(&mut self) {
+        let took_ns = cpu_ns(ClockId::ThreadCPUTime).saturating_sub(self.began_ns);
+        let sum = &self.lateness.shared.refusal_ns;
+        sum.fetch_add(took_ns, Ordering::Relaxed);
+    }
+}
+
+/// Processor time by a clock of the process or of a thread, in nanoseconds.
+fn cpu_ns(clock: ClockId) -> u64 {
+    let time = rustix::time::clock_gettime(clock);
+    let part = |value: i64| u64::try_from(value).unwrap_or(0);
+    part(time.tv_sec) * 1_000_000_000 + part(time.tv_nsec)
+}
+
+impl Lateness {
+    /// Creates the probes' state; `answers_excess` is the setting `answer-excess`.
+    pub(crate) fn new(answers_excess: bool) -> Self {
         let lateness = Lateness {
             started: Instant::now(),
+            answers_excess,
             shared: Arc::default(),
         };
-        lateness.shared.due_ms.store(u64::MAX, Ordering::Relaxed);
-        (lateness.shared.connections_max)
-            .store(Limit::default().connections_max(), Ordering::Relaxed);
+        let shared = &lateness.shared;
+        shared.due_ms.store(u64::MAX, Ordering::Relaxed);
+        shared.unready_ms.store(u64::MAX, Ordering::Relaxed);
+        lateness.set_quota(Decision::new(answers_excess).quota());
         lateness
     }
-}
 
-impl Lateness {
+    /// Whether connections beyond what can be served are answered with a refusal.
+    pub(crate) fn answers_excess(&self) -> bool {
+        self.answers_excess
+    }
+
+    /// Time after which a refused caller should retry.
+    pub(crate) fn retry_after(&self) -> Duration {
+        let unready_ms = self.shared.unready_ms.load(Ordering::Relaxed);
+        let unready_ms = Some(unready_ms).filter(|ms| *ms != u64::MAX);
+        let random = u64::from(rand::random::<u32>());
+        Duration::from_millis(admission::retry_after_ms(unready_ms, random))
+    }
+
+    /// Measures the processor time of a refusal until the returned value is dropped.
+    pub(crate) fn time_refusal(&self) -> RefusalTimer<'_> {
+        RefusalTimer {
+            lateness: self,
+            began_ns: cpu_ns(ClockId::ThreadCPUTime),
+        }
+    }
+
+    /// Whether a connection that there is no room to serve may be refused now, and counts it.
+    pub(crate) fn refuse_connection(&self) -> bool {
+        let quota = self.quota();
+        let is_allowed = self.arrivals().refused < quota.refusals;
+        if is_allowed {
+            self.shared.refused.fetch_add(1, Ordering::Relaxed);
+        }
+        is_allowed
+    }
+
     /// Current lateness of tasks in milliseconds.
     fn ms(&self) -> u64 {
         let load = |of: &AtomicU64| of.load(Ordering::Relaxed);
@@ -112,22 +235,35 @@
             Admission::Close => {
                 self.shared.closed.fetch_add(1, Ordering::Relaxed);
             }
-            Admission::Refuse | Admission::Wait => {}
+            Admission::Refuse => {
+                self.shared.refused.fetch_add(1, Ordering::Relaxed);
+            }
+            Admission::Wait => {}
         }
         admission
     }
 
     /// Decides what to do with a connection.
     fn decide_connection(&self) -> Admission {
-        let connections_max = self.shared.connections_max.load(Ordering::Relaxed);
-        Admission::for_connection(self.ms(), self.arrivals(), connections_max)
+        self.quota().decide(self.ms(), self.arrivals())
+    }
+
+    /// How many connections may be admitted, refused and closed between the last probe and the
+    /// next one.
+    fn quota(&self) -> Quota {
+        let load = |of: &AtomicU64| of.load(Ordering::Relaxed);
+        Quota {
+            connections: load(&self.shared.connections_max),
+            refusals: load(&self.shared.refusals_max),
+            closes: load(&self.shared.closes_max),
+        }
     }
 
     /// Connections that arrived since the last probe.
     fn arrivals(&self) -> Arrivals {
         Arrivals {
             admitted: self.shared.accepted.load(Ordering::Relaxed),
-            refused: 0,
+            refused: self.shared.refused.load(Ordering::Relaxed),
             closed: self.shared.closed.load(Ordering::Relaxed),
         }
     }
@@ -176,14 +312,30 @@
         )
     }
 
-    /// Sets how many connections may be admitted until the next probe, and resets the counters.
-    fn reset(&self, connections_max: u64) {
+    /// Sets how many connections may be admitted, refused and closed until the next probe.
+    fn set_quota(&self, quota: Quota) {
+        let store = |to: &AtomicU64, value| to.store(value, Ordering::Relaxed);
+        store(&self.shared.connections_max, quota.connections);
+        store(&self.shared.refusals_max, quota.refusals);
+        store(&self.shared.closes_max, quota.closes);
+    }
+
+    /// Takes the counts since the last probe, and resets them.
+    fn take_period(&self) -> Period {
+        let late_ms = self.sustained_ms();
+        let take = |of: &AtomicU64| of.swap(0, Ordering::Relaxed);
         let shared = &self.shared;
-        shared
-            .connections_max
-            .store(connections_max, Ordering::Relaxed);
-        for counter in [&shared.admitted, &shared.accepted, &shared.closed] {
-            counter.store(0, Ordering::Relaxed);
+        let arrivals = Arrivals {
+            admitted: take(&shared.accepted),
+            refused: take(&shared.refused),
+            closed: take(&shared.closed),
+        };
+        Period {
+            late_ms,
+            requests: take(&shared.admitted).saturating_sub(arrivals.admitted),
+            refusal_us: take(&shared.refusal_ns) / 1000 + arrivals.refused * ACCEPT_US,
+            arrivals,
+            ..Period::default()
         }
     }
 
@@ -204,6 +356,34 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Measures the work of this process between two probes.
+struct Meter {
+    probed_at: Instant,
+    process_ns: u64,
+    served: u64,
+}
+
+impl Meter {
+    fn new(metrics: &Metrics) -> Self {
+        Meter {
+            probed_at: Instant::now(),
+            process_ns: cpu_ns(ClockId::ProcessCPUTime),
+            served: metrics.attempts.get(),
+        }
+    }
+
+    /// Completes the counts since the last probe.
+    fn measure(&mut self, metrics: &Metrics, period: Period) -> Period {
+        let before = std::mem::replace(self, Meter::new(metrics));
+        Period {
+            length_ms: millis(self.probed_at - before.probed_at),
+            served: self.served.saturating_sub(before.served),
+            process_us: self.process_ns.saturating_sub(before.process_ns) / 1000,
+            ..period
+        }
+    }
+}
+
 /// Probes and measures until `stop` is set, and decides whether to shed connections.
 pub(crate) async fn run(
     lateness: Lateness,
@@ -217,25 +397,31 @@
     let mut next_measure_at = Instant::now() + MEASURE_INTERVAL;
     let mut latest_ms = 0;
     let mut overload = Overload::default();
-    let mut limit = Limit::default();
+    let mut decision = Decision::new(lateness.answers_excess);
+    let mut meter = Meter::new(&metrics);
     loop {
         let lateness_ms = tokio::select! {
             lateness_ms = lateness.probe() => lateness_ms,
             () = cancelled(&mut stop) => return,
         };
-        limit.probe(lateness.sustained_ms(), lateness.arrivals().admitted);
-        lateness.reset(limit.connections_max());
+        decision.probe(meter.measure(&metrics, lateness.take_period()));
+        lateness.set_quota(decision.quota());
         let is_full = metrics.connections.get() >= connections;
         let now = Millis(lateness.elapsed_ms());
         let is_hot = published.borrow().is_hot;
         overload.set_hot(is_hot);
+        overload.set_exceeded(decision.is_exceeded());
         let is_shedding = overload.probe(now, lateness_ms, is_full);
+        let unready_ms = overload.unready_ms(now).unwrap_or(u64::MAX);
+        (lateness.shared.unready_ms).store(unready_ms, Ordering::Relaxed);
         if lateness.set_shedding(is_shedding, overload.is_bypassed(now)) {
             let event = Line::Overload.as_str();
             tracing::info!(
                 event,
                 away = is_shedding,
                 hot = is_hot,
+                exceeded = decision.is_exceeded(),
+                limit = decision.limit_per_s(),
                 late_ms = lateness_ms
             );
         }
@@ -277,6 +463,7 @@
         inputs = metrics.queued_inputs.get(),
         untold = metrics.unlogged_refusals.get(),
         turned_away = metrics.closed_unread.get(),
+        refused = metrics.refused_connections.get(),
     );
 }
 
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -393,7 +393,8 @@
             }
             _ => None,
         };
-        let lateness = Lateness::default();
+        let answers_excess = self.settings.router.answer_excess;
+        let lateness = Lateness::new(answers_excess);
         let (inquiries, inquiry_receiver) = flume::unbounded();
         let parts = ReactorParts {
             hub: hub.clone(),
@@ -448,7 +449,11 @@
             .await?,
         );
         let memory = self.settings.vm.memory_bytes;
-        let budget = Starter::budget(&self.settings);
+        let mut budget = Starter::budget(&self.settings);
+        let refusals = match answers_excess {
+            true => budget.set_aside_refusals(),
+            false => 0,
+        };
         let monitor = monitor::run(
             lateness.clone(),
             self.metrics.clone(),
@@ -483,6 +488,7 @@
                 callers: callers.clone(),
                 customer_queue_limit: self.settings.router.queue_customer,
                 budget,
+                refusals,
                 lateness,
                 max_proof_age_ms: self.settings.router.stale_ms,
                 interface: self.interface,
@@ -515,6 +521,7 @@
             operators = %addresses.operators,
             callers = ?addresses.callers,
             connections = budget.connections,
+            refusals,
             body_bytes = budget.body_bytes,
         );
         Ok(Process {
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -91,6 +91,9 @@
     pub stale_ms: Option<u64>,
     /// Retry budget, which all routers share.
     pub retries: Retries,
+    /// Whether connections beyond what the router can serve are answered with a refusal, rather
+    /// than closed unread.
+    pub answer_excess: bool,
 }
 
 /// Retry budget of each service over the whole fleet.
@@ -280,7 +283,8 @@
     revocation,
     retry_ratio,
     retry_extra,
-    retry_window
+    retry_window,
+    answer_excess
 });
 raw_section!(RawOperators { listen, key_sha256 });
 raw_section!(RawScheduler {});
@@ -621,6 +625,9 @@
         fanout: usize::try_from(fanout).unwrap_or(4),
         stale_ms,
         retries: retries(s, &raw)?,
+        answer_excess: s
+            .flag("answer-excess", &raw.answer_excess)?
+            .unwrap_or(false),
     })
 }
 
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -117,6 +117,11 @@
     "[(none)] x = \"1\": keys stand below a [section]"
 )]
 #[case("queue = 100", "queue = 1\nqueue = 2", "[router] queue = ")]
+#[case(
+    "queue = 100",
+    "answer-excess = maybe",
+    "[router] answer-excess = \"maybe\": yes or no"
+)]
 fn errors_when_a_line_of_settings_is_invalid(
     #[case] good: &str,
     #[case] bad: &str,
@@ -258,3 +263,14 @@
     assert!(error.starts_with("fleet.ini: "), "{error}");
     assert!(error.contains(expected), "{error}");
 }
+
+/// Guards against routers that behave differently after an upgrade without a change of settings.
+#[rstest]
+#[case::default("", false)]
+#[case::no("answer-excess = no", false)]
+#[case::yes("answer-excess = yes", true)]
+fn answers_excess_only_if_the_settings_say_so(#[case] line: &str, #[case] expected: bool) {
+    let text = process_settings().replace("queue = 100", &format!("queue = 100\n{line}"));
+    let settings = Settings::parse("r.ini", Path::new("/"), &text).unwrap();
+    assert_eq!(settings.router.answer_excess, expected);
+}
