--- a/components/coordination/src/overload.rs
+++ b/components/coordination/src/overload.rs
@@ -38,7 +38,7 @@
 const UNREADY_MIN_MS: u64 = 2300;
 /// Time after which load balancers bypass an unready router, in milliseconds: two failed
 /// probes, a second apart.
-const BYPASSED_AFTER_MS: u64 = 2000;
+pub(crate) const BYPASSED_AFTER_MS: u64 = 2000;
 /// Longest time for which a router that is still late stays unready, in milliseconds. Where
 /// all routers are overloaded, staying unready helps none of them.
 const UNREADY_LATE_MAX_MS: u64 = 5000;
@@ -101,9 +101,17 @@
     is_hot: bool,
     /// Whether other routers take the excess of this one.
     is_relieved: bool,
+    /// Whether more arrives than the router can serve.
+    is_exceeded: bool,
 }
 
 impl Overload {
+    /// Sets whether more arrives than the router can serve. It then becomes unready before its
+    /// tasks run late.
+    pub fn set_exceeded(&mut self, is_exceeded: bool) {
+        self.is_exceeded = is_exceeded;
+    }
+
     /// Sets whether this router is a hot spot.
     pub fn set_hot(&mut self, is_hot: bool) {
         self.is_hot = is_hot;
@@ -130,9 +138,10 @@
             true => RELIEVED_LATENESS_MS,
             false => OVERLOAD_LATENESS_MS,
         };
+        let has_excess = (self.is_hot || self.is_exceeded) && !self.is_relieved;
         if self.is_unready {
             self.consider_ready(now, mean_ms);
-        } else if mean_ms >= bound_ms || (self.is_hot && !self.is_relieved) {
+        } else if mean_ms >= bound_ms || has_excess {
             self.consider_unready(now);
         }
         self.is_unready
@@ -149,7 +158,7 @@
             return;
         }
         let since = now.since(self.changed_at);
-        let is_calm = mean_ms < CALM_LATENESS_MS;
+        let is_calm = mean_ms < CALM_LATENESS_MS && !self.is_exceeded;
         let until = if is_calm {
             self.hold_ms
         } else {
@@ -183,6 +192,11 @@
         self.changed_at = now;
     }
 
+    /// Time since the router became unready, in milliseconds; `None` if it is ready.
+    pub fn unready_ms(&self, now: Millis) -> Option<u64> {
+        self.is_unready.then(|| now.since(self.changed_at))
+    }
+
     /// Whether new connections reach other routers by now.
     ///
     /// Callers keep their connections, so a customer would stay with the router that it has
--- a/components/node/src/frontend/mod.rs
+++ b/components/node/src/frontend/mod.rs
@@ -14,6 +14,7 @@
 mod resume;
 mod serve;
 mod timing;
+mod turn_away;
 mod upstream;
 
 pub(crate) use listen::{Context, Frontend};
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -102,6 +102,9 @@
     pub resume: bool,
     /// Whether requests are handed over between the routers of a data centre.
     pub handover: bool,
+    /// Whether connections beyond what the router can serve are answered with a refusal, rather
+    /// than closed unread.
+    pub answer_excess: bool,
 }
 
 /// Retry budget of each service over the whole fleet.
@@ -298,7 +301,8 @@
     retry_extra,
     retry_window,
     resume,
-    handover
+    handover,
+    answer_excess
 });
 raw_section!(RawOperators { listen, key_sha256 });
 raw_section!(RawScheduler { appointments });
@@ -640,6 +644,9 @@
         retries: retries(s, &raw)?,
         resume: s.flag("resume", &raw.resume)?.unwrap_or(false),
         handover: s.flag("handover", &raw.handover)?.unwrap_or(false),
+        answer_excess: s
+            .flag("answer-excess", &raw.answer_excess)?
+            .unwrap_or(false),
     })
 }
 
