Let routers that resume streams save up the retries that they earn

Change: with [router] resume the budget also holds what the first tries of the last half window have earned.

--- a/components/coordination/src/retry.rs
+++ b/components/coordination/src/retry.rs
@@ -30,6 +30,38 @@
     tokens_max: u64,
     /// Time of the last refill from the extra retries.
     refilled_at: Millis,
+    /// First tries of the last half window; `None` if what they earn is not saved up.
+    recent: Option<Recent>,
+}
+
+/// First tries in the half window in progress and in the one before.
+#[derive(Clone, Copy, Debug, Default)]
+struct Recent {
+    /// Number of the half window in progress.
+    half: u64,
+    current: u64,
+    previous: u64,
+}
+
+impl Recent {
+    fn add(&mut self, half: u64) {
+        if half != self.half {
+            self.previous = match half == self.half + 1 {
+                true => self.current,
+                false => 0,
+            };
+            self.current = 0;
+            self.half = half;
+        }
+        self.current += 1;
+    }
+
+    /// First tries of at most the last half window: those of the half window before count for the
+    /// part of it that the one in progress has not replaced.
+    fn tries(&self, now: Millis, half_ms: u64) -> u64 {
+        let passed_ms = now.0 % half_ms;
+        self.current + self.previous * (half_ms - passed_ms) / half_ms
+    }
 }
 
 /// Percentage of the bounds that routers use. The rest covers routers that are lost and
@@ -44,9 +76,20 @@
             tokens: 0,
             tokens_max: 0,
             refilled_at: now,
+            recent: None,
         }
     }
 
+    /// Lets the budget save up what the first tries of the last half window have earned.
+    ///
+    /// An endpoint that fails breaks off all of its streams at once, and a router that may save up
+    /// only its share of the extra retries resumes one or two of them. A window then sees at
+    /// most what one and a half windows earn, 90 percent of the bounds.
+    pub fn with_savings(mut self) -> Self {
+        self.recent = Some(Recent::default());
+        self
+    }
+
     /// Counts a first try, on one of `routers` routers.
     pub fn earn(&mut self, now: Millis, routers: u32) {
         let share = self.bounds.extra * 1000 * USED_PERCENT / 100 / u64::from(routers.max(1));
@@ -62,6 +105,11 @@
             self.refilled_at = now;
         }
         let earned = self.bounds.per_mille * USED_PERCENT / 100;
+        if let Some(recent) = &mut self.recent {
+            let half_ms = (self.bounds.window_ms / 2).max(1);
+            recent.add(now.0 / half_ms);
+            self.tokens_max += earned * recent.tries(now, half_ms);
+        }
         self.tokens = (self.tokens + earned + refill).min(self.tokens_max);
     }
 
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -149,6 +149,40 @@
     assert!(retries.len() > 100, "{}", retries.len());
 }
 
+/// Failure: an endpoint breaks off thirty streams of one router at once, and most are not resumed
+/// although the router's requests have earned enough retries; or the routers together exceed the
+/// bounds in some window, because each spends at once what it has saved up.
+#[test]
+fn can_spend_saved_retries_at_once_within_the_bounds_of_every_window() {
+    const ROUTERS: u32 = 3;
+    let mut budgets: Vec<Budget> = (0..ROUTERS).map(|_| budget().with_savings()).collect();
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    let mut most_at_once = 0;
+    for ms in (0..60_000_u64).step_by(10) {
+        for budget in &mut budgets {
+            budget.earn(Millis(ms), ROUTERS);
+            requests.push(ms);
+        }
+        if ms % 7000 == 6990 {
+            for budget in &mut budgets {
+                let spent = (0..60).filter(|_| budget.take()).count();
+                most_at_once = most_at_once.max(spent);
+                retries.extend(std::iter::repeat_n(ms, spent));
+            }
+        }
+    }
+    assert!(most_at_once >= 30, "{most_at_once}");
+    let in_window = |all: &[u64], from: u64| {
+        let window = from..from + BOUNDS.window_ms;
+        all.iter().filter(|at| window.contains(*at)).count() as u64
+    };
+    for from in (0..50_000).step_by(100) {
+        let allowed = BOUNDS.extra + in_window(&requests, from) * BOUNDS.per_mille / 1000;
+        let added = in_window(&retries, from);
+        assert!(added <= allowed, "{added} of {allowed} from {from} ms");
+    }
+}
+
 #[test]
 fn can_bound_retries_while_every_request_fails() {
     let mut budget = budget();
--- a/components/node/src/frontend/listen.rs
+++ b/components/node/src/frontend/listen.rs
@@ -221,7 +221,14 @@
             .unwrap_or_else(PoisonError::into_inner);
         let now = self.context.clock.now();
         let bounds = self.context.retry_bounds;
-        work((retry_budgets.entry(service)).or_insert_with(|| retry::Budget::new(bounds, now)))
+        let budget = retry_budgets.entry(service).or_insert_with(|| {
+            let budget = retry::Budget::new(bounds, now);
+            match self.context.resume {
+                true => budget.with_savings(),
+                false => budget,
+            }
+        });
+        work(budget)
     }
 
     /// Periodically closes pooled connections that are too old or whose endpoint is removed, closes
