Void appointments when engines are ejected

Cause: the check of an appointment compared the slots of all endpoints that are not configured as leaving. An ejected endpoint, or one that had asked for no more requests, still counted, so that an appointment stayed valid after its capacity was lost.

Change: Slots::usable_slots respects ejections and the time for which an endpoint is leaving. Bookings and both checks use it.

Result: an_ejection_of_engines_ends_appointments fails with the old sum and passes now.

--- a/components/coordination/src/scheduler/appointment.rs
+++ b/components/coordination/src/scheduler/appointment.rs
@@ -59,7 +59,7 @@
 pub struct Capacity {
     /// Cost of the requests that are started per second.
     pub cost_per_s: u64,
-    /// Slots of all endpoints, which shows a loss of endpoints at once.
+    /// Usable slots. Fewer than at the booking means that capacity was lost.
     pub slots: u32,
 }
 
--- a/components/coordination/src/scheduler/queue.rs
+++ b/components/coordination/src/scheduler/queue.rs
@@ -66,8 +66,8 @@
         matches!(self.returned, Some(Return::Booked(_)))
     }
 
-    /// Whether the ask has taken a booked place, and no endpoint was lost since the booking.
-    /// `slots` are those of all endpoints now.
+    /// Whether the ask has taken a booked place, and no capacity was lost since the booking.
+    /// `slots` are the usable ones now.
     pub(super) fn has_valid_appointment(&self, slots: u32) -> bool {
         matches!(self.returned, Some(Return::Booked(booked)) if booked <= slots)
     }
--- a/components/coordination/src/scheduler/refusal.rs
+++ b/components/coordination/src/scheduler/refusal.rs
@@ -31,7 +31,7 @@
     /// the others know when to retry.
     pub(super) fn refuse_if_late(&mut self, now: Millis, key: Key) -> Option<Effect> {
         let waiting = *self.queue.get(key)?;
-        if waiting.has_valid_appointment(self.slots.totals().0) {
+        if waiting.has_valid_appointment(self.slots.usable_slots(now)) {
             return None;
         }
         let ask = waiting.ask;
@@ -59,7 +59,7 @@
         self.reviewed_at = now;
         let mut late: SmallVec<[(Key, Ask, u64); 8]> = SmallVec::new();
         let is_saturated = self.throughput.is_saturated(now);
-        let all_slots = self.slots.totals().0;
+        let usable_slots = self.slots.usable_slots(now);
         let Scheduler {
             slots,
             queue,
@@ -73,7 +73,7 @@
                     break;
                 };
                 ahead += u64::from(waiting.ask.hint);
-                if waiting.has_valid_appointment(all_slots) {
+                if waiting.has_valid_appointment(usable_slots) {
                     continue;
                 }
                 let total_ms = now.since(waiting.since) + wait_ms;
@@ -131,7 +131,7 @@
         };
         let capacity = Capacity {
             cost_per_s: self.throughput.cost_per_s(),
-            slots: self.slots.totals().0,
+            slots: self.slots.usable_slots(now),
         };
         let unbooked_ms = limit_ms * (750 + jitter / 4) / 1000;
         let Some(appointments) = &mut self.appointments else {
--- a/components/coordination/src/slot/mod.rs
+++ b/components/coordination/src/slot/mod.rs
@@ -563,6 +563,14 @@
         )
     }
 
+    /// Slots of all endpoints that accept requests now: an ejected endpoint has none, or one for a
+    /// probe.
+    pub fn usable_slots(&self, now: Millis) -> u32 {
+        let open = self.endpoints.values();
+        let open = open.filter(|e| !e.leaving && !e.is_leaving(now));
+        open.map(|e| e.health.capacity(now, e.slots)).sum()
+    }
+
     /// Tokens that all engines have yet to prefill, and the lowest and highest prefill speed
     /// of an engine in tokens per second.
     pub fn prefill_totals(&self) -> (u64, u64, u64) {
--- a/components/coordination/tests/appointments.rs
+++ b/components/coordination/tests/appointments.rs
@@ -5,15 +5,18 @@
 mod bursts;
 
 use bursts::{Burst, Simulation, LARGE, LONG, SMALL};
-use coordination::messages::Class;
+use coordination::backoff::Backoff;
+use coordination::health::{EJECT_FAILURES, EJECT_MIN_MS};
+use coordination::messages::{Class, Verdict};
 use coordination::prompt::Prompt;
 use coordination::scheduler::appointment::{
     Appointments, Capacity, Counts, Return, Wish, CUSTOMERS_MAX, EARLY_MS, LATE_MS, PLACES_MAX,
     SLOTS_MAX, SLOT_MS,
 };
+use coordination::slot::Slots;
 use rstest::rstest;
 use state::clock::Millis;
-use state::id::CustomerId;
+use state::id::{CustomerId, EndpointId};
 
 /// Time of the bookings of the tests.
 const NOW: Millis = Millis(10_000);
@@ -171,6 +174,44 @@
     assert!(refused > 0, "{}", simulation.report());
 }
 
+/// Engines are ejected after the booking: booked requests that would be late are refused.
+#[test]
+fn an_ejection_of_engines_ends_appointments() {
+    let mut simulation = Simulation::new(true, 1);
+    simulation.run(Burst {
+        ms: 3000,
+        load: 2.0,
+    });
+    assert_eq!(simulation.scheduler.appointment_counts().refused, 0);
+    // The engines fail again after the first ejection, so that the second one is longer.
+    for n in 1..=2 {
+        simulation.eject_engines(11);
+        simulation.run(Burst {
+            ms: n * EJECT_MIN_MS,
+            load: 2.0,
+        });
+    }
+    let refused = simulation.scheduler.appointment_counts().refused;
+    assert!(refused > 0, "{}", simulation.report());
+}
+
+/// Guards against a sum of slots that contains those of endpoints which accept no requests.
+#[test]
+fn only_endpoints_that_accept_requests_have_usable_slots() {
+    let mut slots = Slots::default();
+    for id in 1..=3 {
+        slots.set(EndpointId(id), 64, 0, false);
+    }
+    assert_eq!(slots.usable_slots(NOW), 192);
+    for _ in 0..EJECT_FAILURES {
+        slots.release(NOW, EndpointId(1), Some(Verdict::Failed));
+    }
+    slots.back_off(NOW, 1, &Backoff::leaving(EndpointId(2)));
+    assert_eq!(slots.usable_slots(NOW), 64);
+    // After its ejection the endpoint gets one probe.
+    assert_eq!(slots.usable_slots(NOW.after(EJECT_MIN_MS)), 65);
+}
+
 /// The caller is early: it is treated as new, and its place remains until its time is over.
 #[test]
 fn an_early_caller_takes_no_place() {
--- a/components/coordination/tests/bursts/mod.rs
+++ b/components/coordination/tests/bursts/mod.rs
@@ -4,6 +4,7 @@
 #[path = "../engines/mod.rs"]
 mod engines;
 
+use coordination::health::EJECT_FAILURES;
 use coordination::messages::{Ask, Class, Hello, Report, Seq, Verdict};
 use coordination::prompt::Prompt;
 use coordination::scheduler::{Effect, Scheduler, Session, GATHER_MS};
@@ -207,6 +208,21 @@
         }
     }
 
+    /// Reports failures of engines until they are ejected. Their requests in progress get no
+    /// answer.
+    pub(crate) fn eject_engines(&mut self, count: u32) {
+        let now = Millis(self.now_ms);
+        for id in (1..=count).map(EndpointId) {
+            self.engines.insert(id, Engine::default());
+            for _ in 0..EJECT_FAILURES {
+                self.scheduler.slots().adopt(now, id);
+                self.scheduler
+                    .slots()
+                    .release(now, id, Some(Verdict::Failed));
+            }
+        }
+    }
+
     /// Requests per millisecond that the engines can prefill if all shared parts are cached.
     fn capacity() -> f64 {
         let own: f64 = KINDS.iter().map(|k| k.weight * f64::from(k.own)).sum();
