Count only the streams that a grant breaks, by cost

Cause: engines were ranked by all streams that would pause beyond their bound, including those that would do so without the request, and before cost. Each grant added all of them to expected_breaks again.

Change: a stream that exceeds its bound only with the request adds LATE_STREAM_US to the cost of the engine, the request's own stream the cost of a late answer. The cost is only added, so that Work::least_rank stays a lower bound. Scheduler::start counts the same difference.

--- a/components/coordination/src/engine/step.rs
+++ b/components/coordination/src/engine/step.rs
@@ -367,17 +367,23 @@
         }
     }
 
-    /// Streams that would pause for too long if a request were added, the request's own one
-    /// included, and the cost of the risk that slow phases to come do the same.
-    pub(crate) fn assess(&self, now: Millis, planned: Planned, request: &Candidate) -> (u32, u64) {
+    /// Cost of the streams that would pause for too long only if a request were added, the
+    /// request's own one included, and of the risk that slow phases to come do the same, in
+    /// microseconds.
+    pub(crate) fn assess(&self, now: Millis, planned: Planned, request: &Candidate) -> u64 {
         let share = self.granted.share_permille(now);
         let continuous_us = self.usual_us(1000);
         let slow_share = self.slow_share_permille();
-        let broken = self.predict(now, planned).broken;
-        let others_us = self.risk_us(now, planned, slow_share);
+        let accepted = Planned {
+            added_us: 0,
+            ..planned
+        };
+        let added =
+            (self.predict(now, planned).broken).saturating_sub(self.predict(now, accepted).broken);
+        let others_us = u64::from(added) * LATE_STREAM_US + self.risk_us(now, planned, slow_share);
         let gap_us = u64::from(request.max_gap_ms) * 1000;
         if gap_us == 0 {
-            return (broken, others_us);
+            return others_us;
         }
         // The own prefill is over when the first event arrives; that of later requests is not.
         let slow = self
@@ -385,8 +391,9 @@
             .filter(|slow| slow.until > now.after(request.answer_us / 1000));
         let percent = slow.map_or(100, |slow| slow.percent);
         let pause_us = self.usual_us(share) * percent / 100 * LONGEST_PERCENT / 100;
-        let breaks_own = pause_us > gap_us;
-        let own_us = if continuous_us * RISK_PERCENT / 100 > gap_us {
+        let own_us = if pause_us > gap_us {
+            request.late_us
+        } else if continuous_us * RISK_PERCENT / 100 > gap_us {
             let events = request.output_tokens / u64::from(self.event_tokens.max(1));
             let lasts_ms = events * self.usual_us(share) / 1000;
             let meets = slow_share * (SLOW_MS + lasts_ms) / SLOW_MS;
@@ -394,7 +401,7 @@
         } else {
             0
         };
-        (broken + u32::from(breaks_own), others_us + own_us)
+        others_us + own_us
     }
 
     /// Cost of the risk that a slow phase meets the prefill of a request that is added, and that
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -127,7 +127,7 @@
     pub refused: u64,
     /// Asks granted in this epoch.
     pub granted: u64,
-    /// Streams that grants of this epoch were expected to keep from their longest pause.
+    /// Streams predicted to exceed `max-gap` because of grants, summed over grants.
     pub expected_breaks: u64,
     /// Appointments of this epoch.
     pub appointments: appointment::Counts,
@@ -689,12 +689,13 @@
             objective,
             endpoint,
         } = next;
+        let broken = self.slots.expected_breaks(now, endpoint, 0);
         let prefill = self
             .slots
             .acquire_with(now, endpoint, ask.prompt, ask.avoid.is_none());
         // The backlog contains the request by now.
-        let breaks = self.slots.expected_breaks(now, endpoint, 0);
-        self.expected_breaks += u64::from(breaks);
+        let broken_with = self.slots.expected_breaks(now, endpoint, 0);
+        self.expected_breaks += u64::from(broken_with.saturating_sub(broken));
         self.slots.add_stream(endpoint, objective);
         let customer = ask.class.customer;
         self.throughput.start(ask.hint);
--- a/components/coordination/src/slot/select.rs
+++ b/components/coordination/src/slot/select.rs
@@ -190,9 +190,9 @@
     }
 }
 
-/// Order of the engines for a request: whether its answer is expected too late, the number of
-/// streams that would pause beyond their bound, and the cost. The lowest is best.
-type Rank = (u8, u32, u64);
+/// Order of the engines for a request: whether its answer is expected too late, and the cost, to
+/// which streams that would pause beyond their bound add. The lowest is best.
+type Rank = (u8, u64);
 
 /// Lateness of an answer that is expected in time, in time unless the engine stays slow, or too
 /// late.
@@ -202,7 +202,7 @@
 
 /// A rank without regard to pauses.
 fn plain((is_late, cost_us): (bool, u64)) -> Rank {
-    (if is_late { LATE } else { IN_TIME }, 0, cost_us)
+    (if is_late { LATE } else { IN_TIME }, cost_us)
 }
 
 /// The best engine of a search so far.
@@ -313,9 +313,9 @@
     ///
     /// Cost of pauses is only ever added, so that [`Work::least_rank`] stays a lower bound.
     fn rank(&self, endpoint: &Endpoint, estimate: &Estimate) -> Rank {
-        let (late, none, cost_us) = plain(estimate.rank());
+        let (late, cost_us) = plain(estimate.rank());
         let (Some(objective), Some(engine)) = (self.objective, endpoint.engine.as_ref()) else {
-            return (late, none, cost_us);
+            return (late, cost_us);
         };
         let steps = engine.steps();
         let request = step::Candidate {
@@ -325,7 +325,7 @@
             answer_us: estimate.answer_us,
         };
         let planned = engine.planned(self.now, estimate.prefill_tokens);
-        let (broken, risk_us) = steps.assess(self.now, planned, &request);
+        let risk_us = steps.assess(self.now, planned, &request);
         // A slow engine also takes longer until the first event.
         let slower_percent = steps.slowness_percent(self.now) - 100;
         let delay_us = estimate.answer_us * slower_percent / 100;
@@ -336,7 +336,7 @@
             late.max(LATE_IF_SLOW)
         };
         let work_us = estimate.work_us * slower_percent / 100 * WORK_WEIGHT;
-        (late, broken, cost_us + risk_us + delay_us + work_us)
+        (late, cost_us + risk_us + delay_us + work_us)
     }
 }
 
--- a/components/coordination/tests/pauses.rs
+++ b/components/coordination/tests/pauses.rs
@@ -83,6 +83,24 @@
     assert_eq!(send(&mut silent, session, now, 1), EndpointId(1));
 }
 
+/// Failure: each grant to a slow engine counts all streams that pause for too long there anyway.
+#[test]
+fn counts_a_stream_that_is_expected_to_pause_for_too_long_once() {
+    let now = GATHER_MS + 1000;
+    let (mut scheduler, session) = scheduler();
+    scheduler.slots().retain(|id| id == EndpointId(1));
+    report(&mut scheduler, session, now - 50, 900);
+    for n in 1..=4 {
+        let prompt = Prompt::new([(1000 + n, 1000)], 200);
+        let report = Report::StreamAsk(ask(n, prompt, 800, 100), OBJECTIVE);
+        scheduler.handle_report(Millis(now), session, report);
+    }
+    let breaks = (scheduler.slots()).expected_breaks(Millis(now), EndpointId(1), 0);
+    assert_eq!((scheduler.running(), breaks), (4, 4));
+    let expected = scheduler.summary().expected_breaks;
+    assert!(expected <= 4, "{expected}");
+}
+
 /// Failure: when all engines are slow, requests wait or are refused for the sake of pauses.
 #[test]
 fn grants_as_before_when_no_engine_keeps_the_pauses() {
