Cut a resumed stream whose next answer begins without an id

The check of a second answer let a first event without an id pass if the first event of the stream had one. An endpoint that sends no ids and ignores Last-Event-Id begins anew, and its whole run was appended: a wrong stream that looked complete.

A first event without an id now always ends the stream with the reason 'unidentified'.

--- a/components/coordination/src/resume.rs
+++ b/components/coordination/src/resume.rs
@@ -75,7 +75,7 @@
 pub enum Mismatch {
     /// An event has the id of one that was passed on before.
     Repeated,
-    /// The first event has no id, so that it may be the first of the whole stream.
+    /// The first event has no id. The endpoint may send no ids at all and have begun anew.
     Unidentified,
     /// The first event exceeds [`HELD_MAX_BYTES`], so that its id is unknown.
     TooLong,
@@ -111,8 +111,6 @@
     position: Position,
     /// Hashes of the ids that were passed on.
     passed: HashSet<u64>,
-    /// Whether the first event of the stream had an id.
-    first_has_id: Option<bool>,
     /// Whether the present answer is not the first one.
     is_resumed: bool,
     /// Whether the present answer still has to show that it continues the stream.
@@ -130,7 +128,6 @@
             has_data: false,
             position: Position::Start,
             passed: HashSet::new(),
-            first_has_id: None,
             is_resumed: false,
             is_unconfirmed: false,
         }
@@ -254,14 +251,10 @@
             // A comment, which no client takes for an event.
             return Ok(());
         }
-        let usable = id.filter(|id| is_usable(id));
-        let first_has_id = *self.first_has_id.get_or_insert(usable.is_some());
-        let Some(id) = usable else {
-            // The first event of the whole stream had an id, so this is not the first one again.
-            if self.is_unconfirmed && !first_has_id {
+        let Some(id) = id.filter(|id| is_usable(id)) else {
+            if self.is_unconfirmed {
                 return Err(Mismatch::Unidentified);
             }
-            self.is_unconfirmed = false;
             self.position = Position::Unknown;
             return Ok(());
         };
