Measure the silence before the first event by events, not by bytes

Any bytes of an answer ended the longer limit for the first event, also a comment or a 'retry' field that an endpoint sends before its prefill. The limit fell to two seconds, and a healthy endpoint was given up.

The parser of events now says whether the present answer has brought an event, and the limit follows that. The stand-in can send a comment and pause before its first event; the test with a pause of 2.5 s and a target of 2 s was resumed needlessly before the change and is sent once now.

--- a/components/coordination/src/resume.rs
+++ b/components/coordination/src/resume.rs
@@ -108,6 +108,8 @@
     id: Option<Vec<u8>>,
     /// Whether the unfinished event has a `data` field.
     has_data: bool,
+    /// Whether the present answer has brought a whole event.
+    has_event: bool,
     position: Position,
     /// Hashes of the ids that were passed on.
     passed: HashSet<u64>,
@@ -126,6 +128,7 @@
             after_return: false,
             id: None,
             has_data: false,
+            has_event: false,
             position: Position::Start,
             passed: HashSet::new(),
             is_resumed: false,
@@ -182,6 +185,12 @@
         self.held.len()
     }
 
+    /// Whether the present answer has brought a whole event. Comments and `retry` fields are no
+    /// events; an endpoint may send them before its prefill.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// Where the stream would be resumed.
     pub fn position(&self) -> &Position {
         &self.position
@@ -194,6 +203,7 @@
         self.after_return = false;
         self.id = None;
         self.has_data = false;
+        self.has_event = false;
         self.is_resumed = true;
         self.is_unconfirmed = matches!(self.position, Position::After(_));
     }
@@ -251,6 +261,7 @@
             // A comment, which no client takes for an event.
             return Ok(());
         }
+        self.has_event = true;
         let Some(id) = id.filter(|id| is_usable(id)) else {
             if self.is_unconfirmed {
                 return Err(Mismatch::Unidentified);
--- a/components/coordination/tests/resume.rs
+++ b/components/coordination/tests/resume.rs
@@ -64,6 +64,20 @@
     }
 }
 
+/// Guards against a comment that counts as the first event of an answer, so that an endpoint is
+/// given up during its prefill.
+#[test]
+fn can_tell_whether_an_answer_has_brought_an_event() {
+    let mut events = Events::default();
+    for _ in 0..2 {
+        pass_on(&mut events, &[b": ok\n\nretry: 3000\n\ndata: 1\n"]);
+        assert!(!events.has_event());
+        pass_on(&mut events, &[b"\n"]);
+        assert!(events.has_event());
+        events.begin_next_answer();
+    }
+}
+
 /// Guards against bytes that are lost at the end of an answer whose last event has no empty line.
 #[test]
 fn can_pass_on_the_rest_at_the_end_of_an_answer() {
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -371,7 +371,7 @@
                     resumption.frontend().context.metrics.held_events.inc();
                 }
                 if whole.is_empty() {
-                    resumption.restart_silence(self.has_begun);
+                    resumption.restart_silence();
                     return Ok(None);
                 }
                 Ok(Some(Frame::data(Bytes::from(whole))))
@@ -419,7 +419,7 @@
         let Some(resumption) = &mut self.resumption else {
             return false;
         };
-        while resumption.is_silent(context, self.has_begun, self.lateness.is_late()) {
+        while resumption.is_silent(context, self.lateness.is_late()) {
             self.slot.verdict = Verdict::Failed;
             let decision = resumption.handle_break(&mut self.slot, &mut self.origin.connection);
             if decision == Decision::Resume {
@@ -428,7 +428,7 @@
                 return true;
             }
             self.slot.verdict = Verdict::Cancelled;
-            resumption.restart_silence(self.has_begun);
+            resumption.restart_silence();
         }
         false
     }
@@ -520,7 +520,7 @@
         this.is_caller_slow |= last_piece_at.is_some_and(|at| at.elapsed() >= UNREAD_PIECE);
         if let (Some(_), Some(resumption)) = (last_piece_at, &mut this.resumption) {
             // Nothing was read from the endpoint while the caller did not read.
-            resumption.restart_silence(this.has_begun);
+            resumption.restart_silence();
         }
         loop {
             match this.poll_next_answer(context) {
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -165,7 +165,7 @@
             silence: Box::pin(tokio::time::sleep(Duration::ZERO)),
             attempt: None,
         };
-        resumption.restart_silence(false);
+        resumption.restart_silence();
         resumption
     }
 
@@ -174,10 +174,9 @@
         &self.subject.frontend
     }
 
-    /// Measures the silence of the endpoint from now on. `has_begun` says whether the answer has
-    /// brought an event.
-    pub(super) fn restart_silence(&mut self, has_begun: bool) {
-        let aim_ms = (!has_begun).then_some(self.subject.plan.aim_ms);
+    /// Measures the silence of the endpoint from now on.
+    pub(super) fn restart_silence(&mut self) {
+        let aim_ms = (!self.events.has_event()).then_some(self.subject.plan.aim_ms);
         let objective = self.subject.plan.objective;
         let max_gap_ms = objective.map(|objective| u64::from(objective.max_gap_ms));
         let limit = Duration::from_millis(silence_ms(max_gap_ms, aim_ms));
@@ -190,17 +189,12 @@
     }
 
     /// Whether the endpoint has been silent for too long.
-    pub(super) fn is_silent(
-        &mut self,
-        context: &mut Context<'_>,
-        has_begun: bool,
-        is_late: bool,
-    ) -> bool {
+    pub(super) fn is_silent(&mut self, context: &mut Context<'_>, is_late: bool) -> bool {
         while self.silence.as_mut().poll(context).is_ready() {
             if !is_late && self.silence.deadline().elapsed() < LATE_TIMER {
                 return true;
             }
-            self.restart_silence(has_begun);
+            self.restart_silence();
         }
         false
     }
@@ -266,7 +260,7 @@
             self.attempt = None;
             if let Ok(resumed) = &next {
                 self.tries = resumed.tries;
-                self.restart_silence(false);
+                self.restart_silence();
             }
             Some(next)
         })
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -3,7 +3,8 @@
 //! not simulate a real engine.
 //!
 //! Headers of a request select its behaviour: `stand-in-tokens` (number of tokens),
-//! `stand-in-pace` (milliseconds between tokens), `stand-in-fault` (see
+//! `stand-in-pace` (milliseconds between tokens), `stand-in-prefill` (milliseconds between
+//! a comment at the start of the stream and its first token), `stand-in-fault` (see
 //! [`fault::Fault`]), `stand-in-id` (a label whose calls are counted).
 
 pub mod count;
--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -118,6 +118,8 @@
     /// Whether each event has its token's number as its id.
     has_ids: bool,
     pace: Duration,
+    /// Time between a comment at the start of the stream and its first token.
+    prefill: Option<Duration>,
     fault: Fault,
     socket: Option<Socket>,
 }
@@ -304,6 +306,7 @@
     let pace = number("stand-in-pace").map_or(shared.settings.pace, |ms| {
         Duration::from_millis(u64::from(ms))
     });
+    let prefill = number("stand-in-prefill").map(|ms| Duration::from_millis(u64::from(ms)));
     let identity = header(IDENTITY_HEADER).unwrap_or_default();
     let label = header("stand-in-id");
     let socket = request.extensions().get::<Socket>().cloned();
@@ -312,6 +315,7 @@
         tokens,
         has_ids: last.is_some() || header("stand-in-ids").is_some(),
         pace,
+        prefill,
         fault,
         socket,
     };
@@ -441,6 +445,16 @@
         Fault::Restart => 0,
         _ => stream.first,
     };
+    if let Some(prefill) = stream.prefill {
+        if sender
+            .send_data(Bytes::from_static(b": prefill\n\n"))
+            .await
+            .is_err()
+        {
+            return;
+        }
+        tokio::time::sleep(prefill).await;
+    }
     // Faults occur halfway through the tokens that this response has.
     let middle = first + tokens.saturating_sub(first) / 2;
     for n in first..tokens {
--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -11,9 +11,11 @@
 /// Settings of routers that resume streams, with a retry budget for all streams of a test.
 const RESUME: &str = "[router]\nresume = yes\nretry-extra = 300\n";
 
-/// Rules beside the default ones: with `resume`, and without it.
+/// Rules beside the default ones: with `resume`, with a latency target, and without `resume`.
 const RULES: &str = "[rule resumed]\nwhen-path = /resumed\nthen = send\nservice = assistant\n\
                      resume = yes\n\
+                     [rule targeted]\nwhen-path = /targeted\nthen = send\n\
+                     service = assistant\naim = 2s\nresume = yes\n\
                      [rule plain]\nwhen-path = /plain\nthen = send\n\
                      service = booking\nidempotent = yes\nresume = yes\n\
                      [rule once]\nwhen-path = /once\nthen = send\nservice = assistant\n\
@@ -223,6 +225,21 @@
     wait_idle(&fleet);
 }
 
+/// Guards against an endpoint that is given up during its prefill because it has sent a comment
+/// already.
+#[test]
+fn can_wait_for_the_first_event_after_a_comment() {
+    let fleet = fleet(RESUME, 1, 2, 4);
+    let mut headers = headers("prefill", "", "");
+    headers.push(("stand-in-prefill", "2500"));
+    let answer = fleet.call("r1", "alpha", "/targeted", &headers, "prefill");
+    assert!(answer.complete, "{}", answer.text());
+    let whole = stream(0, 10, "prefill");
+    assert_eq!(answer.text(), format!(": prefill\n\n{whole}"));
+    assert_eq!(fleet.calls_with_label("prefill"), 1);
+    assert_eq!(metric(&fleet, "r1", "cowslipford_streams_resumed_total"), 0);
+}
+
 /// Guards against a router that buffers a stream whose caller does not read it, and that takes the
 /// endpoint for silent meanwhile.
 #[test]
