Blame an endpoint for a resumed try only if it had half of the timeout

A resumed try that was granted shortly before the deadline was reported as a failure of its endpoint, which had hardly any time to answer.

The endpoint is now blamed only if at least half of the timeout was left when the request was sent, as for first tries. No test causes this case.

--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -302,11 +302,16 @@
             let _ = self.notes.send(Note::Sent(dispatch.clone()));
             let delivery = Delivery::new(frontend, call, plan.customer);
             let mut slot = take_slot(frontend, self.handle, call, plan);
-            let failure = match self.send(&dispatch).await {
+            let remaining = subject.remaining();
+            let failure = match self.send(&dispatch, remaining).await {
                 Some(Ok(answer)) => return self.accept(answer, slot, delivery, &dispatch),
                 Some(Err(failure)) => failure,
                 None => {
-                    slot.verdict = Verdict::Failed;
+                    // The endpoint is blamed only if it had at least half of the time; the rest
+                    // may have passed with the earlier answer or in the queue.
+                    if remaining >= plan.timeout / 2 {
+                        slot.verdict = Verdict::Failed;
+                    }
                     return Err("deadline");
                 }
             };
@@ -331,10 +336,13 @@
         }
     }
 
-    /// Sends the request to an endpoint; `None` if it has not answered by the deadline.
-    async fn send(&self, dispatch: &Dispatch) -> Option<Result<Answer, Failure>> {
+    /// Sends the request to an endpoint; `None` if it has not answered within `remaining`.
+    async fn send(
+        &self,
+        dispatch: &Dispatch,
+        remaining: Duration,
+    ) -> Option<Result<Answer, Failure>> {
         let frontend = &self.subject.frontend;
-        let remaining = self.subject.remaining();
         let options = upstream::Options {
             interface: &frontend.context.interface,
             pool: &frontend.pool,
