Decide on a resumption by the suspicion at the time of sending

When an endpoint fails with several copies of one request, the first break that is reported makes the request a suspect. Copies whose break was handled later were then cut with the reason 'suspected', although none of them was a suspect when it was sent.

A delivery now records whether its request was suspected when it was sent, and the decision uses the record of the delivery that gave the first answer. The test of two copies that break 0.4 s apart failed with 'suspected' before the change; both are complete now.

--- a/components/coordination/src/resume.rs
+++ b/components/coordination/src/resume.rs
@@ -307,7 +307,7 @@
     pub position: &'a Position,
     /// Endpoints that broke off or fell silent during this request, with this one.
     pub breaks: u32,
-    /// Whether the request is suspected of crashing endpoints.
+    /// Whether the request was suspected of crashing endpoints before it was sent.
     pub is_suspected: bool,
     /// Retries made so far.
     pub retries: u32,
--- a/components/node/src/frontend/delivery.rs
+++ b/components/node/src/frontend/delivery.rs
@@ -20,19 +20,28 @@
     customer: CustomerId,
     /// When the request was sent.
     sent_at: Stamp,
+    /// Whether the request was suspected of crashing endpoints when it was sent.
+    was_suspected: bool,
 }
 
 impl Delivery {
     /// Starts a delivery now.
     pub(crate) fn new(frontend: &Arc<Frontend>, call: &Call, customer: CustomerId) -> Self {
+        let suspicions = frontend.context.suspicions.borrow();
         Delivery {
             frontend: frontend.clone(),
             fingerprint: call.fingerprint(),
             customer,
             sent_at: frontend.context.clock.stamp(),
+            was_suspected: !suspicions.is_empty() && suspicions.contains(&call.fingerprint()),
         }
     }
 
+    /// Whether the request was suspected of crashing endpoints when it was sent.
+    pub(crate) fn was_suspected(&self) -> bool {
+        self.was_suspected
+    }
+
     /// Reports that the endpoint closed the connection before the end of its answer: the request
     /// may have crashed it.
     ///
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -401,7 +401,6 @@
             return Some(error);
         };
         let decision = resumption.handle_break(&mut self.slot, &mut self.origin.connection);
-        // Reported after the decision, since a break alone makes the request no suspect.
         self.delivery.report_break();
         self.log_break(&error, true, decision.as_str());
         match decision {
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -33,6 +33,10 @@
     pub(super) call: Call,
     pub(super) plan: Plan,
     pub(super) arrived_at: Instant,
+    /// Whether the request was suspected of crashing endpoints when it was sent for its first
+    /// answer. Later suspicions are not considered: when an endpoint fails with several copies of a
+    /// request, the first break that is reported makes all of them suspects.
+    pub(super) was_suspected: bool,
 }
 
 /// Tries of a request so far.
@@ -108,12 +112,10 @@
 
     /// Decides whether to resume the stream at a position, after these tries.
     fn decide(&self, position: &Position, tries: Tries) -> Decision {
-        let fingerprint = self.call.fingerprint();
-        let suspicions = self.frontend.context.suspicions.borrow().clone();
         let broken = Break {
             position,
             breaks: tries.breaks,
-            is_suspected: !suspicions.is_empty() && suspicions.contains(&fingerprint),
+            is_suspected: self.was_suspected,
             retries: tries.retries,
             retries_max: self.plan.retries,
             deadline: self.plan.arrival.deadline,
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -250,13 +250,14 @@
         let failure = match sent {
             Ok(Ok(answer)) => match frontend.retriable_failure(&plan, retries, answer) {
                 Ok(answer) => {
-                    let answering = (answer, delivery);
                     let subject = Subject {
                         frontend: frontend.clone(),
                         call,
                         plan,
                         arrived_at,
+                        was_suspected: delivery.was_suspected(),
                     };
+                    let answering = (answer, delivery);
                     let tries = Tries {
                         retries,
                         unconnected: unconnected_tries,
--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -214,6 +214,29 @@
     wait_idle(&fleet);
 }
 
+/// Guards against a stream that is cut because a copy of its request, in progress at the same time,
+/// broke an endpoint before: the first break makes the request a suspect.
+#[test]
+fn can_resume_copies_of_one_request_that_break_one_after_the_other() {
+    let fleet = fleet(RESUME, 1, 3, 4);
+    std::thread::scope(|scope| {
+        // The first copy breaks after 1.1 s and ends after 2.1 s; the second one breaks after 1.5 s.
+        for (tokens, pace) in [("20", "100"), ("10", "250")] {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let mut headers = headers("copies", "tear", "");
+                headers[2] = ("stand-in-tokens", tokens);
+                headers[3] = ("stand-in-pace", pace);
+                let answer = fleet.call("r1", "alpha", "/resumed", &headers, "copies");
+                assert!(answer.complete, "{}", answer.text());
+                let tokens = tokens.parse().unwrap();
+                assert_eq!(answer.text(), stream(0, tokens, "copies"));
+            });
+        }
+    });
+    assert_eq!(fleet.calls_with_label("copies"), 4);
+}
+
 /// Guards against a stream that stays at a silent endpoint, and against an endpoint that goes on
 /// working for a stream that continues elsewhere.
 #[test]
