Count breaks before the first answer against a resumption

An endpoint that broke off before the head of its answer was reported as evidence, but the number of breaks of the request began at zero with the first answer. Such a request could break three endpoints.

The breaks of earlier tries are now counted, so that the next break ends the stream. No test causes this case yet.

--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -211,6 +211,7 @@
     let (handle, mut decided) = enqueue(frontend, &plan).await?;
     let mut retries = 0;
     let mut unconnected_tries = 0;
+    let mut breaks = 0;
     loop {
         let queued = Queued {
             handle: Some(handle),
@@ -261,7 +262,7 @@
                     let tries = Tries {
                         retries,
                         unconnected: unconnected_tries,
-                        breaks: 0,
+                        breaks,
                     };
                     return Ok(relay_answer(
                         subject, tries, answering, slot, claim, dispatch,
@@ -284,6 +285,7 @@
             }
         };
         if failure.broke_off {
+            breaks += 1;
             delivery.report_break();
         }
         if let (Some(claim), Reach::Nothing) = (&mut claim, failure.reach) {
