--- a/components/coordination/src/resume.rs
+++ b/components/coordination/src/resume.rs
@@ -75,7 +75,7 @@
 pub enum Mismatch {
     /// An event has the id of one that was passed on before.
     Repeated,
-    /// The first event has no id, so that it may be the first of the whole stream.
+    /// The first event has no id. The endpoint may send no ids at all and have begun anew.
     Unidentified,
     /// The first event exceeds [`HELD_MAX_BYTES`], so that its id is unknown.
     TooLong,
@@ -108,11 +108,11 @@
     id: Option<Vec<u8>>,
     /// Whether the unfinished event has a `data` field.
     has_data: bool,
+    /// Whether the present answer has brought a whole event.
+    has_event: bool,
     position: Position,
     /// Hashes of the ids that were passed on.
     passed: HashSet<u64>,
-    /// Whether the first event of the stream had an id.
-    first_has_id: Option<bool>,
     /// Whether the present answer is not the first one.
     is_resumed: bool,
     /// Whether the present answer still has to show that it continues the stream.
@@ -128,9 +128,9 @@
             after_return: false,
             id: None,
             has_data: false,
+            has_event: false,
             position: Position::Start,
             passed: HashSet::new(),
-            first_has_id: None,
             is_resumed: false,
             is_unconfirmed: false,
         }
@@ -185,6 +185,12 @@
         self.held.len()
     }
 
+    /// Whether the present answer has brought a whole event. Comments and `retry` fields are no
+    /// events; an endpoint may send them before its prefill.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// Where the stream would be resumed.
     pub fn position(&self) -> &Position {
         &self.position
@@ -197,6 +203,7 @@
         self.after_return = false;
         self.id = None;
         self.has_data = false;
+        self.has_event = false;
         self.is_resumed = true;
         self.is_unconfirmed = matches!(self.position, Position::After(_));
     }
@@ -254,14 +261,11 @@
             // A comment, which no client takes for an event.
             return Ok(());
         }
-        let usable = id.filter(|id| is_usable(id));
-        let first_has_id = *self.first_has_id.get_or_insert(usable.is_some());
-        let Some(id) = usable else {
-            // The first event of the whole stream had an id, so this is not the first one again.
-            if self.is_unconfirmed && !first_has_id {
+        self.has_event = true;
+        let Some(id) = id.filter(|id| is_usable(id)) else {
+            if self.is_unconfirmed {
                 return Err(Mismatch::Unidentified);
             }
-            self.is_unconfirmed = false;
             self.position = Position::Unknown;
             return Ok(());
         };
@@ -303,7 +307,7 @@
     pub position: &'a Position,
     /// Endpoints that broke off or fell silent during this request, with this one.
     pub breaks: u32,
-    /// Whether the request is suspected of crashing endpoints.
+    /// Whether the request was suspected of crashing endpoints before it was sent.
     pub is_suspected: bool,
     /// Retries made so far.
     pub retries: u32,
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -33,6 +33,10 @@
     pub(super) call: Call,
     pub(super) plan: Plan,
     pub(super) arrived_at: Instant,
+    /// Whether the request was suspected of crashing endpoints when it was sent for its first
+    /// answer. Later suspicions are not considered: when an endpoint fails with several copies of a
+    /// request, the first break that is reported makes all of them suspects.
+    pub(super) was_suspected: bool,
 }
 
 /// Tries of a request so far.
@@ -108,12 +112,10 @@
 
     /// Decides whether to resume the stream at a position, after these tries.
     fn decide(&self, position: &Position, tries: Tries) -> Decision {
-        let fingerprint = self.call.fingerprint();
-        let suspicions = self.frontend.context.suspicions.borrow().clone();
         let broken = Break {
             position,
             breaks: tries.breaks,
-            is_suspected: !suspicions.is_empty() && suspicions.contains(&fingerprint),
+            is_suspected: self.was_suspected,
             retries: tries.retries,
             retries_max: self.plan.retries,
             deadline: self.plan.arrival.deadline,
@@ -165,7 +167,7 @@
             silence: Box::pin(tokio::time::sleep(Duration::ZERO)),
             attempt: None,
         };
-        resumption.restart_silence(false);
+        resumption.restart_silence();
         resumption
     }
 
@@ -174,10 +176,9 @@
         &self.subject.frontend
     }
 
-    /// Measures the silence of the endpoint from now on. `has_begun` says whether the answer has
-    /// brought an event.
-    pub(super) fn restart_silence(&mut self, has_begun: bool) {
-        let aim_ms = (!has_begun).then_some(self.subject.plan.aim_ms);
+    /// Measures the silence of the endpoint from now on.
+    pub(super) fn restart_silence(&mut self) {
+        let aim_ms = (!self.events.has_event()).then_some(self.subject.plan.aim_ms);
         let objective = self.subject.plan.objective;
         let max_gap_ms = objective.map(|objective| u64::from(objective.max_gap_ms));
         let limit = Duration::from_millis(silence_ms(max_gap_ms, aim_ms));
@@ -190,17 +191,12 @@
     }
 
     /// Whether the endpoint has been silent for too long.
-    pub(super) fn is_silent(
-        &mut self,
-        context: &mut Context<'_>,
-        has_begun: bool,
-        is_late: bool,
-    ) -> bool {
+    pub(super) fn is_silent(&mut self, context: &mut Context<'_>, is_late: bool) -> bool {
         while self.silence.as_mut().poll(context).is_ready() {
             if !is_late && self.silence.deadline().elapsed() < LATE_TIMER {
                 return true;
             }
-            self.restart_silence(has_begun);
+            self.restart_silence();
         }
         false
     }
@@ -266,7 +262,7 @@
             self.attempt = None;
             if let Ok(resumed) = &next {
                 self.tries = resumed.tries;
-                self.restart_silence(false);
+                self.restart_silence();
             }
             Some(next)
         })
@@ -308,11 +304,16 @@
             let _ = self.notes.send(Note::Sent(dispatch.clone()));
             let delivery = Delivery::new(frontend, call, plan.customer);
             let mut slot = take_slot(frontend, self.handle, call, plan);
-            let failure = match self.send(&dispatch).await {
+            let remaining = subject.remaining();
+            let failure = match self.send(&dispatch, remaining).await {
                 Some(Ok(answer)) => return self.accept(answer, slot, delivery, &dispatch),
                 Some(Err(failure)) => failure,
                 None => {
-                    slot.verdict = Verdict::Failed;
+                    // The endpoint is blamed only if it had at least half of the time; the rest
+                    // may have passed with the earlier answer or in the queue.
+                    if remaining >= plan.timeout / 2 {
+                        slot.verdict = Verdict::Failed;
+                    }
                     return Err("deadline");
                 }
             };
@@ -337,10 +338,13 @@
         }
     }
 
-    /// Sends the request to an endpoint; `None` if it has not answered by the deadline.
-    async fn send(&self, dispatch: &Dispatch) -> Option<Result<Answer, Failure>> {
+    /// Sends the request to an endpoint; `None` if it has not answered within `remaining`.
+    async fn send(
+        &self,
+        dispatch: &Dispatch,
+        remaining: Duration,
+    ) -> Option<Result<Answer, Failure>> {
         let frontend = &self.subject.frontend;
-        let remaining = self.subject.remaining();
         let options = upstream::Options {
             interface: &frontend.context.interface,
             pool: &frontend.pool,
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -233,6 +233,7 @@
     let (handle, mut decided) = enqueue(frontend, &plan).await?;
     let mut retries = 0;
     let mut unconnected_tries = 0;
+    let mut breaks = 0;
     loop {
         let queued = Queued {
             handle: Some(handle),
@@ -272,17 +273,18 @@
         let failure = match sent {
             Ok(Ok(answer)) => match frontend.retriable_failure(&plan, retries, answer) {
                 Ok(answer) => {
-                    let answering = (answer, delivery);
                     let subject = Subject {
                         frontend: frontend.clone(),
                         call,
                         plan,
                         arrived_at,
+                        was_suspected: delivery.was_suspected(),
                     };
+                    let answering = (answer, delivery);
                     let tries = Tries {
                         retries,
                         unconnected: unconnected_tries,
-                        breaks: 0,
+                        breaks,
                     };
                     return Ok(relay_answer(
                         subject, tries, answering, slot, claim, dispatch,
@@ -305,6 +307,7 @@
             }
         };
         if failure.broke_off {
+            breaks += 1;
             delivery.report_break();
         }
         if let (Some(claim), Reach::Nothing) = (&mut claim, failure.reach) {
--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -11,9 +11,11 @@
 /// Settings of routers that resume streams, with a retry budget for all streams of a test.
 const RESUME: &str = "[router]\nresume = yes\nretry-extra = 300\n";
 
-/// Rules beside the default ones: with `resume`, and without it.
+/// Rules beside the default ones: with `resume`, with a latency target, and without `resume`.
 const RULES: &str = "[rule resumed]\nwhen-path = /resumed\nthen = send\nservice = assistant\n\
                      resume = yes\n\
+                     [rule targeted]\nwhen-path = /targeted\nthen = send\n\
+                     service = assistant\naim = 2s\nresume = yes\n\
                      [rule plain]\nwhen-path = /plain\nthen = send\n\
                      service = booking\nidempotent = yes\nresume = yes\n\
                      [rule once]\nwhen-path = /once\nthen = send\nservice = assistant\n\
@@ -212,6 +214,29 @@
     wait_idle(&fleet);
 }
 
+/// Guards against a stream that is cut because a copy of its request, in progress at the same time,
+/// broke an endpoint before: the first break makes the request a suspect.
+#[test]
+fn can_resume_copies_of_one_request_that_break_one_after_the_other() {
+    let fleet = fleet(RESUME, 1, 3, 4);
+    std::thread::scope(|scope| {
+        // The first copy breaks after 1.1 s and ends after 2.1 s; the second one breaks after 1.5 s.
+        for (tokens, pace) in [("20", "100"), ("10", "250")] {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let mut headers = headers("copies", "tear", "");
+                headers[2] = ("stand-in-tokens", tokens);
+                headers[3] = ("stand-in-pace", pace);
+                let answer = fleet.call("r1", "alpha", "/resumed", &headers, "copies");
+                assert!(answer.complete, "{}", answer.text());
+                let tokens = tokens.parse().unwrap();
+                assert_eq!(answer.text(), stream(0, tokens, "copies"));
+            });
+        }
+    });
+    assert_eq!(fleet.calls_with_label("copies"), 4);
+}
+
 /// Guards against a stream that stays at a silent endpoint, and against an endpoint that goes on
 /// working for a stream that continues elsewhere.
 #[test]
@@ -223,6 +248,21 @@
     wait_idle(&fleet);
 }
 
+/// Guards against an endpoint that is given up during its prefill because it has sent a comment
+/// already.
+#[test]
+fn can_wait_for_the_first_event_after_a_comment() {
+    let fleet = fleet(RESUME, 1, 2, 4);
+    let mut headers = headers("prefill", "", "");
+    headers.push(("stand-in-prefill", "2500"));
+    let answer = fleet.call("r1", "alpha", "/targeted", &headers, "prefill");
+    assert!(answer.complete, "{}", answer.text());
+    let whole = stream(0, 10, "prefill");
+    assert_eq!(answer.text(), format!(": prefill\n\n{whole}"));
+    assert_eq!(fleet.calls_with_label("prefill"), 1);
+    assert_eq!(metric(&fleet, "r1", "cowslipford_streams_resumed_total"), 0);
+}
+
 /// Guards against a router that buffers a stream whose caller does not read it, and that takes the
 /// endpoint for silent meanwhile.
 #[test]
