Cut a resumed stream whose next answer ends without an event

Cause: an endpoint that does not know the id may answer with an empty success, and the caller got a clean end of a part of the stream. Change: an answer that has not shown that it continues the stream does not end it; reason empty. Result: coordination tests of resume pass, with the state checked in each case.

--- a/components/coordination/src/resume.rs
+++ b/components/coordination/src/resume.rs
@@ -208,6 +208,12 @@
         self.is_unconfirmed = matches!(self.position, Position::After(_));
     }
 
+    /// Whether the present answer has yet to show that it continues the stream. If it ends like
+    /// that, its endpoint may have ignored the position, and the stream is not known to be whole.
+    pub fn is_unconfirmed(&self) -> bool {
+        self.is_unconfirmed
+    }
+
     /// Takes bytes within a line.
     fn push_bytes(&mut self, bytes: &[u8]) {
         self.after_return &= bytes.is_empty();
--- a/components/coordination/tests/resume.rs
+++ b/components/coordination/tests/resume.rs
@@ -160,6 +160,12 @@
             passed.extend(events.push(two)?);
             Ok(passed)
         });
+        // An answer without an event shows nothing, so that its end must not end the stream.
+        let has_event = answer.starts_with("id: 3");
+        assert_eq!(
+            events.is_unconfirmed(),
+            !has_event && mismatch != Some(Mismatch::Repeated)
+        );
         match mismatch {
             None => assert_eq!(pushed.unwrap(), answer.as_bytes()),
             Some(mismatch) => assert_eq!(pushed, Err(mismatch)),
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -551,7 +551,14 @@
                         return Poll::Ready(Some(Err(Abort::Endpoint(error))));
                     }
                 }
-                Poll::Ready(None) => return Poll::Ready(this.end_whole().map(Ok)),
+                Poll::Ready(None) => {
+                    // A clean end would make a part of the stream look complete.
+                    let is_unconfirmed = |r: &Resumption| !r.is_over && r.events.is_unconfirmed();
+                    if this.resumption.as_deref().is_some_and(is_unconfirmed) {
+                        return Poll::Ready(Some(Err(this.give_up("empty"))));
+                    }
+                    return Poll::Ready(this.end_whole().map(Ok));
+                }
                 Poll::Pending => {
                     if !this.is_resumed_after_silence(context) {
                         return this.poll_deadline(context);
