--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -4,7 +4,7 @@
 use super::session::Session;
 use super::{Arrival, Dispatcher, Effect, Effects, Handle};
 use super::{UNASKED_AIM_DIVISOR, UNASKED_RETRY_AFTER_MS};
-use crate::messages::{Placement, Seq};
+use crate::messages::{Objective, Placement, Seq};
 use crate::prelude::*;
 use state::view::Shard;
 use std::collections::VecDeque;
@@ -31,6 +31,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Request {
     pub(super) arrival: Arrival,
+    /// What is demanded of the stream that answers the request.
+    pub(super) objective: Option<Objective>,
     pub(super) shard: Shard,
     /// Whether another shard has refused the request before.
     pub(super) is_moved: bool,
@@ -74,6 +76,14 @@
     u32::try_from(arrival.aim.since(now)).unwrap_or(u32::MAX)
 }
 
+/// The report that asks for a slot.
+pub(super) fn ask_report(ask: Ask, objective: Option<Objective>) -> Report {
+    match objective {
+        Some(objective) => Report::StreamAsk(ask, objective),
+        None => Report::Ask(ask),
+    }
+}
+
 impl Dispatcher {
     /// Adds a request to the queue of its class.
     pub(super) fn enqueue(&mut self, handle: Handle) {
@@ -158,12 +168,16 @@
             .map(|(handle, r)| (handle, r.waited_ms(now)))
             .collect();
         for (handle, waited) in late {
+            let appointed_ms = self.requests.get(handle).and_then(|request| {
+                let session = self.sessions.get(&request.shard)?;
+                session.appointed_ms(now, request.arrival.class)
+            });
             self.drop_waiting(now, handle, effects);
             let refusal = Refusal {
                 epoch: LOCAL_EPOCH,
                 seq: Seq(0),
                 wait_ms: u32::try_from(waited).unwrap_or(u32::MAX),
-                after_ms: UNASKED_RETRY_AFTER_MS,
+                after_ms: appointed_ms.unwrap_or(UNASKED_RETRY_AFTER_MS),
             };
             effects.push(Effect::Refuse(handle, refusal));
         }
@@ -223,8 +237,9 @@
                 avoid: request.avoid,
                 remote: false,
             };
+            let report = ask_report(ask, request.objective);
             let shard = request.shard.clone();
-            self.report(now, &shard, Report::Ask(ask), effects);
+            self.report(now, &shard, report, effects);
         }
     }
 
@@ -326,9 +341,10 @@
         };
         let arrival = request.arrival;
         let aim_ms = arrival.aim.since(request.queued_at);
+        let took_ms = now.since(request.asked_at);
         if let Some(session) = self.sessions.get_mut(shard) {
             session.record_wait(now, arrival.class.customer, u64::from(refusal.wait_ms));
-            session.record_refusal(now, arrival.class, aim_ms, &refusal);
+            session.record_refusal(now, arrival.class, aim_ms, took_ms, &refusal);
             session.record_busy(100);
         }
         if self.ask_other_shard(now, handle, shard) {
--- a/components/coordination/src/overload.rs
+++ b/components/coordination/src/overload.rs
@@ -15,6 +15,10 @@
 /// Mean lateness below which an unready router becomes ready again, in milliseconds. Half of
 /// [`OVERLOAD_LATENESS_MS`], so that the router does not flap with each burst.
 pub(crate) const CALM_LATENESS_MS: u64 = 20;
+/// Mean lateness at or above which a router becomes unready although other routers take its
+/// excess, in milliseconds: requests are then refused most of the time, and what arrives is more
+/// than the router can even hand over.
+const RELIEVED_LATENESS_MS: u64 = 2 * OVERLOAD_LATENESS_MS;
 /// Time over which the lateness is averaged, in milliseconds. Shorter bursts only cause
 /// refusals.
 const AVERAGING_MS: u64 = 400;
@@ -34,7 +38,7 @@
 const UNREADY_MIN_MS: u64 = 2300;
 /// Time after which load balancers bypass an unready router, in milliseconds: two failed
 /// probes, a second apart.
-const BYPASSED_AFTER_MS: u64 = 2000;
+pub(crate) const BYPASSED_AFTER_MS: u64 = 2000;
 /// Longest time for which a router that is still late stays unready, in milliseconds. Where
 /// all routers are overloaded, staying unready helps none of them.
 const UNREADY_LATE_MAX_MS: u64 = 5000;
@@ -95,14 +99,33 @@
     was_calm: bool,
     /// Whether the router is a hot spot.
     is_hot: bool,
+    /// Whether other routers take the excess of this one.
+    is_relieved: bool,
+    /// Whether more arrives than the router can serve.
+    is_exceeded: bool,
 }
 
 impl Overload {
+    /// Sets whether more arrives than the router can serve. It then becomes unready before its
+    /// tasks run late.
+    pub fn set_exceeded(&mut self, is_exceeded: bool) {
+        self.is_exceeded = is_exceeded;
+    }
+
     /// Sets whether this router is a hot spot.
     pub fn set_hot(&mut self, is_hot: bool) {
         self.is_hot = is_hot;
     }
 
+    /// Sets whether other routers take the excess of this one.
+    ///
+    /// Unreadiness only moves a flood to the next router, which has to find out anew what it can
+    /// serve. While the excess is handed over, the number of requests therefore does not make
+    /// this router unready, and lateness does only above [`RELIEVED_LATENESS_MS`].
+    pub fn set_relieved(&mut self, is_relieved: bool) {
+        self.is_relieved = is_relieved;
+    }
+
     /// Adds a probe of the lateness, and whether there is no room for another connection.
     /// Returns whether new connections should go to other routers.
     pub fn probe(&mut self, now: Millis, late_ms: u64, is_full: bool) -> bool {
@@ -111,9 +134,14 @@
         let rest = AVERAGING_MS - PROBE_WEIGHT_MS;
         self.mean_us = (self.mean_us * rest + sample_us * PROBE_WEIGHT_MS) / AVERAGING_MS;
         let mean_ms = self.mean_us / 1000;
+        let bound_ms = match self.is_relieved && !is_full {
+            true => RELIEVED_LATENESS_MS,
+            false => OVERLOAD_LATENESS_MS,
+        };
+        let has_excess = (self.is_hot || self.is_exceeded) && !self.is_relieved;
         if self.is_unready {
             self.consider_ready(now, mean_ms);
-        } else if mean_ms >= OVERLOAD_LATENESS_MS || self.is_hot {
+        } else if mean_ms >= bound_ms || has_excess {
             self.consider_unready(now);
         }
         self.is_unready
@@ -130,7 +158,7 @@
             return;
         }
         let since = now.since(self.changed_at);
-        let is_calm = mean_ms < CALM_LATENESS_MS;
+        let is_calm = mean_ms < CALM_LATENESS_MS && !self.is_exceeded;
         let until = if is_calm {
             self.hold_ms
         } else {
@@ -164,6 +192,11 @@
         self.changed_at = now;
     }
 
+    /// Time since the router became unready, in milliseconds; `None` if it is ready.
+    pub fn unready_ms(&self, now: Millis) -> Option<u64> {
+        self.is_unready.then(|| now.since(self.changed_at))
+    }
+
     /// Whether new connections reach other routers by now.
     ///
     /// Callers keep their connections, so a customer would stay with the router that it has
--- a/components/node/src/frontend/access_log.rs
+++ b/components/node/src/frontend/access_log.rs
@@ -45,8 +45,14 @@
     /// Time from the request's arrival to its first dispatch.
     first_wait: Option<Duration>,
     timing: Timing,
-    /// Times that the request was dispatched to an endpoint.
+    /// VM of the router that has passed the request on to this one.
+    forwarder: Option<HeaderValue>,
+    /// Times that the request was dispatched to an endpoint, or handed over to a router.
     tries: u32,
+    /// Times that its stream continued at another endpoint.
+    resumed: u32,
+    /// Why its stream was not resumed after a break.
+    unresumed: Option<&'static str>,
     /// Whether the end of the request has been logged or counted.
     is_logged: bool,
 }
@@ -94,7 +100,10 @@
             fingerprint: None,
             first_wait: None,
             timing: Timing::new(arrived_at),
+            forwarder: None,
             tries: 0,
+            resumed: 0,
+            unresumed: None,
             is_logged: false,
         }
     }
@@ -109,6 +118,35 @@
         self.caller_request_id = caller_request_id;
     }
 
+    /// Records the router that has passed the request on to this one.
+    pub(crate) fn set_forwarder(&mut self, forwarder: Option<HeaderValue>) {
+        self.forwarder = forwarder;
+    }
+
+    /// Whether another router has passed the request on to this one.
+    pub(crate) fn is_forwarded(&self) -> bool {
+        self.forwarder.is_some()
+    }
+
+    /// Records that the request is handed over to another router.
+    pub(crate) fn begin_handover(&mut self, peer: &Name) {
+        self.tries += 1;
+        self.endpoint = Some(peer.clone());
+    }
+
+    /// Records that the request did not reach the other router.
+    pub(crate) fn withdraw_handover(&mut self) {
+        self.tries -= 1;
+        self.endpoint = None;
+    }
+
+    /// Counts the end of an answer of another router, which has a log line of its own there.
+    pub(crate) fn count_handed_over(&mut self, reason: &'static str) {
+        self.is_logged = true;
+        let outcome = Outcome::Answered.as_str();
+        self.count(self.arrived_at.elapsed(), None, outcome, reason);
+    }
+
     /// Records the rule that matched, and the service and customer that follow from it.
     pub(crate) fn set_plan(&mut self, plan: &Plan, customer: Option<Name>) {
         self.rule = Some(plan.rule.clone());
@@ -116,10 +154,15 @@
         self.customer = customer;
     }
 
-    /// Logs that the request is sent to an endpoint.
+    /// Logs that the request is sent to its first endpoint or, before an answer, to another one.
     pub(crate) fn log_dispatch(&mut self, dispatch: &Dispatch, fingerprint: Fingerprint) {
-        self.tries += 1;
         self.fingerprint = Some(fingerprint);
+        self.log_retry(dispatch);
+    }
+
+    /// Logs that the request is sent to an endpoint.
+    pub(crate) fn log_retry(&mut self, dispatch: &Dispatch) {
+        self.tries += 1;
         self.metrics.attempts.inc();
         self.first_wait
             .get_or_insert_with(|| self.arrived_at.elapsed());
@@ -155,6 +198,16 @@
         self.timing.record_piece(events);
     }
 
+    /// Records that the stream continues at another endpoint.
+    pub(crate) fn record_resumed(&mut self) {
+        self.resumed += 1;
+    }
+
+    /// Records why the stream is not resumed after a break.
+    pub(crate) fn record_unresumed(&mut self, reason: &'static str) {
+        self.unresumed = Some(reason);
+    }
+
     /// Logs a failed try; `next` names what follows it.
     pub(crate) fn log_failure(&self, failure: &Failure, next: &'static str) {
         tracing::info!(
@@ -238,6 +291,9 @@
             events = self.timing.events(),
             fingerprint = crash_fingerprint.map(tracing::field::display),
             tries = self.tries,
+            resumed = (self.resumed > 0).then_some(self.resumed),
+            unresumed = self.unresumed,
+            from = self.forwarder.as_ref().and_then(|vm| vm.to_str().ok()),
             status = status.map(|s| s.as_u16()),
             outcome,
             reason,
--- a/components/node/src/frontend/mod.rs
+++ b/components/node/src/frontend/mod.rs
@@ -5,13 +5,16 @@
 mod claim;
 mod connections;
 mod delivery;
+mod forward;
 mod listen;
 mod plan;
 mod pool;
 mod refusal;
 mod relay;
+mod resume;
 mod serve;
 mod timing;
+mod turn_away;
 mod upstream;
 
 pub(crate) use listen::{Context, Frontend};
--- a/components/node/src/frontend/plan.rs
+++ b/components/node/src/frontend/plan.rs
@@ -9,7 +9,7 @@
 use crate::shared::Published;
 use bytes::Bytes;
 use coordination::dispatcher::Arrival;
-use coordination::messages::Class;
+use coordination::messages::{Class, Objective};
 use coordination::prompt::Prompt;
 use coordination::regions::Regions;
 use coordination::rule;
@@ -51,8 +51,14 @@
     pub(super) idempotent: bool,
     /// Most retries of the request.
     pub(super) retries: u32,
+    /// Whether a stream that breaks off may continue at another endpoint.
+    pub(super) resume: bool,
+    /// Time from the request's arrival until the first byte counts as late, in milliseconds.
+    pub(super) aim_ms: u64,
     /// The request as the dispatcher queues it.
     pub(super) arrival: Arrival,
+    /// What the rule demands of the stream that answers the request.
+    pub(super) objective: Option<Objective>,
 }
 
 /// Finds the rule that matches the request, and makes the plan that follows from it.
@@ -80,13 +86,15 @@
     );
     let (rule_index, rule) =
         decided.map_err(|refusal| refuse_if_current(frontend, published, refusal))?;
-    let send = match &rule.then {
-        Then::Refuse { reason } => {
-            let status = StatusCode::FORBIDDEN;
-            return Err(Refusal::not_run(status, "refused", reason.clone()));
-        }
-        Then::Send(send) => send,
-    };
+    if let Then::Refuse { reason } = &rule.then {
+        let status = StatusCode::FORBIDDEN;
+        return Err(Refusal::not_run(status, "refused", reason.clone()));
+    }
+    let send = rule.then.forward().ok_or_else(no_endpoint)?;
+    let objective = (rule.then.max_gap_ms()).map(|max_gap_ms| Objective {
+        max_gap_ms: u32::try_from(max_gap_ms).unwrap_or(u32::MAX),
+        is_resumable: send.resume,
+    });
     if customer.is_none() && !send.anonymous {
         return Err(refuse_if_current(frontend, published, unknown_customer()));
     }
@@ -115,6 +123,7 @@
         return Err(no_endpoint());
     }
     let now = frontend.context.clock.now();
+    let aim_ms = send.aim_ms.unwrap_or(millis(timeout));
     let arrival = Arrival {
         service: service_id,
         class,
@@ -132,7 +141,7 @@
         prompt,
         bytes: call.body.len() as u64,
         regions,
-        aim: now.after(send.aim_ms.unwrap_or(millis(timeout))),
+        aim: now.after(aim_ms),
         deadline: now.after(millis(timeout)),
     };
     Ok(Plan {
@@ -145,7 +154,10 @@
         timeout,
         idempotent: rule::is_idempotent(send.idempotent, settings, call.method.as_str()),
         retries: send.retries.unwrap_or(DEFAULT_RETRIES),
+        resume: send.resume,
+        aim_ms,
         arrival,
+        objective,
     })
 }
 
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -5,10 +5,12 @@
 use super::admit::{admit, discard_body, read_body, BUSY_CODE, FAST_RETRY_AFTER};
 use super::claim::{claim, Claim, Claimed};
 use super::delivery::{quarantined, Delivery};
+use super::forward::{self, Forwarded, Handed};
 use super::listen::Frontend;
 use super::plan::{no_endpoint, plan, Plan, NO_ENDPOINT_RETRY_AFTER, NO_ENDPOINT_TEXT};
 use super::refusal::{set_header, Refusal, OUTCOME_HEADER};
 use super::relay::{Meter, Origin, Relay, Replay, Slot};
+use super::resume::{Resumption, Subject, Tries};
 use super::upstream::{self, Answer, Call, Failure};
 use crate::input::{Decided, Decision, Dispatch, Input};
 use crate::interface::REQUEST_ID;
@@ -16,11 +18,13 @@
 use bytes::Bytes;
 use coordination::dispatcher::{Handle, Rejection};
 use coordination::messages::Verdict;
+use coordination::pause;
 use coordination::retry::{self, Action, Reach};
 use http_body_util::{Either, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
 use hyper::{Request, Response, StatusCode};
+use prometheus::IntCounter;
 use state::event::{Event, Kind};
 use state::id::RequestId;
 use state::outcome::Outcome;
@@ -32,7 +36,7 @@
 /// Most failed connections of a request that do not count as failed tries. Each costs up to the
 /// connect timeout, and after two of them most of the service's endpoints are likely to be
 /// unreachable.
-const MAX_UNCONNECTED_TRIES: u32 = 2;
+pub(super) const MAX_UNCONNECTED_TRIES: u32 = 2;
 
 /// Text of a refusal because the request would be answered too late.
 const OVERLOADED_TEXT: &str = "the endpoints have more to do than they can in time";
@@ -41,8 +45,9 @@
 /// waits in the queue.
 const QUEUE_FULL_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Response to a caller: a body of the router itself, or one relayed from an endpoint.
-type Reply = Response<Either<Full<Bytes>, Relay>>;
+/// Response to a caller: a body of the router itself, or one relayed from an endpoint or from
+/// another router.
+type Reply = Response<Either<Full<Bytes>, Either<Relay, Forwarded>>>;
 
 /// Deadline of a relayed answer, as an extension of its response.
 #[derive(Clone, Copy, Debug)]
@@ -69,7 +74,14 @@
         Ok(Served::Relayed(head, mut relay)) => {
             relay.entry = Some((entry, head.status));
             let deadline = AnswerDeadline(relay.deadline.deadline().into_std());
-            let mut reply = Response::from_parts(head, Either::Right(*relay));
+            let mut reply = Response::from_parts(head, Either::Right(Either::Left(*relay)));
+            reply.extensions_mut().insert(deadline);
+            reply
+        }
+        Ok(Served::Forwarded(head, mut forwarded)) => {
+            forwarded.entry = Some(entry);
+            let deadline = AnswerDeadline(forwarded.deadline);
+            let mut reply = Response::from_parts(head, Either::Right(Either::Right(*forwarded)));
             reply.extensions_mut().insert(deadline);
             reply
         }
@@ -128,6 +140,8 @@
 enum Served {
     /// An endpoint answers: the head of its answer, and the body to relay.
     Relayed(hyper::http::response::Parts, Box<Relay>),
+    /// Another router answers: the head of its answer, and the body to relay.
+    Forwarded(hyper::http::response::Parts, Box<Forwarded>),
     /// The stored answer to an earlier request with the same idempotency key.
     Replayed(Box<Response<Full<Bytes>>>),
 }
@@ -140,7 +154,8 @@
     request: Request<Incoming>,
     arrived_at: Instant,
 ) -> Result<Served, Refusal> {
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    entry.set_forwarder(forward::take_forwarder(frontend, &mut head.headers));
     let inbound = match admit(frontend, published, &head, entry) {
         Ok(inbound) => inbound,
         Err(refusal) => {
@@ -154,7 +169,13 @@
         .journal
         .record(Event::new(Kind::Taken).request(id));
     let mut call = read_body(frontend, id, inbound.request_id.clone(), head, body).await?;
-    let plan = plan(frontend, published, &inbound, &mut call)?;
+    let handed =
+        forward::hand_over(frontend, published, &inbound, &mut call, entry, arrived_at).await?;
+    let (plan, may_have_run) = match handed {
+        Handed::Answered(head, forwarded) => return Ok(Served::Forwarded(head, forwarded)),
+        Handed::Here => (plan(frontend, published, &inbound, &mut call)?, false),
+        Handed::Again(plan) => (*plan, true),
+    };
     entry.set_plan(&plan, call.customer.clone());
     let event = Event::new(Kind::Taken).request(id);
     frontend
@@ -173,15 +194,19 @@
             }
         }
     }
-    dispatch_until_answered(frontend, call, &plan, claimed, entry, arrived_at).await
+    let served = dispatch_until_answered(frontend, call, plan, claimed, entry, arrived_at).await;
+    match may_have_run {
+        true => served.map_err(Refusal::into_unknown),
+        false => served,
+    }
 }
 
 /// A queued request. It leaves the queue when this value is dropped, since the caller is gone.
-struct Queued {
+pub(super) struct Queued {
     /// The request in the dispatcher; `None` once it has left the queue.
-    handle: Option<Handle>,
-    id: RequestId,
-    frontend: Arc<Frontend>,
+    pub(super) handle: Option<Handle>,
+    pub(super) id: RequestId,
+    pub(super) frontend: Arc<Frontend>,
 }
 
 impl Drop for Queued {
@@ -198,16 +223,17 @@
 async fn dispatch_until_answered(
     frontend: &Arc<Frontend>,
     call: Call,
-    plan: &Plan,
+    plan: Plan,
     mut claim: Option<Claim>,
     entry: &mut Entry,
     arrived_at: Instant,
 ) -> Result<Served, Refusal> {
     frontend.check_quarantine(&call)?;
     frontend.earn_retries(plan.service);
-    let (handle, mut decided) = enqueue(frontend, plan).await?;
+    let (handle, mut decided) = enqueue(frontend, &plan).await?;
     let mut retries = 0;
     let mut unconnected_tries = 0;
+    let mut breaks = 0;
     loop {
         let queued = Queued {
             handle: Some(handle),
@@ -217,17 +243,9 @@
         let dispatch =
             wait_for_dispatch(frontend, &call, queued, decided, retries, plan.idempotent).await?;
         entry.log_dispatch(&dispatch, call.fingerprint());
-        record_dispatch(frontend, &call, plan, &dispatch, retries, arrived_at);
+        record_dispatch(frontend, &call, &plan, &dispatch, retries, arrived_at);
         let delivery = Delivery::new(frontend, &call, plan.customer);
-        let mut slot = Slot {
-            handle,
-            id: call.id,
-            meter: Meter::new(plan.cost, plan.arrival.prompt, plan.engine),
-            verdict: Verdict::Cancelled,
-            is_armed: true,
-            reactor: frontend.context.reactor.clone(),
-            journal: frontend.context.journal.clone(),
-        };
+        let mut slot = take_slot(frontend, handle, &call, &plan);
         if let Some(claim) = &mut claim {
             claim.mark_sent();
         }
@@ -237,6 +255,7 @@
             pool: &frontend.pool,
             at_most_once: !plan.idempotent,
             remaining,
+            last_event_id: None,
         };
         let sent = tokio::time::timeout(remaining, upstream::send(&call, &dispatch, options)).await;
         let backoff = match &sent {
@@ -252,11 +271,23 @@
                 .send(Input::Backoff(handle, backoff));
         }
         let failure = match sent {
-            Ok(Ok(answer)) => match frontend.retriable_failure(plan, retries, answer) {
+            Ok(Ok(answer)) => match frontend.retriable_failure(&plan, retries, answer) {
                 Ok(answer) => {
+                    let subject = Subject {
+                        frontend: frontend.clone(),
+                        call,
+                        plan,
+                        arrived_at,
+                        was_suspected: delivery.was_suspected(),
+                    };
                     let answering = (answer, delivery);
+                    let tries = Tries {
+                        retries,
+                        unconnected: unconnected_tries,
+                        breaks,
+                    };
                     return Ok(relay_answer(
-                        frontend, answering, slot, claim, dispatch, plan, arrived_at,
+                        subject, tries, answering, slot, claim, dispatch,
                     ));
                 }
                 Err(failure) => failure,
@@ -276,6 +307,7 @@
             }
         };
         if failure.broke_off {
+            breaks += 1;
             delivery.report_break();
         }
         if let (Some(claim), Reach::Nothing) = (&mut claim, failure.reach) {
@@ -309,8 +341,21 @@
     }
 }
 
+/// The slot of a request that has just been dispatched.
+pub(super) fn take_slot(frontend: &Frontend, handle: Handle, call: &Call, plan: &Plan) -> Slot {
+    Slot {
+        handle,
+        id: call.id,
+        meter: Meter::new(plan.cost, plan.arrival.prompt, plan.engine).for_stream(plan.objective),
+        verdict: Verdict::Cancelled,
+        is_armed: true,
+        reactor: frontend.context.reactor.clone(),
+        journal: frontend.context.journal.clone(),
+    }
+}
+
 /// Records the dispatch in the journal, and the time in the queue in the metrics.
-fn record_dispatch(
+pub(super) fn record_dispatch(
     frontend: &Frontend,
     call: &Call,
     plan: &Plan,
@@ -370,7 +415,7 @@
 /// The refusal, if the queue is full or the request could not be served in time.
 async fn enqueue(frontend: &Frontend, plan: &Plan) -> Result<(Handle, Decided), Refusal> {
     let (sender, receiver) = oneshot::channel();
-    let arrive = Input::Arrive(plan.arrival, sender);
+    let arrive = Input::Arrive(plan.arrival, plan.objective, sender);
     if frontend.context.reactor.send(arrive).is_err() {
         return Err(no_endpoint());
     }
@@ -406,7 +451,7 @@
 /// # Errors
 ///
 /// The refusal, if the request is quarantined, refused or unserved, or has reached its deadline.
-async fn wait_for_dispatch(
+pub(super) async fn wait_for_dispatch(
     frontend: &Frontend,
     call: &Call,
     mut queued: Queued,
@@ -464,7 +509,7 @@
 /// Queues a request again after a failed try, and releases its slot.
 async fn requeue(frontend: &Frontend, slot: Slot) -> Result<Decided, Refusal> {
     let (sender, receiver) = oneshot::channel();
-    let requeue = Input::Requeue(slot.handle, slot.verdict, sender);
+    let requeue = Input::Requeue(slot.handle, slot.verdict, None, sender);
     // The dispatcher releases the slot when it takes this input, so dropping `slot` must not.
     slot.disarm();
     let _ = frontend.context.reactor.send(requeue);
@@ -490,15 +535,15 @@
 
 /// Starts to relay an endpoint's answer to the caller.
 fn relay_answer(
-    frontend: &Frontend,
+    subject: Subject,
+    tries: Tries,
     (answer, delivery): (Answer, Delivery),
     slot: Slot,
     claim: Option<Claim>,
     dispatch: Dispatch,
-    plan: &Plan,
-    arrived_at: Instant,
 ) -> Served {
     let (mut head, body) = answer.response.into_parts();
+    let frontend = subject.frontend.clone();
     let keep_alive = upstream::keep_alive_timeout(&head.headers);
     upstream::strip_hop_by_hop(&mut head.headers);
     set_header(
@@ -507,7 +552,8 @@
         Outcome::Answered.as_str(),
     );
     set_header(&mut head.headers, REQUEST_ID, &slot.id.to_string());
-    count_answer(frontend, Outcome::Answered, head.status);
+    count_answer(&frontend, Outcome::Answered, head.status);
+    let is_replayed = claim.is_some();
     let replay = claim.map(|claim| {
         let (done, body_end) = oneshot::channel();
         let content_type = head.headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
@@ -521,7 +567,10 @@
             done: Some(done),
         }
     });
-    let remaining = plan.timeout.saturating_sub(arrived_at.elapsed());
+    let remaining = subject.remaining();
+    let pauses = pauses(&frontend, &subject.plan);
+    let is_resumable = !is_replayed && !body.is_end_stream() && subject.may_resume(&head);
+    let resumption = is_resumable.then(|| Box::new(Resumption::new(subject, tries)));
     let mut relay = Relay {
         incoming: body,
         verdict_if_complete: if head.status.is_server_error() {
@@ -537,9 +586,12 @@
         last_piece_at: None,
         resumed_at: None,
         has_begun: false,
+        pauses,
+        is_caller_slow: false,
         lateness: frontend.context.lateness.clone(),
         entry: None,
         end_reason: "caller-gone",
+        resumption,
         origin: Origin {
             connection: Some(answer.connection),
             pool: frontend.pool.clone(),
@@ -551,6 +603,14 @@
     Served::Relayed(head, Box::new(relay))
 }
 
+/// Meter of the pauses between events and counter of those over their bound, if the rule has one.
+fn pauses(frontend: &Frontend, plan: &Plan) -> Option<(pause::Meter, IntCounter)> {
+    let meter = pause::Meter::new(plan.objective)?;
+    let labels = [plan.service_name.as_str(), "observed"];
+    let counters = &frontend.context.metrics.pauses_over_bound;
+    Some((meter, counters.with_label_values(&labels)))
+}
+
 /// Counts a response by outcome and status in the metrics.
 fn count_answer(frontend: &Frontend, outcome: Outcome, status: StatusCode) {
     let labels = [outcome.as_str(), status.as_str()];
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -43,12 +43,21 @@
     /// Seconds from a request's arrival to the first piece of its answer, by service
     /// and rule.
     pub(crate) first_byte_times: HistogramVec,
+    /// Pauses between events beyond the bound of their rule, by service: those observed by this
+    /// router, and those that schedulers here expected of grants.
+    pub(crate) pauses_over_bound: IntCounterVec,
     /// Seconds from a request's arrival to its dispatch.
     pub(crate) queue_wait: Histogram,
     /// Seconds from a request's arrival to the end of its answer.
     pub(crate) duration: Histogram,
     /// Tries of a request after its first one.
     pub(crate) retries: IntCounter,
+    /// Times that a stream continued at another endpoint.
+    pub(crate) resumed_streams: IntCounter,
+    /// Streams that broke and were not resumed, by reason.
+    pub(crate) unresumed_streams: IntCounterVec,
+    /// Pieces of streams that ended in an event that was held back.
+    pub(crate) held_events: IntCounter,
     /// Requests that wait on this router.
     pub(crate) waiting: IntGauge,
     /// Number of evacuated data centres, whose endpoints get no requests.
@@ -61,8 +70,20 @@
     pub(crate) request_heads: IntCounter,
     /// Tries sent to endpoints.
     pub(crate) attempts: IntCounter,
+    /// Requests handed over to other routers.
+    pub(crate) handed_over: IntCounter,
+    /// Requests accepted from other routers.
+    pub(crate) accepted_from_peers: IntCounter,
+    /// Hand-overs that failed before the answer began.
+    pub(crate) failed_handovers: IntCounter,
+    /// Requests in progress at other routers.
+    pub(crate) at_peers: IntGauge,
+    /// Routers whose occupancy this VM knows as the VM of a scheduler.
+    pub(crate) reporting_routers: IntGauge,
     /// Connections closed unread, because tasks ran late or the connection limit was reached.
     pub(crate) closed_unread: IntCounter,
+    /// Connections that were refused with a response, without being served.
+    pub(crate) refused_connections: IntCounter,
     /// Requests refused without a log line.
     pub(crate) unlogged_refusals: IntCounter,
     /// Open connections of callers.
@@ -89,6 +110,8 @@
     pub(crate) grants: IntCounter,
     /// Grants that routers returned.
     pub(crate) returned_grants: IntCounter,
+    /// Appointments of refused callers, by service, region and what became of them.
+    pub(crate) appointments: IntCounterVec,
     /// Slots, routers, and running and waiting requests of the shards that are scheduled here.
     pub(crate) slots: IntGaugeVec,
     /// Virtual service of customers in the shards that are scheduled here.
@@ -142,6 +165,26 @@
         .map_err(Error::key(step))?;
         r.register(Box::new(requests.clone()))
             .map_err(Error::key(step))?;
+        let unresumed_streams = IntCounterVec::new(
+            Opts::new(
+                "cowslipford_streams_not_resumed_total",
+                "Streams of rules with resume that broke and were not resumed.",
+            ),
+            &["reason"],
+        )
+        .map_err(Error::key(step))?;
+        r.register(Box::new(unresumed_streams.clone()))
+            .map_err(Error::key(step))?;
+        let appointments = IntCounterVec::new(
+            Opts::new(
+                "cowslipford_appointments_total",
+                "Appointments of refused callers in shards that are scheduled here.",
+            ),
+            &["service", "region", "what"],
+        )
+        .map_err(Error::key(step))?;
+        r.register(Box::new(appointments.clone()))
+            .map_err(Error::key(step))?;
         let ends = IntCounterVec::new(
             Opts::new(
                 "cowslipford_request_ends_total",
@@ -172,7 +215,18 @@
                 .map_err(Error::key(step))?;
         r.register(Box::new(first_byte_times.clone()))
             .map_err(Error::key(step))?;
+        let pauses_over_bound = IntCounterVec::new(
+            Opts::new(
+                "cowslipford_pauses_over_bound_total",
+                "Pauses between events beyond the rule's bound, by service, observed and expected.",
+            ),
+            &["service", "what"],
+        )
+        .map_err(Error::key(step))?;
+        r.register(Box::new(pauses_over_bound.clone()))
+            .map_err(Error::key(step))?;
         Ok(Metrics {
+            pauses_over_bound,
             rules: Arc::default(),
             ends,
             durations,
@@ -184,6 +238,15 @@
                 "Time from arrival to the end.",
             )?,
             retries: counter("cowslipford_retries_total", "Tries after the first.")?,
+            resumed_streams: counter(
+                "cowslipford_streams_resumed_total",
+                "Times that a stream continued at another endpoint.",
+            )?,
+            unresumed_streams,
+            held_events: counter(
+                "cowslipford_events_held_total",
+                "Pieces of streams that ended in an event that was held back.",
+            )?,
             evacuated: gauge(
                 "cowslipford_evacuated",
                 "Data centres whose endpoints get no requests.",
@@ -202,10 +265,34 @@
                 "Requests whose head was read.",
             )?,
             attempts: counter("cowslipford_tries_sent_total", "Tries sent to endpoints.")?,
+            handed_over: counter(
+                "cowslipford_requests_handed_over_total",
+                "Requests handed over to other routers.",
+            )?,
+            accepted_from_peers: counter(
+                "cowslipford_requests_from_peers_total",
+                "Requests accepted from other routers.",
+            )?,
+            failed_handovers: counter(
+                "cowslipford_handovers_failed_total",
+                "Requests handed over whose answer did not begin.",
+            )?,
+            at_peers: gauge(
+                "cowslipford_requests_at_peers",
+                "Requests in progress at other routers.",
+            )?,
+            reporting_routers: gauge(
+                "cowslipford_reporting_routers",
+                "Routers with a link that may report their occupancy here.",
+            )?,
             closed_unread: counter(
                 "cowslipford_connections_turned_away_total",
                 "Connections closed unread, since tasks ran late or there was no place for them.",
             )?,
+            refused_connections: counter(
+                "cowslipford_connections_refused_total",
+                "Connections beyond what can be served, refused with a response.",
+            )?,
             unlogged_refusals: counter(
                 "cowslipford_untold_refusals_total",
                 "Requests refused while tasks ran late, without a log line.",
@@ -249,6 +336,7 @@
                 "cowslipford_returns_total",
                 "Grants that routers gave back.",
             )?,
+            appointments,
             slots: gauges(
                 "cowslipford_shard",
                 "Slots, running and waiting of shards that are scheduled here.",
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -3,6 +3,7 @@
 use crate::control::{self, Control};
 use crate::evacuation::Orders;
 use crate::frontend::{Context as FrontendContext, Frontend};
+use crate::handover::Handover;
 use crate::input::Input;
 use crate::interface::Interface;
 use crate::journal::Journal;
@@ -301,7 +302,10 @@
         }
         if let (Some(releases), Some(control)) = (&settings.releases, control) {
             let listener = bind("bind the address of releases", releases.listen).await?;
-            let parts = releases::Parts::new(interface, reactor.clone(), control.clone(), orders);
+            let mut parts =
+                releases::Parts::new(interface, reactor.clone(), control.clone(), orders);
+            parts.stream_objectives =
+                (settings.control.as_ref()).is_some_and(|control| control.stream_objectives);
             let parts = Arc::new(parts);
             let answer = move |request| releases::answer(parts.clone(), request);
             tasks.push(tokio::spawn(http::serve(listener, answer, stopped.clone())));
@@ -351,6 +355,8 @@
         let (hub, events) = self.socket.start(hello, self.clock.clone());
         let data_centres = Starter::data_centres(&self.settings);
         let orders = || Orders::new(reactor.clone(), published.clone(), data_centres.clone());
+        let handover = (self.settings.router.handover && callers.is_some())
+            .then(|| Handover::new(self.clock.clone(), self.metrics.clone()));
         let operator_parts = Arc::new(OperatorParts {
             key: self.settings.operators.key,
             hub: hub.clone(),
@@ -361,6 +367,7 @@
             control: to_control.clone(),
             published: published.clone(),
             fault_hook: self.settings.fault.hook,
+            handover: handover.clone(),
             orders: orders(),
             files: OperatorParts::file_limit(),
         });
@@ -374,6 +381,7 @@
                     admission: admission(&self.settings.peers, settings),
                     data: settings.data.clone(),
                     compact_bytes: settings.compact_bytes,
+                    stream_objectives: settings.stream_objectives,
                     hub: hub.clone(),
                     clock: self.clock.clone(),
                     journal: self.journal.clone(),
@@ -393,7 +401,8 @@
             }
             _ => None,
         };
-        let lateness = Lateness::default();
+        let answers_excess = self.settings.router.answer_excess;
+        let lateness = Lateness::new(answers_excess);
         let (inquiries, inquiry_receiver) = flume::unbounded();
         let parts = ReactorParts {
             hub: hub.clone(),
@@ -419,7 +428,9 @@
             },
             is_control: self.settings.control.is_some(),
             may_schedule: self.settings.scheduler,
+            scheduling: self.settings.scheduling,
             serves_callers: self.settings.callers.is_some(),
+            handover: handover.clone(),
             to_control: to_control.clone(),
             publish,
             suspicions: publish_suspicions,
@@ -448,13 +459,18 @@
             .await?,
         );
         let memory = self.settings.vm.memory_bytes;
-        let budget = Starter::budget(&self.settings);
+        let mut budget = Starter::budget(&self.settings);
+        let refusals = match answers_excess {
+            true => budget.set_aside_refusals(),
+            false => 0,
+        };
         let monitor = monitor::run(
             lateness.clone(),
             self.metrics.clone(),
             memory,
             budget.connections,
             published.clone(),
+            handover.clone(),
             stopped.clone(),
         );
         tasks.push(tokio::spawn(monitor));
@@ -483,8 +499,10 @@
                 callers: callers.clone(),
                 customer_queue_limit: self.settings.router.queue_customer,
                 budget,
+                refusals,
                 lateness,
                 max_proof_age_ms: self.settings.router.stale_ms,
+                resume: self.settings.router.resume,
                 interface: self.interface,
                 retry_bounds: retry::Bounds {
                     per_mille: self.settings.router.retries.per_mille,
@@ -499,6 +517,8 @@
                 reactor: reactor.clone(),
                 published: published.clone(),
                 suspicions,
+                handover,
+                vm: hub.hello().node.vm.clone(),
             });
             tasks.push(tokio::spawn(frontend.run(listener, stopped)));
         }
@@ -515,6 +535,7 @@
             operators = %addresses.operators,
             callers = ?addresses.callers,
             connections = budget.connections,
+            refusals,
             body_bytes = budget.body_bytes,
         );
         Ok(Process {
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -4,12 +4,15 @@
 
 mod dependency;
 mod listing;
+mod occupancy;
 mod peers;
 mod status;
 
 use self::dependency::Logged;
+use self::occupancy::Reports;
 use crate::batch::Batch;
 use crate::dissemination::Dissemination;
+use crate::handover::Handover;
 use crate::input::{Decision, Dispatch, Input};
 use crate::inventory::Inquiry;
 use crate::journal::Journal;
@@ -25,7 +28,8 @@
 use coordination::failback::Failbacks;
 use coordination::listing::Registry;
 use coordination::recent::Recent;
-use protocol::wire::{Message, Reply};
+use protocol::wire::{Features, Message, Reply};
+use settings::Scheduling;
 use state::clock::Millis;
 use state::config::{Endpoint, Index};
 use state::event::{Event, Kind};
@@ -72,8 +76,12 @@
     pub(crate) is_control: bool,
     /// Whether this VM may run schedulers.
     pub(crate) may_schedule: bool,
+    /// How the schedulers of this VM decide.
+    pub(crate) scheduling: Scheduling,
     /// Whether this VM is a router that accepts callers.
     pub(crate) serves_callers: bool,
+    /// Hand-over of requests to other routers, if this router takes part in it.
+    pub(crate) handover: Option<Handover>,
     /// Channel to the control role, if this process runs it.
     pub(crate) to_control: Option<flume::Sender<crate::control::Input>>,
     /// Channel for queries of an engine's prompt cache, if engines can list it.
@@ -168,6 +176,8 @@
     dedicated: bool,
     /// Evacuated data centres as they were last logged.
     evacuated: BTreeSet<Name>,
+    /// Reports of routers' occupancy, in both directions.
+    reports: Reports,
     /// Whether the published state is out of date.
     dirty: bool,
 }
@@ -182,14 +192,19 @@
         let seeds = parts.seeds.clone();
         let now = parts.clock.now();
         let mut dispatcher = Dispatcher::new(parts.home.clone(), parts.bounds);
+        dispatcher.set_stream_support(&me, true);
+        if parts.scheduling.appointments {
+            dispatcher.enable_appointments();
+        }
         dispatcher.link_up(now, &me);
-        Reactor {
+        let mut reactor = Reactor {
             dispatcher,
             schedulers: Schedulers::new(
                 me.clone(),
                 parts.journal.clone(),
                 parts.metrics.clone(),
                 parts.inquiries.clone(),
+                parts.scheduling,
             ),
             dissemination: Dissemination::new(
                 me.clone(),
@@ -236,10 +251,14 @@
             logged: Logged::default(),
             dedicated: false,
             evacuated: BTreeSet::new(),
+            reports: Reports::default(),
             dirty: true,
             me,
             parts,
-        }
+        };
+        // The schedulers of this VM know its own router as well.
+        reactor.open_occupancy(&hello);
+        reactor
     }
 
     /// Runs until [`Input::End`], or until all senders of inputs are dropped.
@@ -282,8 +301,10 @@
         let now = self.now();
         match input {
             Input::Link(event) => self.handle_link(now, event),
-            Input::Arrive(arrival, reply) => {
-                let answer = match self.dispatcher.arrive(now, &self.effective, arrival) {
+            Input::Arrive(arrival, objective, reply) => {
+                let arrived =
+                    (self.dispatcher).arrive_for_stream(now, &self.effective, arrival, objective);
+                let answer = match arrived {
                     Ok((handle, effects)) => {
                         let (sender, decided) = oneshot::channel();
                         self.decisions.insert(handle, sender);
@@ -299,10 +320,13 @@
                 }
             }
             Input::Cancel(handle) => self.cancel(now, handle),
-            Input::Requeue(handle, verdict, reply) => {
+            Input::Requeue(handle, verdict, aim, reply) => {
                 self.parts.metrics.retries.inc();
                 let (sender, decided) = oneshot::channel();
                 self.decisions.insert(handle, sender);
+                if let Some(aim) = aim {
+                    self.dispatcher.set_aim(handle, aim);
+                }
                 let effects = self.dispatcher.requeue(now, handle, verdict);
                 self.perform(now, effects);
                 if reply.send(decided).is_err() {
@@ -313,6 +337,7 @@
                 let effects = self.dispatcher.report_first_byte(now, handle, took_ms);
                 self.perform(now, effects);
             }
+            Input::Pauses(handle, observed) => self.dispatcher.record_pauses(handle, observed),
             Input::Progress(handle, cost) => {
                 let effects = self.dispatcher.progress(now, handle, cost);
                 self.perform(now, effects);
@@ -401,6 +426,10 @@
                 self.dissemination
                     .link_up(&self.parts.hub, vm, self.view.version);
                 self.send_to_control(crate::control::Input::Up(hello.clone()));
+                let features = hello.extension.features;
+                self.dispatcher
+                    .set_stream_support(vm, features.includes(Features::STREAM_OBJECTIVES));
+                self.open_occupancy(&hello);
                 let effects = self.dispatcher.link_up(now, vm);
                 self.perform(now, effects);
             }
@@ -408,6 +437,7 @@
                 self.parts
                     .journal
                     .record(Event::new(Kind::LinkDown).peer(&vm));
+                self.close_occupancy(&vm);
                 self.dissemination.link_down(now, &vm);
                 self.schedulers.link_down(now, &vm);
                 self.dispatcher.link_down(now, &vm);
@@ -524,8 +554,12 @@
                     .handle_proof_age(&vm, at, version, self.view.version);
                 self.dirty = true;
             }
-            // Not used by this release.
-            Message::Occupancy(_) | Message::Peers(_) => {}
+            Message::Occupancy(occupancy) => self.handle_occupancy(now, &vm, occupancy),
+            Message::Peers(peers) => {
+                if let Some(handover) = &self.parts.handover {
+                    handover.set_peers(&peers);
+                }
+            }
         }
     }
 
@@ -753,6 +787,7 @@
         self.request_cells(now);
         self.update_readiness(now);
         self.log_dependencies(now);
+        self.send_occupancies(now);
         if now >= self.next_cached_at {
             self.next_cached_at = now.after(CACHED_INTERVAL_MS);
             self.send_cached();
@@ -760,6 +795,9 @@
         if now >= self.next_measure_at {
             self.next_measure_at = now.after(MEASURE_INTERVAL_MS);
             self.update_metrics();
+            if let Some(handover) = &self.parts.handover {
+                handover.log_summaries();
+            }
             self.update_dedicated();
             self.send_service_totals();
             self.close_unused_links();
--- a/components/settings/src/process.rs
+++ b/components/settings/src/process.rs
@@ -75,6 +75,13 @@
     pub connections: usize,
 }
 
+/// How the schedulers of a VM decide.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Scheduling {
+    /// Whether refused callers get appointments.
+    pub appointments: bool,
+}
+
 /// Queue, configuration and retry limits of a router.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Router {
@@ -91,6 +98,13 @@
     pub stale_ms: Option<u64>,
     /// Retry budget, which all routers share.
     pub retries: Retries,
+    /// Whether streams of rules with `resume` continue at another endpoint when theirs breaks off.
+    pub resume: bool,
+    /// Whether requests are handed over between the routers of a data centre.
+    pub handover: bool,
+    /// Whether connections beyond what the router can serve are answered with a refusal, rather
+    /// than closed unread.
+    pub answer_excess: bool,
 }
 
 /// Retry budget of each service over the whole fleet.
@@ -127,6 +141,9 @@
     pub may_bootstrap: bool,
     /// Simultaneous losses of control VMs, with their disks, that the group must survive.
     pub tolerated_losses: u32,
+    /// Whether configurations may contain objectives of streams. Processes of earlier releases
+    /// cannot read such a configuration, so this is set once all have been replaced.
+    pub stream_objectives: bool,
 }
 
 impl Control {
@@ -225,6 +242,8 @@
     pub router: Router,
     /// Whether this VM may run schedulers.
     pub scheduler: bool,
+    /// How schedulers decide.
+    pub scheduling: Scheduling,
     /// The control role, if this VM has it.
     pub control: Option<Control>,
     /// The platform's list of VMs, if this VM polls it.
@@ -280,16 +299,20 @@
     revocation,
     retry_ratio,
     retry_extra,
-    retry_window
+    retry_window,
+    resume,
+    handover,
+    answer_excess
 });
 raw_section!(RawOperators { listen, key_sha256 });
-raw_section!(RawScheduler {});
+raw_section!(RawScheduler { appointments });
 raw_section!(RawControl {
     data,
     compact_bytes,
     fanout,
     first_start,
-    losses
+    losses,
+    stream_objectives
 });
 raw_section!(RawSeeds { addresses });
 raw_section!(RawListen { listen });
@@ -400,10 +423,8 @@
             operators: operators(need("operators")?)?,
             callers: find("callers").map(callers).transpose()?,
             router: router(find("router"))?,
-            scheduler: match find("scheduler") {
-                Some(s) => s.deserialize::<RawScheduler>().map(|_| true)?,
-                None => false,
-            },
+            scheduler: find("scheduler").is_some(),
+            scheduling: (find("scheduler").map(scheduling).transpose()?).unwrap_or_default(),
             control,
             platform: find("platform").map(platform).transpose()?,
             listing: find("listing").map(listing).transpose()?,
@@ -621,6 +642,11 @@
         fanout: usize::try_from(fanout).unwrap_or(4),
         stale_ms,
         retries: retries(s, &raw)?,
+        resume: s.flag("resume", &raw.resume)?.unwrap_or(false),
+        handover: s.flag("handover", &raw.handover)?.unwrap_or(false),
+        answer_excess: s
+            .flag("answer-excess", &raw.answer_excess)?
+            .unwrap_or(false),
     })
 }
 
@@ -679,6 +705,14 @@
             0..=MAX_TOLERATED_LOSSES,
             1,
         )? as u32,
+        stream_objectives: (s.flag("stream-objectives", &raw.stream_objectives)?).unwrap_or(false),
+    })
+}
+
+fn scheduling(s: &Section) -> Result<Scheduling> {
+    let raw: RawScheduler = s.deserialize()?;
+    Ok(Scheduling {
+        appointments: s.flag("appointments", &raw.appointments)?.unwrap_or(false),
     })
 }
 
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -51,6 +51,11 @@
     let keys = settings.link.keys.unwrap();
     assert_eq!(keys.authority, Path::new("/etc/fleet/a.pem"));
     assert!(settings.scheduler && settings.log.json);
+    // A section without keys means what it meant before it had any.
+    assert!(!settings.scheduling.appointments);
+    let text = process_settings().replacen("[scheduler]", "[scheduler]\nappointments = yes", 1);
+    let settings = Settings::parse("vm.ini", Path::new("/etc/fleet"), &text).unwrap();
+    assert!(settings.scheduler && settings.scheduling.appointments);
     assert_eq!(settings.router.queue, 100);
     assert_eq!(settings.router.stale_ms, None);
 }
@@ -71,6 +76,11 @@
     "[shedule]",
     "[shedule] (section) = \"shedule\": the sections vm, link"
 )]
+#[case(
+    "[scheduler]",
+    "[scheduler]\nappointments = some",
+    "[scheduler] appointments = \"some\": yes or no"
+)]
 #[case(
     "queue = 100",
     "queue = many",
@@ -117,6 +127,11 @@
     "[(none)] x = \"1\": keys stand below a [section]"
 )]
 #[case("queue = 100", "queue = 1\nqueue = 2", "[router] queue = ")]
+#[case(
+    "queue = 100",
+    "answer-excess = maybe",
+    "[router] answer-excess = \"maybe\": yes or no"
+)]
 fn errors_when_a_line_of_settings_is_invalid(
     #[case] good: &str,
     #[case] bad: &str,
@@ -183,6 +198,17 @@
     }
 }
 
+/// Guards against routers that resume streams without being told to.
+#[rstest]
+#[case::default("", false)]
+#[case::on("resume = yes", true)]
+#[case::off("resume = no", false)]
+fn resumes_streams_only_if_switched_on(#[case] line: &str, #[case] expected: bool) {
+    let text = process_settings().replace("[router]\n", &format!("[router]\n{line}\n"));
+    let settings = Settings::parse("vm.ini", Path::new("."), &text).unwrap();
+    assert_eq!(settings.router.resume, expected);
+}
+
 #[test]
 fn printed_configuration_parses_to_the_same_configuration() {
     let draft = parse_configuration("fleet.ini", &configuration()).unwrap();
@@ -241,6 +267,16 @@
     "idempotent = maybe",
     "[service assistant] idempotent = \"maybe\": yes or no"
 )]
+#[case(
+    "timeout = 5s",
+    "max-gap = 2h",
+    "[rule chat] max-gap = \"2h\": a duration such as"
+)]
+#[case(
+    "reason = nothing here",
+    "max-gap = 1s",
+    "[rule rest] max-gap = \"1s\": only with then = send or limit"
+)]
 #[case(
     "timeout = 5s",
     "timeout = 9h",
@@ -258,3 +294,43 @@
     assert!(error.starts_with("fleet.ini: "), "{error}");
     assert!(error.contains(expected), "{error}");
 }
+
+/// Failure: a bound on pauses is lost when a configuration is read back, or survives although the
+/// settings say that processes of an earlier release are still running.
+#[test]
+fn can_read_back_a_bound_on_pauses_and_remove_it() {
+    let text = configuration().replacen("timeout = 5s", "timeout = 5s\nmax-gap = 300ms", 1);
+    let mut draft = parse_configuration("fleet.ini", &text).unwrap();
+    let gaps = |draft: &state::config::Draft| -> Vec<u64> {
+        let rules = draft.rules.iter();
+        rules.filter_map(|rule| rule.then.max_gap_ms()).collect()
+    };
+    assert_eq!(gaps(&draft), [300]);
+    let printed = print_configuration(&draft);
+    assert_eq!(parse_configuration("printed", &printed).unwrap(), draft);
+    draft.remove_stream_objectives();
+    let plain = parse_configuration("fleet.ini", &configuration()).unwrap();
+    assert_eq!(draft, plain);
+}
+
+#[rstest]
+#[case::default("", false)]
+#[case::on("handover = yes\n", true)]
+#[case::off("handover = no\n", false)]
+fn hands_requests_over_only_if_told_to(#[case] line: &str, #[case] expected: bool) {
+    // Failure: a router of a fleet that is being upgraded hands requests over unasked.
+    let text = process_settings().replace("[router]\n", &format!("[router]\n{line}"));
+    let settings = Settings::parse("vm.ini", Path::new("."), &text).unwrap();
+    assert_eq!(settings.router.handover, expected);
+}
+
+/// Guards against routers that behave differently after an upgrade without a change of settings.
+#[rstest]
+#[case::default("", false)]
+#[case::no("answer-excess = no", false)]
+#[case::yes("answer-excess = yes", true)]
+fn answers_excess_only_if_the_settings_say_so(#[case] line: &str, #[case] expected: bool) {
+    let text = process_settings().replace("queue = 100", &format!("queue = 100\n{line}"));
+    let settings = Settings::parse("r.ini", Path::new("/"), &text).unwrap();
+    assert_eq!(settings.router.answer_excess, expected);
+}
