--- a/components/coordination/src/overload.rs
+++ b/components/coordination/src/overload.rs
@@ -121,7 +121,7 @@
     ///
     /// Unreadiness only moves a flood to the next router, which has to find out anew what it can
     /// serve. While the excess is handed over, the number of requests therefore does not make
-    /// this router unready, and lateness does only above [`RELIEVED_LATENESS_MS`].
+    /// this router unready, and lateness does only above 80 ms.
     pub fn set_relieved(&mut self, is_relieved: bool) {
         self.is_relieved = is_relieved;
     }
