--- a/components/coordination/src/engine/step.rs
+++ b/components/coordination/src/engine/step.rs
@@ -3,7 +3,7 @@
 //! Load that it handles: in a step, an engine generates one token for each of its streams, and
 //! prefills a chunk of a prompt if there is any. An event takes several steps. On the engines
 //! measured, a step takes 4.5 ms alone and 17 ms and more with a chunk, and all of them 2.5 times
-//! as long for half a second at a time while another machine user is busy. Streams pause for too
+//! as long for half a second at a time while another tenant of the host is busy. Streams pause for too
 //! long where prefill and such a phase meet.
 //!
 //! The model knows the streams with a bound, learns the usual pause without prefill and with
--- a/components/coordination/src/resume.rs
+++ b/components/coordination/src/resume.rs
@@ -165,7 +165,7 @@
         }
         if self.position == Position::Unbounded {
             self.passed = HashSet::new();
-            return Ok(self.finish());
+            return Ok(self.take_held());
         }
         let rest = self.held.split_off(self.whole);
         self.line_start -= self.whole;
@@ -174,7 +174,7 @@
     }
 
     /// Returns the bytes that are held back, at the end of a complete answer.
-    pub fn finish(&mut self) -> Vec<u8> {
+    pub fn take_held(&mut self) -> Vec<u8> {
         self.whole = 0;
         self.line_start = 0;
         std::mem::take(&mut self.held)
@@ -199,7 +199,7 @@
     /// Drops the unfinished event of a broken answer; the next piece is of another answer, which
     /// must continue the stream.
     pub fn begin_next_answer(&mut self) {
-        self.finish();
+        self.take_held();
         self.after_return = false;
         self.id = None;
         self.has_data = false;
--- a/components/coordination/src/scheduler/appointment.rs
+++ b/components/coordination/src/scheduler/appointment.rs
@@ -30,14 +30,13 @@
 /// Time after its slot until which a place is kept, in milliseconds: connections to a router
 /// under load take some hundreds of milliseconds.
 pub const LATE_MS: u64 = 500;
-/// Part of the throughput that can be booked, in percent. A booked retry takes the place of a
-/// first attempt, which would be on time more often: in bursts of twice the capacity 704 of 1,000
-/// requests are on time without bookings, 693 with 10 percent, 684 with 25 (tests/appointments.rs).
+/// Part of the throughput that can be booked, in percent. A booked retry displaces a first attempt,
+/// which is more likely to be on time, so most of the throughput stays unbooked.
 const BOOKED_PERCENT: u64 = 10;
 
 /// A request for an appointment.
 #[derive(Clone, Copy, Debug)]
-pub struct Wish {
+pub struct Request {
     /// Customer and rule.
     pub class: Class,
     /// Prompt of the request.
@@ -183,42 +182,43 @@
     pub fn book<I>(
         &mut self,
         now: Millis,
-        wish: Wish,
+        request: Request,
         capacity: Capacity,
         waiting: I,
     ) -> Option<u64>
     where
         I: IntoIterator<Item = (CustomerId, u32)>,
     {
-        let slot = self.first_free(now, wish, capacity, waiting)?;
-        let limit_ms = wish.limit_ms.min(SLOTS_MAX * SLOT_MS);
+        let slot = self.first_free(now, request, capacity, waiting)?;
+        let limit_ms = request.limit_ms.min(SLOTS_MAX * SLOT_MS);
         let start_ms = (slot * SLOT_MS).saturating_sub(now.0);
-        if start_ms >= limit_ms || !self.add(slot, wish, u64::from(wish.cost), capacity.slots) {
+        if start_ms >= limit_ms || !self.add(slot, request, u64::from(request.cost), capacity.slots)
+        {
             return None;
         }
         self.counts.booked += 1;
-        Some(start_ms + wish.jitter % SLOT_MS.min(limit_ms - start_ms))
+        Some(start_ms + request.jitter % SLOT_MS.min(limit_ms - start_ms))
     }
 
     /// Remembers a caller that is told to return after `after_ms` without an appointment, so that
     /// it gets none when it is refused again: it does not return a second time.
-    pub fn expect_unbooked(&mut self, now: Millis, wish: Wish, after_ms: u64) {
+    pub fn expect_unbooked(&mut self, now: Millis, request: Request, after_ms: u64) {
         self.counts.unbooked += 1;
-        self.add(slot_at(now.after(after_ms)), wish, 0, 0);
+        self.add(slot_at(now.after(after_ms)), request, 0, 0);
     }
 
     /// Adds a place to a slot. Returns false if a table is full.
-    fn add(&mut self, slot: u64, wish: Wish, cost: u64, slots: u32) -> bool {
-        let is_known = self.customers.contains_key(&wish.class.customer);
+    fn add(&mut self, slot: u64, request: Request, cost: u64, slots: u32) -> bool {
+        let is_known = self.customers.contains_key(&request.class.customer);
         if !is_known && self.customers.len() >= CUSTOMERS_MAX {
             return false;
         }
-        let key = (slot, identity(wish.class.rule, &wish.prompt));
-        let customer = self.customers.entry(wish.class.customer).or_default();
+        let key = (slot, identity(request.class.rule, &request.prompt));
+        let customer = self.customers.entry(request.class.customer).or_default();
         if !customer.places.contains_key(&key) && customer.places.len() >= PLACES_MAX {
             return false;
         }
-        customer.weight = wish.weight;
+        customer.weight = request.weight;
         let place = customer.places.entry(key).or_default();
         place.count += 1;
         place.cost += cost;
@@ -229,24 +229,30 @@
 
     /// The first slot in which a request fits into the room of all customers and into the share
     /// of its own.
-    fn first_free<I>(&self, now: Millis, wish: Wish, capacity: Capacity, waiting: I) -> Option<u64>
+    fn first_free<I>(
+        &self,
+        now: Millis,
+        request: Request,
+        capacity: Capacity,
+        waiting: I,
+    ) -> Option<u64>
     where
         I: IntoIterator<Item = (CustomerId, u32)>,
     {
-        let Wish { class, cost, .. } = wish;
+        let Request { class, cost, .. } = request;
         let cost = u64::from(cost);
         let room = capacity.cost_per_s * SLOT_MS / 1000 * BOOKED_PERCENT / 100;
         let mut weights: BTreeMap<CustomerId, u32> =
             self.customers.iter().map(|(c, b)| (*c, b.weight)).collect();
         weights.extend(waiting);
-        let weight = wish.weight.max(1);
+        let weight = request.weight.max(1);
         weights.insert(class.customer, weight);
         let total: u64 = weights.values().map(|w| u64::from((*w).max(1))).sum();
         let share = room * u64::from(weight) / total.max(1);
         if share == 0 {
             return None;
         }
-        let first = now.after(wish.after_ms).0.div_ceil(SLOT_MS);
+        let first = now.after(request.after_ms).0.div_ceil(SLOT_MS);
         let current = slot_at(now);
         let all = self.costs.iter().map(|(slot, cost)| (*slot, *cost));
         let slot = first_with_room(all, current, first, room, cost);
--- a/components/coordination/src/scheduler/refusal.rs
+++ b/components/coordination/src/scheduler/refusal.rs
@@ -1,7 +1,7 @@
 //! Refusal of asks that cannot be served in time, with the time after which their callers may
 //! retry.
 
-use super::appointment::{Appointments, Capacity, Return, Wish, SLOTS_MAX, SLOT_MS};
+use super::appointment::{Appointments, Capacity, Request, Return, SLOTS_MAX, SLOT_MS};
 use super::queue::{Key, Waiting};
 use super::{Effect, Effects, Scheduler};
 use crate::ledger::VIRTUAL_PER_COST;
@@ -120,7 +120,7 @@
             .saturating_sub(now.since(waiting.since));
         let limit_ms = (left_ms / HONOURED_DIVISOR).clamp(SLOT_MS, SLOTS_MAX * SLOT_MS);
         let jitter = jitter(now, key);
-        let wish = Wish {
+        let request = Request {
             class: ask.class,
             prompt: ask.prompt,
             weight: ask.weight,
@@ -142,11 +142,11 @@
             Some(Return::Booked(_)) => appointments.record_refused(),
             Some(Return::Unbooked) => {}
             None => {
-                let booked = appointments.book(now, wish, capacity, self.queue.weights());
+                let booked = appointments.book(now, request, capacity, self.queue.weights());
                 if let Some(after_ms) = booked {
                     return after_ms;
                 }
-                appointments.expect_unbooked(now, wish, unbooked_ms);
+                appointments.expect_unbooked(now, request, unbooked_ms);
             }
         }
         unbooked_ms
--- a/components/coordination/src/slot/select.rs
+++ b/components/coordination/src/slot/select.rs
@@ -372,8 +372,8 @@
             }
             // Whether the request is sent, waits or is refused does not depend on pauses: a late
             // stream is worth more than none. They decide among the engines that can begin it.
-            let calmest = self.search(now, criteria, Some(objective), reservations);
-            return calmest.map_or(Some(endpoint.id), |found| Some(found.endpoint.id));
+            let best_by_pauses = self.search(now, criteria, Some(objective), reservations);
+            return best_by_pauses.map_or(Some(endpoint.id), |found| Some(found.endpoint.id));
         }
         reservations.add(index, estimate.prefill_tokens.max(RESERVATION_MIN_TOKENS));
         None
--- a/components/coordination/tests/appointments.rs
+++ b/components/coordination/tests/appointments.rs
@@ -10,7 +10,7 @@
 use coordination::messages::{Class, Verdict};
 use coordination::prompt::Prompt;
 use coordination::scheduler::appointment::{
-    Appointments, Capacity, Counts, Return, Wish, CUSTOMERS_MAX, EARLY_MS, LATE_MS, PLACES_MAX,
+    Appointments, Capacity, Counts, Request, Return, CUSTOMERS_MAX, EARLY_MS, LATE_MS, PLACES_MAX,
     SLOTS_MAX, SLOT_MS,
 };
 use coordination::slot::Slots;
@@ -36,9 +36,9 @@
     Prompt::new([(7, 500), (1 << 40 | own, 100)], 50)
 }
 
-/// A wish of a customer for a place within two seconds.
-fn wish(customer: u32, own: u64) -> Wish {
-    Wish {
+/// The request of a customer for a place within two seconds.
+fn request(customer: u32, own: u64) -> Request {
+    Request {
         class: class(customer),
         prompt: prompt(own),
         weight: 1,
@@ -52,7 +52,7 @@
 /// Books a place for customer 1. Returns the time of the appointment.
 fn booked() -> (Appointments, Millis) {
     let mut appointments = Appointments::default();
-    let after_ms = appointments.book(NOW, wish(1, 1), CAPACITY, []);
+    let after_ms = appointments.book(NOW, request(1, 1), CAPACITY, []);
     (appointments, NOW.after(after_ms.unwrap_or(0)))
 }
 
@@ -268,7 +268,7 @@
 #[test]
 fn a_caller_without_an_appointment_is_recognised() {
     let mut appointments = Appointments::default();
-    appointments.expect_unbooked(NOW, wish(1, 1), 800);
+    appointments.expect_unbooked(NOW, request(1, 1), 800);
     assert_eq!(appointments.places(), 0);
     let taken = appointments.take(NOW.after(810), class(1), &prompt(1));
     assert_eq!(taken, Some(Return::Unbooked));
@@ -281,11 +281,11 @@
     let mut appointments = Appointments::default();
     let waiting = [(CustomerId(1), 1), (CustomerId(2), 1)];
     let mut last_ms = 0;
-    while let Some(ms) = appointments.book(NOW, wish(1, last_ms), CAPACITY, waiting) {
+    while let Some(ms) = appointments.book(NOW, request(1, last_ms), CAPACITY, waiting) {
         assert!(ms >= last_ms);
         last_ms = ms;
     }
-    let first = appointments.book(NOW, wish(2, 0), CAPACITY, waiting);
+    let first = appointments.book(NOW, request(2, 0), CAPACITY, waiting);
     assert!(
         first.is_some_and(|ms| ms * 4 <= last_ms),
         "{first:?} {last_ms}"
@@ -301,23 +301,23 @@
     };
     let mut appointments = Appointments::default();
     for customer in 0..2 * CUSTOMERS_MAX as u32 {
-        appointments.book(NOW, wish(customer, 0), unlimited, []);
+        appointments.book(NOW, request(customer, 0), unlimited, []);
     }
     assert_eq!(appointments.places(), CUSTOMERS_MAX as u64);
     assert_eq!(appointments.customers().count(), CUSTOMERS_MAX);
     for own in 1..2 * PLACES_MAX as u64 {
-        appointments.book(NOW, wish(1, own), unlimited, []);
-        appointments.expect_unbooked(NOW, wish(2, own), 500);
+        appointments.book(NOW, request(1, own), unlimited, []);
+        appointments.expect_unbooked(NOW, request(2, own), 500);
     }
     assert_eq!(
         appointments.places(),
         (CUSTOMERS_MAX + PLACES_MAX - 1) as u64
     );
     // No place is booked farther ahead than the slots.
-    let far = Wish {
+    let far = Request {
         after_ms: SLOTS_MAX * SLOT_MS,
         limit_ms: u64::MAX,
-        ..wish(3, 1)
+        ..request(3, 1)
     };
     assert_eq!(appointments.book(NOW, far, unlimited, []), None);
 }
--- a/components/coordination/tests/resume.rs
+++ b/components/coordination/tests/resume.rs
@@ -83,7 +83,7 @@
 fn can_pass_on_the_rest_at_the_end_of_an_answer() {
     let mut events = Events::default();
     let mut passed = pass_on(&mut events, &[b"data: 1\n\nda", b"ta: 2\n"]);
-    passed.extend(events.finish());
+    passed.extend(events.take_held());
     assert_eq!(passed, b"data: 1\n\ndata: 2\n");
     assert_eq!(events.held(), 0);
 }
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -4,7 +4,7 @@
 use super::delivery::Delivery;
 use super::plan::token_cost;
 use super::pool::{Connection, Key, Pool};
-use super::resume::{Note, Resumption};
+use super::resume::{AttemptEvent, Resumption};
 use super::upstream::Failure;
 use crate::input::Input;
 use crate::journal::Journal;
@@ -183,7 +183,7 @@
     /// has asked for the next piece.
     pub(crate) last_piece_at: Option<Instant>,
     /// When the caller last resumed reading after a pause of [`SLOW_READ_PAUSE`].
-    pub(crate) resumed_at: Option<Instant>,
+    pub(crate) caller_read_again_at: Option<Instant>,
     /// Whether the first piece has arrived.
     pub(crate) has_begun: bool,
     /// Measures the pauses between events, if the rule has a bound on them, and counts those over
@@ -322,11 +322,11 @@
             return Poll::Ready(Ok(()));
         };
         let entry = &mut self.entry;
-        let log = |note: Note| {
+        let log = |note: AttemptEvent| {
             let Some((entry, _)) = entry else { return };
             match note {
-                Note::Sent(dispatch) => entry.log_retry(&dispatch),
-                Note::Failed(failure, next) => entry.log_failure(&failure, next),
+                AttemptEvent::Sent(dispatch) => entry.log_retry(&dispatch),
+                AttemptEvent::Failed(failure, next) => entry.log_failure(&failure, next),
             }
         };
         let next = match resumption.poll_attempt(context, log) {
@@ -387,7 +387,7 @@
     /// Handles an answer that broke off. Returns the error if the stream is not resumed.
     fn handle_break(&mut self, error: hyper::Error) -> Option<hyper::Error> {
         if self
-            .resumed_at
+            .caller_read_again_at
             .is_some_and(|at| at.elapsed() < SLOW_READ_PAUSE)
         {
             // The endpoint broke off since its answer was not read for too long.
@@ -465,10 +465,10 @@
     fn end_whole(&mut self) -> Option<Frame<Bytes>> {
         let rest = match &mut self.resumption {
             Some(resumption) => {
-                if std::mem::replace(&mut resumption.is_over, true) {
+                if std::mem::replace(&mut resumption.has_ended, true) {
                     return None;
                 }
-                Bytes::from(resumption.events.finish())
+                Bytes::from(resumption.events.take_held())
             }
             None => Bytes::new(),
         };
@@ -514,7 +514,7 @@
         let this = self.get_mut();
         let last_piece_at = this.last_piece_at.take();
         if last_piece_at.is_some_and(|at| at.elapsed() >= SLOW_READ_PAUSE) {
-            this.resumed_at = Some(Instant::now());
+            this.caller_read_again_at = Some(Instant::now());
         }
         this.is_caller_slow |= last_piece_at.is_some_and(|at| at.elapsed() >= UNREAD_PIECE);
         if let (Some(_), Some(resumption)) = (last_piece_at, &mut this.resumption) {
@@ -553,7 +553,7 @@
                 }
                 Poll::Ready(None) => {
                     // A clean end would make a part of the stream look complete.
-                    let is_unconfirmed = |r: &Resumption| !r.is_over && r.events.is_unconfirmed();
+                    let is_unconfirmed = |r: &Resumption| !r.has_ended && r.events.is_unconfirmed();
                     if this.resumption.as_deref().is_some_and(is_unconfirmed) {
                         return Poll::Ready(Some(Err(this.give_up("empty"))));
                     }
@@ -570,7 +570,7 @@
 
     fn is_end_stream(&self) -> bool {
         match &self.resumption {
-            Some(resumption) => resumption.is_over,
+            Some(resumption) => resumption.has_ended,
             None => self.incoming.is_end_stream(),
         }
     }
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -28,7 +28,7 @@
 const LATE_TIMER: Duration = Duration::from_millis(100);
 
 /// A request whose answer is relayed.
-pub(super) struct Subject {
+pub(super) struct RelayedRequest {
     pub(super) frontend: Arc<Frontend>,
     pub(super) call: Call,
     pub(super) plan: Plan,
@@ -50,8 +50,8 @@
     pub(super) breaks: u32,
 }
 
-/// A step of the way to the next answer, for the access log.
-pub(super) enum Note {
+/// An event of the attempt to get the next answer, for the access log.
+pub(super) enum AttemptEvent {
     /// The request is sent to this endpoint.
     Sent(Dispatch),
     /// This try failed; the text says what follows it.
@@ -73,25 +73,25 @@
 /// A wait for the next answer, with its steps so far.
 struct Attempt {
     waiting: Waiting,
-    notes: flume::Receiver<Note>,
+    notes: flume::Receiver<AttemptEvent>,
 }
 
 /// State of a stream that may be resumed.
 pub(super) struct Resumption {
-    subject: Arc<Subject>,
+    subject: Arc<RelayedRequest>,
     pub(super) events: Events,
     tries: Tries,
     /// Events that were passed on from earlier answers.
     pub(super) earlier_events: u32,
-    /// Whether the last answer has ended.
-    pub(super) is_over: bool,
+    /// Whether the end of the stream was reported to the caller's connection.
+    pub(super) has_ended: bool,
     /// Completes when the endpoint has been silent for too long.
     silence: Pin<Box<Sleep>>,
     /// The wait for the next answer, after a break.
     attempt: Option<Attempt>,
 }
 
-impl Subject {
+impl RelayedRequest {
     /// Time until the request's deadline.
     pub(super) fn remaining(&self) -> Duration {
         self.plan.timeout.saturating_sub(self.arrived_at.elapsed())
@@ -157,13 +157,13 @@
 
 impl Resumption {
     /// State of a stream whose first answer begins.
-    pub(super) fn new(subject: Subject, tries: Tries) -> Self {
+    pub(super) fn new(subject: RelayedRequest, tries: Tries) -> Self {
         let mut resumption = Resumption {
             subject: Arc::new(subject),
             events: Events::default(),
             tries,
             earlier_events: 0,
-            is_over: false,
+            has_ended: false,
             silence: Box::pin(tokio::time::sleep(Duration::ZERO)),
             attempt: None,
         };
@@ -251,7 +251,7 @@
         log: F,
     ) -> Poll<Option<Result<Resumed, &'static str>>>
     where
-        F: FnMut(Note),
+        F: FnMut(AttemptEvent),
     {
         let Some(attempt) = &mut self.attempt else {
             return Poll::Ready(None);
@@ -271,12 +271,12 @@
 
 /// The way from a break to the next answer.
 struct Next {
-    subject: Arc<Subject>,
+    subject: Arc<RelayedRequest>,
     handle: Handle,
     position: Position,
     last_event_id: Option<HeaderValue>,
     tries: Tries,
-    notes: flume::Sender<Note>,
+    notes: flume::Sender<AttemptEvent>,
 }
 
 impl Next {
@@ -301,7 +301,7 @@
                     .await
                     .map_err(|refusal| refusal.code)?;
             record_dispatch(frontend, call, plan, &dispatch, retries, subject.arrived_at);
-            let _ = self.notes.send(Note::Sent(dispatch.clone()));
+            let _ = self.notes.send(AttemptEvent::Sent(dispatch.clone()));
             let delivery = Delivery::new(frontend, call, plan.customer);
             let mut slot = take_slot(frontend, self.handle, call, plan);
             let remaining = subject.remaining();
@@ -324,10 +324,12 @@
             }
             if failure.unconnected && self.tries.unconnected < MAX_UNCONNECTED_TRIES {
                 self.tries.unconnected += 1;
-                let _ = self.notes.send(Note::Failed(failure, "elsewhere"));
+                let _ = self.notes.send(AttemptEvent::Failed(failure, "elsewhere"));
             } else {
                 let decision = subject.decide(&self.position, self.tries);
-                let _ = self.notes.send(Note::Failed(failure, decision.as_str()));
+                let _ = self
+                    .notes
+                    .send(AttemptEvent::Failed(failure, decision.as_str()));
                 if let Decision::End(reason) = decision {
                     return Err(reason);
                 }
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -10,7 +10,7 @@
 use super::plan::{no_endpoint, plan, Plan, NO_ENDPOINT_RETRY_AFTER, NO_ENDPOINT_TEXT};
 use super::refusal::{set_header, Refusal, OUTCOME_HEADER};
 use super::relay::{Meter, Origin, Relay, Replay, Slot};
-use super::resume::{Resumption, Subject, Tries};
+use super::resume::{RelayedRequest, Resumption, Tries};
 use super::upstream::{self, Answer, Call, Failure};
 use crate::input::{Decided, Decision, Dispatch, Input};
 use crate::interface::REQUEST_ID;
@@ -273,7 +273,7 @@
         let failure = match sent {
             Ok(Ok(answer)) => match frontend.retriable_failure(&plan, retries, answer) {
                 Ok(answer) => {
-                    let subject = Subject {
+                    let subject = RelayedRequest {
                         frontend: frontend.clone(),
                         call,
                         plan,
@@ -535,7 +535,7 @@
 
 /// Starts to relay an endpoint's answer to the caller.
 fn relay_answer(
-    subject: Subject,
+    subject: RelayedRequest,
     tries: Tries,
     (answer, delivery): (Answer, Delivery),
     slot: Slot,
@@ -584,7 +584,7 @@
         replay,
         reported_units: 0,
         last_piece_at: None,
-        resumed_at: None,
+        caller_read_again_at: None,
         has_begun: false,
         pauses,
         is_caller_slow: false,
