Use one port below the ephemeral range for the fleets of a test process

Cause: the harness let the system choose a port from its ephemeral range, by a probe of the transport that the VM does not use. A socket that another process had bound to that port on all addresses was not noticed, and any process could be assigned the port between the probe and the start. A test of tests/quarantine.rs failed once: "bind the address of the links: Address already in use".

Change: each address of a fleet has a loopback IP of its own, so all of them use one port.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -6,11 +6,12 @@
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 pub(crate) mod http;
+pub(crate) mod port;
 
 use http::Answer;
 use state::secret::Hash;
 use std::fs;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -173,6 +174,8 @@
 
     /// Starts a fleet without a configuration.
     pub(crate) fn start_unconfigured(plan: Plan) -> Self {
+        // Chosen before the first process of this test process starts.
+        port::fleet_port();
         let folder = tempfile::tempdir().unwrap();
         let mut fleet = Fleet {
             vms: Vec::new(),
@@ -188,7 +191,7 @@
         let keys = fleet.folder.path().join("keys");
         let made = run(&["keys", &keys.display().to_string()], &names);
         assert!(made.0.success(), "{}", made.2);
-        let links: Vec<SocketAddr> = control.iter().map(|_| fleet.fresh_link()).collect();
+        let links: Vec<SocketAddr> = control.iter().map(|_| fleet.fresh_address()).collect();
         let peers: String = (control.iter().zip(&links))
             .map(|(name, link)| format!("{name} = {link}\n"))
             .collect();
@@ -197,7 +200,7 @@
             fleet.vms.push(vm);
         }
         for name in &routers {
-            let link = fleet.fresh_link();
+            let link = fleet.fresh_address();
             let vm = fleet.vm_settings(name, &peers, link, false);
             fleet.vms.push(vm);
         }
@@ -225,19 +228,7 @@
             u8::try_from(pid % 25).unwrap() * 10 + self.fleet_number / 8 % 10,
             1 + self.allocated_hosts + self.fleet_number % 8 * 30,
         );
-        // The system chooses the port; no other process binds this address.
-        //
-        // The probe uses UDP because the VM will listen on TCP: a child process that
-        // another thread forks now inherits the probe's socket until it calls exec,
-        // and a TCP probe would keep the port in use when the VM binds it.
-        let probe = UdpSocket::bind((IpAddr::V4(ip), 0)).unwrap();
-        probe.local_addr().unwrap()
-    }
-
-    /// Allocates an address for a link, which listens on UDP.
-    pub(crate) fn fresh_link(&mut self) -> SocketAddr {
-        let ip = self.fresh_address().ip();
-        TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
+        SocketAddr::new(ip.into(), port::fleet_port())
     }
 
     /// Writes the settings of a VM, without starting the VM.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -2,9 +2,13 @@
 //! the platform's list of endpoints, and speak its formats to callers and operators.
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
+#[path = "harness/port.rs"]
+mod port;
+
+use port::fleet_port;
 use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
@@ -200,8 +204,6 @@
     folder: tempfile::TempDir,
     /// Second and third byte of the loopback addresses.
     network: (u8, u8),
-    /// Port of all links.
-    port: u16,
     /// Last byte of the latest address.
     allocated_hosts: u8,
     seeds: Vec<SocketAddr>,
@@ -216,6 +218,8 @@
 
 impl Fleet {
     fn start() -> Self {
+        // Chosen before the first process of this test process starts.
+        fleet_port();
         let pid = std::process::id();
         let number = NEXT_FLEET_NUMBER.fetch_add(1, Ordering::Relaxed);
         // Addresses from 127.200.0.0 upwards, which no other test uses.
@@ -234,7 +238,6 @@
         let mut fleet = Fleet {
             folder: tempfile::tempdir().unwrap(),
             network,
-            port: 0,
             allocated_hosts: number * 25,
             seeds: Vec::new(),
             control: Vec::new(),
@@ -245,10 +248,6 @@
             platform,
         };
         fleet.set_listing(&["ready", "ready"]);
-        // Links listen on UDP.
-        let probe = TcpListener::bind((fleet.host(), 0)).unwrap();
-        fleet.port = probe.local_addr().unwrap().port();
-        drop(probe);
         let allocated_hosts: Vec<IpAddr> = (0..3).map(|_| fleet.host()).collect();
         fleet.seeds = allocated_hosts.iter().map(|ip| (*ip, 1).into()).collect();
         for ip in allocated_hosts {
@@ -276,15 +275,6 @@
         ))
     }
 
-    /// A port that the system has just assigned; no other process uses these addresses.
-    ///
-    /// The probe uses UDP because the VM will listen on TCP: a child process that another
-    /// thread forks now inherits the probe's socket until it calls exec.
-    fn free_port(&mut self) -> u16 {
-        let probe = UdpSocket::bind((self.host(), 0)).unwrap();
-        probe.local_addr().unwrap().port()
-    }
-
     /// Settings that control VMs and routers have in common.
     fn common(&self, ip: IpAddr) -> String {
         let seeds: Vec<String> = self.seeds.iter().map(ToString::to_string).collect();
@@ -296,7 +286,7 @@
              [listing]\naddress = {}\nevery = 200ms\n\
              [data-centres]\ndc-1 = north\n\
              [log]\nformat = json\n",
-            self.port,
+            fleet_port(),
             seeds.join(","),
             self.platform.address,
         )
@@ -311,7 +301,7 @@
 
     /// A control VM, which is not started yet.
     fn control_vm(&mut self, ip: IpAddr, first_start: bool) -> Vm {
-        let address = SocketAddr::new(ip, self.free_port());
+        let address = SocketAddr::new(ip, fleet_port());
         let text = format!(
             "{}[control]\ndata = data-{ip}\nfirst-start = {first_start}\n\
              [releases]\nlisten = {address}\n",
@@ -328,8 +318,8 @@
     /// A router, which is not started yet.
     fn router(&mut self) -> Vm {
         let ip = self.host();
-        let address = SocketAddr::new(ip, self.free_port());
-        let ready = SocketAddr::new(ip, self.free_port());
+        let address = SocketAddr::new(ip, fleet_port());
+        let ready = SocketAddr::new(self.host(), fleet_port());
         let text = format!(
             "{}[callers]\nlisten = {address}\n[readiness]\nlisten = {ready}\n\
              [router]\nrevocation = 5s\n[scheduler]\n",
