Hand requests over only to routers with as new a configuration

Cause: a router that lags behind, or has just restarted, could serve a request that another router passed on by a configuration that callers had already seen replaced.

Change: `Occupancy` and `Peer` carry the version that last changed the configuration, and a request carries the version it was accepted under (`Cowslipford-Forwarded-Version`). Peers with an older version are neither named nor used. A peer that gets such a request all the same answers 503 `not-run` with `Cowslipford-Declined`, and the sender serves the request itself. Routers report a new version at once, and report themselves closed while their proof of the newest version is too old. `hand_over` is split: `begin_answer` and `retry_here` are functions of their own. Declined requests are counted in the log line and in cowslipford_handovers_declined_total.

--- a/components/coordination/src/handover.rs
+++ b/components/coordination/src/handover.rs
@@ -14,7 +14,7 @@
 use crate::messages::{Occupancy, Peer};
 use crate::overload::CALM_LATENESS_MS;
 use state::clock::Millis;
-use state::id::Name;
+use state::id::{Name, Version};
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 
@@ -141,6 +141,24 @@
     i64::try_from(number).unwrap_or(i64::MAX)
 }
 
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller. The router accepted the request under this version of the configuration.
+    Caller(Version),
+    /// Another router, which has passed the request on.
+    Router,
+}
+
+/// Whether a router with version `own` of the configuration declines a request that another router
+/// accepted under version `required`.
+///
+/// Callers have already seen the effects of the sender's version. Serving by an older one would
+/// look to them as if the configuration had been reverted.
+pub fn must_decline(own: Version, required: Version) -> bool {
+    own < required
+}
+
 /// What to do with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -161,17 +179,30 @@
     pub sent: u64,
     /// Requests that the peer refused for lack of room.
     pub refused: u64,
+    /// Requests that the peer declined because its configuration is older.
+    pub declined: u64,
     /// Requests that failed.
     pub failed: u64,
     /// Requests in progress there.
     pub in_progress: usize,
 }
 
+/// Requests passed on to a peer since the last summary.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    sent: u64,
+    refused: u64,
+    declined: u64,
+    failed: u64,
+}
+
 /// A peer and the requests in progress there.
 #[derive(Clone, Debug)]
 struct Slot {
     vm: Name,
     address: SocketAddr,
+    /// Version of the configuration that the peer last reported.
+    config_version: Version,
     /// Requests that the peer can take from this router.
     room: Bucket,
     /// Requests sent in the last second.
@@ -180,7 +211,7 @@
     reported_at: Millis,
     /// Until when the figure is valid.
     valid_until: Millis,
-    /// When the peer last refused a request or could not be reached.
+    /// When the peer last refused or declined a request or could not be reached.
     lowered_at: Option<Millis>,
     in_progress: usize,
     /// Requests that wait for the head of their answer.
@@ -189,8 +220,7 @@
     waiting_since: Millis,
     /// Last sign of life: an answer or a figure.
     heard_at: Millis,
-    /// Requests sent, refused and failed since the last summary.
-    counts: (u64, u64, u64),
+    counts: Counts,
 }
 
 impl Slot {
@@ -198,6 +228,7 @@
         Slot {
             vm: peer.vm.clone(),
             address: peer.callers,
+            config_version: peer.config_version,
             room: Bucket::new(0, now),
             sent: Rate::default(),
             reported_at: Millis(0),
@@ -207,7 +238,7 @@
             waiting: 0,
             waiting_since: now,
             heard_at: now,
-            counts: (0, 0, 0),
+            counts: Counts::default(),
         }
     }
 
@@ -219,7 +250,9 @@
         self.address = peer.callers;
         self.valid_until = now.after(VALID_MS);
         let is_first = self.reported_at == Millis(0);
-        let is_new = reported_at.since(self.reported_at) >= REPORT_DIFFERENCE_MS;
+        // A report of a new version may follow the one before it at once.
+        let is_new = reported_at.since(self.reported_at) >= REPORT_DIFFERENCE_MS
+            || peer.config_version > self.config_version;
         if !is_first && !is_new {
             return;
         }
@@ -227,6 +260,7 @@
         if self.lowered_at.is_some_and(|at| reported_at <= at) {
             return;
         }
+        self.config_version = peer.config_version;
         let free = u64::from(peer.free_permille) * NOMINAL_PER_S / 1000;
         self.room.fill(now);
         self.room.per_s = self.sent.per_s(now) + free;
@@ -254,9 +288,11 @@
         self.waiting > 0 && now.since(since) >= SILENT_MS
     }
 
-    fn is_usable(&mut self, now: Millis) -> bool {
+    /// Whether the peer can take a request that was accepted under `version`.
+    fn is_usable(&mut self, now: Millis, version: Version) -> bool {
         self.room.fill(now);
         now < self.valid_until
+            && !must_decline(self.config_version, version)
             && !self.is_silent(now)
             && self.in_progress < AT_PEER_MAX
             && self.room.millitokens >= 1000
@@ -332,37 +368,40 @@
         self.adjusted_at = now;
     }
 
-    /// Decides on a request. `in_progress` is the number of requests in progress here, and
-    /// `is_forwarded` tells whether another router has passed this one on.
+    /// Decides on a request. `in_progress` is the number of requests in progress here.
     ///
     /// A request that is handed over counts as in progress at the peer until [`Handover::end`].
-    pub fn decide(&mut self, now: Millis, in_progress: usize, is_forwarded: bool) -> Decision {
+    pub fn decide(&mut self, now: Millis, in_progress: usize, origin: Origin) -> Decision {
         self.limit.fill(now);
         let in_progress = u64::try_from(in_progress).unwrap_or(u64::MAX);
         let in_progress_max = self.in_progress_max();
         let is_excess = self.limit.millitokens < 1000 || in_progress >= in_progress_max;
-        if is_forwarded {
-            self.is_exercised |= is_excess;
-            let is_far_beyond = self.limit.millitokens <= -self.limit.overdraft()
-                || in_progress >= in_progress_max * 3 / 2
-                || self.late_ms >= CALM_LATENESS_MS;
-            if is_excess && is_far_beyond {
-                return Decision::Refuse;
+        match origin {
+            Origin::Router => {
+                self.is_exercised |= is_excess;
+                let is_far_beyond = self.limit.millitokens <= -self.limit.overdraft()
+                    || in_progress >= in_progress_max * 3 / 2
+                    || self.late_ms >= CALM_LATENESS_MS;
+                if is_excess && is_far_beyond {
+                    return Decision::Refuse;
+                }
             }
-        } else if is_excess || self.is_forced {
-            self.is_exercised = true;
-            self.excess_at = Some(now);
-            if let Some(slot) = self.pick(now) {
-                slot.room.take();
-                slot.sent.add(now);
-                slot.counts.0 += 1;
-                slot.in_progress += 1;
-                if slot.waiting == 0 {
-                    slot.waiting_since = now;
+            Origin::Caller(version) if is_excess || self.is_forced => {
+                self.is_exercised = true;
+                self.excess_at = Some(now);
+                if let Some(slot) = self.pick(now, version) {
+                    slot.room.take();
+                    slot.sent.add(now);
+                    slot.counts.sent += 1;
+                    slot.in_progress += 1;
+                    if slot.waiting == 0 {
+                        slot.waiting_since = now;
+                    }
+                    slot.waiting += 1;
+                    return Decision::HandOver(slot.vm.clone(), slot.address);
                 }
-                slot.waiting += 1;
-                return Decision::HandOver(slot.vm.clone(), slot.address);
             }
+            Origin::Caller(_) => {}
         }
         self.limit.take();
         self.started.add(now);
@@ -374,14 +413,14 @@
         self.limit.per_s / IN_PROGRESS_DIVISOR
     }
 
-    /// The peer with the most room.
-    fn pick(&mut self, now: Millis) -> Option<&mut Slot> {
+    /// The peer with the most room among those with at least this version of the configuration.
+    fn pick(&mut self, now: Millis, version: Version) -> Option<&mut Slot> {
         let at_peers: usize = self.slots.iter().map(|s| s.in_progress).sum();
         if at_peers >= AT_PEERS_MAX {
             return None;
         }
         let usable = self.slots.iter_mut().filter_map(|slot| {
-            let is_usable = slot.is_usable(now);
+            let is_usable = slot.is_usable(now, version);
             is_usable.then_some(slot)
         });
         usable.max_by_key(|slot| (slot.room.millitokens, Reverse(slot.in_progress)))
@@ -403,7 +442,7 @@
             }
         }
         self.slots
-            .retain(|slot| now < slot.valid_until || slot.in_progress > 0 || slot.counts.0 > 0);
+            .retain(|slot| now < slot.valid_until || slot.in_progress > 0 || slot.counts.sent > 0);
     }
 
     /// Records that a peer has answered a request. `has_room` is false if it refused the request
@@ -418,7 +457,19 @@
         if has_room {
             self.answered_at = Some(now);
         } else {
-            slot.counts.1 += 1;
+            slot.counts.refused += 1;
+            slot.lower(now);
+        }
+    }
+
+    /// Records that a peer has declined a request because its configuration is older. The peer is
+    /// not used again until it has reported anew.
+    pub fn decline(&mut self, now: Millis, vm: &Name) {
+        if let Some(slot) = self.slots.iter_mut().find(|slot| slot.vm == *vm) {
+            slot.waiting = slot.waiting.saturating_sub(1);
+            slot.waiting_since = now;
+            slot.heard_at = now;
+            slot.counts.declined += 1;
             slot.lower(now);
         }
     }
@@ -428,7 +479,7 @@
     pub fn fail(&mut self, now: Millis, vm: &Name) {
         if let Some(slot) = self.slots.iter_mut().find(|slot| slot.vm == *vm) {
             slot.waiting = slot.waiting.saturating_sub(1);
-            slot.counts.2 += 1;
+            slot.counts.failed += 1;
             slot.lower(now);
         }
     }
@@ -474,8 +525,15 @@
         self.is_pressed(now) && self.answered_at.is_some_and(|at| now.since(at) < VALID_MS)
     }
 
-    /// How much of this router is in use. `is_open` tells whether it takes requests at all.
-    pub fn occupancy(&mut self, now: Millis, in_progress: usize, is_open: bool) -> Occupancy {
+    /// How much of this router is in use. `is_open` tells whether it takes requests at all, and
+    /// `config_version` is the version of the configuration that it serves them by.
+    pub fn occupancy(
+        &mut self,
+        now: Millis,
+        in_progress: usize,
+        is_open: bool,
+        config_version: Version,
+    ) -> Occupancy {
         let limit = self.limit.per_s.min(NOMINAL_PER_S);
         let by_rate = limit.saturating_sub(self.started.per_s(now));
         let running = u64::try_from(in_progress).unwrap_or(u64::MAX);
@@ -491,6 +549,7 @@
             free_permille: u16::try_from(free * 1000 / NOMINAL_PER_S).unwrap_or(u16::MAX),
             is_pressed,
             is_open,
+            config_version,
         }
     }
 
@@ -498,13 +557,14 @@
     pub fn take_summaries(&mut self) -> Vec<Summary> {
         let mut summaries = Vec::new();
         for slot in &mut self.slots {
-            let (sent, refused, failed) = std::mem::take(&mut slot.counts);
-            if sent + refused + failed > 0 {
+            let counts = std::mem::take(&mut slot.counts);
+            if counts.sent + counts.refused + counts.declined + counts.failed > 0 {
                 summaries.push(Summary {
                     peer: slot.vm.clone(),
-                    sent,
-                    refused,
-                    failed,
+                    sent: counts.sent,
+                    refused: counts.refused,
+                    declined: counts.declined,
+                    failed: counts.failed,
                     in_progress: slot.in_progress,
                 });
             }
--- a/components/coordination/src/messages.rs
+++ b/components/coordination/src/messages.rs
@@ -9,7 +9,7 @@
 use crate::prompt::{Part, Prompt};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use state::id::{CustomerId, EndpointId, Epoch, Name};
+use state::id::{CustomerId, EndpointId, Epoch, Name, Version};
 use std::net::SocketAddr;
 
 /// Number of an ask within a session.
@@ -194,6 +194,8 @@
     pub is_pressed: bool,
     /// Whether the router takes requests of other routers.
     pub is_open: bool,
+    /// Version of the configuration that requests which arrive now are served by.
+    pub config_version: Version,
 }
 
 /// A router of the same data centre that has room for requests of others.
@@ -209,6 +211,8 @@
     pub free_permille: u16,
     /// Age of this figure when the message was sent, in milliseconds.
     pub age_ms: u32,
+    /// Version of its configuration at that time.
+    pub config_version: Version,
 }
 
 /// Service that a scheduler has given in its epoch, for the schedulers of other regions.
--- a/components/coordination/src/occupancy.rs
+++ b/components/coordination/src/occupancy.rs
@@ -5,10 +5,10 @@
 //! are under pressure. Several flooded routers share what is free, so that together they do not
 //! overload the emptiest neighbour.
 
-use crate::handover::PEERS_MAX;
+use crate::handover::{must_decline, PEERS_MAX};
 use crate::messages::{Occupancy, Peer};
 use state::clock::Millis;
-use state::id::Name;
+use state::id::{Name, Version};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -100,6 +100,7 @@
     }
 
     /// Routers of the same data centre with the most room, each with this router's share of it.
+    /// Those with an older configuration than the router's own would decline its requests.
     fn peers(&self, now: Millis, vm: &Name) -> Vec<Peer> {
         let Some(asker) = self.routers.get(vm) else {
             return Vec::new();
@@ -109,15 +110,18 @@
             all.filter(|(_, router)| router.data_centre == asker.data_centre)
                 .filter_map(|(name, router)| Some((name, router, router.occupancy(now)?)))
         };
+        let version = (asker.report).map_or(Version(0), |(_, own)| own.config_version);
         let pressed = near().filter(|(_, _, (_, o))| o.is_pressed).count().max(1);
         let mut peers: Vec<Peer> = near()
             .filter(|(name, _, (_, o))| *name != vm && o.is_open && !o.is_pressed)
+            .filter(|(_, _, (_, o))| !must_decline(o.config_version, version))
             .map(|(name, router, (age_ms, occupancy))| Peer {
                 vm: name.clone(),
                 callers: router.callers,
                 // CAST: the quotient is not greater than the dividend.
                 free_permille: (usize::from(occupancy.free_permille) / pressed) as u16,
                 age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+                config_version: occupancy.config_version,
             })
             .collect();
         // Among equals each router begins with those that follow it by name.
--- a/components/coordination/tests/handover.rs
+++ b/components/coordination/tests/handover.rs
@@ -1,12 +1,12 @@
 //! Hand-over between the routers of a data centre under the load of one large customer, without a
 //! network.
 
-use coordination::handover::{Decision, Handover, NOMINAL_PER_S};
+use coordination::handover::{must_decline, Decision, Handover, Origin, NOMINAL_PER_S};
 use coordination::messages::{Occupancy, Peer};
 use coordination::occupancy::Table;
 use rstest::rstest;
 use state::clock::Millis;
-use state::id::Name;
+use state::id::{Name, Version};
 use std::net::SocketAddr;
 
 /// Number of routers in the data centre.
@@ -21,6 +21,8 @@
 const REFUSE_US: u64 = 50;
 /// Lateness at which a router refuses requests, in milliseconds.
 const LATE_MS: u64 = 40;
+/// Version of the configuration in force.
+const VERSION: Version = Version(7);
 /// Time for which an answer takes, in milliseconds.
 const ANSWER_MS: u64 = 600;
 
@@ -130,7 +132,7 @@
             self.latest_ms = self.latest_ms.max(late_ms);
             if now.0.is_multiple_of(20) {
                 router.handover.probe(now, late_ms);
-                let occupancy = router.handover.occupancy(now, router.in_progress, true);
+                let occupancy = (router.handover).occupancy(now, router.in_progress, true, VERSION);
                 // The first offset spreads the reports over the second.
                 let is_due = (now.0 / 20 + index as u64).is_multiple_of(50);
                 if is_due || occupancy.is_pressed != router.reported.is_pressed {
@@ -159,7 +161,7 @@
             return;
         }
         let decision = match self.is_enabled {
-            true => router.handover.decide(now, router.in_progress, false),
+            true => (router.handover).decide(now, router.in_progress, Origin::Caller(VERSION)),
             false => Decision::Serve,
         };
         match decision {
@@ -177,7 +179,7 @@
         let now = self.now;
         let peer = &mut self.routers[server];
         let is_late = peer.late_ms() >= LATE_MS;
-        let decision = peer.handover.decide(now, peer.in_progress, true);
+        let decision = (peer.handover).decide(now, peer.in_progress, Origin::Router);
         let has_room = !is_late && decision == Decision::Serve;
         let handover = &mut self.routers[sender].handover;
         handover.answer(now, &name(server), has_room);
@@ -263,6 +265,7 @@
         callers: address(index),
         free_permille,
         age_ms: 0,
+        config_version: VERSION,
     }
 }
 
@@ -276,7 +279,12 @@
 
 /// The peer that the next request is handed over to.
 fn next_peer(handover: &mut Handover, now: Millis) -> Option<Name> {
-    match handover.decide(now, 0, false) {
+    next_peer_with(handover, now, VERSION)
+}
+
+/// The peer that the next request is handed over to if it was accepted under `version`.
+fn next_peer_with(handover: &mut Handover, now: Millis, version: Version) -> Option<Name> {
+    match handover.decide(now, 0, Origin::Caller(version)) {
         Decision::HandOver(vm, _) => Some(vm),
         Decision::Serve | Decision::Refuse => None,
     }
@@ -326,6 +334,92 @@
     assert_eq!(next_peer(&mut handover, later), Some(name(1)));
 }
 
+#[test]
+fn does_not_use_a_peer_whose_configuration_is_older() {
+    // Failure: a peer that lags behind serves by a rule that callers have seen replaced.
+    let old = Peer {
+        config_version: Version(6),
+        ..peer(1, 1000)
+    };
+    let mut handover = pressed(NOW, &[old, peer(2, 500)]);
+    assert_eq!(next_peer(&mut handover, NOW), Some(name(2)));
+    // A request that was accepted before the last change may go to a router without it.
+    assert_eq!(
+        next_peer_with(&mut handover, NOW, Version(6)),
+        Some(name(1))
+    );
+    // This router has a newer version than all reports show.
+    assert_eq!(next_peer_with(&mut handover, NOW, Version(8)), None);
+    // The peer reports the new version at once, although its last report is 50 ms old.
+    let caught_up = Peer {
+        config_version: Version(8),
+        ..peer(2, 500)
+    };
+    let later = NOW.after(50);
+    handover.set_peers(later, &[caught_up]);
+    assert_eq!(
+        next_peer_with(&mut handover, later, Version(8)),
+        Some(name(2))
+    );
+}
+
+#[test]
+fn does_not_use_a_peer_that_declined_until_it_reports_anew() {
+    // Failure: a peer that has restarted without its configuration is sent one request after the
+    // other, and each of them takes two hops in vain.
+    let mut handover = pressed(NOW, &[peer(1, 1000)]);
+    assert_eq!(next_peer(&mut handover, NOW), Some(name(1)));
+    handover.decline(NOW.after(5), &name(1));
+    handover.end(&name(1));
+    assert_eq!(next_peer(&mut handover, NOW.after(10)), None);
+    let repeated = Peer {
+        age_ms: 200,
+        ..peer(1, 1000)
+    };
+    handover.set_peers(NOW.after(200), &[repeated]);
+    assert_eq!(next_peer(&mut handover, NOW.after(210)), None);
+    let restarted = Peer {
+        config_version: Version(0),
+        ..peer(1, 1000)
+    };
+    handover.set_peers(NOW.after(400), &[restarted]);
+    assert_eq!(next_peer(&mut handover, NOW.after(500)), None);
+    handover.set_peers(NOW.after(600), &[peer(1, 1000)]);
+    assert_eq!(next_peer(&mut handover, NOW.after(700)), Some(name(1)));
+    let summaries = handover.take_summaries();
+    assert_eq!((summaries[0].declined, summaries[0].failed), (1, 0));
+}
+
+#[test]
+fn declines_requests_that_need_a_newer_configuration() {
+    // Failure: a router serves a request of another one by an older configuration.
+    assert!(must_decline(Version(0), Version(1)));
+    assert!(must_decline(VERSION, Version(u64::MAX)));
+    assert!(!must_decline(VERSION, VERSION));
+    assert!(!must_decline(VERSION, Version(0)));
+}
+
+#[test]
+fn names_no_peers_with_an_older_configuration() {
+    // Failure: the peers that are named all lag behind, and others that do not are left out.
+    let mut table = Table::default();
+    let data_centre = Name::try_from("dc").unwrap_or_else(|e| unreachable!("{e}"));
+    for index in 0..12 {
+        table.open(&name(index), data_centre.clone(), address(index));
+        let report = Occupancy {
+            is_pressed: index == 0,
+            is_open: true,
+            free_permille: if index < 10 { 1000 } else { 200 },
+            config_version: Version(if (1..10).contains(&index) { 6 } else { 7 }),
+            ..Occupancy::default()
+        };
+        table.report(NOW, &name(index), report);
+    }
+    let answers = table.take_answers(NOW);
+    let found: Vec<&Name> = answers[0].1.iter().map(|p| &p.vm).collect();
+    assert_eq!(found, [&name(10), &name(11)]);
+}
+
 #[test]
 fn bounds_the_requests_at_peers() {
     // Failure: requests at peers take all connections of the router.
@@ -344,8 +438,8 @@
 fn does_not_pass_a_request_on_twice() {
     // Failure: two flooded routers pass a request to and fro.
     let mut handover = pressed(NOW, &[peer(1, 1000)]);
-    assert_eq!(handover.decide(NOW, 0, true), Decision::Serve);
-    let mut decisions = (0..500).map(|_| handover.decide(NOW, 0, true));
+    assert_eq!(handover.decide(NOW, 0, Origin::Router), Decision::Serve);
+    let mut decisions = (0..500).map(|_| handover.decide(NOW, 0, Origin::Router));
     assert!(decisions.any(|decision| decision == Decision::Refuse));
 }
 
--- a/components/node/src/frontend/access_log.rs
+++ b/components/node/src/frontend/access_log.rs
@@ -3,6 +3,7 @@
 //! An entry writes a log line for each try, each failed try and the end of the request, and
 //! counts the end in the metrics.
 
+use super::forward::Forwarder;
 use super::plan::Plan;
 use super::refusal::Refusal;
 use super::timing::Timing;
@@ -45,8 +46,8 @@
     /// Time from the request's arrival to its first dispatch.
     first_wait: Option<Duration>,
     timing: Timing,
-    /// VM of the router that has passed the request on to this one.
-    forwarder: Option<HeaderValue>,
+    /// The router that has passed the request on to this one.
+    forwarder: Option<Forwarder>,
     /// Times that the request was dispatched to an endpoint, or handed over to a router.
     tries: u32,
     /// Times that its stream continued at another endpoint.
@@ -119,13 +120,13 @@
     }
 
     /// Records the router that has passed the request on to this one.
-    pub(crate) fn set_forwarder(&mut self, forwarder: Option<HeaderValue>) {
+    pub(super) fn set_forwarder(&mut self, forwarder: Option<Forwarder>) {
         self.forwarder = forwarder;
     }
 
-    /// Whether another router has passed the request on to this one.
-    pub(crate) fn is_forwarded(&self) -> bool {
-        self.forwarder.is_some()
+    /// The router that has passed the request on to this one.
+    pub(super) fn forwarder(&self) -> Option<&Forwarder> {
+        self.forwarder.as_ref()
     }
 
     /// Records that the request is handed over to another router.
@@ -293,7 +294,7 @@
             tries = self.tries,
             resumed = (self.resumed > 0).then_some(self.resumed),
             unresumed = self.unresumed,
-            from = self.forwarder.as_ref().and_then(|vm| vm.to_str().ok()),
+            from = self.forwarder.as_ref().and_then(|f| f.vm.to_str().ok()),
             status = status.map(|s| s.as_u16()),
             outcome,
             reason,
--- a/components/node/src/frontend/admit.rs
+++ b/components/node/src/frontend/admit.rs
@@ -2,6 +2,7 @@
 //! of its body within bounds.
 
 use super::access_log::Entry;
+use super::forward::check_version;
 use super::listen::{Frontend, BODY_UNIT_BYTES};
 use super::refusal::Refusal;
 use super::upstream::Call;
@@ -48,6 +49,11 @@
         // ID.
         entry.set_caller_request_id(inbound.request_id.clone());
     }
+    if let Some(forwarder) = entry.forwarder() {
+        // Before the check of readiness: a router that has just started has no configuration, and
+        // its refusal would cost the caller a retry, where the other router can serve the request.
+        check_version(published, forwarder)?;
+    }
     check_ready(published)?;
     check_lateness(frontend, entry.id())?;
     check_framing(head)?;
--- a/components/node/src/frontend/forward.rs
+++ b/components/node/src/frontend/forward.rs
@@ -1,6 +1,6 @@
 //! Hand-over of a request to another router of the data centre, and relaying of its answer.
 //!
-//! The peer receives the request as a caller's request, with one header added, and does all that
+//! The peer receives the request as a caller's request, with two headers added, and does all that
 //! serving takes: it authenticates, routes, claims the idempotency key and writes the log lines.
 //! This router only moves bytes. What rule matches, and so whether the request may run twice, is
 //! worked out here only after a failure.
@@ -10,13 +10,14 @@
 use super::listen::Frontend;
 use super::plan::{plan, Plan};
 use super::pool::{self, Connection, Key, Pool};
-use super::refusal::{Refusal, OUTCOME_HEADER};
+use super::refusal::{Refusal, DECLINED_CODE, DECLINED_HEADER, OUTCOME_HEADER};
 use super::relay::Abort;
 use super::upstream::{keep_alive_timeout, strip_hop_by_hop, Call, Failure};
 use crate::handover::{Decided, Ticket};
 use crate::interface::Inbound;
 use crate::shared::Published;
 use bytes::Bytes;
+use coordination::handover::{must_decline, Origin};
 use coordination::messages::Verdict;
 use coordination::retry::{self, Action, Reach};
 use errors::{Error, Result};
@@ -25,9 +26,10 @@
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST};
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use state::id::EndpointId;
+use state::id::{EndpointId, Name, Version};
 use state::outcome::Outcome;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -37,6 +39,9 @@
 /// a request is not passed on again.
 pub(super) const FORWARDED: HeaderName = HeaderName::from_static("cowslipford-forwarded");
 
+/// Header of such a request with the version of the configuration that it was accepted under.
+const FORWARDED_VERSION: HeaderName = HeaderName::from_static("cowslipford-forwarded-version");
+
 /// Time between two checks whether the peer of a waiting request is still alive.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -54,11 +59,45 @@
     Again(Box<Plan>),
 }
 
-/// Removes the header of a request that another router has passed on, and counts the request.
-pub(super) fn take_forwarder(frontend: &Frontend, headers: &mut HeaderMap) -> Option<HeaderValue> {
-    let forwarder = headers.remove(FORWARDED)?;
+/// The router that has passed a request on.
+#[derive(Clone, Debug)]
+pub(super) struct Forwarder {
+    /// Name of its VM, as the header has it.
+    pub(super) vm: HeaderValue,
+    /// Version of the configuration under which it accepted the request.
+    version: Version,
+}
+
+/// Removes the headers of a request that another router has passed on, and counts the request.
+pub(super) fn take_forwarder(frontend: &Frontend, headers: &mut HeaderMap) -> Option<Forwarder> {
+    let version = headers.remove(FORWARDED_VERSION);
+    let vm = headers.remove(FORWARDED)?;
     frontend.context.metrics.accepted_from_peers.inc();
-    Some(forwarder)
+    // Routers always send a number. Nothing can be at least as new as what is no number.
+    let version = version.map_or(Version(0), |text| {
+        let number = text.to_str().ok().and_then(|t| t.parse().ok());
+        Version(number.unwrap_or(u64::MAX))
+    });
+    Some(Forwarder { vm, version })
+}
+
+/// Declines a request that another router accepted under a newer configuration than this one has.
+/// That router serves it itself.
+///
+/// # Errors
+///
+/// The refusal, by which the other router knows the reason.
+pub(super) fn check_version(published: &Published, forwarder: &Forwarder) -> Result<(), Refusal> {
+    let own = published.view.config_version;
+    if !must_decline(own, forwarder.version) {
+        return Ok(());
+    }
+    let text = format!(
+        "this router has version {} of the configuration, and the request needs {}",
+        own.0, forwarder.version.0
+    );
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Err(Refusal::not_run(status, DECLINED_CODE, text).with_retry_after(FAST_RETRY_AFTER))
 }
 
 /// Hands a request over to a peer if this router has more to do than it can in time.
@@ -78,7 +117,12 @@
     let Some(handover) = &frontend.context.handover else {
         return Ok(Handed::Here);
     };
-    let mut ticket = match handover.decide(entry.is_forwarded()) {
+    let version = published.view.config_version;
+    let origin = match entry.forwarder() {
+        Some(_) => Origin::Router,
+        None => Origin::Caller(version),
+    };
+    let mut ticket = match handover.decide(origin) {
         Decided::Serve => return Ok(Handed::Here),
         Decided::Refuse => return Err(no_room(call)),
         Decided::HandOver(ticket) => ticket,
@@ -87,7 +131,7 @@
     entry.begin_handover(ticket.vm());
     let deadline = arrived_at + inbound.timeout.unwrap_or(ANSWER_MAX);
     let mut found = None;
-    let sent = send(frontend, call, &ticket, deadline, |call| {
+    let sent = send(frontend, call, version, &ticket, deadline, |call| {
         // A frozen peer never answers. A request that may run twice is retried at once; any other
         // one may still be answered, up to its deadline.
         let planned = plan(frontend, published, inbound, call).ok();
@@ -99,29 +143,20 @@
         until.unwrap_or(deadline)
     });
     let failure = match sent.await {
+        Ok((response, _)) if is_declined(response.headers()) => {
+            ticket.decline();
+            let error = peer_error(ticket.address(), "its configuration is older");
+            failed(Reach::Nothing, error)
+        }
         Ok((response, connection)) => {
-            let (mut head, body) = response.into_parts();
-            ticket.answer(!has_no_room(&head));
-            let keep_alive = keep_alive_timeout(&head.headers);
-            strip_hop_by_hop(&mut head.headers);
-            let mut forwarded = Forwarded {
-                incoming: body,
-                connection: Some(connection),
-                pool: frontend.peers.clone(),
-                key: key(&ticket),
-                keep_alive,
-                deadline,
-                timer: Box::pin(tokio::time::sleep_until(deadline.into())),
-                ticket,
-                entry: None,
-                end_reason: "caller-gone",
-            };
-            forwarded.end_if_empty();
-            return Ok(Handed::Answered(head, Box::new(forwarded)));
+            let (head, forwarded) = begin_answer(frontend, ticket, response, connection, deadline);
+            return Ok(Handed::Answered(head, forwarded));
+        }
+        Err(failure) => {
+            ticket.fail();
+            failure
         }
-        Err(failure) => failure,
     };
-    ticket.fail();
     let peer = ticket.vm().clone();
     drop(ticket);
     if failure.reach == Reach::Nothing {
@@ -133,6 +168,49 @@
         Some(plan) => Some(plan),
         None => plan(frontend, published, inbound, call).ok(),
     };
+    retry_here(frontend, plan, &failure, &peer, entry)
+}
+
+/// Begins to relay the answer of a peer.
+fn begin_answer(
+    frontend: &Frontend,
+    mut ticket: Ticket,
+    response: Response<Incoming>,
+    connection: Connection,
+    deadline: Instant,
+) -> (Parts, Box<Forwarded>) {
+    let (mut head, body) = response.into_parts();
+    ticket.answer(!has_no_room(&head));
+    let keep_alive = keep_alive_timeout(&head.headers);
+    strip_hop_by_hop(&mut head.headers);
+    let mut forwarded = Forwarded {
+        incoming: body,
+        connection: Some(connection),
+        pool: frontend.peers.clone(),
+        key: key(&ticket),
+        keep_alive,
+        deadline,
+        timer: Box::pin(tokio::time::sleep_until(deadline.into())),
+        ticket,
+        entry: None,
+        end_reason: "caller-gone",
+    };
+    forwarded.end_if_empty();
+    (head, Box::new(forwarded))
+}
+
+/// Decides whether a request that may have run at a peer is retried here.
+///
+/// # Errors
+///
+/// The refusal, if it must not run again.
+fn retry_here(
+    frontend: &Frontend,
+    plan: Option<Plan>,
+    failure: &Failure,
+    peer: &Name,
+    entry: &mut Entry,
+) -> Result<Handed, Refusal> {
     let action = plan.as_ref().map_or(Action::Unknown, |plan| {
         let attempt = retry::Failure {
             reach: failure.reach,
@@ -144,7 +222,7 @@
         let now = frontend.context.clock.now();
         frontend.with_budget(plan.service, |budget| retry::decide(attempt, now, budget))
     });
-    entry.log_failure(&failure, action.as_str());
+    entry.log_failure(failure, action.as_str());
     match (action, plan) {
         (Action::Retry, Some(mut plan)) => {
             plan.retries = plan.retries.saturating_sub(1);
@@ -152,11 +230,8 @@
         }
         _ => {
             let text = format!("{peer}: {}", failure.error);
-            Err(Refusal::unknown(
-                StatusCode::BAD_GATEWAY,
-                "peer-failed",
-                text,
-            ))
+            let status = StatusCode::BAD_GATEWAY;
+            Err(Refusal::unknown(status, "peer-failed", text))
         }
     }
 }
@@ -174,10 +249,20 @@
 /// Whether an answer says that the peer has no room: the peer itself refuses, and wants no more
 /// requests on this connection.
 fn has_no_room(head: &Parts) -> bool {
-    let outcome = head.headers.get(OUTCOME_HEADER);
-    let is_refusal = outcome.is_some_and(|o| o == Outcome::NotRun.as_str());
     let closes = head.headers.get(CONNECTION).is_some_and(|c| c == "close");
-    is_refusal && closes
+    is_refusal(&head.headers) && closes
+}
+
+/// Whether an answer says that the peer has not run the request because its configuration is older.
+fn is_declined(headers: &HeaderMap) -> bool {
+    is_refusal(headers) && headers.contains_key(DECLINED_HEADER)
+}
+
+/// Whether the peer itself refuses a request, and it has not run. An endpoint cannot set this
+/// header of an answer.
+fn is_refusal(headers: &HeaderMap) -> bool {
+    let outcome = headers.get(OUTCOME_HEADER);
+    outcome.is_some_and(|o| o == Outcome::NotRun.as_str())
 }
 
 /// Key of a peer in the pool of connections to peers, which has no endpoints.
@@ -190,6 +275,7 @@
 async fn send<F>(
     frontend: &Frontend,
     call: &mut Call,
+    version: Version,
     ticket: &Ticket,
     mut deadline: Instant,
     patience: F,
@@ -208,7 +294,7 @@
                 .await
                 .map_err(|error| failed(Reach::Nothing, error))?,
         };
-        let request = request(call, &frontend.context.vm.to_string(), address)
+        let request = request(call, &frontend.context.vm, version, address)
             .map_err(|error| failed(Reach::Nothing, error))?;
         let sending = connection.sender.try_send_request(request);
         tokio::pin!(sending);
@@ -249,7 +335,7 @@
     }
 }
 
-fn peer_error(address: std::net::SocketAddr, reason: &str) -> Error {
+fn peer_error(address: SocketAddr, reason: &str) -> Error {
     Error::Peer {
         step: "hand over to a router",
         peer: address.to_string(),
@@ -269,7 +355,12 @@
 }
 
 /// Builds the request to a peer: the caller's own, apart from its framing.
-fn request(call: &Call, vm: &str, address: std::net::SocketAddr) -> Result<Request<Full<Bytes>>> {
+fn request(
+    call: &Call,
+    vm: &Name,
+    version: Version,
+    address: SocketAddr,
+) -> Result<Request<Full<Bytes>>> {
     let path = call.uri.path_and_query().map_or("/", |p| p.as_str());
     let step = "build a request";
     let mut request = Request::builder()
@@ -287,8 +378,9 @@
         let host = HeaderValue::try_from(host).map_err(Error::peer(step, address))?;
         headers.insert(HOST, host);
     }
-    let vm = HeaderValue::from_str(vm).map_err(Error::peer(step, address))?;
+    let vm = HeaderValue::from_str(vm.as_str()).map_err(Error::peer(step, address))?;
     headers.insert(FORWARDED, vm);
+    headers.insert(FORWARDED_VERSION, HeaderValue::from(version.0));
     Ok(request)
 }
 
--- a/components/node/src/frontend/refusal.rs
+++ b/components/node/src/frontend/refusal.rs
@@ -13,6 +13,13 @@
 /// Header that says whether an endpoint has run the request.
 pub(crate) const OUTCOME_HEADER: &str = "cowslipford-outcome";
 
+/// Header of a refusal that declines another router's request since this router's configuration is
+/// older than the one that the request was accepted under.
+pub(super) const DECLINED_HEADER: &str = "cowslipford-declined";
+
+/// Code of that refusal, and the value of the header.
+pub(super) const DECLINED_CODE: &str = "older-configuration";
+
 /// Header with the time after which a caller should retry.
 pub(super) const RETRY_AFTER: &str = "retry-after";
 
@@ -93,6 +100,9 @@
             HeaderValue::from_static(self.outcome.as_str()),
         );
         set_header(headers, REQUEST_ID, &id.to_string());
+        if self.code == DECLINED_CODE {
+            headers.insert(DECLINED_HEADER, HeaderValue::from_static(DECLINED_CODE));
+        }
         if let Some(time) = self.retry_after {
             set_header(headers, RETRY_AFTER, &retry_after_text(time));
         }
--- a/components/node/src/handover.rs
+++ b/components/node/src/handover.rs
@@ -1,9 +1,9 @@
 //! Hand-over of requests to other routers, shared by the frontend, the monitor and the reactor.
 
 use crate::metric::{gauge_value, Metrics};
-use coordination::handover::{self, Decision};
+use coordination::handover::{self, Decision, Origin};
 use coordination::messages::{Occupancy, Peer};
-use state::id::Name;
+use state::id::{Name, Version};
 use state::line::Line;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -33,11 +33,11 @@
 
     /// Decides on a request. A request that is handed over is in progress at the peer until its
     /// ticket is dropped.
-    pub(crate) fn decide(&self, is_forwarded: bool) -> Decided {
+    pub(crate) fn decide(&self, origin: Origin) -> Decided {
         let now = self.0.clock.now();
         let mut decision = self.lock();
         let in_progress = self.in_progress(&decision);
-        match decision.decide(now, in_progress, is_forwarded) {
+        match decision.decide(now, in_progress, origin) {
             Decision::Serve => Decided::Serve,
             Decision::Refuse => Decided::Refuse,
             Decision::HandOver(vm, address) => Decided::HandOver(Ticket {
@@ -68,10 +68,10 @@
     }
 
     /// How much of this router is in use.
-    pub(crate) fn occupancy(&self, is_open: bool) -> Occupancy {
+    pub(crate) fn occupancy(&self, is_open: bool, config_version: Version) -> Occupancy {
         let mut decision = self.lock();
         let in_progress = self.in_progress(&decision);
-        decision.occupancy(self.0.clock.now(), in_progress, is_open)
+        decision.occupancy(self.0.clock.now(), in_progress, is_open, config_version)
     }
 
     /// Logs what was handed over since the last call, with one line for each peer.
@@ -87,6 +87,7 @@
                 peer = summary.peer.as_str(),
                 sent = summary.sent,
                 refused = summary.refused,
+                declined = summary.declined,
                 failed = summary.failed,
                 held = summary.in_progress,
             );
@@ -144,6 +145,14 @@
         self.handover.lock().answer(now, &self.vm, has_room);
     }
 
+    /// Records that the peer has declined the request because its configuration is older.
+    pub(crate) fn decline(&mut self) {
+        self.is_waiting = false;
+        self.handover.0.metrics.declined_handovers.inc();
+        let now = self.handover.0.clock.now();
+        self.handover.lock().decline(now, &self.vm);
+    }
+
     /// Records that the request has failed before its answer began.
     pub(crate) fn fail(&mut self) {
         self.is_waiting = false;
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -76,6 +76,8 @@
     pub(crate) accepted_from_peers: IntCounter,
     /// Hand-overs that failed before the answer began.
     pub(crate) failed_handovers: IntCounter,
+    /// Hand-overs that were declined by a router with an older configuration, and served here.
+    pub(crate) declined_handovers: IntCounter,
     /// Requests in progress at other routers.
     pub(crate) at_peers: IntGauge,
     /// Routers whose occupancy this VM knows as the VM of a scheduler.
@@ -277,6 +279,10 @@
                 "cowslipford_handovers_failed_total",
                 "Requests handed over whose answer did not begin.",
             )?,
+            declined_handovers: counter(
+                "cowslipford_handovers_declined_total",
+                "Requests that routers with an older configuration declined; served here.",
+            )?,
             at_peers: gauge(
                 "cowslipford_requests_at_peers",
                 "Requests in progress at other routers.",
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -431,6 +431,7 @@
             scheduling: self.settings.scheduling,
             serves_callers: self.settings.callers.is_some(),
             handover: handover.clone(),
+            max_proof_age_ms: self.settings.router.stale_ms,
             to_control: to_control.clone(),
             publish,
             suspicions: publish_suspicions,
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -82,6 +82,9 @@
     pub(crate) serves_callers: bool,
     /// Hand-over of requests to other routers, if this router takes part in it.
     pub(crate) handover: Option<Handover>,
+    /// Greatest age, in milliseconds, of the last proof that this process has the newest version.
+    /// Past it, customers' requests are refused.
+    pub(crate) max_proof_age_ms: Option<u64>,
     /// Channel to the control role, if this process runs it.
     pub(crate) to_control: Option<flume::Sender<crate::control::Input>>,
     /// Channel for queries of an engine's prompt cache, if engines can list it.
--- a/components/node/src/reactor/occupancy.rs
+++ b/components/node/src/reactor/occupancy.rs
@@ -6,7 +6,7 @@
 use coordination::occupancy::Table;
 use protocol::wire::{Features, Hello, Message};
 use state::clock::Millis;
-use state::id::Name;
+use state::id::{Name, Version};
 use state::line::Line;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -23,8 +23,9 @@
     receivers: BTreeSet<Name>,
     /// When the next report is due.
     next_at: Millis,
-    /// What was last reported of this router: whether it is pressed and open.
-    reported: (bool, bool),
+    /// What was last reported of this router: whether it is pressed and open, and its version of
+    /// the configuration.
+    reported: (bool, bool, Version),
 }
 
 impl Reactor {
@@ -61,9 +62,19 @@
         let Some(handover) = &self.parts.handover else {
             return;
         };
-        let is_open = self.ready && !self.stopping && !self.closed && !self.dedicated;
-        let occupancy = handover.occupancy(is_open);
-        let state = (occupancy.is_pressed, occupancy.is_open);
+        let is_current = self.parts.max_proof_age_ms.is_none_or(|bound| {
+            let verified_at = self.dissemination.verified_at();
+            verified_at.is_some_and(|at| now.since(at) <= bound)
+        });
+        // A router with too old a proof refuses customers. It is idle then, and would attract the
+        // excess of all others.
+        let is_open = self.ready && !self.stopping && !self.closed && !self.dedicated && is_current;
+        let occupancy = handover.occupancy(is_open, self.view.config_version);
+        let state = (
+            occupancy.is_pressed,
+            occupancy.is_open,
+            occupancy.config_version,
+        );
         let is_changed = state != self.reports.reported;
         if !is_changed && now < self.reports.next_at {
             return;
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -9,15 +9,20 @@
 
 /// A fleet with two routers in one data centre, `r1` and `r4`.
 fn fleet() -> Fleet {
-    Fleet::start(Plan {
+    Fleet::start(plan(""))
+}
+
+/// Plan of that fleet, with further settings of routers.
+fn plan(settings: &str) -> Plan {
+    Plan {
         control: 1,
         routers: 4,
         models: 2,
         plain_services: 2,
         batch: 256,
-        settings: "[router]\nhandover = yes\nqueue-customer = 1024\n".to_owned(),
+        settings: format!("[router]\nhandover = yes\nqueue-customer = 1024\n{settings}"),
         ..Plan::default()
-    })
+    }
 }
 
 /// A counter or gauge of a VM; 0 without it.
@@ -31,6 +36,7 @@
 const FROM_PEERS: &str = "cowslipford_requests_from_peers_total ";
 const AT_PEERS: &str = "cowslipford_requests_at_peers ";
 const FAILED: &str = "cowslipford_handovers_failed_total ";
+const DECLINED: &str = "cowslipford_handovers_declined_total ";
 
 /// Callers that flood a router until they are dropped, each on one connection at a time.
 struct Flood {
@@ -144,16 +150,16 @@
         assert_eq!(fleet.call("r1", "alpha", "/safe", &[], "x").status, 200);
     }
     press(&fleet, "r1", true);
-    wait_for_hand_over(&fleet);
+    wait_for_hand_over(&fleet, "r1", "r4");
     fleet
 }
 
-/// Waits until requests at `r1` are answered by `r4`.
-fn wait_for_hand_over(fleet: &Fleet) {
-    let before = metric(fleet, "r4", FROM_PEERS);
+/// Waits until requests at `router` are answered by `peer`.
+fn wait_for_hand_over(fleet: &Fleet, router: &str, peer: &str) {
+    let before = metric(fleet, peer, FROM_PEERS);
     eventually("requests are handed over", || {
-        fleet.call("r1", "alpha", "/assistant", &[], "x");
-        metric(fleet, "r4", FROM_PEERS) > before
+        fleet.call(router, "alpha", "/assistant", &[], "x");
+        metric(fleet, peer, FROM_PEERS) > before
     });
 }
 
@@ -162,7 +168,21 @@
 where
     F: FnOnce(&mut Fleet),
 {
-    let address = fleet.callers("r1");
+    call_at_during(fleet, "r1", path, label, fault)
+}
+
+/// The same through any router.
+fn call_at_during<F>(
+    fleet: &mut Fleet,
+    router: &str,
+    path: &'static str,
+    label: &str,
+    fault: F,
+) -> http::Answer
+where
+    F: FnOnce(&mut Fleet),
+{
+    let address = fleet.callers(router);
     let owned = label.to_owned();
     let caller = std::thread::spawn(move || {
         let headers = [
@@ -279,7 +299,10 @@
             let answer = fleet.call("r1", "alpha", "/booking", &[], "x");
             match (answer.status, answer.outcome()) {
                 (200, _) => {}
-                (503, "not-run") => refused += 1,
+                (503, "not-run") => {
+                    assert_ne!(answer.header("retry-after"), "", "the peer's is relayed");
+                    refused += 1;
+                }
                 other => panic!("{other:?} {}", answer.text()),
             }
         }
@@ -319,3 +342,139 @@
     assert_eq!(fleet.calls_with_label("key"), 1);
     assert_eq!(first.header("cowslipford-outcome"), "answered");
 }
+
+/// Headers of a request that another router accepted under a version of the configuration.
+fn forwarded(label: &str, version: &str) -> [(String, String); 3] {
+    [
+        ("cowslipford-forwarded".to_owned(), "r1".to_owned()),
+        (
+            "cowslipford-forwarded-version".to_owned(),
+            version.to_owned(),
+        ),
+        ("stand-in-id".to_owned(), label.to_owned()),
+    ]
+}
+
+/// Sends a request to `r4` as another router does.
+fn forward_to_peer(fleet: &Fleet, label: &str, version: &str) -> http::Answer {
+    let headers = forwarded(label, version);
+    let headers: Vec<(&str, &str)> = (headers.iter())
+        .map(|(name, value)| (name.as_str(), value.as_str()))
+        .collect();
+    fleet.call("r4", "alpha", "/booking", &headers, "x")
+}
+
+/// Version of the configuration at a VM.
+fn config_version(fleet: &Fleet, vm: &str) -> u64 {
+    let status = fleet.vm(vm).status();
+    status.map_or(0, |s| s["config-version"].as_u64().unwrap())
+}
+
+#[test]
+fn a_peer_that_lags_behind_does_not_serve_by_its_configuration() {
+    // Failure: the peer does not receive a change that forbids what was allowed, and serves
+    // requests of the flooded router that has received it.
+    let fleet = pressed_fleet();
+    let label = "before";
+    let allowed = fleet.call("r1", "alpha", "/booking", &[("stand-in-id", label)], "x");
+    assert_eq!(allowed.status, 200);
+    fleet.cut("r4", &["c1", "r1", "r2", "r3"], true);
+    let text = fleet.configuration();
+    let changed = text.replace(
+        "[rule booking]\nwhen-path = /booking\nthen = send\nservice = booking\n",
+        "[rule booking]\nwhen-path = /booking\nthen = refuse\nreason = not any more\n",
+    );
+    assert_ne!(text, changed);
+    let applied = fleet.apply(&changed, &[]);
+    assert!(applied.0.success(), "{}", applied.2);
+    eventually("the flooded router has the change", || {
+        config_version(&fleet, "r1") > config_version(&fleet, "r4")
+    });
+    let before = metric(&fleet, "r4", FROM_PEERS);
+    for n in 0..30 {
+        let label = format!("after-{n}");
+        let headers = [("stand-in-id", label.as_str())];
+        let answer = fleet.call("r1", "alpha", "/booking", &headers, "x");
+        assert_eq!(answer.status, 403, "{}", answer.text());
+        assert_eq!(fleet.calls_with_label(&label), 0);
+    }
+    assert_eq!(metric(&fleet, "r4", FROM_PEERS), before);
+    let newer = config_version(&fleet, "r1").to_string();
+    let declined = forward_to_peer(&fleet, "declined", &newer);
+    assert_eq!((declined.status, declined.outcome()), (503, "not-run"));
+    assert_eq!(
+        declined.header("cowslipford-declined"),
+        "older-configuration"
+    );
+    assert_eq!(fleet.calls_with_label("declined"), 0);
+}
+
+#[test]
+fn serves_a_request_here_that_a_restarted_peer_declines() {
+    // Failure: the peer has just restarted without a configuration while its last figure is still
+    // valid, and its refusal reaches the caller. Control is frozen, so that the peer stays so.
+    let mut fleet = pressed_fleet();
+    for round in 0.. {
+        assert!(
+            round < 10,
+            "the peer's figure had expired in each of 10 rounds"
+        );
+        wait_for_hand_over(&fleet, "r1", "r4");
+        fleet.vm("c1").signal("-STOP");
+        fleet.vm_mut("r4").kill();
+        fleet.vm_mut("r4").start();
+        eventually("the peer listens", || {
+            std::net::TcpStream::connect(fleet.callers("r4")).is_ok()
+        });
+        for n in 0..5 {
+            let label = format!("restarted-{round}-{n}");
+            let headers = [("stand-in-id", label.as_str())];
+            let answer = fleet.call("r1", "alpha", "/booking", &headers, "x");
+            assert_eq!(answer.status, 200, "{}", answer.text());
+            assert_eq!(fleet.calls_with_label(&label), 1);
+        }
+        fleet.vm("c1").signal("-CONT");
+        if metric(&fleet, "r1", DECLINED) > 0 {
+            break;
+        }
+    }
+    assert_eq!(metric(&fleet, "r1", FAILED), 0);
+    wait_for_hand_over(&fleet, "r1", "r4");
+}
+
+#[test]
+fn declines_or_serves_requests_with_a_forged_version() {
+    // Failure: a caller makes a router run a request that it would decline, or keeps a router from
+    // handing over, by a version that no router has sent.
+    let fleet = pressed_fleet();
+    for version in ["18446744073709551615", "x"] {
+        let answer = forward_to_peer(&fleet, "forged", version);
+        assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+    }
+    assert_eq!(fleet.calls_with_label("forged"), 0);
+    assert_eq!(forward_to_peer(&fleet, "forged", "0").status, 200);
+    let before = metric(&fleet, "r1", HANDED_OVER);
+    let alone = [("cowslipford-forwarded-version", "999999")];
+    let answer = fleet.call("r1", "alpha", "/booking", &alone, "x");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert_eq!(metric(&fleet, "r1", HANDED_OVER), before + 1);
+}
+
+#[test]
+fn a_peer_without_a_recent_proof_refuses_as_it_refuses_callers() {
+    // Failure: the peer is cut off from control, and serves requests of others by keys that may
+    // have been removed.
+    let fleet = Fleet::start(plan("revocation = 5s\n"));
+    let version = config_version(&fleet, "r4").to_string();
+    fleet.cut("r4", &["c1", "r1", "r2", "r3"], true);
+    // The rule's timeout is short, since the peer cannot reach a scheduler either.
+    eventually("the peer refuses customers", || {
+        let answer = fleet.call("r4", "alpha", "/short", &[], "x");
+        answer.text().contains("stale")
+    });
+    let refused = forward_to_peer(&fleet, "stale", &version);
+    assert_eq!((refused.status, refused.outcome()), (503, "not-run"));
+    assert_eq!(refused.header("retry-after"), "1");
+    assert_eq!(refused.header("cowslipford-declined"), "");
+    assert_eq!(fleet.calls_with_label("stale"), 0);
+}
