Test the loss of the scheduler's VM during hand-over

Cause: that a router works alone once the scheduler's VM is lost was tested as a decision only.

Change: a test over real processes kills the VM of the only scheduler while a router hands requests over. A second later nothing more is handed over, the stream at the peer completes, no request runs twice, and hand-over begins again with the new scheduler.

In its first form it expected the stream to be the only request at the peer; requests that wait there for the lost scheduler are in progress too, so at least one is expected now.

--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -478,3 +478,101 @@
     assert_eq!(refused.header("cowslipford-declined"), "");
     assert_eq!(fleet.calls_with_label("stale"), 0);
 }
+
+/// Calls through a router, one after the other until they are ended, each with a label of its own.
+struct Labelled {
+    stop: std::sync::Arc<AtomicBool>,
+    threads: Vec<std::thread::JoinHandle<Vec<(String, u16, String)>>>,
+}
+
+impl Labelled {
+    fn start(fleet: &Fleet, router: &str, callers: usize) -> Self {
+        let stop: std::sync::Arc<AtomicBool> = std::sync::Arc::default();
+        let address = fleet.callers(router);
+        let threads = (0..callers).map(|caller| {
+            let stop = stop.clone();
+            std::thread::spawn(move || {
+                let mut answers = Vec::new();
+                while !stop.load(Ordering::Relaxed) {
+                    let label = format!("labelled-{caller}-{}", answers.len());
+                    let headers = [("stand-in-id", label.as_str())];
+                    let answer = http::send(address, "POST", "/booking", "beta", &headers, "x");
+                    let outcome = answer.outcome().to_owned();
+                    answers.push((label, answer.status, outcome));
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                answers
+            })
+        });
+        let threads = threads.collect();
+        Labelled { stop, threads }
+    }
+
+    /// Ends the calls; returns the label, status and outcome of each.
+    fn end(self) -> Vec<(String, u16, String)> {
+        self.stop.store(true, Ordering::Relaxed);
+        let answers = self.threads.into_iter().flat_map(|t| t.join().unwrap());
+        answers.collect()
+    }
+}
+
+#[test]
+fn works_alone_while_the_vm_of_the_scheduler_is_lost() {
+    // Failure: the VM of the only scheduler is killed while a router hands over. Nobody tells the
+    // router of its peers any more, and requests in progress at a peer have lost their scheduler.
+    // `r2` and `r5` are in one data centre; the scheduler is at `r1`, in another one.
+    let mut fleet = Fleet::start(Plan {
+        routers: 5,
+        schedulers: 1,
+        ..plan("")
+    });
+    assert_eq!(fleet.scheduler(), "r1");
+    press(&fleet, "r2", true);
+    wait_for_hand_over(&fleet, "r2", "r5");
+    let calls = Labelled::start(&fleet, "r2", 4);
+    let handed_over = |fleet: &Fleet| metric(fleet, "r2", HANDED_OVER);
+    let begun = handed_over(&fleet);
+    eventually("the calls are handed over", || {
+        handed_over(&fleet) > begun + 20
+    });
+    let stream = call_at_during(&mut fleet, "r2", "/assistant", "stream", |fleet| {
+        fleet.vm_mut("r1").kill();
+        // Figures of peers are valid for a second.
+        std::thread::sleep(Duration::from_millis(1200));
+        let before = handed_over(fleet);
+        let open = metric(fleet, "r5", "cowslipford_requests_here ");
+        assert!(open >= 1, "the stream is still in progress at the peer");
+        for _ in 0..20 {
+            fleet.call("r2", "alpha", "/booking", &[], "x");
+        }
+        assert_eq!(handed_over(fleet), before);
+    });
+    assert_eq!((stream.status, stream.complete), (200, true));
+    assert_eq!(fleet.calls_with_label("stream"), 1);
+    let before = handed_over(&fleet);
+    eventually("the router serves alone", || {
+        fleet.call("r2", "alpha", "/booking", &[], "x").status == 200
+    });
+    assert_eq!(handed_over(&fleet), before);
+    fleet.vm_mut("r1").start();
+    wait_for_hand_over(&fleet, "r2", "r5");
+    let answers = calls.end();
+    let mut served = 0;
+    for (label, status, outcome) in &answers {
+        let runs = fleet.calls_with_label(label);
+        match (status, outcome.as_str()) {
+            (200, "answered") => assert_eq!(runs, 1, "{label}"),
+            (_, "not-run") => assert_eq!(runs, 0, "{label}"),
+            _ => assert!(runs <= 1, "{label} {status} {outcome} ran {runs} times"),
+        }
+        served += usize::from(*status == 200);
+    }
+    let others = answers.iter().filter(|(_, status, _)| *status != 200);
+    let others: Vec<_> = others.collect();
+    assert!(served > others.len(), "{served} served, {others:?}");
+    assert!(
+        others.iter().all(|(_, _, outcome)| outcome == "not-run"),
+        "{others:?}"
+    );
+    assert_eq!(metric(&fleet, "r2", FAILED), 0);
+}
