Tell schedulers the speed that engines state, and bounds after a takeover

Cause: a slow phase of an engine lasts half a second and is known from measured pauses after about 0.2 s. Engines state their speed at the moment of each response in the fourth figure of Server-Load, which nothing read. Streams that a scheduler takes over from another one had no bound there, since Held does not carry one.

The router keeps the figure until the first event of the response, and passes it on with its age as Report::Speed, before the first byte, to schedulers that announce STREAM_OBJECTIVES. Only responses to requests with a bound on pauses are reported. The step model compares the figure with the usual one of that engine; for 200 ms it decides alone whether the engine is slow, since pauses that are measured meanwhile began before it. After a hello, Report::Bounds lists the bounds of the requests that the hello holds.

--- a/components/coordination/src/dispatcher/local.rs
+++ b/components/coordination/src/dispatcher/local.rs
@@ -58,6 +58,7 @@
         if let Some((local, opened)) = session.and_then(|s| s.local.as_mut()) {
             *opened = local.open_session(now, None, &hello);
         }
+        self.report_bounds(now, shard, effects);
         self.send_asks_for_service(now, shard, effects);
     }
 
--- a/components/coordination/src/dispatcher/pauses.rs
+++ b/components/coordination/src/dispatcher/pauses.rs
@@ -2,9 +2,10 @@
 
 use super::queue::Stage;
 use super::{Dispatcher, Effects, Handle};
-use crate::messages::Pause;
+use crate::messages::{Pause, Seq, Speed};
 use crate::pause::Observed;
 use crate::prelude::*;
+use state::view::Shard;
 
 /// Time between two reports of pauses, in milliseconds. A slow phase of an engine lasts about half
 /// a second; more reports would cost schedulers more than asks do.
@@ -24,6 +25,52 @@
         }
     }
 
+    /// Reports the bounds of the streams that the hello of a new session lists as held: [`Held`]
+    /// contains none.
+    pub(super) fn report_bounds(&mut self, now: Millis, shard: &Shard, effects: &mut Effects) {
+        let requests = self.requests.values().filter(|r| r.shard == *shard);
+        let bounds = requests.filter_map(|request| match request.stage {
+            Stage::Held { seq, .. } => {
+                let max_gap_ms = request.objective?.max_gap_ms;
+                (max_gap_ms > 0).then_some((seq, max_gap_ms))
+            }
+            _ => None,
+        });
+        let bounds: Vec<(Seq, u32)> = bounds.collect();
+        if !bounds.is_empty() {
+            self.report(now, shard, Report::Bounds(bounds), effects);
+        }
+    }
+
+    /// Reports the speed that the endpoint of a dispatched request has stated, if the request has a
+    /// bound on its pauses.
+    pub fn report_speed(
+        &mut self,
+        now: Millis,
+        handle: Handle,
+        percent: u16,
+        age_ms: u16,
+    ) -> Effects {
+        let mut effects = Effects::new();
+        let Some(request) = self.requests.get(handle) else {
+            return effects;
+        };
+        let has_bound = request.objective.is_some_and(|o| o.max_gap_ms > 0);
+        let Stage::Held { endpoint, .. } = request.stage else {
+            return effects;
+        };
+        if has_bound {
+            let shard = request.shard.clone();
+            let report = Report::Speed(Speed {
+                endpoint,
+                percent,
+                age_ms,
+            });
+            self.report(now, &shard, report, &mut effects);
+        }
+        effects
+    }
+
     /// Records pauses of a dispatched request's stream.
     pub fn record_pauses(&mut self, handle: Handle, observed: Observed) {
         let Some(request) = self.requests.get(handle) else {
--- a/components/coordination/src/dispatcher/session.rs
+++ b/components/coordination/src/dispatcher/session.rs
@@ -340,7 +340,9 @@
             let supports_streams = self.stream_vms.contains(&assignment.node.vm);
             let report = match report {
                 Report::StreamAsk(ask, _) if !supports_streams => Report::Ask(ask),
-                Report::Pauses(_) if !supports_streams => return,
+                Report::Pauses(_) | Report::Speed(_) | Report::Bounds(_) if !supports_streams => {
+                    return
+                }
                 report => report,
             };
             effects.push(Effect::Report(assignment.clone(), report));
@@ -427,6 +429,7 @@
         session.is_acknowledged = false;
         session.hello_at = None;
         effects.push(Effect::Report(assignment, hello));
+        self.report_bounds(now, shard, effects);
         self.send_asks_for_service(now, shard, effects);
     }
 }
--- a/components/coordination/src/engine/step.rs
+++ b/components/coordination/src/engine/step.rs
@@ -12,7 +12,7 @@
 //! the events that they pass on, and an engine's own report of its step times would do as well.
 
 use super::backlog::Expected;
-use crate::messages::Pause;
+use crate::messages::{Pause, Speed};
 use crate::prelude::*;
 
 /// Usual time of a step without and with prefill before any is measured, in microseconds: those
@@ -59,6 +59,19 @@
 const FIRST_EVENT_LATE_MS: u64 = 100;
 /// Time for which such a first event counts, in milliseconds: most of the phase may be over.
 const FIRST_EVENT_SLOW_MS: u64 = 250;
+/// Speed that an engine has stated relative to its usual one, in percent, from which it counts as
+/// slow: figures are noisy by a few percent, and slow phases of 1.3 times and more break bounds.
+const STATED_SLOW_PERCENT: u64 = 130;
+/// Time for which a stated speed alone decides whether the engine is slow, in milliseconds: the
+/// pauses that are measured meanwhile began before it.
+const STATED_MS: u64 = 200;
+/// Divisors of the error of a stated speed when it corrects the usual one of the engine, for a
+/// faster and for a slower one: slow phases must not become the usual case.
+const STATED_FASTER_DIVISOR: i64 = 2;
+const STATED_SLOWER_DIVISOR: i64 = 64;
+/// Bounds of the speeds that are believed, in percent.
+const STATED_MIN_PERCENT: u16 = 10;
+const STATED_MAX_PERCENT: u16 = 2_000;
 /// Longest pause relative to the mean that is predicted, in percent.
 const LONGEST_PERCENT: u64 = 125;
 /// Slowness that is expected of an engine in the future, in percent: that of the phases measured.
@@ -134,6 +147,15 @@
     until: Millis,
 }
 
+/// The latest speed that an engine has stated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Stated {
+    /// Time that work usually takes, in hundredths of a percent.
+    usual: i64,
+    /// When the latest figure was stated.
+    at: Millis,
+}
+
 /// Time of prefill that was granted, by window.
 #[derive(Clone, Copy, Debug, Default)]
 struct Granted {
@@ -185,6 +207,8 @@
     /// Pauses reported since the last figure, and when the first of them was.
     reported: Option<(Pause, Millis)>,
     slow: Option<Slow>,
+    /// Speed by the engine's own statements; `None` for an engine that makes none.
+    stated: Option<Stated>,
     /// Share of time in slow phases, in 256,000ths.
     slow_share: u64,
 }
@@ -202,6 +226,7 @@
             prefills: SmallVec::new(),
             reported: None,
             slow: None,
+            stated: None,
             slow_share: 0,
         }
     }
@@ -311,7 +336,9 @@
             return;
         }
         let is_slow = percent >= SLOW_PERCENT || is_evident;
-        if is_slow {
+        if self.is_stated(now) {
+            // The statement is more recent than these pauses.
+        } else if is_slow {
             let percent = percent.max(if is_evident { evident } else { 0 });
             self.slow = Some(Slow {
                 percent: percent.clamp(RISK_PERCENT, SLOWNESS_MAX_PERCENT),
@@ -321,19 +348,61 @@
             self.slow = None;
         }
         if figure.is_representative {
-            let latest = if is_slow { 1000 } else { 0 };
-            self.slow_share += latest;
-            self.slow_share -= self.slow_share / SLOW_SHARE_DIVISOR;
+            self.record_slow_share(is_slow);
             self.correct(figure.mean_us, share, is_slow);
         }
     }
 
+    /// Takes the speed that the engine has stated.
+    ///
+    /// It is compared with the usual one of this engine: the usual pauses contain the speed of a
+    /// machine that is always slow.
+    pub fn record_speed(&mut self, now: Millis, speed: &Speed) {
+        let at = Millis(now.0.saturating_sub(u64::from(speed.age_ms)));
+        if self.stated.is_some_and(|stated| stated.at > at) {
+            return;
+        }
+        let percent = speed.percent.clamp(STATED_MIN_PERCENT, STATED_MAX_PERCENT);
+        let figure = i64::from(percent) * 100;
+        let usual = self.stated.map_or(figure, |stated| stated.usual);
+        let error = figure - usual;
+        let divisor = if error < 0 {
+            STATED_FASTER_DIVISOR
+        } else {
+            STATED_SLOWER_DIVISOR
+        };
+        let usual = usual + error / divisor;
+        self.stated = Some(Stated { usual, at });
+        // CAST: both are positive.
+        let percent = (figure * 100 / usual) as u64;
+        self.record_slow_share(percent >= STATED_SLOW_PERCENT);
+        self.slow = (percent >= STATED_SLOW_PERCENT).then(|| Slow {
+            percent: percent.min(SLOWNESS_MAX_PERCENT),
+            until: at.after(SLOW_MS),
+        });
+    }
+
+    fn record_slow_share(&mut self, is_slow: bool) {
+        self.slow_share += if is_slow { 1000 } else { 0 };
+        self.slow_share -= self.slow_share / SLOW_SHARE_DIVISOR;
+    }
+
+    /// Whether a speed that the engine has stated is recent enough to decide alone.
+    pub fn is_stated(&self, now: Millis) -> bool {
+        self.stated
+            .is_some_and(|stated| now.since(stated.at) <= STATED_MS)
+    }
+
     /// Records a first event that came `took_us` after its grant.
     pub(super) fn record_first_event(&mut self, now: Millis, took_us: u64, expected: &Expected) {
         let expected_us = expected.first_us.max(1);
         let percent = took_us.saturating_mul(100) / expected_us;
         let late_ms = took_us.saturating_sub(expected_us) / 1000;
-        if percent >= FIRST_EVENT_PERCENT && late_ms >= FIRST_EVENT_LATE_MS && self.slow.is_none() {
+        if percent >= FIRST_EVENT_PERCENT
+            && late_ms >= FIRST_EVENT_LATE_MS
+            && self.slow.is_none()
+            && !self.is_stated(now)
+        {
             self.slow = Some(Slow {
                 percent: percent.min(RISK_PERCENT),
                 until: now.after(FIRST_EVENT_SLOW_MS),
--- a/components/coordination/src/messages.rs
+++ b/components/coordination/src/messages.rs
@@ -155,6 +155,11 @@
     StreamAsk(Ask, Objective),
     /// Pauses between events that this router has observed since its last report.
     Pauses(SmallVec<[Pause; 4]>),
+    /// Speed that an endpoint has stated in the head of a response. Sent before the first byte of
+    /// that response is reported.
+    Speed(Speed),
+    /// Bounds in milliseconds on the pauses of requests that the hello before it lists as held.
+    Bounds(Vec<(Seq, u32)>),
 }
 
 /// What the rule of a request demands of the stream that answers it.
@@ -182,6 +187,18 @@
     pub longest_ms: u32,
 }
 
+/// How long work takes on the machine of an endpoint, by the endpoint's own statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Speed {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Time that work takes relative to the usual one, in percent.
+    pub percent: u16,
+    /// Age of the statement when it was sent, in milliseconds.
+    pub age_ms: u16,
+}
+
 /// How much of a router is in use.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -96,7 +96,8 @@
     class: Class,
     weight: u32,
     endpoint: EndpointId,
-    /// What is demanded of the stream; nothing if another scheduler granted the request.
+    /// What is demanded of the stream; nothing if another scheduler granted the request, until its
+    /// router reports the bound.
     objective: Objective,
     /// Cost charged so far, in units of the service.
     charged: u32,
@@ -428,6 +429,29 @@
                 }
                 Effects::new()
             }
+            Report::Bounds(bounds) => {
+                for (seq, max_gap_ms) in bounds {
+                    self.set_bound(session, seq, max_gap_ms);
+                }
+                Effects::new()
+            }
+            Report::Speed(speed) => {
+                self.slots.record_speed(now, &speed);
+                Effects::new()
+            }
+        }
+    }
+
+    /// Sets the bound on the pauses of a stream that another scheduler has granted.
+    fn set_bound(&mut self, session: Session, seq: Seq, max_gap_ms: u32) {
+        let Some(running) = self.running.get_mut(&(session, seq)) else {
+            return;
+        };
+        // A bound that is known already has been counted.
+        if running.objective.max_gap_ms == 0 {
+            running.objective.max_gap_ms = max_gap_ms;
+            let objective = running.objective;
+            self.slots.add_stream(running.endpoint, objective);
         }
     }
 
--- a/components/coordination/src/slot/mod.rs
+++ b/components/coordination/src/slot/mod.rs
@@ -15,7 +15,7 @@
 use crate::backoff::Backoff;
 use crate::engine::{Changes, Engine, Prefill};
 use crate::health::{Change, Health};
-use crate::messages::{Objective, Pause};
+use crate::messages::{Objective, Pause, Speed};
 use crate::prelude::*;
 use crate::prompt::Part;
 use crate::reliability::Reliability;
@@ -192,6 +192,13 @@
         }
     }
 
+    /// Records the speed that an engine has stated. It says nothing about its health.
+    pub fn record_speed(&mut self, now: Millis, speed: &Speed) {
+        if let Some(engine) = self.engine_mut(speed.endpoint) {
+            engine.steps_mut().record_speed(now, speed);
+        }
+    }
+
     /// Streams of an engine that are expected to pause beyond their bound if a request with
     /// `tokens` to prefill is added.
     pub fn expected_breaks(&self, now: Millis, id: EndpointId, tokens: u64) -> u32 {
@@ -206,6 +213,12 @@
         engines.filter(|e| e.steps().is_slow(now)).count()
     }
 
+    /// Number of engines that have stated their speed recently.
+    pub fn engines_with_speed(&self, now: Millis) -> usize {
+        let engines = self.endpoints.values().filter_map(|e| e.engine.as_ref());
+        engines.filter(|e| e.steps().is_stated(now)).count()
+    }
+
     fn engine_mut(&mut self, id: EndpointId) -> Option<&mut Engine> {
         let index = self.endpoints.index_of(id)?;
         self.endpoints.at_mut(index)?.engine.as_mut()
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -89,6 +89,9 @@
     /// Whether events are counted for the pauses between them, whatever the unit of cost.
     has_objective: bool,
     dispatched_at: Instant,
+    /// Speed that the endpoint stated in the head of the answer, in percent, and when that arrived.
+    /// Taken when the answer begins.
+    speed: Option<(u16, Instant)>,
     /// Events of the answer so far.
     events: u32,
     /// First bytes of the current line, as many as `data:` has.
@@ -106,6 +109,7 @@
             event_tokens: engine.map_or(1, |e| e.event_tokens),
             has_objective: false,
             dispatched_at: Instant::now(),
+            speed: None,
             events: 0,
             line_start: [0; 5],
             line_length: 0,
@@ -120,6 +124,12 @@
         }
     }
 
+    /// Keeps the speed that the endpoint has stated until the answer begins, if its rule has an
+    /// objective.
+    pub(crate) fn set_speed(&mut self, speed: Option<(u16, Instant)>) {
+        self.speed = speed.filter(|_| self.has_objective);
+    }
+
     /// Cost so far, in units of the service.
     pub(crate) fn units(&self) -> u32 {
         match self.cost {
@@ -249,6 +259,11 @@
         if !std::mem::replace(&mut self.has_begun, true) {
             let took_ms = u32::try_from(self.slot.meter.dispatched_at.elapsed().as_millis()).ok();
             let took_ms = took_ms.filter(|_| !self.lateness.is_late());
+            if let Some((percent, stated_at)) = self.slot.meter.speed.take() {
+                let age_ms = u16::try_from(stated_at.elapsed().as_millis()).unwrap_or(u16::MAX);
+                let speed = Input::Speed(self.slot.handle, percent, age_ms);
+                let _ = self.slot.reactor.send(speed);
+            }
             let first_byte = Input::FirstByte(self.slot.handle, took_ms);
             // Sending fails only at the end of this process.
             let _ = self.slot.reactor.send(first_byte);
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -376,6 +376,7 @@
         delivery: Delivery,
         dispatch: &Dispatch,
     ) -> Result<Resumed, &'static str> {
+        slot.meter.set_speed(answer.speed);
         let (head, body) = answer.response.into_parts();
         if !head.status.is_success() || !is_event_stream(&head.headers) {
             if head.status.is_server_error() {
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -538,10 +538,11 @@
     subject: RelayedRequest,
     tries: Tries,
     (answer, delivery): (Answer, Delivery),
-    slot: Slot,
+    mut slot: Slot,
     claim: Option<Claim>,
     dispatch: Dispatch,
 ) -> Served {
+    slot.meter.set_speed(answer.speed);
     let (mut head, body) = answer.response.into_parts();
     let frontend = subject.frontend.clone();
     let keep_alive = upstream::keep_alive_timeout(&head.headers);
--- a/components/node/src/frontend/upstream.rs
+++ b/components/node/src/frontend/upstream.rs
@@ -87,6 +87,9 @@
     pub(crate) connection: Connection,
     /// Backoff that the endpoint asks for.
     pub(crate) backoff: Option<Backoff>,
+    /// Speed that the endpoint states, in percent of the usual time, and when its statement
+    /// arrived.
+    pub(crate) speed: Option<(u16, std::time::Instant)>,
 }
 
 /// Options of sending a call.
@@ -182,6 +185,7 @@
         is_authentic,
         is_leaving,
         retry_after,
+        speed_percent,
     } = (interface.parse_response)(&head);
     let retry_after = retry_after.map(|time| Backoff::pausing(dispatch.endpoint, time));
     let backoff = is_leaving
@@ -228,6 +232,7 @@
         response: Response::from_parts(head, body),
         connection,
         backoff,
+        speed: speed_percent.map(|percent| (percent, std::time::Instant::now())),
     })
 }
 
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -1,6 +1,6 @@
 //! Inputs of the reactor.
 
-use crate::interface::Contents;
+use crate::interface::{Contents, Load};
 use crate::shared::Status;
 use coordination::backoff::Backoff;
 use coordination::dispatcher::{Arrival, Handle, Rejection};
@@ -88,6 +88,9 @@
     /// The first byte of an answer has arrived, this many milliseconds after the dispatch. `None`
     /// if tasks ran late meanwhile, so that the time says little about the endpoint.
     FirstByte(Handle, Option<u32>),
+    /// Speed that the endpoint has stated in the head of the answer, in percent of the usual time,
+    /// and the age of the statement in milliseconds.
+    Speed(Handle, u16, u16),
     /// Pauses between the events of an answer.
     Pauses(Handle, Observed),
     /// Cost of a running request so far.
@@ -103,7 +106,7 @@
     /// A query to the control VMs.
     Query(Query, oneshot::Sender<Reply>),
     /// An endpoint reported its load.
-    Load(EndpointId, u32),
+    Load(EndpointId, Load),
     /// The control role of this process has applied these steps.
     Applied(Vec<Step>),
     /// The control role of this process has restored this view from a snapshot.
--- a/components/node/src/interface.rs
+++ b/components/node/src/interface.rs
@@ -74,6 +74,20 @@
     pub is_leaving: bool,
     /// Time for which the endpoint wants no more requests from this router.
     pub retry_after: Option<Duration>,
+    /// Time that work takes on the endpoint's machine relative to the usual one, in percent.
+    pub speed_percent: Option<u16>,
+}
+
+/// An endpoint's answer to a poll of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Load {
+    /// Requests that are being served.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Time that work takes on the endpoint's machine relative to the usual one, in percent.
+    pub percent: Option<u16>,
 }
 
 /// Region of each data centre.
@@ -193,6 +207,7 @@
         is_authentic: true,
         is_leaving: head.headers.contains_key(LEAVING),
         retry_after: retry_after(head),
+        speed_percent: None,
     }
 }
 
--- a/components/node/src/poll.rs
+++ b/components/node/src/poll.rs
@@ -2,9 +2,9 @@
 
 use crate::fetch::fetch;
 use crate::input::{Input, Watched};
+use crate::interface::Load;
 use crate::shared::cancelled;
 use errors::{Error, Result};
-use serde::Deserialize;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
@@ -16,14 +16,6 @@
 /// Largest report in bytes.
 const REPORT_BYTES_MAX: usize = 4096;
 
-/// A load report: the number of running and of waiting requests.
-#[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
-struct Report {
-    running: u32,
-    waiting: u32,
-}
-
 /// Polls until `stop` is set.
 pub(crate) async fn run(reactor: flume::Sender<Input>, mut stop: watch::Receiver<bool>) {
     let mut period = tokio::time::interval(POLL_INTERVAL);
@@ -47,15 +39,14 @@
         while let Some(done) = round.join_next().await {
             // Without a report, an endpoint's load is estimated from its answers alone.
             if let Ok((endpoint, Ok(Ok(report)))) = done {
-                let load = report.running.saturating_add(report.waiting);
-                let _ = reactor.send(Input::Load(endpoint, load));
+                let _ = reactor.send(Input::Load(endpoint, report));
             }
         }
     }
 }
 
 /// Fetches the load report of an endpoint.
-async fn fetch_report(watched: &Watched) -> Result<Report> {
+async fn fetch_report(watched: &Watched) -> Result<Load> {
     let body = fetch(watched.address, &watched.path, REPORT_BYTES_MAX).await?;
     serde_json::from_slice(&body).map_err(Error::peer("ask for load", watched.address))
 }
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -337,6 +337,10 @@
                 let effects = self.dispatcher.report_first_byte(now, handle, took_ms);
                 self.perform(now, effects);
             }
+            Input::Speed(handle, percent, age_ms) => {
+                let effects = self.dispatcher.report_speed(now, handle, percent, age_ms);
+                self.perform(now, effects);
+            }
             Input::Pauses(handle, observed) => self.dispatcher.record_pauses(handle, observed),
             Input::Progress(handle, cost) => {
                 let effects = self.dispatcher.progress(now, handle, cost);
@@ -351,7 +355,7 @@
             Input::Crashed(crash) => self.quarantine.handle_crash(crash),
             Input::Completed(completion) => self.quarantine.handle_completion(completion),
             Input::Query(query, answer) => self.queries.ask(now, &self.parts.hub, query, answer),
-            Input::Load(endpoint, load) => self.schedulers.handle_load(now, endpoint, load),
+            Input::Load(endpoint, load) => self.schedulers.handle_load(now, endpoint, &load),
             Input::Applied(steps) => self.apply_steps(now, None, &steps),
             Input::Restored(view) => self.replace_view(now, *view),
             Input::LeaderContact(has_leader) => {
--- a/components/node/src/schedulers.rs
+++ b/components/node/src/schedulers.rs
@@ -1,14 +1,14 @@
 //! Schedulers that run on this VM: one per shard that the leader has assigned to it.
 
 use crate::batch::Batch;
-use crate::interface::Contents;
+use crate::interface::{Contents, Load};
 use crate::inventory::Inquiry;
 use crate::journal::Journal;
 use crate::metric::{gauge_value, Metrics};
 use crate::shared::ShardStatus;
 use coordination::assignment;
 use coordination::dispatcher::{endpoints, set_cold, set_engines};
-use coordination::messages::{Cached, Report, Totals};
+use coordination::messages::{Cached, Report, Speed, Totals};
 use coordination::scheduler::appointment::Counts;
 use coordination::scheduler::{Effect, Effects, Scheduler, Session};
 use settings::Scheduling;
@@ -274,9 +274,19 @@
     }
 
     /// Handles an endpoint's load report.
-    pub(crate) fn handle_load(&mut self, now: Millis, endpoint: EndpointId, load: u32) {
+    pub(crate) fn handle_load(&mut self, now: Millis, endpoint: EndpointId, load: &Load) {
+        let requests = load.running.saturating_add(load.waiting);
         for assigned in self.all.values_mut() {
-            assigned.scheduler.slots().report_load(now, endpoint, load);
+            let slots = assigned.scheduler.slots();
+            slots.report_load(now, endpoint, requests);
+            if let Some(percent) = load.percent {
+                let speed = Speed {
+                    endpoint,
+                    percent,
+                    age_ms: 0,
+                };
+                slots.record_speed(now, &speed);
+            }
         }
     }
 
@@ -384,6 +394,7 @@
                 refused = summary.refused,
                 granted = summary.granted,
                 slow = assigned.scheduler.slow_engines(now),
+                stated = assigned.scheduler.slots().engines_with_speed(now),
                 expected_breaks = summary.expected_breaks,
                 places = summary.places,
                 booked = summary.appointments.booked,
