Judge the ask of a broken stream by the time for which its caller waits

Cause: a stream that broke asked for its next slot with a target of one second, and its scheduler refused it like a new request.

Change: the new report `ResumedAsk`, sent to schedulers that announce objectives of streams, carries the time for which the caller still waits. While any is left, the ask is not refused. It comes before the new asks of its customer, the earliest end of the wait first; between customers the order is unchanged. It is placed by its target, capped by that time: with the whole time as slack it waited for the engine with the most of its prompt cached while others were idle. A router queues such a stream before new requests, tries another shard first where there is one, and repeats an ask that was refused by the usual rules once. Each such ask has taken a retry of the fleet's budget. It takes no appointment and gets none.

A byte order mark of a later answer is dropped, and the id that the caller itself names counts as passed on.

--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -325,6 +325,8 @@
             objective,
             shard: shard.clone(),
             is_moved: false,
+            gives_up: None,
+            is_refused: false,
             avoid: None,
             stage: Stage::Waiting,
             queued_at: now,
@@ -373,6 +375,20 @@
         }
     }
 
+    /// Marks a dispatched request as a stream that has begun, whose caller waits until `gives_up`
+    /// for the next event. It is queued before new requests of its class, and schedulers do not
+    /// refuse it before that time.
+    ///
+    /// Each such stream has taken a retry of the fleet, so the retry budget bounds how many new
+    /// requests it displaces.
+    pub fn set_gives_up(&mut self, handle: Handle, gives_up: Millis) {
+        if let Some(request) = self.requests.get_mut(handle) {
+            request.gives_up = Some(gives_up);
+            request.is_moved = false;
+            request.is_refused = false;
+        }
+    }
+
     /// Queues a dispatched request again after a failed try.
     pub fn requeue(&mut self, now: Millis, handle: Handle, verdict: Verdict) -> Effects {
         let mut effects = Effects::new();
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -36,6 +36,10 @@
     pub(super) shard: Shard,
     /// Whether another shard has refused the request before.
     pub(super) is_moved: bool,
+    /// Until when the caller of a broken stream waits for the next event.
+    pub(super) gives_up: Option<Millis>,
+    /// Whether a scheduler has refused the broken stream by the usual rules.
+    pub(super) is_refused: bool,
     /// Endpoint of the last failed try.
     pub(super) avoid: Option<EndpointId>,
     pub(super) stage: Stage,
@@ -58,6 +62,13 @@
     pub(super) fn waited_ms(&self, now: Millis) -> u64 {
         now.since(self.queued_at)
     }
+
+    /// Time for which the caller of a broken stream still waits for the next event, in
+    /// milliseconds; `None` if the stream is not broken, or its caller has given up.
+    pub(super) fn caller_waits_ms(&self, now: Millis) -> Option<u32> {
+        let left_ms = self.gives_up?.min(self.arrival.deadline).since(now);
+        (left_ms > 0).then(|| u32::try_from(left_ms).unwrap_or(u32::MAX))
+    }
 }
 
 /// Waiting requests of one class.
@@ -94,7 +105,13 @@
         self.waiting += 1;
         self.waiting_bytes += request.arrival.bytes;
         let queue = self.queues.entry(key).or_default();
-        queue.waiting.push_back(handle);
+        // A stream that has begun is worth more than a new one.
+        let has_begun = |h: &Handle| self.requests.get(*h).is_some_and(|r| r.gives_up.is_some());
+        let at = match request.gives_up {
+            Some(_) => queue.waiting.iter().take_while(|h| has_begun(h)).count(),
+            None => queue.waiting.len(),
+        };
+        queue.waiting.insert(at, handle);
         queue.count += 1;
     }
 
@@ -237,8 +254,17 @@
                 avoid: request.avoid,
                 remote: false,
             };
-            let report = ask_report(ask, request.objective);
             let shard = request.shard.clone();
+            // While another shard may have room, the scheduler judges a broken stream as any other
+            // request, so that it does not wait here in vain.
+            let is_last = request.is_moved || request.is_refused;
+            let is_last = is_last || !self.selector.has_other(&arrival, &shard);
+            let report = match request.caller_waits_ms(now).filter(|_| is_last) {
+                Some(waits_ms) => {
+                    Report::ResumedAsk(ask, request.objective.unwrap_or_default(), waits_ms)
+                }
+                None => ask_report(ask, request.objective),
+            };
             self.report(now, &shard, report, effects);
         }
     }
@@ -347,7 +373,7 @@
             session.record_refusal(now, arrival.class, aim_ms, took_ms, &refusal);
             session.record_busy(100);
         }
-        if self.ask_other_shard(now, handle, shard) {
+        if self.ask_other_shard(now, handle, shard) || self.ask_again(now, handle) {
             self.send_asks(now, arrival.service, arrival.class, effects);
             return;
         }
@@ -380,11 +406,32 @@
             request.is_moved = true;
             request.stage = Stage::Waiting;
         }
+        self.unask(&arrival, handle);
+        true
+    }
+
+    /// Queues a broken stream that was refused by the usual rules again for the same shard, to be
+    /// judged by the time for which its caller waits. Returns false for all other requests.
+    fn ask_again(&mut self, now: Millis, handle: Handle) -> bool {
+        let Some(request) = self.requests.get_mut(handle) else {
+            return false;
+        };
+        if request.is_refused || request.caller_waits_ms(now).is_none() {
+            return false;
+        }
+        request.is_refused = true;
+        request.stage = Stage::Waiting;
+        let arrival = request.arrival;
+        self.unask(&arrival, handle);
+        true
+    }
+
+    /// Puts a request whose ask was answered by a refusal at the front of its queue.
+    fn unask(&mut self, arrival: &Arrival, handle: Handle) {
         let key = (arrival.service, arrival.class);
         let queue = self.queues.entry(key).or_default();
         queue.asked = queue.asked.saturating_sub(1);
         queue.waiting.push_front(handle);
-        true
     }
 
     /// Moves requests from shards that have no endpoint left that takes work, or that no
--- a/components/coordination/src/dispatcher/selection.rs
+++ b/components/coordination/src/dispatcher/selection.rs
@@ -160,6 +160,13 @@
         found.map_or(0, |c| c.available as usize)
     }
 
+    /// Whether a request could be served by another shard of the same region.
+    pub(super) fn has_other(&self, arrival: &Arrival, shard: &Shard) -> bool {
+        let all = self.candidates.get(&arrival.service).into_iter().flatten();
+        let mut others = all.filter(|c| c.shard != *shard && c.shard.region == shard.region);
+        others.any(|c| arrival.regions.contains(&c.shard.region))
+    }
+
     /// Applies a change of the endpoints.
     pub(super) fn update(&mut self, view: &View) {
         self.shards = shards(view);
--- a/components/coordination/src/dispatcher/session.rs
+++ b/components/coordination/src/dispatcher/session.rs
@@ -339,7 +339,9 @@
         if let (true, Some(assignment)) = (session.is_up, &session.assignment) {
             let supports_streams = self.stream_vms.contains(&assignment.node.vm);
             let report = match report {
-                Report::StreamAsk(ask, _) if !supports_streams => Report::Ask(ask),
+                Report::StreamAsk(ask, _) | Report::ResumedAsk(ask, ..) if !supports_streams => {
+                    Report::Ask(ask)
+                }
                 Report::Pauses(_) if !supports_streams => return,
                 report => report,
             };
--- a/components/coordination/src/messages.rs
+++ b/components/coordination/src/messages.rs
@@ -155,6 +155,10 @@
     StreamAsk(Ask, Objective),
     /// Pauses between events that this router has observed since its last report.
     Pauses(SmallVec<[Pause; 4]>),
+    /// A stream that has begun waits for a slot to continue at another endpoint. The last field is
+    /// the time for which its caller still waits for the next event, in milliseconds. Sent to
+    /// schedulers that support objectives of streams, in place of [`Report::Ask`].
+    ResumedAsk(Ask, Objective, u32),
 }
 
 /// What the rule of a request demands of the stream that answers it.
--- a/components/coordination/src/resume.rs
+++ b/components/coordination/src/resume.rs
@@ -24,6 +24,9 @@
 /// repeated event is found.
 pub const EVENTS_MAX: usize = 4096;
 
+/// Byte order mark in UTF-8, which a stream may begin with.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
 /// Shortest silence after which an endpoint is given up, in milliseconds. Callers wait for at
 /// least 2 s before they give up a stream, and shorter silences occur while an engine prefills.
 pub const SILENCE_MIN_MS: u64 = 2000;
@@ -40,6 +43,13 @@
 /// crashes them.
 const BREAKS_MAX: u32 = 2;
 
+/// Shortest gap after which callers give up a stream, in milliseconds.
+const GIVE_UP_MIN_MS: u64 = 2000;
+/// Multiple of a rule's longest pause after which callers give up a stream.
+const GIVE_UP_PAUSES: u64 = 8;
+/// Multiple of the latency target after which callers give up a stream.
+const GIVE_UP_AIMS: u64 = 4;
+
 /// Time in which a resumed stream should bring its next event, in milliseconds: half of the
 /// shortest gap after which callers give up a stream.
 pub const RESUME_AIM_MS: u64 = 1000;
@@ -55,6 +65,21 @@
     SILENCE_MIN_MS.max(by_gap).max(by_aim)
 }
 
+/// Gap between two events after which callers give up a stream, in milliseconds.
+///
+/// `max_gap_ms` is the longest pause that the rule allows, `aim_ms` its latency target.
+pub fn give_up_ms(max_gap_ms: Option<u64>, aim_ms: Option<u64>) -> u64 {
+    let by_gap = max_gap_ms.unwrap_or(0).saturating_mul(GIVE_UP_PAUSES);
+    let by_aim = aim_ms.unwrap_or(0).saturating_mul(GIVE_UP_AIMS);
+    GIVE_UP_MIN_MS.max(by_gap).max(by_aim)
+}
+
+/// Latency target of a request whose rule has none, in milliseconds: its caller waits until the
+/// deadline, as others wait for [`GIVE_UP_AIMS`] times their target.
+pub fn untargeted_aim_ms(remaining_ms: u64) -> u64 {
+    remaining_ms / GIVE_UP_AIMS
+}
+
 /// Where a stream would be resumed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Position {
@@ -110,6 +135,10 @@
     has_data: bool,
     /// Whether the present answer has brought a whole event.
     has_event: bool,
+    /// Number of whole events of all answers.
+    count: u64,
+    /// Whether the first bytes of the present answer may be a byte order mark.
+    is_at_start: bool,
     position: Position,
     /// Hashes of the ids that were passed on.
     passed: HashSet<u64>,
@@ -129,6 +158,8 @@
             id: None,
             has_data: false,
             has_event: false,
+            count: 0,
+            is_at_start: true,
             position: Position::Start,
             passed: HashSet::new(),
             is_resumed: false,
@@ -138,6 +169,13 @@
 }
 
 impl Events {
+    /// A stream that its caller resumes itself, after the event with this id.
+    pub fn after(id: &[u8]) -> Self {
+        let mut events = Events::default();
+        events.passed.insert(hash(id));
+        events
+    }
+
     /// Takes the next piece of the answer. Returns the bytes to pass on: whole events.
     ///
     /// # Errors
@@ -191,6 +229,16 @@
         self.has_event
     }
 
+    /// Number of whole events of all answers.
+    pub fn count(&self) -> u64 {
+        self.count
+    }
+
+    /// Whether the present answer is not the first one.
+    pub fn is_resumed(&self) -> bool {
+        self.is_resumed
+    }
+
     /// Where the stream would be resumed.
     pub fn position(&self) -> &Position {
         &self.position
@@ -204,6 +252,7 @@
         self.id = None;
         self.has_data = false;
         self.has_event = false;
+        self.is_at_start = true;
         self.is_resumed = true;
         self.is_unconfirmed = matches!(self.position, Position::After(_));
     }
@@ -218,10 +267,29 @@
     fn push_bytes(&mut self, bytes: &[u8]) {
         self.after_return &= bytes.is_empty();
         self.held.extend_from_slice(bytes);
+        if self.is_at_start && self.held.len() >= BYTE_ORDER_MARK.len() {
+            self.skip_byte_order_mark();
+        }
+    }
+
+    /// Skips a byte order mark at the start of an answer. Clients ignore it at the start of a
+    /// stream; in the middle, where a later answer continues the stream, it would be a part of a
+    /// field's name.
+    fn skip_byte_order_mark(&mut self) {
+        self.is_at_start = false;
+        if !self.held.starts_with(BYTE_ORDER_MARK) {
+            return;
+        }
+        if self.is_resumed {
+            self.held.drain(..BYTE_ORDER_MARK.len());
+        } else {
+            self.line_start = BYTE_ORDER_MARK.len();
+        }
     }
 
     /// Takes a byte that ends a line.
     fn push_line_end(&mut self, byte: u8) -> Result<(), Mismatch> {
+        self.is_at_start = false;
         self.held.push(byte);
         let is_second = std::mem::take(&mut self.after_return) && byte == b'\n';
         if is_second {
@@ -268,6 +336,7 @@
             return Ok(());
         }
         self.has_event = true;
+        self.count += 1;
         let Some(id) = id.filter(|id| is_usable(id)) else {
             if self.is_unconfirmed {
                 return Err(Mismatch::Unidentified);
@@ -276,9 +345,7 @@
             return Ok(());
         };
         self.is_unconfirmed = false;
-        let mut hasher = DefaultHasher::new();
-        id.hash(&mut hasher);
-        if !self.passed.insert(hasher.finish()) {
+        if !self.passed.insert(hash(&id)) {
             if self.is_resumed {
                 return Err(Mismatch::Repeated);
             }
@@ -294,6 +361,13 @@
     }
 }
 
+/// Hash by which a repeated id is found.
+fn hash(id: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Whether a byte ends a line, alone or as a part of a line end.
 fn is_line_end(byte: u8) -> bool {
     matches!(byte, b'\n' | b'\r')
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -422,6 +422,9 @@
                 Effects::new()
             }
             Report::StreamAsk(ask, objective) => self.ask_stream(now, session, ask, objective),
+            Report::ResumedAsk(ask, objective, waits_ms) => {
+                self.enqueue(now, session, ask, objective, Some(waits_ms))
+            }
             Report::Pauses(pauses) => {
                 for pause in &pauses {
                     self.slots.record_pauses(now, pause);
@@ -456,6 +459,19 @@
         session: Session,
         ask: Ask,
         objective: Objective,
+    ) -> Effects {
+        self.enqueue(now, session, ask, objective, None)
+    }
+
+    /// Adds an ask to the queue. `caller_waits_ms` is the time for which the caller waits for the
+    /// next event, if the stream has begun at another endpoint.
+    fn enqueue(
+        &mut self,
+        now: Millis,
+        session: Session,
+        ask: Ask,
+        objective: Objective,
+        caller_waits_ms: Option<u32>,
     ) -> Effects {
         if !self.sessions.contains(&session) {
             return Effects::new();
@@ -473,8 +489,10 @@
         }
         let key = (session, ask.seq);
         let appointments = self.appointments.as_mut();
+        // A broken stream was never refused, and must not take the place of a caller that was.
+        let appointments = appointments.filter(|_| caller_waits_ms.is_none());
         let returned = appointments.and_then(|a| a.take(now, ask.class, &ask.prompt));
-        self.queue.insert(now, key, ask, objective, returned);
+        (self.queue).insert(now, key, ask, objective, returned, caller_waits_ms);
         self.ledger.set_backlogged(ask.class.customer, true);
         self.arrived.push(key);
         self.grant(now)
--- a/components/coordination/src/scheduler/queue.rs
+++ b/components/coordination/src/scheduler/queue.rs
@@ -22,9 +22,12 @@
 struct Order {
     /// 0 is the most urgent.
     priority: u8,
+    /// Streams that have begun come first: their callers have read a part, which is lost if the
+    /// stream does not continue in time.
+    is_new: bool,
     /// Asks with an appointment come first: the others were admitted behind their load.
     is_unbooked: bool,
-    /// When an answer becomes late.
+    /// When an answer becomes late, or the caller of a stream that has begun gives up.
     late_at: Millis,
     /// Number of asks that arrived before.
     arrival: u64,
@@ -36,6 +39,9 @@
     pub(super) ask: Ask,
     /// What is demanded of the stream.
     pub(super) objective: Objective,
+    /// Time for which the caller waits for the next event, in milliseconds, if the stream has
+    /// begun at another endpoint.
+    caller_waits_ms: Option<u32>,
     pub(super) since: Millis,
     /// Whether its caller was refused before; `None` if that is not known.
     pub(super) returned: Option<Return>,
@@ -43,6 +49,11 @@
 }
 
 impl Waiting {
+    /// Whether the stream has begun at another endpoint.
+    pub(super) fn has_begun(&self) -> bool {
+        self.caller_waits_ms.is_some()
+    }
+
     /// Longest expected wait at which the ask is admitted, in milliseconds.
     pub(super) fn wait_max_ms(&self) -> u64 {
         u64::from(self.ask.aim_ms) * WAIT_MAX_PERCENT / 100
@@ -55,7 +66,12 @@
             prompt: self.ask.prompt,
             avoid: self.ask.avoid,
             aim_ms: u64::from(self.ask.aim_ms),
-            slack_ms: self.slack_ms(now),
+            // The whole time of its caller would let a stream wait for the endpoint that has most of
+            // the prompt cached while others are free.
+            slack_ms: match self.has_begun() {
+                true => self.slack_ms(now).min(u64::from(self.ask.aim_ms)),
+                false => self.slack_ms(now),
+            },
             // An ask with an appointment is served in its turn even if it is late.
             only_in_time: only_in_time && !self.has_appointment(),
         }
@@ -72,9 +88,11 @@
         matches!(self.returned, Some(Return::Booked(booked)) if booked <= slots)
     }
 
-    /// Time until an answer becomes late, in milliseconds.
+    /// Time until an answer becomes late, in milliseconds; of a stream that has begun, until its
+    /// caller gives up.
     pub(super) fn slack_ms(&self, now: Millis) -> u64 {
-        u64::from(self.ask.aim_ms).saturating_sub(now.since(self.since))
+        let limit_ms = self.caller_waits_ms.unwrap_or(self.ask.aim_ms);
+        u64::from(limit_ms).saturating_sub(now.since(self.since))
     }
 }
 
@@ -95,7 +113,8 @@
 impl Queue {
     /// Adds an ask, unless an ask with its key is in the queue.
     ///
-    /// `returned` says whether its caller was refused before, if that is known.
+    /// `returned` says whether its caller was refused before, if that is known. `caller_waits_ms`
+    /// is the time for which the caller of a stream that has begun waits for the next event.
     pub(super) fn insert(
         &mut self,
         now: Millis,
@@ -103,14 +122,16 @@
         ask: Ask,
         objective: Objective,
         returned: Option<Return>,
+        caller_waits_ms: Option<u32>,
     ) {
         if self.asks.contains_key(&key) {
             return;
         }
         let order = Order {
             priority: ask.priority,
+            is_new: caller_waits_ms.is_none(),
             is_unbooked: !matches!(returned, Some(Return::Booked(_))),
-            late_at: now.after(u64::from(ask.aim_ms)),
+            late_at: now.after(u64::from(caller_waits_ms.unwrap_or(ask.aim_ms))),
             arrival: self.arrivals,
         };
         self.arrivals += 1;
@@ -120,6 +141,7 @@
         let waiting = Waiting {
             ask,
             objective,
+            caller_waits_ms,
             since,
             returned,
             order,
--- a/components/coordination/src/scheduler/refusal.rs
+++ b/components/coordination/src/scheduler/refusal.rs
@@ -31,7 +31,7 @@
     /// the others know when to retry.
     pub(super) fn refuse_if_late(&mut self, now: Millis, key: Key) -> Option<Effect> {
         let waiting = *self.queue.get(key)?;
-        if waiting.has_valid_appointment(self.slots.usable_slots(now)) {
+        if waiting.has_begun() || waiting.has_valid_appointment(self.slots.usable_slots(now)) {
             return None;
         }
         let ask = waiting.ask;
@@ -69,6 +69,10 @@
         for customer in queue.customers() {
             let mut ahead = 0;
             for (key, waiting) in queue.of(customer) {
+                if waiting.has_begun() && waiting.slack_ms(now) > 0 {
+                    ahead += u64::from(waiting.ask.hint);
+                    continue;
+                }
                 let Some(wait_ms) = throughput.time_for(queue.cost_before(ahead)) else {
                     break;
                 };
@@ -98,7 +102,9 @@
         self.remove_ask(key.0, key.1);
         self.refused += 1;
         self.allocations.record_refused(ask.class.customer);
-        let after_ms = match waiting.filter(|_| self.appointments.is_some()) {
+        // The caller of a stream that has begun gets no answer that could tell it a time.
+        let waiting = waiting.filter(|w| self.appointments.is_some() && !w.has_begun());
+        let after_ms = match waiting {
             Some(waiting) => self.appointment_ms(now, key, &waiting),
             None => retry_after_ms(now, key, ask, wait_ms),
         };
--- a/components/coordination/src/slot/mod.rs
+++ b/components/coordination/src/slot/mod.rs
@@ -81,7 +81,7 @@
     /// Latency target: time to the first byte within which an answer is on time, in
     /// milliseconds.
     pub aim_ms: u64,
-    /// Remaining part of `aim_ms`.
+    /// Remaining part of `aim_ms`; of a stream that has begun, the part for which its caller waits.
     pub slack_ms: u64,
     /// Whether the request is sent only where its answer is expected in time.
     pub only_in_time: bool,
--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -722,6 +722,7 @@
         Report::Done(..) => 6,
         Report::Backoff(_) => 9,
         Report::StreamAsk(..) => 17,
+        Report::ResumedAsk(..) => 18,
         Report::Pauses(pauses) => 1 + 6 * pauses.len() as u64,
     }
 }
--- a/components/coordination/tests/resume.rs
+++ b/components/coordination/tests/resume.rs
@@ -2,8 +2,8 @@
 //! whether to resume.
 
 use coordination::resume::{
-    decide, silence_ms, Break, Decision, Events, Mismatch, Position, EVENTS_MAX, HELD_MAX_BYTES,
-    ID_MAX_BYTES,
+    decide, give_up_ms, silence_ms, untargeted_aim_ms, Break, Decision, Events, Mismatch, Position,
+    EVENTS_MAX, HELD_MAX_BYTES, ID_MAX_BYTES,
 };
 use coordination::retry::{Bounds, Budget};
 use rstest::rstest;
@@ -78,6 +78,42 @@
     }
 }
 
+/// Guards against a byte order mark of a later answer that reaches the caller in the middle of the
+/// stream, where it changes the name of a field, and against an id that is not read behind one.
+#[test]
+fn can_pass_on_a_byte_order_mark_only_at_the_start_of_a_stream() {
+    let first = b"\xef\xbb\xbfid: 1\ndata: 1\n\n".as_slice();
+    let second = b"\xef\xbb\xbfid: 2\ndata: \xef\xbb\xbf\n\n\xef\xbb\xbf\n".as_slice();
+    for split in 0..=second.len() {
+        let mut events = Events::default();
+        let (one, two) = first.split_at(split.min(first.len()));
+        assert_eq!(pass_on(&mut events, &[one, two]), first);
+        assert_eq!(*events.position(), after("1"));
+        events.begin_next_answer();
+        let (one, two) = second.split_at(split);
+        let mut passed = pass_on(&mut events, &[one, two]);
+        passed.extend(events.take_held());
+        assert_eq!(passed, second[3..]);
+        assert_eq!(*events.position(), after("2"));
+    }
+}
+
+/// Guards against an answer that repeats the event after which the caller itself has resumed the
+/// stream.
+#[test]
+fn can_find_a_repeat_of_the_event_that_the_caller_names() {
+    let mut events = Events::after(b"3");
+    assert_eq!(*events.position(), Position::Start);
+    events.begin_next_answer();
+    let repeated = events.push(b"id: 3\ndata: 3\n\n");
+    assert_eq!(repeated, Err(Mismatch::Repeated));
+    let mut events = Events::after(b"3");
+    pass_on(&mut events, &[b"id: 4\ndata: 4\n\n"]);
+    events.begin_next_answer();
+    let repeated = events.push(b"id: 5\ndata: 5\n\nid: 3\ndata: 3\n\n");
+    assert_eq!(repeated, Err(Mismatch::Repeated));
+}
+
 /// Guards against bytes that are lost at the end of an answer whose last event has no empty line.
 #[test]
 fn can_pass_on_the_rest_at_the_end_of_an_answer() {
@@ -273,3 +309,25 @@
 ) {
     assert_eq!(silence_ms(max_gap_ms, aim_ms), limit_ms);
 }
+
+/// Guards against a stream that is given up before its caller gives it up, or long after that.
+#[rstest]
+#[case::without_objectives(None, None, 2000)]
+#[case::by_the_pause(Some(400), Some(500), 3200)]
+#[case::by_the_target(Some(400), Some(1500), 6000)]
+fn can_tell_when_callers_give_up(
+    #[case] max_gap_ms: Option<u64>,
+    #[case] aim_ms: Option<u64>,
+    #[case] after_ms: u64,
+) {
+    assert_eq!(give_up_ms(max_gap_ms, aim_ms), after_ms);
+}
+
+/// Guards against an endpoint without a latency target that may be silent before its first event
+/// until the deadline, when no time is left for another one.
+#[test]
+fn can_bound_a_silence_before_the_first_event_without_a_target() {
+    let silence = |remaining_ms| silence_ms(None, Some(untargeted_aim_ms(remaining_ms)));
+    assert_eq!(silence(60_000), 30_000);
+    assert_eq!(silence(3000), 2000);
+}
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -47,7 +47,8 @@
 pub struct Features(pub u32);
 
 impl Features {
-    /// Objectives of streams: [`Report::StreamAsk`] and [`Report::Pauses`].
+    /// Objectives of streams: [`Report::StreamAsk`], [`Report::Pauses`] and
+    /// [`Report::ResumedAsk`].
     pub const STREAM_OBJECTIVES: Features = Features(1);
     /// Occupancy of routers: [`Message::Occupancy`] and [`Message::Peers`].
     pub const OCCUPANCY: Features = Features(1 << 1);
