End resumed streams that stay silent, and charge nothing for unreached endpoints

Cause: a resumed stream whose next endpoint fell silent, too, stayed until its deadline, and without a latency target a silence before the first event was never noticed. A failed try of a resumption was charged for the prompt although nothing had reached an endpoint. Streams that ended by their deadline while their endpoint was silent, or that their endpoint broke off because of a slow caller, had no `unresumed`.

Change: a later answer ends once its silence has lasted for the time after which callers give up. A try that reached no endpoint, or that the endpoint says it did not run, costs nothing. Deadline and slow caller are named in the log line and the metric. The router tells its dispatcher until when the caller of a broken stream waits, and reads the id that the caller itself names.

--- a/components/node/src/frontend/plan.rs
+++ b/components/node/src/frontend/plan.rs
@@ -53,14 +53,22 @@
     pub(super) retries: u32,
     /// Whether a stream that breaks off may continue at another endpoint.
     pub(super) resume: bool,
-    /// Time from the request's arrival until the first byte counts as late, in milliseconds.
-    pub(super) aim_ms: u64,
+    /// Latency target of the rule, in milliseconds: time from the request's arrival until the first
+    /// byte counts as late.
+    pub(super) target_ms: Option<u64>,
     /// The request as the dispatcher queues it.
     pub(super) arrival: Arrival,
     /// What the rule demands of the stream that answers the request.
     pub(super) objective: Option<Objective>,
 }
 
+impl Plan {
+    /// Longest pause between two events that the rule allows, in milliseconds.
+    pub(super) fn max_gap_ms(&self) -> Option<u64> {
+        self.objective.map(|o| u64::from(o.max_gap_ms))
+    }
+}
+
 /// Finds the rule that matches the request, and makes the plan that follows from it.
 ///
 /// # Errors
@@ -155,7 +163,7 @@
         idempotent: rule::is_idempotent(send.idempotent, settings, call.method.as_str()),
         retries: send.retries.unwrap_or(DEFAULT_RETRIES),
         resume: send.resume,
-        aim_ms,
+        target_ms: send.aim_ms,
         arrival,
         objective,
     })
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -95,6 +95,8 @@
     line_start: [u8; 5],
     /// Number of bytes in `line_start`.
     line_length: usize,
+    /// Whether nothing was sent to the endpoint.
+    is_unsent: bool,
 }
 
 impl Meter {
@@ -109,6 +111,7 @@
             events: 0,
             line_start: [0; 5],
             line_length: 0,
+            is_unsent: false,
         }
     }
 
@@ -122,6 +125,9 @@
 
     /// Cost so far, in units of the service.
     pub(crate) fn units(&self) -> u32 {
+        if self.is_unsent {
+            return 0;
+        }
         match self.cost {
             Cost::Request => 1,
             Cost::Event => self.events.max(1),
@@ -132,6 +138,11 @@
         }
     }
 
+    /// Meters nothing, since nothing was sent to the endpoint.
+    pub(crate) fn clear(&mut self) {
+        self.is_unsent = true;
+    }
+
     /// Events so far.
     pub(crate) fn events(&self) -> u32 {
         self.events
@@ -313,6 +324,10 @@
             return Poll::Pending;
         }
         self.end_reason = "timeout";
+        let reason = self.resumption.as_ref();
+        if let Some(reason) = reason.and_then(|r| r.reason_at_deadline()) {
+            self.give_up(reason);
+        }
         Poll::Ready(Some(Err(Abort::Deadline)))
     }
 
@@ -365,7 +380,7 @@
             // Trailers, which are not forwarded without their hop-by-hop header.
             return Ok(None);
         };
-        match resumption.events.push(bytes) {
+        match resumption.push(bytes) {
             Ok(whole) => {
                 if resumption.events.held() > 0 {
                     resumption.frontend().context.metrics.held_events.inc();
@@ -392,6 +407,9 @@
         {
             // The endpoint broke off since its answer was not read for too long.
             self.end_reason = "caller-slow";
+            if self.resumption.is_some() {
+                self.give_up("caller-slow");
+            }
             return Some(error);
         }
         self.slot.verdict = Verdict::Failed;
@@ -412,24 +430,31 @@
         }
     }
 
-    /// Whether the endpoint has been silent for too long and the stream is resumed at another one.
-    /// A silent stream that cannot be resumed is left as it is, since it may go on.
-    fn is_resumed_after_silence(&mut self, context: &mut Context<'_>) -> bool {
+    /// Handles a silence of the endpoint. Returns whether the stream is resumed at another one;
+    /// the error ends the stream.
+    fn handle_silence(&mut self, context: &mut Context<'_>) -> Result<bool, Abort> {
         let Some(resumption) = &mut self.resumption else {
-            return false;
+            return Ok(false);
         };
         while resumption.is_silent(context, self.lateness.is_late()) {
             self.slot.verdict = Verdict::Failed;
             let decision = resumption.handle_break(&mut self.slot, &mut self.origin.connection);
-            if decision == Decision::Resume {
-                self.end_reason = "endpoint-silent";
-                self.log_break(&"it sent nothing for too long", false, decision.as_str());
-                return true;
+            match decision {
+                Decision::Resume => {}
+                Decision::End(reason) if resumption.ends_by_silence(reason) => {}
+                Decision::End(_) => {
+                    self.slot.verdict = Verdict::Cancelled;
+                    continue;
+                }
             }
-            self.slot.verdict = Verdict::Cancelled;
-            resumption.restart_silence();
-        }
-        false
+            self.end_reason = "endpoint-silent";
+            self.log_break(&"it sent nothing for too long", false, decision.as_str());
+            return match decision {
+                Decision::Resume => Ok(true),
+                Decision::End(reason) => Err(self.give_up(reason)),
+            };
+        }
+        Ok(false)
     }
 
     /// Logs the break of an answer that could be resumed.
@@ -559,11 +584,11 @@
                     }
                     return Poll::Ready(this.end_whole().map(Ok));
                 }
-                Poll::Pending => {
-                    if !this.is_resumed_after_silence(context) {
-                        return this.poll_deadline(context);
-                    }
-                }
+                Poll::Pending => match this.handle_silence(context) {
+                    Ok(true) => {}
+                    Ok(false) => return this.poll_deadline(context),
+                    Err(abort) => return Poll::Ready(Some(Err(abort))),
+                },
             }
         }
     }
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -7,10 +7,14 @@
 use super::relay::{Origin, Slot};
 use super::serve::{record_dispatch, take_slot, wait_for_dispatch, Queued, MAX_UNCONNECTED_TRIES};
 use super::upstream::{self, Answer, Call, Failure};
-use crate::input::{Decided, Dispatch, Input};
+use crate::input::{Decided, Dispatch, Input, NextEvent};
 use coordination::dispatcher::Handle;
 use coordination::messages::Verdict;
-use coordination::resume::{decide, silence_ms, Break, Decision, Events, Position, RESUME_AIM_MS};
+use coordination::resume::{
+    decide, give_up_ms, silence_ms, untargeted_aim_ms, Break, Decision, Events, Mismatch, Position,
+    RESUME_AIM_MS,
+};
+use coordination::retry::Reach;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE};
 use hyper::http::response::Parts;
@@ -81,12 +85,18 @@
     subject: Arc<RelayedRequest>,
     pub(super) events: Events,
     tries: Tries,
+    /// When the latest event was passed on, or the request arrived.
+    last_event_at: Instant,
     /// Events that were passed on from earlier answers.
     pub(super) earlier_events: u32,
     /// Whether the end of the stream was reported to the caller's connection.
     pub(super) has_ended: bool,
     /// Completes when the endpoint has been silent for too long.
     silence: Pin<Box<Sleep>>,
+    /// Since when the endpoint has been silent while the caller reads.
+    silent_since: Instant,
+    /// Why the stream was not resumed after the present silence.
+    unresumed_silence: Option<&'static str>,
     /// The wait for the next answer, after a break.
     attempt: Option<Attempt>,
 }
@@ -125,19 +135,31 @@
             .with_budget(self.plan.service, |budget| decide(&broken, now, budget))
     }
 
+    /// Gap between two events after which the caller gives up the stream.
+    fn give_up(&self) -> Duration {
+        let plan = &self.plan;
+        Duration::from_millis(give_up_ms(plan.max_gap_ms(), plan.target_ms))
+    }
+
     /// Queues the request again after a try that cost `units`, and releases its slot.
     fn queue_again(
         &self,
         handle: Handle,
         units: u32,
         verdict: Verdict,
+        gives_up_in: Duration,
     ) -> (Queued, oneshot::Receiver<Decided>) {
         let (sender, reply) = oneshot::channel();
-        let aim = self.frontend.context.clock.now().after(RESUME_AIM_MS);
+        let now = self.frontend.context.clock.now();
+        let gives_up_ms = u64::try_from(gives_up_in.as_millis()).unwrap_or(u64::MAX);
+        let next_event = NextEvent {
+            aim: now.after(RESUME_AIM_MS),
+            gives_up: now.after(gives_up_ms),
+        };
         let reactor = &self.frontend.context.reactor;
         // Sending fails only at the end of this process. The last reported cost is settled.
         let _ = reactor.send(Input::Progress(handle, units));
-        let _ = reactor.send(Input::Requeue(handle, verdict, Some(aim), sender));
+        let _ = reactor.send(Input::Requeue(handle, verdict, Some(next_event), sender));
         let queued = Queued {
             handle: Some(handle),
             id: self.call.id,
@@ -158,13 +180,20 @@
 impl Resumption {
     /// State of a stream whose first answer begins.
     pub(super) fn new(subject: RelayedRequest, tries: Tries) -> Self {
+        let header = subject.frontend.context.interface.last_event_id;
+        let last_id = subject.call.headers.get(header);
+        let events = last_id.map_or(Events::default(), |id| Events::after(id.as_bytes()));
+        let last_event_at = subject.arrived_at;
         let mut resumption = Resumption {
             subject: Arc::new(subject),
-            events: Events::default(),
+            events,
             tries,
+            last_event_at,
             earlier_events: 0,
             has_ended: false,
             silence: Box::pin(tokio::time::sleep(Duration::ZERO)),
+            silent_since: Instant::now(),
+            unresumed_silence: None,
             attempt: None,
         };
         resumption.restart_silence();
@@ -178,18 +207,73 @@
 
     /// Measures the silence of the endpoint from now on.
     pub(super) fn restart_silence(&mut self) {
-        let aim_ms = (!self.events.has_event()).then_some(self.subject.plan.aim_ms);
-        let objective = self.subject.plan.objective;
-        let max_gap_ms = objective.map(|objective| u64::from(objective.max_gap_ms));
-        let limit = Duration::from_millis(silence_ms(max_gap_ms, aim_ms));
-        let now = tokio::time::Instant::now();
+        self.silent_since = Instant::now();
+        self.unresumed_silence = None;
+        let limit = self.silence_limit();
+        self.wait_for_silence(limit);
+    }
+
+    /// Silence after which the endpoint is given up.
+    fn silence_limit(&self) -> Duration {
+        let plan = &self.subject.plan;
+        let aim_ms = (!self.events.has_event()).then(|| {
+            let remaining = self.subject.remaining().as_millis();
+            let remaining_ms = u64::try_from(remaining).unwrap_or(u64::MAX);
+            plan.target_ms
+                .unwrap_or_else(|| untargeted_aim_ms(remaining_ms))
+        });
+        Duration::from_millis(silence_ms(plan.max_gap_ms(), aim_ms))
+    }
+
+    /// Lets the silence be examined once it has lasted for this time.
+    fn wait_for_silence(&mut self, limit: Duration) {
+        let since = tokio::time::Instant::from_std(self.silent_since);
         // A target of years would overflow the clock.
-        let at = now
+        let at = since
             .checked_add(limit)
-            .unwrap_or(now + self.subject.plan.timeout);
+            .unwrap_or(since + self.subject.plan.timeout);
         self.silence.as_mut().reset(at);
     }
 
+    /// Handles a silence after which the stream is not resumed, for this reason. Returns whether
+    /// the stream ends.
+    ///
+    /// A first answer is left as it is, since it may go on. Of a stream that was resumed before,
+    /// the caller has waited for two endpoints: it ends once callers give up such a silence.
+    pub(super) fn ends_by_silence(&mut self, reason: &'static str) -> bool {
+        if !self.events.is_resumed() {
+            self.restart_silence();
+            self.unresumed_silence = Some(reason);
+            return false;
+        }
+        let limit = self.silence_limit().max(self.subject.give_up());
+        if self.silent_since.elapsed() >= limit {
+            return true;
+        }
+        self.unresumed_silence = Some(reason);
+        self.wait_for_silence(limit);
+        false
+    }
+
+    /// Takes a piece of the present answer. Returns the bytes to pass on.
+    pub(super) fn push(&mut self, piece: &[u8]) -> Result<Vec<u8>, Mismatch> {
+        let events = self.events.count();
+        let whole = self.events.push(piece)?;
+        if self.events.count() > events {
+            self.last_event_at = Instant::now();
+        }
+        Ok(whole)
+    }
+
+    /// Why the stream has not continued since its endpoint broke off or fell silent, if it is to
+    /// end now by its deadline.
+    pub(super) fn reason_at_deadline(&self) -> Option<&'static str> {
+        match self.attempt {
+            Some(_) => Some("deadline"),
+            None => self.unresumed_silence,
+        }
+    }
+
     /// Whether the endpoint has been silent for too long.
     pub(super) fn is_silent(&mut self, context: &mut Context<'_>, is_late: bool) -> bool {
         while self.silence.as_mut().poll(context).is_ready() {
@@ -225,13 +309,20 @@
         self.earlier_events += slot.meter.events();
         // The dispatcher releases the slot when it queues the request again.
         slot.is_armed = false;
+        // A target of years would overflow the clock.
+        let gives_up_at = (self.last_event_at)
+            .checked_add(self.subject.give_up())
+            .unwrap_or_else(|| self.last_event_at + self.subject.plan.timeout);
+        let gives_up_in = gives_up_at.saturating_duration_since(Instant::now());
+        let (units, verdict) = (slot.meter.units(), slot.verdict);
         let queued = self
             .subject
-            .queue_again(slot.handle, slot.meter.units(), slot.verdict);
+            .queue_again(slot.handle, units, verdict, gives_up_in);
         let (notes, receiver) = flume::unbounded();
         let next = Next {
             subject: self.subject.clone(),
             handle: slot.handle,
+            gives_up_at,
             position: self.events.position().clone(),
             last_event_id,
             tries,
@@ -273,6 +364,8 @@
 struct Next {
     subject: Arc<RelayedRequest>,
     handle: Handle,
+    /// When the caller gives up the stream.
+    gives_up_at: Instant,
     position: Position,
     last_event_id: Option<HeaderValue>,
     tries: Tries,
@@ -318,6 +411,9 @@
                 }
             };
             slot.verdict = failure.verdict;
+            if failure.reach == Reach::Nothing {
+                slot.meter.clear();
+            }
             if failure.broke_off {
                 self.tries.breaks += 1;
                 delivery.report_break();
@@ -336,7 +432,9 @@
                 self.tries.retries += 1;
             }
             slot.is_armed = false;
-            queued = subject.queue_again(self.handle, slot.meter.units(), slot.verdict);
+            let (units, verdict) = (slot.meter.units(), slot.verdict);
+            let gives_up_in = self.gives_up_at.saturating_duration_since(Instant::now());
+            queued = subject.queue_again(self.handle, units, verdict, gives_up_in);
         }
     }
 
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -69,6 +69,15 @@
     pub(crate) path: String,
 }
 
+/// Times of the next event of a stream that is resumed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NextEvent {
+    /// When the event counts as late.
+    pub(crate) aim: Millis,
+    /// When the caller gives up the stream without it.
+    pub(crate) gives_up: Millis,
+}
+
 /// An input of the reactor.
 pub(crate) enum Input {
     /// An event of the links.
@@ -82,9 +91,8 @@
     ),
     /// The caller of a waiting request has disconnected.
     Cancel(Handle),
-    /// A try has failed and the request is queued again, with a new latency target if there is
-    /// one.
-    Requeue(Handle, Verdict, Option<Millis>, oneshot::Sender<Decided>),
+    /// A try has failed and the request is queued again, with new times if it is resumed.
+    Requeue(Handle, Verdict, Option<NextEvent>, oneshot::Sender<Decided>),
     /// The first byte of an answer has arrived, this many milliseconds after the dispatch. `None`
     /// if tasks ran late meanwhile, so that the time says little about the endpoint.
     FirstByte(Handle, Option<u32>),
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -320,12 +320,13 @@
                 }
             }
             Input::Cancel(handle) => self.cancel(now, handle),
-            Input::Requeue(handle, verdict, aim, reply) => {
+            Input::Requeue(handle, verdict, next_event, reply) => {
                 self.parts.metrics.retries.inc();
                 let (sender, decided) = oneshot::channel();
                 self.decisions.insert(handle, sender);
-                if let Some(aim) = aim {
-                    self.dispatcher.set_aim(handle, aim);
+                if let Some(next_event) = next_event {
+                    self.dispatcher.set_aim(handle, next_event.aim);
+                    (self.dispatcher).set_gives_up(handle, next_event.gives_up);
                 }
                 let effects = self.dispatcher.requeue(now, handle, verdict);
                 self.perform(now, effects);
--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -18,6 +18,8 @@
                      service = assistant\naim = 2s\nresume = yes\n\
                      [rule plain]\nwhen-path = /plain\nthen = send\n\
                      service = booking\nidempotent = yes\nresume = yes\n\
+                     [rule brief]\nwhen-path = /brief\nthen = send\n\
+                     service = assistant\ntimeout = 6s\nresume = yes\n\
                      [rule once]\nwhen-path = /once\nthen = send\nservice = assistant\n\
                      idempotent = no\nresume = yes\n";
 
@@ -84,6 +86,20 @@
     });
 }
 
+/// Waits until the log of the router has the end of a stream with these reasons.
+fn wait_end(fleet: &Fleet, reason: &str, unresumed: &str) {
+    let parts = [
+        "request-ended".to_owned(),
+        format!(" reason=\"{reason}\""),
+        format!(" unresumed=\"{unresumed}\""),
+    ];
+    eventually("the end is logged", || {
+        let log = fleet.vm("r1").log();
+        let has_all = |line: &str| parts.iter().all(|part| line.contains(part));
+        log.lines().any(has_all)
+    });
+}
+
 /// Index of the model engine that runs a request.
 fn running(fleet: &Fleet) -> usize {
     let mut found = None;
@@ -248,6 +264,106 @@
     wait_idle(&fleet);
 }
 
+/// Guards against a stream that stays at a second silent endpoint until its deadline, long after
+/// callers give it up.
+#[test]
+fn can_end_a_resumed_stream_whose_endpoint_is_silent() {
+    let fleet = fleet(RESUME, 1, 3, 4);
+    let answer = call(&fleet, "/resumed", "again", "tear", "stall");
+    let whole = stream(0, 10, "again");
+    let end = whole.match_indices("\n\n").nth(6).unwrap().0 + 2;
+    assert!(!answer.complete);
+    assert_eq!(answer.text(), whole[..end]);
+    wait_end(&fleet, "endpoint-silent", "second-break");
+    wait_idle(&fleet);
+}
+
+/// Guards against a stream that stays until its deadline at an endpoint that is frozen before its
+/// first event, if its rule has no latency target.
+#[test]
+fn can_resume_a_stream_whose_endpoint_is_silent_before_its_first_event() {
+    let fleet = fleet(RESUME, 1, 2, 4);
+    let router = fleet.callers("r1");
+    let caller = std::thread::spawn(move || {
+        let mut headers = headers("frozen", "", "");
+        headers.push(("stand-in-prefill", "1000"));
+        http::send(router, "POST", "/brief", "alpha", &headers, "frozen")
+    });
+    let index = running(&fleet);
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.stand_ins[index].process.signal("-STOP");
+    let answer = caller.join().unwrap();
+    fleet.stand_ins[index].process.signal("-CONT");
+    assert!(answer.complete, "{}", answer.text());
+    let whole = stream(0, 10, "frozen");
+    assert_eq!(answer.text(), format!(": prefill\n\n: prefill\n\n{whole}"));
+}
+
+/// Guards against a customer that pays for an endpoint that its request did not reach.
+#[test]
+fn can_charge_nothing_for_an_endpoint_that_was_not_reached() {
+    let mut fleet = fleet(RESUME, 1, 2, 4);
+    let received = |fleet: &Fleet| metric(fleet, "r1", "cowslipford_service_received{");
+    // The metric is set once a second.
+    let settle = Duration::from_millis(1500);
+    std::thread::sleep(settle);
+    let before = received(&fleet);
+    let answer = call(&fleet, "/resumed", "whole", "", "");
+    assert!(answer.complete);
+    wait_idle(&fleet);
+    std::thread::sleep(settle);
+    let whole = received(&fleet);
+    assert!(whole > before);
+    let router = fleet.callers("r1");
+    let caller = std::thread::spawn(move || {
+        let mut headers = headers("unreached", "tear", "");
+        headers[3] = ("stand-in-pace", "100");
+        http::send(router, "POST", "/resumed", "alpha", &headers, "unreached")
+    });
+    let index = running(&fleet);
+    fleet.kill_stand_in(1 - index);
+    let answer = caller.join().unwrap();
+    assert!(answer.complete, "{}", answer.text());
+    assert_eq!(answer.text(), stream(0, 10, "unreached"));
+    let log = fleet.vm("r1").log();
+    assert!(log.lines().any(|line| line.contains("elsewhere")), "{log}");
+    eventually("the second stream is charged like the first one", || {
+        received(&fleet) == whole + (whole - before)
+    });
+}
+
+/// Guards against a stream whose endpoint is silent until the deadline, and for which neither the log
+/// nor the metric says why it was not resumed.
+#[test]
+fn can_report_a_silent_stream_that_ends_at_its_deadline() {
+    let fleet = fleet(RESUME, 1, 2, 4);
+    let headers: Vec<_> = (headers("unnamed", "stall", "").into_iter())
+        .filter(|(name, _)| *name != "stand-in-ids")
+        .collect();
+    let answer = fleet.call("r1", "alpha", "/brief", &headers, "unnamed");
+    assert!(!answer.complete);
+    wait_end(&fleet, "timeout", "no-id");
+    let name = "cowslipford_streams_not_resumed_total{reason=\"no-id\"}";
+    assert_eq!(metric(&fleet, "r1", name), 1);
+}
+
+/// Guards against a stream that its endpoint breaks off since its caller did not read, and for which
+/// neither the log nor the metric says why it was not resumed.
+#[test]
+fn can_report_a_stream_that_is_not_resumed_because_of_its_caller() {
+    let fleet = fleet(RESUME, 1, 2, 4);
+    let mut caller = slow_caller(&fleet, 3000, "tear").unwrap();
+    // The caller pauses for longer than the time after which a break is attributed to it.
+    let mut piece = vec![0; 1 << 20];
+    while caller.read_exact(&mut piece).is_ok() {
+        std::thread::sleep(Duration::from_millis(1200));
+    }
+    wait_end(&fleet, "caller-slow", "caller-slow");
+    let name = "cowslipford_streams_not_resumed_total{reason=\"caller-slow\"}";
+    assert_eq!(metric(&fleet, "r1", name), 1);
+    assert_eq!(fleet.calls_with_label("slow"), 1);
+}
+
 /// Guards against an endpoint that is given up during its prefill because it has sent a comment
 /// already.
 #[test]
@@ -263,20 +379,26 @@
     assert_eq!(metric(&fleet, "r1", "cowslipford_streams_resumed_total"), 0);
 }
 
-/// Guards against a router that buffers a stream whose caller does not read it, and that takes the
-/// endpoint for silent meanwhile.
-#[test]
-fn can_wait_for_a_caller_that_does_not_read() {
-    let fleet = fleet(RESUME, 1, 1, 4);
+/// Sends a request for long events, and reads nothing.
+fn slow_caller(fleet: &Fleet, tokens: u32, fault: &str) -> std::io::Result<TcpStream> {
     let body = "x".repeat(8192);
     let head = format!(
         "POST /resumed HTTP/1.1\r\nhost: test\r\nauthorization: Bearer alpha\r\n\
          connection: close\r\ncontent-length: {}\r\nstand-in-id: slow\r\nstand-in-ids: yes\r\n\
-         stand-in-tokens: 4000\r\nstand-in-pace: 0\r\n\r\n{body}",
+         stand-in-tokens: {tokens}\r\nstand-in-pace: 0\r\nstand-in-fault: {fault}\r\n\r\n{body}",
         body.len()
     );
-    let mut caller = TcpStream::connect(fleet.callers("r1")).unwrap();
-    caller.write_all(head.as_bytes()).unwrap();
+    let mut caller = TcpStream::connect(fleet.callers("r1"))?;
+    caller.write_all(head.as_bytes())?;
+    Ok(caller)
+}
+
+/// Guards against a router that buffers a stream whose caller does not read it, and that takes the
+/// endpoint for silent meanwhile.
+#[test]
+fn can_wait_for_a_caller_that_does_not_read() {
+    let fleet = fleet(RESUME, 1, 1, 4);
+    let mut caller = slow_caller(&fleet, 4000, "").unwrap();
     let name = &fleet.stand_ins[0].name;
     let tokens = || fleet.counts(name)["tokens"].as_u64();
     std::thread::sleep(Duration::from_millis(1500));
