--- a/components/coordination/src/messages.rs
+++ b/components/coordination/src/messages.rs
@@ -160,6 +160,10 @@
     Speed(Speed),
     /// Bounds in milliseconds on the pauses of requests that the hello before it lists as held.
     Bounds(Vec<(Seq, u32)>),
+    /// A stream that has begun waits for a slot to continue at another endpoint. The last field is
+    /// the time for which its caller still waits for the next event, in milliseconds. Sent to
+    /// schedulers that support objectives of streams, in place of [`Report::Ask`].
+    ResumedAsk(Ask, Objective, u32),
 }
 
 /// What the rule of a request demands of the stream that answers it.
--- a/components/coordination/src/scheduler/queue.rs
+++ b/components/coordination/src/scheduler/queue.rs
@@ -29,7 +29,7 @@
 struct Order {
     /// 0 is the most urgent.
     priority: u8,
-    /// Whether a caller is new or returns.
+    /// What the caller did before.
     turn: Turn,
     /// When the ask is to be answered.
     late_at: Millis,
@@ -40,6 +40,9 @@
 /// Order of the asks of one customer and priority, by what their callers did before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Turn {
+    /// The stream has begun at another endpoint. Its caller has read a part, which is lost if the
+    /// stream does not continue in time.
+    Begun,
     /// The caller has an appointment. The others were admitted behind its load, and the
     /// appointment uses room that first attempts left.
     Booked,
@@ -56,7 +59,7 @@
         let aim_ms = u64::from(ask.aim_ms);
         match self {
             Turn::Unbooked => aim_ms * RETURNED_AIM_PERCENT / 100,
-            Turn::Booked | Turn::First => aim_ms,
+            Turn::Begun | Turn::Booked | Turn::First => aim_ms,
         }
     }
 }
@@ -67,6 +70,9 @@
     pub(super) ask: Ask,
     /// What is demanded of the stream.
     pub(super) objective: Objective,
+    /// Time for which the caller waits for the next event, in milliseconds, if the stream has
+    /// begun at another endpoint.
+    caller_waits_ms: Option<u32>,
     pub(super) since: Millis,
     /// Whether its caller was refused before; `None` if that is not known.
     pub(super) returned: Option<Return>,
@@ -74,6 +80,11 @@
 }
 
 impl Waiting {
+    /// Whether the stream has begun at another endpoint.
+    pub(super) fn has_begun(&self) -> bool {
+        self.caller_waits_ms.is_some()
+    }
+
     /// Time from its arrival in which the ask is to be answered, in milliseconds.
     fn aim_ms(&self) -> u64 {
         self.order.turn.aim_ms(&self.ask)
@@ -91,7 +102,12 @@
             prompt: self.ask.prompt,
             avoid: self.ask.avoid,
             aim_ms: u64::from(self.ask.aim_ms),
-            slack_ms: self.slack_ms(now),
+            // The whole time of its caller would let a stream wait for the endpoint that has most of
+            // the prompt cached while others are free.
+            slack_ms: match self.has_begun() {
+                true => self.slack_ms(now).min(u64::from(self.ask.aim_ms)),
+                false => self.slack_ms(now),
+            },
             // An ask with an appointment is served in its turn even if it is late.
             only_in_time: only_in_time && !self.has_appointment(),
         }
@@ -108,9 +124,11 @@
         matches!(self.returned, Some(Return::Booked(booked)) if booked <= slots)
     }
 
-    /// Time until an answer becomes late, in milliseconds.
+    /// Time until an answer becomes late, in milliseconds; of a stream that has begun, until its
+    /// caller gives up.
     pub(super) fn slack_ms(&self, now: Millis) -> u64 {
-        self.aim_ms().saturating_sub(now.since(self.since))
+        let limit_ms = self.caller_waits_ms.map_or(self.aim_ms(), u64::from);
+        limit_ms.saturating_sub(now.since(self.since))
     }
 }
 
@@ -131,7 +149,8 @@
 impl Queue {
     /// Adds an ask, unless an ask with its key is in the queue.
     ///
-    /// `returned` says whether its caller was refused before, if that is known.
+    /// `returned` says whether its caller was refused before, if that is known. `caller_waits_ms`
+    /// is the time for which the caller of a stream that has begun waits for the next event.
     pub(super) fn insert(
         &mut self,
         now: Millis,
@@ -139,11 +158,13 @@
         ask: Ask,
         objective: Objective,
         returned: Option<Return>,
+        caller_waits_ms: Option<u32>,
     ) {
         if self.asks.contains_key(&key) {
             return;
         }
         let turn = match returned {
+            _ if caller_waits_ms.is_some() => Turn::Begun,
             Some(Return::Booked(_)) => Turn::Booked,
             Some(Return::Unbooked) if is_distinct(&ask.prompt) => Turn::Unbooked,
             // Of requests that look alike, new ones take the places of those that return.
@@ -152,7 +173,7 @@
         let order = Order {
             priority: ask.priority,
             turn,
-            late_at: now.after(turn.aim_ms(&ask)),
+            late_at: now.after(caller_waits_ms.map_or(turn.aim_ms(&ask), u64::from)),
             arrival: self.arrivals,
         };
         self.arrivals += 1;
@@ -162,6 +183,7 @@
         let waiting = Waiting {
             ask,
             objective,
+            caller_waits_ms,
             since,
             returned,
             order,
