--- a/components/coordination/src/dispatcher/session.rs
+++ b/components/coordination/src/dispatcher/session.rs
@@ -9,7 +9,7 @@
 use crate::messages::{Cached, Hello, Seq};
 use crate::prelude::*;
 use crate::prompt::UNSHARED_KEY;
-use crate::scheduler::appointment::{identity, EARLY_MS, LATE_MS, SLOT_MS};
+use crate::scheduler::appointment::{identity, is_distinct, EARLY_MS, LATE_MS, SLOT_MS};
 use crate::scheduler::{Scheduler, Session as LocalSession};
 use state::view::{Assignment, Shard};
 use std::collections::{BTreeMap, VecDeque};
@@ -98,7 +98,7 @@
     /// Last appointment that the scheduler gave to a request of each class; `None` if its
     /// scheduler gives none.
     appointed: Option<BTreeMap<Class, Millis>>,
-    /// When refused callers return, by class and [`identity`]; empty if the scheduler gives no
+    /// When refused callers with distinct prompts return, by class and [`identity`]; empty if the scheduler gives no
     /// appointments.
     returning: BTreeMap<(Class, u64), Millis>,
     /// The largest number of an ask that was answered.
@@ -251,7 +251,8 @@
     /// With appointments, some of these requests have a place, which only the scheduler knows.
     /// They are all asked for unless the refusal took `took_ms` because the scheduler is
     /// overloaded. If a later ask was answered before, the scheduler had read this one long ago,
-    /// and has refused it in a review.
+    /// and has refused it in a review. A request whose caller returned comes after first attempts
+    /// there, so its refusal says nothing of those.
     pub(super) fn record_refusal(
         &mut self,
         now: Millis,
@@ -266,6 +267,10 @@
         self.refused.retain(|_, (until, _)| now < *until);
         if let Some(appointed) = &mut self.appointed {
             if refusal.epoch != LOCAL_EPOCH {
+                let key = (class, identity(class.rule, &arrival.prompt));
+                if self.returning.remove(&key).is_some() {
+                    return;
+                }
                 let at = now.after(u64::from(refusal.after_ms));
                 if appointed.len() >= APPOINTED_MAX {
                     appointed.retain(|_, at| now < *at);
@@ -276,8 +281,7 @@
                 if self.returning.len() >= RETURNING_MAX {
                     self.returning.retain(|_, at| now <= at.after(LATE_MS));
                 }
-                if self.returning.len() < RETURNING_MAX {
-                    let key = (class, identity(class.rule, &arrival.prompt));
+                if self.returning.len() < RETURNING_MAX && is_distinct(&arrival.prompt) {
                     self.returning.insert(key, at);
                 }
                 if took_ms < SLOW_REFUSAL_MS || is_review {
