Count when refused callers return, and hand-overs as served requests

Cause: a refused caller was told 50 to 200 ms whatever others were told, so that the callers of a burst returned together and were refused again; a caller has one retry. Requests that were handed over did not count as served, so that the limit of admissions fell to what the router serves itself. Refusals of connections did not parse the caller's request ID, so that `explain` found them by the router's ID alone.

Change: - coordination::admission::Returns counts the callers that were told to return in slots of 50 ms for two seconds, and tells the first slot with room within a third of the time for which the caller waits. Room is what the router has shown to serve for a second, less what arrives besides. If there is none, it tells the slot that the fewest were told. Once the router is not ready, only callers that can wait for load balancers are sent past that time. - Period::served includes requests that are handed over. - turn_away reads the caller's ID and timeout by the names that the interface gives, returns the ID, and logs it as `caller`. - Metrics and the `pressure` line show the callers that are to return, those without room, and the probes at which refusals had used up their share.

The test of retry_after_ms is replaced by one of Returns that checks the same ranges, the spread in each 50 ms, and callers with a timeout.

--- a/components/coordination/src/admission.rs
+++ b/components/coordination/src/admission/mod.rs
@@ -10,8 +10,14 @@
 //! of what it admits is served. [`Intake`] follows what was served: a router at which 850 callers
 //! a second arrive and which can serve 300 of them admits about 300, answers the others with a
 //! refusal, and closes connections unread only when refusals take too much of the processor.
+//! A request that is handed over to another router counts as served, so that a router with peers
+//! admits what it can serve and pass on. [`Returns`] tells refused callers when to return.
 
-use crate::overload::{BYPASSED_AFTER_MS, CALM_LATENESS_MS, OVERLOAD_LATENESS_MS};
+mod returns;
+
+pub use returns::{Refused, Returns};
+
+use crate::overload::{CALM_LATENESS_MS, OVERLOAD_LATENESS_MS};
 
 /// With at least this many requests and connections admitted before a probe, its lateness counts
 /// as caused by this process: an eighth of a core handles about as many in
@@ -276,9 +282,9 @@
 
 impl Rate {
     /// Adds the events of a time, weighted by that time.
-    fn add(&mut self, events: u64, length_ms: u64) {
-        let sum = self.0 * RATE_WINDOW_MS + events * 1_000_000;
-        self.0 = sum / (RATE_WINDOW_MS + length_ms);
+    fn add(&mut self, events: u64, length_ms: u64, window_ms: u64) {
+        let sum = self.0 * window_ms + events * 1_000_000;
+        self.0 = sum / (window_ms + length_ms);
     }
 }
 
@@ -339,10 +345,12 @@
         let arrivals = period.arrivals;
         // A request on a new connection is counted with the connection.
         let admitted = arrivals.admitted.max(period.requests);
-        self.served.add(period.served, period.length_ms);
-        self.admitted.add(admitted, period.length_ms);
+        self.served
+            .add(period.served, period.length_ms, RATE_WINDOW_MS);
+        self.admitted
+            .add(admitted, period.length_ms, RATE_WINDOW_MS);
         let excess = arrivals.refused + arrivals.closed;
-        self.excess.add(excess, period.length_ms);
+        self.excess.add(excess, period.length_ms, RATE_WINDOW_MS);
         self.adjust_limit(period.late_ms, period.length_ms, admitted);
         let is_exceeded = self.limit.is_some_and(|limit| self.excess.0 > limit / 4);
         self.exceeded_ms = match is_exceeded {
@@ -368,9 +376,9 @@
         self.exceeded_ms >= EXCEEDED_AFTER_MS
     }
 
-    /// Requests per second that may be admitted; `None` without a limit.
-    pub fn limit_per_s(&self) -> Option<u64> {
-        self.limit.map(|limit| limit / 1000)
+    /// Requests that may be admitted, in thousandths per second; `None` without a limit.
+    pub fn limit(&self) -> Option<u64> {
+        self.limit
     }
 
     fn adjust_limit(&mut self, late_ms: u64, length_ms: u64, admitted: u64) {
@@ -445,17 +453,3 @@
         }
     }
 }
-
-/// Time after which a refused caller should retry, in milliseconds.
-///
-/// A router that has room again soon says so, spread over a short time. Once it has reported that
-/// it is not ready, its callers reach another router as soon as load balancers have noticed.
-/// `unready_ms` is the time since the report, `None` if the router is ready; `random` spreads the
-/// retries of callers that are refused at the same time.
-pub fn retry_after_ms(unready_ms: Option<u64>, random: u64) -> u64 {
-    let until_bypassed = unready_ms.map(|ms| BYPASSED_AFTER_MS.saturating_sub(ms));
-    match until_bypassed.filter(|ms| *ms > 0) {
-        Some(ms) => ms.max(RETRY_MIN_MS) + random % (RETRY_SPREAD_MS + 1),
-        None => RETRY_MIN_MS + random % (RETRY_MAX_MS - RETRY_MIN_MS + 1),
-    }
-}
--- a/components/node/src/frontend/admit.rs
+++ b/components/node/src/frontend/admit.rs
@@ -49,7 +49,8 @@
         entry.set_caller_request_id(inbound.request_id.clone());
     }
     check_ready(published)?;
-    check_lateness(frontend, entry.id())?;
+    let timeout = inbound.as_ref().ok().and_then(|inbound| inbound.timeout);
+    check_lateness(frontend, entry.id(), timeout)?;
     check_framing(head)?;
     check_size(head, frontend.context.callers.head_max)?;
     inbound.map_err(|reason| Refusal::not_run(StatusCode::BAD_REQUEST, "bad-head", reason))
@@ -76,12 +77,16 @@
 /// faster than its processor could serve them, they waited 1 to 2 s for a refusal, and all
 /// requests in the router were delayed. Callers that are refused at once retry at another
 /// router, and the processor time remains for the admitted requests.
-fn check_lateness(frontend: &Frontend, id: RequestId) -> Result<(), Refusal> {
+fn check_lateness(
+    frontend: &Frontend,
+    id: RequestId,
+    timeout: Option<Duration>,
+) -> Result<(), Refusal> {
     if frontend.context.lateness.admit_request() == Admission::Admit {
         return Ok(());
     }
     if frontend.context.lateness.answers_excess() {
-        return Err(busy(frontend.context.lateness.retry_after()));
+        return Err(busy(frontend.context.lateness.retry_after(timeout)));
     }
     // Spreads the retries of callers that are refused at the same time.
     let retry_after = FAST_RETRY_AFTER * (1 + u32::try_from(id.count % 4).unwrap_or(0));
--- a/components/node/src/frontend/turn_away.rs
+++ b/components/node/src/frontend/turn_away.rs
@@ -12,6 +12,7 @@
 use crate::interface::{Interface, REQUEST_ID};
 use crate::metric::Metrics;
 use crate::shared::cancelled;
+use hyper::header::HeaderValue;
 use prometheus::IntCounter;
 use state::event::{Event, Kind};
 use state::id::RequestId;
@@ -41,6 +42,8 @@
 /// Most headers of a head that is understood. The end of the body of any other is not known, and
 /// the connection is read until its caller closes it.
 const HEADERS_MAX: usize = 64;
+/// Longest ID of a caller that is used. The response must fit into the buffer of the socket.
+const REQUEST_ID_MAX_BYTES: usize = 256;
 
 /// Response to connections that are refused, except for the values that differ each time.
 pub(super) struct Template {
@@ -81,21 +84,26 @@
         }
     }
 
-    /// The response to one request. A request with the method HEAD gets no body.
-    fn response(&self, id: RequestId, retry_after: Duration, has_body: bool) -> String {
+    /// The response to a request that was read as far as `received`.
+    fn response(&self, id: RequestId, retry_after: Duration, received: &Received) -> String {
         let Template { head, body, .. } = self;
         let id = id.to_string();
         let retry_after = retry_after_text(retry_after);
         let (before, after) = body;
         let length = before.len() + id.len() + after.len();
-        let head = format!(
+        let mut response = format!(
             "{head}{REQUEST_ID}: {id}\r\n{RETRY_AFTER}: {retry_after}\r\n\
-             content-length: {length}\r\n\r\n"
+             content-length: {length}\r\n"
         );
-        match has_body {
-            true => format!("{head}{before}{id}{after}"),
-            false => head,
+        if let Some((name, value)) = received.caller_request_id() {
+            response.push_str(&format!("{name}: {value}\r\n"));
         }
+        response.push_str("\r\n");
+        // The response to a request with the method HEAD has no body.
+        if !received.is_head_method {
+            response.push_str(&format!("{before}{id}{after}"));
+        }
+        response
     }
 }
 
@@ -120,19 +128,33 @@
     /// Bytes that were read after the head.
     discarded: usize,
     is_head_method: bool,
+    interface: Interface,
+    /// ID that the caller gave the request.
+    request_id: Option<HeaderValue>,
+    /// Time for which the caller waits.
+    timeout: Option<Duration>,
 }
 
 impl Received {
-    fn new() -> Self {
+    fn new(interface: Interface) -> Self {
         Received {
             stage: Stage::Head,
             head: Vec::new(),
             reads: 0,
             discarded: 0,
             is_head_method: false,
+            interface,
+            request_id: None,
+            timeout: None,
         }
     }
 
+    /// Header with the ID that the caller gave the request.
+    fn caller_request_id(&self) -> Option<(&'static str, &str)> {
+        let value = self.request_id.as_ref()?.to_str().ok()?;
+        self.interface.request_id.map(|name| (name, value))
+    }
+
     /// Whether a response can be sent: callers take one that arrives before their request for an
     /// error.
     fn is_answerable(&self) -> bool {
@@ -191,38 +213,45 @@
         self.is_head_method = bytes.starts_with(b"HEAD ");
         let is_complete = bytes.windows(4).any(|end| end == b"\r\n\r\n");
         if is_complete {
-            self.stage = Stage::Body(body_left(bytes));
+            self.stage = Stage::Body(self.parse_head(bytes));
         } else if bytes.len() >= HEAD_MAX_BYTES || self.reads >= HEAD_READS_MAX {
             self.stage = Stage::Body(None);
         } else {
             self.head = bytes.to_vec();
         }
     }
-}
 
-/// Number of bytes that are missing of a request whose head is complete; `None` if not known.
-fn body_left(bytes: &[u8]) -> Option<usize> {
-    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
-    let mut request = httparse::Request::new(&mut headers);
-    let httparse::Status::Complete(head_bytes) = request.parse(bytes).ok()? else {
-        return None;
-    };
-    let find = |name: &str| {
-        let mut headers = request.headers.iter();
-        headers.find(|header| header.name.eq_ignore_ascii_case(name))
-    };
-    if find("transfer-encoding").is_some() {
-        return None;
+    /// Takes what the refusal needs from a head that is complete. Returns the number of bytes
+    /// that are missing of the request; `None` if it is not known.
+    fn parse_head(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut request = httparse::Request::new(&mut headers);
+        let httparse::Status::Complete(head_bytes) = request.parse(bytes).ok()? else {
+            return None;
+        };
+        let find = |name: &str| {
+            let mut headers = request.headers.iter();
+            let found = headers.find(|header| header.name.eq_ignore_ascii_case(name));
+            found.map(|header| header.value)
+        };
+        let text = |value| std::str::from_utf8(value).ok().map(str::trim);
+        let request_id = self.interface.request_id.and_then(find);
+        self.request_id = request_id
+            .filter(|value| value.len() <= REQUEST_ID_MAX_BYTES)
+            .and_then(|value| HeaderValue::from_bytes(value).ok());
+        self.timeout = self.interface.timeout.and_then(|timeout| {
+            let value = find(timeout.header).and_then(text)?;
+            (timeout.parse)(value).ok()
+        });
+        if find("transfer-encoding").is_some() {
+            return None;
+        }
+        let length = match find("content-length") {
+            Some(value) => text(value)?.parse().ok()?,
+            None => 0,
+        };
+        Some((head_bytes + length).saturating_sub(bytes.len()))
     }
-    let length = match find("content-length") {
-        Some(header) => std::str::from_utf8(header.value)
-            .ok()?
-            .trim()
-            .parse()
-            .ok()?,
-        None => 0,
-    };
-    Some((head_bytes + length).saturating_sub(bytes.len()))
 }
 
 impl Frontend {
@@ -237,7 +266,7 @@
         let Ok(stream) = stream.into_std() else {
             return;
         };
-        let mut received = Received::new();
+        let mut received = Received::new(self.context.interface);
         received.advance(|buffer| (&stream).read(buffer));
         if received.stage == Stage::Ended {
             return;
@@ -324,27 +353,33 @@
     /// Counts a refusal, logs it within the rate of such lines, and returns the response.
     fn refuse(&self, received: &Received) -> String {
         let id = self.next_id();
-        let retry_after = self.context.lateness.retry_after();
+        let retry_after = self.context.lateness.retry_after(received.timeout);
         let metrics = &self.context.metrics;
         metrics.refused_connections.inc();
         self.template.requests.inc();
         if self.may_log_busy() {
             let refusal = busy(retry_after);
-            self.log_turned_away(id, &refusal);
+            self.log_turned_away(id, received.request_id.clone(), &refusal);
         } else {
             metrics.request_heads.inc();
             metrics.unlogged_refusals.inc();
             self.template.ends.inc();
         }
-        (self.template).response(id, retry_after, !received.is_head_method)
+        (self.template).response(id, retry_after, received)
     }
 
     /// Logs a refused request as any other, and counts its end.
-    fn log_turned_away(&self, id: RequestId, refusal: &Refusal) {
+    fn log_turned_away(
+        &self,
+        id: RequestId,
+        caller_request_id: Option<HeaderValue>,
+        refusal: &Refusal,
+    ) {
         let published = self.context.published.borrow().clone();
         let now = self.context.clock.now();
         let metrics = self.context.metrics.clone();
         let mut entry = Entry::new(id, Instant::now(), now, &published, metrics);
+        entry.set_caller_request_id(caller_request_id);
         let event = Event::new(Kind::Refused).request(id);
         self.context.journal.record(event);
         entry.log_refusal(refusal);
--- a/components/node/src/interface.rs
+++ b/components/node/src/interface.rs
@@ -108,11 +108,24 @@
     pub parse: fn(&[u8]) -> Result<Contents, String>,
 }
 
+/// A header of a caller's request with the time for which the caller waits.
+#[derive(Clone, Copy, Debug)]
+pub struct Timeout {
+    /// Name of the header, in lower case.
+    pub header: &'static str,
+    /// Parses its value; the error says what is wrong with it.
+    pub parse: fn(&str) -> Result<Duration, String>,
+}
+
 /// One HTTP dialect: paths, and functions that parse and format messages.
 #[derive(Clone, Copy, Debug)]
 pub struct Interface {
     /// Parses the head of a caller's request; the error says what is wrong with it.
     pub parse_request: fn(&request::Parts) -> Result<Inbound, String>,
+    /// Header with the ID that a caller gives its request, if there is one, in lower case.
+    pub request_id: Option<&'static str>,
+    /// Header with the time for which a caller waits, if there is one.
+    pub timeout: Option<Timeout>,
     /// Rewrites a caller's headers for the request to the endpoint.
     pub rewrite_headers: fn(&mut HeaderMap, &Outbound<'_>),
     /// Parses the head of an endpoint's answer.
@@ -142,6 +155,8 @@
     pub fn native() -> Self {
         Interface {
             parse_request: native_request,
+            request_id: None,
+            timeout: None,
             rewrite_headers: native_headers,
             parse_response: native_response,
             map_status: |status, _| status,
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -34,7 +34,7 @@
 
 pub use coordination::rule::shadowed;
 pub use interface::{
-    region, Contents, Inbound, Interface, Inventory, Outbound, Page, Regions, Signals,
+    region, Contents, Inbound, Interface, Inventory, Outbound, Page, Regions, Signals, Timeout,
 };
 pub use journal::{Dump, Journal};
 pub use process::{Addresses, Process, Reloader};
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -84,6 +84,13 @@
     pub(crate) closed_unread: IntCounter,
     /// Connections that were refused with a response, without being served.
     pub(crate) refused_connections: IntCounter,
+    /// Probes after which refusals had used up their part of the processor time for so long that
+    /// connections may be closed unread.
+    pub(crate) exhausted_refusals: IntCounter,
+    /// Refused callers that are told to return and are not due yet.
+    pub(crate) pending_returns: IntGauge,
+    /// Refused callers for whom there is no room in the time that they honour.
+    pub(crate) crowded_returns: IntCounter,
     /// Requests refused without a log line.
     pub(crate) unlogged_refusals: IntCounter,
     /// Open connections of callers.
@@ -293,6 +300,18 @@
                 "cowslipford_connections_refused_total",
                 "Connections beyond what can be served, refused with a response.",
             )?,
+            exhausted_refusals: counter(
+                "cowslipford_refusals_exhausted_total",
+                "Probes, 20 ms apart, after which refusals had used up their part of the processor.",
+            )?,
+            pending_returns: gauge(
+                "cowslipford_refused_callers_to_return",
+                "Callers that this router has refused and that are to return within two seconds.",
+            )?,
+            crowded_returns: counter(
+                "cowslipford_refused_callers_without_room_total",
+                "Refused callers for whom no room is expected in the time that they honour.",
+            )?,
             unlogged_refusals: counter(
                 "cowslipford_untold_refusals_total",
                 "Requests refused while tasks ran late, without a log line.",
--- a/components/node/src/monitor.rs
+++ b/components/node/src/monitor.rs
@@ -7,13 +7,15 @@
 use crate::handover::Handover;
 use crate::metric::{gauge_value, Metrics};
 use crate::shared::{cancelled, Published};
-use coordination::admission::{self, Admission, Arrivals, Intake, Limit, Period, Probes, Quota};
+use coordination::admission::{
+    Admission, Arrivals, Intake, Limit, Period, Probes, Quota, Refused, Returns,
+};
 use coordination::overload::Overload;
 use rustix::time::ClockId;
 use state::clock::Millis;
 use state::line::Line;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
@@ -78,6 +80,8 @@
     /// Time since this router has reported that it is not ready, in milliseconds; the largest
     /// value if it is ready.
     unready_ms: AtomicU64,
+    /// When refused callers were told to return.
+    returns: Mutex<Returns>,
     /// Whether new connections should go to other routers.
     is_shedding: AtomicBool,
     /// Whether new connections do go to other routers by now.
@@ -126,11 +130,11 @@
         }
     }
 
-    /// Requests per second that may be admitted, if there is a limit.
-    fn limit_per_s(&self) -> Option<u64> {
+    /// Requests that may be admitted, in thousandths per second, if there is a limit.
+    fn limit(&self) -> Option<u64> {
         match self {
             Decision::Limit(_) => None,
-            Decision::Intake(intake) => intake.limit_per_s(),
+            Decision::Intake(intake) => intake.limit(),
         }
     }
 }
@@ -177,12 +181,22 @@
         self.answers_excess
     }
 
-    /// Time after which a refused caller should retry.
-    pub(crate) fn retry_after(&self) -> Duration {
+    /// Time after which a refused caller should retry. `timeout` is the time for which it waits in
+    /// all, if it has said so.
+    pub(crate) fn retry_after(&self, timeout: Option<Duration>) -> Duration {
         let unready_ms = self.shared.unready_ms.load(Ordering::Relaxed);
-        let unready_ms = Some(unready_ms).filter(|ms| *ms != u64::MAX);
-        let random = u64::from(rand::random::<u32>());
-        Duration::from_millis(admission::retry_after_ms(unready_ms, random))
+        let refused = Refused {
+            unready_ms: Some(unready_ms).filter(|ms| *ms != u64::MAX),
+            timeout_ms: timeout.map(millis),
+            random: u64::from(rand::random::<u32>()),
+        };
+        let now = Millis(self.elapsed_ms());
+        Duration::from_millis(self.returns().tell(now, refused))
+    }
+
+    fn returns(&self) -> MutexGuard<'_, Returns> {
+        let returns = self.shared.returns.lock();
+        returns.unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Measures the processor time of a refusal until the returned value is dropped.
@@ -341,6 +355,16 @@
         }
     }
 
+    /// Updates the metrics of callers that were told to return.
+    fn update_metrics(&self, metrics: &Metrics) {
+        let returns = self.returns();
+        let pending = usize::try_from(returns.pending()).unwrap_or(usize::MAX);
+        metrics.pending_returns.set(gauge_value(pending));
+        let known = metrics.crowded_returns.get();
+        let crowded = returns.crowded().saturating_sub(known);
+        metrics.crowded_returns.inc_by(crowded);
+    }
+
     /// Sleeps for one probe interval. Returns by how many milliseconds it woke too late.
     async fn probe(&self) -> u64 {
         let due_ms = self.elapsed_ms() + millis(PROBE_INTERVAL);
@@ -370,7 +394,7 @@
         Meter {
             probed_at: Instant::now(),
             process_ns: cpu_ns(ClockId::ProcessCPUTime),
-            served: metrics.attempts.get(),
+            served: metrics.attempts.get() + metrics.handed_over.get(),
         }
     }
 
@@ -410,10 +434,15 @@
         if let Some(handover) = &handover {
             overload.set_relieved(handover.probe(lateness.sustained_ms()));
         }
-        decision.probe(meter.measure(&metrics, lateness.take_period()));
+        let period = meter.measure(&metrics, lateness.take_period());
+        decision.probe(period);
         lateness.set_quota(decision.quota());
-        let is_full = metrics.connections.get() >= connections;
+        if lateness.answers_excess && decision.quota().closes > 0 {
+            metrics.exhausted_refusals.inc();
+        }
         let now = Millis(lateness.elapsed_ms());
+        lateness.returns().probe(now, period, decision.limit());
+        let is_full = metrics.connections.get() >= connections;
         let is_hot = published.borrow().is_hot;
         overload.set_hot(is_hot);
         overload.set_exceeded(decision.is_exceeded());
@@ -427,7 +456,7 @@
                 away = is_shedding,
                 hot = is_hot,
                 exceeded = decision.is_exceeded(),
-                limit = decision.limit_per_s(),
+                limit = decision.limit().map(|limit| limit / 1000),
                 late_ms = lateness_ms
             );
         }
@@ -435,6 +464,7 @@
         if Instant::now() < next_measure_at {
             continue;
         }
+        lateness.update_metrics(&metrics);
         measure(&metrics, memory, latest_ms);
         next_measure_at = Instant::now() + MEASURE_INTERVAL;
         latest_ms = 0;
@@ -470,6 +500,8 @@
         untold = metrics.unlogged_refusals.get(),
         turned_away = metrics.closed_unread.get(),
         refused = metrics.refused_connections.get(),
+        returning = metrics.pending_returns.get(),
+        without_room = metrics.crowded_returns.get(),
     );
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -770,3 +770,57 @@
     // The control VM accepts uploads again.
     fleet.put_until_accepted(0, &configuration(2, r#""k1""#, "/b/"));
 }
+
+/// Guards against refused requests that `explain` does not find by their caller's own id: a
+/// connection beyond those that a router serves is refused without serving its request.
+#[test]
+fn can_refuse_a_connection_with_the_request_id_of_its_caller() {
+    let mut fleet = Fleet::start();
+    fleet.wait_ready();
+    fleet.put_until_accepted(0, &configuration(1, r#""k1""#, "/a/"));
+    let router = &mut fleet.routers[0];
+    router.kill();
+    let text = std::fs::read_to_string(&router.settings).unwrap();
+    let text = text.replace("[callers]\n", "[callers]\nconnections = 40\n");
+    let text = text.replace("[router]\n", "[router]\nanswer-excess = yes\n");
+    std::fs::write(&router.settings, text).unwrap();
+    router.start();
+    eventually("the router is ready", || fleet.routers[0].is_ready());
+    let ask = |id: &str, body: &str| {
+        let mut stream = TcpStream::connect(fleet.routers[0].address).unwrap();
+        stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+        let head = format!(
+            "POST /a/1 HTTP/1.1\r\nHost: a.example\r\nATTEMPT-id: {id}\r\nKey: k1\r\n\
+             Deadline-Ms: 3000\r\nContent-Length: 2\r\n\r\n{body}"
+        );
+        stream.write_all(head.as_bytes()).unwrap();
+        stream
+    };
+    // Requests without their bodies take all places.
+    let held: Vec<TcpStream> = (0..36).map(|_| ask("held", "x")).collect();
+    let refused = |id: &str| {
+        let mut text = String::new();
+        ask(id, "xy").read_to_string(&mut text).unwrap();
+        assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
+        text
+    };
+    let answer = refused("caller-17");
+    assert!(answer.contains("\r\nattempt-id: caller-17\r\n"), "{answer}");
+    // It waits for 3 s in all, so that it honours up to 1 s.
+    let retry_after = answer.split("retry-after: ").nth(1).unwrap();
+    let retry_after: f64 = retry_after.lines().next().unwrap().parse().unwrap();
+    assert!((0.05..=1.0).contains(&retry_after), "{answer}");
+    // A longer ID is left out; the request is refused all the same.
+    let answer = refused(&"y".repeat(300));
+    assert!(!answer.contains("attempt-id"), "{answer}");
+    drop(held);
+    let log = fleet.routers[0].settings.with_extension("log");
+    let explain = || {
+        let mut command = Command::new(BINARY);
+        command.args(["explain", "caller-17", &log.display().to_string()]);
+        command.output().unwrap()
+    };
+    eventually("the refusal is logged", || explain().status.success());
+    let text = String::from_utf8(explain().stdout).unwrap();
+    assert!(text.contains("router-busy"), "{text}");
+}
