--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -35,6 +35,7 @@
 pub use coordination::rule::shadowed;
 pub use interface::{
     region, Contents, Inbound, Interface, Inventory, Load, Outbound, Page, Regions, Signals,
+    Timeout,
 };
 pub use journal::{Dump, Journal};
 pub use process::{Addresses, Process, Reloader};
