Send streams with a bound on their pauses away from crowded data centres

Routers leave their data centre only when its engines have no time to prefill or its requests wait, and neither was so.

Change: for rules with a bound and engines that copy from each other, a shard with 1.2 times the requests in progress per engine of all shards, and at least two, comes after the others. Figures are those of grants; they halve each second without a new one.

--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -20,7 +20,7 @@
 pub use self::session::HELLO_RETRY_MS;
 
 use self::queue::{Queue, Request, Stage};
-use self::selection::{Selector, State};
+use self::selection::{Running, Selector, State};
 use self::session::Session;
 use crate::backoff::Backoffs;
 use crate::messages::{Objective, Pause, Placement};
@@ -226,7 +226,7 @@
     /// Average number of requests in progress per router, according to the schedulers.
     fn average_running(&self) -> usize {
         let active = self.sessions.values().filter(|s| s.is_up);
-        let each = active.map(|s| s.running.div_ceil(s.routers));
+        let each = active.map(|s| s.running.reported().div_ceil(s.routers));
         // CAST: 32 bits fit into a size on every supported target.
         each.map(|n| n as usize).sum()
     }
@@ -259,7 +259,12 @@
     }
 
     /// Shard whose scheduler to ask for a request.
-    fn shard(&self, now: Millis, arrival: &Arrival) -> Option<&Shard> {
+    fn shard(
+        &self,
+        now: Millis,
+        arrival: &Arrival,
+        objective: Option<Objective>,
+    ) -> Option<&Shard> {
         let state = |shard: &Shard| {
             let session = self.sessions.get(shard);
             let state = session.map_or(State::UNKNOWN, |s| s.state(now, arrival.class.customer));
@@ -271,7 +276,7 @@
                 ..state
             }
         };
-        self.selector.choose(now, arrival, state)
+        self.selector.choose(now, arrival, objective, state)
     }
 
     /// Queues a request and asks a scheduler for a slot, unless the request is rejected.
@@ -303,7 +308,7 @@
         if self.selector.is_empty() {
             self.selector.update(view);
         }
-        let shard = self.shard(now, &arrival).cloned();
+        let shard = self.shard(now, &arrival, objective).cloned();
         let shard = shard.ok_or(Rejection::NoEndpoint)?;
         let full = self.waiting_bytes.saturating_add(arrival.bytes) > self.bounds.bytes;
         if full || self.waiting >= self.bounds.requests {
@@ -488,7 +493,7 @@
         session.routers = grant.routers.max(1);
         session.has_router_count = true;
         session.record_busy(u32::from(grant.busy));
-        session.running = grant.running;
+        session.running = Running::new(now, grant.running);
         self.apply_grant(now, &shard, grant, &mut effects);
         effects
     }
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -373,8 +373,10 @@
         let Some(request) = self.requests.get(handle).filter(|r| !r.is_moved) else {
             return false;
         };
-        let arrival = request.arrival;
-        let other = self.shard(now, &arrival).filter(|s| *s != refused);
+        let (arrival, objective) = (request.arrival, request.objective);
+        let other = self
+            .shard(now, &arrival, objective)
+            .filter(|s| *s != refused);
         let Some(other) = other.cloned() else {
             return false;
         };
@@ -445,7 +447,7 @@
                 }
                 Stage::Held { .. } => None,
                 Stage::Waiting | Stage::Asked(_) => {
-                    let other = self.shard(now, &request.arrival);
+                    let other = self.shard(now, &request.arrival, request.objective);
                     if other.is_none() && request.remote.is_none() {
                         unserved.push(handle);
                     }
--- a/components/coordination/src/dispatcher/selection.rs
+++ b/components/coordination/src/dispatcher/selection.rs
@@ -5,9 +5,13 @@
 //! thousands of tokens that take an engine a fifth of a second to prefill. If shards were
 //! selected at random, each part would be prefilled in each data centre; if routers used only
 //! their own data centre, one would be overloaded while others are idle.
+//!
+//! With a bound on the pauses of streams, a data centre can be too full long before its requests wait: with
+//! ten streams begun per engine and second a quarter of them paused for too long, with five a tenth.
 
 use super::Arrival;
 use crate::assignment::shards;
+use crate::messages::Objective;
 use crate::prelude::*;
 use crate::prompt::mix;
 use state::listing::Count;
@@ -34,6 +38,17 @@
 /// Time in which a measured wait loses half of its weight, in milliseconds: about the time
 /// that a scheduler needs to serve the requests that it has accepted.
 const WAIT_HALF_LIFE_MS: u64 = 200;
+/// Requests in progress per engine, in percent of the mean of all shards, beyond which streams with
+/// a bound on their pauses go to other shards. Each step of an engine generates a token for all of its
+/// streams and prefills what they bring, so that pauses grow with the streams of an engine. The
+/// mean of one shard varies by some 10% by itself.
+const CROWDED_PERCENT: u64 = 120;
+/// Fewest requests in progress per engine of a crowded shard, in percent. With fewer, most steps
+/// of an engine are for one stream, whatever the other shards have.
+const CROWDED_MIN_PERCENT: u64 = 200;
+/// Time in which a shard's figure of requests in progress loses half of its weight, in
+/// milliseconds: about the time that a stream lasts. A shard that is not asked is tried again.
+const RUNNING_HALF_LIFE_MS: u64 = 1000;
 /// Time without its scheduler after which a shard is skipped for others, in milliseconds:
 /// enough for a new link to be established.
 const LOST_AFTER_MS: u64 = 100;
@@ -82,6 +97,8 @@
     pub(super) wait_ms: u64,
     /// Whether most of the shard's engines have a prompt to prefill.
     pub(super) is_busy: bool,
+    /// Requests in progress at the shard.
+    pub(super) running: u64,
 }
 
 impl State {
@@ -90,6 +107,7 @@
         down_since: None,
         wait_ms: 0,
         is_busy: false,
+        running: 0,
     };
 
     fn is_lost(&self, now: Millis) -> bool {
@@ -102,6 +120,32 @@
     }
 }
 
+/// Requests in progress at a shard, as its scheduler last reported them.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Running {
+    requests: u32,
+    /// When they were reported.
+    at: Millis,
+}
+
+impl Running {
+    /// The requests that a scheduler has just reported.
+    pub(super) fn new(now: Millis, requests: u32) -> Self {
+        Running { requests, at: now }
+    }
+
+    /// Last report.
+    pub(super) fn reported(&self) -> u32 {
+        self.requests
+    }
+
+    /// Expected number now. It halves with each half-life without a new report.
+    pub(super) fn expected(&self, now: Millis) -> u64 {
+        let halvings = now.since(self.at) / RUNNING_HALF_LIFE_MS;
+        u64::from(self.requests) >> halvings.min(63)
+    }
+}
+
 /// A shard that this router may ask for a request.
 #[derive(Clone, Debug)]
 struct Candidate {
@@ -240,12 +284,18 @@
     }
 
     /// The shard to ask for a request. `state` returns what is known of a shard.
-    pub(super) fn choose<F>(&self, now: Millis, arrival: &Arrival, state: F) -> Option<&Shard>
+    pub(super) fn choose<F>(
+        &self,
+        now: Millis,
+        arrival: &Arrival,
+        objective: Option<Objective>,
+        state: F,
+    ) -> Option<&Shard>
     where
         F: Fn(&Shard) -> State,
     {
         let aim_ms = arrival.aim.since(now);
-        let order = self.preferences(arrival, &state);
+        let order = self.preferences(arrival, objective, &state);
         let first = order.first()?;
         let is_overloaded = order.len() > 1 && {
             let preferred = state(&first.shard);
@@ -262,7 +312,12 @@
     }
 
     /// Shards that this router may ask for a request, in order of preference.
-    fn preferences<F>(&self, arrival: &Arrival, state: &F) -> SmallVec<[&Candidate; 8]>
+    fn preferences<F>(
+        &self,
+        arrival: &Arrival,
+        objective: Option<Objective>,
+        state: &F,
+    ) -> SmallVec<[&Candidate; 8]>
     where
         F: Fn(&Shard) -> State,
     {
@@ -274,6 +329,15 @@
         if order.len() < 2 {
             return order;
         }
+        // A stream leaves a crowded shard only where engines copy cached parts: elsewhere its prompt
+        // would be prefilled once more, which causes pauses itself.
+        let has_bound = objective.is_some_and(|objective| objective.max_gap_ms > 0);
+        let may_leave = has_bound && self.copying.contains(&arrival.service);
+        let crowded = match may_leave {
+            true => crowded(&order, state),
+            false => SmallVec::new(),
+        };
+        let is_crowded = |c: &Candidate| crowded.contains(&c.hash);
         let (key, tokens) = arrival.prompt.shared_prefix();
         let here = order.iter().filter(|c| self.is_local(&c.shard));
         let has_spare_engines = here.clone().any(|c| !state(&c.shard).is_busy);
@@ -282,7 +346,10 @@
         if tokens >= AFFINITY_MIN_TOKENS
             && !(has_spare_engines && self.copying.contains(&arrival.service))
         {
-            order.sort_by(|a, b| a.rank(key.into()).total_cmp(&b.rank(key.into())));
+            order.sort_by(|a, b| {
+                let by_rank = a.rank(key.into()).total_cmp(&b.rank(key.into()));
+                is_crowded(a).cmp(&is_crowded(b)).then(by_rank)
+            });
             return order;
         }
         let key = match tokens >= AFFINITY_MIN_TOKENS {
@@ -292,7 +359,8 @@
         let elsewhere = |c: &Candidate| !self.is_local(&c.shard);
         order.sort_by(|a, b| {
             let by_rank = a.rank(key).total_cmp(&b.rank(key));
-            elsewhere(a).cmp(&elsewhere(b)).then(by_rank)
+            let by_place = elsewhere(a).cmp(&elsewhere(b)).then(by_rank);
+            is_crowded(a).cmp(&is_crowded(b)).then(by_place)
         });
         order
     }
@@ -327,6 +395,24 @@
     }
 }
 
+/// Hashes of the shards whose engines have far more requests in progress than those of all shards
+/// together.
+fn crowded<F>(order: &[&Candidate], state: &F) -> SmallVec<[u64; 8]>
+where
+    F: Fn(&Shard) -> State,
+{
+    let running: SmallVec<[u64; 8]> = order.iter().map(|c| state(&c.shard).running).collect();
+    let all: u64 = running.iter().sum();
+    let engines: u64 = order.iter().map(|c| u64::from(c.available)).sum();
+    let mean_percent = all * 100 / engines.max(1);
+    let limit = (mean_percent * CROWDED_PERCENT / 100).max(CROWDED_MIN_PERCENT);
+    let crowded = order.iter().zip(running).filter(|(candidate, running)| {
+        let percent = running * 100 / u64::from(candidate.available.max(1));
+        percent > limit
+    });
+    crowded.map(|(candidate, _)| candidate.hash).collect()
+}
+
 /// Number of endpoints of a shard that take work, given the counts of all endpoints.
 fn count_available(view: &View, counts: &[Count], shard: &Shard) -> u32 {
     let service = view.config.services.get(&shard.service).map(|s| &s.name);
--- a/components/coordination/src/dispatcher/session.rs
+++ b/components/coordination/src/dispatcher/session.rs
@@ -2,7 +2,7 @@
 
 use super::local::{LOCAL_AFTER_MS, LOCAL_EPOCH};
 use super::queue::Stage;
-use super::selection::{State, Wait};
+use super::selection::{Running, State, Wait};
 use super::{Arrival, Dispatcher, Effect, Effects, Handle};
 use crate::backoff::Backoff;
 use crate::ledger::virtual_cost;
@@ -87,7 +87,7 @@
     /// Whether a scheduler has reported the number of routers.
     pub(super) has_router_count: bool,
     /// Requests in progress at all routers with a session there.
-    pub(super) running: u32,
+    pub(super) running: Running,
     /// Average percentage of the shard's engines with a prompt to prefill.
     busy_percent: u32,
     /// The local scheduler and its session, while there is no other.
@@ -172,7 +172,7 @@
             is_acknowledged: false,
             routers: 1,
             has_router_count: false,
-            running: 0,
+            running: Running::default(),
             busy_percent: 0,
             local: None,
             refused: BTreeMap::new(),
@@ -195,6 +195,7 @@
             down_since: (!self.is_up).then_some(self.down_since),
             wait_ms: account.map_or(0, |a| a.wait.ms(now)),
             is_busy: self.busy_percent >= BUSY_PERCENT,
+            running: self.running.expected(now),
         }
     }
 
--- a/components/coordination/tests/selection.rs
+++ b/components/coordination/tests/selection.rs
@@ -5,7 +5,7 @@
 
 use coordination::assignment::shards;
 use coordination::dispatcher::{Arrival, Bounds, Dispatcher, Effect, Handle, Location, Rejection};
-use coordination::messages::{Ask, Class, Forecast, Grant, Hello, Refusal, Report};
+use coordination::messages::{Ask, Class, Forecast, Grant, Hello, Objective, Refusal, Report};
 use coordination::prompt::Prompt;
 use coordination::regions::Regions;
 use state::clock::Millis;
@@ -191,6 +191,98 @@
     assert_eq!(elsewhere(&mut router, 2000), 0);
 }
 
+/// Number of the next 40 requests that go to each scheduler, whose streams have a bound of `max_gap_ms`
+/// on their pauses. Each shard reports its requests in progress with the grant.
+fn asked_with_running(
+    router: &mut Dispatcher,
+    view: &View,
+    (now, max_gap_ms): (u64, u32),
+    running: [u32; CENTRES as usize],
+) -> BTreeMap<u64, u32> {
+    let mut counts = BTreeMap::new();
+    for n in 0..40 {
+        let part = now * 100 + n;
+        let arrival = of(part, arrival(now, part, 13_000, part));
+        let objective = (max_gap_ms > 0).then_some(Objective {
+            max_gap_ms,
+            is_resumable: false,
+        });
+        let arrived = router.arrive_for_stream(Millis(now), view, arrival, objective);
+        let (_, mut effects) = arrived.unwrap();
+        effects.extend(router.tick(Millis(now), view));
+        let sent = effects.iter().find_map(|e| match e {
+            Effect::Report(to, Report::Ask(ask) | Report::StreamAsk(ask, _)) => {
+                Some((to.epoch, ask.seq))
+            }
+            _ => None,
+        });
+        let (epoch, seq) = sent.unwrap();
+        *counts.entry(epoch.0).or_default() += 1;
+        let grant = Grant {
+            epoch,
+            seq,
+            endpoint: EndpointId(0),
+            copy_from: None,
+            forecast: Forecast::default(),
+            level: 0,
+            floor: 0,
+            routers: 4,
+            running: running[usize::try_from(epoch.0).unwrap() - 1],
+            busy: 30,
+        };
+        router.grant(Millis(now), grant);
+    }
+    counts
+}
+
+/// Guards against streams that pause for too long since two in three callers come to one data centre: its
+/// engines have twice as many streams as the others while their prefill still leaves time.
+#[test]
+fn streams_with_a_bound_leave_a_crowded_data_centre() {
+    let view = copying_view();
+    let mut router = router(&view, 0);
+    let local = |counts: &BTreeMap<u64, u32>| counts.get(&1).copied().unwrap_or(0);
+    let crowded = [120, 40, 40, 40];
+    let level = [50, 50, 50, 50];
+    // Without a bound they stay, whatever is in progress.
+    let counts = asked_with_running(&mut router, &view, (0, 0), crowded);
+    assert_eq!(local(&counts), 40, "{counts:?}");
+    // The other shards get all of them, each some.
+    let counts = asked_with_running(&mut router, &view, (10, 300), crowded);
+    assert_eq!(local(&counts), 0, "{counts:?}");
+    assert_eq!(counts.len(), 3, "{counts:?}");
+    // They return with the first figures that are level.
+    asked_with_running(&mut router, &view, (20, 0), level);
+    asked_with_running(&mut router, &view, (30, 300), level);
+    let counts = asked_with_running(&mut router, &view, (40, 300), level);
+    assert_eq!(local(&counts), 40, "{counts:?}");
+}
+
+/// Guards against moving streams away from engines that have time for them: bytes between data
+/// centres, for nothing.
+#[test]
+fn streams_with_a_bound_stay_where_engines_have_few_of_them() {
+    let view = copying_view();
+    let mut router = router(&view, 0);
+    let few = [20, 0, 0, 0];
+    for now in [0, 10, 20] {
+        let counts = asked_with_running(&mut router, &view, (now, 300), few);
+        assert_eq!(counts.get(&1), Some(&40), "{counts:?}");
+    }
+}
+
+/// Guards against prefilling prompts once more in other data centres, where engines cannot copy.
+#[test]
+fn streams_with_a_bound_stay_with_their_prompts_where_engines_do_not_copy() {
+    let view = view(false);
+    let (mut crowded, mut calm) = (router(&view, 0), router(&view, 0));
+    for now in [0, 10] {
+        let expected = asked_with_running(&mut calm, &view, (now, 300), [50; 4]);
+        let counts = asked_with_running(&mut crowded, &view, (now, 300), [200, 10, 10, 10]);
+        assert_eq!(counts, expected);
+    }
+}
+
 #[test]
 fn prompts_that_share_little_stay_in_their_data_centre() {
     let view = view(false);
