--- a/components/coordination/src/handover.rs
+++ b/components/coordination/src/handover.rs
@@ -250,9 +250,10 @@
         self.address = peer.callers;
         self.valid_until = now.after(VALID_MS);
         let is_first = self.reported_at == Millis(0);
-        // A report of a new version may follow the one before it at once.
+        // A report of a new version may follow the one before it at once. An older report with a
+        // higher version is one of before a restart of the peer.
         let is_new = reported_at.since(self.reported_at) >= REPORT_DIFFERENCE_MS
-            || peer.config_version > self.config_version;
+            || (peer.config_version > self.config_version && reported_at > self.reported_at);
         if !is_first && !is_new {
             return;
         }
--- a/components/coordination/tests/intake.rs
+++ b/components/coordination/tests/intake.rs
@@ -7,12 +7,12 @@
     Admission, Arrivals, Intake, Limit, Period, Probes, Quota, Refused, Returns,
 };
 use coordination::budget::{Budget, Resources};
-use coordination::handover::{self, Handover};
+use coordination::handover::{self, Handover, Origin};
 use coordination::messages::Peer;
 use coordination::overload::{Overload, OVERLOAD_LATENESS_MS};
 use rstest::rstest;
 use state::clock::Millis;
-use state::id::Name;
+use state::id::{Name, Version};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Processor time of the router in each millisecond.
@@ -143,6 +143,7 @@
                 // CAST: below 1000.
                 free_permille: (free * 1000 / handover::NOMINAL_PER_S) as u16,
                 age_ms: 0,
+                config_version: Version(1),
             }
         });
         let peers: Vec<Peer> = peers.collect();
@@ -152,7 +153,10 @@
     /// Decides on a request that was read. Returns whether it is handed over.
     fn decide(&mut self, now: u64) -> bool {
         let end = now + PIECES * PIECE_MS;
-        match self.decision.decide(Millis(now), self.here.len(), false) {
+        match self
+            .decision
+            .decide(Millis(now), self.here.len(), Origin::Caller(Version(1)))
+        {
             handover::Decision::HandOver(peer, _) => {
                 self.at_peers.push_back((now + PIECE_MS, end, peer));
                 self.handed_over += 1;
--- a/components/node/src/frontend/turn_away.rs
+++ b/components/node/src/frontend/turn_away.rs
@@ -250,7 +250,11 @@
             Some(value) => text(value)?.parse().ok()?,
             None => 0,
         };
-        Some((head_bytes + length).saturating_sub(bytes.len()))
+        Some(
+            head_bytes
+                .saturating_add(length)
+                .saturating_sub(bytes.len()),
+        )
     }
 }
 
