--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -168,6 +168,8 @@
     has_stranded: bool,
     /// Shards whose endpoints have all asked for a backoff, with the earliest end.
     unavailable_shards: BTreeMap<Shard, Millis>,
+    /// Streams that left a crowded shard for another one.
+    moved_streams: u64,
     /// VMs whose schedulers support objectives of streams.
     stream_vms: BTreeSet<Name>,
     /// Pauses observed since the last report, by shard and endpoint.
@@ -198,6 +200,7 @@
             closed_endpoints: BTreeSet::new(),
             has_stranded: false,
             unavailable_shards: BTreeMap::new(),
+            moved_streams: 0,
             stream_vms: BTreeSet::new(),
             pauses: BTreeMap::new(),
             has_urgent_pause: false,
@@ -216,6 +219,11 @@
         self.waiting
     }
 
+    /// Returns the number of streams that left a crowded shard for another one since the last call.
+    pub fn take_moved_streams(&mut self) -> u64 {
+        std::mem::take(&mut self.moved_streams)
+    }
+
     /// Number of requests that hold a slot.
     pub fn held(&self) -> usize {
         self.requests.len() - self.waiting
@@ -261,13 +269,13 @@
         counted.map(|s| s.routers).max()
     }
 
-    /// Shard whose scheduler to ask for a request.
+    /// Shard whose scheduler to ask for a request, and whether the request leaves a crowded one.
     fn shard(
         &self,
         now: Millis,
         arrival: &Arrival,
         objective: Option<Objective>,
-    ) -> Option<&Shard> {
+    ) -> Option<(&Shard, bool)> {
         let state = |shard: &Shard| {
             let session = self.sessions.get(shard);
             let state = session.map_or(State::UNKNOWN, |s| s.state(now, arrival.class.customer));
@@ -311,8 +319,10 @@
         if self.selector.is_empty() {
             self.selector.update(view);
         }
-        let shard = self.shard(now, &arrival, objective).cloned();
-        let shard = shard.ok_or(Rejection::NoEndpoint)?;
+        let chosen = self.shard(now, &arrival, objective);
+        let (shard, is_moved) = chosen.ok_or(Rejection::NoEndpoint)?;
+        let shard = shard.clone();
+        self.moved_streams += u64::from(is_moved);
         let full = self.waiting_bytes.saturating_add(arrival.bytes) > self.bounds.bytes;
         if full || self.waiting >= self.bounds.requests {
             return Err(Rejection::Router);
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -400,9 +400,8 @@
             return false;
         };
         let (arrival, objective) = (request.arrival, request.objective);
-        let other = self
-            .shard(now, &arrival, objective)
-            .filter(|s| *s != refused);
+        let other = self.shard(now, &arrival, objective);
+        let other = other.map(|(shard, _)| shard).filter(|s| *s != refused);
         let Some(other) = other.cloned() else {
             return false;
         };
@@ -495,6 +494,7 @@
                 Stage::Held { .. } => None,
                 Stage::Waiting | Stage::Asked(_) => {
                     let other = self.shard(now, &request.arrival, request.objective);
+                    let other = other.map(|(shard, _)| shard);
                     if other.is_none() && request.remote.is_none() {
                         unserved.push(handle);
                     }
--- a/components/coordination/src/dispatcher/selection.rs
+++ b/components/coordination/src/dispatcher/selection.rs
@@ -286,14 +286,15 @@
         })
     }
 
-    /// The shard to ask for a request. `state` returns what is known of a shard.
+    /// The shard to ask for a request, and whether the request leaves a crowded one. `state` returns
+    /// what is known of a shard.
     pub(super) fn choose<F>(
         &self,
         now: Millis,
         arrival: &Arrival,
         objective: Option<Objective>,
         state: F,
-    ) -> Option<&Shard>
+    ) -> Option<(&Shard, bool)>
     where
         F: Fn(&Shard) -> State,
     {
@@ -306,7 +307,7 @@
         if has_bound && self.copying.contains(&arrival.service) {
             let other = self.less_crowded(now, arrival, &order, &state);
             if let Some(other) = other {
-                return Some(&other.shard);
+                return Some((&other.shard, true));
             }
         }
         let is_overloaded = order.len() > 1 && {
@@ -314,13 +315,13 @@
             !preferred.waits_within(now, aim_ms / PREFERRED_WAIT_DIVISOR)
         };
         if !is_overloaded {
-            return Some(&first.shard);
+            return Some((&first.shard, false));
         }
         let mut others = order.iter().skip(1);
         let free = others.find(|c| state(&c.shard).waits_within(now, aim_ms / OTHER_WAIT_DIVISOR));
         let alive = || order.iter().find(|c| !state(&c.shard).is_lost(now));
         let chosen = free.or_else(alive).unwrap_or(first);
-        Some(&chosen.shard)
+        Some((&chosen.shard, false))
     }
 
     /// Another shard for a stream with a bound on its pauses, if the preferred one is crowded and
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -70,6 +70,8 @@
     pub(crate) request_heads: IntCounter,
     /// Tries sent to endpoints.
     pub(crate) attempts: IntCounter,
+    /// Streams with a bound on their pauses that left a crowded shard for another one.
+    pub(crate) moved_streams: IntCounter,
     /// Requests handed over to other routers.
     pub(crate) handed_over: IntCounter,
     /// Requests accepted from other routers.
@@ -274,6 +276,10 @@
                 "Requests whose head was read.",
             )?,
             attempts: counter("cowslipford_tries_sent_total", "Tries sent to endpoints.")?,
+            moved_streams: counter(
+                "cowslipford_streams_moved_total",
+                "Streams with a bound on their pauses that left a crowded data centre.",
+            )?,
             handed_over: counter(
                 "cowslipford_requests_handed_over_total",
                 "Requests handed over to other routers.",
--- a/components/node/src/reactor/status.rs
+++ b/components/node/src/reactor/status.rs
@@ -57,6 +57,9 @@
         let metrics = &self.parts.metrics;
         metrics.waiting.set(gauge_value(self.dispatcher.waiting()));
         metrics.in_progress.set(gauge_value(self.dispatcher.held()));
+        metrics
+            .moved_streams
+            .inc_by(self.dispatcher.take_moved_streams());
         metrics.version.set(gauge_value(self.view.version.0));
         metrics.evacuated.set(gauge_value(self.evacuated.len()));
         metrics.ready.set(i64::from(self.ready && !self.stopping));
