Read the end of a handed-over stream before its deadline

Cause: the pause between two reads of a stream from a peer could last past the deadline, so that the caller got a cut stream although its end had arrived. Plain chunked responses were delayed by the pauses, too. Change: there is no pause that would end at or after the deadline, and only responses of type text/event-stream are paced. Result: the unit test fails without the condition and passes with it. The type check has no test of its own; tests/handover.rs passes.

--- a/components/node/src/frontend/forward.rs
+++ b/components/node/src/frontend/forward.rs
@@ -12,6 +12,7 @@
 use super::pool::{self, Connection, Key, Pool};
 use super::refusal::{Refusal, DECLINED_CODE, DECLINED_HEADER, OUTCOME_HEADER};
 use super::relay::Abort;
+use super::resume::is_event_stream;
 use super::upstream::{keep_alive_timeout, strip_hop_by_hop, Call, Failure};
 use crate::handover::{Decided, Handover, Ticket};
 use crate::interface::Inbound;
@@ -185,8 +186,8 @@
     strip_hop_by_hop(&mut head.headers);
     let handover = frontend.context.handover.as_ref();
     let interval = handover.map_or(Duration::ZERO, Handover::relay_interval);
-    // An answer of known length is not a stream, and its caller waits for the whole of it.
-    let is_stream = body.size_hint().exact().is_none();
+    // The caller of any other answer waits for the whole of it, also if it is chunked.
+    let is_stream = is_event_stream(&head.headers) && body.size_hint().exact().is_none();
     let mut forwarded = Forwarded {
         pace: Pace::new(if is_stream { interval } else { Duration::ZERO }),
         incoming: body,
@@ -456,8 +457,9 @@
         )
     }
 
-    /// Records that all that was read has been passed on.
-    fn finish(&mut self) {
+    /// Records that all that was read has been passed on. There is no pause that would end at or
+    /// after `deadline`: the end of the answer could arrive in it and would not be read.
+    fn finish(&mut self, deadline: Instant) {
         if let Pace::Spaced {
             interval,
             timer,
@@ -465,11 +467,11 @@
         } = self
         {
             let is_large = matches!(step, Step::Passing(bytes) if *bytes >= LARGE_READ_BYTES);
-            if is_large {
+            let until = Instant::now() + *interval;
+            if is_large || until >= deadline {
                 *step = Step::Waiting;
             } else {
-                let now = tokio::time::Instant::now();
-                timer.as_mut().reset(now + *interval);
+                timer.as_mut().reset(until.into());
                 *step = Step::Pausing;
             }
         }
@@ -548,7 +550,7 @@
             if piece.is_ready() {
                 return piece;
             }
-            self.pace.finish();
+            self.pace.finish(self.deadline);
             if self.pace.is_pausing(context) {
                 return Poll::Pending;
             }
@@ -617,3 +619,22 @@
         self.incoming.size_hint()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn does_not_pause_past_the_deadline() {
+        // Failure: the end of an answer arrives before the deadline, and is not read because of a
+        // pause that lasts longer.
+        let interval = Duration::from_millis(80);
+        let mut context = Context::from_waker(Waker::noop());
+        for (left_ms, pauses) in [(10_000, true), (60, false), (0, false)] {
+            let mut pace = Pace::new(interval);
+            pace.pass(100);
+            pace.finish(Instant::now() + Duration::from_millis(left_ms));
+            assert_eq!(pace.is_pausing(&mut context), pauses, "{left_ms} ms left");
+        }
+    }
+}
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -170,7 +170,7 @@
 }
 
 /// Whether the headers are those of a plain stream of server-sent events.
-fn is_event_stream(headers: &HeaderMap) -> bool {
+pub(super) fn is_event_stream(headers: &HeaderMap) -> bool {
     let content_type = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
     let media_type = content_type.and_then(|v| v.split(';').next());
     media_type.is_some_and(|m| m.trim().eq_ignore_ascii_case("text/event-stream"))
