Count only hand-overs that a peer answers as served

Cause: the admission limit counted each hand-over as served, also one that failed, was declined or found no room at the peer. Change: cowslipford_handovers_answered_total counts hand-overs whose response begins at a peer with room; the limit uses it. The metric of all hand-overs keeps its meaning. A refusal by a peer with room still counts. Result: the unit test of the meter fails on the former sum (11 instead of 1) and passes; tests/handover.rs passes.

--- a/components/node/src/handover.rs
+++ b/components/node/src/handover.rs
@@ -150,6 +150,9 @@
     /// Records that the peer has answered; `has_room` is false if it refused for lack of room.
     pub(crate) fn answer(&mut self, has_room: bool) {
         self.is_waiting = false;
+        if has_room {
+            self.handover.0.metrics.answered_by_peers.inc();
+        }
         let now = self.handover.0.clock.now();
         self.handover.lock().answer(now, &self.vm, has_room);
     }
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -72,6 +72,8 @@
     pub(crate) attempts: IntCounter,
     /// Requests handed over to other routers.
     pub(crate) handed_over: IntCounter,
+    /// Requests handed over that a router with room has answered.
+    pub(crate) answered_by_peers: IntCounter,
     /// Requests accepted from other routers.
     pub(crate) accepted_from_peers: IntCounter,
     /// Hand-overs that failed before the answer began.
@@ -278,6 +280,10 @@
                 "cowslipford_requests_handed_over_total",
                 "Requests handed over to other routers.",
             )?,
+            answered_by_peers: counter(
+                "cowslipford_handovers_answered_total",
+                "Requests handed over that routers with room answered.",
+            )?,
             accepted_from_peers: counter(
                 "cowslipford_requests_from_peers_total",
                 "Requests accepted from other routers.",
--- a/components/node/src/monitor.rs
+++ b/components/node/src/monitor.rs
@@ -386,6 +386,8 @@
 struct Meter {
     probed_at: Instant,
     process_ns: u64,
+    /// Requests sent to endpoints, or answered by peers with room. A hand-over that fails, or that
+    /// the peer declines or has no room for, raises no limit of what is admitted.
     served: u64,
 }
 
@@ -394,7 +396,7 @@
         Meter {
             probed_at: Instant::now(),
             process_ns: cpu_ns(ClockId::ProcessCPUTime),
-            served: metrics.attempts.get() + metrics.handed_over.get(),
+            served: metrics.attempts.get() + metrics.answered_by_peers.get(),
         }
     }
 
@@ -512,3 +514,22 @@
     let pages: i64 = pages.ok_or(std::io::ErrorKind::InvalidData)?;
     Ok(pages * PAGE_BYTES)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn counts_only_answered_handovers_as_served() {
+        // Failure: a router whose peers fail or refuse admits more and more, since each attempt to
+        // hand a request over counts as served.
+        let metrics = Metrics::new().expect("metrics are registered once");
+        metrics.attempts.inc();
+        metrics.handed_over.inc_by(10);
+        metrics.failed_handovers.inc_by(3);
+        metrics.declined_handovers.inc_by(3);
+        assert_eq!(Meter::new(&metrics).served, 1);
+        metrics.answered_by_peers.inc_by(4);
+        assert_eq!(Meter::new(&metrics).served, 5);
+    }
+}
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -35,6 +35,7 @@
 const HANDED_OVER: &str = "cowslipford_requests_handed_over_total ";
 const FROM_PEERS: &str = "cowslipford_requests_from_peers_total ";
 const AT_PEERS: &str = "cowslipford_requests_at_peers ";
+const ANSWERED: &str = "cowslipford_handovers_answered_total ";
 const FAILED: &str = "cowslipford_handovers_failed_total ";
 const DECLINED: &str = "cowslipford_handovers_declined_total ";
 
@@ -246,6 +247,8 @@
 fn serves_requests_here_if_the_peer_refuses_connections() {
     // Failure: the peer has just been killed, and its figure is still valid.
     let mut fleet = pressed_fleet();
+    let answered = metric(&fleet, "r1", ANSWERED);
+    assert!(answered > 0, "no hand-over counts as answered");
     kill_peer(&mut fleet);
     for n in 0..20 {
         let label = format!("here-{n}");
@@ -254,6 +257,9 @@
         assert_eq!(answer.status, 200, "{}", answer.text());
         assert_eq!(fleet.calls_with_label(&label), 1);
     }
+    // Failure: hand-overs that fail count as served for the limit of what is admitted.
+    assert!(metric(&fleet, "r1", FAILED) > 0);
+    assert_eq!(metric(&fleet, "r1", ANSWERED), answered);
 }
 
 #[test]
