Do not expect callers of other routers to return

Cause: a refusal of a request that another router has passed on took a place among the returning callers, although its caller returns to that router. Change: such refusals, also of connections beyond the limit, say 50 to 200 ms, and are not counted among the returns. The refusal for lateness has no test of its own.

--- a/components/node/src/frontend/admit.rs
+++ b/components/node/src/frontend/admit.rs
@@ -56,7 +56,7 @@
     }
     check_ready(published)?;
     let timeout = inbound.as_ref().ok().and_then(|inbound| inbound.timeout);
-    check_lateness(frontend, entry.id(), timeout)?;
+    check_lateness(frontend, entry, timeout)?;
     check_framing(head)?;
     check_size(head, frontend.context.callers.head_max)?;
     inbound.map_err(|reason| Refusal::not_run(StatusCode::BAD_REQUEST, "bad-head", reason))
@@ -85,18 +85,23 @@
 /// router, and the processor time remains for the admitted requests.
 fn check_lateness(
     frontend: &Frontend,
-    id: RequestId,
+    entry: &Entry,
     timeout: Option<Duration>,
 ) -> Result<(), Refusal> {
     if frontend.context.lateness.admit_request() == Admission::Admit {
         return Ok(());
     }
-    if frontend.context.lateness.answers_excess() {
+    // The caller of a request that another router has passed on returns to that router.
+    if frontend.context.lateness.answers_excess() && entry.forwarder().is_none() {
         return Err(busy(frontend.context.lateness.retry_after(timeout)));
     }
-    // Spreads the retries of callers that are refused at the same time.
-    let retry_after = FAST_RETRY_AFTER * (1 + u32::try_from(id.count % 4).unwrap_or(0));
-    Err(busy(retry_after))
+    Err(busy(spread_retry_after(entry.id())))
+}
+
+/// Retry-After of 50 to 200 ms, which spreads the retries of callers that are refused at the same
+/// time.
+pub(super) fn spread_retry_after(id: RequestId) -> Duration {
+    FAST_RETRY_AFTER * (1 + u32::try_from(id.count % 4).unwrap_or(0))
 }
 
 /// Refusal of a request that this router can't serve in time.
--- a/components/node/src/frontend/forward.rs
+++ b/components/node/src/frontend/forward.rs
@@ -6,7 +6,7 @@
 //! worked out here only after a failure.
 
 use super::access_log::Entry;
-use super::admit::{BUSY_CODE, FAST_RETRY_AFTER};
+use super::admit::{spread_retry_after, BUSY_CODE, FAST_RETRY_AFTER};
 use super::listen::Frontend;
 use super::plan::{plan, Plan};
 use super::pool::{self, Connection, Key, Pool};
@@ -246,10 +246,8 @@
 /// which the sender knows that this router has no room.
 fn no_room(call: &Call) -> Refusal {
     let text = "this router has no room for requests of others";
-    // Spreads the retries of callers that are refused at the same time.
-    let spread = 1 + u32::try_from(call.id.count % 4).unwrap_or(0);
     Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, BUSY_CODE, text)
-        .with_retry_after(FAST_RETRY_AFTER * spread)
+        .with_retry_after(spread_retry_after(call.id))
 }
 
 /// Whether an answer says that the peer has no room: the peer itself refuses, and wants no more
--- a/components/node/src/frontend/turn_away.rs
+++ b/components/node/src/frontend/turn_away.rs
@@ -6,7 +6,8 @@
 //! connection is accepted; such a connection is refused without a task of its own.
 
 use super::access_log::Entry;
-use super::admit::busy;
+use super::admit::{busy, spread_retry_after};
+use super::forward::FORWARDED;
 use super::listen::Frontend;
 use super::refusal::{retry_after_text, Refusal, RETRY_AFTER};
 use crate::interface::{Interface, REQUEST_ID};
@@ -133,6 +134,8 @@
     request_id: Option<HeaderValue>,
     /// Time for which the caller waits.
     timeout: Option<Duration>,
+    /// Whether another router has passed the request on. Its caller returns to that router.
+    is_forwarded: bool,
 }
 
 impl Received {
@@ -146,6 +149,7 @@
             interface,
             request_id: None,
             timeout: None,
+            is_forwarded: false,
         }
     }
 
@@ -234,6 +238,7 @@
             let found = headers.find(|header| header.name.eq_ignore_ascii_case(name));
             found.map(|header| header.value)
         };
+        self.is_forwarded = find(FORWARDED.as_str()).is_some();
         let text = |value| std::str::from_utf8(value).ok().map(str::trim);
         let request_id = self.interface.request_id.and_then(find);
         self.request_id = request_id
@@ -357,7 +362,10 @@
     /// Counts a refusal, logs it within the rate of such lines, and returns the response.
     fn refuse(&self, received: &Received) -> String {
         let id = self.next_id();
-        let retry_after = self.context.lateness.retry_after(received.timeout);
+        let retry_after = match received.is_forwarded {
+            true => spread_retry_after(id),
+            false => self.context.lateness.retry_after(received.timeout),
+        };
         let metrics = &self.context.metrics;
         metrics.refused_connections.inc();
         self.template.requests.inc();
--- a/tests/refusals.rs
+++ b/tests/refusals.rs
@@ -152,6 +152,28 @@
     assert!(log.contains("router-busy"), "no line of a refusal");
 }
 
+/// Failure: a refused request of another router takes a place among the callers that return here,
+/// although its caller returns to that router.
+#[test]
+fn does_not_expect_callers_of_other_routers_to_return() {
+    let (_fleet, address) = start();
+    let _streams = fill(address);
+    for _ in 0..20 {
+        let mut stream = connect(address);
+        stream
+            .write_all(
+                b"GET /booking HTTP/1.1\r\nhost: a\r\nauthorization: Bearer alpha\r\n\
+                  Cowslipford-Forwarded: r9\r\n\r\n",
+            )
+            .unwrap();
+        let answer = read_end(&mut stream).answer();
+        check_refusal(&answer);
+        let retry_after = answer.lines().find_map(|l| l.strip_prefix("retry-after: "));
+        let spread = ["0.050", "0.100", "0.150", "0.200"];
+        assert!(spread.contains(&retry_after.unwrap()), "{answer}");
+    }
+}
+
 /// Failure: a caller sends its head byte by byte, or sends nothing. Guards against connections
 /// that are refused for ever, and keep others from being refused.
 #[test]
