Limit the log lines of declined requests

Change: declined requests share the limit of the lines of busy refusals, and the response names no version. Result: the test of forged versions fails without either change and passes with both; tests/handover.rs passes.

--- a/components/node/src/frontend/forward.rs
+++ b/components/node/src/frontend/forward.rs
@@ -93,10 +93,8 @@
     if !must_decline(own, forwarder.version) {
         return Ok(());
     }
-    let text = format!(
-        "this router has version {} of the configuration, and the request needs {}",
-        own.0, forwarder.version.0
-    );
+    // Any caller can set the headers, and is not to learn the version.
+    let text = "the configuration of this router is older than the one the request needs";
     let status = StatusCode::SERVICE_UNAVAILABLE;
     Err(Refusal::not_run(status, DECLINED_CODE, text).with_retry_after(FAST_RETRY_AFTER))
 }
--- a/components/node/src/frontend/listen.rs
+++ b/components/node/src/frontend/listen.rs
@@ -3,7 +3,7 @@
 use super::admit::BUSY_CODE;
 use super::connections::{Registration, Registry};
 use super::pool::{Key, Pool};
-use super::refusal::Refusal;
+use super::refusal::{Refusal, DECLINED_CODE};
 use super::serve::{serve, AnswerDeadline};
 use super::turn_away::Template;
 use crate::handover::Handover;
@@ -38,8 +38,8 @@
 /// Bytes of request bodies per permit of the memory for bodies.
 pub(crate) const BODY_UNIT_BYTES: usize = 1024;
 
-/// Most log lines per second for requests that are refused while tasks run late; further refusals
-/// are only counted.
+/// Most log lines per second for requests that are refused while tasks run late, or declined;
+/// further refusals are only counted.
 ///
 /// A flooded router would write 1,500 such lines a second, at the expense of the requests that it
 /// has admitted.
@@ -177,9 +177,11 @@
         })
     }
 
-    /// Whether a refusal is logged, and not only counted.
+    /// Whether a refusal is logged, and not only counted. Any caller can send requests that are
+    /// declined, by a forged header.
     pub(crate) fn should_log(&self, refusal: &Refusal) -> bool {
-        refusal.code != BUSY_CODE || self.may_log_busy()
+        let is_limited = matches!(refusal.code, BUSY_CODE | DECLINED_CODE);
+        !is_limited || self.may_log_busy()
     }
 
     /// Whether a request that is refused while tasks run late is logged, and not only counted.
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -326,7 +326,7 @@
             )?,
             unlogged_refusals: counter(
                 "cowslipford_untold_refusals_total",
-                "Requests refused while tasks ran late, without a log line.",
+                "Requests refused while tasks ran late, or declined, without a log line.",
             )?,
             connections: gauge("cowslipford_connections", "Callers' connections.")?,
             open_requests: gauge(
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -39,6 +39,8 @@
 const FAILED: &str = "cowslipford_handovers_failed_total ";
 const DECLINED: &str = "cowslipford_handovers_declined_total ";
 
+const UNLOGGED: &str = "cowslipford_untold_refusals_total ";
+
 /// Callers that flood a router until they are dropped, each on one connection at a time.
 struct Flood {
     stop: std::sync::Arc<AtomicBool>,
@@ -465,6 +467,18 @@
         assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
     }
     assert_eq!(fleet.calls_with_label("forged"), 0);
+    // Failure: the response tells the caller the version of the configuration.
+    let own = config_version(&fleet, "r4");
+    let declined = forward_to_peer(&fleet, "forged", "18446744073709551615").text();
+    let named = format!("version {own}");
+    assert!(!declined.contains(&named), "{declined}");
+    // Failure: each of these requests writes a log line.
+    eventually("declined requests are not all logged", || {
+        for _ in 0..100 {
+            forward_to_peer(&fleet, "forged", "18446744073709551615");
+        }
+        metric(&fleet, "r4", UNLOGGED) > 0
+    });
     assert_eq!(forward_to_peer(&fleet, "forged", "0").status, 200);
     let before = metric(&fleet, "r1", HANDED_OVER);
     let alone = [("cowslipford-forwarded-version", "999999")];
