--- a/components/node/src/frontend/forward.rs
+++ b/components/node/src/frontend/forward.rs
@@ -6,12 +6,13 @@
 //! worked out here only after a failure.
 
 use super::access_log::Entry;
-use super::admit::{BUSY_CODE, FAST_RETRY_AFTER};
+use super::admit::{spread_retry_after, BUSY_CODE, FAST_RETRY_AFTER};
 use super::listen::Frontend;
 use super::plan::{plan, Plan};
 use super::pool::{self, Connection, Key, Pool};
 use super::refusal::{Refusal, DECLINED_CODE, DECLINED_HEADER, OUTCOME_HEADER};
 use super::relay::Abort;
+use super::resume::is_event_stream;
 use super::upstream::{keep_alive_timeout, strip_hop_by_hop, Call, Failure};
 use crate::handover::{Decided, Handover, Ticket};
 use crate::interface::Inbound;
@@ -92,10 +93,8 @@
     if !must_decline(own, forwarder.version) {
         return Ok(());
     }
-    let text = format!(
-        "this router has version {} of the configuration, and the request needs {}",
-        own.0, forwarder.version.0
-    );
+    // Any caller can set the headers, and is not to learn the version.
+    let text = "the configuration of this router is older than the one the request needs";
     let status = StatusCode::SERVICE_UNAVAILABLE;
     Err(Refusal::not_run(status, DECLINED_CODE, text).with_retry_after(FAST_RETRY_AFTER))
 }
@@ -185,8 +184,8 @@
     strip_hop_by_hop(&mut head.headers);
     let handover = frontend.context.handover.as_ref();
     let interval = handover.map_or(Duration::ZERO, Handover::relay_interval);
-    // An answer of known length is not a stream, and its caller waits for the whole of it.
-    let is_stream = body.size_hint().exact().is_none();
+    // The caller of any other answer waits for the whole of it, also if it is chunked.
+    let is_stream = is_event_stream(&head.headers) && body.size_hint().exact().is_none();
     let mut forwarded = Forwarded {
         pace: Pace::new(if is_stream { interval } else { Duration::ZERO }),
         incoming: body,
@@ -245,10 +244,8 @@
 /// which the sender knows that this router has no room.
 fn no_room(call: &Call) -> Refusal {
     let text = "this router has no room for requests of others";
-    // Spreads the retries of callers that are refused at the same time.
-    let spread = 1 + u32::try_from(call.id.count % 4).unwrap_or(0);
     Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, BUSY_CODE, text)
-        .with_retry_after(FAST_RETRY_AFTER * spread)
+        .with_retry_after(spread_retry_after(call.id))
 }
 
 /// Whether an answer says that the peer has no room: the peer itself refuses, and wants no more
@@ -456,8 +453,9 @@
         )
     }
 
-    /// Records that all that was read has been passed on.
-    fn finish(&mut self) {
+    /// Records that all that was read has been passed on. There is no pause that would end at or
+    /// after `deadline`: the end of the answer could arrive in it and would not be read.
+    fn finish(&mut self, deadline: Instant) {
         if let Pace::Spaced {
             interval,
             timer,
@@ -465,11 +463,11 @@
         } = self
         {
             let is_large = matches!(step, Step::Passing(bytes) if *bytes >= LARGE_READ_BYTES);
-            if is_large {
+            let until = Instant::now() + *interval;
+            if is_large || until >= deadline {
                 *step = Step::Waiting;
             } else {
-                let now = tokio::time::Instant::now();
-                timer.as_mut().reset(now + *interval);
+                timer.as_mut().reset(until.into());
                 *step = Step::Pausing;
             }
         }
@@ -548,7 +546,7 @@
             if piece.is_ready() {
                 return piece;
             }
-            self.pace.finish();
+            self.pace.finish(self.deadline);
             if self.pace.is_pausing(context) {
                 return Poll::Pending;
             }
@@ -617,3 +615,22 @@
         self.incoming.size_hint()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn does_not_pause_past_the_deadline() {
+        // Failure: the end of an answer arrives before the deadline, and is not read because of a
+        // pause that lasts longer.
+        let interval = Duration::from_millis(80);
+        let mut context = Context::from_waker(Waker::noop());
+        for (left_ms, pauses) in [(10_000, true), (60, false), (0, false)] {
+            let mut pace = Pace::new(interval);
+            pace.pass(100);
+            pace.finish(Instant::now() + Duration::from_millis(left_ms));
+            assert_eq!(pace.is_pausing(&mut context), pauses, "{left_ms} ms left");
+        }
+    }
+}
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -35,9 +35,12 @@
 const HANDED_OVER: &str = "cowslipford_requests_handed_over_total ";
 const FROM_PEERS: &str = "cowslipford_requests_from_peers_total ";
 const AT_PEERS: &str = "cowslipford_requests_at_peers ";
+const ANSWERED: &str = "cowslipford_handovers_answered_total ";
 const FAILED: &str = "cowslipford_handovers_failed_total ";
 const DECLINED: &str = "cowslipford_handovers_declined_total ";
 
+const UNLOGGED: &str = "cowslipford_untold_refusals_total ";
+
 /// Callers that flood a router until they are dropped, each on one connection at a time.
 struct Flood {
     stop: std::sync::Arc<AtomicBool>,
@@ -246,6 +249,8 @@
 fn serves_requests_here_if_the_peer_refuses_connections() {
     // Failure: the peer has just been killed, and its figure is still valid.
     let mut fleet = pressed_fleet();
+    let answered = metric(&fleet, "r1", ANSWERED);
+    assert!(answered > 0, "no hand-over counts as answered");
     kill_peer(&mut fleet);
     for n in 0..20 {
         let label = format!("here-{n}");
@@ -254,6 +259,9 @@
         assert_eq!(answer.status, 200, "{}", answer.text());
         assert_eq!(fleet.calls_with_label(&label), 1);
     }
+    // Failure: hand-overs that fail count as served for the limit of what is admitted.
+    assert!(metric(&fleet, "r1", FAILED) > 0);
+    assert_eq!(metric(&fleet, "r1", ANSWERED), answered);
 }
 
 #[test]
@@ -459,6 +467,18 @@
         assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
     }
     assert_eq!(fleet.calls_with_label("forged"), 0);
+    // Failure: the response tells the caller the version of the configuration.
+    let own = config_version(&fleet, "r4");
+    let declined = forward_to_peer(&fleet, "forged", "18446744073709551615").text();
+    let named = format!("version {own}");
+    assert!(!declined.contains(&named), "{declined}");
+    // Failure: each of these requests writes a log line.
+    eventually("declined requests are not all logged", || {
+        for _ in 0..100 {
+            forward_to_peer(&fleet, "forged", "18446744073709551615");
+        }
+        metric(&fleet, "r4", UNLOGGED) > 0
+    });
     assert_eq!(forward_to_peer(&fleet, "forged", "0").status, 200);
     let before = metric(&fleet, "r1", HANDED_OVER);
     let alone = [("cowslipford-forwarded-version", "999999")];
