--- a/components/coordination/src/dispatcher/selection.rs
+++ b/components/coordination/src/dispatcher/selection.rs
@@ -50,8 +50,8 @@
 const LEAVING_MAX_PERCENT: u64 = 95;
 /// Share of the streams that go to a shard whose load is not known, in percent.
 const PROBING_PERCENT: u64 = 5;
-/// Least load of a shard that streams leave, in requests in progress per hundred engines: one
-/// request with an engine of its own is not slowed down by others.
+/// Least load of a shard that streams leave, in requests in progress per hundred engines: with fewer
+/// than two requests for each engine, most have no neighbours that slow them down.
 const LEAVING_MIN_LOAD: u64 = 200;
 /// Time for which a shard's load is used after its scheduler reported it, in milliseconds: the
 /// time that a few streams last.
