Log the framing and the end of an endpoint's answer

Cause: 'request-ended' says 'whole' for streams whose engine had crashed, and the log has nothing to tell an answer without framing from a lost error or from an end that the engine marked itself. Change: 'framing', 'ending' and 'unfinished' (bytes that belong to no whole event), by a small parser of event boundaries. No decision changes.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod cell;
 pub mod consensus;
 pub mod dispatcher;
+pub mod ending;
 pub mod engine;
 pub mod failback;
 pub mod handover;
--- a/components/node/src/frontend/access_log.rs
+++ b/components/node/src/frontend/access_log.rs
@@ -11,6 +11,7 @@
 use crate::input::Dispatch;
 use crate::metric::{Labels, Metrics};
 use crate::shared::Published;
+use coordination::ending::Framing;
 use coordination::messages::Placement;
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
@@ -54,6 +55,12 @@
     resumed: u32,
     /// Why its stream was not resumed after a break.
     unresumed: Option<&'static str>,
+    /// How the end of the endpoint's answer is marked.
+    framing: Option<Framing>,
+    /// How the endpoint's answer ended.
+    ending: Option<&'static str>,
+    /// Bytes at the end of the endpoint's answer that belong to no whole event.
+    unfinished: Option<usize>,
     /// Whether the end of the request has been logged or counted.
     is_logged: bool,
 }
@@ -105,6 +112,9 @@
             tries: 0,
             resumed: 0,
             unresumed: None,
+            framing: None,
+            ending: None,
+            unfinished: None,
             is_logged: false,
         }
     }
@@ -209,6 +219,18 @@
         self.unresumed = Some(reason);
     }
 
+    /// Records how the endpoint's answer ended.
+    pub(crate) fn record_ending(
+        &mut self,
+        framing: Framing,
+        ending: Option<&'static str>,
+        unfinished: Option<usize>,
+    ) {
+        self.framing = Some(framing);
+        self.ending = ending;
+        self.unfinished = unfinished.filter(|bytes| *bytes > 0);
+    }
+
     /// Logs a failed try; `next` names what follows it.
     pub(crate) fn log_failure(&self, failure: &Failure, next: &'static str) {
         tracing::info!(
@@ -294,6 +316,9 @@
             tries = self.tries,
             resumed = (self.resumed > 0).then_some(self.resumed),
             unresumed = self.unresumed,
+            framing = self.framing.map(Framing::as_str),
+            ending = self.ending,
+            unfinished = self.unfinished,
             from = self.forwarder.as_ref().and_then(|f| f.vm.to_str().ok()),
             status = status.map(|s| s.as_u16()),
             outcome,
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -11,6 +11,7 @@
 use crate::monitor::Lateness;
 use bytes::Bytes;
 use coordination::dispatcher::Handle;
+use coordination::ending::{Boundary, Framing};
 use coordination::messages::{Objective, Verdict};
 use coordination::pause;
 use coordination::prompt::Prompt;
@@ -40,6 +41,9 @@
 /// every 20 ms or more.
 const UNREAD_PIECE: Duration = Duration::from_millis(20);
 
+/// Logged end of an answer whose length or last chunk marks it.
+const MARKED: &str = "marked";
+
 /// A dispatched request, which holds a slot of its endpoint. The slot is released when this value
 /// is dropped.
 pub(crate) struct Slot {
@@ -190,6 +194,12 @@
 pub(crate) struct Relay {
     /// Body of the endpoint's answer.
     pub(crate) incoming: Incoming,
+    /// How the end of that answer is marked.
+    pub(crate) framing: Framing,
+    /// Position in that answer, if it is a stream of events.
+    pub(crate) boundary: Option<Boundary>,
+    /// How that answer has ended, for the access log.
+    pub(crate) ending: Option<&'static str>,
     /// Verdict on the endpoint if the answer is complete.
     pub(crate) verdict_if_complete: Verdict,
     pub(crate) slot: Slot,
@@ -227,6 +237,8 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if let Some((entry, status)) = &mut self.entry {
+            let unfinished = self.boundary.as_ref().map(Boundary::unfinished);
+            entry.record_ending(self.framing, self.ending, unfinished);
             entry.log_answer(*status, self.end_reason);
         }
     }
@@ -370,6 +382,9 @@
         };
         resumption.frontend().context.metrics.resumed_streams.inc();
         self.incoming = resumed.body;
+        self.framing = resumed.framing;
+        self.boundary = self.boundary.is_some().then(Boundary::default);
+        self.ending = None;
         // The slot of the broken try was released when the request was queued again.
         self.slot = resumed.slot;
         self.delivery = resumed.delivery;
@@ -524,6 +539,7 @@
     fn end(&mut self) {
         self.slot.verdict = self.verdict_if_complete;
         self.end_reason = "whole";
+        self.ending.get_or_insert(MARKED);
         if self.verdict_if_complete == Verdict::Fine {
             self.delivery.report_success();
         }
@@ -569,6 +585,9 @@
             }
             match Pin::new(&mut this.incoming).poll_frame(context) {
                 Poll::Ready(Some(Ok(frame))) => {
+                    if let (Some(boundary), Some(bytes)) = (&mut this.boundary, frame.data_ref()) {
+                        boundary.push(bytes);
+                    }
                     let frame = match this.hold_back(frame) {
                         Ok(Some(frame)) => frame,
                         Ok(None) => continue,
@@ -587,11 +606,16 @@
                 // The error makes hyper close the connection without the end of the answer, so
                 // that the caller can see that the answer is incomplete.
                 Poll::Ready(Some(Err(error))) => {
+                    this.ending = Some("failed");
                     if let Some(error) = this.handle_break(error) {
                         return Poll::Ready(Some(Err(Abort::Endpoint(error))));
                     }
                 }
                 Poll::Ready(None) => {
+                    this.ending = Some(match this.framing {
+                        Framing::Length | Framing::Chunked => MARKED,
+                        Framing::Close => "closed",
+                    });
                     // A clean end would make a part of the stream look complete.
                     let is_unconfirmed = |r: &Resumption| !r.has_ended && r.events.is_unconfirmed();
                     if this.resumption.as_deref().is_some_and(is_unconfirmed) {
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -9,6 +9,7 @@
 use super::upstream::{self, Answer, Call, Failure};
 use crate::input::{Decided, Dispatch, Input, NextEvent};
 use coordination::dispatcher::Handle;
+use coordination::ending::Framing;
 use coordination::messages::Verdict;
 use coordination::resume::{
     decide, give_up_ms, silence_ms, untargeted_aim_ms, Break, Decision, Events, Mismatch, Position,
@@ -65,6 +66,7 @@
 /// The answer of another endpoint, which continues a stream.
 pub(super) struct Resumed {
     pub(super) body: Incoming,
+    pub(super) framing: Framing,
     pub(super) slot: Slot,
     pub(super) delivery: Delivery,
     pub(super) origin: Origin,
@@ -483,6 +485,7 @@
             return Err("no-stream");
         }
         Ok(Resumed {
+            framing: upstream::framing(&head.headers, &body),
             body,
             slot,
             delivery,
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -10,13 +10,14 @@
 use super::plan::{no_endpoint, plan, Plan, NO_ENDPOINT_RETRY_AFTER, NO_ENDPOINT_TEXT};
 use super::refusal::{set_header, Refusal, OUTCOME_HEADER};
 use super::relay::{Meter, Origin, Relay, Replay, Slot};
-use super::resume::{RelayedRequest, Resumption, Tries};
+use super::resume::{is_event_stream, RelayedRequest, Resumption, Tries};
 use super::upstream::{self, Answer, Call, Failure};
 use crate::input::{Decided, Decision, Dispatch, Input};
 use crate::interface::REQUEST_ID;
 use crate::shared::Published;
 use bytes::Bytes;
 use coordination::dispatcher::{Handle, Rejection};
+use coordination::ending::Boundary;
 use coordination::messages::Verdict;
 use coordination::pause;
 use coordination::retry::{self, Action, Reach};
@@ -546,6 +547,7 @@
     let (mut head, body) = answer.response.into_parts();
     let frontend = subject.frontend.clone();
     let keep_alive = upstream::keep_alive_timeout(&head.headers);
+    let framing = upstream::framing(&head.headers, &body);
     upstream::strip_hop_by_hop(&mut head.headers);
     set_header(
         &mut head.headers,
@@ -574,6 +576,9 @@
     let resumption = is_resumable.then(|| Box::new(Resumption::new(subject, tries)));
     let mut relay = Relay {
         incoming: body,
+        framing,
+        boundary: is_event_stream(&head.headers).then(Boundary::default),
+        ending: None,
         verdict_if_complete: if head.status.is_server_error() {
             Verdict::Error
         } else {
--- a/components/node/src/frontend/upstream.rs
+++ b/components/node/src/frontend/upstream.rs
@@ -9,11 +9,12 @@
 use crate::interface::{Interface, Outbound, Signals};
 use bytes::Bytes;
 use coordination::backoff::Backoff;
+use coordination::ending::Framing;
 use coordination::messages::Verdict;
 use coordination::retry::Reach;
 use errors::{Error, Result};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{
     HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING,
 };
@@ -81,6 +82,20 @@
     }
 }
 
+/// How the end of an answer's body is marked. To be called before hop-by-hop headers are removed.
+pub(crate) fn framing(headers: &HeaderMap, body: &Incoming) -> Framing {
+    if body.size_hint().exact().is_some() {
+        return Framing::Length;
+    }
+    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let codings = codings.and_then(|v| v.to_str().ok());
+    let last = codings.and_then(|v| v.rsplit(',').next());
+    match last.is_some_and(|c| c.trim().eq_ignore_ascii_case("chunked")) {
+        true => Framing::Chunked,
+        false => Framing::Close,
+    }
+}
+
 /// Head of an answer, with the connection that its body arrives on.
 pub(crate) struct Answer {
     pub(crate) response: Response<Incoming>,
