Reproduce streams without framing that end as complete

Cause: an answer with neither a length nor chunks ends with its connection, and so does the connection of an endpoint that has crashed; the log of a reproduced case has framing="close" ending="closed".

--- a/components/standin/src/fault.rs
+++ b/components/standin/src/fault.rs
@@ -13,6 +13,8 @@
     Reset,
     /// Nothing more is sent after half of an event, halfway through the stream.
     Stall,
+    /// The response ends as complete in the middle of an event, halfway through the stream.
+    Truncate,
     /// The stream begins with its first event, whichever event the request names.
     Restart,
     /// The connection is closed without a response.
@@ -28,6 +30,16 @@
     Crash,
 }
 
+impl Fault {
+    /// Whether a stream breaks in the middle of an event.
+    pub(crate) fn is_within_event(self) -> bool {
+        matches!(
+            self,
+            Fault::Tear | Fault::Reset | Fault::Stall | Fault::Truncate
+        )
+    }
+}
+
 impl From<&str> for Fault {
     fn from(text: &str) -> Self {
         match text {
@@ -35,6 +47,7 @@
             "tear" => Fault::Tear,
             "reset" => Fault::Reset,
             "stall" => Fault::Stall,
+            "truncate" => Fault::Truncate,
             "restart" => Fault::Restart,
             "silence" => Fault::NoResponse,
             "redirect" => Fault::Redirect,
--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::count::{Counter, Counts};
 use crate::fault::Fault;
+use crate::unframed;
 use bytes::Bytes;
 use errors::{Error, Result};
 use http_body_util::channel::{Channel, Sender};
@@ -107,7 +108,7 @@
 /// The socket of a connection, as an extension of its requests. It does not keep the connection
 /// open.
 #[derive(Clone, Debug)]
-struct Socket(Weak<OwnedFd>);
+pub(crate) struct Socket(pub(crate) Weak<OwnedFd>);
 
 /// A stream that a model engine responds with.
 struct Stream {
@@ -121,10 +122,14 @@
     /// Time between a comment at the start of the stream and its first token.
     prefill: Option<Duration>,
     fault: Fault,
+    /// Bytes that are sent of the event in which the stream breaks; half of it by default.
+    torn_bytes: Option<usize>,
+    /// How lines end.
+    line_end: &'static str,
     socket: Option<Socket>,
 }
 
-type Body = Either<Full<Bytes>, Channel<Bytes, Aborted>>;
+pub(crate) type Body = Either<Full<Bytes>, Channel<Bytes, Aborted>>;
 
 /// The error that aborts a response or closes its connection.
 #[derive(Clone, Copy, Debug)]
@@ -269,9 +274,17 @@
             Ok(json(StatusCode::OK, String::new()))
         }
         _ => {
-            let response = handle_work(shared.clone(), request).await;
+            let version = unframed::requested_version(&request);
+            let socket = request.extensions().get::<Socket>().cloned();
+            let response = handle_work(shared.clone(), request).await?;
             let is_leaving = shared.is_leaving.load(Ordering::Relaxed);
-            response.map(|response| with_leaving_header(response, is_leaving))
+            let response = with_leaving_header(response, is_leaving);
+            match (version, socket) {
+                (Some(version), Some(socket)) => {
+                    Err(unframed::write(version, response, &socket).await)
+                }
+                _ => Ok(response),
+            }
         }
     }
 }
@@ -317,6 +330,12 @@
         pace,
         prefill,
         fault,
+        torn_bytes: header("stand-in-torn-bytes").and_then(|v| v.parse().ok()),
+        line_end: match header("stand-in-line-end").as_deref() {
+            Some("cr") => "\r",
+            Some("crlf") => "\r\n",
+            _ => "\n",
+        },
         socket,
     };
     shared.counter.update(|c| {
@@ -362,7 +381,7 @@
             tokio::time::sleep(pace).await;
             shared.crash(fault);
             slot.end_call(1);
-            respond_plain(&body, fault)
+            respond_plain(&body, fault, stream.socket.as_ref())
         }
         Kind::Model => respond_stream(slot, &body, stream),
     };
@@ -373,10 +392,13 @@
 }
 
 /// The response of a plain service, which echoes the body of the request.
-fn respond_plain(body: &Bytes, fault: Fault) -> Response<Body> {
+fn respond_plain(body: &Bytes, fault: Fault, socket: Option<&Socket>) -> Response<Body> {
     let echo = String::from_utf8_lossy(body);
     let text = serde_json::json!({"echo": echo, "done": true}).to_string();
-    if fault == Fault::Cut {
+    if fault == Fault::Reset {
+        reset_when_closed(socket);
+    }
+    if matches!(fault, Fault::Cut | Fault::Reset) {
         return respond_cut(text);
     }
     json(StatusCode::OK, text)
@@ -411,6 +433,9 @@
 
 /// Breaks a stream whose last event is not complete.
 async fn break_stream(mut sender: Sender<Bytes, Aborted>, stream: &Stream) {
+    if stream.fault == Fault::Truncate {
+        return;
+    }
     if stream.fault == Fault::Stall {
         // Empty pieces are not written; sending them fails once the caller has disconnected.
         while sender.send_data(Bytes::new()).await.is_ok() {
@@ -420,14 +445,19 @@
     }
     // The half event is written first.
     tokio::time::sleep(Duration::from_millis(20)).await;
-    let socket = stream.socket.as_ref().and_then(|Socket(s)| s.upgrade());
-    if let (Fault::Reset, Some(socket)) = (stream.fault, socket) {
-        // Without a time to linger, the system resets the connection when it is closed.
-        let _ = socket2::SockRef::from(&*socket).set_linger(Some(Duration::ZERO));
+    if stream.fault == Fault::Reset {
+        reset_when_closed(stream.socket.as_ref());
     }
     sender.abort(Aborted);
 }
 
+/// Makes the system reset a connection when it is closed, by leaving it no time to linger.
+fn reset_when_closed(socket: Option<&Socket>) {
+    if let Some(socket) = socket.and_then(|Socket(s)| s.upgrade()) {
+        let _ = socket2::SockRef::from(&*socket).set_linger(Some(Duration::ZERO));
+    }
+}
+
 /// Sends one event for each token and the usage at the end, unless a fault intervenes.
 async fn write_tokens(
     slot: Slot,
@@ -471,9 +501,10 @@
             true => format!("id: {n}\n"),
             false => String::new(),
         };
-        let mut line = Bytes::from(format!("{id}data: {event}\n\n"));
-        if n == middle && matches!(fault, Fault::Tear | Fault::Reset | Fault::Stall) {
-            line.truncate(line.len() / 2);
+        let text = format!("{id}data: {event}\n\n").replace('\n', stream.line_end);
+        let mut line = Bytes::from(text);
+        if n == middle && fault.is_within_event() {
+            line.truncate(stream.torn_bytes.unwrap_or(line.len() / 2));
             let _ = sender.send_data(line).await;
             break_stream(sender, &stream).await;
             return;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -88,9 +88,11 @@
     example = "{command_name} --listen 127.0.0.1:9001 --batch 8",
     example = "{command_name} --listen 127.0.0.1:9002 --plain",
     note = "Request headers set the behaviour: stand-in-tokens, stand-in-pace (ms), \
-            stand-in-fault (cut, tear, reset, stall, restart, silence, redirect, swap, broken), \
+            stand-in-fault (cut, tear, reset, stall, truncate, restart, silence, redirect, swap, broken), \
             stand-in-resumed-fault (the same, if the request has Last-Event-Id), \
-            stand-in-ids (events have ids), stand-in-id (a label). \
+            stand-in-torn-bytes (sent of the event in which a stream breaks), \
+            stand-in-ids (events have ids), stand-in-framing (close, http-1.0), \
+            stand-in-line-end (cr, crlf), stand-in-id (a label). \
             GET /stand-in/calls returns the counters, GET /stand-in/load the delayed load report."
 )]
 pub(crate) struct StandIn {
