Break streams off that end inside an event

Cause: an answer with neither a length nor chunks ends with its connection. The relay took that end for the end of the answer, passed the unfinished event on and framed its own answer as complete. Of a rule with 'resume' nothing was resumed. Change: coordination::ending follows the events of each stream and judges its end, before the answer counts as complete for anything: caller, stored outcome, exoneration, verdict. The same for an end that the endpoint marks inside an event, which is no evidence of a crash.

--- a/components/coordination/src/ending.rs
+++ b/components/coordination/src/ending.rs
@@ -50,6 +50,8 @@
     line_length: usize,
     /// Whether the last byte was a carriage return, which a line feed may follow.
     after_return: bool,
+    /// Whether lines end with both a carriage return and a line feed.
+    has_pairs: bool,
     /// Whether a field has come since the last empty line. Comments are no fields.
     has_field: bool,
     /// Whether one of these fields makes an event.
@@ -67,6 +69,7 @@
             let is_second = std::mem::take(&mut self.after_return) && *byte == b'\n';
             if is_second {
                 // Part of the line end before it.
+                self.has_pairs = true;
                 self.unfinished += usize::from(self.unfinished > 0);
                 continue;
             }
@@ -103,12 +106,13 @@
 
     /// Whether the stream is inside an event or a line. A whole comment is no part of an event.
     pub fn is_inside_event(&self) -> bool {
-        self.line_length > 0 || self.has_field
+        let is_inside_pair = self.after_return && self.has_pairs;
+        self.line_length > 0 || self.has_field || is_inside_pair
     }
 
-    /// Bytes since the end of the last whole event.
+    /// Bytes since the end of the last whole event. Not 0 inside an event.
     pub fn unfinished(&self) -> usize {
-        self.unfinished
+        self.unfinished.max(usize::from(self.is_inside_event()))
     }
 
     /// Judges a stream of events that ends here without an error of its connection.
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -11,7 +11,7 @@
 use crate::monitor::Lateness;
 use bytes::Bytes;
 use coordination::dispatcher::Handle;
-use coordination::ending::{Boundary, Framing};
+use coordination::ending::{Boundary, Ending, Framing};
 use coordination::messages::{Objective, Verdict};
 use coordination::pause;
 use coordination::prompt::Prompt;
@@ -258,6 +258,8 @@
 pub(crate) enum Abort {
     /// The connection to the endpoint failed.
     Endpoint(hyper::Error),
+    /// The stream ended without an error, but inside an event or before the first one.
+    Unfinished(Ending),
     /// The time for the answer was over.
     Deadline,
     /// The stream broke and could not be resumed, for this reason.
@@ -268,6 +270,9 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Abort::Endpoint(error) => write!(f, "the endpoint broke off its answer: {error}"),
+            Abort::Unfinished(_) => {
+                f.write_str("the endpoint ended its stream inside an event or without one")
+            }
             Abort::Unresumed(reason) => write!(f, "the stream was not resumed: {reason}"),
             Abort::Deadline => f.write_str("the answer was not complete before its deadline"),
         }
@@ -429,8 +434,31 @@
         }
     }
 
+    /// Whether the answer that ends here is complete; the error says why it is not.
+    fn check_end(&self) -> Result<(), Abort> {
+        let ending = self.boundary.as_ref().map(|b| b.judge(self.framing));
+        match ending {
+            None | Some(Ending::Complete) => Ok(()),
+            Some(ending) => Err(Abort::Unfinished(ending)),
+        }
+    }
+
+    /// Drops the unfinished event from the last piece of a stream of known length, whose caller
+    /// would otherwise receive as many bytes as it expects.
+    fn drop_unfinished(&self, frame: Frame<Bytes>) -> Frame<Bytes> {
+        let Some(boundary) = self.boundary.as_ref().filter(|b| b.is_inside_event()) else {
+            return frame;
+        };
+        frame.map_data(|mut bytes| {
+            bytes.truncate(bytes.len().saturating_sub(boundary.unfinished()));
+            bytes
+        })
+    }
+
     /// Handles an answer that broke off. Returns the error if the stream is not resumed.
-    fn handle_break(&mut self, error: hyper::Error) -> Option<hyper::Error> {
+    fn handle_break(&mut self, error: Abort) -> Option<Abort> {
+        // An endpoint that marks the end of its answer has not crashed.
+        let has_crashed = !matches!(error, Abort::Unfinished(Ending::Truncated));
         if self
             .caller_read_again_at
             .is_some_and(|at| at.elapsed() < SLOW_READ_PAUSE)
@@ -442,15 +470,21 @@
             }
             return Some(error);
         }
-        self.slot.verdict = Verdict::Failed;
-        self.end_reason = BROKE_OFF;
+        (self.slot.verdict, self.end_reason) = match has_crashed {
+            true => (Verdict::Failed, BROKE_OFF),
+            false => (Verdict::Error, "unfinished"),
+        };
         let Some(resumption) = &mut self.resumption else {
-            self.delivery.report_break();
+            if has_crashed {
+                self.delivery.report_break();
+            }
             return Some(error);
         };
         let decision = resumption.handle_break(&mut self.slot, &mut self.origin.connection);
-        self.delivery.report_break();
-        self.log_break(&error, true, decision.as_str());
+        if has_crashed {
+            self.delivery.report_break();
+        }
+        self.log_break(&error, has_crashed, decision.as_str());
         match decision {
             Decision::Resume => None,
             Decision::End(reason) => {
@@ -593,6 +627,10 @@
                         Ok(None) => continue,
                         Err(abort) => return Poll::Ready(Some(Err(abort))),
                     };
+                    let frame = match this.incoming.is_end_stream() {
+                        true => this.drop_unfinished(frame),
+                        false => frame,
+                    };
                     if let Some(bytes) = frame.data_ref() {
                         let bytes = bytes.clone();
                         this.count(&bytes);
@@ -607,8 +645,8 @@
                 // that the caller can see that the answer is incomplete.
                 Poll::Ready(Some(Err(error))) => {
                     this.ending = Some("failed");
-                    if let Some(error) = this.handle_break(error) {
-                        return Poll::Ready(Some(Err(Abort::Endpoint(error))));
+                    if let Some(abort) = this.handle_break(Abort::Endpoint(error)) {
+                        return Poll::Ready(Some(Err(abort)));
                     }
                 }
                 Poll::Ready(None) => {
@@ -616,6 +654,12 @@
                         Framing::Length | Framing::Chunked => MARKED,
                         Framing::Close => "closed",
                     });
+                    if let Err(abort) = this.check_end() {
+                        match this.handle_break(abort) {
+                            Some(abort) => return Poll::Ready(Some(Err(abort))),
+                            None => continue,
+                        }
+                    }
                     // A clean end would make a part of the stream look complete.
                     let is_unconfirmed = |r: &Resumption| !r.has_ended && r.events.is_unconfirmed();
                     if this.resumption.as_deref().is_some_and(is_unconfirmed) {
@@ -635,7 +679,7 @@
     fn is_end_stream(&self) -> bool {
         match &self.resumption {
             Some(resumption) => resumption.has_ended,
-            None => self.incoming.is_end_stream(),
+            None => self.incoming.is_end_stream() && self.check_end().is_ok(),
         }
     }
 
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -245,6 +245,20 @@
     assert_eq!(fleet.calls_with_label("cut"), 1);
 }
 
+#[test]
+fn cuts_a_handed_over_stream_whose_endpoint_broke_off_without_framing() {
+    // Failure: the end of the peer's answer hides that its endpoint closed the connection.
+    let fleet = pressed_fleet();
+    let framing = ("stand-in-framing", "close");
+    let handed_over = metric(&fleet, "r4", FROM_PEERS);
+    let whole = fleet.call("r1", "alpha", "/assistant", &[framing], "whole");
+    assert!(whole.complete && whole.text().ends_with("\n\n"));
+    let torn = [framing, ("stand-in-fault", "tear")];
+    let torn = fleet.call("r1", "alpha", "/assistant", &torn, "torn");
+    assert_eq!((torn.status, torn.complete), (200, false));
+    assert_eq!(metric(&fleet, "r4", FROM_PEERS), handed_over + 2);
+}
+
 #[test]
 fn serves_requests_here_if_the_peer_refuses_connections() {
     // Failure: the peer has just been killed, and its figure is still valid.
