Answer in the caller's version of HTTP, not in the endpoint's

Callers saw: a broken stream of an endpoint that speaks HTTP/1.0 as a complete answer, since the response to them had that version and thus no chunks. Cause: the head of the endpoint's answer was passed on with its version. Change: responses are HTTP/1.1; the HTTP library lowers the version for callers of HTTP/1.0.

--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -24,7 +24,7 @@
 use http_body_util::{Either, Full};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use prometheus::IntCounter;
 use state::event::{Event, Kind};
 use state::id::RequestId;
@@ -549,6 +549,8 @@
     let keep_alive = upstream::keep_alive_timeout(&head.headers);
     let framing = upstream::framing(&head.headers, &body);
     upstream::strip_hop_by_hop(&mut head.headers);
+    // The endpoint's version: a response of HTTP/1.0 would have no chunks to show a break by.
+    head.version = Version::HTTP_11;
     set_header(
         &mut head.headers,
         OUTCOME_HEADER,
