Reset the connection of an HTTP/1.0 caller whose answer breaks off

Callers saw: callers of HTTP/1.0 get no chunks, so that a broken stream ended like a complete one, also when the router was killed. Cause: nothing but the close of their connection marks the end of such an answer, and a broken one was closed like any other. Change: from the head of such an answer to its end, the connection is set to be reset by any close. Callers of HTTP/1.1 are served as before (tests/requests.rs, tests/resume.rs).

--- a/components/node/src/frontend/listen.rs
+++ b/components/node/src/frontend/listen.rs
@@ -6,6 +6,7 @@
 use super::refusal::{Refusal, DECLINED_CODE};
 use super::serve::{serve, AnswerDeadline};
 use super::turn_away::Template;
+use super::unframed;
 use crate::handover::Handover;
 use crate::http::accept;
 use crate::input::Input;
@@ -19,9 +20,8 @@
 use coordination::budget::Budget;
 use coordination::limit::Window;
 use coordination::retry;
-use http_body_util::BodyExt;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use settings::Callers;
 use state::id::{Name, RequestId, ServiceId};
 use state::line::Line;
@@ -377,8 +377,12 @@
         self.context.metrics.accepted_connections.inc();
         let registration = Arc::new(self.registry.open());
         let (frontend, shared) = (self.clone(), registration.clone());
+        let in_progress = unframed::InProgress::default();
+        let socket = unframed::Socket::new(stream, in_progress.clone());
         let service = service_fn(move |request| {
             let (frontend, activity) = (frontend.clone(), shared.begin());
+            let in_progress = in_progress.clone();
+            let is_unframed = unframed::is_unframed(&request);
             // Boxed, so that an idle connection does not hold the memory of a request.
             Box::pin(async move {
                 let reply = serve(frontend, request).await?;
@@ -386,18 +390,15 @@
                     activity.set_answer_deadline(*at);
                 }
                 // The connection is busy until the answer has been relayed.
-                let held = move |frame| {
-                    let _ = &activity;
-                    frame
-                };
-                Ok::<_, std::convert::Infallible>(reply.map(|body| body.map_frame(held)))
+                let reply = unframed::track(reply, is_unframed, in_progress, activity);
+                Ok::<_, std::convert::Infallible>(reply)
             })
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(Duration::from_millis(self.context.callers.head_ms))
             .max_buf_size(2 * self.context.callers.head_max)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(socket, service);
         tokio::pin!(connection);
         let ended = tokio::select! {
             ended = connection.as_mut() => Some(ended),
--- a/components/node/src/frontend/mod.rs
+++ b/components/node/src/frontend/mod.rs
@@ -15,6 +15,7 @@
 mod serve;
 mod timing;
 mod turn_away;
+mod unframed;
 mod upstream;
 
 pub(crate) use listen::{Context, Frontend};
