Know and log the software versions of endpoints

Cause: the list's 'version' was parsed and dropped, and 'Resumes' was not read, so that the log cannot show which streams went on at another version, nor whether a router or a client took them up. Change: state::id::Software on each listed endpoint, of the platform's list and the product's; it follows messages with endpoints as an extension of their frame, which processes of an earlier release ignore. 'request-sent' has 'software', 'request-ended' has 'resumes' and 'began'. Stand-ins have a version and write it into their events. No decision changes. Result: protocol tests pass with the new one, by which frames are read in both directions beside the earlier release.

--- a/components/coordination/src/ending.rs
+++ b/components/coordination/src/ending.rs
@@ -110,6 +110,11 @@
         self.line_length > 0 || self.has_field || is_inside_pair
     }
 
+    /// Whether a whole event has come.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// Bytes since the end of the last whole event. Not 0 inside an event.
     pub fn unfinished(&self) -> usize {
         self.unfinished.max(usize::from(self.is_inside_event()))
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -16,7 +16,7 @@
 use rstest::rstest;
 use state::clock::Millis;
 use state::config::{Cost, Endpoint, Rule, Service, Then, When};
-use state::id::{CustomerId, EndpointId, Epoch, Name, Version};
+use state::id::{CustomerId, EndpointId, Epoch, Name, Software, Version};
 use state::route::Routes;
 use state::view::{Node, View};
 
@@ -747,6 +747,7 @@
             region: name("main"),
             slots: 1,
             prefetch: 0,
+            software: Software::UNSTATED,
         };
         view.config
             .endpoints
--- a/components/coordination/tests/dispatcher.rs
+++ b/components/coordination/tests/dispatcher.rs
@@ -10,7 +10,7 @@
 use coordination::regions::Regions;
 use state::clock::Millis;
 use state::config::{Cost, Endpoint, Service};
-use state::id::{CustomerId, EndpointId, Epoch, Name, ServiceId};
+use state::id::{CustomerId, EndpointId, Epoch, Name, ServiceId, Software};
 use state::view::{Assignment, Node, Shard, View};
 
 const SERVICE: ServiceId = ServiceId(1);
@@ -46,6 +46,7 @@
             region: name("main"),
             slots: 4,
             prefetch: 1,
+            software: Software::UNSTATED,
         },
     );
     view.assignments.push(Assignment {
--- a/components/coordination/tests/endpoints/mod.rs
+++ b/components/coordination/tests/endpoints/mod.rs
@@ -2,7 +2,7 @@
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 use state::config::Endpoint;
-use state::id::Name;
+use state::id::{Name, Software};
 use state::listing::Entry;
 
 /// An endpoint with four slots.
@@ -20,6 +20,7 @@
             region: text("main"),
             slots: 4,
             prefetch: 0,
+            software: Software::UNSTATED,
         },
     }
 }
--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -19,7 +19,7 @@
 use rand_pcg::Pcg64;
 use state::clock::Millis;
 use state::config::{Cost, Endpoint, Service};
-use state::id::{CustomerId, EndpointId, Epoch, Name, ServiceId};
+use state::id::{CustomerId, EndpointId, Epoch, Name, ServiceId, Software};
 use state::view::{Assignment, Change, Node, Shard, Step, View};
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
@@ -771,6 +771,7 @@
             region: name("main"),
             slots: setup.endpoint_slots,
             prefetch: PREFETCH,
+            software: Software::UNSTATED,
         };
         view.config.endpoints.insert(EndpointId(n), endpoint);
     }
--- a/components/coordination/tests/views/mod.rs
+++ b/components/coordination/tests/views/mod.rs
@@ -3,7 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 use state::config::{Cost, Endpoint, Engine, Service};
-use state::id::{EndpointId, Epoch, Name, ServiceId};
+use state::id::{EndpointId, Epoch, Name, ServiceId, Software};
 use state::view::{Assignment, Node, Shard, View};
 
 /// Number of the service.
@@ -48,6 +48,7 @@
         region: name("main"),
         slots,
         prefetch: 0,
+        software: Software::UNSTATED,
     };
     view.config.endpoints.insert(EndpointId(id), endpoint);
 }
--- a/components/node/src/frontend/access_log.rs
+++ b/components/node/src/frontend/access_log.rs
@@ -17,7 +17,7 @@
 use hyper::StatusCode;
 use state::clock::Millis;
 use state::fingerprint::Fingerprint;
-use state::id::{Name, RequestId};
+use state::id::{Name, RequestId, Software};
 use state::line::Line;
 use state::outcome::Outcome;
 use std::time::{Duration, Instant};
@@ -55,6 +55,11 @@
     resumed: u32,
     /// Why its stream was not resumed after a break.
     unresumed: Option<&'static str>,
+    /// ID of the request whose answer brought the first event of the stream that the caller takes
+    /// up again.
+    resumes: Option<HeaderValue>,
+    /// Version of the software that brought the first event of the answer.
+    began: Option<Software>,
     /// How the end of the endpoint's answer is marked.
     framing: Option<Framing>,
     /// How the endpoint's answer ended.
@@ -112,6 +117,8 @@
             tries: 0,
             resumed: 0,
             unresumed: None,
+            resumes: None,
+            began: None,
             framing: None,
             ending: None,
             unfinished: None,
@@ -192,6 +199,7 @@
             customer = text(self.customer.as_ref()),
             service = text(self.service.as_ref()),
             endpoint = dispatch.name.as_str(),
+            software = %dispatch.software,
             version = self.version,
             epoch = epoch.0,
             to_read = forecast.to_read,
@@ -219,6 +227,16 @@
         self.unresumed = Some(reason);
     }
 
+    /// Records which stream the caller takes up again.
+    pub(crate) fn set_resumes(&mut self, resumes: Option<HeaderValue>) {
+        self.resumes = resumes;
+    }
+
+    /// Records the version of the software that brought the first event of the answer.
+    pub(crate) fn record_began(&mut self, began: Option<Software>) {
+        self.began = began.filter(|software| software.is_stated());
+    }
+
     /// Records how the endpoint's answer ended.
     pub(crate) fn record_ending(
         &mut self,
@@ -316,6 +334,8 @@
             tries = self.tries,
             resumed = (self.resumed > 0).then_some(self.resumed),
             unresumed = self.unresumed,
+            resumes = self.resumes.as_ref().and_then(|id| id.to_str().ok()),
+            began = self.began.map(tracing::field::display),
             framing = self.framing.map(Framing::as_str),
             ending = self.ending,
             unfinished = self.unfinished,
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -23,7 +23,7 @@
 use prometheus::IntCounter;
 use state::config::{Cost, Engine};
 use state::event::{Event, Kind};
-use state::id::RequestId;
+use state::id::{RequestId, Software};
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -198,6 +198,10 @@
     pub(crate) framing: Framing,
     /// Position in that answer, if it is a stream of events.
     pub(crate) boundary: Option<Boundary>,
+    /// Version of the software of the endpoint that gives that answer.
+    pub(crate) software: Software,
+    /// Version that brought the first event of the stream.
+    pub(crate) began: Option<Software>,
     /// How that answer has ended, for the access log.
     pub(crate) ending: Option<&'static str>,
     /// Verdict on the endpoint if the answer is complete.
@@ -239,6 +243,7 @@
         if let Some((entry, status)) = &mut self.entry {
             let unfinished = self.boundary.as_ref().map(Boundary::unfinished);
             entry.record_ending(self.framing, self.ending, unfinished);
+            entry.record_began(self.began);
             entry.log_answer(*status, self.end_reason);
         }
     }
@@ -388,6 +393,7 @@
         resumption.frontend().context.metrics.resumed_streams.inc();
         self.incoming = resumed.body;
         self.framing = resumed.framing;
+        self.software = resumed.software;
         self.boundary = self.boundary.is_some().then(Boundary::default);
         self.ending = None;
         // The slot of the broken try was released when the request was queued again.
@@ -621,6 +627,9 @@
                 Poll::Ready(Some(Ok(frame))) => {
                     if let (Some(boundary), Some(bytes)) = (&mut this.boundary, frame.data_ref()) {
                         boundary.push(bytes);
+                        if boundary.has_event() {
+                            this.began.get_or_insert(this.software);
+                        }
                     }
                     let frame = match this.hold_back(frame) {
                         Ok(Some(frame)) => frame,
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -20,6 +20,7 @@
 use hyper::header::{HeaderValue, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE};
 use hyper::http::response::Parts;
 use hyper::HeaderMap;
+use state::id::Software;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -67,6 +68,8 @@
 pub(super) struct Resumed {
     pub(super) body: Incoming,
     pub(super) framing: Framing,
+    /// Version of the software of its endpoint.
+    pub(super) software: Software,
     pub(super) slot: Slot,
     pub(super) delivery: Delivery,
     pub(super) origin: Origin,
@@ -486,6 +489,7 @@
         }
         Ok(Resumed {
             framing: upstream::framing(&head.headers, &body),
+            software: dispatch.software,
             body,
             slot,
             delivery,
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -169,6 +169,11 @@
         .context
         .journal
         .record(Event::new(Kind::Taken).request(id));
+    entry.set_resumes(
+        head.headers
+            .get(frontend.context.interface.resumes)
+            .cloned(),
+    );
     let mut call = read_body(frontend, id, inbound.request_id.clone(), head, body).await?;
     let handed =
         forward::hand_over(frontend, published, &inbound, &mut call, entry, arrived_at).await?;
@@ -579,6 +584,8 @@
     let mut relay = Relay {
         incoming: body,
         framing,
+        software: dispatch.software,
+        began: None,
         boundary: is_event_stream(&head.headers).then(Boundary::default),
         ending: None,
         verdict_if_complete: if head.status.is_server_error() {
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -8,7 +8,7 @@
 use coordination::pause::Observed;
 use protocol::wire::{Query, Reply};
 use state::clock::Millis;
-use state::id::{EndpointId, Name};
+use state::id::{EndpointId, Name, Software};
 use state::listing::Entry;
 use state::suspect::{Completion, Crash};
 use state::view::{Node, Step, View};
@@ -25,6 +25,8 @@
     pub(crate) name: Name,
     /// Address of the endpoint.
     pub(crate) address: SocketAddr,
+    /// Version of its software.
+    pub(crate) software: Software,
     /// Engine that has more of the prompt in its cache, to copy it from.
     pub(crate) copy_from: Option<SocketAddr>,
     /// Why this endpoint was chosen.
--- a/components/node/src/interface.rs
+++ b/components/node/src/interface.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderMap, HeaderValue, AUTHORIZATION};
 use hyper::http::{request, response};
 use hyper::StatusCode;
-use state::id::Name;
+use state::id::{Name, Software};
 use state::listing::Entry;
 use state::outcome::Outcome;
 use state::record::Release;
@@ -162,6 +162,9 @@
     pub inventory: Option<Inventory>,
     /// Header that names the event after which a stream continues, in lower case.
     pub last_event_id: &'static str,
+    /// Header of a caller that takes a stream up again, in lower case: the ID of its request whose
+    /// answer brought the first event of the stream.
+    pub resumes: &'static str,
 }
 
 impl Interface {
@@ -182,6 +185,7 @@
             parse_page: native_page,
             inventory: None,
             last_event_id: "last-event-id",
+            resumes: "cowslipford-resumes",
         }
     }
 }
@@ -261,6 +265,9 @@
         started_ms: Option<u64>,
         #[serde(default)]
         cold_ms: u32,
+        /// Version of the endpoint's software.
+        #[serde(default)]
+        version: String,
     }
     #[derive(serde::Deserialize)]
     #[serde(rename_all = "kebab-case")]
@@ -281,6 +288,7 @@
             data_centre: row.data_centre,
             slots: row.slots,
             prefetch: 0,
+            software: Software::of(&row.version),
         },
     });
     Ok(Page {
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -751,6 +751,7 @@
             endpoint,
             name: found.name.clone(),
             address: found.address,
+            software: found.software,
             copy_from: source.map(|e| e.address),
             placement,
         };
--- a/components/protocol/src/codec.rs
+++ b/components/protocol/src/codec.rs
@@ -6,6 +6,7 @@
 use postcard::ser_flavors::Size;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use state::id::Software;
 
 /// Version of the protocol. Frames of any other version are refused.
 pub const PROTOCOL_VERSION: u8 = 1;
@@ -45,6 +46,10 @@
     if let Message::Hello(hello) = &frame.message {
         body = postcard::to_extend(&hello.extension, body).map_err(Error::peer(step, own))?;
     }
+    let versions = frame.message.software();
+    if versions.iter().any(|software| software.is_stated()) {
+        body = postcard::to_extend(&versions, body).map_err(Error::peer(step, own))?;
+    }
     let length = u32::try_from(body.len())
         .ok()
         .filter(|_| body.len() <= MAX_BODY_BYTES)
@@ -89,8 +94,19 @@
     let step = "decode a frame";
     let (mut frame, rest): (Frame, &[u8]) =
         postcard::take_from_bytes(body).map_err(Error::peer(step, peer))?;
-    if let (Message::Hello(hello), false) = (&mut frame.message, rest.is_empty()) {
-        hello.extension = postcard::from_bytes(rest).map_err(Error::peer(step, peer))?;
+    if rest.is_empty() {
+        return Ok(frame);
+    }
+    match &mut frame.message {
+        Message::Hello(hello) => {
+            hello.extension = postcard::from_bytes(rest).map_err(Error::peer(step, peer))?;
+        }
+        message if message.has_endpoints() => {
+            let versions: Vec<Software> =
+                postcard::from_bytes(rest).map_err(Error::peer(step, peer))?;
+            message.set_software(&versions);
+        }
+        _ => {}
     }
     Ok(frame)
 }
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -11,8 +11,8 @@
 use state::clock::Stamp;
 use state::config::Endpoint;
 use state::evacuation::Order;
-use state::id::{CustomerId, EndpointId, Epoch, Name, RequestId, Version};
-use state::listing::{Census, Change, Listing};
+use state::id::{CustomerId, EndpointId, Epoch, Name, RequestId, Software, Version};
+use state::listing::{Census, Change, Entry, Listing};
 use state::record::{Answer, ChangeId, Release, Resolution};
 use state::secret::Hash;
 use state::suspect::Evidence;
@@ -301,6 +301,64 @@
     }
 }
 
+/// Versions of the software of listed endpoints, which follow a message in its frame: the encoding
+/// of an endpoint is that of the first release of the protocol. Processes of an earlier release
+/// ignore bytes behind a frame, and send none.
+impl Message {
+    /// Whether the message may carry listed endpoints.
+    pub(crate) fn has_endpoints(&self) -> bool {
+        matches!(
+            self,
+            Message::Listing(_)
+                | Message::ListingChange(_)
+                | Message::Cell(..)
+                | Message::EndpointDetails(_)
+        )
+    }
+
+    /// Version of each endpoint of the message, in order.
+    pub(crate) fn software(&self) -> Vec<Software> {
+        let of = |entries: &[Entry]| entries.iter().map(|e| e.endpoint.software).collect();
+        match self {
+            Message::Listing(listing) => of(&listing.endpoints),
+            Message::ListingChange(change) => of(&change.set),
+            Message::Cell(_, answer) => match &**answer {
+                cell::Answer::Whole(listing) => of(&listing.endpoints),
+                cell::Answer::Change(change) => of(&change.set),
+                cell::Answer::Unchanged => Vec::new(),
+            },
+            Message::EndpointDetails(all) => all.iter().map(|(_, e)| e.software).collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Sets the version of each endpoint of the message, in order.
+    pub(crate) fn set_software(&mut self, versions: &[Software]) {
+        let set = |entries: &mut [Entry]| {
+            let endpoints = entries.iter_mut().map(|e| &mut e.endpoint);
+            endpoints
+                .zip(versions)
+                .for_each(|(endpoint, software)| endpoint.software = *software);
+        };
+        match self {
+            Message::Listing(listing) => set(&mut listing.endpoints),
+            Message::ListingChange(change) => set(&mut change.set),
+            Message::Cell(_, answer) => match &mut **answer {
+                cell::Answer::Whole(listing) => set(&mut listing.endpoints),
+                cell::Answer::Change(change) => set(&mut change.set),
+                cell::Answer::Unchanged => {}
+            },
+            Message::EndpointDetails(all) => {
+                let endpoints = all.iter_mut().map(|(_, endpoint)| endpoint);
+                endpoints
+                    .zip(versions)
+                    .for_each(|(endpoint, software)| endpoint.software = *software);
+            }
+            _ => {}
+        }
+    }
+}
+
 /// A message with the time at which it was sent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/components/protocol/tests/codec.rs
+++ b/components/protocol/tests/codec.rs
@@ -6,9 +6,10 @@
 };
 use protocol::wire::{Extension, Features, Frame, Hello, Message};
 use state::clock::Stamp;
-use state::config::{Forward, Then};
+use state::config::{Endpoint, Forward, Then};
 use state::evacuation::Order;
-use state::id::{Name, Version};
+use state::id::{Name, Software, Version};
+use state::listing::{Entry, Listing};
 use state::record::Record;
 use state::store::Store;
 use state::view::Node;
@@ -131,3 +132,56 @@
         assert_eq!(decode_value::<Then>(&bytes).unwrap(), action);
     }
 }
+
+/// A list with an endpoint of each version.
+#[expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
+fn listing(versions: &[&str]) -> Listing {
+    let entry = |(n, version): (usize, &&str)| Entry {
+        endpoint: Endpoint {
+            name: Name::try_from(format!("e-{n}")).unwrap(),
+            service: Name::try_from("chat").unwrap(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            data_centre: Name::try_from("dc").unwrap(),
+            region: Name::try_from("main").unwrap(),
+            slots: 1,
+            prefetch: 0,
+            software: Software::of(version),
+        },
+        started_ms: None,
+        leaving: false,
+        cold_ms: 0,
+    };
+    Listing {
+        id: 7,
+        endpoints: versions.iter().enumerate().map(entry).collect(),
+    }
+}
+
+/// Guards against versions that are lost between two processes, and against a list that a process of
+/// an earlier release cannot read because of them, or whose lack of them this release cannot.
+#[test]
+fn can_send_versions_of_endpoints_beside_earlier_releases() {
+    let sent = listing(&["v1", "", "a-version-of-more-than-16-bytes"]);
+    let frame = |listing: &Listing| Frame {
+        stamp: Stamp::default(),
+        message: Message::Listing(Box::new(listing.clone())),
+    };
+    let bytes = encode_frame(&frame(&sent)).unwrap();
+    let body = &bytes[HEADER_BYTES..];
+    assert_eq!(decode_frame("peer", body).unwrap(), frame(&sent));
+    // An earlier release reads the frame alone.
+    let (earlier, rest): (Frame, &[u8]) = postcard::take_from_bytes(body).unwrap();
+    let unstated = listing(&["", "", ""]);
+    assert_eq!(earlier, frame(&unstated));
+    assert!(!rest.is_empty());
+    // It sends nothing behind the frame.
+    let bytes = encode_frame(&frame(&unstated)).unwrap();
+    assert_eq!(
+        bytes[HEADER_BYTES..],
+        postcard::to_stdvec(&frame(&unstated)).unwrap()
+    );
+    assert_eq!(
+        decode_frame("peer", &bytes[HEADER_BYTES..]).unwrap(),
+        frame(&unstated)
+    );
+}
--- a/components/settings/src/configuration.rs
+++ b/components/settings/src/configuration.rs
@@ -7,7 +7,7 @@
     Cold, Cost, Customer, Draft, Endpoint, Engine, Forward, Limits, Rule, Service, Target, Then,
     When,
 };
-use state::id::Name;
+use state::id::{Name, Software};
 use state::secret::Hash;
 use std::fmt::Write;
 
@@ -250,6 +250,7 @@
         region: s.convert("region", &region, "the region's name")?,
         slots: s.number_u32("slots", &raw.slots, 1..=4096, 8)?,
         prefetch: s.number_u32("lead", &raw.lead, 0..=64, 1)?,
+        software: Software::UNSTATED,
     })
 }
 
--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -64,6 +64,8 @@
     pub record: Option<PathBuf>,
     /// Whether [`Fault::Crash`] may end the process.
     pub may_crash: bool,
+    /// Version of the software, which each event repeats if it is not empty.
+    pub software: String,
 }
 
 impl Default for Settings {
@@ -77,6 +79,7 @@
             lag: Duration::from_secs(1),
             record: None,
             may_crash: false,
+            software: String::new(),
         }
     }
 }
@@ -496,7 +499,11 @@
             return;
         }
         tokio::time::sleep(pace).await;
-        let event = serde_json::json!({"token": n, "echo": echo});
+        let mut event = serde_json::json!({"token": n, "echo": echo});
+        let software = &slot.shared.settings.software;
+        if !software.is_empty() {
+            event["software"] = software.as_str().into();
+        }
         let id = match stream.has_ids {
             true => format!("id: {n}\n"),
             false => String::new(),
--- a/components/state/src/config.rs
+++ b/components/state/src/config.rs
@@ -1,6 +1,6 @@
 //! The fleet's configuration: customers, services, endpoints and rules.
 
-use crate::id::{CustomerId, EndpointId, Name, ServiceId};
+use crate::id::{CustomerId, EndpointId, Name, ServiceId, Software};
 use crate::route::Routes;
 use crate::secret::Hash;
 use serde::{Deserialize, Serialize};
@@ -112,6 +112,10 @@
     /// grant.
     #[serde(rename = "lead")]
     pub prefetch: u32,
+    /// Version of its software, by the platform's list. It follows messages with endpoints as an
+    /// extension.
+    #[serde(skip)]
+    pub software: Software,
 }
 
 /// Condition of a rule. A request matches if all given parts match.
--- a/components/state/src/id.rs
+++ b/components/state/src/id.rs
@@ -115,6 +115,53 @@
     }
 }
 
+/// Length of [`Software`], in bytes.
+const SOFTWARE_BYTES: usize = 16;
+/// Part of a long version that [`Software`] keeps as text, in bytes.
+const SOFTWARE_PREFIX_BYTES: usize = 7;
+
+/// Version of an endpoint's software: its text, padded with zeros. A longer text is its first
+/// bytes, `~`, and a hash in hexadecimal. Versions have no order.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Software([u8; SOFTWARE_BYTES]);
+
+impl Software {
+    /// The version of endpoints that state none.
+    pub const UNSTATED: Software = Software([0; SOFTWARE_BYTES]);
+
+    /// The version with this text; [`Software::UNSTATED`] if it is empty.
+    pub fn of(text: &str) -> Self {
+        let mut bytes = [0; SOFTWARE_BYTES];
+        let text = text.as_bytes();
+        if let Some(place) = bytes.get_mut(..text.len()) {
+            place.copy_from_slice(text);
+            return Software(bytes);
+        }
+        let Hash(hash) = Hash::of(&[text]);
+        let digits = hash.iter().flat_map(|b| [b >> 4, b & 0xf]);
+        let digits = digits.map(|d| b"0123456789abcdef"[usize::from(d)]);
+        let prefix = text.iter().take(SOFTWARE_PREFIX_BYTES).copied();
+        let all = prefix.chain([b'~']).chain(digits);
+        bytes.iter_mut().zip(all).for_each(|(place, b)| *place = b);
+        Software(bytes)
+    }
+
+    /// Whether the endpoint states its version.
+    pub fn is_stated(self) -> bool {
+        self != Software::UNSTATED
+    }
+}
+
+impl fmt::Display for Software {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let end = self.0.iter().rposition(|b| *b != 0).map_or(0, |at| at + 1);
+        f.write_str(&String::from_utf8_lossy(&self.0[..end]))
+    }
+}
+
 impl EndpointId {
     /// Number of a listed endpoint whose start time is unknown: a hash, equal on all VMs.
     pub fn of(name: &Name) -> Self {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -102,6 +102,9 @@
     /// simulate a plain HTTP service instead of a model engine
     #[argh(switch)]
     pub(crate) plain: bool,
+    /// version of the software, which each event repeats; none by default
+    #[argh(option, default = "String::new()")]
+    pub(crate) software: String,
     /// requests processed concurrently, 8 by default
     #[argh(option, default = "8")]
     pub(crate) batch: usize,
--- a/src/cmd/stand_in.rs
+++ b/src/cmd/stand_in.rs
@@ -17,6 +17,7 @@
         lag: Duration::from_millis(args.lag),
         record: args.record.clone(),
         may_crash: true,
+        software: args.software.clone(),
     };
     runtime()?.block_on(async {
         let mut stop = StopSignals::listen()?;
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -285,6 +285,11 @@
 
     /// Starts another stand-in: a plain service, or a model engine.
     pub(crate) fn add_stand_in(&mut self, name: &str, plain: bool) {
+        self.add_stand_in_with(name, plain, &[]);
+    }
+
+    /// Starts another stand-in with additional arguments.
+    pub(crate) fn add_stand_in_with(&mut self, name: &str, plain: bool, more: &[&str]) {
         let listen = self.fresh_address().to_string();
         let record = self.folder.path().join(format!("{name}.record"));
         let batch = self.plan.batch.to_string();
@@ -294,6 +299,7 @@
         if plain {
             args.push("--plain");
         }
+        args.extend(more);
         let mut stand_in = StandIn {
             name: name.to_owned(),
             address: listen.parse().unwrap(),
