--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -62,6 +62,7 @@
         aim_ms: u64::from(TARGET_MS),
         slack_ms: u64::from(TARGET_MS),
         only_in_time: false,
+        software: None,
     }
 }
 
--- a/components/coordination/src/dispatcher/local.rs
+++ b/components/coordination/src/dispatcher/local.rs
@@ -1,7 +1,7 @@
 //! Local scheduling: while a shard has no scheduler, the dispatcher grants itself a share of
 //! the slots.
 
-use super::{endpoints, set_cold, set_engines, Dispatcher, Effects};
+use super::{endpoints, set_cold, set_engines, set_software, Dispatcher, Effects};
 use crate::prelude::*;
 use crate::scheduler::{Effect as LocalEffect, Scheduler, Session as LocalSession, GATHER_MS};
 use state::view::Shard;
@@ -102,6 +102,7 @@
         let slots = local.slots();
         slots.retain(|id| known.contains(&id));
         let incarnation = self.incarnation;
+        set_software(slots, view, shard);
         set_cold(slots, now, view, |id| hash(incarnation, id) % 1000);
     }
 }
--- a/components/coordination/src/dispatcher/mod.rs
+++ b/components/coordination/src/dispatcher/mod.rs
@@ -172,6 +172,8 @@
     moved_streams: u64,
     /// VMs whose schedulers support objectives of streams.
     stream_vms: BTreeSet<Name>,
+    /// VMs whose schedulers know the software versions of endpoints.
+    version_vms: BTreeSet<Name>,
     /// Pauses observed since the last report, by shard and endpoint.
     pauses: BTreeMap<Shard, Vec<Pause>>,
     /// Whether one of them is to be reported soon.
@@ -202,6 +204,7 @@
             unavailable_shards: BTreeMap::new(),
             moved_streams: 0,
             stream_vms: BTreeSet::new(),
+            version_vms: BTreeSet::new(),
             pauses: BTreeMap::new(),
             has_urgent_pause: false,
             pauses_sent: Millis(0),
@@ -315,6 +318,23 @@
         view: &View,
         arrival: Arrival,
         objective: Option<Objective>,
+    ) -> Result<(Handle, Effects), Rejection> {
+        self.arrive_at_version(now, view, arrival, objective, None)
+    }
+
+    /// Like [`Dispatcher::arrive_for_stream`], for a request that may only be sent to endpoints with
+    /// the software version that began its stream, if it continues one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Dispatcher::arrive`].
+    pub fn arrive_at_version(
+        &mut self,
+        now: Millis,
+        view: &View,
+        arrival: Arrival,
+        objective: Option<Objective>,
+        software: Option<Software>,
     ) -> Result<(Handle, Effects), Rejection> {
         if self.selector.is_empty() {
             self.selector.update(view);
@@ -356,6 +376,7 @@
         let request = Request {
             arrival,
             objective,
+            software,
             shard: shard.clone(),
             is_moved: false,
             gives_up: None,
@@ -408,6 +429,23 @@
         }
     }
 
+    /// Restricts a dispatched request to endpoints with the software version that began its stream.
+    pub fn set_software(&mut self, handle: Handle, software: Option<Software>) {
+        if let Some(request) = self.requests.get_mut(handle) {
+            request.software = software;
+        }
+    }
+
+    /// Records whether the schedulers of a VM know software versions, before
+    /// [`Dispatcher::link_up`].
+    pub fn set_version_support(&mut self, vm: &Name, is_supported: bool) {
+        if is_supported {
+            self.version_vms.insert(vm.clone());
+        } else {
+            self.version_vms.remove(vm);
+        }
+    }
+
     /// Marks a dispatched request as a stream that has begun, whose caller waits until `gives_up`
     /// for the next event. It is queued before new requests of its class, and schedulers do not
     /// refuse it before that time.
@@ -600,6 +638,7 @@
     pub fn link_down(&mut self, now: Millis, vm: &Name) {
         self.links.remove(vm);
         self.stream_vms.remove(vm);
+        self.version_vms.remove(vm);
         for shard in self.shards_on(vm) {
             self.end_session(now, &shard);
         }
@@ -672,6 +711,15 @@
     }
 }
 
+/// Configures slots with the software versions of a shard's endpoints.
+pub fn set_software(slots: &mut Slots, view: &View, shard: &Shard) {
+    for (id, ..) in endpoints(view, shard) {
+        if let Some(endpoint) = view.config.endpoints.get(&id) {
+            slots.set_software(id, endpoint.software);
+        }
+    }
+}
+
 /// Endpoints of a shard: id, slots, prefetch, and whether the endpoint gets no new work.
 pub fn endpoints<'a>(
     view: &'a View,
--- a/components/coordination/src/dispatcher/queue.rs
+++ b/components/coordination/src/dispatcher/queue.rs
@@ -33,6 +33,8 @@
     pub(super) arrival: Arrival,
     /// What is demanded of the stream that answers the request.
     pub(super) objective: Option<Objective>,
+    /// Software version that the endpoint must have, if the request continues a stream.
+    pub(super) software: Option<Software>,
     pub(super) shard: Shard,
     /// Whether another shard has refused the request before.
     pub(super) is_moved: bool,
@@ -261,11 +263,12 @@
             // request, so that it does not wait here in vain.
             let is_last = request.is_moved || request.is_refused;
             let is_last = is_last || !self.selector.has_other(&arrival, &shard);
-            let report = match request.caller_waits_ms(now).filter(|_| is_last) {
-                Some(waits_ms) => {
-                    Report::ResumedAsk(ask, request.objective.unwrap_or_default(), waits_ms)
-                }
-                None => ask_report(ask, request.objective),
+            let waits_ms = request.caller_waits_ms(now).filter(|_| is_last);
+            let objective = request.objective.unwrap_or_default();
+            let report = match (request.software, waits_ms) {
+                (Some(software), _) => Report::ContinuedAsk(ask, objective, waits_ms, software),
+                (None, Some(waits_ms)) => Report::ResumedAsk(ask, objective, waits_ms),
+                (None, None) => ask_report(ask, request.objective),
             };
             self.report(now, &shard, report, effects);
         }
@@ -374,7 +377,10 @@
         if self.has_appointments {
             refusal.after_ms = refusal.after_ms.min(arrival.honoured_ms(now));
         }
-        if let Some(session) = self.sessions.get_mut(shard) {
+        // A refusal for want of a version says nothing of other requests.
+        let is_continued = request.software.is_some();
+        let session = self.sessions.get_mut(shard);
+        if let Some(session) = session.filter(|_| !is_continued) {
             session.record_wait(now, arrival.class.customer, u64::from(refusal.wait_ms));
             session.record_refusal(now, &arrival, aim_ms, took_ms, &refusal);
             session.record_busy(100);
--- a/components/coordination/src/dispatcher/remote.rs
+++ b/components/coordination/src/dispatcher/remote.rs
@@ -25,7 +25,11 @@
             .count();
         let waits = |r: &Request| {
             let asked = matches!(r.stage, Stage::Asked(_));
-            asked && r.remote.is_none() && now.since(r.queued_at) >= REMOTE_AFTER_MS
+            // Asks in other regions name no version.
+            asked
+                && r.remote.is_none()
+                && r.software.is_none()
+                && now.since(r.queued_at) >= REMOTE_AFTER_MS
         };
         let overdue: Vec<Handle> = (self.requests.iter())
             .filter(|(_, r)| waits(r))
--- a/components/coordination/src/dispatcher/session.rs
+++ b/components/coordination/src/dispatcher/session.rs
@@ -383,6 +383,17 @@
         };
         if let (true, Some(assignment)) = (session.is_up, &session.assignment) {
             let supports_streams = self.stream_vms.contains(&assignment.node.vm);
+            let knows_versions = self.version_vms.contains(&assignment.node.vm);
+            let report = match report {
+                // The router checks the version of the endpoint that it is granted.
+                Report::ContinuedAsk(ask, objective, waits_ms, _) if !knows_versions => {
+                    match waits_ms {
+                        Some(waits_ms) => Report::ResumedAsk(ask, objective, waits_ms),
+                        None => Report::StreamAsk(ask, objective),
+                    }
+                }
+                report => report,
+            };
             let report = match report {
                 Report::StreamAsk(ask, _) | Report::ResumedAsk(ask, ..) if !supports_streams => {
                     Report::Ask(ask)
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod listing;
 pub mod messages;
 pub mod occupancy;
+pub mod origin;
 pub mod overload;
 pub mod pause;
 pub mod platform;
--- a/components/coordination/src/messages.rs
+++ b/components/coordination/src/messages.rs
@@ -9,7 +9,7 @@
 use crate::prompt::{Part, Prompt};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use state::id::{CustomerId, EndpointId, Epoch, Name, Version};
+use state::id::{CustomerId, EndpointId, Epoch, Name, Software, Version};
 use std::net::SocketAddr;
 
 /// Number of an ask within a session.
@@ -164,6 +164,11 @@
     /// the time for which its caller still waits for the next event, in milliseconds. Sent to
     /// schedulers that support objectives of streams, in place of [`Report::Ask`].
     ResumedAsk(Ask, Objective, u32),
+    /// A stream that has begun waits for a slot of an endpoint with the software version that began
+    /// it. The third field is that of [`Report::ResumedAsk`]; `None` for a new request, by which a
+    /// caller takes the stream up again. Sent to schedulers that know versions, in place of the
+    /// other asks.
+    ContinuedAsk(Ask, Objective, Option<u32>, Software),
 }
 
 /// What the rule of a request demands of the stream that answers it.
--- a/components/coordination/src/scheduler/mod.rs
+++ b/components/coordination/src/scheduler/mod.rs
@@ -25,7 +25,7 @@
 use self::cached::Announcements;
 use self::demand::Demand;
 use self::next::Next;
-use self::queue::{Key, Queue};
+use self::queue::{Continued, Key, Queue};
 use self::throughput::Throughput;
 use self::usage::Counted;
 use crate::engine::Prefill;
@@ -440,7 +440,18 @@
             }
             Report::StreamAsk(ask, objective) => self.ask_stream(now, session, ask, objective),
             Report::ResumedAsk(ask, objective, waits_ms) => {
-                self.enqueue(now, session, ask, objective, Some(waits_ms))
+                let continued = Continued {
+                    caller_waits_ms: Some(waits_ms),
+                    software: None,
+                };
+                self.enqueue(now, session, ask, objective, continued)
+            }
+            Report::ContinuedAsk(ask, objective, caller_waits_ms, software) => {
+                let continued = Continued {
+                    caller_waits_ms,
+                    software: Some(software),
+                };
+                self.enqueue(now, session, ask, objective, continued)
             }
             Report::Pauses(pauses) => {
                 for pause in &pauses {
@@ -500,22 +511,25 @@
         ask: Ask,
         objective: Objective,
     ) -> Effects {
-        self.enqueue(now, session, ask, objective, None)
+        self.enqueue(now, session, ask, objective, Continued::default())
     }
 
-    /// Adds an ask to the queue. `caller_waits_ms` is the time for which the caller waits for the
-    /// next event, if the stream has begun at another endpoint.
+    /// Adds an ask to the queue, or refuses it if no endpoint has the version that it needs.
     fn enqueue(
         &mut self,
         now: Millis,
         session: Session,
         ask: Ask,
         objective: Objective,
-        caller_waits_ms: Option<u32>,
+        continued: Continued,
     ) -> Effects {
         if !self.sessions.contains(&session) {
             return Effects::new();
         }
+        let key = (session, ask.seq);
+        if continued.software.is_some_and(|s| self.slots.lacks(now, s)) {
+            return Effects::from_iter([self.refuse(now, key, &ask, 0)]);
+        }
         if ask.remote {
             self.remote_asks
                 .push_back(((session, ask.seq), ask, objective));
@@ -527,18 +541,17 @@
             (Some(bucket), rate) => bucket.set_rate(rate, now),
             (bucket @ None, rate) => *bucket = Some(Bucket::new(rate, now)),
         }
-        let key = (session, ask.seq);
         let mut returned = None;
         // A request that has failed at an endpoint was never refused, and must not take the place
         // of a caller that was. Its load was counted with its first ask.
-        let is_retry = caller_waits_ms.is_some() || ask.avoid.is_some();
+        let is_retry = continued.caller_waits_ms.is_some() || ask.avoid.is_some();
         if let Some(appointments) = self.appointments.as_mut().filter(|_| !is_retry) {
             returned = appointments.take(now, ask.class, &ask.prompt);
             if returned.is_none() {
                 self.demand.record(ask.class.customer, ask.hint);
             }
         }
-        (self.queue).insert(now, key, ask, objective, returned, caller_waits_ms);
+        (self.queue).insert(now, key, ask, objective, returned, continued);
         self.ledger.set_backlogged(ask.class.customer, true);
         self.arrived.push(key);
         self.grant(now)
--- a/components/coordination/src/scheduler/next.rs
+++ b/components/coordination/src/scheduler/next.rs
@@ -164,6 +164,7 @@
             aim_ms: u64::from(ask.aim_ms),
             slack_ms: 0,
             only_in_time: false,
+            software: None,
         };
         let endpoint =
             self.slots
--- a/components/coordination/src/scheduler/queue.rs
+++ b/components/coordination/src/scheduler/queue.rs
@@ -66,6 +66,16 @@
     }
 }
 
+/// The stream that an ask continues, if it continues one.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Continued {
+    /// Time for which the caller waits for the next event, in milliseconds, if its answer has
+    /// begun at another endpoint.
+    pub(super) caller_waits_ms: Option<u32>,
+    /// Software version that began the stream.
+    pub(super) software: Option<Software>,
+}
+
 /// An ask in the queue.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiting {
@@ -75,6 +85,8 @@
     /// Time for which the caller waits for the next event, in milliseconds, if the stream has
     /// begun at another endpoint.
     caller_waits_ms: Option<u32>,
+    /// Software version that began the stream, if the ask continues one.
+    pub(super) software: Option<Software>,
     pub(super) since: Millis,
     /// Whether its caller was refused before; `None` if that is not known.
     pub(super) returned: Option<Return>,
@@ -114,6 +126,7 @@
             },
             // An ask with an appointment is served in its turn even if it is late.
             only_in_time: only_in_time && !self.has_appointment(),
+            software: self.software,
         }
     }
 
@@ -153,8 +166,7 @@
 impl Queue {
     /// Adds an ask, unless an ask with its key is in the queue.
     ///
-    /// `returned` says whether its caller was refused before, if that is known. `caller_waits_ms`
-    /// is the time for which the caller of a stream that has begun waits for the next event.
+    /// `returned` says whether its caller was refused before, if that is known.
     pub(super) fn insert(
         &mut self,
         now: Millis,
@@ -162,8 +174,12 @@
         ask: Ask,
         objective: Objective,
         returned: Option<Return>,
-        caller_waits_ms: Option<u32>,
+        continued: Continued,
     ) {
+        let Continued {
+            caller_waits_ms,
+            software,
+        } = continued;
         if self.asks.contains_key(&key) {
             return;
         }
@@ -188,6 +204,7 @@
             ask,
             objective,
             caller_waits_ms,
+            software,
             since,
             returned,
             order,
--- a/components/coordination/src/scheduler/refusal.rs
+++ b/components/coordination/src/scheduler/refusal.rs
@@ -100,6 +100,10 @@
         for customer in queue.customers() {
             let mut ahead = 0;
             for (key, waiting) in queue.of(customer) {
+                if waiting.software.is_some_and(|s| slots.lacks(now, s)) {
+                    late.push((key, waiting.ask, 0));
+                    continue;
+                }
                 if waiting.has_begun() && waiting.slack_ms(now) > 0 {
                     ahead += u64::from(waiting.ask.hint);
                     continue;
--- a/components/coordination/src/slot/mod.rs
+++ b/components/coordination/src/slot/mod.rs
@@ -39,6 +39,7 @@
 #[derive(Clone, Debug)]
 struct Endpoint {
     id: EndpointId,
+    software: Software,
     slots: u32,
     /// Requests beyond its slots that may be sent ahead, to cover the grant's round trip.
     prefetch: u32,
@@ -85,6 +86,8 @@
     pub slack_ms: u64,
     /// Whether the request is sent only where its answer is expected in time.
     pub only_in_time: bool,
+    /// Software version that the endpoint must have, if the request continues a stream.
+    pub software: Option<Software>,
 }
 
 /// Strategy for the choice among free endpoints that are no engines. All but the first are
@@ -314,6 +317,21 @@
         endpoint.leaving = leaving;
     }
 
+    /// Sets the version of an endpoint's software.
+    pub fn set_software(&mut self, id: EndpointId, software: Software) {
+        if let Some(endpoint) = self.endpoint_mut(id) {
+            endpoint.software = software;
+        }
+    }
+
+    /// Whether no endpoint with a software version takes new requests, not even later. False while
+    /// no endpoints are known at all.
+    pub fn lacks(&self, now: Millis, software: Software) -> bool {
+        let serves = |e: &Endpoint| e.software == software && !e.leaving && !e.is_leaving(now);
+        let mut all = self.endpoints.values().peekable();
+        all.peek().is_some() && !all.any(serves)
+    }
+
     /// Records that an endpoint has asked the router of a session to send no requests for a
     /// while; an endpoint that is leaving gets no requests from any router.
     pub fn back_off(&mut self, now: Millis, session: u32, backoff: &Backoff) {
@@ -611,8 +629,7 @@
         avoiding: bool,
     ) -> Option<EndpointId> {
         let avoid = criteria.avoid.filter(|_| avoiding);
-        let is_free =
-            |e: &Endpoint| e.free_slots(now) > 0 && !e.is_backed_off(now, criteria.session);
+        let is_free = |e: &Endpoint| e.free_slots(now) > 0 && e.may_serve(now, &criteria);
         let free = (self.endpoints.iter()).filter(|(id, e)| is_free(e) && Some(*id) != avoid);
         self.choices += 1;
         match self.strategy {
@@ -641,6 +658,7 @@
     fn new(id: EndpointId) -> Self {
         Endpoint {
             id,
+            software: Software::UNSTATED,
             slots: 0,
             prefetch: 0,
             leaving: false,
@@ -703,6 +721,12 @@
         until.is_some_and(|until| *until > now)
     }
 
+    /// Whether the endpoint may be sent a request by its router and its version.
+    fn may_serve(&self, now: Millis, criteria: &Criteria) -> bool {
+        let has_version = criteria.software.is_none_or(|s| s == self.software);
+        has_version && !self.is_backed_off(now, criteria.session)
+    }
+
     /// Whether the endpoint is cold and gets no request yet, to keep to its rate.
     fn is_paced(&self, now: Millis) -> bool {
         self.pacer.is_some_and(|pacer| !pacer.admits(now))
--- a/components/coordination/src/slot/select.rs
+++ b/components/coordination/src/slot/select.rs
@@ -391,6 +391,17 @@
         let source = (criteria.avoid.is_none()).then(|| self.source(now, &criteria.prompt));
         let source = source.flatten();
         let mut search = Search::new(self, now, criteria, source, objective, reservations);
+        if let Some(software) = criteria.software {
+            // The engines of this version may all be behind the front of the ranking.
+            let of_version = self
+                .endpoints
+                .iter()
+                .filter(|(_, e)| e.software == software);
+            let indices = of_version.filter_map(|(id, _)| self.endpoints.index_of(id));
+            let candidates = indices.filter_map(|index| self.ranking.candidate(now, index));
+            candidates.for_each(|candidate| search.consider(&candidate, MAX_PARTS));
+            return search.best;
+        }
         let coverage = search.coverage.clone();
         let max_depth = self.candidates(now, &coverage, |c, depth| search.consider(c, depth));
         let best = search.best.as_ref();
@@ -550,7 +561,7 @@
         reserved: u64,
     ) -> Option<Estimate> {
         let engine = self.engine.as_ref().filter(|_| self.is_open(now))?;
-        if self.is_backed_off(now, criteria.session) {
+        if !self.may_serve(now, criteria) {
             return None;
         }
         let Work {
--- a/components/coordination/tests/decisions.rs
+++ b/components/coordination/tests/decisions.rs
@@ -266,6 +266,7 @@
         aim_ms: 600,
         slack_ms: 0,
         only_in_time: false,
+        software: None,
     };
     let id = EndpointId(1);
     let mut slots = Slots::default();
@@ -294,6 +295,7 @@
         aim_ms: 600,
         slack_ms: 0,
         only_in_time: false,
+        software: None,
     };
     let take = |slots: &mut Slots, prefix| {
         let criteria = criteria(prefix);
--- a/components/coordination/tests/fleet/mod.rs
+++ b/components/coordination/tests/fleet/mod.rs
@@ -723,6 +723,7 @@
         Report::Backoff(_) => 9,
         Report::StreamAsk(..) => 17,
         Report::ResumedAsk(..) => 18,
+        Report::ContinuedAsk(..) => 19,
         Report::Pauses(pauses) => 1 + 6 * pauses.len() as u64,
         Report::Speed(_) => 9,
         Report::Bounds(bounds) => 1 + 5 * bounds.len() as u64,
--- a/components/coordination/tests/load.rs
+++ b/components/coordination/tests/load.rs
@@ -341,6 +341,7 @@
             aim_ms: 600,
             slack_ms,
             only_in_time: false,
+            software: None,
         };
         let chosen = slots.choose(now, criteria, &mut Reservations::default());
         (chosen, criteria.prompt)
@@ -385,6 +386,7 @@
             aim_ms: 600,
             slack_ms: 600,
             only_in_time: false,
+            software: None,
         };
         let chosen = scheduler
             .slots()
@@ -467,6 +469,7 @@
         aim_ms: 600,
         slack_ms: 600,
         only_in_time: false,
+        software: None,
     };
     let choices_by_engine = |silent: Option<EndpointId>| {
         let mut scheduler = Scheduler::new(Epoch(1), Millis(0));
@@ -538,6 +541,7 @@
         aim_ms: 150,
         slack_ms: 150,
         only_in_time: false,
+        software: None,
     };
     for id in 1..=3 {
         for n in 0..10 {
--- a/components/coordination/tests/placement.rs
+++ b/components/coordination/tests/placement.rs
@@ -117,6 +117,7 @@
             aim_ms,
             slack_ms: self.rng.random_range(0..=aim_ms),
             only_in_time: self.rng.random_bool(0.3),
+            software: None,
         }
     }
 
--- a/components/coordination/tests/pressure.rs
+++ b/components/coordination/tests/pressure.rs
@@ -47,6 +47,7 @@
         aim_ms,
         slack_ms: aim_ms,
         only_in_time: false,
+        software: None,
     }
 }
 
--- a/components/node/src/frontend/access_log.rs
+++ b/components/node/src/frontend/access_log.rs
@@ -8,11 +8,12 @@
 use super::refusal::Refusal;
 use super::timing::Timing;
 use super::upstream::Failure;
-use crate::input::Dispatch;
+use crate::input::{Continued, Dispatch};
 use crate::metric::{Labels, Metrics};
 use crate::shared::Published;
 use coordination::ending::Framing;
 use coordination::messages::Placement;
+use coordination::origin::Decision;
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
 use state::clock::Millis;
@@ -58,6 +59,8 @@
     /// ID of the request whose answer brought the first event of the stream that the caller takes
     /// up again.
     resumes: Option<HeaderValue>,
+    /// Where the stream that the caller takes up again may go on, and at which version.
+    continued: Option<Continued>,
     /// Version of the software that brought the first event of the answer.
     began: Option<Software>,
     /// How the end of the endpoint's answer is marked.
@@ -118,6 +121,7 @@
             resumed: 0,
             unresumed: None,
             resumes: None,
+            continued: None,
             began: None,
             framing: None,
             ending: None,
@@ -232,6 +236,11 @@
         self.resumes = resumes;
     }
 
+    /// Records where the stream that the caller takes up again may go on.
+    pub(crate) fn record_origin(&mut self, continued: Continued) {
+        self.continued = Some(continued);
+    }
+
     /// Records the version of the software that brought the first event of the answer.
     pub(crate) fn record_began(&mut self, began: Option<Software>) {
         self.began = began.filter(|software| software.is_stated());
@@ -310,6 +319,11 @@
         let estimate = refusal.and_then(|r| r.estimate);
         let crash_fingerprint = self.fingerprint.filter(|_| reason == BROKE_OFF);
         self.is_logged = true;
+        let decision = self.continued.map(|c| c.decision);
+        let at_version = match decision {
+            Some(Decision::At(software)) => Some(software),
+            _ => None,
+        };
         let service = text(self.service.as_ref());
         let took = self.arrived_at.elapsed();
         let first = self.timing.time_to_first();
@@ -335,6 +349,9 @@
             resumed = (self.resumed > 0).then_some(self.resumed),
             unresumed = self.unresumed,
             resumes = self.resumes.as_ref().and_then(|id| id.to_str().ok()),
+            origin = decision.map(Decision::as_str),
+            origin_from = self.continued.map(|c| c.source),
+            at_version = at_version.map(tracing::field::display),
             began = self.began.map(tracing::field::display),
             framing = self.framing.map(Framing::as_str),
             ending = self.ending,
--- a/components/node/src/frontend/plan.rs
+++ b/components/node/src/frontend/plan.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use coordination::dispatcher::Arrival;
 use coordination::messages::{Class, Objective};
+use coordination::origin::Key;
 use coordination::prompt::Prompt;
 use coordination::regions::Regions;
 use coordination::rule;
@@ -53,6 +54,8 @@
     pub(super) retries: u32,
     /// Whether a stream that breaks off may continue at another endpoint.
     pub(super) resume: bool,
+    /// Key of the stream, by which its caller may take it up again.
+    pub(super) stream: Key,
     /// Latency target of the rule, in milliseconds: time from the request's arrival until the first
     /// byte counts as late.
     pub(super) target_ms: Option<u64>,
@@ -109,7 +112,14 @@
     if customer.is_some() {
         check_proof_age(frontend, published)?;
     }
-    let service = send.pick_service(rand::random()).ok_or_else(no_endpoint)?;
+    let stream = stream_key(frontend, call, customer.map(|(id, _)| id));
+    // A stream goes on at the service that began it.
+    let draw = if send.resume {
+        stream.draw()
+    } else {
+        rand::random()
+    };
+    let service = send.pick_service(draw).ok_or_else(no_endpoint)?;
     if let Some((_, customer)) = customer {
         check_service(customer, service)?;
         call.customer = Some(customer.name.clone());
@@ -163,12 +173,23 @@
         idempotent: rule::is_idempotent(send.idempotent, settings, call.method.as_str()),
         retries: send.retries.unwrap_or(DEFAULT_RETRIES),
         resume: send.resume,
+        stream,
         target_ms: send.aim_ms,
         arrival,
         objective,
     })
 }
 
+/// Key of the stream that a request begins or, by its headers, takes up again.
+fn stream_key(frontend: &Frontend, call: &Call, customer: Option<CustomerId>) -> Key {
+    let customer = customer.unwrap_or(ANONYMOUS_CUSTOMER);
+    let resumes = call.headers.get(frontend.context.interface.resumes);
+    match resumes.or(call.request_id.as_ref()) {
+        Some(id) => Key::of(customer, id.as_bytes()),
+        None => Key::of(customer, call.id.to_string().as_bytes()),
+    }
+}
+
 /// Returns `refusal` if this router's configuration is current enough, and else the refusal that
 /// it is stale.
 ///
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -13,6 +13,7 @@
 use coordination::dispatcher::Handle;
 use coordination::ending::{Boundary, Ending, Framing};
 use coordination::messages::{Objective, Verdict};
+use coordination::origin;
 use coordination::pause;
 use coordination::prompt::Prompt;
 use coordination::resume::Decision;
@@ -23,7 +24,7 @@
 use prometheus::IntCounter;
 use state::config::{Cost, Engine};
 use state::event::{Event, Kind};
-use state::id::{RequestId, Software};
+use state::id::{RequestId, ServiceId, Software};
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -41,6 +42,9 @@
 /// every 20 ms or more.
 const UNREAD_PIECE: Duration = Duration::from_millis(20);
 
+/// Time after which the origin of a stream that is still in progress is reported again.
+const REPORT_AGAIN: Duration = Duration::from_millis(origin::REPORT_AGAIN_MS);
+
 /// Logged end of an answer whose length or last chunk marks it.
 const MARKED: &str = "marked";
 
@@ -202,6 +206,11 @@
     pub(crate) software: Software,
     /// Version that brought the first event of the stream.
     pub(crate) began: Option<Software>,
+    /// Key and service of the stream, if its origin is reported so that its caller may take it up
+    /// again.
+    pub(crate) stream: Option<(origin::Key, ServiceId)>,
+    /// When its origin was last reported.
+    pub(crate) reported_at: Option<Instant>,
     /// How that answer has ended, for the access log.
     pub(crate) ending: Option<&'static str>,
     /// Verdict on the endpoint if the answer is complete.
@@ -345,6 +354,25 @@
         }
     }
 
+    /// Reports the version that brought the first event, before that event is passed on and again
+    /// while the stream lasts.
+    fn report_origin(&mut self) {
+        if !self.boundary.as_ref().is_some_and(Boundary::has_event) {
+            return;
+        }
+        let software = *self.began.get_or_insert(self.software);
+        let Some((key, service)) = self.stream else {
+            return;
+        };
+        let is_due = |at: Instant| at.elapsed() >= REPORT_AGAIN;
+        if self.reported_at.is_none_or(is_due) {
+            self.reported_at = Some(Instant::now());
+            let origin = origin::Origin { service, software };
+            // Sending fails only at the end of this process.
+            let _ = self.slot.reactor.send(Input::Began(key, origin));
+        }
+    }
+
     /// Completes the answer at once if it has no body, since an empty body is never polled.
     pub(crate) fn end_if_empty(&mut self) {
         if self.incoming.is_end_stream() {
@@ -486,7 +514,8 @@
             }
             return Some(error);
         };
-        let decision = resumption.handle_break(&mut self.slot, &mut self.origin.connection);
+        let decision =
+            resumption.handle_break(&mut self.slot, &mut self.origin.connection, self.began);
         if has_crashed {
             self.delivery.report_break();
         }
@@ -508,7 +537,8 @@
         };
         while resumption.is_silent(context, self.lateness.is_late()) {
             self.slot.verdict = Verdict::Failed;
-            let decision = resumption.handle_break(&mut self.slot, &mut self.origin.connection);
+            let decision =
+                resumption.handle_break(&mut self.slot, &mut self.origin.connection, self.began);
             match decision {
                 Decision::Resume => {}
                 Decision::End(reason) if resumption.ends_by_silence(reason) => {}
@@ -627,10 +657,8 @@
                 Poll::Ready(Some(Ok(frame))) => {
                     if let (Some(boundary), Some(bytes)) = (&mut this.boundary, frame.data_ref()) {
                         boundary.push(bytes);
-                        if boundary.has_event() {
-                            this.began.get_or_insert(this.software);
-                        }
                     }
+                    this.report_origin();
                     let frame = match this.hold_back(frame) {
                         Ok(Some(frame)) => frame,
                         Ok(None) => continue,
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -5,12 +5,15 @@
 use super::plan::Plan;
 use super::pool::Connection;
 use super::relay::{Origin, Slot};
-use super::serve::{record_dispatch, take_slot, wait_for_dispatch, Queued, MAX_UNCONNECTED_TRIES};
+use super::serve::{
+    record_dispatch, take_slot, wait_for_dispatch, Queued, Wanted, MAX_UNCONNECTED_TRIES,
+};
 use super::upstream::{self, Answer, Call, Failure};
 use crate::input::{Decided, Dispatch, Input, NextEvent};
 use coordination::dispatcher::Handle;
 use coordination::ending::Framing;
 use coordination::messages::Verdict;
+use coordination::origin::Key;
 use coordination::resume::{
     decide, give_up_ms, silence_ms, untargeted_aim_ms, Break, Decision, Events, Mismatch, Position,
     RESUME_AIM_MS,
@@ -20,7 +23,7 @@
 use hyper::header::{HeaderValue, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE};
 use hyper::http::response::Parts;
 use hyper::HeaderMap;
-use state::id::Software;
+use state::id::{ServiceId, Software};
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -39,6 +42,8 @@
     pub(super) call: Call,
     pub(super) plan: Plan,
     pub(super) arrived_at: Instant,
+    /// Software version that its caller's stream has, if the request takes one up again.
+    pub(super) software: Option<Software>,
     /// Whether the request was suspected of crashing endpoints when it was sent for its first
     /// answer. Later suspicions are not considered: when an endpoint fails with several copies of a
     /// request, the first break that is reported makes all of them suspects.
@@ -125,6 +130,13 @@
             && !head.headers.contains_key(CONTENT_LENGTH)
     }
 
+    /// Key and service of the stream that the answer with this head is, if its caller may take it up
+    /// again at an endpoint with its version.
+    pub(super) fn reported_stream(&self, head: &Parts) -> Option<(Key, ServiceId)> {
+        let is_stream = head.status.is_success() && is_event_stream(&head.headers);
+        (self.plan.resume && is_stream).then_some((self.plan.stream, self.plan.service))
+    }
+
     /// Decides whether to resume the stream at a position, after these tries.
     fn decide(&self, position: &Position, tries: Tries) -> Decision {
         let broken = Break {
@@ -152,6 +164,7 @@
         handle: Handle,
         units: u32,
         verdict: Verdict,
+        software: Option<Software>,
         gives_up_in: Duration,
     ) -> (Queued, oneshot::Receiver<Decided>) {
         let (sender, reply) = oneshot::channel();
@@ -160,6 +173,7 @@
         let next_event = NextEvent {
             aim: now.after(RESUME_AIM_MS),
             gives_up: now.after(gives_up_ms),
+            software,
         };
         let reactor = &self.frontend.context.reactor;
         // Sending fails only at the end of this process. The last reported cost is settled.
@@ -291,11 +305,12 @@
     }
 
     /// Decides what follows a break of the present answer. If the stream is resumed, the wait for
-    /// the next answer begins.
+    /// the next answer begins, which must come from an endpoint with the version that `began` it.
     pub(super) fn handle_break(
         &mut self,
         slot: &mut Slot,
         connection: &mut Option<Connection>,
+        began: Option<Software>,
     ) -> Decision {
         let mut tries = self.tries;
         tries.breaks += 1;
@@ -320,9 +335,8 @@
             .unwrap_or_else(|| self.last_event_at + self.subject.plan.timeout);
         let gives_up_in = gives_up_at.saturating_duration_since(Instant::now());
         let (units, verdict) = (slot.meter.units(), slot.verdict);
-        let queued = self
-            .subject
-            .queue_again(slot.handle, units, verdict, gives_up_in);
+        let software = began.or(self.subject.software);
+        let queued = (self.subject).queue_again(slot.handle, units, verdict, software, gives_up_in);
         let (notes, receiver) = flume::unbounded();
         let next = Next {
             subject: self.subject.clone(),
@@ -330,6 +344,7 @@
             gives_up_at,
             position: self.events.position().clone(),
             last_event_id,
+            software,
             tries,
             notes,
         };
@@ -373,6 +388,8 @@
     gives_up_at: Instant,
     position: Position,
     last_event_id: Option<HeaderValue>,
+    /// Software version that the endpoint must have.
+    software: Option<Software>,
     tries: Tries,
     notes: flume::Sender<AttemptEvent>,
 }
@@ -394,10 +411,14 @@
             let (waiting, reply) = queued;
             let decided = reply.await.map_err(|_| "stopping")?;
             let retries = self.tries.retries;
-            let dispatch =
-                wait_for_dispatch(frontend, call, waiting, decided, retries, plan.idempotent)
-                    .await
-                    .map_err(|refusal| refusal.code)?;
+            let wanted = Wanted {
+                software: self.software,
+                retries,
+                idempotent: plan.idempotent,
+            };
+            let dispatch = wait_for_dispatch(frontend, call, waiting, decided, wanted)
+                .await
+                .map_err(|refusal| refusal.code)?;
             record_dispatch(frontend, call, plan, &dispatch, retries, subject.arrived_at);
             let _ = self.notes.send(AttemptEvent::Sent(dispatch.clone()));
             let delivery = Delivery::new(frontend, call, plan.customer);
@@ -439,7 +460,7 @@
             slot.is_armed = false;
             let (units, verdict) = (slot.meter.units(), slot.verdict);
             let gives_up_in = self.gives_up_at.saturating_duration_since(Instant::now());
-            queued = subject.queue_again(self.handle, units, verdict, gives_up_in);
+            queued = subject.queue_again(self.handle, units, verdict, self.software, gives_up_in);
         }
     }
 
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -13,12 +13,13 @@
 use super::resume::{is_event_stream, RelayedRequest, Resumption, Tries};
 use super::upstream::{self, Answer, Call, Failure};
 use crate::input::{Decided, Decision, Dispatch, Input};
-use crate::interface::REQUEST_ID;
+use crate::interface::{Interface, REQUEST_ID};
 use crate::shared::Published;
 use bytes::Bytes;
 use coordination::dispatcher::{Handle, Rejection};
 use coordination::ending::Boundary;
 use coordination::messages::Verdict;
+use coordination::origin;
 use coordination::pause;
 use coordination::retry::{self, Action, Reach};
 use http_body_util::{Either, Full};
@@ -27,7 +28,7 @@
 use hyper::{Request, Response, StatusCode, Version};
 use prometheus::IntCounter;
 use state::event::{Event, Kind};
-use state::id::RequestId;
+use state::id::{RequestId, Software};
 use state::outcome::Outcome;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -200,7 +201,9 @@
             }
         }
     }
-    let served = dispatch_until_answered(frontend, call, plan, claimed, entry, arrived_at).await;
+    let software = required_version(frontend, &call, &plan, entry).await?;
+    let request = (call, plan, software);
+    let served = dispatch_until_answered(frontend, request, claimed, entry, arrived_at).await;
     match may_have_run {
         true => served.map_err(Refusal::into_unknown),
         false => served,
@@ -225,18 +228,69 @@
     }
 }
 
+/// Software version that the endpoint must have, if the request takes a stream up again.
+///
+/// # Errors
+///
+/// The refusal, if the stream can go on nowhere.
+async fn required_version(
+    frontend: &Frontend,
+    call: &Call,
+    plan: &Plan,
+    entry: &mut Entry,
+) -> Result<Option<Software>, Refusal> {
+    let Interface {
+        resumes,
+        last_event_id,
+        ..
+    } = frontend.context.interface;
+    let is_continued = [resumes, last_event_id]
+        .iter()
+        .any(|name| call.headers.contains_key(*name));
+    if !plan.resume || !is_continued {
+        return Ok(None);
+    }
+    let (sender, reply) = oneshot::channel();
+    let question = Input::Continue(plan.service, plan.stream, sender);
+    let _ = frontend.context.reactor.send(question);
+    let continued = reply.await.map_err(|_| no_endpoint())?;
+    entry.record_origin(continued);
+    let decided = continued.decision.as_str();
+    let counter = &frontend.context.metrics.continued_streams;
+    counter.with_label_values(&[decided]).inc();
+    match continued.decision {
+        origin::Decision::At(software) => Ok(Some(software)),
+        origin::Decision::Anywhere | origin::Decision::LookUp => Ok(None),
+        origin::Decision::Reject(rejection) => Err(rejected_stream(rejection)),
+    }
+}
+
+/// Refusal of a stream that can go on nowhere.
+fn rejected_stream(rejection: origin::Rejection) -> Refusal {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let refusal = |text| Refusal::not_run(status, rejection.as_str(), text);
+    match rejection {
+        origin::Rejection::Unknown => refusal("which version began the stream is not known"),
+        origin::Rejection::Gone => refusal("no endpoint has the version that began the stream"),
+        // Another router may know.
+        origin::Rejection::Unreachable => {
+            refusal("the control VMs could not be asked which version began the stream")
+                .with_retry_after(FAST_RETRY_AFTER)
+        }
+    }
+}
+
 /// Queues a request, sends it to an endpoint, and retries where that is safe.
 async fn dispatch_until_answered(
     frontend: &Arc<Frontend>,
-    call: Call,
-    plan: Plan,
+    (call, plan, software): (Call, Plan, Option<Software>),
     mut claim: Option<Claim>,
     entry: &mut Entry,
     arrived_at: Instant,
 ) -> Result<Served, Refusal> {
     frontend.check_quarantine(&call)?;
     frontend.earn_retries(plan.service);
-    let (handle, mut decided) = enqueue(frontend, &plan).await?;
+    let (handle, mut decided) = enqueue(frontend, &plan, software).await?;
     let mut retries = 0;
     let mut unconnected_tries = 0;
     let mut breaks = 0;
@@ -246,8 +300,12 @@
             id: call.id,
             frontend: frontend.clone(),
         };
-        let dispatch =
-            wait_for_dispatch(frontend, &call, queued, decided, retries, plan.idempotent).await?;
+        let wanted = Wanted {
+            software,
+            retries,
+            idempotent: plan.idempotent,
+        };
+        let dispatch = wait_for_dispatch(frontend, &call, queued, decided, wanted).await?;
         entry.log_dispatch(&dispatch, call.fingerprint());
         record_dispatch(frontend, &call, &plan, &dispatch, retries, arrived_at);
         let delivery = Delivery::new(frontend, &call, plan.customer);
@@ -284,6 +342,7 @@
                         call,
                         plan,
                         arrived_at,
+                        software,
                         was_suspected: delivery.was_suspected(),
                     };
                     let answering = (answer, delivery);
@@ -419,9 +478,13 @@
 /// # Errors
 ///
 /// The refusal, if the queue is full or the request could not be served in time.
-async fn enqueue(frontend: &Frontend, plan: &Plan) -> Result<(Handle, Decided), Refusal> {
+async fn enqueue(
+    frontend: &Frontend,
+    plan: &Plan,
+    software: Option<Software>,
+) -> Result<(Handle, Decided), Refusal> {
     let (sender, receiver) = oneshot::channel();
-    let arrive = Input::Arrive(plan.arrival, plan.objective, sender);
+    let arrive = Input::Arrive(plan.arrival, plan.objective, software, sender);
     if frontend.context.reactor.send(arrive).is_err() {
         return Err(no_endpoint());
     }
@@ -452,6 +515,17 @@
     }
 }
 
+/// What a queued request waits for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wanted {
+    /// Software version that the endpoint must have, if the request continues a stream.
+    pub(super) software: Option<Software>,
+    /// Retries so far.
+    pub(super) retries: u32,
+    /// Whether the request may run more than once.
+    pub(super) idempotent: bool,
+}
+
 /// Waits in the queue until the request is dispatched to an endpoint.
 ///
 /// # Errors
@@ -462,9 +536,13 @@
     call: &Call,
     mut queued: Queued,
     decided: Decided,
-    retries: u32,
-    idempotent: bool,
+    wanted: Wanted,
 ) -> Result<Dispatch, Refusal> {
+    let Wanted {
+        software,
+        retries,
+        idempotent,
+    } = wanted;
     frontend
         .context
         .journal
@@ -474,8 +552,19 @@
         () = frontend.until_quarantined(call) => return Err(quarantined()),
         decision = decided => decision,
     };
-    queued.handle = None;
+    let handle = queued.handle.take();
     match decision {
+        // The scheduler may be of a release that knows no versions.
+        Ok(Decision::Dispatch(dispatch)) if software.is_some_and(|s| s != dispatch.software) => {
+            if let Some(handle) = handle {
+                let done = Input::Done(handle, 0, Verdict::Cancelled);
+                let _ = frontend.context.reactor.send(done);
+            }
+            let text = "the endpoint that is free has another version than the one that began the \
+                        stream";
+            let refusal = unserved("other-version", text, retries, idempotent);
+            Err(refusal.with_retry_after(FAST_RETRY_AFTER))
+        }
         Ok(Decision::Dispatch(dispatch)) => {
             let event = Event::new(Kind::Granted).request(call.id);
             frontend
@@ -579,6 +668,7 @@
     });
     let remaining = subject.remaining();
     let pauses = pauses(&frontend, &subject.plan);
+    let stream = subject.reported_stream(&head);
     let is_resumable = !is_replayed && !body.is_end_stream() && subject.may_resume(&head);
     let resumption = is_resumable.then(|| Box::new(Resumption::new(subject, tries)));
     let mut relay = Relay {
@@ -586,6 +676,8 @@
         framing,
         software: dispatch.software,
         began: None,
+        stream,
+        reported_at: None,
         boundary: is_event_stream(&head.headers).then(Boundary::default),
         ending: None,
         verdict_if_complete: if head.status.is_server_error() {
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -5,10 +5,11 @@
 use coordination::backoff::Backoff;
 use coordination::dispatcher::{Arrival, Handle, Rejection};
 use coordination::messages::{Objective, Placement, Refusal, Verdict};
+use coordination::origin::{self, Origin};
 use coordination::pause::Observed;
 use protocol::wire::{Query, Reply};
 use state::clock::Millis;
-use state::id::{EndpointId, Name, Software};
+use state::id::{EndpointId, Name, ServiceId, Software};
 use state::listing::Entry;
 use state::suspect::{Completion, Crash};
 use state::view::{Node, Step, View};
@@ -78,23 +79,40 @@
     pub(crate) aim: Millis,
     /// When the caller gives up the stream without it.
     pub(crate) gives_up: Millis,
+    /// Software version that the endpoint must have.
+    pub(crate) software: Option<Software>,
+}
+
+/// Where a stream that its caller takes up again may go on, and how that is known.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Continued {
+    pub(crate) decision: origin::Decision,
+    /// Source of the decision, for the access log.
+    pub(crate) source: &'static str,
 }
 
 /// An input of the reactor.
 pub(crate) enum Input {
     /// An event of the links.
     Link(link::Event),
-    /// A request arrives, with what is demanded of the stream that answers it. The reply is its
-    /// handle and the receiver of its decision.
+    /// A request arrives, with what is demanded of the stream that answers it, and the software
+    /// version that the endpoint must have. The reply is its handle and the receiver of its
+    /// decision.
     Arrive(
         Arrival,
         Option<Objective>,
+        Option<Software>,
         oneshot::Sender<Result<(Handle, Decided), Rejection>>,
     ),
     /// The caller of a waiting request has disconnected.
     Cancel(Handle),
     /// A try has failed and the request is queued again, with new times if it is resumed.
     Requeue(Handle, Verdict, Option<NextEvent>, oneshot::Sender<Decided>),
+    /// A stream that its caller may take up again has brought its first event, or is still in
+    /// progress after [`REPORT_AGAIN_MS`](origin::REPORT_AGAIN_MS).
+    Began(origin::Key, Origin),
+    /// Asks where a stream of a service that its caller takes up again may go on.
+    Continue(ServiceId, origin::Key, oneshot::Sender<Continued>),
     /// The first byte of an answer has arrived, this many milliseconds after the dispatch. `None`
     /// if tasks ran late meanwhile, so that the time says little about the endpoint.
     FirstByte(Handle, Option<u32>),
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -56,6 +56,8 @@
     pub(crate) resumed_streams: IntCounter,
     /// Streams that broke and were not resumed, by reason.
     pub(crate) unresumed_streams: IntCounterVec,
+    /// Streams that callers took up again, by the decision where they may go on.
+    pub(crate) continued_streams: IntCounterVec,
     /// Pieces of streams that ended in an event that was held back.
     pub(crate) held_events: IntCounter,
     /// Requests that wait on this router.
@@ -188,6 +190,16 @@
         .map_err(Error::key(step))?;
         r.register(Box::new(unresumed_streams.clone()))
             .map_err(Error::key(step))?;
+        let continued_streams = IntCounterVec::new(
+            Opts::new(
+                "cowslipford_streams_taken_up_total",
+                "Streams that callers took up again, by the decision where they may go on.",
+            ),
+            &["decision"],
+        )
+        .map_err(Error::key(step))?;
+        r.register(Box::new(continued_streams.clone()))
+            .map_err(Error::key(step))?;
         let appointments = IntCounterVec::new(
             Opts::new(
                 "cowslipford_appointments_total",
@@ -256,6 +268,7 @@
                 "Times that a stream continued at another endpoint.",
             )?,
             unresumed_streams,
+            continued_streams,
             held_events: counter(
                 "cowslipford_events_held_total",
                 "Pieces of streams that ended in an event that was held back.",
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -5,11 +5,13 @@
 mod dependency;
 mod listing;
 mod occupancy;
+mod origins;
 mod peers;
 mod status;
 
 use self::dependency::Logged;
 use self::occupancy::Reports;
+use self::origins::Streams;
 use crate::batch::Batch;
 use crate::dissemination::Dissemination;
 use crate::handover::Handover;
@@ -181,6 +183,8 @@
     evacuated: BTreeSet<Name>,
     /// Reports of routers' occupancy, in both directions.
     reports: Reports,
+    /// Origins of streams.
+    streams: Streams,
     /// Whether the published state is out of date.
     dirty: bool,
 }
@@ -196,6 +200,7 @@
         let now = parts.clock.now();
         let mut dispatcher = Dispatcher::new(parts.home.clone(), parts.bounds);
         dispatcher.set_stream_support(&me, true);
+        dispatcher.set_version_support(&me, true);
         if parts.scheduling.appointments {
             dispatcher.enable_appointments();
         }
@@ -255,6 +260,7 @@
             dedicated: false,
             evacuated: BTreeSet::new(),
             reports: Reports::default(),
+            streams: Streams::default(),
             dirty: true,
             me,
             parts,
@@ -304,9 +310,9 @@
         let now = self.now();
         match input {
             Input::Link(event) => self.handle_link(now, event),
-            Input::Arrive(arrival, objective, reply) => {
-                let arrived =
-                    (self.dispatcher).arrive_for_stream(now, &self.effective, arrival, objective);
+            Input::Arrive(arrival, objective, software, reply) => {
+                let (dispatcher, view) = (&mut self.dispatcher, &self.effective);
+                let arrived = dispatcher.arrive_at_version(now, view, arrival, objective, software);
                 let answer = match arrived {
                     Ok((handle, effects)) => {
                         let (sender, decided) = oneshot::channel();
@@ -329,6 +335,7 @@
                 self.decisions.insert(handle, sender);
                 if let Some(next_event) = next_event {
                     self.dispatcher.set_aim(handle, next_event.aim);
+                    self.dispatcher.set_software(handle, next_event.software);
                     (self.dispatcher).set_gives_up(handle, next_event.gives_up);
                 }
                 let effects = self.dispatcher.requeue(now, handle, verdict);
@@ -337,6 +344,8 @@
                     self.cancel(now, handle);
                 }
             }
+            Input::Began(key, origin) => self.record_origin(now, key, origin),
+            Input::Continue(service, key, reply) => self.continue_stream(now, service, key, reply),
             Input::FirstByte(handle, took_ms) => {
                 let effects = self.dispatcher.report_first_byte(now, handle, took_ms);
                 self.perform(now, effects);
@@ -437,7 +446,10 @@
                 let features = hello.extension.features;
                 self.dispatcher
                     .set_stream_support(vm, features.includes(Features::STREAM_OBJECTIVES));
+                self.dispatcher
+                    .set_version_support(vm, features.includes(Features::VERSIONS));
                 self.open_occupancy(&hello);
+                self.open_origins(&hello);
                 let effects = self.dispatcher.link_up(now, vm);
                 self.perform(now, effects);
             }
@@ -446,6 +458,7 @@
                     .journal
                     .record(Event::new(Kind::LinkDown).peer(&vm));
                 self.close_occupancy(&vm);
+                self.close_origins(now, &vm);
                 self.dissemination.link_down(now, &vm);
                 self.schedulers.link_down(now, &vm);
                 self.dispatcher.link_down(now, &vm);
@@ -562,6 +575,11 @@
                     .handle_proof_age(&vm, at, version, self.view.version);
                 self.dirty = true;
             }
+            Message::Origins(reported) => self.handle_origins(now, &vm, reported),
+            Message::OriginRequest(number, key) => {
+                self.answer_origin_request(now, &vm, number, key);
+            }
+            Message::Origin(number, origin) => self.handle_origin(now, &vm, number, origin),
             Message::Occupancy(occupancy) => self.handle_occupancy(now, &vm, occupancy),
             Message::Peers(peers) => {
                 if let Some(handover) = &self.parts.handover {
@@ -665,6 +683,7 @@
         let mut effective = self.build_effective_view(now);
         self.failbacks.mark_cold(now, wall_micros(), &mut effective);
         self.effective = Arc::new(effective);
+        self.update_history(now);
         self.schedulers
             .apply_view(now, &self.effective, &mut self.batch);
         let effects = self.dispatcher.update_view(now, &self.effective);
@@ -797,6 +816,7 @@
         self.update_readiness(now);
         self.log_dependencies(now);
         self.send_occupancies(now);
+        self.tick_origins(now);
         if now >= self.next_cached_at {
             self.next_cached_at = now.after(CACHED_INTERVAL_MS);
             self.send_cached();
--- /dev/null
+++ b/components/node/src/reactor/origins.rs
@@ -0,0 +1,241 @@
+//! Origins of streams: reports to the control VMs, and lookups there.
+
+use super::Reactor;
+use crate::input::Continued;
+use coordination::origin::{self, Begun, Decision, Found, History, Key, Lookups, Origin, Origins};
+use protocol::wire::{Features, Hello, Message};
+use state::clock::Millis;
+use state::id::{Name, ServiceId};
+use std::collections::{BTreeSet, HashMap};
+use tokio::sync::oneshot;
+
+/// Time between two reports, in milliseconds. Streams that began since the last one are lost with
+/// the router.
+const REPORT_INTERVAL_MS: u64 = 100;
+/// Time after its start during which a control VM leaves lookups of unknown streams to others, in
+/// milliseconds: it has yet to receive what they know.
+const LEARNING_MS: u64 = 1000;
+/// Most reports that wait for a link to a control VM.
+const UNSENT_MAX: usize = 4 * origin::BATCH_MAX;
+
+/// A request that waits for the origin of its stream.
+struct Waiting {
+    service: ServiceId,
+    reply: oneshot::Sender<Continued>,
+}
+
+/// State of reports and lookups.
+#[derive(Default)]
+pub(super) struct Streams {
+    origins: Origins,
+    lookups: Lookups,
+    history: History,
+    /// Requests by the number of their lookup.
+    waiting: HashMap<u64, Waiting>,
+    /// Linked processes that understand the messages.
+    peers: BTreeSet<Name>,
+    /// Origins that are to be reported.
+    unsent: Vec<(Key, Origin)>,
+    /// When the next report is due.
+    next_report_at: Millis,
+    /// Control VM that was dialled since there was a link to none.
+    dialed: Option<Name>,
+}
+
+impl Streams {
+    /// Whether a link is needed.
+    pub(super) fn needs(&self, vm: &Name) -> bool {
+        self.dialed.as_ref() == Some(vm)
+    }
+}
+
+impl Reactor {
+    /// Registers a peer whose link is up. A control VM is sent all that is known here, since it may
+    /// have restarted.
+    pub(super) fn open_origins(&mut self, hello: &Hello) {
+        if !hello.extension.features.includes(Features::VERSIONS) {
+            return;
+        }
+        let vm = &hello.node.vm;
+        self.streams.peers.insert(vm.clone());
+        if self.control_nodes().iter().any(|node| node.vm == *vm) {
+            let known: Vec<(Key, Origin)> = self.streams.origins.iter().collect();
+            self.send_origins(vm, &known);
+        }
+    }
+
+    /// Removes a peer whose link is down.
+    pub(super) fn close_origins(&mut self, now: Millis, vm: &Name) {
+        self.streams.peers.remove(vm);
+        for (number, found) in self.streams.lookups.lose(vm) {
+            self.end_lookup(now, number, found);
+        }
+    }
+
+    /// Records where a stream of this router began, unless no endpoint is known to state a version.
+    pub(super) fn record_origin(&mut self, now: Millis, key: Key, origin: Origin) {
+        if !origin.software.is_stated() && !self.effective.is_partial() {
+            return;
+        }
+        self.streams.origins.record(now, key, origin);
+        self.queue_origin(key, origin);
+    }
+
+    fn queue_origin(&mut self, key: Key, origin: Origin) {
+        let unsent = &mut self.streams.unsent;
+        if unsent.len() < UNSENT_MAX {
+            unsent.push((key, origin));
+        }
+    }
+
+    /// Takes a report of a router, or of another control VM.
+    pub(super) fn handle_origins(&mut self, now: Millis, vm: &Name, reported: Vec<(Key, Origin)>) {
+        let is_member = self.members.iter().any(|member| member.vm == *vm);
+        for (key, origin) in reported {
+            self.streams.origins.record(now, key, origin);
+            if self.parts.is_control && !is_member {
+                self.queue_origin(key, origin);
+            }
+        }
+    }
+
+    /// Decides where a stream that its caller takes up again may go on.
+    pub(super) fn continue_stream(
+        &mut self,
+        now: Millis,
+        service: ServiceId,
+        key: Key,
+        reply: oneshot::Sender<Continued>,
+    ) {
+        let found = self.streams.origins.get(now, key).map(Found::Known);
+        let decision = self.decide_origin(now, service, found);
+        if decision != Decision::LookUp {
+            let source = found.map_or("", |_| "this-router");
+            // The caller may have disconnected.
+            let _ = reply.send(Continued { decision, source });
+            return;
+        }
+        let vms = self.origin_vms();
+        let request = |number| Message::OriginRequest(number, key);
+        match self.streams.lookups.begin(now, key, vms.clone()) {
+            Begun::Asked(number) => {
+                let waiting = Waiting { service, reply };
+                self.streams.waiting.insert(number, waiting);
+                for vm in &vms {
+                    self.parts.hub.send(vm, request(number));
+                }
+            }
+            Begun::Ended(found) => {
+                let _ = reply.send(self.conclude(now, service, found));
+            }
+        }
+    }
+
+    /// Decides by the result of a lookup.
+    fn conclude(&self, now: Millis, service: ServiceId, found: Found) -> Continued {
+        let decision = self.decide_origin(now, service, Some(found));
+        let source = match (found, decision) {
+            (Found::Known(_), _) => "control-vm",
+            (_, Decision::At(_)) => "only-version",
+            (Found::Unknown, _) => "all-control-vms",
+            (Found::Unreachable, _) => "",
+        };
+        Continued { decision, source }
+    }
+
+    fn decide_origin(&self, now: Millis, service: ServiceId, found: Option<Found>) -> Decision {
+        origin::decide(now, &self.effective, &self.streams.history, service, found)
+    }
+
+    /// Linked control VMs that know origins.
+    fn origin_vms(&self) -> BTreeSet<Name> {
+        let nodes = self.control_nodes().into_iter().map(|node| node.vm);
+        nodes
+            .filter(|vm| *vm != self.me && self.streams.peers.contains(vm))
+            .collect()
+    }
+
+    /// Answers a lookup of a router.
+    pub(super) fn answer_origin_request(&self, now: Millis, vm: &Name, number: u64, key: Key) {
+        let origin = self.streams.origins.get(now, key);
+        if origin.is_some() || now.since(self.started) >= LEARNING_MS {
+            self.parts.hub.send(vm, Message::Origin(number, origin));
+        }
+    }
+
+    /// Takes the answer of a control VM to a lookup.
+    pub(super) fn handle_origin(
+        &mut self,
+        now: Millis,
+        vm: &Name,
+        number: u64,
+        origin: Option<Origin>,
+    ) {
+        if let Some(found) = self.streams.lookups.answer(number, vm, origin) {
+            self.end_lookup(now, number, found);
+        }
+    }
+
+    fn end_lookup(&mut self, now: Millis, number: u64, found: Found) {
+        if let Some(Waiting { service, reply }) = self.streams.waiting.remove(&number) {
+            // The caller may have disconnected.
+            let _ = reply.send(self.conclude(now, service, found));
+        }
+    }
+
+    /// Takes a change of the endpoints.
+    pub(super) fn update_history(&mut self, now: Millis) {
+        self.streams.history.update(now, &self.effective);
+    }
+
+    /// Ends lookups whose time is over, and sends reports that are due: a router to one control VM,
+    /// a control VM to all others.
+    pub(super) fn tick_origins(&mut self, now: Millis) {
+        for (number, found) in self.streams.lookups.tick(now) {
+            self.end_lookup(now, number, found);
+        }
+        if now < self.streams.next_report_at {
+            return;
+        }
+        self.streams.next_report_at = now.after(REPORT_INTERVAL_MS);
+        self.streams.origins.expire(now);
+        if self.streams.unsent.is_empty() {
+            return;
+        }
+        let linked = self.origin_vms();
+        let receivers: Vec<Name> = match self.parts.is_control {
+            true => linked.into_iter().collect(),
+            false => self
+                .control_vm(0)
+                .filter(|vm| linked.contains(vm))
+                .or_else(|| linked.first().cloned())
+                .into_iter()
+                .collect(),
+        };
+        if receivers.is_empty() && !self.parts.is_control {
+            self.dial_for_origins();
+            return;
+        }
+        let unsent = std::mem::take(&mut self.streams.unsent);
+        for vm in &receivers {
+            self.send_origins(vm, &unsent);
+        }
+    }
+
+    /// Opens a link to a control VM, a different one for each router.
+    fn dial_for_origins(&mut self) {
+        let nodes = self.control_nodes();
+        let index = self.parts.home.incarnation.checked_rem(nodes.len() as u64);
+        // CAST: the remainder is below the length, which is a `usize`.
+        if let Some(node) = index.and_then(|index| nodes.get(index as usize)) {
+            self.parts.hub.dial(node);
+            self.streams.dialed = Some(node.vm.clone());
+        }
+    }
+
+    fn send_origins(&self, vm: &Name, origins: &[(Key, Origin)]) {
+        for batch in origins.chunks(origin::BATCH_MAX) {
+            self.parts.hub.send(vm, Message::Origins(batch.to_vec()));
+        }
+    }
+}
--- a/components/node/src/reactor/peers.rs
+++ b/components/node/src/reactor/peers.rs
@@ -45,7 +45,8 @@
                 || self.dissemination.needs(&vm)
                 || self.queries.needs(&vm)
                 || self.dialed_schedulers.contains(&vm)
-                || self.dialed_regions.contains(&vm);
+                || self.dialed_regions.contains(&vm)
+                || self.streams.needs(&vm);
             if needed {
                 continue;
             }
@@ -142,7 +143,7 @@
     }
 
     /// Picks a control VM with a link by round robin, starting in this VM's data centre.
-    fn control_vm(&self, attempt: usize) -> Option<Name> {
+    pub(super) fn control_vm(&self, attempt: usize) -> Option<Name> {
         let peers = self.parts.hub.peers();
         let data_centre = |vm: &Name| {
             let peer = peers.iter().find(|p| p.node.vm == *vm);
--- a/components/node/src/schedulers.rs
+++ b/components/node/src/schedulers.rs
@@ -7,7 +7,7 @@
 use crate::metric::{gauge_value, Metrics};
 use crate::shared::ShardStatus;
 use coordination::assignment;
-use coordination::dispatcher::{endpoints, set_cold, set_engines};
+use coordination::dispatcher::{endpoints, set_cold, set_engines, set_software};
 use coordination::messages::{Cached, Report, Speed, Totals};
 use coordination::scheduler::appointment::Counts;
 use coordination::scheduler::{waits, Effect, Effects, Scheduler, Session};
@@ -145,6 +145,7 @@
             for (id, count, prefetch, leaving) in endpoints(view, &assigned.shard) {
                 slots.set(id, count, prefetch, leaving);
             }
+            set_software(slots, view, &assigned.shard);
             set_cold(slots, now, view, |_| 0);
             slots.retain_foreign(|id| {
                 let endpoint = view.config.endpoints.get(&id);
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -5,6 +5,7 @@
 use coordination::cell;
 use coordination::consensus::Envelope;
 use coordination::messages::{Cached, Grant, Occupancy, Peer, Refusal, Report, Totals};
+use coordination::origin::{self, Origin};
 use coordination::tree::Confirmation;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -53,8 +54,13 @@
     /// Occupancy of routers: [`Message::Occupancy`] and [`Message::Peers`].
     pub const OCCUPANCY: Features = Features(1 << 1);
 
+    /// Software versions of endpoints: [`Report::ContinuedAsk`], [`Message::Origins`],
+    /// [`Message::OriginRequest`] and [`Message::Origin`].
+    pub const VERSIONS: Features = Features(1 << 2);
+
     /// All features of this release.
-    pub const ALL: Features = Features(Self::STREAM_OBJECTIVES.0 | Self::OCCUPANCY.0);
+    pub const ALL: Features =
+        Features(Self::STREAM_OBJECTIVES.0 | Self::OCCUPANCY.0 | Self::VERSIONS.0);
 
     /// Whether all of `features` are included.
     pub fn includes(self, features: Features) -> bool {
@@ -258,6 +264,13 @@
     /// From the VM of a scheduler to a router that is under pressure: routers of its data centre
     /// with room.
     Peers(Vec<Peer>),
+    /// To a control VM, and between control VMs: where streams began. This and the next two are
+    /// sent to peers with [`Features::VERSIONS`].
+    Origins(Vec<(origin::Key, Origin)>),
+    /// To a control VM: asks where a stream began, with the sender's number for the question.
+    OriginRequest(u64, origin::Key),
+    /// Answer to the [`Message::OriginRequest`] with this number; `None` if it is not known.
+    Origin(u64, Option<Origin>),
 }
 
 impl Message {
@@ -297,6 +310,9 @@
             Message::ProofAge { .. } => "checked",
             Message::Occupancy(_) => "occupancy",
             Message::Peers(_) => "peers",
+            Message::Origins(_) => "origins",
+            Message::OriginRequest(..) => "origin-request",
+            Message::Origin(..) => "origin",
         }
     }
 }
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -5,6 +5,7 @@
 use harness::http::{self, Answer};
 use harness::{eventually, Fleet, Plan};
 use state::secret::Hash;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -235,15 +236,17 @@
         "{}",
         unknown.text()
     );
-    let mut ids = Vec::new();
-    eventually("a stream begins at each version", || {
-        let answer = service.begin("r1", "both", "", "0").join().unwrap();
+    // Streams at the same time are spread over the endpoints.
+    let streams: Vec<JoinHandle<Answer>> = (0..6)
+        .map(|n| service.begin("r1", &format!("both-{n}"), "", "30"))
+        .collect();
+    let mut ids = BTreeMap::new();
+    for stream in streams {
+        let answer = stream.join().unwrap();
         let version = events(&answer).0[0].clone();
-        let id = answer.header("cowslipford-request-id").to_owned();
-        ids.retain(|(known, _)| *known != version);
-        ids.push((version, id));
-        ids.len() == 2
-    });
+        ids.insert(version, answer.header("cowslipford-request-id").to_owned());
+    }
+    assert_eq!(ids.len(), 2);
     service.list_versions(|version| version == "v2");
     for (version, id) in &ids {
         eventually("the other router knows the list", || {
