Let streams of unnamed origin go on at a service's only version

These callers name the last event and not the request that began their stream. Cause: the history of the only version had to be 60 s long, and a router that had restarted had none. Change: it has to be as long as a stream of the rule lasts, since no older one can be taken up, and control VMs tell theirs with their answers; a second version that any of them or the router knows ends it.

--- a/components/coordination/src/origin.rs
+++ b/components/coordination/src/origin.rs
@@ -7,7 +7,7 @@
 //!
 //! A router therefore reports the origin of each stream to a control VM, which passes it on to the
 //! others. [`Origins`] remembers origins, [`Lookups`] asks for one, [`History`] knows services
-//! that have had a single version for long, and [`decide`] says where a stream may go on.
+//! that have had a single version for some time, and [`decide`] says where a stream may go on.
 
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -133,13 +133,34 @@
     }
 }
 
+/// The only version of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Sole {
+    /// The version.
+    pub software: Software,
+    /// Time for which it has been the only one, in milliseconds.
+    pub for_ms: u64,
+}
+
+/// Answer of a control VM to a lookup.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Answer {
+    /// The stream began here.
+    Known(Origin),
+    /// The origin is not known; the service has this version alone, if it has one.
+    Unknown(Option<Sole>),
+}
+
 /// What is known of the origin of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Found {
     /// The stream began here.
     Known(Origin),
-    /// All processes that were asked have answered, and none knows.
-    Unknown,
+    /// All processes that were asked have answered, and none knows. The service has this version
+    /// alone by what they know together.
+    Unknown(Option<Sole>),
     /// Not all of them have answered in time, or there is none to ask.
     Unreachable,
 }
@@ -147,11 +168,12 @@
 /// A lookup in progress.
 #[derive(Clone, Debug)]
 struct Lookup {
-    key: Key,
     /// VMs that have not answered.
     awaited: BTreeSet<Name>,
     /// Whether a VM was lost before it answered.
     is_incomplete: bool,
+    /// The only version of the service by the answers so far; `None` before the first one.
+    sole: Option<Option<Sole>>,
     until: Millis,
 }
 
@@ -172,39 +194,40 @@
 }
 
 impl Lookups {
-    /// Starts a lookup of a stream at these VMs.
-    pub fn begin(&mut self, now: Millis, key: Key, vms: BTreeSet<Name>) -> Begun {
+    /// Starts a lookup at these VMs.
+    pub fn begin(&mut self, now: Millis, vms: BTreeSet<Name>) -> Begun {
         if vms.is_empty() || self.lookups.len() >= LOOKUPS_MAX {
             return Begun::Ended(Found::Unreachable);
         }
         let number = self.next;
         self.next += 1;
         let lookup = Lookup {
-            key,
             awaited: vms,
             is_incomplete: false,
+            sole: None,
             until: now.after(LOOKUP_MS),
         };
         self.lookups.insert(number, lookup);
         Begun::Asked(number)
     }
 
-    /// Key of a lookup in progress.
-    pub fn key(&self, number: u64) -> Option<Key> {
-        self.lookups.get(&number).map(|lookup| lookup.key)
-    }
-
     /// Takes the answer of a VM. Returns the result if the lookup has ended.
-    pub fn answer(&mut self, number: u64, vm: &Name, origin: Option<Origin>) -> Option<Found> {
+    pub fn answer(&mut self, number: u64, vm: &Name, answer: Answer) -> Option<Found> {
         let lookup = self.lookups.get_mut(&number)?;
         if !lookup.awaited.remove(vm) {
             return None;
         }
-        if let Some(origin) = origin {
-            self.lookups.remove(&number);
-            return Some(Found::Known(origin));
+        match answer {
+            Answer::Known(origin) => {
+                self.lookups.remove(&number);
+                Some(Found::Known(origin))
+            }
+            Answer::Unknown(sole) => {
+                let before = lookup.sole.replace(sole);
+                lookup.sole = Some(before.map_or(sole, |before| agreed(before, sole)));
+                self.end_if_answered(number)
+            }
         }
-        self.end_if_answered(number)
     }
 
     /// Handles the loss of a VM. Returns the lookups that have ended.
@@ -232,15 +255,21 @@
 
     fn end_if_answered(&mut self, number: u64) -> Option<Found> {
         let is_answered = |lookup: &&Lookup| lookup.awaited.is_empty();
-        let is_incomplete = self.lookups.get(&number).filter(is_answered)?.is_incomplete;
-        self.lookups.remove(&number);
-        Some(match is_incomplete {
+        self.lookups.get(&number).filter(is_answered)?;
+        let lookup = self.lookups.remove(&number)?;
+        Some(match lookup.is_incomplete {
             true => Found::Unreachable,
-            false => Found::Unknown,
+            false => Found::Unknown(lookup.sole.flatten()),
         })
     }
 }
 
+/// The only version by what two processes know: one of them may have restarted.
+fn agreed(a: Option<Sole>, b: Option<Sole>) -> Option<Sole> {
+    let (a, b) = a.zip(b)?;
+    (a.software == b.software).then_some(if a.for_ms >= b.for_ms { a } else { b })
+}
+
 /// Versions that endpoints of a service have had lately.
 #[derive(Clone, Debug)]
 struct Past {
@@ -283,10 +312,13 @@
         }
     }
 
-    /// The version of all streams of a service that may still be taken up.
-    fn sole_version(&self, now: Millis, service: ServiceId) -> Option<Software> {
+    /// The only version of a service, if it has one.
+    pub fn sole(&self, now: Millis, service: ServiceId) -> Option<Sole> {
         let past = self.services.get(&service)?;
-        past.only.filter(|_| now.since(past.since) >= KEPT_MS)
+        Some(Sole {
+            software: past.only?,
+            for_ms: now.since(past.since),
+        })
     }
 }
 
@@ -344,30 +376,54 @@
     }
 }
 
-/// Decides where a stream of a service may go on. `found` is the result of the lookup, if there was
-/// one.
+/// A stream that its caller takes up again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stream {
+    /// Its service.
+    pub service: ServiceId,
+    /// Longest time for which a stream of its rule lasts, in milliseconds.
+    pub lasts_ms: u64,
+}
+
+/// Decides where a stream may go on. `found` is the result of the lookup, if there was one.
+///
+/// A stream of unknown origin goes on at the only version of its service if that has been the only
+/// one for longer than the stream can have lasted.
 pub fn decide(
     now: Millis,
     view: &View,
     history: &History,
-    service: ServiceId,
+    stream: Stream,
     found: Option<Found>,
 ) -> Decision {
+    let Stream { service, lasts_ms } = stream;
     let Some(name) = view.config.services.get(&service).map(|s| &s.name) else {
         return Decision::Reject(Rejection::Unknown);
     };
-    let stated = versions(view, name).into_iter().any(Software::is_stated);
+    let versions = versions(view, name);
     // A process that knows a part of the endpoints cannot tell that none states a version.
-    if !stated && !view.is_partial() {
+    if !view.is_partial() && !versions.iter().any(|software| software.is_stated()) {
         return Decision::Anywhere;
     }
+    // No version but this one may be known here, whatever others know.
+    let sole = |known: Option<Sole>| {
+        let is_other = |sole: &Sole| versions.iter().any(|software| *software != sole.software);
+        let known = [known, history.sole(now, service)].into_iter().flatten();
+        known
+            .filter(|sole| sole.for_ms >= lasts_ms && !is_other(sole))
+            .map(|sole| sole.software)
+            .next()
+    };
     let software = match found {
         None => return Decision::LookUp,
         Some(Found::Known(origin)) if origin.service == service => origin.software,
         Some(Found::Known(_)) => return Decision::Reject(Rejection::Unknown),
-        Some(unknown) => match history.sole_version(now, service) {
+        Some(Found::Unknown(known)) => match sole(known) {
+            Some(software) => software,
+            None => return Decision::Reject(Rejection::Unknown),
+        },
+        Some(Found::Unreachable) => match sole(None) {
             Some(software) => software,
-            None if unknown == Found::Unknown => return Decision::Reject(Rejection::Unknown),
             None => return Decision::Reject(Rejection::Unreachable),
         },
     };
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -251,7 +251,11 @@
         return Ok(None);
     }
     let (sender, reply) = oneshot::channel();
-    let question = Input::Continue(plan.service, plan.stream, sender);
+    let stream = origin::Stream {
+        service: plan.service,
+        lasts_ms: plan.lasts_ms,
+    };
+    let question = Input::Continue(stream, plan.stream, sender);
     let _ = frontend.context.reactor.send(question);
     let continued = reply.await.map_err(|_| no_endpoint())?;
     entry.record_origin(continued);
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -9,7 +9,7 @@
 use coordination::pause::Observed;
 use protocol::wire::{Query, Reply};
 use state::clock::Millis;
-use state::id::{EndpointId, Name, ServiceId, Software};
+use state::id::{EndpointId, Name, Software};
 use state::listing::Entry;
 use state::suspect::{Completion, Crash};
 use state::view::{Node, Step, View};
@@ -111,8 +111,8 @@
     /// A stream that its caller may take up again has brought its first event, or is still in
     /// progress after [`REPORT_AGAIN_MS`](origin::REPORT_AGAIN_MS).
     Began(origin::Key, Origin),
-    /// Asks where a stream of a service that its caller takes up again may go on.
-    Continue(ServiceId, origin::Key, oneshot::Sender<Continued>),
+    /// Asks where a stream that its caller takes up again may go on.
+    Continue(origin::Stream, origin::Key, oneshot::Sender<Continued>),
     /// The first byte of an answer has arrived, this many milliseconds after the dispatch. `None`
     /// if tasks ran late meanwhile, so that the time says little about the endpoint.
     FirstByte(Handle, Option<u32>),
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -345,7 +345,7 @@
                 }
             }
             Input::Began(key, origin) => self.record_origin(now, key, origin),
-            Input::Continue(service, key, reply) => self.continue_stream(now, service, key, reply),
+            Input::Continue(stream, key, reply) => self.continue_stream(now, stream, key, reply),
             Input::FirstByte(handle, took_ms) => {
                 let effects = self.dispatcher.report_first_byte(now, handle, took_ms);
                 self.perform(now, effects);
@@ -576,10 +576,10 @@
                 self.dirty = true;
             }
             Message::Origins(reported) => self.handle_origins(now, &vm, reported),
-            Message::OriginRequest(number, key) => {
-                self.answer_origin_request(now, &vm, number, key);
+            Message::OriginRequest(number, key, service) => {
+                self.answer_origin_request(now, &vm, number, (key, service));
             }
-            Message::Origin(number, origin) => self.handle_origin(now, &vm, number, origin),
+            Message::Origin(number, answer) => self.handle_origin(now, &vm, number, answer),
             Message::Occupancy(occupancy) => self.handle_occupancy(now, &vm, occupancy),
             Message::Peers(peers) => {
                 if let Some(handover) = &self.parts.handover {
--- a/components/node/src/reactor/origins.rs
+++ b/components/node/src/reactor/origins.rs
@@ -2,7 +2,9 @@
 
 use super::Reactor;
 use crate::input::Continued;
-use coordination::origin::{self, Begun, Decision, Found, History, Key, Lookups, Origin, Origins};
+use coordination::origin::{
+    self, Answer, Begun, Decision, Found, History, Key, Lookups, Origin, Origins, Stream,
+};
 use protocol::wire::{Features, Hello, Message};
 use state::clock::Millis;
 use state::id::{Name, ServiceId};
@@ -20,7 +22,7 @@
 
 /// A request that waits for the origin of its stream.
 struct Waiting {
-    service: ServiceId,
+    stream: Stream,
     reply: oneshot::Sender<Continued>,
 }
 
@@ -103,12 +105,12 @@
     pub(super) fn continue_stream(
         &mut self,
         now: Millis,
-        service: ServiceId,
+        stream: Stream,
         key: Key,
         reply: oneshot::Sender<Continued>,
     ) {
         let found = self.streams.origins.get(now, key).map(Found::Known);
-        let decision = self.decide_origin(now, service, found);
+        let decision = self.decide_origin(now, stream, found);
         if decision != Decision::LookUp {
             let source = found.map_or("", |_| "this-router");
             // The caller may have disconnected.
@@ -116,35 +118,35 @@
             return;
         }
         let vms = self.origin_vms();
-        let request = |number| Message::OriginRequest(number, key);
-        match self.streams.lookups.begin(now, key, vms.clone()) {
+        let request = |number| Message::OriginRequest(number, key, stream.service);
+        match self.streams.lookups.begin(now, vms.clone()) {
             Begun::Asked(number) => {
-                let waiting = Waiting { service, reply };
+                let waiting = Waiting { stream, reply };
                 self.streams.waiting.insert(number, waiting);
                 for vm in &vms {
                     self.parts.hub.send(vm, request(number));
                 }
             }
             Begun::Ended(found) => {
-                let _ = reply.send(self.conclude(now, service, found));
+                let _ = reply.send(self.conclude(now, stream, found));
             }
         }
     }
 
     /// Decides by the result of a lookup.
-    fn conclude(&self, now: Millis, service: ServiceId, found: Found) -> Continued {
-        let decision = self.decide_origin(now, service, Some(found));
+    fn conclude(&self, now: Millis, stream: Stream, found: Found) -> Continued {
+        let decision = self.decide_origin(now, stream, Some(found));
         let source = match (found, decision) {
             (Found::Known(_), _) => "control-vm",
             (_, Decision::At(_)) => "only-version",
-            (Found::Unknown, _) => "all-control-vms",
+            (Found::Unknown(_), _) => "all-control-vms",
             (Found::Unreachable, _) => "",
         };
         Continued { decision, source }
     }
 
-    fn decide_origin(&self, now: Millis, service: ServiceId, found: Option<Found>) -> Decision {
-        origin::decide(now, &self.effective, &self.streams.history, service, found)
+    fn decide_origin(&self, now: Millis, stream: Stream, found: Option<Found>) -> Decision {
+        origin::decide(now, &self.effective, &self.streams.history, stream, found)
     }
 
     /// Linked control VMs that know origins.
@@ -156,30 +158,32 @@
     }
 
     /// Answers a lookup of a router.
-    pub(super) fn answer_origin_request(&self, now: Millis, vm: &Name, number: u64, key: Key) {
-        let origin = self.streams.origins.get(now, key);
-        if origin.is_some() || now.since(self.started) >= LEARNING_MS {
-            self.parts.hub.send(vm, Message::Origin(number, origin));
-        }
-    }
-
-    /// Takes the answer of a control VM to a lookup.
-    pub(super) fn handle_origin(
-        &mut self,
+    pub(super) fn answer_origin_request(
+        &self,
         now: Millis,
         vm: &Name,
         number: u64,
-        origin: Option<Origin>,
+        (key, service): (Key, ServiceId),
     ) {
-        if let Some(found) = self.streams.lookups.answer(number, vm, origin) {
+        let answer = match self.streams.origins.get(now, key) {
+            Some(origin) => Answer::Known(origin),
+            None if now.since(self.started) < LEARNING_MS => return,
+            None => Answer::Unknown(self.streams.history.sole(now, service)),
+        };
+        self.parts.hub.send(vm, Message::Origin(number, answer));
+    }
+
+    /// Takes the answer of a control VM to a lookup.
+    pub(super) fn handle_origin(&mut self, now: Millis, vm: &Name, number: u64, answer: Answer) {
+        if let Some(found) = self.streams.lookups.answer(number, vm, answer) {
             self.end_lookup(now, number, found);
         }
     }
 
     fn end_lookup(&mut self, now: Millis, number: u64, found: Found) {
-        if let Some(Waiting { service, reply }) = self.streams.waiting.remove(&number) {
+        if let Some(Waiting { stream, reply }) = self.streams.waiting.remove(&number) {
             // The caller may have disconnected.
-            let _ = reply.send(self.conclude(now, service, found));
+            let _ = reply.send(self.conclude(now, stream, found));
         }
     }
 
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -12,7 +12,7 @@
 use state::clock::Stamp;
 use state::config::Endpoint;
 use state::evacuation::Order;
-use state::id::{CustomerId, EndpointId, Epoch, Name, RequestId, Software, Version};
+use state::id::{CustomerId, EndpointId, Epoch, Name, RequestId, ServiceId, Software, Version};
 use state::listing::{Census, Change, Entry, Listing};
 use state::record::{Answer, ChangeId, Release, Resolution};
 use state::secret::Hash;
@@ -267,10 +267,11 @@
     /// To a control VM, and between control VMs: where streams began. This and the next two are
     /// sent to peers with [`Features::VERSIONS`].
     Origins(Vec<(origin::Key, Origin)>),
-    /// To a control VM: asks where a stream began, with the sender's number for the question.
-    OriginRequest(u64, origin::Key),
-    /// Answer to the [`Message::OriginRequest`] with this number; `None` if it is not known.
-    Origin(u64, Option<Origin>),
+    /// To a control VM: asks where a stream of a service began, with the sender's number for the
+    /// question.
+    OriginRequest(u64, origin::Key, ServiceId),
+    /// Answer to the [`Message::OriginRequest`] with this number.
+    Origin(u64, origin::Answer),
 }
 
 impl Message {
