--- a/components/node/src/frontend/forward.rs
+++ b/components/node/src/frontend/forward.rs
@@ -13,11 +13,12 @@
 use super::refusal::{Refusal, DECLINED_CODE, DECLINED_HEADER, OUTCOME_HEADER};
 use super::relay::Abort;
 use super::resume::is_event_stream;
-use super::upstream::{keep_alive_timeout, strip_hop_by_hop, Call, Failure};
+use super::upstream::{framing, keep_alive_timeout, strip_hop_by_hop, Call, Failure};
 use crate::handover::{Decided, Handover, Ticket};
 use crate::interface::Inbound;
 use crate::shared::Published;
 use bytes::Bytes;
+use coordination::ending::{Boundary, Ending, Framing};
 use coordination::handover::{must_decline, Origin};
 use coordination::messages::Verdict;
 use coordination::retry::{self, Action, Reach};
@@ -181,12 +182,16 @@
     let (mut head, body) = response.into_parts();
     ticket.answer(!has_no_room(&head));
     let keep_alive = keep_alive_timeout(&head.headers);
+    let is_events = is_event_stream(&head.headers);
+    let is_stream = is_events && body.size_hint().exact().is_none();
+    let framing = framing(&head.headers, &body);
     strip_hop_by_hop(&mut head.headers);
     let handover = frontend.context.handover.as_ref();
     let interval = handover.map_or(Duration::ZERO, Handover::relay_interval);
-    // The caller of any other answer waits for the whole of it, also if it is chunked.
-    let is_stream = is_event_stream(&head.headers) && body.size_hint().exact().is_none();
     let mut forwarded = Forwarded {
+        framing,
+        boundary: is_events.then(Boundary::default),
+        // The caller of any other answer waits for the whole of it, also if it is chunked.
         pace: Pace::new(if is_stream { interval } else { Duration::ZERO }),
         incoming: body,
         connection: Some(connection),
@@ -488,6 +493,10 @@
 /// Body of an answer that another router gives. It is neither metered nor timed here.
 pub(crate) struct Forwarded {
     incoming: Incoming,
+    framing: Framing,
+    /// Position in the answer, if it is a stream of events. A peer of an earlier release may mark the
+    /// end of one that its endpoint broke off.
+    boundary: Option<Boundary>,
     pace: Pace,
     /// The connection, until the answer is complete. Dropping it before cancels the request at the
     /// peer.
@@ -580,6 +589,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Abort>>> {
         match self.poll_piece(context) {
             Poll::Ready(Some(Ok(frame))) => {
+                if let (Some(boundary), Some(bytes)) = (&mut self.boundary, frame.data_ref()) {
+                    boundary.push(bytes);
+                }
                 self.pace.pass(frame.data_ref().map_or(0, Bytes::len));
                 if self.incoming.is_end_stream() {
                     self.end();
@@ -594,6 +606,11 @@
                 Poll::Ready(Some(Err(Abort::Endpoint(error))))
             }
             Poll::Ready(None) => {
+                let ending = self.boundary.as_ref().map(|b| b.judge(self.framing));
+                if let Some(ending @ (Ending::Truncated | Ending::BrokenOff)) = ending {
+                    self.end_reason = "peer-broke-off";
+                    return Poll::Ready(Some(Err(Abort::Unfinished(ending))));
+                }
                 self.end();
                 Poll::Ready(None)
             }
