Keep streams that are taken up again at routers that know versions

Cause: a router with too much to do could hand such a request over to a peer of an earlier release, which continues it at any version; and a rule whose 'resume' was switched off after a stream began let it go on anywhere. Change: a request that continues a stream is not handed over; one that names where its stream began is checked whatever its rule says.

--- a/components/node/src/frontend/forward.rs
+++ b/components/node/src/frontend/forward.rs
@@ -120,6 +120,8 @@
     let version = published.view.config_version;
     let origin = match entry.forwarder() {
         Some(_) => Origin::Router,
+        // A peer of an earlier release would continue the stream at any version.
+        None if call.continues_stream(&frontend.context.interface) => return Ok(Handed::Here),
         None => Origin::Caller(version),
     };
     let mut ticket = match handover.decide(origin) {
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -13,7 +13,7 @@
 use super::resume::{is_event_stream, RelayedRequest, Resumption, Tries};
 use super::upstream::{self, Answer, Call, Failure};
 use crate::input::{Decided, Decision, Dispatch, Input};
-use crate::interface::{Interface, REQUEST_ID};
+use crate::interface::REQUEST_ID;
 use crate::shared::Published;
 use bytes::Bytes;
 use coordination::dispatcher::{Handle, Rejection};
@@ -239,15 +239,10 @@
     plan: &Plan,
     entry: &mut Entry,
 ) -> Result<Option<Software>, Refusal> {
-    let Interface {
-        resumes,
-        last_event_id,
-        ..
-    } = frontend.context.interface;
-    let is_continued = [resumes, last_event_id]
-        .iter()
-        .any(|name| call.headers.contains_key(*name));
-    if !plan.resume || !is_continued {
+    let interface = &frontend.context.interface;
+    // A caller that names where its stream began has a part of it, whatever the rule says by now.
+    let is_named = call.headers.contains_key(interface.resumes);
+    if !call.continues_stream(interface) || !(plan.resume || is_named) {
         return Ok(None);
     }
     let (sender, reply) = oneshot::channel();
--- a/components/node/src/frontend/upstream.rs
+++ b/components/node/src/frontend/upstream.rs
@@ -267,6 +267,12 @@
         })
     }
 
+    /// Whether the caller takes up a stream again that began under another request.
+    pub(crate) fn continues_stream(&self, interface: &Interface) -> bool {
+        let names = [interface.resumes, interface.last_event_id];
+        names.iter().any(|name| self.headers.contains_key(*name))
+    }
+
     /// Builds the request to the endpoint; its framing headers are made anew, not copied from the
     /// caller's request.
     fn request(
