--- a/components/node/src/reactor/origins.rs
+++ b/components/node/src/reactor/origins.rs
@@ -11,9 +11,9 @@
 use std::collections::{BTreeSet, HashMap};
 use tokio::sync::oneshot;
 
-/// Time between two reports, in milliseconds. Streams that began since the last one are lost with
-/// the router.
-const REPORT_INTERVAL_MS: u64 = 100;
+/// Least time between two reports, in milliseconds. Streams that began since the last one are lost
+/// with the router.
+const REPORT_INTERVAL_MS: u64 = 50;
 /// Time after its start during which a control VM leaves lookups of unknown streams to others, in
 /// milliseconds: it has yet to receive what they know.
 const LEARNING_MS: u64 = 1000;
@@ -81,6 +81,7 @@
         }
         self.streams.origins.record(now, key, origin);
         self.queue_origin(key, origin);
+        self.report_origins(now);
     }
 
     fn queue_origin(&mut self, key: Key, origin: Origin) {
@@ -192,33 +193,29 @@
         self.streams.history.update(now, &self.effective);
     }
 
-    /// Ends lookups whose time is over, and sends reports that are due: a router to one control VM,
-    /// a control VM to all others.
+    /// Ends lookups whose time is over, and sends reports that are due.
     pub(super) fn tick_origins(&mut self, now: Millis) {
         for (number, found) in self.streams.lookups.tick(now) {
             self.end_lookup(now, number, found);
         }
-        if now < self.streams.next_report_at {
-            return;
-        }
-        self.streams.next_report_at = now.after(REPORT_INTERVAL_MS);
         self.streams.origins.expire(now);
-        if self.streams.unsent.is_empty() {
+        self.report_origins(now);
+    }
+
+    /// Sends reports that are due: a router to one control VM, a control VM to all others.
+    fn report_origins(&mut self, now: Millis) {
+        if self.streams.unsent.is_empty() || now < self.streams.next_report_at {
             return;
         }
-        let linked = self.origin_vms();
-        let receivers: Vec<Name> = match self.parts.is_control {
-            true => linked.into_iter().collect(),
-            false => self
-                .control_vm(0)
-                .filter(|vm| linked.contains(vm))
-                .or_else(|| linked.first().cloned())
-                .into_iter()
-                .collect(),
-        };
-        if receivers.is_empty() && !self.parts.is_control {
-            self.dial_for_origins();
-            return;
+        self.streams.next_report_at = now.after(REPORT_INTERVAL_MS);
+        let mut receivers = self.origin_vms();
+        if !self.parts.is_control {
+            let near = self.control_vm(0).filter(|vm| receivers.contains(vm));
+            receivers = near.or_else(|| receivers.pop_first()).into_iter().collect();
+            if receivers.is_empty() {
+                self.dial_for_origins();
+                return;
+            }
         }
         let unsent = std::mem::take(&mut self.streams.unsent);
         for vm in &receivers {
