Let endpoints of the soak answer without framing

Change: a third of the soak's streams come without a length or chunks. A complete one is whole or, since an endpoint may be killed between two events, ends after one (docs/design/endings.md); inside an event it is a violation, which can_detect_each_violation shows.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -89,6 +89,9 @@
         ("stand-in-ids", "yes"),
         ("stand-in-fault", fault),
     ];
+    if sent.is_unframed() {
+        headers.push(("stand-in-framing", "close"));
+    }
     if sent.name == QUERY_OF_DEATH {
         // It crashes the endpoint at which its stream is resumed, too.
         headers.push(("stand-in-resumed-fault", fault));
@@ -108,6 +111,8 @@
         return "";
     }
     match sent.label().bytes().map(u32::from).sum::<u32>() % 40 {
+        // Between two events, the end of an answer without framing looks like a whole one.
+        0 if sent.is_unframed() => "tear",
         0 => "cut",
         1 => "silence",
         2 => "swap",
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -38,6 +38,12 @@
         format!("{}/{}", self.name, self.attempt)
     }
 
+    /// Whether its endpoint is to answer with neither a length nor chunks.
+    pub(crate) fn is_unframed(&self) -> bool {
+        let is_chosen = self.label().bytes().map(u32::from).sum::<u32>() % 3 == 0;
+        is_chosen && matches!(self.kind, Kind::Stream(_))
+    }
+
     /// The complete answer to the request.
     fn answer(&self) -> String {
         let echo = &self.name;
@@ -200,6 +206,15 @@
     match (answer.status, answer.outcome()) {
         (0, _) => End::NoAnswer,
         (200, "answered") if answer.complete && answer.body == expected => End::Complete,
+        // An endpoint that is killed between two events ends such an answer like a whole one.
+        (200, "answered")
+            if answer.complete
+                && request.is_unframed()
+                && answer.body.ends_with(b"\n\n")
+                && expected.as_bytes().starts_with(&answer.body) =>
+        {
+            End::Complete
+        }
         (200, "answered") if !answer.complete && expected.as_bytes().starts_with(&answer.body) => {
             End::Cut
         }
