Ask to repeat an evacuation before the data centres are known

Operators saw: 422 'there is no data centre' from a process that had just started and had no configuration yet. Cause: what a process does not know was refused for good, whether it knew the fleet or not. Change: a process that is not ready says that the order is not confirmed (503), as it does without a leader. Result: can_ask_to_repeat_an_order_before_the_data_centres_are_known failed before (422) and passes now.

--- a/components/node/src/evacuation.rs
+++ b/components/node/src/evacuation.rs
@@ -52,7 +52,12 @@
     /// Evacuates a data centre, or ends its evacuation.
     pub(crate) async fn send(&self, data_centre: &str, is_evacuated: bool) -> Outcome {
         let known = Name::try_from(data_centre);
+        let is_current = self.published.borrow().ready;
         let Some(data_centre) = known.ok().filter(|name| self.is_known(name)) else {
+            // A process that has just started knows no data centre yet.
+            if !is_current {
+                return Outcome::Unconfirmed;
+            }
             return Outcome::Unknown(format!("there is no data centre {data_centre:?}"));
         };
         let order =
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -119,6 +119,24 @@
     assert_eq!(fleet.version(), version);
 }
 
+/// Guards against an order that is refused for good by a process that has just started, and knows no
+/// data centre yet.
+#[test]
+fn can_ask_to_repeat_an_order_before_the_data_centres_are_known() {
+    let mut fleet = fleet();
+    for vm in ["c1", "c2", "c3", "r1"] {
+        fleet.vm_mut(vm).kill();
+    }
+    fleet.vm_mut("r1").start();
+    let operators = fleet.vm("r1").operators;
+    eventually("the process listens", || {
+        http::try_get(operators, "/ready", "").is_some()
+    });
+    let path = "/evacuation?data-centre=dc-2";
+    let answer = http::send(operators, "POST", path, OPERATOR_KEY, &[], "");
+    assert_eq!(answer.status, 503, "{}", answer.text());
+}
+
 /// Guards against requests that are queued until their deadline while all data centres are
 /// evacuated.
 #[test]
