Wait for a scheduler of the same shard in the test of a paused one

Cause, by its logs: r1 scheduled assistant and r2 booking. The wait for another scheduler was over at once, since any scheduler of another VM counted, and r1 was paused for 111 ms only (its 'pressure' line), too short to be replaced; so it rightly went on. Change: the wait is for another VM with each shard of the paused one, which is stricter.

--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -308,18 +308,22 @@
         .find(|v| v.callers.is_some() && v.name != scheduler)
         .unwrap();
     let router = router.name.clone();
+    let shards = |vm: &harness::Vm| {
+        let status = vm.status().unwrap_or_default();
+        let schedulers = status["schedulers"].as_array().cloned().unwrap_or_default();
+        schedulers
+            .iter()
+            .map(|s| s["shard"].clone())
+            .collect::<Vec<_>>()
+    };
+    let paused = shards(fleet.vm(&scheduler));
+    assert!(!paused.is_empty());
     fleet.vm(&scheduler).signal("-STOP");
+    // A scheduler of another shard does not count.
     eventually("another scheduler is assigned", || {
-        let assigned = |v: &harness::Vm| {
-            v.name != scheduler
-                && v.status()
-                    .is_some_and(|s| s["schedulers"].as_array().is_some_and(|r| !r.is_empty()))
-        };
-        fleet
-            .vms
-            .iter()
-            .filter(|v| v.callers.is_some() && v.name != scheduler)
-            .any(assigned)
+        let others = fleet.vms.iter().filter(|v| v.name != scheduler);
+        let assigned: Vec<_> = others.flat_map(shards).collect();
+        paused.iter().all(|shard| assigned.contains(shard))
     });
     assert_eq!(
         fleet.call(&router, "alpha", "/assistant", &[], "x").status,
