Log the parts of prompts in progress when an endpoint crashes

The logs of the incident cannot tell what the requests that were in progress at each crash had in common, nor why one was not a suspect. Each broken request has a line crash-evidence with the parts that others may share and whether a recent whole answer ruled it out; quarantine-began tells when each router knew.

No decision changes.

--- a/components/coordination/src/prompt.rs
+++ b/components/coordination/src/prompt.rs
@@ -1,6 +1,8 @@
 //! The prompt of a request, as far as it is known before the request is sent.
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use state::id::PartId;
 
 /// Most parts of a prompt; all tokens from the last part on count as one part.
 ///
@@ -8,6 +10,12 @@
 /// and of a fixed size.
 pub const MAX_PARTS: usize = 4;
 
+/// Most shared parts of a prompt that are considered when endpoints crash.
+pub const MAX_SHARED_PARTS: usize = 32;
+
+/// The parts of a prompt that other requests may share, in their order.
+pub type SharedParts = SmallVec<[PartId; MAX_PARTS]>;
+
 /// Key of a part that no other request shares, so that caching it is of no use.
 pub const UNSHARED_KEY: u32 = u32::MAX;
 
@@ -103,6 +111,27 @@
     }
 }
 
+/// Parses a list of parts: `ID:TOKENS` with a hexadecimal identifier, separated by commas. Malformed
+/// parts are skipped, because the list only describes the prompt.
+pub fn parse_parts(text: &str) -> impl Iterator<Item = (u64, u32)> + '_ {
+    text.split(',').filter_map(|part| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        Some((
+            u64::from_str_radix(id, 16).ok()?,
+            tokens.trim().parse().ok()?,
+        ))
+    })
+}
+
+/// The parts that other requests may share: all but the last one, which belongs to the request or
+/// its conversation alone, and at most [`MAX_SHARED_PARTS`].
+pub fn shared_parts(text: &str) -> SharedParts {
+    let mut ids: SharedParts = parse_parts(text).map(|(id, _)| PartId(id)).collect();
+    ids.pop();
+    ids.truncate(MAX_SHARED_PARTS);
+    ids
+}
+
 /// Key of the part `id` that follows the part with the key `before`, 0 for none.
 fn chain(before: u32, id: u64) -> u32 {
     let mixed = mix(u64::from(before).rotate_left(32) ^ id);
--- a/components/node/src/frontend/admit.rs
+++ b/components/node/src/frontend/admit.rs
@@ -12,7 +12,7 @@
 use coordination::admission::Admission;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
 use state::id::{RequestId, Version};
@@ -209,7 +209,7 @@
 pub(super) async fn read_body(
     frontend: &Frontend,
     id: RequestId,
-    request_id: Option<HeaderValue>,
+    inbound: &Inbound,
     head: Parts,
     mut body: Incoming,
 ) -> Result<Call, Refusal> {
@@ -235,7 +235,8 @@
     };
     Ok(Call {
         id,
-        request_id,
+        request_id: inbound.request_id.clone(),
+        shared_parts: inbound.shared_parts.clone(),
         customer: None,
         method: head.method,
         uri: head.uri,
--- a/components/node/src/frontend/delivery.rs
+++ b/components/node/src/frontend/delivery.rs
@@ -5,19 +5,26 @@
 use super::listen::Frontend;
 use super::refusal::Refusal;
 use super::upstream::Call;
-use crate::input::Input;
+use crate::input::{Dispatch, Input};
+use coordination::prompt::SharedParts;
 use hyper::StatusCode;
 use state::clock::Stamp;
 use state::fingerprint::Fingerprint;
-use state::id::CustomerId;
+use state::id::{CustomerId, Name, PartId, RequestId};
+use state::line::Line;
 use state::suspect::{Completion, Crash, Successes};
 use std::sync::{Arc, MutexGuard, PoisonError};
 
 /// A delivery of one request to one endpoint, in progress.
 pub(crate) struct Delivery {
     frontend: Arc<Frontend>,
+    request: RequestId,
     fingerprint: Fingerprint,
+    /// Parts of the prompt that other requests may share.
+    parts: SharedParts,
     customer: CustomerId,
+    /// Name of the endpoint.
+    endpoint: Name,
     /// When the request was sent.
     sent_at: Stamp,
     /// Whether the request was suspected of crashing endpoints when it was sent.
@@ -26,12 +33,20 @@
 
 impl Delivery {
     /// Starts a delivery now.
-    pub(crate) fn new(frontend: &Arc<Frontend>, call: &Call, customer: CustomerId) -> Self {
+    pub(crate) fn new(
+        frontend: &Arc<Frontend>,
+        call: &Call,
+        customer: CustomerId,
+        dispatch: &Dispatch,
+    ) -> Self {
         let suspicions = frontend.context.suspicions.borrow();
         Delivery {
             frontend: frontend.clone(),
+            request: call.id,
             fingerprint: call.fingerprint(),
+            parts: call.shared_parts.clone(),
             customer,
+            endpoint: dispatch.name.clone(),
             sent_at: frontend.context.clock.stamp(),
             was_suspected: !suspicions.is_empty() && suspicions.contains(&call.fingerprint()),
         }
@@ -53,7 +68,16 @@
             sent: self.sent_at,
             at: self.frontend.context.clock.stamp(),
         };
-        if self.frontend.successes().rules_out(&crash) {
+        let is_ruled_out = self.frontend.successes().rules_out(&crash);
+        tracing::info!(
+            event = Line::CrashEvidence.as_str(),
+            request = %self.request,
+            endpoint = self.endpoint.as_str(),
+            fingerprint = %self.fingerprint,
+            parts = parts_text(&self.parts),
+            is_ruled_out,
+        );
+        if is_ruled_out {
             return;
         }
         // Sending fails only at the end of this process.
@@ -115,6 +139,12 @@
     }
 }
 
+/// Parts of a prompt for a log line; `None` if there are none.
+fn parts_text(parts: &[PartId]) -> Option<String> {
+    let ids: Vec<String> = parts.iter().map(PartId::to_string).collect();
+    (!ids.is_empty()).then(|| ids.join(","))
+}
+
 /// Refusal of a request in quarantine, whose earlier tries may have run.
 pub(crate) fn quarantined() -> Refusal {
     let text = "endpoints have crashed while they ran this request, one after the other; \
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -421,7 +421,7 @@
                 .map_err(|refusal| refusal.code)?;
             record_dispatch(frontend, call, plan, &dispatch, retries, subject.arrived_at);
             let _ = self.notes.send(AttemptEvent::Sent(dispatch.clone()));
-            let delivery = Delivery::new(frontend, call, plan.customer);
+            let delivery = Delivery::new(frontend, call, plan.customer, &dispatch);
             let mut slot = take_slot(frontend, self.handle, call, plan);
             let remaining = subject.remaining();
             let failure = match self.send(&dispatch, remaining).await {
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -175,7 +175,7 @@
             .get(frontend.context.interface.resumes)
             .cloned(),
     );
-    let mut call = read_body(frontend, id, inbound.request_id.clone(), head, body).await?;
+    let mut call = read_body(frontend, id, &inbound, head, body).await?;
     let handed =
         forward::hand_over(frontend, published, &inbound, &mut call, entry, arrived_at).await?;
     let (plan, may_have_run) = match handed {
@@ -307,7 +307,7 @@
         let dispatch = wait_for_dispatch(frontend, &call, queued, decided, wanted).await?;
         entry.log_dispatch(&dispatch, call.fingerprint());
         record_dispatch(frontend, &call, &plan, &dispatch, retries, arrived_at);
-        let delivery = Delivery::new(frontend, &call, plan.customer);
+        let delivery = Delivery::new(frontend, &call, plan.customer, &dispatch);
         let mut slot = take_slot(frontend, handle, &call, &plan);
         if let Some(claim) = &mut claim {
             claim.mark_sent();
--- a/components/node/src/frontend/upstream.rs
+++ b/components/node/src/frontend/upstream.rs
@@ -11,6 +11,7 @@
 use coordination::backoff::Backoff;
 use coordination::ending::Framing;
 use coordination::messages::Verdict;
+use coordination::prompt::SharedParts;
 use coordination::retry::Reach;
 use errors::{Error, Result};
 use http_body_util::Full;
@@ -47,6 +48,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Parts of the prompt that other requests may share.
+    pub(crate) shared_parts: SharedParts,
     /// Permits for the body's part of the memory for bodies, held until the call is dropped.
     pub(crate) _memory: Option<OwnedSemaphorePermit>,
     /// Fingerprint, computed when it is first needed.
--- a/components/node/src/interface.rs
+++ b/components/node/src/interface.rs
@@ -4,7 +4,7 @@
 
 use crate::retry_after::retry_after;
 use bytes::Bytes;
-use coordination::prompt::{Part, Prompt};
+use coordination::prompt::{parse_parts, shared_parts, Part, Prompt, SharedParts};
 use hyper::header::{HeaderMap, HeaderValue, AUTHORIZATION};
 use hyper::http::{request, response};
 use hyper::StatusCode;
@@ -23,6 +23,9 @@
 const SERVICE: &str = "cowslipford-service";
 /// Header with which a caller states the expected cost.
 const SIZE: &str = "cowslipford-size";
+/// Header with the parts of the prompt in their order, as `ID:TOKENS,...` with hexadecimal
+/// identifiers.
+const PROMPT_PARTS: &str = "cowslipford-prompt-parts";
 /// Header with the address of another engine, from which an engine copies the cached part of the
 /// prompt. Only routers set it.
 const COPY_FROM: &str = "cowslipford-copy-from";
@@ -44,6 +47,8 @@
     pub size: Option<u32>,
     /// Prompt, as far as its length and parts are known.
     pub prompt: Prompt,
+    /// Parts of the prompt that other requests may share.
+    pub shared_parts: SharedParts,
 }
 
 /// Values for the headers of a request to an endpoint.
@@ -200,6 +205,8 @@
         key: key.map(|k| Hash::of(&[k.trim().as_bytes()])),
         service: text(SERVICE).map(str::to_owned),
         size: text(SIZE).and_then(|v| v.parse().ok()),
+        prompt: Prompt::new(parse_parts(text(PROMPT_PARTS).unwrap_or("")), 0),
+        shared_parts: text(PROMPT_PARTS).map(shared_parts).unwrap_or_default(),
         ..Inbound::default()
     })
 }
--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -30,7 +30,11 @@
 /// Header with the identity of a request, which its response repeats.
 pub const IDENTITY_HEADER: &str = "cowslipford-request-id";
 
-/// Exit code of a process that [`Fault::Crash`] ended.
+/// Header with the parts of the prompt in their order, as `ID:TOKENS,...`. The last one belongs to
+/// the request alone.
+pub const PROMPT_PARTS_HEADER: &str = "cowslipford-prompt-parts";
+
+/// Exit code of a process that [`Fault::Crash`] or [`Settings::crash_part`] ended.
 pub const CRASH_EXIT_CODE: i32 = 70;
 
 /// Response header of a stand-in that is about to leave the fleet.
@@ -66,6 +70,9 @@
     pub may_crash: bool,
     /// Version of the software, which each event repeats if it is not empty.
     pub software: String,
+    /// The process ends when it begins to answer a prompt that shares this part, if
+    /// [`Settings::may_crash`] allows it.
+    pub crash_part: Option<u64>,
 }
 
 impl Default for Settings {
@@ -80,6 +87,7 @@
             record: None,
             may_crash: false,
             software: String::new(),
+            crash_part: None,
         }
     }
 }
@@ -317,7 +325,11 @@
         None => "stand-in-fault",
         Some(_) => "stand-in-resumed-fault",
     };
-    let fault = Fault::from(header(fault).unwrap_or_default().as_str());
+    let mut fault = Fault::from(header(fault).unwrap_or_default().as_str());
+    let parts = header(PROMPT_PARTS_HEADER).unwrap_or_default();
+    if (shared.settings.crash_part).is_some_and(|part| shares_part(&parts, part)) {
+        fault = Fault::Crash;
+    }
     let tokens = number("stand-in-tokens").unwrap_or(shared.settings.tokens);
     let pace = number("stand-in-pace").map_or(shared.settings.pace, |ms| {
         Duration::from_millis(u64::from(ms))
@@ -394,6 +406,14 @@
     Ok(response)
 }
 
+/// Whether `part` is in a list of parts of a prompt, other than as its last one.
+fn shares_part(parts: &str, part: u64) -> bool {
+    let ids = parts.split(',').map(|p| p.trim().split(':').next());
+    let ids: Vec<_> = ids.map(|id| u64::from_str_radix(id?, 16).ok()).collect();
+    ids.split_last()
+        .is_some_and(|(_, shared)| shared.contains(&Some(part)))
+}
+
 /// The response of a plain service, which echoes the body of the request.
 fn respond_plain(body: &Bytes, fault: Fault, socket: Option<&Socket>) -> Response<Body> {
     let echo = String::from_utf8_lossy(body);
--- a/components/state/src/id.rs
+++ b/components/state/src/id.rs
@@ -100,6 +100,19 @@
     Version(u64)
 );
 
+/// Identifier of a part of a prompt, which requests of several customers may share.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 /// Identifier of a request, unique in the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RequestId {
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -39,6 +39,8 @@
     SchedulerShare,
     /// The leader has assigned a scheduler.
     SchedulerAssigned,
+    /// An endpoint broke off a request, which may have crashed it.
+    CrashEvidence,
     /// A request is quarantined because it has crashed endpoints.
     QuarantineBegan,
     /// The quarantine of a request has ended.
@@ -98,7 +100,7 @@
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 45] = [
+    pub const ALL: [Line; 46] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -117,6 +119,7 @@
         Line::SchedulerState,
         Line::SchedulerShare,
         Line::SchedulerAssigned,
+        Line::CrashEvidence,
         Line::QuarantineBegan,
         Line::QuarantineEnded,
         Line::EvacuationBegan,
@@ -167,6 +170,7 @@
             Line::SchedulerState => "scheduler-state",
             Line::SchedulerShare => "scheduler-share",
             Line::SchedulerAssigned => "scheduler-assigned",
+            Line::CrashEvidence => "crash-evidence",
             Line::QuarantineBegan => "quarantine-began",
             Line::QuarantineEnded => "quarantine-ended",
             Line::EvacuationBegan => "evacuation-began",
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -120,6 +120,13 @@
     /// file to which the label of each request is appended
     #[argh(option)]
     pub(crate) record: Option<PathBuf>,
+    /// part of a prompt, in hexadecimal, that ends the process; none by default
+    #[argh(option, from_str_fn(parse_part))]
+    pub(crate) crash_part: Option<u64>,
+}
+
+fn parse_part(text: &str) -> Result<u64, String> {
+    u64::from_str_radix(text, 16).map_err(|_| "a hexadecimal number, such as 5c1e07a2".to_owned())
 }
 
 /// Validate a settings or configuration file without starting a process.
--- a/src/cmd/stand_in.rs
+++ b/src/cmd/stand_in.rs
@@ -18,6 +18,7 @@
         record: args.record.clone(),
         may_crash: true,
         software: args.software.clone(),
+        crash_part: args.crash_part,
     };
     runtime()?.block_on(async {
         let mut stop = StopSignals::listen()?;
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -98,6 +98,8 @@
     pub(crate) link_keys: String,
     /// Additional settings in `[control]`.
     pub(crate) control_keys: String,
+    /// More arguments of the stand-ins for model engines.
+    pub(crate) model_args: &'static [&'static str],
 }
 
 impl Default for Plan {
@@ -115,6 +117,7 @@
             max_open_files: None,
             link_keys: String::new(),
             control_keys: String::new(),
+            model_args: &[],
         }
     }
 }
@@ -205,7 +208,8 @@
             fleet.vms.push(vm);
         }
         for n in 1..=fleet.plan.models {
-            fleet.add_stand_in(&format!("assistant-{n}"), false);
+            let args = fleet.plan.model_args;
+            fleet.add_stand_in_with(&format!("assistant-{n}"), false, args);
         }
         for n in 1..=fleet.plan.plain_services {
             fleet.add_stand_in(&format!("booking-{n}"), true);
