--- /dev/null
+++ b/components/coordination/src/attribution.rs
@@ -0,0 +1,417 @@
+//! Attribution of endpoints' crashes to parts of prompts.
+//!
+//! A part of a prompt that many requests share can crash each endpoint that answers it, although no
+//! two of these requests are alike. When an endpoint crashes, all parts of the prompts in progress
+//! there are suspects, except those that endpoints have answered not long ago: [`Survivals`].
+//! Reports of several routers on the same endpoint make one crash.
+//!
+//! [`Attribution`] blames the part that is in progress in most crashes, once there are
+//! [`QUARANTINE_CRASHES`], and takes these crashes as explained: they no longer count against the
+//! parts that were in progress beside it. It decides anew with each report, so that a part that was
+//! blamed too early is released as soon as another one explains its crashes better.
+
+use crate::prelude::*;
+use smallvec::SmallVec;
+use state::suspect::{
+    Break, Completion, Crash, Evidence, Survival, QUARANTINE_CRASHES, QUARANTINE_MICROS,
+    WATCH_CRASHES,
+};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// Time after an answer for which the same part is not suspected at the same software version, in
+/// milliseconds.
+pub const SURVIVAL_MS: u64 = 60_000;
+/// Time for which an endpoint must answer until the parts of the prompt count as harmless, in
+/// milliseconds. Pauses count up to [`PAUSE_MAX_MS`]: a process that was itself suspended has
+/// seen no answer meanwhile.
+pub const ANSWER_MS: u64 = 1000;
+/// Longest pause between two pieces that counts towards [`ANSWER_MS`], in milliseconds.
+pub const PAUSE_MAX_MS: u64 = 200;
+/// Most parts that [`Survivals`] remembers.
+pub const SURVIVALS_MAX: usize = 4096;
+/// Most crashes that are remembered.
+pub const CRASHES_MAX: usize = 64;
+/// Most suspects of one crash.
+pub const CRASH_SUSPECTS_MAX: usize = 64;
+/// Crashes that are closer together than this, in microseconds, count as one against a part whose
+/// requests were in progress at all of them: the endpoints may have been lost with their rack.
+pub const SIMULTANEOUS_MICROS: u64 = 100_000;
+/// Longest time between the first and the last break of the same crash, in microseconds. Routers
+/// notice it at different times, and may send requests on kept connections until they do.
+pub const BREAK_SPREAD_MICROS: u64 = 500_000;
+
+/// Parts of prompts that endpoints have answered not long ago.
+#[derive(Clone, Debug, Default)]
+pub struct Survivals {
+    last: HashMap<PartId, (Software, Millis)>,
+}
+
+impl Survivals {
+    /// Records that an endpoint with this software answers a prompt with the part.
+    pub fn record(&mut self, now: Millis, part: PartId, software: Software) {
+        let mut age_ms = SURVIVAL_MS;
+        while self.last.len() >= SURVIVALS_MAX && !self.last.contains_key(&part) {
+            self.last.retain(|_, (_, at)| now.since(*at) < age_ms);
+            age_ms /= 2;
+        }
+        self.last.insert(part, (software, now));
+    }
+
+    /// The software that last answered a prompt with the part, unless that is too long ago.
+    pub fn get(&self, now: Millis, part: PartId) -> Option<Software> {
+        let found = self.last.get(&part);
+        let recent = found.filter(|(_, at)| now.since(*at) <= SURVIVAL_MS);
+        recent.map(|(software, _)| *software)
+    }
+
+    /// Whether such an answer shows that the part has not crashed an endpoint with this software.
+    pub fn rules_out(&self, now: Millis, part: PartId, software: Software) -> bool {
+        self.get(now, part) == Some(software)
+    }
+
+    /// Number of parts.
+    pub fn len(&self) -> usize {
+        self.last.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.last.is_empty()
+    }
+}
+
+/// What is known of a part that was in progress at a crash.
+#[derive(Clone, Debug)]
+struct Seen {
+    /// When the last request with it was sent.
+    sent: Stamp,
+    /// Requests with it that were broken off.
+    requests: u32,
+    /// Place in the prompt: the parts before it are shared by at least as many requests.
+    depth: usize,
+    /// Customers of these requests; two are enough to know that there are several.
+    customers: SmallVec<[CustomerId; 2]>,
+}
+
+/// The end of one endpoint.
+#[derive(Clone, Debug)]
+struct Incident {
+    endpoint: EndpointId,
+    software: Software,
+    /// When the first router noticed it.
+    at: Stamp,
+    /// Parts of the prompts in progress that may have been the cause.
+    suspects: BTreeMap<PartId, Seen>,
+}
+
+/// How far a part is under suspicion.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// The part.
+    pub part: PartId,
+    /// Crashes that are attributed to it, or that nothing else explains.
+    pub crashes: u32,
+    /// Requests with it that were broken off in all crashes.
+    pub requests: u32,
+    /// The customer of all of these requests, if they have the same one.
+    pub customer: Option<CustomerId>,
+}
+
+/// Attributes crashes to parts of prompts.
+#[derive(Clone, Debug, Default)]
+pub struct Attribution {
+    incidents: VecDeque<Incident>,
+    survivals: Survivals,
+    /// Crashes that were passed on, by part and customer.
+    passed_on: BTreeMap<Fingerprint, u32>,
+    /// The same before the last decision.
+    before: BTreeMap<Fingerprint, u32>,
+}
+
+impl Incident {
+    /// Whether a request was broken off by this crash, or sent to the endpoint after it.
+    fn includes(&self, broken: &Break) -> bool {
+        self.endpoint == broken.endpoint
+            && self.at.wall.abs_diff(broken.at.wall) <= BREAK_SPREAD_MICROS
+    }
+
+    fn add(&mut self, broken: &Break, depth: usize, part: PartId) {
+        if self.suspects.len() >= CRASH_SUSPECTS_MAX && !self.suspects.contains_key(&part) {
+            return;
+        }
+        let seen = self.suspects.entry(part).or_insert_with(|| Seen {
+            sent: broken.sent,
+            requests: 0,
+            depth,
+            customers: SmallVec::new(),
+        });
+        seen.sent = seen.sent.max(broken.sent);
+        seen.depth = seen.depth.max(depth);
+        seen.requests = seen.requests.saturating_add(1);
+        if seen.customers.len() < 2 && !seen.customers.contains(&broken.customer) {
+            seen.customers.push(broken.customer);
+        }
+    }
+}
+
+impl Attribution {
+    /// Takes evidence of routers, and returns what follows from it: crashes that count against
+    /// parts, and parts that are cleared. Requests that are suspected as a whole remain as they are.
+    /// `stamp` gives the time of each, later than all before.
+    pub fn attribute<F>(&mut self, now: Millis, evidence: Evidence, stamp: F) -> Evidence
+    where
+        F: FnMut() -> Stamp,
+    {
+        self.before.clone_from(&self.passed_on);
+        let mut decided = Evidence {
+            crashes: evidence.crashes,
+            cleared: evidence.cleared,
+            ..Evidence::default()
+        };
+        for (part, _) in (decided.cleared.iter()).filter_map(|c| c.fingerprint.part()) {
+            self.forget(part);
+        }
+        if evidence.breaks.is_empty() && evidence.survivals.is_empty() {
+            return decided;
+        }
+        let mut cleared = Vec::new();
+        for survival in &evidence.survivals {
+            cleared.extend(self.clear(now, survival));
+        }
+        for broken in &evidence.breaks {
+            self.record(now, broken);
+        }
+        self.pass_on(&mut decided, cleared, stamp);
+        decided
+    }
+
+    /// Takes back the last decision, whose result was lost. The same evidence will come again.
+    pub fn revert(&mut self) {
+        self.passed_on.clone_from(&self.before);
+    }
+
+    /// Forgets all evidence against a part.
+    pub fn forget(&mut self, part: PartId) {
+        for incident in &mut self.incidents {
+            incident.suspects.remove(&part);
+        }
+        self.incidents.retain(|i| !i.suspects.is_empty());
+        let is_other = |f: &Fingerprint| f.part().is_none_or(|(id, _)| id != part);
+        self.passed_on.retain(|f, _| is_other(f));
+    }
+
+    /// Forgets everything.
+    pub fn reset(&mut self) {
+        *self = Attribution::default();
+    }
+
+    /// Clears a part that endpoints answer with the software that has crashed. Returns the
+    /// fingerprints under which it may be suspected.
+    fn clear(&mut self, now: Millis, survival: &Survival) -> Vec<Fingerprint> {
+        let Survival {
+            part,
+            software,
+            customer,
+            ..
+        } = *survival;
+        let is_blamed = |i: &Incident| i.suspects.contains_key(&part);
+        let mut blamed = self.incidents.iter().filter(|i| is_blamed(i)).peekable();
+        // With other software the part may still crash endpoints.
+        if blamed.peek().is_some() && !blamed.any(|i| i.software == software) {
+            return Vec::new();
+        }
+        let of_part = |f: &&Fingerprint| f.part().is_some_and(|(id, _)| id == part);
+        let known = self.passed_on.keys().filter(of_part).copied();
+        let scopes = [None, Some(customer)].map(|scope| Fingerprint::of_part(part, scope));
+        let mut all: Vec<Fingerprint> = known.chain(scopes).collect();
+        all.sort_unstable();
+        all.dedup();
+        self.survivals.record(now, part, software);
+        for incident in self.incidents.iter_mut().filter(|i| i.software == software) {
+            incident.suspects.remove(&part);
+        }
+        self.passed_on.retain(|f, _| !all.contains(f));
+        all
+    }
+
+    /// Records a broken request with the crash that broke it off.
+    fn record(&mut self, now: Millis, broken: &Break) {
+        self.expire(broken.at.wall);
+        let survivals = &self.survivals;
+        let is_suspect = |part: &PartId| !survivals.rules_out(now, *part, broken.software);
+        let parts = broken.parts.iter().copied().enumerate();
+        let parts: Vec<_> = parts.filter(|(_, part)| is_suspect(part)).collect();
+        if parts.is_empty() {
+            return;
+        }
+        if !self.incidents.iter().any(|i| i.includes(broken)) {
+            if self.incidents.len() >= CRASHES_MAX {
+                self.incidents.pop_front();
+                self.lower();
+            }
+            self.incidents.push_back(Incident {
+                endpoint: broken.endpoint,
+                software: broken.software,
+                at: broken.at,
+                suspects: BTreeMap::new(),
+            });
+        }
+        let incident = self.incidents.iter_mut().rev().find(|i| i.includes(broken));
+        if let Some(incident) = incident {
+            incident.at = incident.at.min(broken.at);
+            // A request that was sent after the crash has not caused it.
+            if broken.sent <= incident.at {
+                for (depth, part) in parts {
+                    incident.add(broken, depth, part);
+                }
+            }
+        }
+    }
+
+    /// Drops crashes that are too old to count. What was passed on of them expires elsewhere.
+    fn expire(&mut self, now_micros: u64) {
+        let is_old = |i: &Incident| i.at.wall.saturating_add(QUARANTINE_MICROS) < now_micros;
+        let before = self.incidents.len();
+        self.incidents.retain(|i| !is_old(i));
+        if self.incidents.len() < before {
+            self.lower();
+        }
+    }
+
+    /// Lowers the numbers of crashes that were passed on to those that are still remembered.
+    fn lower(&mut self) {
+        let standings = self.standings();
+        let crashes = |part: PartId| {
+            let found = standings.iter().find(|s| s.part == part);
+            found.map_or(0, |s| s.crashes)
+        };
+        self.passed_on.retain(|fingerprint, passed_on| {
+            let (part, _) = fingerprint.part().unwrap_or_default();
+            *passed_on = crashes(part).min(*passed_on);
+            *passed_on > 0
+        });
+    }
+
+    /// Adds what is not passed on yet to the decision.
+    fn pass_on<F>(&mut self, decided: &mut Evidence, mut cleared: Vec<Fingerprint>, mut stamp: F)
+    where
+        F: FnMut() -> Stamp,
+    {
+        let mut crashes = Vec::new();
+        for standing in self.standings() {
+            let crashed = standing.crashes.min(QUARANTINE_CRASHES);
+            let scope = Fingerprint::of_part(standing.part, standing.customer);
+            for (fingerprint, passed_on) in &mut self.passed_on {
+                let is_same = fingerprint.part().is_some_and(|(p, _)| p == standing.part);
+                let is_too_much = *fingerprint != scope || *passed_on > crashed;
+                if is_same && is_too_much && *passed_on > 0 {
+                    *passed_on = 0;
+                    cleared.push(*fingerprint);
+                }
+            }
+            let passed_on = self.passed_on.entry(scope).or_default();
+            let customer = standing.customer.unwrap_or_default();
+            crashes.extend((*passed_on..crashed).map(|_| (scope, customer)));
+            *passed_on = crashed;
+        }
+        self.passed_on.retain(|_, passed_on| *passed_on > 0);
+        decided
+            .cleared
+            .extend(cleared.into_iter().map(|fingerprint| Completion {
+                fingerprint,
+                at: stamp(),
+            }));
+        decided
+            .crashes
+            .extend(crashes.into_iter().map(|(fingerprint, customer)| {
+                // Only what is later than the last crash that counts is counted.
+                let at = stamp();
+                Crash {
+                    fingerprint,
+                    customer,
+                    sent: at,
+                    at,
+                }
+            }));
+    }
+
+    /// How far each part is under suspicion. Parts whose crashes others explain have none.
+    pub fn standings(&self) -> Vec<Standing> {
+        let mut places: BTreeMap<PartId, SmallVec<[usize; 8]>> = BTreeMap::new();
+        for (place, incident) in self.incidents.iter().enumerate() {
+            for part in incident.suspects.keys() {
+                places.entry(*part).or_default().push(place);
+            }
+        }
+        let mut is_explained = vec![false; self.incidents.len()];
+        let mut standings = Vec::new();
+        while let Some((part, crashes)) = self.most_blamed(&places, &is_explained) {
+            if let Some(own) = places.remove(&part) {
+                standings.push(self.standing(part, crashes, &own));
+                own.iter().for_each(|place| is_explained[*place] = true);
+            }
+        }
+        for (part, own) in &places {
+            let crashes = self.count(*part, own, &is_explained).min(WATCH_CRASHES);
+            standings.push(self.standing(*part, crashes, own));
+        }
+        standings
+    }
+
+    /// The part with most crashes that nothing else explains, if there are enough of them. Of equal
+    /// ones it is the one that is deepest in the prompt: to refuse it refuses fewest other requests.
+    fn most_blamed(
+        &self,
+        places: &BTreeMap<PartId, SmallVec<[usize; 8]>>,
+        is_explained: &[bool],
+    ) -> Option<(PartId, u32)> {
+        let ranked = places.iter().map(|(part, own)| {
+            let seen = own
+                .iter()
+                .filter_map(|place| self.incidents[*place].suspects.get(part));
+            let requests: u32 = seen.clone().map(|s| s.requests).sum();
+            let depth = seen.map(|s| s.depth).max();
+            let crashes = self.count(*part, own, is_explained);
+            (crashes, depth, requests, *part)
+        });
+        let (crashes, _, _, part) = ranked.max()?;
+        (crashes >= QUARANTINE_CRASHES).then_some((part, crashes))
+    }
+
+    /// Number of crashes of a part that nothing else explains. Crashes at the same time count as one,
+    /// unless a request with the part was sent after the last one that counts.
+    fn count(&self, part: PartId, own: &[usize], is_explained: &[bool]) -> u32 {
+        let mut counted = 0;
+        let mut last: Option<Stamp> = None;
+        for place in own.iter().filter(|place| !is_explained[**place]) {
+            let incident = &self.incidents[*place];
+            let Some(seen) = incident.suspects.get(&part) else {
+                continue;
+            };
+            let is_apart = |last: Stamp| {
+                let apart = incident.at.wall.saturating_sub(last.wall);
+                seen.sent > last || apart >= SIMULTANEOUS_MICROS
+            };
+            if last.is_none_or(is_apart) {
+                counted += 1;
+                last = Some(incident.at);
+            }
+        }
+        counted
+    }
+
+    fn standing(&self, part: PartId, crashes: u32, own: &[usize]) -> Standing {
+        let seen = own
+            .iter()
+            .filter_map(|place| self.incidents[*place].suspects.get(&part));
+        let requests = seen.clone().map(|s| s.requests).sum();
+        let mut customers = seen.flat_map(|s| s.customers.iter().copied());
+        let first = customers.next();
+        Standing {
+            part,
+            crashes,
+            requests,
+            customer: first.filter(|first| customers.all(|other| other == *first)),
+        }
+    }
+}
--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod assignment;
+pub mod attribution;
 pub mod backoff;
 pub mod budget;
 pub mod candidacy;
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -5,6 +5,7 @@
 use crate::journal::Journal;
 use crate::metric::{gauge_value, Metrics};
 use coordination::assignment::{Assigner, Site};
+use coordination::attribution::Attribution;
 use coordination::consensus::{Admission, Core, Index, Ready, Refusal, Role, Snapshot, Term};
 use errors::{Error, Result};
 use protocol::codec;
@@ -13,9 +14,9 @@
 use state::clock::Millis;
 use state::delta::Delta;
 use state::event::{Event, Kind};
-use state::id::{Name, Version};
+use state::id::{CustomerId, Name, Version};
 use state::line::Line;
-use state::record::{DiskId, Member, Record};
+use state::record::{Answer, DiskId, Member, Record};
 use state::store::{Document, Store};
 use state::suspect::Evidence;
 use state::view::{Departure, Node, Shard};
@@ -120,6 +121,8 @@
     store: Store,
     /// Chooses VMs for schedulers while this VM is the leader.
     assigner: Assigner,
+    /// Attributes crashes of endpoints to parts of prompts while this VM is the leader.
+    attribution: Attribution,
     /// Shards that have endpoints.
     shards: BTreeSet<Shard>,
     /// Members as last sent to the reactor.
@@ -171,6 +174,7 @@
             folder,
             store,
             assigner: Assigner::default(),
+            attribution: Attribution::default(),
             shards: BTreeSet::new(),
             members: Vec::new(),
             nodes: HashMap::new(),
@@ -290,15 +294,30 @@
             self.reply(vm, id, Reply::NotLeader(leader));
             return;
         }
+        let is_evidence = matches!(query, Query::Evidence(_));
         let record = match query {
             Query::CurrentVersion => {
                 self.reply(vm, id, Reply::CurrentVersion(self.store.view.version));
                 return;
             }
+            Query::Evidence(evidence) => {
+                let clock = &self.parts.clock;
+                let decided = self.attribution.attribute(now, evidence, || clock.stamp());
+                if decided.is_empty() {
+                    let answer = Answer::Accepted(self.store.view.version);
+                    self.reply(vm, id, Reply::Answer(answer));
+                    return;
+                }
+                self.log_attribution(&decided);
+                self.record(Query::Evidence(decided))
+            }
             other => self.record(other),
         };
         let record = record.and_then(check_size);
         let proposed = record.map(|record| self.core.propose(now, record));
+        if is_evidence && !matches!(proposed, Ok(Ok(_))) {
+            self.attribution.revert();
+        }
         match proposed {
             Ok(Ok(index)) => {
                 let term = self.core.term();
@@ -366,6 +385,29 @@
         }
     }
 
+    /// Logs the parts of prompts to which crashes are attributed, or that others explain or an answer
+    /// has cleared.
+    fn log_attribution(&self, decided: &Evidence) {
+        let crashed = decided.crashes.iter().map(|c| c.fingerprint);
+        let cleared = decided.cleared.iter().map(|c| c.fingerprint);
+        let changed: BTreeSet<_> = crashed.chain(cleared).filter_map(|f| f.part()).collect();
+        let standings = match changed.is_empty() {
+            true => Vec::new(),
+            false => self.attribution.standings(),
+        };
+        for (part, _) in changed {
+            let standing = standings.iter().find(|s| s.part == part);
+            let customer = standing.and_then(|s| s.customer);
+            tracing::info!(
+                event = Line::CrashAttributed.as_str(),
+                %part,
+                crashes = standing.map_or(0, |s| s.crashes),
+                requests = standing.map_or(0, |s| s.requests),
+                customer = customer.map(|CustomerId(id)| id),
+            );
+        }
+    }
+
     /// Converts the names in an announcement of a departure into IDs.
     fn departure(&self, drain: Drain) -> Result<Departure, String> {
         let endpoint = |name: &Name| {
@@ -388,6 +430,7 @@
             self.log_role(leads);
             if leads {
                 self.assigner.reset(now);
+                self.attribution.reset();
             } else {
                 self.reject_waiters();
             }
--- a/components/node/src/frontend/delivery.rs
+++ b/components/node/src/frontend/delivery.rs
@@ -1,18 +1,21 @@
-//! Deliveries of requests to endpoints, watched to find requests that crash their endpoints.
+//! Deliveries of requests to endpoints, watched to find requests, and parts of their prompts, that
+//! crash their endpoints.
 //!
-//! A request that is suspected by several crashes is put into quarantine and refused.
+//! A request or a part that is suspected by several crashes is put into quarantine and refused.
 
 use super::listen::Frontend;
 use super::refusal::Refusal;
 use super::upstream::Call;
 use crate::input::{Dispatch, Input};
+use crate::quarantine::Suspicions;
+use coordination::attribution::Survivals;
 use coordination::prompt::SharedParts;
 use hyper::StatusCode;
 use state::clock::Stamp;
 use state::fingerprint::Fingerprint;
-use state::id::{CustomerId, Name, PartId, RequestId};
+use state::id::{CustomerId, EndpointId, Name, PartId, RequestId, Software};
 use state::line::Line;
-use state::suspect::{Completion, Crash, Successes};
+use state::suspect::{Break, Completion, Crash, Successes, Survival};
 use std::sync::{Arc, MutexGuard, PoisonError};
 
 /// A delivery of one request to one endpoint, in progress.
@@ -23,8 +26,10 @@
     /// Parts of the prompt that other requests may share.
     parts: SharedParts,
     customer: CustomerId,
-    /// Name of the endpoint.
-    endpoint: Name,
+    /// The endpoint, its name and the version of its software.
+    endpoint: EndpointId,
+    endpoint_name: Name,
+    software: Software,
     /// When the request was sent.
     sent_at: Stamp,
     /// Whether the request was suspected of crashing endpoints when it was sent.
@@ -40,15 +45,20 @@
         dispatch: &Dispatch,
     ) -> Self {
         let suspicions = frontend.context.suspicions.borrow();
+        let was_suspected = !suspicions.is_empty()
+            && (suspicions.contains(&call.fingerprint())
+                || suspicions.contains_part(&call.shared_parts, customer));
         Delivery {
             frontend: frontend.clone(),
             request: call.id,
             fingerprint: call.fingerprint(),
             parts: call.shared_parts.clone(),
             customer,
-            endpoint: dispatch.name.clone(),
+            endpoint: dispatch.endpoint,
+            endpoint_name: dispatch.name.clone(),
+            software: dispatch.software,
             sent_at: frontend.context.clock.stamp(),
-            was_suspected: !suspicions.is_empty() && suspicions.contains(&call.fingerprint()),
+            was_suspected,
         }
     }
 
@@ -57,31 +67,77 @@
         self.was_suspected
     }
 
-    /// Reports that the endpoint closed the connection before the end of its answer: the request
-    /// may have crashed it.
+    /// Reports that the endpoint closed the connection before the end of its answer: the request, or
+    /// a part of its prompt, may have crashed it.
     ///
-    /// Nothing is reported if a recent complete answer exonerates the request.
+    /// What a recent answer exonerates is not reported.
     pub(crate) fn report_break(&self) {
+        let context = &self.frontend.context;
         let crash = Crash {
             fingerprint: self.fingerprint,
             customer: self.customer,
             sent: self.sent_at,
-            at: self.frontend.context.clock.stamp(),
+            at: context.clock.stamp(),
         };
         let is_ruled_out = self.frontend.successes().rules_out(&crash);
+        let parts: SharedParts = {
+            let (now, survivals) = (context.clock.now(), self.frontend.survivals());
+            let is_suspect = |part: &PartId| !survivals.rules_out(now, *part, self.software);
+            self.parts.iter().copied().filter(is_suspect).collect()
+        };
         tracing::info!(
             event = Line::CrashEvidence.as_str(),
             request = %self.request,
-            endpoint = self.endpoint.as_str(),
+            endpoint = self.endpoint_name.as_str(),
             fingerprint = %self.fingerprint,
             parts = parts_text(&self.parts),
+            suspects = parts_text(&parts),
             is_ruled_out,
         );
-        if is_ruled_out {
+        // Sending fails only at the end of this process.
+        if !is_ruled_out {
+            let _ = context.reactor.send(Input::Crashed(crash));
+        }
+        if !parts.is_empty() {
+            let broken = Break {
+                endpoint: self.endpoint,
+                software: self.software,
+                customer: self.customer,
+                sent: self.sent_at,
+                at: crash.at,
+                parts,
+            };
+            let _ = context.reactor.send(Input::Broken(broken));
+        }
+    }
+
+    /// Reports that the endpoint has answered for long enough to show that no shared part of the
+    /// prompt crashes it.
+    pub(crate) fn report_survival(&self) {
+        if self.parts.is_empty() {
             return;
         }
-        // Sending fails only at the end of this process.
-        let _ = self.frontend.context.reactor.send(Input::Crashed(crash));
+        let context = &self.frontend.context;
+        let now = context.clock.now();
+        let mut survivals = self.frontend.survivals();
+        for part in &self.parts {
+            survivals.record(now, *part, self.software);
+        }
+        drop(survivals);
+        let suspicions = context.suspicions.borrow();
+        if suspicions.is_empty() {
+            return;
+        }
+        let is_suspected = |part: &&PartId| suspicions.contains_part(&[**part], self.customer);
+        for part in self.parts.iter().filter(is_suspected) {
+            let survival = Survival {
+                part: *part,
+                software: self.software,
+                customer: self.customer,
+                at: context.clock.stamp(),
+            };
+            let _ = context.reactor.send(Input::Survived(survival));
+        }
     }
 
     /// Reports that the endpoint has answered completely, and not with a server error.
@@ -115,23 +171,50 @@
         successes.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Parts of prompts that endpoints have answered not long ago.
+    fn survivals(&self) -> MutexGuard<'_, Survivals> {
+        let survivals = self.context.survivals.lock();
+        survivals.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Refuses a request that is in quarantine.
     ///
     /// # Errors
     ///
     /// The refusal, if the request is in quarantine.
-    pub(crate) fn check_quarantine(&self, call: &Call) -> Result<(), Refusal> {
+    pub(crate) fn check_quarantine(
+        &self,
+        call: &Call,
+        customer: CustomerId,
+    ) -> Result<(), Refusal> {
         let suspicions = self.context.suspicions.borrow();
-        if suspicions.is_empty() || !suspicions.is_quarantined(&call.fingerprint()) {
+        if is_quarantined(&suspicions, call, customer) {
+            return Err(quarantined());
+        }
+        Ok(())
+    }
+
+    /// Refuses a request with a part of its prompt that is in quarantine.
+    ///
+    /// # Errors
+    ///
+    /// The refusal.
+    pub(crate) fn check_parts(
+        &self,
+        parts: &[PartId],
+        customer: CustomerId,
+    ) -> Result<(), Refusal> {
+        let suspicions = self.context.suspicions.borrow();
+        if suspicions.is_empty() || !suspicions.is_part_quarantined(parts, customer) {
             return Ok(());
         }
         Err(quarantined())
     }
 
     /// Waits until a request is put into quarantine.
-    pub(crate) async fn until_quarantined(&self, call: &Call) {
+    pub(crate) async fn until_quarantined(&self, call: &Call, customer: CustomerId) {
         let mut suspicions = self.context.suspicions.clone();
-        let found = suspicions.wait_for(|v| !v.is_empty() && v.is_quarantined(&call.fingerprint()));
+        let found = suspicions.wait_for(|v| is_quarantined(v, call, customer));
         if found.await.is_err() {
             // The reactor has ended, so this process is ending too.
             std::future::pending::<()>().await;
@@ -139,6 +222,13 @@
     }
 }
 
+/// Whether a request, or a part of its prompt, is in quarantine.
+fn is_quarantined(suspicions: &Suspicions, call: &Call, customer: CustomerId) -> bool {
+    !suspicions.is_empty()
+        && (suspicions.is_part_quarantined(&call.shared_parts, customer)
+            || suspicions.is_quarantined(&call.fingerprint()))
+}
+
 /// Parts of a prompt for a log line; `None` if there are none.
 fn parts_text(parts: &[PartId]) -> Option<String> {
     let ids: Vec<String> = parts.iter().map(PartId::to_string).collect();
@@ -147,7 +237,7 @@
 
 /// Refusal of a request in quarantine, whose earlier tries may have run.
 pub(crate) fn quarantined() -> Refusal {
-    let text = "endpoints have crashed while they ran this request, one after the other; \
-                it is not sent to any more of them";
+    let text = "endpoints have crashed while they ran this request, or others with a part of its \
+                prompt, one after the other; it is not sent to any more of them";
     Refusal::unknown(StatusCode::BAD_GATEWAY, "quarantined", text)
 }
--- a/components/node/src/frontend/listen.rs
+++ b/components/node/src/frontend/listen.rs
@@ -17,6 +17,7 @@
 use crate::quarantine::Suspicions;
 use crate::shared::{cancelled, Published};
 use coordination::admission::Admission;
+use coordination::attribution::Survivals;
 use coordination::budget::Budget;
 use coordination::limit::Window;
 use coordination::retry;
@@ -114,6 +115,8 @@
     pub(crate) published: watch::Receiver<Published>,
     /// Requests that may crash endpoints, and which of them are in quarantine.
     pub(crate) suspicions: watch::Receiver<Arc<Suspicions>>,
+    /// Parts of prompts that endpoints have answered not long ago.
+    pub(crate) survivals: Arc<Mutex<Survivals>>,
     /// Hand-over of requests to other routers, if the settings allow it.
     pub(crate) handover: Option<Handover>,
     /// Name of this VM.
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -10,6 +10,7 @@
 use crate::journal::Journal;
 use crate::monitor::Lateness;
 use bytes::Bytes;
+use coordination::attribution;
 use coordination::dispatcher::Handle;
 use coordination::ending::{Boundary, Ending, Framing};
 use coordination::messages::{Objective, Verdict};
@@ -48,6 +49,17 @@
 /// Logged end of an answer whose length or last chunk marks it.
 const MARKED: &str = "marked";
 
+/// How long an endpoint has been writing an answer.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Answering {
+    /// Time so far, without the rest of long pauses.
+    answered: Duration,
+    /// When the latest piece was read.
+    last_piece_at: Option<Instant>,
+    /// Whether the survival was reported.
+    is_reported: bool,
+}
+
 /// A dispatched request, which holds a slot of its endpoint. The slot is released when this value
 /// is dropped.
 pub(crate) struct Slot {
@@ -209,6 +221,9 @@
     /// Key and service of the stream, if its origin is reported so that its caller may take it up
     /// again.
     pub(crate) stream: Option<(origin::Key, ServiceId)>,
+    /// How long the endpoint has answered, until that is reported as the survival of the parts of
+    /// the prompt.
+    pub(crate) survival: Answering,
     /// When its origin was last reported.
     pub(crate) reported_at: Option<Instant>,
     /// How that answer has ended, for the access log.
@@ -373,6 +388,24 @@
         }
     }
 
+    /// Reports that the endpoint survives the parts of the prompt, once it has answered for long
+    /// enough. Events count, not comments that it sends while it reads the prompt.
+    fn report_survival(&mut self) {
+        if self.survival.is_reported || !self.boundary.as_ref().is_some_and(Boundary::has_event) {
+            return;
+        }
+        let now = Instant::now();
+        if let Some(last) = self.survival.last_piece_at.replace(now) {
+            let pause = now.duration_since(last);
+            let pause_max = Duration::from_millis(attribution::PAUSE_MAX_MS);
+            self.survival.answered += pause.min(pause_max);
+        }
+        if self.survival.answered >= Duration::from_millis(attribution::ANSWER_MS) {
+            self.survival.is_reported = true;
+            self.delivery.report_survival();
+        }
+    }
+
     /// Completes the answer at once if it has no body, since an empty body is never polled.
     pub(crate) fn end_if_empty(&mut self) {
         if self.incoming.is_end_stream() {
@@ -423,6 +456,7 @@
         self.framing = resumed.framing;
         self.software = resumed.software;
         self.boundary = self.boundary.is_some().then(Boundary::default);
+        self.survival = Answering::default();
         self.ending = None;
         // The slot of the broken try was released when the request was queued again.
         self.slot = resumed.slot;
@@ -609,8 +643,12 @@
     fn end(&mut self) {
         self.slot.verdict = self.verdict_if_complete;
         self.end_reason = "whole";
-        self.ending.get_or_insert(MARKED);
+        let ending = *self.ending.get_or_insert(MARKED);
         if self.verdict_if_complete == Verdict::Fine {
+            // The end of the connection alone may be that of the endpoint.
+            if ending == MARKED && !std::mem::replace(&mut self.survival.is_reported, true) {
+                self.delivery.report_survival();
+            }
             self.delivery.report_success();
         }
         if let Some(connection) = self.origin.connection.take() {
@@ -659,6 +697,7 @@
                         boundary.push(bytes);
                     }
                     this.report_origin();
+                    this.report_survival();
                     let frame = match this.hold_back(frame) {
                         Ok(Some(frame)) => frame,
                         Ok(None) => continue,
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -412,6 +412,7 @@
             let decided = reply.await.map_err(|_| "stopping")?;
             let retries = self.tries.retries;
             let wanted = Wanted {
+                customer: plan.customer,
                 software: self.software,
                 retries,
                 idempotent: plan.idempotent,
@@ -424,7 +425,12 @@
             let delivery = Delivery::new(frontend, call, plan.customer, &dispatch);
             let mut slot = take_slot(frontend, self.handle, call, plan);
             let remaining = subject.remaining();
-            let failure = match self.send(&dispatch, remaining).await {
+            let sent = tokio::select! {
+                biased;
+                sent = self.send(&dispatch, remaining) => sent,
+                () = frontend.until_quarantined(call, plan.customer) => return Err("quarantined"),
+            };
+            let failure = match sent {
                 Some(Ok(answer)) => return self.accept(answer, slot, delivery, &dispatch),
                 Some(Err(failure)) => failure,
                 None => {
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -9,7 +9,7 @@
 use super::listen::Frontend;
 use super::plan::{no_endpoint, plan, Plan, NO_ENDPOINT_RETRY_AFTER, NO_ENDPOINT_TEXT};
 use super::refusal::{set_header, Refusal, OUTCOME_HEADER};
-use super::relay::{Meter, Origin, Relay, Replay, Slot};
+use super::relay::{Answering, Meter, Origin, Relay, Replay, Slot};
 use super::resume::{is_event_stream, RelayedRequest, Resumption, Tries};
 use super::upstream::{self, Answer, Call, Failure};
 use crate::input::{Decided, Decision, Dispatch, Input};
@@ -28,7 +28,7 @@
 use hyper::{Request, Response, StatusCode, Version};
 use prometheus::IntCounter;
 use state::event::{Event, Kind};
-use state::id::{RequestId, Software};
+use state::id::{CustomerId, RequestId, Software};
 use state::outcome::Outcome;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -165,6 +165,13 @@
             return Err(refusal);
         }
     };
+    let key = inbound.key.as_ref();
+    if let Some(customer) = key.and_then(|key| published.index.customer(key)) {
+        if let Err(refusal) = frontend.check_parts(&inbound.shared_parts, customer) {
+            discard_body(body, frontend.context.callers.body_max).await;
+            return Err(refusal);
+        }
+    }
     let id = entry.id();
     frontend
         .context
@@ -287,7 +294,7 @@
     entry: &mut Entry,
     arrived_at: Instant,
 ) -> Result<Served, Refusal> {
-    frontend.check_quarantine(&call)?;
+    frontend.check_quarantine(&call, plan.customer)?;
     frontend.earn_retries(plan.service);
     let (handle, mut decided) = enqueue(frontend, &plan, software).await?;
     let mut retries = 0;
@@ -300,6 +307,7 @@
             frontend: frontend.clone(),
         };
         let wanted = Wanted {
+            customer: plan.customer,
             software,
             retries,
             idempotent: plan.idempotent,
@@ -320,7 +328,13 @@
             remaining,
             last_event_id: None,
         };
-        let sent = tokio::time::timeout(remaining, upstream::send(&call, &dispatch, options)).await;
+        let sending = tokio::time::timeout(remaining, upstream::send(&call, &dispatch, options));
+        let sent = tokio::select! {
+            biased;
+            sent = sending => sent,
+            // Closes the connection: the endpoint may not have begun with the request.
+            () = frontend.until_quarantined(&call, plan.customer) => return Err(quarantined()),
+        };
         let backoff = match &sent {
             Ok(Ok(answer)) => answer.backoff,
             Ok(Err(failure)) => failure.backoff,
@@ -517,6 +531,8 @@
 /// What a queued request waits for.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Wanted {
+    /// Customer that the request is accounted to.
+    pub(super) customer: CustomerId,
     /// Software version that the endpoint must have, if the request continues a stream.
     pub(super) software: Option<Software>,
     /// Retries so far.
@@ -538,6 +554,7 @@
     wanted: Wanted,
 ) -> Result<Dispatch, Refusal> {
     let Wanted {
+        customer,
         software,
         retries,
         idempotent,
@@ -548,7 +565,7 @@
         .record(Event::new(Kind::Queued).request(call.id));
     let decision = tokio::select! {
         biased;
-        () = frontend.until_quarantined(call) => return Err(quarantined()),
+        () = frontend.until_quarantined(call, customer) => return Err(quarantined()),
         decision = decided => decision,
     };
     let handle = queued.handle.take();
@@ -677,6 +694,7 @@
         began: None,
         stream,
         reported_at: None,
+        survival: Answering::default(),
         boundary: is_event_stream(&head.headers).then(Boundary::default),
         ending: None,
         verdict_if_complete: if head.status.is_server_error() {
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -11,7 +11,7 @@
 use state::clock::Millis;
 use state::id::{EndpointId, Name, Software};
 use state::listing::Entry;
-use state::suspect::{Completion, Crash};
+use state::suspect::{Break, Completion, Crash, Survival};
 use state::view::{Node, Step, View};
 use std::net::SocketAddr;
 use tokio::sync::oneshot;
@@ -129,6 +129,10 @@
     Backoff(Handle, Backoff),
     /// An endpoint closed its connection during a request.
     Crashed(Crash),
+    /// An endpoint broke off a request with parts of a prompt that may have crashed it.
+    Broken(Break),
+    /// An endpoint answers a prompt with a suspected part.
+    Survived(Survival),
     /// An endpoint has answered a suspected request completely.
     Completed(Completion),
     /// A query to the control VMs.
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -330,6 +330,7 @@
         let (reactor, inputs) = flume::unbounded();
         let (publish, published) = watch::channel(Arc::new(Shared::default()));
         let (publish_suspicions, suspicions) = watch::channel(Arc::default());
+        let survivals = Arc::default();
         let (stop, stopped) = watch::channel(false);
         let (fail, failed) = watch::channel(None);
         let (to_control, control_inputs) = flume::unbounded();
@@ -437,6 +438,7 @@
             to_control: to_control.clone(),
             publish,
             suspicions: publish_suspicions,
+            survivals: Arc::clone(&survivals),
         };
         let ready = readiness::Parts {
             published: published.clone(),
@@ -520,6 +522,7 @@
                 reactor: reactor.clone(),
                 published: published.clone(),
                 suspicions,
+                survivals,
                 handover,
                 vm: hub.hello().node.vm.clone(),
             });
--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -1,17 +1,20 @@
-//! Requests that may crash endpoints: reports about them to the control VMs, and whether this
-//! process refuses them.
+//! Requests, and parts of prompts, that may crash endpoints: reports about them to the control VMs,
+//! and whether this process refuses them.
 
 use crate::query::Queries;
+use coordination::attribution::{Attribution, Survivals};
 use protocol::wire::{Message, Query, Reply};
 use state::clock::Millis;
 use state::fingerprint::Fingerprint;
-use state::id::Name;
+use state::id::{CustomerId, Name, PartId};
 use state::line::Line;
-use state::suspect::{downgraded, Completion, Crash, Evidence, Status, Statuses, Suspects};
+use state::suspect::{
+    downgraded, Break, Completion, Crash, Evidence, Status, Statuses, Survival, Suspects,
+};
 use std::collections::BTreeSet;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{oneshot, watch};
-use transport::clock::wall_micros;
+use transport::clock::{wall_micros, Clock};
 use transport::link::Hub;
 
 /// Largest number of crashes, and of clearances, that wait to be reported.
@@ -23,7 +26,8 @@
 /// Time between two checks for expired suspicions of this process, in milliseconds.
 const EXPIRE_INTERVAL_MS: u64 = 5000;
 
-/// Requests that are suspected or quarantined by the whole fleet, or by this process alone.
+/// Requests and parts of prompts that are suspected or quarantined by the whole fleet, or by this
+/// process alone.
 #[derive(Debug, Default)]
 pub(crate) struct Suspicions {
     fleet: Statuses,
@@ -42,6 +46,16 @@
         self.fleet.contains_key(fingerprint) || self.own.contains_key(fingerprint)
     }
 
+    /// Whether any of the parts of a customer's prompt is suspected or quarantined.
+    pub(crate) fn contains_part(&self, parts: &[PartId], customer: CustomerId) -> bool {
+        scopes(parts, customer).any(|f| self.contains(&f))
+    }
+
+    /// Whether a request has to be refused for a part of its prompt.
+    pub(crate) fn is_part_quarantined(&self, parts: &[PartId], customer: CustomerId) -> bool {
+        scopes(parts, customer).any(|f| self.is_quarantined(&f))
+    }
+
     /// Whether a request has to be refused.
     pub(crate) fn is_quarantined(&self, fingerprint: &Fingerprint) -> bool {
         let both = [&self.fleet, &self.own];
@@ -50,15 +64,27 @@
     }
 }
 
+/// Fingerprints under which the parts of a customer's prompt may be suspected.
+fn scopes(parts: &[PartId], customer: CustomerId) -> impl Iterator<Item = Fingerprint> + '_ {
+    let both =
+        move |part: &PartId| [None, Some(customer)].map(|scope| Fingerprint::of_part(*part, scope));
+    parts.iter().flat_map(both)
+}
+
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Next hop of reports on their way to the control VMs.
 ///
 /// Reports use the links over which the view arrives: if hundreds of routers opened links to the
 /// control VMs at each crash, they would overload these.
 pub(crate) enum Uplink<'a> {
-    /// This process is a control VM and sends reports to the leader.
-    Control(&'a mut Queries, &'a Hub),
-    /// The parent, which sends this process the view.
-    Parent(&'a Name, &'a Hub),
+    /// This process is a control VM and sends reports to the leader. The flag says whether all
+    /// linked control VMs know parts of prompts.
+    Control(&'a mut Queries, &'a Hub, bool),
+    /// The parent, which sends this process the view, and whether it knows parts of prompts.
+    Parent(&'a Name, &'a Hub, bool),
     /// This process has no parent at the moment.
     None,
 }
@@ -68,6 +94,11 @@
 /// Its own suspicions apply in addition to the fleet's, so that a router without a connection to
 /// the control VMs still refuses requests that it has itself seen crash endpoints.
 pub(crate) struct Quarantine {
+    clock: Clock,
+    /// Attributes the crashes that this process has seen to parts of prompts.
+    attribution: Attribution,
+    /// Parts of prompts that endpoints have answered not long ago.
+    survivals: Arc<Mutex<Survivals>>,
     /// Suspicions from crashes that this process has seen.
     own: Suspects,
     /// Suspicions that the control VMs have put in force.
@@ -86,8 +117,15 @@
 
 impl Quarantine {
     /// Creates an empty quarantine that publishes its suspicions to `publish`.
-    pub(crate) fn new(publish: watch::Sender<Arc<Suspicions>>) -> Self {
+    pub(crate) fn new(
+        publish: watch::Sender<Arc<Suspicions>>,
+        clock: Clock,
+        survivals: Arc<Mutex<Survivals>>,
+    ) -> Self {
         Quarantine {
+            clock,
+            attribution: Attribution::default(),
+            survivals,
             own: Suspects::default(),
             fleet: Statuses::new(),
             pending: Evidence::default(),
@@ -109,6 +147,60 @@
         self.publish();
     }
 
+    /// Handles a crash with parts of a prompt that may have caused it.
+    pub(crate) fn handle_break(&mut self, broken: Break) {
+        let evidence = Evidence {
+            breaks: vec![broken],
+            ..Evidence::default()
+        };
+        self.handle_parts(evidence);
+    }
+
+    /// Handles the answer of an endpoint to a prompt with a suspected part.
+    pub(crate) fn handle_survival(&mut self, survival: Survival) {
+        let evidence = Evidence {
+            survivals: vec![survival],
+            ..Evidence::default()
+        };
+        self.handle_parts(evidence);
+    }
+
+    /// Attributes what this process has seen, and queues it to be reported.
+    fn handle_parts(&mut self, evidence: Evidence) {
+        let clock = &self.clock;
+        let own = (self.attribution).attribute(clock.now(), evidence.clone(), || clock.stamp());
+        own.crashes.iter().for_each(|c| self.own.record_crash(c));
+        (own.cleared.iter()).for_each(|c| self.own.record_completion(c));
+        self.relay(evidence);
+        self.publish();
+    }
+
+    /// Reports parts of prompts that come under suspicion here, although this router has had an
+    /// answer to them not long ago.
+    fn report_survivals(&mut self, fleet: &Statuses) {
+        let now = self.clock.now();
+        let known = |f: &&Fingerprint| self.fleet.get(f) == fleet.get(f);
+        let suspected = fleet.keys().filter(|f| !known(f));
+        let suspected = suspected.filter_map(Fingerprint::part);
+        let survivals = lock(&self.survivals);
+        let mut found = Vec::new();
+        for (part, customer) in suspected {
+            if let Some(software) = survivals.get(now, part) {
+                found.push(Survival {
+                    part,
+                    software,
+                    customer: customer.unwrap_or_default(),
+                    at: self.clock.stamp(),
+                });
+            }
+        }
+        drop(survivals);
+        self.relay(Evidence {
+            survivals: found,
+            ..Evidence::default()
+        });
+    }
+
     /// Handles a completion: an endpoint has answered a suspected request completely.
     pub(crate) fn handle_completion(&mut self, completion: Completion) {
         self.own.record_completion(&completion);
@@ -134,7 +226,11 @@
         }
         for fingerprint in downgraded(&self.fleet, fleet) {
             self.own.forget(&fingerprint);
+            if let Some((part, _)) = fingerprint.part() {
+                self.attribution.forget(part);
+            }
         }
+        self.report_survivals(fleet);
         self.fleet.clone_from(fleet);
         self.publish();
     }
@@ -151,10 +247,16 @@
         }
         self.next_report_at = now.after(REPORT_INTERVAL_MS);
         match uplink {
-            Uplink::Control(queries, hub) => self.report_to_leader(now, queries, hub),
-            Uplink::Parent(parent, hub) => {
+            Uplink::Control(queries, hub, knows_parts) => {
+                self.report_to_leader(now, queries, hub, knows_parts);
+            }
+            Uplink::Parent(parent, hub, knows_parts) => {
                 let evidence = self.pending.take(REPORT_MAX);
-                if !hub.send(parent, Message::Evidence(evidence.clone())) {
+                let report = match knows_parts {
+                    true => evidence.clone(),
+                    false => evidence.clone().without_breaks(),
+                };
+                if !hub.send(parent, Message::Evidence(report)) {
                     self.relay(evidence);
                 }
             }
@@ -163,7 +265,13 @@
     }
 
     /// Sends a report to the leader unless the last one is still unanswered.
-    fn report_to_leader(&mut self, now: Millis, queries: &mut Queries, hub: &Hub) {
+    fn report_to_leader(
+        &mut self,
+        now: Millis,
+        queries: &mut Queries,
+        hub: &Hub,
+        knows_parts: bool,
+    ) {
         if let Some(report) = &mut self.report {
             if matches!(report.try_recv(), Err(oneshot::error::TryRecvError::Empty)) {
                 return;
@@ -171,7 +279,10 @@
         }
         let (sender, receiver) = oneshot::channel();
         self.report = Some(receiver);
-        let evidence = self.pending.take(REPORT_MAX);
+        let mut evidence = self.pending.take(REPORT_MAX);
+        if !knows_parts {
+            evidence = evidence.without_breaks();
+        }
         queries.ask(now, hub, Query::Evidence(evidence), sender);
     }
 
@@ -207,11 +318,22 @@
     for fingerprint in begun {
         let is_own = !new.fleet.contains_key(fingerprint);
         let event = Line::QuarantineBegan.as_str();
-        tracing::warn!(event, %fingerprint, is_own);
+        let (part, customer) = describe(fingerprint);
+        tracing::warn!(event, %fingerprint, part, customer, is_own);
     }
     let known = old.fleet.keys().chain(old.own.keys());
     let ended = known.filter(|f| old.is_quarantined(f) && !new.is_quarantined(f));
     for fingerprint in ended {
-        tracing::info!(event = Line::QuarantineEnded.as_str(), %fingerprint);
+        let (part, customer) = describe(fingerprint);
+        tracing::info!(event = Line::QuarantineEnded.as_str(), %fingerprint, part, customer);
     }
 }
+
+/// The part of prompts that a fingerprint stands for, and its customer, for a log line.
+fn describe(fingerprint: &Fingerprint) -> (Option<String>, Option<u32>) {
+    let (part, customer) = fingerprint.part().unzip();
+    (
+        part.map(|part| part.to_string()),
+        customer.flatten().map(|CustomerId(id)| id),
+    )
+}
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -23,6 +23,7 @@
 use crate::query::Queries;
 use crate::schedulers::Schedulers;
 use crate::shared::Published;
+use coordination::attribution::Survivals;
 use coordination::backoff::Backoff;
 use coordination::candidacy::Candidacy;
 use coordination::cell::{Catalogue, Poller};
@@ -39,7 +40,7 @@
 use state::line::Line;
 use state::view::{Assignment, Node, View};
 use std::collections::{BTreeSet, HashMap};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 use transport::clock::{wall_micros, Clock};
@@ -93,6 +94,8 @@
     pub(crate) inquiries: Option<flume::Sender<Inquiry>>,
     /// Publishes the state that the rest of this process reads.
     pub(crate) publish: watch::Sender<Published>,
+    /// Parts of prompts that endpoints have answered not long ago.
+    pub(crate) survivals: Arc<Mutex<Survivals>>,
     /// Publishes which requests are suspected of crashing endpoints.
     pub(crate) suspicions: watch::Sender<Arc<Suspicions>>,
 }
@@ -141,6 +144,8 @@
     /// Queries to the control VMs.
     queries: Queries,
     quarantine: Quarantine,
+    /// Linked processes of an earlier release, which do not know parts of prompts as suspects.
+    unaware_peers: BTreeSet<Name>,
     /// Messages to send at the end of the round.
     batch: Batch,
     /// Senders of the decisions that requests wait for.
@@ -222,7 +227,12 @@
                 parts.is_control,
             ),
             queries: Queries::new(seeds, spread, parts.is_control),
-            quarantine: Quarantine::new(parts.suspicions.clone()),
+            quarantine: Quarantine::new(
+                parts.suspicions.clone(),
+                parts.clock.clone(),
+                parts.survivals.clone(),
+            ),
+            unaware_peers: BTreeSet::new(),
             view: View::default(),
             effective: Arc::default(),
             index: Arc::default(),
@@ -366,6 +376,8 @@
             }
             Input::Backoff(handle, backoff) => self.handle_backoff(now, handle, backoff),
             Input::Crashed(crash) => self.quarantine.handle_crash(crash),
+            Input::Broken(broken) => self.quarantine.handle_break(broken),
+            Input::Survived(survival) => self.quarantine.handle_survival(survival),
             Input::Completed(completion) => self.quarantine.handle_completion(completion),
             Input::Query(query, answer) => self.queries.ask(now, &self.parts.hub, query, answer),
             Input::Load(endpoint, load) => self.schedulers.handle_load(now, endpoint, &load),
@@ -448,6 +460,10 @@
                     .set_stream_support(vm, features.includes(Features::STREAM_OBJECTIVES));
                 self.dispatcher
                     .set_version_support(vm, features.includes(Features::VERSIONS));
+                match features.includes(Features::PROMPT_PARTS) {
+                    true => self.unaware_peers.remove(vm),
+                    false => self.unaware_peers.insert(vm.clone()),
+                };
                 self.open_occupancy(&hello);
                 self.open_origins(&hello);
                 let effects = self.dispatcher.link_up(now, vm);
@@ -457,6 +473,7 @@
                 self.parts
                     .journal
                     .record(Event::new(Kind::LinkDown).peer(&vm));
+                self.unaware_peers.remove(&vm);
                 self.close_occupancy(&vm);
                 self.close_origins(now, &vm);
                 self.dissemination.link_down(now, &vm);
@@ -799,9 +816,11 @@
         self.perform(now, effects);
         self.schedulers.tick(now, &mut self.batch);
         let hub = &self.parts.hub;
+        let is_unaware = |vm: &Name| self.unaware_peers.contains(vm);
+        let knows_parts = !self.members.iter().any(|member| is_unaware(&member.vm));
         let uplink = match self.dissemination.parent() {
-            _ if self.parts.is_control => Uplink::Control(&mut self.queries, hub),
-            Some(parent) => Uplink::Parent(parent, hub),
+            _ if self.parts.is_control => Uplink::Control(&mut self.queries, hub, knows_parts),
+            Some(parent) => Uplink::Parent(parent, hub, !is_unaware(parent)),
             None => Uplink::None,
         };
         self.quarantine.tick(now, uplink);
--- a/components/protocol/src/codec.rs
+++ b/components/protocol/src/codec.rs
@@ -1,6 +1,6 @@
 //! Encoding of frames on links, and of values that are stored.
 
-use crate::wire::{Frame, Message};
+use crate::wire::{Frame, Message, Query};
 use coordination::consensus::BATCH_ENTRIES_MAX;
 use errors::{Error, Result};
 use postcard::ser_flavors::Size;
@@ -46,6 +46,12 @@
     if let Message::Hello(hello) = &frame.message {
         body = postcard::to_extend(&hello.extension, body).map_err(Error::peer(step, own))?;
     }
+    if let Some(evidence) = frame.message.evidence() {
+        let details = (&evidence.breaks, &evidence.survivals);
+        if !evidence.breaks.is_empty() || !evidence.survivals.is_empty() {
+            body = postcard::to_extend(&details, body).map_err(Error::peer(step, own))?;
+        }
+    }
     let versions = frame.message.software();
     if versions.iter().any(|software| software.is_stated()) {
         body = postcard::to_extend(&versions, body).map_err(Error::peer(step, own))?;
@@ -101,6 +107,10 @@
         Message::Hello(hello) => {
             hello.extension = postcard::from_bytes(rest).map_err(Error::peer(step, peer))?;
         }
+        Message::Evidence(evidence) | Message::Query(_, Query::Evidence(evidence)) => {
+            (evidence.breaks, evidence.survivals) =
+                postcard::from_bytes(rest).map_err(Error::peer(step, peer))?;
+        }
         message if message.has_endpoints() => {
             let versions: Vec<Software> =
                 postcard::from_bytes(rest).map_err(Error::peer(step, peer))?;
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -58,9 +58,14 @@
     /// [`Message::OriginRequest`] and [`Message::Origin`].
     pub const VERSIONS: Features = Features(1 << 2);
 
+    /// Parts of prompts that may crash endpoints: [`Evidence::breaks`] and
+    /// [`Evidence::survivals`], which follow the message in its frame.
+    pub const PROMPT_PARTS: Features = Features(1 << 3);
+
     /// All features of this release.
-    pub const ALL: Features =
-        Features(Self::STREAM_OBJECTIVES.0 | Self::OCCUPANCY.0 | Self::VERSIONS.0);
+    pub const ALL: Features = Features(
+        Self::STREAM_OBJECTIVES.0 | Self::OCCUPANCY.0 | Self::VERSIONS.0 | Self::PROMPT_PARTS.0,
+    );
 
     /// Whether all of `features` are included.
     pub fn includes(self, features: Features) -> bool {
@@ -318,6 +323,19 @@
     }
 }
 
+impl Message {
+    /// The evidence that the message carries, if it does. Its parts of prompts follow the message in
+    /// its frame: the encoding of a message is that of the first release of the protocol.
+    pub(crate) fn evidence(&self) -> Option<&Evidence> {
+        match self {
+            Message::Evidence(evidence) | Message::Query(_, Query::Evidence(evidence)) => {
+                Some(evidence)
+            }
+            _ => None,
+        }
+    }
+}
+
 /// Versions of the software of listed endpoints, which follow a message in its frame: the encoding
 /// of an endpoint is that of the first release of the protocol. Processes of an earlier release
 /// ignore bytes behind a frame, and send none.
--- a/components/protocol/tests/codec.rs
+++ b/components/protocol/tests/codec.rs
@@ -4,14 +4,16 @@
     body_length, decode_frame, decode_value, encode_frame, encode_value, HEADER_BYTES,
     MAX_BODY_BYTES, PROTOCOL_VERSION,
 };
-use protocol::wire::{Extension, Features, Frame, Hello, Message};
+use protocol::wire::{Extension, Features, Frame, Hello, Message, Query};
 use state::clock::Stamp;
 use state::config::{Endpoint, Forward, Then};
 use state::evacuation::Order;
-use state::id::{Name, Software, Version};
+use state::fingerprint::Fingerprint;
+use state::id::{CustomerId, EndpointId, Name, PartId, Software, Version};
 use state::listing::{Entry, Listing};
 use state::record::Record;
 use state::store::Store;
+use state::suspect::{Break, Evidence, Survival};
 use state::view::Node;
 
 fn frame() -> Frame {
@@ -185,3 +187,55 @@
         frame(&unstated)
     );
 }
+
+/// Guards against parts of prompts that are lost on their way to the leader, or make the message
+/// unreadable to a process of an earlier release, which ignores what follows it.
+#[test]
+fn can_send_parts_of_prompts_beside_earlier_releases() {
+    let part = PartId(0x5c1e_07a2);
+    let broken = Break {
+        endpoint: EndpointId(4),
+        software: Software::of("v1"),
+        customer: CustomerId(1),
+        sent: Stamp { wall: 5, count: 0 },
+        at: Stamp { wall: 6, count: 0 },
+        parts: [part].into_iter().collect(),
+    };
+    let survival = Survival {
+        part,
+        software: Software::of("v1"),
+        customer: CustomerId(1),
+        at: Stamp { wall: 7, count: 0 },
+    };
+    let evidence = Evidence {
+        breaks: vec![broken],
+        survivals: vec![survival],
+        ..Evidence::default()
+    };
+    for message in [
+        Message::Evidence(evidence.clone()),
+        Message::Query(9, Query::Evidence(evidence.clone())),
+    ] {
+        let frame = Frame {
+            stamp: Stamp { wall: 5, count: 2 },
+            message,
+        };
+        let bytes = encode_frame(&frame).unwrap();
+        let body = &bytes[HEADER_BYTES..];
+        assert_eq!(decode_frame("peer", body).unwrap(), frame);
+        let (earlier, rest): (Frame, &[u8]) = postcard::take_from_bytes(body).unwrap();
+        assert!(!rest.is_empty() && earlier.stamp == frame.stamp);
+    }
+    // A record has the encoding of the first release.
+    let record = |evidence| Record::Suspects {
+        at: Stamp { wall: 5, count: 2 },
+        evidence,
+    };
+    let stored = encode_value(&record(evidence.clone())).unwrap();
+    assert_eq!(stored, encode_value(&record(Evidence::default())).unwrap());
+    let plain = evidence.without_breaks();
+    let fingerprint = Fingerprint::of_part(part, None);
+    assert_eq!(plain.crashes[0].fingerprint, fingerprint);
+    assert_eq!(plain.cleared[0].fingerprint, fingerprint);
+    assert!(plain.breaks.is_empty() && plain.survivals.is_empty());
+}
--- a/components/state/src/fingerprint.rs
+++ b/components/state/src/fingerprint.rs
@@ -1,5 +1,6 @@
-//! Fingerprints by which all routers recognise the same request.
+//! Fingerprints by which all routers recognise the same request, or the same part of prompts.
 
+use crate::id::{CustomerId, PartId};
 use crate::secret::Hash;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -7,7 +8,15 @@
 /// Length of a fingerprint in bytes: long enough that collisions cannot be found on purpose.
 const LENGTH: usize = 16;
 
-/// Hash of a request's customer, method, host, path and body.
+/// First bytes of the fingerprint of a part of prompts, whoever sends it.
+const PART: [u8; 4] = [0, 0, 0, 1];
+/// First bytes of the fingerprint of a part of the prompts of one customer.
+const CUSTOMER_PART: [u8; 4] = [0, 0, 0, 2];
+
+/// Hash of a request's customer, method, host, path and body; or a part of prompts, of one customer
+/// or of all.
+///
+/// A part is written out, not hashed, so that operators can read it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint([u8; LENGTH]);
@@ -44,6 +53,32 @@
         short.copy_from_slice(&whole[..LENGTH]);
         Fingerprint(short)
     }
+
+    /// The fingerprint of a part of the prompts of one customer, or of all.
+    pub fn of_part(part: PartId, customer: Option<CustomerId>) -> Self {
+        let (kind, CustomerId(customer)) = match customer {
+            Some(customer) => (CUSTOMER_PART, customer),
+            None => (PART, CustomerId::default()),
+        };
+        let mut bytes = [0; LENGTH];
+        bytes[..4].copy_from_slice(&kind);
+        bytes[4..8].copy_from_slice(&customer.to_be_bytes());
+        bytes[8..].copy_from_slice(&part.0.to_be_bytes());
+        Fingerprint(bytes)
+    }
+
+    /// The part of prompts that this is the fingerprint of, if it is one, and its customer, if it
+    /// is of one alone.
+    pub fn part(&self) -> Option<(PartId, Option<CustomerId>)> {
+        let (head, id) = self.0.split_at(8);
+        let (kind, customer) = head.split_at(4);
+        let id = PartId(u64::from_be_bytes(id.try_into().ok()?));
+        let customer = CustomerId(u32::from_be_bytes(customer.try_into().ok()?));
+        if kind == CUSTOMER_PART {
+            return Some((id, Some(customer)));
+        }
+        (kind == PART && customer == CustomerId::default()).then_some((id, None))
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -41,6 +41,8 @@
     SchedulerAssigned,
     /// An endpoint broke off a request, which may have crashed it.
     CrashEvidence,
+    /// The leader has attributed crashes to a part of prompts, or has cleared it.
+    CrashAttributed,
     /// A request is quarantined because it has crashed endpoints.
     QuarantineBegan,
     /// The quarantine of a request has ended.
@@ -100,7 +102,7 @@
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 46] = [
+    pub const ALL: [Line; 47] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -120,6 +122,7 @@
         Line::SchedulerShare,
         Line::SchedulerAssigned,
         Line::CrashEvidence,
+        Line::CrashAttributed,
         Line::QuarantineBegan,
         Line::QuarantineEnded,
         Line::EvacuationBegan,
@@ -171,6 +174,7 @@
             Line::SchedulerShare => "scheduler-share",
             Line::SchedulerAssigned => "scheduler-assigned",
             Line::CrashEvidence => "crash-evidence",
+            Line::CrashAttributed => "crash-attributed",
             Line::QuarantineBegan => "quarantine-began",
             Line::QuarantineEnded => "quarantine-ended",
             Line::EvacuationBegan => "evacuation-began",
--- a/components/state/src/suspect.rs
+++ b/components/state/src/suspect.rs
@@ -6,8 +6,9 @@
 
 use crate::clock::Stamp;
 use crate::fingerprint::Fingerprint;
-use crate::id::CustomerId;
+use crate::id::{CustomerId, EndpointId, PartId, Software};
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use std::collections::{BTreeMap, VecDeque};
 
 /// A request with at least this many crashes is quarantined.
@@ -53,6 +54,41 @@
     pub at: Stamp,
 }
 
+/// An endpoint broke off a request. Any of the listed parts of its prompt may have crashed the
+/// endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Break {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Version of its software.
+    pub software: Software,
+    /// The customer that sent the request.
+    pub customer: CustomerId,
+    /// When the request was sent to the endpoint.
+    pub sent: Stamp,
+    /// When the endpoint broke off.
+    pub at: Stamp,
+    /// Parts that other requests may share, in their order, without those that are known to be
+    /// harmless.
+    pub parts: SmallVec<[PartId; 4]>,
+}
+
+/// An endpoint has answered a prompt with this part for long enough to show that the part does not
+/// crash it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Survival {
+    /// The part.
+    pub part: PartId,
+    /// Version of the endpoint's software.
+    pub software: Software,
+    /// The customer that sent the request.
+    pub customer: CustomerId,
+    /// When this was seen.
+    pub at: Stamp,
+}
+
 /// Requests that endpoints have recently answered completely.
 ///
 /// A frequent request is in progress at nearly every endpoint that crashes. Without this record it
@@ -96,31 +132,70 @@
     pub crashes: Vec<Crash>,
     /// Suspected requests that were answered completely.
     pub cleared: Vec<Completion>,
+    /// Broken requests with parts of prompts that may be the cause. Not part of a record: the leader
+    /// turns them into `crashes` and `cleared` of parts.
+    #[serde(skip)]
+    pub breaks: Vec<Break>,
+    /// Answers that show suspected parts of prompts to be harmless, likewise.
+    #[serde(skip)]
+    pub survivals: Vec<Survival>,
 }
 
 impl Evidence {
     /// Whether there are no observations.
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.cleared.is_empty()
+        self.crashes.is_empty()
+            && self.cleared.is_empty()
+            && self.breaks.is_empty()
+            && self.survivals.is_empty()
     }
 
-    /// Adds others, and keeps the newest `most` crashes and the newest `most` completions.
+    /// Adds others, and keeps the newest `most` of each kind.
     pub fn add(&mut self, mut others: Evidence, most: usize) {
         self.crashes.append(&mut others.crashes);
         self.cleared.append(&mut others.cleared);
+        self.breaks.append(&mut others.breaks);
+        self.survivals.append(&mut others.survivals);
         keep_last(&mut self.crashes, most);
         keep_last(&mut self.cleared, most);
+        keep_last(&mut self.breaks, most);
+        keep_last(&mut self.survivals, most);
     }
 
-    /// Removes and returns the oldest `most` crashes and completions.
+    /// Removes and returns the oldest `most` of each kind.
     pub fn take(&mut self, most: usize) -> Evidence {
-        let crashes = self.crashes.len().min(most);
-        let cleared = self.cleared.len().min(most);
         Evidence {
-            crashes: self.crashes.drain(..crashes).collect(),
-            cleared: self.cleared.drain(..cleared).collect(),
+            crashes: take_first(&mut self.crashes, most),
+            cleared: take_first(&mut self.cleared, most),
+            breaks: take_first(&mut self.breaks, most),
+            survivals: take_first(&mut self.survivals, most),
         }
     }
+
+    /// The same evidence for a process that does not know [`Evidence::breaks`]: each part counts
+    /// like a request that crashes endpoints, whoever sends it.
+    pub fn without_breaks(mut self) -> Self {
+        for broken in std::mem::take(&mut self.breaks) {
+            let crash = |part: &PartId| Crash {
+                fingerprint: Fingerprint::of_part(*part, None),
+                customer: broken.customer,
+                sent: broken.sent,
+                at: broken.at,
+            };
+            self.crashes.extend(broken.parts.iter().map(crash));
+        }
+        let cleared = std::mem::take(&mut self.survivals).into_iter();
+        self.cleared.extend(cleared.map(|survival| Completion {
+            fingerprint: Fingerprint::of_part(survival.part, None),
+            at: survival.at,
+        }));
+        self
+    }
+}
+
+/// Removes and returns the first `most` items.
+fn take_first<T>(all: &mut Vec<T>, most: usize) -> Vec<T> {
+    all.drain(..all.len().min(most)).collect()
 }
 
 /// Removes all but the last `most` items.
--- a/components/state/tests/fingerprint.rs
+++ b/components/state/tests/fingerprint.rs
@@ -1,7 +1,8 @@
-//! Fingerprints of requests.
+//! Fingerprints of requests and of parts of prompts.
 
 use rstest::rstest;
 use state::fingerprint::{Fingerprint, Subject};
+use state::id::{CustomerId, PartId};
 
 /// A request from which each case differs in one part.
 const SUBJECT: Subject<'static> = Subject {
@@ -39,3 +40,18 @@
     let shown = fingerprint.to_string();
     assert_eq!(Fingerprint::try_from(shown.as_str()), Ok(fingerprint));
 }
+
+/// Guards against a part of one customer's prompts that is taken for the same part of all, or for a
+/// request.
+#[test]
+fn a_part_is_told_from_other_parts_and_from_requests() {
+    let part = PartId(0x5c1e_07a2);
+    let all = Fingerprint::of_part(part, None);
+    let own = Fingerprint::of_part(part, Some(CustomerId(0)));
+    assert_ne!(all, own);
+    assert_eq!(all.part(), Some((part, None)));
+    assert_eq!(own.part(), Some((part, Some(CustomerId(0)))));
+    assert_eq!(Fingerprint::of(&SUBJECT).part(), None);
+    let shown = own.to_string();
+    assert_eq!(Fingerprint::try_from(shown.as_str()), Ok(own));
+}
--- a/components/state/tests/suspect.rs
+++ b/components/state/tests/suspect.rs
@@ -173,7 +173,11 @@
 fn report(at: u64, crashes: Vec<Crash>, cleared: Vec<Completion>) -> Record {
     Record::Suspects {
         at: at_ms(at),
-        evidence: Evidence { crashes, cleared },
+        evidence: Evidence {
+            crashes,
+            cleared,
+            ..Evidence::default()
+        },
     }
 }
 
@@ -221,6 +225,7 @@
         let evidence = Evidence {
             crashes: vec![crash(n, 0, 100)],
             cleared: vec![completion(n, 100)],
+            ..Evidence::default()
         };
         pending.add(evidence, 30);
     }
