Try released parts of prompts one request at a time

When a quarantine expires, requests with the part may still come at a high rate at all routers, and each that was sent before the next crash was known crashed an endpoint.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -39,4 +39,5 @@
 pub mod scheduler;
 pub mod slot;
 pub mod tree;
+pub mod trial;
 pub mod warmup;
--- a/components/node/src/frontend/delivery.rs
+++ b/components/node/src/frontend/delivery.rs
@@ -211,6 +211,21 @@
         Err(quarantined())
     }
 
+    /// Refuses a request with a part of its prompt that was released from quarantine on trial, if
+    /// this router's next trial is not due.
+    ///
+    /// # Errors
+    ///
+    /// The refusal.
+    pub(crate) fn take_trial(&self, call: &Call, customer: CustomerId) -> Result<(), Refusal> {
+        let suspicions = self.context.suspicions.borrow();
+        let now = self.context.clock.now();
+        if suspicions.is_empty() || suspicions.take_trial(now, &call.shared_parts, customer) {
+            return Ok(());
+        }
+        Err(quarantined())
+    }
+
     /// Waits until a request is put into quarantine.
     pub(crate) async fn until_quarantined(&self, call: &Call, customer: CustomerId) {
         let mut suspicions = self.context.suspicions.clone();
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -295,6 +295,7 @@
     arrived_at: Instant,
 ) -> Result<Served, Refusal> {
     frontend.check_quarantine(&call, plan.customer)?;
+    frontend.take_trial(&call, plan.customer)?;
     frontend.earn_retries(plan.service);
     let (handle, mut decided) = enqueue(frontend, &plan, software).await?;
     let mut retries = 0;
--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -3,6 +3,7 @@
 
 use crate::query::Queries;
 use coordination::attribution::{Attribution, Survivals};
+use coordination::trial::Trials;
 use protocol::wire::{Message, Query, Reply};
 use state::clock::Millis;
 use state::fingerprint::Fingerprint;
@@ -32,6 +33,10 @@
 pub(crate) struct Suspicions {
     fleet: Statuses,
     own: Statuses,
+    /// Number of routers of the fleet.
+    routers: u32,
+    /// Parts that were released from quarantine on trial.
+    trials: Arc<Mutex<Trials>>,
 }
 
 impl Suspicions {
@@ -56,6 +61,13 @@
         scopes(parts, customer).any(|f| self.is_quarantined(&f))
     }
 
+    /// Whether a request with these parts may be sent now. Takes this router's trial of each part
+    /// that is on trial.
+    pub(crate) fn take_trial(&self, now: Millis, parts: &[PartId], customer: CustomerId) -> bool {
+        let mut trials = lock(&self.trials);
+        trials.is_empty() || scopes(parts, customer).all(|f| trials.take(now, &f, self.routers))
+    }
+
     /// Whether a request has to be refused.
     pub(crate) fn is_quarantined(&self, fingerprint: &Fingerprint) -> bool {
         let both = [&self.fleet, &self.own];
@@ -99,6 +111,10 @@
     attribution: Attribution,
     /// Parts of prompts that endpoints have answered not long ago.
     survivals: Arc<Mutex<Survivals>>,
+    /// Parts that were released from quarantine on trial.
+    trials: Arc<Mutex<Trials>>,
+    /// Number of routers of the fleet.
+    routers: u32,
     /// Suspicions from crashes that this process has seen.
     own: Suspects,
     /// Suspicions that the control VMs have put in force.
@@ -126,6 +142,8 @@
             clock,
             attribution: Attribution::default(),
             survivals,
+            trials: Arc::default(),
+            routers: 1,
             own: Suspects::default(),
             fleet: Statuses::new(),
             pending: Evidence::default(),
@@ -201,6 +219,11 @@
         });
     }
 
+    /// Sets the number of routers of the fleet.
+    pub(crate) fn set_routers(&mut self, routers: u32) {
+        self.routers = routers;
+    }
+
     /// Handles a completion: an endpoint has answered a suspected request completely.
     pub(crate) fn handle_completion(&mut self, completion: Completion) {
         self.own.record_completion(&completion);
@@ -294,16 +317,34 @@
         refused.into_iter().map(Fingerprint::to_string).collect()
     }
 
+    /// Puts parts that leave quarantine, but remain suspected, on trial; ends other trials.
+    fn update_trials(&self, old: &Suspicions, new: &Suspicions) {
+        let mut trials = lock(&self.trials);
+        let known = old.fleet.keys().chain(old.own.keys());
+        for fingerprint in known.filter(|f| f.part().is_some()) {
+            let is_suspected = new.contains(fingerprint) && !new.is_quarantined(fingerprint);
+            if !is_suspected {
+                trials.end(fingerprint);
+            } else if old.is_quarantined(fingerprint) {
+                let now = self.clock.now();
+                trials.begin(now, *fingerprint, self.routers, rand::random());
+            }
+        }
+    }
+
     /// Publishes the suspicions and logs quarantines that begin or end.
     fn publish(&self) {
         let suspicions = Suspicions {
             fleet: self.fleet.clone(),
             own: self.own.statuses(1),
+            routers: self.routers,
+            trials: self.trials.clone(),
         };
         self.publish.send_if_modified(|published| {
             let is_same = published.fleet == suspicions.fleet && published.own == suspicions.own;
             if !is_same {
                 log_changes(published, &suspicions);
+                self.update_trials(published, &suspicions);
                 *published = Arc::new(suspicions);
             }
             !is_same
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -823,6 +823,8 @@
             Some(parent) => Uplink::Parent(parent, hub, !is_unaware(parent)),
             None => Uplink::None,
         };
+        let routers = self.dissemination.routers().unwrap_or(1);
+        self.quarantine.set_routers(routers);
         self.quarantine.tick(now, uplink);
         self.queries.tick(now, &self.parts.hub);
         self.dissemination
