Do not blame a part of prompts that endpoints of another version answer

A faulty release that crashes at any request made the parts that all prompts share look deadly: answers counted only at the software version that crashed, so that these parts would have been refused to the sound version, too. An answer of the last minute now rules a part out whatever the version; a part that only the new version crashes on is blamed a minute after the last answer of the old one.

--- a/components/coordination/src/attribution.rs
+++ b/components/coordination/src/attribution.rs
@@ -18,8 +18,9 @@
 };
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-/// Time after an answer for which the same part is not suspected at the same software version, in
-/// milliseconds.
+/// Time after an answer for which the same part is not suspected, in milliseconds. The answer may be
+/// of another software version than the one that crashes: while one version answers a part, a faulty
+/// release is the better explanation, and to refuse the part would refuse it to that version, too.
 pub const SURVIVAL_MS: u64 = 60_000;
 /// Time for which an endpoint must answer until the parts of the prompt count as harmless, in
 /// milliseconds. Pauses count up to [`PAUSE_MAX_MS`]: a process that was itself suspended has
@@ -43,30 +44,24 @@
 /// Parts of prompts that endpoints have answered not long ago.
 #[derive(Clone, Debug, Default)]
 pub struct Survivals {
-    last: HashMap<PartId, (Software, Millis)>,
+    last: HashMap<PartId, Millis>,
 }
 
 impl Survivals {
-    /// Records that an endpoint with this software answers a prompt with the part.
-    pub fn record(&mut self, now: Millis, part: PartId, software: Software) {
+    /// Records that an endpoint answers a prompt with the part.
+    pub fn record(&mut self, now: Millis, part: PartId) {
         let mut age_ms = SURVIVAL_MS;
         while self.last.len() >= SURVIVALS_MAX && !self.last.contains_key(&part) {
-            self.last.retain(|_, (_, at)| now.since(*at) < age_ms);
+            self.last.retain(|_, at| now.since(*at) < age_ms);
             age_ms /= 2;
         }
-        self.last.insert(part, (software, now));
+        self.last.insert(part, now);
     }
 
-    /// The software that last answered a prompt with the part, unless that is too long ago.
-    pub fn get(&self, now: Millis, part: PartId) -> Option<Software> {
-        let found = self.last.get(&part);
-        let recent = found.filter(|(_, at)| now.since(*at) <= SURVIVAL_MS);
-        recent.map(|(software, _)| *software)
-    }
-
-    /// Whether such an answer shows that the part has not crashed an endpoint with this software.
-    pub fn rules_out(&self, now: Millis, part: PartId, software: Software) -> bool {
-        self.get(now, part) == Some(software)
+    /// Whether such an answer shows that the part has not crashed an endpoint.
+    pub fn rules_out(&self, now: Millis, part: PartId) -> bool {
+        let last = self.last.get(&part);
+        last.is_some_and(|at| now.since(*at) <= SURVIVAL_MS)
     }
 
     /// Number of parts.
@@ -97,7 +92,6 @@
 #[derive(Clone, Debug)]
 struct Incident {
     endpoint: EndpointId,
-    software: Software,
     /// When the first router noticed it.
     at: Stamp,
     /// Parts of the prompts in progress that may have been the cause.
@@ -205,32 +199,17 @@
         *self = Attribution::default();
     }
 
-    /// Clears a part that endpoints answer with the software that has crashed. Returns the
-    /// fingerprints under which it may be suspected.
+    /// Clears a part that endpoints answer. Returns the fingerprints under which it may be suspected.
     fn clear(&mut self, now: Millis, survival: &Survival) -> Vec<Fingerprint> {
-        let Survival {
-            part,
-            software,
-            customer,
-            ..
-        } = *survival;
-        let is_blamed = |i: &Incident| i.suspects.contains_key(&part);
-        let mut blamed = self.incidents.iter().filter(|i| is_blamed(i)).peekable();
-        // With other software the part may still crash endpoints.
-        if blamed.peek().is_some() && !blamed.any(|i| i.software == software) {
-            return Vec::new();
-        }
+        let Survival { part, customer, .. } = *survival;
         let of_part = |f: &&Fingerprint| f.part().is_some_and(|(id, _)| id == part);
         let known = self.passed_on.keys().filter(of_part).copied();
         let scopes = [None, Some(customer)].map(|scope| Fingerprint::of_part(part, scope));
         let mut all: Vec<Fingerprint> = known.chain(scopes).collect();
         all.sort_unstable();
         all.dedup();
-        self.survivals.record(now, part, software);
-        for incident in self.incidents.iter_mut().filter(|i| i.software == software) {
-            incident.suspects.remove(&part);
-        }
-        self.passed_on.retain(|f, _| !all.contains(f));
+        self.survivals.record(now, part);
+        self.forget(part);
         all
     }
 
@@ -238,7 +217,7 @@
     fn record(&mut self, now: Millis, broken: &Break) {
         self.expire(broken.at.wall);
         let survivals = &self.survivals;
-        let is_suspect = |part: &PartId| !survivals.rules_out(now, *part, broken.software);
+        let is_suspect = |part: &PartId| !survivals.rules_out(now, *part);
         let parts = broken.parts.iter().copied().enumerate();
         let parts: Vec<_> = parts.filter(|(_, part)| is_suspect(part)).collect();
         if parts.is_empty() {
@@ -251,7 +230,6 @@
             }
             self.incidents.push_back(Incident {
                 endpoint: broken.endpoint,
-                software: broken.software,
                 at: broken.at,
                 suspects: BTreeMap::new(),
             });
--- a/components/node/src/frontend/delivery.rs
+++ b/components/node/src/frontend/delivery.rs
@@ -13,7 +13,7 @@
 use hyper::StatusCode;
 use state::clock::Stamp;
 use state::fingerprint::Fingerprint;
-use state::id::{CustomerId, EndpointId, Name, PartId, RequestId, Software};
+use state::id::{CustomerId, EndpointId, Name, PartId, RequestId};
 use state::line::Line;
 use state::suspect::{Break, Completion, Crash, Successes, Survival};
 use std::sync::{Arc, MutexGuard, PoisonError};
@@ -26,10 +26,9 @@
     /// Parts of the prompt that other requests may share.
     parts: SharedParts,
     customer: CustomerId,
-    /// The endpoint, its name and the version of its software.
+    /// The endpoint and its name.
     endpoint: EndpointId,
     endpoint_name: Name,
-    software: Software,
     /// When the request was sent.
     sent_at: Stamp,
     /// Whether the request was suspected of crashing endpoints when it was sent.
@@ -56,7 +55,6 @@
             customer,
             endpoint: dispatch.endpoint,
             endpoint_name: dispatch.name.clone(),
-            software: dispatch.software,
             sent_at: frontend.context.clock.stamp(),
             was_suspected,
         }
@@ -82,7 +80,7 @@
         let is_ruled_out = self.frontend.successes().rules_out(&crash);
         let parts: SharedParts = {
             let (now, survivals) = (context.clock.now(), self.frontend.survivals());
-            let is_suspect = |part: &PartId| !survivals.rules_out(now, *part, self.software);
+            let is_suspect = |part: &PartId| !survivals.rules_out(now, *part);
             self.parts.iter().copied().filter(is_suspect).collect()
         };
         tracing::info!(
@@ -101,7 +99,6 @@
         if !parts.is_empty() {
             let broken = Break {
                 endpoint: self.endpoint,
-                software: self.software,
                 customer: self.customer,
                 sent: self.sent_at,
                 at: crash.at,
@@ -121,7 +118,7 @@
         let now = context.clock.now();
         let mut survivals = self.frontend.survivals();
         for part in &self.parts {
-            survivals.record(now, *part, self.software);
+            survivals.record(now, *part);
         }
         drop(survivals);
         let suspicions = context.suspicions.borrow();
@@ -132,7 +129,6 @@
         for part in self.parts.iter().filter(is_suspected) {
             let survival = Survival {
                 part: *part,
-                software: self.software,
                 customer: self.customer,
                 at: context.clock.stamp(),
             };
--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -203,10 +203,9 @@
         let survivals = lock(&self.survivals);
         let mut found = Vec::new();
         for (part, customer) in suspected {
-            if let Some(software) = survivals.get(now, part) {
+            if survivals.rules_out(now, part) {
                 found.push(Survival {
                     part,
-                    software,
                     customer: customer.unwrap_or_default(),
                     at: self.clock.stamp(),
                 });
--- a/components/state/src/suspect.rs
+++ b/components/state/src/suspect.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::Stamp;
 use crate::fingerprint::Fingerprint;
-use crate::id::{CustomerId, EndpointId, PartId, Software};
+use crate::id::{CustomerId, EndpointId, PartId};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, VecDeque};
@@ -61,8 +61,6 @@
 pub struct Break {
     /// The endpoint.
     pub endpoint: EndpointId,
-    /// Version of its software.
-    pub software: Software,
     /// The customer that sent the request.
     pub customer: CustomerId,
     /// When the request was sent to the endpoint.
@@ -81,8 +79,6 @@
 pub struct Survival {
     /// The part.
     pub part: PartId,
-    /// Version of the endpoint's software.
-    pub software: Software,
     /// The customer that sent the request.
     pub customer: CustomerId,
     /// When this was seen.
