Tell operators which part of prompts is refused

status names the part and the customer of each quarantined fingerprint; unquarantine takes the fingerprint of a part like that of a request.

--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -308,12 +308,14 @@
         queries.ask(now, hub, Query::Evidence(evidence), sender);
     }
 
-    /// Fingerprints of requests that this process refuses.
-    pub(crate) fn quarantined(&self) -> Vec<String> {
+    /// Fingerprints of requests, and of parts of prompts, that this process refuses.
+    pub(crate) fn quarantined(&self) -> BTreeSet<Fingerprint> {
         let suspicions = self.publish.borrow();
         let known = suspicions.fleet.keys().chain(suspicions.own.keys());
-        let refused: BTreeSet<_> = known.filter(|f| suspicions.is_quarantined(f)).collect();
-        refused.into_iter().map(Fingerprint::to_string).collect()
+        known
+            .filter(|f| suspicions.is_quarantined(f))
+            .copied()
+            .collect()
     }
 
     /// Puts parts that leave quarantine, but remain suspected, on trial; ends other trials.
--- a/components/node/src/reactor/status.rs
+++ b/components/node/src/reactor/status.rs
@@ -3,9 +3,10 @@
 use super::Reactor;
 use crate::input::Watched;
 use crate::metric::gauge_value;
-use crate::shared::{Shared, Status};
+use crate::shared::{QuarantinedPart, Shared, Status};
 use coordination::dispatcher::endpoints;
-use state::id::Name;
+use state::fingerprint::Fingerprint;
+use state::id::{CustomerId, Name};
 use state::line::Line;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -116,11 +117,12 @@
     /// State of this process, for operators.
     pub(super) fn status(&self) -> Status {
         let customers = &self.view.config.customers;
-        let name = |id| {
+        let name = |id: &CustomerId| {
             customers
                 .get(id)
                 .map_or(String::new(), |c| c.name.to_string())
         };
+        let refused = self.quarantine.quarantined();
         Status {
             vm: self.me.clone(),
             incarnation: self.parts.hub.hello().incarnation,
@@ -149,7 +151,17 @@
                 .map(|(shard, _)| shard.clone())
                 .collect(),
             schedulers: self.schedulers.status(&self.view),
-            quarantined: self.quarantine.quarantined(),
+            quarantined: refused.iter().map(Fingerprint::to_string).collect(),
+            quarantined_parts: (refused.iter())
+                .filter_map(|fingerprint| {
+                    let (part, customer) = fingerprint.part()?;
+                    let part = QuarantinedPart {
+                        part: part.to_string(),
+                        customer: customer.map(|id| name(&id)),
+                    };
+                    Some((fingerprint.to_string(), part))
+                })
+                .collect(),
             evacuated: self.view.evacuated().cloned().collect(),
             control: None,
         }
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -88,12 +88,24 @@
     pub(crate) schedulers: Vec<ShardStatus>,
     /// Fingerprints of requests that this process refuses, because they crash endpoints.
     pub(crate) quarantined: Vec<String>,
+    /// Those of them that stand for a part of prompts.
+    pub(crate) quarantined_parts: BTreeMap<String, QuarantinedPart>,
     /// Data centres that are evacuated: their endpoints get no requests.
     pub(crate) evacuated: Vec<Name>,
     /// State of the replicated log, if this is a control VM.
     pub(crate) control: Option<serde_json::Value>,
 }
 
+/// A part of prompts that is quarantined.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct QuarantinedPart {
+    /// The part.
+    pub(crate) part: String,
+    /// The customer whose requests are refused; `None` for all customers.
+    pub(crate) customer: Option<String>,
+}
+
 /// Waits until a stop flag is set or its sender is dropped.
 pub(crate) async fn cancelled(flag: &mut watch::Receiver<bool>) {
     let _ = flag.wait_for(|is_set| *is_set).await;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -251,7 +251,7 @@
     pub(crate) key: String,
 }
 
-/// Release a request that is quarantined because it crashed endpoints.
+/// Release a request, or a part of prompts, that is quarantined because it crashed endpoints.
 #[derive(Debug, FromArgs)]
 #[argh(
     subcommand,
@@ -261,7 +261,7 @@
             contain the fingerprint, too. Three more crashes quarantine the request again."
 )]
 pub(crate) struct Unquarantine {
-    /// fingerprint of the request
+    /// fingerprint of the request or the part
     #[argh(positional)]
     pub(crate) fingerprint: String,
     /// operators' address of any process of the fleet, 127.0.0.1:8081 by default
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -134,7 +134,8 @@
             "{endpoint} refused it and asked for a pause in requests; its caller may retry at once."
         ),
         "quarantined" => "It was refused: several endpoints in succession crashed while they ran \
-                          it. The event `quarantine-began` shows since when."
+                          it, or others with a part of its prompt. The event `quarantine-began` \
+                          shows since when."
             .to_owned(),
         "customer-queue-full" => format!(
             "It was refused: too many requests of {} waited on {}.",
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -33,6 +33,18 @@
     Ok(())
 }
 
+/// What a quarantined fingerprint stands for.
+fn describe(fingerprint: &str, page: &Value) -> String {
+    let found = &page["quarantined-parts"][fingerprint];
+    let Some(part) = found["part"].as_str() else {
+        return "one request".to_owned();
+    };
+    match found["customer"].as_str() {
+        Some(customer) => format!("prompts of {customer} with part {part}"),
+        None => format!("prompts with part {part}"),
+    }
+}
+
 /// Prints the status page of one process as text.
 fn print(page: &Value) {
     let text = |v: &Value| v.as_str().unwrap_or("-").to_owned();
@@ -50,7 +62,9 @@
         text(&page["parent"]),
     );
     for fingerprint in page["quarantined"].as_array().into_iter().flatten() {
-        print_line!("  quarantined: {}", text(fingerprint));
+        let fingerprint = text(fingerprint);
+        let meaning = describe(&fingerprint, page);
+        print_line!("  quarantined: {fingerprint} ({meaning})");
     }
     for data_centre in page["evacuated"].as_array().into_iter().flatten() {
         print_line!("  evacuated: {}", text(data_centre));
