Count crashes of a part for each customer

Found by can_keep_a_part_quarantined_through_the_loss_of_the_leader_and_of_a_router, which failed once: after the leader was lost, a second customer's crash replaced the quarantine of the first customer by the count of all customers, which lacked what the lost leader had seen, and the part was sent again. Crashes count for each customer and, once there are two, for all, side by side. A release by an operator or an answer ends the suspicion of all customers. Refusals name the part that is quarantined, in the answer and in request-ended.

--- a/components/coordination/src/attribution.rs
+++ b/components/coordination/src/attribution.rs
@@ -37,6 +37,8 @@
 /// Crashes that are closer together than this, in microseconds, count as one against a part whose
 /// requests were in progress at all of them: the endpoints may have been lost with their rack.
 pub const SIMULTANEOUS_MICROS: u64 = 100_000;
+/// Most customers of a part whose crashes are counted separately.
+pub const CUSTOMERS_MAX: usize = 16;
 /// Longest time between the first and the last break of the same crash, in microseconds. Routers
 /// notice it at different times, and may send requests on kept connections until they do.
 pub const BREAK_SPREAD_MICROS: u64 = 500_000;
@@ -84,7 +86,7 @@
     requests: u32,
     /// Place in the prompt: the parts before it are shared by at least as many requests.
     depth: usize,
-    /// Customers of these requests; two are enough to know that there are several.
+    /// Customers of these requests, at most [`CUSTOMERS_MAX`].
     customers: SmallVec<[CustomerId; 2]>,
 }
 
@@ -107,8 +109,8 @@
     pub crashes: u32,
     /// Requests with it that were broken off in all crashes.
     pub requests: u32,
-    /// The customer of all of these requests, if they have the same one.
-    pub customer: Option<CustomerId>,
+    /// The crashes with requests of each customer, at most [`CUSTOMERS_MAX`] of them.
+    pub customers: SmallVec<[(CustomerId, u32); 2]>,
 }
 
 /// Attributes crashes to parts of prompts.
@@ -142,7 +144,7 @@
         seen.sent = seen.sent.max(broken.sent);
         seen.depth = seen.depth.max(depth);
         seen.requests = seen.requests.saturating_add(1);
-        if seen.customers.len() < 2 && !seen.customers.contains(&broken.customer) {
+        if seen.customers.len() < CUSTOMERS_MAX && !seen.customers.contains(&broken.customer) {
             seen.customers.push(broken.customer);
         }
     }
@@ -275,23 +277,30 @@
     where
         F: FnMut() -> Stamp,
     {
+        let wanted = self.wanted();
+        let is_known = |f: &Fingerprint| {
+            let part = f.part().map(|(part, _)| part);
+            self.incidents
+                .iter()
+                .any(|i| part.is_some_and(|part| i.suspects.contains_key(&part)))
+        };
+        let too_much: Vec<Fingerprint> = (self.passed_on.iter())
+            .filter(|(f, passed_on)| is_known(f) && wanted.get(f).is_none_or(|n| n < passed_on))
+            .map(|(f, _)| *f)
+            .collect();
         let mut crashes = Vec::new();
-        for standing in self.standings() {
-            let crashed = standing.crashes.min(QUARANTINE_CRASHES);
-            let scope = Fingerprint::of_part(standing.part, standing.customer);
-            for (fingerprint, passed_on) in &mut self.passed_on {
-                let is_same = fingerprint.part().is_some_and(|(p, _)| p == standing.part);
-                let is_too_much = *fingerprint != scope || *passed_on > crashed;
-                if is_same && is_too_much && *passed_on > 0 {
-                    *passed_on = 0;
-                    cleared.push(*fingerprint);
-                }
+        for (fingerprint, wanted) in &wanted {
+            // What is cleared now counts again with the next evidence.
+            if !too_much.contains(fingerprint) {
+                let passed_on = self.passed_on.entry(*fingerprint).or_default();
+                let customer = fingerprint.part().and_then(|(_, customer)| customer);
+                let customer = customer.unwrap_or_default();
+                crashes.extend((*passed_on..*wanted).map(|_| (*fingerprint, customer)));
+                *passed_on = *wanted;
             }
-            let passed_on = self.passed_on.entry(scope).or_default();
-            let customer = standing.customer.unwrap_or_default();
-            crashes.extend((*passed_on..crashed).map(|_| (scope, customer)));
-            *passed_on = crashed;
         }
+        self.passed_on.retain(|f, _| !too_much.contains(f));
+        cleared.extend(too_much);
         self.passed_on.retain(|_, passed_on| *passed_on > 0);
         decided
             .cleared
@@ -313,6 +322,28 @@
             }));
     }
 
+    /// Crashes to be passed on by part and customer, and by part alone if at least two customers have
+    /// sent it: no customer can have another's part refused to all.
+    fn wanted(&self) -> BTreeMap<Fingerprint, u32> {
+        let mut wanted = BTreeMap::new();
+        for standing in self.standings() {
+            let mut want = |customer, crashes: u32| {
+                let fingerprint = Fingerprint::of_part(standing.part, customer);
+                let crashes = crashes.min(standing.crashes).min(QUARANTINE_CRASHES);
+                if crashes > 0 {
+                    wanted.insert(fingerprint, crashes);
+                }
+            };
+            if standing.customers.len() > 1 {
+                want(None, standing.crashes);
+            }
+            for (customer, crashes) in &standing.customers {
+                want(Some(*customer), *crashes);
+            }
+        }
+        wanted
+    }
+
     /// How far each part is under suspicion. Parts whose crashes others explain have none.
     pub fn standings(&self) -> Vec<Standing> {
         let mut places: BTreeMap<PartId, SmallVec<[usize; 8]>> = BTreeMap::new();
@@ -325,13 +356,14 @@
         let mut standings = Vec::new();
         while let Some((part, crashes)) = self.most_blamed(&places, &is_explained) {
             if let Some(own) = places.remove(&part) {
-                standings.push(self.standing(part, crashes, &own));
+                standings.push(self.standing(part, crashes, &own, &is_explained));
                 own.iter().for_each(|place| is_explained[*place] = true);
             }
         }
         for (part, own) in &places {
-            let crashes = self.count(*part, own, &is_explained).min(WATCH_CRASHES);
-            standings.push(self.standing(*part, crashes, own));
+            let crashes = self.count(*part, own, &is_explained, None);
+            let crashes = crashes.min(WATCH_CRASHES);
+            standings.push(self.standing(*part, crashes, own, &is_explained));
         }
         standings
     }
@@ -349,16 +381,23 @@
                 .filter_map(|place| self.incidents[*place].suspects.get(part));
             let requests: u32 = seen.clone().map(|s| s.requests).sum();
             let depth = seen.map(|s| s.depth).max();
-            let crashes = self.count(*part, own, is_explained);
+            let crashes = self.count(*part, own, is_explained, None);
             (crashes, depth, requests, *part)
         });
         let (crashes, _, _, part) = ranked.max()?;
         (crashes >= QUARANTINE_CRASHES).then_some((part, crashes))
     }
 
-    /// Number of crashes of a part that nothing else explains. Crashes at the same time count as one,
-    /// unless a request with the part was sent after the last one that counts.
-    fn count(&self, part: PartId, own: &[usize], is_explained: &[bool]) -> u32 {
+    /// Number of crashes of a part that nothing else explains, of a customer's requests or of all.
+    /// Crashes at the same time count as one, unless a request with the part was sent after the last
+    /// one that counts.
+    fn count(
+        &self,
+        part: PartId,
+        own: &[usize],
+        is_explained: &[bool],
+        customer: Option<CustomerId>,
+    ) -> u32 {
         let mut counted = 0;
         let mut last: Option<Stamp> = None;
         for place in own.iter().filter(|place| !is_explained[**place]) {
@@ -366,6 +405,9 @@
             let Some(seen) = incident.suspects.get(&part) else {
                 continue;
             };
+            if customer.is_some_and(|customer| !seen.customers.contains(&customer)) {
+                continue;
+            }
             let is_apart = |last: Stamp| {
                 let apart = incident.at.wall.saturating_sub(last.wall);
                 seen.sent > last || apart >= SIMULTANEOUS_MICROS
@@ -378,18 +420,30 @@
         counted
     }
 
-    fn standing(&self, part: PartId, crashes: u32, own: &[usize]) -> Standing {
+    fn standing(
+        &self,
+        part: PartId,
+        crashes: u32,
+        own: &[usize],
+        is_explained: &[bool],
+    ) -> Standing {
         let seen = own
             .iter()
             .filter_map(|place| self.incidents[*place].suspects.get(&part));
         let requests = seen.clone().map(|s| s.requests).sum();
-        let mut customers = seen.flat_map(|s| s.customers.iter().copied());
-        let first = customers.next();
+        let mut customers: SmallVec<[(CustomerId, u32); 2]> = SmallVec::new();
+        for customer in seen.flat_map(|s| s.customers.iter().copied()) {
+            let is_new = customers.iter().all(|(known, _)| *known != customer);
+            if is_new && customers.len() < CUSTOMERS_MAX {
+                let crashes = self.count(part, own, is_explained, Some(customer));
+                customers.push((customer, crashes));
+            }
+        }
         Standing {
             part,
             crashes,
             requests,
-            customer: first.filter(|first| customers.all(|other| other == *first)),
+            customers,
         }
     }
 }
--- a/components/coordination/tests/attribution.rs
+++ b/components/coordination/tests/attribution.rs
@@ -290,6 +290,27 @@
     assert!(leader.refuses(DEADLY, 1));
 }
 
+/// Guards against a quarantine that ends when a new leader sees the part of a second customer.
+#[test]
+fn a_second_customer_does_not_lift_the_quarantine_of_the_first() {
+    let mut leader = Leader::default();
+    leader.crash(1, &[DEADLY]);
+    leader.crash(2, &[DEADLY]);
+    leader.attribution.reset();
+    for (second, customer) in [(3, 2), (4, 1)] {
+        leader.break_off(Break {
+            customer: CustomerId(customer),
+            ..broken(second, &[DEADLY])
+        });
+    }
+    assert!(leader.refuses(DEADLY, 1));
+    leader.break_off(Break {
+        customer: CustomerId(2),
+        ..broken(5, &[DEADLY])
+    });
+    assert!(leader.refuses(DEADLY, 1) && leader.refuses_all(DEADLY));
+}
+
 /// Guards against crashes that are lost with a proposal that the log refuses.
 #[test]
 fn a_decision_that_was_lost_is_made_again() {
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -14,11 +14,12 @@
 use state::clock::Millis;
 use state::delta::Delta;
 use state::event::{Event, Kind};
-use state::id::{CustomerId, Name, Version};
+use state::fingerprint::Fingerprint;
+use state::id::{Name, Version};
 use state::line::Line;
 use state::record::{Answer, DiskId, Member, Record};
 use state::store::{Document, Store};
-use state::suspect::Evidence;
+use state::suspect::{Completion, Evidence};
 use state::view::{Departure, Node, Shard};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::path::PathBuf;
@@ -302,7 +303,9 @@
             }
             Query::Evidence(evidence) => {
                 let clock = &self.parts.clock;
-                let decided = self.attribution.attribute(now, evidence, || clock.stamp());
+                let released = self.released(&evidence);
+                let mut decided = self.attribution.attribute(now, evidence, || clock.stamp());
+                decided.cleared.extend(released);
                 if decided.is_empty() {
                     let answer = Answer::Accepted(self.store.view.version);
                     self.reply(vm, id, Reply::Answer(answer));
@@ -385,6 +388,25 @@
         }
     }
 
+    /// Releases parts that were answered, or released by an operator, from the suspicion of each
+    /// customer's requests.
+    fn released(&self, evidence: &Evidence) -> Vec<Completion> {
+        let released = (evidence.cleared.iter()).filter_map(|c| c.fingerprint.part());
+        let survived = evidence.survivals.iter().map(|s| s.part);
+        let parts: BTreeSet<_> = released.map(|(part, _)| part).chain(survived).collect();
+        if parts.is_empty() {
+            return Vec::new();
+        }
+        let is_released =
+            |f: &&Fingerprint| f.part().is_some_and(|(part, _)| parts.contains(&part));
+        let suspected = self.store.suspects.fingerprints().filter(is_released);
+        let completion = |fingerprint: &Fingerprint| Completion {
+            fingerprint: *fingerprint,
+            at: self.parts.clock.stamp(),
+        };
+        suspected.map(completion).collect()
+    }
+
     /// Logs the parts of prompts to which crashes are attributed, or that others explain or an answer
     /// has cleared.
     fn log_attribution(&self, decided: &Evidence) {
@@ -397,13 +419,12 @@
         };
         for (part, _) in changed {
             let standing = standings.iter().find(|s| s.part == part);
-            let customer = standing.and_then(|s| s.customer);
             tracing::info!(
                 event = Line::CrashAttributed.as_str(),
                 %part,
                 crashes = standing.map_or(0, |s| s.crashes),
                 requests = standing.map_or(0, |s| s.requests),
-                customer = customer.map(|CustomerId(id)| id),
+                customers = standing.map_or(0, |s| s.customers.len()),
             );
         }
     }
--- a/components/node/src/frontend/access_log.rs
+++ b/components/node/src/frontend/access_log.rs
@@ -361,6 +361,7 @@
             outcome,
             reason,
             retry_after_ms = retry_after.map(millis),
+            part = refusal.and_then(|r| r.part).map(tracing::field::display),
             expected_ms = estimate.map(|b| b.wait_ms),
             epoch = estimate.map(|b| b.epoch.0),
         );
--- a/components/node/src/frontend/delivery.rs
+++ b/components/node/src/frontend/delivery.rs
@@ -183,11 +183,7 @@
         call: &Call,
         customer: CustomerId,
     ) -> Result<(), Refusal> {
-        let suspicions = self.context.suspicions.borrow();
-        if is_quarantined(&suspicions, call, customer) {
-            return Err(quarantined());
-        }
-        Ok(())
+        refusal(&self.context.suspicions.borrow(), call, customer).map_or(Ok(()), Err)
     }
 
     /// Refuses a request with a part of its prompt that is in quarantine.
@@ -201,10 +197,8 @@
         customer: CustomerId,
     ) -> Result<(), Refusal> {
         let suspicions = self.context.suspicions.borrow();
-        if suspicions.is_empty() || !suspicions.is_part_quarantined(parts, customer) {
-            return Ok(());
-        }
-        Err(quarantined())
+        let part = suspicions.quarantined_part(parts, customer);
+        part.map_or(Ok(()), |part| Err(quarantined(Some(part))))
     }
 
     /// Refuses a request with a part of its prompt that was released from quarantine on trial, if
@@ -216,28 +210,33 @@
     pub(crate) fn take_trial(&self, call: &Call, customer: CustomerId) -> Result<(), Refusal> {
         let suspicions = self.context.suspicions.borrow();
         let now = self.context.clock.now();
-        if suspicions.is_empty() || suspicions.take_trial(now, &call.shared_parts, customer) {
-            return Ok(());
-        }
-        Err(quarantined())
+        let part = suspicions.take_trial(now, &call.shared_parts, customer);
+        part.map_or(Ok(()), |part| Err(quarantined(Some(part))))
     }
 
-    /// Waits until a request is put into quarantine.
-    pub(crate) async fn until_quarantined(&self, call: &Call, customer: CustomerId) {
+    /// Waits until a request is put into quarantine; returns its refusal.
+    pub(crate) async fn until_quarantined(&self, call: &Call, customer: CustomerId) -> Refusal {
         let mut suspicions = self.context.suspicions.clone();
-        let found = suspicions.wait_for(|v| is_quarantined(v, call, customer));
-        if found.await.is_err() {
-            // The reactor has ended, so this process is ending too.
-            std::future::pending::<()>().await;
+        loop {
+            if let Some(refusal) = refusal(&suspicions.borrow_and_update(), call, customer) {
+                return refusal;
+            }
+            if suspicions.changed().await.is_err() {
+                // The reactor has ended, so this process is ending too.
+                std::future::pending::<()>().await;
+            }
         }
     }
 }
 
-/// Whether a request, or a part of its prompt, is in quarantine.
-fn is_quarantined(suspicions: &Suspicions, call: &Call, customer: CustomerId) -> bool {
-    !suspicions.is_empty()
-        && (suspicions.is_part_quarantined(&call.shared_parts, customer)
-            || suspicions.is_quarantined(&call.fingerprint()))
+/// The refusal of a request that is in quarantine, or a part of its prompt.
+fn refusal(suspicions: &Suspicions, call: &Call, customer: CustomerId) -> Option<Refusal> {
+    if suspicions.is_empty() {
+        return None;
+    }
+    let part = suspicions.quarantined_part(&call.shared_parts, customer);
+    let is_refused = part.is_some() || suspicions.is_quarantined(&call.fingerprint());
+    is_refused.then(|| quarantined(part))
 }
 
 /// Parts of a prompt for a log line; `None` if there are none.
@@ -246,9 +245,18 @@
     (!ids.is_empty()).then(|| ids.join(","))
 }
 
-/// Refusal of a request in quarantine, whose earlier tries may have run.
-pub(crate) fn quarantined() -> Refusal {
-    let text = "endpoints have crashed while they ran this request, or others with a part of its \
-                prompt, one after the other; it is not sent to any more of them";
-    Refusal::unknown(StatusCode::BAD_GATEWAY, "quarantined", text)
+/// Refusal of a request in quarantine, as a whole or for a part of its prompt. Earlier tries of it may
+/// have run, and another try is of no use to its caller.
+fn quarantined(part: Option<PartId>) -> Refusal {
+    let text = match part {
+        Some(part) => format!(
+            "endpoints have crashed while they ran requests with the part {part} of its prompt, one \
+             after the other; it is not sent to any more of them"
+        ),
+        None => "endpoints have crashed while they ran this request, one after the other; it is not \
+                 sent to any more of them"
+            .to_owned(),
+    };
+    let refusal = Refusal::unknown(StatusCode::BAD_GATEWAY, "quarantined", text);
+    Refusal { part, ..refusal }
 }
--- a/components/node/src/frontend/refusal.rs
+++ b/components/node/src/frontend/refusal.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE};
 use hyper::{Response, StatusCode};
-use state::id::RequestId;
+use state::id::{PartId, RequestId};
 use state::outcome::Outcome;
 use std::time::Duration;
 
@@ -37,6 +37,8 @@
     pub(crate) retry_after: Option<Duration>,
     /// The scheduler's refusal with the estimate behind it, if a scheduler refused the request.
     pub(crate) estimate: Option<messages::Refusal>,
+    /// The part of the prompt for which the request is refused, if it is quarantined.
+    pub(crate) part: Option<PartId>,
 }
 
 impl Refusal {
@@ -52,6 +54,7 @@
             outcome: Outcome::NotRun,
             retry_after: None,
             estimate: None,
+            part: None,
         }
     }
 
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -428,7 +428,9 @@
             let sent = tokio::select! {
                 biased;
                 sent = self.send(&dispatch, remaining) => sent,
-                () = frontend.until_quarantined(call, plan.customer) => return Err("quarantined"),
+                refusal = frontend.until_quarantined(call, plan.customer) => {
+                    return Err(refusal.code);
+                }
             };
             let failure = match sent {
                 Some(Ok(answer)) => return self.accept(answer, slot, delivery, &dispatch),
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -4,7 +4,7 @@
 use super::access_log::Entry;
 use super::admit::{admit, discard_body, read_body, BUSY_CODE, FAST_RETRY_AFTER};
 use super::claim::{claim, Claim, Claimed};
-use super::delivery::{quarantined, Delivery};
+use super::delivery::Delivery;
 use super::forward::{self, Forwarded, Handed};
 use super::listen::Frontend;
 use super::plan::{no_endpoint, plan, Plan, NO_ENDPOINT_RETRY_AFTER, NO_ENDPOINT_TEXT};
@@ -334,7 +334,7 @@
             biased;
             sent = sending => sent,
             // Closes the connection: the endpoint may not have begun with the request.
-            () = frontend.until_quarantined(&call, plan.customer) => return Err(quarantined()),
+            refusal = frontend.until_quarantined(&call, plan.customer) => return Err(refusal),
         };
         let backoff = match &sent {
             Ok(Ok(answer)) => answer.backoff,
@@ -566,7 +566,7 @@
         .record(Event::new(Kind::Queued).request(call.id));
     let decision = tokio::select! {
         biased;
-        () = frontend.until_quarantined(call, customer) => return Err(quarantined()),
+        refusal = frontend.until_quarantined(call, customer) => return Err(refusal),
         decision = decided => decision,
     };
     let handle = queued.handle.take();
--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -56,16 +56,39 @@
         scopes(parts, customer).any(|f| self.contains(&f))
     }
 
-    /// Whether a request has to be refused for a part of its prompt.
-    pub(crate) fn is_part_quarantined(&self, parts: &[PartId], customer: CustomerId) -> bool {
-        scopes(parts, customer).any(|f| self.is_quarantined(&f))
+    /// The part of a customer's prompt for which a request has to be refused, if there is one.
+    pub(crate) fn quarantined_part(
+        &self,
+        parts: &[PartId],
+        customer: CustomerId,
+    ) -> Option<PartId> {
+        if self.is_empty() {
+            return None;
+        }
+        let is_quarantined =
+            |part: &&PartId| scopes(&[**part], customer).any(|scope| self.is_quarantined(&scope));
+        parts.iter().find(is_quarantined).copied()
     }
 
-    /// Whether a request with these parts may be sent now. Takes this router's trial of each part
-    /// that is on trial.
-    pub(crate) fn take_trial(&self, now: Millis, parts: &[PartId], customer: CustomerId) -> bool {
+    /// The part for which a request may not be sent now, since it is on trial and this router's next
+    /// trial is not due. Takes the trial of a part that is due.
+    pub(crate) fn take_trial(
+        &self,
+        now: Millis,
+        parts: &[PartId],
+        customer: CustomerId,
+    ) -> Option<PartId> {
+        if self.is_empty() {
+            return None;
+        }
         let mut trials = lock(&self.trials);
-        trials.is_empty() || scopes(parts, customer).all(|f| trials.take(now, &f, self.routers))
+        if trials.is_empty() {
+            return None;
+        }
+        let mut is_due = |part: &PartId| {
+            scopes(&[*part], customer).all(|scope| trials.take(now, &scope, self.routers))
+        };
+        parts.iter().copied().find(|part| !is_due(part))
     }
 
     /// Whether a request has to be refused.
--- a/components/state/src/suspect.rs
+++ b/components/state/src/suspect.rs
@@ -306,6 +306,11 @@
         self.all.contains_key(fingerprint)
     }
 
+    /// Fingerprints of all suspects.
+    pub fn fingerprints(&self) -> impl Iterator<Item = &Fingerprint> {
+        self.all.keys()
+    }
+
     /// Statuses of the requests with at least `min_crashes` crashes.
     pub fn statuses(&self, min_crashes: u32) -> Statuses {
         let selected = self.all.iter().filter(|(_, s)| s.crashes >= min_crashes);
