Send a deadly part of prompts in the soak, and test its quarantine under losses

Loss of the leader and of a router, no control VM, a customer that brings another's part under suspicion, release by command, and parts that all share while endpoints are killed.

--- a/tests/prompt_part.rs
+++ b/tests/prompt_part.rs
@@ -3,7 +3,9 @@
 mod harness;
 
 use harness::http::{self, Answer};
-use harness::{eventually, Fleet, Plan};
+use harness::{eventually, Fleet, Plan, SetOnDrop};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// Crashes after which the part must be refused, once the routers have had time to learn of them.
@@ -31,6 +33,10 @@
 
 /// A request with a body and a last part of its own, which shares `parts` with others.
 fn send(fleet: &Fleet, router: &str, customer: &str, parts: &[&str], label: &str) -> Answer {
+    send_to(fleet.callers(router), customer, parts, label)
+}
+
+fn send_to(router: SocketAddr, customer: &str, parts: &[&str], label: &str) -> Answer {
     let unique: u32 = rand::random();
     let shared: String = parts.iter().map(|part| format!("{part}:64,")).collect();
     let parts = format!("{shared}{unique:x}:16");
@@ -38,7 +44,7 @@
         ("cowslipford-prompt-parts", parts.as_str()),
         ("stand-in-id", label),
     ];
-    fleet.call(router, customer, "/assistant", &headers, &parts)
+    http::send(router, "POST", "/assistant", customer, &headers, &parts)
 }
 
 /// Sends a request with the deadly part, and restarts crashed endpoints.
@@ -109,3 +115,126 @@
     let plain = http::get(fleet.callers("r2"), "/assistant", "alpha");
     assert_eq!(plain.status, 200);
 }
+
+/// Guards against a quarantine, or counts of crashes, that are lost with the leader or with a
+/// router, and against a router that joins and does not know them.
+#[test]
+fn can_keep_a_part_quarantined_through_the_loss_of_the_leader_and_of_a_router() {
+    let mut fleet = fleet();
+    while fleet.recorded_calls(LABEL) < 2 {
+        crash(&mut fleet, "r1", "alpha");
+    }
+    let leader = fleet.leader();
+    fleet.vm_mut(&leader).kill();
+    fleet.leader();
+    crash_until(&mut fleet, CRASHES_TO_KNOW);
+    std::thread::sleep(PROPAGATION_TIME);
+    fleet.vm_mut("r1").kill();
+    fleet.vm_mut("r1").start();
+    eventually("the router is ready again", || fleet.vm("r1").is_ready());
+    let before = fleet.recorded_calls(LABEL);
+    for router in ["r1", "r2", "r3"] {
+        assert!(is_refused(&crash(&mut fleet, router, "alpha")));
+    }
+    assert_eq!(fleet.recorded_calls(LABEL), before);
+}
+
+/// Guards against a router that, without control VMs, goes on sending a part that it has itself
+/// seen crash endpoints.
+#[test]
+fn can_quarantine_a_part_without_control() {
+    let mut fleet = Fleet::start(Plan {
+        control: 1,
+        routers: 1,
+        models: 3,
+        model_args: &["--crash-part", DEADLY_PART],
+        ..Plan::default()
+    });
+    fleet.vm_mut("c1").kill();
+    eventually("the part is refused", || {
+        is_refused(&crash(&mut fleet, "r1", "alpha"))
+    });
+    assert!(fleet.recorded_calls(LABEL) <= CRASHES_TO_KNOW);
+}
+
+/// Guards against a customer that has a part refused to others, by sending it beside one that
+/// crashes endpoints.
+#[test]
+fn can_serve_a_part_that_another_customer_has_brought_under_suspicion() {
+    let mut fleet = fleet();
+    let attack = |fleet: &mut Fleet| {
+        let answer = send(fleet, "r1", "alpha", &[DEADLY_PART, "b2"], LABEL);
+        std::thread::sleep(Duration::from_millis(100));
+        fleet.restart_crashed();
+        answer
+    };
+    eventually("the part is refused", || is_refused(&attack(&mut fleet)));
+    for router in ["r1", "r2", "r3"] {
+        let answer = send(&fleet, router, "beta", &["b2"], "sound");
+        assert!(answer.status == 200 && answer.complete, "{answer:?}");
+    }
+}
+
+/// Guards against a quarantine that operators cannot see or end.
+#[test]
+fn can_release_a_part_by_command() {
+    let mut fleet = fleet();
+    crash_until(&mut fleet, CRASHES_TO_KNOW);
+    let mut shown = (String::new(), serde_json::Value::Null);
+    eventually("the quarantine is shown", || {
+        let status = fleet.vm("r2").status().unwrap_or_default();
+        let parts = status["quarantined-parts"].as_object().cloned();
+        let first = parts.and_then(|parts| parts.into_iter().next());
+        shown = first.unwrap_or_default();
+        !shown.0.is_empty()
+    });
+    assert_eq!(shown.1["part"].as_str(), Some(DEADLY_PART));
+    let operators = fleet.vm("r1").operators.to_string();
+    let args = ["unquarantine", &shown.0, "--operators", &operators];
+    let (status, _, error) = harness::run(&args, &[] as &[&str]);
+    assert!(status.success(), "{error}");
+    let before = fleet.recorded_calls(LABEL);
+    eventually("requests with the part are sent again", || {
+        crash(&mut fleet, "r1", "alpha");
+        fleet.recorded_calls(LABEL) > before
+    });
+    crash_until(&mut fleet, before + CRASHES_TO_KNOW);
+    eventually("the part is refused again", || {
+        is_refused(&crash(&mut fleet, "r2", "alpha"))
+    });
+}
+
+/// Guards against the quarantine of parts that all requests share, which are in progress on every
+/// endpoint that crashes for another reason.
+#[test]
+fn can_serve_shared_parts_through_a_series_of_crashes() {
+    let mut fleet = fleet();
+    let routers: Vec<SocketAddr> = ["r1", "r2", "r3"].map(|r| fleet.callers(r)).to_vec();
+    let (stop, served) = (AtomicBool::new(false), AtomicUsize::new(0));
+    std::thread::scope(|scope| {
+        let _set_on_drop = SetOnDrop(&stop);
+        for caller in 0..9 {
+            let router = routers[caller % routers.len()];
+            let (stop, served) = (&stop, &served);
+            scope.spawn(move || {
+                let session = format!("c{caller}");
+                while !stop.load(Ordering::Relaxed) {
+                    let parts = ["a1", "b2", session.as_str()];
+                    let answer = send_to(router, "alpha", &parts, "popular");
+                    assert!(!answer.text().contains("quarantined"), "{answer:?}");
+                    let is_whole = answer.status == 200 && answer.complete;
+                    served.fetch_add(usize::from(is_whole), Ordering::Relaxed);
+                }
+            });
+        }
+        for turn in 0..24 {
+            let index = turn % 4;
+            fleet.kill_stand_in(index);
+            std::thread::sleep(Duration::from_millis(150));
+            fleet.stand_ins[index].process.start();
+            std::thread::sleep(Duration::from_millis(150));
+        }
+    });
+    println!("served {served:?}");
+    assert!(served.load(Ordering::Relaxed) > 0);
+}
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -34,6 +34,11 @@
 /// Name of the request that crashes each model engine that runs it.
 pub(crate) const QUERY_OF_DEATH: &str = "query-of-death";
 
+/// Label of the requests with [`DEADLY_PART`].
+pub(crate) const PART_OF_DEATH: &str = "part-of-death";
+/// Part of a prompt that crashes each model engine that answers a request with it.
+pub(crate) const DEADLY_PART: &str = "dead";
+
 /// Addresses of a router.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Route {
@@ -96,6 +101,8 @@
         // It crashes the endpoint at which its stream is resumed, too.
         headers.push(("stand-in-resumed-fault", fault));
     }
+    // Streams share a part with the requests that crash engines.
+    headers.push(("cowslipford-prompt-parts", "a1:64,5e55:8"));
     headers.extend(key.map(|key| ("idempotency-key", key)));
     let http = request("POST", path, customer, &headers, &sent.name);
     let answer = client.call(http, CALLER_TIMEOUT).await;
@@ -141,7 +148,10 @@
     let mut rng = Pcg64::seed_from_u64(shared.seed);
     while !shared.stop_crashes.load(Ordering::Relaxed) && !shared.stop.load(Ordering::Relaxed) {
         let address = address(&shared, &mut rng);
-        query_of_death(&shared, address).await;
+        match rng.random_bool(0.5) {
+            true => query_of_death(&shared, address).await,
+            false => part_of_death(&shared, address).await,
+        };
         let pause = rng.random_range(100..900);
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
@@ -166,6 +176,29 @@
     answer.text().contains("\"quarantined\"")
 }
 
+/// Sends a request that has only [`DEADLY_PART`] in common with others; returns whether it was refused
+/// as quarantined.
+pub(crate) async fn part_of_death(shared: &Shared, address: SocketAddr) -> bool {
+    let attempt = shared.names.fetch_add(1, Ordering::Relaxed);
+    let name = format!("{PART_OF_DEATH}-{attempt}");
+    let sent = Request {
+        name,
+        attempt,
+        kind: Kind::Stream(EVENTS_DURING_FLOOD),
+    };
+    let label = sent.label();
+    let parts = format!("a1:64,{DEADLY_PART}:32,{attempt:x}:8");
+    let headers = [
+        ("stand-in-id", label.as_str()),
+        ("cowslipford-prompt-parts", parts.as_str()),
+    ];
+    let customer = ["alpha", "beta"][attempt as usize % 2];
+    let http = request("POST", "/assistant", customer, &headers, &sent.name);
+    let answer = Client::new(address).call(http, CALLER_TIMEOUT).await;
+    shared.observations.record(&sent, &answer);
+    answer.text().contains("\"quarantined\"")
+}
+
 /// Sends streams and bookings until the run ends.
 async fn caller(shared: Arc<Shared>, customer: &'static str, stream: u64) {
     let mut rng = Pcg64::seed_from_u64(stream);
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -1,7 +1,7 @@
 //! A soak run: a fleet of real processes, its callers, and the faults of one seed.
 
 use super::callers::{
-    self, Route, Shared, PROBE_TIMEOUT, QUERY_OF_DEATH, RECOVERY_TIMEOUT, REVOCATION,
+    self, Route, Shared, PART_OF_DEATH, PROBE_TIMEOUT, QUERY_OF_DEATH, RECOVERY_TIMEOUT, REVOCATION,
 };
 use super::check::{End, Kind, Observations};
 use super::harness::http::{request, Client};
@@ -78,6 +78,7 @@
             routers: ROUTER_COUNT,
             models: 2,
             plain_services: 2,
+            model_args: &["--crash-part", callers::DEADLY_PART],
             settings: format!(
                 "[router]\nresume = yes\nrevocation = {}s",
                 REVOCATION.as_secs()
@@ -327,23 +328,32 @@
         }
     }
 
-    /// Checks that routers forward no query of death once all of them refuse it.
+    /// Checks that routers forward no query of death, and no request with the deadly part, once all
+    /// of them refuse it.
     fn check_quarantine(&mut self) {
-        for index in 0..ROUTER_COUNT {
-            let what = format!("router {index} refuses the query of death");
-            self.wait_for(&what, |run| {
-                run.reap();
-                run.send_query_of_death(index)
-            });
-        }
-        let before = self.queries_of_death();
-        for n in 0..4 * ROUTER_COUNT {
-            self.send_query_of_death(n % ROUTER_COUNT);
-        }
-        let later = self.queries_of_death() - before;
-        if later > 0 {
-            let text = format!("the query of death reached engines {later} more times");
-            self.shared.observations.report_violation(text);
+        for (label, send) in [
+            (
+                QUERY_OF_DEATH,
+                Run::send_query_of_death as fn(&Run, usize) -> bool,
+            ),
+            (PART_OF_DEATH, Run::send_part_of_death),
+        ] {
+            for index in 0..ROUTER_COUNT {
+                let what = format!("router {index} refuses the {label}");
+                self.wait_for(&what, |run| {
+                    run.reap();
+                    send(run, index)
+                });
+            }
+            let before = self.calls_with_label(label);
+            for n in 0..4 * ROUTER_COUNT {
+                send(self, n % ROUTER_COUNT);
+            }
+            let later = self.calls_with_label(label) - before;
+            if later > 0 {
+                let text = format!("the {label} reached engines {later} more times");
+                self.shared.observations.report_violation(text);
+            }
         }
         self.wait_for("crashed engines accept connections", |run| {
             run.reap();
@@ -358,15 +368,22 @@
         self.runtime.block_on(sent)
     }
 
-    /// Number of times that the query of death has reached engines.
-    fn queries_of_death(&self) -> usize {
+    /// Sends a request with the deadly part through a router; returns whether it was refused as
+    /// quarantined.
+    fn send_part_of_death(&self, index: usize) -> bool {
+        let address = self.shared.routes[index].direct;
+        let sent = callers::part_of_death(&self.shared, address);
+        self.runtime.block_on(sent)
+    }
+
+    /// Number of times that requests with this label have reached engines.
+    fn calls_with_label(&self, label: &str) -> usize {
         let all = self
             .fleet
             .stand_ins
             .iter()
             .flat_map(|s| s.recorded_labels());
-        all.filter(|label| label.starts_with(QUERY_OF_DEATH))
-            .count()
+        all.filter(|l| l.starts_with(label)).count()
     }
 
     /// Checks that an evacuated data centre gets no requests while others serve them.
