End verdicts of one router on a part that the leader does not share

A router counts what it has seen itself, for the time without control. It sees only its own requests: a session whose requests all came to one router and were broken off three times was refused there for ten minutes, although the leader attributes these crashes to another part. Found by review. A router's own verdict on a part ends if it has been in contact for two seconds and the leader has not reached it.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -40,4 +40,5 @@
 pub mod slot;
 pub mod tree;
 pub mod trial;
+pub mod verdict;
 pub mod warmup;
--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -4,6 +4,7 @@
 use crate::query::Queries;
 use coordination::attribution::{Attribution, Survivals};
 use coordination::trial::Trials;
+use coordination::verdict::Verdicts;
 use protocol::wire::{Message, Query, Reply};
 use state::clock::Millis;
 use state::fingerprint::Fingerprint;
@@ -140,6 +141,8 @@
     routers: u32,
     /// Suspicions from crashes that this process has seen.
     own: Suspects,
+    /// Parts of prompts that this process alone refuses.
+    verdicts: Verdicts,
     /// Suspicions that the control VMs have put in force.
     fleet: Statuses,
     /// Evidence to report, from this process and its children.
@@ -168,6 +171,7 @@
             trials: Arc::default(),
             routers: 1,
             own: Suspects::default(),
+            verdicts: Verdicts::default(),
             fleet: Statuses::new(),
             pending: Evidence::default(),
             next_report_at: Millis(0),
@@ -241,6 +245,30 @@
         });
     }
 
+    /// Forgets what this process has itself seen of a part.
+    fn forget_part(&mut self, part: PartId) {
+        self.attribution.forget(part);
+        let is_same = |f: &&Fingerprint| f.part().is_some_and(|(id, _)| id == part);
+        let own: Vec<Fingerprint> = self.own.fingerprints().filter(is_same).copied().collect();
+        own.iter()
+            .for_each(|fingerprint| self.own.forget(fingerprint));
+    }
+
+    /// Ends verdicts of this process alone that the control VMs have not reached. `proved` is when
+    /// this process last knew that its view was the newest.
+    pub(crate) fn review_verdicts(&mut self, now: Millis, proved: Option<Millis>) {
+        if self.own.is_empty() && self.verdicts.is_empty() {
+            return;
+        }
+        let own = self.own.statuses(1);
+        let overruled = self.verdicts.review(now, proved, &own, &self.fleet);
+        if overruled.is_empty() {
+            return;
+        }
+        overruled.iter().for_each(|part| self.forget_part(*part));
+        self.publish();
+    }
+
     /// Sets the number of routers of the fleet.
     pub(crate) fn set_routers(&mut self, routers: u32) {
         self.routers = routers;
@@ -272,7 +300,7 @@
         for fingerprint in downgraded(&self.fleet, fleet) {
             self.own.forget(&fingerprint);
             if let Some((part, _)) = fingerprint.part() {
-                self.attribution.forget(part);
+                self.forget_part(part);
             }
         }
         self.report_survivals(fleet);
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -825,6 +825,8 @@
         };
         let routers = self.dissemination.routers().unwrap_or(1);
         self.quarantine.set_routers(routers);
+        let proved = self.dissemination.verified_at();
+        self.quarantine.review_verdicts(now, proved);
         self.quarantine.tick(now, uplink);
         self.queries.tick(now, &self.parts.hub);
         self.dissemination
