Send reports of crashes again when the parent that took them is lost

The trace: the leader, which was also the parent of a router, was killed; the router noticed after three seconds, and the three crashes that it reported meanwhile were lost with the link. The next leader knew of none, and the router's own verdict, which had stopped the part, ended since the router was in contact. Reports of the last ten seconds go to a new parent again, and a router's own verdict holds until two seconds after that. A new leader drops what the one before has counted.

--- a/components/coordination/src/verdict.rs
+++ b/components/coordination/src/verdict.rs
@@ -11,6 +11,16 @@
 /// Time that the leader is given, in milliseconds.
 pub const LEADER_MS: u64 = 2000;
 
+/// Contact of a router with the leader.
+#[derive(Clone, Copy, Debug)]
+pub struct Contact {
+    /// Since when its reports go the way that they go now. What was lost on the way before was sent
+    /// again then.
+    pub reported: Millis,
+    /// When it last knew that it had the newest verdicts of the fleet.
+    pub proved: Option<Millis>,
+}
+
 /// Parts that a router alone refuses, and since when.
 #[derive(Clone, Debug, Default)]
 pub struct Verdicts {
@@ -18,13 +28,12 @@
 }
 
 impl Verdicts {
-    /// Compares the router's own suspicions with those of the fleet. `proved` is when the router last
-    /// knew that it had the newest ones of the fleet. Returns the parts on which the leader does not
-    /// agree.
+    /// Compares the router's own suspicions with those of the fleet. Returns the parts on which the
+    /// leader does not agree.
     pub fn review(
         &mut self,
         now: Millis,
-        proved: Option<Millis>,
+        contact: Contact,
         own: &Statuses,
         fleet: &Statuses,
     ) -> Vec<PartId> {
@@ -36,7 +45,11 @@
         let alone = own.iter().filter_map(quarantined);
         let since = alone.map(|f| (f, self.since.get(&f).copied().unwrap_or(now)));
         self.since = since.collect();
-        let is_overruled = |at: &Millis| proved.is_some_and(|p| p.since(*at) >= LEADER_MS);
+        let Contact { reported, proved } = contact;
+        let is_overruled = |at: &Millis| {
+            let told = reported.max(*at);
+            proved.is_some_and(|proved| proved.since(told) >= LEADER_MS)
+        };
         let overruled = self.since.iter().filter(|(_, at)| is_overruled(at));
         overruled
             .filter_map(|(f, _)| f.part())
--- a/components/coordination/tests/verdict.rs
+++ b/components/coordination/tests/verdict.rs
@@ -1,6 +1,6 @@
 //! Verdicts that a router reaches alone on parts of prompts.
 
-use coordination::verdict::{Verdicts, LEADER_MS};
+use coordination::verdict::{Contact, Verdicts, LEADER_MS};
 use state::clock::Millis;
 use state::fingerprint::Fingerprint;
 use state::id::PartId;
@@ -14,6 +14,13 @@
         .collect()
 }
 
+fn contact(reported: u64, proved: u64) -> Contact {
+    Contact {
+        reported: Millis(reported),
+        proved: Some(Millis(proved)),
+    }
+}
+
 /// Guards against a part that one router refuses for ten minutes, since it has not seen the crashes
 /// that show another part to be the cause.
 #[test]
@@ -21,7 +28,7 @@
     let mut verdicts = Verdicts::default();
     let own = statuses(Status::Quarantined);
     let fleet = statuses(Status::Watched);
-    let mut review = |ms, proved| verdicts.review(Millis(ms), Some(Millis(proved)), &own, &fleet);
+    let mut review = |ms, proved| verdicts.review(Millis(ms), contact(0, proved), &own, &fleet);
     assert!(review(1000, 900).is_empty());
     assert!(review(1000 + 2 * LEADER_MS, 1000 + LEADER_MS - 1).is_empty());
     assert_eq!(review(1000 + 2 * LEADER_MS, 1000 + LEADER_MS), [PART]);
@@ -34,11 +41,32 @@
     let own = statuses(Status::Quarantined);
     for ms in [1000, 5000, 500_000] {
         let none = Statuses::new();
-        assert!(verdicts.review(Millis(ms), None, &own, &none).is_empty());
-        let before = Some(Millis(900));
-        assert!(verdicts.review(Millis(ms), before, &own, &none).is_empty());
+        let never = Contact {
+            reported: Millis(0),
+            proved: None,
+        };
+        for contact in [never, contact(0, 900)] {
+            let overruled = verdicts.review(Millis(ms), contact, &own, &none);
+            assert!(overruled.is_empty());
+        }
     }
     let now = Millis(600_000);
-    let agreed = verdicts.review(now, Some(now), &own, &own);
+    let agreed = verdicts.review(now, contact(0, now.0), &own, &own);
     assert!(agreed.is_empty() && verdicts.is_empty());
 }
+
+/// Guards against a verdict that ends before the leader has heard of the crashes, since the reports
+/// were lost with the VM that passed them on.
+#[test]
+fn a_verdict_holds_until_the_leader_was_told_again() {
+    let mut verdicts = Verdicts::default();
+    let own = statuses(Status::Quarantined);
+    let none = Statuses::new();
+    let mut review = |ms, contact| verdicts.review(Millis(ms), contact, &own, &none);
+    assert!(review(1000, contact(0, 900)).is_empty());
+    assert!(review(4100, contact(4000, 4100)).is_empty());
+    assert_eq!(
+        review(4000 + LEADER_MS, contact(4000, 4000 + LEADER_MS)),
+        [PART]
+    );
+}
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -11,11 +11,11 @@
 use protocol::codec;
 use protocol::wire::{Drain, Hello, Message, Query, Reply};
 use serde::{Deserialize, Serialize};
-use state::clock::Millis;
+use state::clock::{Millis, Stamp};
 use state::delta::Delta;
 use state::event::{Event, Kind};
 use state::fingerprint::Fingerprint;
-use state::id::{Name, Version};
+use state::id::{Name, PartId, Version};
 use state::line::Line;
 use state::record::{Answer, DiskId, Member, Record};
 use state::store::{Document, Store};
@@ -124,6 +124,8 @@
     assigner: Assigner,
     /// Attributes crashes of endpoints to parts of prompts while this VM is the leader.
     attribution: Attribution,
+    /// Since when this VM is the leader, if it is.
+    leads_since: Stamp,
     /// Shards that have endpoints.
     shards: BTreeSet<Shard>,
     /// Members as last sent to the reactor.
@@ -176,6 +178,7 @@
             store,
             assigner: Assigner::default(),
             attribution: Attribution::default(),
+            leads_since: Stamp::default(),
             shards: BTreeSet::new(),
             members: Vec::new(),
             nodes: HashMap::new(),
@@ -301,7 +304,8 @@
                 self.reply(vm, id, Reply::CurrentVersion(self.store.view.version));
                 return;
             }
-            Query::Evidence(evidence) => {
+            Query::Evidence(mut evidence) => {
+                self.drop_counted(&mut evidence);
                 let clock = &self.parts.clock;
                 let released = self.released(&evidence);
                 let mut decided = self.attribution.attribute(now, evidence, || clock.stamp());
@@ -388,6 +392,20 @@
         }
     }
 
+    /// Drops crashes that an earlier leader has counted, and that routers report again since they lost
+    /// contact to it.
+    fn drop_counted(&self, evidence: &mut Evidence) {
+        let Evidence { breaks, .. } = evidence;
+        for broken in breaks.iter_mut().filter(|b| b.at < self.leads_since) {
+            let is_counted = |part: &PartId| {
+                let fingerprint = Fingerprint::of_part(*part, Some(broken.customer));
+                let counted = self.store.suspects.last_crash(&fingerprint);
+                counted.is_some_and(|at| at >= broken.at)
+            };
+            broken.parts.retain(|part| !is_counted(part));
+        }
+    }
+
     /// Releases parts that were answered, or released by an operator, from the suspicion of each
     /// customer's requests.
     fn released(&self, evidence: &Evidence) -> Vec<Completion> {
@@ -452,6 +470,7 @@
             if leads {
                 self.assigner.reset(now);
                 self.attribution.reset();
+                self.leads_since = self.parts.clock.stamp();
             } else {
                 self.reject_waiters();
             }
--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -4,7 +4,7 @@
 use crate::query::Queries;
 use coordination::attribution::{Attribution, Survivals};
 use coordination::trial::Trials;
-use coordination::verdict::Verdicts;
+use coordination::verdict::{Contact, Verdicts};
 use protocol::wire::{Message, Query, Reply};
 use state::clock::Millis;
 use state::fingerprint::Fingerprint;
@@ -13,7 +13,7 @@
 use state::suspect::{
     downgraded, Break, Completion, Crash, Evidence, Status, Statuses, Survival, Suspects,
 };
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{oneshot, watch};
 use transport::clock::{wall_micros, Clock};
@@ -23,11 +23,17 @@
 const PENDING_MAX: usize = 512;
 /// Largest number of crashes, and of clearances, in one report.
 const REPORT_MAX: usize = 64;
+/// Largest number of reports that are kept after they were sent.
+const SENT_MAX: usize = 64;
 /// Time between two reports, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 50;
 /// Time between two checks for expired suspicions of this process, in milliseconds.
 const EXPIRE_INTERVAL_MS: u64 = 5000;
 
+/// Time for which reports are kept, to be sent again to the next parent, in milliseconds. A parent that
+/// is lost is noticed after a few seconds, and what was sent to it meanwhile is lost with it.
+const RESEND_MS: u64 = 10_000;
+
 /// Requests and parts of prompts that are suspected or quarantined by the whole fleet, or by this
 /// process alone.
 #[derive(Debug, Default)]
@@ -147,6 +153,10 @@
     fleet: Statuses,
     /// Evidence to report, from this process and its children.
     pending: Evidence,
+    /// The parent that reports are sent to, and since when.
+    parent: Option<(Name, Millis)>,
+    /// Reports that were sent to it not long ago.
+    sent: VecDeque<(Millis, Evidence)>,
     /// When the next report is due.
     next_report_at: Millis,
     /// The reply to the last report to the leader.
@@ -174,6 +184,8 @@
             verdicts: Verdicts::default(),
             fleet: Statuses::new(),
             pending: Evidence::default(),
+            parent: None,
+            sent: VecDeque::new(),
             next_report_at: Millis(0),
             report: None,
             next_expire_at: Millis(0),
@@ -261,7 +273,9 @@
             return;
         }
         let own = self.own.statuses(1);
-        let overruled = self.verdicts.review(now, proved, &own, &self.fleet);
+        let reported = self.parent.as_ref().map_or(Millis(0), |(_, since)| *since);
+        let contact = Contact { reported, proved };
+        let overruled = self.verdicts.review(now, contact, &own, &self.fleet);
         if overruled.is_empty() {
             return;
         }
@@ -315,6 +329,7 @@
             self.own.expire(wall_micros());
             self.publish();
         }
+        self.follow_parent(now, &uplink);
         if self.pending.is_empty() || now < self.next_report_at {
             return;
         }
@@ -329,14 +344,38 @@
                     true => evidence.clone(),
                     false => evidence.clone().without_breaks(),
                 };
-                if !hub.send(parent, Message::Evidence(report)) {
-                    self.relay(evidence);
+                match hub.send(parent, Message::Evidence(report)) {
+                    true => self.sent.push_back((now, evidence)),
+                    false => self.relay(evidence),
                 }
             }
             Uplink::None => {}
         }
     }
 
+    /// Queues what was sent to the last parent again if there is a new one. Evidence that arrives twice
+    /// counts once.
+    fn follow_parent(&mut self, now: Millis, uplink: &Uplink<'_>) {
+        while self.sent.len() > SENT_MAX
+            || (self.sent.front()).is_some_and(|(at, _)| now.since(*at) > RESEND_MS)
+        {
+            self.sent.pop_front();
+        }
+        let parent = match uplink {
+            Uplink::Parent(parent, ..) => Some(*parent),
+            Uplink::Control(..) | Uplink::None => None,
+        };
+        if parent == self.parent.as_ref().map(|(name, _)| name) {
+            return;
+        }
+        self.parent = parent.map(|name| (name.clone(), now));
+        if parent.is_some() {
+            for (_, evidence) in std::mem::take(&mut self.sent) {
+                self.relay(evidence);
+            }
+        }
+    }
+
     /// Sends a report to the leader unless the last one is still unanswered.
     fn report_to_leader(
         &mut self,
--- a/components/state/src/suspect.rs
+++ b/components/state/src/suspect.rs
@@ -306,6 +306,11 @@
         self.all.contains_key(fingerprint)
     }
 
+    /// When the last crash that counts against a suspect happened.
+    pub fn last_crash(&self, fingerprint: &Fingerprint) -> Option<Stamp> {
+        self.all.get(fingerprint).map(|suspect| suspect.crashed)
+    }
+
     /// Fingerprints of all suspects.
     pub fn fingerprints(&self) -> impl Iterator<Item = &Fingerprint> {
         self.all.keys()
