--- a/components/coordination/src/attribution.rs
+++ b/components/coordination/src/attribution.rs
@@ -16,7 +16,7 @@
     Break, Completion, Crash, Evidence, Survival, QUARANTINE_CRASHES, QUARANTINE_MICROS,
     WATCH_CRASHES,
 };
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// Time after an answer for which the same part is not suspected, in milliseconds. The answer may be
 /// of another software version than the one that crashes: while one version answers a part, a faulty
@@ -37,6 +37,9 @@
 /// Crashes that are closer together than this, in microseconds, count as one against a part whose
 /// requests were in progress at all of them: the endpoints may have been lost with their rack.
 pub const SIMULTANEOUS_MICROS: u64 = 100_000;
+/// [`QUARANTINE_CRASHES`] as a length.
+// CAST: a small number.
+const CRASHES_TO_BLAME: usize = QUARANTINE_CRASHES as usize;
 /// Most customers of a part whose crashes are counted separately.
 pub const CUSTOMERS_MAX: usize = 16;
 /// Longest time between the first and the last break of the same crash, in microseconds. Routers
@@ -261,13 +264,11 @@
     /// Lowers the numbers of crashes that were passed on to those that are still remembered.
     fn lower(&mut self) {
         let standings = self.standings();
-        let crashes = |part: PartId| {
-            let found = standings.iter().find(|s| s.part == part);
-            found.map_or(0, |s| s.crashes)
-        };
+        let crashes: BTreeMap<PartId, u32> =
+            standings.iter().map(|s| (s.part, s.crashes)).collect();
         self.passed_on.retain(|fingerprint, passed_on| {
             let (part, _) = fingerprint.part().unwrap_or_default();
-            *passed_on = crashes(part).min(*passed_on);
+            *passed_on = crashes.get(&part).copied().unwrap_or(0).min(*passed_on);
             *passed_on > 0
         });
     }
@@ -277,14 +278,11 @@
     where
         F: FnMut() -> Stamp,
     {
-        let wanted = self.wanted();
-        let is_known = |f: &Fingerprint| {
-            let part = f.part().map(|(part, _)| part);
-            self.incidents
-                .iter()
-                .any(|i| part.is_some_and(|part| i.suspects.contains_key(&part)))
-        };
-        let too_much: Vec<Fingerprint> = (self.passed_on.iter())
+        let standings = self.standings();
+        let wanted = wanted(&standings);
+        let parts: BTreeSet<PartId> = standings.iter().map(|s| s.part).collect();
+        let is_known = |f: &Fingerprint| f.part().is_some_and(|(part, _)| parts.contains(&part));
+        let too_much: BTreeSet<Fingerprint> = (self.passed_on.iter())
             .filter(|(f, passed_on)| is_known(f) && wanted.get(f).is_none_or(|n| n < passed_on))
             .map(|(f, _)| *f)
             .collect();
@@ -322,28 +320,6 @@
             }));
     }
 
-    /// Crashes to be passed on by part and customer, and by part alone if at least two customers have
-    /// sent it: no customer can have another's part refused to all.
-    fn wanted(&self) -> BTreeMap<Fingerprint, u32> {
-        let mut wanted = BTreeMap::new();
-        for standing in self.standings() {
-            let mut want = |customer, crashes: u32| {
-                let fingerprint = Fingerprint::of_part(standing.part, customer);
-                let crashes = crashes.min(standing.crashes).min(QUARANTINE_CRASHES);
-                if crashes > 0 {
-                    wanted.insert(fingerprint, crashes);
-                }
-            };
-            if standing.customers.len() > 1 {
-                want(None, standing.crashes);
-            }
-            for (customer, crashes) in &standing.customers {
-                want(Some(*customer), *crashes);
-            }
-        }
-        wanted
-    }
-
     /// How far each part is under suspicion. Parts whose crashes others explain have none.
     pub fn standings(&self) -> Vec<Standing> {
         let mut places: BTreeMap<PartId, SmallVec<[usize; 8]>> = BTreeMap::new();
@@ -375,7 +351,8 @@
         places: &BTreeMap<PartId, SmallVec<[usize; 8]>>,
         is_explained: &[bool],
     ) -> Option<(PartId, u32)> {
-        let ranked = places.iter().map(|(part, own)| {
+        let frequent = (places.iter()).filter(|(_, own)| own.len() >= CRASHES_TO_BLAME);
+        let ranked = frequent.map(|(part, own)| {
             let seen = own
                 .iter()
                 .filter_map(|place| self.incidents[*place].suspects.get(part));
@@ -447,3 +424,25 @@
         }
     }
 }
+
+/// Crashes to be passed on by part and customer, and by part alone if at least two customers have sent
+/// it: no customer can have another's part refused to all.
+fn wanted(standings: &[Standing]) -> BTreeMap<Fingerprint, u32> {
+    let mut wanted = BTreeMap::new();
+    for standing in standings {
+        let mut want = |customer, crashes: u32| {
+            let fingerprint = Fingerprint::of_part(standing.part, customer);
+            let crashes = crashes.min(standing.crashes).min(QUARANTINE_CRASHES);
+            if crashes > 0 {
+                wanted.insert(fingerprint, crashes);
+            }
+        };
+        if standing.customers.len() > 1 {
+            want(None, standing.crashes);
+        }
+        for (customer, crashes) in &standing.customers {
+            want(Some(*customer), *crashes);
+        }
+    }
+    wanted
+}
