--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -396,6 +396,17 @@
         self.stand_ins[index].process.kill();
     }
 
+    /// Kills the stand-ins for model engines in turn, each until shortly before the next, `kills` times.
+    pub(crate) fn kill_models_in_turn(&mut self, kills: usize) {
+        for turn in 0..kills {
+            let index = turn % self.plan.models;
+            self.kill_stand_in(index);
+            std::thread::sleep(Duration::from_millis(150));
+            self.stand_ins[index].process.start();
+            std::thread::sleep(Duration::from_millis(150));
+        }
+    }
+
     /// Applies a configuration through the command line; returns status, output and errors.
     pub(crate) fn apply(&self, text: &str, more: &[&str]) -> (ExitStatus, String, String) {
         let file = self
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -214,13 +214,7 @@
                 }
             });
         }
-        for turn in 0..24 {
-            let index = turn % 4;
-            fleet.kill_stand_in(index);
-            std::thread::sleep(Duration::from_millis(150));
-            fleet.stand_ins[index].process.start();
-            std::thread::sleep(Duration::from_millis(150));
-        }
+        fleet.kill_models_in_turn(24);
     });
     println!("served {served:?}, not served {cut:?}");
     for router in &routers {
