--- /dev/null
+++ b/review/standin/src/replica.rs
@@ -0,0 +1,125 @@
+//! A stand-in for a replica of a plain service: it echoes the id of a request, checks the
+//! instance that is expected, signs its responses and says how loaded it is.
+
+use crate::http::{self, Message};
+use crate::record::Record;
+use std::io::{BufReader, Result, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+pub struct Replica {
+    pub id: String,
+    pub slots: u32,
+    pub work: Duration,
+    pub record: Arc<Record>,
+    /// Whether the replica is faulty at this moment.
+    pub is_faulty: fn(&Replica) -> bool,
+    /// One in so many responses is spoilt while the replica is faulty.
+    pub spoilt_each: u64,
+    /// Bytes that a faulty replica sends at the point where a response is expected, before that
+    /// response: they belong to no request.
+    pub extra: &'static [u8],
+    running: AtomicU32,
+    responses: AtomicU64,
+}
+
+impl Replica {
+    pub fn start(
+        id: &str,
+        address: SocketAddr,
+        record: Arc<Record>,
+        is_faulty: fn(&Replica) -> bool,
+        extra: &'static [u8],
+    ) -> Result<Arc<Self>> {
+        let listener = TcpListener::bind(address)?;
+        let replica = Arc::new(Replica {
+            id: id.to_owned(),
+            slots: 6,
+            work: Duration::from_millis(30),
+            record,
+            is_faulty,
+            spoilt_each: 34,
+            extra,
+            running: AtomicU32::new(0),
+            responses: AtomicU64::new(0),
+        });
+        let served = replica.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let replica = served.clone();
+                std::thread::spawn(move || replica.serve(stream));
+            }
+        });
+        Ok(replica)
+    }
+
+    /// Answers the requests of one channel, one after the other.
+    fn serve(&self, stream: TcpStream) -> Option<()> {
+        stream.set_nodelay(true).ok()?;
+        let mut writer = stream.try_clone().ok()?;
+        let mut reader = BufReader::new(stream);
+        let mut answered = 0_u64;
+        while let Some(request) = http::read(&mut reader).ok()? {
+            if request.second() == "/health" {
+                let head = format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\n", self.id);
+                let load = self.load();
+                writer.write_all(format!("{head}{load}Content-Length: 0\r\n\r\n").as_bytes()).ok()?;
+                continue;
+            }
+            if answered > 0 && (self.is_faulty)(self) {
+                let number = self.responses.fetch_add(1, Ordering::Relaxed) + 1;
+                if number % self.spoilt_each == 0 {
+                    let id = request.header("attempt-id").unwrap_or("");
+                    self.record.add(&format!("spoilt {id} {}", self.id));
+                    writer.write_all(self.extra).ok()?;
+                }
+            }
+            let response = self.answer(&request);
+            writer.write_all(&response).ok()?;
+            answered += 1;
+        }
+        Some(())
+    }
+
+    fn load(&self) -> String {
+        let running = self.running.load(Ordering::Relaxed);
+        format!("Server-Load: {running},0,{}\r\n", self.slots)
+    }
+
+    /// Runs a request, unless it is meant for another replica or all slots are taken.
+    fn answer(&self, request: &Message) -> Vec<u8> {
+        let id = request.header("attempt-id").unwrap_or("").to_owned();
+        let refused = |status: &str, why: &str| {
+            format!(
+                "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nNot-Executed: {why}\r\n\
+                 Content-Length: 0\r\n\r\n"
+            )
+            .into_bytes()
+        };
+        if id.is_empty() {
+            let head = "HTTP/1.1 400 Bad Request\r\nNot-Executed: no id\r\n";
+            return format!("{head}Content-Length: 0\r\n\r\n").into_bytes();
+        }
+        if request.header("expected-instance").is_some_and(|expected| expected != self.id) {
+            return refused("421 Misdirected Request", "other instance");
+        }
+        if self.running.fetch_add(1, Ordering::Relaxed) >= self.slots {
+            self.running.fetch_sub(1, Ordering::Relaxed);
+            return refused("503 Service Unavailable", "full");
+        }
+        self.record.add(&format!("run {id} {} {}", self.id, request.second()));
+        std::thread::sleep(self.work);
+        self.running.fetch_sub(1, Ordering::Relaxed);
+        let body = format!("{id} was run by {}\n", self.id);
+        let load = self.load();
+        let length = body.len();
+        format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: {}.{id}\r\n{load}\
+             Content-Length: {length}\r\n\r\n{body}",
+            self.id
+        )
+        .into_bytes()
+    }
+}
