--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 leaves out the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/release/review-standin ] || exit 2
+exec target/review/release/review-standin 2 review/2/record.txt
--- a/review/standin/src/case1.rs
+++ b/review/standin/src/case1.rs
@@ -4,7 +4,7 @@
 use crate::fleet::{Fleet, Listed, REPLICA};
 use crate::http::Channel;
 use crate::record::Record;
-use crate::replica::Replica;
+use crate::replica::{Kind, Replica};
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -80,7 +80,8 @@
     for number in 0..3 {
         let id = format!("i-booking-{number}");
         let address = fleet.address(3, number, REPLICA);
-        Replica::start(&id, address, record.clone(), is_faulty, EXTRA).map_err(|e| e.to_string())?;
+        let kind = Kind { is_faulty, extra: EXTRA, ..Kind::PLAIN };
+        Replica::start(&id, address, record.clone(), kind).map_err(|e| e.to_string())?;
         let service = "booking".to_owned();
         listed.push(Listed { id, service, address, slots: 6 });
     }
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -206,6 +206,27 @@
         Ok(())
     }
 
+    /// Id of the process of a router.
+    pub fn router_pid(&self, number: usize) -> Option<u32> {
+        let name = format!("router-{number}");
+        let found = self.children.iter().find(|(n, _)| *n == name);
+        found.map(|(_, child)| child.id())
+    }
+
+    /// Whether a router has ended.
+    pub fn has_ended(&mut self, number: usize) -> bool {
+        self.ended().contains(&format!("router-{number}"))
+    }
+
+    /// Kills a router.
+    pub fn kill(&mut self, number: usize) {
+        let name = format!("router-{number}");
+        if let Some((_, child)) = self.children.iter_mut().find(|(n, _)| *n == name) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
     /// Processes that have ended by themselves.
     pub fn ended(&mut self) -> Vec<String> {
         let all = self.children.iter_mut();
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the clients, the replicas and the platform, and the cases that use them.
 
 mod case1;
+mod case2;
 mod fleet;
 mod http;
 mod record;
@@ -18,6 +19,7 @@
     let record = Arc::new(Record::new());
     let result = match case.as_str() {
         "1" => case1::run(&record, trouble),
+        "2" => case2::run(&record, trouble),
         _ => Err(format!("there is no case {case:?}")),
     };
     let code = match &result {
--- a/review/standin/src/replica.rs
+++ b/review/standin/src/replica.rs
@@ -1,5 +1,6 @@
-//! A stand-in for a replica of a plain service: it echoes the id of a request, checks the
-//! instance that is expected, signs its responses and says how loaded it is.
+//! A stand-in for a replica of a plain service, or for a model replica that answers with a stream of
+//! events: it echoes the id of a request, checks the instance that is expected, signs its responses
+//! and says how loaded it is.
 
 use crate::http::{self, Message};
 use crate::record::Record;
@@ -9,10 +10,41 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// What a replica does.
+#[derive(Clone, Copy)]
+pub struct Kind {
+    pub slots: u32,
+    /// Time until the response, or until its first event.
+    pub work: Duration,
+    /// Events of a response, 20 ms apart; 0 for a plain service.
+    pub events: u32,
+    pub is_faulty: fn(&Replica) -> bool,
+    pub extra: &'static [u8],
+}
+
+impl Kind {
+    /// A sound replica of a plain service.
+    pub const PLAIN: Kind = Kind {
+        slots: 6,
+        work: Duration::from_millis(30),
+        events: 0,
+        is_faulty: |_| false,
+        extra: b"",
+    };
+    /// A sound model replica.
+    pub const MODEL: Kind = Kind {
+        slots: 64,
+        events: 30,
+        ..Kind::PLAIN
+    };
+}
+
 pub struct Replica {
     pub id: String,
     pub slots: u32,
     pub work: Duration,
+    /// Events of a response; 0 for a plain service, whose responses have a length.
+    pub events: u32,
     pub record: Arc<Record>,
     /// Whether the replica is faulty at this moment.
     pub is_faulty: fn(&Replica) -> bool,
@@ -30,18 +62,18 @@
         id: &str,
         address: SocketAddr,
         record: Arc<Record>,
-        is_faulty: fn(&Replica) -> bool,
-        extra: &'static [u8],
+        kind: Kind,
     ) -> Result<Arc<Self>> {
         let listener = TcpListener::bind(address)?;
         let replica = Arc::new(Replica {
             id: id.to_owned(),
-            slots: 6,
-            work: Duration::from_millis(30),
+            slots: kind.slots,
+            work: kind.work,
+            events: kind.events,
             record,
-            is_faulty,
+            is_faulty: kind.is_faulty,
             spoilt_each: 34,
-            extra,
+            extra: kind.extra,
             running: AtomicU32::new(0),
             responses: AtomicU64::new(0),
         });
@@ -68,6 +100,13 @@
                 writer.write_all(format!("{head}{load}Content-Length: 0\r\n\r\n").as_bytes()).ok()?;
                 continue;
             }
+            if let Some(page) = engine_page(request.second()) {
+                let length = page.len();
+                let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+                let page = format!("{head}Content-Length: {length}\r\n\r\n{page}");
+                writer.write_all(page.as_bytes()).ok()?;
+                continue;
+            }
             if answered > 0 && (self.is_faulty)(self) {
                 let number = self.responses.fetch_add(1, Ordering::Relaxed) + 1;
                 if number % self.spoilt_each == 0 {
@@ -76,8 +115,11 @@
                     writer.write_all(self.extra).ok()?;
                 }
             }
-            let response = self.answer(&request);
+            let (is_run, response) = self.answer(&request);
             writer.write_all(&response).ok()?;
+            if is_run && self.events > 0 {
+                self.stream(&mut writer).ok()?;
+            }
             answered += 1;
         }
         Some(())
@@ -89,18 +131,18 @@
     }
 
     /// Runs a request, unless it is meant for another replica or all slots are taken.
-    fn answer(&self, request: &Message) -> Vec<u8> {
+    fn answer(&self, request: &Message) -> (bool, Vec<u8>) {
         let id = request.header("attempt-id").unwrap_or("").to_owned();
         let refused = |status: &str, why: &str| {
-            format!(
+            let response = format!(
                 "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nNot-Executed: {why}\r\n\
                  Content-Length: 0\r\n\r\n"
-            )
-            .into_bytes()
+            );
+            (false, response.into_bytes())
         };
         if id.is_empty() {
             let head = "HTTP/1.1 400 Bad Request\r\nNot-Executed: no id\r\n";
-            return format!("{head}Content-Length: 0\r\n\r\n").into_bytes();
+            return (false, format!("{head}Content-Length: 0\r\n\r\n").into_bytes());
         }
         if request.header("expected-instance").is_some_and(|expected| expected != self.id) {
             return refused("421 Misdirected Request", "other instance");
@@ -114,12 +156,38 @@
         self.running.fetch_sub(1, Ordering::Relaxed);
         let body = format!("{id} was run by {}\n", self.id);
         let load = self.load();
-        let length = body.len();
-        format!(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: {}.{id}\r\n{load}\
-             Content-Length: {length}\r\n\r\n{body}",
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: {}.{id}\r\n{load}",
             self.id
-        )
-        .into_bytes()
+        );
+        let response = match self.events {
+            0 => format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()),
+            _ => format!(
+                "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            ),
+        };
+        (true, response.into_bytes())
+    }
+
+    /// Sends the events of a response, and its end.
+    fn stream(&self, writer: &mut TcpStream) -> Result<()> {
+        for number in 1..=self.events {
+            let event = format!("id: {number}\ndata: word {number}\n\n");
+            writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        writer.write_all(b"0\r\n\r\n")
+    }
+}
+
+/// What a model replica tells of itself.
+fn engine_page(path: &str) -> Option<&'static str> {
+    match path {
+        "/report" => Some(
+            "{\"stage\":\"both\",\"models\":[],\"busy\":false,\"seq\":0,\"queued_requests\":0,\
+             \"running_requests\":0,\"kv_used\":0,\"kv_total\":555462,\"handles\":0}",
+        ),
+        _ if path.starts_with("/kv-list") => Some("{\"epoch\":1,\"next\":0,\"held\":[]}"),
+        _ => None,
     }
 }
