--- a/review/standin/src/case1.rs
+++ b/review/standin/src/case1.rs
@@ -39,7 +39,9 @@
             let signature = answer.header("response-signature").unwrap_or("-");
             record.add(&format!("answered {id} {} {signature}", answer.status()));
             let is_promise = matches!(answer.status(), 408 | 421 | 429 | 503);
-            let after = answer.header("retry-after").and_then(|text| text.parse().ok());
+            let after = answer
+                .header("retry-after")
+                .and_then(|text| text.parse().ok());
             is_promise.then(|| Duration::from_secs_f64(after.unwrap_or(0.0)))
         }
         Err(error) => {
@@ -65,7 +67,12 @@
             std::thread::sleep(after.min(Duration::from_millis(DEADLINE_MS / 3)));
             let other = fleet.router((number + 1) % 3);
             let mut once_more = Channel::open(other, wait).ok()?;
-            book(&mut once_more, record, &format!("b{number:02}{turn:04}"), booking);
+            book(
+                &mut once_more,
+                record,
+                &format!("b{number:02}{turn:04}"),
+                booking,
+            );
             channel = Channel::open(router, wait).ok()?;
         }
         std::thread::sleep(Duration::from_millis(80));
@@ -80,10 +87,19 @@
     for number in 0..3 {
         let id = format!("i-booking-{number}");
         let address = fleet.address(3, number, REPLICA);
-        let kind = Kind { is_faulty, extra: EXTRA, ..Kind::PLAIN };
+        let kind = Kind {
+            is_faulty,
+            extra: EXTRA,
+            ..Kind::PLAIN
+        };
         Replica::start(&id, address, record.clone(), kind).map_err(|e| e.to_string())?;
         let service = "booking".to_owned();
-        listed.push(Listed { id, service, address, slots: 6 });
+        listed.push(Listed {
+            id,
+            service,
+            address,
+            slots: 6,
+        });
     }
     fleet.set_list(listed);
     fleet.put(CONFIG)?;
@@ -123,14 +139,22 @@
     let promised = answers.iter().filter(is_promise);
     let broken: Vec<_> = promised.filter(|words| ran.contains(&words[1])).collect();
     for words in &broken {
-        record.add(&format!("broken REFUSED: {} was answered {} and has run", words[1], words[2]));
+        record.add(&format!(
+            "broken REFUSED: {} was answered {} and has run",
+            words[1], words[2]
+        ));
     }
     let mut bookings: HashMap<&String, usize> = HashMap::new();
     for words in &runs {
         *bookings.entry(&words[3]).or_default() += 1;
     }
     let doubled = bookings.values().filter(|count| **count > 1).count();
-    record.add(&format!("served {served}, promised and run {}", broken.len()));
-    record.add(&format!("bookings that were made twice, by the client's retry: {doubled}"));
+    record.add(&format!(
+        "served {served}, promised and run {}",
+        broken.len()
+    ));
+    record.add(&format!(
+        "bookings that were made twice, by the client's retry: {doubled}"
+    ));
     Ok(broken.len())
 }
--- a/review/standin/src/case2.rs
+++ b/review/standin/src/case2.rs
@@ -38,7 +38,12 @@
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(DEADLINE))?;
         let reader = BufReader::new(stream.try_clone()?);
-        Ok(Client { record, number, stream, reader })
+        Ok(Client {
+            record,
+            number,
+            stream,
+            reader,
+        })
     }
 
     /// Sends a request within `upload`, and waits for its answer. Returns whether one came, and how
@@ -67,16 +72,22 @@
         match answer {
             Ok(Some(answer)) => {
                 let bytes = answer.body.len();
-                self.record.add(&format!("answered {id} {} whole, {bytes} bytes", answer.status()));
+                self.record.add(&format!(
+                    "answered {id} {} whole, {bytes} bytes",
+                    answer.status()
+                ));
                 Ok((true, after))
             }
             Ok(None) => {
-                self.record.add(&format!("answered {id} none: channel closed after {after:?}"));
+                self.record.add(&format!(
+                    "answered {id} none: channel closed after {after:?}"
+                ));
                 Ok((false, after))
             }
             Err(error) => {
                 let kind = error.kind();
-                self.record.add(&format!("answered {id} none: {kind:?} after {after:?}"));
+                self.record
+                    .add(&format!("answered {id} none: {kind:?} after {after:?}"));
                 Ok((false, after))
             }
         }
@@ -92,7 +103,12 @@
         let address = fleet.address(3, number, REPLICA);
         Replica::start(&id, address, record.clone(), Kind::MODEL).map_err(|e| e.to_string())?;
         let service = "coach".to_owned();
-        listed.push(Listed { id, service, address, slots: 64 });
+        listed.push(Listed {
+            id,
+            service,
+            address,
+            slots: 64,
+        });
     }
     fleet.set_list(listed);
     fleet.put(CONFIG)?;
@@ -112,7 +128,9 @@
     let began = Instant::now();
     if trouble {
         record.add("SIGTERM to router-0");
-        let sent = Command::new("kill").args(["-TERM", &pid.to_string()]).status();
+        let sent = Command::new("kill")
+            .args(["-TERM", &pid.to_string()])
+            .status();
         sent.map_err(|e| format!("kill: {e}"))?;
     }
     let results = std::thread::scope(|scope| {
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -118,7 +118,10 @@
             ("internal_port_range.1", OPERATORS.to_string()),
             ("listen.front", SocketAddr::new(at.ip(), FRONT).to_string()),
             ("listen.ready", SocketAddr::new(at.ip(), READY).to_string()),
-            ("listen.control", SocketAddr::new(at.ip(), CONTROL).to_string()),
+            (
+                "listen.control",
+                SocketAddr::new(at.ip(), CONTROL).to_string(),
+            ),
             ("cloud.address", self.address(2, 0, PLATFORM).to_string()),
             ("fault_tolerance.machines", "1".to_owned()),
             ("limits.memory_mb", "256".to_owned()),
@@ -132,7 +135,9 @@
         let mut text = text.to_owned();
         if let (Some(from), Some(to)) = (text.find("{{#zones}}"), text.find("{{/zones}}")) {
             let inner = text[from + "{{#zones}}".len()..to].to_owned();
-            let each = ZONES.iter().map(|z| inner.replace("{{@}}", z).replace("{{.}}", REGION));
+            let each = ZONES
+                .iter()
+                .map(|z| inner.replace("{{@}}", z).replace("{{.}}", REGION));
             let all: String = each.collect();
             text.replace_range(from..to + "{{/zones}}".len(), &all);
         }
@@ -151,7 +156,9 @@
             for stream in listener.incoming().flatten() {
                 let list = list.clone();
                 std::thread::spawn(move || {
-                    let Ok(mut writer) = stream.try_clone() else { return };
+                    let Ok(mut writer) = stream.try_clone() else {
+                        return;
+                    };
                     let mut reader = BufReader::new(stream);
                     while let Ok(Some(_)) = http::read(&mut reader) {
                         let body = list_page(&list.lock().unwrap());
@@ -176,7 +183,11 @@
         let began = Instant::now();
         let mut last = String::new();
         for number in (0..3).cycle() {
-            let answer = call(self.core(number), request.as_bytes(), Duration::from_secs(3));
+            let answer = call(
+                self.core(number),
+                request.as_bytes(),
+                Duration::from_secs(3),
+            );
             match answer {
                 Ok(answer) if answer.status() == 200 => return Ok(()),
                 Ok(answer) => last = answer.first,
@@ -275,8 +286,15 @@
         let net = (100 + (number % 100) as u8, (number / 100 % 250) as u8);
         let ip = |host: u8| Ipv4Addr::new(127, net.0, net.1, host);
         let ports = [FRONT, READY, CONTROL, OPERATORS, PLATFORM, REPLICA];
-        let tcp = |host: u8| ports.iter().all(|p| TcpListener::bind((ip(host), *p)).is_ok());
+        let tcp = |host: u8| {
+            ports
+                .iter()
+                .all(|p| TcpListener::bind((ip(host), *p)).is_ok())
+        };
         let free = |host: u8| tcp(host) && UdpSocket::bind((ip(host), LINK)).is_ok();
-        [1, 2, 3, 21, 22, 23, 41, 61, 62, 63].into_iter().all(free).then_some(net)
+        [1, 2, 3, 21, 22, 23, 41, 61, 62, 63]
+            .into_iter()
+            .all(free)
+            .then_some(net)
     })
 }
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -52,7 +52,9 @@
     if message.header("transfer-encoding").is_some() {
         read_chunks(reader, &mut message.body)?;
     } else if let Some(length) = message.header("content-length") {
-        let length = length.parse().map_err(|_| Error::from(ErrorKind::InvalidData))?;
+        let length = length
+            .parse()
+            .map_err(|_| Error::from(ErrorKind::InvalidData))?;
         message.body = vec![0; length];
         reader.read_exact(&mut message.body)?;
     }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -14,7 +14,10 @@
 /// Runs `review-standin CASE RECORD`; `TROUBLE=0` leaves out the disruption.
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
-    let (case, path) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
+    let (case, path) = (
+        args.next().unwrap_or_default(),
+        args.next().unwrap_or_default(),
+    );
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Arc::new(Record::new());
     let result = match case.as_str() {
--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -28,7 +28,9 @@
         let lines = self.lines.lock().unwrap();
         let split = lines.iter().map(|line| line.split_whitespace().skip(1));
         let split = split.map(|words| words.map(str::to_owned).collect::<Vec<_>>());
-        split.filter(|words| words.first().is_some_and(|w| w == word)).collect()
+        split
+            .filter(|words| words.first().is_some_and(|w| w == word))
+            .collect()
     }
 
     pub fn write(&self, path: &str) -> std::io::Result<()> {
--- a/review/standin/src/replica.rs
+++ b/review/standin/src/replica.rs
@@ -97,7 +97,9 @@
             if request.second() == "/health" {
                 let head = format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\n", self.id);
                 let load = self.load();
-                writer.write_all(format!("{head}{load}Content-Length: 0\r\n\r\n").as_bytes()).ok()?;
+                writer
+                    .write_all(format!("{head}{load}Content-Length: 0\r\n\r\n").as_bytes())
+                    .ok()?;
                 continue;
             }
             if let Some(page) = engine_page(request.second()) {
@@ -142,16 +144,23 @@
         };
         if id.is_empty() {
             let head = "HTTP/1.1 400 Bad Request\r\nNot-Executed: no id\r\n";
-            return (false, format!("{head}Content-Length: 0\r\n\r\n").into_bytes());
+            return (
+                false,
+                format!("{head}Content-Length: 0\r\n\r\n").into_bytes(),
+            );
         }
-        if request.header("expected-instance").is_some_and(|expected| expected != self.id) {
+        if request
+            .header("expected-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
             return refused("421 Misdirected Request", "other instance");
         }
         if self.running.fetch_add(1, Ordering::Relaxed) >= self.slots {
             self.running.fetch_sub(1, Ordering::Relaxed);
             return refused("503 Service Unavailable", "full");
         }
-        self.record.add(&format!("run {id} {} {}", self.id, request.second()));
+        self.record
+            .add(&format!("run {id} {} {}", self.id, request.second()));
         std::thread::sleep(self.work);
         self.running.fetch_sub(1, Ordering::Relaxed);
         let body = format!("{id} was run by {}\n", self.id);
