Log what a stopping process still waits for

Cause: neither logs nor metrics told what a stopping process waits for, nor why it ends: they showed what the dispatcher holds, which a request enters only once its body is complete.

Change: `cowslipford_work` counts all requests, and what outlives them, by stage. A stopping process logs them each second (`draining`), why its wait for requests ended and what was left (`drained`), and its end (`stopped`). The behaviour of a stop is the same.

--- a/components/node/src/frontend/access_log.rs
+++ b/components/node/src/frontend/access_log.rs
@@ -11,6 +11,7 @@
 use crate::input::{Continued, Dispatch};
 use crate::metric::{Labels, Metrics};
 use crate::shared::Published;
+use crate::work::{Item, Stage};
 use coordination::ending::Framing;
 use coordination::messages::Placement;
 use coordination::origin::Decision;
@@ -21,6 +22,7 @@
 use state::id::{Name, RequestId, Software};
 use state::line::Line;
 use state::outcome::Outcome;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Reason logged for an answer whose endpoint closed the connection before its end.
@@ -30,6 +32,8 @@
 #[derive(Debug)]
 pub(crate) struct Entry {
     id: RequestId,
+    /// The request as work in progress.
+    work: Arc<Item>,
     /// ID that the caller gave the request.
     caller_request_id: Option<HeaderValue>,
     arrived_at: Instant,
@@ -98,11 +102,13 @@
         now: Millis,
         published: &Published,
         metrics: Metrics,
+        work: Arc<Item>,
     ) -> Self {
         metrics.open_requests.inc();
         metrics.request_heads.inc();
         Entry {
             id,
+            work,
             metrics,
             caller_request_id: None,
             arrived_at,
@@ -135,6 +141,11 @@
         self.id
     }
 
+    /// Records that the next stage of the request has begun.
+    pub(super) fn set_stage(&self, next: Stage) {
+        self.work.set(next);
+    }
+
     /// Records the ID that the caller gave the request.
     pub(crate) fn set_caller_request_id(&mut self, caller_request_id: Option<HeaderValue>) {
         self.caller_request_id = caller_request_id;
--- a/components/node/src/frontend/claim.rs
+++ b/components/node/src/frontend/claim.rs
@@ -5,6 +5,7 @@
 use super::upstream::Call;
 use crate::input::Input;
 use crate::interface::REQUEST_ID;
+use crate::work::Stage;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Response, StatusCode};
@@ -191,8 +192,12 @@
             .context
             .reactor
             .send(Input::Query(query, sender));
-        // The reactor repeats the query until its receiver is dropped.
-        tokio::spawn(tokio::time::timeout(SETTLE_TIMEOUT, receiver));
+        let work = self.frontend.context.work.begin(Stage::Settlement);
+        tokio::spawn(async move {
+            // The reactor repeats the query until its receiver is dropped.
+            let _ = tokio::time::timeout(SETTLE_TIMEOUT, receiver).await;
+            drop(work);
+        });
     }
 }
 
--- a/components/node/src/frontend/connections.rs
+++ b/components/node/src/frontend/connections.rs
@@ -3,6 +3,7 @@
 //! An idle connection is closed to make room for a new one; a connection whose caller does not
 //! read an answer is closed once the answer's deadline is past.
 
+use crate::work::Item;
 use coordination::idle::{Key, Tracker};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -51,6 +52,8 @@
 pub(super) struct Activity {
     registry: Arc<Registry>,
     id: Key,
+    /// The request as work in progress.
+    work: Arc<Item>,
 }
 
 impl Registry {
@@ -111,12 +114,13 @@
 }
 
 impl Registration {
-    /// Marks the connection as busy until the returned value is dropped.
-    pub(super) fn begin(&self) -> Activity {
+    /// Marks the connection as busy with a request until the returned value is dropped.
+    pub(super) fn begin(&self, work: Item) -> Activity {
         self.registry.table().idle_times.begin(self.id);
         Activity {
             registry: self.registry.clone(),
             id: self.id,
+            work: Arc::new(work),
         }
     }
 
@@ -132,6 +136,11 @@
 }
 
 impl Activity {
+    /// The request as work in progress.
+    pub(super) fn work(&self) -> Arc<Item> {
+        self.work.clone()
+    }
+
     /// Sets the deadline of the answer that is being relayed.
     pub(super) fn set_answer_deadline(&self, at: Instant) {
         self.registry.table().answer_deadlines.insert(self.id, at);
--- a/components/node/src/frontend/forward.rs
+++ b/components/node/src/frontend/forward.rs
@@ -17,6 +17,7 @@
 use crate::handover::{Decided, Handover, Ticket};
 use crate::interface::Inbound;
 use crate::shared::Published;
+use crate::work::Stage;
 use bytes::Bytes;
 use coordination::ending::{Boundary, Ending, Framing};
 use coordination::handover::{must_decline, Origin};
@@ -130,6 +131,7 @@
         Decided::HandOver(ticket) => ticket,
     };
     frontend.context.metrics.handed_over.inc();
+    entry.set_stage(Stage::Peer);
     entry.begin_handover(ticket.vm());
     let deadline = arrived_at + inbound.timeout.unwrap_or(ANSWER_MAX);
     let mut found = None;
--- a/components/node/src/frontend/listen.rs
+++ b/components/node/src/frontend/listen.rs
@@ -16,6 +16,7 @@
 use crate::monitor::{Lateness, PROBE_INTERVAL};
 use crate::quarantine::Suspicions;
 use crate::shared::{cancelled, Published};
+use crate::work::{Stage, Tally};
 use coordination::admission::Admission;
 use coordination::attribution::Survivals;
 use coordination::budget::Budget;
@@ -109,6 +110,8 @@
     pub(crate) journal: Journal,
     /// Metrics of this process.
     pub(crate) metrics: Metrics,
+    /// Work in progress in this process.
+    pub(crate) work: Tally,
     /// Input queue of the reactor.
     pub(crate) reactor: flume::Sender<Input>,
     /// Configuration and state that the reactor publishes.
@@ -383,12 +386,13 @@
         let in_progress = unframed::InProgress::default();
         let socket = unframed::Socket::new(stream, in_progress.clone());
         let service = service_fn(move |request| {
-            let (frontend, activity) = (frontend.clone(), shared.begin());
+            let work = frontend.context.work.begin(Stage::Body);
+            let (frontend, activity) = (frontend.clone(), shared.begin(work));
             let in_progress = in_progress.clone();
             let is_unframed = unframed::is_unframed(&request);
             // Boxed, so that an idle connection does not hold the memory of a request.
             Box::pin(async move {
-                let reply = serve(frontend, request).await?;
+                let reply = serve(frontend, request, activity.work()).await?;
                 if let Some(AnswerDeadline(at)) = reply.extensions().get() {
                     activity.set_answer_deadline(*at);
                 }
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -15,6 +15,7 @@
 use crate::input::{Decided, Decision, Dispatch, Input};
 use crate::interface::REQUEST_ID;
 use crate::shared::Published;
+use crate::work::{Item, Stage};
 use bytes::Bytes;
 use coordination::dispatcher::{Handle, Rejection};
 use coordination::ending::Boundary;
@@ -59,6 +60,7 @@
 pub(crate) async fn serve(
     frontend: Arc<Frontend>,
     request: Request<Incoming>,
+    work: Arc<Item>,
 ) -> Result<Reply, std::convert::Infallible> {
     let id = RequestId {
         router: frontend.context.incarnation,
@@ -68,8 +70,9 @@
     let published = frontend.context.published.borrow().clone();
     let now = frontend.context.clock.now();
     let metrics = frontend.context.metrics.clone();
-    let mut entry = Entry::new(id, arrived_at, now, &published, metrics);
+    let mut entry = Entry::new(id, arrived_at, now, &published, metrics, work);
     let answered = handle(&frontend, &published, &mut entry, request, arrived_at).await;
+    entry.set_stage(Stage::Answer);
     let is_busy = matches!(&answered, Err(refusal) if refusal.code == BUSY_CODE);
     let is_refused = answered.is_err();
     let reply = match answered {
@@ -198,6 +201,7 @@
         .record(event.customer(plan.customer));
     let key = call.headers.get("idempotency-key").cloned();
     let mut claimed = None;
+    entry.set_stage(Stage::Control);
     if let Some(key) = key.filter(|_| !plan.idempotent) {
         let wait = plan.timeout.min(Duration::from_secs(10));
         match claim(frontend, &call, plan.customer, key.as_bytes(), wait).await? {
@@ -297,6 +301,7 @@
     frontend.check_quarantine(&call, plan.customer)?;
     frontend.take_trial(&call, plan.customer)?;
     frontend.earn_retries(plan.service);
+    entry.set_stage(Stage::Queue);
     let (handle, mut decided) = enqueue(frontend, &plan, software).await?;
     let mut retries = 0;
     let mut unconnected_tries = 0;
@@ -314,6 +319,7 @@
             idempotent: plan.idempotent,
         };
         let dispatch = wait_for_dispatch(frontend, &call, queued, decided, wanted).await?;
+        entry.set_stage(Stage::Endpoint);
         entry.log_dispatch(&dispatch, call.fingerprint());
         record_dispatch(frontend, &call, &plan, &dispatch, retries, arrived_at);
         let delivery = Delivery::new(frontend, &call, plan.customer, &dispatch);
@@ -396,6 +402,7 @@
             // Nothing was sent, so this costs no endpoint any work.
             entry.log_failure(&failure, "elsewhere");
             slot.verdict = failure.verdict;
+            entry.set_stage(Stage::Queue);
             decided = requeue(frontend, slot).await?;
             unconnected_tries += 1;
             continue;
@@ -415,6 +422,7 @@
         if action != Action::Retry {
             return Err(give_up(action, &dispatch, &failure));
         }
+        entry.set_stage(Stage::Queue);
         decided = requeue(frontend, slot).await?;
         retries += 1;
     }
--- a/components/node/src/frontend/turn_away.rs
+++ b/components/node/src/frontend/turn_away.rs
@@ -13,6 +13,7 @@
 use crate::interface::{Interface, REQUEST_ID};
 use crate::metric::Metrics;
 use crate::shared::cancelled;
+use crate::work;
 use hyper::header::HeaderValue;
 use prometheus::IntCounter;
 use state::event::{Event, Kind};
@@ -390,7 +391,8 @@
         let published = self.context.published.borrow().clone();
         let now = self.context.clock.now();
         let metrics = self.context.metrics.clone();
-        let mut entry = Entry::new(id, Instant::now(), now, &published, metrics);
+        let work = Arc::new(self.context.work.begin(work::Stage::Answer));
+        let mut entry = Entry::new(id, Instant::now(), now, &published, metrics, work);
         entry.set_caller_request_id(caller_request_id);
         let event = Event::new(Kind::Refused).request(id);
         self.context.journal.record(event);
--- a/components/node/src/http.rs
+++ b/components/node/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP server for small requests, such as those of operators.
 
 use crate::shared::cancelled;
+use crate::work::{Stage, Tally};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -37,8 +38,12 @@
 }
 
 /// Serves requests with `answer` until `stop` is set, and then completes those in progress.
-pub(crate) async fn serve<F, A>(listener: TcpListener, answer: F, mut stop: watch::Receiver<bool>)
-where
+pub(crate) async fn serve<F, A>(
+    listener: TcpListener,
+    answer: F,
+    work: Tally,
+    mut stop: watch::Receiver<bool>,
+) where
     F: Fn(Request<Incoming>) -> A + Send + Sync + 'static,
     A: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
@@ -54,12 +59,17 @@
         let Ok(permit) = permits.clone().try_acquire_owned() else {
             continue;
         };
-        let (answer, mut stop) = (answer.clone(), stop.clone());
+        let (answer, work, mut stop) = (answer.clone(), work.clone(), stop.clone());
         tasks.spawn(async move {
             let _permit = permit;
             let service = service_fn(move |request| {
+                let item = work.begin(Stage::Operator);
                 let answer = answer(request);
-                async move { Ok::<_, Infallible>(answer.await) }
+                async move {
+                    let response = answer.await;
+                    drop(item);
+                    Ok::<_, Infallible>(response)
+                }
             });
             let connection = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -135,6 +135,8 @@
     pub(crate) links: IntGaugeVec,
     /// Number and bytes of frames sent, by kind.
     pub(crate) frames: IntGaugeVec,
+    /// Work in progress, by stage.
+    pub(crate) work: IntGaugeVec,
     /// Replicated log: term, index of the last committed entry, bytes of the log, syncs.
     pub(crate) control: IntGaugeVec,
 }
@@ -402,6 +404,11 @@
                 "Frames sent and their bytes, by kind.",
                 &["kind", "what"],
             )?,
+            work: gauges(
+                "cowslipford_work",
+                "Requests, and what outlives them, by stage.",
+                &["stage"],
+            )?,
             links: gauges("cowslipford_links", "Traffic on links.", &["what"])?,
             control: gauges("cowslipford_control", "The replicated log.", &["what"])?,
             registry,
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -12,6 +12,7 @@
 use crate::operators::{self, Parts as OperatorParts};
 use crate::reactor::{Parts as ReactorParts, Reactor};
 use crate::shared::{cancelled, Published, Shared, Status};
+use crate::work::{Stage, Tally};
 use crate::{http, inventory, listing, monitor, platform, poll, readiness, releases};
 use coordination::budget::{Budget, Resources};
 use coordination::consensus::Admission;
@@ -27,7 +28,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle as Thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
@@ -44,6 +45,8 @@
 const LINGER: Duration = Duration::from_millis(2300);
 /// Part of the grace period that is reserved for closing connections and links.
 const CLOSE_TIME: Duration = Duration::from_millis(700);
+/// Time between two log lines that say what a stopping process waits for.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest wait for other VMs to take over the schedulers of this one.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -68,6 +71,9 @@
     grace: Duration,
     /// Whether a load balancer queries readiness before it sends callers here.
     has_readiness: bool,
+    /// Work in progress.
+    work: Tally,
+    metrics: Metrics,
     /// Links to other processes.
     hub: Hub,
     /// Channel to the reactor.
@@ -147,7 +153,11 @@
 
     /// Stops the process: refuses new requests, waits for those in progress, and joins all tasks.
     pub async fn stop(self) {
-        self.drain().await;
+        let began = Instant::now();
+        let log = tokio::spawn(log_work(began, self.work.clone(), self.metrics.clone()));
+        let reason = self.drain().await;
+        let (after_ms, left) = (millis(began.elapsed()), self.work.total());
+        tracing::info!(event = Line::Drained.as_str(), reason, after_ms, left);
         // Tasks whose receivers are dropped have stopped already.
         let _ = self.stop.send(true);
         for task in self.tasks {
@@ -160,35 +170,40 @@
         let _ = self.reactor.send(Input::End);
         let _ = self.reactor_task.await;
         self.hub.stop().await;
+        log.abort();
+        let _ = log.await;
+        let took_ms = millis(began.elapsed());
+        tracing::info!(event = Line::Stopped.as_str(), took_ms);
     }
 
     /// Waits until no requests are in progress and the schedulers are handed over, or until the
-    /// grace period is nearly over.
-    async fn drain(&self) {
+    /// grace period is nearly over. Returns why the wait has ended.
+    async fn drain(&self) -> &'static str {
         if self.reactor.send(Input::Stop).is_err() {
-            return;
+            return "reactor-ended";
         }
-        let started = std::time::Instant::now();
+        let started = Instant::now();
         let max = self.grace.saturating_sub(CLOSE_TIME);
         if self.has_readiness {
             tokio::time::sleep(LINGER.min(max)).await;
         }
         if self.reactor.send(Input::Close).is_err() {
-            return;
+            return "reactor-ended";
         }
         while started.elapsed() < max {
             tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
             let Some(status) = self.status().await else {
-                return;
+                return "reactor-ended";
             };
             let is_busy = status.held > 0 || status.waiting.values().any(|n| *n > 0);
             let has_schedulers = !status.schedulers.is_empty() && !status.peers.is_empty();
             let is_handing_over = has_schedulers && started.elapsed() < HANDOVER_TIMEOUT;
             if !(is_busy || is_handing_over) {
-                return;
+                return "idle";
             }
         }
         tracing::warn!(event = Line::DrainIncomplete.as_str(), grace_ms = ?self.grace.as_millis());
+        "grace-over"
     }
 
     /// State of the process, unless the reactor has ended.
@@ -199,6 +214,31 @@
     }
 }
 
+/// Logs each second what a stopping process waits for. Never returns.
+async fn log_work(began: Instant, work: Tally, metrics: Metrics) {
+    loop {
+        tokio::time::sleep(LOG_INTERVAL).await;
+        tracing::info!(
+            event = Line::Draining.as_str(),
+            after_ms = millis(began.elapsed()),
+            connections = metrics.connections.get(),
+            body = work.count(Stage::Body),
+            control = work.count(Stage::Control),
+            queue = work.count(Stage::Queue),
+            endpoint = work.count(Stage::Endpoint),
+            peer = work.count(Stage::Peer),
+            answer = work.count(Stage::Answer),
+            settlement = work.count(Stage::Settlement),
+            operator = work.count(Stage::Operator),
+        );
+    }
+}
+
+/// Whole milliseconds of a duration.
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Applies changed settings to a running process.
 #[derive(Clone)]
 pub struct Reloader {
@@ -228,6 +268,7 @@
     clock: Clock,
     journal: Journal,
     metrics: Metrics,
+    work: Tally,
 }
 
 impl Starter {
@@ -235,6 +276,7 @@
     fn new(settings: Settings, interface: Interface, socket: Socket) -> Result<Self> {
         let address = socket.address()?;
         let clock = Clock::default();
+        let metrics = Metrics::new()?;
         Ok(Starter {
             node: Node {
                 vm: settings.vm.name.clone(),
@@ -243,7 +285,8 @@
             incarnation: rand::random::<u64>() | 1,
             journal: Journal::new(clock.clone(), settings.log.events),
             clock,
-            metrics: Metrics::new()?,
+            work: Tally::new(&metrics),
+            metrics,
             settings,
             interface,
             socket,
@@ -291,14 +334,19 @@
         reactor: &flume::Sender<Input>,
         control: Option<&flume::Sender<control::Input>>,
         orders: Orders,
-        stopped: &watch::Receiver<bool>,
+        (work, stopped): (&Tally, &watch::Receiver<bool>),
     ) -> Result<Vec<JoinHandle<()>>> {
         let mut tasks = Vec::new();
         if let Some(readiness) = &settings.readiness {
             let parts = ready.clone();
             let listener = bind("bind the address of readiness", readiness.listen).await?;
             let answer = move |_| std::future::ready(readiness::answer(parts.is_ready()));
-            tasks.push(tokio::spawn(http::serve(listener, answer, stopped.clone())));
+            tasks.push(tokio::spawn(http::serve(
+                listener,
+                answer,
+                work.clone(),
+                stopped.clone(),
+            )));
         }
         if let (Some(releases), Some(control)) = (&settings.releases, control) {
             let listener = bind("bind the address of releases", releases.listen).await?;
@@ -308,7 +356,12 @@
                 (settings.control.as_ref()).is_some_and(|control| control.stream_objectives);
             let parts = Arc::new(parts);
             let answer = move |request| releases::answer(parts.clone(), request);
-            tasks.push(tokio::spawn(http::serve(listener, answer, stopped.clone())));
+            tasks.push(tokio::spawn(http::serve(
+                listener,
+                answer,
+                work.clone(),
+                stopped.clone(),
+            )));
         }
         if let Some(listing) = &settings.listing {
             let (reactor, stopped) = (reactor.clone(), stopped.clone());
@@ -375,7 +428,12 @@
             files: OperatorParts::file_limit(),
         });
         let answer = move |request| operators::respond(operator_parts.clone(), request);
-        let operators = http::serve(operators_listener, answer, stopped.clone());
+        let operators = http::serve(
+            operators_listener,
+            answer,
+            self.work.clone(),
+            stopped.clone(),
+        );
         let control = match (&self.settings.control, &to_control) {
             (Some(settings), Some(sender)) => {
                 let control = Control::open(control::Parts {
@@ -459,7 +517,7 @@
                 &reactor,
                 to_control.as_ref(),
                 orders(),
-                &stopped,
+                (&self.work, &stopped),
             )
             .await?,
         );
@@ -519,6 +577,7 @@
                 clock: self.clock.clone(),
                 journal: self.journal.clone(),
                 metrics: self.metrics.clone(),
+                work: self.work.clone(),
                 reactor: reactor.clone(),
                 published: published.clone(),
                 suspicions,
@@ -548,6 +607,8 @@
             addresses,
             grace: Duration::from_millis(self.settings.vm.grace_ms),
             has_readiness: self.settings.readiness.is_some(),
+            work: self.work,
+            metrics: self.metrics,
             hub,
             reactor,
             reactor_task,
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -11,6 +11,12 @@
     Stopping,
     /// The process refuses new requests.
     Closed,
+    /// What a stopping process still waits for.
+    Draining,
+    /// A stopping process waits no longer, for this reason.
+    Drained,
+    /// A stopping process has ended its work.
+    Stopped,
     /// Requests were still in progress at the end of the grace period of a shutdown.
     DrainIncomplete,
     /// The settings file has changed and was applied.
@@ -102,11 +108,14 @@
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 47] = [
+    pub const ALL: [Line; 50] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
         Line::Closed,
+        Line::Draining,
+        Line::Drained,
+        Line::Stopped,
         Line::DrainIncomplete,
         Line::SettingsReloaded,
         Line::SettingsAdjusted,
@@ -159,6 +168,9 @@
             Line::Ready => "ready",
             Line::Stopping => "stopping",
             Line::Closed => "closed",
+            Line::Draining => "draining",
+            Line::Drained => "drained",
+            Line::Stopped => "stopped",
             Line::DrainIncomplete => "drain-incomplete",
             Line::SettingsReloaded => "settings-reloaded",
             Line::SettingsAdjusted => "settings-adjusted",
