Wait for all requests of a stopping process, and bound its end

Cause: a stop took a part of the process away while another part still needed it. The drain ended by the dispatcher's counts, which a request enters only with its whole body; the events of links, which grants need, were no longer handled after it, so that what came in later waited for grants that never came; and connections, tasks and threads were then joined without a bound.

Servers end by the phase, and what requests need ends after them. Requests that have not been sent by half of the grace period are refused (503 `stopping`, not run); those without an answer at its end get 502, unknown; streams that are cut are visibly cut. What has arrived on a kept connection, or is queued at the listener, is answered before the close.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod retry;
 pub mod rule;
 pub mod scheduler;
+pub mod shutdown;
 pub mod slot;
 pub mod tree;
 pub mod trial;
--- a/components/node/src/frontend/access_log.rs
+++ b/components/node/src/frontend/access_log.rs
@@ -3,6 +3,7 @@
 //! An entry writes a log line for each try, each failed try and the end of the request, and
 //! counts the end in the metrics.
 
+use super::admit::{stopping, STOPPING_CODE};
 use super::forward::Forwarder;
 use super::plan::Plan;
 use super::refusal::Refusal;
@@ -28,6 +29,9 @@
 /// Reason logged for an answer whose endpoint closed the connection before its end.
 pub(crate) const BROKE_OFF: &str = "endpoint-broke-off";
 
+/// Reason logged for a request whose caller disconnected, or did not read, before its end.
+pub(crate) const CALLER_GONE: &str = "caller-gone";
+
 /// What the log lines of one request report, collected while the request is served.
 #[derive(Debug)]
 pub(crate) struct Entry {
@@ -54,6 +58,8 @@
     timing: Timing,
     /// The router that has passed the request on to this one.
     forwarder: Option<Forwarder>,
+    /// Whether an earlier try may have run the request.
+    may_have_run: bool,
     /// Times that the request was dispatched to an endpoint, or handed over to a router.
     tries: u32,
     /// Times that its stream continued at another endpoint.
@@ -89,7 +95,7 @@
                 0 => Outcome::NotRun,
                 _ => Outcome::Unknown,
             };
-            self.log_end(None, outcome.as_str(), "caller-gone", None);
+            self.log_end(None, outcome.as_str(), CALLER_GONE, None);
         }
     }
 }
@@ -123,6 +129,7 @@
             first_wait: None,
             timing: Timing::new(arrived_at),
             forwarder: None,
+            may_have_run: false,
             tries: 0,
             resumed: 0,
             unresumed: None,
@@ -146,6 +153,31 @@
         self.work.set(next);
     }
 
+    /// Records that a try that has failed may have run the request.
+    pub(super) fn set_may_have_run(&mut self) {
+        self.may_have_run = true;
+    }
+
+    /// Refusal of the request, which this router gives up since it is stopping.
+    pub(super) fn refuse_at_stop(&self) -> Refusal {
+        match self.work.stage() {
+            Stage::Endpoint | Stage::Peer => {
+                let text = "this router has stopped before the answer began";
+                Refusal::unknown(StatusCode::BAD_GATEWAY, STOPPING_CODE, text)
+            }
+            _ if self.may_have_run => stopping().into_unknown(),
+            _ => stopping(),
+        }
+    }
+
+    /// Reason of the end of a request that ended with its connection.
+    fn reason(&self, reason: &'static str) -> &'static str {
+        match reason {
+            CALLER_GONE if self.work.is_given_up() => STOPPING_CODE,
+            _ => reason,
+        }
+    }
+
     /// Records the ID that the caller gave the request.
     pub(crate) fn set_caller_request_id(&mut self, caller_request_id: Option<HeaderValue>) {
         self.caller_request_id = caller_request_id;
@@ -177,6 +209,7 @@
     pub(crate) fn count_handed_over(&mut self, reason: &'static str) {
         self.is_logged = true;
         let outcome = Outcome::Answered.as_str();
+        let reason = self.reason(reason);
         self.count(self.arrived_at.elapsed(), None, outcome, reason);
     }
 
@@ -326,6 +359,7 @@
         reason: &'static str,
         refusal: Option<&Refusal>,
     ) {
+        let reason = self.reason(reason);
         let retry_after = refusal.and_then(|r| r.retry_after);
         let estimate = refusal.and_then(|r| r.estimate);
         let crash_fingerprint = self.fingerprint.filter(|_| reason == BROKE_OFF);
--- a/components/node/src/frontend/admit.rs
+++ b/components/node/src/frontend/admit.rs
@@ -10,6 +10,7 @@
 use crate::shared::Published;
 use bytes::{Bytes, BytesMut};
 use coordination::admission::Admission;
+use coordination::shutdown::Phase;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
@@ -23,6 +24,9 @@
 /// Code of refusals while tasks of this process run late.
 pub(super) const BUSY_CODE: &str = "router-busy";
 
+/// Code of refusals by a stop, and reason of answers that a stop breaks off.
+pub(super) const STOPPING_CODE: &str = "stopping";
+
 /// Retry-After for a request that another router, or another endpoint, can serve at once.
 pub(super) const FAST_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -65,9 +69,7 @@
 /// Refuses a request while this router is stopping or has no configuration yet.
 fn check_ready(published: &Published) -> Result<(), Refusal> {
     if published.closed {
-        let text = "this router is stopping; another one will take it";
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Err(Refusal::not_run(status, "stopping", text).with_retry_after(FAST_RETRY_AFTER));
+        return Err(stopping());
     }
     if published.ready && published.view.config_version > Version(0) {
         return Ok(());
@@ -77,6 +79,13 @@
     Err(Refusal::not_run(status, "not-ready", text).with_retry_after_s(1))
 }
 
+/// Refusal of a request that has not run, and that this router does not serve since it is stopping.
+pub(super) fn stopping() -> Refusal {
+    let text = "this router is stopping; another one will take it";
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Refusal::not_run(status, STOPPING_CODE, text).with_retry_after(FAST_RETRY_AFTER)
+}
+
 /// Refuses a request while tasks of this router run late.
 ///
 /// All callers of one large customer can arrive at one router. When the router admitted them
@@ -183,9 +192,10 @@
 ///
 /// If the connection were closed with unread bytes, the operating system would reset it, and the
 /// caller could lose the response with the reason.
-pub(super) async fn discard_body(mut body: Incoming, max: usize) {
+pub(super) async fn discard_body(frontend: &Frontend, mut body: Incoming) {
+    let context = &frontend.context;
     let reading = async {
-        let mut remaining = max.max(MIN_DISCARD_LIMIT_BYTES);
+        let mut remaining = context.callers.body_max.max(MIN_DISCARD_LIMIT_BYTES);
         while let Some(Ok(frame)) = body.frame().await {
             remaining = remaining.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
             if remaining == 0 {
@@ -193,8 +203,12 @@
             }
         }
     };
-    // After the timeout, the response is sent although the body has not been read to its end.
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, reading).await;
+    // After that, the response is sent although the body has not been read to its end.
+    tokio::select! {
+        () = reading => {}
+        () = tokio::time::sleep(DISCARD_TIMEOUT) => {}
+        () = context.work.until(Phase::Refusing) => {}
+    }
 }
 
 /// Reads the whole body, within bounds of size, time and memory.
@@ -216,7 +230,7 @@
     let max = frontend.context.callers.body_max;
     // CAST: `usize` is at most 64 bits on every supported target.
     if body.size_hint().lower() > max as u64 {
-        discard_body(body, max).await;
+        discard_body(frontend, body).await;
         return Err(too_large(max));
     }
     let time = Duration::from_millis(frontend.context.callers.body_ms);
@@ -224,7 +238,7 @@
     let (body, memory) = match reading {
         Ok(Ok(collected)) => collected,
         Ok(Err(refusal)) => {
-            discard_body(body, max).await;
+            discard_body(frontend, body).await;
             return Err(refusal);
         }
         Err(_) => {
--- a/components/node/src/frontend/connections.rs
+++ b/components/node/src/frontend/connections.rs
@@ -3,6 +3,7 @@
 //! An idle connection is closed to make room for a new one; a connection whose caller does not
 //! read an answer is closed once the answer's deadline is past.
 
+use crate::socket::{Busy, State};
 use crate::work::Item;
 use coordination::idle::{Key, Tracker};
 use std::collections::HashMap;
@@ -54,6 +55,8 @@
     id: Key,
     /// The request as work in progress.
     work: Arc<Item>,
+    /// The request as its connection's socket knows it.
+    busy: Busy,
 }
 
 impl Registry {
@@ -115,12 +118,13 @@
 
 impl Registration {
     /// Marks the connection as busy with a request until the returned value is dropped.
-    pub(super) fn begin(&self, work: Item) -> Activity {
+    pub(super) fn begin(&self, work: Item, busy: Busy) -> Activity {
         self.registry.table().idle_times.begin(self.id);
         Activity {
             registry: self.registry.clone(),
             id: self.id,
             work: Arc::new(work),
+            busy,
         }
     }
 
@@ -141,6 +145,11 @@
         self.work.clone()
     }
 
+    /// State of the connection's socket.
+    pub(super) fn socket(&self) -> &State {
+        self.busy.state()
+    }
+
     /// Sets the deadline of the answer that is being relayed.
     pub(super) fn set_answer_deadline(&self, at: Instant) {
         self.registry.table().answer_deadlines.insert(self.id, at);
--- a/components/node/src/frontend/forward.rs
+++ b/components/node/src/frontend/forward.rs
@@ -5,7 +5,7 @@
 //! This router only moves bytes. What rule matches, and so whether the request may run twice, is
 //! worked out here only after a failure.
 
-use super::access_log::Entry;
+use super::access_log::{Entry, CALLER_GONE};
 use super::admit::{spread_retry_after, BUSY_CODE, FAST_RETRY_AFTER};
 use super::listen::Frontend;
 use super::plan::{plan, Plan};
@@ -206,7 +206,7 @@
         timer: Box::pin(tokio::time::sleep_until(deadline.into())),
         ticket,
         entry: None,
-        end_reason: "caller-gone",
+        end_reason: CALLER_GONE,
     };
     forwarded.end_if_empty();
     (head, Box::new(forwarded))
--- a/components/node/src/frontend/listen.rs
+++ b/components/node/src/frontend/listen.rs
@@ -9,19 +9,23 @@
 use super::unframed;
 use crate::handover::Handover;
 use crate::http::accept;
+use crate::http::{accept_queued, join_until_cut, HEAD_CLOSE_TIME};
 use crate::input::Input;
 use crate::interface::Interface;
 use crate::journal::Journal;
 use crate::metric::{gauge_value, Metrics};
 use crate::monitor::{Lateness, PROBE_INTERVAL};
 use crate::quarantine::Suspicions;
-use crate::shared::{cancelled, Published};
+use crate::shared::Published;
+use crate::socket::{self, Closed, Socket};
 use crate::work::{Stage, Tally};
 use coordination::admission::Admission;
 use coordination::attribution::Survivals;
 use coordination::budget::Budget;
 use coordination::limit::Window;
 use coordination::retry;
+use coordination::shutdown::Phase;
+use hyper::server::conn::http1::Connection;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
 use settings::Callers;
@@ -29,6 +33,7 @@
 use state::line::Line;
 use state::suspect::Successes;
 use std::collections::HashMap;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -147,6 +152,8 @@
     pub(super) refusal_permits: Arc<Semaphore>,
     /// Response to connections that are refused without being served.
     pub(super) template: Template,
+    /// Response to connections that are closed with a part of a head.
+    pub(super) stop_template: Template,
     /// Open connections of callers, and which of them are idle.
     registry: Arc<Registry>,
     /// Rate limit of log lines for requests that are refused while tasks run late.
@@ -171,7 +178,8 @@
             body_units: units,
             connection_permits: Arc::new(Semaphore::new(context.budget.connections)),
             refusal_permits: Arc::new(Semaphore::new(context.refusals)),
-            template: Template::new(&context.interface, &context.metrics),
+            template: Template::busy(&context.interface, &context.metrics),
+            stop_template: Template::stopping(&context.interface, &context.metrics),
             busy_lines: Mutex::new(Window::new(MAX_BUSY_LINES_PER_S)),
             successes: Mutex::default(),
             pool: Arc::new(Pool::new(idle_connections - to_peers)),
@@ -241,12 +249,12 @@
 
     /// Periodically closes pooled connections that are too old or whose endpoint is removed, closes
     /// connections with unread answers, and updates the gauges.
-    async fn maintain(self: Arc<Self>, mut stop: watch::Receiver<bool>) {
+    async fn maintain(self: Arc<Self>) {
         let mut interval = tokio::time::interval(MAINTENANCE_INTERVAL);
         loop {
             tokio::select! {
                 _ = interval.tick() => {}
-                () = cancelled(&mut stop) => return,
+                () = self.context.work.until(Phase::Closing) => return,
             }
             let view = self.context.published.borrow().view.clone();
             let is_live = |(id, address): &Key| {
@@ -332,99 +340,118 @@
         Place::None
     }
 
-    /// Serves connections until `stop` turns true, and then waits for the requests in progress.
-    pub(crate) async fn run(
-        self: Arc<Self>,
-        listener: TcpListener,
-        mut stop: watch::Receiver<bool>,
-    ) {
+    /// Serves connections until the process closes them, and then completes the requests in
+    /// progress.
+    pub(crate) async fn run(self: Arc<Self>, listener: TcpListener) {
         let mut tasks = JoinSet::new();
-        tasks.spawn(self.clone().maintain(stop.clone()));
+        tasks.spawn(self.clone().maintain());
         loop {
             let accepted = tokio::select! {
                 accepted = self.accept_next(&listener) => accepted,
                 Some(_) = tasks.join_next() => continue,
-                () = cancelled(&mut stop) => break,
+                () = self.context.work.until(Phase::Closing) => break,
             };
             let stream = match accepted {
                 Accepted::Serve(stream) => stream,
                 Accepted::Refuse(stream) => {
-                    self.turn_away(stream, &stop, &mut tasks);
-                    continue;
-                }
-            };
-            let permit = match self.place().await {
-                Place::Free(permit) => permit,
-                Place::Refusal => {
-                    self.turn_away(stream, &stop, &mut tasks);
-                    continue;
-                }
-                Place::None => {
-                    // A connection above the bound is closed at once, which costs almost nothing.
-                    self.context.metrics.closed_unread.inc();
+                    self.turn_away(stream, &mut tasks);
                     continue;
                 }
             };
-            let (frontend, stop) = (self.clone(), stop.clone());
-            tasks.spawn(async move {
-                frontend.serve_connection(stream, stop).await;
-                drop(permit);
-            });
+            match self.place().await {
+                Place::Free(permit) => self.spawn_connection(stream, permit, &mut tasks),
+                Place::Refusal => self.turn_away(stream, &mut tasks),
+                // A connection above the bound is closed at once, which costs almost nothing.
+                Place::None => self.context.metrics.closed_unread.inc(),
+            }
+        }
+        for stream in accept_queued(listener) {
+            match self.connection_permits.clone().try_acquire_owned() {
+                Ok(permit) => self.spawn_connection(stream, permit, &mut tasks),
+                Err(_) => self.context.metrics.closed_unread.inc(),
+            }
         }
-        drop(listener);
-        while tasks.join_next().await.is_some() {}
+        join_until_cut(&mut tasks, &self.context.work).await;
+    }
+
+    /// Spawns the task of a connection.
+    fn spawn_connection(
+        self: &Arc<Self>,
+        stream: TcpStream,
+        permit: OwnedSemaphorePermit,
+        tasks: &mut JoinSet<()>,
+    ) {
+        let frontend = self.clone();
+        tasks.spawn(async move {
+            frontend.serve_connection(stream).await;
+            drop(permit);
+        });
     }
 
     /// Serves the requests on one connection.
-    async fn serve_connection(self: Arc<Self>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+    async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
         // Small events of a streamed answer are sent without delay.
         let _ = stream.set_nodelay(true);
         self.context.metrics.connections.inc();
         self.context.metrics.accepted_connections.inc();
         let registration = Arc::new(self.registry.open());
         let (frontend, shared) = (self.clone(), registration.clone());
-        let in_progress = unframed::InProgress::default();
-        let socket = unframed::Socket::new(stream, in_progress.clone());
+        let state = socket::State::new();
+        let socket = Socket::new(stream, state.clone());
+        let socket_state = state.clone();
         let service = service_fn(move |request| {
             let work = frontend.context.work.begin(Stage::Body);
-            let (frontend, activity) = (frontend.clone(), shared.begin(work));
-            let in_progress = in_progress.clone();
+            let (frontend, activity) = (frontend.clone(), shared.begin(work, socket_state.begin()));
             let is_unframed = unframed::is_unframed(&request);
             // Boxed, so that an idle connection does not hold the memory of a request.
             Box::pin(async move {
-                let reply = serve(frontend, request, activity.work()).await?;
+                let reply = serve(frontend, request, &activity).await?;
                 if let Some(AnswerDeadline(at)) = reply.extensions().get() {
                     activity.set_answer_deadline(*at);
                 }
                 // The connection is busy until the answer has been relayed.
-                let reply = unframed::track(reply, is_unframed, in_progress, activity);
+                let reply = unframed::track(reply, is_unframed, activity);
                 Ok::<_, std::convert::Infallible>(reply)
             })
         });
-        let connection = hyper::server::conn::http1::Builder::new()
+        let mut connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(Duration::from_millis(self.context.callers.head_ms))
             .max_buf_size(2 * self.context.callers.head_max)
             .serve_connection(socket, service);
-        tokio::pin!(connection);
-        let ended = tokio::select! {
-            ended = connection.as_mut() => Some(ended),
-            () = cancelled(&mut stop) => None,
+        let closed = tokio::select! {
+            ended = &mut connection => Some(Closed::Ended(ended)),
+            () = self.context.work.until(Phase::Closing) => None,
             () = Registration::until_idle_close(&registration) => None,
-            () = Registration::until_unread_close(&registration) => Some(Ok(())),
+            () = Registration::until_unread_close(&registration) => Some(Closed::Ended(Ok(()))),
         };
-        let ended = match ended {
-            Some(ended) => ended,
+        let closed = match closed {
+            Some(closed) => closed,
             None => {
-                connection.as_mut().graceful_shutdown();
+                let patience = async {
+                    self.context.work.until(Phase::Closing).await;
+                    tokio::time::sleep(HEAD_CLOSE_TIME).await;
+                };
+                let shut = Connection::graceful_shutdown;
+                let closing = socket::close(Pin::new(&mut connection), &state, shut, patience);
                 tokio::select! {
-                    ended = connection => ended,
-                    () = Registration::until_unread_close(&registration) => Ok(()),
+                    closed = closing => closed,
+                    () = Registration::until_unread_close(&registration) => Closed::Ended(Ok(())),
                 }
             }
         };
-        if let Err(error) = ended {
-            tracing::debug!(%error, "a caller's connection failed");
+        match closed {
+            Closed::Ended(Ok(())) => {}
+            Closed::Ended(Err(error)) => {
+                tracing::debug!(%error, "a caller's connection failed");
+            }
+            Closed::PartialHead => {
+                let parts = connection.into_parts();
+                // A response without a request would be taken for that to the next one.
+                if !parts.read_buf.is_empty() {
+                    self.refuse_partial_head(parts.io.into_stream()).await;
+                }
+            }
         }
         self.context.metrics.connections.dec();
     }
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -1,6 +1,6 @@
 //! Relays an answer's body to the caller, and meters its cost.
 
-use super::access_log::{Entry, BROKE_OFF};
+use super::access_log::{Entry, BROKE_OFF, CALLER_GONE};
 use super::delivery::Delivery;
 use super::plan::token_cost;
 use super::pool::{Connection, Key, Pool};
@@ -467,7 +467,7 @@
             pauses.restart();
         }
         self.reported_units = 0;
-        self.end_reason = "caller-gone";
+        self.end_reason = CALLER_GONE;
         if let Some((entry, _)) = &mut self.entry {
             entry.record_resumed();
         }
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -1,9 +1,10 @@
 //! Serves a request from its arrival to its answer: admission, routing, queueing, tries at
 //! endpoints, and relaying of the answer.
 
-use super::access_log::Entry;
+use super::access_log::{Entry, CALLER_GONE};
 use super::admit::{admit, discard_body, read_body, BUSY_CODE, FAST_RETRY_AFTER};
 use super::claim::{claim, Claim, Claimed};
+use super::connections::Activity;
 use super::delivery::Delivery;
 use super::forward::{self, Forwarded, Handed};
 use super::listen::Frontend;
@@ -15,7 +16,7 @@
 use crate::input::{Decided, Decision, Dispatch, Input};
 use crate::interface::REQUEST_ID;
 use crate::shared::Published;
-use crate::work::{Item, Stage};
+use crate::work::Stage;
 use bytes::Bytes;
 use coordination::dispatcher::{Handle, Rejection};
 use coordination::ending::Boundary;
@@ -60,7 +61,7 @@
 pub(crate) async fn serve(
     frontend: Arc<Frontend>,
     request: Request<Incoming>,
-    work: Arc<Item>,
+    activity: &Activity,
 ) -> Result<Reply, std::convert::Infallible> {
     let id = RequestId {
         router: frontend.context.incarnation,
@@ -70,9 +71,15 @@
     let published = frontend.context.published.borrow().clone();
     let now = frontend.context.clock.now();
     let metrics = frontend.context.metrics.clone();
-    let mut entry = Entry::new(id, arrived_at, now, &published, metrics, work);
-    let answered = handle(&frontend, &published, &mut entry, request, arrived_at).await;
-    entry.set_stage(Stage::Answer);
+    let work = activity.work();
+    let mut entry = Entry::new(id, arrived_at, now, &published, metrics, work.clone());
+    let serving = handle(&frontend, &published, &mut entry, request, arrived_at);
+    let answered = tokio::select! {
+        biased;
+        answered = serving => answered,
+        () = work.until_given_up() => Err(entry.refuse_at_stop()),
+    };
+    work.set(Stage::Answer);
     let is_busy = matches!(&answered, Err(refusal) if refusal.code == BUSY_CODE);
     let is_refused = answered.is_err();
     let reply = match answered {
@@ -164,14 +171,16 @@
     let inbound = match admit(frontend, published, &head, entry) {
         Ok(inbound) => inbound,
         Err(refusal) => {
-            discard_body(body, frontend.context.callers.body_max).await;
+            entry.set_stage(Stage::Answer);
+            discard_body(frontend, body).await;
             return Err(refusal);
         }
     };
     let key = inbound.key.as_ref();
     if let Some(customer) = key.and_then(|key| published.index.customer(key)) {
         if let Err(refusal) = frontend.check_parts(&inbound.shared_parts, customer) {
-            discard_body(body, frontend.context.callers.body_max).await;
+            entry.set_stage(Stage::Answer);
+            discard_body(frontend, body).await;
             return Err(refusal);
         }
     }
@@ -193,6 +202,9 @@
         Handed::Here => (plan(frontend, published, &inbound, &mut call)?, false),
         Handed::Again(plan) => (*plan, true),
     };
+    if may_have_run {
+        entry.set_may_have_run();
+    }
     entry.set_plan(&plan, call.customer.clone());
     let event = Event::new(Kind::Taken).request(id);
     frontend
@@ -422,6 +434,9 @@
         if action != Action::Retry {
             return Err(give_up(action, &dispatch, &failure));
         }
+        if plan.idempotent {
+            entry.set_may_have_run();
+        }
         entry.set_stage(Stage::Queue);
         decided = requeue(frontend, slot).await?;
         retries += 1;
@@ -723,7 +738,7 @@
         is_caller_slow: false,
         lateness: frontend.context.lateness.clone(),
         entry: None,
-        end_reason: "caller-gone",
+        end_reason: CALLER_GONE,
         resumption,
         origin: Origin {
             connection: Some(answer.connection),
--- a/components/node/src/frontend/turn_away.rs
+++ b/components/node/src/frontend/turn_away.rs
@@ -6,14 +6,14 @@
 //! connection is accepted; such a connection is refused without a task of its own.
 
 use super::access_log::Entry;
-use super::admit::{busy, spread_retry_after};
+use super::admit::{busy, spread_retry_after, stopping, FAST_RETRY_AFTER};
 use super::forward::FORWARDED;
 use super::listen::Frontend;
 use super::refusal::{retry_after_text, Refusal, RETRY_AFTER};
 use crate::interface::{Interface, REQUEST_ID};
 use crate::metric::Metrics;
-use crate::shared::cancelled;
 use crate::work;
+use coordination::shutdown::Phase;
 use hyper::header::HeaderValue;
 use prometheus::IntCounter;
 use state::event::{Event, Kind};
@@ -23,7 +23,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::{watch, OwnedSemaphorePermit};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::JoinSet;
 
 /// Bytes that one call reads at most. The heads of most requests are shorter.
@@ -38,8 +38,7 @@
 /// Most bytes of a refused request's body that are read. A caller whose body is longer may lose
 /// the response.
 const DISCARD_MAX_BYTES: usize = 256 * 1024;
-/// Longest time to wait until a caller that has its response closes the connection. A stopping
-/// process reserves 700 ms for the ends of its connections.
+/// Longest time to wait until a caller that has its response closes the connection.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Most headers of a head that is understood. The end of the body of any other is not known, and
 /// the connection is read until its caller closes it.
@@ -60,9 +59,18 @@
 }
 
 impl Template {
-    /// Builds the template from the response of a router that refuses a request as busy.
-    pub(super) fn new(interface: &Interface, metrics: &Metrics) -> Self {
-        let refusal = busy(Duration::ZERO);
+    /// Template of a router that refuses requests as busy.
+    pub(super) fn busy(interface: &Interface, metrics: &Metrics) -> Self {
+        Template::new(&busy(Duration::ZERO), interface, metrics)
+    }
+
+    /// Template of a router that is stopping.
+    pub(super) fn stopping(interface: &Interface, metrics: &Metrics) -> Self {
+        Template::new(&stopping(), interface, metrics)
+    }
+
+    /// Builds the template from the response to a refused request.
+    fn new(refusal: &Refusal, interface: &Interface, metrics: &Metrics) -> Self {
         let id = RequestId {
             router: 0,
             count: 0,
@@ -266,12 +274,7 @@
 
 impl Frontend {
     /// Refuses a connection: at once if its request has arrived, and otherwise in a task.
-    pub(super) fn turn_away(
-        self: &Arc<Self>,
-        stream: TcpStream,
-        stop: &watch::Receiver<bool>,
-        tasks: &mut JoinSet<()>,
-    ) {
+    pub(super) fn turn_away(self: &Arc<Self>, stream: TcpStream, tasks: &mut JoinSet<()>) {
         let timer = self.context.lateness.time_refusal();
         let Ok(stream) = stream.into_std() else {
             return;
@@ -298,8 +301,8 @@
             }
             return;
         };
-        let (frontend, stop) = (self.clone(), stop.clone());
-        tasks.spawn(frontend.finish_refusal(stream, received, is_answered, permit, stop));
+        let frontend = self.clone();
+        tasks.spawn(frontend.finish_refusal(stream, received, is_answered, permit));
     }
 
     /// Waits for the head of a request, answers it, and reads until its caller closes the
@@ -310,13 +313,12 @@
         mut received: Received,
         is_answered: bool,
         _permit: OwnedSemaphorePermit,
-        mut stop: watch::Receiver<bool>,
     ) {
         if !is_answered {
             let head = self.receive(&stream, &mut received, Received::is_answerable);
             tokio::select! {
                 _ = tokio::time::timeout(HEAD_TIMEOUT, head) => {}
-                () = cancelled(&mut stop) => {}
+                () = self.context.work.until(Phase::Closing) => {}
             }
             if received.stage == Stage::Ended {
                 return;
@@ -345,6 +347,24 @@
         let _ = tokio::time::timeout(LINGER_TIMEOUT, rest).await;
     }
 
+    /// Refuses a request whose head has not come in by the end of this process.
+    pub(super) async fn refuse_partial_head(&self, mut stream: TcpStream) {
+        let id = self.next_id();
+        self.log_turned_away(id, None, &stopping());
+        self.stop_template.requests.inc();
+        let mut received = Received::new(self.context.interface);
+        received.stage = Stage::Body(None);
+        let response = (self.stop_template).response(id, FAST_RETRY_AFTER, &received);
+        if stream.try_write(response.as_bytes()).is_err() {
+            return;
+        }
+        let _ = stream.shutdown().await;
+        let rest = self.receive(&stream, &mut received, |received| {
+            received.discarded >= DISCARD_MAX_BYTES
+        });
+        let _ = tokio::time::timeout(LINGER_TIMEOUT, rest).await;
+    }
+
     /// Reads from a connection until `is_done`, or until its caller closes it.
     async fn receive<F>(&self, stream: &TcpStream, received: &mut Received, is_done: F)
     where
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -31,6 +31,7 @@
 mod retry_after;
 mod schedulers;
 mod shared;
+mod socket;
 mod work;
 
 pub use coordination::rule::shadowed;
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -1,5 +1,7 @@
 //! One process of the fleet: starts the roles that its settings name, and stops them in order.
 
+mod stop;
+
 use crate::control::{self, Control};
 use crate::evacuation::Orders;
 use crate::frontend::{Context as FrontendContext, Frontend};
@@ -11,13 +13,14 @@
 use crate::monitor::Lateness;
 use crate::operators::{self, Parts as OperatorParts};
 use crate::reactor::{Parts as ReactorParts, Reactor};
-use crate::shared::{cancelled, Published, Shared, Status};
-use crate::work::{Stage, Tally};
+use crate::shared::{cancelled, Published, Shared};
+use crate::work::Tally;
 use crate::{http, inventory, listing, monitor, platform, poll, readiness, releases};
 use coordination::budget::{Budget, Resources};
 use coordination::consensus::Admission;
 use coordination::dispatcher::{Bounds, Location};
 use coordination::retry;
+use coordination::shutdown::Phase;
 use errors::{Error, Result};
 use protocol::wire::{Extension, Features, Hello};
 use settings::{Peers, Settings};
@@ -28,28 +31,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle as Thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use transport::clock::Clock;
 use transport::link::{Hub, Socket, Timing};
 use transport::tls::Credentials;
 
-/// Time between two checks of whether a drain is complete.
-const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time for which a stopping router still accepts connections.
-///
-/// Load balancers query its readiness once a second, and stop sending callers after two failed
-/// checks. If the router closed earlier, it would refuse callers that could still be served.
-const LINGER: Duration = Duration::from_millis(2300);
-/// Part of the grace period that is reserved for closing connections and links.
-const CLOSE_TIME: Duration = Duration::from_millis(700);
-/// Time between two log lines that say what a stopping process waits for.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest wait for other VMs to take over the schedulers of this one.
-const HANDOVER_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Time between two reads of the platform's list if the settings do not name it, in milliseconds.
 const DEFAULT_LISTING_INTERVAL_MS: u64 = 500;
 
@@ -81,10 +70,14 @@
     reactor_task: JoinHandle<()>,
     /// Channel to the control role, and its thread.
     control: Option<(flume::Sender<control::Input>, Thread<()>)>,
-    /// All tasks but the reactor's.
+    /// Tasks that serve requests. They end by the phase.
+    servers: Vec<JoinHandle<()>>,
+    /// All other tasks but the reactor's. Requests may need them until the servers have ended.
     tasks: Vec<JoinHandle<()>>,
-    /// Set to true to end the tasks.
+    /// Set to true to end these.
     stop: watch::Sender<bool>,
+    /// Phase of the process.
+    phase: watch::Sender<Phase>,
     /// State published by the reactor.
     published: watch::Receiver<Published>,
     /// Why the control role failed, once it has.
@@ -150,93 +143,6 @@
             reason = failed => Err(Error::Key { step: "keep the durable state", reason }),
         }
     }
-
-    /// Stops the process: refuses new requests, waits for those in progress, and joins all tasks.
-    pub async fn stop(self) {
-        let began = Instant::now();
-        let log = tokio::spawn(log_work(began, self.work.clone(), self.metrics.clone()));
-        let reason = self.drain().await;
-        let (after_ms, left) = (millis(began.elapsed()), self.work.total());
-        tracing::info!(event = Line::Drained.as_str(), reason, after_ms, left);
-        // Tasks whose receivers are dropped have stopped already.
-        let _ = self.stop.send(true);
-        for task in self.tasks {
-            let _ = task.await;
-        }
-        if let Some((control, thread)) = self.control {
-            let _ = control.send(control::Input::Stop);
-            let _ = tokio::task::spawn_blocking(move || thread.join()).await;
-        }
-        let _ = self.reactor.send(Input::End);
-        let _ = self.reactor_task.await;
-        self.hub.stop().await;
-        log.abort();
-        let _ = log.await;
-        let took_ms = millis(began.elapsed());
-        tracing::info!(event = Line::Stopped.as_str(), took_ms);
-    }
-
-    /// Waits until no requests are in progress and the schedulers are handed over, or until the
-    /// grace period is nearly over. Returns why the wait has ended.
-    async fn drain(&self) -> &'static str {
-        if self.reactor.send(Input::Stop).is_err() {
-            return "reactor-ended";
-        }
-        let started = Instant::now();
-        let max = self.grace.saturating_sub(CLOSE_TIME);
-        if self.has_readiness {
-            tokio::time::sleep(LINGER.min(max)).await;
-        }
-        if self.reactor.send(Input::Close).is_err() {
-            return "reactor-ended";
-        }
-        while started.elapsed() < max {
-            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-            let Some(status) = self.status().await else {
-                return "reactor-ended";
-            };
-            let is_busy = status.held > 0 || status.waiting.values().any(|n| *n > 0);
-            let has_schedulers = !status.schedulers.is_empty() && !status.peers.is_empty();
-            let is_handing_over = has_schedulers && started.elapsed() < HANDOVER_TIMEOUT;
-            if !(is_busy || is_handing_over) {
-                return "idle";
-            }
-        }
-        tracing::warn!(event = Line::DrainIncomplete.as_str(), grace_ms = ?self.grace.as_millis());
-        "grace-over"
-    }
-
-    /// State of the process, unless the reactor has ended.
-    async fn status(&self) -> Option<Status> {
-        let (sender, receiver) = oneshot::channel();
-        self.reactor.send(Input::Status(sender)).ok()?;
-        receiver.await.ok()
-    }
-}
-
-/// Logs each second what a stopping process waits for. Never returns.
-async fn log_work(began: Instant, work: Tally, metrics: Metrics) {
-    loop {
-        tokio::time::sleep(LOG_INTERVAL).await;
-        tracing::info!(
-            event = Line::Draining.as_str(),
-            after_ms = millis(began.elapsed()),
-            connections = metrics.connections.get(),
-            body = work.count(Stage::Body),
-            control = work.count(Stage::Control),
-            queue = work.count(Stage::Queue),
-            endpoint = work.count(Stage::Endpoint),
-            peer = work.count(Stage::Peer),
-            answer = work.count(Stage::Answer),
-            settlement = work.count(Stage::Settlement),
-            operator = work.count(Stage::Operator),
-        );
-    }
-}
-
-/// Whole milliseconds of a duration.
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Applies changed settings to a running process.
@@ -269,6 +175,7 @@
     journal: Journal,
     metrics: Metrics,
     work: Tally,
+    phase: watch::Sender<Phase>,
 }
 
 impl Starter {
@@ -277,6 +184,7 @@
         let address = socket.address()?;
         let clock = Clock::default();
         let metrics = Metrics::new()?;
+        let (phase, phases) = watch::channel(Phase::default());
         Ok(Starter {
             node: Node {
                 vm: settings.vm.name.clone(),
@@ -285,7 +193,8 @@
             incarnation: rand::random::<u64>() | 1,
             journal: Journal::new(clock.clone(), settings.log.events),
             clock,
-            work: Tally::new(&metrics),
+            work: Tally::new(&metrics, phases),
+            phase,
             metrics,
             settings,
             interface,
@@ -325,8 +234,7 @@
         Arc::new(named.chain(own).collect())
     }
 
-    /// Starts the servers for readiness and releases, and the reader of the platform's list, if
-    /// the settings name them.
+    /// Starts the servers for readiness and releases, if the settings name them.
     async fn start_optional(
         settings: &Settings,
         interface: Interface,
@@ -334,19 +242,15 @@
         reactor: &flume::Sender<Input>,
         control: Option<&flume::Sender<control::Input>>,
         orders: Orders,
-        (work, stopped): (&Tally, &watch::Receiver<bool>),
+        work: &Tally,
     ) -> Result<Vec<JoinHandle<()>>> {
-        let mut tasks = Vec::new();
+        let mut servers = Vec::new();
         if let Some(readiness) = &settings.readiness {
             let parts = ready.clone();
             let listener = bind("bind the address of readiness", readiness.listen).await?;
             let answer = move |_| std::future::ready(readiness::answer(parts.is_ready()));
-            tasks.push(tokio::spawn(http::serve(
-                listener,
-                answer,
-                work.clone(),
-                stopped.clone(),
-            )));
+            let serve = http::serve(listener, answer, work.clone());
+            servers.push(tokio::spawn(serve));
         }
         if let (Some(releases), Some(control)) = (&settings.releases, control) {
             let listener = bind("bind the address of releases", releases.listen).await?;
@@ -356,20 +260,10 @@
                 (settings.control.as_ref()).is_some_and(|control| control.stream_objectives);
             let parts = Arc::new(parts);
             let answer = move |request| releases::answer(parts.clone(), request);
-            tasks.push(tokio::spawn(http::serve(
-                listener,
-                answer,
-                work.clone(),
-                stopped.clone(),
-            )));
+            let serve = http::serve(listener, answer, work.clone());
+            servers.push(tokio::spawn(serve));
         }
-        if let Some(listing) = &settings.listing {
-            let (reactor, stopped) = (reactor.clone(), stopped.clone());
-            let regions = settings.regions.clone();
-            let run = listing::run(listing.clone(), interface, regions, reactor, stopped);
-            tasks.push(tokio::spawn(run));
-        }
-        Ok(tasks)
+        Ok(servers)
     }
 
     /// Starts all roles and tasks.
@@ -428,12 +322,7 @@
             files: OperatorParts::file_limit(),
         });
         let answer = move |request| operators::respond(operator_parts.clone(), request);
-        let operators = http::serve(
-            operators_listener,
-            answer,
-            self.work.clone(),
-            stopped.clone(),
-        );
+        let operators = http::serve(operators_listener, answer, self.work.clone());
         let control = match (&self.settings.control, &to_control) {
             (Some(settings), Some(sender)) => {
                 let control = Control::open(control::Parts {
@@ -505,11 +394,8 @@
             lateness: lateness.clone(),
         };
         let reactor_task = tokio::spawn(Reactor::new(parts).run(inputs));
-        let mut tasks = vec![
-            tokio::spawn(operators),
-            tokio::spawn(forward(events, reactor.clone(), stopped.clone())),
-        ];
-        tasks.extend(
+        let mut servers = vec![tokio::spawn(operators)];
+        servers.extend(
             Starter::start_optional(
                 &self.settings,
                 self.interface,
@@ -517,10 +403,24 @@
                 &reactor,
                 to_control.as_ref(),
                 orders(),
-                (&self.work, &stopped),
+                &self.work,
             )
             .await?,
         );
+        let mut tasks = vec![tokio::spawn(forward(
+            events,
+            reactor.clone(),
+            stopped.clone(),
+        ))];
+        if let Some(listing) = &self.settings.listing {
+            tasks.push(tokio::spawn(listing::run(
+                listing.clone(),
+                self.interface,
+                self.settings.regions.clone(),
+                reactor.clone(),
+                stopped.clone(),
+            )));
+        }
         let memory = self.settings.vm.memory_bytes;
         let mut budget = Starter::budget(&self.settings);
         let refusals = match answers_excess {
@@ -585,7 +485,7 @@
                 handover,
                 vm: hub.hello().node.vm.clone(),
             });
-            tasks.push(tokio::spawn(frontend.run(listener, stopped)));
+            servers.push(tokio::spawn(frontend.run(listener)));
         }
         let addresses = Addresses {
             link: self.node.address,
@@ -613,8 +513,10 @@
             reactor,
             reactor_task,
             control,
+            servers,
             tasks,
             stop,
+            phase: self.phase,
             published,
             failed,
         })
--- a/components/node/src/work.rs
+++ b/components/node/src/work.rs
@@ -1,11 +1,14 @@
-//! Work in progress in this process, by stage.
+//! Work in progress in this process, by stage, and the phase of the process that bounds it.
 //!
-//! Metrics show it at all times, and the log while a process stops.
+//! A stopping process waits for it. Metrics show it at all times, and the log while a process stops.
 
 use crate::metric::Metrics;
+use coordination::shutdown::Phase;
 use prometheus::IntGauge;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
+use std::task::Poll;
+use tokio::sync::watch;
 
 /// Stage of a request, or of what outlives one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,7 +60,7 @@
     }
 }
 
-/// Counts of the work in progress. Clones share them.
+/// Counts of the work in progress, and the phase of the process. Clones share them.
 #[derive(Clone, Debug)]
 pub(crate) struct Tally(Arc<Inner>);
 
@@ -66,17 +69,31 @@
 struct Inner {
     /// Count of each stage.
     gauges: [IntGauge; Stage::ALL.len()],
+    phase: watch::Receiver<Phase>,
 }
 
 impl Tally {
     /// Creates the counts of a process without any work.
-    pub(crate) fn new(metrics: &Metrics) -> Self {
+    pub(crate) fn new(metrics: &Metrics, phase: watch::Receiver<Phase>) -> Self {
         let gauge = |stage: Stage| metrics.work.with_label_values(&[stage.as_str()]);
         Tally(Arc::new(Inner {
             gauges: Stage::ALL.map(gauge),
+            phase,
         }))
     }
 
+    /// Phase of the process.
+    pub(crate) fn phase(&self) -> Phase {
+        *self.0.phase.borrow()
+    }
+
+    /// Waits until the process has reached a phase, or has ended.
+    pub(crate) async fn until(&self, phase: Phase) {
+        let mut current = self.0.phase.clone();
+        // The sender is dropped only at the end of the process.
+        let _ = current.wait_for(|current| *current >= phase).await;
+    }
+
     /// Counts an item of work until it is dropped.
     pub(crate) fn begin(&self, stage: Stage) -> Item {
         self.gauge(stage).inc();
@@ -120,8 +137,36 @@
         self.tally.0.gauges[usize::from(previous)].dec();
     }
 
+    /// Whether the process is at the end of its grace period and gives work up.
+    pub(crate) fn is_given_up(&self) -> bool {
+        self.tally.phase() >= Phase::Ending
+    }
+
+    /// Waits until a stopping process gives the request up: at [`Phase::Refusing`] if it has not been
+    /// sent, and at [`Phase::Ending`] if its answer has not begun. Has to be polled by the task that
+    /// serves the request: a change of the stage does not wake it.
+    pub(crate) async fn until_given_up(&self) {
+        self.tally.until(Phase::Refusing).await;
+        let unsent = std::future::poll_fn(|_| match self.stage() {
+            Stage::Body | Stage::Control | Stage::Queue => Poll::Ready(()),
+            _ => Poll::Pending,
+        });
+        let unanswered = async {
+            self.tally.until(Phase::Ending).await;
+            std::future::poll_fn(|_| match self.stage() {
+                Stage::Endpoint | Stage::Peer => Poll::Ready(()),
+                _ => Poll::Pending,
+            })
+            .await;
+        };
+        tokio::select! {
+            () = unsent => {}
+            () = unanswered => {}
+        }
+    }
+
     /// Stage of the work.
-    fn stage(&self) -> Stage {
+    pub(crate) fn stage(&self) -> Stage {
         Stage::ALL[usize::from(self.stage.load(Ordering::Relaxed))]
     }
 }
--- a/tests/harness/http.rs
+++ b/tests/harness/http.rs
@@ -1,7 +1,8 @@
 //! An HTTP client that distinguishes complete answers from truncated ones.
 
+use super::slow::Slow;
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::{HeaderMap, Request};
 use hyper_util::rt::TokioIo;
@@ -12,6 +13,9 @@
 /// Timeout until the end of an answer.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Body of a request.
+pub(crate) type Payload = Either<Full<Bytes>, Slow>;
+
 /// An answer, with the part of its body that was received.
 #[derive(Debug, Default)]
 pub(crate) struct Answer {
@@ -82,7 +86,7 @@
     key: &str,
     headers: &[(&str, &str)],
     body: &str,
-) -> Request<Full<Bytes>> {
+) -> Request<Payload> {
     let mut request = Request::builder()
         .method(method)
         .uri(path)
@@ -94,14 +98,14 @@
         request = request.header(*name, *value);
     }
     request
-        .body(Full::new(Bytes::from(body.to_owned())))
+        .body(Either::Left(Full::new(Bytes::from(body.to_owned()))))
         .unwrap()
 }
 
 /// A caller with a connection that is reused as long as the server keeps it open.
 pub(crate) struct Client {
     address: SocketAddr,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    sender: Option<SendRequest<Payload>>,
 }
 
 impl Client {
@@ -113,11 +117,7 @@
     }
 
     /// Sends a request and reads the part of the answer that arrives before the timeout.
-    pub(crate) async fn call(
-        &mut self,
-        request: Request<Full<Bytes>>,
-        timeout: Duration,
-    ) -> Answer {
+    pub(crate) async fn call(&mut self, request: Request<Payload>, timeout: Duration) -> Answer {
         let mut answer = Answer::default();
         // A timeout drops the connection: the rest of this answer would otherwise be
         // read as the next one.
@@ -127,7 +127,7 @@
 
     /// Sends a request and fills in its answer; keeps the connection only if the answer is
     /// complete.
-    async fn exchange(&mut self, request: Request<Full<Bytes>>, answer: &mut Answer) -> Option<()> {
+    async fn exchange(&mut self, request: Request<Payload>, answer: &mut Answer) -> Option<()> {
         let mut sender = match self.sender.take() {
             Some(sender) if !sender.is_closed() => sender,
             _ => connect(self.address).await?,
@@ -149,7 +149,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+async fn connect(address: SocketAddr) -> Option<SendRequest<Payload>> {
     let stream = tokio::net::TcpStream::connect(address).await.ok()?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
     // It ends with its sender, or with the connection.
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -7,6 +7,8 @@
 
 pub(crate) mod http;
 pub(crate) mod port;
+pub(crate) mod slow;
+pub(crate) mod upload;
 
 use http::Answer;
 use state::secret::Hash;
