Settle idempotency keys before a process ends

Cause: reports of a key's outcome, and the release of a key whose claim the control VMs had not answered, ran in detached tasks that a stop neither counted nor joined. A claim that was dropped by a stop released its key before the claim was decided, so that the key could be taken afterwards.

Change: such tasks are counted (`settlement`) and joined by the server of callers.

The wrong order of release and claim is read in the code, not shown by a run.

--- a/components/node/src/frontend/claim.rs
+++ b/components/node/src/frontend/claim.rs
@@ -15,13 +15,14 @@
 use state::outcome::Outcome;
 use state::record::{Answer, Resolution, Stored};
 use state::secret::Hash;
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
 /// Longest idempotency key.
 const MAX_KEY_BYTES: usize = 255;
-/// Longest time for which a claim's outcome is reported to the control VMs before giving up.
+/// Longest time for which a claim's outcome is reported to the control VMs, or its reply waited for.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A claimed idempotency key. If the claim is dropped before it is settled, the key is freed if
@@ -70,7 +71,7 @@
     let method = call.method.as_str().as_bytes();
     let fingerprint = Hash::of(&[method, path.as_bytes(), &call.body]);
     let key = Hash::of(&[&customer.0.to_be_bytes(), key]);
-    let mut claim = Claim {
+    let claim = Claim {
         frontend: frontend.clone(),
         key,
         request: call.id,
@@ -83,15 +84,16 @@
         fingerprint,
         request: call.id,
     };
-    let (sender, mut receiver) = oneshot::channel();
+    let (sender, receiver) = oneshot::channel();
     let _ = frontend.context.reactor.send(Input::Query(query, sender));
-    match tokio::time::timeout(wait, &mut receiver).await {
-        Ok(Ok(Reply::Answer(Answer::Claimed))) => {
+    let mut unanswered = Unanswered(Some((claim, receiver)));
+    match unanswered.reply(wait).await {
+        Some((claim, Reply::Answer(Answer::Claimed))) => {
             let event = Event::new(Kind::Claimed).request(call.id);
             frontend.context.journal.record(event.customer(customer));
             Ok(Claimed::New(claim))
         }
-        Ok(Ok(Reply::Answer(Answer::AlreadyClaimed(first, resolution)))) => {
+        Some((mut claim, Reply::Answer(Answer::AlreadyClaimed(first, resolution)))) => {
             claim.is_settled = true;
             if first != fingerprint {
                 let text = "this Idempotency-Key was used for another request";
@@ -105,12 +107,6 @@
             answer_resend(call.id, resolution)
         }
         _ => {
-            // The claim may still be accepted later, so the key is freed only after the
-            // reply. Freed earlier, the key would be claimed afterwards and stay claimed.
-            tokio::spawn(async move {
-                let _ = tokio::time::timeout(SETTLE_TIMEOUT, receiver).await;
-                drop(claim);
-            });
             let text = "the control VMs could not be asked whether the key is new";
             Err(
                 Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-claim", text)
@@ -120,6 +116,34 @@
     }
 }
 
+/// A claim that the control VMs have not answered.
+///
+/// If it is dropped, the claim may still be accepted later, so the key is freed only after the
+/// reply. Freed earlier, the key would be claimed afterwards and stay claimed.
+struct Unanswered(Option<(Claim, oneshot::Receiver<Reply>)>);
+
+impl Unanswered {
+    /// Waits for the reply, at most for the time `wait`.
+    async fn reply(&mut self, wait: Duration) -> Option<(Claim, Reply)> {
+        let (_, receiver) = self.0.as_mut()?;
+        let reply = tokio::time::timeout(wait, receiver).await.ok()?.ok()?;
+        let (claim, _) = self.0.take()?;
+        Some((claim, reply))
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if let Some((claim, receiver)) = self.0.take() {
+            let frontend = claim.frontend.clone();
+            frontend.spawn_settlement(async move {
+                let _ = receiver.await;
+                drop(claim);
+            });
+        }
+    }
+}
+
 /// Answers a resend by what is known of the first request with its key.
 fn answer_resend(id: RequestId, resolution: Resolution) -> Result<Claimed, Refusal> {
     let conflict = |text: &str| {
@@ -167,7 +191,8 @@
         content_type: String,
         body_end: oneshot::Receiver<Option<Vec<u8>>>,
     ) {
-        tokio::spawn(async move {
+        let frontend = self.frontend.clone();
+        frontend.spawn(async move {
             if let Ok(body) = body_end.await {
                 self.is_settled = true;
                 self.settle(Some(Resolution::Answered(Stored {
@@ -192,10 +217,22 @@
             .context
             .reactor
             .send(Input::Query(query, sender));
-        let work = self.frontend.context.work.begin(Stage::Settlement);
-        tokio::spawn(async move {
+        self.frontend.spawn_settlement(async {
             // The reactor repeats the query until its receiver is dropped.
-            let _ = tokio::time::timeout(SETTLE_TIMEOUT, receiver).await;
+            let _ = receiver.await;
+        });
+    }
+}
+
+impl Frontend {
+    /// Runs a report to the control VMs about a key, which a stop waits for.
+    fn spawn_settlement<F>(&self, report: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let work = self.context.work.begin(Stage::Settlement);
+        self.spawn(async move {
+            let _ = tokio::time::timeout(SETTLE_TIMEOUT, report).await;
             drop(work);
         });
     }
--- a/components/node/src/frontend/listen.rs
+++ b/components/node/src/frontend/listen.rs
@@ -33,9 +33,10 @@
 use state::line::Line;
 use state::suspect::Successes;
 use std::collections::HashMap;
+use std::future::Future;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
@@ -154,6 +155,8 @@
     pub(super) template: Template,
     /// Response to connections that are closed with a part of a head.
     pub(super) stop_template: Template,
+    /// Tasks that outlive their connections.
+    background: Mutex<JoinSet<()>>,
     /// Open connections of callers, and which of them are idle.
     registry: Arc<Registry>,
     /// Rate limit of log lines for requests that are refused while tasks run late.
@@ -180,6 +183,7 @@
             refusal_permits: Arc::new(Semaphore::new(context.refusals)),
             template: Template::busy(&context.interface, &context.metrics),
             stop_template: Template::stopping(&context.interface, &context.metrics),
+            background: Mutex::default(),
             busy_lines: Mutex::new(Window::new(MAX_BUSY_LINES_PER_S)),
             successes: Mutex::default(),
             pool: Arc::new(Pool::new(idle_connections - to_peers)),
@@ -340,6 +344,21 @@
         Place::None
     }
 
+    /// Runs a task that outlives its connection, and is joined at the end.
+    pub(super) fn spawn<F>(&self, task: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let mut tasks = self.background();
+        while tasks.try_join_next().is_some() {}
+        tasks.spawn(task);
+    }
+
+    fn background(&self) -> MutexGuard<'_, JoinSet<()>> {
+        let tasks = self.background.lock();
+        tasks.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Serves connections until the process closes them, and then completes the requests in
     /// progress.
     pub(crate) async fn run(self: Arc<Self>, listener: TcpListener) {
@@ -372,6 +391,12 @@
             }
         }
         join_until_cut(&mut tasks, &self.context.work).await;
+        // The ends of requests may have begun further ones.
+        let mut background = std::mem::take(&mut *self.background());
+        while !background.is_empty() {
+            join_until_cut(&mut background, &self.context.work).await;
+            background = std::mem::take(&mut *self.background());
+        }
     }
 
     /// Spawns the task of a connection.
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -335,3 +335,54 @@
     assert_eq!((sent, lost), (100, 0));
     assert_eq!(fleet.vm_mut("r2").wait().code(), Some(0));
 }
+
+/// Guards against a key that stays taken, since its request was refused by a stop before the control
+/// VMs had answered the claim.
+#[test]
+fn frees_the_key_of_a_request_that_a_stop_refuses() {
+    let mut fleet = fleet(&grace(), "");
+    let address = fleet.callers("r2");
+    let keyed = [("idempotency-key", "refused")];
+    fleet.vm("c1").signal("-STOP");
+    let refused = std::thread::spawn(move || {
+        let mut connection = Connection::open(address);
+        connection.request("/booking", &keyed)
+    });
+    wait_for_work(&fleet, "r2", "control", 1);
+    fleet.vm("r2").signal("-TERM");
+    let refused = refused.join().unwrap();
+    fleet.vm("c1").signal("-CONT");
+    check_given_up(&refused, 503, "not-run");
+    assert_eq!(fleet.vm_mut("r2").wait().code(), Some(0));
+    let mut again = Connection::open(fleet.callers("r1"));
+    let again = again.request("/booking", &keyed);
+    assert_eq!(again.status(), 200, "{again:?}");
+}
+
+/// Guards against an outcome of an idempotency key that is lost, since the process ends before the
+/// control VMs have stored it.
+#[test]
+fn stores_the_outcome_of_a_key_before_it_ends() {
+    let mut fleet = fleet("", "");
+    let address = fleet.callers("r2");
+    let keyed = [("idempotency-key", "stored"), ("stand-in-pace", "500")];
+    let answered = std::thread::spawn(move || {
+        let mut connection = Connection::open(address);
+        connection.request("/booking", &keyed)
+    });
+    wait_for_work(&fleet, "r2", "endpoint", 1);
+    fleet.vm("c1").signal("-STOP");
+    fleet.vm("r2").signal("-TERM");
+    let answered = answered.join().unwrap();
+    assert_eq!(answered.status(), 200, "{answered:?}");
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.vm("c1").signal("-CONT");
+    assert_eq!(fleet.vm_mut("r2").wait().code(), Some(0));
+    let mut again = Connection::open(fleet.callers("r1"));
+    let again = again.request("/booking", &keyed);
+    let Outcome::Answered(again) = again else {
+        panic!("{again:?}")
+    };
+    assert_eq!(again.status, 200, "{}", again.text());
+    assert_eq!(again.header("cowslipford-replayed"), "yes");
+}
