Read on after a response to a request that still comes in

Cause: a connection that is closed with unread bytes is reset by the system, and the caller can lose the response that says why its request was refused. A stop refuses requests whose bodies are still coming in, and then closes their connections.

Change: a socket remembers whether the latest body was read to its end, and if it was not, reads on for up to a second after the response, until the caller closes.

--- a/components/node/src/frontend/admit.rs
+++ b/components/node/src/frontend/admit.rs
@@ -8,6 +8,7 @@
 use super::upstream::Call;
 use crate::interface::Inbound;
 use crate::shared::Published;
+use crate::socket::State;
 use bytes::{Bytes, BytesMut};
 use coordination::admission::Admission;
 use coordination::shutdown::Phase;
@@ -192,7 +193,7 @@
 ///
 /// If the connection were closed with unread bytes, the operating system would reset it, and the
 /// caller could lose the response with the reason.
-pub(super) async fn discard_body(frontend: &Frontend, mut body: Incoming) {
+pub(super) async fn discard_body(frontend: &Frontend, mut body: Incoming, socket: &State) {
     let context = &frontend.context;
     let reading = async {
         let mut remaining = context.callers.body_max.max(MIN_DISCARD_LIMIT_BYTES);
@@ -202,6 +203,7 @@
                 return;
             }
         }
+        socket.set_unread_body(false);
     };
     // After that, the response is sent although the body has not been read to its end.
     tokio::select! {
@@ -226,11 +228,12 @@
     inbound: &Inbound,
     head: Parts,
     mut body: Incoming,
+    socket: &State,
 ) -> Result<Call, Refusal> {
     let max = frontend.context.callers.body_max;
     // CAST: `usize` is at most 64 bits on every supported target.
     if body.size_hint().lower() > max as u64 {
-        discard_body(frontend, body).await;
+        discard_body(frontend, body, socket).await;
         return Err(too_large(max));
     }
     let time = Duration::from_millis(frontend.context.callers.body_ms);
@@ -238,7 +241,7 @@
     let (body, memory) = match reading {
         Ok(Ok(collected)) => collected,
         Ok(Err(refusal)) => {
-            discard_body(frontend, body).await;
+            discard_body(frontend, body, socket).await;
             return Err(refusal);
         }
         Err(_) => {
@@ -247,6 +250,7 @@
             return Err(Refusal::not_run(status, "slow-body", text));
         }
     };
+    socket.set_unread_body(false);
     Ok(Call {
         id,
         request_id: inbound.request_id.clone(),
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -16,6 +16,7 @@
 use crate::input::{Decided, Decision, Dispatch, Input};
 use crate::interface::REQUEST_ID;
 use crate::shared::Published;
+use crate::socket::State;
 use crate::work::Stage;
 use bytes::Bytes;
 use coordination::dispatcher::{Handle, Rejection};
@@ -73,7 +74,11 @@
     let metrics = frontend.context.metrics.clone();
     let work = activity.work();
     let mut entry = Entry::new(id, arrived_at, now, &published, metrics, work.clone());
-    let serving = handle(&frontend, &published, &mut entry, request, arrived_at);
+    let socket = activity.socket();
+    socket.set_unread_body(!request.body().is_end_stream());
+    let serving = handle(
+        &frontend, &published, &mut entry, request, socket, arrived_at,
+    );
     let answered = tokio::select! {
         biased;
         answered = serving => answered,
@@ -164,6 +169,7 @@
     published: &Published,
     entry: &mut Entry,
     request: Request<Incoming>,
+    socket: &State,
     arrived_at: Instant,
 ) -> Result<Served, Refusal> {
     let (mut head, body) = request.into_parts();
@@ -172,7 +178,7 @@
         Ok(inbound) => inbound,
         Err(refusal) => {
             entry.set_stage(Stage::Answer);
-            discard_body(frontend, body).await;
+            discard_body(frontend, body, socket).await;
             return Err(refusal);
         }
     };
@@ -180,7 +186,7 @@
     if let Some(customer) = key.and_then(|key| published.index.customer(key)) {
         if let Err(refusal) = frontend.check_parts(&inbound.shared_parts, customer) {
             entry.set_stage(Stage::Answer);
-            discard_body(frontend, body).await;
+            discard_body(frontend, body, socket).await;
             return Err(refusal);
         }
     }
@@ -194,7 +200,7 @@
             .get(frontend.context.interface.resumes)
             .cloned(),
     );
-    let mut call = read_body(frontend, id, &inbound, head, body).await?;
+    let mut call = read_body(frontend, id, &inbound, head, body, socket).await?;
     let handed =
         forward::hand_over(frontend, published, &inbound, &mut call, entry, arrived_at).await?;
     let (plan, may_have_run) = match handed {
--- a/components/node/src/socket.rs
+++ b/components/node/src/socket.rs
@@ -18,8 +18,14 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Longest time for which a connection is read after the response to a request that was not read to
+/// its end.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes that one call reads of what is discarded.
+const DISCARD_READ_BYTES: usize = 8 * 1024;
 /// Time between two checks of whether anything has arrived on a connection that is to be closed.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for the first bytes of a new connection to arrive before it counts as idle.
@@ -31,6 +37,8 @@
     opened_at: Instant,
     /// Whether an answer that ends with the connection is in progress.
     is_unframed: AtomicBool,
+    /// Whether the body of the latest request has not been read to its end.
+    has_unread_body: AtomicBool,
     /// Requests in progress.
     requests: AtomicU64,
     /// Reads that returned bytes.
@@ -49,6 +57,7 @@
         Arc::new(State {
             opened_at: Instant::now(),
             is_unframed: AtomicBool::new(false),
+            has_unread_body: AtomicBool::new(false),
             requests: AtomicU64::new(0),
             reads: AtomicU64::new(0),
             reads_at_end: AtomicU64::new(0),
@@ -68,6 +77,12 @@
         self.is_unframed.store(is_unframed, Ordering::Relaxed);
     }
 
+    /// Sets whether the body of the latest request has not been read to its end.
+    pub(crate) fn set_unread_body(&self, has_unread_body: bool) {
+        self.has_unread_body
+            .store(has_unread_body, Ordering::Relaxed);
+    }
+
     fn is_unframed(&self) -> bool {
         self.is_unframed.load(Ordering::Relaxed)
     }
@@ -115,6 +130,8 @@
     state: Arc<State>,
     /// Whether the socket is set to be reset when it is closed.
     is_reset: bool,
+    /// Ends the discarding of what arrives after a response.
+    discard_timer: Option<Pin<Box<tokio::time::Sleep>>>,
 }
 
 impl Socket {
@@ -123,6 +140,7 @@
             stream: TokioIo::new(stream),
             state,
             is_reset: false,
+            discard_timer: None,
         }
     }
 
@@ -148,6 +166,25 @@
             self.set_reset(true);
         }
     }
+
+    /// Reads and drops what arrives, until the other side closes the connection or time is over.
+    fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let timer = self
+            .discard_timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(DISCARD_TIMEOUT)));
+        if timer.as_mut().poll(context).is_ready() {
+            return Poll::Ready(());
+        }
+        let mut buffer = [0; DISCARD_READ_BYTES];
+        loop {
+            let mut read = ReadBuf::new(&mut buffer);
+            match Pin::new(self.stream.inner_mut()).poll_read(context, &mut read) {
+                Poll::Ready(Ok(())) if !read.filled().is_empty() => {}
+                Poll::Ready(_) => return Poll::Ready(()),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    }
 }
 
 impl Read for Socket {
@@ -193,7 +230,13 @@
             return Poll::Ready(Ok(()));
         }
         self.set_reset(false);
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        if self.discard_timer.is_none() {
+            std::task::ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+        }
+        if self.state.has_unread_body.load(Ordering::Relaxed) {
+            std::task::ready!(self.poll_discard(context));
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -336,6 +336,21 @@
     assert_eq!(fleet.vm_mut("r2").wait().code(), Some(0));
 }
 
+/// Guards against a refusal that a caller loses, since its connection is reset while it still sends.
+#[test]
+fn refuses_a_body_that_is_still_coming_in_without_a_reset() {
+    let mut fleet = fleet(&grace(), "");
+    let address = fleet.callers("r2");
+    let lasts = GRACE / 2 + Duration::from_millis(600);
+    let upload = std::thread::spawn(move || {
+        Connection::open(address).upload("/booking", &[], Framing::Length, lasts)
+    });
+    wait_for_work(&fleet, "r2", "body", 1);
+    fleet.vm("r2").signal("-TERM");
+    check_given_up(&upload.join().unwrap(), 503, "not-run");
+    assert_eq!(fleet.vm_mut("r2").wait().code(), Some(0));
+}
+
 /// Guards against a key that stays taken, since its request was refused by a stop before the control
 /// VMs had answered the claim.
 #[test]
