Read changed settings off the task that waits for a stop

Cause: a running process reads its settings file once a second and on SIGHUP, in the task that also waits for SIGTERM. A disk that does not answer blocked that task for good: the process took no signal any more and lived until SIGKILL. The runtime, too, would have waited for such a read when it was dropped.

Change: settings are read again on a thread of their own, and the runtime of a command ends without waiting for threads that are blocked.

--- a/src/cmd/dev.rs
+++ b/src/cmd/dev.rs
@@ -2,7 +2,7 @@
 //! two stand-in endpoints.
 
 use super::client::Client;
-use super::run::{runtime, StopSignals};
+use super::run::{block_on, StopSignals};
 use super::{keys, log, Failure};
 use crate::cli::Dev;
 use errors::{Error, Result};
@@ -23,7 +23,7 @@
 /// Runs the demo fleet until a signal or an operator stops it.
 pub(crate) fn run(args: &Dev) -> Result<(), Failure> {
     let folder = std::env::temp_dir().join(format!("cowslipford-dev-{}", std::process::id()));
-    let ended = runtime()?.block_on(serve(args, &folder));
+    let ended = block_on(serve(args, &folder));
     // The folder holds demo certificates and data only, so leftovers are harmless.
     let _ = std::fs::remove_dir_all(&folder);
     ended
--- a/src/cmd/run.rs
+++ b/src/cmd/run.rs
@@ -7,7 +7,9 @@
 use node::{Interface, Process};
 use settings::Settings;
 use state::line::Line;
+use std::future::Future;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
@@ -16,7 +18,7 @@
 
 /// Runs the process until a signal or an operator stops it.
 pub(crate) fn run(args: &Run) -> Result<(), Failure> {
-    runtime()?.block_on(async {
+    block_on(async {
         // Signals are handled before anything else, so that one that arrives during the start
         // leads to an orderly stop, too.
         let stop = StopSignals::listen()?;
@@ -35,7 +37,7 @@
     let ended = tokio::select! {
         ended = process.wait() => ended,
         () = stop.received() => Ok(()),
-        () = watch_settings(file, settings, &reloader) => Ok(()),
+        () = watch_settings(file.into(), settings, &reloader) => Ok(()),
     };
     if ended.is_ok() {
         process.stop().await;
@@ -69,7 +71,7 @@
 
 /// Reloads the settings file on SIGHUP and whenever its content changes. An invalid file is
 /// logged, once for each error, and the last valid settings stay in effect. Never returns.
-async fn watch_settings(file: &Path, mut settings: Settings, reloader: &node::Reloader) {
+async fn watch_settings(file: Arc<Path>, mut settings: Settings, reloader: &node::Reloader) {
     let Ok(mut hangup) = signal(SignalKind::hangup()) else {
         return std::future::pending().await;
     };
@@ -79,7 +81,13 @@
             _ = hangup.recv() => {}
             () = tokio::time::sleep(RELOAD_INTERVAL) => {}
         }
-        match Settings::read(file) {
+        let path = file.clone();
+        // A disk that does not answer blocks the read, which must not delay a stop.
+        let reading = tokio::task::spawn_blocking(move || Settings::read(&path));
+        let Ok(read) = reading.await else {
+            continue;
+        };
+        match read {
             Ok(read) if read != settings => {
                 tracing::info!(event = Line::SettingsReloaded.as_str(), file = %file.display());
                 reloader.apply(&read);
@@ -127,11 +135,22 @@
     }
 }
 
-/// Creates the async runtime of a command. Two worker threads suit VMs with few cores.
-pub(crate) fn runtime() -> Result<tokio::runtime::Runtime, Failure> {
+/// Runs a command in an async runtime. Two worker threads suit VMs with few cores.
+///
+/// # Errors
+///
+/// When the runtime cannot be started, and those of the command.
+pub(crate) fn block_on<F>(command: F) -> Result<(), Failure>
+where
+    F: Future<Output = Result<(), Failure>>,
+{
     let built = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
         .build();
-    Ok(built.map_err(Error::file("start the runtime", "(process)"))?)
+    let runtime = built.map_err(Error::file("start the runtime", "(process)"))?;
+    let ended = runtime.block_on(command);
+    // Dropping the runtime would wait for calls that block a thread, such as reads of a file.
+    runtime.shutdown_background();
+    ended
 }
--- a/src/cmd/stand_in.rs
+++ b/src/cmd/stand_in.rs
@@ -1,6 +1,6 @@
 //! `cowslipford stand-in`: a simulated endpoint in a process of its own.
 
-use super::run::{runtime, StopSignals};
+use super::run::{block_on, StopSignals};
 use super::Failure;
 use crate::cli::StandIn;
 use standin::{Kind, Server, Settings};
@@ -20,7 +20,7 @@
         software: args.software.clone(),
         crash_part: args.crash_part,
     };
-    runtime()?.block_on(async {
+    block_on(async {
         let mut stop = StopSignals::listen()?;
         let server = Server::start(settings).await?;
         print_line!("listening on {}", server.address());
