Handle SIGHUP from the start of a process

Cause: the handler of SIGHUP was installed after the roles had started. A SIGHUP before that ended the process by its default action, with all that it served.

Change: it is installed with those of SIGTERM and SIGINT, before the settings are read; one that arrives during the start leads to a reload.

--- a/src/cmd/run.rs
+++ b/src/cmd/run.rs
@@ -22,22 +22,28 @@
         // Signals are handled before anything else, so that one that arrives during the start
         // leads to an orderly stop, too.
         let stop = StopSignals::listen()?;
+        let hangup = hangup()?;
         let settings = Settings::read(&args.settings)?;
         log::start(&settings.log);
         log_adjusted(&settings);
-        serve(settings, &args.settings, stop).await
+        serve(settings, &args.settings, stop, hangup).await
     })
 }
 
 /// Starts the process, and watches its settings file until the process ends.
-async fn serve(settings: Settings, file: &Path, mut stop: StopSignals) -> Result<(), Failure> {
+async fn serve(
+    settings: Settings,
+    file: &Path,
+    mut stop: StopSignals,
+    hangup: Signal,
+) -> Result<(), Failure> {
     let interface = interface(&settings)?;
     let mut process = Process::start(settings.clone(), interface).await?;
     let reloader = process.reloader();
     let ended = tokio::select! {
         ended = process.wait() => ended,
         () = stop.received() => Ok(()),
-        () = watch_settings(file.into(), settings, &reloader) => Ok(()),
+        () = watch_settings(file.into(), settings, &reloader, hangup) => Ok(()),
     };
     if ended.is_ok() {
         process.stop().await;
@@ -71,10 +77,12 @@
 
 /// Reloads the settings file on SIGHUP and whenever its content changes. An invalid file is
 /// logged, once for each error, and the last valid settings stay in effect. Never returns.
-async fn watch_settings(file: Arc<Path>, mut settings: Settings, reloader: &node::Reloader) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        return std::future::pending().await;
-    };
+async fn watch_settings(
+    file: Arc<Path>,
+    mut settings: Settings,
+    reloader: &node::Reloader,
+    mut hangup: Signal,
+) {
     let mut refused = String::new();
     loop {
         tokio::select! {
@@ -106,6 +114,11 @@
     }
 }
 
+/// Installs a handler of SIGHUP, which would end the process otherwise.
+fn hangup() -> Result<Signal, Failure> {
+    Ok(signal(SignalKind::hangup()).map_err(Error::file("listen for signals", "(process)"))?)
+}
+
 /// Signals that ask a process to stop: SIGTERM and Ctrl-C.
 pub(crate) struct StopSignals {
     terminate: Signal,
--- a/tests/stop_at_start.rs
+++ b/tests/stop_at_start.rs
@@ -108,6 +108,16 @@
     });
 }
 
+/// Guards against a process that is killed by a SIGHUP right after its start: a settings file that
+/// has changed asks for a reload.
+#[test]
+fn can_be_told_of_changed_settings_while_starting() {
+    let folder = tempfile::tempdir().unwrap();
+    let pipe = folder.path().join("settings");
+    let ended = signal_while_settings_are_read(&pipe, &["-HUP", "-TERM"]);
+    assert!(ended.success(), "{ended}");
+}
+
 /// Guards against a stop that never ends, since the process is blocked on reading its settings again,
 /// as it is on a disk that does not answer.
 #[test]
