Write the last log lines before a process ends

Cause: lines are queued for a thread that writes them, and nothing waited for it at the end.

Change: the end of a command waits up to 50 ms for the queue.

--- a/src/cmd/dev.rs
+++ b/src/cmd/dev.rs
@@ -35,7 +35,7 @@
     let name = Name::try_from("dev").map_err(Failure::Input)?;
     keys::create(folder, &[name])?;
     let settings = settings(args, folder)?;
-    log::start(&settings.log);
+    let _flush = log::start(&settings.log);
     let mut process = Process::start(settings, Interface::native()).await?;
     let model = stand_in(Kind::Model).await?;
     let plain = stand_in(Kind::Plain).await?;
--- a/src/cmd/log.rs
+++ b/src/cmd/log.rs
@@ -7,9 +7,9 @@
 use state::clock::Millis;
 use state::line::Line;
 use std::io::{self, Write};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::EnvFilter;
 
@@ -29,14 +29,39 @@
 /// other processes on the same pipe.
 const MAX_WRITE_BYTES: usize = 4096;
 
+/// Longest wait at the end of a command for lines that are still queued.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time between two checks of whether all lines are written.
+const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Waits when dropped until the lines that are still queued are written, within a bound.
+#[must_use]
+pub(crate) struct Flush {
+    queued: Arc<AtomicUsize>,
+}
+
+impl Drop for Flush {
+    fn drop(&mut self) {
+        let began = Instant::now();
+        while self.queued.load(Ordering::Relaxed) > 0 && began.elapsed() < FLUSH_TIMEOUT {
+            std::thread::sleep(FLUSH_CHECK_INTERVAL);
+        }
+    }
+}
+
 /// Starts logging with the level and format of the settings.
-pub(crate) fn start(log: &Log) {
+pub(crate) fn start(log: &Log) -> Flush {
     let filter = EnvFilter::new(format!("{},quinn=warn,rustls=warn,hyper=warn", log.level));
     let (sender, receiver) = flume::bounded(MAX_QUEUED_LINES);
     let dropped = Arc::new(AtomicU64::new(0));
+    let queued = Arc::new(AtomicUsize::new(0));
+    let flush = Flush {
+        queued: queued.clone(),
+    };
     let output = Output {
         sender,
         dropped: dropped.clone(),
+        queued: queued.clone(),
         rate: Arc::new(Mutex::new(Window::new(MAX_LINES_PER_SECOND))),
         started: Instant::now(),
     };
@@ -56,27 +81,29 @@
     if started.is_ok() {
         // The thread waits for lines until the process exits.
         let thread = std::thread::Builder::new().name("log".to_owned());
-        if let Err(error) = thread.spawn(move || write_lines(&receiver, &dropped)) {
+        if let Err(error) = thread.spawn(move || write_lines(&receiver, &dropped, &queued)) {
             eprintln!("cowslipford: logging is disabled: cannot start the writer thread: {error}");
         }
     }
+    flush
 }
 
 /// Writes queued lines in batches, and a line with the count of dropped ones. Runs on the
 /// writer thread.
-fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64, queued: &AtomicUsize) {
     // Each write locks standard output on its own: a lock held across batches would block
     // everything that a command prints.
     let mut out = io::stdout();
     let mut next = None;
     while let Some(first) = next.take().or_else(|| lines.recv().ok()) {
-        let mut batch = first;
+        let (mut batch, mut count) = (first, 1);
         while let Ok(line) = lines.try_recv() {
             if batch.len() + line.len() > MAX_WRITE_BYTES {
                 next = Some(line);
                 break;
             }
             batch.extend_from_slice(&line);
+            count += 1;
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
@@ -86,6 +113,7 @@
         }
         // A write fails when the reader has closed the pipe: the process runs on without logs.
         let _ = out.write_all(&batch).and_then(|()| out.flush());
+        queued.fetch_sub(count, Ordering::Relaxed);
     }
 }
 
@@ -94,6 +122,8 @@
 struct Output {
     sender: Sender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
+    /// Number of lines that are queued or being written.
+    queued: Arc<AtomicUsize>,
     rate: Arc<Mutex<Window>>,
     /// Start of logging, the zero of the rate limit's clock.
     started: Instant,
@@ -111,7 +141,10 @@
 
 impl Write for Output {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        // Counted before the writer thread can subtract it.
+        self.queued.fetch_add(1, Ordering::Relaxed);
         if !self.admits_line() || self.sender.try_send(line.to_vec()).is_err() {
+            self.queued.fetch_sub(1, Ordering::Relaxed);
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
--- a/src/cmd/run.rs
+++ b/src/cmd/run.rs
@@ -24,7 +24,7 @@
         let stop = StopSignals::listen()?;
         let hangup = hangup()?;
         let settings = Settings::read(&args.settings)?;
-        log::start(&settings.log);
+        let _flush = log::start(&settings.log);
         log_adjusted(&settings);
         serve(settings, &args.settings, stop, hangup).await
     })
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -91,3 +91,20 @@
         .sum();
     assert!(lost > 500, "{lost}");
 }
+
+/// Guards against the loss of the last log lines of a process, which are still queued when it ends.
+#[test]
+fn can_find_the_end_of_each_stop() {
+    let mut fleet = Fleet::start(Plan {
+        control: 1,
+        routers: 1,
+        ..Plan::default()
+    });
+    for stops in 1..=30 {
+        fleet.vm("c1").signal("-TERM");
+        assert!(fleet.vm_mut("c1").wait().success());
+        let logged = fleet.vm("c1").log().matches("event=\"stopped\"").count();
+        assert_eq!(logged, stops);
+        fleet.vm_mut("c1").start();
+    }
+}
