Test hand-over while both routers stop

Guards against a request that is lost since the router that passed it on and its peer stop in series.

--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -340,6 +340,28 @@
     assert_eq!((answer.status, answer.complete), (200, true));
 }
 
+/// Guards against a request that is lost since the router that passed it on and its peer stop in
+/// series.
+#[test]
+fn finishes_handed_over_requests_while_both_routers_stop() {
+    let mut fleet = pressed_fleet();
+    for (path, label) in [("/booking", "both"), ("/assistant", "both-stream")] {
+        let answer = call_during(&mut fleet, path, label, |fleet| {
+            fleet.vm("r1").signal("-TERM");
+            std::thread::sleep(Duration::from_millis(100));
+            fleet.vm("r4").signal("-TERM");
+        });
+        assert_eq!((answer.status, answer.complete), (200, true), "{path}");
+        for vm in ["r1", "r4"] {
+            assert!(fleet.vm_mut(vm).wait().success());
+            fleet.vm_mut(vm).start();
+        }
+        fleet.wait_ready();
+        press(&fleet, "r1", true);
+        wait_for_hand_over(&fleet, "r1", "r4");
+    }
+}
+
 #[test]
 fn cancels_a_request_at_the_peer_when_its_caller_leaves() {
     // Failure: the caller leaves, and the peer goes on with a stream that nobody reads.
