Wait for full buffers in the tests of unread streams

Cause: two tests slept for 1.5 s and took the buffers of a stream that is not read for full then.

Change: the tests wait until the endpoint sends no more for a second. No bound has changed; what is asserted afterwards (no token more in 2.5 s, and the whole stream at the end) is the same.

--- a/tests/resume.rs
+++ b/tests/resume.rs
@@ -353,6 +353,7 @@
 fn can_report_a_stream_that_is_not_resumed_because_of_its_caller() {
     let fleet = fleet(RESUME, 1, 2, 4);
     let mut caller = slow_caller(&fleet, 3000, "tear").unwrap();
+    wait_for_full_buffers(&fleet);
     // The caller pauses once, for longer than the time after which a break is attributed to it, and
     // reads the rest at once: with several pauses, it depends on the buffers of the sockets whether
     // the router meets the break within one second after a pause of more than one.
@@ -394,19 +395,34 @@
     Ok(caller)
 }
 
+/// Number of tokens that the stand-ins have sent.
+fn tokens(fleet: &Fleet) -> u64 {
+    let counts = fleet.stand_ins.iter().map(|s| fleet.counts(&s.name));
+    counts.filter_map(|c| c["tokens"].as_u64()).sum()
+}
+
+/// Waits until a stream that is not read has filled all buffers, so that its endpoint sends no more;
+/// returns the number of tokens sent. On a machine without processor time this takes seconds.
+fn wait_for_full_buffers(fleet: &Fleet) -> u64 {
+    let mut sent = tokens(fleet);
+    eventually("the buffers are full", || {
+        std::thread::sleep(Duration::from_secs(1));
+        let before = std::mem::replace(&mut sent, tokens(fleet));
+        before == sent && sent > 100
+    });
+    sent
+}
+
 /// Guards against a router that buffers a stream whose caller does not read it, and that takes the
 /// endpoint for silent meanwhile.
 #[test]
 fn can_wait_for_a_caller_that_does_not_read() {
     let fleet = fleet(RESUME, 1, 1, 4);
     let mut caller = slow_caller(&fleet, 4000, "").unwrap();
-    let name = &fleet.stand_ins[0].name;
-    let tokens = || fleet.counts(name)["tokens"].as_u64();
-    std::thread::sleep(Duration::from_millis(1500));
-    let sent = tokens();
+    let sent = wait_for_full_buffers(&fleet);
     // Longer than the silence after which an endpoint is given up.
     std::thread::sleep(Duration::from_millis(2500));
-    assert_eq!(tokens(), sent, "the endpoint is not read meanwhile");
+    assert_eq!(tokens(&fleet), sent, "the endpoint is not read meanwhile");
     let mut answer = Vec::new();
     caller.read_to_end(&mut answer).unwrap();
     let text = String::from_utf8(answer).unwrap();
