Soak: send slow uploads, and check how long stops take

Change: three callers of each router send bodies for 0.1 to 1.5 s, by length and in chunks, on kept connections. One that was sent whole has to be answered unless its router is killed or paused. A stop without a pause has to end within the grace period.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -2,6 +2,8 @@
 
 use super::check::{End, Kind, Observations, Request, Revoked, REVOKED};
 use super::harness::http::{request, Answer, Client};
+use super::harness::slow::Slow;
+use http_body_util::Either;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::net::SocketAddr;
@@ -21,6 +23,11 @@
 pub(crate) const REVOCATION: Duration = Duration::from_secs(2);
 /// Callers of each customer, spread over the routers.
 const CALLERS_PER_CUSTOMER: u64 = 4;
+/// Callers of each router whose requests come in slowly.
+const UPLOADERS_PER_ROUTER: u64 = 3;
+/// Time for which their bodies come in, in milliseconds. Routers refuse customers whose requests are
+/// older than the proof of the configuration may be.
+const UPLOAD_MS: std::ops::Range<u64> = 100..1500;
 /// Concurrent connections of the customer that floods a router: many times its usual number.
 const FLOOD_CONNECTIONS: u64 = 80;
 /// Answers that each other customer must get from a flooded router.
@@ -57,6 +64,8 @@
     pub(crate) stop_crashes: AtomicBool,
     /// Number of the next request.
     pub(crate) names: AtomicU32,
+    /// How often each router was killed or paused.
+    pub(crate) disturbances: Vec<AtomicU32>,
 }
 
 impl Shared {
@@ -139,6 +148,10 @@
     }
     for index in 0..shared.routes.len() {
         tasks.spawn(probe(shared.clone(), index));
+        for n in 0..UPLOADERS_PER_ROUTER {
+            let stream = shared.seed * 1000 + 500 + index as u64 * UPLOADERS_PER_ROUTER + n;
+            tasks.spawn(upload(shared.clone(), index, stream));
+        }
     }
     tasks.spawn(crash_engines(shared.clone()));
 }
@@ -226,6 +239,38 @@
     }
 }
 
+/// Sends bookings whose bodies come in slowly, on a kept connection to one router.
+///
+/// A request that was sent whole gets an answer unless its router is killed or paused, also while
+/// the router stops.
+async fn upload(shared: Arc<Shared>, index: usize, stream: u64) {
+    let mut rng = Pcg64::seed_from_u64(stream);
+    let mut client = Client::new(shared.routes[index].direct);
+    let disturbances = || shared.disturbances[index].load(Ordering::Relaxed);
+    while !shared.stop.load(Ordering::Relaxed) {
+        let sent = shared.request("upload", Kind::Booking);
+        let label = sent.label();
+        let headers = [("stand-in-id", label.as_str())];
+        let lasts = Duration::from_millis(rng.random_range(UPLOAD_MS));
+        let (body, is_sent) = Slow::new(&sent.name, lasts, rng.random_bool(0.5));
+        let http = request("POST", "/booking", "beta", &headers, "");
+        let http = http.map(|_| Either::Right(body));
+        let before = disturbances();
+        let answer = client.call(http, CALLER_TIMEOUT).await;
+        let end = shared.observations.record(&sent, &answer);
+        let is_lost = end == End::NoAnswer && is_sent.load(Ordering::Relaxed);
+        if is_lost && disturbances() == before {
+            let text = format!("router {index}: {label} was sent whole and got no answer");
+            shared.observations.report_violation(text);
+        }
+        if is_sent.load(Ordering::Relaxed) {
+            shared.observations.count("slow upload sent whole");
+        }
+        let pause = rng.random_range(5..100);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
 /// A random address: a router, directly or through its proxy.
 fn address(shared: &Shared, rng: &mut Pcg64) -> SocketAddr {
     let route = shared.routes[rng.random_range(0..shared.routes.len())];
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -24,6 +24,8 @@
 
 /// Interval at which a condition is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Grace period of the VMs.
+const GRACE: Duration = Duration::from_secs(8);
 /// Path of the fault injection that restores all links of a VM.
 const JOIN_PATH: &str = "/fault/cut";
 
@@ -48,6 +50,10 @@
     callers: JoinSet<()>,
     /// VMs whose present process was sent SIGTERM.
     terminated: [bool; VM_COUNT],
+    /// VMs whose present process is paused.
+    paused: [bool; VM_COUNT],
+    /// When the present process of each VM was first sent SIGTERM, unless it was paused since.
+    stopping_since: [Option<Instant>; VM_COUNT],
     /// VMs that are restarted as soon as their process has exited.
     restart_pending: [bool; VM_COUNT],
 }
@@ -80,8 +86,11 @@
         let fleet = Fleet::start(Plan {
             control: CONTROL_COUNT,
             routers: ROUTER_COUNT,
+            // A router without schedulers to hand over stops at once.
+            schedulers: ROUTER_COUNT - usize::from(seed % 2 == 1),
             models: 2,
             plain_services: 2,
+            vm_keys: format!("grace = {}s", GRACE.as_secs()),
             model_args: &["--crash-part", callers::DEADLY_PART],
             settings: format!(
                 "[router]\nresume = yes\nrevocation = {}s",
@@ -111,6 +120,7 @@
             stop: AtomicBool::new(false),
             stop_crashes: AtomicBool::new(false),
             names: AtomicU32::new(0),
+            disturbances: (0..ROUTER_COUNT).map(|_| AtomicU32::new(0)).collect(),
         });
         let mut operator = Operator {
             shared: shared.clone(),
@@ -138,6 +148,8 @@
             commands,
             callers,
             terminated: [false; VM_COUNT],
+            paused: [false; VM_COUNT],
+            stopping_since: [None; VM_COUNT],
             restart_pending: [false; VM_COUNT],
         }
     }
@@ -170,6 +182,14 @@
                 continue;
             };
             let asked = std::mem::replace(&mut self.terminated[index], false);
+            let stopping_since = self.stopping_since[index].take();
+            if let Some(took) = stopping_since.map(|since| since.elapsed()) {
+                self.shared.observations.count("stop without a pause");
+                if took > GRACE + POLL_INTERVAL {
+                    let text = format!("{} took {took:?} to stop", vm.name);
+                    self.shared.observations.report_violation(text);
+                }
+            }
             if !asked || !status.success() {
                 let text = format!("{} exited with {status}, SIGTERM sent: {asked}", vm.name);
                 self.shared.observations.report_violation(text);
@@ -188,8 +208,8 @@
         };
         match act {
             Act::SetProxy(index, mode) => self.proxies[index].set(mode),
-            Act::Pause(target) => self.signal(target, "-STOP"),
-            Act::Resume(target) => self.signal(target, "-CONT"),
+            Act::Pause(target) => self.pause(target),
+            Act::Resume(target) => self.resume(target),
             Act::Kill(target) => self.kill(target),
             Act::Terminate(target) => self.terminate(target),
             Act::Start(target) => self.start_again(target),
@@ -258,17 +278,49 @@
         }
     }
 
+    /// Counts that the requests of a router may be lost or late.
+    fn disturb(&self, index: usize) {
+        if let Some(router) = index.checked_sub(CONTROL_COUNT) {
+            self.shared.disturbances[router].fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn pause(&mut self, target: Target) {
+        if let Target::Vm(index) = target {
+            self.disturb(index);
+            self.paused[index] = self.fleet.vms[index].is_live();
+            self.stopping_since[index] = None;
+        }
+        self.signal(target, "-STOP");
+    }
+
+    fn resume(&mut self, target: Target) {
+        self.signal(target, "-CONT");
+        if let Target::Vm(index) = target {
+            self.disturb(index);
+            self.paused[index] = false;
+        }
+    }
+
     fn kill(&mut self, target: Target) {
-        self.process(target).kill();
         if let Target::Vm(index) = target {
+            self.disturb(index);
             self.terminated[index] = false;
+            self.paused[index] = false;
+            self.stopping_since[index] = None;
         }
+        self.process(target).kill();
     }
 
     fn terminate(&mut self, target: Target) {
         self.signal(target, "-TERM");
         if let Target::Vm(index) = target {
-            self.terminated[index] |= self.fleet.vms[index].is_live();
+            let is_live = self.fleet.vms[index].is_live();
+            let is_first = is_live && !self.terminated[index];
+            self.terminated[index] |= is_live;
+            if is_first && !self.paused[index] {
+                self.stopping_since[index] = Some(Instant::now());
+            }
         }
     }
 
@@ -297,7 +349,7 @@
         }
         self.act(Act::EndEvacuation);
         for index in 0..VM_COUNT {
-            self.signal(Target::Vm(index), "-CONT");
+            self.resume(Target::Vm(index));
         }
         self.wait_for("VMs that were sent SIGTERM have exited", |run| {
             run.reap();
