Test retries and hand-overs during a stop

Neither way had a run of its own: a request whose endpoint ends while its router stops, which goes on at another endpoint, and bodies that come in at a stopping router that passes them on.

--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -3,6 +3,7 @@
 
 mod harness;
 
+use harness::upload::{Connection, Framing};
 use harness::{eventually, http, Fleet, Plan};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -362,6 +363,33 @@
     }
 }
 
+/// Guards against requests that are lost since their bodies come in while the router that is to pass
+/// them on stops.
+#[test]
+fn hands_over_requests_whose_bodies_come_in_during_a_stop() {
+    let mut fleet = pressed_fleet();
+    let address = fleet.callers("r1");
+    let uploads: Vec<_> = (0..4)
+        .map(|n| {
+            let lasts = std::time::Duration::from_millis(600 + 300 * n);
+            let upload =
+                move || Connection::open(address).upload("/booking", &[], Framing::Length, lasts);
+            std::thread::spawn(upload)
+        })
+        .collect();
+    eventually("the bodies are coming in", || {
+        metric(&fleet, "r1", "cowslipford_work{stage=\"body\"}") == 4
+    });
+    let before = metric(&fleet, "r4", FROM_PEERS);
+    fleet.vm("r1").signal("-TERM");
+    for upload in uploads {
+        let outcome = upload.join().unwrap();
+        assert_eq!(outcome.status(), 200, "{outcome:?}");
+    }
+    assert!(metric(&fleet, "r4", FROM_PEERS) > before);
+    assert!(fleet.vm_mut("r1").wait().success());
+}
+
 #[test]
 fn cancels_a_request_at_the_peer_when_its_caller_leaves() {
     // Failure: the caller leaves, and the peer goes on with a stream that nobody reads.
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -336,6 +336,41 @@
     assert_eq!(fleet.vm_mut("r2").wait().code(), Some(0));
 }
 
+/// Guards against a request that is lost since its endpoint ends while its router stops, although
+/// another endpoint may run it.
+#[test]
+fn retries_a_request_at_another_endpoint_during_a_stop() {
+    let mut fleet = Fleet::start(Plan {
+        control: 1,
+        routers: 2,
+        schedulers: 1,
+        plain_services: 2,
+        ..Plan::default()
+    });
+    let safe = "[rule safe]\nwhen-path = /safe\nthen = send\nservice = booking\nidempotent = yes\n";
+    let applied = fleet.apply(&(fleet.configuration() + safe), &[]);
+    assert!(applied.0.success(), "{}", applied.2);
+    fleet.wait_version(fleet.version());
+    // Earns retries.
+    for _ in 0..40 {
+        assert_eq!(fleet.call("r2", "alpha", "/safe", &[], "x").status, 200);
+    }
+    let address = fleet.callers("r2");
+    let headers = [("stand-in-pace", "1500"), ("stand-in-id", "retried")];
+    let caller = std::thread::spawn(move || Connection::open(address).request("/safe", &headers));
+    let has_request = |name: &str| fleet.counts(name)["labels"]["retried"].as_u64() == Some(1);
+    let mut endpoint = None;
+    eventually("an endpoint has the request", || {
+        endpoint = fleet.stand_ins.iter().position(|s| has_request(&s.name));
+        endpoint.is_some()
+    });
+    fleet.vm("r2").signal("-TERM");
+    fleet.kill_stand_in(endpoint.unwrap());
+    let outcome = caller.join().unwrap();
+    assert_eq!(outcome.status(), 200, "{outcome:?}");
+    assert_eq!(fleet.vm_mut("r2").wait().code(), Some(0));
+}
+
 /// Guards against a refusal that a caller loses, since its connection is reset while it still sends.
 #[test]
 fn refuses_a_body_that_is_still_coming_in_without_a_reset() {
