--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -11,7 +11,7 @@
 use harness::{eventually, http, run, Fleet, Plan, OPERATOR_KEY};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::process::{Command, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -128,16 +128,43 @@
     }
 }
 
+/// Guards against requests that are lost when a router is replaced by a new process at its address,
+/// which is then replaced, too.
+#[test]
+fn answers_requests_when_a_router_is_replaced() {
+    let mut fleet = fleet("", "");
+    for _ in 0..2 {
+        let uploads = start_uploads(&fleet, "r2", 4);
+        fleet.vm("r2").signal("-TERM");
+        check_answered(uploads);
+        assert_eq!(fleet.vm_mut("r2").wait().code(), Some(0));
+        fleet.vm_mut("r2").start();
+        fleet.wait_ready();
+    }
+    let mut connection = Connection::open(fleet.callers("r2"));
+    assert_eq!(connection.request("/booking", &[]).status(), 200);
+}
+
+/// A process of `cowslipford dev`; it is killed when this value is dropped.
+struct Dev(Child);
+
+impl Drop for Dev {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 /// Guards against requests that are lost in a process that is control VM, scheduler and router.
 #[test]
 fn answers_requests_whose_bodies_come_in_when_dev_is_interrupted() {
-    let mut child = Command::new(harness::BINARY)
+    let child = Command::new(harness::BINARY)
         .args(["dev", "--callers", "127.0.0.1:0"])
         .args(["--operators", "127.0.0.1:0"])
         .stdout(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        .spawn();
+    let mut dev = Dev(child.unwrap());
+    let mut lines = BufReader::new(dev.0.stdout.take().unwrap()).lines();
     let ready = lines.find_map(|line| {
         let line = line.unwrap();
         let (_, rest) = line.split_once("callers on ")?;
@@ -153,11 +180,16 @@
         })
     });
     std::thread::sleep(Duration::from_millis(500));
-    let pid = child.id().to_string();
+    let pid = dev.0.id().to_string();
     let sent = Command::new("kill").args(["-INT", &pid]).status();
     assert!(sent.unwrap().success());
     check_answered(uploads.into());
-    assert_eq!(child.wait().unwrap().code(), Some(0));
+    let mut status = None;
+    eventually("the process ends", || {
+        status = dev.0.try_wait().unwrap();
+        status.is_some()
+    });
+    assert_eq!(status.unwrap().code(), Some(0));
     reader.join().unwrap();
 }
 
