Log what a decision about a taken-up stream rests on

What callers saw: streams with events of two versions. The record of the incident cannot say why, since `origin_from` is `only-version` both for what a control VM says and for what the router itself believes, and nothing tells how old the router's list is.

`request-ended` of a stream that its caller takes up again now tells them apart (`only-version-by-control`, `only-version-by-router`), and has `listed` (the versions that the router knows) and `listing_ms` (the age of its list).

--- a/components/coordination/src/listing.rs
+++ b/components/coordination/src/listing.rs
@@ -126,6 +126,12 @@
         self.census.as_ref()
     }
 
+    /// Time since the list was last read, received or confirmed, in milliseconds; `None` before the
+    /// first time.
+    pub fn age_ms(&self, now: Millis) -> Option<u64> {
+        self.updated.map(|at| now.since(at))
+    }
+
     /// Whether there was an update within the last `within_ms`.
     pub fn is_recent(&self, now: Millis, within_ms: u64) -> bool {
         self.updated.is_some_and(|at| now.since(at) <= within_ms)
--- a/components/coordination/src/origin.rs
+++ b/components/coordination/src/origin.rs
@@ -323,7 +323,7 @@
 }
 
 /// Versions of the endpoints of a service.
-fn versions(view: &View, service: &Name) -> BTreeSet<Software> {
+pub fn versions(view: &View, service: &Name) -> BTreeSet<Software> {
     let endpoints = view.config.endpoints.values();
     let of_service = endpoints.filter(|e| e.service == *service);
     of_service.map(|e| e.software).collect()
--- a/components/node/src/frontend/access_log.rs
+++ b/components/node/src/frontend/access_log.rs
@@ -23,6 +23,7 @@
 use state::id::{Name, RequestId, Software};
 use state::line::Line;
 use state::outcome::Outcome;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -364,7 +365,8 @@
         let estimate = refusal.and_then(|r| r.estimate);
         let crash_fingerprint = self.fingerprint.filter(|_| reason == BROKE_OFF);
         self.is_logged = true;
-        let decision = self.continued.map(|c| c.decision);
+        let continued = self.continued.as_ref();
+        let decision = continued.map(|c| c.decision);
         let at_version = match decision {
             Some(Decision::At(software)) => Some(software),
             _ => None,
@@ -395,8 +397,10 @@
             unresumed = self.unresumed,
             resumes = self.resumes.as_ref().and_then(|id| id.to_str().ok()),
             origin = decision.map(Decision::as_str),
-            origin_from = self.continued.map(|c| c.source),
+            origin_from = continued.map(|c| c.source),
             at_version = at_version.map(tracing::field::display),
+            listed = continued.map(|c| join_versions(&c.listed)),
+            listing_ms = continued.and_then(|c| c.listing_age_ms),
             began = self.began.map(tracing::field::display),
             framing = self.framing.map(Framing::as_str),
             ending = self.ending,
@@ -421,6 +425,12 @@
     }
 }
 
+/// Versions for a log line.
+fn join_versions(versions: &BTreeSet<Software>) -> String {
+    let texts: Vec<String> = versions.iter().map(Software::to_string).collect();
+    texts.join(",")
+}
+
 /// A name for a log line; empty without one.
 fn text(name: Option<&Name>) -> &str {
     name.map_or("", Name::as_str)
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -282,11 +282,11 @@
     let question = Input::Continue(stream, plan.stream, sender);
     let _ = frontend.context.reactor.send(question);
     let continued = reply.await.map_err(|_| no_endpoint())?;
+    let decision = continued.decision;
     entry.record_origin(continued);
-    let decided = continued.decision.as_str();
     let counter = &frontend.context.metrics.continued_streams;
-    counter.with_label_values(&[decided]).inc();
-    match continued.decision {
+    counter.with_label_values(&[decision.as_str()]).inc();
+    match decision {
         origin::Decision::At(software) => Ok(Some(software)),
         origin::Decision::Anywhere | origin::Decision::LookUp => Ok(None),
         origin::Decision::Reject(rejection) => Err(rejected_stream(rejection)),
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -13,6 +13,7 @@
 use state::listing::Entry;
 use state::suspect::{Break, Completion, Crash, Survival};
 use state::view::{Node, Step, View};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use tokio::sync::oneshot;
 use transport::link;
@@ -84,11 +85,15 @@
 }
 
 /// Where a stream that its caller takes up again may go on, and how that is known.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Continued {
     pub(crate) decision: origin::Decision,
     /// Source of the decision, for the access log.
     pub(crate) source: &'static str,
+    /// Age of this router's list of endpoints, in milliseconds; `None` without a list.
+    pub(crate) listing_age_ms: Option<u64>,
+    /// Versions of the service's endpoints that this router knows.
+    pub(crate) listed: BTreeSet<Software>,
 }
 
 /// An input of the reactor.
--- a/components/node/src/reactor/origins.rs
+++ b/components/node/src/reactor/origins.rs
@@ -115,7 +115,7 @@
         if decision != Decision::LookUp {
             let source = found.map_or("", |_| "this-router");
             // The caller may have disconnected.
-            let _ = reply.send(Continued { decision, source });
+            let _ = reply.send(self.continued(now, stream, decision, source));
             return;
         }
         let vms = self.origin_vms();
@@ -139,11 +139,32 @@
         let decision = self.decide_origin(now, stream, Some(found));
         let source = match (found, decision) {
             (Found::Known(_), _) => "control-vm",
-            (_, Decision::At(_)) => "only-version",
+            (Found::Unknown(Some(sole)), Decision::At(at)) if sole.software == at => {
+                "only-version-by-control"
+            }
+            (_, Decision::At(_)) => "only-version-by-router",
             (Found::Unknown(_), _) => "all-control-vms",
             (Found::Unreachable, _) => "",
         };
-        Continued { decision, source }
+        self.continued(now, stream, decision, source)
+    }
+
+    /// A decision with what this process knows of the versions of the service.
+    fn continued(
+        &self,
+        now: Millis,
+        stream: Stream,
+        decision: Decision,
+        source: &'static str,
+    ) -> Continued {
+        let service = self.effective.config.services.get(&stream.service);
+        let listed = service.map(|s| origin::versions(&self.effective, &s.name));
+        Continued {
+            decision,
+            source,
+            listing_age_ms: self.registry.age_ms(now),
+            listed: listed.unwrap_or_default(),
+        }
     }
 
     fn decide_origin(&self, now: Millis, stream: Stream, found: Option<Found>) -> Decision {
