--- a/components/coordination/src/origin.rs
+++ b/components/coordination/src/origin.rs
@@ -3,11 +3,12 @@
 //! What two versions of an endpoint's software write does not fit together, so that a stream may
 //! only go on at the version that began it. A caller that takes a stream up again names the
 //! request that brought its first event, but may come to any router, after the one that served
-//! that request was killed or cut off.
+//! that request was killed or cut off, and after any time.
 //!
 //! A router therefore reports the origin of each stream to a control VM, which passes it on to the
-//! others. [`Origins`] remembers origins, [`Lookups`] asks for one, [`History`] knows services
-//! that have had a single version for some time, and [`decide`] says where a stream may go on.
+//! others. [`Origins`] remembers origins, [`Lookups`] asks for one, and [`decide`] says where a
+//! stream may go on. A stream of unknown origin goes on only if its service has never had a second
+//! version by the [`state::catalog`].
 
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -64,8 +65,9 @@
 /// What is remembered of one stream.
 #[derive(Clone, Copy, Debug)]
 struct Entry {
-    /// `None` if two origins were reported: each may be the one whose event the caller has.
-    origin: Option<Origin>,
+    origin: Origin,
+    /// Another origin that was reported: either may be the one whose event the caller has.
+    other: Option<Origin>,
     reported_at: Millis,
 }
 
@@ -81,11 +83,12 @@
     /// Remembers the origin of a stream from now on.
     pub fn record(&mut self, now: Millis, key: Key, origin: Origin) {
         let entry = self.entries.entry(key).or_insert(Entry {
-            origin: Some(origin),
+            origin,
+            other: None,
             reported_at: now,
         });
-        if entry.origin != Some(origin) {
-            entry.origin = None;
+        if entry.origin != origin {
+            entry.other = Some(origin);
         }
         entry.reported_at = now;
         self.order.push_back((now, key));
@@ -96,13 +99,16 @@
     pub fn get(&self, now: Millis, key: Key) -> Option<Origin> {
         let entry = self.entries.get(&key)?;
         let is_recent = now.since(entry.reported_at) < KEPT_MS;
-        entry.origin.filter(|_| is_recent)
+        (is_recent && entry.other.is_none()).then_some(entry.origin)
     }
 
-    /// All origins that are known.
+    /// All origins that were reported, two for a stream that is ambiguous.
     pub fn iter(&self) -> impl Iterator<Item = (Key, Origin)> + '_ {
         let all = self.entries.iter();
-        all.filter_map(|(key, entry)| Some((*key, entry.origin?)))
+        all.flat_map(|(key, entry)| {
+            let origins = std::iter::once(entry.origin).chain(entry.other);
+            origins.map(|origin| (*key, origin))
+        })
     }
 
     /// Number of streams that are remembered.
@@ -139,17 +145,23 @@
 pub struct Sole {
     /// The version.
     pub software: Software,
-    /// Time for which it has been the only one, in milliseconds.
+    /// Time for which it has been the only one, in milliseconds, or [`Sole::EVER`]. Processes of an
+    /// earlier release state times, which say nothing of streams that have waited for longer.
     pub for_ms: u64,
 }
 
+impl Sole {
+    /// Time of a version that has been the only one since its service was first used.
+    pub const EVER: u64 = u64::MAX;
+}
+
 /// Answer of a control VM to a lookup.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Answer {
     /// The stream began here.
     Known(Origin),
-    /// The origin is not known; the service has this version alone, if it has one.
+    /// The origin is not known; the service has had this version alone, if it has.
     Unknown(Option<Sole>),
 }
 
@@ -158,9 +170,10 @@
 pub enum Found {
     /// The stream began here.
     Known(Origin),
-    /// All processes that were asked have answered, and none knows. The service has this version
-    /// alone by what they know together.
-    Unknown(Option<Sole>),
+    /// The service has never had another version.
+    Sole(Software),
+    /// All processes that were asked have answered, and none knows.
+    Unknown,
     /// Not all of them have answered in time, or there is none to ask.
     Unreachable,
 }
@@ -172,8 +185,6 @@
     awaited: BTreeSet<Name>,
     /// Whether a VM was lost before it answered.
     is_incomplete: bool,
-    /// The only version of the service by the answers so far; `None` before the first one.
-    sole: Option<Option<Sole>>,
     until: Millis,
 }
 
@@ -204,7 +215,6 @@
         let lookup = Lookup {
             awaited: vms,
             is_incomplete: false,
-            sole: None,
             until: now.after(LOOKUP_MS),
         };
         self.lookups.insert(number, lookup);
@@ -222,14 +232,22 @@
                 self.lookups.remove(&number);
                 Some(Found::Known(origin))
             }
-            Answer::Unknown(sole) => {
-                let before = lookup.sole.replace(sole);
-                lookup.sole = Some(before.map_or(sole, |before| agreed(before, sole)));
-                self.end_if_answered(number)
+            Answer::Unknown(Some(sole)) if sole.for_ms == Sole::EVER => {
+                self.lookups.remove(&number);
+                Some(Found::Sole(sole.software))
             }
+            Answer::Unknown(_) => self.end_if_answered(number),
         }
     }
 
+    /// Lookups that wait for the answer of a VM.
+    pub fn awaiting(&self, vm: &Name) -> impl Iterator<Item = u64> + '_ {
+        let vm = vm.clone();
+        let waiting = self.lookups.iter();
+        let waiting = waiting.filter(move |(_, lookup)| lookup.awaited.contains(&vm));
+        waiting.map(|(number, _)| *number)
+    }
+
     /// Handles the loss of a VM. Returns the lookups that have ended.
     pub fn lose(&mut self, vm: &Name) -> Vec<(u64, Found)> {
         let numbers: Vec<u64> = self.lookups.keys().copied().collect();
@@ -259,65 +277,7 @@
         let lookup = self.lookups.remove(&number)?;
         Some(match lookup.is_incomplete {
             true => Found::Unreachable,
-            false => Found::Unknown(lookup.sole.flatten()),
-        })
-    }
-}
-
-/// The only version by what two processes know: one of them may have restarted.
-fn agreed(a: Option<Sole>, b: Option<Sole>) -> Option<Sole> {
-    let (a, b) = a.zip(b)?;
-    (a.software == b.software).then_some(if a.for_ms >= b.for_ms { a } else { b })
-}
-
-/// Versions that endpoints of a service have had lately.
-#[derive(Clone, Debug)]
-struct Past {
-    /// The only version of all endpoints, if there is one.
-    only: Option<Software>,
-    /// Since when it has been the only one.
-    since: Millis,
-}
-
-/// Services by the versions that their endpoints have had lately.
-#[derive(Clone, Debug, Default)]
-pub struct History {
-    services: BTreeMap<ServiceId, Past>,
-}
-
-impl History {
-    /// Takes the present endpoints. A process that knows only a part of them knows no history.
-    pub fn update(&mut self, now: Millis, view: &View) {
-        if view.is_partial() {
-            self.services.clear();
-            return;
-        }
-        let is_configured = |id: &ServiceId| view.config.services.contains_key(id);
-        self.services.retain(|id, _| is_configured(id));
-        for (id, service) in &view.config.services {
-            let mut versions = versions(view, &service.name);
-            let only = match (versions.pop_first(), versions.is_empty()) {
-                (Some(only), true) => Some(only),
-                // An empty list does not say that another version has served.
-                (None, _) => continue,
-                (Some(_), false) => None,
-            };
-            let past = self
-                .services
-                .entry(*id)
-                .or_insert(Past { only, since: now });
-            if past.only != only {
-                *past = Past { only, since: now };
-            }
-        }
-    }
-
-    /// The only version of a service, if it has one.
-    pub fn sole(&self, now: Millis, service: ServiceId) -> Option<Sole> {
-        let past = self.services.get(&service)?;
-        Some(Sole {
-            software: past.only?,
-            for_ms: now.since(past.since),
+            false => Found::Unknown,
         })
     }
 }
@@ -332,8 +292,6 @@
 /// Where a stream that its caller takes up again may go on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
-    /// At any endpoint: none of the service states a version.
-    Anywhere,
     /// At endpoints with this version.
     At(Software),
     /// The origin is to be looked up first.
@@ -351,13 +309,14 @@
     Unreachable,
     /// No endpoint with the version that began the stream takes requests.
     Gone,
+    /// No such endpoint is on this router's list, which is not the latest.
+    Stale,
 }
 
 impl Decision {
     /// Name of the decision in logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            Decision::Anywhere => "unversioned",
             Decision::At(_) => "at-version",
             Decision::LookUp => "look-up",
             Decision::Reject(rejection) => rejection.as_str(),
@@ -372,6 +331,7 @@
             Rejection::Unknown => "origin-unknown",
             Rejection::Unreachable => "origin-unreachable",
             Rejection::Gone => "version-gone",
+            Rejection::Stale => "endpoints-stale",
         }
     }
 }
@@ -379,59 +339,37 @@
 /// A stream that its caller takes up again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stream {
-    /// Its service.
+    /// Its service, by its rule.
     pub service: ServiceId,
-    /// Longest time for which a stream of its rule lasts, in milliseconds.
-    pub lasts_ms: u64,
+    /// Whether its rule names no other service.
+    pub has_one_service: bool,
 }
 
 /// Decides where a stream may go on. `found` is the result of the lookup, if there was one.
-///
-/// A stream of unknown origin goes on at the only version of its service if that has been the only
-/// one for longer than the stream can have lasted.
-pub fn decide(
-    now: Millis,
-    view: &View,
-    history: &History,
-    stream: Stream,
-    found: Option<Found>,
-) -> Decision {
-    let Stream { service, lasts_ms } = stream;
+/// `is_current` says whether the endpoints of the view are those of the latest list.
+pub fn decide(view: &View, is_current: bool, stream: Stream, found: Option<Found>) -> Decision {
+    let Stream { service, .. } = stream;
     let Some(name) = view.config.services.get(&service).map(|s| &s.name) else {
         return Decision::Reject(Rejection::Unknown);
     };
-    let versions = versions(view, name);
-    // A process that knows a part of the endpoints cannot tell that none states a version.
-    if !view.is_partial() && !versions.iter().any(|software| software.is_stated()) {
-        return Decision::Anywhere;
-    }
-    // No version but this one may be known here, whatever others know.
-    let sole = |known: Option<Sole>| {
-        let is_other = |sole: &Sole| versions.iter().any(|software| *software != sole.software);
-        let known = [known, history.sole(now, service)].into_iter().flatten();
-        known
-            .filter(|sole| sole.for_ms >= lasts_ms && !is_other(sole))
-            .map(|sole| sole.software)
-            .next()
-    };
     let software = match found {
         None => return Decision::LookUp,
         Some(Found::Known(origin)) if origin.service == service => origin.software,
-        Some(Found::Known(_)) => return Decision::Reject(Rejection::Unknown),
-        Some(Found::Unknown(known)) => match sole(known) {
-            Some(software) => software,
-            None => return Decision::Reject(Rejection::Unknown),
-        },
-        Some(Found::Unreachable) => match sole(None) {
-            Some(software) => software,
-            None => return Decision::Reject(Rejection::Unreachable),
-        },
+        // It may have begun at another service of the rule.
+        Some(Found::Sole(software)) if stream.has_one_service => software,
+        Some(Found::Known(_) | Found::Sole(_) | Found::Unknown) => {
+            return Decision::Reject(Rejection::Unknown)
+        }
+        Some(Found::Unreachable) => return Decision::Reject(Rejection::Unreachable),
     };
     let takes_work = |(id, e): (&EndpointId, &state::config::Endpoint)| {
         e.service == *name && e.software == software && view.accepts_work(*id, e)
     };
-    if !view.is_partial() && !view.config.endpoints.iter().any(takes_work) {
-        return Decision::Reject(Rejection::Gone);
+    if view.is_partial() || view.config.endpoints.iter().any(takes_work) {
+        return Decision::At(software);
     }
-    Decision::At(software)
+    Decision::Reject(match is_current {
+        true => Rejection::Gone,
+        false => Rejection::Stale,
+    })
 }
--- a/components/coordination/tests/origin.rs
+++ b/components/coordination/tests/origin.rs
@@ -3,8 +3,8 @@
 mod views;
 
 use coordination::origin::{
-    decide, Answer, Begun, Decision, Found, History, Key, Lookups, Origin, Origins, Rejection,
-    Sole, Stream, KEPT_MS, LOOKUPS_MAX, LOOKUP_MS, ORIGINS_MAX,
+    decide, Answer, Begun, Decision, Found, Key, Lookups, Origin, Origins, Rejection, Sole, Stream,
+    KEPT_MS, LOOKUPS_MAX, LOOKUP_MS, ORIGINS_MAX,
 };
 use rstest::rstest;
 use state::clock::Millis;
@@ -14,13 +14,9 @@
 use std::collections::BTreeSet;
 use views::{name, SERVICE};
 
-/// Longest time of a stream, in milliseconds.
-const LASTS_MS: u64 = 10_000;
-/// A time by which a stream that began at 0 has ended.
-const LATER: Millis = Millis(LASTS_MS);
 const STREAM: Stream = Stream {
     service: SERVICE,
-    lasts_ms: LASTS_MS,
+    has_one_service: true,
 };
 
 fn key(n: u32) -> Key {
@@ -74,7 +70,22 @@
     origins.record(at, key(1), origin("v2"));
     origins.record(at, key(1), origin("v1"));
     assert_eq!(origins.get(at, key(1)), None);
-    assert_eq!(origins.iter().count(), 0);
+}
+
+/// Guards against a process that learns of one of two origins from another, and takes it for the only
+/// one.
+#[test]
+fn passes_both_origins_of_an_ambiguous_stream_on() {
+    let mut origins = Origins::default();
+    let at = Millis(1);
+    origins.record(at, key(1), origin("v1"));
+    origins.record(at, key(1), origin("v2"));
+    let mut others = Origins::default();
+    for (key, origin) in origins.iter() {
+        others.record(at, key, origin);
+    }
+    assert_eq!(others.get(at, key(1)), None);
+    assert_eq!(others.iter().count(), 2);
 }
 
 /// Guards against origins that take more and more memory, also of a stream that is reported often.
@@ -119,34 +130,38 @@
     assert_eq!(lookups.answer(number, &name("c-1"), unknown), None);
     assert_eq!(lookups.answer(number, &name("c-1"), unknown), None);
     let found = lookups.answer(number, &name("c-2"), unknown);
-    assert_eq!(found, Some(Found::Unknown(None)));
+    assert_eq!(found, Some(Found::Unknown));
     let number = begin(&mut lookups);
     let known = lookups.answer(number, &name("c-2"), Answer::Known(origin("v1")));
     assert_eq!(known, Some(Found::Known(origin("v1"))));
     assert_eq!(lookups.answer(number, &name("c-1"), unknown), None);
 }
 
-/// Guards against a version that counts as the only one although another VM knows of a second one,
-/// and against a VM that has restarted and hides what the others know.
-#[rstest]
-#[case::restarted(sole("v1", 5), sole("v1", 9000), sole("v1", 9000))]
-#[case::other_version(sole("v1", 9000), sole("v2", 9000), None)]
-#[case::two_versions(sole("v1", 9000), None, None)]
-fn knows_the_only_version_by_all_answers(
-    #[case] first: Option<Sole>,
-    #[case] second: Option<Sole>,
-    #[case] agreed: Option<Sole>,
-) {
-    for (a, b) in [(first, second), (second, first)] {
-        let mut lookups = Lookups::default();
-        let number = begin(&mut lookups);
-        assert_eq!(
-            lookups.answer(number, &name("c-1"), Answer::Unknown(a)),
-            None
-        );
-        let found = lookups.answer(number, &name("c-2"), Answer::Unknown(b));
-        assert_eq!(found, Some(Found::Unknown(agreed)));
-    }
+/// Guards against a version that counts as the only one since it has been that for some time: an
+/// earlier one may have begun the stream.
+#[test]
+fn knows_the_only_version_only_if_there_never_was_another() {
+    let mut lookups = Lookups::default();
+    let number = begin(&mut lookups);
+    let lately = Answer::Unknown(sole("v1", Sole::EVER - 1));
+    assert_eq!(lookups.answer(number, &name("c-1"), lately), None);
+    let found = lookups.answer(number, &name("c-2"), lately);
+    assert_eq!(found, Some(Found::Unknown));
+    let number = begin(&mut lookups);
+    let ever = Answer::Unknown(sole("v1", Sole::EVER));
+    let found = lookups.answer(number, &name("c-2"), ever);
+    assert_eq!(found, Some(Found::Sole(Software::of("v1"))));
+}
+
+/// Guards against a lookup that is lost since its control VM had no link yet.
+#[test]
+fn finds_the_lookups_of_a_vm_whose_link_comes_up() {
+    let mut lookups = Lookups::default();
+    let number = begin(&mut lookups);
+    lookups.answer(number, &name("c-1"), Answer::Unknown(None));
+    assert_eq!(lookups.awaiting(&name("c-1")).count(), 0);
+    let awaited: Vec<u64> = lookups.awaiting(&name("c-2")).collect();
+    assert_eq!(awaited, [number]);
 }
 
 /// Guards against a request that waits for a VM that is lost or silent.
@@ -175,101 +190,84 @@
 }
 
 /// Guards against a stream that goes on at a version that did not begin it, that waits for one that
-/// serves no more, or that is rejected although its version is known or the only one.
+/// serves no more, or that is rejected although its version is known or the only one ever.
 #[rstest]
-#[case::no_versions(&["", ""], None, Millis(0), Decision::Anywhere)]
-#[case::not_looked_up(&["v1", "v2"], None, LATER, Decision::LookUp)]
-#[case::one_version_not_looked_up(&["v1"], None, LATER, Decision::LookUp)]
-#[case::known(&["v1", "v2"], Some(Found::Known(origin("v1"))), Millis(0), Decision::At(Software::of("v1")))]
-#[case::known_without_a_version(&["", "v2"], Some(Found::Known(origin(""))), LATER, Decision::At(Software::UNSTATED))]
-#[case::gone(&["v2"], Some(Found::Known(origin("v1"))), LATER, Decision::Reject(Rejection::Gone))]
-#[case::unknown(&["v1", "v2"], Some(Found::Unknown(None)), LATER, Decision::Reject(Rejection::Unknown))]
-#[case::unknown_at_the_only_one(&["v1", "v1"], Some(Found::Unknown(None)), LATER, Decision::At(Software::of("v1")))]
-#[case::unknown_after_a_restart(&["v1"], Some(Found::Unknown(None)), Millis(LASTS_MS - 1), Decision::Reject(Rejection::Unknown))]
-#[case::known_as_the_only_one_to_others(&["v1"], Some(Found::Unknown(sole("v1", LASTS_MS))), Millis(0), Decision::At(Software::of("v1")))]
-#[case::not_for_long(&["v1"], Some(Found::Unknown(sole("v1", LASTS_MS - 1))), Millis(0), Decision::Reject(Rejection::Unknown))]
-#[case::others_do_not_know_the_second(&["v1", "v2"], Some(Found::Unknown(sole("v1", LASTS_MS))), LATER, Decision::Reject(Rejection::Unknown))]
-#[case::others_know_an_older_one(&["v2"], Some(Found::Unknown(sole("v1", LASTS_MS))), Millis(0), Decision::Reject(Rejection::Unknown))]
-#[case::cut_off(&["v1", "v2"], Some(Found::Unreachable), LATER, Decision::Reject(Rejection::Unreachable))]
-#[case::cut_off_from_the_only_one(&["v1"], Some(Found::Unreachable), LATER, Decision::At(Software::of("v1")))]
+#[case::not_looked_up(&["v1", "v2"], None, Decision::LookUp)]
+#[case::one_version_not_looked_up(&["v1"], None, Decision::LookUp)]
+#[case::no_version_not_looked_up(&["", ""], None, Decision::LookUp)]
+#[case::no_endpoint_not_looked_up(&[], None, Decision::LookUp)]
+#[case::known(&["v1", "v2"], Some(Found::Known(origin("v1"))), at("v1"))]
+#[case::known_without_a_version(&["", "v2"], Some(Found::Known(origin(""))), at(""))]
+#[case::gone(&["v2"], Some(Found::Known(origin("v1"))), Decision::Reject(Rejection::Gone))]
+#[case::unknown(&["v1", "v2"], Some(Found::Unknown), Decision::Reject(Rejection::Unknown))]
+#[case::unknown_at_the_only_listed(&["v1", "v1"], Some(Found::Unknown), Decision::Reject(Rejection::Unknown))]
+#[case::the_only_one_ever(&["v1"], Some(Found::Sole(Software::of("v1"))), at("v1"))]
+#[case::never_a_version(&["", ""], Some(Found::Sole(Software::UNSTATED)), at(""))]
+#[case::the_only_one_ever_is_not_listed(&["v2"], Some(Found::Sole(Software::of("v1"))), Decision::Reject(Rejection::Gone))]
+#[case::no_endpoint(&[], Some(Found::Sole(Software::of("v1"))), Decision::Reject(Rejection::Gone))]
+#[case::cut_off(&["v1", "v2"], Some(Found::Unreachable), Decision::Reject(Rejection::Unreachable))]
+#[case::cut_off_from_the_only_listed(&["v1"], Some(Found::Unreachable), Decision::Reject(Rejection::Unreachable))]
+#[case::cut_off_without_versions(&["", ""], Some(Found::Unreachable), Decision::Reject(Rejection::Unreachable))]
 fn decides_where_a_stream_may_go_on(
     #[case] versions: &[&str],
     #[case] found: Option<Found>,
-    #[case] now: Millis,
     #[case] decision: Decision,
 ) {
-    let view = view(versions);
-    let mut history = History::default();
-    history.update(Millis(0), &view);
-    assert_eq!(decide(now, &view, &history, STREAM, found), decision);
+    assert_eq!(decide(&view(versions), true, STREAM, found), decision);
+}
+
+fn at(software: &str) -> Decision {
+    Decision::At(Software::of(software))
+}
+
+/// Guards against a caller that is told that its version has gone by a router whose list is old.
+#[test]
+fn knows_that_a_version_has_gone_only_by_the_latest_list() {
+    let found = Some(Found::Known(origin("v2")));
+    let stale = decide(&view(&["v1"]), false, STREAM, found);
+    assert_eq!(stale, Decision::Reject(Rejection::Stale));
+    assert_eq!(decide(&view(&["v2"]), false, STREAM, found), at("v2"));
+}
+
+/// Guards against a stream that goes on at another service of its rule than the one that began it.
+#[test]
+fn knows_no_only_version_of_a_rule_with_several_services() {
+    let stream = Stream {
+        has_one_service: false,
+        ..STREAM
+    };
+    let decide = |found| decide(&view(&["v1"]), true, stream, Some(found));
+    assert_eq!(
+        decide(Found::Sole(Software::of("v1"))),
+        Decision::Reject(Rejection::Unknown)
+    );
+    assert_eq!(decide(Found::Known(origin("v1"))), at("v1"));
 }
 
 /// Guards against a stream of another service, and against a version whose endpoints all drain.
 #[test]
 fn rejects_streams_of_other_services_and_of_draining_versions() {
     let mut view = view(&["v1", "v2"]);
-    let history = History::default();
     let other = Origin {
         service: ServiceId(9),
         ..origin("v1")
     };
-    let decide =
-        |view: &View, origin| decide(LATER, view, &history, STREAM, Some(Found::Known(origin)));
+    let decide = |view: &View, origin| decide(view, true, STREAM, Some(Found::Known(origin)));
     assert_eq!(decide(&view, other), Decision::Reject(Rejection::Unknown));
     view.leaving.insert(EndpointId(0));
     assert_eq!(
         decide(&view, origin("v1")),
         Decision::Reject(Rejection::Gone)
     );
-    assert_eq!(
-        decide(&view, origin("v2")),
-        Decision::At(Software::of("v2"))
-    );
-}
-
-/// Guards against a version that counts as the only one although another one has served lately, or
-/// since the list was empty for a moment.
-#[test]
-fn knows_a_version_as_the_only_one_after_some_time() {
-    let mut history = History::default();
-    let decide = |history: &History, now| {
-        decide(
-            now,
-            &view(&["v2"]),
-            history,
-            STREAM,
-            Some(Found::Unknown(None)),
-        )
-    };
-    let unknown = Decision::Reject(Rejection::Unknown);
-    let at = Decision::At(Software::of("v2"));
-    history.update(Millis(0), &view(&["v1", "v2"]));
-    history.update(Millis(1000), &view(&["v2"]));
-    assert_eq!(decide(&history, Millis(1000 + LASTS_MS - 1)), unknown);
-    assert_eq!(decide(&history, Millis(1000 + LASTS_MS)), at);
-    history.update(Millis(2000), &view(&[]));
-    history.update(Millis(3000), &view(&["v2"]));
-    assert_eq!(decide(&history, Millis(1000 + LASTS_MS)), at);
-    history.update(Millis(4000), &view(&["v1"]));
-    history.update(Millis(5000), &view(&["v2"]));
-    assert_eq!(decide(&history, Millis(5000 + LASTS_MS - 1)), unknown);
+    assert_eq!(decide(&view, origin("v2")), at("v2"));
 }
 
 /// Guards against a router that takes the part of the endpoints that it knows for all of them.
 #[test]
-fn knows_no_history_of_a_part_of_the_endpoints() {
+fn leaves_versions_that_it_does_not_list_to_schedulers() {
     let mut part = view(&["v1"]);
-    let mut history = History::default();
-    history.update(Millis(0), &part);
     part.census = Some(count_endpoints(std::iter::empty()));
-    history.update(Millis(1), &part);
-    let decide = |found| decide(LATER.after(1), &part, &history, STREAM, Some(found));
-    assert_eq!(
-        decide(Found::Unknown(None)),
-        Decision::Reject(Rejection::Unknown)
-    );
-    assert_eq!(
-        decide(Found::Known(origin("v2"))),
-        Decision::At(Software::of("v2"))
-    );
+    let decide = |found| decide(&part, true, STREAM, Some(found));
+    assert_eq!(decide(Found::Unknown), Decision::Reject(Rejection::Unknown));
+    assert_eq!(decide(Found::Known(origin("v2"))), at("v2"));
 }
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -9,8 +9,9 @@
 use coordination::consensus::{Admission, Core, Index, Ready, Refusal, Role, Snapshot, Term};
 use errors::{Error, Result};
 use protocol::codec;
-use protocol::wire::{Drain, Hello, Message, Query, Reply};
+use protocol::wire::{Drain, Features, Hello, Message, Query, Reply};
 use serde::{Deserialize, Serialize};
+use state::catalog::{self, Catalog};
 use state::clock::{Millis, Stamp};
 use state::delta::Delta;
 use state::event::{Event, Kind};
@@ -132,6 +133,10 @@
     members: Vec<Node>,
     /// Addresses of peers with a link, from their greetings.
     nodes: HashMap<Name, Node>,
+    /// Whether each VM that has had a link knows the catalog of software versions.
+    knows_catalog: HashMap<Name, bool>,
+    /// Catalog as last sent to the reactor.
+    catalog: Catalog,
     /// Queries that wait for an entry to be applied, by its index: term of the entry, VM that
     /// asked, and ID of the query.
     waiters: BTreeMap<Index, (Term, Name, u64)>,
@@ -172,7 +177,7 @@
                 voters,
             },
         });
-        let control = Control {
+        let mut control = Control {
             core,
             folder,
             store,
@@ -182,6 +187,8 @@
             shards: BTreeSet::new(),
             members: Vec::new(),
             nodes: HashMap::new(),
+            knows_catalog: HashMap::new(),
+            catalog: Catalog::default(),
             waiters: BTreeMap::new(),
             assigned_until: Index(0),
             next_expire_at: Millis(0),
@@ -191,6 +198,7 @@
             parts,
         };
         control.send_view();
+        control.send_catalog();
         Ok(control)
     }
 
@@ -232,10 +240,16 @@
         let now = self.parts.clock.now();
         match input {
             Input::Up(hello) => {
+                let knows_catalog = hello.extension.features.includes(Features::CATALOG);
+                self.knows_catalog
+                    .insert(hello.node.vm.clone(), knows_catalog);
                 self.nodes.insert(hello.node.vm.clone(), hello.node);
             }
             Input::Down(vm) => {
                 self.nodes.remove(&vm);
+                if !self.members.iter().any(|member| member.vm == vm) {
+                    self.knows_catalog.remove(&vm);
+                }
                 self.assigner.remove(&vm);
             }
             Input::Message(vm, message) => self.handle_message(now, &vm, message),
@@ -304,6 +318,14 @@
                 self.reply(vm, id, Reply::CurrentVersion(self.store.view.version));
                 return;
             }
+            Query::Versions(service) => {
+                let reply = match self.store.catalog.has_begun() {
+                    true => Reply::Versions(self.store.catalog.versions(&service)),
+                    false => Reply::Invalid("there is no catalog of versions yet".to_owned()),
+                };
+                self.reply(vm, id, reply);
+                return;
+            }
             Query::Evidence(mut evidence) => {
                 self.drop_counted(&mut evidence);
                 let clock = &self.parts.clock;
@@ -343,7 +365,14 @@
     /// Converts a query into a log record, or explains why it is invalid.
     fn record(&self, query: Query) -> Result<Record, String> {
         match query {
-            Query::CurrentVersion => Ok(Record::NoOp),
+            Query::CurrentVersion | Query::Versions(_) => Ok(Record::NoOp),
+            Query::Join(joined) => match self.may_update_catalog() {
+                true => Ok(Record::Versions(catalog::Update {
+                    joined,
+                    follows_use: !self.store.view.assignments.is_empty(),
+                })),
+                false => Err("a control VM does not know the catalog of versions".to_owned()),
+            },
             Query::Claim {
                 key,
                 customer,
@@ -392,6 +421,20 @@
         }
     }
 
+    /// Whether all members can read a record about the catalog of versions.
+    ///
+    /// In a fleet that has not used endpoints yet, a member that was never linked is of this release.
+    /// An upgraded fleet may have members of an earlier one that are down.
+    fn may_update_catalog(&self) -> bool {
+        if self.store.catalog.has_begun() {
+            return true;
+        }
+        let is_new = self.store.view.assignments.is_empty();
+        let others = self.core.members().all().map(|member| &member.node.vm);
+        let mut others = others.filter(|vm| **vm != self.parts.node.vm);
+        others.all(|vm| self.knows_catalog.get(vm).copied().unwrap_or(is_new))
+    }
+
     /// Drops crashes that an earlier leader has counted, and that routers report again since they lost
     /// contact to it.
     fn drop_counted(&self, evidence: &mut Evidence) {
@@ -585,10 +628,16 @@
         if let Some(snapshot) = ready.install {
             self.store = restore(&snapshot)?;
             self.send_view();
+            self.send_catalog();
         }
         let mut steps = Vec::new();
+        let mut joins = false;
         for entry in ready.committed {
             let (answer, step) = self.store.apply(&entry.record);
+            joins |= step.is_some() || matches!(entry.record, Record::Versions(_));
+            if let Record::Versions(update) = &entry.record {
+                self.log_joined(update);
+            }
             steps.extend(step);
             if let Some((term, vm, id)) = self.waiters.remove(&entry.index) {
                 // The entry at this index may be another leader's instead.
@@ -603,6 +652,9 @@
         if !steps.is_empty() {
             self.send_to_reactor(ReactorInput::Applied(steps));
         }
+        if joins {
+            self.send_catalog();
+        }
         self.update_metrics();
         Ok(())
     }
@@ -614,7 +666,7 @@
         let Some(term) = log.term(index) else {
             return Ok(());
         };
-        let bytes = codec::encode_value(&self.store)?;
+        let bytes = codec::encode_value(&(&self.store, &self.store.catalog))?;
         let snapshot = Snapshot {
             index,
             term,
@@ -640,6 +692,34 @@
         }
     }
 
+    /// Logs which software versions have joined their services.
+    fn log_joined(&self, update: &catalog::Update) {
+        let catalog = &self.store.catalog;
+        let joined = update
+            .joined
+            .iter()
+            .map(|(s, software)| format!("{s}:{software}"));
+        let several = update.joined.iter().map(|(service, _)| service);
+        let several: BTreeSet<&str> = several
+            .filter(|service| catalog.is_mixed(service))
+            .map(Name::as_str)
+            .collect();
+        tracing::info!(
+            event = Line::VersionsJoined.as_str(),
+            joined = joined.collect::<Vec<_>>().join(","),
+            several = several.into_iter().collect::<Vec<_>>().join(","),
+        );
+    }
+
+    /// Sends the reactor the catalog of software versions if it has changed.
+    fn send_catalog(&mut self) {
+        if self.store.catalog != self.catalog {
+            self.catalog.clone_from(&self.store.catalog);
+            let catalog = Box::new(self.catalog.clone());
+            self.send_to_reactor(ReactorInput::Catalog(catalog));
+        }
+    }
+
     /// Sends the reactor the whole view.
     fn send_view(&self) {
         let view = Box::new(self.store.view.clone());
@@ -707,9 +787,11 @@
     if snapshot.bytes.is_empty() {
         return Ok(Store::default());
     }
-    codec::decode_value(&snapshot.bytes).map_err(|_| Error::Corrupt {
+    let decoded = codec::decode_extended(&snapshot.bytes);
+    let (store, catalog): (Store, Catalog) = decoded.map_err(|_| Error::Corrupt {
         step: "read the state",
         path: "(snapshot)".to_owned(),
         reason: "the snapshot was written by another version of this program".to_owned(),
-    })
+    })?;
+    Ok(Store { catalog, ..store })
 }
--- a/components/node/src/frontend/plan.rs
+++ b/components/node/src/frontend/plan.rs
@@ -48,8 +48,8 @@
     pub(super) engine: Option<Engine>,
     /// Time from the request's arrival to the end of its answer.
     pub(super) timeout: Duration,
-    /// Longest time to the end of an answer by the rule, whatever the caller says, in milliseconds.
-    pub(super) lasts_ms: u64,
+    /// Whether the rule names no other service.
+    pub(super) has_one_service: bool,
     /// Whether the request may run more than once.
     pub(super) idempotent: bool,
     /// Most retries of the request.
@@ -129,8 +129,7 @@
     let found = published.index.service(service);
     let found = found.and_then(|id| Some((id, config.services.get(&id)?)));
     let (service_id, settings) = found.ok_or_else(no_endpoint)?;
-    let lasts_ms = send.timeout_ms.unwrap_or(settings.timeout_ms);
-    let timeout = Duration::from_millis(lasts_ms);
+    let timeout = Duration::from_millis(send.timeout_ms.unwrap_or(settings.timeout_ms));
     let timeout = inbound.timeout.map_or(timeout, |p| p.min(timeout));
     let prompt = prompt_of(inbound, settings, call);
     let class = Class {
@@ -173,7 +172,7 @@
         cost: settings.cost,
         engine: settings.engine,
         timeout,
-        lasts_ms,
+        has_one_service: send.services.len() == 1,
         idempotent: rule::is_idempotent(send.idempotent, settings, call.method.as_str()),
         retries: send.retries.unwrap_or(DEFAULT_RETRIES),
         resume: send.resume,
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -50,6 +50,10 @@
 /// waits in the queue.
 const QUEUE_FULL_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Retry-After of a stream whose version this router's list lacks: about the time between two
+/// updates of the list.
+const STALE_LIST_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Response to a caller: a body of the router itself, or one relayed from an endpoint or from
 /// another router.
 type Reply = Response<Either<Full<Bytes>, Either<Relay, Forwarded>>>;
@@ -230,8 +234,8 @@
             }
         }
     }
-    let software = required_version(frontend, &call, &plan, entry).await?;
-    let request = (call, plan, software);
+    let required = required_version(frontend, &call, &plan, entry).await?;
+    let request = (call, plan, required);
     let served = dispatch_until_answered(frontend, request, claimed, entry, arrived_at).await;
     match may_have_run {
         true => served.map_err(Refusal::into_unknown),
@@ -257,6 +261,16 @@
     }
 }
 
+/// Software version that an endpoint must have.
+#[derive(Clone, Copy, Debug, Default)]
+struct Required {
+    /// The version, which is checked before anything is sent.
+    software: Option<Software>,
+    /// The version that the scheduler is asked for. Schedulers in other regions know no versions, so
+    /// that it is not named if the service states none and has no other endpoints.
+    asked: Option<Software>,
+}
+
 /// Software version that the endpoint must have, if the request takes a stream up again.
 ///
 /// # Errors
@@ -267,28 +281,33 @@
     call: &Call,
     plan: &Plan,
     entry: &mut Entry,
-) -> Result<Option<Software>, Refusal> {
+) -> Result<Required, Refusal> {
     let interface = &frontend.context.interface;
     // A caller that names where its stream began has a part of it, whatever the rule says by now.
     let is_named = call.headers.contains_key(interface.resumes);
     if !call.continues_stream(interface) || !(plan.resume || is_named) {
-        return Ok(None);
+        return Ok(Required::default());
     }
     let (sender, reply) = oneshot::channel();
     let stream = origin::Stream {
         service: plan.service,
-        lasts_ms: plan.lasts_ms,
+        has_one_service: plan.has_one_service,
     };
     let question = Input::Continue(stream, plan.stream, sender);
     let _ = frontend.context.reactor.send(question);
     let continued = reply.await.map_err(|_| no_endpoint())?;
     let decision = continued.decision;
+    let is_only = continued.is_only;
     entry.record_origin(continued);
     let counter = &frontend.context.metrics.continued_streams;
     counter.with_label_values(&[decision.as_str()]).inc();
     match decision {
-        origin::Decision::At(software) => Ok(Some(software)),
-        origin::Decision::Anywhere | origin::Decision::LookUp => Ok(None),
+        origin::Decision::At(software) => Ok(Required {
+            software: Some(software),
+            asked: Some(software).filter(|software| software.is_stated() || !is_only),
+        }),
+        // Never the result of a lookup.
+        origin::Decision::LookUp => Err(rejected_stream(origin::Rejection::Unreachable)),
         origin::Decision::Reject(rejection) => Err(rejected_stream(rejection)),
     }
 }
@@ -305,13 +324,17 @@
             refusal("the control VMs could not be asked which version began the stream")
                 .with_retry_after(FAST_RETRY_AFTER)
         }
+        origin::Rejection::Stale => {
+            refusal("this router's list of endpoints is not the latest, and has none with the version that began the stream")
+                .with_retry_after(STALE_LIST_RETRY_AFTER)
+        }
     }
 }
 
 /// Queues a request, sends it to an endpoint, and retries where that is safe.
 async fn dispatch_until_answered(
     frontend: &Arc<Frontend>,
-    (call, plan, software): (Call, Plan, Option<Software>),
+    (call, plan, required): (Call, Plan, Required),
     mut claim: Option<Claim>,
     entry: &mut Entry,
     arrived_at: Instant,
@@ -320,7 +343,8 @@
     frontend.take_trial(&call, plan.customer)?;
     frontend.earn_retries(plan.service);
     entry.set_stage(Stage::Queue);
-    let (handle, mut decided) = enqueue(frontend, &plan, software).await?;
+    let (handle, mut decided) = enqueue(frontend, &plan, required.asked).await?;
+    let software = required.software;
     let mut retries = 0;
     let mut unconnected_tries = 0;
     let mut breaks = 0;
--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -8,6 +8,7 @@
 use coordination::origin::{self, Origin};
 use coordination::pause::Observed;
 use protocol::wire::{Query, Reply};
+use state::catalog::Catalog;
 use state::clock::Millis;
 use state::id::{EndpointId, Name, Software};
 use state::listing::Entry;
@@ -88,6 +89,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Continued {
     pub(crate) decision: origin::Decision,
+    /// Whether the service has had no other version.
+    pub(crate) is_only: bool,
     /// Source of the decision, for the access log.
     pub(crate) source: &'static str,
     /// Age of this router's list of endpoints, in milliseconds; `None` without a list.
@@ -152,6 +155,8 @@
     LeaderContact(bool),
     /// Whether the control role of this process is the leader.
     Leadership(bool),
+    /// The control role of this process has this catalog of software versions.
+    Catalog(Box<Catalog>),
     /// Members of the replicated log, voting or not, from the control role of this process.
     Members(Vec<Node>),
     /// The control VMs in the settings have changed.
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -363,6 +363,7 @@
             seeds,
             listing_interval_ms: (self.settings.listing.as_ref())
                 .map_or(DEFAULT_LISTING_INTERVAL_MS, |l| l.every_ms),
+            reads_listing: self.settings.listing.is_some(),
             home: Location {
                 region: self.settings.vm.region.clone(),
                 data_centre: self.settings.vm.data_centre.clone(),
--- a/components/node/src/reactor/listing.rs
+++ b/components/node/src/reactor/listing.rs
@@ -38,6 +38,7 @@
         {
             return;
         }
+        let reading = self.admit_reading(now, reading);
         let draw = rand::random();
         let changed = match reading.is_whole {
             true => self.registry.apply_reading(now, reading.endpoints, draw),
@@ -62,6 +63,9 @@
             return;
         };
         self.listing_received_at = Some(now);
+        if changed {
+            self.record_received();
+        }
         self.propagate_listing(now, changed, Some(vm));
     }
 
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Every decision is made here, one input at a time, so that none of this state needs a lock.
 
+mod catalog;
 mod dependency;
 mod listing;
 mod occupancy;
@@ -9,6 +10,7 @@
 mod peers;
 mod status;
 
+use self::catalog::Versioning;
 use self::dependency::Logged;
 use self::occupancy::Reports;
 use self::origins::Streams;
@@ -69,6 +71,8 @@
     pub(crate) seeds: Vec<Node>,
     /// Time between two reads of the platform's list of endpoints, in milliseconds.
     pub(crate) listing_interval_ms: u64,
+    /// Whether this process may read that list.
+    pub(crate) reads_listing: bool,
     /// Region, data centre and incarnation of this VM.
     pub(crate) home: Location,
     /// Limits on queued requests and their bytes.
@@ -190,6 +194,8 @@
     reports: Reports,
     /// Origins of streams.
     streams: Streams,
+    /// Catalog of software versions.
+    versioning: Versioning,
     /// Whether the published state is out of date.
     dirty: bool,
 }
@@ -271,6 +277,7 @@
             evacuated: BTreeSet::new(),
             reports: Reports::default(),
             streams: Streams::default(),
+            versioning: Versioning::default(),
             dirty: true,
             me,
             parts,
@@ -390,6 +397,7 @@
                 self.dirty = true;
             }
             Input::Leadership(is_leader) => self.is_leader = is_leader,
+            Input::Catalog(catalog) => self.replace_catalog(now, *catalog),
             Input::Members(members) => {
                 self.members = members;
                 self.update_control_nodes();
@@ -466,6 +474,7 @@
                 };
                 self.open_occupancy(&hello);
                 self.open_origins(&hello);
+                self.open_catalog(&hello);
                 let effects = self.dispatcher.link_up(now, vm);
                 self.perform(now, effects);
             }
@@ -476,6 +485,7 @@
                 self.unaware_peers.remove(&vm);
                 self.close_occupancy(&vm);
                 self.close_origins(now, &vm);
+                self.close_catalog(&vm);
                 self.dissemination.link_down(now, &vm);
                 self.schedulers.link_down(now, &vm);
                 self.dispatcher.link_down(now, &vm);
@@ -700,7 +710,6 @@
         let mut effective = self.build_effective_view(now);
         self.failbacks.mark_cold(now, wall_micros(), &mut effective);
         self.effective = Arc::new(effective);
-        self.update_history(now);
         self.schedulers
             .apply_view(now, &self.effective, &mut self.batch);
         let effects = self.dispatcher.update_view(now, &self.effective);
@@ -840,6 +849,7 @@
         self.log_dependencies(now);
         self.send_occupancies(now);
         self.tick_origins(now);
+        self.tick_catalog(now);
         if now >= self.next_cached_at {
             self.next_cached_at = now.after(CACHED_INTERVAL_MS);
             self.send_cached();
--- a/components/node/src/reactor/origins.rs
+++ b/components/node/src/reactor/origins.rs
@@ -1,11 +1,13 @@
 //! Origins of streams: reports to the control VMs, and lookups there.
 
+use super::catalog::{Answered, Question};
 use super::Reactor;
 use crate::input::Continued;
 use coordination::origin::{
-    self, Answer, Begun, Decision, Found, History, Key, Lookups, Origin, Origins, Stream,
+    self, Answer, Begun, Decision, Found, Key, Lookups, Origin, Origins, Sole, Stream,
 };
 use protocol::wire::{Features, Hello, Message};
+use state::catalog::Versions;
 use state::clock::Millis;
 use state::id::{Name, ServiceId};
 use std::collections::{BTreeSet, HashMap};
@@ -17,12 +19,20 @@
 /// Time after its start during which a control VM leaves lookups of unknown streams to others, in
 /// milliseconds: it has yet to receive what they know.
 const LEARNING_MS: u64 = 1000;
+/// Intervals of reading the list for which an update of it counts as the latest.
+const LATEST_INTERVALS: u64 = 4;
 /// Most reports that wait for a link to a control VM.
 const UNSENT_MAX: usize = 4 * origin::BATCH_MAX;
 
+/// Name in logs of a decision by the only version that a service has ever had.
+const ONLY_VERSION: &str = "only-version";
+/// Time after which another control VM is dialled, in milliseconds, if there is a link to none.
+const DIAL_INTERVAL_MS: u64 = 1000;
+
 /// A request that waits for the origin of its stream.
 struct Waiting {
     stream: Stream,
+    key: Key,
     reply: oneshot::Sender<Continued>,
 }
 
@@ -31,7 +41,6 @@
 pub(super) struct Streams {
     origins: Origins,
     lookups: Lookups,
-    history: History,
     /// Requests by the number of their lookup.
     waiting: HashMap<u64, Waiting>,
     /// Linked processes that understand the messages.
@@ -63,6 +72,9 @@
         if self.control_nodes().iter().any(|node| node.vm == *vm) {
             let known: Vec<(Key, Origin)> = self.streams.origins.iter().collect();
             self.send_origins(vm, &known);
+            for number in self.streams.lookups.awaiting(vm).collect::<Vec<u64>>() {
+                self.send_lookup(vm, number);
+            }
         }
     }
 
@@ -118,14 +130,19 @@
             let _ = reply.send(self.continued(now, stream, decision, source));
             return;
         }
-        let vms = self.origin_vms();
-        let request = |number| Message::OriginRequest(number, key, stream.service);
+        let mut vms = self.origin_vms();
+        if self.parts.is_control {
+            vms.insert(self.me.clone());
+        }
+        if vms.is_empty() {
+            vms.extend(self.dial_for_origins(now));
+        }
         match self.streams.lookups.begin(now, vms.clone()) {
             Begun::Asked(number) => {
-                let waiting = Waiting { stream, reply };
+                let waiting = Waiting { stream, key, reply };
                 self.streams.waiting.insert(number, waiting);
                 for vm in &vms {
-                    self.parts.hub.send(vm, request(number));
+                    self.send_lookup(vm, number);
                 }
             }
             Begun::Ended(found) => {
@@ -134,16 +151,24 @@
         }
     }
 
+    /// Sends a lookup to a control VM, unless it has no link yet: it then gets the lookup later.
+    fn send_lookup(&self, vm: &Name, number: u64) {
+        if !self.streams.peers.contains(vm) && *vm != self.me {
+            return;
+        }
+        if let Some(Waiting { stream, key, .. }) = self.streams.waiting.get(&number) {
+            let request = Message::OriginRequest(number, *key, stream.service);
+            self.parts.hub.send(vm, request);
+        }
+    }
+
     /// Decides by the result of a lookup.
     fn conclude(&self, now: Millis, stream: Stream, found: Found) -> Continued {
         let decision = self.decide_origin(now, stream, Some(found));
         let source = match (found, decision) {
             (Found::Known(_), _) => "control-vm",
-            (Found::Unknown(Some(sole)), Decision::At(at)) if sole.software == at => {
-                "only-version-by-control"
-            }
-            (_, Decision::At(_)) => "only-version-by-router",
-            (Found::Unknown(_), _) => "all-control-vms",
+            (Found::Sole(_), _) => ONLY_VERSION,
+            (Found::Unknown, _) => "all-control-vms",
             (Found::Unreachable, _) => "",
         };
         self.continued(now, stream, decision, source)
@@ -161,6 +186,7 @@
         let listed = service.map(|s| origin::versions(&self.effective, &s.name));
         Continued {
             decision,
+            is_only: source == ONLY_VERSION,
             source,
             listing_age_ms: self.registry.age_ms(now),
             listed: listed.unwrap_or_default(),
@@ -168,7 +194,9 @@
     }
 
     fn decide_origin(&self, now: Millis, stream: Stream, found: Option<Found>) -> Decision {
-        origin::decide(now, &self.effective, &self.streams.history, stream, found)
+        let within_ms = LATEST_INTERVALS * self.parts.listing_interval_ms;
+        let is_current = self.registry.is_recent(now, within_ms);
+        origin::decide(&self.effective, is_current, stream, found)
     }
 
     /// Linked control VMs that know origins.
@@ -179,20 +207,52 @@
             .collect()
     }
 
-    /// Answers a lookup of a router.
+    /// Answers a lookup of a router, or asks the leader which versions the service has had.
     pub(super) fn answer_origin_request(
-        &self,
+        &mut self,
         now: Millis,
         vm: &Name,
         number: u64,
         (key, service): (Key, ServiceId),
     ) {
-        let answer = match self.streams.origins.get(now, key) {
-            Some(origin) => Answer::Known(origin),
-            None if now.since(self.started) < LEARNING_MS => return,
-            None => Answer::Unknown(self.streams.history.sole(now, service)),
+        if let Some(origin) = self.streams.origins.get(now, key) {
+            let answer = Answer::Known(origin);
+            self.parts.hub.send(vm, Message::Origin(number, answer));
+            return;
+        }
+        let question = Question {
+            vm: vm.clone(),
+            number,
+            key,
+            asked_at: now,
         };
-        self.parts.hub.send(vm, Message::Origin(number, answer));
+        match self.service_name(service) {
+            Some(service) if self.versioning.catalog.has_begun() => {
+                self.versioning.reads.add(service, question);
+                self.send_reads(now);
+            }
+            // Without a leader, this process may not have all changes of the log.
+            _ if !self.has_leader => {}
+            _ => self.answer_questions(now, (vec![question], None)),
+        }
+    }
+
+    /// Answers lookups of streams whose origin was not known here, by the versions of their service.
+    pub(super) fn answer_questions(&mut self, now: Millis, (questions, versions): Answered) {
+        let is_learning = now.since(self.started) < LEARNING_MS;
+        for question in questions {
+            let answer = match (self.streams.origins.get(now, question.key), versions) {
+                (Some(origin), _) => Answer::Known(origin),
+                (None, Some(Some(Versions::Sole(software)))) => Answer::Unknown(Some(Sole {
+                    software,
+                    for_ms: Sole::EVER,
+                })),
+                (None, _) if is_learning => continue,
+                (None, _) => Answer::Unknown(None),
+            };
+            let message = Message::Origin(question.number, answer);
+            self.parts.hub.send(&question.vm, message);
+        }
     }
 
     /// Takes the answer of a control VM to a lookup.
@@ -203,17 +263,12 @@
     }
 
     fn end_lookup(&mut self, now: Millis, number: u64, found: Found) {
-        if let Some(Waiting { stream, reply }) = self.streams.waiting.remove(&number) {
+        if let Some(Waiting { stream, reply, .. }) = self.streams.waiting.remove(&number) {
             // The caller may have disconnected.
             let _ = reply.send(self.conclude(now, stream, found));
         }
     }
 
-    /// Takes a change of the endpoints.
-    pub(super) fn update_history(&mut self, now: Millis) {
-        self.streams.history.update(now, &self.effective);
-    }
-
     /// Ends lookups whose time is over, and sends reports that are due.
     pub(super) fn tick_origins(&mut self, now: Millis) {
         for (number, found) in self.streams.lookups.tick(now) {
@@ -234,7 +289,7 @@
             let near = self.control_vm(0).filter(|vm| receivers.contains(vm));
             receivers = near.or_else(|| receivers.pop_first()).into_iter().collect();
             if receivers.is_empty() {
-                self.dial_for_origins();
+                self.dial_for_origins(now);
                 return;
             }
         }
@@ -244,15 +299,19 @@
         }
     }
 
-    /// Opens a link to a control VM, a different one for each router.
-    fn dial_for_origins(&mut self) {
-        let nodes = self.control_nodes();
-        let index = self.parts.home.incarnation.checked_rem(nodes.len() as u64);
+    /// Opens a link to a control VM, and returns that VM. Each router begins with a different one,
+    /// and goes on to the next if it gets no link.
+    fn dial_for_origins(&mut self, now: Millis) -> Option<Name> {
+        let mut nodes = self.control_nodes();
+        nodes.retain(|node| node.vm != self.me);
+        let incarnation = self.parts.home.incarnation;
+        let turn = incarnation.wrapping_add(now.0 / DIAL_INTERVAL_MS);
+        let index = turn.checked_rem(nodes.len() as u64)?;
         // CAST: the remainder is below the length, which is a `usize`.
-        if let Some(node) = index.and_then(|index| nodes.get(index as usize)) {
-            self.parts.hub.dial(node);
-            self.streams.dialed = Some(node.vm.clone());
-        }
+        let node = nodes.get(index as usize)?;
+        self.parts.hub.dial(node);
+        self.streams.dialed = Some(node.vm.clone());
+        Some(node.vm.clone())
     }
 
     fn send_origins(&self, vm: &Name, origins: &[(Key, Origin)]) {
--- a/components/protocol/src/codec.rs
+++ b/components/protocol/src/codec.rs
@@ -145,6 +145,27 @@
     postcard::from_bytes(bytes).map_err(Error::peer("decode a value", "(this process)"))
 }
 
+/// Decodes a value that was stored with a second one behind it. An earlier release has stored none,
+/// and ignores one.
+///
+/// # Errors
+///
+/// When the bytes are not such values.
+pub fn decode_extended<T, E>(bytes: &[u8]) -> Result<(T, E)>
+where
+    T: DeserializeOwned,
+    E: DeserializeOwned + Default,
+{
+    let step = "decode a value";
+    let own = "(this process)";
+    let (value, rest) = postcard::take_from_bytes(bytes).map_err(Error::peer(step, own))?;
+    if rest.is_empty() {
+        return Ok((value, E::default()));
+    }
+    let extension = postcard::from_bytes(rest).map_err(Error::peer(step, own))?;
+    Ok((value, extension))
+}
+
 /// Error for a body longer than [`MAX_BODY_BYTES`].
 fn too_long(peer: &str, length: usize) -> Error {
     Error::Peer {
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -9,6 +9,7 @@
 use coordination::tree::Confirmation;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
+use state::catalog::Versions;
 use state::clock::Stamp;
 use state::config::Endpoint;
 use state::evacuation::Order;
@@ -62,9 +63,17 @@
     /// [`Evidence::survivals`], which follow the message in its frame.
     pub const PROMPT_PARTS: Features = Features(1 << 3);
 
+    /// Catalog of software versions: [`Query::Join`], [`Query::Versions`], and the record of the
+    /// replicated log that they are about.
+    pub const CATALOG: Features = Features(1 << 4);
+
     /// All features of this release.
     pub const ALL: Features = Features(
-        Self::STREAM_OBJECTIVES.0 | Self::OCCUPANCY.0 | Self::VERSIONS.0 | Self::PROMPT_PARTS.0,
+        Self::STREAM_OBJECTIVES.0
+            | Self::OCCUPANCY.0
+            | Self::VERSIONS.0
+            | Self::PROMPT_PARTS.0
+            | Self::CATALOG.0,
     );
 
     /// Whether all of `features` are included.
@@ -132,6 +141,11 @@
     },
     /// An operator's order to evacuate a data centre, or to end its evacuation.
     Evacuation(Order),
+    /// Reports software versions that the platform lists for services, before their endpoints are
+    /// used. This and the next one are sent between control VMs with [`Features::CATALOG`].
+    Join(Vec<(Name, Software)>),
+    /// Asks which software versions a service has had.
+    Versions(Name),
 }
 
 /// What is drained, by name.
@@ -159,6 +173,8 @@
     NotLeader(Option<Node>),
     /// The query is invalid, for this reason; nothing was changed.
     Invalid(String),
+    /// Software versions that the service has had; `None` if it has had no endpoint.
+    Versions(Option<Versions>),
 }
 
 /// A message between two processes.
--- a/components/protocol/tests/codec.rs
+++ b/components/protocol/tests/codec.rs
@@ -1,10 +1,11 @@
 //! Tests of the encoding of frames and stored values.
 
 use protocol::codec::{
-    body_length, decode_frame, decode_value, encode_frame, encode_value, HEADER_BYTES,
-    MAX_BODY_BYTES, PROTOCOL_VERSION,
+    body_length, decode_extended, decode_frame, decode_value, encode_frame, encode_value,
+    HEADER_BYTES, MAX_BODY_BYTES, PROTOCOL_VERSION,
 };
 use protocol::wire::{Extension, Features, Frame, Hello, Message, Query};
+use state::catalog::{Catalog, Update, Versions};
 use state::clock::Stamp;
 use state::config::{Endpoint, Forward, Then};
 use state::evacuation::Order;
@@ -117,6 +118,30 @@
     assert!(read.view.evacuated().next().is_some());
 }
 
+/// Guards against a catalog that is lost with a snapshot, and against snapshots that this release or
+/// the one before it cannot read of the other.
+#[test]
+fn can_keep_the_catalog_behind_a_snapshot() {
+    let mut store = Store::default();
+    let chat = Name::try_from("chat").unwrap();
+    store.apply(&Record::Versions(Update {
+        joined: vec![(chat.clone(), Software::of("v1"))],
+        follows_use: false,
+    }));
+    let bytes = encode_value(&(&store, &store.catalog)).unwrap();
+    let (read, catalog): (Store, Catalog) = decode_extended(&bytes).unwrap();
+    assert_eq!(Store { catalog, ..read }, store);
+    assert_eq!(
+        store.catalog.versions(&chat),
+        Some(Versions::Sole(Software::of("v1")))
+    );
+    let before: Store = decode_value(&bytes).unwrap();
+    assert_eq!(before.view, store.view);
+    let bytes = encode_value(&store).unwrap();
+    let (_, catalog): (Store, Catalog) = decode_extended(&bytes).unwrap();
+    assert!(!catalog.has_begun());
+}
+
 /// Failure: a configuration that an earlier release has written is read as another one, since an
 /// action of a rule has changed its position.
 #[test]
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -2,6 +2,7 @@
 //! identifiers, configuration, records, the view, outcomes and timeline events. This crate does
 //! no I/O.
 
+pub mod catalog;
 pub mod clock;
 pub mod config;
 pub mod delta;
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -83,6 +83,8 @@
     ReleaseUnanswered,
     /// The durable state cannot be written, so the process ends.
     StateLost,
+    /// Software versions have joined their services.
+    VersionsJoined,
     /// An engine did not report the contents of its cache.
     InventoryMissing,
     /// Entries of the platform's list of endpoints could not be read.
@@ -108,7 +110,7 @@
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 50] = [
+    pub const ALL: [Line; 51] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -149,6 +151,7 @@
         Line::ReleaseRefused,
         Line::ReleaseUnanswered,
         Line::StateLost,
+        Line::VersionsJoined,
         Line::InventoryMissing,
         Line::ListingUnreadable,
         Line::AcceptFailed,
@@ -204,6 +207,7 @@
             Line::ReleaseRefused => "release-refused",
             Line::ReleaseUnanswered => "release-unanswered",
             Line::StateLost => "state-lost",
+            Line::VersionsJoined => "versions-joined",
             Line::InventoryMissing => "inventory-missing",
             Line::ListingUnreadable => "listing-unreadable",
             Line::AcceptFailed => "accept-failed",
--- a/components/state/src/record.rs
+++ b/components/state/src/record.rs
@@ -1,5 +1,6 @@
 //! Records of the replicated log, and the results of applying them.
 
+use crate::catalog;
 use crate::clock::Stamp;
 use crate::config::Draft;
 use crate::delta::Delta;
@@ -162,6 +163,9 @@
         /// The order.
         order: Order,
     },
+    /// Software versions join their services. Not proposed while a member is of a release that
+    /// does not know the record.
+    Versions(catalog::Update),
 }
 
 impl Record {
--- a/components/state/src/store.rs
+++ b/components/state/src/store.rs
@@ -1,8 +1,9 @@
 //! The state machine to which the control VMs apply the replicated log.
 
+use crate::catalog::Catalog;
 use crate::delta::Delta;
 use crate::evacuation::{Evacuation, Order};
-use crate::id::{CustomerId, RequestId, Version};
+use crate::id::{CustomerId, RequestId, Software, Version};
 use crate::record::{Answer, ChangeId, Members, Record, Release, Resolution};
 use crate::secret::Hash;
 use crate::suspect::{diff, Evidence, Suspects, WATCH_CRASHES};
@@ -57,6 +58,10 @@
     pub release: Option<Document>,
     /// Requests suspected of crashing endpoints.
     pub suspects: Suspects,
+    /// Software versions of each service. In a snapshot it follows the other fields, whose encoding
+    /// is that of the first release.
+    #[serde(skip)]
+    pub catalog: Catalog,
 }
 
 /// A complete configuration as its operator sent it.
@@ -118,6 +123,21 @@
                 (Answer::Accepted(self.view.version), step)
             }
             Record::Evacuation { at, order } => self.evacuate(at.wall, order),
+            Record::Versions(update) => {
+                self.catalog.apply(update);
+                self.join_configured();
+                (Answer::Done, None)
+            }
+        }
+    }
+
+    /// Adds the configured endpoints, which state no version, to the catalog.
+    fn join_configured(&mut self) {
+        if !self.catalog.has_begun() {
+            return;
+        }
+        for endpoint in self.view.config.endpoints.values() {
+            self.catalog.join(&endpoint.service, Software::UNSTATED);
         }
     }
 
@@ -143,6 +163,9 @@
         let version = Version(self.view.version.0 + 1);
         let step = Step { version, change };
         self.view.apply_step(&step);
+        if matches!(step.change, Change::Config(_) | Change::Release(..)) {
+            self.join_configured();
+        }
         (Answer::Accepted(version), Some(step))
     }
 
