Keep origins of streams on the disks of the control VMs

What callers saw: after all processes were killed at once while two versions were listed, none of 36 broken streams went on, though both versions served.

Cause: only the memory of the control VMs has the origins of streams.

Of a service with one version nothing is written: all its streams go on at that version. When a second version joins, the origins known of the service are written before any endpoint of that version is used.

--- a/components/coordination/src/origin.rs
+++ b/components/coordination/src/origin.rs
@@ -80,8 +80,14 @@
 }
 
 impl Origins {
-    /// Remembers the origin of a stream from now on.
-    pub fn record(&mut self, now: Millis, key: Key, origin: Origin) {
+    /// Remembers the origin of a stream from now on. Returns false if it was reported a short time
+    /// ago.
+    pub fn record(&mut self, now: Millis, key: Key, origin: Origin) -> bool {
+        let before = self.entries.get(&key);
+        let is_news = before.is_none_or(|entry| {
+            let is_same = entry.origin == origin || entry.other == Some(origin);
+            !is_same || now.since(entry.reported_at) >= REPORT_AGAIN_MS / 2
+        });
         let entry = self.entries.entry(key).or_insert(Entry {
             origin,
             other: None,
@@ -93,6 +99,7 @@
         entry.reported_at = now;
         self.order.push_back((now, key));
         self.expire(now);
+        is_news
     }
 
     /// The origin of a stream, if it is known.
--- a/components/coordination/tests/origin.rs
+++ b/components/coordination/tests/origin.rs
@@ -4,7 +4,7 @@
 
 use coordination::origin::{
     decide, Answer, Begun, Decision, Found, Key, Lookups, Origin, Origins, Rejection, Sole, Stream,
-    KEPT_MS, LOOKUPS_MAX, LOOKUP_MS, ORIGINS_MAX,
+    KEPT_MS, LOOKUPS_MAX, LOOKUP_MS, ORIGINS_MAX, REPORT_AGAIN_MS,
 };
 use rstest::rstest;
 use state::clock::Millis;
@@ -88,6 +88,19 @@
     assert_eq!(others.iter().count(), 2);
 }
 
+/// Guards against origins that are written again and again, and against streams in progress that
+/// are not written again before they are forgotten.
+#[test]
+fn knows_which_reports_are_news() {
+    let mut origins = Origins::default();
+    assert!(origins.record(Millis(0), key(1), origin("v1")));
+    assert!(!origins.record(Millis(100), key(1), origin("v1")));
+    assert!(origins.record(Millis(200), key(1), origin("v2")));
+    assert!(!origins.record(Millis(300), key(1), origin("v1")));
+    let again = Millis(300 + REPORT_AGAIN_MS);
+    assert!(origins.record(again, key(1), origin("v1")));
+}
+
 /// Guards against origins that take more and more memory, also of a stream that is reported often.
 #[test]
 fn bounds_what_is_remembered() {
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -15,7 +15,7 @@
 use crate::reactor::{Parts as ReactorParts, Reactor};
 use crate::shared::{cancelled, Published, Shared};
 use crate::work::Tally;
-use crate::{http, inventory, listing, monitor, platform, poll, readiness, releases};
+use crate::{http, inventory, listing, monitor, origin_log, platform, poll, readiness, releases};
 use coordination::budget::{Budget, Resources};
 use coordination::consensus::Admission;
 use coordination::dispatcher::{Bounds, Location};
@@ -70,6 +70,8 @@
     reactor_task: JoinHandle<()>,
     /// Channel to the control role, and its thread.
     control: Option<(flume::Sender<control::Input>, Thread<()>)>,
+    /// Thread that writes origins of streams. It ends after the reactor.
+    origins: Option<Thread<()>>,
     /// Tasks that serve requests. They end by the phase.
     servers: Vec<JoinHandle<()>>,
     /// All other tasks but the reactor's. Requests may need them until the servers have ended.
@@ -351,6 +353,15 @@
             }
             _ => None,
         };
+        let (origin_log, origins, stored_origins) = match &self.settings.control {
+            Some(control) => {
+                let (clock, metrics) = (self.clock.clone(), self.metrics.clone());
+                let (sender, thread, stored) =
+                    origin_log::start(control.data.clone(), clock, metrics)?;
+                (Some(sender), Some(thread), stored)
+            }
+            None => (None, None, Vec::new()),
+        };
         let answers_excess = self.settings.router.answer_excess;
         let lateness = Lateness::new(answers_excess);
         let (inquiries, inquiry_receiver) = flume::unbounded();
@@ -364,6 +375,8 @@
             listing_interval_ms: (self.settings.listing.as_ref())
                 .map_or(DEFAULT_LISTING_INTERVAL_MS, |l| l.every_ms),
             reads_listing: self.settings.listing.is_some(),
+            origin_log,
+            stored_origins,
             home: Location {
                 region: self.settings.vm.region.clone(),
                 data_centre: self.settings.vm.data_centre.clone(),
@@ -514,6 +527,7 @@
             reactor,
             reactor_task,
             control,
+            origins,
             servers,
             tasks,
             stop,
--- a/components/node/src/process/stop.rs
+++ b/components/node/src/process/stop.rs
@@ -72,6 +72,9 @@
             self.hub.stop().await;
         };
         is_joined &= tokio::time::timeout_at(until.into(), ends).await.is_ok();
+        if let Some(thread) = self.origins.take() {
+            is_joined &= join_thread(thread, until).await;
+        }
         let took_ms = millis(progress.began.elapsed());
         tracing::info!(event = Line::Stopped.as_str(), took_ms, is_joined);
     }
--- a/components/node/src/reactor/catalog.rs
+++ b/components/node/src/reactor/catalog.rs
@@ -115,7 +115,8 @@
 
     /// Takes a change of the catalog from the control role of this process.
     pub(super) fn replace_catalog(&mut self, now: Millis, catalog: Catalog) {
-        self.versioning.catalog = catalog;
+        let before = std::mem::replace(&mut self.versioning.catalog, catalog);
+        self.store_origins(now, &before);
         if let Some(held) = self.versioning.held.take() {
             self.handle_reading(now, held);
         }
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -73,6 +73,10 @@
     pub(crate) listing_interval_ms: u64,
     /// Whether this process may read that list.
     pub(crate) reads_listing: bool,
+    /// Channel to the file of origins, on a control VM.
+    pub(crate) origin_log: Option<crate::origin_log::Sender>,
+    /// Origins that the file had when this process started.
+    pub(crate) stored_origins: Vec<(coordination::origin::Key, coordination::origin::Origin)>,
     /// Region, data centre and incarnation of this VM.
     pub(crate) home: Location,
     /// Limits on queued requests and their bytes.
@@ -282,6 +286,8 @@
             me,
             parts,
         };
+        let stored = std::mem::take(&mut reactor.parts.stored_origins);
+        reactor.restore_origins(now, &stored);
         // The schedulers of this VM know its own router as well.
         reactor.open_occupancy(&hello);
         reactor
--- a/components/node/src/reactor/origins.rs
+++ b/components/node/src/reactor/origins.rs
@@ -7,7 +7,7 @@
     self, Answer, Begun, Decision, Found, Key, Lookups, Origin, Origins, Sole, Stream,
 };
 use protocol::wire::{Features, Hello, Message};
-use state::catalog::Versions;
+use state::catalog::{Catalog, Versions};
 use state::clock::Millis;
 use state::id::{Name, ServiceId};
 use std::collections::{BTreeSet, HashMap};
@@ -96,6 +96,47 @@
         self.report_origins(now);
     }
 
+    /// Stores origins of services that have had several versions: of others every stream goes on at
+    /// the same one.
+    fn append_origins(&self, origins: &[(Key, Origin)]) {
+        let Some(log) = &self.parts.origin_log else {
+            return;
+        };
+        let catalog = &self.versioning.catalog;
+        let is_mixed = |(_, origin): &&(Key, Origin)| {
+            let service = self.service_name(origin.service);
+            service.is_some_and(|service| catalog.is_mixed(&service))
+        };
+        let stored: Vec<(Key, Origin)> = origins.iter().filter(is_mixed).copied().collect();
+        if !stored.is_empty() {
+            log.append(stored);
+        }
+    }
+
+    /// Stores the origins that are known of services that had a single version by the catalog
+    /// `before`.
+    pub(super) fn store_origins(&mut self, now: Millis, before: &Catalog) {
+        let catalog = &self.versioning.catalog;
+        let services = self.view.config.services.iter();
+        let is_new = |name: &Name| catalog.is_mixed(name) && !before.is_mixed(name);
+        let services = services.filter(|(_, service)| is_new(&service.name));
+        let services: BTreeSet<ServiceId> = services.map(|(id, _)| *id).collect();
+        if services.is_empty() {
+            return;
+        }
+        self.streams.origins.expire(now);
+        let all = self.streams.origins.iter();
+        let changed = all.filter(|(_, origin)| services.contains(&origin.service));
+        self.append_origins(&changed.collect::<Vec<_>>());
+    }
+
+    /// Takes the origins that were stored before this process started.
+    pub(super) fn restore_origins(&mut self, now: Millis, stored: &[(Key, Origin)]) {
+        for (key, origin) in stored {
+            self.streams.origins.record(now, *key, *origin);
+        }
+    }
+
     fn queue_origin(&mut self, key: Key, origin: Origin) {
         let unsent = &mut self.streams.unsent;
         if unsent.len() < UNSENT_MAX {
@@ -106,12 +147,16 @@
     /// Takes a report of a router, or of another control VM.
     pub(super) fn handle_origins(&mut self, now: Millis, vm: &Name, reported: Vec<(Key, Origin)>) {
         let is_member = self.members.iter().any(|member| member.vm == *vm);
+        let mut news = Vec::new();
         for (key, origin) in reported {
-            self.streams.origins.record(now, key, origin);
+            if self.streams.origins.record(now, key, origin) {
+                news.push((key, origin));
+            }
             if self.parts.is_control && !is_member {
                 self.queue_origin(key, origin);
             }
         }
+        self.append_origins(&news);
     }
 
     /// Decides where a stream that its caller takes up again may go on.
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -83,6 +83,8 @@
     ReleaseUnanswered,
     /// The durable state cannot be written, so the process ends.
     StateLost,
+    /// Origins of streams cannot be written, and are lost if all control VMs lose power.
+    OriginsUnwritten,
     /// Software versions have joined their services.
     VersionsJoined,
     /// An engine did not report the contents of its cache.
@@ -110,7 +112,7 @@
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 51] = [
+    pub const ALL: [Line; 52] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -151,6 +153,7 @@
         Line::ReleaseRefused,
         Line::ReleaseUnanswered,
         Line::StateLost,
+        Line::OriginsUnwritten,
         Line::VersionsJoined,
         Line::InventoryMissing,
         Line::ListingUnreadable,
@@ -207,6 +210,7 @@
             Line::ReleaseRefused => "release-refused",
             Line::ReleaseUnanswered => "release-unanswered",
             Line::StateLost => "state-lost",
+            Line::OriginsUnwritten => "origins-unwritten",
             Line::VersionsJoined => "versions-joined",
             Line::InventoryMissing => "inventory-missing",
             Line::ListingUnreadable => "listing-unreadable",
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod disk;
 pub mod frame;
 pub mod link;
+pub mod origins;
 pub mod tls;
 pub mod wal;
