Hold back only endpoints of new versions, and find versions from before

Found in review, in an upgraded fleet with a control VM down: the list of endpoints was never read again, since each refusal to begin the catalog applied the held reading once more and made it look like a new one. An endpoint that one reading lacked was removed when a version joined, since that reading counted twice. A service without an endpoint when the catalog began got an only version afterwards, although others may have left before.

Now only the endpoints with new versions are held, and are added without being a reading of their own (`Registry::add_to_reading`). The catalog begins at a new leader, and the replicated state has the services that were in use before: a stated version of theirs counts as one of several. Routers trust versions in lists only from processes that know the catalog. A stream of the only version ever waits for an endpoint like any other request. Lookups name the rule of the stream, a query goes on until it finds the leader, and nothing is answered before the catalog has begun, so that the caller may retry. Origins at endpoints without a version are reported where others state one. The log of origins counts what waits for the disk, and survives files that cannot be read or removed.

--- a/components/coordination/src/listing.rs
+++ b/components/coordination/src/listing.rs
@@ -246,6 +246,15 @@
         is_changed
     }
 
+    /// Adds entries of the last reading that were held back; returns true if anything has changed.
+    /// This is no new reading.
+    pub fn add_to_reading(&mut self, now: Millis, endpoints: Vec<Entry>, draw: u64) -> bool {
+        let updated = self.updated;
+        let is_changed = self.apply_partial_reading(now, endpoints, draw);
+        self.updated = updated;
+        is_changed
+    }
+
     /// Merges a complete reading; returns true if anything has changed. The new listing then
     /// gets the random number `draw`.
     pub fn apply_reading(&mut self, now: Millis, mut endpoints: Vec<Entry>, draw: u64) -> bool {
--- a/components/coordination/src/origin.rs
+++ b/components/coordination/src/origin.rs
@@ -69,6 +69,8 @@
     /// Another origin that was reported: either may be the one whose event the caller has.
     other: Option<Origin>,
     reported_at: Millis,
+    /// When a report of it was last passed on as news.
+    news_at: Millis,
 }
 
 /// Origins of recent streams.
@@ -80,23 +82,27 @@
 }
 
 impl Origins {
-    /// Remembers the origin of a stream from now on. Returns false if it was reported a short time
-    /// ago.
+    /// Remembers the origin of a stream from now on. Returns whether the report is news: the first
+    /// one of an origin, or the first one for [`REPORT_AGAIN_MS`].
     pub fn record(&mut self, now: Millis, key: Key, origin: Origin) -> bool {
         let before = self.entries.get(&key);
         let is_news = before.is_none_or(|entry| {
             let is_same = entry.origin == origin || entry.other == Some(origin);
-            !is_same || now.since(entry.reported_at) >= REPORT_AGAIN_MS / 2
+            !is_same || now.since(entry.news_at) >= REPORT_AGAIN_MS
         });
         let entry = self.entries.entry(key).or_insert(Entry {
             origin,
             other: None,
             reported_at: now,
+            news_at: now,
         });
         if entry.origin != origin {
             entry.other = Some(origin);
         }
         entry.reported_at = now;
+        if is_news {
+            entry.news_at = now;
+        }
         self.order.push_back((now, key));
         self.expire(now);
         is_news
@@ -344,18 +350,20 @@
 }
 
 /// A stream that its caller takes up again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Stream {
     /// Its service, by its rule.
     pub service: ServiceId,
+    /// Its rule.
+    pub rule: Name,
     /// Whether its rule names no other service.
     pub has_one_service: bool,
 }
 
 /// Decides where a stream may go on. `found` is the result of the lookup, if there was one.
 /// `is_current` says whether the endpoints of the view are those of the latest list.
-pub fn decide(view: &View, is_current: bool, stream: Stream, found: Option<Found>) -> Decision {
-    let Stream { service, .. } = stream;
+pub fn decide(view: &View, is_current: bool, stream: &Stream, found: Option<Found>) -> Decision {
+    let service = stream.service;
     let Some(name) = view.config.services.get(&service).map(|s| &s.name) else {
         return Decision::Reject(Rejection::Unknown);
     };
@@ -363,7 +371,8 @@
         None => return Decision::LookUp,
         Some(Found::Known(origin)) if origin.service == service => origin.software,
         // It may have begun at another service of the rule.
-        Some(Found::Sole(software)) if stream.has_one_service => software,
+        // All endpoints have this version, so that it may wait for one like any other request.
+        Some(Found::Sole(software)) if stream.has_one_service => return Decision::At(software),
         Some(Found::Known(_) | Found::Sole(_) | Found::Unknown) => {
             return Decision::Reject(Rejection::Unknown)
         }
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -11,7 +11,7 @@
 use protocol::codec;
 use protocol::wire::{Drain, Features, Hello, Message, Query, Reply};
 use serde::{Deserialize, Serialize};
-use state::catalog::{self, Catalog};
+use state::catalog::{Catalog, Joined, Versions};
 use state::clock::{Millis, Stamp};
 use state::delta::Delta;
 use state::event::{Event, Kind};
@@ -318,9 +318,15 @@
                 self.reply(vm, id, Reply::CurrentVersion(self.store.view.version));
                 return;
             }
-            Query::Versions(service) => {
-                let reply = match self.store.catalog.has_begun() {
-                    true => Reply::Versions(self.store.catalog.versions(&service)),
+            Query::Versions { service, rule } => {
+                let catalog = &self.store.catalog;
+                let rules = &self.store.view.config.rules;
+                let reply = match catalog.has_begun() {
+                    // A rule that has gone may have been replaced by one with another service.
+                    true if !rules.iter().any(|r| r.name == rule) => {
+                        Reply::Versions(Some(Versions::Several))
+                    }
+                    true => Reply::Versions(catalog.versions(&service)),
                     false => Reply::Invalid("there is no catalog of versions yet".to_owned()),
                 };
                 self.reply(vm, id, reply);
@@ -365,12 +371,9 @@
     /// Converts a query into a log record, or explains why it is invalid.
     fn record(&self, query: Query) -> Result<Record, String> {
         match query {
-            Query::CurrentVersion | Query::Versions(_) => Ok(Record::NoOp),
+            Query::CurrentVersion | Query::Versions { .. } => Ok(Record::NoOp),
             Query::Join(joined) => match self.may_update_catalog() {
-                true => Ok(Record::Versions(catalog::Update {
-                    joined,
-                    follows_use: !self.store.view.assignments.is_empty(),
-                })),
+                true => Ok(Record::Versions(joined)),
                 false => Err("a control VM does not know the catalog of versions".to_owned()),
             },
             Query::Claim {
@@ -635,8 +638,8 @@
         for entry in ready.committed {
             let (answer, step) = self.store.apply(&entry.record);
             joins |= step.is_some() || matches!(entry.record, Record::Versions(_));
-            if let Record::Versions(update) = &entry.record {
-                self.log_joined(update);
+            if let Record::Versions(joined) = &entry.record {
+                self.log_joined(joined);
             }
             steps.extend(step);
             if let Some((term, vm, id)) = self.waiters.remove(&entry.index) {
@@ -693,17 +696,14 @@
     }
 
     /// Logs which software versions have joined their services.
-    fn log_joined(&self, update: &catalog::Update) {
+    fn log_joined(&self, joined: &Joined) {
         let catalog = &self.store.catalog;
-        let joined = update
-            .joined
-            .iter()
-            .map(|(s, software)| format!("{s}:{software}"));
-        let several = update.joined.iter().map(|(service, _)| service);
+        let several = joined.iter().map(|(service, _)| service);
         let several: BTreeSet<&str> = several
             .filter(|service| catalog.is_mixed(service))
             .map(Name::as_str)
             .collect();
+        let joined = joined.iter().map(|(s, software)| format!("{s}:{software}"));
         tracing::info!(
             event = Line::VersionsJoined.as_str(),
             joined = joined.collect::<Vec<_>>().join(","),
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -291,6 +291,7 @@
     let (sender, reply) = oneshot::channel();
     let stream = origin::Stream {
         service: plan.service,
+        rule: plan.rule.clone(),
         has_one_service: plan.has_one_service,
     };
     let question = Input::Continue(stream, plan.stream, sender);
--- a/components/node/src/origin_log.rs
+++ b/components/node/src/origin_log.rs
@@ -2,28 +2,36 @@
 //! waits for it.
 
 use crate::metric::{gauge_value, Metrics};
-use coordination::origin::{Key, Origin};
+use coordination::origin::{Key, Origin, ORIGINS_MAX};
 use errors::{Error, Result};
 use state::line::Line;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 use transport::clock::Clock;
 use transport::origins::Log;
 
 /// Least time between two writes. Origins that come in meanwhile share one sync.
 const WRITE_INTERVAL: Duration = Duration::from_millis(50);
-/// Most batches that wait for the disk. Further ones are only kept in memory.
-const BATCHES_MAX: usize = 1024;
 
 /// Batches of origins for the thread.
 #[derive(Clone, Debug)]
-pub(crate) struct Sender(flume::Sender<Vec<(Key, Origin)>>);
+pub(crate) struct Sender {
+    batches: flume::Sender<Vec<(Key, Origin)>>,
+    /// Origins that wait for the disk.
+    waiting: Arc<AtomicUsize>,
+}
 
 impl Sender {
-    /// Has a batch written soon, unless the disk is far behind.
+    /// Has a batch written soon. While more origins wait for the disk than are remembered, further
+    /// ones are not written: they are unknown after a loss of power, and their streams rejected.
     pub(crate) fn append(&self, origins: Vec<(Key, Origin)>) {
-        // What is not written is not known after a loss of power, and is then rejected.
-        let _ = self.0.try_send(origins);
+        if self.waiting.load(Ordering::Relaxed) < ORIGINS_MAX {
+            self.waiting.fetch_add(origins.len(), Ordering::Relaxed);
+            // Sending fails only if the thread has ended.
+            let _ = self.batches.send(origins);
+        }
     }
 }
 
@@ -37,12 +45,18 @@
 /// When the log cannot be opened, or the thread not be started.
 pub(crate) fn start(folder: PathBuf, clock: Clock, metrics: Metrics) -> Result<Started> {
     let (mut log, stored) = Log::open(&folder, clock.now())?;
-    let (sender, batches) = flume::bounded::<Vec<(Key, Origin)>>(BATCHES_MAX);
+    let (sender, batches) = flume::unbounded::<Vec<(Key, Origin)>>();
+    let waiting = Arc::new(AtomicUsize::new(0));
+    let sender = Sender {
+        batches: sender,
+        waiting: waiting.clone(),
+    };
     let write = move || {
         let mut is_failing = false;
         while let Ok(first) = batches.recv() {
-            let waiting = batches.try_iter().flatten();
-            let batch: Vec<(Key, Origin)> = first.into_iter().chain(waiting).collect();
+            let others = batches.try_iter().flatten();
+            let batch: Vec<(Key, Origin)> = first.into_iter().chain(others).collect();
+            waiting.fetch_sub(batch.len(), Ordering::Relaxed);
             let written = log.append(clock.now(), &batch);
             let was_failing = std::mem::replace(&mut is_failing, written.is_err());
             if let (Err(error), false) = (written, was_failing) {
@@ -61,5 +75,5 @@
         .name("origins".to_owned())
         .spawn(write)
         .map_err(Error::file("start a thread", "origins"))?;
-    Ok((Sender(sender), thread, stored))
+    Ok((sender, thread, stored))
 }
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -374,7 +374,6 @@
             seeds,
             listing_interval_ms: (self.settings.listing.as_ref())
                 .map_or(DEFAULT_LISTING_INTERVAL_MS, |l| l.every_ms),
-            reads_listing: self.settings.listing.is_some(),
             origin_log,
             stored_origins,
             home: Location {
--- a/components/node/src/reactor/catalog.rs
+++ b/components/node/src/reactor/catalog.rs
@@ -22,13 +22,15 @@
     pub(super) catalog: Catalog,
     /// Linked control VMs of an earlier release. While there are any, the catalog does not begin.
     unaware: BTreeSet<Name>,
+    /// Linked processes that know the catalog.
+    aware: BTreeSet<Name>,
     /// Whether the leader has refused to begin the catalog.
     is_refused: bool,
     /// The query by which versions join.
     joining: Option<oneshot::Receiver<Reply>>,
-    /// A reading of the list with endpoints whose versions have yet to join.
-    held: Option<Reading>,
-    /// Versions in lists from other processes, on a router: they have joined.
+    /// Endpoints that were read last and whose versions have yet to join.
+    held: Vec<Entry>,
+    /// Versions in lists from processes that know the catalog, on a router: they have joined.
     received: BTreeSet<(Name, Software)>,
     /// Readings of the versions of services, for streams of unknown origin.
     pub(super) reads: Reads,
@@ -44,28 +46,30 @@
     pub(super) asked_at: Millis,
 }
 
-/// Questions about one service that share a query.
+/// A service, and the rule that sends requests to it.
+pub(super) type Route = (Name, Name);
+
+/// Questions about one route that share a query.
 struct Read {
     reply: oneshot::Receiver<Reply>,
     questions: Vec<Question>,
-    sent_at: Millis,
 }
 
 /// Readings of the versions of services. A question is answered by a query that was sent after it
 /// came in.
 #[derive(Default)]
 pub(super) struct Reads {
-    due: BTreeMap<Name, Vec<Question>>,
-    sent: BTreeMap<Name, Read>,
+    due: BTreeMap<Route, Vec<Question>>,
+    sent: BTreeMap<Route, Read>,
 }
 
-/// Questions about a service, with its versions if the leader knows them.
+/// Questions about a route, with the versions of its service if the leader knows them.
 pub(super) type Answered = (Vec<Question>, Option<Option<Versions>>);
 
 impl Reads {
-    /// Adds a question about a service.
-    pub(super) fn add(&mut self, service: Name, question: Question) {
-        self.due.entry(service).or_default().push(question);
+    /// Adds a question about a route.
+    pub(super) fn add(&mut self, route: Route, question: Question) {
+        self.due.entry(route).or_default().push(question);
     }
 
     /// Questions whose reply has arrived.
@@ -83,43 +87,51 @@
         answered
     }
 
-    /// Drops questions that were asked before `since`: nobody waits for their answers.
+    /// Drops questions that were asked before `since`: nobody waits for their answers. A query
+    /// without questions goes on, so that it finds the leader.
     fn drop_before(&mut self, since: Millis) {
-        self.sent.retain(|_, read| read.sent_at >= since);
+        let is_awaited = |question: &Question| question.asked_at >= since;
+        for read in self.sent.values_mut() {
+            read.questions.retain(is_awaited);
+        }
         for questions in self.due.values_mut() {
-            questions.retain(|question| question.asked_at >= since);
+            questions.retain(is_awaited);
         }
         self.due.retain(|_, questions| !questions.is_empty());
     }
 }
 
 impl Reactor {
-    /// Registers a control VM whose link is up.
+    /// Registers a peer whose link is up.
     pub(super) fn open_catalog(&mut self, hello: &Hello) {
         let vm = &hello.node.vm;
-        let is_control = self.control_nodes().iter().any(|node| node.vm == *vm);
-        if is_control && !hello.extension.features.includes(Features::CATALOG) {
+        self.close_catalog(vm);
+        if hello.extension.features.includes(Features::CATALOG) {
+            self.versioning.aware.insert(vm.clone());
+        } else if self.control_nodes().iter().any(|node| node.vm == *vm) {
             self.versioning.unaware.insert(vm.clone());
             // It could not read these queries, and would close its link.
             self.versioning.joining = None;
             self.versioning.reads = Reads::default();
-        } else {
-            self.versioning.unaware.remove(vm);
         }
     }
 
-    /// Removes a control VM whose link is down.
+    /// Removes a peer whose link is down.
     pub(super) fn close_catalog(&mut self, vm: &Name) {
         self.versioning.unaware.remove(vm);
+        self.versioning.aware.remove(vm);
+    }
+
+    /// Whether a peer knows the catalog.
+    pub(super) fn knows_catalog(&self, vm: &Name) -> bool {
+        *vm == self.me || self.versioning.aware.contains(vm)
     }
 
     /// Takes a change of the catalog from the control role of this process.
     pub(super) fn replace_catalog(&mut self, now: Millis, catalog: Catalog) {
         let before = std::mem::replace(&mut self.versioning.catalog, catalog);
         self.store_origins(now, &before);
-        if let Some(held) = self.versioning.held.take() {
-            self.handle_reading(now, held);
-        }
+        self.release_held(now);
     }
 
     /// Whether endpoints are only used once their versions have joined.
@@ -133,40 +145,39 @@
         !self.versioning.unaware.is_empty()
     }
 
+    /// Whether an endpoint that was read may be used. `known` are the endpoints in use.
+    fn is_admitted(&self, known: &BTreeMap<EndpointId, Software>, entry: &Entry) -> bool {
+        let (service, software) = (&entry.endpoint.service, entry.endpoint.software);
+        let versioning = &self.versioning;
+        known.get(&entry.id()) == Some(&software)
+            || match self.parts.is_control {
+                true => !self.is_gated() || versioning.catalog.admits(service, software),
+                false => versioning.received.contains(&(service.clone(), software)),
+            }
+    }
+
+    /// Versions of the endpoints in use.
+    fn known_endpoints(&self) -> BTreeMap<EndpointId, Software> {
+        let known = self.registry.listing().endpoints.iter();
+        known.map(|e| (e.id(), e.endpoint.software)).collect()
+    }
+
     /// Removes from a reading the endpoints whose versions have not joined, and lets these join.
     ///
     /// Otherwise a stream could begin at a version of which the others learn only after this
     /// process has ended, and a later reading of the catalog would not have it.
     pub(super) fn admit_reading(&mut self, now: Millis, reading: Reading) -> Reading {
-        let known = self.registry.listing().endpoints.iter();
-        let known: BTreeMap<EndpointId, Software> =
-            known.map(|e| (e.id(), e.endpoint.software)).collect();
-        let is_gated = self.is_gated();
-        let versioning = &self.versioning;
-        let is_admitted = |entry: &Entry| {
-            let (service, software) = (&entry.endpoint.service, entry.endpoint.software);
-            known.get(&entry.id()) == Some(&software)
-                || match self.parts.is_control {
-                    true => !is_gated || versioning.catalog.admits(service, software),
-                    false => versioning.received.contains(&(service.clone(), software)),
-                }
-        };
-        let (admitted, unjoined): (Vec<Entry>, Vec<Entry>) =
-            reading.endpoints.into_iter().partition(is_admitted);
-        let has_begun = versioning.catalog.has_begun();
-        self.versioning.held = None;
-        if self.parts.is_control && !(has_begun && unjoined.is_empty()) {
-            // In a fleet that was upgraded, endpoints are in use before the catalog begins.
-            let in_use = admitted.iter().filter(|_| !has_begun);
-            let joining: BTreeSet<(Name, Software)> = (unjoined.iter().chain(in_use))
-                .map(|e| (e.endpoint.service.clone(), e.endpoint.software))
-                .collect();
-            self.join(now, joining.into_iter().take(JOINED_MAX).collect());
-            let all = admitted.iter().cloned().chain(unjoined);
-            self.versioning.held = Some(Reading {
-                endpoints: all.collect(),
-                ..reading
-            });
+        let known = self.known_endpoints();
+        let (admitted, held): (Vec<Entry>, Vec<Entry>) =
+            (reading.endpoints.into_iter()).partition(|entry| self.is_admitted(&known, entry));
+        if self.parts.is_control && !self.versioning.catalog.has_begun() {
+            self.join(now, &admitted);
+        }
+        if self.parts.is_control && !held.is_empty() {
+            self.join(now, &held);
+            self.versioning.held = held;
+        } else {
+            self.versioning.held.clear();
         }
         Reading {
             endpoints: admitted,
@@ -174,20 +185,40 @@
         }
     }
 
-    /// Asks the leader to let versions join, unless it was asked and has not answered.
-    fn join(&mut self, now: Millis, joined: Vec<(Name, Software)>) {
+    /// Uses the endpoints that were read before their versions had joined.
+    fn release_held(&mut self, now: Millis) {
+        if self.versioning.held.is_empty() {
+            return;
+        }
+        let known = self.known_endpoints();
+        let held = std::mem::take(&mut self.versioning.held);
+        let (admitted, held): (Vec<Entry>, Vec<Entry>) =
+            (held.into_iter()).partition(|entry| self.is_admitted(&known, entry));
+        self.versioning.held = held;
+        if !admitted.is_empty() {
+            let changed = self.registry.add_to_reading(now, admitted, rand::random());
+            self.propagate_listing(now, changed, None);
+        }
+    }
+
+    /// Asks the leader to let the versions of endpoints join, unless it was asked and has not
+    /// answered.
+    fn join(&mut self, now: Millis, entries: &[Entry]) {
         if self.versioning.joining.is_some() || self.has_earlier_release() {
             return;
         }
+        let joined: BTreeSet<(Name, Software)> = (entries.iter())
+            .map(|e| (e.endpoint.service.clone(), e.endpoint.software))
+            .collect();
+        let query = Query::Join(joined.into_iter().take(JOINED_MAX).collect());
         let (sender, receiver) = oneshot::channel();
         self.versioning.joining = Some(receiver);
-        self.queries
-            .ask(now, &self.parts.hub, Query::Join(joined), sender);
+        self.queries.ask(now, &self.parts.hub, query, sender);
     }
 
-    /// Remembers the versions in a list from another process.
-    pub(super) fn record_received(&mut self) {
-        if self.parts.is_control {
+    /// Remembers the versions in a list from another process, before it is replaced by the next.
+    pub(super) fn record_received(&mut self, from: &Name) {
+        if self.parts.is_control || !self.knows_catalog(from) {
             return;
         }
         for entry in &self.registry.change().set {
@@ -199,16 +230,13 @@
         }
     }
 
-    /// Lets the catalog of a fleet without listed endpoints begin, and takes the replies of the
-    /// leader.
+    /// Lets the catalog begin, and takes the replies of the leader.
     pub(super) fn tick_catalog(&mut self, now: Millis) {
         if !self.parts.is_control {
             return;
         }
-        // In a fleet that was upgraded, a reading of the list tells which services have versions.
-        let may_begin = !self.parts.reads_listing || self.view.assignments.is_empty();
-        if self.is_leader && may_begin && !self.versioning.catalog.has_begun() {
-            self.join(now, Vec::new());
+        if self.is_leader && !self.versioning.catalog.has_begun() && !self.versioning.is_refused {
+            self.join(now, &[]);
         }
         let reply = self.versioning.joining.as_mut().map(|r| r.try_recv());
         match reply {
@@ -216,9 +244,7 @@
             Some(Ok(Reply::Invalid(_))) => {
                 self.versioning.joining = None;
                 self.versioning.is_refused = true;
-                if let Some(held) = self.versioning.held.take() {
-                    self.handle_reading(now, held);
-                }
+                self.release_held(now);
             }
             Some(_) => self.versioning.joining = None,
         }
@@ -233,19 +259,15 @@
         let oldest = Millis(now.0.saturating_sub(coordination::origin::LOOKUP_MS));
         let reads = &mut self.versioning.reads;
         reads.drop_before(oldest);
-        let is_free = |service: &Name| !reads.sent.contains_key(service);
-        let due: Vec<Name> = reads.due.keys().filter(|s| is_free(s)).cloned().collect();
-        for service in due {
-            let questions = reads.due.remove(&service).unwrap_or_default();
+        let is_free = |route: &Route| !reads.sent.contains_key(route);
+        let due: Vec<Route> = reads.due.keys().filter(|r| is_free(r)).cloned().collect();
+        for route in due {
+            let questions = reads.due.remove(&route).unwrap_or_default();
             let (sender, reply) = oneshot::channel();
-            let query = Query::Versions(service.clone());
+            let (service, rule) = route.clone();
+            let query = Query::Versions { service, rule };
             self.queries.ask(now, &self.parts.hub, query, sender);
-            let read = Read {
-                reply,
-                questions,
-                sent_at: now,
-            };
-            reads.sent.insert(service, read);
+            reads.sent.insert(route, Read { reply, questions });
         }
     }
 
--- a/components/node/src/reactor/listing.rs
+++ b/components/node/src/reactor/listing.rs
@@ -64,14 +64,14 @@
         };
         self.listing_received_at = Some(now);
         if changed {
-            self.record_received();
+            self.record_received(vm);
         }
         self.propagate_listing(now, changed, Some(vm));
     }
 
     /// Applies an update of the list and passes it on: from a control VM to the other members,
     /// if this process read it, and always to children.
-    fn propagate_listing(&mut self, now: Millis, changed: bool, from: Option<&Name>) {
+    pub(super) fn propagate_listing(&mut self, now: Millis, changed: bool, from: Option<&Name>) {
         if changed {
             self.log_endpoints(from);
             self.catalogue.apply_change(now, self.registry.change());
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -71,8 +71,6 @@
     pub(crate) seeds: Vec<Node>,
     /// Time between two reads of the platform's list of endpoints, in milliseconds.
     pub(crate) listing_interval_ms: u64,
-    /// Whether this process may read that list.
-    pub(crate) reads_listing: bool,
     /// Channel to the file of origins, on a control VM.
     pub(crate) origin_log: Option<crate::origin_log::Sender>,
     /// Origins that the file had when this process started.
@@ -509,7 +507,12 @@
             Message::Consensus(_) | Message::Heartbeat { .. } | Message::Query(..) => {
                 self.send_to_control(crate::control::Input::Message(vm, message));
             }
-            Message::Reply(id, reply) => self.queries.handle_reply(now, &self.parts.hub, id, reply),
+            Message::Reply(id, reply) => {
+                self.queries.handle_reply(now, &self.parts.hub, id, reply);
+                if self.parts.is_control {
+                    self.send_reads(now);
+                }
+            }
             Message::Subscribe(version) => {
                 let hub = &self.parts.hub;
                 let peer = hub.peers().into_iter().find(|p| p.node.vm == vm);
@@ -610,7 +613,10 @@
             }
             Message::Origins(reported) => self.handle_origins(now, &vm, reported),
             Message::OriginRequest(number, key, service) => {
-                self.answer_origin_request(now, &vm, number, (key, service));
+                self.answer_origin_request(now, &vm, number, (key, service), None);
+            }
+            Message::StreamRequest(number, key, service, rule) => {
+                self.answer_origin_request(now, &vm, number, (key, service), Some(rule));
             }
             Message::Origin(number, answer) => self.handle_origin(now, &vm, number, answer),
             Message::Occupancy(occupancy) => self.handle_occupancy(now, &vm, occupancy),
--- a/components/node/src/reactor/origins.rs
+++ b/components/node/src/reactor/origins.rs
@@ -9,7 +9,7 @@
 use protocol::wire::{Features, Hello, Message};
 use state::catalog::{Catalog, Versions};
 use state::clock::Millis;
-use state::id::{Name, ServiceId};
+use state::id::{Name, ServiceId, Software};
 use std::collections::{BTreeSet, HashMap};
 use tokio::sync::oneshot;
 
@@ -86,12 +86,20 @@
         }
     }
 
-    /// Records where a stream of this router began, unless no endpoint is known to state a version.
+    /// Records where a stream of this router began. It is not reported if no endpoint of the service
+    /// is known to state a version: the control VMs then answer by the catalog.
     pub(super) fn record_origin(&mut self, now: Millis, key: Key, origin: Origin) {
-        if !origin.software.is_stated() && !self.effective.is_partial() {
+        let is_news = self.streams.origins.record(now, key, origin);
+        let is_stated = |software: &Software| software.is_stated();
+        let service = self.service_name(origin.service);
+        let listed = service.map(|name| origin::versions(&self.effective, &name));
+        let has_versions = listed.is_some_and(|listed| listed.iter().any(is_stated));
+        if !origin.software.is_stated() && !self.effective.is_partial() && !has_versions {
             return;
         }
-        self.streams.origins.record(now, key, origin);
+        if is_news {
+            self.append_origins(&[(key, origin)]);
+        }
         self.queue_origin(key, origin);
         self.report_origins(now);
     }
@@ -168,11 +176,11 @@
         reply: oneshot::Sender<Continued>,
     ) {
         let found = self.streams.origins.get(now, key).map(Found::Known);
-        let decision = self.decide_origin(now, stream, found);
+        let decision = self.decide_origin(now, &stream, found);
         if decision != Decision::LookUp {
             let source = found.map_or("", |_| "this-router");
             // The caller may have disconnected.
-            let _ = reply.send(self.continued(now, stream, decision, source));
+            let _ = reply.send(self.continued(now, &stream, decision, source));
             return;
         }
         let mut vms = self.origin_vms();
@@ -191,7 +199,7 @@
                 }
             }
             Begun::Ended(found) => {
-                let _ = reply.send(self.conclude(now, stream, found));
+                let _ = reply.send(self.conclude(now, &stream, found));
             }
         }
     }
@@ -202,13 +210,19 @@
             return;
         }
         if let Some(Waiting { stream, key, .. }) = self.streams.waiting.get(&number) {
-            let request = Message::OriginRequest(number, *key, stream.service);
+            let request = match self.knows_catalog(vm) {
+                true => {
+                    let rule = stream.rule.clone();
+                    Message::StreamRequest(number, *key, stream.service, rule)
+                }
+                false => Message::OriginRequest(number, *key, stream.service),
+            };
             self.parts.hub.send(vm, request);
         }
     }
 
     /// Decides by the result of a lookup.
-    fn conclude(&self, now: Millis, stream: Stream, found: Found) -> Continued {
+    fn conclude(&self, now: Millis, stream: &Stream, found: Found) -> Continued {
         let decision = self.decide_origin(now, stream, Some(found));
         let source = match (found, decision) {
             (Found::Known(_), _) => "control-vm",
@@ -223,7 +237,7 @@
     fn continued(
         &self,
         now: Millis,
-        stream: Stream,
+        stream: &Stream,
         decision: Decision,
         source: &'static str,
     ) -> Continued {
@@ -238,7 +252,7 @@
         }
     }
 
-    fn decide_origin(&self, now: Millis, stream: Stream, found: Option<Found>) -> Decision {
+    fn decide_origin(&self, now: Millis, stream: &Stream, found: Option<Found>) -> Decision {
         let within_ms = LATEST_INTERVALS * self.parts.listing_interval_ms;
         let is_current = self.registry.is_recent(now, within_ms);
         origin::decide(&self.effective, is_current, stream, found)
@@ -259,6 +273,7 @@
         vm: &Name,
         number: u64,
         (key, service): (Key, ServiceId),
+        rule: Option<Name>,
     ) {
         if let Some(origin) = self.streams.origins.get(now, key) {
             let answer = Answer::Known(origin);
@@ -271,14 +286,16 @@
             key,
             asked_at: now,
         };
-        match self.service_name(service) {
-            Some(service) if self.versioning.catalog.has_begun() => {
-                self.versioning.reads.add(service, question);
-                self.send_reads(now);
-            }
-            // Without a leader, this process may not have all changes of the log.
-            _ if !self.has_leader => {}
-            _ => self.answer_questions(now, (vec![question], None)),
+        let Some(rule) = rule else {
+            // A router of an earlier release decides by what it has seen itself.
+            self.answer_questions(now, (vec![question], None));
+            return;
+        };
+        // Without a catalog, or if the service is not known yet, another control VM may answer.
+        let service = self.service_name(service);
+        if let Some(service) = service.filter(|_| self.versioning.catalog.has_begun()) {
+            self.versioning.reads.add((service, rule), question);
+            self.send_reads(now);
         }
     }
 
@@ -310,7 +327,7 @@
     fn end_lookup(&mut self, now: Millis, number: u64, found: Found) {
         if let Some(Waiting { stream, reply, .. }) = self.streams.waiting.remove(&number) {
             // The caller may have disconnected.
-            let _ = reply.send(self.conclude(now, stream, found));
+            let _ = reply.send(self.conclude(now, &stream, found));
         }
     }
 
--- a/components/protocol/src/wire.rs
+++ b/components/protocol/src/wire.rs
@@ -63,8 +63,8 @@
     /// [`Evidence::survivals`], which follow the message in its frame.
     pub const PROMPT_PARTS: Features = Features(1 << 3);
 
-    /// Catalog of software versions: [`Query::Join`], [`Query::Versions`], and the record of the
-    /// replicated log that they are about.
+    /// Catalog of software versions: [`Query::Join`], [`Query::Versions`], the record of the
+    /// replicated log that they are about, and [`Message::StreamRequest`].
     pub const CATALOG: Features = Features(1 << 4);
 
     /// All features of this release.
@@ -144,8 +144,13 @@
     /// Reports software versions that the platform lists for services, before their endpoints are
     /// used. This and the next one are sent between control VMs with [`Features::CATALOG`].
     Join(Vec<(Name, Software)>),
-    /// Asks which software versions a service has had.
-    Versions(Name),
+    /// Asks at which software versions a stream may have begun that a rule sends to a service.
+    Versions {
+        /// The service.
+        service: Name,
+        /// The rule.
+        rule: Name,
+    },
 }
 
 /// What is drained, by name.
@@ -173,7 +178,7 @@
     NotLeader(Option<Node>),
     /// The query is invalid, for this reason; nothing was changed.
     Invalid(String),
-    /// Software versions that the service has had; `None` if it has had no endpoint.
+    /// The versions that were asked for; `None` if the service has had no endpoint.
     Versions(Option<Versions>),
 }
 
@@ -291,8 +296,11 @@
     /// To a control VM: asks where a stream of a service began, with the sender's number for the
     /// question.
     OriginRequest(u64, origin::Key, ServiceId),
-    /// Answer to the [`Message::OriginRequest`] with this number.
+    /// Answer to the [`Message::OriginRequest`] or [`Message::StreamRequest`] with this number.
     Origin(u64, origin::Answer),
+    /// To a control VM with [`Features::CATALOG`], in place of a [`Message::OriginRequest`]: names
+    /// the rule of the stream, too.
+    StreamRequest(u64, origin::Key, ServiceId, Name),
 }
 
 impl Message {
@@ -335,6 +343,7 @@
             Message::Origins(_) => "origins",
             Message::OriginRequest(..) => "origin-request",
             Message::Origin(..) => "origin",
+            Message::StreamRequest(..) => "stream-request",
         }
     }
 }
--- a/components/state/src/catalog.rs
+++ b/components/state/src/catalog.rs
@@ -1,12 +1,13 @@
 //! Software versions that the endpoints of each service have ever had.
 //!
-//! A version joins its service by a record of the replicated log before any request is sent to an
-//! endpoint with it. A service that has one version by a current reading of the log has therefore
-//! never had another one, however long ago, and whatever this process has seen itself.
+//! Once the catalog has begun, a version joins its service by a record of the replicated log before
+//! endpoints with it are passed on to routers. A service that has one version by a current reading of
+//! the log has therefore never had another one, however long ago, and whatever the process that asks
+//! has seen itself.
 
 use crate::id::{Name, Software};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Most services of a catalog. Further ones count as services with several versions.
 pub const SERVICES_MAX: usize = 16_384;
@@ -21,23 +22,18 @@
     Several,
 }
 
-/// Versions that join their services.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Update {
-    /// Services and versions.
-    pub joined: Vec<(Name, Software)>,
-    /// Whether endpoints were in use before the first update of the catalog.
-    pub follows_use: bool,
-}
+/// Services, each with a version that joins it.
+pub type Joined = Vec<(Name, Software)>;
 
 /// Versions of all services.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Catalog {
-    /// Whether there was an update. Before it, nothing is known of any service.
+    /// Whether the catalog covers all use of endpoints. Before, nothing is known of any service.
     has_begun: bool,
     services: BTreeMap<Name, Versions>,
+    /// Services that were in use before: other versions of them may have left.
+    older: BTreeSet<Name>,
 }
 
 impl Catalog {
@@ -46,6 +42,16 @@
         self.has_begun
     }
 
+    /// Begins the catalog. `in_use` are the services whose endpoints were in use before.
+    pub fn begin<N>(&mut self, in_use: N)
+    where
+        N: Iterator<Item = Name>,
+    {
+        if !std::mem::replace(&mut self.has_begun, true) {
+            self.older = in_use.collect();
+        }
+    }
+
     /// Versions that a service has had; `None` if none of its endpoints was ever in use.
     pub fn versions(&self, service: &Name) -> Option<Versions> {
         let known = self.services.get(service).copied();
@@ -53,7 +59,7 @@
         known.or(is_full.then_some(Versions::Several))
     }
 
-    /// Whether requests may be sent to endpoints of a service with this version.
+    /// Whether endpoints of a service with this version may be used.
     pub fn admits(&self, service: &Name, software: Software) -> bool {
         match self.versions(service) {
             Some(Versions::Sole(sole)) => sole == software,
@@ -62,32 +68,20 @@
         }
     }
 
-    /// Services that have had several versions.
+    /// Whether a service has had several versions.
     pub fn is_mixed(&self, service: &Name) -> bool {
         self.versions(service) == Some(Versions::Several)
     }
 
-    /// Applies an update.
-    pub fn apply(&mut self, update: &Update) {
-        let is_first = !std::mem::replace(&mut self.has_begun, true);
-        for (service, software) in &update.joined {
-            if is_first && update.follows_use && software.is_stated() {
-                // Other versions may have left before.
-                self.services.insert(service.clone(), Versions::Several);
-            }
-            self.join(service, *software);
-        }
-    }
-
     /// Adds a version to those of a service.
     pub fn join(&mut self, service: &Name, software: Software) {
-        match self.versions(service) {
-            Some(Versions::Several) => {}
-            Some(Versions::Sole(sole)) if sole == software => {}
-            known => {
-                let versions = known.map_or(Versions::Sole(software), |_| Versions::Several);
-                self.services.insert(service.clone(), versions);
-            }
-        }
+        let versions = match self.versions(service) {
+            Some(Versions::Several) => return,
+            Some(Versions::Sole(sole)) if sole == software => return,
+            Some(Versions::Sole(_)) => Versions::Several,
+            None if software.is_stated() && self.older.contains(service) => Versions::Several,
+            None => Versions::Sole(software),
+        };
+        self.services.insert(service.clone(), versions);
     }
 }
--- a/components/state/src/record.rs
+++ b/components/state/src/record.rs
@@ -165,7 +165,7 @@
     },
     /// Software versions join their services. Not proposed while a member is of a release that
     /// does not know the record.
-    Versions(catalog::Update),
+    Versions(catalog::Joined),
 }
 
 impl Record {
--- a/components/state/src/store.rs
+++ b/components/state/src/store.rs
@@ -1,6 +1,6 @@
 //! The state machine to which the control VMs apply the replicated log.
 
-use crate::catalog::Catalog;
+use crate::catalog::{Catalog, Joined};
 use crate::delta::Delta;
 use crate::evacuation::{Evacuation, Order};
 use crate::id::{CustomerId, RequestId, Software, Version};
@@ -123,14 +123,26 @@
                 (Answer::Accepted(self.view.version), step)
             }
             Record::Evacuation { at, order } => self.evacuate(at.wall, order),
-            Record::Versions(update) => {
-                self.catalog.apply(update);
-                self.join_configured();
+            Record::Versions(joined) => {
+                self.join(joined);
                 (Answer::Done, None)
             }
         }
     }
 
+    /// Lets versions join their services. The first such record begins the catalog.
+    fn join(&mut self, joined: &Joined) {
+        // Endpoints that schedulers have were in use.
+        let is_in_use = !self.view.assignments.is_empty();
+        let services = self.view.config.services.values();
+        let in_use = services.filter(|_| is_in_use).map(|s| s.name.clone());
+        self.catalog.begin(in_use);
+        for (service, software) in joined {
+            self.catalog.join(service, *software);
+        }
+        self.join_configured();
+    }
+
     /// Adds the configured endpoints, which state no version, to the catalog.
     fn join_configured(&mut self) {
         if !self.catalog.has_begun() {
@@ -162,8 +174,9 @@
     fn step(&mut self, change: Change) -> (Answer, Option<Step>) {
         let version = Version(self.view.version.0 + 1);
         let step = Step { version, change };
+        let changes_rules = matches!(step.change, Change::Config(_) | Change::Release(..));
         self.view.apply_step(&step);
-        if matches!(step.change, Change::Config(_) | Change::Release(..)) {
+        if changes_rules {
             self.join_configured();
         }
         (Answer::Accepted(version), Some(step))
--- a/components/transport/src/origins.rs
+++ b/components/transport/src/origins.rs
@@ -46,8 +46,8 @@
         let mut stored = Vec::new();
         let mut seen = BTreeSet::new();
         for (_, path) in &segments {
-            let bytes = fs::read(path).map_err(Error::file("read origins", path))?;
-            let origins = decode(&bytes);
+            // A file that cannot be read is as good as a damaged one.
+            let origins = decode(&fs::read(path).unwrap_or_default());
             // Two origins of one stream are both kept: they make it ambiguous.
             stored.extend(
                 origins
@@ -73,7 +73,8 @@
             log.write(&stored)?;
         }
         for (_, path) in segments {
-            remove(&path)?;
+            // One that cannot be removed now is removed at the next start.
+            let _ = fs::remove_file(path);
         }
         Ok((log, stored))
     }
@@ -97,7 +98,8 @@
         if now.since(self.began_at) >= KEPT_MS || self.origins >= ORIGINS_MAX {
             self.file = create(&self.folder, self.number + 1)?;
             if let Some(before) = self.number.checked_sub(1) {
-                remove(&self.folder.join(format!("{PREFIX}{before}")))?;
+                // One that cannot be removed now is removed at the next start.
+                let _ = fs::remove_file(self.folder.join(format!("{PREFIX}{before}")));
             }
             self.number += 1;
             self.began_at = now;
@@ -176,13 +178,3 @@
     sync_folder().map_err(Error::file("sync the data folder", folder))?;
     Ok(file)
 }
-
-/// Removes a segment, unless it is gone.
-fn remove(path: &Path) -> Result<()> {
-    match fs::remove_file(path) {
-        Err(error) if error.kind() != std::io::ErrorKind::NotFound => {
-            Err(Error::file("remove a segment of origins", path)(error))
-        }
-        _ => Ok(()),
-    }
-}
