Do not take streams of unknown origin to the service of a changed rule

What callers saw: a stream that began at one service went on at the only version of another one, after a new configuration had moved its rule (200 and whole).

Cause: the rule of today counted as the rule of all time. Only its service was looked up.

Change: the replicated state remembers conditions of rules and the services to which they have sent requests. A rule is rerouted if requests that it matches may have gone to another service: by an earlier rule with an overlapping host, path and method, by a rule that was removed or changed its place, or by one that the data centre of the router or a header decides. Streams of unknown origin under such a rule are rejected; those of known origin go on at their service or nowhere, as before.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -326,7 +326,7 @@
                     true if !rules.iter().any(|r| r.name == rule) => {
                         Reply::Versions(Some(Versions::Several))
                     }
-                    true => Reply::Versions(catalog.versions(&service)),
+                    true => Reply::Versions(catalog.versions_by_rule(&service, &rule)),
                     false => Reply::Invalid("there is no catalog of versions yet".to_owned()),
                 };
                 self.reply(vm, id, reply);
--- a/components/state/src/catalog.rs
+++ b/components/state/src/catalog.rs
@@ -1,11 +1,14 @@
-//! Software versions that the endpoints of each service have ever had.
+//! What was ever in use: the software versions that the endpoints of each service have had, and the
+//! services of rules.
 //!
 //! Once the catalog has begun, a version joins its service by a record of the replicated log before
 //! endpoints with it are passed on to routers. A service that has one version by a current reading of
 //! the log has therefore never had another one, however long ago, and whatever the process that asks
 //! has seen itself.
 
+use crate::config::Rule;
 use crate::id::{Name, Software};
+use crate::reroute::Reroutes;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -34,6 +37,7 @@
     services: BTreeMap<Name, Versions>,
     /// Services that were in use before: other versions of them may have left.
     older: BTreeSet<Name>,
+    reroutes: Reroutes,
 }
 
 impl Catalog {
@@ -59,6 +63,14 @@
         known.or(is_full.then_some(Versions::Several))
     }
 
+    /// Versions at which a stream may have begun that a rule sends to a service today.
+    pub fn versions_by_rule(&self, service: &Name, rule: &Name) -> Option<Versions> {
+        match self.reroutes.contains(rule) {
+            true => Some(Versions::Several),
+            false => self.versions(service),
+        }
+    }
+
     /// Whether endpoints of a service with this version may be used.
     pub fn admits(&self, service: &Name, software: Software) -> bool {
         match self.versions(service) {
@@ -84,4 +96,9 @@
         };
         self.services.insert(service.clone(), versions);
     }
+
+    /// Applies a change of the rules.
+    pub fn reroute(&mut self, before: &[Rule], after: &[Rule]) {
+        self.reroutes.apply(before, after);
+    }
 }
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod outcome;
 pub mod prelude;
 pub mod record;
+pub mod reroute;
 pub mod route;
 pub mod secret;
 pub mod store;
--- a/components/state/src/store.rs
+++ b/components/state/src/store.rs
@@ -175,8 +175,10 @@
         let version = Version(self.view.version.0 + 1);
         let step = Step { version, change };
         let changes_rules = matches!(step.change, Change::Config(_) | Change::Release(..));
+        let rules = changes_rules.then(|| self.view.config.rules.clone());
         self.view.apply_step(&step);
-        if changes_rules {
+        if let Some(before) = rules {
+            self.catalog.reroute(&before, &self.view.config.rules);
             self.join_configured();
         }
         (Answer::Accepted(version), Some(step))
