--- a/components/node/src/reactor/catalog.rs
+++ b/components/node/src/reactor/catalog.rs
@@ -12,6 +12,8 @@
 
 /// Most versions that join by one record. The others join by the next one.
 const JOINED_MAX: usize = 1024;
+/// Time between two tries of the leader to begin the catalog, in milliseconds.
+const BEGIN_INTERVAL_MS: u64 = 1000;
 /// Most versions that a router remembers to have received.
 const RECEIVED_MAX: usize = 16_384;
 
@@ -28,6 +30,8 @@
     is_refused: bool,
     /// The query by which versions join.
     joining: Option<oneshot::Receiver<Reply>>,
+    /// When it was last sent.
+    join_sent_at: Option<Millis>,
     /// Endpoints that were read last and whose versions have yet to join.
     held: Vec<Entry>,
     /// Versions in lists from processes that know the catalog, on a router: they have joined.
@@ -170,14 +174,10 @@
         let known = self.known_endpoints();
         let (admitted, held): (Vec<Entry>, Vec<Entry>) =
             (reading.endpoints.into_iter()).partition(|entry| self.is_admitted(&known, entry));
-        if self.parts.is_control && !self.versioning.catalog.has_begun() {
-            self.join(now, &admitted);
-        }
-        if self.parts.is_control && !held.is_empty() {
-            self.join(now, &held);
+        self.versioning.held.clear();
+        if self.parts.is_control {
             self.versioning.held = held;
-        } else {
-            self.versioning.held.clear();
+            self.join_held(now);
         }
         Reading {
             endpoints: admitted,
@@ -201,18 +201,26 @@
         }
     }
 
-    /// Asks the leader to let the versions of endpoints join, unless it was asked and has not
-    /// answered.
-    fn join(&mut self, now: Millis, entries: &[Entry]) {
-        if self.versioning.joining.is_some() || self.has_earlier_release() {
+    /// Asks the leader to let the versions of the endpoints join that are held, unless it was asked
+    /// and has not answered. The leader's own process lets the catalog begin.
+    fn join_held(&mut self, now: Millis) {
+        let versioning = &self.versioning;
+        let may_begin = self.is_leader && !versioning.catalog.has_begun();
+        let begins = may_begin
+            && versioning
+                .join_sent_at
+                .is_none_or(|at| now.since(at) >= BEGIN_INTERVAL_MS);
+        let is_needed = begins || !versioning.held.is_empty();
+        if !is_needed || versioning.joining.is_some() || self.has_earlier_release() {
             return;
         }
-        let joined: BTreeSet<(Name, Software)> = (entries.iter())
+        let joined: BTreeSet<(Name, Software)> = (versioning.held.iter())
             .map(|e| (e.endpoint.service.clone(), e.endpoint.software))
             .collect();
         let query = Query::Join(joined.into_iter().take(JOINED_MAX).collect());
         let (sender, receiver) = oneshot::channel();
         self.versioning.joining = Some(receiver);
+        self.versioning.join_sent_at = Some(now);
         self.queries.ask(now, &self.parts.hub, query, sender);
     }
 
@@ -235,19 +243,17 @@
         if !self.parts.is_control {
             return;
         }
-        if self.is_leader && !self.versioning.catalog.has_begun() && !self.versioning.is_refused {
-            self.join(now, &[]);
-        }
         let reply = self.versioning.joining.as_mut().map(|r| r.try_recv());
         match reply {
             None | Some(Err(oneshot::error::TryRecvError::Empty)) => {}
             Some(Ok(Reply::Invalid(_))) => {
                 self.versioning.joining = None;
                 self.versioning.is_refused = true;
-                self.release_held(now);
             }
             Some(_) => self.versioning.joining = None,
         }
+        self.release_held(now);
+        self.join_held(now);
         self.send_reads(now);
     }
 
