Tests: share the fleet with listed versions

tests/versions.rs moves its list, service and reading of events to tests/versioned, for a second file.

--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -1,181 +1,19 @@
 //! Streams of services whose endpoints have several software versions.
 
 mod harness;
+mod versioned;
 
 use harness::http::{self, Answer};
-use harness::{eventually, Fleet, Plan, SetOnDrop};
+use harness::{eventually, SetOnDrop};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
-use state::secret::Hash;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
-
-/// Number of events of each stream.
-const TOKENS: u32 = 12;
-
-/// The platform's list of endpoints.
-struct List {
-    server: Arc<tiny_http::Server>,
-    page: Arc<Mutex<String>>,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl List {
-    fn start() -> std::io::Result<Self> {
-        let server = tiny_http::Server::http("127.0.0.1:0").map_err(std::io::Error::other)?;
-        let server = Arc::new(server);
-        let page = Arc::new(Mutex::new(r#"{"endpoints":[],"next":null}"#.to_owned()));
-        let (listener, body) = (server.clone(), page.clone());
-        let thread = std::thread::spawn(move || {
-            while let Ok(request) = listener.recv() {
-                let body = body.lock().map(|page| page.clone()).unwrap_or_default();
-                let _ = request.respond(tiny_http::Response::from_string(body));
-            }
-        });
-        Ok(List {
-            server,
-            page,
-            thread: Some(thread),
-        })
-    }
-
-    /// Lists endpoints of the service, each with its name, address and version.
-    fn set(&self, endpoints: &[(String, SocketAddr, String)]) {
-        let row = |(name, address, version): &(String, SocketAddr, String)| {
-            serde_json::json!({
-                "name": name, "service": "assistant", "address": address,
-                "data-centre": "dc-1", "slots": 16, "version": version,
-            })
-        };
-        let rows: Vec<_> = endpoints.iter().map(row).collect();
-        if let Ok(mut page) = self.page.lock() {
-            *page = serde_json::json!({"endpoints": rows, "next": null}).to_string();
-        }
-    }
-}
-
-impl Drop for List {
-    fn drop(&mut self) {
-        self.server.unblock();
-        if let Some(thread) = self.thread.take() {
-            // A panic of the thread has already failed the test.
-            let _ = thread.join();
-        }
-    }
-}
-
-/// A fleet with stand-ins of these versions, which the platform lists.
-struct Service {
-    fleet: Fleet,
-    list: List,
-    versions: Vec<String>,
-}
-
-impl Service {
-    #[expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
-    fn start(routers: usize, versions: &[&str]) -> Self {
-        let list = List::start().unwrap();
-        let address = list.server.server_addr();
-        let mut fleet = Fleet::start_unconfigured(Plan {
-            control: 3,
-            routers,
-            models: 0,
-            plain_services: 0,
-            batch: 16,
-            settings: format!(
-                "[listing]\naddress = {address}\nevery = 100ms\n\
-                 [router]\nresume = yes\nretry-extra = 300\n"
-            ),
-            ..Plan::default()
-        });
-        for (n, version) in versions.iter().enumerate() {
-            let name = format!("assistant-{n}");
-            fleet.add_stand_in_with(&name, false, &["--software", version]);
-        }
-        let service = Service {
-            fleet,
-            list,
-            versions: versions.iter().map(|v| (*v).to_owned()).collect(),
-        };
-        service.list_versions(|_| true);
-        let key = Hash::of(&[b"alpha"]).hex();
-        let text = format!(
-            "[customer alpha]\nkey-sha256 = {key}\nservices = assistant\n\
-             [service assistant]\ncost = event\nidempotent = yes\n\
-             [rule assistant]\nthen = send\nservice = assistant\nresume = yes\n"
-        );
-        let (status, _, error) = service.fleet.apply(&text, &[]);
-        assert!(status.success(), "{error}");
-        service.fleet.wait_version(service.fleet.version());
-        for n in 1..=routers {
-            let router = service.fleet.callers(&format!("r{n}"));
-            eventually("a router serves requests", || {
-                http::get(router, "/", "alpha").status == 200
-            });
-        }
-        service
-    }
-
-    /// Lists the endpoints whose versions `is_listed` accepts.
-    fn list_versions<F>(&self, is_listed: F)
-    where
-        F: Fn(&str) -> bool,
-    {
-        let all = self.fleet.stand_ins.iter().zip(&self.versions);
-        let listed = all.filter(|(_, version)| is_listed(version));
-        let listed = listed.map(|(s, version)| (s.name.clone(), s.address, version.clone()));
-        self.list.set(&listed.collect::<Vec<_>>());
-    }
-
-    /// Begins a stream at a router.
-    fn begin(&self, router: &str, label: &str, fault: &str, pace: &str) -> JoinHandle<Answer> {
-        let tokens = TOKENS.to_string();
-        let (address, label) = (self.fleet.callers(router), label.to_owned());
-        let (fault, pace) = (fault.to_owned(), pace.to_owned());
-        std::thread::spawn(move || {
-            let headers = [
-                ("stand-in-ids", "yes"),
-                ("stand-in-tokens", &*tokens),
-                ("stand-in-pace", &*pace),
-                ("stand-in-fault", &*fault),
-            ];
-            http::send(address, "POST", "/", "alpha", &headers, &label)
-        })
-    }
-
-    /// Takes a stream up again at a router, after the events that its caller has.
-    fn take_up(&self, router: &str, label: &str, id: &str, last: usize) -> Answer {
-        let last = last.to_string();
-        let tokens = TOKENS.to_string();
-        let headers = [
-            ("stand-in-ids", "yes"),
-            ("stand-in-tokens", &*tokens),
-            ("cowslipford-resumes", id),
-            ("last-event-id", &*last),
-        ];
-        self.fleet.call(router, "alpha", "/", &headers, label)
-    }
-}
-
-/// Version of each whole event of an answer, and the number of its last event.
-fn events(answer: &Answer) -> (Vec<String>, Option<usize>) {
-    let text = answer.text();
-    let whole = text.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
-    let data = whole.lines().filter_map(|line| line.strip_prefix("data: "));
-    let events: Vec<serde_json::Value> = data
-        .filter_map(|data| serde_json::from_str(data).ok())
-        .collect();
-    let version = |event: &serde_json::Value| event["software"].as_str().map(str::to_owned);
-    let last = events.last().and_then(|event| event["token"].as_u64());
-    (
-        events.iter().filter_map(version).collect(),
-        last.and_then(|last| usize::try_from(last).ok()),
-    )
-}
+use versioned::{events, Service, TOKENS};
 
 /// Guards against a stream that a router resumes at an endpoint with another software version.
 #[test]
