--- a/tests/rejoined.rs
+++ b/tests/rejoined.rs
@@ -79,6 +79,30 @@
     streams.into_iter().map(cut).collect()
 }
 
+/// Takes streams up again at all routers, each until it is accepted or refused for good: a
+/// refusal names the time of the next try.
+fn take_up_as_told(service: &Service, cuts: &[Cut], time: Duration) -> Outcomes {
+    let until = Instant::now() + time;
+    collect(cuts, |n, cut| loop {
+        let router = ROUTERS[n % ROUTERS.len()];
+        let answer = service.take_up(router, &format!("again-{n}"), &cut.id, cut.last);
+        let pause = match answer.status {
+            // The router is starting.
+            0 => Some(Duration::from_millis(100)),
+            503 => answer
+                .header("retry-after")
+                .parse()
+                .ok()
+                .map(Duration::from_secs_f64),
+            _ => None,
+        };
+        match pause {
+            Some(pause) if Instant::now() + pause < until => std::thread::sleep(pause),
+            _ => return answer,
+        }
+    })
+}
+
 /// Takes streams up again at these routers until each is answered 200, or the time is over.
 fn take_up(
     service: &Service,
@@ -220,3 +244,82 @@
     });
     assert_eq!(outcomes.joined, 0, "{outcomes:?}");
 }
+
+/// Fault of the platform's list.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    /// It is not readable.
+    Unreadable,
+    /// It has no endpoints.
+    Empty,
+}
+
+/// Guards against streams that are taken up while there is no list, and that go on at whatever
+/// version is listed later.
+#[rstest]
+#[case::unreadable_with_id(Fault::Unreadable, true)]
+#[case::unreadable_without_id(Fault::Unreadable, false)]
+#[case::empty_with_id(Fault::Empty, true)]
+#[case::empty_without_id(Fault::Empty, false)]
+fn joins_no_versions_after_a_restart_without_a_list(#[case] fault: Fault, #[case] names_id: bool) {
+    const OUTAGE: Duration = Duration::from_secs(3);
+    let mut service = service(&["v1", "v1", "v2", "v2"], &["v1"]);
+    let streams = begin(&service, &ROUTERS, 24);
+    service.kill_all();
+    match fault {
+        Fault::Unreadable => service.fail_list(),
+        Fault::Empty => service.list_versions(|_| false),
+    }
+    let cuts = cut(streams);
+    service.start_all();
+    let outcomes = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            std::thread::sleep(OUTAGE);
+            service.list_versions(|version| version == "v2");
+        });
+        take_up(&service, &ROUTERS, &cuts, names_id, OUTAGE)
+    });
+    assert_eq!(outcomes.joined, 0, "{outcomes:?}");
+}
+
+/// Guards against streams that nobody remembers after all processes were killed.
+#[test]
+fn takes_up_all_streams_after_a_restart_of_all_processes() {
+    let versions = ["v1", "v1", "v2", "v2"];
+    let mut service = service(&versions, &versions);
+    let streams = begin(&service, &ROUTERS, 36);
+    service.kill_all();
+    let cuts = cut(streams);
+    service.start_all();
+    let outcomes = take_up_as_told(&service, &cuts, Duration::from_secs(10));
+    assert_eq!(outcomes.gone_on, cuts.len(), "{outcomes:?}");
+}
+
+/// Guards against streams that do not go on although their version, which left while all processes
+/// were killed, is listed again.
+#[test]
+fn takes_up_all_streams_once_their_version_is_listed_again() {
+    let mut service = service(&["v1", "v1", "v2", "v2"], &["v1"]);
+    let streams = begin(&service, &ROUTERS, 24);
+    service.kill_all();
+    service.list_versions(|version| version == "v2");
+    let cuts = cut(streams);
+    service.start_all();
+    std::thread::sleep(AFTER_TIMEOUT);
+    service.list_versions(|_| true);
+    let outcomes = take_up(&service, &ROUTERS, &cuts, true, Duration::from_secs(10));
+    assert_eq!(outcomes.gone_on, cuts.len(), "{outcomes:?}");
+}
+
+/// Guards against streams of a service with one version that do not go on after all processes were
+/// killed, since their callers do not name them.
+#[test]
+fn takes_up_streams_without_id_at_the_only_version_a_service_has_had() {
+    let mut service = service(&["v1", "v1"], &["v1"]);
+    let streams = begin(&service, &ROUTERS, 24);
+    service.kill_all();
+    let cuts = cut(streams);
+    service.start_all();
+    let outcomes = take_up(&service, &ROUTERS, &cuts, false, Duration::from_secs(10));
+    assert_eq!(outcomes.gone_on, cuts.len(), "{outcomes:?}");
+}
