Reproduce streams that go on at any version while a router has no list

The test of the commit before tried every 500 ms and ended before the list came back, so that it passed; callers now try every 10 ms, until 0.7 s after it.

--- a/tests/rejoined.rs
+++ b/tests/rejoined.rs
@@ -21,8 +21,6 @@
 const PACE: &str = "170";
 /// Time for which streams run before they are cut.
 const RUN: Duration = Duration::from_millis(1200);
-/// Time between two tries of a caller.
-const TRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// A stream that was cut, as its caller has it.
 #[derive(Debug)]
@@ -56,6 +54,11 @@
     })
 }
 
+/// Tries of a caller: the time between two, and in all.
+fn tries(seconds: u64) -> (Duration, Duration) {
+    (Duration::from_millis(500), Duration::from_secs(seconds))
+}
+
 /// Begins streams at these routers in turn, and lets them run.
 fn begin(service: &Service, routers: &[&str], count: usize) -> Vec<JoinHandle<Answer>> {
     let begin = |n: usize| service.begin(routers[n % routers.len()], &n.to_string(), "", PACE);
@@ -103,13 +106,14 @@
     })
 }
 
-/// Takes streams up again at these routers until each is answered 200, or the time is over.
+/// Takes streams up again at these routers, at this interval, until each is answered 200 or the
+/// time is over.
 fn take_up(
     service: &Service,
     routers: &[&str],
     cuts: &[Cut],
     names_id: bool,
-    time: Duration,
+    (interval, time): (Duration, Duration),
 ) -> Outcomes {
     let until = Instant::now() + time;
     let call = |n: usize, cut: &Cut| {
@@ -119,10 +123,10 @@
     };
     let retry = |n: usize, cut: &Cut| loop {
         let answer = call(n, cut);
-        if answer.status == 200 || Instant::now() + TRY_INTERVAL >= until {
+        if answer.status == 200 || Instant::now() + interval >= until {
             return answer;
         }
-        std::thread::sleep(TRY_INTERVAL);
+        std::thread::sleep(interval);
     };
     collect(cuts, retry)
 }
@@ -173,7 +177,7 @@
     service.list_versions(|version| version == "v2");
     let cuts = cut(streams);
     service.start_all();
-    let outcomes = take_up(&service, &ROUTERS, &cuts, names_id, Duration::from_secs(9));
+    let outcomes = take_up(&service, &ROUTERS, &cuts, names_id, tries(9));
     assert_eq!(outcomes.joined, 0, "{outcomes:?}");
 }
 
@@ -240,7 +244,7 @@
             service.fleet.cut(still, &[], false);
             service.list_versions(|version| listed.contains(&version));
         });
-        take_up(service, &[still], &cuts, names_id, Duration::from_secs(4))
+        take_up(service, &[still], &cuts, names_id, tries(4))
     });
     assert_eq!(outcomes.joined, 0, "{outcomes:?}");
 }
@@ -277,7 +281,12 @@
             std::thread::sleep(OUTAGE);
             service.list_versions(|version| version == "v2");
         });
-        take_up(&service, &ROUTERS, &cuts, names_id, OUTAGE)
+        // Some tries come when a scheduler has read the list and their router has not.
+        let tries = (
+            Duration::from_millis(10),
+            OUTAGE + Duration::from_millis(700),
+        );
+        take_up(&service, &ROUTERS, &cuts, names_id, tries)
     });
     assert_eq!(outcomes.joined, 0, "{outcomes:?}");
 }
@@ -307,7 +316,7 @@
     service.start_all();
     std::thread::sleep(AFTER_TIMEOUT);
     service.list_versions(|_| true);
-    let outcomes = take_up(&service, &ROUTERS, &cuts, true, Duration::from_secs(10));
+    let outcomes = take_up(&service, &ROUTERS, &cuts, true, tries(10));
     assert_eq!(outcomes.gone_on, cuts.len(), "{outcomes:?}");
 }
 
@@ -320,6 +329,6 @@
     service.kill_all();
     let cuts = cut(streams);
     service.start_all();
-    let outcomes = take_up(&service, &ROUTERS, &cuts, false, Duration::from_secs(10));
+    let outcomes = take_up(&service, &ROUTERS, &cuts, false, tries(10));
     assert_eq!(outcomes.gone_on, cuts.len(), "{outcomes:?}");
 }
