--- a/components/node/src/reactor/catalog.rs
+++ b/components/node/src/reactor/catalog.rs
@@ -133,8 +133,7 @@
 
     /// Takes a change of the catalog from the control role of this process.
     pub(super) fn replace_catalog(&mut self, now: Millis, catalog: Catalog) {
-        let before = std::mem::replace(&mut self.versioning.catalog, catalog);
-        self.store_origins(now, &before);
+        self.versioning.catalog = catalog;
         self.release_held(now);
     }
 
--- a/components/node/src/reactor/origins.rs
+++ b/components/node/src/reactor/origins.rs
@@ -7,7 +7,7 @@
     self, Answer, Begun, Decision, Found, Key, Lookups, Origin, Origins, Sole, Stream,
 };
 use protocol::wire::{Features, Hello, Message};
-use state::catalog::{Catalog, Versions};
+use state::catalog::Versions;
 use state::clock::Millis;
 use state::id::{Name, ServiceId, Software};
 use std::collections::{BTreeSet, HashMap};
@@ -98,44 +98,23 @@
             return;
         }
         if is_news {
-            self.append_origins(&[(key, origin)]);
+            self.append_origins(vec![(key, origin)]);
         }
         self.queue_origin(key, origin);
         self.report_origins(now);
     }
 
-    /// Stores origins of services that have had several versions: of others every stream goes on at
-    /// the same one.
-    fn append_origins(&self, origins: &[(Key, Origin)]) {
-        let Some(log) = &self.parts.origin_log else {
-            return;
-        };
-        let catalog = &self.versioning.catalog;
-        let is_mixed = |(_, origin): &&(Key, Origin)| {
-            let service = self.service_name(origin.service);
-            service.is_some_and(|service| catalog.is_mixed(&service))
-        };
-        let stored: Vec<(Key, Origin)> = origins.iter().filter(is_mixed).copied().collect();
-        if !stored.is_empty() {
-            log.append(stored);
-        }
-    }
-
-    /// Stores the origins that are known of services that had a single version by the catalog
-    /// `before`.
-    pub(super) fn store_origins(&mut self, now: Millis, before: &Catalog) {
-        let catalog = &self.versioning.catalog;
-        let services = self.view.config.services.iter();
-        let is_new = |name: &Name| catalog.is_mixed(name) && !before.is_mixed(name);
-        let services = services.filter(|(_, service)| is_new(&service.name));
-        let services: BTreeSet<ServiceId> = services.map(|(id, _)| *id).collect();
-        if services.is_empty() {
-            return;
+    /// Stores origins, also of services with one version so far: another one may join while all
+    /// processes are down.
+    fn append_origins(&self, origins: Vec<(Key, Origin)>) {
+        if let Some(log) = self
+            .parts
+            .origin_log
+            .as_ref()
+            .filter(|_| !origins.is_empty())
+        {
+            log.append(origins);
         }
-        self.streams.origins.expire(now);
-        let all = self.streams.origins.iter();
-        let changed = all.filter(|(_, origin)| services.contains(&origin.service));
-        self.append_origins(&changed.collect::<Vec<_>>());
     }
 
     /// Takes the origins that were stored before this process started.
@@ -164,7 +143,7 @@
                 self.queue_origin(key, origin);
             }
         }
-        self.append_origins(&news);
+        self.append_origins(news);
     }
 
     /// Decides where a stream that its caller takes up again may go on.
