Read from endpoints in turns, so that no answer keeps a worker thread

Callers of any service saw a router stand still for seconds, and requests end long after their time-out, while an endpoint wrote bytes that are no answer without end: interim responses, or the zeros or spaces of a chunk's size. Answers took 3.7 to 5.0 s under a time-out of 2 s, callers of other services were turned away, and the router lost its proof of the newest configuration (3.7 and 5.2 s old). A load report like that did the same, and a page of the list of endpoints was held for 3.4 s, past its 2 s.

hyper reads on within one poll as long as bytes arrive and make up nothing that it passes on. The budget of the runtime counts 128 reads, of up to 400 KiB each; parsed one byte at a time they take more than a second, and there are two worker threads.

Connections to endpoints, peers and the platform now end a turn after 64 KiB: the task wakes itself, and others run in between.

--- a/components/node/src/fetch.rs
+++ b/components/node/src/fetch.rs
@@ -1,5 +1,6 @@
 //! Fetches a page from an endpoint or the platform over HTTP.
 
+use crate::paced::Paced;
 use bytes::Bytes;
 use errors::{Error, Result};
 use http_body_util::{BodyExt, Empty, Limited};
@@ -18,7 +19,8 @@
     let stream = TcpStream::connect(peer)
         .await
         .map_err(Error::peer(step, peer))?;
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+    let stream = TokioIo::new(Paced::new(stream));
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(stream)
         .await
         .map_err(Error::peer(step, peer))?;
     let request = Request::get(path)
--- a/components/node/src/frontend/pool.rs
+++ b/components/node/src/frontend/pool.rs
@@ -1,5 +1,6 @@
 //! Pool of idle connections to endpoints, and how a new connection is opened.
 
+use crate::paced::Paced;
 use bytes::Bytes;
 use errors::{Error, Result};
 use http_body_util::Full;
@@ -47,7 +48,7 @@
     /// A task of its own.
     Task(JoinHandle<()>),
     /// Whoever uses the connection, by [`Connection::poll_driver`].
-    Held(Box<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>),
+    Held(Box<http1::Connection<TokioIo<Paced<TcpStream>>, Full<Bytes>>>),
     /// Nothing, since the connection has ended.
     Ended,
 }
@@ -228,7 +229,7 @@
 }
 
 /// Opens a TCP connection.
-async fn open(address: SocketAddr) -> Result<TokioIo<TcpStream>> {
+async fn open(address: SocketAddr) -> Result<TokioIo<Paced<TcpStream>>> {
     let step = CONNECT;
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
@@ -239,5 +240,5 @@
         })?;
     // Small requests are sent without delay.
     let _ = stream.set_nodelay(true);
-    Ok(TokioIo::new(stream))
+    Ok(TokioIo::new(Paced::new(stream)))
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod metric;
 mod monitor;
 mod operators;
+mod paced;
 mod platform;
 mod poll;
 mod process;
