Read from callers in turns, too

The same cause as on connections to endpoints: four uploads at full speed whose chunk size does not end kept the two worker threads long enough that others waited for 128 to 167 ms (three runs of serves_beside_uploads_whose_chunk_sizes_have_no_end, alone). With turns of 64 KiB, 54 to 72 ms in three runs. The test passed before as well: its bound is the time-out.

--- a/components/node/src/paced.rs
+++ b/components/node/src/paced.rs
@@ -24,6 +24,14 @@
     pub(crate) fn new(stream: S) -> Self {
         Paced { stream, read: 0 }
     }
+
+    pub(crate) fn get_ref(&self) -> &S {
+        &self.stream
+    }
+
+    pub(crate) fn into_inner(self) -> S {
+        self.stream
+    }
 }
 
 impl<S> AsyncRead for Paced<S>
--- a/components/node/src/socket.rs
+++ b/components/node/src/socket.rs
@@ -9,6 +9,7 @@
 //! end. While one is in progress, the socket is set to be reset by any close, also by the system if
 //! this process is killed.
 
+use crate::paced::Paced;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::future::Future;
@@ -126,7 +127,7 @@
 
 /// Socket of an accepted connection.
 pub(crate) struct Socket {
-    stream: TokioIo<TcpStream>,
+    stream: TokioIo<Paced<TcpStream>>,
     state: Arc<State>,
     /// Whether the socket is set to be reset when it is closed.
     is_reset: bool,
@@ -137,7 +138,7 @@
 impl Socket {
     pub(crate) fn new(stream: TcpStream, state: Arc<State>) -> Self {
         Socket {
-            stream: TokioIo::new(stream),
+            stream: TokioIo::new(Paced::new(stream)),
             state,
             is_reset: false,
             discard_timer: None,
@@ -146,7 +147,7 @@
 
     /// The stream of the socket.
     pub(crate) fn into_stream(self) -> TcpStream {
-        self.stream.into_inner()
+        self.stream.into_inner().into_inner()
     }
 
     /// Sets whether the system resets the connection when it is closed.
@@ -155,7 +156,7 @@
             self.is_reset = is_reset;
             let linger = is_reset.then_some(Duration::ZERO);
             // Setting it fails only if the connection has ended.
-            let _ = socket2::SockRef::from(self.stream.inner()).set_linger(linger);
+            let _ = socket2::SockRef::from(self.stream.inner().get_ref()).set_linger(linger);
         }
     }
 
@@ -199,7 +200,7 @@
         }
         if self.state.is_closing.load(Ordering::Relaxed) {
             // The runtime may not know yet of bytes that the system has received.
-            let unread = rustix::io::ioctl_fionread(self.stream.inner());
+            let unread = rustix::io::ioctl_fionread(self.stream.inner().get_ref());
             let has_unread = unread.is_ok_and(|bytes| bytes > 0);
             self.state
                 .has_unread_bytes
