Test that idempotent requests go elsewhere when a head has no end

With an endpoint whose head has no end and one that serves, every request that may run twice is answered whole within its time-out; the second endpoint of the same service answers it.

--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -383,6 +383,8 @@
     expected: Expected,
     /// Whether the rule resumes streams.
     resume: bool,
+    /// Retries of the rule. With any, its requests may run twice.
+    retries: u32,
     reading: Reading,
 }
 
@@ -401,6 +403,7 @@
         },
         expected,
         resume: false,
+        retries: 0,
         reading: Reading::Eager,
     };
     let chunked = |rest: &str| format!("{CHUNKED}{rest}");
@@ -504,6 +507,8 @@
 struct Setup {
     fleet: Fleet,
     cases: Vec<(Case, Endpoint)>,
+    /// Second endpoint of the services whose requests are tried again, which answers well.
+    _second: Endpoint,
 }
 
 impl Setup {
@@ -527,17 +532,29 @@
                 (case, endpoint.unwrap())
             })
             .collect();
+        let second = Endpoint::start(ENDLESS_PATH, None).unwrap();
         for (case, endpoint) in &cases {
             let name = case.name;
             names.push(name);
-            let (address, idempotent) = (endpoint.address, if case.resume { "yes" } else { "no" });
+            let (address, resume) = (endpoint.address, if case.resume { "yes" } else { "no" });
+            let (idempotent, retries) = match case.retries {
+                0 => (resume, 0),
+                retries => ("yes", retries),
+            };
             sections.push_str(&format!(
                 "[service {name}]\ncost = request\nidempotent = {idempotent}\n{service_keys}\n\
                  [endpoint {name}-1]\nservice = {name}\naddress = {address}\n\
                  data-centre = dc-1\nslots = 4\n\
                  [rule {name}]\nwhen-header = case: {name}\nthen = send\nservice = {name}\n\
-                 resume = {idempotent}\nretries = 0\ntimeout = {timeout}ms\n"
+                 resume = {resume}\nretries = {retries}\ntimeout = {timeout}ms\n"
             ));
+            if retries > 0 {
+                let address = second.address;
+                sections.push_str(&format!(
+                    "[endpoint {name}-2]\nservice = {name}\naddress = {address}\n\
+                     data-centre = dc-1\nslots = 4\n"
+                ));
+            }
         }
         let healthy = fleet.stand_ins.first().unwrap().address;
         let key = Hash::of(&[b"alpha"]).hex();
@@ -552,7 +569,11 @@
         let (status, _, error) = fleet.apply(&text, &[]);
         assert!(status.success(), "{error}");
         fleet.wait_version(fleet.version());
-        Setup { fleet, cases }
+        Setup {
+            fleet,
+            cases,
+            _second: second,
+        }
     }
 }
 
@@ -732,6 +753,33 @@
     }
 }
 
+/// Guards against an idempotent request that fails with the endpoint whose head has no end although
+/// another one serves.
+#[test]
+fn sends_an_idempotent_request_elsewhere_when_a_head_has_no_end() {
+    // Interim responses are allowed in any number, so that only the time-out ends them.
+    let fails_at_once = |case: &Case| case.expected == Expected::Failure && case.name != "interim";
+    let cases = cases().into_iter().filter(fails_at_once);
+    let cases = cases.map(|case| Case { retries: 2, ..case }).collect();
+    let setup = Setup::start(cases, Pace::Burst, "");
+    setup.wait_served();
+    for (case, endpoint) in &setup.cases {
+        for n in 0..8 {
+            let label = format!("{n:_>8}");
+            let received = call(setup.router(), (case, endpoint), &label, Reading::Eager).unwrap();
+            let name = case.name;
+            assert!(
+                received.status == 200 && received.is_complete,
+                "{name}: {received:?}"
+            );
+            assert_eq!(received.text, "ok", "{name}");
+            assert!(received.took <= TIMEOUT + GRACE, "{name}: {received:?}");
+        }
+        let calls = lock(&endpoint.state.calls).len();
+        assert!(calls > 0, "{}: no request has met the endpoint", case.name);
+    }
+}
+
 /// Guards against an endpoint that is given up, or a router that runs out of memory, because a load
 /// report has no end.
 #[test]
