--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod monitor;
 mod operators;
 mod origin_log;
+mod paced;
 mod platform;
 mod poll;
 mod process;
