Keep the age of the list after a partial reading

What operators saw: `listing_ms` of a decision about a stream was near 0 at a process that could read only the first pages of the platform's list, however long ago it had read the others. Callers saw nothing of it so far.

Cause: `Registry::apply_partial_reading` counted as an update, so that the part of the list that was not read had the age of the part that was.

Change: the age, and whether the list is recent, count from the last whole reading, update or confirmation. The pace of readings and answers to schedulers of a long list go by any reading, as before: they would otherwise read more often, or get no endpoints at all, while one page is unreadable.

Measured: a_partial_reading_leaves_the_list_as_old_as_it_was failed before at its first check of the age (0 instead of 4000 ms), and passes. Other processes still take `ListingUnchanged` of the reader for a confirmation of the whole list.

--- a/components/coordination/src/listing.rs
+++ b/components/coordination/src/listing.rs
@@ -78,8 +78,10 @@
     change: Change,
     /// Counts that are sent in place of the entries while the list is too long.
     census: Option<Census>,
-    /// When the list was last read, received or confirmed.
+    /// When the list, or a part of it, was last read, received or confirmed.
     updated: Option<Millis>,
+    /// When all of it was.
+    completed: Option<Millis>,
     /// Endpoints that were reported as draining, and when the list last had them. None of
     /// them returns to service, but a reader with older pages may report that.
     leaving: BTreeMap<EndpointId, Millis>,
@@ -126,14 +128,19 @@
         self.census.as_ref()
     }
 
-    /// Time since the list was last read, received or confirmed, in milliseconds; `None` before the
-    /// first time.
+    /// Time since all of the list was last read, received or confirmed, in milliseconds; `None`
+    /// before the first time.
     pub fn age_ms(&self, now: Millis) -> Option<u64> {
-        self.updated.map(|at| now.since(at))
+        self.completed.map(|at| now.since(at))
     }
 
-    /// Whether there was an update within the last `within_ms`.
+    /// Whether there was an update of all of the list within the last `within_ms`.
     pub fn is_recent(&self, now: Millis, within_ms: u64) -> bool {
+        self.age_ms(now).is_some_and(|ms| ms <= within_ms)
+    }
+
+    /// Whether there was an update, at least of a part of the list, within the last `within_ms`.
+    pub fn is_reachable(&self, now: Millis, within_ms: u64) -> bool {
         self.updated.is_some_and(|at| now.since(at) <= within_ms)
     }
 
@@ -148,6 +155,7 @@
         *self = Registry {
             census: Some(census),
             updated: Some(now),
+            completed: Some(now),
             ..Registry::default()
         };
         is_changed
@@ -196,6 +204,11 @@
         }
     }
 
+    fn record_update(&mut self, now: Millis) {
+        self.updated = Some(now);
+        self.completed = Some(now);
+    }
+
     /// Replaces the listing. The entries in `cold` are part of the change even if only their
     /// cold time is new.
     fn replace(&mut self, listing: Listing, cold: &BTreeSet<EndpointId>) {
@@ -233,6 +246,8 @@
 
     /// Merges a reading that failed halfway, whose missing entries mean nothing; returns true
     /// if anything has changed. `draw` is as in [`Registry::apply_reading`].
+    ///
+    /// The list is as old as before: an endpoint may drain on a page that was not read.
     pub fn apply_partial_reading(
         &mut self,
         now: Millis,
@@ -241,15 +256,17 @@
     ) -> bool {
         let missing = std::mem::take(&mut self.missing);
         endpoints.extend(self.listing.endpoints.iter().cloned());
+        let completed = self.completed;
         let is_changed = self.apply_reading(now, endpoints, draw);
         self.missing = missing;
+        self.completed = completed;
         is_changed
     }
 
     /// Merges a complete reading; returns true if anything has changed. The new listing then
     /// gets the random number `draw`.
     pub fn apply_reading(&mut self, now: Millis, mut endpoints: Vec<Entry>, draw: u64) -> bool {
-        self.updated = Some(now);
+        self.record_update(now);
         let cold = self.extract_cold(now, &mut endpoints);
         let present: BTreeSet<Name> = (endpoints.iter())
             .map(|l| l.endpoint.name.clone())
@@ -294,7 +311,7 @@
 
     /// Replaces the listing by one from another process; returns true if anything has changed.
     pub fn apply_listing(&mut self, now: Millis, mut listing: Listing) -> bool {
-        self.updated = Some(now);
+        self.record_update(now);
         let cold = self.extract_cold(now, &mut listing.endpoints);
         self.mark_draining(&mut listing.endpoints);
         let changed = !cold.is_empty() || listing != *self.listing;
@@ -311,7 +328,7 @@
     /// based on another listing: the caller then has to request the whole list.
     pub fn apply_change(&mut self, now: Millis, change: &Change) -> Option<bool> {
         if change.id == self.listing.id {
-            self.updated = Some(now);
+            self.record_update(now);
             return Some(false);
         }
         let listing = self.listing.with_change(change)?;
@@ -323,7 +340,7 @@
         let current = self.census.as_ref().map_or(self.listing.id, |c| c.id);
         let is_current = current == id || self.listing.id == id;
         if is_current {
-            self.updated = Some(now);
+            self.record_update(now);
         }
         is_current
     }
--- a/components/coordination/tests/listing.rs
+++ b/components/coordination/tests/listing.rs
@@ -60,6 +60,25 @@
     assert_eq!(names(&registry), ["b"]);
 }
 
+/// Guards against a list that counts as the latest although only its first pages could be read.
+#[test]
+fn a_partial_reading_leaves_the_list_as_old_as_it_was() {
+    let mut registry = Registry::default();
+    registry.apply_reading(Millis(0), vec![entry("a", false), entry("b", false)], 1);
+    assert!(!registry.apply_partial_reading(Millis(4000), vec![entry("a", false)], 2));
+    assert_eq!(registry.age_ms(Millis(4000)), Some(4000));
+    assert!(!registry.is_recent(Millis(4000), 500));
+    // The platform is not asked more often for that.
+    assert!(!registry.is_due(Millis(4000), 500));
+    assert!(registry.is_reachable(Millis(4000), 500));
+    assert!(registry.apply_partial_reading(Millis(4500), vec![entry("a", true)], 3));
+    assert_eq!(names(&registry), ["a!", "b"]);
+    assert_eq!(registry.age_ms(Millis(4500)), Some(4500));
+    assert!(registry.apply_reading(Millis(5000), vec![entry("a", false), entry("c", false)], 4));
+    assert_eq!(names(&registry), ["a!", "b", "c"]);
+    assert_eq!(registry.age_ms(Millis(5000)), Some(0));
+}
+
 #[test]
 fn another_process_reads_when_the_reader_falls_silent() {
     // Symptom: routers receive no updates of the endpoints.
--- a/components/node/src/reactor/peers.rs
+++ b/components/node/src/reactor/peers.rs
@@ -166,7 +166,7 @@
         };
         // Without the list, or with an outdated one, the answer is left to other control VMs.
         let is_known = !self.registry.listing().endpoints.is_empty();
-        if !is_known || !self.registry.is_recent(now, CELL_AGE_MAX_MS) {
+        if !is_known || !self.registry.is_reachable(now, CELL_AGE_MAX_MS) {
             return;
         }
         let all = self.registry.listing();
