Do not refuse by a rule of a stale configuration

What callers saw: a router that was cut off from the control VMs for longer than allowed answered 403 `refused` by a rule that may have been removed since. The status tells callers to give up, although any other router would serve them.

Cause: `plan` returned the refusal of the rule before the age of the proof was checked. For an unknown key or a request without a rule it was checked.

Change: such a refusal is checked like the others; callers get 503 `stale`, not run.

--- a/components/node/src/frontend/plan.rs
+++ b/components/node/src/frontend/plan.rs
@@ -101,7 +101,8 @@
         decided.map_err(|refusal| refuse_if_current(frontend, published, refusal))?;
     if let Then::Refuse { reason } = &rule.then {
         let status = StatusCode::FORBIDDEN;
-        return Err(Refusal::not_run(status, "refused", reason.clone()));
+        let refusal = Refusal::not_run(status, "refused", reason.clone());
+        return Err(refuse_if_current(frontend, published, refusal));
     }
     let send = rule.then.forward().ok_or_else(no_endpoint)?;
     let objective = (rule.then.max_gap_ms()).map(|max_gap_ms| Objective {
@@ -197,9 +198,9 @@
 /// Returns `refusal` if this router's configuration is current enough, and else the refusal that
 /// it is stale.
 ///
-/// A router that is partitioned from the control VMs lacks keys and rules that were added since.
-/// Callers that are told that their key does not exist would give up, although any other
-/// router would serve them.
+/// A router that is partitioned from the control VMs lacks keys and rules that were added since, and
+/// has rules that were removed. Callers that are told that their key does not exist would give up,
+/// although any other router would serve them.
 fn refuse_if_current(frontend: &Frontend, published: &Published, refusal: Refusal) -> Refusal {
     check_proof_age(frontend, published)
         .err()
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -633,6 +633,28 @@
     eventually("the router serves requests again", || call().status == 200);
 }
 
+/// Guards against a final refusal by a rule that may have been replaced since, at a router that is
+/// cut off from the control VMs.
+#[test]
+fn a_stale_router_does_not_refuse_by_a_rule() {
+    let fleet = Fleet::start(Plan {
+        control: 1,
+        routers: 1,
+        settings: "[router]\nrevocation = 600s".to_owned(),
+        ..Plan::default()
+    });
+    let call = || fleet.call("r1", "alpha", "/forbidden", &[], "x");
+    eventually("the rule refuses", || call().status == 403);
+    fleet.cut("r1", &["c1"], true);
+    assert_eq!(call().status, 403);
+    fleet.suspend("r1", 500_000);
+    let answer = call();
+    assert_eq!((answer.status, answer.outcome()), (503, "not-run"));
+    assert!(answer.text().contains("stale"), "{}", answer.text());
+    fleet.cut("r1", &[], true);
+    eventually("the rule refuses again", || call().status == 403);
+}
+
 #[test]
 fn can_serve_after_a_restart_as_soon_as_the_newest_version_is_known() {
     // Symptom: after a restart of all processes, routers that know the newest version
