Do not refuse an evacuation by what a cut-off process knows

What operators saw: an order to evacuate a data centre that was added while the process that they asked was cut off got 422 (404 on the address for releases), which says that there is none. The order is final for them, the data centre goes on serving.

Cause: a process that had ever been ready took what it knew for all there is.

Change: for a data centre that it does not know, a process asks which version is in force and waits until it has it; if it cannot in time, the answer is 503. Names that are no valid ones are refused at once, as before.

Data centres that only the platform's list names are not covered by the version: a process whose list is older still says that there is none.

--- a/components/node/src/evacuation.rs
+++ b/components/node/src/evacuation.rs
@@ -51,18 +51,32 @@
 
     /// Evacuates a data centre, or ends its evacuation.
     pub(crate) async fn send(&self, data_centre: &str, is_evacuated: bool) -> Outcome {
-        let known = Name::try_from(data_centre);
-        let is_current = self.published.borrow().ready;
-        let Some(data_centre) = known.ok().filter(|name| self.is_known(name)) else {
-            // A process that has just started knows no data centre yet.
-            if !is_current {
-                return Outcome::Unconfirmed;
+        let unknown = || Outcome::Unknown(format!("there is no data centre {data_centre:?}"));
+        let Ok(name) = Name::try_from(data_centre) else {
+            return unknown();
+        };
+        let order = async {
+            if !self.is_known(&name) {
+                self.catch_up().await?;
+            }
+            match self.is_known(&name) {
+                true => self.send_fenced(name, is_evacuated).await,
+                false => Some(unknown()),
             }
-            return Outcome::Unknown(format!("there is no data centre {data_centre:?}"));
         };
-        let order =
-            tokio::time::timeout(ACCEPT_TIMEOUT, self.send_fenced(data_centre, is_evacuated));
-        order.await.ok().flatten().unwrap_or(Outcome::Unconfirmed)
+        let sent = tokio::time::timeout(ACCEPT_TIMEOUT, order).await;
+        sent.ok().flatten().unwrap_or(Outcome::Unconfirmed)
+    }
+
+    /// Waits until this process has the version that is in force now. One that has just started, or
+    /// is cut off, may lack data centres.
+    async fn catch_up(&self) -> Option<()> {
+        let Reply::CurrentVersion(head) = self.ask(Query::CurrentVersion).await? else {
+            return None;
+        };
+        let mut published = self.published.clone();
+        let is_current = |shared: &Published| shared.ready && shared.view.version >= head;
+        published.wait_for(is_current).await.ok().map(drop)
     }
 
     /// Sends an order that is based on the current version, so that it cannot override a later
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -137,6 +137,25 @@
     assert_eq!(answer.status, 503, "{}", answer.text());
 }
 
+/// Guards against an order that is refused for good by a process that is cut off, and has not learned
+/// of a new data centre.
+#[test]
+fn can_ask_to_repeat_an_order_for_a_data_centre_that_a_process_has_missed() {
+    let fleet = fleet();
+    fleet.cut("r1", &["c1", "c2", "c3", "r2"], true);
+    let (status, _, error) = fleet.apply(&fleet.configuration().replace("dc-1", "dc-3"), &[]);
+    assert!(status.success(), "{error}");
+    let operators = fleet.vm("r1").operators;
+    let order = || {
+        let path = "/evacuation?data-centre=dc-3";
+        http::send(operators, "POST", path, OPERATOR_KEY, &[], "")
+    };
+    let answer = order();
+    assert_eq!(answer.status, 503, "{}", answer.text());
+    fleet.cut("r1", &[], true);
+    eventually("the order is accepted", || order().status == 200);
+}
+
 /// Guards against requests that are queued until their deadline while all data centres are
 /// evacuated.
 #[test]
