--- a/components/coordination/tests/listing.rs
+++ b/components/coordination/tests/listing.rs
@@ -79,6 +79,21 @@
     assert_eq!(registry.age_ms(Millis(5000)), Some(0));
 }
 
+/// Guards against an endpoint that is removed after one reading without it, and against a list that
+/// counts as read again, since entries of that reading were held back and are added later.
+#[test]
+fn adds_entries_to_the_last_reading() {
+    let mut registry = Registry::default();
+    registry.apply_reading(Millis(0), vec![entry("a", false), entry("b", false)], 1);
+    registry.apply_reading(Millis(500), vec![entry("b", false)], 2);
+    assert!(registry.add_to_reading(Millis(600), vec![entry("c", false)], 3));
+    assert_eq!(names(&registry), ["a", "b", "c"]);
+    assert_eq!(registry.age_ms(Millis(600)), Some(100));
+    assert!(registry.is_due(Millis(1000), 500));
+    registry.apply_reading(Millis(1000), vec![entry("b", false)], 4);
+    assert_eq!(names(&registry), ["b", "c"]);
+}
+
 #[test]
 fn another_process_reads_when_the_reader_falls_silent() {
     // Symptom: routers receive no updates of the endpoints.
