Soak: software versions that come and go, and kills of all VMs at once

The soak had no endpoints of several software versions, and never killed all VMs at the same moment, so that it could not show the fault of docs/incidents/rejoined-streams.md.

Each fleet now has four more stand-ins with three versions, which a served list names in changing parts. Twelve callers take broken streams up again, up to 6 s later, at any router. After 3 of 10 changes of the list all VMs are killed, and start again up to 2 s later. No stream may hold events of two versions, and in the end each router serves that service. These steps have random numbers of their own, so that the schedules of all seeds keep their other faults.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -13,6 +13,8 @@
 mod operator;
 #[path = "soak/proxy.rs"]
 mod proxy;
+#[path = "soak/releases.rs"]
+mod releases;
 #[path = "soak/run.rs"]
 mod run;
 #[path = "soak/schedule.rs"]
@@ -116,11 +118,15 @@
     let complete = |end| record(&unframed, 200, "answered", &text[..end], true);
     assert_eq!(complete(one), End::Complete);
     assert_eq!(complete(one + 9), End::Invalid);
+    // A stream of one version, and one that holds events of two.
+    let versions = |all: &[&str]| all.iter().map(|v| (*v).to_owned()).collect();
+    observations.record_versions("chat-1", &versions(&["v1"]));
+    observations.record_versions("chat-2", &versions(&["v1", "v2"]));
     // The booking that was refused as not run did run, and twice; the stream was answered
     // and never ran; a revoked key was served.
     let records = ["booking-1/0", "booking-1/1", "revoked-1/0"];
     let (_, violations) = observations.close(&records.map(str::to_owned));
-    assert_eq!(violations.len(), 10, "{violations:#?}");
+    assert_eq!(violations.len(), 11, "{violations:#?}");
 }
 
 #[test]
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -1,7 +1,7 @@
 //! Checks what callers, operators and stand-ins observed against the guarantees of the fleet.
 
 use super::harness::http::Answer;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -121,6 +121,13 @@
         *self.lock().counts.entry(what).or_default() += 1;
     }
 
+    /// Checks that the events of a stream have one software version.
+    pub(crate) fn record_versions(&self, label: &str, versions: &BTreeSet<String>) {
+        if versions.len() > 1 {
+            self.report_violation(format!("{label}: events of several versions: {versions:?}"));
+        }
+    }
+
     /// Records that a key has been revoked.
     pub(crate) fn revoke(&self, key: String) {
         let at = Instant::now();
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -8,6 +8,7 @@
 use super::harness::{Fleet, Plan, Process, Vm, OPERATOR_KEY};
 use super::operator::{Command, InForce, Operator};
 use super::proxy::{Mode, Proxy};
+use super::releases::{self, List};
 use super::schedule::{
     schedule, Act, Step, Target, CONTROL_COUNT, EVACUATED, EVACUATED_DATA_CENTRE, PROXIED,
     ROUTER_COUNT, STAND_IN_COUNT, VM_COUNT,
@@ -45,6 +46,7 @@
     runtime: Runtime,
     shared: Arc<Shared>,
     proxies: Vec<Proxy>,
+    list: List,
     operator: JoinHandle<InForce>,
     commands: UnboundedSender<Command>,
     callers: JoinSet<()>,
@@ -74,6 +76,7 @@
     run.check_quarantine();
     run.check_evacuation();
     run.check_served();
+    run.check_versions_served();
     run.finish()
 }
 
@@ -83,7 +86,8 @@
 
 impl Run {
     fn start(seed: u64) -> Self {
-        let fleet = Fleet::start(Plan {
+        let list = List::start();
+        let mut fleet = Fleet::start(Plan {
             control: CONTROL_COUNT,
             routers: ROUTER_COUNT,
             // A router without schedulers to hand over stops at once.
@@ -93,8 +97,10 @@
             vm_keys: format!("grace = {}s", GRACE.as_secs()),
             model_args: &["--crash-part", callers::DEADLY_PART],
             settings: format!(
-                "[router]\nresume = yes\nrevocation = {}s",
-                REVOCATION.as_secs()
+                "[router]\nresume = yes\nrevocation = {}s\n\
+                 [listing]\naddress = {}\nevery = 200ms\n",
+                REVOCATION.as_secs(),
+                list.address()
             ),
             ..Plan::default()
         });
@@ -125,25 +131,29 @@
         let mut operator = Operator {
             shared: shared.clone(),
             vms: fleet.vms.iter().map(|v| v.operators).collect(),
-            text: text(&fleet, &proxies),
+            text: releases::add_service(&text(&fleet, &proxies)),
             in_force: InForce {
                 revocable_key: "guest-0".to_owned(),
                 ..InForce::default()
             },
             sent: 0,
         };
+        releases::add_stand_ins(&mut fleet);
+        list.set(&fleet, u32::MAX);
         let (commands, received) = tokio::sync::mpsc::unbounded_channel();
         runtime.block_on(operator.change());
         fleet.wait_version(operator.in_force.version);
         let operator = runtime.spawn(operator.run(received));
         let mut callers = JoinSet::new();
         callers::start(&shared, &mut callers);
+        releases::start(&shared, &mut callers);
         drop(inside);
         Run {
             fleet,
             runtime,
             shared,
             proxies,
+            list,
             operator,
             commands,
             callers,
@@ -227,6 +237,9 @@
             Act::EndEvacuation => self.evacuate("DELETE"),
             Act::Withdraw(index) => depart("endpoint", index),
             Act::Return(index) => depart("endpoint-back", index),
+            Act::List(listed) => self.list.set(&self.fleet, listed),
+            Act::KillAll => (0..VM_COUNT).for_each(|vm| self.kill(Target::Vm(vm))),
+            Act::StartAll => (0..VM_COUNT).for_each(|vm| self.start_again(Target::Vm(vm))),
             Act::Flood(index) => {
                 let flood = callers::flood(self.shared.clone(), index);
                 self.callers.spawn_on(flood, self.runtime.handle());
@@ -348,6 +361,7 @@
             self.act(Act::Return(index));
         }
         self.act(Act::EndEvacuation);
+        self.act(Act::List(u32::MAX));
         for index in 0..VM_COUNT {
             self.resume(Target::Vm(index));
         }
@@ -493,6 +507,19 @@
         }
     }
 
+    /// Checks that each router serves the service whose endpoints have several versions.
+    fn check_versions_served(&mut self) {
+        for index in 0..ROUTER_COUNT {
+            let what = format!("router {index} serves {}", releases::PATH);
+            self.wait_for(&what, |run| {
+                let http = request("POST", releases::PATH, "alpha", &[], "last");
+                let mut client = Client::new(run.shared.routes[index].direct);
+                let answer = run.runtime.block_on(client.call(http, PROBE_TIMEOUT));
+                answer.status == 200 && answer.complete
+            });
+        }
+    }
+
     /// Stops callers and operator, and runs the final checks.
     fn finish(mut self) -> Report {
         self.shared.stop.store(true, Ordering::Relaxed);
--- a/tests/soak/schedule.rs
+++ b/tests/soak/schedule.rs
@@ -1,6 +1,7 @@
 //! Schedule of faults: the same seed gives the same faults at the same times.
 
 use super::proxy::Mode;
+use super::releases::VERSIONED_COUNT;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::time::Duration;
@@ -35,6 +36,12 @@
 const SERIES_INTERVAL_MS: std::ops::Range<u64> = 50..900;
 /// Probability that a fault is repeated in a series.
 const SERIES_PROBABILITY: f64 = 0.25;
+/// Milliseconds between two changes of the list of endpoints.
+const LIST_INTERVAL_MS: std::ops::Range<u64> = 500..6000;
+/// Probability that all VMs are killed after a change of the list.
+const KILL_ALL_PROBABILITY: f64 = 0.3;
+/// Milliseconds for which all VMs are down.
+const KILL_ALL_MS: std::ops::Range<u64> = 100..2000;
 /// Maximum number of faults in a series.
 const MAX_FAULTS_PER_SERIES: u64 = 4;
 
@@ -86,6 +93,12 @@
     EndEvacuation,
     /// Floods a router with requests of one customer.
     Flood(usize),
+    /// Lists the stand-ins of several versions whose bits are set.
+    List(u32),
+    /// Kills all VMs at once.
+    KillAll,
+    /// Starts all VMs that are down.
+    StartAll,
 }
 
 /// An act and the time at which it is due.
@@ -119,6 +132,7 @@
         at += millis(&mut rng, FAULT_INTERVAL_MS);
     }
     wipe(&mut rng, &mut steps, length);
+    releases(seed, &mut steps, length);
     steps.retain(|s| s.at < length);
     steps.sort_by_key(|s| s.at);
     steps
@@ -142,6 +156,24 @@
     steps.push(step(back, Act::Start(Target::Vm(index)), None));
 }
 
+/// Adds changes of the list of endpoints with several versions, and kills of all VMs at once, by
+/// random numbers of their own.
+fn releases(seed: u64, steps: &mut Vec<Step>, length: Duration) {
+    let mut rng = Pcg64::seed_from_u64(!seed);
+    let mut at = millis(&mut rng, LIST_INTERVAL_MS);
+    while at < length {
+        let listed = rng.random_range(1..1 << VERSIONED_COUNT);
+        steps.push(step(at, Act::List(listed), Some("list")));
+        if rng.random_bool(KILL_ALL_PROBABILITY) {
+            let kill = at + millis(&mut rng, SERIES_INTERVAL_MS);
+            let start = kill + millis(&mut rng, KILL_ALL_MS);
+            steps.push(step(kill, Act::KillAll, Some("kill-all-vms")));
+            steps.push(step(start, Act::StartAll, None));
+        }
+        at += millis(&mut rng, LIST_INTERVAL_MS);
+    }
+}
+
 /// Generates a random fault.
 fn fault(rng: &mut Pcg64) -> Fault {
     match rng.random_range(0..100) {
