Count a rule as rerouted when an added one takes its requests

What callers could see: a stream begins by a rule that was just added, for a longer path and another service, and its router is killed before it could report where. A router that has yet to learn of that rule takes the stream up by the wider rule, and it goes on at that rule's service, which did not begin it. Found in review of reroute.rs; not seen in a run of processes.

A wider rule that stays as it is counted as one that had always had its requests for itself.

Change: a rule that stays counts as rerouted, too, when an added or changed rule with another service may take its requests.

The case `longer_path` asserted that the wide rule is not rerouted. That holds only for routers that know the added rule; it now asserts that both are.

Measured: finds_rules_whose_requests_an_added_rule_takes failed before (the wide rule is not rerouted) and passes; tests/reroute.rs passes, 17 of 17.

--- a/components/state/src/reroute.rs
+++ b/components/state/src/reroute.rs
@@ -51,11 +51,17 @@
             .iter()
             .filter(|(name, route)| !is_kept((name, route), &new));
         let removed: Vec<&Route> = removed.map(|(_, route)| route).collect();
+        let added = new
+            .iter()
+            .filter(|(name, route)| !is_kept((name, route), &old));
+        let added: Vec<&Route> = added.map(|(_, route)| route).collect();
         let mut rerouted = BTreeSet::new();
         for (name, route) in &new {
             let may_come_from = |other: &Route| route.may_take_from(other);
             let is_rerouted = if is_kept((name, route), &old) {
-                self.rules.contains(name) || removed.iter().any(|other| may_come_from(other))
+                // A router that does not know the added rules yet takes their streams up by this one.
+                let mut others = removed.iter().chain(&added);
+                self.rules.contains(name) || others.any(|other| may_come_from(other))
             } else {
                 self.has_forgotten
                     || self.rules.contains(name)
--- a/components/state/tests/reroute.rs
+++ b/components/state/tests/reroute.rs
@@ -47,7 +47,7 @@
 #[case::removed_and_added_again("/chat/=a; ; /chat/=a", "")]
 #[case::split("/chat/=a; /chat/=a+b", "r-chat-")]
 #[case::no_longer_split("/chat/=a+b; /chat/=a", "r-chat-")]
-#[case::longer_path("/=web; /chat/=llm /=web", "r-chat-")]
+#[case::longer_path("/=web; /chat/=llm /=web", "r-chat- r-")]
 #[case::longer_path_removed("/chat/=llm /=web; /=web", "r-")]
 #[case::longer_path_of_same_service("/=llm; /chat/=llm /=llm", "")]
 #[case::other_order("/chat/=llm /=web; /=web /chat/=llm", "r- r-chat-")]
@@ -103,3 +103,17 @@
     reroutes.apply(&before, &new);
     assert!(reroutes.contains(&name("r-new-")));
 }
+
+/// Guards against a stream that began by an added rule with a longer path, and is taken up at a
+/// router that has yet to learn of that rule.
+#[test]
+fn finds_rules_whose_requests_an_added_rule_takes() {
+    let before = [rule("/", "web"), rule("/files/", "store")];
+    let after = [rule("/chat/", "llm"), before[0].clone(), before[1].clone()];
+    let mut reroutes = Reroutes::default();
+    reroutes.apply(&[], &before);
+    reroutes.apply(&before, &after);
+    assert!(reroutes.contains(&name("r-")));
+    assert!(reroutes.contains(&name("r-chat-")));
+    assert!(!reroutes.contains(&name("r-files-")));
+}
