Let versions join that were in use before the catalog

In an upgraded fleet whose last control VM came up with a list from the others (trial: c3 down while c1, c2 and the routers were replaced), the versions in use never joined: nothing was held. A service whose endpoints state no version would have had no entry, and its streams of unknown origin would have been rejected for as long as no control VM read the list anew. Whoever reads the list now lets them join, too.

--- a/components/node/src/reactor/catalog.rs
+++ b/components/node/src/reactor/catalog.rs
@@ -34,6 +34,8 @@
     join_sent_at: Option<Millis>,
     /// Endpoints that were read last and whose versions have yet to join.
     held: Vec<Entry>,
+    /// Versions in use that the catalog does not have: they were in use before it began.
+    in_use: BTreeSet<(Name, Software)>,
     /// Versions in lists from processes that know the catalog, on a router: they have joined.
     received: BTreeSet<(Name, Software)>,
     /// Readings of the versions of services, for streams of unknown origin.
@@ -105,6 +107,12 @@
     }
 }
 
+/// Service of an endpoint, and version of its software.
+fn version_of(entry: &Entry) -> (Name, Software) {
+    let endpoint = &entry.endpoint;
+    (endpoint.service.clone(), endpoint.software)
+}
+
 impl Reactor {
     /// Registers a peer whose link is up.
     pub(super) fn open_catalog(&mut self, hello: &Hello) {
@@ -133,6 +141,8 @@
 
     /// Takes a change of the catalog from the control role of this process.
     pub(super) fn replace_catalog(&mut self, now: Millis, catalog: Catalog) {
+        let joined = |(service, software): &(Name, Software)| catalog.admits(service, *software);
+        self.versioning.in_use.retain(|pair| !joined(pair));
         self.versioning.catalog = catalog;
         self.release_held(now);
     }
@@ -173,8 +183,11 @@
         let known = self.known_endpoints();
         let (admitted, held): (Vec<Entry>, Vec<Entry>) =
             (reading.endpoints.into_iter()).partition(|entry| self.is_admitted(&known, entry));
-        self.versioning.held.clear();
         if self.parts.is_control {
+            let catalog = &self.versioning.catalog;
+            let in_use = admitted.iter().map(version_of);
+            let in_use = in_use.filter(|(service, software)| !catalog.admits(service, *software));
+            self.versioning.in_use = in_use.collect();
             self.versioning.held = held;
             self.join_held(now);
         }
@@ -200,8 +213,9 @@
         }
     }
 
-    /// Asks the leader to let the versions of the endpoints join that are held, unless it was asked
-    /// and has not answered. The leader's own process lets the catalog begin.
+    /// Asks the leader to let the versions join of endpoints that are held or were in use before the
+    /// catalog, unless it was asked and has not answered. The leader's own process lets the catalog
+    /// begin.
     fn join_held(&mut self, now: Millis) {
         let versioning = &self.versioning;
         let may_begin = self.is_leader && !versioning.catalog.has_begun();
@@ -209,14 +223,14 @@
             && versioning
                 .join_sent_at
                 .is_none_or(|at| now.since(at) >= BEGIN_INTERVAL_MS);
-        let is_needed = begins || !versioning.held.is_empty();
+        let has_older = versioning.catalog.has_begun() && !versioning.in_use.is_empty();
+        let is_needed = begins || has_older || !versioning.held.is_empty();
         if !is_needed || versioning.joining.is_some() || self.has_earlier_release() {
             return;
         }
-        let joined: BTreeSet<(Name, Software)> = (versioning.held.iter())
-            .map(|e| (e.endpoint.service.clone(), e.endpoint.software))
-            .collect();
-        let query = Query::Join(joined.into_iter().take(JOINED_MAX).collect());
+        let joined: BTreeSet<(Name, Software)> = versioning.held.iter().map(version_of).collect();
+        let joined = joined.union(&versioning.in_use).cloned();
+        let query = Query::Join(joined.take(JOINED_MAX).collect());
         let (sender, receiver) = oneshot::channel();
         self.versioning.joining = Some(receiver);
         self.versioning.join_sent_at = Some(now);
@@ -229,10 +243,9 @@
             return;
         }
         for entry in &self.registry.change().set {
-            let pair = (entry.endpoint.service.clone(), entry.endpoint.software);
             let received = &mut self.versioning.received;
             if received.len() < RECEIVED_MAX {
-                received.insert(pair);
+                received.insert(version_of(entry));
             }
         }
     }
