--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -326,8 +326,9 @@
                 .with_retry_after(FAST_RETRY_AFTER)
         }
         origin::Rejection::Stale => {
-            refusal("this router's list of endpoints is not the latest, and has none with the version that began the stream")
-                .with_retry_after(STALE_LIST_RETRY_AFTER)
+            let text = "this router's list of endpoints is not the latest, and has none with the \
+                        version that began the stream";
+            refusal(text).with_retry_after(STALE_LIST_RETRY_AFTER)
         }
     }
 }
