Test streams that break again and late take-ups, and share the list of tests

The served list and the reading of versions stood twice, in tests/versioned and in the soak; both use tests/harness/listing.rs. No check has changed.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -6,6 +6,7 @@
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 pub(crate) mod http;
+pub(crate) mod listing;
 pub(crate) mod port;
 pub(crate) mod slow;
 pub(crate) mod upload;
--- a/tests/rejoined.rs
+++ b/tests/rejoined.rs
@@ -6,6 +6,7 @@
 mod harness;
 mod versioned;
 
+use coordination::origin::KEPT_MS;
 use harness::http::Answer;
 use rstest::rstest;
 use std::thread::JoinHandle;
@@ -332,3 +333,60 @@
     let outcomes = take_up(&service, &ROUTERS, &cuts, false, tries(10));
     assert_eq!(outcomes.gone_on, cuts.len(), "{outcomes:?}");
 }
+
+/// Guards against streams that break again after they were taken up, and that then go on at another
+/// version or not at all.
+#[test]
+fn takes_up_streams_that_break_again() {
+    let versions = ["v1", "v1", "v2", "v2"];
+    let mut service = service(&versions, &versions);
+    // Without a scheduler the streams would wait for the next one.
+    let scheduler = service.fleet.scheduler();
+    let first = *ROUTERS.iter().find(|name| **name != scheduler).unwrap();
+    let streams = begin(&service, &[first], 24);
+    service.fleet.vm_mut(first).kill();
+    let mut cuts = cut(streams);
+    let again = |cut: &Cut| service.take_up_at_pace(&scheduler, &cut.id, cut.last, PACE);
+    let again: Vec<JoinHandle<Answer>> = cuts.iter().map(again).collect();
+    std::thread::sleep(Duration::from_millis(600));
+    service.kill_all();
+    let mut continued = 0;
+    for (cut, again) in cuts.iter_mut().zip(again) {
+        let (versions, last) = events(&again.join().unwrap());
+        assert!(versions.iter().all(|v| *v == cut.version), "{versions:?}");
+        continued += usize::from(last.is_some());
+        cut.last = last.unwrap_or(cut.last);
+    }
+    println!("continued once: {continued}");
+    assert!(continued > 0, "no stream went on before it broke again");
+    service.start_all();
+    let outcomes = take_up_as_told(&service, &cuts, Duration::from_secs(10));
+    assert_eq!(outcomes.gone_on, cuts.len(), "{outcomes:?}");
+}
+
+/// Guards against streams that go on at another version since their callers come back after their
+/// origins were forgotten.
+#[rstest]
+#[case::beside_the_new_one_with_id(&["v1", "v2"], true)]
+#[case::beside_the_new_one_without_id(&["v1", "v2"], false)]
+#[case::gone_with_id(&["v2"], true)]
+#[case::gone_without_id(&["v2"], false)]
+fn joins_no_versions_long_after_a_break(#[case] listed: &[&str], #[case] names_id: bool) {
+    let mut service = service(&["v1", "v1", "v2", "v2"], &["v1"]);
+    let streams = begin(&service, &ROUTERS, 24);
+    for name in ROUTERS {
+        service.fleet.vm_mut(name).kill();
+    }
+    let cuts = cut(streams);
+    for name in ROUTERS {
+        service.fleet.vm_mut(name).start();
+    }
+    service.list_versions(|version| listed.contains(&version));
+    service.fleet.wait_ready();
+    std::thread::sleep(Duration::from_secs(1));
+    for name in ["c1", "r1", "r2", "r3"] {
+        service.fleet.suspend(name, 10 * KEPT_MS);
+    }
+    let outcomes = take_up(&service, &ROUTERS, &cuts, names_id, tries(4));
+    assert_eq!(outcomes.joined, 0, "{outcomes:?}");
+}
--- a/tests/soak/releases.rs
+++ b/tests/soak/releases.rs
@@ -2,15 +2,14 @@
 //! streams up again.
 
 use super::callers::Shared;
-use super::harness::http::{request, Answer, Client};
+use super::harness::http::{request, Client};
+use super::harness::listing::{events, List};
 use super::harness::Fleet;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::thread::JoinHandle;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
 
@@ -33,60 +32,12 @@
 /// Milliseconds before a stream is taken up: also after all processes have started again.
 const TAKE_UP_MS: std::ops::Range<u64> = 20..6000;
 
-/// The platform's list of endpoints.
-pub(crate) struct List {
-    server: Arc<tiny_http::Server>,
-    page: Arc<Mutex<String>>,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl List {
-    pub(crate) fn start() -> Self {
-        let server = Arc::new(tiny_http::Server::http("127.0.0.1:0").unwrap());
-        let page = Arc::new(Mutex::new(r#"{"endpoints":[],"next":null}"#.to_owned()));
-        let (listener, body) = (server.clone(), page.clone());
-        let thread = std::thread::spawn(move || {
-            while let Ok(request) = listener.recv() {
-                let body = body.lock().unwrap_or_else(PoisonError::into_inner).clone();
-                // The reader may have been killed.
-                let _ = request.respond(tiny_http::Response::from_string(body));
-            }
-        });
-        List {
-            server,
-            page,
-            thread: Some(thread),
-        }
-    }
-
-    pub(crate) fn address(&self) -> SocketAddr {
-        self.server.server_addr().to_ip().unwrap()
-    }
-
-    /// Lists the stand-ins of the service whose bits are set.
-    pub(crate) fn set(&self, fleet: &Fleet, listed: u32) {
-        let all = fleet.stand_ins.iter().filter(|s| is_versioned(&s.name));
-        let all = all.zip(VERSIONS).enumerate();
-        let rows = all.filter(|(n, _)| listed >> n & 1 == 1);
-        let rows = rows.map(|(_, (stand_in, version))| {
-            serde_json::json!({
-                "name": stand_in.name, "service": "chat", "address": stand_in.address,
-                "data-centre": "dc-1", "slots": 16, "version": version,
-            })
-        });
-        let page = serde_json::json!({"endpoints": rows.collect::<Vec<_>>(), "next": null});
-        *self.page.lock().unwrap_or_else(PoisonError::into_inner) = page.to_string();
-    }
-}
-
-impl Drop for List {
-    fn drop(&mut self) {
-        self.server.unblock();
-        if let Some(thread) = self.thread.take() {
-            // A panic of the thread has already failed the test.
-            let _ = thread.join();
-        }
-    }
+/// Lists the stand-ins of the service whose bits are set.
+pub(crate) fn set_list(list: &List, fleet: &Fleet, listed: u32) {
+    let all = fleet.stand_ins.iter().filter(|s| is_versioned(&s.name));
+    let all = all.zip(VERSIONS).enumerate();
+    let listed = all.filter(|(n, _)| listed >> n & 1 == 1);
+    list.set("chat", listed.map(|(_, endpoint)| endpoint));
 }
 
 fn is_versioned(name: &str) -> bool {
@@ -136,7 +87,7 @@
 async fn follow_stream(shared: &Shared, rng: &mut Pcg64, label: &str) -> BTreeSet<String> {
     let fault = if rng.random_bool(0.1) { "tear" } else { "" };
     let mut versions = BTreeSet::new();
-    let mut position: Option<(String, u64)> = None;
+    let mut position: Option<(String, usize)> = None;
     for _ in 0..=TAKE_UPS_MAX {
         let last = position.as_ref().map(|(_, last)| last.to_string());
         let mut headers = vec![
@@ -175,16 +126,3 @@
     }
     versions
 }
-
-/// Version of each whole event of an answer, and the number of its last event.
-fn events(answer: &Answer) -> (Vec<String>, Option<u64>) {
-    let text = answer.text();
-    let whole = text.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
-    let data = whole.lines().filter_map(|line| line.strip_prefix("data: "));
-    let events: Vec<serde_json::Value> = data
-        .filter_map(|data| serde_json::from_str(data).ok())
-        .collect();
-    let versions = events.iter().filter_map(|event| event["software"].as_str());
-    let last = events.last().and_then(|event| event["token"].as_u64());
-    (versions.map(str::to_owned).collect(), last)
-}
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -5,10 +5,11 @@
 };
 use super::check::{End, Kind, Observations};
 use super::harness::http::{request, Client};
+use super::harness::listing::List;
 use super::harness::{Fleet, Plan, Process, Vm, OPERATOR_KEY};
 use super::operator::{Command, InForce, Operator};
 use super::proxy::{Mode, Proxy};
-use super::releases::{self, List};
+use super::releases;
 use super::schedule::{
     schedule, Act, Step, Target, CONTROL_COUNT, EVACUATED, EVACUATED_DATA_CENTRE, PROXIED,
     ROUTER_COUNT, STAND_IN_COUNT, VM_COUNT,
@@ -139,7 +140,7 @@
             sent: 0,
         };
         releases::add_stand_ins(&mut fleet);
-        list.set(&fleet, u32::MAX);
+        releases::set_list(&list, &fleet, u32::MAX);
         let (commands, received) = tokio::sync::mpsc::unbounded_channel();
         runtime.block_on(operator.change());
         fleet.wait_version(operator.in_force.version);
@@ -237,7 +238,7 @@
             Act::EndEvacuation => self.evacuate("DELETE"),
             Act::Withdraw(index) => depart("endpoint", index),
             Act::Return(index) => depart("endpoint-back", index),
-            Act::List(listed) => self.list.set(&self.fleet, listed),
+            Act::List(listed) => releases::set_list(&self.list, &self.fleet, listed),
             Act::KillAll => (0..VM_COUNT).for_each(|vm| self.kill(Target::Vm(vm))),
             Act::StartAll => (0..VM_COUNT).for_each(|vm| self.start_again(Target::Vm(vm))),
             Act::Flood(index) => {
--- a/tests/versioned/mod.rs
+++ b/tests/versioned/mod.rs
@@ -1,78 +1,16 @@
 //! A fleet whose endpoints have software versions, which the platform lists.
 #![allow(dead_code, reason = "each test file uses a part of the module")]
-#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 use crate::harness::http::{self, Answer};
+pub(crate) use crate::harness::listing::events;
+use crate::harness::listing::List;
 use crate::harness::{eventually, Fleet, Plan, Vm};
 use state::secret::Hash;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 
 /// Number of events of each stream.
 pub(crate) const TOKENS: u32 = 12;
 
-/// The platform's list of endpoints.
-pub(crate) struct List {
-    server: Arc<tiny_http::Server>,
-    /// The page; `None` answers with an error.
-    page: Arc<Mutex<Option<String>>>,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl List {
-    fn start() -> std::io::Result<Self> {
-        let server = tiny_http::Server::http("127.0.0.1:0").map_err(std::io::Error::other)?;
-        let server = Arc::new(server);
-        let page = Arc::new(Mutex::new(None));
-        let (listener, body) = (server.clone(), page.clone());
-        let thread = std::thread::spawn(move || {
-            while let Ok(request) = listener.recv() {
-                let body: Option<String> = body.lock().map(|page| page.clone()).unwrap_or_default();
-                let status = if body.is_some() { 200 } else { 500 };
-                let response = tiny_http::Response::from_string(body.unwrap_or_default());
-                let _ = request.respond(response.with_status_code(status));
-            }
-        });
-        Ok(List {
-            server,
-            page,
-            thread: Some(thread),
-        })
-    }
-
-    /// Lists endpoints of the service, each with its name, address and version.
-    fn set(&self, endpoints: &[(String, SocketAddr, String)]) {
-        let row = |(name, address, version): &(String, SocketAddr, String)| {
-            serde_json::json!({
-                "name": name, "service": "assistant", "address": address,
-                "data-centre": "dc-1", "slots": 16, "version": version,
-            })
-        };
-        let rows: Vec<_> = endpoints.iter().map(row).collect();
-        if let Ok(mut page) = self.page.lock() {
-            *page = Some(serde_json::json!({"endpoints": rows, "next": null}).to_string());
-        }
-    }
-
-    /// Answers with an error from now on.
-    fn fail(&self) {
-        if let Ok(mut page) = self.page.lock() {
-            *page = None;
-        }
-    }
-}
-
-impl Drop for List {
-    fn drop(&mut self) {
-        self.server.unblock();
-        if let Some(thread) = self.thread.take() {
-            // A panic of the thread has already failed the test.
-            let _ = thread.join();
-        }
-    }
-}
-
 /// What a service starts with.
 pub(crate) struct Setup<'a> {
     /// Number of control VMs.
@@ -113,8 +51,8 @@
             listed,
             service_keys,
         } = *setup;
-        let list = List::start().unwrap();
-        let address = list.server.server_addr();
+        let list = List::start();
+        let address = list.address();
         let mut fleet = Fleet::start_unconfigured(Plan {
             control,
             routers,
@@ -161,9 +99,9 @@
         F: Fn(&str) -> bool,
     {
         let all = self.fleet.stand_ins.iter().zip(&self.versions);
-        let listed = all.filter(|(_, version)| is_listed(version));
-        let listed = listed.map(|(s, version)| (s.name.clone(), s.address, version.clone()));
-        self.list.set(&listed.collect::<Vec<_>>());
+        let all = all.map(|(stand_in, version)| (stand_in, version.as_str()));
+        self.list
+            .set("assistant", all.filter(|(_, version)| is_listed(version)));
     }
 
     /// Makes the list unreadable.
@@ -203,6 +141,28 @@
         })
     }
 
+    /// Takes a stream up again at a router, with events at this pace.
+    pub(crate) fn take_up_at_pace(
+        &self,
+        router: &str,
+        id: &str,
+        last: usize,
+        pace: &str,
+    ) -> JoinHandle<Answer> {
+        let (tokens, last) = (TOKENS.to_string(), last.to_string());
+        let (address, id, pace) = (self.fleet.callers(router), id.to_owned(), pace.to_owned());
+        std::thread::spawn(move || {
+            let headers = [
+                ("stand-in-ids", "yes"),
+                ("stand-in-tokens", &*tokens),
+                ("stand-in-pace", &*pace),
+                ("cowslipford-resumes", &*id),
+                ("last-event-id", &*last),
+            ];
+            http::send(address, "POST", "/", "alpha", &headers, "again")
+        })
+    }
+
     /// Takes a stream up again at a router, after the events that its caller has.
     pub(crate) fn take_up(&self, router: &str, label: &str, id: &str, last: usize) -> Answer {
         self.take_up_as(router, label, Some(id), last)
@@ -227,19 +187,3 @@
         self.fleet.call(router, "alpha", "/", &headers, label)
     }
 }
-
-/// Version of each whole event of an answer, and the number of its last event.
-pub(crate) fn events(answer: &Answer) -> (Vec<String>, Option<usize>) {
-    let text = answer.text();
-    let whole = text.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
-    let data = whole.lines().filter_map(|line| line.strip_prefix("data: "));
-    let events: Vec<serde_json::Value> = data
-        .filter_map(|data| serde_json::from_str(data).ok())
-        .collect();
-    let version = |event: &serde_json::Value| event["software"].as_str().map(str::to_owned);
-    let last = events.last().and_then(|event| event["token"].as_u64());
-    (
-        events.iter().filter_map(version).collect(),
-        last.and_then(|last| usize::try_from(last).ok()),
-    )
-}
