--- a/components/node/src/reactor/origins.rs
+++ b/components/node/src/reactor/origins.rs
@@ -24,8 +24,6 @@
 /// Most reports that wait for a link to a control VM.
 const UNSENT_MAX: usize = 4 * origin::BATCH_MAX;
 
-/// Name in logs of a decision by the only version that a service has ever had.
-const ONLY_VERSION: &str = "only-version";
 /// Time after which another control VM is dialled, in milliseconds, if there is a link to none.
 const DIAL_INTERVAL_MS: u64 = 1000;
 
@@ -203,13 +201,16 @@
     /// Decides by the result of a lookup.
     fn conclude(&self, now: Millis, stream: &Stream, found: Found) -> Continued {
         let decision = self.decide_origin(now, stream, Some(found));
-        let source = match (found, decision) {
-            (Found::Known(_), _) => "control-vm",
-            (Found::Sole(_), _) => ONLY_VERSION,
-            (Found::Unknown, _) => "all-control-vms",
-            (Found::Unreachable, _) => "",
+        let source = match found {
+            Found::Known(_) => "control-vm",
+            Found::Sole(_) => "only-version",
+            Found::Unknown => "all-control-vms",
+            Found::Unreachable => "",
         };
-        self.continued(now, stream, decision, source)
+        Continued {
+            is_only: matches!(found, Found::Sole(_)),
+            ..self.continued(now, stream, decision, source)
+        }
     }
 
     /// A decision with what this process knows of the versions of the service.
@@ -224,7 +225,7 @@
         let listed = service.map(|s| origin::versions(&self.effective, &s.name));
         Continued {
             decision,
-            is_only: source == ONLY_VERSION,
+            is_only: false,
             source,
             listing_age_ms: self.registry.age_ms(now),
             listed: listed.unwrap_or_default(),
