Restart stand-ins of tests that crash again before they are seen to listen

Cause, in the harness: a restarted stand-in got the next deadly request before the harness had connected, and ended. The wait then lasted its whole 40 s, since only the next call of restart_crashed would start it again. Shown by a trial that sent deadly requests without pause: timed out after 40 s, of one restart.

Change: the wait also ends when the process has exited; the next call counts that crash and restarts it. No bound or count of the tests changes.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -380,8 +380,9 @@
             if stand_in.process.ended().is_some() {
                 crashed += 1;
                 stand_in.process.start();
-                eventually("a restarted stand-in listens", || {
-                    TcpStream::connect(stand_in.address).is_ok()
+                // Another deadly request may have come first: the next call restarts it again.
+                eventually("a restarted stand-in listens or has crashed again", || {
+                    TcpStream::connect(stand_in.address).is_ok() || stand_in.process.has_exited()
                 });
             }
         }
@@ -692,6 +693,12 @@
         assert!(sent.success());
     }
 
+    /// Whether the process has exited, and its status was not taken yet.
+    fn has_exited(&self) -> bool {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.pid()));
+        status.is_ok_and(|status| status.contains("\nState:\tZ"))
+    }
+
     /// Exit status if the process has exited; from then on it counts as not running.
     pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
         let status = self.child.as_mut()?.try_wait().unwrap()?;
