Tell whose connections are closed unread

What callers saw: no connection, or one that closes without an answer; the router's log counted them, and named no customer.

A request that is refused before its rule is known has the customer of its key in request-ended.

--- a/components/coordination/src/admission/mod.rs
+++ b/components/coordination/src/admission/mod.rs
@@ -14,6 +14,7 @@
 //! admits what it can serve and pass on. [`Returns`] tells refused callers when to return.
 
 mod returns;
+pub mod sources;
 
 pub use returns::{Refused, Returns};
 
--- a/components/node/src/frontend/access_log.rs
+++ b/components/node/src/frontend/access_log.rs
@@ -184,6 +184,11 @@
         self.caller_request_id = caller_request_id;
     }
 
+    /// Records the customer whose key the request has.
+    pub(super) fn set_customer(&mut self, customer: Option<Name>) {
+        self.customer = customer;
+    }
+
     /// Records the router that has passed the request on to this one.
     pub(super) fn set_forwarder(&mut self, forwarder: Option<Forwarder>) {
         self.forwarder = forwarder;
--- a/components/node/src/frontend/admit.rs
+++ b/components/node/src/frontend/admit.rs
@@ -18,6 +18,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
 use state::id::{RequestId, Version};
+use std::net::IpAddr;
 use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
@@ -46,6 +47,7 @@
     frontend: &Frontend,
     published: &Published,
     head: &Parts,
+    address: IpAddr,
     entry: &mut Entry,
 ) -> Result<Inbound, Refusal> {
     let inbound = (frontend.context.interface.parse_request)(head);
@@ -53,6 +55,7 @@
         // Set before any check, so that the log line of a refused request has the caller's
         // ID.
         entry.set_caller_request_id(inbound.request_id.clone());
+        identify(frontend, published, inbound, address, entry);
     }
     if let Some(forwarder) = entry.forwarder() {
         // Before the check of readiness: a router that has just started has no configuration, and
@@ -67,6 +70,27 @@
     inbound.map_err(|reason| Refusal::not_run(StatusCode::BAD_REQUEST, "bad-head", reason))
 }
 
+/// Records whose request it is, so that refusals of requests and connections can be told by
+/// customer.
+fn identify(
+    frontend: &Frontend,
+    published: &Published,
+    inbound: &Inbound,
+    address: IpAddr,
+    entry: &mut Entry,
+) {
+    let key = inbound.key.as_ref();
+    let Some(id) = key.and_then(|key| published.index.customer(key)) else {
+        return;
+    };
+    let customer = published.view.config.customers.get(&id);
+    entry.set_customer(customer.map(|customer| customer.name.clone()));
+    // A forwarded request comes from the address of a router.
+    if entry.forwarder().is_none() {
+        frontend.identify(address, id);
+    }
+}
+
 /// Refuses a request while this router is stopping or has no configuration yet.
 fn check_ready(published: &Published) -> Result<(), Refusal> {
     if published.closed {
--- a/components/node/src/frontend/listen.rs
+++ b/components/node/src/frontend/listen.rs
@@ -19,6 +19,7 @@
 use crate::shared::Published;
 use crate::socket::{self, Closed, Socket};
 use crate::work::{Stage, Tally};
+use coordination::admission::sources::Sources;
 use coordination::admission::Admission;
 use coordination::attribution::Survivals;
 use coordination::budget::Budget;
@@ -29,11 +30,13 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
 use settings::Callers;
-use state::id::{Name, RequestId, ServiceId};
+use state::config::Config;
+use state::id::{CustomerId, Name, RequestId, ServiceId};
 use state::line::Line;
 use state::suspect::Successes;
 use std::collections::HashMap;
 use std::future::Future;
+use std::net::IpAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -66,12 +69,16 @@
 /// Time between two checks of pooled connections and unread answers.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Most customers of whose connections a log line tells each second while connections are closed
+/// unread.
+const LOGGED_SOURCES_MAX: usize = 12;
+
 /// An accepted connection, and what is done with it.
 enum Accepted {
-    /// It is served.
-    Serve(TcpStream),
+    /// It is served. The address is that of its caller.
+    Serve(TcpStream, IpAddr),
     /// Its request is refused without being served.
-    Refuse(TcpStream),
+    Refuse(TcpStream, IpAddr),
 }
 
 /// Place for an admitted connection.
@@ -163,6 +170,8 @@
     busy_lines: Mutex<Window>,
     /// Requests that were completely answered not long ago.
     pub(super) successes: Mutex<Successes>,
+    /// Addresses of callers.
+    sources: Mutex<Sources>,
 }
 
 impl Frontend {
@@ -186,6 +195,7 @@
             background: Mutex::default(),
             busy_lines: Mutex::new(Window::new(MAX_BUSY_LINES_PER_S)),
             successes: Mutex::default(),
+            sources: Mutex::default(),
             pool: Arc::new(Pool::new(idle_connections - to_peers)),
             peers: Arc::new(Pool::new(to_peers)),
             registry: Registry::new(context.clock.clone()),
@@ -272,10 +282,47 @@
             if unread > 0 {
                 tracing::info!(event = Line::AnswersUnread.as_str(), connections = unread);
             }
+            self.log_sources(&view.config);
             self.update_gauges();
         }
     }
 
+    /// Counts a connection that is closed unread.
+    pub(super) fn count_unread(&self, address: IpAddr) {
+        self.context.metrics.closed_unread.inc();
+        self.sources().turn_away(self.context.clock.now(), address);
+    }
+
+    /// Records whose key a request from an address had.
+    pub(super) fn identify(&self, address: IpAddr, customer: CustomerId) {
+        let now = self.context.clock.now();
+        self.sources().identify(now, address, customer);
+    }
+
+    /// Logs whose connections were closed unread since the last call.
+    fn log_sources(&self, config: &Config) {
+        let summaries = self.sources().take_summaries(self.context.clock.now());
+        let unread = summaries.iter().map(|summary| summary.unread).sum::<u64>();
+        if unread == 0 {
+            return;
+        }
+        for summary in summaries.iter().take(LOGGED_SOURCES_MAX) {
+            let customer = summary.customer.and_then(|id| config.customers.get(&id));
+            tracing::info!(
+                event = Line::ConnectionsUnread.as_str(),
+                customer = customer.map_or("", |customer| customer.name.as_str()),
+                addresses = summary.addresses,
+                admitted = summary.admitted,
+                unread = summary.unread,
+                of = unread,
+            );
+        }
+    }
+
+    fn sources(&self) -> MutexGuard<'_, Sources> {
+        self.sources.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Updates the gauges of pooled connections, memory for bodies and the reactor's queue.
     fn update_gauges(&self) {
         let metrics = &self.context.metrics;
@@ -296,12 +343,12 @@
                 tokio::time::sleep(PROBE_INTERVAL).await;
                 continue;
             }
-            let stream = accept(listener).await;
+            let (stream, address) = accept(listener).await;
             match self.context.lateness.admit_connection() {
-                Admission::Admit => return Accepted::Serve(stream),
-                Admission::Refuse => return Accepted::Refuse(stream),
+                Admission::Admit => return Accepted::Serve(stream, address),
+                Admission::Refuse => return Accepted::Refuse(stream, address),
                 // The connection's task would only run after all tasks that are already late.
-                Admission::Close | Admission::Wait => self.context.metrics.closed_unread.inc(),
+                Admission::Close | Admission::Wait => self.count_unread(address),
             }
         }
     }
@@ -370,24 +417,24 @@
                 Some(_) = tasks.join_next() => continue,
                 () = self.context.work.until(Phase::Closing) => break,
             };
-            let stream = match accepted {
-                Accepted::Serve(stream) => stream,
-                Accepted::Refuse(stream) => {
-                    self.turn_away(stream, &mut tasks);
+            let (stream, address) = match accepted {
+                Accepted::Serve(stream, address) => (stream, address),
+                Accepted::Refuse(stream, address) => {
+                    self.turn_away(stream, address, &mut tasks);
                     continue;
                 }
             };
             match self.place().await {
-                Place::Free(permit) => self.spawn_connection(stream, permit, &mut tasks),
-                Place::Refusal => self.turn_away(stream, &mut tasks),
+                Place::Free(permit) => self.spawn_connection(stream, address, permit, &mut tasks),
+                Place::Refusal => self.turn_away(stream, address, &mut tasks),
                 // A connection above the bound is closed at once, which costs almost nothing.
-                Place::None => self.context.metrics.closed_unread.inc(),
+                Place::None => self.count_unread(address),
             }
         }
-        for stream in accept_queued(listener) {
+        for (stream, address) in accept_queued(listener) {
             match self.connection_permits.clone().try_acquire_owned() {
-                Ok(permit) => self.spawn_connection(stream, permit, &mut tasks),
-                Err(_) => self.context.metrics.closed_unread.inc(),
+                Ok(permit) => self.spawn_connection(stream, address, permit, &mut tasks),
+                Err(_) => self.count_unread(address),
             }
         }
         join_until_cut(&mut tasks, &self.context.work).await;
@@ -403,18 +450,21 @@
     fn spawn_connection(
         self: &Arc<Self>,
         stream: TcpStream,
+        address: IpAddr,
         permit: OwnedSemaphorePermit,
         tasks: &mut JoinSet<()>,
     ) {
+        let now = self.context.clock.now();
+        self.sources().admit(now, address);
         let frontend = self.clone();
         tasks.spawn(async move {
-            frontend.serve_connection(stream).await;
+            frontend.serve_connection(stream, address).await;
             drop(permit);
         });
     }
 
     /// Serves the requests on one connection.
-    async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
+    async fn serve_connection(self: Arc<Self>, stream: TcpStream, address: IpAddr) {
         // Small events of a streamed answer are sent without delay.
         let _ = stream.set_nodelay(true);
         self.context.metrics.connections.inc();
@@ -430,7 +480,7 @@
             let is_unframed = unframed::is_unframed(&request);
             // Boxed, so that an idle connection does not hold the memory of a request.
             Box::pin(async move {
-                let reply = serve(frontend, request, &activity).await?;
+                let reply = serve(frontend, request, address, &activity).await?;
                 if let Some(AnswerDeadline(at)) = reply.extensions().get() {
                     activity.set_answer_deadline(*at);
                 }
--- a/components/node/src/frontend/turn_away.rs
+++ b/components/node/src/frontend/turn_away.rs
@@ -19,6 +19,7 @@
 use state::event::{Event, Kind};
 use state::id::RequestId;
 use std::io::{ErrorKind, Read, Write};
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
@@ -274,7 +275,12 @@
 
 impl Frontend {
     /// Refuses a connection: at once if its request has arrived, and otherwise in a task.
-    pub(super) fn turn_away(self: &Arc<Self>, stream: TcpStream, tasks: &mut JoinSet<()>) {
+    pub(super) fn turn_away(
+        self: &Arc<Self>,
+        stream: TcpStream,
+        address: IpAddr,
+        tasks: &mut JoinSet<()>,
+    ) {
         let timer = self.context.lateness.time_refusal();
         let Ok(stream) = stream.into_std() else {
             return;
@@ -297,12 +303,12 @@
         let permit = self.refusal_permits.clone().try_acquire_owned();
         let (Ok(permit), Ok(stream)) = (permit, TcpStream::from_std(stream)) else {
             if !is_answered {
-                self.context.metrics.closed_unread.inc();
+                self.count_unread(address);
             }
             return;
         };
         let frontend = self.clone();
-        tasks.spawn(frontend.finish_refusal(stream, received, is_answered, permit));
+        tasks.spawn(frontend.finish_refusal(stream, address, received, is_answered, permit));
     }
 
     /// Waits for the head of a request, answers it, and reads until its caller closes the
@@ -310,6 +316,7 @@
     async fn finish_refusal(
         self: Arc<Self>,
         mut stream: TcpStream,
+        address: IpAddr,
         mut received: Received,
         is_answered: bool,
         _permit: OwnedSemaphorePermit,
@@ -326,7 +333,7 @@
             if received.reads == 0 {
                 // Without a request there is none to refuse; the caller may have opened the
                 // connection in advance.
-                self.context.metrics.closed_unread.inc();
+                self.count_unread(address);
                 return;
             }
             let _timer = self.context.lateness.time_refusal();
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -31,6 +31,8 @@
     DependencyRegained,
     /// Connections were closed because their callers did not read a response to its end.
     AnswersUnread,
+    /// Connections of a customer were closed unread, since tasks ran late or there was no place.
+    ConnectionsUnread,
     /// Log lines were dropped.
     LinesDropped,
     /// A request is sent to an endpoint, first or as a retry.
@@ -112,7 +114,7 @@
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 52] = [
+    pub const ALL: [Line; 53] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -127,6 +129,7 @@
         Line::DependencyLost,
         Line::DependencyRegained,
         Line::AnswersUnread,
+        Line::ConnectionsUnread,
         Line::LinesDropped,
         Line::RequestSent,
         Line::TryFailed,
@@ -184,6 +187,7 @@
             Line::DependencyLost => "dependency-lost",
             Line::DependencyRegained => "dependency-regained",
             Line::AnswersUnread => "answers-unread",
+            Line::ConnectionsUnread => "connections-unread",
             Line::LinesDropped => "lines-dropped",
             Line::RequestSent => "request-sent",
             Line::TryFailed => "try-failed",
