Admit callers of small customers first while a router is flooded

What callers saw: no answer, for as long as another customer flooded the router that the load balancer had chosen for them. A router that runs late closed connections unread whoever's they were, so that a customer with two requests a second beside one with a thousand was served as rarely as that one.

Cause: what is turned away was chosen by the order of arrival alone.

Change: a connection that would be closed is looked into without reading it (MSG_PEEK). If its request has arrived and its customer brings an eighth or less of what arrives, it is admitted, four between two probes at most; its requests pass the check of lateness within the same bound. All arrivals of a customer count, on new and on kept connections.

What finds the accept queue full is not helped by this.

--- a/components/coordination/src/admission/mod.rs
+++ b/components/coordination/src/admission/mod.rs
@@ -13,8 +13,8 @@
 //! A request that is handed over to another router counts as served, so that a router with peers
 //! admits what it can serve and pass on. [`Returns`] tells refused callers when to return.
 
+pub mod demand;
 mod returns;
-pub mod sources;
 
 pub use returns::{Refused, Returns};
 
@@ -32,6 +32,9 @@
 const ADMISSIONS_MIN: u64 = 2;
 /// Largest number of connections to admit between two probes, without overload.
 const ADMISSIONS_MAX: u64 = 1 << 16;
+/// Most connections and requests of customers that bring little to admit between two probes in
+/// spite of an overload. These are 200 a second, half of what an eighth of a core serves.
+const LIGHT_ADMISSIONS_MAX: u64 = 4;
 /// Divisor of the limit that gives its growth with each calm probe.
 const GROWTH_DIVISOR: u64 = 8;
 
@@ -171,6 +174,12 @@
     }
 }
 
+/// Whether a customer that brings little is admitted in spite of an overload, after `admitted` such
+/// connections and requests since the last probe.
+pub fn admits_light(admitted: u64) -> bool {
+    admitted < LIGHT_ADMISSIONS_MAX
+}
+
 /// Connections that arrived since the last probe.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Arrivals {
--- a/components/coordination/tests/intake.rs
+++ b/components/coordination/tests/intake.rs
@@ -3,8 +3,9 @@
 //! The load is that of docs/HARD-LOAD.md: 850 attempts a second come to one router on 0.12 of a
 //! core, which can serve 300 or 550 of them.
 
+use coordination::admission::demand::Demand;
 use coordination::admission::{
-    Admission, Arrivals, Intake, Limit, Period, Probes, Quota, Refused, Returns,
+    self, Admission, Arrivals, Intake, Limit, Period, Probes, Quota, Refused, Returns,
 };
 use coordination::budget::{Budget, Resources};
 use coordination::handover::{self, Handover, Origin};
@@ -12,7 +13,7 @@
 use coordination::overload::{Overload, OVERLOAD_LATENESS_MS};
 use rstest::rstest;
 use state::clock::Millis;
-use state::id::{Name, Version};
+use state::id::{CustomerId, Name, Version};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Processor time of the router in each millisecond.
@@ -41,8 +42,14 @@
     arrived: u64,
     /// Whether its caller was refused before.
     is_retry: bool,
+    customer: CustomerId,
 }
 
+/// Customer that floods a router.
+const FLOODING: CustomerId = CustomerId(1);
+/// Customer with few callers, which come to the same router.
+const NEIGHBOUR: CustomerId = CustomerId(2);
+
 /// Callers that return once, at the time that they are told.
 struct Callers {
     /// Counts of callers by slot; without them callers are told 50 to 200 ms.
@@ -175,6 +182,7 @@
     /// Read the request of an admitted connection.
     Read {
         is_retry: bool,
+        customer: CustomerId,
     },
     /// Relay a piece of an answer, in this processor time.
     Relay {
@@ -206,6 +214,8 @@
     probes: u64,
     late_probes: u64,
     unready_probes: u64,
+    /// Served of the neighbour.
+    neighbour_served: u64,
 }
 
 impl Ends {
@@ -222,6 +232,9 @@
     backlog: VecDeque<Attempt>,
     /// Callers that return after a refusal, if any do.
     callers: Option<Callers>,
+    /// What customers ask, if those that bring little are admitted first.
+    demand: Option<Demand>,
+    light_admissions: u64,
     tasks: VecDeque<Task>,
     /// Times at which pieces of answers arrive, in order, and the processor time of each.
     pieces: VecDeque<(u64, u64)>,
@@ -256,6 +269,8 @@
             serve_us: PROCESSOR_US * 1000 / capacity_per_s,
             backlog: VecDeque::new(),
             callers: None,
+            demand: None,
+            light_admissions: 0,
             tasks: VecDeque::new(),
             pieces: VecDeque::new(),
             peers: None,
@@ -293,11 +308,9 @@
             let attempt = Attempt {
                 arrived: now,
                 is_retry: number >= attempts,
+                customer: FLOODING,
             };
-            match self.backlog.len() < BACKLOG_MAX {
-                true => self.backlog.push_back(attempt),
-                false => self.ends.unconnected += 1,
-            }
+            self.arrive(attempt);
         }
         while self.pieces.front().is_some_and(|(at, _)| *at <= now) {
             let piece = self.pieces.pop_front();
@@ -328,24 +341,53 @@
         }
     }
 
+    /// Adds a connection to those that wait to be accepted.
+    fn arrive(&mut self, attempt: Attempt) {
+        match self.backlog.len() < BACKLOG_MAX {
+            true => self.backlog.push_back(attempt),
+            false => self.ends.unconnected += 1,
+        }
+    }
+
+    /// Whether a customer brings little.
+    fn is_light(&self, now: u64, customer: CustomerId) -> bool {
+        let demand = self.demand.as_ref();
+        demand.is_some_and(|demand| demand.is_light(Millis(now), customer))
+    }
+
+    /// Whether a connection or request is admitted in spite of an overload.
+    fn admit_light(&mut self, is_light: bool) -> bool {
+        let is_admitted = is_light && admission::admits_light(self.light_admissions);
+        self.light_admissions += u64::from(is_admitted);
+        is_admitted
+    }
+
     /// Accepts waiting connections; returns the processor time.
     fn accept(&mut self, now: u64) -> u64 {
         let mut took_us = 0;
         while let Some(attempt) = self.backlog.front().copied() {
-            let Attempt { arrived, is_retry } = attempt;
-            let arrivals = &mut self.period.arrivals;
-            let admission = self.quota.decide(0, *arrivals);
+            let Attempt {
+                arrived,
+                is_retry,
+                customer,
+            } = attempt;
+            let admission = self.quota.decide(0, self.period.arrivals);
             let admission = match admission {
                 Admission::Admit if self.lateness(now) >= OVERLOAD_LATENESS_MS => self
                     .quota
                     .decide(OVERLOAD_LATENESS_MS, self.period.arrivals),
                 other => other,
             };
-            let arrivals = &mut self.period.arrivals;
             if admission == Admission::Wait {
                 break;
             }
             self.backlog.pop_front();
+            let is_light = self.is_light(now, customer);
+            let admission = match admission {
+                Admission::Close if self.admit_light(is_light) => Admission::Admit,
+                other => other,
+            };
+            let arrivals = &mut self.period.arrivals;
             let has_given_up = now - arrived >= CALLER_MS;
             self.ends.unconnected += u64::from(has_given_up);
             match admission {
@@ -353,7 +395,7 @@
                     arrivals.admitted += 1;
                     took_us += CLOSE_US;
                     if !has_given_up {
-                        self.tasks.push_back(Task::Read { is_retry });
+                        self.tasks.push_back(Task::Read { is_retry, customer });
                     }
                 }
                 Admission::Refuse => {
@@ -365,6 +407,9 @@
                     }
                 }
                 Admission::Close | Admission::Wait => {
+                    if let Some(demand) = &mut self.demand {
+                        demand.turn_away(Millis(now), Some(customer));
+                    }
                     arrivals.closed += 1;
                     took_us += CLOSE_US;
                     self.ends.closed += u64::from(!has_given_up);
@@ -379,11 +424,14 @@
     fn run_task(&mut self, now: u64) -> u64 {
         self.tasks_until_accept -= 1;
         match self.tasks.pop_front() {
-            Some(Task::Read { is_retry }) if self.lateness(now) >= OVERLOAD_LATENESS_MS => {
-                self.refuse(now, is_retry);
-                REFUSE_ADMITTED_US
-            }
-            Some(Task::Read { .. }) => {
+            Some(Task::Read { is_retry, customer }) => {
+                let demand = self.demand.as_mut();
+                let is_light = demand.is_some_and(|demand| demand.ask(Millis(now), customer));
+                let is_late = self.lateness(now) >= OVERLOAD_LATENESS_MS;
+                if is_late && !self.admit_light(is_light) {
+                    self.refuse(now, is_retry);
+                    return REFUSE_ADMITTED_US;
+                }
                 self.period.requests += 1;
                 self.reads += 1;
                 if self.reads % 100 >= self.taken_percent {
@@ -392,6 +440,7 @@
                 }
                 self.period.served += 1;
                 self.ends.served += 1;
+                self.ends.neighbour_served += u64::from(customer == NEIGHBOUR);
                 let peers = self.peers.as_mut();
                 let cost_us = match peers.is_some_and(|peers| peers.decide(now)) {
                     true => self.serve_us * HAND_OVER_PERCENT / 100,
@@ -425,6 +474,7 @@
     fn probe(&mut self, now: u64) {
         let late_ms = now - self.probe_due_ms;
         self.previous_ms = std::mem::replace(&mut self.last_ms, late_ms);
+        self.light_admissions = 0;
         let mut period = std::mem::take(&mut self.period);
         let admitted = period.arrivals.admitted + period.requests;
         period.late_ms = Probes::sustained(late_ms, self.previous_ms, admitted);
@@ -563,6 +613,7 @@
         router.backlog.extend(arrivals.map(|arrived| Attempt {
             arrived,
             is_retry: false,
+            customer: FLOODING,
         }));
         let ends = router.replay(from + 200, 2, 250);
         assert_eq!(ends.unready_probes, 0, "{ends:?}");
@@ -778,3 +829,109 @@
     let mut least = whole.within(1, 0);
     assert_eq!((least.set_aside_refusals(), least.connections), (0, 1));
 }
+
+/// The routers of a data centre behind a load balancer.
+///
+/// The load balancer sends each caller to the first router of an order that is fixed for its
+/// address, among those that have not failed two probes in a row.
+struct DataCentre {
+    routers: Vec<Router>,
+    misses: Vec<u32>,
+}
+
+impl DataCentre {
+    fn new(routers: usize) -> Self {
+        let router = || {
+            let decision = Decision::ByLateness(Limit::default());
+            let mut router = Router::new(decision, 300);
+            router.peers = Some(Peers::new(8, 180));
+            router.demand = Some(Demand::default());
+            router
+        };
+        DataCentre {
+            routers: (0..routers).map(|_| router()).collect(),
+            misses: vec![0; routers],
+        }
+    }
+
+    /// The first router of an order that is in rotation.
+    fn select(&self, order: &[usize]) -> usize {
+        let is_in = |index: usize| self.misses[index] < 2;
+        let count = (0..self.routers.len()).filter(|index| is_in(*index));
+        match count.count() * 2 < self.routers.len() {
+            true => order[0],
+            false => order
+                .iter()
+                .copied()
+                .find(|i| is_in(*i))
+                .unwrap_or(order[0]),
+        }
+    }
+
+    /// Replays a flood of one customer for some seconds, and five attempts a second of another one,
+    /// whose first router is the same. Returns the served attempts of both, in all and of the other.
+    fn replay(&mut self, seconds: u64, flood_per_s: u64) -> (u64, u64) {
+        let count = self.routers.len();
+        let flooding: Vec<usize> = (0..count).collect();
+        let neighbour: Vec<usize> = (0..count).map(|i| i * 7 % count).collect();
+        for now in 0..seconds * 1000 {
+            if now % 1000 == 500 {
+                for (router, misses) in self.routers.iter().zip(&mut self.misses) {
+                    *misses = match router.overload.is_unready() {
+                        true => *misses + 1,
+                        false => 0,
+                    };
+                }
+            }
+            if now % 200 == 0 {
+                let target = self.select(&neighbour);
+                self.routers[target].arrive(Attempt {
+                    arrived: now,
+                    is_retry: false,
+                    customer: NEIGHBOUR,
+                });
+            }
+            let target = self.select(&flooding);
+            let attempts = (now + 1) * flood_per_s / 1000 - now * flood_per_s / 1000;
+            for (index, router) in self.routers.iter_mut().enumerate() {
+                router.run(now, if index == target { attempts } else { 0 });
+            }
+        }
+        let ends = self.routers.iter().map(|router| router.ends);
+        ends.fold((0, 0), |(served, neighbour), ends| {
+            (served + ends.served, neighbour + ends.neighbour_served)
+        })
+    }
+}
+
+/// Replays a flood beside a customer with few requests; fails unless that customer is served at
+/// least half of what it asks.
+fn assert_neighbour_is_served(mut routers: DataCentre, flood_per_s: u64) {
+    const SECONDS: u64 = 30;
+    let (served, neighbour) = routers.replay(SECONDS, flood_per_s);
+    let percent = served * 100 / (SECONDS * (flood_per_s + 5));
+    let neighbour_percent = neighbour * 100 / (SECONDS * 5);
+    println!("{flood_per_s} a second: {percent}% served, of the neighbour {neighbour_percent}%");
+    assert!(
+        neighbour_percent >= 50,
+        "{neighbour_percent}%, of all {percent}%"
+    );
+}
+
+/// Failure: callers of a small customer are turned away with those of a large one that come to the
+/// same router, for as long as its flood lasts.
+#[rstest]
+#[case::more_than_a_router_serves(850)]
+#[case::more_than_it_reads(1300)]
+fn a_small_customer_beside_a_lasting_flood_is_served(#[case] flood_per_s: u64) {
+    assert_neighbour_is_served(DataCentre::new(16), flood_per_s);
+}
+
+/// Failure: a router that cannot send callers elsewhere turns away those of a small customer with
+/// those of a large one.
+#[rstest]
+#[case::more_than_it_serves(850)]
+#[case::more_than_it_reads(1300)]
+fn the_only_router_of_a_data_centre_admits_a_small_customer_in_a_flood(#[case] flood_per_s: u64) {
+    assert_neighbour_is_served(DataCentre::new(1), flood_per_s);
+}
--- a/components/node/src/frontend/access_log.rs
+++ b/components/node/src/frontend/access_log.rs
@@ -20,7 +20,7 @@
 use hyper::StatusCode;
 use state::clock::Millis;
 use state::fingerprint::Fingerprint;
-use state::id::{Name, RequestId, Software};
+use state::id::{CustomerId, Name, RequestId, Software};
 use state::line::Line;
 use state::outcome::Outcome;
 use std::collections::BTreeSet;
@@ -185,8 +185,10 @@
     }
 
     /// Records the customer whose key the request has.
-    pub(super) fn set_customer(&mut self, customer: Option<Name>) {
-        self.customer = customer;
+    pub(super) fn set_customer(&mut self, published: &Published, customer: Option<CustomerId>) {
+        let customers = &published.view.config.customers;
+        let customer = customer.and_then(|id| customers.get(&id));
+        self.customer = customer.map(|customer| customer.name.clone());
     }
 
     /// Records the router that has passed the request on to this one.
--- a/components/node/src/frontend/admit.rs
+++ b/components/node/src/frontend/admit.rs
@@ -4,6 +4,7 @@
 use super::access_log::Entry;
 use super::forward::check_version;
 use super::listen::{Frontend, BODY_UNIT_BYTES};
+use super::plan::ANONYMOUS_CUSTOMER;
 use super::refusal::Refusal;
 use super::upstream::Call;
 use crate::interface::Inbound;
@@ -18,7 +19,6 @@
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
 use state::id::{RequestId, Version};
-use std::net::IpAddr;
 use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
@@ -47,7 +47,6 @@
     frontend: &Frontend,
     published: &Published,
     head: &Parts,
-    address: IpAddr,
     entry: &mut Entry,
 ) -> Result<Inbound, Refusal> {
     let inbound = (frontend.context.interface.parse_request)(head);
@@ -55,8 +54,13 @@
         // Set before any check, so that the log line of a refused request has the caller's
         // ID.
         entry.set_caller_request_id(inbound.request_id.clone());
-        identify(frontend, published, inbound, address, entry);
     }
+    let key = inbound
+        .as_ref()
+        .ok()
+        .and_then(|inbound| inbound.key.as_ref());
+    let customer = key.and_then(|key| published.index.customer(key));
+    entry.set_customer(published, customer);
     if let Some(forwarder) = entry.forwarder() {
         // Before the check of readiness: a router that has just started has no configuration, and
         // its refusal would cost the caller a retry, where the other router can serve the request.
@@ -64,33 +68,15 @@
     }
     check_ready(published)?;
     let timeout = inbound.as_ref().ok().and_then(|inbound| inbound.timeout);
-    check_lateness(frontend, entry, timeout)?;
+    // Other routers send what they cannot serve, whoever's it is.
+    let customer = customer.unwrap_or(ANONYMOUS_CUSTOMER);
+    let is_light = entry.forwarder().is_none() && frontend.ask(customer);
+    check_lateness(frontend, entry, timeout, is_light)?;
     check_framing(head)?;
     check_size(head, frontend.context.callers.head_max)?;
     inbound.map_err(|reason| Refusal::not_run(StatusCode::BAD_REQUEST, "bad-head", reason))
 }
 
-/// Records whose request it is, so that refusals of requests and connections can be told by
-/// customer.
-fn identify(
-    frontend: &Frontend,
-    published: &Published,
-    inbound: &Inbound,
-    address: IpAddr,
-    entry: &mut Entry,
-) {
-    let key = inbound.key.as_ref();
-    let Some(id) = key.and_then(|key| published.index.customer(key)) else {
-        return;
-    };
-    let customer = published.view.config.customers.get(&id);
-    entry.set_customer(customer.map(|customer| customer.name.clone()));
-    // A forwarded request comes from the address of a router.
-    if entry.forwarder().is_none() {
-        frontend.identify(address, id);
-    }
-}
-
 /// Refuses a request while this router is stopping or has no configuration yet.
 fn check_ready(published: &Published) -> Result<(), Refusal> {
     if published.closed {
@@ -121,8 +107,9 @@
     frontend: &Frontend,
     entry: &Entry,
     timeout: Option<Duration>,
+    is_light: bool,
 ) -> Result<(), Refusal> {
-    if frontend.context.lateness.admit_request() == Admission::Admit {
+    if frontend.context.lateness.admit_request(is_light) == Admission::Admit {
         return Ok(());
     }
     // The caller of a request that another router has passed on returns to that router.
--- a/components/node/src/frontend/listen.rs
+++ b/components/node/src/frontend/listen.rs
@@ -19,7 +19,7 @@
 use crate::shared::Published;
 use crate::socket::{self, Closed, Socket};
 use crate::work::{Stage, Tally};
-use coordination::admission::sources::Sources;
+use coordination::admission::demand::Demand;
 use coordination::admission::Admission;
 use coordination::attribution::Survivals;
 use coordination::budget::Budget;
@@ -36,7 +36,6 @@
 use state::suspect::Successes;
 use std::collections::HashMap;
 use std::future::Future;
-use std::net::IpAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -69,16 +68,15 @@
 /// Time between two checks of pooled connections and unread answers.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Most customers of whose connections a log line tells each second while connections are closed
-/// unread.
-const LOGGED_SOURCES_MAX: usize = 12;
+/// Most customers of which a log line tells each second while connections are closed unread.
+const LOGGED_CUSTOMERS_MAX: usize = 12;
 
 /// An accepted connection, and what is done with it.
 enum Accepted {
-    /// It is served. The address is that of its caller.
-    Serve(TcpStream, IpAddr),
+    /// It is served.
+    Serve(TcpStream),
     /// Its request is refused without being served.
-    Refuse(TcpStream, IpAddr),
+    Refuse(TcpStream),
 }
 
 /// Place for an admitted connection.
@@ -170,8 +168,8 @@
     busy_lines: Mutex<Window>,
     /// Requests that were completely answered not long ago.
     pub(super) successes: Mutex<Successes>,
-    /// Addresses of callers.
-    sources: Mutex<Sources>,
+    /// What customers ask of this router.
+    demand: Mutex<Demand>,
 }
 
 impl Frontend {
@@ -195,7 +193,7 @@
             background: Mutex::default(),
             busy_lines: Mutex::new(Window::new(MAX_BUSY_LINES_PER_S)),
             successes: Mutex::default(),
-            sources: Mutex::default(),
+            demand: Mutex::default(),
             pool: Arc::new(Pool::new(idle_connections - to_peers)),
             peers: Arc::new(Pool::new(to_peers)),
             registry: Registry::new(context.clock.clone()),
@@ -282,45 +280,51 @@
             if unread > 0 {
                 tracing::info!(event = Line::AnswersUnread.as_str(), connections = unread);
             }
-            self.log_sources(&view.config);
+            self.log_unread(&view.config);
             self.update_gauges();
         }
     }
 
-    /// Counts a connection that is closed unread.
-    pub(super) fn count_unread(&self, address: IpAddr) {
+    /// Counts a connection that is closed without an answer; `customer` is `None` if its request has
+    /// not been seen.
+    pub(super) fn count_unread(&self, customer: Option<CustomerId>) {
         self.context.metrics.closed_unread.inc();
-        self.sources().turn_away(self.context.clock.now(), address);
+        let now = self.context.clock.now();
+        self.demand().turn_away(now, customer);
     }
 
-    /// Records whose key a request from an address had.
-    pub(super) fn identify(&self, address: IpAddr, customer: CustomerId) {
-        let now = self.context.clock.now();
-        self.sources().identify(now, address, customer);
+    /// Counts a request that was read. Returns whether its customer brings little of what arrives.
+    pub(super) fn ask(&self, customer: CustomerId) -> bool {
+        self.demand().ask(self.context.clock.now(), customer)
     }
 
-    /// Logs whose connections were closed unread since the last call.
-    fn log_sources(&self, config: &Config) {
-        let summaries = self.sources().take_summaries(self.context.clock.now());
+    /// Whether a customer brings little of what arrives.
+    fn is_light(&self, customer: CustomerId) -> bool {
+        self.demand().is_light(self.context.clock.now(), customer)
+    }
+
+    /// Logs whose connections were closed without an answer since the last call.
+    fn log_unread(&self, config: &Config) {
+        let summaries = self.demand().take_summaries(self.context.clock.now());
         let unread = summaries.iter().map(|summary| summary.unread).sum::<u64>();
         if unread == 0 {
             return;
         }
-        for summary in summaries.iter().take(LOGGED_SOURCES_MAX) {
+        for summary in summaries.iter().take(LOGGED_CUSTOMERS_MAX) {
             let customer = summary.customer.and_then(|id| config.customers.get(&id));
             tracing::info!(
                 event = Line::ConnectionsUnread.as_str(),
                 customer = customer.map_or("", |customer| customer.name.as_str()),
-                addresses = summary.addresses,
-                admitted = summary.admitted,
+                is_known = summary.customer.is_some(),
+                asked = summary.asked,
                 unread = summary.unread,
                 of = unread,
             );
         }
     }
 
-    fn sources(&self) -> MutexGuard<'_, Sources> {
-        self.sources.lock().unwrap_or_else(PoisonError::into_inner)
+    fn demand(&self) -> MutexGuard<'_, Demand> {
+        self.demand.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Updates the gauges of pooled connections, memory for bodies and the reactor's queue.
@@ -343,12 +347,17 @@
                 tokio::time::sleep(PROBE_INTERVAL).await;
                 continue;
             }
-            let (stream, address) = accept(listener).await;
-            match self.context.lateness.admit_connection() {
-                Admission::Admit => return Accepted::Serve(stream, address),
-                Admission::Refuse => return Accepted::Refuse(stream, address),
+            let stream = accept(listener).await;
+            let mut customer = None;
+            let admission = self.context.lateness.admit_connection(|| {
+                customer = self.peek_customer(&stream);
+                customer.is_some_and(|customer| self.is_light(customer))
+            });
+            match admission {
+                Admission::Admit => return Accepted::Serve(stream),
+                Admission::Refuse => return Accepted::Refuse(stream),
                 // The connection's task would only run after all tasks that are already late.
-                Admission::Close | Admission::Wait => self.count_unread(address),
+                Admission::Close | Admission::Wait => self.count_unread(customer),
             }
         }
     }
@@ -417,24 +426,24 @@
                 Some(_) = tasks.join_next() => continue,
                 () = self.context.work.until(Phase::Closing) => break,
             };
-            let (stream, address) = match accepted {
-                Accepted::Serve(stream, address) => (stream, address),
-                Accepted::Refuse(stream, address) => {
-                    self.turn_away(stream, address, &mut tasks);
+            let stream = match accepted {
+                Accepted::Serve(stream) => stream,
+                Accepted::Refuse(stream) => {
+                    self.turn_away(stream, &mut tasks);
                     continue;
                 }
             };
             match self.place().await {
-                Place::Free(permit) => self.spawn_connection(stream, address, permit, &mut tasks),
-                Place::Refusal => self.turn_away(stream, address, &mut tasks),
+                Place::Free(permit) => self.spawn_connection(stream, permit, &mut tasks),
+                Place::Refusal => self.turn_away(stream, &mut tasks),
                 // A connection above the bound is closed at once, which costs almost nothing.
-                Place::None => self.count_unread(address),
+                Place::None => self.count_unread(None),
             }
         }
-        for (stream, address) in accept_queued(listener) {
+        for stream in accept_queued(listener) {
             match self.connection_permits.clone().try_acquire_owned() {
-                Ok(permit) => self.spawn_connection(stream, address, permit, &mut tasks),
-                Err(_) => self.count_unread(address),
+                Ok(permit) => self.spawn_connection(stream, permit, &mut tasks),
+                Err(_) => self.count_unread(None),
             }
         }
         join_until_cut(&mut tasks, &self.context.work).await;
@@ -450,21 +459,18 @@
     fn spawn_connection(
         self: &Arc<Self>,
         stream: TcpStream,
-        address: IpAddr,
         permit: OwnedSemaphorePermit,
         tasks: &mut JoinSet<()>,
     ) {
-        let now = self.context.clock.now();
-        self.sources().admit(now, address);
         let frontend = self.clone();
         tasks.spawn(async move {
-            frontend.serve_connection(stream, address).await;
+            frontend.serve_connection(stream).await;
             drop(permit);
         });
     }
 
     /// Serves the requests on one connection.
-    async fn serve_connection(self: Arc<Self>, stream: TcpStream, address: IpAddr) {
+    async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
         // Small events of a streamed answer are sent without delay.
         let _ = stream.set_nodelay(true);
         self.context.metrics.connections.inc();
@@ -480,7 +486,7 @@
             let is_unframed = unframed::is_unframed(&request);
             // Boxed, so that an idle connection does not hold the memory of a request.
             Box::pin(async move {
-                let reply = serve(frontend, request, address, &activity).await?;
+                let reply = serve(frontend, request, &activity).await?;
                 if let Some(AnswerDeadline(at)) = reply.extensions().get() {
                     activity.set_answer_deadline(*at);
                 }
--- a/components/node/src/frontend/mod.rs
+++ b/components/node/src/frontend/mod.rs
@@ -7,6 +7,7 @@
 mod delivery;
 mod forward;
 mod listen;
+mod peek;
 mod plan;
 mod pool;
 mod refusal;
--- a/components/node/src/frontend/plan.rs
+++ b/components/node/src/frontend/plan.rs
@@ -23,7 +23,7 @@
 /// Retries of a request whose rule sets no number.
 const DEFAULT_RETRIES: u32 = 2;
 /// Customer that all callers without a customer's key are accounted to.
-const ANONYMOUS_CUSTOMER: CustomerId = CustomerId(u32::MAX);
+pub(super) const ANONYMOUS_CUSTOMER: CustomerId = CustomerId(u32::MAX);
 /// Bytes at the start of a body that are hashed as its prompt's prefix if the caller sends no hash.
 const PREFIX_BYTES: usize = 256;
 /// Tokens that a model is expected to generate if the caller does not say.
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -33,7 +33,6 @@
 use state::event::{Event, Kind};
 use state::id::{CustomerId, RequestId, Software};
 use state::outcome::Outcome;
-use std::net::IpAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -67,7 +66,6 @@
 pub(crate) async fn serve(
     frontend: Arc<Frontend>,
     request: Request<Incoming>,
-    address: IpAddr,
     activity: &Activity,
 ) -> Result<Reply, std::convert::Infallible> {
     let id = RequestId {
@@ -83,7 +81,7 @@
     let socket = activity.socket();
     socket.set_unread_body(!request.body().is_end_stream());
     let serving = handle(
-        &frontend, &published, &mut entry, request, address, socket, arrived_at,
+        &frontend, &published, &mut entry, request, socket, arrived_at,
     );
     let answered = tokio::select! {
         biased;
@@ -175,13 +173,12 @@
     published: &Published,
     entry: &mut Entry,
     request: Request<Incoming>,
-    address: IpAddr,
     socket: &State,
     arrived_at: Instant,
 ) -> Result<Served, Refusal> {
     let (mut head, body) = request.into_parts();
     entry.set_forwarder(forward::take_forwarder(frontend, &mut head.headers));
-    let inbound = match admit(frontend, published, &head, address, entry) {
+    let inbound = match admit(frontend, published, &head, entry) {
         Ok(inbound) => inbound,
         Err(refusal) => {
             entry.set_stage(Stage::Answer);
--- a/components/node/src/frontend/turn_away.rs
+++ b/components/node/src/frontend/turn_away.rs
@@ -19,7 +19,6 @@
 use state::event::{Event, Kind};
 use state::id::RequestId;
 use std::io::{ErrorKind, Read, Write};
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
@@ -275,12 +274,7 @@
 
 impl Frontend {
     /// Refuses a connection: at once if its request has arrived, and otherwise in a task.
-    pub(super) fn turn_away(
-        self: &Arc<Self>,
-        stream: TcpStream,
-        address: IpAddr,
-        tasks: &mut JoinSet<()>,
-    ) {
+    pub(super) fn turn_away(self: &Arc<Self>, stream: TcpStream, tasks: &mut JoinSet<()>) {
         let timer = self.context.lateness.time_refusal();
         let Ok(stream) = stream.into_std() else {
             return;
@@ -303,12 +297,12 @@
         let permit = self.refusal_permits.clone().try_acquire_owned();
         let (Ok(permit), Ok(stream)) = (permit, TcpStream::from_std(stream)) else {
             if !is_answered {
-                self.count_unread(address);
+                self.count_unread(None);
             }
             return;
         };
         let frontend = self.clone();
-        tasks.spawn(frontend.finish_refusal(stream, address, received, is_answered, permit));
+        tasks.spawn(frontend.finish_refusal(stream, received, is_answered, permit));
     }
 
     /// Waits for the head of a request, answers it, and reads until its caller closes the
@@ -316,7 +310,6 @@
     async fn finish_refusal(
         self: Arc<Self>,
         mut stream: TcpStream,
-        address: IpAddr,
         mut received: Received,
         is_answered: bool,
         _permit: OwnedSemaphorePermit,
@@ -333,7 +326,7 @@
             if received.reads == 0 {
                 // Without a request there is none to refuse; the caller may have opened the
                 // connection in advance.
-                self.count_unread(address);
+                self.count_unread(None);
                 return;
             }
             let _timer = self.context.lateness.time_refusal();
--- a/components/node/src/http.rs
+++ b/components/node/src/http.rs
@@ -13,7 +13,6 @@
 use state::line::Line;
 use std::convert::Infallible;
 use std::future::Future;
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -31,11 +30,11 @@
 /// Pause after a connection could not be accepted: the process may have no free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Accepts the next connection, and retries after errors. Returns it with its caller's address.
-pub(crate) async fn accept(listener: &TcpListener) -> (TcpStream, IpAddr) {
+/// Accepts the next connection, and retries after errors.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
-            Ok((stream, address)) => return (stream, address.ip()),
+            Ok((stream, _)) => return stream,
             Err(error) => {
                 tracing::warn!(event = Line::AcceptFailed.as_str(), %error);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -48,15 +47,15 @@
 ///
 /// A close resets those that are queued, and their callers would not know whether their requests
 /// have run.
-pub(crate) fn accept_queued(listener: TcpListener) -> Vec<(TcpStream, IpAddr)> {
+pub(crate) fn accept_queued(listener: TcpListener) -> Vec<TcpStream> {
     let Ok(listener) = listener.into_std() else {
         return Vec::new();
     };
     let accepted = std::iter::from_fn(|| listener.accept().ok());
     let accepted = accepted.take(QUEUED_CONNECTIONS_MAX);
-    let streams = accepted.filter_map(|(stream, address)| {
+    let streams = accepted.filter_map(|(stream, _)| {
         stream.set_nonblocking(true).ok()?;
-        Some((TcpStream::from_std(stream).ok()?, address.ip()))
+        TcpStream::from_std(stream).ok()
     });
     streams.collect()
 }
@@ -83,7 +82,7 @@
     let mut tasks = JoinSet::new();
     loop {
         let stream = tokio::select! {
-            (stream, _) = accept(&listener) => stream,
+            stream = accept(&listener) => stream,
             Some(_) = tasks.join_next() => continue,
             () = work.until(Phase::Closing) => break,
         };
@@ -97,7 +96,7 @@
             permit,
         ));
     }
-    for (stream, _) in accept_queued(listener) {
+    for stream in accept_queued(listener) {
         if let Ok(permit) = permits.clone().try_acquire_owned() {
             tasks.spawn(serve_connection(
                 stream,
--- a/components/node/src/interface.rs
+++ b/components/node/src/interface.rs
@@ -127,6 +127,15 @@
     pub parse: fn(&[u8]) -> Result<Contents, String>,
 }
 
+/// The header of a caller's request with the key of its customer.
+#[derive(Clone, Copy, Debug)]
+pub struct Key {
+    /// Name of the header, in lower case.
+    pub header: &'static str,
+    /// What stands before the key in its value.
+    pub prefix: &'static str,
+}
+
 /// A header of a caller's request with the time for which the caller waits.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeout {
@@ -141,6 +150,8 @@
 pub struct Interface {
     /// Parses the head of a caller's request; the error says what is wrong with it.
     pub parse_request: fn(&request::Parts) -> Result<Inbound, String>,
+    /// Header with the key of a caller's customer.
+    pub key: Key,
     /// Header with the ID that a caller gives its request, if there is one, in lower case.
     pub request_id: Option<&'static str>,
     /// Header with the time for which a caller waits, if there is one.
@@ -177,6 +188,10 @@
     pub fn native() -> Self {
         Interface {
             parse_request: native_request,
+            key: Key {
+                header: AUTHORIZATION.as_str(),
+                prefix: "Bearer ",
+            },
             request_id: None,
             timeout: None,
             rewrite_headers: native_headers,
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -38,7 +38,7 @@
 
 pub use coordination::rule::shadowed;
 pub use interface::{
-    region, Contents, Inbound, Interface, Inventory, Load, Outbound, Page, Regions, Signals,
+    region, Contents, Inbound, Interface, Inventory, Key, Load, Outbound, Page, Regions, Signals,
     Timeout,
 };
 pub use journal::{Dump, Journal};
--- a/components/node/src/monitor.rs
+++ b/components/node/src/monitor.rs
@@ -8,7 +8,7 @@
 use crate::metric::{gauge_value, Metrics};
 use crate::shared::{cancelled, Published};
 use coordination::admission::{
-    Admission, Arrivals, Intake, Limit, Period, Probes, Quota, Refused, Returns,
+    self, Admission, Arrivals, Intake, Limit, Period, Probes, Quota, Refused, Returns,
 };
 use coordination::overload::Overload;
 use rustix::time::ClockId;
@@ -63,6 +63,9 @@
     previous_ms: AtomicU64,
     /// Requests and connections admitted since the last probe.
     admitted: AtomicU64,
+    /// Connections and requests of customers that bring little, admitted in spite of an overload since
+    /// the last probe.
+    light: AtomicU64,
     /// Connections admitted since the last probe.
     accepted: AtomicU64,
     /// Connections refused with a response since the last probe.
@@ -240,9 +243,19 @@
         self.decide_connection() != Admission::Wait
     }
 
-    /// Decides what to do with an accepted connection, and counts it.
-    pub(crate) fn admit_connection(&self) -> Admission {
-        let admission = self.decide_connection();
+    /// Decides what to do with an accepted connection, and counts it. `is_light` tells whether its
+    /// customer brings little, and is asked only if it matters.
+    pub(crate) fn admit_connection<F>(&self, is_light: F) -> Admission
+    where
+        F: FnOnce() -> bool,
+    {
+        let admission = match self.decide_connection() {
+            Admission::Close | Admission::Wait => match is_light() && self.admit_light() {
+                true => Admission::Admit,
+                false => Admission::Close,
+            },
+            other => other,
+        };
         match admission {
             Admission::Admit => {
                 self.shared.admitted.fetch_add(1, Ordering::Relaxed);
@@ -284,9 +297,23 @@
         }
     }
 
-    /// Decides what to do with a request whose head was read, and counts it.
-    pub(crate) fn admit_request(&self) -> Admission {
-        let admission = Admission::for_request(self.ms());
+    /// Whether a customer that brings little is admitted in spite of an overload, which is counted.
+    fn admit_light(&self) -> bool {
+        let light = &self.shared.light;
+        let is_admitted = admission::admits_light(light.load(Ordering::Relaxed));
+        if is_admitted {
+            light.fetch_add(1, Ordering::Relaxed);
+        }
+        is_admitted
+    }
+
+    /// Decides what to do with a request whose head was read, and counts it. `is_light` tells
+    /// whether its customer brings little.
+    pub(crate) fn admit_request(&self, is_light: bool) -> Admission {
+        let admission = match Admission::for_request(self.ms()) {
+            Admission::Refuse if is_light && self.admit_light() => Admission::Admit,
+            other => other,
+        };
         if admission == Admission::Admit {
             self.shared.admitted.fetch_add(1, Ordering::Relaxed);
         }
@@ -346,6 +373,7 @@
             refused: take(&shared.refused),
             closed: take(&shared.closed),
         };
+        take(&shared.light);
         Period {
             late_ms,
             requests: take(&shared.admitted).saturating_sub(arrivals.admitted),
