Become unready while callers are turned away, although peers take a part

Whoever else came to that router got no connection either.

Cause: the limit on admissions holds tasks at 40 to 60 ms late however much arrives. A router whose peers take a part of its excess becomes unready at a mean of 80 ms only, so that one control loop hid from the other what it waits for: the router never told the load balancer that callers should go elsewhere.

Change: connections that are closed unread for 300 ms, 50 a second or a quarter of what is admitted, make a router unready, whether peers take a part or not. Refusals with an answer (answer-excess) do not, as before.

Tests: a_router_that_turns_callers_away_becomes_unready_although_peers_take_a_part fails without the change (no probe unready); with 2,600 attempts a second the neighbour of a_small_customer_beside_a_lasting_flood_is_served gets 39 of 100 without and 84 with it.

--- a/components/coordination/src/admission/mod.rs
+++ b/components/coordination/src/admission/mod.rs
@@ -267,6 +267,42 @@
     }
 }
 
+/// Detects that connections are closed unread for longer than a burst lasts.
+///
+/// [`Limit`] keeps tasks from running very late however much arrives, so that lateness does not show
+/// how much it turns away.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Excess {
+    /// Requests admitted, counting a connection as one.
+    admitted: Rate,
+    /// Connections that were closed unread.
+    closed: Rate,
+    /// Time for which many connections have been closed, in milliseconds.
+    exceeded_ms: u64,
+}
+
+impl Excess {
+    /// Takes the work since the last probe.
+    pub fn probe(&mut self, period: Period) {
+        let arrivals = period.arrivals;
+        let admitted = arrivals.admitted.max(period.requests);
+        self.admitted
+            .add(admitted, period.length_ms, RATE_WINDOW_MS);
+        self.closed
+            .add(arrivals.closed, period.length_ms, RATE_WINDOW_MS);
+        let is_exceeded = self.closed.0 > (self.admitted.0 / 4).max(RATE_MIN);
+        self.exceeded_ms = match is_exceeded {
+            true => self.exceeded_ms + period.length_ms.min(EXCEEDED_PROBE_MAX_MS),
+            false => 0,
+        };
+    }
+
+    /// Whether so many connections are closed unread that new ones should go to other routers.
+    pub fn is_lasting(&self) -> bool {
+        self.exceeded_ms >= EXCEEDED_AFTER_MS
+    }
+}
+
 /// Work of a router between two probes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Period {
--- a/components/coordination/src/overload.rs
+++ b/components/coordination/src/overload.rs
@@ -103,6 +103,8 @@
     is_relieved: bool,
     /// Whether more arrives than the router can serve.
     is_exceeded: bool,
+    /// Whether connections are closed unread for longer than a burst lasts.
+    is_turning_away: bool,
 }
 
 impl Overload {
@@ -112,6 +114,12 @@
         self.is_exceeded = is_exceeded;
     }
 
+    /// Sets whether connections are closed unread for longer than a burst lasts. The router then
+    /// becomes unready even if other routers take a part of its excess.
+    pub fn set_turning_away(&mut self, is_turning_away: bool) {
+        self.is_turning_away = is_turning_away;
+    }
+
     /// Sets whether this router is a hot spot.
     pub fn set_hot(&mut self, is_hot: bool) {
         self.is_hot = is_hot;
@@ -121,7 +129,8 @@
     ///
     /// Unreadiness only moves a flood to the next router, which has to find out anew what it can
     /// serve. While the excess is handed over, the number of requests therefore does not make
-    /// this router unready, and lateness does only above 80 ms.
+    /// this router unready, and lateness does only above 80 ms. Callers that are turned away in
+    /// spite of it are served by no router, and by the next one only if this one is unready.
     pub fn set_relieved(&mut self, is_relieved: bool) {
         self.is_relieved = is_relieved;
     }
@@ -141,7 +150,7 @@
         let has_excess = (self.is_hot || self.is_exceeded) && !self.is_relieved;
         if self.is_unready {
             self.consider_ready(now, mean_ms);
-        } else if mean_ms >= bound_ms || has_excess {
+        } else if mean_ms >= bound_ms || has_excess || self.is_turning_away {
             self.consider_unready(now);
         }
         self.is_unready
@@ -158,7 +167,7 @@
             return;
         }
         let since = now.since(self.changed_at);
-        let is_calm = mean_ms < CALM_LATENESS_MS && !self.is_exceeded;
+        let is_calm = mean_ms < CALM_LATENESS_MS && !self.is_exceeded && !self.is_turning_away;
         let until = if is_calm {
             self.hold_ms
         } else {
--- a/components/coordination/tests/intake.rs
+++ b/components/coordination/tests/intake.rs
@@ -5,7 +5,7 @@
 
 use coordination::admission::demand::Demand;
 use coordination::admission::{
-    self, Admission, Arrivals, Intake, Limit, Period, Probes, Quota, Refused, Returns,
+    self, Admission, Arrivals, Excess, Intake, Limit, Period, Probes, Quota, Refused, Returns,
 };
 use coordination::budget::{Budget, Resources};
 use coordination::handover::{self, Handover, Origin};
@@ -249,6 +249,7 @@
     previous_ms: u64,
     period: Period,
     overload: Overload,
+    excess: Excess,
     /// Part of the admitted requests that endpoints take, in percent; the others are refused.
     taken_percent: u64,
     reads: u64,
@@ -283,6 +284,7 @@
             previous_ms: 0,
             period: Period::default(),
             overload: Overload::default(),
+            excess: Excess::default(),
             taken_percent: 100,
             reads: 0,
             stalls: None,
@@ -499,6 +501,8 @@
             let is_relieved = peers.decision.is_relieved(Millis(now));
             self.overload.set_relieved(is_relieved);
         }
+        self.excess.probe(period);
+        self.overload.set_turning_away(self.excess.is_lasting());
         let is_unready = self.overload.probe(Millis(now), late_ms, false);
         self.ends.probes += 1;
         self.ends.late_probes += u64::from(late_ms >= OVERLOAD_LATENESS_MS);
@@ -923,6 +927,7 @@
 #[rstest]
 #[case::more_than_a_router_serves(850)]
 #[case::more_than_it_reads(1300)]
+#[case::more_than_it_closes(2600)]
 fn a_small_customer_beside_a_lasting_flood_is_served(#[case] flood_per_s: u64) {
     assert_neighbour_is_served(DataCentre::new(16), flood_per_s);
 }
@@ -935,3 +940,15 @@
 fn the_only_router_of_a_data_centre_admits_a_small_customer_in_a_flood(#[case] flood_per_s: u64) {
     assert_neighbour_is_served(DataCentre::new(1), flood_per_s);
 }
+
+/// Failure: a router turns callers away for as long as a flood lasts, and stays ready since it is
+/// not very late and peers take a part.
+#[test]
+fn a_router_that_turns_callers_away_becomes_unready_although_peers_take_a_part() {
+    let decision = Decision::ByLateness(Limit::default());
+    let mut router = Router::new(decision, 300);
+    router.peers = Some(Peers::new(8, 180));
+    let ends = router.replay(0, 3, 1300);
+    assert!(ends.closed > 300, "{ends:?}");
+    assert!(ends.unready_probes > 0, "{ends:?}");
+}
--- a/components/node/src/monitor.rs
+++ b/components/node/src/monitor.rs
@@ -8,7 +8,7 @@
 use crate::metric::{gauge_value, Metrics};
 use crate::shared::{cancelled, Published};
 use coordination::admission::{
-    self, Admission, Arrivals, Intake, Limit, Period, Probes, Quota, Refused, Returns,
+    self, Admission, Arrivals, Excess, Intake, Limit, Period, Probes, Quota, Refused, Returns,
 };
 use coordination::overload::Overload;
 use rustix::time::ClockId;
@@ -455,6 +455,7 @@
     let mut latest_ms = 0;
     let mut overload = Overload::default();
     let mut decision = Decision::new(lateness.answers_excess);
+    let mut excess = Excess::default();
     let mut meter = Meter::new(&metrics);
     loop {
         let lateness_ms = tokio::select! {
@@ -476,6 +477,8 @@
         let is_hot = published.borrow().is_hot;
         overload.set_hot(is_hot);
         overload.set_exceeded(decision.is_exceeded());
+        excess.probe(period);
+        overload.set_turning_away(excess.is_lasting());
         let is_shedding = overload.probe(now, lateness_ms, is_full);
         let unready_ms = overload.unready_ms(now).unwrap_or(u64::MAX);
         (lateness.shared.unready_ms).store(unready_ms, Ordering::Relaxed);
@@ -486,6 +489,7 @@
                 away = is_shedding,
                 hot = is_hot,
                 exceeded = decision.is_exceeded(),
+                turning_away = excess.is_lasting(),
                 limit = decision.limit().map(|limit| limit / 1000),
                 late_ms = lateness_ms
             );
