--- a/components/coordination/src/admission/demand.rs
+++ b/components/coordination/src/admission/demand.rs
@@ -19,15 +19,15 @@
 /// admitted first.
 const LIGHT_DIVISOR: u64 = 8;
 
-/// Connections and requests that arrived lately.
+/// Connections and requests that arrived within [`WINDOW_MS`], the older ones counting less.
 #[derive(Clone, Copy, Debug, Default)]
-struct Arrivals {
-    /// Thousandths, weighted by how much of [`WINDOW_MS`] is left of the last one.
+struct Inflow {
+    /// In thousandths, at the time of the last arrival.
     sum: u64,
     counted_at: Millis,
 }
 
-impl Arrivals {
+impl Inflow {
     fn at(self, now: Millis) -> u64 {
         let left_ms = WINDOW_MS.saturating_sub(now.since(self.counted_at));
         self.sum * left_ms / WINDOW_MS
@@ -42,7 +42,7 @@
 /// Arrivals of one customer.
 #[derive(Clone, Copy, Debug, Default)]
 struct Row {
-    arrivals: Arrivals,
+    arrivals: Inflow,
     /// Requests read since the last report.
     asked: u64,
     /// Connections closed without an answer since the last report.
@@ -68,7 +68,7 @@
     /// Connections of unknown customers, and what arrived of customers that are not tracked.
     others: Row,
     /// Arrivals of all customers.
-    arrivals: Arrivals,
+    arrivals: Inflow,
 }
 
 impl Demand {
--- a/components/coordination/tests/intake.rs
+++ b/components/coordination/tests/intake.rs
@@ -836,8 +836,8 @@
 
 /// The routers of a data centre behind a load balancer.
 ///
-/// The load balancer sends each caller to the first router of an order that is fixed for its
-/// address, among those that have not failed two probes in a row.
+/// The load balancer sends the callers of a customer to the first router of an order that is fixed
+/// for it, among those that have not failed two probes in a row.
 struct DataCentre {
     routers: Vec<Router>,
     misses: Vec<u32>,
