Refuse responses whose heads can be read in two ways

What callers saw: an endpoint in trouble answered with a `Transfer-Encoding` that is not just `chunked`, with chunks beside a length, or with a status that no client expects, and its response reached the caller as a complete one: the chunk sizes as a part of the body, the body cut to the length, or 600, 999 and an unasked 101 passed on. Streams were continued by such responses, chunk sizes among their events.

Cause: the end of a body was decided three times. hyper's client reads any coding whose last member is not `chunked` as one that ends with the connection, and prefers chunks to a length. The router then removed Transfer-Encoding as a hop-by-hop header, and hyper's server framed the body anew by the Content-Length that was left, or with chunks and a proper end. Statuses were only known to have three digits. Of responses to HEAD, and of 204 and 304, hyper reads no length at all.

Change: `client::Sender` is the only way to send a request from a process of the fleet, and checks the head of each response by `coordination::head` before anything else looks at it: a status of 200 to 599, no coding or exactly `chunked`, equal lengths, not both. The result is the framing that relays use; nothing reads the headers for it again. Endpoints (also those that continue a stream), other routers, load reports, prompt caches and the platform's list pass this place. A refused response is a failed try like one with the ID of another request: retried where allowed, 502 with an unknown outcome else, counted against the endpoint's health, and logged with the part of the head that is malformed. It is no evidence that the request crashes endpoints.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod engine;
 pub mod failback;
 pub mod handover;
+pub mod head;
 pub mod health;
 pub mod idle;
 pub mod ledger;
--- a/components/node/src/fetch.rs
+++ b/components/node/src/fetch.rs
@@ -1,5 +1,6 @@
 //! Fetches a page from an endpoint or the platform over HTTP.
 
+use crate::client;
 use crate::paced::Paced;
 use bytes::Bytes;
 use errors::{Error, Result};
@@ -13,14 +14,15 @@
 ///
 /// # Errors
 ///
-/// If the peer cannot be reached, answers with a status other than 200, or the page is longer.
+/// If the peer cannot be reached, answers with a status other than 200 or a malformed head, or the
+/// page is longer.
 pub(crate) async fn fetch(peer: SocketAddr, path: &str, max: usize) -> Result<Bytes> {
     let step = "read a page";
     let stream = TcpStream::connect(peer)
         .await
         .map_err(Error::peer(step, peer))?;
     let stream = TokioIo::new(Paced::new(stream));
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(stream)
+    let (mut sender, connection) = client::handshake(stream, None)
         .await
         .map_err(Error::peer(step, peer))?;
     let request = Request::get(path)
@@ -29,10 +31,8 @@
         .body(Empty::<Bytes>::new())
         .map_err(Error::peer(step, peer))?;
     let answer = async {
-        let response = sender
-            .send_request(request)
-            .await
-            .map_err(Error::peer(step, peer))?;
+        let sent = sender.send(request).await;
+        let (response, _) = sent.map_err(Error::peer(step, peer))?;
         let status = response.status();
         if status != StatusCode::OK {
             return Err(Error::peer(step, peer)(format!(
--- a/components/node/src/frontend/forward.rs
+++ b/components/node/src/frontend/forward.rs
@@ -13,7 +13,8 @@
 use super::refusal::{Refusal, DECLINED_CODE, DECLINED_HEADER, OUTCOME_HEADER};
 use super::relay::Abort;
 use super::resume::is_event_stream;
-use super::upstream::{framing, keep_alive_timeout, strip_hop_by_hop, Call, Failure};
+use super::upstream::{keep_alive_timeout, strip_hop_by_hop, Call, Failure};
+use crate::client;
 use crate::handover::{Decided, Handover, Ticket};
 use crate::interface::Inbound;
 use crate::shared::Published;
@@ -147,13 +148,13 @@
         until.unwrap_or(deadline)
     });
     let failure = match sent.await {
-        Ok((response, _)) if is_declined(response.headers()) => {
+        Ok(((response, _), _)) if is_declined(response.headers()) => {
             ticket.decline();
             let error = peer_error(ticket.address(), "its configuration is older");
             failed(Reach::Nothing, error)
         }
-        Ok((response, connection)) => {
-            let (head, forwarded) = begin_answer(frontend, ticket, response, connection, deadline);
+        Ok((received, connection)) => {
+            let (head, forwarded) = begin_answer(frontend, ticket, received, connection, deadline);
             return Ok(Handed::Answered(head, forwarded));
         }
         Err(failure) => {
@@ -179,7 +180,7 @@
 fn begin_answer(
     frontend: &Frontend,
     mut ticket: Ticket,
-    response: Response<Incoming>,
+    (response, framing): (Response<Incoming>, Framing),
     connection: Connection,
     deadline: Instant,
 ) -> (Parts, Box<Forwarded>) {
@@ -188,7 +189,6 @@
     let keep_alive = keep_alive_timeout(&head.headers);
     let is_events = is_event_stream(&head.headers);
     let is_stream = is_events && body.size_hint().exact().is_none();
-    let framing = framing(&head.headers, &body);
     strip_hop_by_hop(&mut head.headers);
     let handover = frontend.context.handover.as_ref();
     let interval = handover.map_or(Duration::ZERO, Handover::relay_interval);
@@ -290,7 +290,7 @@
     ticket: &Ticket,
     mut deadline: Instant,
     patience: F,
-) -> Result<(Response<Incoming>, Connection), Failure>
+) -> Result<((Response<Incoming>, Framing), Connection), Failure>
 where
     F: FnOnce(&mut Call) -> Instant,
 {
@@ -307,7 +307,7 @@
         };
         let request = request(call, &frontend.context.vm, version, address)
             .map_err(|error| failed(Reach::Nothing, error))?;
-        let sending = connection.sender.try_send_request(request);
+        let sending = connection.sender.send(request);
         tokio::pin!(sending);
         let sent = loop {
             let driven = connection.drive(sending.as_mut());
@@ -325,22 +325,20 @@
             }
         };
         match sent {
-            Ok(response) if response.headers().contains_key(OUTCOME_HEADER) => {
-                return Ok((response, connection))
+            Ok(received) if received.0.headers().contains_key(OUTCOME_HEADER) => {
+                return Ok((received, connection))
             }
             Ok(_) => {
                 // Something else has the address by now.
                 let error = peer_error(address, "the answer is not that of a router");
                 return Err(failed(Reach::Sent, error));
             }
-            Err(mut error) => {
-                let unsent = error.take_message().is_some();
-                if unsent && reused {
-                    pooled = frontend.peers.take(&key(ticket), true);
-                    continue;
-                }
-                let reach = if unsent { Reach::Nothing } else { Reach::Sent };
-                let error = Error::peer("hand over to a router", address)(error.into_error());
+            Err(client::Failure::Unsent(_)) if reused => {
+                pooled = frontend.peers.take(&key(ticket), true);
+            }
+            Err(failure) => {
+                let reach = failure.reach();
+                let error = Error::peer("hand over to a router", address)(failure);
                 return Err(failed(reach, error));
             }
         }
--- a/components/node/src/frontend/pool.rs
+++ b/components/node/src/frontend/pool.rs
@@ -1,10 +1,11 @@
 //! Pool of idle connections to endpoints, and how a new connection is opened.
 
+use crate::client::{self, Sender};
 use crate::paced::Paced;
 use bytes::Bytes;
 use errors::{Error, Result};
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use state::id::EndpointId;
 use std::collections::HashMap;
@@ -55,7 +56,7 @@
 
 /// An HTTP connection to an endpoint, closed when dropped.
 pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: Sender<Full<Bytes>>,
     driver: Driver,
 }
 
@@ -201,7 +202,7 @@
 /// descriptor left for the connection.
 pub(crate) async fn connect(address: SocketAddr) -> Result<Connection> {
     let stream = open(address).await?;
-    let (sender, connection) = http1::handshake(stream)
+    let (sender, connection) = client::handshake(stream, None)
         .await
         .map_err(Error::peer(CONNECT, address))?;
     let driver = tokio::spawn(async move {
@@ -219,9 +220,7 @@
 /// As for [`connect`].
 pub(crate) async fn connect_to_peer(address: SocketAddr) -> Result<Connection> {
     let stream = open(address).await?;
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(PEER_BUFFER_BYTES)
-        .handshake(stream)
+    let (sender, connection) = client::handshake(stream, Some(PEER_BUFFER_BYTES))
         .await
         .map_err(Error::peer(CONNECT, address))?;
     let driver = Driver::Held(Box::new(connection));
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -517,7 +517,7 @@
             return Err("no-stream");
         }
         Ok(Resumed {
-            framing: upstream::framing(&head.headers, &body),
+            framing: answer.framing,
             software: dispatch.software,
             body,
             slot,
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -713,7 +713,7 @@
     let (mut head, body) = answer.response.into_parts();
     let frontend = subject.frontend.clone();
     let keep_alive = upstream::keep_alive_timeout(&head.headers);
-    let framing = upstream::framing(&head.headers, &body);
+    let framing = answer.framing;
     upstream::strip_hop_by_hop(&mut head.headers);
     // The endpoint's version: a response of HTTP/1.0 would have no chunks to show a break by.
     head.version = Version::HTTP_11;
--- a/components/node/src/frontend/upstream.rs
+++ b/components/node/src/frontend/upstream.rs
@@ -5,6 +5,7 @@
 
 use super::pool::{self, Connection, Pool};
 use super::refusal::set_header;
+use crate::client;
 use crate::input::Dispatch;
 use crate::interface::{Interface, Outbound, Signals};
 use bytes::Bytes;
@@ -15,7 +16,7 @@
 use coordination::retry::Reach;
 use errors::{Error, Result};
 use http_body_util::Full;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{
     HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING,
 };
@@ -85,23 +86,11 @@
     }
 }
 
-/// How the end of an answer's body is marked. To be called before hop-by-hop headers are removed.
-pub(crate) fn framing(headers: &HeaderMap, body: &Incoming) -> Framing {
-    if body.size_hint().exact().is_some() {
-        return Framing::Length;
-    }
-    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
-    let codings = codings.and_then(|v| v.to_str().ok());
-    let last = codings.and_then(|v| v.rsplit(',').next());
-    match last.is_some_and(|c| c.trim().eq_ignore_ascii_case("chunked")) {
-        true => Framing::Chunked,
-        false => Framing::Close,
-    }
-}
-
 /// Head of an answer, with the connection that its body arrives on.
 pub(crate) struct Answer {
     pub(crate) response: Response<Incoming>,
+    /// How the end of its body is marked.
+    pub(crate) framing: Framing,
     pub(crate) connection: Connection,
     /// Backoff that the endpoint asks for.
     pub(crate) backoff: Option<Backoff>,
@@ -148,23 +137,19 @@
         let request = call
             .request(dispatch, &options, remaining)
             .map_err(unsent_failure)?;
-        match connection.sender.try_send_request(request).await {
-            Ok(response) => {
-                return check_answer(call, dispatch, options.interface, response, connection)
+        match connection.sender.send(request).await {
+            Ok(received) => {
+                return check_answer(call, dispatch, options.interface, received, connection)
+            }
+            // The endpoint had closed the pooled connection before anything was sent.
+            Err(client::Failure::Unsent(_)) if reused => {
+                pooled = options.pool.take(&key, options.at_most_once);
             }
-            Err(mut error) => {
-                let unsent = error.take_message().is_some();
-                // The endpoint had closed the pooled connection before anything was sent.
-                if unsent && reused {
-                    pooled = options.pool.take(&key, options.at_most_once);
-                    continue;
-                }
-                let reach = if unsent { Reach::Nothing } else { Reach::Sent };
-                let error =
-                    Error::peer("send to an endpoint", dispatch.address)(error.into_error());
+            Err(failure) => {
+                let error = Error::peer("send to an endpoint", dispatch.address);
                 return Err(Failure {
-                    broke_off: reach == Reach::Sent,
-                    ..Failure::new(reach, error)
+                    broke_off: matches!(failure, client::Failure::Connection(_)),
+                    ..Failure::new(failure.reach(), error(failure))
                 });
             }
         }
@@ -193,7 +178,7 @@
     call: &Call,
     dispatch: &Dispatch,
     interface: &Interface,
-    response: Response<Incoming>,
+    (response, framing): (Response<Incoming>, Framing),
     connection: Connection,
 ) -> Result<Answer, Failure> {
     let (head, body) = response.into_parts();
@@ -248,6 +233,7 @@
     }
     Ok(Answer {
         response: Response::from_parts(head, body),
+        framing,
         connection,
         backoff,
         speed: speed_percent.map(|percent| (percent, std::time::Instant::now())),
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! communicate through flume channels.
 
 mod batch;
+mod client;
 mod control;
 mod dissemination;
 mod evacuation;
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -3,6 +3,7 @@
 
 mod harness;
 
+use harness::raw::Server;
 use harness::upload::{Connection, Framing};
 use harness::{eventually, http, Fleet, Plan};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -260,6 +261,44 @@
     assert_eq!(metric(&fleet, "r4", FROM_PEERS), handed_over + 2);
 }
 
+/// Guards against a malformed response that reaches the caller as a complete one through a peer.
+#[test]
+fn refuses_a_malformed_response_to_a_handed_over_request() {
+    let raw = Server::start(|mut request| {
+        let line = match request.head.header("case") {
+            "coding" => "Transfer-Encoding: chunked, gzip",
+            "both" => "Content-Length: 3\r\nTransfer-Encoding: chunked",
+            _ => "Transfer-Encoding: chunked",
+        };
+        let head = format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\n");
+        request.answer((head + "5\r\nhello\r\n0\r\n\r\n").as_bytes())
+    });
+    let fleet = pressed_fleet();
+    let allowed = "services = assistant, booking";
+    let text = fleet.configuration() + SAFE_RULE;
+    let text = text.replace(allowed, &format!("{allowed}, raw"))
+        + &format!(
+            "[service raw]\ncost = request\n[endpoint raw-1]\nservice = raw\naddress = {}\n\
+             data-centre = dc-1\nslots = 4\n\
+             [rule raw]\nwhen-path = /raw\nthen = send\nservice = raw\n",
+            raw.address
+        );
+    let applied = fleet.apply(&text, &[]);
+    assert!(applied.0.success(), "{}", applied.2);
+    fleet.wait_version(fleet.version());
+    eventually("the endpoint serves", || {
+        let answer = fleet.call("r1", "alpha", "/raw", &[("case", "sound")], "x");
+        answer.status == 200 && answer.text() == "hello"
+    });
+    for case in ["coding", "both"] {
+        let handed_over = metric(&fleet, "r4", FROM_PEERS);
+        let answer = fleet.call("r1", "alpha", "/raw", &[("case", case)], "x");
+        let seen = (answer.status, answer.outcome(), raw.count("case", case));
+        assert_eq!(seen, (502, "unknown", 1), "{case}: {:?}", answer.text());
+        assert_eq!(metric(&fleet, "r4", FROM_PEERS), handed_over + 1);
+    }
+}
+
 #[test]
 fn serves_requests_here_if_the_peer_refuses_connections() {
     // Failure: the peer has just been killed, and its figure is still valid.
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod http;
 pub(crate) mod listing;
 pub(crate) mod port;
+pub(crate) mod raw;
 pub(crate) mod slow;
 pub(crate) mod upload;
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -4,6 +4,8 @@
 
 #[path = "harness/port.rs"]
 mod port;
+#[path = "harness/raw.rs"]
+mod raw;
 
 use port::fleet_port;
 use std::collections::HashMap;
@@ -553,6 +555,42 @@
     });
 }
 
+/// Guards against a signed response with a malformed head that reaches the caller as a complete one.
+#[test]
+fn refuses_a_signed_response_with_a_malformed_head() {
+    let lines = [
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunkd\r\nContent-Length: 15",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5",
+    ];
+    let endpoint = raw::Server::start(move |mut request| {
+        // Their paths name the case of the unsafe requests; all others are answered well.
+        let path = request.head.path().to_owned();
+        let line = path.strip_prefix("/a/").and_then(|n| n.parse().ok());
+        let line = line.and_then(|n: usize| lines.get(n).copied());
+        let line = line.unwrap_or("Transfer-Encoding: chunked");
+        let id = request.head.header("attempt-id").to_owned();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: signed\r\n{line}\r\n\r\n"
+        );
+        request.answer((head + "5\r\nhello\r\n0\r\n\r\n").as_bytes())
+    });
+    let fleet = Fleet::start();
+    fleet.set_listing_of_address(endpoint.address);
+    fleet.put_until_accepted(0, &configuration(1, r#""k1""#, "/a/"));
+    fleet.wait_ready();
+    let serves = || fleet.status(0, "/a/sound", "k1") == 200;
+    eventually("the endpoint serves", serves);
+    for n in 0..lines.len() {
+        let path = format!("/a/{n}");
+        let answer = fleet.call(0, &path, "k1").unwrap();
+        assert_eq!(answer.status_code, 502, "{}", answer.head);
+        assert!(!answer.head.contains("signed") && !answer.body.contains("hello"));
+        assert_eq!(endpoint.count_path(&path), 1);
+        eventually("the endpoint serves again", serves);
+    }
+}
+
 /// Guards against a caller that does not read its answer and thereby occupies a slot of the
 /// endpoint, and memory for the buffered answer, indefinitely.
 #[test]
