Test heads and early responses that were refused before

An endpoint in trouble may send lines that are no fields, names with blanks or control bytes, or a response without a length while it gets the upload, whose connection it then resets. hyper's parser rejects these heads (502, unknown outcome, not sent again), and the reset ends the response visibly.

--- a/tests/response_heads.rs
+++ b/tests/response_heads.rs
@@ -6,8 +6,10 @@
 use harness::raw::{Request, Server};
 use harness::{eventually, Fleet, Plan};
 use std::collections::HashSet;
+use std::io::Write;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// Body of the responses.
 const BODY: &str = "hello";
@@ -117,6 +119,26 @@
     values.map(case).to_vec()
 }
 
+/// Responses with lines that are no fields, or whose names are malformed.
+fn line_cases() -> Vec<Case> {
+    let lines: [&[u8]; 9] = [
+        b"no field",
+        b"Content-Length 5",
+        b"Content-Length : 5",
+        b"Content Length: 5",
+        b" Content-Length: 5",
+        b"X\x01Y: 1",
+        b"X\x00Y: 1",
+        b"X\x7fY: 1",
+        b": nameless",
+    ];
+    let case = |line: &[u8]| {
+        let lines = [b"Content-Length: 5\r\n", line].concat();
+        case("200", &lines, BODY, "header")
+    };
+    lines.map(case).to_vec()
+}
+
 /// Rules for requests that may run once, that may run twice, and whose streams are resumed.
 const RULES: &str = "\
     [rule once]\nwhen-path = /once\nthen = send\nservice = raw\nidempotent = no\n\
@@ -258,6 +280,13 @@
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
 
+/// Guards against heads with lines that are no fields, or whose names have blanks or control bytes.
+#[test]
+fn refuses_responses_with_lines_that_are_no_fields() {
+    let wrong = check_refused(&line_cases());
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
 /// Guards against an idempotent request that fails with the endpoint that answers a malformed head
 /// although another one serves.
 #[test]
@@ -504,3 +533,41 @@
         setup.restore();
     }
 }
+
+/// Guards against a part of a response that looks complete, since the endpoint answers while it gets
+/// the request and resets the connection.
+#[test]
+fn shows_that_an_early_response_was_reset_during_the_upload() {
+    let mut setup = Setup::start(|mut request| {
+        if request.head.header("case").is_empty() {
+            return request.answer(OK);
+        }
+        let part = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhel";
+        request.stream.write_all(part)?;
+        std::thread::sleep(Duration::from_millis(100));
+        // The unread body resets the connection.
+        Ok(())
+    });
+    let router = setup.fleet.vm_mut("r1");
+    let text = std::fs::read_to_string(&router.settings).unwrap();
+    let text = text.replace("[callers]\n", "[callers]\nbody-max = 16777216\n");
+    std::fs::write(&router.settings, text).unwrap();
+    router.kill();
+    router.start();
+    setup.fleet.wait_ready();
+    setup.restore();
+    // More than the connection's buffers take.
+    let body = "x".repeat(12 << 20);
+    let router = setup.fleet.callers("r1");
+    for method in ["POST", "PUT"] {
+        for n in 0..8 {
+            let number = n.to_string();
+            let path = format!("/once/{n}");
+            let answer = http::send(router, method, &path, "alpha", &[("case", &number)], &body);
+            let is_whole = answer.status == 200 && answer.complete;
+            assert!(!is_whole, "{method} {n}: {:?}", answer.text());
+            assert!(setup.raw.count("case", &number) > 0, "{answer:?}");
+            setup.restore();
+        }
+    }
+}
