Read responses to the command line as those of endpoints

What operators saw: `get` and the other commands printed a response whose head was malformed, with the chunk sizes as a part of the configuration, and a part of a response that was cut.

Cause: the client took any Transfer-Encoding as proof that the body was whole. minreq reads one that is not `chunked` up to the end of the connection, takes a cut response for a whole one, and drops lines of a head that are no fields, so that these cannot be checked behind its interface.

Change: the client calls `node::exchange`, which `fetch` uses as well, so that its responses pass the same check of their heads. As before, a response with neither a length nor chunks is refused, and redirects are not followed.

Evidence: prints_no_response_that_is_malformed_or_cut (tests/response_heads.rs) failed on at its first case, where `get` printed the chunk sizes, and passes here with all eight and two well-formed ones. The tests of dev, configuration, explain and evacuation pass.

--- a/components/node/src/fetch.rs
+++ b/components/node/src/fetch.rs
@@ -1,11 +1,13 @@
-//! Fetches a page from an endpoint or the platform over HTTP.
+//! Reads pages of endpoints, the platform and operators over HTTP.
 
 use crate::client;
 use crate::paced::Paced;
 use bytes::Bytes;
+use coordination::ending::Framing;
 use errors::{Error, Result};
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{HeaderValue, CONNECTION, HOST};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
@@ -14,10 +16,34 @@
 ///
 /// # Errors
 ///
-/// If the peer cannot be reached, answers with a status other than 200 or a malformed head, or the
-/// page is longer.
+/// If the peer cannot be reached, answers with a status other than 200 or with a malformed head, or
+/// the page is longer.
 pub(crate) async fn fetch(peer: SocketAddr, path: &str, max: usize) -> Result<Bytes> {
     let step = "read a page";
+    let request = Request::get(path).body(Full::default());
+    let request = request.map_err(Error::peer(step, peer))?;
+    let is_page = |status| status == StatusCode::OK;
+    let (response, _) = exchange(step, peer, request, max, is_page).await?;
+    Ok(response.into_body())
+}
+
+/// Sends a request on a connection of its own. Returns the response, with a body of at most `max`
+/// bytes, and how the end of that body was marked. Errors name this `step`.
+///
+/// # Errors
+///
+/// If the peer cannot be reached, answers with a malformed head or with a status that `accepts`
+/// rejects, or the body is longer or not complete.
+pub async fn exchange<F>(
+    step: &'static str,
+    peer: SocketAddr,
+    mut request: Request<Full<Bytes>>,
+    max: usize,
+    accepts: F,
+) -> Result<(Response<Bytes>, Framing)>
+where
+    F: Fn(StatusCode) -> bool,
+{
     let stream = TcpStream::connect(peer)
         .await
         .map_err(Error::peer(step, peer))?;
@@ -25,25 +51,24 @@
     let (mut sender, connection) = client::handshake(stream, None)
         .await
         .map_err(Error::peer(step, peer))?;
-    let request = Request::get(path)
-        .header("host", peer.to_string())
-        .header("connection", "close")
-        .body(Empty::<Bytes>::new())
-        .map_err(Error::peer(step, peer))?;
+    let host = HeaderValue::try_from(peer.to_string()).map_err(Error::peer(step, peer))?;
+    let headers = request.headers_mut();
+    headers.insert(HOST, host);
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
     let answer = async {
         let sent = sender.send(request).await;
-        let (response, _) = sent.map_err(Error::peer(step, peer))?;
-        let status = response.status();
-        if status != StatusCode::OK {
+        let (response, framing) = sent.map_err(Error::peer(step, peer))?;
+        let (head, body) = response.into_parts();
+        if !accepts(head.status) {
+            let status = head.status;
             return Err(Error::peer(step, peer)(format!(
                 "unexpected status {status}"
             )));
         }
-        let body = Limited::new(response.into_body(), max).collect();
-        body.await
-            .map(|b| b.to_bytes())
-            .map_err(Error::peer(step, peer))
+        let body = Limited::new(body, max).collect().await;
+        let body = body.map_err(Error::peer(step, peer))?.to_bytes();
+        Ok((Response::from_parts(head, body), framing))
     };
-    let (body, _) = tokio::join!(answer, connection);
-    body
+    let (answer, _) = tokio::join!(answer, connection);
+    answer
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -38,6 +38,7 @@
 mod work;
 
 pub use coordination::rule::shadowed;
+pub use fetch::exchange;
 pub use interface::{
     region, Contents, Inbound, Interface, Inventory, Key, Load, Outbound, Page, Regions, Signals,
     Timeout,
--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -1,14 +1,20 @@
 //! HTTP client of the operators' interface, which each process of the fleet serves.
 
 use super::Failure;
-use errors::Error;
+use bytes::Bytes;
+use coordination::ending::Framing;
+use errors::{Error, Result};
+use http_body_util::Full;
+use hyper::header::AUTHORIZATION;
+use hyper::{Method, Request};
 use serde::de::DeserializeOwned;
 use state::id::Name;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::Duration;
 
-/// Timeout of a call, in seconds.
-const CALL_TIMEOUT_S: u64 = 15;
+/// Timeout of a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
 /// Largest accepted response body, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -38,7 +44,7 @@
 impl Client<'_> {
     /// Sends a GET request.
     pub(crate) fn get(&self, address: SocketAddr, path: &str) -> Result<Response, Failure> {
-        self.send(minreq::get(url(address, path)), address)
+        self.send(Method::GET, address, path, String::new())
     }
 
     /// Sends a POST request with a text body.
@@ -48,12 +54,12 @@
         path: &str,
         body: String,
     ) -> Result<Response, Failure> {
-        self.send(minreq::post(url(address, path)).with_body(body), address)
+        self.send(Method::POST, address, path, body)
     }
 
     /// Sends a DELETE request.
     pub(crate) fn delete(&self, address: SocketAddr, path: &str) -> Result<Response, Failure> {
-        self.send(minreq::delete(url(address, path)), address)
+        self.send(Method::DELETE, address, path, String::new())
     }
 
     /// Sends a GET request and parses the JSON body; any status but 200 is an error.
@@ -98,36 +104,42 @@
         Ok(found.into_values().collect())
     }
 
-    /// Sends a request with the key and checks that the response is complete.
-    fn send(&self, request: minreq::Request, address: SocketAddr) -> Result<Response, Failure> {
-        // minreq reports a truncated body as complete, so the length is checked below.
-        // Redirects are off, as following one would send a change twice.
-        let response = request
-            .with_header("Authorization", format!("Bearer {}", self.key))
-            .with_timeout(CALL_TIMEOUT_S)
-            .with_follow_redirects(false)
-            .with_max_headers_size(64 * 1024)
-            .send()
-            .map_err(Error::peer("call", address))?;
-        let header = |name: &str| {
-            let mut all = response.headers.iter();
-            all.find(|(n, _)| n.eq_ignore_ascii_case(name))
-                .map(|(_, v)| v.clone())
-        };
-        let body = response.as_bytes();
-        let whole = header("content-length").and_then(|l| l.parse().ok()) == Some(body.len());
-        let chunked = header("transfer-encoding").is_some();
-        if !(whole || chunked) || body.len() > MAX_BODY_BYTES {
+    /// Sends a request with the key, and reads the whole response.
+    fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: String,
+    ) -> Result<Response, Failure> {
+        let step = "call";
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(AUTHORIZATION, format!("Bearer {}", self.key))
+            .body(Full::new(Bytes::from(body)))
+            .map_err(Error::peer(step, address))?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(Error::file("start the runtime", "(process)"))?;
+        let exchange = node::exchange(step, address, request, MAX_BODY_BYTES, |_| true);
+        let (response, framing) = runtime
+            .block_on(async { tokio::time::timeout(CALL_TIMEOUT, exchange).await })
+            .map_err(Error::peer(step, address))??;
+        if framing == Framing::Close {
+            // Processes of the fleet state a length, without which a part looks complete.
             return Err(Failure::Failed(Error::Peer {
-                step: "read a response",
+                step,
                 peer: address.to_string(),
-                reason: "it is truncated or too long".to_owned(),
+                reason: "the response has neither a length nor chunks".to_owned(),
             }));
         }
+        let version = response.headers().get("cowslipford-version");
         Ok(Response {
-            status: response.status_code,
-            version: header("cowslipford-version"),
-            body: String::from_utf8_lossy(body).into_owned(),
+            status: response.status().as_u16(),
+            version: version.and_then(|v| v.to_str().ok()).map(str::to_owned),
+            body: String::from_utf8_lossy(response.body()).into_owned(),
         })
     }
 }
@@ -158,7 +170,3 @@
         }
     }
 }
-
-fn url(address: SocketAddr, path: &str) -> String {
-    format!("http://{address}{path}")
-}
--- a/tests/response_heads.rs
+++ b/tests/response_heads.rs
@@ -1,4 +1,5 @@
 //! Responses with malformed heads, which reach no caller, and with well-formed ones, which do.
+#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 mod harness;
 
@@ -7,6 +8,7 @@
 use harness::{eventually, Fleet, Plan};
 use std::collections::HashSet;
 use std::io::Write;
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -447,6 +449,64 @@
     });
 }
 
+/// What `get` prints, and its errors, if a process of the fleet responds with these lines and body.
+fn get(lines: &str, body: &str) -> (bool, String, String) {
+    let response = case("200", lines.as_bytes(), body, "").response;
+    let server = Server::start(move |mut request| request.answer(&response));
+    let address = server.address.to_string();
+    let command = Command::new(harness::BINARY)
+        .args(["get", "--operators", &address, "--key", "operator"])
+        .output()
+        .unwrap();
+    let text = |bytes| String::from_utf8_lossy(bytes).into_owned();
+    let (printed, errors) = (text(&command.stdout), text(&command.stderr));
+    (command.status.success(), printed, errors)
+}
+
+/// Guards against a configuration that the command line prints with chunk sizes in it, or a part of
+/// one.
+#[test]
+fn prints_no_response_that_is_malformed_or_cut() {
+    let no_field = "Transfer-Encoding chunked\r\nContent-Length: 5";
+    let cases = [
+        ("Transfer-Encoding: chunkd", CHUNKS, "transfer-encoding"),
+        (
+            "Transfer-Encoding: gzip, chunked",
+            CHUNKS,
+            "transfer-encoding",
+        ),
+        (
+            "Content-Length: 3\r\nTransfer-Encoding: chunked",
+            CHUNKS,
+            "both",
+        ),
+        (
+            "Content-Length: 3\r\nContent-Length: 5",
+            BODY,
+            "content-length",
+        ),
+        (no_field, CHUNKS, "header"),
+        ("Content-Length: 9", BODY, ""),
+        ("Transfer-Encoding: chunked", "5\r\nhello\r\n", ""),
+        ("X-Kind: close", BODY, "length"),
+    ];
+    for (lines, body, error) in cases {
+        let (is_printed, printed, errors) = get(lines, body);
+        assert!(!is_printed && printed.is_empty(), "{lines}: {printed}");
+        assert!(errors.contains(error), "{lines}: {errors}");
+    }
+    for (lines, body) in [
+        ("Content-Length: 5", BODY),
+        ("Transfer-Encoding: Chunked", CHUNKS),
+    ] {
+        let (is_printed, printed, errors) = get(lines, body);
+        assert!(
+            is_printed && printed.ends_with("hello\n"),
+            "{lines}: {errors}"
+        );
+    }
+}
+
 /// Guards against well-formed responses that are refused or changed, however their ends are marked.
 #[test]
 fn passes_well_formed_responses_on() {
