--- a/tests/response_heads.rs
+++ b/tests/response_heads.rs
@@ -345,6 +345,19 @@
     });
 }
 
+/// Guards against a request that is quarantined as one that crashes endpoints because the responses
+/// to it were malformed.
+#[test]
+fn quarantines_no_request_for_malformed_heads() {
+    let setup = Setup::with_cases(&ambiguous_cases());
+    for n in 1..=5 {
+        let headers = [("case", "0"), ("label", "same")];
+        assert_eq!(setup.call("POST", "/once/same", &headers).status, 502);
+        assert_eq!(setup.raw.count("label", "same"), n);
+        setup.restore();
+    }
+}
+
 /// Text of an event of a stream.
 fn event(n: u32) -> String {
     format!("id: {n}\ndata: {n}\n\n")
