--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -240,7 +240,7 @@
         let mut fleet = Fleet {
             folder: tempfile::tempdir().unwrap(),
             network,
-            allocated_hosts: number * 25,
+            allocated_hosts: number * 20,
             seeds: Vec::new(),
             control: Vec::new(),
             routers: Vec::new(),
