Give responses with a checked head a type of their own

Readers got a pair of hyper's response and its framing, nested in another pair. `client::Response` is made by TryFrom from hyper's and holds the head, the body and the framing. No change of behaviour: tests/response_heads.rs passes.

--- a/components/node/src/client.rs
+++ b/components/node/src/client.rs
@@ -9,14 +9,23 @@
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
 use hyper::rt::{Read, Write};
-use hyper::{Request, Response};
+use hyper::Request;
 use std::fmt;
 use std::future::Future;
 
 /// Sends requests on a connection, and checks the heads of their responses.
 pub(crate) struct Sender<B>(SendRequest<B>);
 
+/// A response whose head is well formed.
+pub(crate) struct Response {
+    pub(crate) head: Parts,
+    pub(crate) body: Incoming,
+    /// How the end of the body is marked.
+    pub(crate) framing: Framing,
+}
+
 /// Why a request has no usable response.
 #[derive(Debug)]
 pub(crate) enum Failure {
@@ -74,7 +83,7 @@
 where
     B: Body + 'static,
 {
-    /// Sends a request. Returns the response, and how the end of its body is marked.
+    /// Sends a request.
     ///
     /// # Errors
     ///
@@ -82,7 +91,7 @@
     pub(crate) fn send(
         &mut self,
         request: Request<B>,
-    ) -> impl Future<Output = Result<(Response<Incoming>, Framing), Failure>> {
+    ) -> impl Future<Output = Result<Response, Failure>> {
         let sending = self.0.try_send_request(request);
         async {
             let response = sending
@@ -91,8 +100,7 @@
                     Some(_) => Failure::Unsent(error.into_error()),
                     None => Failure::Connection(error.into_error()),
                 })?;
-            let framing = framing(&response).map_err(Failure::Head)?;
-            Ok((response, framing))
+            Response::try_from(response).map_err(Failure::Head)
         }
     }
 }
@@ -109,20 +117,24 @@
     }
 }
 
-/// Checks the head of a response, and returns how the end of the body is marked.
-fn framing(response: &Response<Incoming>) -> Result<Framing, Malformed> {
-    let lines = |name| response.headers().get_all(name).iter().map(AsRef::as_ref);
-    let head = Head {
-        status: response.status().as_u16(),
-        transfer_encodings: lines(TRANSFER_ENCODING).collect(),
-        content_lengths: lines(CONTENT_LENGTH).collect(),
-    };
-    let framing = Framing::try_from(&head)?;
-    // Responses to HEAD, and some statuses, end with their heads whatever these state.
-    let is_measured = response.body().size_hint().exact().is_some();
-    Ok(if is_measured {
-        Framing::Length
-    } else {
-        framing
-    })
+impl TryFrom<hyper::Response<Incoming>> for Response {
+    type Error = Malformed;
+
+    fn try_from(response: hyper::Response<Incoming>) -> Result<Self, Malformed> {
+        let (head, body) = response.into_parts();
+        let lines = |name| head.headers.get_all(name).iter().map(AsRef::as_ref);
+        let stated = Framing::try_from(&Head {
+            status: head.status.as_u16(),
+            transfer_encodings: lines(TRANSFER_ENCODING).collect(),
+            content_lengths: lines(CONTENT_LENGTH).collect(),
+        })?;
+        // Responses to HEAD, and some statuses, end with their heads whatever these state.
+        let is_measured = body.size_hint().exact().is_some();
+        let framing = if is_measured { Framing::Length } else { stated };
+        Ok(Response {
+            head,
+            body,
+            framing,
+        })
+    }
 }
--- a/components/node/src/fetch.rs
+++ b/components/node/src/fetch.rs
@@ -57,8 +57,11 @@
     headers.insert(CONNECTION, HeaderValue::from_static("close"));
     let answer = async {
         let sent = sender.send(request).await;
-        let (response, framing) = sent.map_err(Error::peer(step, peer))?;
-        let (head, body) = response.into_parts();
+        let client::Response {
+            head,
+            body,
+            framing,
+        } = sent.map_err(Error::peer(step, peer))?;
         if !accepts(head.status) {
             let status = head.status;
             return Err(Error::peer(step, peer)(format!(
--- a/components/node/src/frontend/forward.rs
+++ b/components/node/src/frontend/forward.rs
@@ -29,7 +29,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST};
 use hyper::http::response::Parts;
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode};
 use state::id::{EndpointId, Name, Version};
 use state::outcome::Outcome;
 use std::future::Future;
@@ -148,13 +148,13 @@
         until.unwrap_or(deadline)
     });
     let failure = match sent.await {
-        Ok(((response, _), _)) if is_declined(response.headers()) => {
+        Ok((response, _)) if is_declined(&response.head.headers) => {
             ticket.decline();
             let error = peer_error(ticket.address(), "its configuration is older");
             failed(Reach::Nothing, error)
         }
-        Ok((received, connection)) => {
-            let (head, forwarded) = begin_answer(frontend, ticket, received, connection, deadline);
+        Ok((response, connection)) => {
+            let (head, forwarded) = begin_answer(frontend, ticket, response, connection, deadline);
             return Ok(Handed::Answered(head, forwarded));
         }
         Err(failure) => {
@@ -180,11 +180,15 @@
 fn begin_answer(
     frontend: &Frontend,
     mut ticket: Ticket,
-    (response, framing): (Response<Incoming>, Framing),
+    response: client::Response,
     connection: Connection,
     deadline: Instant,
 ) -> (Parts, Box<Forwarded>) {
-    let (mut head, body) = response.into_parts();
+    let client::Response {
+        mut head,
+        body,
+        framing,
+    } = response;
     ticket.answer(!has_no_room(&head));
     let keep_alive = keep_alive_timeout(&head.headers);
     let is_events = is_event_stream(&head.headers);
@@ -290,7 +294,7 @@
     ticket: &Ticket,
     mut deadline: Instant,
     patience: F,
-) -> Result<((Response<Incoming>, Framing), Connection), Failure>
+) -> Result<(client::Response, Connection), Failure>
 where
     F: FnOnce(&mut Call) -> Instant,
 {
@@ -325,8 +329,8 @@
             }
         };
         match sent {
-            Ok(received) if received.0.headers().contains_key(OUTCOME_HEADER) => {
-                return Ok((received, connection))
+            Ok(response) if response.head.headers.contains_key(OUTCOME_HEADER) => {
+                return Ok((response, connection))
             }
             Ok(_) => {
                 // Something else has the address by now.
--- a/components/node/src/frontend/resume.rs
+++ b/components/node/src/frontend/resume.rs
@@ -9,6 +9,7 @@
     record_dispatch, take_slot, wait_for_dispatch, Queued, Wanted, MAX_UNCONNECTED_TRIES,
 };
 use super::upstream::{self, Answer, Call, Failure};
+use crate::client;
 use crate::input::{Decided, Dispatch, Input, NextEvent};
 use coordination::dispatcher::Handle;
 use coordination::ending::Framing;
@@ -509,7 +510,11 @@
         dispatch: &Dispatch,
     ) -> Result<Resumed, &'static str> {
         slot.meter.set_speed(answer.speed);
-        let (head, body) = answer.response.into_parts();
+        let client::Response {
+            head,
+            body,
+            framing,
+        } = answer.response;
         if !head.status.is_success() || !is_event_stream(&head.headers) {
             if head.status.is_server_error() {
                 slot.verdict = Verdict::Error;
@@ -517,7 +522,7 @@
             return Err("no-stream");
         }
         Ok(Resumed {
-            framing: answer.framing,
+            framing,
             software: dispatch.software,
             body,
             slot,
--- a/components/node/src/frontend/serve.rs
+++ b/components/node/src/frontend/serve.rs
@@ -13,6 +13,7 @@
 use super::relay::{Answering, Meter, Origin, Relay, Replay, Slot};
 use super::resume::{is_event_stream, RelayedRequest, Resumption, Tries};
 use super::upstream::{self, Answer, Call, Failure};
+use crate::client;
 use crate::input::{Decided, Decision, Dispatch, Input};
 use crate::interface::REQUEST_ID;
 use crate::shared::Published;
@@ -520,7 +521,7 @@
         retries: u32,
         answer: Answer,
     ) -> Result<Answer, Failure> {
-        let status = answer.response.status();
+        let status = answer.response.head.status;
         if !(status.is_server_error() && plan.idempotent && retries < plan.retries) {
             return Ok(answer);
         }
@@ -710,10 +711,13 @@
     dispatch: Dispatch,
 ) -> Served {
     slot.meter.set_speed(answer.speed);
-    let (mut head, body) = answer.response.into_parts();
+    let client::Response {
+        mut head,
+        body,
+        framing,
+    } = answer.response;
     let frontend = subject.frontend.clone();
     let keep_alive = upstream::keep_alive_timeout(&head.headers);
-    let framing = answer.framing;
     upstream::strip_hop_by_hop(&mut head.headers);
     // The endpoint's version: a response of HTTP/1.0 would have no chunks to show a break by.
     head.version = Version::HTTP_11;
--- a/components/node/src/frontend/upstream.rs
+++ b/components/node/src/frontend/upstream.rs
@@ -10,17 +10,15 @@
 use crate::interface::{Interface, Outbound, Signals};
 use bytes::Bytes;
 use coordination::backoff::Backoff;
-use coordination::ending::Framing;
 use coordination::messages::Verdict;
 use coordination::prompt::SharedParts;
 use coordination::retry::Reach;
 use errors::{Error, Result};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::header::{
     HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING,
 };
-use hyper::{HeaderMap, Method, Request, Response, Uri};
+use hyper::{HeaderMap, Method, Request, Uri};
 use state::fingerprint::{Fingerprint, Subject};
 use state::id::{Name, RequestId};
 use std::sync::OnceLock;
@@ -88,9 +86,7 @@
 
 /// Head of an answer, with the connection that its body arrives on.
 pub(crate) struct Answer {
-    pub(crate) response: Response<Incoming>,
-    /// How the end of its body is marked.
-    pub(crate) framing: Framing,
+    pub(crate) response: client::Response,
     pub(crate) connection: Connection,
     /// Backoff that the endpoint asks for.
     pub(crate) backoff: Option<Backoff>,
@@ -138,8 +134,8 @@
             .request(dispatch, &options, remaining)
             .map_err(unsent_failure)?;
         match connection.sender.send(request).await {
-            Ok(received) => {
-                return check_answer(call, dispatch, options.interface, received, connection)
+            Ok(response) => {
+                return check_answer(call, dispatch, options.interface, response, connection)
             }
             // The endpoint had closed the pooled connection before anything was sent.
             Err(client::Failure::Unsent(_)) if reused => {
@@ -178,10 +174,9 @@
     call: &Call,
     dispatch: &Dispatch,
     interface: &Interface,
-    (response, framing): (Response<Incoming>, Framing),
+    response: client::Response,
     connection: Connection,
 ) -> Result<Answer, Failure> {
-    let (head, body) = response.into_parts();
     let Signals {
         request_id,
         not_run,
@@ -189,7 +184,7 @@
         is_leaving,
         retry_after,
         speed_percent,
-    } = (interface.parse_response)(&head);
+    } = (interface.parse_response)(&response.head);
     let retry_after = retry_after.map(|time| Backoff::pausing(dispatch.endpoint, time));
     let backoff = is_leaving
         .then(|| Backoff::leaving(dispatch.endpoint))
@@ -232,8 +227,7 @@
         });
     }
     Ok(Answer {
-        response: Response::from_parts(head, body),
-        framing,
+        response,
         connection,
         backoff,
         speed: speed_percent.map(|percent| (percent, std::time::Instant::now())),
