Announce the close of the connections of a test server

The server of the tests closes each connection after its response; the router kept those whose response had not said so, and sent the next request while the close was on its way. What may not run twice is then answered as unknown, as it should be. The responses between the cases now have `Connection: close`.

--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -268,7 +268,7 @@
         let line = match request.head.header("case") {
             "coding" => "Transfer-Encoding: chunked, gzip",
             "both" => "Content-Length: 3\r\nTransfer-Encoding: chunked",
-            _ => "Transfer-Encoding: chunked",
+            _ => "Transfer-Encoding: chunked\r\nConnection: close",
         };
         let head = format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\n");
         request.answer((head + "5\r\nhello\r\n0\r\n\r\n").as_bytes())
--- a/tests/harness/raw.rs
+++ b/tests/harness/raw.rs
@@ -59,7 +59,8 @@
 }
 
 impl Server {
-    /// Starts a server that calls a function for each request, and closes the connection after it.
+    /// Starts a server that calls a function for each request, and closes the connection after it. A
+    /// response that others may follow should announce that with `Connection: close`.
     pub(crate) fn start<F>(answer: F) -> Self
     where
         F: Fn(Request<'_>) -> Result<()> + Send + Sync + 'static,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -568,7 +568,7 @@
         let path = request.head.path().to_owned();
         let line = path.strip_prefix("/a/").and_then(|n| n.parse().ok());
         let line = line.and_then(|n: usize| lines.get(n).copied());
-        let line = line.unwrap_or("Transfer-Encoding: chunked");
+        let line = line.unwrap_or("Transfer-Encoding: chunked\r\nConnection: close");
         let id = request.head.header("attempt-id").to_owned();
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: signed\r\n{line}\r\n\r\n"
--- a/tests/response_heads.rs
+++ b/tests/response_heads.rs
@@ -17,8 +17,9 @@
 const BODY: &str = "hello";
 /// The same in chunks.
 const CHUNKS: &str = "5\r\nhello\r\n0\r\n\r\n";
-/// Response to requests that name no case.
-const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+/// Response to requests that name no case. The server closes each connection after its response, and a
+/// request that is sent at that moment would be lost.
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\nhello";
 
 /// A response that an endpoint gives.
 #[derive(Clone, Debug)]
