Test each reported kind of response through the platform's adapter

Signed responses were tested with malformed codings alone, and only through one path. The three tests in tests/platform.rs now have, with identity and signature: statuses 000, 099, 101, 600, 999 and 20, spoilt lengths, a line that is no field, names with a blank and a control byte, codings, a length beside chunks (each refused with 502, unknown, one run); well-formed ones with a length, equal lengths, chunks in capitals, neither, HTTP/1.0, 404, 204 and 304; an early 200 that is reset during an upload of 12 MiB.

In tests/response_heads.rs the assertion that five tests repeated stands in assert_refused. A fleet of tests/platform.rs uses 16 addresses, of which it needs eight, for there are thirteen tests.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -240,7 +240,7 @@
         let mut fleet = Fleet {
             folder: tempfile::tempdir().unwrap(),
             network,
-            allocated_hosts: number * 20,
+            allocated_hosts: number * 16,
             seeds: Vec::new(),
             control: Vec::new(),
             routers: Vec::new(),
@@ -555,44 +555,154 @@
     });
 }
 
+/// A signed response of an endpoint of the platform; `ID` stands for the request's identity.
+fn signed(status: &str, line: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} Text\r\nAttempt-Id: ID\r\nResponse-Signature: signed\r\n{line}\r\n\r\n{body}"
+    )
+}
+
+/// Starts a fleet with one endpoint, which answers requests to `/a/N` with the response of that
+/// number, and all others well.
+fn fleet_with(responses: Vec<String>) -> (Fleet, raw::Server) {
+    let other = signed("200", "Content-Length: 5\r\nConnection: close", "hello");
+    let endpoint = raw::Server::start(move |mut request| {
+        let number = request.head.path().strip_prefix("/a/");
+        let number = number.and_then(|n| n.parse::<usize>().ok());
+        let response = number.and_then(|n| responses.get(n)).unwrap_or(&other);
+        let response = response.replace("ID", request.head.header("attempt-id"));
+        request.answer(response.as_bytes())
+    });
+    let fleet = Fleet::start();
+    fleet.set_listing_of_address(endpoint.address);
+    fleet.put_until_accepted(0, &configuration(1, r#""k1""#, "/a/"));
+    fleet.wait_ready();
+    (fleet, endpoint)
+}
+
+/// Waits until the endpoint serves a request well, so that it is not ejected for failures in a row.
+fn restore(fleet: &Fleet) {
+    eventually("the endpoint serves", || {
+        fleet.status(0, "/a/sound", "k1") == 200
+    });
+}
+
+/// Sends requests until the endpoint has one; returns the answer to that.
+fn answer_of(fleet: &Fleet, endpoint: &raw::Server, path: &str) -> Answer {
+    let mut answer = None;
+    eventually("the endpoint has the request", || {
+        answer = fleet.call(0, path, "k1");
+        endpoint.count_path(path) > 0
+    });
+    answer.unwrap()
+}
+
 /// Guards against a signed response with a malformed head that reaches the caller as a complete one.
 #[test]
 fn refuses_a_signed_response_with_a_malformed_head() {
-    let lines = [
+    let chunks = "5\r\nhello\r\n0\r\n\r\n";
+    let statuses = ["000", "099", "101", "600", "999", "20"];
+    let statuses = statuses.map(|status| signed(status, "Content-Length: 5", "hello"));
+    let codings = [
         "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding:",
         "Transfer-Encoding: chunkd\r\nContent-Length: 15",
         "Transfer-Encoding: chunked\r\nContent-Length: 5",
     ];
-    let endpoint = raw::Server::start(move |mut request| {
-        // A path that ends in a number names a line; all other requests are answered well.
-        let path = request.head.path().to_owned();
-        let line = path.strip_prefix("/a/").and_then(|n| n.parse().ok());
-        let line = line.and_then(|n: usize| lines.get(n).copied());
-        let line = line.unwrap_or("Transfer-Encoding: chunked\r\nConnection: close");
-        let id = request.head.header("attempt-id").to_owned();
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: signed\r\n{line}\r\n\r\n"
-        );
-        request.answer((head + "5\r\nhello\r\n0\r\n\r\n").as_bytes())
+    let codings = codings.map(|line| signed("200", line, chunks));
+    let lines = [
+        "Content-Length: 5x",
+        "Content-Length: 5, 6",
+        "Content-Length: 5\r\nno field",
+        "Content-Length: 5\r\nX Y: 1",
+        "Content-Length: 5\r\nX\u{1}Y: 1",
+    ];
+    let lines = lines.map(|line| signed("200", line, "hello"));
+    let responses = [&statuses[..], &codings, &lines].concat();
+    let (fleet, endpoint) = fleet_with(responses.clone());
+    for (n, response) in responses.iter().enumerate() {
+        restore(&fleet);
+        let path = format!("/a/{n}");
+        let answer = answer_of(&fleet, &endpoint, &path);
+        assert_eq!(answer.status_code, 502, "{response:?}: {}", answer.head);
+        assert!(!answer.head.contains("signed") && !answer.body.contains("hello"));
+        assert!(answer.body.contains("\"unknown\""), "{}", answer.body);
+        assert_eq!(endpoint.count_path(&path), 1, "{response:?}");
+    }
+}
+
+/// Guards against signed, well-formed responses that are refused, however their ends are marked.
+#[test]
+fn passes_signed_well_formed_responses_on() {
+    let chunks = "5\r\nhello\r\n0\r\n\r\n";
+    let responses = [
+        signed("200", "Content-Length: 5", "hello"),
+        signed("200", "content-length: 5, 5", "hello"),
+        signed("200", "TRANSFER-ENCODING: Chunked", chunks),
+        signed("200", "X-Kind: close", "hello"),
+        signed("200", "X-Kind: old", "hello").replace("HTTP/1.1", "HTTP/1.0"),
+        signed("404", "Content-Length: 5", "hello"),
+        signed("204", "X-Kind: empty", ""),
+        signed("304", "Content-Length: 5", ""),
+    ];
+    let (fleet, endpoint) = fleet_with(responses.to_vec());
+    for (n, response) in responses.iter().enumerate() {
+        restore(&fleet);
+        let answer = answer_of(&fleet, &endpoint, &format!("/a/{n}"));
+        let status = response.split(' ').nth(1).unwrap();
+        assert_eq!(answer.status_code.to_string(), status, "{response:?}");
+        let body = response.contains("hello");
+        assert!(answer.head.contains("response-signature: signed"));
+        assert_eq!(answer.body.contains("hello"), body, "{response:?}");
+    }
+}
+
+/// Guards against a part of a signed response that looks complete, since the endpoint answers while it
+/// gets the request and resets the connection.
+#[test]
+fn shows_that_a_signed_early_response_was_reset_during_the_upload() {
+    let endpoint = raw::Server::start(|request| {
+        let part = signed("200", "X-Kind: close", "hel");
+        let part = part.replace("ID", request.head.header("attempt-id"));
+        request.stream.write_all(part.as_bytes())?;
+        std::thread::sleep(Duration::from_millis(100));
+        // The unread body resets the connection.
+        Ok(())
     });
-    let fleet = Fleet::start();
+    let mut fleet = Fleet::start();
     fleet.set_listing_of_address(endpoint.address);
     fleet.put_until_accepted(0, &configuration(1, r#""k1""#, "/a/"));
     fleet.wait_ready();
-    let serves = || fleet.status(0, "/a/sound", "k1") == 200;
-    eventually("the endpoint serves", serves);
-    for n in 0..lines.len() {
+    let router = &mut fleet.routers[0];
+    router.kill();
+    let text = std::fs::read_to_string(&router.settings).unwrap();
+    let text = text.replace("[callers]\n", "[callers]\nbody-max = 16777216\n");
+    std::fs::write(&router.settings, text).unwrap();
+    router.start();
+    eventually("the router is ready", || fleet.routers[0].is_ready());
+    // More than the connection's buffers take.
+    let body = vec![b'x'; 12 << 20];
+    for n in 0..4 {
         let path = format!("/a/{n}");
-        let mut answer = None;
+        let mut answer = Vec::new();
         eventually("the endpoint has the request", || {
-            answer = fleet.call(0, &path, "k1");
+            let mut stream = TcpStream::connect(fleet.routers[0].address).unwrap();
+            stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+            let head = format!(
+                "POST {path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\nKey: k1\r\n\
+                 Deadline-Ms: 8000\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+                body.len()
+            );
+            answer.clear();
+            // A router that is late turns the request away.
+            let _ = stream.write_all(head.as_bytes());
+            let _ = stream.write_all(&body);
+            let _ = stream.read_to_end(&mut answer);
             endpoint.count_path(&path) > 0
         });
-        let answer = answer.unwrap();
-        assert_eq!(answer.status_code, 502, "{}", answer.head);
-        assert!(!answer.head.contains("signed") && !answer.body.contains("hello"));
-        assert_eq!(endpoint.count_path(&path), 1);
-        eventually("the endpoint serves again", serves);
+        let text = String::from_utf8_lossy(&answer);
+        let is_whole = text.starts_with("HTTP/1.1 200") && text.ends_with("\r\n0\r\n\r\n");
+        assert!(!is_whole, "{text}");
     }
 }
 
--- a/tests/response_heads.rs
+++ b/tests/response_heads.rs
@@ -232,8 +232,8 @@
     }
 }
 
-/// Sends requests that may run once, and returns what is wrong with the answers.
-fn check_refused(cases: &[Case]) -> Vec<String> {
+/// Sends requests that may run once, and checks that they ran once with an unknown outcome.
+fn assert_refused(cases: &[Case]) {
     let setup = Setup::with_cases(cases);
     let mut wrong = Vec::new();
     for (n, case) in cases.iter().enumerate() {
@@ -256,45 +256,40 @@
             setup.restore();
         }
     }
-    wrong
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
 
 /// Guards against responses whose chunks reach callers as the body, since another coding is read
 /// as one that ends with the connection.
 #[test]
 fn refuses_responses_with_a_malformed_transfer_encoding() {
-    let wrong = check_refused(&coding_cases());
-    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    assert_refused(&coding_cases());
 }
 
 /// Guards against responses with chunks whose body is cut to the length beside them.
 #[test]
 fn refuses_responses_with_both_a_length_and_chunks() {
-    let wrong = check_refused(&ambiguous_cases());
-    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    assert_refused(&ambiguous_cases());
 }
 
 /// Guards against statuses that no client expects, and against a switch of protocols that none has
 /// asked for.
 #[test]
 fn refuses_responses_whose_status_is_not_final() {
-    let wrong = check_refused(&status_cases());
-    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    assert_refused(&status_cases());
 }
 
 /// Guards against responses whose body is read by a malformed length, and against such lengths of
 /// responses without a body.
 #[test]
 fn refuses_responses_with_a_malformed_length() {
-    let wrong = check_refused(&length_cases());
-    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    assert_refused(&length_cases());
 }
 
 /// Guards against heads with lines that are no fields, or whose names have blanks or control bytes.
 #[test]
 fn refuses_responses_with_lines_that_are_no_fields() {
-    let wrong = check_refused(&line_cases());
-    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    assert_refused(&line_cases());
 }
 
 /// Guards against an idempotent request that fails with the endpoint that answers a malformed head
