--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 program=../../target/review-2/release/review-cases
 [ -x "$program" ] && [ -x ../../target/release/cowslipford ] || exit 2
-exec "$program" history record.txt ../..
+exec "$program" behind record.txt ../..
