--- a/review/standin-2/src/behind.rs
+++ b/review/standin-2/src/behind.rs
@@ -102,7 +102,8 @@
     for service in ["booking-blue", "booking-blue", "booking-green", "booking-green"] {
         fleet.add_replica(service)?;
     }
-    fleet.start(3)?;
+    // Ten machines: one that stands still is a share of 0.1.
+    fleet.start(7)?;
     let mut version = 10;
     for count in ROUTES {
         version += 3;
