Bound the bytes that all links of a process hold together

Callers lost: requests in progress, when a process was killed for its memory.

Its bytes count until the last link has dropped them, also while they wait for an acknowledgement. Beyond 12 % of the memory of the VM (at least two of the longest frames) the link with the longest queue is closed, and its peer asks anew. Both kinds of closing are logged as link-backlogged; the gauge of links has buffered_bytes.

--- a/components/coordination/src/budget.rs
+++ b/components/coordination/src/budget.rs
@@ -48,6 +48,15 @@
 /// Least number of connections that are set aside for refusals.
 const REFUSALS_MIN: usize = 4;
 
+/// Percentage of the memory for frames that links hold until their peers have taken them. Peers that
+/// take nothing are noticed after the idle timeout of their links.
+const LINKS_PERCENT: u64 = 12;
+
+/// Most bytes of frames that all links of a process may hold, from the memory of its VM in bytes.
+pub fn link_bytes(memory_bytes: u64) -> usize {
+    usize::try_from(memory_bytes / 100 * LINKS_PERCENT).unwrap_or(usize::MAX)
+}
+
 /// Resources of a VM that one process may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Resources {
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -16,7 +16,7 @@
 use crate::shared::{cancelled, Published, Shared};
 use crate::work::Tally;
 use crate::{http, inventory, listing, monitor, origin_log, platform, poll, readiness, releases};
-use coordination::budget::{Budget, Resources};
+use coordination::budget::{self, Budget, Resources};
 use coordination::consensus::Admission;
 use coordination::dispatcher::{Bounds, Location};
 use coordination::retry;
@@ -102,7 +102,8 @@
             idle_timeout: Duration::from_millis(settings.link.idle_ms),
             keep_alive_interval: Duration::from_millis(settings.link.keep_alive_ms),
         };
-        let socket = Socket::bind(settings.link.listen, &credentials, timing)?;
+        let mut socket = Socket::bind(settings.link.listen, &credentials, timing)?;
+        socket.set_buffer_bytes(budget::link_bytes(settings.vm.memory_bytes));
         Starter::new(settings, interface, socket)?.start().await
     }
 
--- a/components/node/src/reactor/status.rs
+++ b/components/node/src/reactor/status.rs
@@ -81,6 +81,7 @@
         set("datagrams", datagrams);
         set("datagram_bytes", bytes);
         set("links", self.parts.hub.peers().len() as u64);
+        set("buffered_bytes", self.parts.hub.buffered_bytes() as u64);
         for (kind, (frames, bytes)) in self.parts.hub.counts().frames_by_kind() {
             metrics
                 .frames
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -97,6 +97,8 @@
     AcceptFailed,
     /// A message to another process could not be sent.
     MessageLost,
+    /// A link was closed because its peer does not take what is queued for it.
+    LinkBacklogged,
     /// Use of the VM's resources by the process, while it is high.
     Pressure,
     /// The process began or ceased to send new connections to other routers because of its load.
@@ -114,7 +116,7 @@
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 53] = [
+    pub const ALL: [Line; 54] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -162,6 +164,7 @@
         Line::ListingUnreadable,
         Line::AcceptFailed,
         Line::MessageLost,
+        Line::LinkBacklogged,
         Line::Pressure,
         Line::Overload,
         Line::Dedicated,
@@ -220,6 +223,7 @@
             Line::ListingUnreadable => "listing-unreadable",
             Line::AcceptFailed => "accept-failed",
             Line::MessageLost => "message-lost",
+            Line::LinkBacklogged => "link-backlogged",
             Line::Pressure => "pressure",
             Line::Overload => "overload",
             Line::Dedicated => "dedicated",
--- a/components/transport/src/link.rs
+++ b/components/transport/src/link.rs
@@ -16,7 +16,7 @@
 use state::view::Node;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::task::{JoinHandle, JoinSet};
@@ -29,7 +29,9 @@
 ///
 /// Full views and configurations take megabytes, and thousands of them for one slow peer would
 /// exhaust the memory of a VM. The bound is two of the longest frames.
-const MAX_QUEUED_BYTES: usize = 2 * (codec::HEADER_BYTES + codec::MAX_BODY_BYTES);
+pub const MAX_QUEUED_BYTES: usize = 2 * (codec::HEADER_BYTES + codec::MAX_BODY_BYTES);
+/// Default of the most bytes of frames that all links hold together.
+const DEFAULT_BUFFER_BYTES: usize = 8 * MAX_QUEUED_BYTES;
 /// Time between two attempts to open a link.
 const REDIAL_INTERVAL: Duration = Duration::from_millis(150);
 /// Longest time to open a link, including the handshake.
@@ -91,6 +93,50 @@
     }
 }
 
+/// The bytes of an encoded frame. They count as buffered until the last link has dropped them.
+struct Buffer {
+    bytes: Vec<u8>,
+    /// Bytes of the frames that all links hold.
+    buffered: Arc<AtomicUsize>,
+}
+
+impl Buffer {
+    fn new(bytes: Vec<u8>, buffered: &Arc<AtomicUsize>) -> Self {
+        buffered.fetch_add(bytes.len(), Ordering::Relaxed);
+        Buffer {
+            bytes,
+            buffered: buffered.clone(),
+        }
+    }
+}
+
+impl AsRef<[u8]> for Buffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        self.buffered.fetch_sub(self.bytes.len(), Ordering::Relaxed);
+    }
+}
+
+/// An encoded message, which several peers may be sent.
+#[derive(Clone)]
+pub struct Encoded {
+    /// Kind of the message, for counters.
+    kind: &'static str,
+    frame: Bytes,
+}
+
+impl Encoded {
+    /// Length of the frame in bytes.
+    pub fn length(&self) -> usize {
+        self.frame.len()
+    }
+}
+
 /// A link that is up.
 struct Link {
     /// Introduction of the peer.
@@ -103,16 +149,35 @@
     sender: flume::Sender<Bytes>,
     /// Bytes in the send queue, and those that are being written.
     queued_bytes: Arc<AtomicUsize>,
+    /// Whether the link was closed because of its send queue.
+    is_backlogged: AtomicBool,
     connection: quinn::Connection,
 }
 
 impl Link {
-    /// Adds a frame to the send queue; returns false if the queue is full.
+    /// Adds a frame to the send queue; returns false if the queue is or was full.
     fn queue(&self, frame: Bytes) -> bool {
+        if self.is_backlogged.load(Ordering::Relaxed) {
+            return false;
+        }
         let length = frame.len();
         let queued_bytes = self.queued_bytes.fetch_add(length, Ordering::Relaxed);
         queued_bytes + length <= MAX_QUEUED_BYTES && self.sender.try_send(frame).is_ok()
     }
+
+    /// Closes the link because its peer does not take what is queued.
+    fn close_backlogged(&self) {
+        if self.is_backlogged.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        tracing::warn!(
+            event = Line::LinkBacklogged.as_str(),
+            peer = %self.hello.node.vm,
+            queued = self.sender.len(),
+            queued_bytes = self.queued_bytes.load(Ordering::Relaxed),
+        );
+        self.connection.close(1_u8.into(), b"backlog");
+    }
 }
 
 /// Links of this process, by the name of the peer's VM.
@@ -130,6 +195,28 @@
     serial: u64,
 }
 
+impl Table {
+    /// Closes links, the one with the most queued bytes first, until the frames that remain after
+    /// these links have ended are within `most` bytes.
+    fn shed(&self, buffered: usize, most: usize) {
+        let queued = |link: &Link| link.queued_bytes.load(Ordering::Relaxed);
+        let is_closed = |link: &Link| link.is_backlogged.load(Ordering::Relaxed);
+        let (closed, mut open): (Vec<&Link>, Vec<&Link>) =
+            self.links.values().partition(|link| is_closed(link));
+        let ending: usize = closed.into_iter().map(queued).sum();
+        let mut left = buffered.saturating_sub(ending);
+        open.sort_by_key(|link| std::cmp::Reverse(queued(link)));
+        for link in open {
+            // Frames that are sent but not acknowledged are in no queue.
+            if left <= most || queued(link) == 0 {
+                return;
+            }
+            left = left.saturating_sub(queued(link));
+            link.close_backlogged();
+        }
+    }
+}
+
 /// State that all clones of a [`Hub`] share.
 struct Inner {
     /// Introduction of this process.
@@ -142,6 +229,10 @@
     table: Mutex<Table>,
     events: flume::Sender<Event>,
     counts: Counts,
+    /// Bytes of the frames that all links hold, in queues or until they are acknowledged.
+    buffered: Arc<AtomicUsize>,
+    /// Most such bytes; beyond it, links with long queues are closed.
+    max_buffered: usize,
     /// The one task that owns all others; joined by [`Hub::stop`].
     tasks: tokio::sync::Mutex<JoinSet<()>>,
     /// Sends tasks to the one that owns them.
@@ -163,6 +254,8 @@
     endpoint: quinn::Endpoint,
     client: quinn::ClientConfig,
     verifies_peers: bool,
+    /// Most bytes of frames that all links hold together.
+    buffer_bytes: usize,
 }
 
 impl Socket {
@@ -202,9 +295,15 @@
             endpoint,
             client,
             verifies_peers: credentials.verifies_peers(),
+            buffer_bytes: DEFAULT_BUFFER_BYTES,
         })
     }
 
+    /// Sets the most bytes of frames that all links hold together, at least [`MAX_QUEUED_BYTES`].
+    pub fn set_buffer_bytes(&mut self, bytes: usize) {
+        self.buffer_bytes = bytes.max(MAX_QUEUED_BYTES);
+    }
+
     /// Address that the socket is bound to.
     ///
     /// # Errors
@@ -230,6 +329,8 @@
             table: Mutex::default(),
             events,
             counts: Counts::default(),
+            buffered: Arc::default(),
+            max_buffered: self.buffer_bytes,
             tasks: tokio::sync::Mutex::new(JoinSet::new()),
             spawn,
         });
@@ -339,25 +440,53 @@
             .collect()
     }
 
-    /// Queues a message to a VM; returns false if there is no link, or its send queue is full. A
-    /// message to this process itself arrives as an event.
+    /// Bytes of the frames that all links hold, in queues or until they are acknowledged.
+    pub fn buffered_bytes(&self) -> usize {
+        self.inner.buffered.load(Ordering::Relaxed)
+    }
+
+    /// Queues a message to a VM; returns false if there is no link, or the message cannot be sent on
+    /// it. A message to this process itself arrives as an event.
     pub fn send(&self, vm: &Name, message: Message) -> bool {
         if *vm == self.inner.hello.node.vm {
             let event = Event::Message(vm.clone(), message);
             return self.inner.events.send(event).is_ok();
         }
+        if !self.is_up(vm) {
+            return false;
+        }
         let kind = message.kind();
-        let frame = Frame {
-            stamp: self.inner.clock.stamp(),
-            message,
-        };
-        let bytes = match codec::encode_frame(&frame) {
-            Ok(bytes) => Bytes::from(bytes),
+        match self.encode(message) {
+            Ok(encoded) => self.send_encoded(vm, &encoded),
             Err(error) => {
                 tracing::error!(event = Line::MessageLost.as_str(), peer = %vm, kind, %error);
-                return false;
+                false
             }
+        }
+    }
+
+    /// Encodes a message once for several peers.
+    ///
+    /// # Errors
+    ///
+    /// When the message is longer than a frame may be.
+    pub fn encode(&self, message: Message) -> Result<Encoded> {
+        let kind = message.kind();
+        let frame = Frame {
+            stamp: self.inner.clock.stamp(),
+            message,
         };
+        let bytes = codec::encode_frame(&frame)?;
+        let buffer = Buffer::new(bytes, &self.inner.buffered);
+        Ok(Encoded {
+            kind,
+            frame: Bytes::from_owner(buffer),
+        })
+    }
+
+    /// Queues an encoded message to another VM; returns false if there is no link, or its send queue
+    /// is full. The link is closed then.
+    pub fn send_encoded(&self, vm: &Name, message: &Encoded) -> bool {
         let table = self.inner.table();
         let Some(link) = table.links.get(vm) else {
             return false;
@@ -365,13 +494,18 @@
         if table.muted.contains(vm) {
             return true;
         }
-        let length = bytes.len() as u64;
-        if !link.queue(bytes) {
-            link.connection.close(1_u8.into(), b"backlog");
+        if !link.queue(message.frame.clone()) {
+            link.close_backlogged();
             return false;
         }
-        self.inner.counts.count_sent(kind, length);
-        true
+        let buffered = self.buffered_bytes();
+        if buffered > self.inner.max_buffered {
+            table.shed(buffered, self.inner.max_buffered);
+        }
+        self.inner
+            .counts
+            .count_sent(message.kind, message.frame.len() as u64);
+        !link.is_backlogged.load(Ordering::Relaxed)
     }
 
     /// For failure tests: simulates a network partition from exactly these peers. With `silent`,
@@ -561,6 +695,7 @@
             is_dialed,
             sender,
             queued_bytes,
+            is_backlogged: AtomicBool::new(false),
             connection: connection.clone(),
         };
         table.links.insert(vm, link);
--- a/components/transport/tests/link.rs
+++ b/components/transport/tests/link.rs
@@ -23,10 +23,24 @@
 
 /// Starts a process that introduces itself as `vm`, with a certificate issued to `certificate_vm`.
 fn process(authority: &Identity, vm: &str, certificate_vm: &str, incarnation: u64) -> Process {
+    process_with(authority, (vm, certificate_vm), incarnation, |_| {})
+}
+
+/// Starts a process after its socket was changed.
+fn process_with<F>(
+    authority: &Identity,
+    (vm, certificate_vm): (&str, &str),
+    incarnation: u64,
+    change: F,
+) -> Process
+where
+    F: FnOnce(&mut Socket),
+{
     let identity = issue_certificate(authority, &name(certificate_vm)).unwrap();
     let credentials = Credentials::from_pem(&authority.certificate, &identity).unwrap();
     let any = "127.0.0.1:0".parse().unwrap();
-    let socket = Socket::bind(any, &credentials, Timing::default()).unwrap();
+    let mut socket = Socket::bind(any, &credentials, Timing::default()).unwrap();
+    change(&mut socket);
     let node = Node {
         vm: name(vm),
         address: socket.address().unwrap(),
@@ -169,6 +183,51 @@
     b.hub.stop().await;
 }
 
+/// Guards against queues to several peers that take nothing, each within its bound, that together
+/// exhaust the memory.
+#[tokio::test]
+async fn bounds_the_bytes_queued_for_all_peers_together() {
+    let fleet = create_authority().unwrap();
+    let a = process_with(&fleet, ("a", "a"), 1, |socket| socket.set_buffer_bytes(0));
+    let names = ["b", "c", "d"];
+    let peers = names.map(|vm| process(&fleet, vm, vm, 1));
+    for peer in &peers {
+        a.hub.dial(&peer.node);
+        assert!(matches!(next(&a).await, Some(Event::Up(_))));
+        assert!(matches!(next(peer).await, Some(Event::Up(_))));
+    }
+    let query = Query::Change {
+        id: ChangeId(1),
+        base: Version(1),
+        text: "x".repeat(1 << 20),
+    };
+    // Nothing is written meanwhile, since this task does not yield to another one.
+    let queue = |peer: &Process, count: usize| {
+        let message = || Message::Query(1, query.clone());
+        let taken = (0..count).filter(|_| a.hub.send(&peer.node.vm, message()));
+        taken.count()
+    };
+    assert_eq!(queue(&peers[0], 5), 5);
+    assert_eq!(queue(&peers[1], 2), 2);
+    // The bound is reached. The link with the longest queue is closed, and no other one.
+    assert_eq!(queue(&peers[2], 2), 2);
+    assert_eq!(queue(&peers[0], 1), 0);
+    assert!(matches!(next(&a).await, Some(Event::Down(vm)) if vm == peers[0].node.vm));
+    assert!(matches!(next(&a).await, Some(Event::Up(hello)) if hello.node == peers[0].node));
+    for (peer, count) in [(&peers[1], 2), (&peers[2], 2)] {
+        for _ in 0..count {
+            assert!(matches!(next(peer).await, Some(Event::Message(..))));
+        }
+    }
+    while a.hub.buffered_bytes() > 0 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    a.hub.stop().await;
+    for peer in &peers {
+        peer.hub.stop().await;
+    }
+}
+
 #[tokio::test]
 async fn can_simulate_a_partition_from_a_peer() {
     let fleet = create_authority().unwrap();
