Close a link on which a message cannot be sent

Callers at a router waited until their deadlines, or were served by an old configuration for good: a message longer than a frame was logged as message-lost and dropped, while the link stayed up. Both sides rely on the links' promise that messages arrive complete and in order or the link is down; few senders look at the result, and what the receiver lacked was never sent again.

Hub::send now closes the link. Both sides see it go down and rebuild what depends on it: a child subscribes again, a router asks its scheduler again, a query goes to the next control VM.

closes_a_link_on_which_a_message_cannot_be_sent fails without the change (no event within 20 s) and passes with it.

--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -95,7 +95,7 @@
     ListingUnreadable,
     /// A connection could not be accepted.
     AcceptFailed,
-    /// A message to another process could not be sent.
+    /// A message to another process could not be sent, and the link to it was closed.
     MessageLost,
     /// A link was closed because its peer does not take what is queued for it.
     LinkBacklogged,
--- a/components/transport/src/link.rs
+++ b/components/transport/src/link.rs
@@ -446,7 +446,8 @@
     }
 
     /// Queues a message to a VM; returns false if there is no link, or the message cannot be sent on
-    /// it. A message to this process itself arrives as an event.
+    /// it. The link is closed then, so that both sides know that a message is missing. A message to
+    /// this process itself arrives as an event.
     pub fn send(&self, vm: &Name, message: Message) -> bool {
         if *vm == self.inner.hello.node.vm {
             let event = Event::Message(vm.clone(), message);
@@ -460,6 +461,9 @@
             Ok(encoded) => self.send_encoded(vm, &encoded),
             Err(error) => {
                 tracing::error!(event = Line::MessageLost.as_str(), peer = %vm, kind, %error);
+                if let Some(link) = self.inner.table().links.get(vm) {
+                    link.connection.close(4_u8.into(), b"message too long");
+                }
                 false
             }
         }
--- a/components/transport/tests/link.rs
+++ b/components/transport/tests/link.rs
@@ -1,6 +1,7 @@
 //! Tests of links between processes.
 #![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
+use protocol::codec::MAX_BODY_BYTES;
 use protocol::wire::{Extension, Hello, Message, Query};
 use state::id::{Epoch, Name, Version};
 use state::record::ChangeId;
@@ -183,6 +184,29 @@
     b.hub.stop().await;
 }
 
+/// Guards against a message that is lost while both sides take the link for complete.
+#[tokio::test]
+async fn closes_a_link_on_which_a_message_cannot_be_sent() {
+    let fleet = create_authority().unwrap();
+    let (a, b) = (process(&fleet, "a", "a", 1), process(&fleet, "b", "b", 1));
+    a.hub.dial(&b.node);
+    for process in [&a, &b] {
+        assert!(matches!(next(process).await, Some(Event::Up(_))));
+    }
+    let too_long = Query::Change {
+        id: ChangeId(1),
+        base: Version(1),
+        text: "x".repeat(MAX_BODY_BYTES),
+    };
+    assert!(!a.hub.send(&b.node.vm, Message::Query(1, too_long)));
+    for process in [&a, &b] {
+        assert!(matches!(next(process).await, Some(Event::Down(_))));
+        assert!(matches!(next(process).await, Some(Event::Up(_))));
+    }
+    a.hub.stop().await;
+    b.hub.stop().await;
+}
+
 /// Guards against queues to several peers that take nothing, each within its bound, that together
 /// exhaust the memory.
 #[tokio::test]
