Send the whole view to a process that lacks more than fits into a message

Cause: a process that lacks steps was sent all of them in one message while they were among the last 256, however long. Beyond 4 MiB the message could not be sent, and each further heartbeat led to the same attempt; the steps were cloned and encoded anew each time, which slowed the parent down.

The history holds encoded steps and answers what a process lacks: nothing, steps, or the whole view where that is shorter or a step is missing. Steps that are passed on are divided into messages of at most 1 MiB (or one step), and replaced by the whole view where that is shorter, too. The whole view is encoded once for all children that ask in the same tick. A process that lacks steps asks twice a second at most. view-sent and view-behind tell operators who was sent a whole view, and who is behind.

--- a/components/coordination/src/lib.rs
+++ b/components/coordination/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod handover;
 pub mod head;
 pub mod health;
+pub mod history;
 pub mod idle;
 pub mod ledger;
 pub mod limit;
--- a/components/node/src/dissemination.rs
+++ b/components/node/src/dissemination.rs
@@ -3,14 +3,17 @@
 //!
 //! Processes form trees whose roots are the control VMs.
 
+use coordination::history::{ranges, History, Missed, MESSAGE_BYTES_MAX};
 use coordination::tree::{Attachment, Confirmation, Tree};
+use protocol::codec;
 use protocol::wire::{Hello, Message};
 use smallvec::SmallVec;
 use state::clock::Millis;
 use state::id::{Name, Version};
+use state::line::Line;
 use state::view::{Acceptance, Node, Step, View};
-use std::collections::{BTreeMap, VecDeque};
-use transport::link::Hub;
+use std::collections::BTreeMap;
+use transport::link::{Encoded, Hub};
 
 /// Time between two heartbeats that a root sends down the tree, in milliseconds.
 const ROOT_HEARTBEAT_INTERVAL_MS: u64 = 1000;
@@ -31,8 +34,12 @@
 /// The number of routers is sent to children again when it has changed by more than one part in
 /// this many.
 const SIZE_CHANGE_PARTS: u32 = 8;
-/// Number of recent steps that are kept for children that have missed some.
-const HISTORY_STEPS: usize = 256;
+/// Time between two requests for the versions that this process lacks, in milliseconds. Until the
+/// answer to the first one arrives, every further step shows again that some are missing.
+const RESUBSCRIBE_INTERVAL_MS: u64 = 500;
+/// Time for which a newer version must have been in force before this process logs that its view is
+/// behind, in milliseconds.
+const BEHIND_AFTER_MS: u64 = 3000;
 
 /// Position of this process in the tree.
 #[derive(Clone, Debug)]
@@ -62,8 +69,15 @@
     tree: Tree,
     /// Nodes that were redirected to a control VM of their own data centre, and when.
     redirected: BTreeMap<Name, Millis>,
-    /// Recent steps, oldest first.
-    history: VecDeque<Step>,
+    /// Recent steps, for children that have missed some.
+    history: History,
+    /// The encoded view, while several children may need it, and its version.
+    whole: Option<(Version, Encoded)>,
+    /// When versions that this process lacks were last requested.
+    resubscribed_at: Option<Millis>,
+    /// Newest version of which this process knows that it is in force, while the view is older, since
+    /// when, and whether that was logged.
+    behind: Option<(Version, Millis, bool)>,
     /// When the last heartbeat arrived.
     last_heartbeat_at: Option<Millis>,
     /// Latest time at which the view was proved to be the newest.
@@ -115,7 +129,10 @@
             position,
             tree: Tree::new(fanout),
             redirected: BTreeMap::new(),
-            history: VecDeque::new(),
+            history: History::default(),
+            whole: None,
+            resubscribed_at: None,
+            behind: None,
             last_heartbeat_at: None,
             verified_at: None,
             pending_proof: None,
@@ -235,8 +252,31 @@
         }
     }
 
+    /// Notes which version is in force, and logs if the view has been older for seconds.
+    fn observe_head(&mut self, now: Millis, version: Version, head: Version) {
+        if version >= head {
+            return;
+        }
+        let (newer, since, is_logged) = self.behind.get_or_insert((head, now, false));
+        if !*is_logged && now.since(*since) >= BEHIND_AFTER_MS {
+            *is_logged = true;
+            tracing::warn!(
+                event = Line::ViewBehind.as_str(),
+                is_behind = true,
+                version = version.0,
+                newer = newer.0,
+            );
+        }
+    }
+
     /// Records that a version came into force, which may complete a pending proof.
     pub(crate) fn on_new_version(&mut self, version: Version) {
+        let caught_up = self.behind.take_if(|(newer, ..)| version >= *newer);
+        if let Some((_, _, true)) = caught_up {
+            let event = Line::ViewBehind.as_str();
+            tracing::info!(event, is_behind = false, version = version.0);
+        }
+        self.resubscribed_at = None;
         if let Some((at, _)) = self.pending_proof.take_if(|(_, head)| version >= *head) {
             self.verified_at = self.verified_at.max(Some(at));
         }
@@ -277,19 +317,20 @@
     /// new.
     pub(crate) fn apply_steps(
         &mut self,
+        now: Millis,
         view: &mut View,
         hub: &Hub,
         from: Option<&Name>,
         steps: &[Step],
     ) -> bool {
-        let mut applied: SmallVec<[Step; 1]> = SmallVec::new();
+        let mut applied: SmallVec<[&Step; 1]> = SmallVec::new();
         for step in steps {
             match view.apply_step(step) {
-                Acceptance::Applied => applied.push(step.clone()),
+                Acceptance::Applied => applied.push(step),
                 Acceptance::Stale => {}
                 Acceptance::Gap => {
                     if let Some(vm) = from {
-                        hub.send(vm, Message::Subscribe(view.version));
+                        self.resubscribe(now, hub, vm, view.version);
                     }
                     break;
                 }
@@ -298,14 +339,97 @@
         if applied.is_empty() {
             return false;
         }
-        self.history.extend(applied.iter().cloned());
-        while self.history.len() > HISTORY_STEPS {
-            self.history.pop_front();
+        self.whole = None;
+        let mut lengths: SmallVec<[usize; 1]> = SmallVec::new();
+        for step in &applied {
+            match codec::encode_value(*step) {
+                Ok(bytes) => {
+                    lengths.push(bytes.len());
+                    self.history.push(step.version, bytes.into());
+                }
+                Err(_) => lengths.push(usize::MAX),
+            }
         }
+        self.send_steps(hub, view, &applied, &lengths);
+        true
+    }
+
+    /// Sends steps of these lengths to all children, or the whole view if that is shorter.
+    fn send_steps(&mut self, hub: &Hub, view: &View, steps: &[&Step], lengths: &[usize]) {
+        if self.tree.children().next().is_none() {
+            return;
+        }
+        let total = lengths
+            .iter()
+            .fold(0, |sum: usize, n| sum.saturating_add(*n));
+        if steps.len() > 1 && total > codec::encoded_length(view) {
+            self.send_whole_to_children(hub, view);
+            return;
+        }
+        for range in ranges(lengths, MESSAGE_BYTES_MAX) {
+            let part = steps[range].iter().map(|step| (*step).clone());
+            let Ok(encoded) = hub.encode(Message::Updates(part.collect())) else {
+                // The whole view may be shorter than the step.
+                self.send_whole_to_children(hub, view);
+                return;
+            };
+            self.send_to_children(hub, &encoded);
+        }
+    }
+
+    /// Sends all children a message. The link to a child that cannot take it is closed, and the child
+    /// subscribes again.
+    fn send_to_children(&self, hub: &Hub, message: &Encoded) {
         for child in self.tree.children() {
-            hub.send(child, Message::Updates(applied.clone()));
+            hub.send_encoded(child, message);
+        }
+    }
+
+    /// Sends all children the whole view.
+    fn send_whole_to_children(&mut self, hub: &Hub, view: &View) {
+        let children: SmallVec<[Name; 8]> = self.tree.children().cloned().collect();
+        for child in children {
+            self.send_whole(hub, &child, view);
+        }
+    }
+
+    /// Sends a child the whole view.
+    fn send_whole(&mut self, hub: &Hub, child: &Name, view: &View) {
+        let version = view.version;
+        let encoded = self.whole.take().filter(|(of, _)| *of == version);
+        let encoded = match encoded {
+            Some((_, encoded)) => Ok(encoded),
+            None => hub.encode(Message::FullView(Box::new(view.clone()))),
+        };
+        match encoded {
+            Ok(encoded) => {
+                tracing::info!(
+                    event = Line::ViewSent.as_str(),
+                    peer = %child,
+                    version = version.0,
+                    bytes = encoded.length(),
+                );
+                hub.send_encoded(child, &encoded);
+                self.whole = Some((version, encoded));
+            }
+            Err(error) => {
+                tracing::error!(
+                    event = Line::MessageLost.as_str(),
+                    peer = %child,
+                    kind = "whole",
+                    %error,
+                );
+            }
+        }
+    }
+
+    /// Requests the versions that this process lacks, unless it has just done so.
+    fn resubscribe(&mut self, now: Millis, hub: &Hub, vm: &Name, version: Version) {
+        let is_due = |at| now.since(at) >= RESUBSCRIBE_INTERVAL_MS;
+        if self.resubscribed_at.is_none_or(is_due) {
+            self.resubscribed_at = Some(now);
+            hub.send(vm, Message::Subscribe(version));
         }
-        true
     }
 
     /// Replaces the view and passes the new one on to children. Returns whether it was newer.
@@ -314,9 +438,7 @@
             return false;
         }
         self.history.clear();
-        for child in self.tree.children() {
-            hub.send(child, Message::FullView(Box::new(view.clone())));
-        }
+        self.send_whole_to_children(hub, view);
         true
     }
 
@@ -335,8 +457,9 @@
             return;
         }
         if view.version < head {
-            hub.send(from, Message::Subscribe(view.version));
+            self.resubscribe(now, hub, from, view.version);
         }
+        self.observe_head(now, view.version, head);
         self.last_heartbeat_at = Some(now);
         for child in self.tree.children() {
             hub.send(child, Message::RootHeartbeat(head));
@@ -376,17 +499,25 @@
             hub.send(&vm, Message::Redirect(other));
             return false;
         }
-        let first = self.history.front().map(|s| s.version.0);
-        let is_in_history = first.is_some_and(|first| first <= version.0 + 1);
-        let message = if version >= view.version {
-            Message::RootHeartbeat(view.version)
-        } else if is_in_history {
-            let missed = self.history.iter().filter(|s| s.version > version);
-            Message::Updates(missed.cloned().collect())
-        } else {
-            Message::FullView(Box::new(view.clone()))
+        let whole_bytes = || codec::encoded_length(view);
+        let steps = match self.history.missed(version, view.version, whole_bytes) {
+            Missed::Nothing => Some(SmallVec::new()),
+            Missed::Steps(steps) => steps
+                .into_iter()
+                .map(|s| codec::decode_value(s).ok())
+                .collect(),
+            Missed::Whole => None,
         };
-        hub.send(&vm, message);
+        match steps {
+            None => self.send_whole(hub, &vm, view),
+            Some(steps) => {
+                let message = match steps.is_empty() {
+                    true => Message::RootHeartbeat(view.version),
+                    false => Message::Updates(steps),
+                };
+                hub.send(&vm, message);
+            }
+        }
         if let Some(size) = self.fleet_size.filter(|_| !was_child) {
             hub.send(&vm, Message::FleetSize(size));
         }
@@ -494,6 +625,7 @@
     /// parent after a timeout.
     pub(crate) fn tick(&mut self, now: Millis, hub: &Hub, version: Version) {
         self.version = version;
+        self.whole = None;
         match &mut self.position {
             Position::Root {
                 has_leader,
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -640,7 +640,7 @@
     fn apply_steps(&mut self, now: Millis, from: Option<&Name>, steps: &[state::view::Step]) {
         if self
             .dissemination
-            .apply_steps(&mut self.view, &self.parts.hub, from, steps)
+            .apply_steps(now, &mut self.view, &self.parts.hub, from, steps)
         {
             self.on_new_version(now);
         }
--- a/components/protocol/src/codec.rs
+++ b/components/protocol/src/codec.rs
@@ -30,8 +30,15 @@
 where
     T: Serialize,
 {
-    let length = postcard::serialize_with_flavor(value, Size::default());
-    length.is_ok_and(|length| length <= MAX_RECORD_BYTES)
+    encoded_length(value) <= MAX_RECORD_BYTES
+}
+
+/// Length of an encoded value in bytes; the greatest number if it cannot be encoded.
+pub fn encoded_length<T>(value: &T) -> usize
+where
+    T: Serialize,
+{
+    postcard::serialize_with_flavor(value, Size::default()).unwrap_or(usize::MAX)
 }
 
 /// Encodes a frame with its header.
--- a/components/state/src/line.rs
+++ b/components/state/src/line.rs
@@ -99,6 +99,10 @@
     MessageLost,
     /// A link was closed because its peer does not take what is queued for it.
     LinkBacklogged,
+    /// Another process was sent the whole view, which it lacked.
+    ViewSent,
+    /// The view of this process has been older than the newest version for seconds, or no longer is.
+    ViewBehind,
     /// Use of the VM's resources by the process, while it is high.
     Pressure,
     /// The process began or ceased to send new connections to other routers because of its load.
@@ -116,7 +120,7 @@
 
 impl Line {
     /// All kinds.
-    pub const ALL: [Line; 54] = [
+    pub const ALL: [Line; 56] = [
         Line::Started,
         Line::Ready,
         Line::Stopping,
@@ -165,6 +169,8 @@
         Line::AcceptFailed,
         Line::MessageLost,
         Line::LinkBacklogged,
+        Line::ViewSent,
+        Line::ViewBehind,
         Line::Pressure,
         Line::Overload,
         Line::Dedicated,
@@ -224,6 +230,8 @@
             Line::AcceptFailed => "accept-failed",
             Line::MessageLost => "message-lost",
             Line::LinkBacklogged => "link-backlogged",
+            Line::ViewSent => "view-sent",
+            Line::ViewBehind => "view-behind",
             Line::Pressure => "pressure",
             Line::Overload => "overload",
             Line::Dedicated => "dedicated",
--- /dev/null
+++ b/tests/many_rules.rs
@@ -0,0 +1,118 @@
+//! Configurations of many rules that change often, with real processes.
+#![expect(clippy::unwrap_used, reason = "a helper that panics fails its test")]
+
+mod harness;
+
+use harness::{eventually, http, Fleet, Plan, OPERATOR_KEY};
+use std::fmt::Write;
+use std::time::{Duration, Instant};
+
+/// Rules of the configuration. With them a change of all rules takes some 250 kB.
+const RULES: usize = 1700;
+/// Time within which an accepted version is in force on all VMs.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
+/// A fleet with one control VM, three routers and many rules.
+struct Changing {
+    fleet: Fleet,
+    /// Number of changes so far.
+    changes: u64,
+    /// Version at which the last change was accepted.
+    version: u64,
+}
+
+impl Changing {
+    fn start(plan: Plan) -> Self {
+        let fleet = Fleet::start(Plan {
+            control: 1,
+            routers: 3,
+            models: 1,
+            plain_services: 0,
+            ..plan
+        });
+        let config = http::get(fleet.vm("c1").operators, "/config", OPERATOR_KEY);
+        let version = config.header("cowslipford-version").parse().unwrap();
+        Changing {
+            fleet,
+            changes: 0,
+            version,
+        }
+    }
+
+    /// The configuration of the fleet and many rules, all with a timeout of their own number.
+    fn text(&self, timeout_ms: u64) -> String {
+        let mut text = self.fleet.configuration();
+        for n in 0..RULES {
+            write!(
+                text,
+                "[rule company-{n:04}-trainer-availability]\n\
+                 when-host = gym-{n:04}.booking.companies.example\n\
+                 when-path = /v1/gyms/{n:04}/trainer-availability/\n\
+                 then = send\nservice = assistant\ntimeout = {timeout_ms}ms\n"
+            )
+            .unwrap();
+        }
+        text
+    }
+
+    /// Changes the timeout of all rules.
+    fn change(&mut self) {
+        self.changes += 1;
+        let text = self.text(10_000 + self.changes);
+        let path = format!("/config?id=c{:x}&base={}", self.changes, self.version);
+        let operators = self.fleet.vm("c1").operators;
+        let answer = http::send(operators, "POST", &path, OPERATOR_KEY, &[], &text);
+        let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+        assert_eq!(answer.status, 200, "{body}");
+        self.version = body["version"].as_u64().unwrap();
+    }
+
+    /// Checks that the last change is in force on a VM within the time that is promised.
+    fn check_in_force(&self, vm: &str) {
+        let began = Instant::now();
+        let version = || self.fleet.vm(vm).status()?["version"].as_u64();
+        while version() < Some(self.version) {
+            assert!(
+                began.elapsed() < IN_FORCE,
+                "{vm} has version {:?} instead of {}",
+                version(),
+                self.version
+            );
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+/// Guards against a router that is never sent more steps than fit into one message.
+#[test]
+fn a_router_started_anew_gets_many_long_changes() {
+    let mut changing = Changing::start(Plan::default());
+    for _ in 0..40 {
+        changing.change();
+    }
+    changing.fleet.vm_mut("r3").kill();
+    changing.fleet.vm_mut("r3").start();
+    let is_ready = || changing.fleet.vm("r3").is_ready();
+    eventually("the router is ready", is_ready);
+    for vm in ["r1", "r2", "r3"] {
+        changing.check_in_force(vm);
+    }
+}
+
+/// Guards against a router that stays behind after a pause in which more steps came than fit into
+/// one message.
+#[test]
+fn a_router_that_stood_still_gets_many_long_changes() {
+    let mut changing = Changing::start(Plan::default());
+    changing.change();
+    changing.fleet.vm("r2").signal("-STOP");
+    for _ in 0..40 {
+        changing.change();
+    }
+    changing.fleet.vm("r2").signal("-CONT");
+    // The link is opened again first.
+    std::thread::sleep(Duration::from_secs(1));
+    for vm in ["r1", "r2", "r3"] {
+        changing.check_in_force(vm);
+    }
+}
