Bound the history of the view in bytes

A step that changes all of 1,700 rules takes some 250 kB encoded and several times that decoded.

The history now keeps at most 1 MiB of encoded steps and at most 256 of them. A process that lacks an older one is sent the whole view, which is cheaper at that length anyway.

--- a/components/coordination/src/history.rs
+++ b/components/coordination/src/history.rs
@@ -4,9 +4,9 @@
 use std::collections::VecDeque;
 use std::ops::Range;
 
-/// Most bytes of the steps in one message, unless one step is longer.
-pub const MESSAGE_BYTES_MAX: usize = 1024 * 1024;
-/// Most steps that are kept.
+/// Most bytes of encoded steps that are kept.
+pub const HISTORY_BYTES_MAX: usize = 1024 * 1024;
+/// Most steps that are kept, which bounds the memory beside their bytes.
 pub const HISTORY_STEPS_MAX: usize = 256;
 
 /// An encoded step.
@@ -27,7 +27,7 @@
     Whole,
 }
 
-/// The latest steps, without a gap.
+/// The latest steps, without a gap, up to [`HISTORY_BYTES_MAX`] bytes.
 #[derive(Clone, Debug, Default)]
 pub struct History {
     /// Steps, oldest first.
@@ -45,7 +45,7 @@
         }
         self.bytes += bytes.len();
         self.entries.push_back(Entry { version, bytes });
-        while self.entries.len() > HISTORY_STEPS_MAX {
+        while self.bytes > HISTORY_BYTES_MAX || self.entries.len() > HISTORY_STEPS_MAX {
             let Some(oldest) = self.entries.pop_front() else {
                 break;
             };
--- a/components/coordination/tests/history.rs
+++ b/components/coordination/tests/history.rs
@@ -1,6 +1,6 @@
 //! What processes that have missed steps of the view are sent.
 
-use coordination::history::{ranges, History, Missed, HISTORY_STEPS_MAX};
+use coordination::history::{ranges, History, Missed, HISTORY_BYTES_MAX, HISTORY_STEPS_MAX};
 use state::id::Version;
 
 /// A history of steps with these lengths, which lead to the versions from 1 on.
@@ -12,6 +12,20 @@
     history
 }
 
+/// Guards against a history that is bounded by the number of its steps alone.
+#[test]
+fn keeps_a_bounded_number_of_bytes() {
+    for length in [1, 1000, 300_000, HISTORY_BYTES_MAX, HISTORY_BYTES_MAX + 1] {
+        let mut history = History::default();
+        for version in 1..=2000 {
+            history.push(Version(version), vec![0; length].into());
+            assert!(history.bytes() <= HISTORY_BYTES_MAX, "{length}");
+        }
+        let steps = (HISTORY_BYTES_MAX / length).min(HISTORY_STEPS_MAX);
+        assert_eq!(history.bytes(), steps * length);
+    }
+}
+
 /// Guards against steps that are sent although the whole view is shorter.
 #[test]
 fn sends_whichever_is_shorter() {
@@ -31,10 +45,12 @@
         matches!(missed, Missed::Whole)
     };
     assert!(missed(&History::default(), 0, 1));
-    let dropped = history(&[1; HISTORY_STEPS_MAX + 1]);
-    let head = HISTORY_STEPS_MAX as u64 + 1;
-    assert!(missed(&dropped, 0, head));
-    assert!(!missed(&dropped, 1, head));
+    let dropped = history(&[HISTORY_BYTES_MAX / 2, HISTORY_BYTES_MAX / 2, 1]);
+    assert!(missed(&dropped, 0, 3));
+    assert!(!missed(&dropped, 1, 3));
+    // The view has a step that is too long to be kept.
+    let too_long = history(&[1, HISTORY_BYTES_MAX + 1]);
+    assert!(missed(&too_long, 1, 2));
     let mut with_gap = history(&[1, 1]);
     with_gap.push(Version(4), vec![0; 1].into());
     assert!(missed(&with_gap, 2, 4));
--- a/components/node/src/dissemination.rs
+++ b/components/node/src/dissemination.rs
@@ -3,7 +3,7 @@
 //!
 //! Processes form trees whose roots are the control VMs.
 
-use coordination::history::{ranges, History, Missed, MESSAGE_BYTES_MAX};
+use coordination::history::{ranges, History, Missed, HISTORY_BYTES_MAX};
 use coordination::tree::{Attachment, Confirmation, Tree};
 use protocol::codec;
 use protocol::wire::{Hello, Message};
@@ -366,7 +366,7 @@
             self.send_whole_to_children(hub, view);
             return;
         }
-        for range in ranges(lengths, MESSAGE_BYTES_MAX) {
+        for range in ranges(lengths, HISTORY_BYTES_MAX) {
             let part = steps[range].iter().map(|step| (*step).clone());
             let Ok(encoded) = hub.encode(Message::Updates(part.collect())) else {
                 // The whole view may be shorter than the step.
--- a/tests/many_rules.rs
+++ b/tests/many_rules.rs
@@ -11,6 +11,8 @@
 const RULES: usize = 1700;
 /// Time within which an accepted version is in force on all VMs.
 const IN_FORCE: Duration = Duration::from_secs(4);
+/// Memory of the smallest VM that is planned for.
+const MEMORY_BYTES: u64 = 64_000_000;
 
 /// A fleet with one control VM, three routers and many rules.
 struct Changing {
@@ -116,3 +118,20 @@
         changing.check_in_force(vm);
     }
 }
+
+/// Guards against memory that grows with the number of changes, and against routers that fall behind
+/// while it does.
+#[test]
+fn memory_does_not_grow_with_the_number_of_long_changes() {
+    let mut changing = Changing::start(Plan::default());
+    for _ in 0..150 {
+        changing.change();
+    }
+    for vm in ["r1", "r2", "r3"] {
+        changing.check_in_force(vm);
+    }
+    for vm in &changing.fleet.vms {
+        let bytes = vm.peak_memory();
+        assert!(bytes < MEMORY_BYTES, "{} took {bytes} bytes", vm.name);
+    }
+}
