Receive no more long messages than there is room for

A process that handles messages more slowly than they come kept all of them, decoded: a router on a small part of a core beside frequent changes of a long configuration, or a control VM whose disk does not answer while the leader sends the same long entry again. What waits to be sent is bounded; what was received was not.

A frame of more than 16 KiB is now read once there is room for it, which it takes until it is handled, by the control role where it is for that. The room is a quarter of what may wait to be sent, and at least the longest frame. Until then QUIC's flow control lets the sender's queue grow, whose bound closes the link, and the receiver asks anew.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -29,7 +29,7 @@
 use tokio::sync::oneshot;
 use transport::clock::{wall_seconds, Clock};
 use transport::disk::Folder;
-use transport::link::Hub;
+use transport::link::{Hub, Room};
 
 /// Time between two ticks, which drive the timeouts of the replicated log.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -46,8 +46,8 @@
     Up(Hello),
     /// A link was lost.
     Down(Name),
-    /// A message from a VM.
-    Message(Name, Message),
+    /// A message from a VM, and the room that it takes until it is handled.
+    Message(Name, Message, Room),
     /// Asks for the state of the replicated log.
     Status(oneshot::Sender<Status>),
     /// Asks for the complete configuration in force here, and the version of the view.
@@ -252,7 +252,10 @@
                 }
                 self.assigner.remove(&vm);
             }
-            Input::Message(vm, message) => self.handle_message(now, &vm, message),
+            Input::Message(vm, message, room) => {
+                self.handle_message(now, &vm, message);
+                drop(room);
+            }
             // The receiver may have been dropped.
             Input::Status(reply) => drop(reply.send(self.status())),
             Input::Document(reply) => {
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -46,7 +46,7 @@
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 use transport::clock::{wall_micros, Clock};
-use transport::link::{self, Hub};
+use transport::link::{self, Hub, Room};
 
 /// Time between two ticks, which drive all timeouts.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -496,16 +496,18 @@
                 self.refresh_recent(now);
                 self.send_to_control(crate::control::Input::Down(vm));
             }
-            link::Event::Message(vm, message) => self.handle_message(now, vm, message),
+            link::Event::Message(vm, message, room) => {
+                self.handle_message(now, vm, message, room);
+            }
         }
     }
 
     /// Handles a message from another VM.
-    fn handle_message(&mut self, now: Millis, vm: Name, message: Message) {
+    fn handle_message(&mut self, now: Millis, vm: Name, message: Message, room: Room) {
         match message {
             Message::Hello(_) => {}
             Message::Consensus(_) | Message::Heartbeat { .. } | Message::Query(..) => {
-                self.send_to_control(crate::control::Input::Message(vm, message));
+                self.send_to_control(crate::control::Input::Message(vm, message, room));
             }
             Message::Reply(id, reply) => {
                 self.queries.handle_reply(now, &self.parts.hub, id, reply);
--- a/components/transport/src/link.rs
+++ b/components/transport/src/link.rs
@@ -19,6 +19,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::{JoinHandle, JoinSet};
 
 /// Most frames in the send queue of a link; a link with more is closed.
@@ -32,6 +33,13 @@
 pub const MAX_QUEUED_BYTES: usize = 2 * (codec::HEADER_BYTES + codec::MAX_BODY_BYTES);
 /// Default of the most bytes of frames that all links hold together.
 const DEFAULT_BUFFER_BYTES: usize = 8 * MAX_QUEUED_BYTES;
+/// Longest frame that is received without reserving room for it.
+///
+/// Short frames are not delayed by long ones from other peers that wait to be handled.
+const UNRESERVED_BYTES: usize = 16 * 1024;
+/// Most bytes of longer frames that are received and not handled yet, as a divisor of the bytes that
+/// may wait to be sent: a decoded message takes several times the memory of its frame.
+const RECEIVED_DIVISOR: usize = 4;
 /// Time between two attempts to open a link.
 const REDIAL_INTERVAL: Duration = Duration::from_millis(150);
 /// Longest time to open a link, including the handshake.
@@ -44,10 +52,18 @@
     Up(Hello),
     /// The link to this VM is down.
     Down(Name),
-    /// A message from this VM has arrived.
-    Message(Name, Message),
+    /// A message from this VM has arrived. The room that it takes is free once the last value is
+    /// dropped.
+    Message(Name, Message, Room),
 }
 
+/// Room that a long message takes until it is handled. While there is none, no further long message
+/// is received, so that its sender's queue grows instead of the memory of this process.
+#[derive(Debug, Default)]
+pub struct Room(
+    #[expect(dead_code, reason = "held until it is dropped")] Option<OwnedSemaphorePermit>,
+);
+
 /// Timing of links.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
@@ -233,6 +249,10 @@
     buffered: Arc<AtomicUsize>,
     /// Most such bytes; beyond it, links with long queues are closed.
     max_buffered: usize,
+    /// Room in bytes for long messages that are received and not handled yet.
+    room: Arc<Semaphore>,
+    /// Room that there is if no message is received.
+    max_room: usize,
     /// The one task that owns all others; joined by [`Hub::stop`].
     tasks: tokio::sync::Mutex<JoinSet<()>>,
     /// Sends tasks to the one that owns them.
@@ -320,6 +340,7 @@
     pub fn start(self, hello: Hello, clock: Clock) -> (Hub, flume::Receiver<Event>) {
         let (events, receiver) = flume::unbounded();
         let (spawn, tasks) = flume::unbounded::<Task>();
+        let max_room = (self.buffer_bytes / RECEIVED_DIVISOR).max(codec::MAX_BODY_BYTES);
         let inner = Arc::new(Inner {
             hello,
             clock,
@@ -331,6 +352,8 @@
             counts: Counts::default(),
             buffered: Arc::default(),
             max_buffered: self.buffer_bytes,
+            room: Arc::new(Semaphore::new(max_room)),
+            max_room,
             tasks: tokio::sync::Mutex::new(JoinSet::new()),
             spawn,
         });
@@ -450,7 +473,7 @@
     /// this process itself arrives as an event.
     pub fn send(&self, vm: &Name, message: Message) -> bool {
         if *vm == self.inner.hello.node.vm {
-            let event = Event::Message(vm.clone(), message);
+            let event = Event::Message(vm.clone(), message, Room::default());
             return self.inner.events.send(event).is_ok();
         }
         if !self.is_up(vm) {
@@ -627,7 +650,7 @@
             .accept_uni()
             .await
             .map_err(Error::peer(step, remote))?;
-        let frame = read_frame(&mut input, &remote.to_string()).await?;
+        let frame = read_frame(&mut input, &remote.to_string(), async |_| {}).await?;
         self.inner.clock.merge(frame.stamp);
         let Message::Hello(hello) = frame.message else {
             return Err(peer_error(remote, "its first message was not a hello"));
@@ -729,21 +752,36 @@
 
     /// Reads frames from a link and reports their messages; returns why reading ended.
     async fn read_frames(&self, input: &mut quinn::RecvStream, vm: &Name) -> Error {
+        let mut room = Room::default();
         loop {
-            let frame = match read_frame(input, vm.as_str()).await {
+            let reserve = async |length| room = self.reserve(length).await;
+            let frame = match read_frame(input, vm.as_str(), reserve).await {
                 Ok(frame) => frame,
                 Err(error) => return error,
             };
+            let room = std::mem::take(&mut room);
             if self.inner.table().muted.contains(vm) {
                 continue;
             }
             self.inner.clock.merge(frame.stamp);
-            let event = Event::Message(vm.clone(), frame.message);
+            let event = Event::Message(vm.clone(), frame.message, room);
             if self.inner.events.send(event).is_err() {
                 return peer_error(vm, "this process is stopping");
             }
         }
     }
+
+    /// Waits until there is room for a message whose body has this length.
+    async fn reserve(&self, length: usize) -> Room {
+        if length <= UNRESERVED_BYTES {
+            return Room::default();
+        }
+        // CAST: the length of a body is at most 4 MiB.
+        let bytes = length.min(self.inner.max_room) as u32;
+        let permit = self.inner.room.clone().acquire_many_owned(bytes).await;
+        // The semaphore is never closed.
+        Room(permit.ok())
+    }
 }
 
 /// UDP datagrams and bytes of a connection, sent and received.
@@ -796,8 +834,11 @@
     }
 }
 
-/// Reads one frame from a link.
-async fn read_frame(input: &mut quinn::RecvStream, peer: &str) -> Result<Frame> {
+/// Reads one frame from a link. `reserve` waits for room for a body of this length.
+async fn read_frame<F>(input: &mut quinn::RecvStream, peer: &str, reserve: F) -> Result<Frame>
+where
+    F: AsyncFnOnce(usize),
+{
     let step = "read a frame";
     let mut head = [0; codec::HEADER_BYTES];
     input
@@ -805,6 +846,7 @@
         .await
         .map_err(Error::peer(step, peer))?;
     let length = codec::body_length(peer, head)?;
+    reserve(length).await;
     let mut body = vec![0; length];
     input
         .read_exact(&mut body)
--- a/components/transport/tests/link.rs
+++ b/components/transport/tests/link.rs
@@ -8,7 +8,7 @@
 use state::view::Node;
 use std::time::Duration;
 use transport::clock::Clock;
-use transport::link::{Event, Hub, Socket, Timing};
+use transport::link::{Event, Hub, Socket, Timing, MAX_QUEUED_BYTES};
 use transport::tls::{create_authority, issue_certificate, Credentials, Identity};
 
 /// A process with links, in this test's own process.
@@ -81,10 +81,12 @@
     for n in 0..500 {
         let to_b = next(&b).await;
         assert!(
-            matches!(to_b, Some(Event::Message(_, Message::RootHeartbeat(v))) if v == Version(n))
+            matches!(to_b, Some(Event::Message(_, Message::RootHeartbeat(v), _)) if v == Version(n))
         );
         let to_a = next(&a).await;
-        assert!(matches!(to_a, Some(Event::Message(_, Message::Unassigned(e))) if e == Epoch(n)));
+        assert!(
+            matches!(to_a, Some(Event::Message(_, Message::Unassigned(e), _)) if e == Epoch(n))
+        );
     }
     a.hub.stop().await;
     assert!(matches!(next(&b).await, Some(Event::Down(vm)) if vm == a.node.vm));
@@ -252,6 +254,45 @@
     }
 }
 
+/// Guards against long messages that a process receives faster than it handles them.
+#[tokio::test]
+async fn receives_no_more_long_messages_than_there_is_room_for() {
+    let fleet = create_authority().unwrap();
+    let small = |socket: &mut Socket| socket.set_buffer_bytes(0);
+    let a = process(&fleet, "a", "a", 1);
+    let b = process_with(&fleet, ("b", "b"), 1, small);
+    a.hub.dial(&b.node);
+    for process in [&a, &b] {
+        assert!(matches!(next(process).await, Some(Event::Up(_))));
+    }
+    let query = Query::Change {
+        id: ChangeId(1),
+        base: Version(1),
+        text: "x".repeat(1 << 20),
+    };
+    let count = MAX_QUEUED_BYTES >> 21;
+    for _ in 0..count {
+        assert!(a.hub.send(&b.node.vm, Message::Query(1, query.clone())));
+    }
+    // The last message of the peer needs no room, but comes after the others.
+    assert!(a.hub.send(&b.node.vm, Message::Unsubscribe));
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let received = b.events.len();
+    assert!((1..count).contains(&received), "{received} were received");
+    for _ in 0..count {
+        assert!(matches!(
+            next(&b).await,
+            Some(Event::Message(_, Message::Query(..), _))
+        ));
+    }
+    assert!(matches!(
+        next(&b).await,
+        Some(Event::Message(_, Message::Unsubscribe, _))
+    ));
+    a.hub.stop().await;
+    b.hub.stop().await;
+}
+
 #[tokio::test]
 async fn can_simulate_a_partition_from_a_peer() {
     let fleet = create_authority().unwrap();
