Act once on versions that arrive one after the other

A router that is slow, or was, acted on each version that it had missed: look-up tables, schedulers' sessions and the published view were built anew for every one, also where the next one had arrived. With frequent changes of a long configuration it fell further behind the slower it was.

Versions that are already waiting are applied first, and the other parts of the reactor are told of the last one. Any other input that could depend on the view is handled after that, as before.

--- a/components/node/src/input.rs
+++ b/components/node/src/input.rs
@@ -7,7 +7,7 @@
 use coordination::messages::{Objective, Placement, Refusal, Verdict};
 use coordination::origin::{self, Origin};
 use coordination::pause::Observed;
-use protocol::wire::{Query, Reply};
+use protocol::wire::{Message, Query, Reply};
 use state::catalog::Catalog;
 use state::clock::Millis;
 use state::id::{EndpointId, Name, Software};
@@ -179,3 +179,24 @@
     /// Ends the reactor.
     End,
 }
+
+impl Input {
+    /// Whether this input may be handled before the other parts of the reactor know the view's new
+    /// version: it is a new version itself, or is only passed on to the control role.
+    pub(crate) fn may_precede_version(&self) -> bool {
+        matches!(
+            self,
+            Input::Applied(_)
+                | Input::Restored(_)
+                | Input::Link(link::Event::Message(
+                    _,
+                    Message::Updates(_)
+                        | Message::FullView(_)
+                        | Message::Consensus(_)
+                        | Message::Heartbeat { .. }
+                        | Message::Query(..),
+                    _
+                ))
+        )
+    }
+}
--- a/components/node/src/reactor/mod.rs
+++ b/components/node/src/reactor/mod.rs
@@ -198,6 +198,8 @@
     streams: Streams,
     /// Catalog of software versions.
     versioning: Versioning,
+    /// Whether the view has a new version that other parts of the reactor do not know yet.
+    view_changed: bool,
     /// Whether the published state is out of date.
     dirty: bool,
 }
@@ -280,6 +282,7 @@
             reports: Reports::default(),
             streams: Streams::default(),
             versioning: Versioning::default(),
+            view_changed: false,
             dirty: true,
             me,
             parts,
@@ -313,6 +316,7 @@
                 self.handle_input(input);
             }
             let now = self.now();
+            self.propagate_version(now);
             self.schedulers.flush(now, &mut self.batch);
             self.batch.send(&self.parts.hub);
             if std::mem::take(&mut self.dirty) {
@@ -329,6 +333,9 @@
     /// Handles one input.
     fn handle_input(&mut self, input: Input) {
         let now = self.now();
+        if !input.may_precede_version() {
+            self.propagate_version(now);
+        }
         match input {
             Input::Link(event) => self.handle_link(now, event),
             Input::Arrive(arrival, objective, software, reply) => {
@@ -393,7 +400,7 @@
             Input::Query(query, answer) => self.queries.ask(now, &self.parts.hub, query, answer),
             Input::Load(endpoint, load) => self.schedulers.handle_load(now, endpoint, &load),
             Input::Applied(steps) => self.apply_steps(now, None, &steps),
-            Input::Restored(view) => self.replace_view(now, *view),
+            Input::Restored(view) => self.replace_view(*view),
             Input::LeaderContact(has_leader) => {
                 self.has_leader = has_leader;
                 self.dissemination
@@ -496,9 +503,7 @@
                 self.refresh_recent(now);
                 self.send_to_control(crate::control::Input::Down(vm));
             }
-            link::Event::Message(vm, message, room) => {
-                self.handle_message(now, vm, message, room);
-            }
+            link::Event::Message(vm, message, room) => self.handle_message(now, vm, message, room),
         }
     }
 
@@ -551,7 +556,7 @@
             }
             Message::FullView(view) => {
                 self.dissemination.mark_received(now, &vm);
-                self.replace_view(now, *view);
+                self.replace_view(*view);
             }
             Message::Confirm(confirm) => self.dissemination.handle_confirm(&vm, confirm),
             Message::Evidence(seen) => self.quarantine.relay(seen),
@@ -644,22 +649,28 @@
             .dissemination
             .apply_steps(now, &mut self.view, &self.parts.hub, from, steps)
         {
-            self.on_new_version(now);
+            self.view_changed = true;
         }
     }
 
     /// Replaces the view if the new one is newer.
-    fn replace_view(&mut self, now: Millis, view: View) {
+    fn replace_view(&mut self, view: View) {
         if self
             .dissemination
             .replace_view(&mut self.view, &self.parts.hub, view)
         {
-            self.on_new_version(now);
+            self.view_changed = true;
         }
     }
 
     /// Propagates a new version of the view to all parts of the reactor.
-    fn on_new_version(&mut self, now: Millis) {
+    ///
+    /// Versions that arrive one after the other are propagated together. A process that has fallen
+    /// behind would otherwise never catch up with frequent changes of a long configuration.
+    fn propagate_version(&mut self, now: Millis) {
+        if !std::mem::take(&mut self.view_changed) {
+            return;
+        }
         let version = self.view.version;
         self.index = Arc::new(Index::from(&self.view.config));
         self.parts
--- a/tests/many_rules.rs
+++ b/tests/many_rules.rs
@@ -119,6 +119,30 @@
     }
 }
 
+/// Guards against a router that falls further behind since it acts on every version that it has
+/// missed, one after the other.
+#[test]
+fn a_late_router_skips_versions_that_are_no_longer_in_force() {
+    let mut changing = Changing::start(Plan {
+        link_keys: "idle = 20s\n".to_owned(),
+        ..Plan::default()
+    });
+    let versions = |changing: &Changing| {
+        let log = changing.fleet.vm("r2").log();
+        log.matches("version-in-force").count()
+    };
+    changing.change();
+    changing.check_in_force("r2");
+    let before = versions(&changing);
+    changing.fleet.vm("r2").signal("-STOP");
+    for _ in 0..20 {
+        changing.change();
+    }
+    changing.fleet.vm("r2").signal("-CONT");
+    changing.check_in_force("r2");
+    assert!(versions(&changing) < before + 20);
+}
+
 /// Guards against memory that grows with the number of changes, and against routers that fall behind
 /// while it does.
 #[test]
