Send other control VMs the number of routers again after a lost link

Routers were told of too many or too few routers, by which they set their shares of limits and the time after which refused callers return: a control VM sent the others the number of routers that it feeds when that changed, and took it for sent also where the link was down. The next change corrected it, and in a calm fleet there is none.

The number is remembered for each receiver and its present link. A confirmation to the parent that could not be queued counts as not sent, too. The gauge cowslipford_routers shows what a process knows.

counts_the_routers_of_a_control_vm_that_was_cut_off times out without the change and passes with it.

--- a/components/node/src/dissemination.rs
+++ b/components/node/src/dissemination.rs
@@ -98,8 +98,8 @@
     fleet_size: Option<u32>,
     /// Number of routers that children were last sent.
     sent_size: u32,
-    /// Number of routers below this root that the other roots were last sent.
-    sent_subtree: u32,
+    /// Number of routers below this root that each other root was last sent on its present link.
+    sent_subtrees: BTreeMap<Name, u32>,
 }
 
 impl Dissemination {
@@ -143,7 +143,7 @@
             subtrees: BTreeMap::new(),
             fleet_size: None,
             sent_size: 0,
-            sent_subtree: 0,
+            sent_subtrees: BTreeMap::new(),
         }
     }
 
@@ -188,11 +188,11 @@
             .retain(|vm, _| roots.iter().any(|p| p.vm == *vm));
         let own = self.tree.aggregate(None).routers;
         let sum = own + self.subtrees.values().sum::<u32>();
-        if own != self.sent_subtree {
-            for root in others() {
-                hub.send(&root.vm, Message::SubtreeSize(own));
+        for root in others() {
+            let is_sent = self.sent_subtrees.get(&root.vm) == Some(&own);
+            if !is_sent && hub.send(&root.vm, Message::SubtreeSize(own)) {
+                self.sent_subtrees.insert(root.vm.clone(), own);
             }
-            self.sent_subtree = own;
         }
         self.set_size(hub, sum.max(1));
     }
@@ -600,6 +600,7 @@
     /// Handles a lost link to a child or to the parent.
     pub(crate) fn link_down(&mut self, now: Millis, vm: &Name) {
         self.tree.detach(vm);
+        self.sent_subtrees.remove(vm);
         if matches!(&self.position, Position::Child { parent } if parent.vm == *vm) {
             self.position = Position::Seeking {
                 asked: None,
@@ -691,8 +692,9 @@
             return;
         };
         let total = self.total(version);
-        if self.sent_confirm.as_ref() != Some(&total) {
-            hub.send(&parent.vm, Message::Confirm(total.clone()));
+        if self.sent_confirm.as_ref() != Some(&total)
+            && hub.send(&parent.vm, Message::Confirm(total.clone()))
+        {
             self.sent_confirm = Some(total);
         }
     }
--- a/components/node/src/metric.rs
+++ b/components/node/src/metric.rs
@@ -88,6 +88,8 @@
     pub(crate) at_peers: IntGauge,
     /// Routers whose occupancy this VM knows as the VM of a scheduler.
     pub(crate) reporting_routers: IntGauge,
+    /// Routers of the fleet, as far as this process knows.
+    pub(crate) routers: IntGauge,
     /// Connections closed unread, because tasks ran late or the connection limit was reached.
     pub(crate) closed_unread: IntCounter,
     /// Connections that were refused with a response, without being served.
@@ -321,6 +323,10 @@
                 "cowslipford_requests_at_peers",
                 "Requests in progress at other routers.",
             )?,
+            routers: gauge(
+                "cowslipford_routers",
+                "Routers of the fleet, as far as this process knows.",
+            )?,
             reporting_routers: gauge(
                 "cowslipford_reporting_routers",
                 "Routers with a link that may report their occupancy here.",
--- a/components/node/src/reactor/status.rs
+++ b/components/node/src/reactor/status.rs
@@ -70,6 +70,8 @@
         let now = self.now();
         let reporting_routers = gauge_value(self.reporting_routers());
         metrics.reporting_routers.set(reporting_routers);
+        let routers = self.dissemination.routers().unwrap_or(0);
+        metrics.routers.set(i64::from(routers));
         self.schedulers.update_metrics(now, &self.effective);
         let (datagrams, bytes) = self.parts.hub.udp_traffic();
         let set = |what, number| {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use harness::{eventually, http, Fleet, Plan, SetOnDrop};
+use harness::{eventually, http, Fleet, Plan, SetOnDrop, OPERATOR_KEY};
 use std::time::Duration;
 
 #[test]
@@ -682,3 +682,43 @@
         assert_eq!(stale, 0, "stale refusals among {} answers", refused.len());
     }
 }
+
+/// Guards against a control VM that never learns how many routers another one feeds, since the
+/// message was lost with the link between them.
+#[test]
+fn counts_the_routers_of_a_control_vm_that_was_cut_off() {
+    let mut fleet = Fleet::start(Plan {
+        routers: 3,
+        ..Plan::default()
+    });
+    let counted = |fleet: &Fleet, vm: &str| {
+        let operators = fleet.vm(vm).operators;
+        let page = http::get(operators, "/metrics", OPERATOR_KEY).text();
+        let value = page
+            .lines()
+            .find_map(|l| l.strip_prefix("cowslipford_routers "));
+        value.map_or(0, |v| v.trim().parse::<u32>().unwrap())
+    };
+    let leader = fleet.leader();
+    let followers: Vec<&str> = ["c1", "c2", "c3"]
+        .into_iter()
+        .filter(|vm| **vm != *leader)
+        .collect();
+    let [near, far] = followers[..] else {
+        panic!("there are not two followers");
+    };
+    for vm in [near, far] {
+        eventually("all routers are counted", || counted(&fleet, vm) == 3);
+    }
+    // Routers are fed by the control VM of their data centre, whose number is the same.
+    let router = near.replace('c', "r");
+    fleet.cut(near, &[far], false);
+    fleet.cut(far, &[near], false);
+    fleet.vm_mut(&router).kill();
+    eventually("its control VM misses the router", || {
+        counted(&fleet, near) == 2
+    });
+    fleet.cut(near, &[], false);
+    fleet.cut(far, &[], false);
+    eventually("the other one does, too", || counted(&fleet, far) == 2);
+}
