Test long configurations on the paths beside routers that were away

Routers below others that start at once, a control VM that stood still or lost its disk, and the longest configuration that is accepted.

--- a/tests/many_rules.rs
+++ b/tests/many_rules.rs
@@ -16,7 +16,16 @@
 /// Memory of the smallest VM that is planned for.
 const MEMORY_BYTES: u64 = 64_000_000;
 
-/// A fleet with one control VM, three routers and many rules.
+/// One control VM and three routers.
+fn small() -> Plan {
+    Plan {
+        control: 1,
+        routers: 3,
+        ..Plan::default()
+    }
+}
+
+/// A fleet whose configuration has many rules.
 struct Changing {
     fleet: Fleet,
     /// Number of changes so far.
@@ -28,8 +37,6 @@
 impl Changing {
     fn start(plan: Plan) -> Self {
         let fleet = Fleet::start(Plan {
-            control: 1,
-            routers: 3,
             models: 1,
             plain_services: 0,
             ..plan
@@ -43,10 +50,10 @@
         }
     }
 
-    /// The configuration of the fleet and many rules, all with a timeout of their own number.
-    fn text(&self, timeout_ms: u64) -> String {
+    /// The configuration of the fleet and many rules, all with the same timeout.
+    fn text(&self, rules: usize, timeout_ms: u64) -> String {
         let mut text = self.fleet.configuration();
-        for n in 0..RULES {
+        for n in 0..rules {
             write!(
                 text,
                 "[rule company-{n:04}-trainer-availability]\n\
@@ -61,16 +68,21 @@
 
     /// Changes the timeout of all rules.
     fn change(&mut self) {
-        self.changes += 1;
-        let text = self.text(10_000 + self.changes);
-        let path = format!("/config?id=c{:x}&base={}", self.changes, self.version);
-        let operators = self.fleet.vm("c1").operators;
-        let answer = http::send(operators, "POST", &path, OPERATOR_KEY, &[], &text);
+        let answer = self.send(RULES);
+        assert_eq!(answer.status, 200, "{}", answer.text());
         let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
-        assert_eq!(answer.status, 200, "{body}");
         self.version = body["version"].as_u64().unwrap();
     }
 
+    /// Sends a configuration of this many rules, with another timeout for all.
+    fn send(&mut self, rules: usize) -> http::Answer {
+        self.changes += 1;
+        let text = self.text(rules, 10_000 + self.changes);
+        let path = format!("/config?id=c{:x}&base={}", self.changes, self.version);
+        let vm = self.fleet.vms.iter().find(|vm| vm.is_live()).unwrap();
+        http::send(vm.operators, "POST", &path, OPERATOR_KEY, &[], &text)
+    }
+
     /// Checks that the last change is in force on a VM within the time that is promised.
     fn check_in_force(&self, vm: &str) {
         let began = Instant::now();
@@ -90,7 +102,7 @@
 /// Guards against a router that is never sent more steps than fit into one message.
 #[test]
 fn a_router_started_anew_gets_many_long_changes() {
-    let mut changing = Changing::start(Plan::default());
+    let mut changing = Changing::start(small());
     for _ in 0..40 {
         changing.change();
     }
@@ -107,7 +119,7 @@
 /// one message.
 #[test]
 fn a_router_that_stood_still_gets_many_long_changes() {
-    let mut changing = Changing::start(Plan::default());
+    let mut changing = Changing::start(small());
     changing.change();
     changing.fleet.vm("r2").signal("-STOP");
     for _ in 0..40 {
@@ -127,7 +139,7 @@
 fn a_late_router_skips_versions_that_are_no_longer_in_force() {
     let mut changing = Changing::start(Plan {
         link_keys: "idle = 20s\n".to_owned(),
-        ..Plan::default()
+        ..small()
     });
     let versions = |changing: &Changing| {
         let log = changing.fleet.vm("r2").log();
@@ -149,7 +161,7 @@
 /// while it does.
 #[test]
 fn memory_does_not_grow_with_the_number_of_long_changes() {
-    let mut changing = Changing::start(Plan::default());
+    let mut changing = Changing::start(small());
     for _ in 0..150 {
         changing.change();
     }
@@ -162,13 +174,126 @@
     }
 }
 
+/// Guards against routers below a router that are fed nothing more once it has missed versions, and
+/// against a parent that takes the memory of its VM while all of its routers begin at once.
+#[test]
+fn routers_that_start_at_once_below_others_get_many_long_changes() {
+    let mut changing = Changing::start(Plan {
+        control: 1,
+        routers: 8,
+        control_keys: "fanout = 1".to_owned(),
+        settings: "[router]\nfanout = 2\n".to_owned(),
+        ..Plan::default()
+    });
+    for _ in 0..20 {
+        changing.change();
+    }
+    let routers = ["r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8"];
+    for vm in routers {
+        changing.fleet.vm_mut(vm).kill();
+    }
+    for vm in routers {
+        changing.fleet.vm_mut(vm).start();
+    }
+    changing.change();
+    changing.fleet.wait_ready();
+    for vm in routers {
+        changing.check_in_force(vm);
+    }
+    for vm in routers.iter().take(4) {
+        changing.fleet.vm(vm).signal("-STOP");
+    }
+    for _ in 0..20 {
+        changing.change();
+    }
+    for vm in routers.iter().take(4) {
+        changing.fleet.vm(vm).signal("-CONT");
+    }
+    changing.fleet.wait_ready();
+    std::thread::sleep(Duration::from_secs(4));
+    for vm in routers {
+        changing.check_in_force(vm);
+    }
+    for vm in &changing.fleet.vms {
+        let bytes = vm.peak_memory();
+        assert!(bytes < MEMORY_BYTES, "{} took {bytes} bytes", vm.name);
+    }
+}
+
+/// Guards against control VMs whose memory grows while another one takes nothing, and against one
+/// that stays behind after it stood still, or has lost its disk.
+#[test]
+fn a_control_vm_that_was_away_gets_many_long_changes() {
+    let mut changing = Changing::start(Plan {
+        control: 3,
+        routers: 1,
+        ..Plan::default()
+    });
+    let leader = changing.fleet.leader();
+    let others: Vec<&str> = ["c1", "c2", "c3"]
+        .into_iter()
+        .filter(|vm| **vm != *leader)
+        .collect();
+    changing.fleet.vm(others[1]).signal("-STOP");
+    for _ in 0..40 {
+        changing.change();
+    }
+    changing.fleet.vm(others[1]).signal("-CONT");
+    std::thread::sleep(Duration::from_secs(2));
+    for vm in ["c1", "c2", "c3", "r1"] {
+        changing.check_in_force(vm);
+    }
+    changing.fleet.vm_mut(others[0]).kill();
+    changing.fleet.vm(others[0]).wipe();
+    for _ in 0..20 {
+        changing.change();
+    }
+    changing.fleet.vm_mut(others[0]).start();
+    eventually("the new disk is ready", || {
+        changing.fleet.vm(others[0]).is_ready()
+    });
+    for vm in ["c1", "c2", "c3", "r1"] {
+        changing.check_in_force(vm);
+    }
+    for vm in &changing.fleet.vms {
+        let bytes = vm.peak_memory();
+        assert!(bytes < MEMORY_BYTES, "{} took {bytes} bytes", vm.name);
+    }
+}
+
+/// Guards against a configuration that is accepted and too long to be sent to a process that needs
+/// the whole of it.
+#[test]
+fn a_router_started_anew_gets_the_longest_configuration() {
+    let mut changing = Changing::start(small());
+    // Some 3.8 MB, which is longer than control VMs accept.
+    let mut rules = 20_000;
+    let accepted = loop {
+        let answer = changing.send(rules);
+        if answer.status == 200 {
+            break answer;
+        }
+        assert!([413, 422].contains(&answer.status), "{}", answer.text());
+        rules -= rules / 20;
+    };
+    assert!(rules < 20_000);
+    let body: serde_json::Value = serde_json::from_slice(&accepted.body).unwrap();
+    changing.version = body["version"].as_u64().unwrap();
+    changing.fleet.vm_mut("r3").kill();
+    changing.fleet.vm_mut("r3").start();
+    eventually("the router is ready", || changing.fleet.vm("r3").is_ready());
+    for vm in ["r1", "r2", "r3"] {
+        changing.check_in_force(vm);
+    }
+}
+
 /// Guards against requests that each keep the configuration that was in force when they arrived,
 /// while their bodies come in or their endpoints are slow.
 #[test]
 fn requests_in_progress_keep_no_configuration() {
     let mut changing = Changing::start(Plan {
         batch: 200,
-        ..Plan::default()
+        ..small()
     });
     let callers = changing.fleet.callers("r1");
     let head = "POST /assistant HTTP/1.1\r\nhost: test\r\nauthorization: Bearer alpha\r\n";
