Cut accepted responses that end before the request was written

Callers got a part of a response as a complete one: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body, ended its side in order and reset the connection 0.3 s later, with the upload unread. A stream that ended so between two events was not resumed either.

Cause: the end of a connection without an error was taken for the end of the response, whatever the request had got to. A reset during the upload was seen; one after an end in order came too late.

Now a 2xx response that only its connection ends is whole only if the request was written by then. Others, such as an early 413, and those whose end is marked pass as before. The system kept up to 4 MiB of a request that its receiver had not taken, which is more than the longest body by default; it keeps at most 64 KiB unsent now, so that what was written is what the endpoint's system has taken, but for some 130 KiB.

On the commit before, these fail: shows_that_an_early_response_was_ended_before_the_upload, resumes_a_stream_that_was_ended_before_the_upload (native interface), shows_that_a_signed_early_response_was_ended_before_the_upload (adapter), shows_through_a_peer_that_a_response_was_ended_before_the_upload (a peer). The early resets and passes_early_responses_on_that_do_not_depend_on_the_upload pass before and after.

--- a/components/coordination/src/ending.rs
+++ b/components/coordination/src/ending.rs
@@ -27,6 +27,15 @@
     }
 }
 
+/// Whether an answer may be whole that has ended without an error.
+///
+/// An endpoint that accepts a request and ends its answer by the end of the connection alone, before
+/// the request was written to it, is not known to have meant that end. One that refuses a request need
+/// not read the rest of it.
+pub fn may_be_whole(framing: Framing, is_accepted: bool, is_written: bool) -> bool {
+    framing != Framing::Close || is_written || !is_accepted
+}
+
 /// What the end of a body says of the answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
--- a/components/node/src/frontend/pool.rs
+++ b/components/node/src/frontend/pool.rs
@@ -1,7 +1,7 @@
 //! Pool of idle connections to endpoints, and how a new connection is opened.
 
 use crate::client::{self, Sender};
-use crate::paced::Paced;
+use crate::paced::{Backpressure, Paced};
 use bytes::Bytes;
 use errors::{Error, Result};
 use http_body_util::Full;
@@ -39,6 +39,10 @@
 const AT_MOST_ONCE_MAX_IDLE: Duration = Duration::from_millis(1500);
 /// Most bytes of an answer that are read from another router before its caller takes them.
 const PEER_BUFFER_BYTES: usize = 64 * 1024;
+/// Most bytes of a request that the system keeps beyond those that it has sent, so that
+/// [`Connection::is_written`] tells what the endpoint's system has taken.
+#[cfg(target_os = "linux")]
+const UNSENT_BYTES: u32 = 64 * 1024;
 /// Step that errors of [`connect`] name.
 const CONNECT: &str = "connect to an endpoint";
 /// Most idle connections kept to one endpoint.
@@ -58,9 +62,16 @@
 pub(crate) struct Connection {
     pub(crate) sender: Sender<Full<Bytes>>,
     driver: Driver,
+    /// Whether a part of the request waits to be written.
+    backpressure: Backpressure,
 }
 
 impl Connection {
+    /// Whether all of the request has been written.
+    pub(crate) fn is_written(&self) -> bool {
+        !self.backpressure.is_waiting()
+    }
+
     /// Moves bytes on a connection without a task of its own. An error of the connection is
     /// reported by its request or its answer.
     pub(crate) fn poll_driver(&mut self, context: &mut Context<'_>) {
@@ -202,6 +213,7 @@
 /// descriptor left for the connection.
 pub(crate) async fn connect(address: SocketAddr) -> Result<Connection> {
     let stream = open(address).await?;
+    let backpressure = stream.inner().backpressure();
     let (sender, connection) = client::handshake(stream, None)
         .await
         .map_err(Error::peer(CONNECT, address))?;
@@ -210,7 +222,11 @@
         let _ = connection.await;
     });
     let driver = Driver::Task(driver);
-    Ok(Connection { sender, driver })
+    Ok(Connection {
+        sender,
+        driver,
+        backpressure,
+    })
 }
 
 /// Opens a connection to another router, without a task of its own.
@@ -220,11 +236,16 @@
 /// As for [`connect`].
 pub(crate) async fn connect_to_peer(address: SocketAddr) -> Result<Connection> {
     let stream = open(address).await?;
+    let backpressure = stream.inner().backpressure();
     let (sender, connection) = client::handshake(stream, Some(PEER_BUFFER_BYTES))
         .await
         .map_err(Error::peer(CONNECT, address))?;
     let driver = Driver::Held(Box::new(connection));
-    Ok(Connection { sender, driver })
+    Ok(Connection {
+        sender,
+        driver,
+        backpressure,
+    })
 }
 
 /// Opens a TCP connection.
@@ -239,5 +260,8 @@
         })?;
     // Small requests are sent without delay.
     let _ = stream.set_nodelay(true);
+    // A system without this limit keeps more.
+    #[cfg(target_os = "linux")]
+    let _ = socket2::SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT_BYTES);
     Ok(TokioIo::new(Paced::new(stream)))
 }
--- a/components/node/src/frontend/relay.rs
+++ b/components/node/src/frontend/relay.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use coordination::attribution;
 use coordination::dispatcher::Handle;
-use coordination::ending::{Boundary, Ending, Framing};
+use coordination::ending::{may_be_whole, Boundary, Ending, Framing};
 use coordination::messages::{Objective, Verdict};
 use coordination::origin;
 use coordination::pause;
@@ -289,6 +289,8 @@
     Endpoint(hyper::Error),
     /// The stream ended without an error, but inside an event or before the first one.
     Unfinished(Ending),
+    /// The connection ended without an error, before the request was written to it.
+    Unwritten,
     /// The time for the answer was over.
     Deadline,
     /// The stream broke and could not be resumed, for this reason.
@@ -302,6 +304,9 @@
             Abort::Unfinished(_) => {
                 f.write_str("the endpoint ended its stream inside an event or without one")
             }
+            Abort::Unwritten => {
+                f.write_str("the endpoint ended the connection before it had the whole request")
+            }
             Abort::Unresumed(reason) => write!(f, "the stream was not resumed: {reason}"),
             Abort::Deadline => f.write_str("the answer was not complete before its deadline"),
         }
@@ -506,11 +511,21 @@
     fn check_end(&self) -> Result<(), Abort> {
         let ending = self.boundary.as_ref().map(|b| b.judge(self.framing));
         match ending {
-            None | Some(Ending::Complete) => Ok(()),
+            None | Some(Ending::Complete) if self.may_be_whole() => Ok(()),
+            None | Some(Ending::Complete) => Err(Abort::Unwritten),
             Some(ending) => Err(Abort::Unfinished(ending)),
         }
     }
 
+    /// Whether the answer that ends here may be whole, as far as the request was written.
+    fn may_be_whole(&self) -> bool {
+        let connection = self.origin.connection.as_ref();
+        let is_written = connection.is_none_or(Connection::is_written);
+        let status = self.entry.as_ref().map(|(_, status)| *status);
+        let is_accepted = status.is_none_or(|status| status.is_success());
+        may_be_whole(self.framing, is_accepted, is_written)
+    }
+
     /// Drops the unfinished event from the last piece of a stream of known length, whose caller
     /// would otherwise receive as many bytes as it expects.
     fn drop_unfinished(&self, frame: Frame<Bytes>) -> Frame<Bytes> {
@@ -525,8 +540,11 @@
 
     /// Handles an answer that broke off. Returns the error if the stream is not resumed.
     fn handle_break(&mut self, error: Abort) -> Option<Abort> {
-        // An endpoint that marks the end of its answer has not crashed.
-        let has_crashed = !matches!(error, Abort::Unfinished(Ending::Truncated));
+        // An endpoint that marks the end of its answer, or need not have ended, has not crashed.
+        let has_crashed = !matches!(
+            error,
+            Abort::Unfinished(Ending::Truncated) | Abort::Unwritten
+        );
         if self
             .caller_read_again_at
             .is_some_and(|at| at.elapsed() < SLOW_READ_PAUSE)
--- a/components/node/src/paced.rs
+++ b/components/node/src/paced.rs
@@ -6,23 +6,55 @@
 
 use std::io::{IoSlice, Result};
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Bytes that are read in one turn, which take a millisecond or two to parse one by one.
 const TURN_BYTES: usize = 64 * 1024;
 
+/// Whether the peer of a connection has not taken all that was to be written to it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Backpressure(Arc<AtomicBool>);
+
+impl Backpressure {
+    /// Whether bytes wait to be written.
+    pub(crate) fn is_waiting(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+
+    /// Records the result of an attempt to write.
+    fn record(&self, polled: &Poll<Result<usize>>) {
+        match polled {
+            Poll::Ready(Ok(_)) => self.0.store(false, Ordering::Release),
+            // What could not be written will not be.
+            Poll::Ready(Err(_)) | Poll::Pending => self.0.store(true, Ordering::Release),
+        }
+    }
+}
+
 /// A connection that lets other tasks run after each turn of reading.
 #[derive(Debug)]
 pub(crate) struct Paced<S> {
     stream: S,
     /// Bytes that were read in this turn.
     read: usize,
+    backpressure: Backpressure,
 }
 
 impl<S> Paced<S> {
     pub(crate) fn new(stream: S) -> Self {
-        Paced { stream, read: 0 }
+        Paced {
+            stream,
+            read: 0,
+            backpressure: Backpressure::default(),
+        }
+    }
+
+    /// Whether bytes wait to be written, also after the connection was moved.
+    pub(crate) fn backpressure(&self) -> Backpressure {
+        self.backpressure.clone()
     }
 
     pub(crate) fn get_ref(&self) -> &S {
@@ -77,7 +109,9 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buffer)
+        let polled = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.backpressure.record(&polled);
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
@@ -97,6 +131,8 @@
         context: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.backpressure.record(&polled);
+        polled
     }
 }
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -6,7 +6,8 @@
 use harness::raw::Server;
 use harness::upload::{Connection, Framing};
 use harness::{eventually, http, Fleet, Plan};
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -328,6 +329,32 @@
     }
 }
 
+/// Guards against a part of a response that looks complete through a peer, since the endpoint has ended
+/// its side of the connection in order although it had not got the whole request.
+#[test]
+fn shows_through_a_peer_that_a_response_was_ended_before_the_upload() {
+    let raw = Server::start(|mut request| {
+        if request.head.header("case").is_empty() {
+            return request.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+        }
+        let part = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhel";
+        request.stream.write_all(part)?;
+        request.stream.shutdown(Shutdown::Write)?;
+        std::thread::sleep(Duration::from_millis(300));
+        Ok(())
+    });
+    let fleet = pressed_fleet_with(raw.address);
+    let body = "x".repeat(1 << 20);
+    for n in 0..4 {
+        call_until_handed_over(&fleet, || {
+            let headers = [("case", &*n.to_string())];
+            let answer = fleet.call("r1", "alpha", "/raw", &headers, &body);
+            let is_whole = answer.status == 200 && answer.complete;
+            assert!(!is_whole, "{n}: {:?}", answer.text());
+        });
+    }
+}
+
 #[test]
 fn serves_requests_here_if_the_peer_refuses_connections() {
     // Failure: the peer has just been killed, and its figure is still valid.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -10,7 +10,7 @@
 use port::fleet_port;
 use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
@@ -657,17 +657,18 @@
     }
 }
 
-/// Guards against a part of a signed response that looks complete, since the endpoint answers while it
-/// gets the request and resets the connection.
-#[test]
-fn shows_that_a_signed_early_response_was_reset_during_the_upload() {
-    let endpoint = raw::Server::start(|request| {
+/// Sends long uploads to an endpoint that writes a part of a signed response before it reads them, and
+/// checks that no caller gets that part as a whole one.
+fn assert_early_response_is_cut<F>(end: F)
+where
+    F: Fn(&TcpStream) -> std::io::Result<()> + Send + Sync + 'static,
+{
+    let endpoint = raw::Server::start(move |request| {
         let part = signed("200", "X-Kind: close", "hel");
         let part = part.replace("ID", request.head.header("attempt-id"));
         request.stream.write_all(part.as_bytes())?;
-        std::thread::sleep(Duration::from_millis(100));
+        end(request.stream)
         // The unread body resets the connection.
-        Ok(())
     });
     let mut fleet = Fleet::start();
     fleet.set_listing_of_address(endpoint.address);
@@ -706,6 +707,27 @@
     }
 }
 
+/// Guards against a part of a signed response that looks complete, since the endpoint answers while it
+/// gets the request and resets the connection.
+#[test]
+fn shows_that_a_signed_early_response_was_reset_during_the_upload() {
+    assert_early_response_is_cut(|_| {
+        std::thread::sleep(Duration::from_millis(100));
+        Ok(())
+    });
+}
+
+/// Guards against a part of a signed response that looks complete, since the endpoint has ended its
+/// side of the connection in order although it had not got the whole request.
+#[test]
+fn shows_that_a_signed_early_response_was_ended_before_the_upload() {
+    assert_early_response_is_cut(|stream| {
+        stream.shutdown(Shutdown::Write)?;
+        std::thread::sleep(Duration::from_millis(300));
+        Ok(())
+    });
+}
+
 /// Guards against a caller that does not read its answer and thereby occupies a slot of the
 /// endpoint, and memory for the buffered answer, indefinitely.
 #[test]
--- a/tests/response_heads.rs
+++ b/tests/response_heads.rs
@@ -4,10 +4,11 @@
 mod harness;
 
 use harness::http::{self, Answer};
-use harness::raw::{Request, Server};
+use harness::raw::{Head, Request, Server};
 use harness::{eventually, Fleet, Plan};
 use std::collections::HashSet;
 use std::io::Write;
+use std::net::Shutdown;
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -17,6 +18,11 @@
 const BODY: &str = "hello";
 /// The same in chunks.
 const CHUNKS: &str = "5\r\nhello\r\n0\r\n\r\n";
+/// Length in bytes of the longest body that a router takes if it is not set otherwise. An endpoint
+/// that does not read it has a part of it in its buffers.
+const LONG_BODY: usize = 1 << 20;
+/// Length in bytes of a body that is more than the buffers of both sides take.
+const LONGEST_BODY: usize = 12 << 20;
 /// Response to requests that name no case. The server closes each connection after its response, and a
 /// request that is sent at that moment would be lost.
 const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\nhello";
@@ -204,6 +210,32 @@
         })
     }
 
+    /// Starts the router anew with room for bodies of [`LONGEST_BODY`] bytes.
+    fn allow_longest_bodies(&mut self) {
+        let router = self.fleet.vm_mut("r1");
+        let text = std::fs::read_to_string(&router.settings).unwrap();
+        let text = text.replace("[callers]\n", "[callers]\nbody-max = 16777216\n");
+        std::fs::write(&router.settings, text).unwrap();
+        router.kill();
+        router.start();
+        self.fleet.wait_ready();
+        self.restore();
+    }
+
+    /// Sends a request with a body of this length, again if the router turns it away.
+    fn upload(&self, path: &str, length: usize, (method, case): (&str, usize)) -> Answer {
+        let router = self.fleet.callers("r1");
+        let body = "x".repeat(length);
+        let headers = [("case", &*case.to_string())];
+        let mut answer = Answer::default();
+        let received = self.raw.requests();
+        eventually("the endpoint has the request", || {
+            answer = http::send(router, method, path, "alpha", &headers, &body);
+            self.raw.requests() > received
+        });
+        answer
+    }
+
     /// Sends a request, again if the router turns it away because its tasks run late.
     fn call(&self, method: &str, path: &str, headers: &[(&str, &str)]) -> Answer {
         let router = self.fleet.callers("r1");
@@ -648,31 +680,102 @@
         // The unread body resets the connection.
         Ok(())
     });
-    let router = setup.fleet.vm_mut("r1");
-    let text = std::fs::read_to_string(&router.settings).unwrap();
-    let text = text.replace("[callers]\n", "[callers]\nbody-max = 16777216\n");
-    std::fs::write(&router.settings, text).unwrap();
-    router.kill();
-    router.start();
-    setup.fleet.wait_ready();
-    setup.restore();
-    // More than the connection's buffers take.
-    let body = "x".repeat(12 << 20);
-    let router = setup.fleet.callers("r1");
+    setup.allow_longest_bodies();
     for method in ["POST", "PUT"] {
         for n in 0..8 {
-            let number = n.to_string();
             let path = format!("/once/{n}");
-            let headers = [("case", &*number)];
-            let mut answer = Answer::default();
-            let received = setup.raw.requests();
-            eventually("the endpoint has the request", || {
-                answer = http::send(router, method, &path, "alpha", &headers, &body);
-                setup.raw.requests() > received
-            });
+            let answer = setup.upload(&path, LONGEST_BODY, (method, n));
             let is_whole = answer.status == 200 && answer.complete;
             assert!(!is_whole, "{method} {n}: {:?}", answer.text());
             setup.restore();
         }
     }
 }
+
+/// Starts a fleet whose endpoint answers by a function before it has read the request, ends its side
+/// of the connection in order, and resets it after a while. Requests without a case get [`OK`].
+fn ending_before_the_upload<F>(answer: F) -> Setup
+where
+    F: Fn(&Head) -> Option<String> + Send + Sync + 'static,
+{
+    let setup = Setup::start(move |mut request| {
+        let Some(early) = answer(&request.head) else {
+            return request.answer(OK);
+        };
+        request.stream.write_all(early.as_bytes())?;
+        request.stream.shutdown(Shutdown::Write)?;
+        std::thread::sleep(Duration::from_millis(300));
+        Ok(())
+    });
+    setup
+}
+
+/// Guards against a part of a response that looks complete, since the endpoint has ended its side of
+/// the connection in order although it had not got the whole request.
+#[test]
+fn shows_that_an_early_response_was_ended_before_the_upload() {
+    let types = ["text/plain", "application/json", "text/html"];
+    let setup = ending_before_the_upload(move |head| {
+        let case: usize = head.header("case").parse().ok()?;
+        let kind = types[case % types.len()];
+        Some(format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: {kind}\r\n\r\nhel"
+        ))
+    });
+    for n in 0..9 {
+        let path = format!("/once/{n}");
+        let answer = setup.upload(&path, LONG_BODY, ("POST", n));
+        let is_whole = answer.status == 200 && answer.complete;
+        assert!(!is_whole, "{n}: {:?}", answer.text());
+        setup.restore();
+    }
+}
+
+/// Guards against early refusals of long requests that are taken for broken off, and early responses
+/// whose end is marked.
+#[test]
+fn passes_early_responses_on_that_do_not_depend_on_the_upload() {
+    let responses = [
+        (413, "Connection: close\r\n\r\ntoo long"),
+        (401, "Content-Type: text/plain\r\n\r\ntoo long"),
+        (200, "Content-Length: 8\r\n\r\ntoo long"),
+        (
+            200,
+            "Transfer-Encoding: chunked\r\n\r\n8\r\ntoo long\r\n0\r\n\r\n",
+        ),
+    ];
+    let setup = ending_before_the_upload(move |head| {
+        let case: usize = head.header("case").parse().ok()?;
+        let (status, rest) = responses[case];
+        Some(format!("HTTP/1.1 {status} Text\r\n{rest}"))
+    });
+    for (n, (status, _)) in responses.iter().enumerate() {
+        let path = format!("/once/{n}");
+        let answer = setup.upload(&path, LONG_BODY, ("POST", n));
+        let seen = (answer.status, answer.complete, answer.text());
+        assert_eq!(seen, (*status, true, "too long".to_owned()), "{n}");
+        setup.restore();
+    }
+}
+
+/// Guards against a stream that ends between two events although the endpoint had not got the whole
+/// request, and that is not resumed.
+#[test]
+fn resumes_a_stream_that_was_ended_before_the_upload() {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    let (begun, rest) = (event(0) + &event(1), event(2) + &event(3));
+    let whole = format!("{begun}{rest}");
+    let first = Mutex::new(true);
+    let setup = ending_before_the_upload(move |request| {
+        request.header("case").parse::<usize>().ok()?;
+        let is_first = std::mem::take(&mut *first.lock().unwrap());
+        Some(match is_first {
+            true => format!("{head}\r\n{begun}"),
+            false => format!("{head}Content-Length: {}\r\n\r\n{rest}", rest.len()),
+        })
+    });
+    let answer = setup.upload("/resumed/0", LONG_BODY, ("POST", 0));
+    let seen = (answer.status, answer.complete, answer.text());
+    assert_eq!(seen, (200, true, whole));
+    assert_eq!(setup.raw.count("case", "0"), 2);
+}
