--- a/components/node/src/dissemination.rs
+++ b/components/node/src/dissemination.rs
@@ -56,6 +56,16 @@
     Child { parent: Node },
 }
 
+/// A newer version than that of this process.
+#[derive(Clone, Copy, Debug)]
+struct Behind {
+    newer: Version,
+    /// Since when it is known to be in force.
+    since: Millis,
+    /// Whether it was logged that it has not arrived.
+    is_logged: bool,
+}
+
 /// Dissemination state of one process.
 pub(crate) struct Dissemination {
     /// Name of this VM.
@@ -75,9 +85,8 @@
     whole: Option<(Version, Encoded)>,
     /// When versions that this process lacks were last requested.
     resubscribed_at: Option<Millis>,
-    /// Newest version of which this process knows that it is in force, while the view is older, since
-    /// when, and whether that was logged.
-    behind: Option<(Version, Millis, bool)>,
+    /// A newer version that is in force and has not arrived here.
+    behind: Option<Behind>,
     /// When the last heartbeat arrived.
     last_heartbeat_at: Option<Millis>,
     /// Latest time at which the view was proved to be the newest.
@@ -252,27 +261,31 @@
         }
     }
 
-    /// Notes which version is in force, and logs if the view has been older for seconds.
+    /// Records which version is in force, and logs if the view has been older for seconds.
     fn observe_head(&mut self, now: Millis, version: Version, head: Version) {
         if version >= head {
             return;
         }
-        let (newer, since, is_logged) = self.behind.get_or_insert((head, now, false));
-        if !*is_logged && now.since(*since) >= BEHIND_AFTER_MS {
-            *is_logged = true;
+        let behind = self.behind.get_or_insert(Behind {
+            newer: head,
+            since: now,
+            is_logged: false,
+        });
+        if !behind.is_logged && now.since(behind.since) >= BEHIND_AFTER_MS {
+            behind.is_logged = true;
             tracing::warn!(
                 event = Line::ViewBehind.as_str(),
                 is_behind = true,
                 version = version.0,
-                newer = newer.0,
+                newer = behind.newer.0,
             );
         }
     }
 
     /// Records that a version came into force, which may complete a pending proof.
     pub(crate) fn on_new_version(&mut self, version: Version) {
-        let caught_up = self.behind.take_if(|(newer, ..)| version >= *newer);
-        if let Some((_, _, true)) = caught_up {
+        let caught_up = self.behind.take_if(|behind| version >= behind.newer);
+        if caught_up.is_some_and(|behind| behind.is_logged) {
             let event = Line::ViewBehind.as_str();
             tracing::info!(event, is_behind = false, version = version.0);
         }
@@ -359,9 +372,7 @@
         if self.tree.children().next().is_none() {
             return;
         }
-        let total = lengths
-            .iter()
-            .fold(0, |sum: usize, n| sum.saturating_add(*n));
+        let total = lengths.iter().copied().fold(0, usize::saturating_add);
         if steps.len() > 1 && total > codec::encoded_length(view) {
             self.send_whole_to_children(hub, view);
             return;
