Append a change once while it is in progress

An operator got 'no quorum answered' for a configuration of 2.8 MB beside load, and nothing was accepted meanwhile. A process sends a query again that has no answer after 400 ms. Parsing a long configuration takes more than that, and a control VM parses and appends all copies that have come before it answers the first one, so that the next ones arrive in time to be handled before the answer, too.

A copy of a change that is in progress is now answered with it, and one of a change that is answered gets that answer again, without another entry.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -315,6 +315,9 @@
             self.reply(vm, id, Reply::NotLeader(leader));
             return;
         }
+        if self.answer_copy(vm, id, &query) {
+            return;
+        }
         let is_evidence = matches!(query, Query::Evidence(_));
         let record = match query {
             Query::CurrentVersion => {
@@ -371,6 +374,25 @@
         }
     }
 
+    /// Whether a query for a new configuration is a copy of one that is in progress, and will be answered
+    /// with it, or of one that is answered, which it is again.
+    ///
+    /// A VM sends a query again that is not answered in time. A long configuration takes more than that:
+    /// if each copy were parsed and appended, the next ones would come before the first answer.
+    fn answer_copy(&self, vm: &Name, id: u64, query: &Query) -> bool {
+        let change = match query {
+            Query::Change { id, .. } => Some(id),
+            Query::Release(_) => None,
+            _ => return false,
+        };
+        if let Some(answer) = change.and_then(|change| self.store.answers.get(change)) {
+            self.reply(vm, id, Reply::Answer(answer.clone()));
+            return true;
+        }
+        let mut waiters = self.waiters.values();
+        waiters.any(|(_, asker, other)| asker == vm && *other == id)
+    }
+
     /// Converts a query into a log record, or explains why it is invalid.
     fn record(&self, query: Query) -> Result<Record, String> {
         match query {
--- a/tests/many_rules.rs
+++ b/tests/many_rules.rs
@@ -70,6 +70,11 @@
     fn change(&mut self) {
         let answer = self.send(RULES);
         assert_eq!(answer.status, 200, "{}", answer.text());
+        self.set_version(&answer);
+    }
+
+    /// Takes the version at which a change was accepted from its answer.
+    fn set_version(&mut self, answer: &http::Answer) {
         let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
         self.version = body["version"].as_u64().unwrap();
     }
@@ -261,6 +266,26 @@
     }
 }
 
+/// Guards against a change that is appended again and again, since it takes longer than the time after
+/// which it is sent again.
+#[test]
+fn a_change_that_takes_long_is_appended_once() {
+    let mut changing = Changing::start(small());
+    let appended = |changing: &Changing| {
+        let status = changing.fleet.vm("c1").status().unwrap();
+        status["control"]["last"].as_u64().unwrap()
+    };
+    for _ in 0..3 {
+        let before = appended(&changing);
+        let answer = changing.send(12_500);
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        changing.set_version(&answer);
+        // A copy may still be on its way.
+        std::thread::sleep(Duration::from_secs(1));
+        assert_eq!(appended(&changing), before + 1);
+    }
+}
+
 /// Guards against a configuration that is accepted and too long to be sent to a process that needs
 /// the whole of it.
 #[test]
@@ -277,8 +302,7 @@
         rules -= rules / 20;
     };
     assert!(rules < 20_000);
-    let body: serde_json::Value = serde_json::from_slice(&accepted.body).unwrap();
-    changing.version = body["version"].as_u64().unwrap();
+    changing.set_version(&accepted);
     changing.fleet.vm_mut("r3").kill();
     changing.fleet.vm_mut("r3").start();
     eventually("the router is ready", || changing.fleet.vm("r3").is_ready());
